Lay the workspace, the schema and the borders between packages

Cause: everything else grows on agreed messages, records and interfaces, so they come first and alone.

Ruled out: one shared types package written by hand (the house asks for a schema with generated code); per-package settings parsers (the generated descriptors already hold what a checker needs); decorators for inversify (toResolvedValue states dependencies without experimental compiler flags).

Before: nothing.

Conclusion: packages can be built side by side against these borders.

--- /dev/null
+++ b/packages/command-line/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Binary: check, publish, top up, explain, dump.
+ */
+export {};
--- /dev/null
+++ b/packages/decisions/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Pure decisions under load: admit, queue, refuse, place, shift.
+ */
+export {};
--- /dev/null
+++ b/packages/keeper/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Binary: log, grants and configuration for the routers of its host.
+ */
+export {};
--- /dev/null
+++ b/packages/ledger/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Pure folds and books of budgets, grants, bills, claims and configuration.
+ */
+export {};
--- /dev/null
+++ b/packages/measurements/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Development only: the demo and the named measurements.
+ */
+export {};
--- /dev/null
+++ b/packages/operator/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Library with which operators print a configuration.
+ */
+export {};
--- /dev/null
+++ b/packages/router/src/index.ts
@@ -0,0 +1,4 @@
+/**
+ * Binary: serves callers and dispatches to endpoints.
+ */
+export {};
--- /dev/null
+++ b/packages/runtime/src/binary.ts
@@ -0,0 +1,79 @@
+import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
+import {parseArgs} from 'node:util';
+
+import {formatSettingsProblem, loadSettings} from './settings-file.js';
+
+/** A started process that can be stopped in good order. */
+export interface RunningBinary {
+  /** Finishes what runs, returns what it holds, and leaves. */
+  close(): Promise<void>;
+}
+
+/** Standard exit codes (sysexits). */
+export enum ExitCode {
+  Success = 0,
+  Failure = 1,
+  Usage = 64,
+  Configuration = 78,
+}
+
+function settingsPath(): string | undefined {
+  const {values} = parseArgs({
+    options: {settings: {type: 'string'}},
+    allowPositionals: false,
+  });
+  return values.settings;
+}
+
+function stopOnSignal(running: RunningBinary): void {
+  let stopping = false;
+  const stop = () => {
+    if (stopping) {
+      return;
+    }
+    stopping = true;
+    running.close().then(
+      () => {
+        process.exit(ExitCode.Success);
+      },
+      (error: unknown) => {
+        process.stderr.write(`stop failed: ${String(error)}\n`);
+        process.exit(ExitCode.Failure);
+      },
+    );
+  };
+  process.on('SIGTERM', stop);
+  process.on('SIGINT', stop);
+}
+
+/**
+ * Runs a binary: reads `--settings FILE`, starts, and on SIGTERM or SIGINT stops
+ * in good order. Settings that don't fit end it with every problem printed.
+ *
+ * @param schema Schema of its settings.
+ * @param start Starts the process.
+ * @example
+ * ```ts
+ * await runBinary(RouterSettingsSchema, startRouter);
+ * ```
+ */
+export async function runBinary<Schema extends DescMessage>(
+  schema: Schema,
+  start: (settings: MessageShape<Schema>) => Promise<RunningBinary>,
+): Promise<void> {
+  const path = settingsPath();
+  if (path === undefined) {
+    process.stderr.write('usage: --settings FILE\n');
+    process.exitCode = ExitCode.Usage;
+    return;
+  }
+  const settings = loadSettings(schema, path);
+  if (settings.err) {
+    for (const problem of settings.val) {
+      process.stderr.write(`${formatSettingsProblem(problem)}\n`);
+    }
+    process.exitCode = ExitCode.Configuration;
+    return;
+  }
+  stopOnSignal(await start(settings.val));
+}
--- /dev/null
+++ b/packages/runtime/src/control-server.ts
@@ -0,0 +1,71 @@
+import type {ConnectRouter} from '@connectrpc/connect';
+import {connectNodeAdapter} from '@connectrpc/connect-node';
+import {
+  createServer,
+  type Http2Server,
+  type ServerHttp2Session,
+} from 'node:http2';
+import type {AddressInfo} from 'node:net';
+
+/**
+ * The Connect server on which a process offers its control services to the
+ * other processes, over HTTP/2.
+ */
+export class ControlServer {
+  private readonly sessions = new Set<ServerHttp2Session>();
+
+  private constructor(
+    private readonly server: Http2Server,
+    /** `IP:port` that peers reach it by. */
+    readonly address: string,
+  ) {}
+
+  /**
+   * Listens and serves.
+   *
+   * @param address IP address.
+   * @param port 0 takes a free port.
+   * @param routes Registers the services.
+   * @throws The system's error where the address can't be taken.
+   * @example
+   * ```ts
+   * const server = await ControlServer.listen('127.0.0.1', 0, router => {
+   *   router.service(KeeperService, implementation);
+   * });
+   * ```
+   */
+  static async listen(
+    address: string,
+    port: number,
+    routes: (router: ConnectRouter) => void,
+  ): Promise<ControlServer> {
+    const server = createServer(connectNodeAdapter({routes}));
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(port, address, () => {
+        server.off('error', reject);
+        resolve();
+      });
+    });
+    const bound = (server.address() as AddressInfo).port;
+    const controlServer = new ControlServer(server, `${address}:${bound}`);
+    server.on('session', session => {
+      controlServer.sessions.add(session);
+      session.once('close', () => controlServer.sessions.delete(session));
+    });
+    return controlServer;
+  }
+
+  /** Stops listening and ends every session; streams in progress fail. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>(resolve => {
+      this.server.close(() => {
+        resolve();
+      });
+    });
+    for (const session of this.sessions) {
+      session.destroy();
+    }
+    await closed;
+  }
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,13 @@
+/**
+ * What every binary shares: settings, logs, metrics, the control server, the
+ * state dump and an orderly stop.
+ */
+export * from './binary.js';
+export * from './control-server.js';
+export * from './event-log.js';
+export * from './inspection.js';
+export * from './metrics.js';
+export * from './schema-check.js';
+export * from './settings-file.js';
+export * from './system-clock.js';
+export * from './system-random-source.js';
--- /dev/null
+++ b/packages/runtime/src/settings-file.ts
@@ -0,0 +1,136 @@
+import {
+  fromJson,
+  type DescMessage,
+  type MessageShape,
+} from '@bufbuild/protobuf';
+import {
+  findNodeAtLocation,
+  getNodeValue,
+  parseTree,
+  printParseErrorCode,
+  type Node,
+  type ParseError,
+} from 'jsonc-parser';
+import {readFileSync} from 'node:fs';
+import {Err, Ok, type Result} from 'ts-results';
+
+import {checkAgainstSchema} from './schema-check.js';
+
+/** One thing wrong in a settings or configuration file. */
+export interface SettingsProblem {
+  readonly file: string;
+  /** Counts from 1. */
+  readonly line: number;
+  /** Path of the key, such as `platform.logUrl`; empty for the whole file. */
+  readonly key: string;
+  readonly expected: string;
+}
+
+/**
+ * Prints a problem as one line.
+ *
+ * @example
+ * ```ts
+ * console.error(formatSettingsProblem(problem));
+ * // router.jsonc:4: process.controlPort: expected a whole number …
+ * ```
+ */
+export function formatSettingsProblem(problem: SettingsProblem): string {
+  const key = problem.key === '' ? 'file' : problem.key;
+  return `${problem.file}:${problem.line}: ${key}: expected ${problem.expected}`;
+}
+
+function lineOf(text: string, offset: number): number {
+  return text.slice(0, offset).split('\n').length;
+}
+
+function parseProblems(
+  file: string,
+  text: string,
+  errors: readonly ParseError[],
+): SettingsProblem[] {
+  return errors.map(error => ({
+    file,
+    line: lineOf(text, error.offset),
+    key: '',
+    expected: `JSON with comments (${printParseErrorCode(error.error)})`,
+  }));
+}
+
+function nodeAt(root: Node, path: readonly (string | number)[]): Node {
+  for (let length = path.length; length > 0; length--) {
+    const node = findNodeAtLocation(root, path.slice(0, length));
+    if (node !== undefined) {
+      return node.parent?.type === 'property' ? node.parent : node;
+    }
+  }
+  return root;
+}
+
+/**
+ * Reads a message from JSON with comments. Unknown keys, wrong kinds of values
+ * and values out of range are problems; all of them are reported at once.
+ *
+ * @param schema The generated message schema.
+ * @param text The file's text.
+ * @param file Name for the problems.
+ * @example
+ * ```ts
+ * const result = parseSettings(RouterSettingsSchema, text, 'router.jsonc');
+ * ```
+ */
+export function parseSettings<Schema extends DescMessage>(
+  schema: Schema,
+  text: string,
+  file: string,
+): Result<MessageShape<Schema>, readonly SettingsProblem[]> {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, {allowTrailingComma: true});
+  if (root === undefined || errors.length > 0) {
+    const problems = parseProblems(file, text, errors);
+    return Err(
+      problems.length > 0
+        ? problems
+        : [{file, line: 1, key: '', expected: 'a JSON object'}],
+    );
+  }
+  const value: unknown = getNodeValue(root);
+  const mismatches = checkAgainstSchema(schema, value);
+  if (mismatches.length > 0) {
+    return Err(
+      mismatches.map(mismatch => ({
+        file,
+        line: lineOf(text, nodeAt(root, mismatch.path).offset),
+        key: mismatch.path.join('.'),
+        expected: mismatch.expected,
+      })),
+    );
+  }
+  return Ok(fromJson(schema, value as Parameters<typeof fromJson>[1]));
+}
+
+/**
+ * Reads a settings file.
+ *
+ * @param path Path of the file.
+ * @example
+ * ```ts
+ * const settings = loadSettings(KeeperSettingsSchema, 'keeper.jsonc');
+ * if (settings.err) settings.val.map(formatSettingsProblem).forEach(print);
+ * ```
+ */
+export function loadSettings<Schema extends DescMessage>(
+  schema: Schema,
+  path: string,
+): Result<MessageShape<Schema>, readonly SettingsProblem[]> {
+  let text: string;
+  try {
+    text = readFileSync(path, 'utf8');
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : String(error);
+    return Err([
+      {file: path, line: 1, key: '', expected: `a readable file (${reason})`},
+    ]);
+  }
+  return parseSettings(schema, text, path);
+}
--- /dev/null
+++ b/packages/runtime/src/system-random-source.ts
@@ -0,0 +1,16 @@
+import {RandomSource} from '@wisteriadeal/platform';
+import {randomBytes, randomInt} from 'node:crypto';
+
+const IDENTIFIER_BYTES = 16;
+const FRACTION_STEPS = 2 ** 32;
+
+/** The operating system's randomness. */
+export class SystemRandomSource extends RandomSource {
+  override identifier(): string {
+    return randomBytes(IDENTIFIER_BYTES).toString('hex');
+  }
+
+  override fraction(): number {
+    return randomInt(FRACTION_STEPS) / FRACTION_STEPS;
+  }
+}
--- /dev/null
+++ b/vitest.config.ts
@@ -0,0 +1,10 @@
+import {defineConfig} from 'vitest/config';
+
+export default defineConfig({
+  resolve: {conditions: ['source']},
+  ssr: {resolve: {conditions: ['source']}},
+  test: {
+    include: ['packages/*/src/test/**/*_test.ts'],
+    testTimeout: 30_000,
+  },
+});
