Reach the platform and the endpoints over HTTP; fakes for tests

Cause: the abstract classes of packages/platform had no adapters, and the other packages had no fakes to test against.

Change: HttpLogClient, HttpHostList, HttpWeightStore, HttpModelEngine and HttpPlainService over one HttpPeer (got with a keep-alive agent, no retries, bodies read as they arrive). An error is NotDone only where no connection was made or the peer refused the request; everything else is Unknown. The echo of the attempt identifier is checked at the head and at each chunk. Fakes: FakeClock, SeededRandomSource, MemoryLog, MemoryHostList, and expectedCompletion, the engine stand-in's answer as a function of model and messages.

Ruled out: a library for server-sent events (none in the dependency set; the framing is 20 lines); counting an HTTP 5xx of the log as not done (the stand-in answers one after the append took effect).

--- /dev/null
+++ b/packages/platform/src/http-engine-stream.ts
@@ -0,0 +1,115 @@
+import {readServerSentEvents} from './event-stream-reader.js';
+import {checkAttemptEcho} from './http-endpoint-options.js';
+import {toStepError, type OpenAnswer} from './http-peer.js';
+import {
+  asFields,
+  listField,
+  numberField,
+  parseFields,
+  type JsonFields,
+} from './json-fields.js';
+import {
+  FinishReason,
+  type EngineEnd,
+  type EngineEvent,
+  type EngineStream,
+} from './model-engine.js';
+import {Fate, StepError} from './step-error.js';
+
+const STEP = 'read an engine stream';
+const END_MARK = '[DONE]';
+
+const FINISH_REASONS: Readonly<Record<string, FinishReason>> = {
+  stop: FinishReason.Stop,
+  length: FinishReason.Length,
+  cancelled: FinishReason.Cancelled,
+};
+
+function toEnd(usage: JsonFields, finishReason: FinishReason): EngineEnd {
+  return {
+    finishReason,
+    usage: {
+      promptTokens: numberField(usage, 'prompt_tokens'),
+      completionTokens: numberField(usage, 'completion_tokens'),
+    },
+  };
+}
+
+/** A chat completion that an engine streams as server-sent events. */
+export class HttpEngineStream implements EngineStream {
+  readonly events: AsyncIterable<EngineEvent>;
+  private finishReason: FinishReason | undefined;
+  private announcedEnd: EngineEnd | undefined;
+  private finished: EngineEnd | undefined;
+
+  constructor(
+    private readonly endpoint: string,
+    readonly attemptId: string,
+    private readonly answer: OpenAnswer,
+  ) {
+    this.events = this.read();
+  }
+
+  get end(): EngineEnd | undefined {
+    return this.finished;
+  }
+
+  detach(): void {
+    this.answer.body.destroy();
+  }
+
+  private async *read(): AsyncGenerator<EngineEvent> {
+    try {
+      for await (const event of readServerSentEvents(this.answer.body)) {
+        if (event.data === END_MARK) {
+          this.finished = this.announcedEnd;
+          continue;
+        }
+        const text = this.takeChunk(parseFields(event.data));
+        if (text !== '') {
+          yield {index: Number(event.id), text};
+        }
+      }
+      this.requireEnd();
+    } catch (error) {
+      throw toStepError(STEP, this.endpoint, error);
+    } finally {
+      this.answer.body.destroy();
+    }
+  }
+
+  /**
+   * A connection that ends quietly looks like a short answer. Symptom: the
+   * caller takes half an answer for the whole. Only the end mark after the
+   * usage makes a stream complete.
+   */
+  private requireEnd(): void {
+    if (this.finished === undefined) {
+      throw new StepError(
+        STEP,
+        this.endpoint,
+        Fate.Unknown,
+        'the stream broke off before its end mark',
+      );
+    }
+  }
+
+  private takeChunk(chunk: JsonFields): string {
+    checkAttemptEcho(STEP, this.endpoint, this.attemptId, chunk.id);
+    const [first] = listField(chunk, 'choices');
+    const choice = first === undefined ? undefined : asFields(first);
+    const reason = choice?.finish_reason;
+    if (typeof reason === 'string') {
+      this.finishReason = FINISH_REASONS[reason] ?? FinishReason.Stop;
+    }
+    const usage = chunk.usage;
+    if (typeof usage === 'object' && usage !== null) {
+      this.announcedEnd = toEnd(
+        asFields(usage),
+        this.finishReason ?? FinishReason.Stop,
+      );
+    }
+    const delta = choice === undefined ? {} : asFields(choice.delta);
+    return typeof delta.content === 'string' ? delta.content : '';
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -4,6 +4,12 @@
  */
 export * from './clock.js';
 export * from './host-list.js';
+export * from './http-endpoint-options.js';
+export * from './http-host-list.js';
+export * from './http-log-client.js';
+export * from './http-model-engine.js';
+export * from './http-plain-service.js';
+export * from './http-weight-store.js';
 export * from './log-client.js';
 export * from './model-engine.js';
 export * from './plain-service.js';
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,4 +1,6 @@
 /**
- * Development only: small stand-ins for the platform, model engines and plain services.
+ * Development only: small stand-ins for the platform, model engines and plain
+ * services, and fakes for tests.
  */
-export {};
+export * from './expected-completion.js';
+export * from './testing/index.js';
--- /dev/null
+++ b/packages/stand-ins/src/test/memory-log_test.ts
@@ -0,0 +1,43 @@
+import {Fate, StepError} from '@wisteriadeal/platform';
+import {expect, test} from 'vitest';
+
+import {FakeClock, MemoryLog, MemoryLogStore} from '../index.js';
+
+function newLog() {
+  const clock = new FakeClock();
+  const store = new MemoryLogStore(clock);
+  return {clock, store, log: new MemoryLog(store, clock)};
+}
+
+test('a lost answer leaves the record on the log', async () => {
+  const {store, log} = newLog();
+  store.faults.loseAnswers = 1;
+  const error: unknown = await log
+    .append('ledger-0', Buffer.from('a'))
+    .catch((reason: unknown) => reason);
+  expect((error as StepError).fate).toBe(Fate.Unknown);
+  expect(store.endOffset('ledger-0')).toBe(1);
+});
+
+test('retention drops the oldest records and keeps their offsets', async () => {
+  const {store, log} = newLog();
+  store.faults.retentionRecords = 2;
+  for (const text of ['a', 'b', 'c']) {
+    await log.append('ledger-0', Buffer.from(text));
+  }
+  const page = await log.read('ledger-0', 0, 10, 0);
+  expect(page.firstOffset).toBe(1);
+  expect(page.nextOffset).toBe(3);
+  expect(page.records.map(record => record.offset)).toEqual([1, 2]);
+});
+
+test('a waiting read ends with the next record or with its time', async () => {
+  const {clock, log} = newLog();
+  const early = log.read('ledger-0', 0, 10, 1_000);
+  await clock.advance(1_000);
+  expect((await early).records).toHaveLength(0);
+  const later = log.read('ledger-0', 0, 10, 1_000);
+  await clock.advance(10);
+  await log.append('ledger-0', Buffer.from('a'));
+  expect((await later).records).toHaveLength(1);
+});
--- /dev/null
+++ b/packages/stand-ins/src/testing/memory-log.ts
@@ -0,0 +1,172 @@
+import {
+  Fate,
+  LogClient,
+  StepError,
+  type Clock,
+  type LogPage,
+  type LogRecord,
+} from '@wisteriadeal/platform';
+
+/** What goes wrong at a log; all of it can be changed while it runs. */
+export interface LogFaults {
+  /** Nothing is appended or read. */
+  outage: boolean;
+  /** The next appends, so many, take effect but answer with an error. */
+  loseAnswers: number;
+  /** Each stream keeps its last records, so many; undefined keeps all. */
+  retentionRecords: number | undefined;
+}
+
+/** The streams of an in-memory log; several clients may share them. */
+export class MemoryLogStore {
+  readonly faults: LogFaults = {
+    outage: false,
+    loseAnswers: 0,
+    retentionRecords: undefined,
+  };
+
+  private readonly streams = new Map<string, LogRecord[]>();
+  private readonly lengths = new Map<string, number>();
+  private readonly waiting = new Set<() => void>();
+
+  constructor(private readonly clock: Clock) {}
+
+  /** Appends and wakes waiting readers. */
+  append(stream: string, payload: Uint8Array): number {
+    const offset = this.endOffset(stream);
+    const records = this.streams.get(stream) ?? [];
+    records.push({
+      offset,
+      payload: Uint8Array.from(payload),
+      appendedAtMilliseconds: this.clock.wallMilliseconds(),
+    });
+    const kept = this.faults.retentionRecords ?? records.length;
+    this.streams.set(stream, records.slice(-kept));
+    this.lengths.set(stream, offset + 1);
+    this.wakeReaders();
+    return offset;
+  }
+
+  /** What the stream keeps from an offset on. */
+  page(stream: string, fromOffset: number, limit: number): LogPage {
+    const kept = this.streams.get(stream) ?? [];
+    const endOffset = this.endOffset(stream);
+    const firstOffset = kept[0]?.offset ?? endOffset;
+    const records = kept
+      .filter(record => record.offset >= fromOffset)
+      .slice(0, limit);
+    const last = records.at(-1);
+    const nextOffset =
+      last === undefined ? Math.max(fromOffset, firstOffset) : last.offset + 1;
+    return {records, firstOffset, nextOffset, endOffset};
+  }
+
+  /** Every kept record of a stream. */
+  records(stream: string): readonly LogRecord[] {
+    return this.streams.get(stream) ?? [];
+  }
+
+  /** The offset that the next append will get. */
+  endOffset(stream: string): number {
+    return this.lengths.get(stream) ?? 0;
+  }
+
+  /** Resolves at the next append, or when the signal is aborted. */
+  nextAppend(signal: AbortSignal): Promise<void> {
+    return new Promise(resolve => {
+      const finish = () => {
+        this.waiting.delete(finish);
+        signal.removeEventListener('abort', finish);
+        resolve();
+      };
+      this.waiting.add(finish);
+      signal.addEventListener('abort', finish, {once: true});
+    });
+  }
+
+  private wakeReaders(): void {
+    for (const wake of [...this.waiting]) {
+      wake();
+    }
+  }
+}
+
+/**
+ * A log client without a server, for tests of other packages.
+ *
+ * @example
+ * ```ts
+ * const store = new MemoryLogStore(clock);
+ * const log = new MemoryLog(store, clock);
+ * store.faults.loseAnswers = 1;
+ * await log.append('ledger-0', payload); // throws, and yet the record stands
+ * ```
+ */
+export class MemoryLog extends LogClient {
+  /** Cuts this client, and no other one, from the log. */
+  cutOff = false;
+
+  constructor(
+    private readonly store: MemoryLogStore,
+    private readonly clock: Clock,
+  ) {
+    super();
+  }
+
+  override async append(stream: string, payload: Uint8Array): Promise<number> {
+    const step = `append to ${stream}`;
+    await Promise.resolve();
+    this.requireReachable(step);
+    const offset = this.store.append(stream, payload);
+    if (this.store.faults.loseAnswers > 0) {
+      this.store.faults.loseAnswers--;
+      throw new StepError(step, 'memory log', Fate.Unknown, 'answer lost');
+    }
+    return offset;
+  }
+
+  override async read(
+    stream: string,
+    fromOffset: number,
+    limit: number,
+    waitMilliseconds: number,
+    signal?: AbortSignal,
+  ): Promise<LogPage> {
+    await Promise.resolve();
+    const step = `read ${stream}`;
+    this.requireReachable(step);
+    const page = this.store.page(stream, fromOffset, limit);
+    if (page.records.length > 0 || waitMilliseconds === 0) {
+      return page;
+    }
+    await this.waitForAppend(waitMilliseconds, signal);
+    this.requireReachable(step);
+    return this.store.page(stream, fromOffset, limit);
+  }
+
+  override close(): Promise<void> {
+    return Promise.resolve();
+  }
+
+  private async waitForAppend(
+    milliseconds: number,
+    signal: AbortSignal | undefined,
+  ): Promise<void> {
+    const ended = new AbortController();
+    const either =
+      signal === undefined
+        ? ended.signal
+        : AbortSignal.any([ended.signal, signal]);
+    await Promise.race([
+      this.store.nextAppend(either),
+      this.clock.sleep(milliseconds, either),
+    ]);
+    ended.abort();
+  }
+
+  private requireReachable(step: string): void {
+    if (this.store.faults.outage || this.cutOff) {
+      throw new StepError(step, 'memory log', Fate.NotDone, 'outage');
+    }
+  }
+}
