Make the test of a crossed plain answer see the connection's end

Change: the test's limit is 60 s and the test itself ends after 5 s, so only the destroy can close the connection in time.

--- a/packages/platform/src/test/http-adapters_test.ts
+++ b/packages/platform/src/test/http-adapters_test.ts
@@ -213,11 +213,15 @@
     response.writeHead(200, {'x-attempt-id': echoed});
     response.end('answer');
   });
-  const service = new HttpPlainServiceFactory(LIMITS).connect('app-1', address);
+  // A limit longer than the test's own, so that no timeout closes it instead.
+  const service = new HttpPlainServiceFactory({
+    ...LIMITS,
+    responseTimeoutMilliseconds: 60_000,
+  }).connect('app-1', address);
   expect((await failure(service.call(CALL))).fate).toBe(Fate.Unknown);
   await firstClosed;
   const answer = await service.call(CALL);
   expect(Buffer.from(answer.body).toString()).toBe('answer');
   expect(new Set(ports).size).toBe(2);
   await service.close();
-});
+}, 5_000);
