Stand in for the platform, model engines and a plain service

Cause: nothing could be run end to end, since the platform and the endpoints had no stand-ins; and every binary ended at its start, because Node.js can't see the named exports of ts-results, a CommonJS module. Tests passed nevertheless, since they are bundled.

Runtime's results.ts is now the only module that imports ts-results, by its default export, and hands on Err, Ok and Result.

Ruled out: a queue without limit at the engine (an engine that refuses is one of the cases to meet); one server for all stand-ins (each must be stopped, paused and cut alone).

--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -7,6 +7,7 @@
 export * from './event-log.js';
 export * from './inspection.js';
 export * from './metrics.js';
+export * from './results.js';
 export * from './schema-check.js';
 export * from './settings-file.js';
 export * from './system-clock.js';
--- a/packages/runtime/src/settings-file.ts
+++ b/packages/runtime/src/settings-file.ts
@@ -12,8 +12,8 @@
   type ParseError,
 } from 'jsonc-parser';
 import {readFileSync} from 'node:fs';
-import {Err, Ok, type Result} from 'ts-results';
 
+import {Err, Ok, type Result} from './results.js';
 import {checkAgainstSchema} from './schema-check.js';
 
 /** One thing wrong in a settings or configuration file. */
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -4,3 +4,4 @@
  */
 export * from './expected-completion.js';
 export * from './testing/index.js';
+export {bodyDigest, type PlainServiceReply} from './plain-service-stand-in.js';
--- /dev/null
+++ b/packages/stand-ins/src/stand-in-server.ts
@@ -0,0 +1,119 @@
+import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
+import {
+  formatSettingsProblem,
+  parseSettings,
+  type EventLog,
+} from '@wisteriadeal/runtime';
+import type {StandInProcessSettings} from '@wisteriadeal/schema';
+import type {AddressInfo} from 'node:net';
+import restify, {type Request, type Response, type Server} from 'restify';
+
+/** Status codes that the stand-ins answer. */
+export enum Status {
+  Success = 200,
+  Created = 201,
+  NoContent = 204,
+  BadRequest = 400,
+  NotFound = 404,
+  Conflict = 409,
+  TooManyRequests = 429,
+  ServerError = 500,
+  Unavailable = 503,
+}
+
+/** Reads a request's whole body. */
+export async function readBody(request: Request): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  for await (const chunk of request) {
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** Reads the query of a request. */
+export function readQuery(request: Request): URLSearchParams {
+  return new URL(request.url ?? '/', 'http://stand-in').searchParams;
+}
+
+/** Reads a parameter of a request's path. */
+export function pathParameter(request: Request, name: string): string {
+  return String((request.params as Record<string, unknown>)[name]);
+}
+
+/** Answers with JSON. */
+export function sendJson(
+  response: Response,
+  status: Status,
+  value: unknown,
+  headers: Readonly<Record<string, string>> = {},
+): void {
+  response.writeHead(status, {'content-type': 'application/json', ...headers});
+  response.end(JSON.stringify(value));
+}
+
+/**
+ * Answers a control request whose body is a message of the schema.
+ *
+ * @param apply Called with the message where it fits the schema.
+ */
+export async function takeMessage<Schema extends DescMessage>(
+  schema: Schema,
+  request: Request,
+  response: Response,
+  apply: (message: MessageShape<Schema>) => void,
+): Promise<void> {
+  const text = (await readBody(request)).toString();
+  const parsed = parseSettings(schema, text, 'body');
+  if (parsed.err) {
+    const problems = parsed.val.map(formatSettingsProblem);
+    sendJson(response, Status.BadRequest, {problems});
+    return;
+  }
+  apply(parsed.val);
+  sendJson(response, Status.Success, {});
+}
+
+/** The HTTP server of a stand-in. */
+export class StandInServer {
+  private constructor(private readonly server: Server) {}
+
+  /**
+   * Listens, and writes the line `listening`.
+   *
+   * @param routes Registers the routes.
+   * @throws The system's error where the address can't be taken.
+   * @example
+   * ```ts
+   * const server = await StandInServer.listen(settings, log, routes => {
+   *   routes.get('/hosts', handler);
+   * });
+   * ```
+   */
+  static async listen(
+    settings: StandInProcessSettings,
+    log: EventLog,
+    routes: (server: Server) => void,
+  ): Promise<StandInServer> {
+    const server = restify.createServer({name: settings.name});
+    routes(server);
+    await new Promise<void>((resolve, reject) => {
+      server.once('error', reject);
+      server.listen(settings.port, settings.address, () => {
+        resolve();
+      });
+    });
+    const {port} = server.server.address() as AddressInfo;
+    log.info('listening', {address: `${settings.address}:${port}`});
+    return new StandInServer(server);
+  }
+
+  /** Ends every connection. */
+  async close(): Promise<void> {
+    await new Promise<void>(resolve => {
+      this.server.close(() => {
+        resolve();
+      });
+      this.server.server.closeAllConnections();
+    });
+  }
+}
--- /dev/null
+++ b/packages/stand-ins/src/test/host-directory_test.ts
@@ -0,0 +1,29 @@
+import {ListedState} from '@wisteriadeal/platform';
+import {expect, test} from 'vitest';
+
+import {HostDirectory} from '../host-directory.js';
+import {FakeClock} from '../index.js';
+
+function listing(endpoint: string) {
+  return {hosts: [], endpoints: [{endpoint, state: ListedState.Live}]};
+}
+
+test('a change of the list is shown only after the lag', async () => {
+  const clock = new FakeClock();
+  const directory = new HostDirectory(clock, 1_000);
+  directory.set('', listing('one'));
+  directory.set('', listing('two'));
+  expect(directory.read('any')).toEqual(listing('one'));
+  await clock.advance(999);
+  expect(directory.read('any')).toEqual(listing('one'));
+  await clock.advance(1);
+  expect(directory.read('any')).toEqual(listing('two'));
+});
+
+test('a viewer with a list of its own sees that one', () => {
+  const directory = new HostDirectory(new FakeClock(), 0);
+  directory.set('', listing('for all'));
+  directory.set('host-1', listing('for host-1'));
+  expect(directory.read('host-1')).toEqual(listing('for host-1'));
+  expect(directory.read('host-2')).toEqual(listing('for all'));
+});
--- a/packages/stand-ins/src/testing/memory-log.ts
+++ b/packages/stand-ins/src/testing/memory-log.ts
@@ -17,6 +17,12 @@
   retentionRecords: number | undefined;
 }
 
+interface StoredStream {
+  readonly records: LogRecord[];
+  endOffset: number;
+  readonly waiting: Set<() => void>;
+}
+
 /** The streams of an in-memory log; several clients may share them. */
 export class MemoryLogStore {
   readonly faults: LogFaults = {
@@ -25,36 +31,35 @@
     retentionRecords: undefined,
   };
 
-  private readonly streams = new Map<string, LogRecord[]>();
-  private readonly lengths = new Map<string, number>();
-  private readonly waiting = new Set<() => void>();
+  private readonly streams = new Map<string, StoredStream>();
 
   constructor(private readonly clock: Clock) {}
 
-  /** Appends and wakes waiting readers. */
+  /** Appends and wakes the stream's waiting readers. */
   append(stream: string, payload: Uint8Array): number {
-    const offset = this.endOffset(stream);
-    const records = this.streams.get(stream) ?? [];
-    records.push({
+    const stored = this.stored(stream);
+    const offset = stored.endOffset++;
+    stored.records.push({
       offset,
       payload: Uint8Array.from(payload),
       appendedAtMilliseconds: this.clock.wallMilliseconds(),
     });
-    const kept = this.faults.retentionRecords ?? records.length;
-    this.streams.set(stream, records.slice(-kept));
-    this.lengths.set(stream, offset + 1);
-    this.wakeReaders();
+    const kept = this.faults.retentionRecords ?? stored.records.length;
+    if (stored.records.length > kept) {
+      stored.records.splice(0, stored.records.length - kept);
+    }
+    for (const wake of [...stored.waiting]) {
+      wake();
+    }
     return offset;
   }
 
   /** What the stream keeps from an offset on. */
   page(stream: string, fromOffset: number, limit: number): LogPage {
-    const kept = this.streams.get(stream) ?? [];
-    const endOffset = this.endOffset(stream);
+    const {records: kept, endOffset} = this.stored(stream);
     const firstOffset = kept[0]?.offset ?? endOffset;
-    const records = kept
-      .filter(record => record.offset >= fromOffset)
-      .slice(0, limit);
+    const start = Math.max(0, fromOffset - firstOffset);
+    const records = kept.slice(start, start + limit);
     const last = records.at(-1);
     const nextOffset =
       last === undefined ? Math.max(fromOffset, firstOffset) : last.offset + 1;
@@ -63,31 +68,40 @@
 
   /** Every kept record of a stream. */
   records(stream: string): readonly LogRecord[] {
-    return this.streams.get(stream) ?? [];
+    return this.stored(stream).records;
   }
 
   /** The offset that the next append will get. */
   endOffset(stream: string): number {
-    return this.lengths.get(stream) ?? 0;
+    return this.stored(stream).endOffset;
   }
 
-  /** Resolves at the next append, or when the signal is aborted. */
-  nextAppend(signal: AbortSignal): Promise<void> {
+  /** Names of the streams that were used. */
+  get streamNames(): readonly string[] {
+    return [...this.streams.keys()];
+  }
+
+  /** Resolves at the stream's next append, or when the signal is aborted. */
+  nextAppend(stream: string, signal: AbortSignal): Promise<void> {
+    const {waiting} = this.stored(stream);
     return new Promise(resolve => {
       const finish = () => {
-        this.waiting.delete(finish);
+        waiting.delete(finish);
         signal.removeEventListener('abort', finish);
         resolve();
       };
-      this.waiting.add(finish);
+      waiting.add(finish);
       signal.addEventListener('abort', finish, {once: true});
     });
   }
 
-  private wakeReaders(): void {
-    for (const wake of [...this.waiting]) {
-      wake();
+  private stored(stream: string): StoredStream {
+    let stored = this.streams.get(stream);
+    if (stored === undefined) {
+      stored = {records: [], endOffset: 0, waiting: new Set()};
+      this.streams.set(stream, stored);
     }
+    return stored;
   }
 }
 
@@ -139,7 +153,7 @@
     if (page.records.length > 0 || waitMilliseconds === 0) {
       return page;
     }
-    await this.waitForAppend(waitMilliseconds, signal);
+    await this.waitForAppend(stream, waitMilliseconds, signal);
     this.requireReachable(step);
     return this.store.page(stream, fromOffset, limit);
   }
@@ -149,6 +163,7 @@
   }
 
   private async waitForAppend(
+    stream: string,
     milliseconds: number,
     signal: AbortSignal | undefined,
   ): Promise<void> {
@@ -158,7 +173,7 @@
         ? ended.signal
         : AbortSignal.any([ended.signal, signal]);
     await Promise.race([
-      this.store.nextAppend(either),
+      this.store.nextAppend(stream, either),
       this.clock.sleep(milliseconds, either),
     ]);
     ended.abort();
