--- /dev/null
+++ b/packages/operator/src/configuration-error.ts
@@ -0,0 +1,43 @@
+import {
+  formatPath,
+  type ConfigurationProblem,
+} from './configuration-problem.js';
+
+/** The function below which a stack trace starts. */
+export type StackBase = (...values: never[]) => unknown;
+
+/**
+ * A mistake in a configuration, thrown by the line that made it: the stack
+ * starts at the operator's call of the builder and not inside the library.
+ */
+export class ConfigurationError extends Error {
+  override readonly name: string = 'ConfigurationError';
+  /** The key that is wrong, such as `endpoints[3].address`. */
+  readonly key: string;
+  readonly expected: string;
+  /** File, line and column of the builder's call. */
+  readonly callSite: string;
+
+  /**
+   * @param problem What is wrong.
+   * @param subject The thing that the line defines, such as `endpoint "tutor-1"`.
+   * @param calledMethod The builder's method that the operator called.
+   */
+  constructor(
+    problem: ConfigurationProblem,
+    subject: string,
+    calledMethod: StackBase,
+  ) {
+    const key = formatPath(problem.path);
+    super(`${subject}: ${key}: expected ${problem.expected}`);
+    this.key = key;
+    this.expected = problem.expected;
+    Error.captureStackTrace(this, calledMethod);
+    this.callSite = firstCallSite(this.stack ?? '');
+  }
+}
+
+function firstCallSite(stack: string): string {
+  const frame = stack.split('\n').find(line => /^\s+at /.test(line)) ?? '';
+  return /\(?((?:file:\/\/)?[^\s()]+:\d+:\d+)\)?$/.exec(frame)?.[1] ?? '';
+}
