--- /dev/null
+++ b/packages/ledger/src/grant-policy.ts
@@ -0,0 +1,165 @@
+import {BudgetPreference} from '@wisteriadeal/schema';
+
+/** What a holder knows when it decides on its grants for an organisation. */
+export interface GrantSituation {
+  /** Tokens that this holder can reserve now. */
+  readonly spendableTokens: number;
+  /** Tokens asked for on the log and not yet given. */
+  readonly requestedTokens: number;
+  readonly creditedTokens: number;
+  readonly unallocatedTokens: number;
+  /** Credited less billed: what all holders and the rest have together. */
+  readonly remainingTokens: number;
+  /** This holder's demand. */
+  readonly demandTokensPerSecond: number;
+  /** Demand of all holders together, from the bills on the log. */
+  readonly totalDemandTokensPerSecond: number;
+  /** The largest bound asked for lately, or one that waits now. */
+  readonly largestBoundTokens: number;
+  /** Bound of a request that waits for tokens; 0 where none does. */
+  readonly waitingBoundTokens: number;
+  /** Holders that may serve the organisation: its live data centres. */
+  readonly holders: number;
+  /** How long the holder wants to be able to go on without the platform. */
+  readonly partitionSeconds: number;
+  readonly preference: BudgetPreference;
+}
+
+/** What to do now. All amounts are whole tokens; 0 means nothing. */
+export interface GrantDecision {
+  readonly askTokens: number;
+  /** Less than this is not worth a grant. */
+  readonly minimumTokens: number;
+  readonly returnTokens: number;
+}
+
+const NOTHING: GrantDecision = {
+  askTokens: 0,
+  minimumTokens: 0,
+  returnTokens: 0,
+};
+
+/**
+ * Decides how large a holder's grant is. False refusals come from tokens that
+ * stand in the wrong place; a policy decides where they stand.
+ */
+export abstract class GrantPolicy {
+  /**
+   * @example
+   * ```ts
+   * const {askTokens} = policy.decide(situation);
+   * ```
+   */
+  abstract decide(situation: GrantSituation): GrantDecision;
+}
+
+/** The baseline: each holder takes an equal share of the budget, once. */
+export class EqualSplitPolicy extends GrantPolicy {
+  override decide(situation: GrantSituation): GrantDecision {
+    if (situation.spendableTokens + situation.requestedTokens > 0) {
+      return NOTHING;
+    }
+    const share = Math.floor(situation.creditedTokens / situation.holders);
+    const askTokens = Math.min(share, situation.unallocatedTokens);
+    return {askTokens, minimumTokens: 1, returnTokens: 0};
+  }
+}
+
+/** Demand that was measured may double in a partition before any is refused. */
+const REFUSAL_AVERSE_HEADROOM = 2;
+/** Clear books: less stands in grants that a lost host could strand. */
+const CLARITY_HEADROOM = 1.25;
+/** A holder without demand keeps so many of the largest bounds in reserve. */
+const IDLE_BOUNDS = 4;
+/** Refill at this share of the target, so that the grant arrives in time. */
+const REFILL_SHARE = 0.75;
+/** Give back beyond this multiple of the target, so that tokens don't swing. */
+const RETURN_MULTIPLE = 2;
+/** Where fewer bounds than this remain for each holder, slices collapse. */
+const COLLAPSE_BOUNDS = 4;
+
+/**
+ * The chosen policy: a holder keeps what it is expected to need through a
+ * partition, but no more than its share of what remains, by demand. Near the end
+ * of the budget, slices shrink to one request's bound, and what stands idle goes
+ * back, so that the last tokens can be spent by whoever comes.
+ */
+export class DemandGrantPolicy extends GrantPolicy {
+  override decide(situation: GrantSituation): GrantDecision {
+    return this.isNearEnd(situation)
+      ? this.decideNearEnd(situation)
+      : this.decideByDemand(situation);
+  }
+
+  private isNearEnd(situation: GrantSituation): boolean {
+    const bound = Math.max(1, situation.largestBoundTokens);
+    return (
+      situation.remainingTokens < COLLAPSE_BOUNDS * bound * situation.holders
+    );
+  }
+
+  /**
+   * Load: the last few per cent of a budget, shared by all holders. Harm: a
+   * remainder shredded into slices that are each too small for one request.
+   */
+  private decideNearEnd(situation: GrantSituation): GrantDecision {
+    const {waitingBoundTokens, spendableTokens, requestedTokens} = situation;
+    if (waitingBoundTokens > 0) {
+      const missing = waitingBoundTokens - spendableTokens - requestedTokens;
+      return missing > 0 && missing <= situation.unallocatedTokens
+        ? {askTokens: missing, minimumTokens: missing, returnTokens: 0}
+        : NOTHING;
+    }
+    return {...NOTHING, returnTokens: spendableTokens};
+  }
+
+  private decideByDemand(situation: GrantSituation): GrantDecision {
+    const target = this.targetTokens(situation);
+    const held = situation.spendableTokens + situation.requestedTokens;
+    const wanted = Math.max(target, situation.waitingBoundTokens);
+    if (
+      held < Math.max(REFILL_SHARE * target, situation.waitingBoundTokens) &&
+      situation.unallocatedTokens > 0
+    ) {
+      return {
+        askTokens: Math.min(wanted - held, situation.unallocatedTokens),
+        minimumTokens: 1,
+        returnTokens: 0,
+      };
+    }
+    const excess = situation.spendableTokens - target;
+    return excess > (RETURN_MULTIPLE - 1) * target
+      ? {...NOTHING, returnTokens: excess}
+      : NOTHING;
+  }
+
+  private targetTokens(situation: GrantSituation): number {
+    const headroom =
+      situation.preference === BudgetPreference.AVOID_UNCLEAR_BILLS
+        ? CLARITY_HEADROOM
+        : REFUSAL_AVERSE_HEADROOM;
+    const cover =
+      situation.demandTokensPerSecond * situation.partitionSeconds * headroom;
+    const idle = IDLE_BOUNDS * Math.max(1, situation.largestBoundTokens);
+    const wanted = Math.max(cover, idle);
+    return Math.floor(Math.min(wanted, this.shareOfRemaining(situation, idle)));
+  }
+
+  /**
+   * Load: demand that differs between data centres, with less left than all
+   * would like. Each takes by demand, and the idle ones keep a small reserve.
+   */
+  private shareOfRemaining(situation: GrantSituation, idle: number): number {
+    const total = Math.max(
+      situation.totalDemandTokensPerSecond,
+      situation.demandTokensPerSecond,
+    );
+    const equal = situation.remainingTokens / situation.holders;
+    if (total === 0) {
+      return equal;
+    }
+    const byDemand =
+      (situation.remainingTokens * situation.demandTokensPerSecond) / total;
+    return Math.max(byDemand, Math.min(idle, equal));
+  }
+}
--- /dev/null
+++ b/packages/ledger/src/witness-book.ts
@@ -0,0 +1,177 @@
+import {clone, create} from '@bufbuild/protobuf';
+import {
+  OpenReservationSchema,
+  ReclaimSchema,
+  RequestReservationSchema,
+  type Bill,
+  type BookChange,
+  type GrantBook,
+  type Reclaim,
+  type RequestReservation,
+  type Transfer,
+} from '@wisteriadeal/schema';
+
+interface WitnessedGrant {
+  readonly organisation: string;
+  readonly holder: string;
+  readonly open: Map<string, RequestReservation>;
+  readonly settled: Map<string, Bill>;
+  readonly transfers: Map<string, Transfer>;
+}
+
+/** One grant as its witness knows it. */
+export interface WitnessedGrantView {
+  readonly grantId: string;
+  readonly organisation: string;
+  readonly holder: string;
+  readonly fenced: boolean;
+  readonly open: readonly RequestReservation[];
+}
+
+/**
+ * What a keeper knows as the witness of other keepers' grants.
+ *
+ * The failure it meets: a holder is taken for dead, its grant is given to
+ * others, and it wakes and spends. Once fenced, no change of the grant is
+ * acknowledged any more, and a holder dispatches nothing without the
+ * acknowledgement; so what this book lists when it is fenced is everything that
+ * can ever be spent under the grant, whether or not endpoints check fencing
+ * numbers.
+ */
+export class WitnessBook {
+  private readonly grants = new Map<string, WitnessedGrant>();
+  private readonly fenced = new Set<string>();
+
+  /**
+   * Applies a change of the holder.
+   *
+   * @returns False where it must not be acknowledged: the grant is fenced, or
+   *     this witness never got the whole book.
+   */
+  apply(change: BookChange): boolean {
+    if (this.fenced.has(change.grantId)) {
+      return false;
+    }
+    if (change.kind.case === 'opened') {
+      this.grants.set(change.grantId, fromGrantBook(change.kind.value));
+      return true;
+    }
+    const grant = this.grants.get(change.grantId);
+    if (grant === undefined) {
+      return false;
+    }
+    applyChange(grant, change);
+    return true;
+  }
+
+  /** Stops acknowledging for a grant, for ever; also for one not known yet. */
+  fence(grantId: string): void {
+    this.fenced.add(grantId);
+  }
+
+  /** Whether the grant is fenced. */
+  isFenced(grantId: string): boolean {
+    return this.fenced.has(grantId);
+  }
+
+  /**
+   * The record that takes a fenced grant back. A grant that this witness never
+   * got the book of has nothing open: nothing was ever acknowledged for it.
+   *
+   * @returns undefined where the grant is not fenced.
+   */
+  reclaim(grantId: string, witness: string): Reclaim | undefined {
+    if (!this.fenced.has(grantId)) {
+      return undefined;
+    }
+    const grant = this.grants.get(grantId);
+    return create(ReclaimSchema, {
+      grantId,
+      witness,
+      openReservations: [...(grant?.open.values() ?? [])].map(open =>
+        create(OpenReservationSchema, open.reservation),
+      ),
+      settled: [...(grant?.settled.values() ?? [])],
+      transfers: [...(grant?.transfers.values() ?? [])],
+    });
+  }
+
+  /** The reservations of a grant, with router and fingerprint. */
+  openReservations(grantId: string): readonly RequestReservation[] {
+    return [...(this.grants.get(grantId)?.open.values() ?? [])];
+  }
+
+  /** The fold showed a bill; it needs no more memory here. */
+  billFolded(grantId: string, requestId: string): void {
+    this.grants.get(grantId)?.settled.delete(requestId);
+  }
+
+  /** The fold showed a transfer. */
+  transferFolded(grantId: string, transferId: string): void {
+    this.grants.get(grantId)?.transfers.delete(transferId);
+  }
+
+  /** The grant is closed or has another witness. */
+  forget(grantId: string): void {
+    this.grants.delete(grantId);
+  }
+
+  /** Everything witnessed, for explanations and dumps. */
+  view(): readonly WitnessedGrantView[] {
+    return [...this.grants].map(([grantId, grant]) => ({
+      grantId,
+      organisation: grant.organisation,
+      holder: grant.holder,
+      fenced: this.fenced.has(grantId),
+      open: [...grant.open.values()],
+    }));
+  }
+}
+
+function fromGrantBook(book: GrantBook): WitnessedGrant {
+  return {
+    organisation: book.organisation,
+    holder: book.holder,
+    open: new Map(
+      book.open.map(open => [
+        open.reservation?.requestId ?? '',
+        clone(RequestReservationSchema, open),
+      ]),
+    ),
+    settled: new Map(book.settled.map(bill => [bill.requestId, bill])),
+    transfers: new Map(
+      book.transfers.map(transfer => [transfer.transferId, transfer]),
+    ),
+  };
+}
+
+function applyChange(grant: WitnessedGrant, change: BookChange): void {
+  switch (change.kind.case) {
+    case 'reserved': {
+      const reservation = clone(RequestReservationSchema, change.kind.value);
+      grant.open.set(reservation.reservation?.requestId ?? '', reservation);
+      return;
+    }
+    case 'dispatching': {
+      const open = grant.open.get(change.requestId)?.reservation;
+      if (open !== undefined) {
+        open.attemptId = change.kind.value.attemptId;
+        open.endpoint = change.kind.value.endpoint;
+      }
+      return;
+    }
+    case 'settled':
+      grant.open.delete(change.kind.value.requestId);
+      grant.settled.set(change.kind.value.requestId, change.kind.value);
+      return;
+    case 'released':
+      grant.open.delete(change.kind.value.requestId);
+      return;
+    case 'transferred':
+      grant.transfers.set(change.kind.value.transferId, change.kind.value);
+      return;
+    default:
+      // A return needs no account: see the fold's reclaim.
+      return;
+  }
+}
