Run a whole fleet as separate processes and judge what callers got

Cause: nothing started the parts together, nothing checked answers against what was asked, and there was no place for named failure cases.

Between data centres and to the platform everything goes through relay ports that can be cut, since the list of hosts names addresses by viewer.

Ruled out: cutting by a hook inside the processes (they would no longer be what ships); source addresses on loopback (all come from one address).

--- /dev/null
+++ b/packages/measurements/src/fleet.ts
@@ -0,0 +1,256 @@
+import {
+  HttpLogClient,
+  ListedState,
+  type HostListing,
+} from '@wisteriadeal/platform';
+
+import {ControlClient} from './control-client.js';
+import {EntryHost} from './entry-host.js';
+import {FleetNetwork, PLATFORM_PLACE} from './fleet-network.js';
+import type {FleetPlan} from './fleet-plan.js';
+import type {ManagedProcess} from './managed-process.js';
+import {Binary, ProcessStarter} from './process-starter.js';
+import type {RelayState} from './relay.js';
+
+const LOG_TIMEOUT_MILLISECONDS = 5_000;
+const CACHED_PREFIXES = 256;
+const LOAD_LAG_MILLISECONDS = 100;
+const CACHE_EVENT_LOSS_SHARE = 0.1;
+const WEIGHT_TICKETS_EACH_MINUTE = 60;
+
+/** An endpoint's process and where it stands. */
+export interface RunningEndpoint {
+  readonly name: string;
+  readonly dataCenter: string;
+  readonly process: ManagedProcess;
+  readonly control: ControlClient;
+  /** True where it refuses an order with an old fencing number. */
+  readonly checksFencingNumbers: boolean;
+  /** As the platform's list shows it. */
+  state: ListedState;
+}
+
+/**
+ * A whole fleet as separate processes on loopback: stand-ins of the platform,
+ * engines and plain services, and entry hosts with a keeper and a router each.
+ */
+export class Fleet {
+  readonly network = new FleetNetwork();
+  readonly engines: RunningEndpoint[] = [];
+  readonly plainServices: RunningEndpoint[] = [];
+  readonly hosts: EntryHost[] = [];
+  private hostCount = 0;
+
+  private constructor(
+    readonly plan: FleetPlan,
+    private readonly starter: ProcessStarter,
+    private readonly platform: ManagedProcess,
+    /** Control of the platform's stand-in. */
+    readonly platformControl: ControlClient,
+    /** The log, as operators and auditors reach it. */
+    readonly log: HttpLogClient,
+  ) {}
+
+  /**
+   * Starts every process of the plan and shows the hosts in the platform's list.
+   *
+   * @throws Error where a process does not start.
+   */
+  static async start(plan: FleetPlan): Promise<Fleet> {
+    const starter = new ProcessStarter();
+    const platform = await starter.start(Binary.Platform, 'platform', {
+      process: standInProcess('platform', plan.seed),
+      listLagMilliseconds: plan.listLagMilliseconds,
+      weightTicketsEachMinute: WEIGHT_TICKETS_EACH_MINUTE,
+    });
+    const address = platform.address('address');
+    const log = new HttpLogClient({
+      url: `http://${address}`,
+      timeoutMilliseconds: LOG_TIMEOUT_MILLISECONDS,
+    });
+    const control = new ControlClient(address);
+    const fleet = new Fleet(plan, starter, platform, control, log);
+    await fleet.startParts();
+    return fleet;
+  }
+
+  /** Directory of settings and output of the processes. */
+  get outputDirectory(): string {
+    return this.starter.directory;
+  }
+
+  /** Starts one more entry host and lists it. */
+  async addHost(dataCenter: string): Promise<EntryHost> {
+    const host = await this.startHost(dataCenter);
+    await this.publishListing();
+    return host;
+  }
+
+  /** Tells the platform's stand-in the hosts and endpoints, for each viewer. */
+  async publishListing(): Promise<void> {
+    for (const viewer of this.hosts) {
+      const path = `/control/listing?viewer=${viewer.name}`;
+      const listing = await this.listingFor(viewer.dataCenter);
+      await this.platformControl.send('PUT', path, listing);
+    }
+  }
+
+  /** Takes a host out of the list, after its processes have ended. */
+  async removeHost(host: EntryHost): Promise<void> {
+    this.hosts.splice(this.hosts.indexOf(host), 1);
+    await this.publishListing();
+  }
+
+  /** Cuts or heals between two data centres, or one and the platform. */
+  setNetwork(one: string, other: string, state: RelayState): void {
+    this.network.set(one, other, state);
+  }
+
+  /** Sets the faults of the platform's stand-in as a whole. */
+  async setPlatformFaults(faults: Record<string, unknown>): Promise<void> {
+    await this.platformControl.send('POST', '/control/faults', faults);
+  }
+
+  /**
+   * Stops all hosts in good order.
+   *
+   * @returns True where every process stopped by itself.
+   */
+  async stopHosts(): Promise<boolean> {
+    const routers = await Promise.all(this.hosts.map(h => h.router.stop()));
+    const keepers = await Promise.all(this.hosts.map(h => h.keeper.stop()));
+    return [...routers, ...keepers].every(stopped => stopped);
+  }
+
+  /** Ends everything. */
+  async close(keepOutput = false): Promise<void> {
+    const controls = [...this.engines, ...this.plainServices];
+    await Promise.all(controls.map(endpoint => endpoint.control.close()));
+    await this.platformControl.close();
+    await this.log.close();
+    await this.starter.close(keepOutput);
+    await this.network.close();
+  }
+
+  private async startParts(): Promise<void> {
+    try {
+      await Promise.all(
+        this.plan.dataCenters.flatMap(plan => [
+          this.startEngines(plan.name, plan.engines),
+          this.startPlainServices(plan.name, plan.plainServices),
+          this.startHosts(plan.name, plan.hosts),
+        ]),
+      );
+      await this.publishListing();
+    } catch (error) {
+      await this.close(true);
+      throw error;
+    }
+  }
+
+  private async startHosts(dataCenter: string, count: number): Promise<void> {
+    const starts = Array.from({length: count}, () =>
+      this.startHost(dataCenter),
+    );
+    await Promise.all(starts);
+  }
+
+  private async startHost(dataCenter: string): Promise<EntryHost> {
+    const name = `${dataCenter}-host-${++this.hostCount}`;
+    const platform = this.platform.address('address');
+    const reached = await this.network.reach(
+      dataCenter,
+      PLATFORM_PLACE,
+      platform,
+    );
+    const seeds = this.hosts.map(host =>
+      this.network.view(dataCenter, host.listed),
+    );
+    const host = await EntryHost.start(this.starter, {
+      host: name,
+      dataCenter,
+      platformUrl: `http://${reached}`,
+      ledgerStreams: this.plan.ledgerStreams,
+      keeper: this.plan.keeper,
+      seedKeepers: (await Promise.all(seeds)).map(seed => seed.keeperAddress),
+    });
+    this.hosts.push(host);
+    return host;
+  }
+
+  private async startEngines(dataCenter: string, count: number): Promise<void> {
+    const starts = Array.from({length: count}, async (_, index) => {
+      const name = `${dataCenter}-engine-${index + 1}`;
+      const {engine} = this.plan;
+      const checksFencingNumbers = index % 2 === 0;
+      const child = await this.starter.start(Binary.Engine, name, {
+        process: standInProcess(name, this.plan.seed + index),
+        slots: engine.slots,
+        maximumWaiting: engine.maximumWaiting,
+        millisecondsPerToken: engine.millisecondsPerToken,
+        promptTokensPerStep: engine.promptTokensPerStep,
+        cachedPrefixes: CACHED_PREFIXES,
+        loadLagMilliseconds: LOAD_LAG_MILLISECONDS,
+        cacheEventLossShare: CACHE_EVENT_LOSS_SHARE,
+        checksFencingNumbers,
+      });
+      this.engines.push(
+        runningEndpoint(name, dataCenter, child, checksFencingNumbers),
+      );
+    });
+    await Promise.all(starts);
+  }
+
+  private async startPlainServices(
+    dataCenter: string,
+    count: number,
+  ): Promise<void> {
+    const starts = Array.from({length: count}, async (_, index) => {
+      const name = `${dataCenter}-registry-${index + 1}`;
+      const child = await this.starter.start(Binary.PlainService, name, {
+        process: standInProcess(name, this.plan.seed + index),
+        millisecondsPerCall: this.plan.millisecondsPerCall,
+      });
+      this.plainServices.push(runningEndpoint(name, dataCenter, child, false));
+    });
+    await Promise.all(starts);
+  }
+
+  private async listingFor(dataCenter: string): Promise<HostListing> {
+    const hosts = this.hosts.map(host =>
+      this.network.view(dataCenter, host.listed),
+    );
+    const endpoints = [...this.engines, ...this.plainServices].map(
+      ({name, state}) => ({endpoint: name, state}),
+    );
+    return {hosts: await Promise.all(hosts), endpoints};
+  }
+}
+
+function standInProcess(name: string, seed: number) {
+  return {
+    name,
+    address: '127.0.0.1',
+    port: 0,
+    logLevel: 'LOG_LEVEL_INFO',
+    seed,
+  };
+}
+
+function runningEndpoint(
+  name: string,
+  dataCenter: string,
+  child: ManagedProcess,
+  checksFencingNumbers: boolean,
+): RunningEndpoint {
+  const control = new ControlClient(child.address('address'));
+  const state = ListedState.Live;
+  return {
+    name,
+    dataCenter,
+    process: child,
+    control,
+    checksFencingNumbers,
+    state,
+  };
+}
--- a/packages/measurements/src/index.ts
+++ b/packages/measurements/src/index.ts
@@ -1,4 +1,4 @@
 /**
  * Development only: the demo and the named measurements.
  */
-export {};
+export * from './measure-case.js';
--- /dev/null
+++ b/packages/measurements/src/ledger-audit.ts
@@ -0,0 +1,95 @@
+import {fromBinary} from '@bufbuild/protobuf';
+import {LedgerFold, VerdictKind} from '@wisteriadeal/ledger';
+import type {LogClient} from '@wisteriadeal/platform';
+import {LedgerBatchSchema, type Bill} from '@wisteriadeal/schema';
+
+const READ_LIMIT = 1_000;
+
+/** One organisation's books, as the log has them. */
+export interface OrganisationAudit {
+  readonly organisation: string;
+  readonly creditedTokens: number;
+  readonly billedTokens: number;
+  readonly unallocatedTokens: number;
+  /** In grants, neither billed nor returned. */
+  readonly grantedTokens: number;
+}
+
+/** What folding the whole log shows. */
+export interface LedgerAudit {
+  readonly organisations: readonly OrganisationAudit[];
+  /** The bill that counts, by request identifier. */
+  readonly bills: ReadonlyMap<string, Bill>;
+  /** Accepted bills beyond the first of a request identifier. */
+  readonly billedTwice: number;
+  readonly records: number;
+}
+
+class AuditReader {
+  readonly organisations: OrganisationAudit[] = [];
+  readonly bills = new Map<string, Bill>();
+  billedTwice = 0;
+  records = 0;
+
+  async readStream(log: LogClient, stream: string): Promise<void> {
+    const fold = new LedgerFold();
+    for (;;) {
+      const page = await log.read(stream, fold.nextOffset, READ_LIMIT, 0);
+      for (const record of page.records) {
+        this.records++;
+        this.apply(fold, record.offset, record.payload);
+      }
+      if (page.records.length === 0) {
+        break;
+      }
+    }
+    for (const organisation of fold.organisationNames) {
+      const grantedTokens = fold
+        .grants(organisation)
+        .reduce((sum, grant) => sum + grant.tokens - grant.billedTokens, 0);
+      const totals = fold.totals(organisation);
+      this.organisations.push({organisation, grantedTokens, ...totals});
+    }
+  }
+
+  private apply(fold: LedgerFold, offset: number, payload: Uint8Array): void {
+    const verdicts = fold.apply(offset, payload);
+    const {entries} = fromBinary(LedgerBatchSchema, payload);
+    for (const [index, verdict] of verdicts.entries()) {
+      const entry = entries[index];
+      if (
+        verdict.kind === VerdictKind.Accepted &&
+        entry?.kind.case === 'bill'
+      ) {
+        this.noteBill(entry.kind.value);
+      }
+    }
+  }
+
+  private noteBill(bill: Bill): void {
+    if (this.bills.has(bill.requestId)) {
+      this.billedTwice++;
+    } else {
+      this.bills.set(bill.requestId, bill);
+    }
+  }
+}
+
+/**
+ * Reads every ledger stream from its start and folds it, as any reader does.
+ *
+ * @example
+ * ```ts
+ * const audit = await auditLedger(fleet.log, plan.ledgerStreams);
+ * ```
+ */
+export async function auditLedger(
+  log: LogClient,
+  ledgerStreams: number,
+): Promise<LedgerAudit> {
+  const reader = new AuditReader();
+  for (let index = 0; index < ledgerStreams; index++) {
+    await reader.readStream(log, `ledger-${index}`);
+  }
+  return reader;
+}
--- /dev/null
+++ b/packages/measurements/src/workload.ts
@@ -0,0 +1,154 @@
+import {BudgetPreference} from '@wisteriadeal/operator';
+import type {SeededRandomSource} from '@wisteriadeal/stand-ins';
+
+import {
+  RequestKind,
+  type CallerIdentity,
+  type CallerRequest,
+} from './caller-request.js';
+
+/** The model that every engine of the runner serves. */
+export const MODEL = 'tutor-7b';
+/** Services of the runner's configuration. */
+export const MODEL_SERVICE = 'tutor-models';
+export const PLAIN_SERVICE = 'registry-app';
+/** Price of one plain call. */
+export const CALL_TOKENS = 5;
+
+/** Lengths of answers, in tokens. */
+const SHORTEST_ANSWER = 8;
+const LONGEST_ANSWER = 40;
+const MAXIMUM_ANSWER = 64;
+
+/** An organisation of a workload. */
+export interface OrganisationPlan {
+  readonly name: string;
+  readonly budgetTokens: number;
+  readonly preference: BudgetPreference;
+  readonly from: CallerIdentity;
+  /** Kinds of its requests, drawn evenly. */
+  readonly kinds: readonly RequestKind[];
+  /** Relative number of its requests. */
+  readonly share: number;
+}
+
+function organisation(
+  name: string,
+  budgetTokens: number,
+  preference: BudgetPreference,
+  share: number,
+  kinds: readonly RequestKind[],
+): OrganisationPlan {
+  const secret = `development-secret-of-${name}`;
+  const from = {organisation: name, caller: 'app', secret};
+  return {name, budgetTokens, preference, from, kinds, share};
+}
+
+const {AVOID_REFUSALS, AVOID_UNCLEAR_BILLS} = BudgetPreference;
+
+/** Five organisations, the last of which runs out of budget mid-way. */
+export const ORGANISATIONS: readonly OrganisationPlan[] = [
+  organisation('kimironko-bar-school', 200_000, AVOID_REFUSALS, 4, [
+    RequestKind.Stream,
+    RequestKind.Stream,
+    RequestKind.Whole,
+  ]),
+  organisation('lake-hotel-school', 200_000, AVOID_REFUSALS, 2, [
+    RequestKind.Review,
+    RequestKind.Stream,
+  ]),
+  organisation('licence-office', 100_000, AVOID_REFUSALS, 2, [
+    RequestKind.NonIdempotentCall,
+    RequestKind.IdempotentCall,
+  ]),
+  organisation('estimate-savers', 100_000, AVOID_UNCLEAR_BILLS, 2, [
+    RequestKind.Stream,
+    RequestKind.NonIdempotentCall,
+    RequestKind.IdempotentCall,
+  ]),
+  organisation('small-venue', 1_500, AVOID_UNCLEAR_BILLS, 2, [
+    RequestKind.Stream,
+  ]),
+];
+
+/** Makes requests of organisations from a seed. */
+export class Workload {
+  private count = 0;
+
+  /**
+   * @param keyedShare Share (0 to 1) of completions that carry a key; calls
+   *     always do.
+   */
+  constructor(
+    private readonly random: SeededRandomSource,
+    private readonly keyedShare: number,
+    private readonly name = 'demo',
+  ) {}
+
+  /** So many requests, of all organisations by their shares. */
+  requests(
+    count: number,
+    organisations: readonly OrganisationPlan[] = ORGANISATIONS,
+  ): CallerRequest[] {
+    const drawn = organisations.flatMap(plan =>
+      Array.from({length: plan.share}, () => plan),
+    );
+    return Array.from({length: count}, () => this.request(this.pick(drawn)));
+  }
+
+  /** One request of an organisation. */
+  request(plan: OrganisationPlan): CallerRequest {
+    const kind = this.pick(plan.kinds);
+    const number = this.count++;
+    const key = `${this.name}-${number}`;
+    switch (kind) {
+      case RequestKind.NonIdempotentCall:
+        return this.call(plan, kind, key, ['certificates', 'deposits']);
+      case RequestKind.IdempotentCall:
+        return this.call(plan, kind, key, ['balances']);
+      default: {
+        const keyed = this.random.fraction() < this.keyedShare;
+        return this.completion(plan, kind, keyed ? {key} : {}, number);
+      }
+    }
+  }
+
+  private completion(
+    {name, from}: OrganisationPlan,
+    kind: RequestKind.Stream | RequestKind.Whole | RequestKind.Review,
+    key: {readonly key?: string},
+    number: number,
+  ): CallerRequest {
+    const spread = LONGEST_ANSWER - SHORTEST_ANSWER + 1;
+    const length = SHORTEST_ANSWER + this.random.below(spread);
+    const prompt = `${name} asks question ${number} length=${length}`;
+    const maximumTokens = MAXIMUM_ANSWER;
+    return {kind, from, ...key, model: MODEL, prompt, maximumTokens};
+  }
+
+  private call(
+    {name, from}: OrganisationPlan,
+    kind: RequestKind.NonIdempotentCall | RequestKind.IdempotentCall,
+    key: string,
+    calls: readonly string[],
+  ): CallerRequest {
+    return {
+      kind,
+      from,
+      key,
+      service: PLAIN_SERVICE,
+      call: this.pick(calls),
+      method: 'POST',
+      body: JSON.stringify({organisation: name, subject: key}),
+      tokens: CALL_TOKENS,
+    };
+  }
+
+  private pick<Item>(items: readonly Item[]): Item {
+    const item = items[this.random.below(items.length)];
+    if (item === undefined) {
+      throw new Error('nothing to pick from');
+    }
+    return item;
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -3,11 +3,16 @@
  * adapter touches this package only.
  */
 export * from './clock.js';
+export {
+  readServerSentEvents,
+  type ServerSentEvent,
+} from './event-stream-reader.js';
 export * from './host-list.js';
 export * from './http-endpoint-options.js';
 export * from './http-host-list.js';
 export * from './http-log-client.js';
 export * from './http-model-engine.js';
+export * from './http-peer.js';
 export * from './http-plain-service.js';
 export * from './http-weight-store.js';
 export * from './log-client.js';
