Serve callers end to end in the router, between fakes

Cause: callers need the thin whole path: chat completions, plain calls, resume by the last event seen, keys, readiness and typed problems.

Ruled out: placing before asking the holder for every request. With a caller's key an earlier try may have run elsewhere, and a refusal for want of an endpoint would be a "not run" that ran; so keyed requests begin first and unkeyed ones queue first, holding no reservation while they wait. Ruled out too: saying "not run" for a keyed request when no holder can be asked; the outcome is then unknown, with status 503 and a time to come back.

Change: the router binary: callers' interface on restify, a pure state machine of a request's life in which "not run" takes only states before dispatch, sessions with the keepers of the data centre, begin, settle and abandon at the holder or its witness, streams resumed at their engine, kept answers, attach between routers, inspection, an orderly stop. A new run never continues a stream that was seen in part: it is told as failed.

Before: nothing.

Conclusion: the path is whole between fakes; real keepers and engines come next.

--- /dev/null
+++ b/packages/router/src/composition.ts
@@ -0,0 +1,65 @@
+import 'reflect-metadata';
+
+import {
+  Clock,
+  HttpModelEngineFactory,
+  HttpPlainServiceFactory,
+  ModelEngineFactory,
+  PlainServiceFactory,
+  RandomSource,
+} from '@wisteriadeal/platform';
+import {
+  createMetrics,
+  EventLog,
+  Metrics,
+  SystemClock,
+  SystemRandomSource,
+} from '@wisteriadeal/runtime';
+import {LogLevel, type RouterSettings} from '@wisteriadeal/schema';
+import {Container} from 'inversify';
+
+import {ConnectKeeperConnector, KeeperConnector} from './keeper-link.js';
+import {ConnectRouterConnector, RouterConnector} from './router-attacher.js';
+import {Router, type RouterParts} from './router.js';
+
+/** Binds every border of the router; replacing an adapter is a line here. */
+export function createContainer(settings: RouterSettings): Container {
+  const container = new Container();
+  const host = settings.process?.host ?? '';
+  container
+    .bind(Metrics)
+    .toConstantValue(
+      createMetrics(settings.process?.metrics, {process: 'router', host}),
+    );
+  container.bind(Clock).toConstantValue(new SystemClock());
+  container.bind(RandomSource).toConstantValue(new SystemRandomSource());
+  container.bind(KeeperConnector).toConstantValue(new ConnectKeeperConnector());
+  container.bind(RouterConnector).toConstantValue(new ConnectRouterConnector());
+  container
+    .bind(ModelEngineFactory)
+    .toConstantValue(new HttpModelEngineFactory());
+  container
+    .bind(PlainServiceFactory)
+    .toConstantValue(new HttpPlainServiceFactory());
+  return container;
+}
+
+/** Starts a router with what the container holds. */
+export function startRouter(settings: RouterSettings): Promise<Router> {
+  const container = createContainer(settings);
+  const parts: RouterParts = {
+    settings,
+    keepers: container.get(KeeperConnector),
+    routers: container.get(RouterConnector),
+    engines: container.get(ModelEngineFactory),
+    plainServices: container.get(PlainServiceFactory),
+    clock: container.get(Clock),
+    random: container.get(RandomSource),
+    log: EventLog.create(settings.process?.logLevel ?? LogLevel.INFO, {
+      process: 'router',
+      host: settings.process?.host,
+    }),
+    metrics: container.get(Metrics),
+  };
+  return Router.start(parts);
+}
--- /dev/null
+++ b/packages/router/src/test/caller-interface_test.ts
@@ -0,0 +1,75 @@
+import {afterEach, describe, expect, it} from 'vitest';
+
+import {certify, chat, headersOf, readStream} from './caller.js';
+import {
+  startRig,
+  until,
+  type RigOptions,
+  type RouterRig,
+} from './router-rig.js';
+
+let rig: RouterRig | undefined;
+
+async function start(options: RigOptions = {}): Promise<RouterRig> {
+  rig = await startRig(options);
+  return rig;
+}
+
+afterEach(async () => {
+  rig?.engine.release();
+  await rig?.router.close();
+  rig = undefined;
+});
+
+describe('the callers’ interface', () => {
+  it('streams a completion with ids, usage and the end mark', async () => {
+    const {url, keeper} = await start();
+    const seen = await readStream(await chat(url, 'hello'));
+    expect(seen.text).toBe('hello-0 hello-1 hello-2 hello-3 hello-4 ');
+    expect(seen.lastId).toBe(6);
+    expect(seen.whole).toBe(true);
+    expect(seen.raw).toContain('"total_tokens":8');
+    await until(() => keeper.heard('settle').length === 1);
+    expect(keeper.heard('settle')[0]?.bill).toMatchObject({
+      requestId: seen.requestId,
+      tokens: 8,
+      confirmed: true,
+    });
+  });
+
+  it('answers a completion as one object', async () => {
+    const {url} = await start();
+    const response = await chat(url, 'hello', {stream: false});
+    expect(response.headers.get('x-outcome')).toBe('answered');
+    expect(await response.json()).toMatchObject({
+      object: 'chat.completion',
+      choices: [
+        {message: {content: 'hello-0 hello-1 hello-2 hello-3 hello-4 '}},
+      ],
+      usage: {total_tokens: 8},
+    });
+  });
+
+  it('passes a plain call through and bills its price', async () => {
+    const {url, keeper, service} = await start();
+    const response = await certify(url, '{"name":"A"}', {key: 'c-1'});
+    expect(response.status).toBe(201);
+    expect(await response.json()).toMatchObject({body: '{"name":"A"}'});
+    await until(() => keeper.heard('settle').length === 1);
+    expect(keeper.heard('settle')[0]?.bill?.tokens).toBe(7);
+    expect([...service.executions.values()]).toEqual([1]);
+  });
+
+  it('gives the exact rest after the last event seen', async () => {
+    const {url} = await start();
+    const whole = await readStream(await chat(url, 'hello'));
+    const rest = await readStream(
+      await fetch(`${url}/v1/requests/${whole.requestId}/events`, {
+        headers: headersOf({lastEvent: 2}),
+      }),
+    );
+    expect(rest.whole).toBe(true);
+    expect(whole.raw.endsWith(rest.raw)).toBe(true);
+    expect(rest.text).toBe('hello-3 hello-4 ');
+  });
+});
