Publish configurations and top up budgets through the log's own verdicts

Cause: an append's answer can be lost after the record was stored, so neither a publication nor a top-up may rest on it.

appendUntilDecided reads the stream to its end, appends only where the fold has not decided yet, and reads back; a lost answer is resolved before anything is appended again. What can't be resolved is reported as fate Unknown, what was provably refused as NotDone. StreamReader folds from the start or, once that has expired, from a checkpoint, and refuses a stream whose start is lost. publishConfiguration tells a loser who won, and credits the opening budgets of organisations that are new.

The builder's own copy of the checks is gone: LineCheck runs the fold's validateConfiguration on each item with stubs of what it refers to. Ruled out: validating the whole after each line (grows with the square) and keeping two sets of rules.

--- a/packages/operator/src/configuration-builder.ts
+++ b/packages/operator/src/configuration-builder.ts
@@ -1,4 +1,8 @@
 import {create, toJsonString} from '@bufbuild/protobuf';
+import {
+  SUPPORTED_SCHEMA_REVISION,
+  validateConfiguration,
+} from '@wisteriadeal/ledger';
 import {
   BudgetPreference,
   ConfigurationSchema,
@@ -11,13 +15,14 @@
   ServiceSchema,
   type Configuration,
   type Limits,
+  type Organisation,
 } from '@wisteriadeal/schema';
 
-import {ConfigurationChecker} from './configuration-checker.js';
-import {ConfigurationError, type StackBase} from './configuration-error.js';
-import type {ConfigurationProblem, Path} from './configuration-problem.js';
-import {checkLimits} from './part-checks.js';
-import {hashCredential} from './credential.js';
+import {
+  ConfigurationError,
+  type ConfigurationMistake,
+  type StackBase,
+} from './configuration-error.js';
 import type {
   CallerOptions,
   EndpointOptions,
@@ -27,9 +32,9 @@
   PlainServiceOptions,
   ServiceReference,
 } from './configuration-options.js';
-
-/** The schema revision that this library writes. */
-export const SCHEMA_REVISION = 1;
+import type {Path} from './configuration-problem.js';
+import {hashCredential} from './credential.js';
+import {LineCheck, type Line, type ListName} from './line-check.js';
 
 const DEFAULT_LIMITS: Readonly<Required<LimitOptions>> = {
   maximumBodyBytes: 1_048_576,
@@ -47,11 +52,11 @@
   'limits' | 'modelService' | 'plainService' | 'endpoint' | 'organisation';
 
 function throwFirst(
-  problems: readonly ConfigurationProblem[],
+  mistakes: readonly ConfigurationMistake[],
   subject: string,
   method: BuilderMethod,
 ): void {
-  const [first] = problems;
+  const [first] = mistakes;
   if (first !== undefined) {
     // The method itself, and not a bound copy, is what a stack trace knows.
     const calledMethod: StackBase = Reflect.get(
@@ -69,15 +74,11 @@
 function checkSecrets(
   callers: readonly CallerOptions[],
   path: Path,
-): ConfigurationProblem[] {
+): readonly ConfigurationMistake[] {
+  const message = `expected a secret of at least ${MINIMUM_SECRET_LENGTH} characters, such as mintCredential() makes`;
   return callers.flatMap((caller, index) =>
     'secret' in caller && caller.secret.length < MINIMUM_SECRET_LENGTH
-      ? [
-          {
-            path: [...path, 'callers', index, 'secret'],
-            expected: `a secret of at least ${MINIMUM_SECRET_LENGTH} characters, such as mintCredential() makes`,
-          },
-        ]
+      ? [{path: [...path, 'callers', index, 'secret'], message}]
       : [],
   );
 }
@@ -111,10 +112,10 @@
  * ```
  */
 export class ConfigurationBuilder {
-  private readonly checker = new ConfigurationChecker();
+  private readonly lineCheck = new LineCheck();
   private readonly configuration: Configuration & {limits: Limits} =
     Object.assign(
-      create(ConfigurationSchema, {schemaRevision: SCHEMA_REVISION}),
+      create(ConfigurationSchema, {schemaRevision: SUPPORTED_SCHEMA_REVISION}),
       {limits: create(LimitsSchema, DEFAULT_LIMITS)},
     );
 
@@ -128,7 +129,8 @@
       ...this.configuration.limits,
       ...options,
     });
-    throwFirst(checkLimits(limits), 'limits', 'limits');
+    const alone = create(ConfigurationSchema, {limits});
+    throwFirst(validateConfiguration(alone), 'limits', 'limits');
     this.configuration.limits = limits;
   }
 
@@ -138,9 +140,9 @@
    * @throws ConfigurationError
    */
   modelService(name: string, options: ModelServiceOptions): ServiceReference {
-    const subject = `model service "${name}"`;
+    const models = options.models.map(model => model.name);
     for (const model of options.models) {
-      const message = create(ModelSchema, {
+      const item = create(ModelSchema, {
         defaultOutputTokens: Math.min(
           DEFAULT_OUTPUT_TOKENS,
           model.maximumOutputTokens,
@@ -148,23 +150,13 @@
         minimumBytesPerPromptToken: 1,
         ...model,
       });
-      const path = ['models', this.configuration.models.length];
-      throwFirst(
-        this.checker.model(message, path),
-        `${subject}, model "${model.name}"`,
-        'modelService',
-      );
-      this.configuration.models.push(message);
+      const subject = `model service "${name}", model "${model.name}"`;
+      this.add({list: 'models', item}, subject, 'modelService');
     }
-    return this.service(
-      subject,
-      create(ServiceSchema, {
-        name,
-        kind: ServiceKind.MODEL,
-        models: options.models.map(model => model.name),
-      }),
-      'modelService',
-    );
+    const item = create(ServiceSchema, {name, kind: ServiceKind.MODEL, models});
+    const subject = `model service "${name}"`;
+    this.add({list: 'services', item, models}, subject, 'modelService');
+    return {name};
   }
 
   /**
@@ -173,26 +165,14 @@
    * @throws ConfigurationError
    */
   plainService(name: string, options: PlainServiceOptions): ServiceReference {
-    return this.service(
-      `plain service "${name}"`,
-      create(ServiceSchema, {
-        name,
-        kind: ServiceKind.PLAIN,
-        calls: options.calls.map(call => ({...call})),
-      }),
-      'plainService',
-    );
-  }
-
-  private service(
-    subject: string,
-    message: Configuration['services'][number],
-    method: BuilderMethod,
-  ): ServiceReference {
-    const path = ['services', this.configuration.services.length];
-    throwFirst(this.checker.service(message, path), subject, method);
-    this.configuration.services.push(message);
-    return {name: message.name};
+    const item = create(ServiceSchema, {
+      name,
+      kind: ServiceKind.PLAIN,
+      calls: options.calls.map(call => ({...call})),
+    });
+    const subject = `plain service "${name}"`;
+    this.add({list: 'services', item}, subject, 'plainService');
+    return {name};
   }
 
   /**
@@ -201,20 +181,16 @@
    * @throws ConfigurationError
    */
   endpoint(name: string, options: EndpointOptions): void {
-    const message = create(EndpointSchema, {
+    const item = create(EndpointSchema, {
       state: EndpointState.ACTIVE,
       checksFencingNumbers: false,
       ...options,
       name,
       service: options.service.name,
     });
-    const path = ['endpoints', this.configuration.endpoints.length];
-    throwFirst(
-      this.checker.endpoint(message, path),
-      `endpoint "${name}"`,
-      'endpoint',
-    );
-    this.configuration.endpoints.push(message);
+    const services = this.defined([options.service]);
+    const subject = `endpoint "${name}"`;
+    this.add({list: 'endpoints', item, services}, subject, 'endpoint');
   }
 
   /**
@@ -223,7 +199,10 @@
    * @throws ConfigurationError
    */
   organisation(name: string, options: OrganisationOptions): void {
-    const message = create(OrganisationSchema, {
+    const subject = `organisation "${name}"`;
+    const path = ['organisations', this.configuration.organisations.length];
+    throwFirst(checkSecrets(options.callers, path), subject, 'organisation');
+    const item = create(OrganisationSchema, {
       name,
       openingBudgetTokens: options.openingBudgetTokens,
       weight: options.weight ?? 1,
@@ -235,16 +214,41 @@
         credentialSha256: credentialHash(caller),
       })),
     });
-    const path = ['organisations', this.configuration.organisations.length];
-    throwFirst(
-      [
-        ...checkSecrets(options.callers, path),
-        ...this.checker.organisation(message, path),
-      ],
-      `organisation "${name}"`,
-      'organisation',
+    const services = this.defined(options.services);
+    throwFirst(this.sharedCredentials(item, path), subject, 'organisation');
+    this.add({list: 'organisations', item, services}, subject, 'organisation');
+  }
+
+  /** References may come from elsewhere; only what this fleet has counts. */
+  private defined(
+    references: readonly ServiceReference[],
+  ): readonly ServiceReference[] {
+    return references.filter(({name}) => this.lineCheck.has('services', name));
+  }
+
+  private sharedCredentials(
+    organisation: Organisation,
+    path: Path,
+  ): readonly ConfigurationMistake[] {
+    return organisation.callers.flatMap((caller, index) =>
+      this.lineCheck.credential(
+        `${organisation.name}/${caller.name}`,
+        caller.credentialSha256,
+        [...path, 'callers', index, 'credentialSha256'],
+      ),
     );
-    this.configuration.organisations.push(message);
+  }
+
+  private add<Name extends ListName>(
+    line: Omit<Line<Name>, 'limits'>,
+    subject: string,
+    method: BuilderMethod,
+  ): void {
+    const {limits} = this.configuration;
+    const items: Configuration[Name][number][] = this.configuration[line.list];
+    const mistakes = this.lineCheck.check({...line, limits}, items.length);
+    throwFirst(mistakes, subject, method);
+    items.push(line.item);
   }
 
   /** The configuration so far; later lines don't change it. */
--- /dev/null
+++ b/packages/operator/src/configuration-difference.ts
@@ -0,0 +1,96 @@
+import {toJson} from '@bufbuild/protobuf';
+import {ConfigurationSchema, type Configuration} from '@wisteriadeal/schema';
+
+/** What a publication does to one item. */
+export enum ChangeKind {
+  Added = 'added',
+  Removed = 'removed',
+  Changed = 'changed',
+}
+
+/** One item that differs between two configurations. */
+export interface ConfigurationChange {
+  readonly kind: ChangeKind;
+  /** Such as `organisations kigali-bar-school` or `limits`. */
+  readonly item: string;
+  /** For a changed item: each key with its values before and after, as JSON. */
+  readonly details: readonly string[];
+}
+
+type JsonFields = Readonly<Record<string, unknown>>;
+
+const LISTS = ['models', 'services', 'endpoints', 'organisations'] as const;
+
+function itemsOf(configuration: Configuration | undefined) {
+  const items = new Map<string, JsonFields>();
+  if (configuration === undefined) {
+    return items;
+  }
+  const json = toJson(ConfigurationSchema, configuration, {
+    alwaysEmitImplicit: true,
+  }) as Readonly<Record<string, unknown>>;
+  for (const list of LISTS) {
+    for (const item of json[list] as readonly JsonFields[]) {
+      items.set(`${list} ${String(item.name)}`, item);
+    }
+  }
+  if (json.limits !== undefined) {
+    items.set('limits', json.limits as JsonFields);
+  }
+  return items;
+}
+
+function changedKeys(before: JsonFields, after: JsonFields): string[] {
+  return Object.keys(after).flatMap(key => {
+    const was = JSON.stringify(before[key] ?? null);
+    const is = JSON.stringify(after[key] ?? null);
+    return was === is ? [] : [`${key}: ${was} -> ${is}`];
+  });
+}
+
+/**
+ * Compares two configurations item by item, whatever the order of their lists.
+ *
+ * @param before Undefined where none is in force.
+ * @example
+ * ```ts
+ * configurationDifference(fold.configuration, fleet.build()).map(formatChange);
+ * ```
+ */
+export function configurationDifference(
+  before: Configuration | undefined,
+  after: Configuration,
+): readonly ConfigurationChange[] {
+  const old = itemsOf(before);
+  const changes: ConfigurationChange[] = [];
+  for (const [item, fields] of itemsOf(after)) {
+    const previous = old.get(item);
+    old.delete(item);
+    if (previous === undefined) {
+      changes.push({kind: ChangeKind.Added, item, details: []});
+      continue;
+    }
+    const details = changedKeys(previous, fields);
+    if (details.length > 0) {
+      changes.push({kind: ChangeKind.Changed, item, details});
+    }
+  }
+  for (const item of old.keys()) {
+    changes.push({kind: ChangeKind.Removed, item, details: []});
+  }
+  return changes;
+}
+
+const SIGNS: Readonly<Record<ChangeKind, string>> = {
+  [ChangeKind.Added]: '+',
+  [ChangeKind.Removed]: '-',
+  [ChangeKind.Changed]: '~',
+};
+
+/** Prints a change as lines of text. */
+export function formatChange(change: ConfigurationChange): string {
+  return [
+    `${SIGNS[change.kind]} ${change.item}`,
+    ...change.details.map(detail => `    ${detail}`),
+  ].join('\n');
+}
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -1,10 +1,17 @@
 /**
- * Library with which operators print a configuration.
+ * Library with which operators print a configuration, publish it and top up
+ * budgets.
  */
 export * from './configuration-builder.js';
-export * from './configuration-checker.js';
+export * from './configuration-difference.js';
 export * from './configuration-error.js';
 export * from './configuration-options.js';
 export * from './configuration-problem.js';
+export * from './confirmed-append.js';
 export * from './credential.js';
+export * from './fold-sources.js';
+export * from './opening-budgets.js';
+export * from './publication.js';
+export * from './stream-reader.js';
+export * from './top-up.js';
 export {BudgetPreference, EndpointState} from '@wisteriadeal/schema';
--- /dev/null
+++ b/packages/operator/src/opening-budgets.ts
@@ -0,0 +1,99 @@
+import {create, toBinary} from '@bufbuild/protobuf';
+import {ledgerStreamOf} from '@wisteriadeal/ledger';
+import type {Clock, LogClient} from '@wisteriadeal/platform';
+import {
+  LedgerBatchSchema,
+  LedgerEntrySchema,
+  type LedgerEntry,
+  type Organisation,
+} from '@wisteriadeal/schema';
+
+import {appendUntilDecided, type AppendPatience} from './confirmed-append.js';
+import {ledgerReader} from './fold-sources.js';
+
+/** Entries of one record: about 30 KB, well below a log's usual record limit. */
+const ENTRIES_PER_RECORD = 250;
+
+/** Identifier of an organisation's opening top-up; it makes it once. */
+export function openingEntryId(organisation: string): string {
+  return `opening:${organisation}`;
+}
+
+/** Where opening budgets are credited. */
+export interface OpeningBudgets {
+  readonly operator: string;
+  readonly ledgerStreams: number;
+  readonly organisations: readonly Organisation[];
+  readonly patience: AppendPatience;
+}
+
+function openingEntry(organisation: Organisation, operator: string) {
+  return create(LedgerEntrySchema, {
+    entryId: openingEntryId(organisation.name),
+    organisation: organisation.name,
+    kind: {
+      case: 'topUp',
+      value: {
+        tokens: organisation.openingBudgetTokens,
+        operator,
+        reason: 'opening budget',
+      },
+    },
+  });
+}
+
+function entriesByStream(
+  openings: OpeningBudgets,
+): ReadonlyMap<string, LedgerEntry[]> {
+  const byStream = new Map<string, LedgerEntry[]>();
+  for (const organisation of openings.organisations) {
+    const stream = ledgerStreamOf(organisation.name, openings.ledgerStreams);
+    const entries = byStream.get(stream) ?? [];
+    entries.push(openingEntry(organisation, openings.operator));
+    byStream.set(stream, entries);
+  }
+  return byStream;
+}
+
+async function creditStream(
+  log: LogClient,
+  clock: Clock,
+  openings: OpeningBudgets,
+  stream: string,
+  entries: readonly LedgerEntry[],
+): Promise<void> {
+  const reader = ledgerReader(log, stream);
+  for (let start = 0; start < entries.length; start += ENTRIES_PER_RECORD) {
+    const part = entries.slice(start, start + ENTRIES_PER_RECORD);
+    const batch = create(LedgerBatchSchema, {
+      writer: `operator/${openings.operator}`,
+      entries: part,
+    });
+    await appendUntilDecided({
+      log,
+      clock,
+      reader,
+      payload: toBinary(LedgerBatchSchema, batch),
+      patience: openings.patience,
+      isDecided: fold =>
+        part.every(entry => fold.hasSeen(entry.organisation, entry.entryId)),
+    });
+  }
+}
+
+/**
+ * Credits the opening budgets of organisations that are new in a configuration.
+ * Keepers do the same where they find one missing; the entry's identifier makes
+ * it once, whoever comes first.
+ *
+ * @throws StepError where a stream can't be appended to; repeat it then.
+ */
+export async function creditOpeningBudgets(
+  log: LogClient,
+  clock: Clock,
+  openings: OpeningBudgets,
+): Promise<void> {
+  for (const [stream, entries] of entriesByStream(openings)) {
+    await creditStream(log, clock, openings, stream, entries);
+  }
+}
--- a/packages/operator/src/test/configuration-builder_test.ts
+++ b/packages/operator/src/test/configuration-builder_test.ts
@@ -3,7 +3,7 @@
 import {describe, expect, it} from 'vitest';
 
 import {ConfigurationBuilder} from '../configuration-builder.js';
-import {checkConfiguration} from '../configuration-checker.js';
+import {validateConfiguration} from '@wisteriadeal/ledger';
 import {ConfigurationError} from '../configuration-error.js';
 import {hashCredential, mintCredential} from '../credential.js';
 
@@ -58,7 +58,7 @@
     fleet.print(part => (text += part));
     const read = fromJsonString(ConfigurationSchema, text);
     expect(read).toEqual(fleet.build());
-    expect(checkConfiguration(read)).toEqual([]);
+    expect(validateConfiguration(read)).toEqual([]);
     expect(text).not.toContain('open sesame, open sesame');
     expect(text).toContain(hashCredential('open sesame, open sesame'));
   });
--- /dev/null
+++ b/packages/operator/src/test/fixtures.ts
@@ -0,0 +1,54 @@
+import {FakeClock, MemoryLog, MemoryLogStore} from '@wisteriadeal/stand-ins';
+
+import {ConfigurationBuilder} from '../configuration-builder.js';
+import {hashCredential} from '../credential.js';
+import type {AppendPatience} from '../confirmed-append.js';
+
+/** Number of ledger streams in these tests. */
+export const LEDGER_STREAMS = 4;
+
+export const PATIENCE: AppendPatience = {
+  limitMilliseconds: 5_000,
+  retryMilliseconds: 500,
+};
+
+/** A log, its faults and a clock. */
+export function logInMemory() {
+  const clock = new FakeClock();
+  const store = new MemoryLogStore(clock);
+  return {clock, store, log: new MemoryLog(store, clock)};
+}
+
+/** Lets time pass until the promise settles; gives what it settled to. */
+export async function settled<Value>(
+  clock: FakeClock,
+  promise: Promise<Value>,
+): Promise<Value | Error> {
+  let outcome: Value | Error | undefined;
+  promise.then(
+    value => (outcome = value),
+    (error: unknown) => (outcome = error as Error),
+  );
+  for (let step = 0; step < 200 && outcome === undefined; step++) {
+    await clock.advance(100);
+  }
+  return outcome ?? new Error('it did not settle');
+}
+
+/** A configuration with these organisations. */
+export function configurationWith(...organisations: string[]) {
+  const fleet = new ConfigurationBuilder();
+  const tutor = fleet.modelService('tutor-models', {
+    models: [{name: 'tutor-7b', maximumOutputTokens: 64}],
+  });
+  for (const name of organisations) {
+    fleet.organisation(name, {
+      openingBudgetTokens: 1_000,
+      callers: [
+        {name: 'app', credentialSha256: hashCredential(`secret of ${name}`)},
+      ],
+      services: [tutor],
+    });
+  }
+  return fleet.build();
+}
--- /dev/null
+++ b/packages/operator/src/test/publication_test.ts
@@ -0,0 +1,206 @@
+import {create, toBinary} from '@bufbuild/protobuf';
+import {ledgerStreamOf, SUPPORTED_SCHEMA_REVISION} from '@wisteriadeal/ledger';
+import {Fate, StepError} from '@wisteriadeal/platform';
+import {ConfigurationRecordSchema} from '@wisteriadeal/schema';
+import {MemoryLog} from '@wisteriadeal/stand-ins';
+import {describe, expect, it} from 'vitest';
+
+import {CONFIGURATION_STREAM, ledgerReader} from '../fold-sources.js';
+import {
+  publishConfiguration,
+  PublicationOutcome,
+  readConfiguration,
+  type PublicationRequest,
+  type PublicationResult,
+} from '../publication.js';
+import {
+  configurationWith,
+  LEDGER_STREAMS,
+  logInMemory,
+  PATIENCE,
+  settled,
+} from './fixtures.js';
+
+function request(
+  publicationId: string,
+  baseVersion: number,
+  ...organisations: string[]
+): PublicationRequest {
+  return {
+    configuration: configurationWith(...organisations),
+    publicationId,
+    baseVersion,
+    operator: `operator of ${publicationId}`,
+    ledgerStreams: LEDGER_STREAMS,
+    patience: PATIENCE,
+  };
+}
+
+function credited(log: MemoryLog, organisation: string): Promise<number> {
+  const stream = ledgerStreamOf(organisation, LEDGER_STREAMS);
+  return ledgerReader(log, stream)
+    .readToEnd()
+    .then(fold => fold.totals(organisation).creditedTokens);
+}
+
+describe('publishConfiguration', () => {
+  it('puts a configuration in force and credits opening budgets once', async () => {
+    const {clock, log} = logInMemory();
+    const first = await publishConfiguration(log, clock, request('p1', 0, 'a'));
+    const second = await publishConfiguration(
+      log,
+      clock,
+      request('p2', 1, 'a', 'b'),
+    );
+    expect([first.outcome, second.outcome, second.version]).toEqual([
+      PublicationOutcome.Accepted,
+      PublicationOutcome.Accepted,
+      2,
+    ]);
+    expect(await credited(log, 'a')).toBe(1_000);
+    expect(await credited(log, 'b')).toBe(1_000);
+  });
+
+  // Two operators start from version 0 and publish at the same time. Both
+  // appends succeed, in an order that neither chose. The operator sees either
+  // "in force" or who won; were the append's answer the verdict, both would see
+  // success and one change would silently be gone.
+  it('gives a race one winner and tells the loser who won', async () => {
+    const {clock, store, log} = logInMemory();
+    const other = new MemoryLog(store, clock);
+    const results = await Promise.all([
+      publishConfiguration(log, clock, request('p1', 0, 'a')),
+      publishConfiguration(other, clock, request('p2', 0, 'b')),
+    ]);
+    const of = (outcome: PublicationOutcome) =>
+      results.filter(result => result.outcome === outcome);
+    expect(of(PublicationOutcome.Accepted)).toHaveLength(1);
+    const [loser] = of(PublicationOutcome.Overtaken);
+    const [winner] = of(PublicationOutcome.Accepted);
+    expect(loser?.version).toBe(1);
+    expect(loser?.operatorInForce).toBe(
+      `operator of ${winner?.publicationId ?? ''}`,
+    );
+    const lost = loser?.publicationId === 'p1' ? 'a' : 'b';
+    expect(await credited(log, lost)).toBe(0);
+  });
+
+  // The platform stores the record and its answer is lost, several times over.
+  // The operator sees one acceptance: the publisher reads the log before it
+  // appends again, and the fold ignores copies of the identifier.
+  it('publishes once though answers of the log are lost', async () => {
+    const {clock, store, log} = logInMemory();
+    store.faults.loseAnswers = 3;
+    const result = await settled(
+      clock,
+      publishConfiguration(log, clock, request('p1', 0, 'a')),
+    );
+    expect((result as PublicationResult).outcome).toBe(
+      PublicationOutcome.Accepted,
+    );
+    expect(store.endOffset(CONFIGURATION_STREAM)).toBe(1);
+    expect((await readConfiguration(log)).version).toBe(1);
+    expect(await credited(log, 'a')).toBe(1_000);
+  });
+
+  // The publisher is cut off after its append and before it read the verdict.
+  // The operator is told that the fate is unknown, and repeats with the same
+  // identifier; the repeat finds the verdict and changes nothing.
+  it('says that the fate is unknown, and a repeat finds the verdict', async () => {
+    const {clock, store, log} = logInMemory();
+    const append = log.append.bind(log);
+    log.append = async (stream, payload) => {
+      const offset = await append(stream, payload);
+      store.faults.outage = true;
+      return offset;
+    };
+    const lost = await settled(
+      clock,
+      publishConfiguration(log, clock, request('p1', 0, 'a')),
+    );
+    expect(lost).toBeInstanceOf(StepError);
+    expect((lost as StepError).fate).toBe(Fate.Unknown);
+    store.faults.outage = false;
+    log.append = append;
+    const found = await publishConfiguration(log, clock, request('p1', 0, 'a'));
+    expect(found.outcome).toBe(PublicationOutcome.Accepted);
+    expect(found.version).toBe(1);
+    expect(await credited(log, 'a')).toBe(1_000);
+  });
+
+  // The platform is away for the whole of the operator's patience. Nothing was
+  // appended, and the operator is told so: no later surprise.
+  it('says that nothing was done when the log was never reached', async () => {
+    const {clock, store, log} = logInMemory();
+    store.faults.outage = true;
+    const lost = await settled(
+      clock,
+      publishConfiguration(log, clock, request('p1', 0, 'a')),
+    );
+    expect((lost as StepError).fate).toBe(Fate.NotDone);
+    expect(store.endOffset(CONFIGURATION_STREAM)).toBe(0);
+  });
+
+  // A newer library publishes something that this binary's revision does not
+  // know. Half of it would be applied if unknown parts were skipped; the fold
+  // refuses the whole, and the version before stays in force.
+  it('refuses the whole of a configuration that needs a newer revision', async () => {
+    const {clock, log} = logInMemory();
+    await publishConfiguration(log, clock, request('p1', 0, 'a'));
+    const newer = request('p2', 1, 'a', 'b');
+    newer.configuration.schemaRevision = SUPPORTED_SCHEMA_REVISION + 1;
+    const result = await publishConfiguration(log, clock, newer);
+    expect(result.outcome).toBe(PublicationOutcome.Invalid);
+    expect(result.reason).toContain('schemaRevision');
+    await log.append(
+      CONFIGURATION_STREAM,
+      toBinary(
+        ConfigurationRecordSchema,
+        create(ConfigurationRecordSchema, {
+          kind: {case: 'publication', value: newer},
+        }),
+      ),
+    );
+    const fold = await readConfiguration(log);
+    expect(fold.version).toBe(1);
+    expect(fold.configuration?.organisations).toHaveLength(1);
+  });
+
+  // Three versions are published and a checkpoint is written; then the platform
+  // expires all older records. A fresh reader has to see version 3 and not start
+  // from nothing, and a late copy of an old publication must not revert it.
+  it('reads on from a checkpoint once the first records have expired', async () => {
+    const {clock, store, log} = logInMemory();
+    await publishConfiguration(log, clock, request('p1', 0, 'a'));
+    const [first] = store.records(CONFIGURATION_STREAM);
+    await publishConfiguration(log, clock, request('p2', 1, 'a', 'b'));
+    await publishConfiguration(log, clock, request('p3', 2, 'b'));
+    const checkpoint = (await readConfiguration(log)).toCheckpoint();
+    store.faults.retentionRecords = 2;
+    await log.append(CONFIGURATION_STREAM, first?.payload ?? new Uint8Array());
+    await log.append(
+      CONFIGURATION_STREAM,
+      toBinary(
+        ConfigurationRecordSchema,
+        create(ConfigurationRecordSchema, {
+          kind: {case: 'checkpoint', value: checkpoint},
+        }),
+      ),
+    );
+    const fold = await readConfiguration(log);
+    expect(fold.version).toBe(3);
+    expect(fold.configuration?.organisations.map(({name}) => name)).toEqual([
+      'b',
+    ]);
+  });
+
+  // The first records have expired and nobody wrote a checkpoint. What is left
+  // would fold to version 1 again; the operator gets an error instead.
+  it('refuses to fold a stream whose start is lost', async () => {
+    const {clock, store, log} = logInMemory();
+    await publishConfiguration(log, clock, request('p1', 0, 'a'));
+    store.faults.retentionRecords = 1;
+    await publishConfiguration(log, clock, request('p2', 1, 'b'));
+    await expect(readConfiguration(log)).rejects.toThrow('no checkpoint');
+  });
+});
--- /dev/null
+++ b/packages/operator/src/top-up.ts
@@ -0,0 +1,107 @@
+import {create, toBinary} from '@bufbuild/protobuf';
+import {ledgerStreamOf, type LedgerFold} from '@wisteriadeal/ledger';
+import type {Clock, LogClient} from '@wisteriadeal/platform';
+import {LedgerBatchSchema} from '@wisteriadeal/schema';
+
+import {
+  appendUntilDecided,
+  DEFAULT_PATIENCE,
+  type AppendPatience,
+} from './confirmed-append.js';
+import {ledgerReader} from './fold-sources.js';
+
+/** A top-up of one organisation's budget. */
+export interface TopUpRequest {
+  readonly organisation: string;
+  readonly tokens: number;
+  /** A second top-up with the same identifier does nothing. */
+  readonly entryId: string;
+  readonly operator: string;
+  readonly reason: string;
+  /** Number of ledger streams of the fleet. */
+  readonly ledgerStreams: number;
+  readonly patience?: AppendPatience;
+}
+
+/** What became of a top-up. */
+export enum TopUpOutcome {
+  Credited = 'credited',
+  /** The identifier stood on the log before: nothing was added now. */
+  AlreadyCredited = 'already-credited',
+}
+
+/** A top-up with the organisation's totals after it. */
+export interface TopUpResult {
+  readonly outcome: TopUpOutcome;
+  readonly entryId: string;
+  readonly creditedTokens: number;
+  readonly unallocatedTokens: number;
+}
+
+function encodeTopUp(request: TopUpRequest): Uint8Array {
+  return toBinary(
+    LedgerBatchSchema,
+    create(LedgerBatchSchema, {
+      writer: `operator/${request.operator}`,
+      entries: [
+        {
+          entryId: request.entryId,
+          organisation: request.organisation,
+          kind: {
+            case: 'topUp',
+            value: {
+              tokens: request.tokens,
+              operator: request.operator,
+              reason: request.reason,
+            },
+          },
+        },
+      ],
+    }),
+  );
+}
+
+/**
+ * Adds to a budget, once for each identifier. After a lost answer, repeat it
+ * with the same identifier.
+ *
+ * @throws StepError with fate Unknown where the record may stand on the log.
+ * @throws RangeError where the amount is no whole number of tokens above 0.
+ * @example
+ * ```ts
+ * await topUp(log, clock, {
+ *   organisation: 'kigali-bar-school', tokens: 500_000, entryId: 'invoice-2041',
+ *   operator: 'aline', reason: 'invoice 2041', ledgerStreams: 8,
+ * });
+ * ```
+ */
+export async function topUp(
+  log: LogClient,
+  clock: Clock,
+  request: TopUpRequest,
+): Promise<TopUpResult> {
+  if (!Number.isSafeInteger(request.tokens) || request.tokens <= 0) {
+    throw new RangeError('expected a whole number of tokens above 0');
+  }
+  const {organisation, entryId} = request;
+  const stream = ledgerStreamOf(organisation, request.ledgerStreams);
+  const reader = ledgerReader(log, stream);
+  const isDecided = (fold: LedgerFold) => fold.hasSeen(organisation, entryId);
+  const before = await reader.readToEnd();
+  const stoodBefore = isDecided(before);
+  await appendUntilDecided({
+    log,
+    clock,
+    reader,
+    payload: encodeTopUp(request),
+    patience: request.patience ?? DEFAULT_PATIENCE,
+    isDecided,
+  });
+  const {creditedTokens, unallocatedTokens} = reader.fold.totals(organisation);
+  return {
+    outcome: stoodBefore ? TopUpOutcome.AlreadyCredited : TopUpOutcome.Credited,
+    entryId,
+    creditedTokens,
+    unallocatedTokens,
+  };
+}
