Publish the runner's configuration by the operators' library

Cause: the runner appended its publication by itself and trusted the append's own answer. Change: it publishes through publishConfiguration, which reads the verdict back, and fails where it is not accepted.

--- a/packages/measurements/src/publish.ts
+++ b/packages/measurements/src/publish.ts
@@ -1,29 +1,31 @@
-import {create, toBinary} from '@bufbuild/protobuf';
-import {
-  ConfigurationRecordSchema,
-  type Configuration,
-} from '@wisteriadeal/schema';
+import {PublicationOutcome, publishConfiguration} from '@wisteriadeal/operator';
+import {SystemClock} from '@wisteriadeal/runtime';
+import type {Configuration} from '@wisteriadeal/schema';
 import {randomUUID} from 'node:crypto';
 
 import type {Fleet} from './fleet.js';
 
-/** Publishes a configuration over a version. */
+/** Name under which the runner publishes. */
+const OPERATOR = 'runner';
+
+/**
+ * Publishes a configuration over a version, as an operator does.
+ *
+ * @throws Error where the fold did not accept it.
+ */
 export async function publish(
   fleet: Fleet,
   configuration: Configuration,
   baseVersion: number,
 ): Promise<void> {
-  const record = create(ConfigurationRecordSchema, {
-    kind: {
-      case: 'publication',
-      value: {
-        publicationId: randomUUID(),
-        baseVersion,
-        operator: 'runner',
-        configuration,
-      },
-    },
+  const result = await publishConfiguration(fleet.log, new SystemClock(), {
+    configuration,
+    publicationId: randomUUID(),
+    baseVersion,
+    operator: OPERATOR,
+    ledgerStreams: fleet.plan.ledgerStreams,
   });
-  const payload = toBinary(ConfigurationRecordSchema, record);
-  await fleet.log.append('configuration', payload);
+  if (result.outcome !== PublicationOutcome.Accepted) {
+    throw new Error(`the configuration is ${result.outcome}: ${result.reason}`);
+  }
 }
