--- /dev/null
+++ b/packages/keeper/src/book-replicator.ts
@@ -0,0 +1,106 @@
+import {RefusalReason, VerdictKind} from '@wisteriadeal/ledger';
+import type {Clock} from '@wisteriadeal/platform';
+import {BudgetPreference, type BookChange} from '@wisteriadeal/schema';
+
+import type {GrantHolding} from './grant-holding.js';
+import {ledgerEntry} from './ledger-entries.js';
+import type {LedgerAppender} from './ledger-appender.js';
+import type {LedgerReplicas} from './ledger-replicas.js';
+import type {PlatformHealth} from './platform-health.js';
+import {Acknowledgement} from './witness-link.js';
+import type {WitnessLinks} from './witness-links.js';
+
+/** A lone host's reservation waits so long for the log. */
+const WRITE_AHEAD_LIMIT_MILLISECONDS = 2_000;
+
+/** Makes changes of the holder's books known to a second place. */
+export class BookReplicator {
+  constructor(
+    private readonly links: WitnessLinks,
+    private readonly appender: LedgerAppender,
+    private readonly replicas: LedgerReplicas,
+    private readonly health: PlatformHealth,
+    private readonly clock: Clock,
+    private readonly preferenceOf: (organisation: string) => BudgetPreference,
+  ) {}
+
+  /**
+   * Sends a change and waits until it is known elsewhere. Only `Applied` allows
+   * what the change says.
+   */
+  async commit(
+    holding: GrantHolding,
+    change: BookChange,
+  ): Promise<Acknowledgement> {
+    if (holding.witnesses.length === 0) {
+      return this.withoutWitness(holding, change);
+    }
+    const answers = await Promise.all(
+      holding.witnesses.map(witness => this.send(witness, change)),
+    );
+    if (answers.includes(Acknowledgement.Fenced)) {
+      holding.fenced = true;
+    }
+    if (holding.fenced) {
+      return Acknowledgement.Fenced;
+    }
+    return answers.includes(Acknowledgement.Lost)
+      ? Acknowledgement.Lost
+      : Acknowledgement.Applied;
+  }
+
+  private send(witness: string, change: BookChange): Promise<Acknowledgement> {
+    const link = this.links.to(witness);
+    return link === undefined
+      ? Promise.resolve(Acknowledgement.Lost)
+      : link.send(change);
+  }
+
+  /**
+   * A grant without a witness can't be reclaimed, so its budget is safe whoever
+   * dies; at stake are the details of a bill. Where the organisation wants clear
+   * books, the reservation goes to the log first, and without the log it is
+   * refused; where it wants few refusals, the request goes on.
+   */
+  private async withoutWitness(
+    holding: GrantHolding,
+    change: BookChange,
+  ): Promise<Acknowledgement> {
+    const {kind, organisation} = change;
+    if (kind.case !== 'reserved' || kind.value.reservation === undefined) {
+      return Acknowledgement.Applied;
+    }
+    const otherwise =
+      this.preferenceOf(organisation) === BudgetPreference.AVOID_REFUSALS
+        ? Acknowledgement.Applied
+        : Acknowledgement.Lost;
+    if (!this.health.isReachable(this.replicas.streamOf(organisation))) {
+      return otherwise;
+    }
+    const {reservation} = kind.value;
+    const written = this.appender
+      .submit(
+        ledgerEntry(
+          `ahead:${reservation.requestId}:${reservation.attemptId}`,
+          organisation,
+          {case: 'writeAhead', value: {grantId: holding.grantId, reservation}},
+        ),
+      )
+      .then(({verdict}) => {
+        if (verdict.reason === RefusalReason.GrantClosed) {
+          return Acknowledgement.Fenced;
+        }
+        return verdict.kind === VerdictKind.Refused
+          ? Acknowledgement.Lost
+          : Acknowledgement.Applied;
+      });
+    const ended = new AbortController();
+    const limit = this.clock
+      .sleep(WRITE_AHEAD_LIMIT_MILLISECONDS, ended.signal)
+      .then(() => otherwise);
+    const first = await Promise.race([written, limit]);
+    ended.abort();
+    holding.fenced ||= first === Acknowledgement.Fenced;
+    return first;
+  }
+}
--- /dev/null
+++ b/packages/keeper/src/gossip-task.ts
@@ -0,0 +1,107 @@
+import type {Clock, HostList} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+import type {GossipMessage} from '@wisteriadeal/schema';
+
+import type {MembershipTable} from './membership-table.js';
+import type {PeerClients} from './peer-clients.js';
+
+/** Peers of the own data centre asked each round; a data centre has few. */
+const NEAR_PEERS = 6;
+/** Peers elsewhere asked each round, in turn: never all with all. */
+const FAR_PEERS = 3;
+
+/** Exchanges heartbeats with peers and reads the platform's list. */
+export class GossipTask {
+  private round = 0;
+
+  constructor(
+    private readonly membership: MembershipTable,
+    private readonly hostList: HostList,
+    private readonly peers: PeerClients,
+    private readonly seeds: readonly string[],
+    private readonly heartbeatMilliseconds: number,
+    private readonly clock: Clock,
+    private readonly eventLog: EventLog,
+    private readonly ownMessage: () => GossipMessage,
+  ) {}
+
+  /** Sends heartbeats until the signal is aborted. */
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      await Promise.all(
+        this.addressesOfRound().map(address => this.exchange(address, signal)),
+      );
+      this.membership.refresh();
+      await this.clock.sleep(this.heartbeatMilliseconds, signal);
+    }
+  }
+
+  /** Reads the platform's list until the signal is aborted. */
+  async runList(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      try {
+        this.membership.list(await this.hostList.read(signal));
+      } catch (error) {
+        this.eventLog.debug('host list unreachable', {reason: String(error)});
+      }
+      await this.clock.sleep(this.heartbeatMilliseconds, signal);
+    }
+  }
+
+  /** Tells everybody at once, for a graceful stop. */
+  async announce(): Promise<void> {
+    await Promise.all(
+      this.membership.reachablePeers.map(peer =>
+        this.exchange(peer.controlAddress),
+      ),
+    );
+  }
+
+  private addressesOfRound(): readonly string[] {
+    this.round += 1;
+    const {self, reachablePeers, listedAddresses} = this.membership;
+    const known = reachablePeers.map(peer => ({
+      address: peer.controlAddress,
+      dataCenter: peer.dataCenter,
+    }));
+    const seeds = this.seeds.map(address => ({
+      address,
+      dataCenter: self.dataCenter,
+    }));
+    const all = [...listedAddresses, ...known, ...seeds].filter(
+      candidate => candidate.address !== self.controlAddress,
+    );
+    const near = all.filter(peer => peer.dataCenter === self.dataCenter);
+    const far = all.filter(peer => peer.dataCenter !== self.dataCenter);
+    return [...this.inTurn(near, NEAR_PEERS), ...this.inTurn(far, FAR_PEERS)];
+  }
+
+  private inTurn(
+    peers: readonly {readonly address: string}[],
+    limit: number,
+  ): readonly string[] {
+    const addresses = [...new Set(peers.map(peer => peer.address))].sort();
+    const start = addresses.length === 0 ? 0 : this.round % addresses.length;
+    return [...addresses.slice(start), ...addresses.slice(0, start)].slice(
+      0,
+      limit,
+    );
+  }
+
+  private async exchange(address: string, signal?: AbortSignal): Promise<void> {
+    try {
+      const answer = await this.peers
+        .client(address)
+        .gossip(this.ownMessage(), {
+          timeoutMs: 2 * this.heartbeatMilliseconds,
+          ...(signal === undefined ? {} : {signal}),
+        });
+      this.membership.heard(answer);
+    } catch (error) {
+      this.eventLog.debug('peer unreachable', {
+        peer: address,
+        reason: String(error),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/keeper/src/holding-keeper.ts
@@ -0,0 +1,153 @@
+import {VerdictKind} from '@wisteriadeal/ledger';
+
+import type {GrantHolding} from './grant-holding.js';
+import type {GrantManager, GrantParts} from './grant-manager.js';
+import {ledgerEntry} from './ledger-entries.js';
+import type {OrganisationGrants} from './organisation-grants.js';
+import {Acknowledgement} from './witness-link.js';
+
+/** Keeps held grants in shape: a live witness each, and no empty remains. */
+export class HoldingKeeper {
+  private readonly changing = new Set<string>();
+
+  constructor(
+    private readonly parts: GrantParts,
+    private readonly manager: GrantManager,
+    private readonly witnessPatienceMilliseconds: number,
+  ) {}
+
+  /** Looks at one organisation's grants. */
+  review(grants: OrganisationGrants): void {
+    const keep =
+      this.parts.membership.holderOf(grants.organisation) ===
+        this.parts.membership.self.incarnation &&
+      !this.parts.membership.isLeaving;
+    for (const holding of [...grants.holdings.values()]) {
+      this.reviewWitness(grants.organisation, holding);
+      this.reviewRemains(grants, holding, keep);
+    }
+  }
+
+  /** Links to witnesses that are in use. */
+  get witnessesInUse(): ReadonlySet<string> {
+    return new Set(
+      this.manager.all.flatMap(grants =>
+        [...grants.holdings.values()].flatMap(holding => holding.witnesses),
+      ),
+    );
+  }
+
+  private reviewWitness(organisation: string, holding: GrantHolding): void {
+    const {membership, health, replicas, links} = this.parts;
+    if (
+      holding.fenced ||
+      this.changing.has(holding.grantId) ||
+      !health.isReachable(replicas.streamOf(organisation))
+    ) {
+      return;
+    }
+    const healthy =
+      holding.witness !== '' &&
+      links.to(holding.witness)?.isConnected === true &&
+      membership.isReachable(holding.witness);
+    const silent =
+      holding.witness === '' ||
+      membership.silenceMilliseconds(holding.witness) >
+        this.witnessPatienceMilliseconds;
+    const candidate = membership.witnessFor(organisation) ?? '';
+    if (!healthy && silent && candidate !== holding.witness) {
+      this.changing.add(holding.grantId);
+      void this.changeWitness(organisation, holding, candidate).finally(() => {
+        this.changing.delete(holding.grantId);
+      });
+    }
+  }
+
+  /**
+   * The new witness gets the whole book before the log names it, and both must
+   * acknowledge until the log has decided; so whichever is in force when it
+   * fences knows of every dispatch.
+   */
+  private async changeWitness(
+    organisation: string,
+    holding: GrantHolding,
+    candidate: string,
+  ): Promise<void> {
+    if (candidate !== '') {
+      holding.candidate = candidate;
+      const answer = await this.parts.links
+        .to(candidate)
+        ?.send(holding.book.opened());
+      if (answer !== Acknowledgement.Applied) {
+        holding.candidate = undefined;
+        return;
+      }
+    }
+    const from = holding.witness;
+    const {verdict} = await this.parts.appender.submit(
+      ledgerEntry(
+        `witness:${holding.grantId}:${this.parts.random.identifier()}`,
+        organisation,
+        {
+          case: 'witnessChange',
+          value: {grantId: holding.grantId, from, to: candidate},
+        },
+      ),
+    );
+    this.adoptVerdict(organisation, holding);
+    this.parts.eventLog.info('witness changed', {
+      organisation,
+      grant: holding.grantId,
+      from,
+      to: candidate,
+      accepted: verdict.kind === VerdictKind.Accepted,
+    });
+  }
+
+  /** The fold says which witness is in force, whatever became of the record. */
+  private adoptVerdict(organisation: string, holding: GrantHolding): void {
+    const state = this.parts.replicas
+      .ledgerOf(organisation)
+      .grant(organisation, holding.grantId);
+    if (state === undefined || state.closed) {
+      holding.fenced = true;
+    } else {
+      holding.witness = state.witness;
+    }
+    holding.candidate = undefined;
+  }
+
+  private reviewRemains(
+    grants: OrganisationGrants,
+    holding: GrantHolding,
+    keep: boolean,
+  ): void {
+    const {book} = holding;
+    if (holding.fenced) {
+      if (book.isSettled) {
+        grants.holdings.delete(holding.grantId);
+      }
+      return;
+    }
+    const useless =
+      holding.spendableTokens < grants.largestBoundTokens &&
+      [...grants.holdings.values()].some(
+        other =>
+          other !== holding &&
+          !other.book.isClosing &&
+          other.spendableTokens > holding.spendableTokens,
+      );
+    const unused = !keep && grants.waitingBoundTokens === 0;
+    if (unused || useless) {
+      book.stopReserving();
+    }
+    // A transferred grant's record may still be on its way to the log.
+    const state = this.parts.replicas
+      .ledgerOf(grants.organisation)
+      .grant(grants.organisation, holding.grantId);
+    const onLog = state !== undefined && !state.announcedByBill;
+    if (book.isClosing && book.isSettled && onLog && !holding.returning) {
+      void this.manager.closeHolding(holding);
+    }
+  }
+}
--- a/packages/keeper/src/index.ts
+++ b/packages/keeper/src/index.ts
@@ -1,4 +1,5 @@
 /**
  * Binary: log, grants and configuration for the routers of its host.
  */
-export {};
+export {Keeper} from './keeper.js';
+export type {KeeperSurroundings} from './keeper-parts.js';
--- /dev/null
+++ b/packages/keeper/src/keeper-parts.ts
@@ -0,0 +1,255 @@
+import {GrantPolicy, WitnessBook} from '@wisteriadeal/ledger';
+import {
+  Clock,
+  HostList,
+  LogClient,
+  ModelEngineFactory,
+  RandomSource,
+} from '@wisteriadeal/platform';
+import type {EventLog, Metrics} from '@wisteriadeal/runtime';
+import type {ProcessIdentity} from '@wisteriadeal/schema';
+
+import {BillObserver} from './bill-observer.js';
+import {BookReplicator} from './book-replicator.js';
+import {CheckpointWriter} from './checkpoint-writer.js';
+import {ClaimService} from './claim-service.js';
+import {ConfigurationReplica} from './configuration-replica.js';
+import {FoldListener} from './fold-listener.js';
+import {GossipTask} from './gossip-task.js';
+import {
+  DEFAULT_PREFERENCE,
+  GrantManager,
+  type GrantParts,
+} from './grant-manager.js';
+import {HoldingKeeper} from './holding-keeper.js';
+import {KeeperInspection} from './keeper-inspection.js';
+import type {KeeperOptions} from './keeper-options.js';
+import {LedgerAppender} from './ledger-appender.js';
+import {LedgerReplicas} from './ledger-replicas.js';
+import {MembershipTable} from './membership-table.js';
+import {OrphanSettler} from './orphan-settler.js';
+import {PeerClients} from './peer-clients.js';
+import {PlatformHealth} from './platform-health.js';
+import {Reclaimer} from './reclaimer.js';
+import {RelayReader} from './relay-reader.js';
+import {RelayServer} from './relay-server.js';
+import {RequestRegistry} from './request-registry.js';
+import {RequestService} from './request-service.js';
+import {RouterSessions} from './router-sessions.js';
+import type {StreamReplica} from './stream-replica.js';
+import {TransferService} from './transfer-service.js';
+import {WitnessLinks} from './witness-links.js';
+import {WitnessService} from './witness-service.js';
+
+/** What a keeper takes from outside. */
+export interface KeeperSurroundings {
+  readonly log: LogClient;
+  readonly hostList: HostList;
+  readonly engines: ModelEngineFactory;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly policy: GrantPolicy;
+  readonly metrics: Metrics;
+  readonly eventLog: EventLog;
+}
+
+/** The parts of one keeper, joined. */
+export class KeeperParts {
+  readonly peers = new PeerClients();
+  readonly health = new PlatformHealth();
+  readonly configuration = new ConfigurationReplica();
+  readonly witnessBook = new WitnessBook();
+  readonly replicas: LedgerReplicas;
+  readonly membership: MembershipTable;
+  readonly appender: LedgerAppender;
+  readonly links: WitnessLinks;
+  readonly grants: GrantManager;
+  readonly holdings: HoldingKeeper;
+  readonly registry: RequestRegistry;
+  readonly requests: RequestService;
+  readonly sessions: RouterSessions;
+  readonly transfers: TransferService;
+  readonly orphans: OrphanSettler;
+  readonly reclaimer: Reclaimer;
+  readonly gossip: GossipTask;
+  readonly checkpoints: CheckpointWriter;
+  readonly relayReader: RelayReader;
+  readonly relayServer: RelayServer;
+  readonly witnessService: WitnessService;
+  readonly inspection: KeeperInspection;
+
+  constructor(
+    self: ProcessIdentity,
+    readonly options: KeeperOptions,
+    readonly surroundings: KeeperSurroundings,
+  ) {
+    const {clock, eventLog, log, random} = surroundings;
+    const bills = new BillObserver(clock);
+    this.replicas = new LedgerReplicas(options.ledgerStreams);
+    this.replicas.listen(bills);
+    this.membership = new MembershipTable(
+      self,
+      options.heartbeatLimitMilliseconds,
+      clock,
+    );
+    this.appender = new LedgerAppender(
+      self.incarnation,
+      this.replicas,
+      log,
+      clock,
+      options.billFlushMilliseconds,
+      surroundings.metrics,
+      eventLog,
+    );
+    this.links = new WitnessLinks(
+      this.membership,
+      this.peers,
+      options.heartbeatLimitMilliseconds,
+      clock,
+      eventLog,
+    );
+    const grantParts = this.grantParts(bills);
+    this.grants = new GrantManager(grantParts);
+    this.holdings = new HoldingKeeper(
+      grantParts,
+      this.grants,
+      options.heartbeatLimitMilliseconds,
+    );
+    this.registry = new RequestRegistry(clock);
+    this.replicas.listen(
+      new FoldListener(
+        self.incarnation,
+        this.grants,
+        this.witnessBook,
+        this.registry,
+        eventLog,
+      ),
+    );
+    this.requests = new RequestService(
+      this.membership,
+      this.replicas,
+      this.appender,
+      grantParts.replicator,
+      this.grants,
+      new ClaimService(
+        this.appender,
+        this.replicas,
+        this.health,
+        this.registry,
+        clock,
+      ),
+      this.registry,
+    );
+    this.sessions = new RouterSessions(
+      this.membership,
+      this.configuration,
+      this.requests,
+      this.registry,
+      eventLog,
+    );
+    this.transfers = new TransferService(
+      this.membership,
+      this.peers,
+      this.replicas,
+      this.grants,
+      grantParts.replicator,
+      this.appender,
+      clock,
+      random,
+      eventLog,
+    );
+    this.orphans = new OrphanSettler(
+      this.registry,
+      this.requests,
+      this.membership,
+      this.configuration,
+      surroundings.engines,
+      options.orphanWaitMilliseconds,
+      clock,
+      eventLog,
+    );
+    this.reclaimer = new Reclaimer(
+      this.membership,
+      this.replicas,
+      this.witnessBook,
+      this.appender,
+      options.heartbeatLimitMilliseconds + options.fenceDelayMilliseconds,
+      () => clock.monotonicMilliseconds(),
+      eventLog,
+    );
+    this.gossip = new GossipTask(
+      this.membership,
+      surroundings.hostList,
+      this.peers,
+      options.seedKeepers,
+      options.heartbeatMilliseconds,
+      clock,
+      eventLog,
+      () => this.gossipMessage(),
+    );
+    this.checkpoints = new CheckpointWriter(
+      this.membership,
+      this.streams,
+      log,
+      this.health,
+      options.checkpointRecords,
+      eventLog,
+    );
+    this.relayReader = new RelayReader(this.membership, this.peers, eventLog);
+    this.relayServer = new RelayServer(self.incarnation, this.streams);
+    this.witnessService = new WitnessService(self, this.witnessBook);
+    this.inspection = new KeeperInspection(
+      this.membership,
+      this.configuration,
+      this.replicas,
+      this.health,
+      this.appender,
+      this.grants,
+      this.witnessBook,
+      this.registry,
+      bills,
+    );
+  }
+
+  /** All streams that this keeper follows. */
+  get streams(): readonly StreamReplica[] {
+    return [this.configuration, ...this.replicas.all];
+  }
+
+  /** A heartbeat. */
+  gossipMessage() {
+    const nextOffsets = Object.fromEntries(
+      this.streams.map(replica => [replica.stream, replica.nextOffset]),
+    );
+    return this.membership.gossip(this.configuration.version, nextOffsets);
+  }
+
+  private grantParts(bills: BillObserver): GrantParts {
+    const {clock, eventLog, random, policy} = this.surroundings;
+    const preferenceOf = (organisation: string) =>
+      this.configuration.configuration?.organisations.find(
+        candidate => candidate.name === organisation,
+      )?.budgetPreference ?? DEFAULT_PREFERENCE;
+    return {
+      membership: this.membership,
+      replicas: this.replicas,
+      appender: this.appender,
+      replicator: new BookReplicator(
+        this.links,
+        this.appender,
+        this.replicas,
+        this.health,
+        clock,
+        preferenceOf,
+      ),
+      links: this.links,
+      health: this.health,
+      bills,
+      policy,
+      clock,
+      random,
+      eventLog,
+      preferenceOf,
+    };
+  }
+}
--- /dev/null
+++ b/packages/keeper/src/keeper-services.ts
@@ -0,0 +1,24 @@
+import type {ConnectRouter} from '@connectrpc/connect';
+import {registerInspection} from '@wisteriadeal/runtime';
+import {KeeperService} from '@wisteriadeal/schema';
+
+import type {KeeperParts} from './keeper-parts.js';
+
+/** Registers what a keeper offers to routers, peers and operators. */
+export function registerKeeper(
+  router: ConnectRouter,
+  parts: KeeperParts,
+): void {
+  router.service(KeeperService, {
+    routerSession: messages => parts.sessions.serve(messages),
+    replicate: messages => parts.witnessService.replicate(messages),
+    followStream: (request, context) =>
+      parts.relayServer.follow(request, context.signal),
+    transferGrant: request => parts.transfers.give(request),
+    gossip: message => {
+      parts.membership.heard(message);
+      return parts.gossipMessage();
+    },
+  });
+  registerInspection(router, parts.inspection);
+}
--- /dev/null
+++ b/packages/keeper/src/message-queue.ts
@@ -0,0 +1,45 @@
+/**
+ * The sending side of a stream: what is pushed comes out of the iteration, in
+ * order, until the queue is closed.
+ */
+export class MessageQueue<T> implements AsyncIterable<T> {
+  private readonly items: T[] = [];
+  private wake: (() => void) | undefined;
+  private closed = false;
+
+  /** Adds a message; after `close` it is dropped. */
+  push(item: T): void {
+    if (!this.closed) {
+      this.items.push(item);
+      this.wake?.();
+    }
+  }
+
+  /** How many messages wait. */
+  get length(): number {
+    return this.items.length;
+  }
+
+  /** Ends the iteration after what was pushed. */
+  close(): void {
+    this.closed = true;
+    this.wake?.();
+  }
+
+  async *[Symbol.asyncIterator](): AsyncIterator<T> {
+    for (;;) {
+      let item = this.items.shift();
+      while (item !== undefined) {
+        yield item;
+        item = this.items.shift();
+      }
+      if (this.closed) {
+        return;
+      }
+      await new Promise<void>(resolve => {
+        this.wake = resolve;
+      });
+      this.wake = undefined;
+    }
+  }
+}
--- /dev/null
+++ b/packages/keeper/src/request-service.ts
@@ -0,0 +1,307 @@
+import {clone, create} from '@bufbuild/protobuf';
+import {
+  BeginVerdict,
+  BillSchema,
+  Outcome,
+  RequestReservationSchema,
+  type AbandonRequest,
+  type BeginAnswer,
+  type BeginRequest,
+  type Bill,
+  type Dispatching,
+  type SettleRequest,
+} from '@wisteriadeal/schema';
+
+import {beginAnswer} from './begin-answers.js';
+import type {BookReplicator} from './book-replicator.js';
+import {ClaimOutcome, type ClaimService} from './claim-service.js';
+import type {GrantManager} from './grant-manager.js';
+import {Urgency, type LedgerAppender} from './ledger-appender.js';
+import {billEntry} from './ledger-entries.js';
+import type {LedgerReplicas} from './ledger-replicas.js';
+import type {MembershipTable} from './membership-table.js';
+import {ReserveOutcome} from './organisation-grants.js';
+import {
+  RequestPhase,
+  type RequestRegistry,
+  type TrackedRequest,
+} from './request-registry.js';
+import {Acknowledgement} from './witness-link.js';
+
+/** A request waits at most this long for tokens or a witness. */
+const RESERVE_LIMIT_MILLISECONDS = 2_000;
+/** When a refusal for lack of a witness may have changed. */
+const UNAVAILABLE_RETRY_MILLISECONDS = 1_000;
+
+/** Begins, settles and abandons requests. */
+export class RequestService {
+  constructor(
+    private readonly membership: MembershipTable,
+    private readonly replicas: LedgerReplicas,
+    private readonly appender: LedgerAppender,
+    private readonly replicator: BookReplicator,
+    private readonly grants: GrantManager,
+    private readonly claims: ClaimService,
+    private readonly registry: RequestRegistry,
+  ) {}
+
+  /** Registers a request and reserves its bound. */
+  async begin(begin: BeginRequest, router: string): Promise<BeginAnswer> {
+    const known = this.registry.get(begin.requestId);
+    if (known !== undefined) {
+      return this.answerKnown(begin, known, router);
+    }
+    const holder = this.membership.holderOf(begin.organisation);
+    if (holder !== this.membership.self.incarnation) {
+      return beginAnswer(begin, BeginVerdict.NOT_HOLDER, {
+        holder: holder ?? '',
+      });
+    }
+    const ledger = this.replicas.ledgerOf(begin.organisation);
+    if (ledger.isBilled(begin.organisation, begin.requestId)) {
+      return beginAnswer(begin, BeginVerdict.ANSWER_GONE);
+    }
+    return this.beginNew(begin, router);
+  }
+
+  /** The router is about to send the request to an endpoint. */
+  dispatching(message: Dispatching): void {
+    const request = this.registry.get(message.requestId);
+    if (request === undefined || message.attempt === undefined) {
+      return;
+    }
+    request.attempt = message.attempt;
+    const holding = this.grants.holding(request.organisation, request.grantId);
+    const change = holding?.book.dispatching(
+      request.requestId,
+      message.attempt,
+    );
+    if (holding !== undefined && change !== undefined) {
+      void this.replicator.commit(holding, change);
+    }
+  }
+
+  /**
+   * Settles a request. Resolves once the bill is known to a second host or
+   * stands on the log, so that the router may forget it.
+   */
+  async settle(message: SettleRequest): Promise<void> {
+    const bill = clone(BillSchema, message.bill ?? create(BillSchema));
+    bill.requestId = message.requestId;
+    bill.grantId = message.grantId;
+    await this.settleBill(message.organisation, bill);
+  }
+
+  /** Settles with a bill, from whoever knows what was used. */
+  async settleBill(organisation: string, bill: Bill): Promise<void> {
+    const request = this.registry.get(bill.requestId);
+    const holding = this.grants.holding(organisation, bill.grantId);
+    const change = holding?.book.settle(bill);
+    if (holding === undefined || change?.kind.case !== 'settled') {
+      if (request !== undefined) {
+        this.registry.settle(request, bill);
+      }
+      if (holding === undefined) {
+        // A grant of another holder, or one that was reclaimed: the fold knows
+        // what was inherited, and the log is the second place.
+        await this.appender.submit(billEntry(organisation, bill));
+      }
+      return;
+    }
+    const charged = change.kind.value;
+    if (request !== undefined) {
+      this.registry.settle(request, charged);
+    }
+    this.grants.of(organisation).noteDemand(charged.tokens);
+    const logged = this.appender.submit(
+      billEntry(organisation, charged),
+      Urgency.Batched,
+    );
+    const acknowledged = await this.replicator.commit(holding, change);
+    const witnessed =
+      acknowledged === Acknowledgement.Applied && holding.witness !== '';
+    if (!witnessed) {
+      await logged;
+    }
+  }
+
+  /** Releases a request that was never dispatched. */
+  async abandon(message: AbandonRequest): Promise<void> {
+    const request = this.registry.get(message.requestId);
+    if (request === undefined || request.phase === RequestPhase.Settled) {
+      return;
+    }
+    this.registry.remove(message.requestId);
+    if (!request.idempotent) {
+      this.registry.noteUnusedClaim(message.requestId);
+    }
+    const holding = this.grants.holding(request.organisation, request.grantId);
+    const change = holding?.book.release(message.requestId);
+    if (holding !== undefined && change !== undefined) {
+      await this.replicator.commit(holding, change);
+    }
+  }
+
+  private answerKnown(
+    begin: BeginRequest,
+    known: TrackedRequest,
+    router: string,
+  ): BeginAnswer {
+    if (known.fingerprint !== begin.fingerprint) {
+      return beginAnswer(begin, BeginVerdict.CONFLICT);
+    }
+    if (known.phase === RequestPhase.Settled) {
+      return this.answerSettled(begin, known);
+    }
+    if (known.phase !== RequestPhase.Orphaned) {
+      return this.join(begin, known.router);
+    }
+    return known.idempotent
+      ? this.resume(begin, known, router)
+      : beginAnswer(begin, BeginVerdict.OUTCOME_UNKNOWN);
+  }
+
+  private answerSettled(
+    begin: BeginRequest,
+    known: TrackedRequest,
+  ): BeginAnswer {
+    if (known.bill?.outcome === Outcome.UNKNOWN && !known.idempotent) {
+      return beginAnswer(begin, BeginVerdict.OUTCOME_UNKNOWN);
+    }
+    return this.membership.router(known.router) === undefined
+      ? beginAnswer(begin, BeginVerdict.ANSWER_GONE)
+      : this.join(begin, known.router);
+  }
+
+  private join(begin: BeginRequest, router: string): BeginAnswer {
+    const identity = this.membership.router(router);
+    return identity === undefined
+      ? beginAnswer(begin, BeginVerdict.UNAVAILABLE, {
+          reason: 'its router is being looked for',
+          retryAfterMilliseconds: UNAVAILABLE_RETRY_MILLISECONDS,
+        })
+      : beginAnswer(begin, BeginVerdict.JOIN, {router: identity});
+  }
+
+  private resume(
+    begin: BeginRequest,
+    known: TrackedRequest,
+    router: string,
+  ): BeginAnswer {
+    known.router = router;
+    this.registry.enter(known, RequestPhase.Running);
+    const holding = this.grants.holding(known.organisation, known.grantId);
+    const change = holding?.book.reassign(known.requestId, router);
+    if (holding !== undefined && change !== undefined) {
+      void this.replicator.commit(holding, change);
+    }
+    return beginAnswer(begin, BeginVerdict.RESUME, {
+      grantId: known.grantId,
+      holder: this.membership.self.incarnation,
+      witness: holding?.witness ?? '',
+      resume: known.attempt,
+    });
+  }
+
+  private async beginNew(
+    begin: BeginRequest,
+    router: string,
+  ): Promise<BeginAnswer> {
+    const request = this.registry.add({
+      requestId: begin.requestId,
+      organisation: begin.organisation,
+      fingerprint: begin.fingerprint,
+      idempotent: begin.idempotent,
+      boundTokens: begin.boundTokens,
+      caller: begin.caller,
+      attempt: {
+        $typeName: 'wisteriadeal.v1.AttemptReference',
+        attemptId: begin.attemptId,
+        endpoint: begin.endpoint,
+      },
+      router,
+      phase: RequestPhase.Reserving,
+      grantId: '',
+    });
+    const answer =
+      (await this.refuseUnclaimed(begin, router)) ??
+      (await this.reserve(begin, request));
+    if (answer.verdict !== BeginVerdict.RESERVED) {
+      this.registry.remove(begin.requestId);
+    }
+    return answer;
+  }
+
+  private async refuseUnclaimed(
+    begin: BeginRequest,
+    router: string,
+  ): Promise<BeginAnswer | undefined> {
+    if (begin.idempotent || begin.mintedHere) {
+      return undefined;
+    }
+    const outcome = await this.claims.claim(begin, router);
+    if (outcome === ClaimOutcome.Unsettled) {
+      return beginAnswer(begin, BeginVerdict.UNAVAILABLE, {
+        reason: 'the log could not settle who runs it; it was not dispatched',
+        retryAfterMilliseconds: UNAVAILABLE_RETRY_MILLISECONDS,
+      });
+    }
+    return outcome === ClaimOutcome.Won ? undefined : this.answerLost(begin);
+  }
+
+  private answerLost(begin: BeginRequest): BeginAnswer {
+    const winner = this.claims.claimOf(begin.organisation, begin.requestId);
+    if (winner !== undefined && winner.fingerprint !== begin.fingerprint) {
+      return beginAnswer(begin, BeginVerdict.CONFLICT);
+    }
+    const router =
+      winner === undefined
+        ? undefined
+        : this.membership.router(winner.claimant);
+    return router === undefined
+      ? beginAnswer(begin, BeginVerdict.OUTCOME_UNKNOWN)
+      : beginAnswer(begin, BeginVerdict.JOIN, {router});
+  }
+
+  private async reserve(
+    begin: BeginRequest,
+    request: TrackedRequest,
+  ): Promise<BeginAnswer> {
+    const grants = this.grants.of(begin.organisation);
+    const {outcome, holding} = await grants.reserve(
+      create(RequestReservationSchema, {
+        reservation: {
+          requestId: begin.requestId,
+          boundTokens: begin.boundTokens,
+          attemptId: begin.attemptId,
+          endpoint: begin.endpoint,
+          caller: begin.caller,
+        },
+        router: request.router,
+        fingerprint: begin.fingerprint,
+        idempotent: begin.idempotent,
+      }),
+      RESERVE_LIMIT_MILLISECONDS,
+    );
+    if (outcome === ReserveOutcome.Reserved && holding !== undefined) {
+      request.grantId = holding.grantId;
+      this.registry.enter(request, RequestPhase.Running);
+      return beginAnswer(begin, BeginVerdict.RESERVED, {
+        grantId: holding.grantId,
+        holder: this.membership.self.incarnation,
+        witness: holding.witness,
+      });
+    }
+    if (!begin.idempotent && !begin.mintedHere) {
+      this.registry.noteUnusedClaim(begin.requestId);
+    }
+    return outcome === ReserveOutcome.Budget
+      ? beginAnswer(begin, BeginVerdict.BUDGET, {
+          availableTokens: grants.spendableTokens,
+        })
+      : beginAnswer(begin, BeginVerdict.UNAVAILABLE, {
+          reason: 'no witness and no log took note of it',
+          retryAfterMilliseconds: UNAVAILABLE_RETRY_MILLISECONDS,
+        });
+  }
+}
--- /dev/null
+++ b/packages/keeper/src/test/fleet.ts
@@ -0,0 +1,294 @@
+import {create, toBinary} from '@bufbuild/protobuf';
+import {createClient} from '@connectrpc/connect';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {DemandGrantPolicy, LedgerFold} from '@wisteriadeal/ledger';
+import {ListedState, ModelEngineFactory} from '@wisteriadeal/platform';
+import {
+  EventLog,
+  NoMetrics,
+  SystemClock,
+  SystemRandomSource,
+} from '@wisteriadeal/runtime';
+import {
+  BeginRequestSchema,
+  BudgetPreference,
+  ConfigurationRecordSchema,
+  ConfigurationSchema,
+  KeeperService,
+  KeeperSettingsSchema,
+  LogLevel,
+  ProcessIdentitySchema,
+  RouterMessageSchema,
+  type BeginAnswer,
+  type KeeperMessage,
+  type RouterMessage,
+} from '@wisteriadeal/schema';
+import {
+  MemoryHostList,
+  MemoryLog,
+  MemoryLogStore,
+} from '@wisteriadeal/stand-ins';
+
+import {Keeper} from '../keeper.js';
+import {MessageQueue} from '../message-queue.js';
+
+/** Engines that can't be asked. */
+class NoEngines extends ModelEngineFactory {
+  override connect(): never {
+    throw new Error('no engine');
+  }
+}
+
+/** A router's session with one keeper, as a test sees it. */
+export class FakeRouter {
+  readonly received: KeeperMessage[] = [];
+  private readonly queue = new MessageQueue<RouterMessage>();
+  private readonly ended = new AbortController();
+  private sequence = 0;
+
+  constructor(
+    readonly incarnation: string,
+    address: string,
+  ) {
+    const transport = createConnectTransport({
+      httpVersion: '2',
+      baseUrl: `http://${address}`,
+    });
+    const client = createClient(KeeperService, transport);
+    const messages = client.routerSession(this.queue, {
+      signal: this.ended.signal,
+    });
+    void this.read(messages);
+    this.send({
+      case: 'hello',
+      value: create(ProcessIdentitySchema, {incarnation}),
+    });
+  }
+
+  send(kind: NonNullable<RouterMessage['kind']>): void {
+    this.queue.push(create(RouterMessageSchema, {kind}));
+  }
+
+  /** Begins a request and waits for the verdict. */
+  async begin(
+    requestId: string,
+    boundTokens: number,
+    more: Partial<{idempotent: boolean; fingerprint: string}> = {},
+  ): Promise<BeginAnswer> {
+    this.sequence += 1;
+    const {sequence} = this;
+    const value = create(BeginRequestSchema, {
+      sequence,
+      requestId,
+      organisation: 'org',
+      caller: 'caller',
+      fingerprint: 'f',
+      boundTokens,
+      attemptId: `${requestId}.${sequence}`,
+      idempotent: true,
+      ...more,
+    });
+    this.send({case: 'begin', value});
+    for (;;) {
+      for (const {kind} of this.received) {
+        if (kind.case === 'beginAnswer' && kind.value.sequence === sequence) {
+          return kind.value;
+        }
+      }
+      await pause();
+    }
+  }
+
+  /** Settles a request and waits for the acknowledgement. */
+  async settle(answer: BeginAnswer, tokens: number): Promise<void> {
+    const {requestId, grantId} = answer;
+    this.send({
+      case: 'settle',
+      value: {
+        $typeName: 'wisteriadeal.v1.SettleRequest',
+        requestId,
+        organisation: 'org',
+        grantId,
+        bill: {
+          $typeName: 'wisteriadeal.v1.Bill',
+          requestId,
+          grantId,
+          tokens,
+          promptTokens: 0,
+          completionTokens: tokens,
+          confirmed: true,
+          outcome: 1,
+          attemptId: '',
+          endpoint: '',
+          caller: '',
+        },
+      },
+    });
+    await until(() =>
+      this.received.some(
+        ({kind}) =>
+          kind.case === 'settleAnswer' && kind.value.requestId === requestId,
+      ),
+    );
+  }
+
+  /** Ends as a killed router does. */
+  kill(): void {
+    this.ended.abort();
+  }
+
+  private async read(messages: AsyncIterable<KeeperMessage>): Promise<void> {
+    try {
+      for await (const message of messages) {
+        this.received.push(message);
+      }
+    } catch {
+      // The session ended.
+    }
+  }
+}
+
+/** Waits for other tasks. */
+export function pause(): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, 5));
+}
+
+/** Waits until something holds; the test's own limit ends it otherwise. */
+export async function until(condition: () => boolean): Promise<void> {
+  while (!condition()) {
+    await pause();
+  }
+}
+
+const PUBLICATION = create(ConfigurationRecordSchema, {
+  kind: {
+    case: 'publication',
+    value: {
+      publicationId: 'first',
+      configuration: create(ConfigurationSchema, {
+        organisations: [
+          {
+            name: 'org',
+            weight: 1,
+            openingBudgetTokens: 100_000,
+            budgetPreference: BudgetPreference.AVOID_UNCLEAR_BILLS,
+          },
+        ],
+        limits: {
+          maximumBodyBytes: 1,
+          requestReceiveTimeoutMilliseconds: 1,
+          interactiveDeadlineMilliseconds: 1,
+          batchDeadlineMilliseconds: 1,
+          keptAnswerMilliseconds: 1,
+        },
+      }),
+    },
+  },
+});
+
+/** Keepers in this process, over loopback, with a log and a list in memory. */
+export class Fleet {
+  readonly clock = new SystemClock();
+  readonly store = new MemoryLogStore(this.clock);
+  readonly list = new MemoryHostList({hosts: [], endpoints: []});
+  readonly keepers: Keeper[] = [];
+  readonly logs: MemoryLog[] = [];
+  readonly routers: FakeRouter[] = [];
+
+  constructor() {
+    this.store.append(
+      'configuration',
+      toBinary(ConfigurationRecordSchema, PUBLICATION),
+    );
+  }
+
+  /** Starts a keeper on a host of its own. */
+  async add(dataCenter: string): Promise<Keeper> {
+    const host = `host-${this.keepers.length}`;
+    const log = new MemoryLog(this.store, this.clock);
+    const settings = create(KeeperSettingsSchema, {
+      process: {host, dataCenter, address: '127.0.0.1'},
+      ledgerStreams: 1,
+      billFlushMilliseconds: 20,
+      heartbeatMilliseconds: 20,
+      heartbeatLimitMilliseconds: 300,
+      fenceDelayMilliseconds: 100,
+      orphanWaitMilliseconds: 100,
+      checkpointRecords: 1_000,
+    });
+    const keeper = await Keeper.start(settings, {
+      log,
+      hostList: this.list,
+      engines: new NoEngines(),
+      clock: this.clock,
+      random: new SystemRandomSource(),
+      policy: new DemandGrantPolicy(),
+      metrics: new NoMetrics(),
+      eventLog: EventLog.create(
+        process.env['KEEPER_TEST_LOG'] === undefined
+          ? LogLevel.ERROR
+          : LogLevel.DEBUG,
+        {host},
+      ),
+    });
+    this.keepers.push(keeper);
+    this.logs.push(log);
+    this.list.listing = {
+      endpoints: [],
+      hosts: [
+        ...this.list.listing.hosts,
+        {
+          host,
+          dataCenter,
+          state: ListedState.Live,
+          keeperAddress: keeper.identity.controlAddress,
+          routerControlAddress: '',
+          callerAddress: '',
+        },
+      ],
+    };
+    return keeper;
+  }
+
+  /** Opens a router's session. */
+  router(keeper: Keeper, incarnation = 'host/router/1'): FakeRouter {
+    const {controlAddress} = keeper.identity;
+    const router = new FakeRouter(incarnation, controlAddress);
+    this.routers.push(router);
+    return router;
+  }
+
+  /** The keeper that holds the organisation, once it has a witnessed grant. */
+  async holder(dataCenter: string): Promise<Keeper> {
+    for (;;) {
+      const found = this.keepers.find(
+        keeper =>
+          keeper.identity.dataCenter === dataCenter &&
+          [...keeper.parts.grants.of('org').holdings.values()].some(
+            holding => holding.witness !== '' && holding.spendableTokens > 0,
+          ),
+      );
+      if (found !== undefined) {
+        return found;
+      }
+      await pause();
+    }
+  }
+
+  /** The books as the whole log tells them. */
+  ledger(): LedgerFold {
+    const fold = new LedgerFold();
+    for (const record of this.store.records('ledger-0')) {
+      fold.apply(record.offset, record.payload);
+    }
+    return fold;
+  }
+
+  /** Ends everything at once. */
+  async close(): Promise<void> {
+    this.routers.forEach(router => {
+      router.kill();
+    });
+    await Promise.all(this.keepers.map(keeper => keeper.kill()));
+  }
+}
--- /dev/null
+++ b/packages/keeper/src/test/keeper_test.ts
@@ -0,0 +1,40 @@
+import {BeginVerdict} from '@wisteriadeal/schema';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {Fleet, until} from './fleet.js';
+
+describe('Keeper', () => {
+  let fleet: Fleet;
+
+  beforeEach(() => {
+    fleet = new Fleet();
+  });
+
+  afterEach(async () => {
+    await fleet.close();
+  });
+
+  it('reserves with a witness, settles, and bills once', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    const holder = await fleet.holder('a');
+    const router = fleet.router(holder);
+    const answer = await router.begin('r1', 100);
+    expect(answer.verdict).toBe(BeginVerdict.RESERVED);
+    expect(answer.witness).not.toBe('');
+    await router.settle(answer, 40);
+    await until(() => fleet.ledger().totals('org').billedTokens > 0);
+    expect(fleet.ledger().totals('org').billedTokens).toBe(40);
+    expect(
+      router.received.some(({kind}) => kind.case === 'configuration'),
+    ).toBe(true);
+  });
+
+  it('refuses what the whole budget does not cover', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    const router = fleet.router(await fleet.holder('a'));
+    const answer = await router.begin('r1', 100_001);
+    expect(answer.verdict).toBe(BeginVerdict.BUDGET);
+  });
+});
--- a/packages/ledger/src/bill-rules.ts
+++ b/packages/ledger/src/bill-rules.ts
@@ -56,7 +56,7 @@
   }
   const limit =
     inherited !== undefined && grant.closed
-      ? inherited.boundTokens
+      ? Math.min(inherited.boundTokens, grant.tokens - grant.billedTokens)
       : spareTokens(grant);
   if (!grant.announcedByBill && bill.tokens > limit) {
     return RefusalReason.GrantTooSmall;
@@ -119,10 +119,9 @@
   if (grant.holder !== writer) {
     return RefusalReason.NotHolder;
   }
-  const reserved = grant.inherited
-    .filter(open => open.requestId !== reservation.requestId)
-    .reduce((sum, open) => sum + open.boundTokens, 0);
-  if (reserved + reservation.boundTokens > spareTokens(grant)) {
+  // The holder's book is the authority on the sum: requests that were released
+  // again before dispatch stay listed here until the grant closes.
+  if (reservation.boundTokens > spareTokens(grant)) {
     return RefusalReason.GrantTooSmall;
   }
   grant.inherited = grant.inherited.filter(
--- a/packages/ledger/src/grant-policy.ts
+++ b/packages/ledger/src/grant-policy.ts
@@ -2,8 +2,10 @@
 
 /** What a holder knows when it decides on its grants for an organisation. */
 export interface GrantSituation {
-  /** Tokens that this holder can reserve now. */
+  /** Tokens that this holder can reserve now, in all its grants. */
   readonly spendableTokens: number;
+  /** What it can reserve in one piece, since a bill names one grant. */
+  readonly largestSpendableTokens: number;
   /** Tokens asked for on the log and not yet given. */
   readonly requestedTokens: number;
   readonly creditedTokens: number;
@@ -18,6 +20,8 @@
   readonly largestBoundTokens: number;
   /** Bound of a request that waits for tokens; 0 where none does. */
   readonly waitingBoundTokens: number;
+  /** Of all holders this one has most; it keeps the end of the budget. */
+  readonly holdsMost: boolean;
   /** Holders that may serve the organisation: its live data centres. */
   readonly holders: number;
   /** How long the holder wants to be able to go on without the platform. */
@@ -81,11 +85,15 @@
 /**
  * The chosen policy: a holder keeps what it is expected to need through a
  * partition, but no more than its share of what remains, by demand. Near the end
- * of the budget, slices shrink to one request's bound, and what stands idle goes
- * back, so that the last tokens can be spent by whoever comes.
+ * of the budget the slices collapse into the one of the holder that has most;
+ * the others ask it, or the log, for one request's bound at a time.
  */
 export class DemandGrantPolicy extends GrantPolicy {
   override decide(situation: GrantSituation): GrantDecision {
+    const {waitingBoundTokens, largestSpendableTokens} = situation;
+    if (waitingBoundTokens > largestSpendableTokens) {
+      return this.decideForWaiting(situation);
+    }
     return this.isNearEnd(situation)
       ? this.decideNearEnd(situation)
       : this.decideByDemand(situation);
@@ -98,31 +106,54 @@
     );
   }
 
+  /**
+   * Load: a request waits and no single grant covers it. Harm: refusing it
+   * though the pieces together would do. The pieces go back, and one grant of
+   * the whole bound is asked for.
+   */
+  private decideForWaiting(situation: GrantSituation): GrantDecision {
+    const {waitingBoundTokens, unallocatedTokens, spendableTokens} = situation;
+    if (situation.requestedTokens > 0) {
+      return NOTHING;
+    }
+    if (unallocatedTokens >= waitingBoundTokens) {
+      const target = this.isNearEnd(situation)
+        ? waitingBoundTokens
+        : this.targetTokens(situation);
+      return {
+        askTokens: Math.max(
+          waitingBoundTokens,
+          Math.min(target, unallocatedTokens),
+        ),
+        minimumTokens: waitingBoundTokens,
+        returnTokens: 0,
+      };
+    }
+    return unallocatedTokens + spendableTokens >= waitingBoundTokens
+      ? {...NOTHING, returnTokens: spendableTokens}
+      : NOTHING;
+  }
+
   /**
    * Load: the last few per cent of a budget, shared by all holders. Harm: a
    * remainder shredded into slices that are each too small for one request.
    */
   private decideNearEnd(situation: GrantSituation): GrantDecision {
-    const {waitingBoundTokens, spendableTokens, requestedTokens} = situation;
-    if (waitingBoundTokens > 0) {
-      const missing = waitingBoundTokens - spendableTokens - requestedTokens;
-      return missing > 0 && missing <= situation.unallocatedTokens
-        ? {askTokens: missing, minimumTokens: missing, returnTokens: 0}
-        : NOTHING;
+    const {unallocatedTokens, spendableTokens} = situation;
+    if (!situation.holdsMost) {
+      return {...NOTHING, returnTokens: spendableTokens};
     }
-    return {...NOTHING, returnTokens: spendableTokens};
+    return unallocatedTokens > 0 && situation.requestedTokens === 0
+      ? {askTokens: unallocatedTokens, minimumTokens: 1, returnTokens: 0}
+      : NOTHING;
   }
 
   private decideByDemand(situation: GrantSituation): GrantDecision {
     const target = this.targetTokens(situation);
     const held = situation.spendableTokens + situation.requestedTokens;
-    const wanted = Math.max(target, situation.waitingBoundTokens);
-    if (
-      held < Math.max(REFILL_SHARE * target, situation.waitingBoundTokens) &&
-      situation.unallocatedTokens > 0
-    ) {
+    if (held < REFILL_SHARE * target && situation.unallocatedTokens > 0) {
       return {
-        askTokens: Math.min(wanted - held, situation.unallocatedTokens),
+        askTokens: Math.min(target - held, situation.unallocatedTokens),
         minimumTokens: 1,
         returnTokens: 0,
       };
--- a/packages/ledger/src/holder-book.ts
+++ b/packages/ledger/src/holder-book.ts
@@ -108,7 +108,17 @@
     return this.change({case: 'reserved', value: reservation});
   }
 
-  /** Notes the attempt that runs now, and the router where it changed. */
+  /** Notes that another router goes on with a request. */
+  reassign(requestId: string, router: string): BookChange | undefined {
+    const open = this.open.get(requestId);
+    if (open === undefined) {
+      return undefined;
+    }
+    open.router = router;
+    return this.change({case: 'reserved', value: open});
+  }
+
+  /** Notes the attempt that runs now. */
   dispatching(
     requestId: string,
     attempt: AttemptReference,
--- a/packages/ledger/src/organisation-books.ts
+++ b/packages/ledger/src/organisation-books.ts
@@ -13,6 +13,18 @@
 /** Prefix under which the closing of a grant is remembered. */
 const CLOSED_PREFIX = 'closed:';
 
+/**
+ * Prefix of the identifier of an organisation's opening budget. It is never
+ * forgotten: every keeper may append the entry again at any later time, and a
+ * second credit would be money from nowhere. There is one an organisation.
+ */
+const OPENING_PREFIX = 'opening:';
+
+/** The identifier of the entry that credits an opening budget. */
+export function openingEntryId(organisation: string): string {
+  return OPENING_PREFIX + organisation;
+}
+
 /**
  * The state of one organisation. Its tokens add up at every offset:
  * `credited - billed = unallocated + sum over grants of (tokens - billed)`.
@@ -84,7 +96,11 @@
   prune(offset: number): void {
     this.billedRequests.prune(offset);
     for (const identifier of this.seenEntries.prune(offset)) {
-      this.forgetClosedGrant(identifier, offset);
+      if (identifier.startsWith(OPENING_PREFIX)) {
+        this.seenEntries.add(identifier, offset);
+      } else {
+        this.forgetClosedGrant(identifier, offset);
+      }
     }
     for (const [requestId, claim] of this.claims) {
       if (claim.offset >= offset - REMEMBERED_OFFSETS) {
