Refuse bad input with typed problems, and survive unrouted paths

The first run of the test ended the process: for a path without a route, restify wrote its own error after ours, and the exception had no catcher, so one such request cut every open stream.

Ruled out: answering from inside restify's formatters (the second write stays); leaving slow headers to Node.js (it looks every 30 s only).

Change: one handler for whatever no route matches, which does not hand back to restify; a timer of its own for each connection's first headers; connections that never sent a request are ended in a stop. The run of a request is split by its phases: begin, dispatch, and what both need.

Conclusion: malformed JSON, unknown model and service, wrong credentials, body over the limit announced or chunked, header bomb, no HTTP, slow sender and hang-up are answered as documented; no holder or endpoint was asked for any.

--- a/packages/router/src/answer.ts
+++ b/packages/router/src/answer.ts
@@ -1,5 +1,5 @@
 import type {CallerIdentity} from './identity.js';
-import type {Problem} from './problem.js';
+import {ProblemName, type Problem} from './problem.js';
 import {LifeKind, type Life} from './request-life.js';
 
 /** The first line of an answer. */
@@ -18,6 +18,11 @@
 /** How an answer ended: whole, or with a problem. */
 export type AnswerEnd = {readonly whole: true} | {readonly problem: Problem};
 
+const RUN_PROBLEMS: ReadonlySet<ProblemName> = new Set([
+  ProblemName.FailedAfterRunning,
+  ProblemName.OutcomeUnknown,
+]);
+
 /** What is fixed about an answer when its request arrives. */
 export interface AnswerOptions extends CallerIdentity {
   readonly requestId: string;
@@ -52,6 +57,15 @@
     return this.abandonment.signal;
   }
 
+  /** It ended, and what it says is of a run, so it can serve a retry. */
+  get tellsOfRun(): boolean {
+    const {end} = this;
+    return (
+      end !== undefined &&
+      ('whole' in end || RUN_PROBLEMS.has(end.problem.problem))
+    );
+  }
+
   /** Number of readers now. */
   get readerCount(): number {
     return this.readers;
--- a/packages/router/src/caller-server.ts
+++ b/packages/router/src/caller-server.ts
@@ -1,8 +1,9 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
-import type {AddressInfo, Socket} from 'node:net';
+import type {AddressInfo} from 'node:net';
 import {createServer, type Request, type Server} from 'restify';
 
 import {writeProblem} from './answer-writer.js';
+import {refuseConnection, SilentConnections} from './caller-connections.js';
 import {Problem, ProblemName} from './problem.js';
 
 /** What a route does with a request. */
@@ -28,35 +29,6 @@
 /** Longer than the balancers' usual idle time, so that they close first. */
 const KEEP_ALIVE_MILLISECONDS = 65_000;
 
-const PARSER_PROBLEMS: Readonly<Record<string, ProblemName>> = {
-  HPE_HEADER_OVERFLOW: ProblemName.HeadersTooLarge,
-  ERR_HTTP_REQUEST_TIMEOUT: ProblemName.RequestTimeout,
-};
-
-/** Answers what never became a request. */
-function refuseConnection(error: NodeJS.ErrnoException, socket: Socket): void {
-  if (!socket.writable || error.code === 'ECONNRESET') {
-    socket.destroy();
-    return;
-  }
-  const problem = new Problem(
-    PARSER_PROBLEMS[error.code ?? ''] ?? ProblemName.MalformedRequest,
-    {detail: error.message},
-  );
-  const body = JSON.stringify(problem);
-  socket.end(
-    [
-      `HTTP/1.1 ${problem.status} ${String(problem.toJSON().title)}`,
-      'Content-Type: application/problem+json',
-      `Content-Length: ${Buffer.byteLength(body)}`,
-      `X-Outcome: ${problem.outcome}`,
-      'Connection: close',
-      '',
-      body,
-    ].join('\r\n'),
-  );
-}
-
 function asProblem(error: unknown): Problem {
   return error instanceof Problem
     ? error
@@ -69,6 +41,7 @@
 export class CallerServer {
   private constructor(
     private readonly server: Server,
+    private readonly silent: SilentConnections,
     /** `IP:port`. */
     readonly address: string,
   ) {}
@@ -91,12 +64,11 @@
     http.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
     http.maxHeadersCount = MAXIMUM_HEADERS;
     http.on('clientError', refuseConnection);
-    limitFirstHeaders(http);
+    const silent = new SilentConnections(http, HEADERS_TIMEOUT_MILLISECONDS);
     for (const route of routes) {
       server[route.method](route.path, handle(route.handler));
     }
-    server.on('NotFound', answerUnrouted);
-    server.on('MethodNotAllowed', answerUnrouted);
+    server.on('restifyError', answerUnrouted);
     await new Promise<void>((resolve, reject) => {
       http.once('error', reject);
       server.listen(port, address, () => {
@@ -105,7 +77,7 @@
       });
     });
     const bound = (http.address() as AddressInfo).port;
-    return new CallerServer(server, `${address}:${bound}`);
+    return new CallerServer(server, silent, `${address}:${bound}`);
   }
 
   /** Stops listening; responses in progress end undisturbed. */
@@ -116,6 +88,7 @@
         resolve();
       });
     });
+    this.silent.destroyAll();
     http.closeIdleConnections();
     await closed;
   }
@@ -139,11 +112,14 @@
   };
 }
 
+/**
+ * Answers what no route matches. The callback that restify hands in is not
+ * called: it would write a second answer of its own onto the first, and the
+ * exception from that ended the whole process, with every stream in it.
+ */
 function answerUnrouted(
   _request: IncomingMessage,
   response: ServerResponse,
-  _error: unknown,
-  done: () => void,
 ): void {
   writeProblem(
     response,
@@ -151,30 +127,4 @@
       detail: 'there is nothing at this method and path',
     }),
   );
-  done();
-}
-
-/**
- * Node.js looks for slow headers every thirty seconds only. Each connection's
- * first request gets its own timer, so that a trickle is refused in time.
- */
-function limitFirstHeaders(http: import('node:http').Server): void {
-  const timers = new WeakMap<object, NodeJS.Timeout>();
-  http.on('connection', (socket: Socket) => {
-    const timer = setTimeout(() => {
-      refuseConnection(
-        Object.assign(new Error('the headers took too long'), {
-          code: 'ERR_HTTP_REQUEST_TIMEOUT',
-        }),
-        socket,
-      );
-    }, HEADERS_TIMEOUT_MILLISECONDS);
-    timers.set(socket, timer);
-    socket.once('close', () => {
-      clearTimeout(timer);
-    });
-  });
-  http.on('request', (request: IncomingMessage) => {
-    clearTimeout(timers.get(request.socket));
-  });
 }
--- a/packages/router/src/request-service.ts
+++ b/packages/router/src/request-service.ts
@@ -2,7 +2,8 @@
 import type {AnswerStore} from './answer-store.js';
 import type {CallerIdentity} from './identity.js';
 import {Problem, ProblemName} from './problem.js';
-import {RequestRun, type RunParts} from './request-run.js';
+import {RequestRun} from './request-run.js';
+import type {RunParts} from './run-context.js';
 import type {Submission} from './submission.js';
 import {drainingProblem} from './verdicts.js';
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -30,10 +30,11 @@
 import type {KeeperConnector} from './keeper-link.js';
 import {LoadDispatcher} from './load-dispatcher.js';
 import {RequestLocator} from './request-locator.js';
-import type {RunParts} from './request-run.js';
 import {RequestService} from './request-service.js';
 import type {RouterConnector} from './router-attacher.js';
+import {keptAnswerMilliseconds, routerLimits} from './router-limits.js';
 import {RouterState} from './router-state.js';
+import type {RunParts} from './run-context.js';
 import {SubmissionReader} from './submission-reader.js';
 
 /** What a router is made of; the composition root hands it in. */
@@ -49,17 +50,9 @@
   readonly metrics: Metrics;
 }
 
-const DEFAULT_KEPT_ANSWER_BYTES = 33_554_432;
-const DEFAULT_KEPT_ANSWER_MILLISECONDS = 60_000;
-const DEFAULT_MAXIMUM_QUEUED = 1_000;
-const DEFAULT_DRAIN_LIMIT_MILLISECONDS = 60_000;
 const DRAIN_CHECK_MILLISECONDS = 20;
 const MILLISECONDS_PER_SECOND = 1_000;
 
-function orDefault(value: number, fallback: number): number {
-  return value === 0 ? fallback : value;
-}
-
 /** One router process. */
 export class Router implements RunningBinary {
   private draining = false;
@@ -77,6 +70,7 @@
     const {settings, clock, random, log} = parts;
     const host = settings.process?.host ?? '';
     const dataCenter = settings.process?.dataCenter ?? '';
+    const limits = routerLimits(settings);
     const own = random.identifier().slice(0, INCARNATION_DIGITS);
     this.identity = create(ProcessIdentitySchema, {
       incarnation: `${host}/router/${own}`,
@@ -111,10 +105,7 @@
     this.dispatcher = new LoadDispatcher(
       new LoadCore({
         dataCenter,
-        maximumQueuedRequests: orDefault(
-          settings.maximumQueuedRequests,
-          DEFAULT_MAXIMUM_QUEUED,
-        ),
+        maximumQueuedRequests: limits.maximumQueuedRequests,
         fraction: () => random.fraction(),
       }),
       clock,
@@ -127,15 +118,8 @@
       clock,
       log,
     });
-    this.store = new AnswerStore(
-      clock,
-      orDefault(settings.keptAnswerBytes, DEFAULT_KEPT_ANSWER_BYTES),
-      () =>
-        orDefault(
-          this.keepers.configuration?.configuration?.limits
-            ?.keptAnswerMilliseconds ?? 0,
-          DEFAULT_KEPT_ANSWER_MILLISECONDS,
-        ),
+    this.store = new AnswerStore(clock, limits.keptAnswerBytes, () =>
+      keptAnswerMilliseconds(this.keepers.configuration),
     );
     this.requests = new RequestService(this.runParts(), this.store);
   }
@@ -217,11 +201,8 @@
 
   private async drained(): Promise<void> {
     const {clock, settings, log} = this.parts;
-    const limit = orDefault(
-      settings.drainLimitMilliseconds,
-      DEFAULT_DRAIN_LIMIT_MILLISECONDS,
-    );
-    const until = clock.monotonicMilliseconds() + limit;
+    const {drainLimitMilliseconds} = routerLimits(settings);
+    const until = clock.monotonicMilliseconds() + drainLimitMilliseconds;
     while (this.store.running > 0 || this.holder.openSettlements > 0) {
       if (clock.monotonicMilliseconds() >= until) {
         log.warn('drain-limit-reached', {
--- a/packages/router/src/verdicts.ts
+++ b/packages/router/src/verdicts.ts
@@ -53,11 +53,7 @@
   const step = 'place';
   const peer = submission.service;
   if (refusal === 'withdrawn') {
-    return new Problem(ProblemName.Overloaded, {
-      detail: 'the caller hung up before the request was placed',
-      step,
-      peer,
-    });
+    return withdrawnProblem();
   }
   const {reason, retryAfterMilliseconds} = refusal;
   return new Problem(
@@ -68,6 +64,14 @@
   );
 }
 
+/** What is noted of a request whose caller left before it was dispatched. */
+export function withdrawnProblem(): Problem {
+  return new Problem(ProblemName.Overloaded, {
+    detail: 'the caller hung up before the request was dispatched',
+    step: 'place',
+  });
+}
+
 /** The refusal of a router that leaves. */
 export function drainingProblem(): Problem {
   return new Problem(ProblemName.Draining, {
