--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -36,6 +36,7 @@
 import {RequestRegistry} from './request-registry.js';
 import {RequestService} from './request-service.js';
 import {RouterSessions} from './router-sessions.js';
+import {SettlementService} from './settlement-service.js';
 import type {StreamReplica} from './stream-replica.js';
 import {TransferService} from './transfer-service.js';
 import {WitnessLinks} from './witness-links.js';
@@ -125,10 +126,15 @@
         eventLog,
       ),
     );
+    const settlements = new SettlementService(
+      this.appender,
+      grantParts.replicator,
+      this.grants,
+      this.registry,
+    );
     this.requests = new RequestService(
       this.membership,
       this.replicas,
-      this.appender,
       grantParts.replicator,
       this.grants,
       new ClaimService(
@@ -144,6 +150,7 @@
       this.membership,
       this.configuration,
       this.requests,
+      settlements,
       this.registry,
       eventLog,
     );
@@ -160,7 +167,7 @@
     );
     this.orphans = new OrphanSettler(
       this.registry,
-      this.requests,
+      settlements,
       this.membership,
       this.configuration,
       surroundings.engines,
--- a/packages/keeper/src/keeper.ts
+++ b/packages/keeper/src/keeper.ts
@@ -5,6 +5,7 @@
   type KeeperSettings,
   type ProcessIdentity,
 } from '@wisteriadeal/schema';
+import {setMaxListeners} from 'node:events';
 
 import {keeperOptions} from './keeper-options.js';
 import {KeeperParts, type KeeperSurroundings} from './keeper-parts.js';
@@ -108,6 +109,9 @@
 
   private startTasks(): void {
     const {signal} = this.stopping;
+    // One task each stream, peer and call waits on it; the usual warning at ten
+    // listeners is meant for leaks.
+    setMaxListeners(0, signal);
     const {parts} = this;
     const {log, clock, eventLog} = parts.surroundings;
     const review = new KeeperReview(parts);
--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -1,10 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import {chooseHolder, rankKeepers} from '@wisteriadeal/ledger';
-import {
-  ListedState,
-  type Clock,
-  type HostListing,
-} from '@wisteriadeal/platform';
+import {type Clock, type HostListing} from '@wisteriadeal/platform';
 import {
   GossipMessageSchema,
   HostState,
@@ -18,6 +14,8 @@
   type RouterMember,
 } from '@wisteriadeal/schema';
 
+import {PlatformListing} from './platform-listing.js';
+
 /** A keeper not heard from for so many limits is forgotten. */
 const FORGET_LIMITS = 20;
 
@@ -37,8 +35,7 @@
 export class MembershipTable {
   private readonly keepers = new Map<string, KnownKeeper>();
   private ownRouters = new Map<string, ProcessIdentity>();
-  private readonly everListed = new Set<string>();
-  private listing: HostListing | undefined;
+  private readonly platform = new PlatformListing();
   private ownState = HostState.LIVE;
   private readonly listeners: (() => void)[] = [];
   private lastMembership = '';
@@ -67,16 +64,13 @@
 
   /** Takes a reading of the platform's list. */
   list(listing: HostListing): void {
-    this.listing = listing;
-    for (const {endpoint} of listing.endpoints) {
-      this.everListed.add(endpoint);
-    }
+    this.platform.take(listing);
     this.refresh();
   }
 
   /** Addresses of keepers that the platform lists, without this one. */
   get listedAddresses(): readonly {address: string; dataCenter: string}[] {
-    return (this.listing?.hosts ?? [])
+    return this.platform.hosts
       .filter(host => host.host !== this.self.host)
       .map(host => ({
         address: host.keeperAddress,
@@ -186,9 +180,7 @@
   get dataCenters(): ReadonlySet<string> {
     return new Set([
       this.self.dataCenter,
-      ...(this.listing?.hosts ?? [])
-        .filter(host => host.state === ListedState.Live)
-        .map(host => host.dataCenter),
+      ...this.platform.liveDataCenters,
       ...[...this.keepers.values()].map(keeper => keeper.identity.dataCenter),
     ]);
   }
@@ -227,7 +219,7 @@
       routers: this.ownRouterMembers,
       configurationVersion,
       nextOffsets,
-      leavingEndpoints: [...this.ownLeavingEndpoints],
+      leavingEndpoints: [...this.platform.leavingEndpoints],
     });
   }
 
@@ -276,17 +268,6 @@
     return [...known.values()];
   }
 
-  /** What this keeper's own reading of the list calls leaving or dropped. */
-  private get ownLeavingEndpoints(): readonly string[] {
-    const listed = this.listing?.endpoints ?? [];
-    const live = new Set(
-      listed
-        .filter(endpoint => endpoint.state === ListedState.Live)
-        .map(endpoint => endpoint.endpoint),
-    );
-    return [...this.everListed].filter(endpoint => !live.has(endpoint));
-  }
-
   /**
    * The platform's list lags and a data centre may be cut off from it, so what
    * any reachable peer has read as leaving counts as leaving. Peers pass on only
@@ -299,7 +280,7 @@
     );
     return [
       ...new Set([
-        ...this.ownLeavingEndpoints,
+        ...this.platform.leavingEndpoints,
         ...reachable.flatMap(keeper => keeper.leavingEndpoints),
       ]),
     ].sort();
--- a/packages/keeper/src/orphan-settler.ts
+++ b/packages/keeper/src/orphan-settler.ts
@@ -16,7 +16,7 @@
   type RequestRegistry,
   type TrackedRequest,
 } from './request-registry.js';
-import type {RequestService} from './request-service.js';
+import type {SettlementService} from './settlement-service.js';
 
 /** An engine that does not answer within this time can't be asked. */
 const ASK_LIMIT_MILLISECONDS = 3_000;
@@ -32,7 +32,7 @@
 
   constructor(
     private readonly registry: RequestRegistry,
-    private readonly requests: RequestService,
+    private readonly settlements: SettlementService,
     private readonly membership: MembershipTable,
     private readonly configuration: ConfigurationReplica,
     private readonly engines: ModelEngineFactory,
@@ -74,7 +74,7 @@
       tokens: bill.tokens,
       confirmed: bill.confirmed,
     });
-    await this.requests.settleBill(request.organisation, bill);
+    await this.settlements.settleBill(request.organisation, bill);
   }
 
   private async askEngine(request: TrackedRequest): Promise<Bill> {
--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -1,23 +1,18 @@
-import {clone, create} from '@bufbuild/protobuf';
+import {create} from '@bufbuild/protobuf';
 import {
   BeginVerdict,
-  BillSchema,
   Outcome,
   RequestReservationSchema,
   type AbandonRequest,
   type BeginAnswer,
   type BeginRequest,
-  type Bill,
   type Dispatching,
-  type SettleRequest,
 } from '@wisteriadeal/schema';
 
 import {beginAnswer} from './begin-answers.js';
 import type {BookReplicator} from './book-replicator.js';
 import {ClaimOutcome, type ClaimService} from './claim-service.js';
 import type {GrantManager} from './grant-manager.js';
-import {Urgency, type LedgerAppender} from './ledger-appender.js';
-import {billEntry} from './ledger-entries.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
 import type {MembershipTable} from './membership-table.js';
 import {ReserveOutcome} from './organisation-grants.js';
@@ -26,19 +21,17 @@
   type RequestRegistry,
   type TrackedRequest,
 } from './request-registry.js';
-import {Acknowledgement} from './witness-link.js';
 
 /** A request waits at most this long for tokens or a witness. */
 const RESERVE_LIMIT_MILLISECONDS = 2_000;
 /** When a refusal for lack of a witness may have changed. */
 const UNAVAILABLE_RETRY_MILLISECONDS = 1_000;
 
-/** Begins, settles and abandons requests. */
+/** Begins and abandons requests. */
 export class RequestService {
   constructor(
     private readonly membership: MembershipTable,
     private readonly replicas: LedgerReplicas,
-    private readonly appender: LedgerAppender,
     private readonly replicator: BookReplicator,
     private readonly grants: GrantManager,
     private readonly claims: ClaimService,
@@ -81,50 +74,6 @@
     }
   }
 
-  /**
-   * Settles a request. Resolves once the bill is known to a second host or
-   * stands on the log, so that the router may forget it.
-   */
-  async settle(message: SettleRequest): Promise<void> {
-    const bill = clone(BillSchema, message.bill ?? create(BillSchema));
-    bill.requestId = message.requestId;
-    bill.grantId = message.grantId;
-    await this.settleBill(message.organisation, bill);
-  }
-
-  /** Settles with a bill, from whoever knows what was used. */
-  async settleBill(organisation: string, bill: Bill): Promise<void> {
-    const request = this.registry.get(bill.requestId);
-    const holding = this.grants.holding(organisation, bill.grantId);
-    const change = holding?.book.settle(bill);
-    if (holding === undefined || change?.kind.case !== 'settled') {
-      if (request !== undefined) {
-        this.registry.settle(request, bill);
-      }
-      if (holding === undefined) {
-        // A grant of another holder, or one that was reclaimed: the fold knows
-        // what was inherited, and the log is the second place.
-        await this.appender.submit(billEntry(organisation, bill));
-      }
-      return;
-    }
-    const charged = change.kind.value;
-    if (request !== undefined) {
-      this.registry.settle(request, charged);
-    }
-    this.grants.of(organisation).noteDemand(charged.tokens);
-    const logged = this.appender.submit(
-      billEntry(organisation, charged),
-      Urgency.Batched,
-    );
-    const acknowledged = await this.replicator.commit(holding, change);
-    const witnessed =
-      acknowledged === Acknowledgement.Applied && holding.witness !== '';
-    if (!witnessed) {
-      await logged;
-    }
-  }
-
   /** Releases a request that was never dispatched. */
   async abandon(message: AbandonRequest): Promise<void> {
     const request = this.registry.get(message.requestId);
--- a/packages/keeper/src/router-sessions.ts
+++ b/packages/keeper/src/router-sessions.ts
@@ -16,6 +16,7 @@
 import {MessageQueue} from './message-queue.js';
 import {RequestPhase, type RequestRegistry} from './request-registry.js';
 import type {RequestService} from './request-service.js';
+import type {SettlementService} from './settlement-service.js';
 
 interface RouterSession {
   readonly queue: MessageQueue<KeeperMessage>;
@@ -31,6 +32,7 @@
     private readonly membership: MembershipTable,
     private readonly configuration: ConfigurationReplica,
     private readonly requests: RequestService,
+    private readonly settlements: SettlementService,
     private readonly registry: RequestRegistry,
     private readonly eventLog: EventLog,
   ) {
@@ -156,7 +158,7 @@
     session: RouterSession,
     settle: SettleRequest,
   ): Promise<void> {
-    await this.requests.settle(settle);
+    await this.settlements.settle(settle);
     session.queue.push(
       create(KeeperMessageSchema, {
         kind: {case: 'settleAnswer', value: {requestId: settle.requestId}},
--- a/packages/keeper/src/test/fleet.ts
+++ b/packages/keeper/src/test/fleet.ts
@@ -17,6 +17,7 @@
   KeeperService,
   KeeperSettingsSchema,
   LogLevel,
+  Outcome,
   ProcessIdentitySchema,
   RouterMessageSchema,
   type BeginAnswer,
@@ -117,7 +118,7 @@
           promptTokens: 0,
           completionTokens: tokens,
           confirmed: true,
-          outcome: 1,
+          outcome: Outcome.ANSWERED,
           attemptId: '',
           endpoint: '',
           caller: '',
@@ -225,7 +226,7 @@
       policy: new DemandGrantPolicy(),
       metrics: new NoMetrics(),
       eventLog: EventLog.create(
-        process.env['KEEPER_TEST_LOG'] === undefined
+        process.env.KEEPER_TEST_LOG === undefined
           ? LogLevel.ERROR
           : LogLevel.DEBUG,
         {host},
