Give operators a command line that says what to do next

Cause: an operator could neither check nor publish nor ask without writing code.

A process that can't be reached is part of an answer and no error.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -24,7 +24,7 @@
     },
   },
   {
-    files: ['eslint.config.js'],
+    files: ['eslint.config.js', 'packages/*/bin/*.js'],
     extends: [tseslint.configs.disableTypeChecked],
   },
 );
--- /dev/null
+++ b/packages/command-line/src/commands/budget-explain.ts
@@ -0,0 +1,146 @@
+import {Args} from '@oclif/core';
+import {ledgerStreamOf, type LedgerFold} from '@wisteriadeal/ledger';
+import {ledgerReader} from '@wisteriadeal/operator';
+import {StepError} from '@wisteriadeal/platform';
+import {ExitCode} from '@wisteriadeal/runtime';
+
+import {CommandError} from '../command-error.js';
+import type {Connections} from '../connections.js';
+import {fleetProcesses, survey} from '../fleet-survey.js';
+import {OperatorCommand, settingsFlag} from '../operator-command.js';
+import {readable, table} from '../readable.js';
+
+/** The budget as the log tells it. */
+interface LedgerView {
+  readonly creditedTokens: number;
+  readonly billedTokens: number;
+  readonly unallocatedTokens: number;
+  readonly grants: readonly GrantView[];
+}
+
+interface GrantView {
+  readonly grantId: string;
+  readonly dataCenter: string;
+  readonly holder: string;
+  readonly witness: string;
+  readonly leftTokens: number;
+  readonly closed: boolean;
+}
+
+function viewOf(fold: LedgerFold, organisation: string): LedgerView {
+  return {
+    ...fold.totals(organisation),
+    grants: fold
+      .grants(organisation)
+      .map(grant => ({
+        grantId: grant.grantId,
+        dataCenter: grant.dataCenter,
+        holder: grant.holder,
+        witness: grant.witness,
+        leftTokens: grant.tokens - grant.billedTokens,
+        closed: grant.closed,
+      }))
+      .filter(grant => !grant.closed || grant.leftTokens > 0),
+  };
+}
+
+async function readLedger(
+  {log, settings}: Connections,
+  organisation: string,
+): Promise<LedgerView | undefined> {
+  const stream = ledgerStreamOf(organisation, settings.ledgerStreams);
+  try {
+    const fold = await ledgerReader(log, stream).readToEnd();
+    return viewOf(fold, organisation);
+  } catch (error) {
+    if (error instanceof StepError) {
+      return undefined;
+    }
+    throw error;
+  }
+}
+
+/** Says where an organisation's tokens are. */
+export class BudgetExplain extends OperatorCommand {
+  static override summary = "Say where an organisation's tokens are";
+  static override description =
+    'Folds the ledger on the log, and asks each process what it holds and why it refuses.';
+  static override examples = [
+    '<%= config.bin %> budget explain kigali-bar-school',
+  ];
+  static override args = {
+    organisation: Args.string({
+      description: 'name of the organisation',
+      required: true,
+    }),
+  };
+  static override flags = {settings: settingsFlag};
+
+  override async run() {
+    const {args, flags} = await this.parse(BudgetExplain);
+    const {organisation} = args;
+    return this.withConnections(flags.settings, async connections => {
+      const ledger = await this.showing(
+        'Reading the ledger',
+        readLedger(connections, organisation),
+      );
+      const answers = await this.showing(
+        'Asking the fleet',
+        survey(await fleetProcesses(connections), client =>
+          client.explainBudget(organisation),
+        ),
+      );
+      const known = answers.filter(({answer}) => answer !== undefined);
+      if ((ledger?.creditedTokens ?? 0) === 0 && known.length === 0) {
+        throw new CommandError(
+          ExitCode.NotFound,
+          `Nothing is known of the organisation ${organisation}`,
+          'Check the name in the configuration; a new organisation is credited after it was published.',
+        );
+      }
+      this.describe(organisation, ledger);
+      for (const {host, process, answer} of known) {
+        this.log(`\n${host} ${process}:\n${readable(answer)}`);
+      }
+      for (const {host, process, failure} of answers) {
+        if (failure !== undefined) {
+          this.log(`\n${host} ${process}: not reached (${failure})`);
+        }
+      }
+      return {organisation, ledger: ledger ?? null, processes: answers};
+    });
+  }
+
+  private describe(organisation: string, ledger: LedgerView | undefined): void {
+    if (ledger === undefined) {
+      this.log(
+        'The log can not be read now; what follows is what processes know.',
+      );
+      return;
+    }
+    const {creditedTokens, billedTokens, unallocatedTokens, grants} = ledger;
+    const granted = creditedTokens - billedTokens - unallocatedTokens;
+    this.log(
+      `${organisation}: ${creditedTokens} credited = ${billedTokens} billed + ${unallocatedTokens} not granted yet + ${granted} in grants.`,
+    );
+    if (creditedTokens === billedTokens) {
+      this.log(
+        `The budget is used up. Next: wisteriadeal top-up ${organisation} TOKENS --id INVOICE`,
+      );
+    }
+    if (grants.length > 0) {
+      this.log(
+        table(
+          ['grant', 'data centre', 'holder', 'witness', 'left'],
+          grants.map(grant => [
+            grant.grantId,
+            grant.dataCenter,
+            grant.holder,
+            grant.witness || '(none)',
+            String(grant.leftTokens),
+          ]),
+        ),
+      );
+    }
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/commands/check.ts
@@ -0,0 +1,34 @@
+import {Args} from '@oclif/core';
+
+import {loadConfiguration} from '../configuration-file.js';
+import {OperatorCommand} from '../operator-command.js';
+
+/** Checks a configuration without publishing it. */
+export class Check extends OperatorCommand {
+  static override summary = 'Check a configuration file';
+  static override description =
+    'Checks by the same rules as every process of the fleet. Reaches nothing outside.';
+  static override examples = ['<%= config.bin %> check fleet.json'];
+  static override args = {
+    file: Args.string({
+      description: 'JSON, comments allowed, as the operators library prints it',
+      required: true,
+    }),
+  };
+
+  override async run() {
+    const {args} = await this.parse(Check);
+    const configuration = loadConfiguration(args.file);
+    const counts = {
+      organisations: configuration.organisations.length,
+      services: configuration.services.length,
+      endpoints: configuration.endpoints.length,
+      models: configuration.models.length,
+    };
+    this.log(
+      `${args.file} is valid: ${counts.organisations} organisations, ${counts.services} services, ${counts.endpoints} endpoints, ${counts.models} models.`,
+    );
+    this.log(`Next: wisteriadeal publish ${args.file}`);
+    return {valid: true, ...counts};
+  }
+}
--- /dev/null
+++ b/packages/command-line/src/configuration-file.ts
@@ -0,0 +1,32 @@
+import {validateConfiguration} from '@wisteriadeal/ledger';
+import {
+  ExitCode,
+  formatSettingsProblem,
+  loadSettings,
+} from '@wisteriadeal/runtime';
+import {ConfigurationSchema, type Configuration} from '@wisteriadeal/schema';
+
+import {CommandError} from './command-error.js';
+
+/**
+ * Reads a configuration file and checks it by the rules of the fold.
+ *
+ * @throws CommandError with one line for each problem: file, line, key, and what
+ *     was expected.
+ */
+export function loadConfiguration(file: string): Configuration {
+  const result = loadSettings(ConfigurationSchema, file, configuration =>
+    validateConfiguration(configuration).map(({path, message}) => ({
+      path,
+      expected: message.replace(/^expected /, ''),
+    })),
+  );
+  if (result.err) {
+    throw new CommandError(
+      ExitCode.InvalidInput,
+      result.val.map(formatSettingsProblem).join('\n'),
+      'Correct the lines named above and run "wisteriadeal check" again.',
+    );
+  }
+  return result.val;
+}
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -1,4 +1,23 @@
 /**
  * Binary: check, publish, top up, explain, dump.
  */
-export {};
+import {BudgetExplain} from './commands/budget-explain.js';
+import {Check} from './commands/check.js';
+import {Dump} from './commands/dump.js';
+import {FleetStatus} from './commands/fleet-status.js';
+import {Follow} from './commands/follow.js';
+import {Publish} from './commands/publish.js';
+import {RequestExplain} from './commands/request-explain.js';
+import {TopUp} from './commands/top-up.js';
+
+/** The commands by the words that an operator types, as oclif reads them. */
+export const COMMANDS = {
+  check: Check,
+  publish: Publish,
+  'top-up': TopUp,
+  'budget:explain': BudgetExplain,
+  'request:explain': RequestExplain,
+  'fleet:status': FleetStatus,
+  dump: Dump,
+  follow: Follow,
+};
--- /dev/null
+++ b/packages/command-line/src/test/command-runner.ts
@@ -0,0 +1,71 @@
+import {Config, type Command} from '@oclif/core';
+import {mkdtempSync, rmSync, writeFileSync} from 'node:fs';
+import {tmpdir} from 'node:os';
+import {join} from 'node:path';
+import {vi} from 'vitest';
+
+type CommandClass = new (argv: string[], config: Config) => Command;
+
+/** What an operator sees of one run. */
+export interface CommandRun {
+  readonly exitCode: number;
+  readonly output: string;
+  readonly errors: string;
+}
+
+interface RunnableCommand {
+  _run(): Promise<unknown>;
+}
+
+const ROOT = new URL('../..', import.meta.url).pathname;
+
+function exitCodeSet(): number {
+  return Number(process.exitCode ?? 0);
+}
+
+/** Runs a command in this process. */
+export async function runCommand(
+  CommandType: CommandClass,
+  id: string,
+  ...argv: string[]
+): Promise<CommandRun> {
+  const lines = {output: '', errors: ''};
+  const take = (key: keyof typeof lines) => (text: unknown) => {
+    lines[key] += `${String(text)}\n`;
+  };
+  const spies = [
+    vi.spyOn(console, 'log').mockImplementation(take('output')),
+    vi.spyOn(console, 'error').mockImplementation(take('errors')),
+    vi.spyOn(process.stderr, 'write').mockReturnValue(true),
+  ];
+  process.exitCode = undefined;
+  try {
+    const config = new Config({root: ROOT});
+    config.bin = 'wisteriadeal';
+    // Without loading, which would need the built package; there are no hooks.
+    config.runHook = () => Promise.resolve({successes: [], failures: []});
+    const command = new CommandType(argv, config);
+    command.id = id;
+    await (command as unknown as RunnableCommand)._run();
+    return {exitCode: exitCodeSet(), ...lines};
+  } finally {
+    process.exitCode = undefined;
+    spies.forEach(spy => {
+      spy.mockRestore();
+    });
+  }
+}
+
+/** A directory of files for one test; `close` removes it. */
+export function temporaryFiles(files: Readonly<Record<string, string>>) {
+  const directory = mkdtempSync(join(tmpdir(), 'wisteriadeal-'));
+  for (const [name, text] of Object.entries(files)) {
+    writeFileSync(join(directory, name), text);
+  }
+  return {
+    path: (name: string) => join(directory, name),
+    close: () => {
+      rmSync(directory, {recursive: true});
+    },
+  };
+}
--- a/packages/operator/src/opening-budgets.ts
+++ b/packages/operator/src/opening-budgets.ts
@@ -1,5 +1,5 @@
 import {create, toBinary} from '@bufbuild/protobuf';
-import {ledgerStreamOf} from '@wisteriadeal/ledger';
+import {ledgerStreamOf, openingEntryId} from '@wisteriadeal/ledger';
 import type {Clock, LogClient} from '@wisteriadeal/platform';
 import {
   LedgerBatchSchema,
@@ -14,11 +14,6 @@
 /** Entries of one record: about 30 KB, well below a log's usual record limit. */
 const ENTRIES_PER_RECORD = 250;
 
-/** Identifier of an organisation's opening top-up; it makes it once. */
-export function openingEntryId(organisation: string): string {
-  return `opening:${organisation}`;
-}
-
 /** Where opening budgets are credited. */
 export interface OpeningBudgets {
   readonly operator: string;
@@ -46,7 +41,10 @@
   openings: OpeningBudgets,
 ): ReadonlyMap<string, LedgerEntry[]> {
   const byStream = new Map<string, LedgerEntry[]>();
-  for (const organisation of openings.organisations) {
+  const withBudget = openings.organisations.filter(
+    organisation => organisation.openingBudgetTokens > 0,
+  );
+  for (const organisation of withBudget) {
     const stream = ledgerStreamOf(organisation.name, openings.ledgerStreams);
     const entries = byStream.get(stream) ?? [];
     entries.push(openingEntry(organisation, openings.operator));
--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -9,11 +9,24 @@
   close(): Promise<void>;
 }
 
-/** Standard exit codes (sysexits). */
+/** Exit codes; from 64 on those of sysexits. */
 export enum ExitCode {
   Success = 0,
+  /** Something that has no code of its own. */
   Failure = 1,
+  /** Another publication came first. */
+  Overtaken = 10,
+  /** No process and no record knows of what was asked for. */
+  NotFound = 11,
+  /** Wrong arguments. */
   Usage = 64,
+  /** What was handed in is not valid. */
+  InvalidInput = 65,
+  /** The platform or a process can't be reached; nothing was done. */
+  Unavailable = 69,
+  /** An answer was lost: it may have been done. */
+  Unknown = 75,
+  /** The settings are not valid. */
   Configuration = 78,
 }
 
--- a/packages/runtime/src/settings-file.ts
+++ b/packages/runtime/src/settings-file.ts
@@ -14,7 +14,7 @@
 import {readFileSync} from 'node:fs';
 
 import {Err, Ok, type Result} from './results.js';
-import {checkAgainstSchema} from './schema-check.js';
+import {checkAgainstSchema, type SchemaMismatch} from './schema-check.js';
 
 /** One thing wrong in a settings or configuration file. */
 export interface SettingsProblem {
@@ -57,6 +57,11 @@
   }));
 }
 
+/** Finds what is wrong in a message that fits its schema. */
+export type MessageCheck<Schema extends DescMessage> = (
+  message: MessageShape<Schema>,
+) => readonly SchemaMismatch[];
+
 function nodeAt(root: Node, path: readonly (string | number)[]): Node {
   for (let length = path.length; length > 0; length--) {
     const node = findNodeAtLocation(root, path.slice(0, length));
@@ -67,6 +72,20 @@
   return root;
 }
 
+function toProblem(
+  file: string,
+  text: string,
+  root: Node,
+  mismatch: SchemaMismatch,
+): SettingsProblem {
+  return {
+    file,
+    line: lineOf(text, nodeAt(root, mismatch.path).offset),
+    key: mismatch.path.join('.'),
+    expected: mismatch.expected,
+  };
+}
+
 /**
  * Reads a message from JSON with comments. Unknown keys, wrong kinds of values
  * and values out of range are problems; all of them are reported at once.
@@ -74,6 +93,7 @@
  * @param schema The generated message schema.
  * @param text The file's text.
  * @param file Name for the problems.
+ * @param check Checks what a schema can't say, once the schema is met.
  * @example
  * ```ts
  * const result = parseSettings(RouterSettingsSchema, text, 'router.jsonc');
@@ -83,6 +103,7 @@
   schema: Schema,
   text: string,
   file: string,
+  check: MessageCheck<Schema> = () => [],
 ): Result<MessageShape<Schema>, readonly SettingsProblem[]> {
   const errors: ParseError[] = [];
   const root = parseTree(text, errors, {allowTrailingComma: true});
@@ -95,24 +116,22 @@
     );
   }
   const value: unknown = getNodeValue(root);
+  const asProblems = (mismatches: readonly SchemaMismatch[]) =>
+    Err(mismatches.map(mismatch => toProblem(file, text, root, mismatch)));
   const mismatches = checkAgainstSchema(schema, value);
   if (mismatches.length > 0) {
-    return Err(
-      mismatches.map(mismatch => ({
-        file,
-        line: lineOf(text, nodeAt(root, mismatch.path).offset),
-        key: mismatch.path.join('.'),
-        expected: mismatch.expected,
-      })),
-    );
+    return asProblems(mismatches);
   }
-  return Ok(fromJson(schema, value as Parameters<typeof fromJson>[1]));
+  const message = fromJson(schema, value as Parameters<typeof fromJson>[1]);
+  const rejected = check(message);
+  return rejected.length > 0 ? asProblems(rejected) : Ok(message);
 }
 
 /**
  * Reads a settings file.
  *
  * @param path Path of the file.
+ * @param check Checks what a schema can't say.
  * @example
  * ```ts
  * const settings = loadSettings(KeeperSettingsSchema, 'keeper.jsonc');
@@ -122,6 +141,7 @@
 export function loadSettings<Schema extends DescMessage>(
   schema: Schema,
   path: string,
+  check: MessageCheck<Schema> = () => [],
 ): Result<MessageShape<Schema>, readonly SettingsProblem[]> {
   let text: string;
   try {
@@ -132,5 +152,5 @@
       {file: path, line: 1, key: '', expected: `a readable file (${reason})`},
     ]);
   }
-  return parseSettings(schema, text, path);
+  return parseSettings(schema, text, path, check);
 }
