Model engines and callers, and refuse what can't meet its deadline

The first core waited for whatever stood in its queue until the deadline passed, scanned every endpoint for each decision, and nothing showed what a policy is worth to callers.

- Each decision is an abstract class with a baseline.
Lanes (one service and model) keep free endpoints in constant-time pools and expiries in an indexed heap.
Scanning was ruled out because it grows with the number of endpoints.

--- a/packages/decisions/src/first-come-queue.ts
+++ b/packages/decisions/src/first-come-queue.ts
@@ -1,34 +1,47 @@
-import {QueuePolicy, type QueuedWork} from './queue-policy.js';
+import {QueuePolicy, type Backlog, type QueuedWork} from './queue-policy.js';
 
 /**
- * First come, first served: the baseline. One organisation's burst stands
- * before everybody else's next request.
+ * First come, first served, for both classes of work alike: the baseline. One
+ * organisation's burst stands before everybody else's next request.
  */
 export class FirstComeQueue extends QueuePolicy {
   /** A map keeps the order of insertion. */
   private readonly waiting = new Map<string, QueuedWork>();
+  private outputTokens = 0;
 
   override get size(): number {
     return this.waiting.size;
   }
 
+  /** Whoever waits stands before a newcomer, of whichever class. */
+  override sizeOf(): number {
+    return this.waiting.size;
+  }
+
   override push(work: QueuedWork): void {
     this.waiting.set(work.item.requestId, work);
+    this.outputTokens += work.item.maximumOutputTokens;
   }
 
   override peek(): QueuedWork | undefined {
     return this.waiting.values().next().value;
   }
 
-  override pop(): QueuedWork | undefined {
-    const next = this.peek();
-    if (next !== undefined) {
-      this.waiting.delete(next.item.requestId);
-    }
-    return next;
-  }
-
   override remove(requestId: string): boolean {
+    const work = this.waiting.get(requestId);
+    this.outputTokens -= work?.item.maximumOutputTokens ?? 0;
     return this.waiting.delete(requestId);
   }
+
+  override charge(): void {
+    // Nobody's share is counted.
+  }
+
+  override settle(): void {
+    // Nobody's share is counted.
+  }
+
+  override ahead(): Backlog {
+    return {requests: this.waiting.size, outputTokens: this.outputTokens};
+  }
 }
--- a/packages/decisions/src/load-core.ts
+++ b/packages/decisions/src/load-core.ts
@@ -1,46 +1,25 @@
-import {
-  DecisionKind,
-  RefusalReason,
-  type Decision,
-  type RefuseDecision,
-} from './decision.js';
+import {DecisionKind, RefusalReason, type Decision} from './decision.js';
 import type {
   EndpointDescription,
   EngineLoadReport,
 } from './endpoint-description.js';
-import {EndpointState} from './endpoint-state.js';
-import {FirstComeQueue} from './first-come-queue.js';
-import {LeastLoadedPlacement} from './least-loaded-placement.js';
-import type {PlacementPolicy} from './placement-policy.js';
-import type {QueuedWork, QueuePolicy} from './queue-policy.js';
-import type {WorkItem, WorkResult} from './work.js';
+import type {PlacedWork} from './endpoint-state.js';
+import {Lane, type Choice} from './lane.js';
+import {LaneDirectory} from './lane-directory.js';
+import type {LoadCoreOptions} from './load-core-options.js';
+import {chosenPolicies, type LoadPolicies} from './load-policies.js';
+import {Refusals} from './refusals.js';
+import type {WaitEstimate} from './refusal-policy.js';
+import {serveWaiting} from './serve-waiting.js';
+import {WaitingWork} from './waiting-work.js';
+import {WorkOutcome, type WorkItem, type WorkResult} from './work.js';
 
-/** What a core is made with. */
-export interface LoadCoreOptions {
-  /** The router's own data centre. */
-  readonly dataCenter: string;
-  /** Requests that may wait, over all services. */
-  readonly maximumQueuedRequests: number;
-  /** Random numbers from 0 (included) to 1 (excluded). */
-  readonly fraction: () => number;
-}
-
-/** Told to a caller when nothing better is known. */
-const DEFAULT_RETRY_AFTER_MILLISECONDS = 1_000;
-
-/** Requests for one service and model wait in one queue. */
-interface Lane {
-  readonly queue: QueuePolicy;
-  readonly endpoints: EndpointState[];
-}
+/** Today's data centres are one to one and a half milliseconds apart one way. */
+const DEFAULT_TRIP_MILLISECONDS = 3;
 
-function laneKey(service: string, model: string): string {
-  return `${service}\u0000${model}`;
-}
-
-function laneKeysOf(description: EndpointDescription): string[] {
-  const models = description.models.length > 0 ? description.models : [''];
-  return models.map(model => laneKey(description.service, model));
+interface Placement {
+  readonly work: PlacedWork;
+  readonly lane: Lane;
 }
 
 /**
@@ -62,22 +41,30 @@
  * ```
  */
 export class LoadCore {
-  private readonly states = new Map<string, EndpointState>();
-  private readonly lanes = new Map<string, Lane>();
-  private readonly queued = new Map<string, QueuedWork>();
-  private readonly placedAt = new Map<string, EndpointState>();
-  private readonly placement: PlacementPolicy = new LeastLoadedPlacement();
+  private readonly policies: LoadPolicies;
+  private readonly directory: LaneDirectory;
+  private readonly waiting = new WaitingWork();
+  private readonly placed = new Map<string, Placement>();
+  private readonly refusals: Refusals;
 
-  constructor(private readonly options: LoadCoreOptions) {}
+  constructor(private readonly options: LoadCoreOptions) {
+    const policies = options.policies ?? chosenPolicies(options.fraction);
+    const trip = options.tripMilliseconds ?? (() => DEFAULT_TRIP_MILLISECONDS);
+    this.policies = policies;
+    this.refusals = new Refusals(options.fraction);
+    this.directory = new LaneDirectory(
+      () => new Lane(policies, options.dataCenter, trip),
+    );
+  }
 
   /** Number of requests that wait. */
   get queuedRequests(): number {
-    return this.queued.size;
+    return this.waiting.size;
   }
 
   /** Number of requests placed and not ended. */
   get placedRequests(): number {
-    return this.placedAt.size;
+    return this.placed.size;
   }
 
   /**
@@ -90,27 +77,19 @@
     endpoints: readonly EndpointDescription[],
     now: number,
   ): readonly Decision[] {
-    const listed = new Set(endpoints.map(({endpoint}) => endpoint));
-    for (const state of this.states.values()) {
-      if (!listed.has(state.endpoint)) {
-        this.dropEndpoint(state);
-      }
-    }
-    for (const description of endpoints) {
-      const state = this.states.get(description.endpoint);
-      if (state === undefined) {
-        this.states.set(description.endpoint, new EndpointState(description));
-      } else {
-        state.description = description;
-      }
-    }
-    this.rebuildLanes();
-    return [...this.advance(now), ...this.placeWaiting(now)];
+    this.directory.update(endpoints);
+    const lanes = this.directory.allLanes;
+    return [
+      ...this.advance(now),
+      ...this.placeWaiting(lanes, now),
+      ...lanes.flatMap(lane => this.refuseUnserved(lane, now)),
+    ];
   }
 
   /**
    * Decides a new request.
    *
+   * @throws RangeError where the identifier is waiting or placed already.
    * @example
    * ```ts
    * const decision = core.offer(item, clock.monotonicMilliseconds());
@@ -118,30 +97,40 @@
    * ```
    */
   offer(item: WorkItem, now: number): Decision {
-    const lane = this.lanes.get(laneKey(item.service, item.model));
-    if (lane === undefined || lane.endpoints.every(state => state.leaving)) {
-      return this.refuse(item, RefusalReason.NoEndpoint);
-    }
-    if (item.deadlineAt <= now) {
-      return this.refuse(item, RefusalReason.DeadlinePassed);
-    }
-    const chosen =
-      lane.queue.size === 0 ? this.choose(item, lane, now) : undefined;
-    if (chosen !== undefined) {
-      return this.place(item, chosen, now);
+    this.assertNew(item.requestId);
+    const lane = this.directory.laneOf(item.service, item.model);
+    if (lane?.isServed !== true) {
+      return this.refusals.refuseWithoutEndpoint(item);
     }
-    if (this.queued.size >= this.options.maximumQueuedRequests) {
-      return this.refuse(item, RefusalReason.QueueFull);
+    const estimate = lane.estimate(item, now);
+    const refusal = this.policies.admission.admit(item, estimate.isOverloaded);
+    if (refusal !== undefined) {
+      return this.refusals.refuse(
+        item,
+        lane,
+        refusal,
+        estimate.waitMilliseconds,
+        now,
+      );
     }
-    const work = {item, queuedAt: now};
-    this.queued.set(item.requestId, work);
-    lane.queue.push(work);
-    return {kind: DecisionKind.Queue, requestId: item.requestId};
+    const choice =
+      lane.queue.sizeOf(item.workClass) === 0
+        ? lane.choose(item, now)
+        : lane.chooseRemote(item, now);
+    return choice === undefined
+      ? this.queueOrRefuse(item, lane, estimate, now)
+      : this.place(item, lane, choice, now);
   }
 
   /** The first token of placed work has arrived. */
   firstToken(requestId: string, now: number): void {
-    this.placedAt.get(requestId)?.firstToken(requestId, now);
+    const placement = this.placed.get(requestId);
+    if (placement?.work.firstTokenAt !== undefined || !placement) {
+      return;
+    }
+    placement.work.firstTokenAt = now;
+    placement.work.state.firstToken(requestId);
+    placement.lane.firstToken(placement.work, now);
   }
 
   /**
@@ -151,145 +140,160 @@
    */
   finished(
     requestId: string,
-    _result: WorkResult,
+    result: WorkResult,
     now: number,
   ): readonly Decision[] {
-    const state = this.placedAt.get(requestId);
-    if (state === undefined) {
+    const placement = this.placed.get(requestId);
+    if (placement === undefined) {
       return [];
     }
-    this.placedAt.delete(requestId);
-    state.end(requestId);
-    return [...this.advance(now), ...this.placeWaiting(now)];
+    if (result.outcome === WorkOutcome.Answered) {
+      this.firstToken(requestId, now);
+    }
+    this.placed.delete(requestId);
+    const {state} = placement.work;
+    state.end(requestId, now);
+    placement.lane.ended(placement.work, result, now);
+    this.directory.refresh(state);
+    const lanes = this.directory.lanesServedBy(state);
+    return [...this.advance(now), ...this.placeWaiting(lanes, now)];
   }
 
   /**
    * The caller gave up. Waiting work is forgotten; placed work stays counted
    * until `finished`, since its endpoint still works on it.
+   *
+   * @returns Placements and refusals that follow.
    */
   withdraw(requestId: string, now: number): readonly Decision[] {
-    const work = this.queued.get(requestId);
-    if (work !== undefined) {
-      this.forgetQueued(work);
-    }
+    this.waiting.take(requestId, now);
     return this.advance(now);
   }
 
-  /** Refuses waiting work whose deadline has passed. */
+  /** Refuses waiting work whose time has run out. */
   advance(now: number): readonly Decision[] {
-    const expired = [...this.queued.values()].filter(
-      ({item}) => item.deadlineAt <= now,
-    );
-    for (const work of expired) {
-      this.forgetQueued(work);
+    const decisions: Decision[] = [];
+    for (;;) {
+      const expired = this.waiting.takeExpired(now);
+      if (expired === undefined) {
+        return decisions;
+      }
+      const {work, lane} = expired;
+      const {waitMilliseconds} = lane.estimate(work.item, now);
+      decisions.push(
+        this.refusals.refuse(
+          work.item,
+          lane,
+          RefusalReason.DeadlinePassed,
+          waitMilliseconds,
+          now,
+        ),
+      );
     }
-    return expired.map(({item}) =>
-      this.refuse(item, RefusalReason.DeadlinePassed),
-    );
   }
 
   /**
    * Takes an engine's lagging report.
    *
-   * @returns Placements that follow.
+   * @returns Placements and refusals that follow.
    */
   report(
     endpoint: string,
     report: EngineLoadReport,
     now: number,
   ): readonly Decision[] {
-    this.states.get(endpoint)?.report(report);
-    return [...this.advance(now), ...this.placeWaiting(now)];
+    const state = this.directory.stateOf(endpoint);
+    if (state === undefined) {
+      return [];
+    }
+    const hadGap = state.report(report, now);
+    this.directory.refresh(state);
+    const lanes = this.directory.lanesServedBy(state);
+    for (const lane of lanes) {
+      lane.placement.announced(state, report.cachedPrefixes, hadGap);
+    }
+    return [
+      ...this.advance(now),
+      ...this.placeWaiting(lanes, now),
+      ...lanes.flatMap(lane => this.refuseUnserved(lane, now)),
+    ];
   }
 
-  /** When `advance` has to be called next; undefined while nothing waits. */
+  /** When `advance` has to be called next; undefined while nothing expires. */
   nextWakeAt(): number | undefined {
-    let earliest: number | undefined;
-    for (const {item} of this.queued.values()) {
-      earliest = Math.min(earliest ?? item.deadlineAt, item.deadlineAt);
-    }
-    return earliest;
+    return this.waiting.firstExpiry;
   }
 
-  private dropEndpoint(state: EndpointState): void {
-    state.description = {...state.description, leaving: true};
-    if (state.ownInProgress === 0) {
-      this.states.delete(state.endpoint);
+  private assertNew(requestId: string): void {
+    if (this.placed.has(requestId) || this.waiting.has(requestId)) {
+      throw new RangeError(`${requestId} was offered already`);
     }
   }
 
-  private rebuildLanes(): void {
-    for (const lane of this.lanes.values()) {
-      lane.endpoints.length = 0;
+  private queueOrRefuse(
+    item: WorkItem,
+    lane: Lane,
+    estimate: WaitEstimate,
+    now: number,
+  ): Decision {
+    const early = this.policies.refusal.refuse(item, estimate, now);
+    if (early !== undefined) {
+      const {reason, excessMilliseconds} = early;
+      return this.refusals.refuse(item, lane, reason, excessMilliseconds, now);
     }
-    for (const state of this.states.values()) {
-      for (const key of laneKeysOf(state.description)) {
-        this.laneOf(key).endpoints.push(state);
-      }
+    const full = this.policies.admission.admitToQueue({
+      queued: this.waiting.size,
+      queuedOfOrganisation: this.waiting.sizeOf(item.organisation),
+      maximumQueued: this.options.maximumQueuedRequests,
+    });
+    if (full !== undefined) {
+      return this.refusals.refuse(
+        item,
+        lane,
+        full,
+        estimate.waitMilliseconds,
+        now,
+      );
     }
+    const expiresAt = this.policies.refusal.refuseAt(item, estimate);
+    this.waiting.add({work: {item, queuedAt: now}, lane}, expiresAt, now);
+    return {kind: DecisionKind.Queue, requestId: item.requestId};
+  }
+
+  private placeWaiting(lanes: readonly Lane[], now: number): Decision[] {
+    return serveWaiting(lanes, now, (item, lane, choice) => {
+      this.waiting.take(item.requestId, now);
+      return this.place(item, lane, choice, now);
+    });
   }
 
-  private laneOf(key: string): Lane {
-    const known = this.lanes.get(key);
-    if (known !== undefined) {
-      return known;
+  /** Nobody waits for endpoints that are all gone or leaving. */
+  private refuseUnserved(lane: Lane, now: number): Decision[] {
+    if (lane.isServed) {
+      return [];
     }
-    const lane: Lane = {queue: new FirstComeQueue(), endpoints: []};
-    this.lanes.set(key, lane);
-    return lane;
+    return this.waiting
+      .takeAll(lane, now)
+      .map(({item}) => this.refusals.refuseWithoutEndpoint(item));
   }
 
-  private choose(
+  private place(
     item: WorkItem,
     lane: Lane,
+    choice: Choice,
     now: number,
-  ): EndpointState | undefined {
-    const free = lane.endpoints.filter(state => state.hasFreeSlot);
-    const local = free.filter(
-      state => state.description.dataCenter === this.options.dataCenter,
-    );
-    return this.placement.choose(item, local.length > 0 ? local : free, now);
-  }
-
-  private placeWaiting(now: number): Decision[] {
-    const decisions: Decision[] = [];
-    for (const lane of this.lanes.values()) {
-      for (;;) {
-        const next = lane.queue.peek(now);
-        const chosen =
-          next === undefined ? undefined : this.choose(next.item, lane, now);
-        if (next === undefined || chosen === undefined) {
-          break;
-        }
-        this.forgetQueued(next);
-        decisions.push(this.place(next.item, chosen, now));
-      }
-    }
-    return decisions;
-  }
-
-  private place(item: WorkItem, state: EndpointState, now: number): Decision {
-    state.begin(item.requestId, now);
-    this.placedAt.set(item.requestId, state);
+  ): Decision {
+    const {state} = choice;
+    const work = {...choice, item, placedAt: now, firstTokenAt: undefined};
+    state.begin(work);
+    this.placed.set(item.requestId, {work, lane});
+    lane.queue.charge(item);
+    lane.placement.placed(item, state);
+    this.directory.refresh(state);
     return {
       kind: DecisionKind.Place,
       requestId: item.requestId,
       endpoint: state.endpoint,
     };
   }
-
-  private forgetQueued(work: QueuedWork): void {
-    const {requestId, service, model} = work.item;
-    this.queued.delete(requestId);
-    this.lanes.get(laneKey(service, model))?.queue.remove(requestId);
-  }
-
-  private refuse(item: WorkItem, reason: RefusalReason): RefuseDecision {
-    return {
-      kind: DecisionKind.Refuse,
-      requestId: item.requestId,
-      reason,
-      retryAfterMilliseconds: DEFAULT_RETRY_AFTER_MILLISECONDS,
-    };
-  }
 }
--- /dev/null
+++ b/packages/decisions/src/load-policies.ts
@@ -0,0 +1,57 @@
+import {AdmitAll, type AdmissionPolicy} from './admission-policy.js';
+import {DeadlineRefusal} from './deadline-refusal.js';
+import {FirstComeQueue} from './first-come-queue.js';
+import type {PlacementPolicy} from './placement-policy.js';
+import type {QueuePolicy} from './queue-policy.js';
+import {RandomPlacement} from './random-placement.js';
+import {NeverRefuse, type RefusalPolicy} from './refusal-policy.js';
+import {NeverShed, type SheddingPolicy} from './shedding-policy.js';
+import {NeverShift, type ShiftPolicy} from './shift-policy.js';
+
+/** The policies that a core decides by. */
+export interface LoadPolicies {
+  readonly admission: AdmissionPolicy;
+  readonly refusal: RefusalPolicy;
+  readonly shift: ShiftPolicy;
+  readonly shedding: SheddingPolicy;
+  /** Makes the queue of one service and model. */
+  readonly createQueue: () => QueuePolicy;
+  /** Makes the placement of one service and model. */
+  readonly createPlacement: () => PlacementPolicy;
+}
+
+/**
+ * The policies that the measurements chose.
+ *
+ * @param fraction Random numbers from 0 (included) to 1 (excluded).
+ * @example
+ * ```ts
+ * const policies = chosenPolicies(() => random.fraction());
+ * ```
+ */
+export function chosenPolicies(fraction: () => number): LoadPolicies {
+  return {
+    admission: new AdmitAll(),
+    refusal: new DeadlineRefusal(),
+    shift: new NeverShift(),
+    shedding: new NeverShed(),
+    createQueue: () => new FirstComeQueue(),
+    createPlacement: () => new RandomPlacement(fraction),
+  };
+}
+
+/**
+ * The simple policies that the chosen ones are measured against.
+ *
+ * @param fraction Random numbers from 0 (included) to 1 (excluded).
+ */
+export function baselinePolicies(fraction: () => number): LoadPolicies {
+  return {
+    admission: new AdmitAll(),
+    refusal: new NeverRefuse(),
+    shift: new NeverShift(),
+    shedding: new NeverShed(),
+    createQueue: () => new FirstComeQueue(),
+    createPlacement: () => new RandomPlacement(fraction),
+  };
+}
--- a/packages/decisions/src/placement-policy.ts
+++ b/packages/decisions/src/placement-policy.ts
@@ -1,15 +1,32 @@
+import type {EndpointPool} from './endpoint-pool.js';
 import type {EndpointState} from './endpoint-state.js';
 import type {WorkItem} from './work.js';
 
-/** Chooses among endpoints that have a free slot. */
+/** Chooses among the endpoints of one lane that have a free slot. */
 export abstract class PlacementPolicy {
   /**
-   * @param candidates Endpoints with a free slot, none of them leaving.
-   * @returns Undefined only where there is no candidate.
+   * @param pool Endpoints with a free slot; none of them is leaving or shed.
+   * @returns Undefined only where no endpoint has a free slot.
    */
   abstract choose(
     item: WorkItem,
-    candidates: readonly EndpointState[],
-    now: number,
+    pool: EndpointPool,
   ): EndpointState | undefined;
+
+  /** A request was placed. */
+  abstract placed(item: WorkItem, state: EndpointState): void;
+
+  /**
+   * An endpoint announced cached prefixes.
+   *
+   * @param hadGap True where earlier announcements were lost.
+   */
+  abstract announced(
+    state: EndpointState,
+    prefixHashes: readonly string[],
+    hadGap: boolean,
+  ): void;
+
+  /** An endpoint is gone. */
+  abstract removed(state: EndpointState): void;
 }
--- a/packages/decisions/src/queue-policy.ts
+++ b/packages/decisions/src/queue-policy.ts
@@ -1,4 +1,4 @@
-import type {WorkItem} from './work.js';
+import type {WorkClass, WorkItem} from './work.js';
 
 /** A request that waits, and since when. */
 export interface QueuedWork {
@@ -6,20 +6,36 @@
   readonly queuedAt: number;
 }
 
+/** An amount of work, from which its time at an endpoint can be computed. */
+export interface Backlog {
+  readonly requests: number;
+  /** The sum of the most tokens they may generate. */
+  readonly outputTokens: number;
+}
+
 /** The order in which the waiting requests of one lane get free slots. */
 export abstract class QueuePolicy {
   /** Number of requests that wait. */
   abstract readonly size: number;
 
+  /** Number of requests of a class that wait. */
+  abstract sizeOf(workClass: WorkClass): number;
+
   /** Adds a request. */
   abstract push(work: QueuedWork): void;
 
   /** The request that is next, without taking it. */
-  abstract peek(now: number): QueuedWork | undefined;
-
-  /** Takes the request that is next. */
-  abstract pop(now: number): QueuedWork | undefined;
+  abstract peek(): QueuedWork | undefined;
 
   /** Takes out a request wherever it stands; false where it does not wait. */
   abstract remove(requestId: string): boolean;
+
+  /** A request got a slot; its organisation is charged what it may use. */
+  abstract charge(item: WorkItem): void;
+
+  /** A charged request has ended and used so many tokens. */
+  abstract settle(item: WorkItem, usedTokens: number): void;
+
+  /** What would run before the request if it were added now. */
+  abstract ahead(item: WorkItem): Backlog;
 }
--- a/packages/decisions/src/random-placement.ts
+++ b/packages/decisions/src/random-placement.ts
@@ -1,3 +1,4 @@
+import type {EndpointPool} from './endpoint-pool.js';
 import type {EndpointState} from './endpoint-state.js';
 import {PlacementPolicy} from './placement-policy.js';
 import type {WorkItem} from './work.js';
@@ -11,8 +12,20 @@
 
   override choose(
     _item: WorkItem,
-    candidates: readonly EndpointState[],
+    pool: EndpointPool,
   ): EndpointState | undefined {
-    return candidates[Math.floor(this.fraction() * candidates.length)];
+    return pool.freeAt(Math.floor(this.fraction() * pool.freeEndpoints));
+  }
+
+  override placed(): void {
+    // Nothing is learnt.
+  }
+
+  override announced(): void {
+    // Nothing is learnt.
+  }
+
+  override removed(): void {
+    // Nothing is learnt.
   }
 }
