Serve interactive work first and organisations by their shares

First come, first served gave interactive work nothing at three times the capacity, and one organisation's burst stood before everybody.

Start-time fair queueing between organisations by tokens over weight, and between the classes at nine to one, so that batch work keeps a tenth. Strict priority was ruled out (batch starves), deficit round robin too (its quantum has to exceed the longest request, here thousands of tokens, which makes turns long).

--- a/packages/decisions/src/load-policies.ts
+++ b/packages/decisions/src/load-policies.ts
@@ -1,5 +1,6 @@
 import {AdmitAll, type AdmissionPolicy} from './admission-policy.js';
 import {DeadlineRefusal} from './deadline-refusal.js';
+import {FairQueue} from './fair-queue.js';
 import {FirstComeQueue} from './first-come-queue.js';
 import type {PlacementPolicy} from './placement-policy.js';
 import type {QueuePolicy} from './queue-policy.js';
@@ -35,7 +36,7 @@
     refusal: new DeadlineRefusal(),
     shift: new NeverShift(),
     shedding: new NeverShed(),
-    createQueue: () => new FirstComeQueue(),
+    createQueue: () => new FairQueue(),
     createPlacement: () => new RandomPlacement(fraction),
   };
 }
