Place work where its prefix is cached, within a bound on the load

Random placement spreads each scenario's prompt over all engines: 0.6 of the shared prompt tokens were found in caches.

The router remembers its own placements (certain, immediate) and takes engines' cache events as hints. A holder of the longest prefix is preferred while its utilisation is at most 1.25 times the mean; else the better of two random endpoints by load and slowness. Comparing all endpoints was ruled out: its cost grows with their number. Trusting events alone was ruled out: they come late and with gaps.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -3,6 +3,7 @@
  * opens a socket, reads a clock or draws a random number of its own.
  */
 export * from './admission-policy.js';
+export * from './affinity-placement.js';
 export * from './deadline-refusal.js';
 export * from './decision.js';
 export * from './endpoint-description.js';
--- a/packages/decisions/src/load-policies.ts
+++ b/packages/decisions/src/load-policies.ts
@@ -1,4 +1,5 @@
 import {AdmitAll, type AdmissionPolicy} from './admission-policy.js';
+import {AffinityPlacement} from './affinity-placement.js';
 import {DeadlineRefusal} from './deadline-refusal.js';
 import {FairQueue} from './fair-queue.js';
 import {FirstComeQueue} from './first-come-queue.js';
@@ -37,7 +38,7 @@
     shift: new NeverShift(),
     shedding: new NeverShed(),
     createQueue: () => new FairQueue(),
-    createPlacement: () => new RandomPlacement(fraction),
+    createPlacement: () => new AffinityPlacement(fraction),
   };
 }
 
