Shed an endpoint that is many times slower, and probe it gently

One engine ten times slower holds its callers ten times longer and keeps them.

Each endpoint's times to first token are compared with what the lane's line over the prompt's length expects (peak EWMA of the logarithm); silence counts as slowness. At three times the expected it is shed and gets one probe at a time, by batch work or one interactive request in 500. At most a third of a lane is shed.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -19,5 +19,6 @@
 export * from './random-placement.js';
 export * from './refusal-policy.js';
 export * from './shedding-policy.js';
+export * from './shed-slow-endpoints.js';
 export * from './shift-policy.js';
 export * from './work.js';
--- a/packages/decisions/src/load-policies.ts
+++ b/packages/decisions/src/load-policies.ts
@@ -8,6 +8,7 @@
 import {RandomPlacement} from './random-placement.js';
 import {NeverRefuse, type RefusalPolicy} from './refusal-policy.js';
 import {NeverShed, type SheddingPolicy} from './shedding-policy.js';
+import {ShedSlowEndpoints} from './shed-slow-endpoints.js';
 import {NeverShift, type ShiftPolicy} from './shift-policy.js';
 
 /** The policies that a core decides by. */
@@ -36,7 +37,7 @@
     admission: new AdmitAll(),
     refusal: new DeadlineRefusal(),
     shift: new NeverShift(),
-    shedding: new NeverShed(),
+    shedding: new ShedSlowEndpoints(),
     createQueue: () => new FairQueue(),
     createPlacement: () => new AffinityPlacement(fraction),
   };
