Shift to other data centres when queueing costs more than the trip

A data centre at twice its capacity refused work beside idle ones.

Work goes to another data centre when the expected local wait is more than twice the trip, the nearest first, and into at most three quarters of an endpoint's slots: reports lag, and the rest stays for the other data centre's own callers.

The other data centres' own callers are not modelled: the three quarters are a judgement, not a measurement.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,4 +21,5 @@
 export * from './shedding-policy.js';
 export * from './shed-slow-endpoints.js';
 export * from './shift-policy.js';
+export * from './trip-cost-shift.js';
 export * from './work.js';
--- a/packages/decisions/src/load-policies.ts
+++ b/packages/decisions/src/load-policies.ts
@@ -10,6 +10,7 @@
 import {NeverShed, type SheddingPolicy} from './shedding-policy.js';
 import {ShedSlowEndpoints} from './shed-slow-endpoints.js';
 import {NeverShift, type ShiftPolicy} from './shift-policy.js';
+import {TripCostShift} from './trip-cost-shift.js';
 
 /** The policies that a core decides by. */
 export interface LoadPolicies {
@@ -36,7 +37,7 @@
   return {
     admission: new AdmitAll(),
     refusal: new DeadlineRefusal(),
-    shift: new NeverShift(),
+    shift: new TripCostShift(),
     shedding: new ShedSlowEndpoints(),
     createQueue: () => new FairQueue(),
     createPlacement: () => new AffinityPlacement(fraction),
