Give organisations retry budgets and shares of the queue's room

Callers who try again at once multiply an overload, and one organisation's batch work could take the whole room for waiting requests.

Under overload an organisation may make one retry for ten first tries, with ten in hand; each may hold as many waiting requests as there is room left (dynamic threshold). Limiting retries in calm times was ruled out: they harm nobody then.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -9,6 +9,7 @@
 export * from './endpoint-description.js';
 export * from './endpoint-pool.js';
 export * from './endpoint-state.js';
+export * from './fair-admission.js';
 export * from './fair-queue.js';
 export * from './first-come-queue.js';
 export * from './load-core.js';
--- a/packages/decisions/src/load-policies.ts
+++ b/packages/decisions/src/load-policies.ts
@@ -7,6 +7,7 @@
 import type {QueuePolicy} from './queue-policy.js';
 import {RandomPlacement} from './random-placement.js';
 import {NeverRefuse, type RefusalPolicy} from './refusal-policy.js';
+import {FairAdmission} from './fair-admission.js';
 import {NeverShed, type SheddingPolicy} from './shedding-policy.js';
 import {ShedSlowEndpoints} from './shed-slow-endpoints.js';
 import {NeverShift, type ShiftPolicy} from './shift-policy.js';
@@ -35,7 +36,7 @@
  */
 export function chosenPolicies(fraction: () => number): LoadPolicies {
   return {
-    admission: new AdmitAll(),
+    admission: new FairAdmission(),
     refusal: new DeadlineRefusal(),
     shift: new TripCostShift(),
     shedding: new ShedSlowEndpoints(),
