--- /dev/null
+++ b/packages/operator/src/configuration-builder.ts
@@ -0,0 +1,273 @@
+import {create, toJsonString} from '@bufbuild/protobuf';
+import {
+  SUPPORTED_SCHEMA_REVISION,
+  validateConfiguration,
+} from '@wisteriadeal/ledger';
+import {
+  BudgetPreference,
+  ConfigurationSchema,
+  EndpointSchema,
+  EndpointState,
+  LimitsSchema,
+  ModelSchema,
+  OrganisationSchema,
+  ServiceKind,
+  ServiceSchema,
+  type Configuration,
+  type Limits,
+  type Organisation,
+} from '@wisteriadeal/schema';
+
+import {
+  ConfigurationError,
+  type ConfigurationMistake,
+  type StackBase,
+} from './configuration-error.js';
+import type {
+  CallerOptions,
+  EndpointOptions,
+  LimitOptions,
+  ModelServiceOptions,
+  OrganisationOptions,
+  PlainServiceOptions,
+  ServiceReference,
+} from './configuration-options.js';
+import type {Path} from './configuration-problem.js';
+import {hashCredential} from './credential.js';
+import {LineCheck, type Line, type ListName} from './line-check.js';
+
+const DEFAULT_LIMITS: Readonly<Required<LimitOptions>> = {
+  maximumBodyBytes: 1_048_576,
+  requestReceiveTimeoutMilliseconds: 10_000,
+  interactiveDeadlineMilliseconds: 10_000,
+  batchDeadlineMilliseconds: 120_000,
+  keptAnswerMilliseconds: 600_000,
+};
+
+const DEFAULT_OUTPUT_TOKENS = 256;
+const MINIMUM_SECRET_LENGTH = 16;
+
+/** The public methods whose call site an error names. */
+type BuilderMethod =
+  'limits' | 'modelService' | 'plainService' | 'endpoint' | 'organisation';
+
+function throwFirst(
+  mistakes: readonly ConfigurationMistake[],
+  subject: string,
+  method: BuilderMethod,
+): void {
+  const [first] = mistakes;
+  if (first !== undefined) {
+    // The method itself, and not a bound copy, is what a stack trace knows.
+    const calledMethod: StackBase = Reflect.get(
+      ConfigurationBuilder.prototype,
+      method,
+    );
+    throw new ConfigurationError(first, subject, calledMethod);
+  }
+}
+
+/**
+ * The hash stands in a configuration that many read: a short secret could be
+ * found by hashing guesses.
+ */
+function checkSecrets(
+  callers: readonly CallerOptions[],
+  path: Path,
+): readonly ConfigurationMistake[] {
+  const message = `expected a secret of at least ${MINIMUM_SECRET_LENGTH} characters, such as mintCredential() makes`;
+  return callers.flatMap((caller, index) =>
+    'secret' in caller && caller.secret.length < MINIMUM_SECRET_LENGTH
+      ? [{path: [...path, 'callers', index, 'secret'], message}]
+      : [],
+  );
+}
+
+function credentialHash(caller: CallerOptions): string {
+  return 'secret' in caller
+    ? hashCredential(caller.secret)
+    : caller.credentialSha256;
+}
+
+/**
+ * Builds a configuration line by line. Every line is checked when it runs, so a
+ * mistake throws there.
+ *
+ * @example
+ * ```ts
+ * const fleet = new ConfigurationBuilder();
+ * const tutor = fleet.modelService('tutor-models', {
+ *   models: [{name: 'tutor-7b', maximumOutputTokens: 1_024}],
+ * });
+ * fleet.endpoint('tutor-1', {
+ *   service: tutor, dataCenter: 'kigali-1', address: '10.0.0.7:8000', slots: 8,
+ * });
+ * fleet.organisation('kigali-bar-school', {
+ *   openingBudgetTokens: 1_000_000,
+ *   callers: [{name: 'trainee-app', secret: process.env.TRAINEE_SECRET ?? ''}],
+ *   services: [tutor],
+ *   budgetPreference: BudgetPreference.AVOID_REFUSALS,
+ * });
+ * fleet.print();
+ * ```
+ */
+export class ConfigurationBuilder {
+  private readonly lineCheck = new LineCheck();
+  private readonly configuration: Configuration & {limits: Limits} =
+    Object.assign(
+      create(ConfigurationSchema, {schemaRevision: SUPPORTED_SCHEMA_REVISION}),
+      {limits: create(LimitsSchema, DEFAULT_LIMITS)},
+    );
+
+  /**
+   * Sets limits; what is left out keeps its default.
+   *
+   * @throws ConfigurationError
+   */
+  limits(options: LimitOptions): void {
+    const limits = create(LimitsSchema, {
+      ...this.configuration.limits,
+      ...options,
+    });
+    const alone = create(ConfigurationSchema, {limits});
+    throwFirst(validateConfiguration(alone), 'limits', 'limits');
+    this.configuration.limits = limits;
+  }
+
+  /**
+   * Defines a service of model engines, and its models.
+   *
+   * @throws ConfigurationError
+   */
+  modelService(name: string, options: ModelServiceOptions): ServiceReference {
+    const models = options.models.map(model => model.name);
+    for (const model of options.models) {
+      const item = create(ModelSchema, {
+        defaultOutputTokens: Math.min(
+          DEFAULT_OUTPUT_TOKENS,
+          model.maximumOutputTokens,
+        ),
+        minimumBytesPerPromptToken: 1,
+        ...model,
+      });
+      const subject = `model service "${name}", model "${model.name}"`;
+      this.add({list: 'models', item}, subject, 'modelService');
+    }
+    const item = create(ServiceSchema, {name, kind: ServiceKind.MODEL, models});
+    const subject = `model service "${name}"`;
+    this.add({list: 'services', item, models}, subject, 'modelService');
+    return {name};
+  }
+
+  /**
+   * Defines a plain service and the calls it offers.
+   *
+   * @throws ConfigurationError
+   */
+  plainService(name: string, options: PlainServiceOptions): ServiceReference {
+    const item = create(ServiceSchema, {
+      name,
+      kind: ServiceKind.PLAIN,
+      calls: options.calls.map(call => ({...call})),
+    });
+    const subject = `plain service "${name}"`;
+    this.add({list: 'services', item}, subject, 'plainService');
+    return {name};
+  }
+
+  /**
+   * Defines an endpoint of a service.
+   *
+   * @throws ConfigurationError
+   */
+  endpoint(name: string, options: EndpointOptions): void {
+    const item = create(EndpointSchema, {
+      state: EndpointState.ACTIVE,
+      checksFencingNumbers: false,
+      ...options,
+      name,
+      service: options.service.name,
+    });
+    const services = this.defined([options.service]);
+    const subject = `endpoint "${name}"`;
+    this.add({list: 'endpoints', item, services}, subject, 'endpoint');
+  }
+
+  /**
+   * Defines an organisation with its budget and callers.
+   *
+   * @throws ConfigurationError
+   */
+  organisation(name: string, options: OrganisationOptions): void {
+    const subject = `organisation "${name}"`;
+    const path = ['organisations', this.configuration.organisations.length];
+    throwFirst(checkSecrets(options.callers, path), subject, 'organisation');
+    const item = create(OrganisationSchema, {
+      name,
+      openingBudgetTokens: options.openingBudgetTokens,
+      weight: options.weight ?? 1,
+      budgetPreference:
+        options.budgetPreference ?? BudgetPreference.AVOID_UNCLEAR_BILLS,
+      services: options.services.map(service => service.name),
+      callers: options.callers.map(caller => ({
+        name: caller.name,
+        credentialSha256: credentialHash(caller),
+      })),
+    });
+    const services = this.defined(options.services);
+    throwFirst(this.sharedCredentials(item, path), subject, 'organisation');
+    this.add({list: 'organisations', item, services}, subject, 'organisation');
+  }
+
+  /** References may come from elsewhere; only what this fleet has counts. */
+  private defined(
+    references: readonly ServiceReference[],
+  ): readonly ServiceReference[] {
+    return references.filter(({name}) => this.lineCheck.has('services', name));
+  }
+
+  private sharedCredentials(
+    organisation: Organisation,
+    path: Path,
+  ): readonly ConfigurationMistake[] {
+    return organisation.callers.flatMap((caller, index) =>
+      this.lineCheck.credential(
+        `${organisation.name}/${caller.name}`,
+        caller.credentialSha256,
+        [...path, 'callers', index, 'credentialSha256'],
+      ),
+    );
+  }
+
+  private add<Name extends ListName>(
+    line: Omit<Line<Name>, 'limits'>,
+    subject: string,
+    method: BuilderMethod,
+  ): void {
+    const {limits} = this.configuration;
+    const items: Configuration[Name][number][] = this.configuration[line.list];
+    const mistakes = this.lineCheck.check({...line, limits}, items.length);
+    throwFirst(mistakes, subject, method);
+    items.push(line.item);
+  }
+
+  /** The configuration so far; later lines don't change it. */
+  build(): Configuration {
+    return structuredClone(this.configuration);
+  }
+
+  /**
+   * Prints the configuration as JSON; it holds hashes and no secrets.
+   *
+   * @param write Takes the text; standard output by default.
+   */
+  print(
+    write: (text: string) => void = text => process.stdout.write(text),
+  ): void {
+    const text = toJsonString(ConfigurationSchema, this.configuration, {
+      alwaysEmitImplicit: true,
+      prettySpaces: 2,
+    });
+    write(`${text}\n`);
+  }
+}
