--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -2,6 +2,7 @@
 import {parseArgs} from 'node:util';
 
 import {formatSettingsProblem, loadSettings} from './settings-file.js';
+import {settingsCheckOf} from './settings-rules.js';
 
 /** A started process that can be stopped in good order. */
 export interface RunningBinary {
@@ -80,7 +81,7 @@
     process.exitCode = ExitCode.Usage;
     return;
   }
-  const settings = loadSettings(schema, path);
+  const settings = loadSettings(schema, path, settingsCheckOf(schema));
   if (settings.err) {
     for (const problem of settings.val) {
       process.stderr.write(`${formatSettingsProblem(problem)}\n`);
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -10,5 +10,6 @@
 export * from './results.js';
 export * from './schema-check.js';
 export * from './settings-file.js';
+export * from './settings-rules.js';
 export * from './system-clock.js';
 export * from './system-random-source.js';
