--- a/packages/measurements/src/caller-client.ts
+++ b/packages/measurements/src/caller-client.ts
@@ -126,6 +126,7 @@
     const milliseconds = performance.now() - startedAt;
     return {
       ...untimed,
+      startedAtMilliseconds: startedAt,
       milliseconds,
       firstMilliseconds: firstMilliseconds ?? milliseconds,
     };
--- a/packages/measurements/src/caller-result.ts
+++ b/packages/measurements/src/caller-result.ts
@@ -22,13 +22,18 @@
   /** What was delivered, to compare answers to the same key. */
   readonly content: string;
   readonly retryAfterMilliseconds: number;
+  /** On the runner's monotonic clock. */
+  readonly startedAtMilliseconds: number;
   readonly milliseconds: number;
   /** Until the first token, or the whole answer. */
   readonly firstMilliseconds: number;
 }
 
 /** A result before its times are known. */
-export type Untimed = Omit<CallerResult, 'milliseconds' | 'firstMilliseconds'>;
+export type Untimed = Omit<
+  CallerResult,
+  'startedAtMilliseconds' | 'milliseconds' | 'firstMilliseconds'
+>;
 
 /** A result with nothing in it. */
 export const NO_RESULT: Untimed = {
--- a/packages/measurements/src/fleet-run.ts
+++ b/packages/measurements/src/fleet-run.ts
@@ -99,7 +99,11 @@
       judge = await this.judge();
     }
     await this.fleet.stopHosts();
-    return (await this.judge()).report();
+    judge = await this.judge();
+    for (const line of judge.evidence) {
+      process.stderr.write(`${line}\n`);
+    }
+    return judge.report();
   }
 
   /** Ends everything that the run started. */
--- a/packages/measurements/src/fleet.ts
+++ b/packages/measurements/src/fleet.ts
@@ -102,8 +102,12 @@
   }
 
   /** Cuts or heals between two data centres, or one and the platform. */
-  setNetwork(one: string, other: string, state: RelayState): void {
-    this.network.set(one, other, state);
+  async setNetwork(
+    one: string,
+    other: string,
+    state: RelayState,
+  ): Promise<void> {
+    await this.network.set(one, other, state);
   }
 
   /** Sets the faults of the platform's stand-in as a whole. */
@@ -133,14 +137,15 @@
   }
 
   private async startParts(): Promise<void> {
+    const starts = this.plan.dataCenters.flatMap(plan => [
+      this.startEngines(plan.name, plan.engines),
+      this.startPlainServices(plan.name, plan.plainServices),
+      this.startHosts(plan.name, plan.hosts),
+    ]);
     try {
-      await Promise.all(
-        this.plan.dataCenters.flatMap(plan => [
-          this.startEngines(plan.name, plan.engines),
-          this.startPlainServices(plan.name, plan.plainServices),
-          this.startHosts(plan.name, plan.hosts),
-        ]),
-      );
+      // All of them, also after one failed: what starts late must be ended too.
+      const results = await Promise.allSettled(starts);
+      throwFirst(results);
       await this.publishListing();
     } catch (error) {
       await this.close(true);
@@ -227,6 +232,13 @@
   }
 }
 
+function throwFirst(results: readonly PromiseSettledResult<unknown>[]): void {
+  const failed = results.find(result => result.status === 'rejected');
+  if (failed?.status === 'rejected') {
+    throw failed.reason;
+  }
+}
+
 function standInProcess(name: string, seed: number) {
   return {
     name,
--- a/packages/measurements/src/process-starter.ts
+++ b/packages/measurements/src/process-starter.ts
@@ -17,12 +17,29 @@
 /** Settings as they are written into a file. */
 export type SettingsJson = Readonly<Record<string, unknown>>;
 
+function exitWithFailure(): void {
+  process.exit(1);
+}
+
 /** Starts processes with settings files in a directory of their own. */
 export class ProcessStarter {
   /** Holds the settings and all that the processes print. */
   readonly directory = mkdtempSync(join(tmpdir(), 'wisteriadeal-'));
   private readonly started: ManagedProcess[] = [];
   private count = 0;
+  /** Whatever becomes of the runner, its processes end with it. */
+  private readonly killAll = () => {
+    for (const child of this.started) {
+      child.killNow();
+    }
+  };
+
+  constructor() {
+    process.once('exit', this.killAll);
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+      process.once(signal, exitWithFailure);
+    }
+  }
 
   /** Starts a process and waits until it listens. */
   async start(
@@ -52,6 +69,10 @@
   async close(keepOutput: boolean): Promise<void> {
     const running = this.started.filter(child => child.running);
     await Promise.all(running.map(child => child.kill()));
+    process.off('exit', this.killAll);
+    for (const signal of ['SIGINT', 'SIGTERM'] as const) {
+      process.off(signal, exitWithFailure);
+    }
     if (!keepOutput) {
       rmSync(this.directory, {recursive: true, force: true});
     }
--- a/packages/measurements/src/relay.ts
+++ b/packages/measurements/src/relay.ts
@@ -58,6 +58,9 @@
    * lost, as those of a partition that outlasted TCP's patience.
    */
   set(state: RelayState): void {
+    if (state === this.state) {
+      return;
+    }
     this.state = state;
     for (const {near, far} of this.pairs) {
       if (state === RelayState.Silent) {
