Measure what a bill, a request and an idle keeper cost

Cause: docs/CAPACITY.md needs slopes, and the control cost of a daemon has a limit of 1.8 % of a core.

Ruled out: timing by the wall clock (the machine is shared; the kernel's own account of processor time is not disturbed by waiting).

--- /dev/null
+++ b/packages/measurements/src/cases/capacity-requests-case.ts
@@ -0,0 +1,125 @@
+import type {EntryHost} from '../entry-host.js';
+import {FleetRun} from '../fleet-run.js';
+import {SMALL_FLEET} from '../fleet-plan.js';
+import {MeasureCase, type CaseResult} from '../measure-case.js';
+import {toCaseResult} from '../outcome-report.js';
+import {readProcessUsage} from '../processor-time.js';
+import {pause} from '../waiting.js';
+
+const IDLE_MILLISECONDS = 5_000;
+const REQUESTS = 600;
+const WARM_UP_REQUESTS = 200;
+const CONCURRENCY = 16;
+const MOST_ATTEMPTS = 5;
+const CONFIGURATION_STREAM = 'configuration';
+
+/** Sums over all entry hosts. */
+interface FleetUsage {
+  readonly keeperMilliseconds: number;
+  readonly routerMilliseconds: number;
+  readonly largestKeeperMegabytes: number;
+  readonly largestRouterMegabytes: number;
+}
+
+function usageOf(hosts: readonly EntryHost[]): FleetUsage {
+  const keepers = hosts.map(({keeper}) => readProcessUsage(keeper.pid));
+  const routers = hosts.map(({router}) => readProcessUsage(router.pid));
+  const sum = (usages: typeof keepers) =>
+    usages.reduce((total, usage) => total + usage.processorMilliseconds, 0);
+  const largest = (usages: typeof keepers) =>
+    Math.max(...usages.map(usage => usage.residentMegabytes));
+  return {
+    keeperMilliseconds: sum(keepers),
+    routerMilliseconds: sum(routers),
+    largestKeeperMegabytes: largest(keepers),
+    largestRouterMegabytes: largest(routers),
+  };
+}
+
+async function appendsOf(run: FleetRun, streams: number): Promise<number> {
+  const names = Array.from({length: streams}, (_, index) => `ledger-${index}`);
+  const ends = await Promise.all(
+    [CONFIGURATION_STREAM, ...names].map(async name => {
+      const page = await run.fleet.log.read(name, 0, 1, 0);
+      return page.endOffset;
+    }),
+  );
+  return ends.reduce((total, end) => total + end, 0);
+}
+
+function round(value: number): number {
+  return Math.round(value * 1_000) / 1_000;
+}
+
+/**
+ * What a request costs the router and the keeper on real processes: processor
+ * time as the kernel counts it, idle and under load, and appends on the log.
+ */
+export class CapacityRequestsCase extends MeasureCase {
+  override readonly name = 'capacity-requests';
+  override readonly description =
+    'processor time of routers and keepers, idle and by request; appends';
+
+  override async run(seed: number): Promise<CaseResult> {
+    const run = await FleetRun.start({
+      plan: {...SMALL_FLEET, seed},
+      keyedShare: 0,
+      load: {
+        concurrency: CONCURRENCY,
+        mostAttempts: MOST_ATTEMPTS,
+        repeatShare: 0,
+        pauseMilliseconds: 0,
+      },
+    });
+    let passed = false;
+    try {
+      const measured = await this.measure(run);
+      const result = toCaseResult(await run.finish());
+      passed = result.passed;
+      return {passed, fields: {...result.fields, ...measured}};
+    } finally {
+      await run.close(!passed);
+    }
+  }
+
+  private async measure(run: FleetRun): Promise<Record<string, number>> {
+    const {hosts} = run.fleet;
+    const streams = SMALL_FLEET.ledgerStreams;
+    await run.load.send(run.workload.requests(WARM_UP_REQUESTS));
+    const idleFrom = usageOf(hosts);
+    const idleAppends = await appendsOf(run, streams);
+    await pause(IDLE_MILLISECONDS);
+    const from = usageOf(hosts);
+    const appendsFrom = await appendsOf(run, streams);
+    const startedAt = performance.now();
+    await run.load.send(run.workload.requests(REQUESTS));
+    const milliseconds = performance.now() - startedAt;
+    const to = usageOf(hosts);
+    const appends = (await appendsOf(run, streams)) - appendsFrom;
+    const share = IDLE_MILLISECONDS * hosts.length;
+    const idleKeeper =
+      (from.keeperMilliseconds - idleFrom.keeperMilliseconds) / share;
+    const idleRouter =
+      (from.routerMilliseconds - idleFrom.routerMilliseconds) / share;
+    const idleSpent = milliseconds * hosts.length;
+    const keeperMilliseconds =
+      to.keeperMilliseconds - from.keeperMilliseconds - idleKeeper * idleSpent;
+    const routerMilliseconds =
+      to.routerMilliseconds - from.routerMilliseconds - idleRouter * idleSpent;
+    return {
+      hosts: hosts.length,
+      idleKeeperCoreShare: round(idleKeeper),
+      idleRouterCoreShare: round(idleRouter),
+      idleAppendsEachSecond: round(
+        (appendsFrom - idleAppends) / (IDLE_MILLISECONDS / 1_000),
+      ),
+      keeperMillisecondsEachRequest: round(keeperMilliseconds / REQUESTS),
+      routerMillisecondsEachRequest: round(routerMilliseconds / REQUESTS),
+      requestsEachSecond: round(REQUESTS / (milliseconds / 1_000)),
+      appendsEachThousandRequests: round((appends / REQUESTS) * 1_000),
+      appendsEachSecond: round(appends / (milliseconds / 1_000)),
+      largestKeeperMegabytes: to.largestKeeperMegabytes,
+      largestRouterMegabytes: to.largestRouterMegabytes,
+    };
+  }
+}
