Count an organisation's share over both classes of work

One organisation at ten times its share took up to 13.7 % of what the others, within theirs, had without it: its interactive work went before their batch work.

Each organisation now has one account for both classes, and its interactive work has precedence over others' batch work only while it is at most twenty requests' worth ahead of them. Charging the classes apart was ruled out: precedence then never counts against a share. The wait expected of batch work now includes the interactive work that comes meanwhile, by the share that batch work has had.

--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -1,111 +1,147 @@
-import {chargeOf, ClassQueue} from './class-queue.js';
-import {QueuePolicy, type Backlog, type QueuedWork} from './queue-policy.js';
+import {ClassQueue} from './class-queue.js';
+import {ClassShares} from './class-shares.js';
+import {chargeOf, OrganisationAccounts} from './organisation-accounts.js';
+import type {OrganisationAccount} from './organisation-flow.js';
+import {
+  NO_BACKLOG,
+  QueuePolicy,
+  type Backlog,
+  type QueuedWork,
+} from './queue-policy.js';
 import {WorkClass, type WorkItem} from './work.js';
 
 /**
- * Share of the tokens that waiting batch work gets while interactive work waits
- * as well. Load: interactive work alone fills the fleet for hours. Harm: case
- * reviews never start and a certification date slips. A tenth keeps batch work
- * moving, and costs interactive work at most a tenth of the capacity.
+ * Interactive work goes before other organisations' batch work as long as its
+ * own organisation is at most so many requests' worth ahead of them. Load: one
+ * organisation offers ten times its share of interactive work. Harm: without a
+ * limit it would take the others' share of batch work. Twenty requests are more
+ * than a busy minute's fluctuation and less than a second of the fleet's work.
  */
-export const BATCH_SHARE = 0.1;
-
-interface ClassAccount {
-  readonly queue: ClassQueue;
-  readonly weight: number;
-  finishTag: number;
-}
+const PRECEDENCE_REQUESTS = 20;
 
 /**
- * Interactive before batch, and within a class fair shares between
- * organisations by tokens.
- *
- * The two classes share by start-time fair queueing too, nine to one: while
- * interactive work comes in below nine tenths of the capacity it is always next,
- * since an idle class starts again at the present virtual time; beyond that,
- * batch work keeps its tenth.
+ * Interactive before batch, and fair shares between organisations by tokens over
+ * both classes: an organisation's interactive work has precedence only within
+ * its share.
  */
 export class FairQueue extends QueuePolicy {
-  private readonly interactive: ClassAccount = {
-    queue: new ClassQueue(),
-    weight: 1 - BATCH_SHARE,
-    finishTag: 0,
-  };
-  private readonly batch: ClassAccount = {
-    queue: new ClassQueue(),
-    weight: BATCH_SHARE,
-    finishTag: 0,
-  };
-  private virtualTime = 0;
+  private readonly accounts = new OrganisationAccounts();
+  private readonly shares = new ClassShares();
+  private readonly interactive = new ClassQueue();
+  private readonly batch = new ClassQueue();
 
   override get size(): number {
-    return this.interactive.queue.size + this.batch.queue.size;
+    return this.interactive.size + this.batch.size;
   }
 
   /** Those that a newcomer of the class may not overtake. */
   override sizeOf(workClass: WorkClass): number {
     return workClass === WorkClass.Interactive
-      ? this.interactive.queue.size
+      ? this.interactive.size
       : this.size;
   }
 
   override push(work: QueuedWork): void {
-    const account = this.accountOf(work.item);
-    if (account.queue.size === 0) {
-      account.finishTag = Math.max(account.finishTag, this.virtualTime);
+    const {item} = work;
+    const account = this.accounts.of(item);
+    const queue = this.queueOf(item.workClass);
+    if (!this.isWaiting(account)) {
+      this.accounts.activate(account, item.weight);
+    }
+    if (queue.size === 0) {
+      this.shares.activate(item.workClass);
     }
-    account.queue.push(work);
+    queue.push(work, account);
   }
 
   override peek(): QueuedWork | undefined {
-    if (this.batch.queue.size === 0) {
-      return this.interactive.queue.peek();
+    if (this.interactive.size === 0) {
+      return this.batch.peek();
     }
-    if (this.interactive.queue.size === 0) {
-      return this.batch.queue.peek();
+    if (this.batch.size === 0) {
+      return this.interactive.peek();
     }
-    const first =
-      this.interactive.finishTag <= this.batch.finishTag
-        ? this.interactive
-        : this.batch;
-    return first.queue.peek();
+    return this.shares.owesBatch || this.lead(this.interactive.firstTag) > 0
+      ? this.batch.peek()
+      : this.interactive.peek();
   }
 
   override remove(requestId: string): boolean {
-    return (
-      this.interactive.queue.remove(requestId) ||
-      this.batch.queue.remove(requestId)
-    );
+    return this.interactive.remove(requestId) || this.batch.remove(requestId);
   }
 
   override charge(item: WorkItem): void {
-    const account = this.accountOf(item);
-    account.queue.charge(item);
-    this.virtualTime = Math.max(this.virtualTime, account.finishTag);
-    account.finishTag = this.virtualTime + chargeOf(item) / account.weight;
+    const account = this.accounts.of(item);
+    const tokens = chargeOf(item);
+    this.accounts.charge(account, tokens);
+    this.retag(account);
+    this.shares.charge(item.workClass, tokens, this.batch.size > 0);
   }
 
   override settle(item: WorkItem, usedTokens: number): void {
-    const account = this.accountOf(item);
-    account.queue.settle(item, usedTokens);
-    account.finishTag -= (chargeOf(item) - usedTokens) / account.weight;
+    const account = this.accounts.of(item);
+    const unused = chargeOf(item) - usedTokens;
+    this.accounts.giveBack(account, unused);
+    this.retag(account);
+    this.shares.giveBack(item.workClass, unused);
   }
 
   override ahead(item: WorkItem): Backlog {
-    const own = this.accountOf(item).queue.ahead(item);
+    const account = this.accounts.of(item);
     if (item.workClass === WorkClass.Interactive) {
-      return own;
+      return sum(
+        this.interactive.ahead(account),
+        this.batchBefore(account.finishTag),
+      );
+    }
+    // Interactive work that comes meanwhile goes first.
+    return sum(
+      this.interactive.backlog,
+      scaled(this.batch.ahead(account), 1 / this.shares.batchShare),
+    );
+  }
+
+  /** By how much a tag lies beyond the precedence of interactive work. */
+  private lead(tag: number): number {
+    const allowed = PRECEDENCE_REQUESTS * this.accounts.meanRequestStep;
+    return tag - (this.batch.firstTag + allowed);
+  }
+
+  /** Batch work that others get before an organisation ahead of its share. */
+  private batchBefore(tag: number): Backlog {
+    const lead = this.lead(tag);
+    if (this.batch.size === 0 || lead <= 0) {
+      return NO_BACKLOG;
     }
-    const before = this.interactive.queue.backlog;
-    return {
-      requests: before.requests + own.requests,
-      outputTokens: before.outputTokens + own.outputTokens,
-    };
+    const requestsEach = lead / this.accounts.meanRequestStep;
+    const part = (requestsEach * this.batch.activeFlows) / this.batch.size;
+    return scaled(this.batch.backlog, Math.min(1, part));
+  }
+
+  private isWaiting(account: OrganisationAccount): boolean {
+    return this.interactive.has(account) || this.batch.has(account);
   }
 
-  private accountOf(item: WorkItem): ClassAccount {
-    return item.workClass === WorkClass.Interactive
-      ? this.interactive
-      : this.batch;
+  private retag(account: OrganisationAccount): void {
+    this.interactive.retag(account);
+    this.batch.retag(account);
   }
+
+  private queueOf(workClass: WorkClass): ClassQueue {
+    return workClass === WorkClass.Interactive ? this.interactive : this.batch;
+  }
+}
+
+function sum(left: Backlog, right: Backlog): Backlog {
+  return {
+    requests: left.requests + right.requests,
+    outputTokens: left.outputTokens + right.outputTokens,
+  };
+}
+
+function scaled(backlog: Backlog, factor: number): Backlog {
+  return {
+    requests: backlog.requests * factor,
+    outputTokens: backlog.outputTokens * factor,
+  };
 }
--- a/packages/decisions/src/organisation-flow.ts
+++ b/packages/decisions/src/organisation-flow.ts
@@ -1,16 +1,22 @@
 import type {Backlog, QueuedWork} from './queue-policy.js';
 
-/** The waiting requests of one organisation and class, and its account. */
-export class OrganisationFlow {
+/** What one organisation has had, whichever class of work it was. */
+export class OrganisationAccount {
   /** Virtual time until which the organisation has had its share. */
   finishTag = 0;
-  private readonly waiting = new Map<string, QueuedWork>();
-  private outputTokens = 0;
 
   constructor(
     readonly organisation: string,
     public weight: number,
   ) {}
+}
+
+/** The waiting requests of one organisation and class. */
+export class OrganisationFlow {
+  private readonly waiting = new Map<string, QueuedWork>();
+  private outputTokens = 0;
+
+  constructor(readonly account: OrganisationAccount) {}
 
   get backlog(): Backlog {
     return {requests: this.waiting.size, outputTokens: this.outputTokens};
@@ -29,9 +35,10 @@
     return this.waiting.values().next().value;
   }
 
-  remove(requestId: string): boolean {
+  remove(requestId: string): QueuedWork | undefined {
     const work = this.waiting.get(requestId);
     this.outputTokens -= work?.item.maximumOutputTokens ?? 0;
-    return this.waiting.delete(requestId);
+    this.waiting.delete(requestId);
+    return work;
   }
 }
--- a/packages/decisions/src/queue-policy.ts
+++ b/packages/decisions/src/queue-policy.ts
@@ -13,6 +13,8 @@
   readonly outputTokens: number;
 }
 
+export const NO_BACKLOG: Backlog = {requests: 0, outputTokens: 0};
+
 /** The order in which the waiting requests of one lane get free slots. */
 export abstract class QueuePolicy {
   /** Number of requests that wait. */
--- a/packages/measurements/src/decisions-cases.ts
+++ b/packages/measurements/src/decisions-cases.ts
@@ -91,7 +91,7 @@
         NORMAL_MIX,
         (_, now) =>
           now % BURST_EVERY_MILLISECONDS < BURST_MILLISECONDS ? BURST_SCALE : 1,
-        BURST_SCALE,
+        () => BURST_SCALE,
       ),
     },
   },
@@ -112,7 +112,7 @@
         0.95 * rate,
         NORMAL_MIX,
         position => (position === HEAVY_POSITION ? HEAVY_SCALE : 1),
-        HEAVY_SCALE,
+        position => (position === HEAVY_POSITION ? HEAVY_SCALE : 1),
       ),
     },
   },
@@ -212,7 +212,7 @@
           isWithin(now, STORM_FROM_MILLISECONDS, STORM_MILLISECONDS)
             ? STORM_SCALE
             : 1,
-        STORM_SCALE,
+        () => STORM_SCALE,
       ),
       callers: {retries: STORM_RETRIES, obeysReturnTime},
     },
@@ -253,7 +253,7 @@
           isWithin(now, FLASH_FROM_MILLISECONDS, FLASH_MILLISECONDS)
             ? FLASH_SCALE
             : 1,
-        FLASH_SCALE,
+        position => (position === HEAVY_POSITION ? FLASH_SCALE : 1),
       ),
     },
   },
--- a/packages/measurements/src/decisions-fleet.ts
+++ b/packages/measurements/src/decisions-fleet.ts
@@ -52,13 +52,15 @@
  * The organisations' demand, in proportion to their weights.
  *
  * @param rate Requests a second of all together.
- * @param scale Multiplies one organisation's rate, by time.
+ * @param scale Multiplies an organisation's rate, by time.
+ * @param peakScale The highest scale of an organisation; the requests of one
+ *     whose highest scale is the same are the same.
  */
 export function demands(
   rate: number,
   shapes: readonly WorkShape[] = NORMAL_MIX,
   scale: (position: number, now: number) => number = () => 1,
-  peakScale = 1,
+  peakScale: (position: number) => number = () => 1,
 ): readonly Demand[] {
   const sum = WEIGHTS.reduce((total, weight) => total + weight, 0);
   return WEIGHTS.map((weight, position) => {
@@ -67,7 +69,7 @@
       organisation: `organisation-${position}`,
       weight,
       rate: now => share * scale(position, now),
-      peakRate: share * peakScale,
+      peakRate: share * peakScale(position),
       shapes,
       scenarios: SCENARIOS_OF_AN_ORGANISATION,
     };
