Let the modelled engines honour priorities

Engines put interactive prompts before batch ones; the model worked on prompts in the order of arrival, which made first tokens later than they are.

--- a/packages/measurements/src/decisions-attempt.ts
+++ b/packages/measurements/src/decisions-attempt.ts
@@ -1,4 +1,4 @@
-import type {WorkItem} from '@wisteriadeal/decisions';
+import {WorkClass, type WorkItem} from '@wisteriadeal/decisions';
 
 import type {ModelledEngine, Sequence} from './decisions-engine.js';
 import type {DecisionsTally} from './decisions-tally.js';
@@ -47,6 +47,7 @@
     promptTokens: request.promptTokens,
     outputTokens: request.outputTokens,
     prefixes: request.prefixes,
+    priority: request.workClass === WorkClass.Interactive ? 0 : 1,
     cachedTokens: 0,
     prefillLeft: request.promptTokens,
     generated: 0,
--- a/packages/measurements/src/decisions-engine.ts
+++ b/packages/measurements/src/decisions-engine.ts
@@ -39,6 +39,8 @@
     readonly hash: string;
     readonly tokens: number;
   }[];
+  /** Lower goes first, as engines honour priorities. */
+  readonly priority: number;
   /** Tokens found in the cache; set when it starts. */
   cachedTokens: number;
   prefillLeft: number;
@@ -139,7 +141,10 @@
   private planPrefill(): Map<Sequence, number> {
     const plan = new Map<Sequence, number>();
     let left = PREFILL_TOKENS_PER_STEP;
-    for (const sequence of this.running) {
+    const byPriority = [...this.running].sort(
+      (first, second) => first.priority - second.priority,
+    );
+    for (const sequence of byPriority) {
       const tokens = Math.min(left, sequence.prefillLeft);
       if (tokens > 0) {
         plan.set(sequence, tokens);
