Keep slots free for interactive work, and take a queue for standing sooner

At 1.5 times the capacity the interactive p99 to first token was eight times that at 0.8: batch answers held every slot for 8 s each, and a burst of interactive work waited for slots that fall free slowly.

Batch work now leaves free three times the square root of the slots that interactive work takes, unless interactive work waits (then the queue decides); a queue stands after 0.3 s instead of 1 s.

--- a/packages/decisions/src/admission-policy.ts
+++ b/packages/decisions/src/admission-policy.ts
@@ -8,6 +8,13 @@
   readonly maximumQueued: number;
 }
 
+/** The slots of one lane in one data centre. */
+export interface SlotOccupancy {
+  readonly free: number;
+  /** Taken by this router's interactive work. */
+  readonly interactive: number;
+}
+
 /** Decides whether a request may ask for a slot at all. */
 export abstract class AdmissionPolicy {
   /**
@@ -21,6 +28,9 @@
 
   /** @returns Why a request that finds no free slot may not wait. */
   abstract admitToQueue(occupancy: QueueOccupancy): RefusalReason | undefined;
+
+  /** Whether batch work may take a free slot that nobody else waits for. */
+  abstract mayBatchTake(occupancy: SlotOccupancy): boolean;
 }
 
 /** Everything is admitted: the baseline. */
@@ -34,4 +44,8 @@
       ? undefined
       : RefusalReason.QueueFull;
   }
+
+  override mayBatchTake(): boolean {
+    return true;
+  }
 }
--- a/packages/decisions/src/endpoint-pool.ts
+++ b/packages/decisions/src/endpoint-pool.ts
@@ -3,6 +3,7 @@
 interface Membership {
   readonly slots: number;
   readonly load: number;
+  readonly interactive: number;
 }
 
 /**
@@ -16,6 +17,7 @@
   private readonly positions = new Map<EndpointState, number>();
   private slotSum = 0;
   private loadSum = 0;
+  private interactiveSum = 0;
 
   /** Endpoints that have a free slot. */
   get freeEndpoints(): number {
@@ -27,6 +29,16 @@
     return this.slotSum;
   }
 
+  /** Slots that are free. */
+  get freeSlots(): number {
+    return this.slotSum - this.loadSum;
+  }
+
+  /** Slots taken by this router's interactive work. */
+  get interactive(): number {
+    return this.interactiveSum;
+  }
+
   /** The mean share of the slots that is taken. */
   get utilisation(): number {
     return this.slotSum === 0 ? 1 : this.loadSum / this.slotSum;
@@ -50,7 +62,9 @@
     this.forgetSums(state);
     if (slots > 0) {
       const load = state.ownInProgress;
-      this.members.set(state, {slots, load});
+      const interactive = state.ownInteractive;
+      this.members.set(state, {slots, load, interactive});
+      this.interactiveSum += interactive;
       this.slotSum += slots;
       this.loadSum += load;
     }
@@ -67,6 +81,7 @@
     if (known !== undefined) {
       this.slotSum -= known.slots;
       this.loadSum -= known.load;
+      this.interactiveSum -= known.interactive;
       this.members.delete(state);
     }
   }
--- a/packages/decisions/src/endpoint-state.ts
+++ b/packages/decisions/src/endpoint-state.ts
@@ -3,7 +3,7 @@
   EngineLoadReport,
 } from './endpoint-description.js';
 import {EndpointHealth} from './endpoint-health.js';
-import type {WorkItem} from './work.js';
+import {WorkClass, type WorkItem} from './work.js';
 
 /**
  * Reports lag by about this long. The router's own count is smoothed over it
@@ -26,7 +26,8 @@
   readonly health = new EndpointHealth();
   /** Set while the endpoint is shed as slow; it then gets probes only. */
   shedSince: number | undefined;
-  private readonly inProgress = new Set<string>();
+  private readonly inProgress = new Map<string, WorkClass>();
+  private interactive = 0;
   /** Without a first token yet, oldest first. */
   private readonly awaited = new Map<string, PlacedWork>();
   private othersInProgress = 0;
@@ -46,6 +47,11 @@
     return this.inProgress.size;
   }
 
+  /** Those of them that are interactive. */
+  get ownInteractive(): number {
+    return this.interactive;
+  }
+
   /** Own work in progress, and what the last report leaves to other routers. */
   get load(): number {
     return this.inProgress.size + this.othersInProgress;
@@ -75,7 +81,8 @@
   /** A request was placed there. */
   begin(work: PlacedWork): void {
     this.smoothOwn(work.placedAt);
-    this.inProgress.add(work.item.requestId);
+    this.inProgress.set(work.item.requestId, work.item.workClass);
+    this.interactive += interactiveCount(work.item.workClass);
     this.awaited.set(work.item.requestId, work);
   }
 
@@ -87,6 +94,7 @@
   /** It has ended. */
   end(requestId: string, now: number): void {
     this.smoothOwn(now);
+    this.interactive -= interactiveCount(this.inProgress.get(requestId));
     this.inProgress.delete(requestId);
     this.awaited.delete(requestId);
   }
@@ -115,3 +123,7 @@
     this.smoothedAt = now;
   }
 }
+
+function interactiveCount(workClass: WorkClass | undefined): number {
+  return workClass === WorkClass.Interactive ? 1 : 0;
+}
--- a/packages/decisions/src/fair-admission.ts
+++ b/packages/decisions/src/fair-admission.ts
@@ -1,4 +1,8 @@
-import {AdmissionPolicy, type QueueOccupancy} from './admission-policy.js';
+import {
+  AdmissionPolicy,
+  type QueueOccupancy,
+  type SlotOccupancy,
+} from './admission-policy.js';
 import {RefusalReason} from './decision.js';
 import type {WorkItem} from './work.js';
 
@@ -13,6 +17,21 @@
 /** Retries that may come at once, so that one lost endpoint is no refusal. */
 const RETRY_BURST = 10;
 
+/**
+ * Batch work leaves free so many times the square root of the slots that
+ * interactive work takes (square-root staffing: its demand fluctuates by about
+ * one such root). Load: batch work enough to fill the fleet, beside interactive
+ * work well below its capacity. Harm: batch answers hold their slots several
+ * times longer; once they hold all of them, a small burst of interactive work
+ * waits for slots that fall free slowly. An idle slot costs less than its share
+ * of the work, since a smaller batch steps faster.
+ *
+ * Three roots, by the measurement `decisions-saturation`: with two, interactive
+ * p99 at 1.5 times capacity is three times that at 0.8, with three 1.3 times;
+ * 3.5 cost a further two hundredths of the useful work.
+ */
+const INTERACTIVE_RESERVE_ROOTS = 3;
+
 /** Organisations remembered; the one longest unseen is forgotten. */
 const REMEMBERED_ORGANISATIONS = 4_096;
 
@@ -62,6 +81,11 @@
       : RefusalReason.ShareExhausted;
   }
 
+  override mayBatchTake({free, interactive}: SlotOccupancy): boolean {
+    const reserve = INTERACTIVE_RESERVE_ROOTS * Math.sqrt(interactive);
+    return free > Math.floor(reserve);
+  }
+
   private remember(organisation: string, budget: number): void {
     this.budgets.delete(organisation);
     this.budgets.set(organisation, budget);
--- a/packages/decisions/src/lane.ts
+++ b/packages/decisions/src/lane.ts
@@ -8,7 +8,12 @@
 import {ServiceTiming} from './service-timing.js';
 import {ShedEndpoints} from './shed-endpoints.js';
 import {StandingQueue} from './standing-queue.js';
-import {WorkOutcome, type WorkItem, type WorkResult} from './work.js';
+import {
+  WorkClass,
+  WorkOutcome,
+  type WorkItem,
+  type WorkResult,
+} from './work.js';
 
 /** Where a request goes. */
 export interface Choice {
@@ -210,6 +215,9 @@
     item: WorkItem,
     now: number,
   ): EndpointState | undefined {
+    if (this.isReserved(pool, item)) {
+      return undefined;
+    }
     for (;;) {
       const state = this.placement.choose(item, pool);
       if (state === undefined || !this.shedIfSlow(state, now)) {
@@ -218,6 +226,18 @@
     }
   }
 
+  /** While interactive work waits, the queue itself decides whose turn it is. */
+  private isReserved(pool: EndpointPool, item: WorkItem): boolean {
+    return (
+      item.workClass === WorkClass.Batch &&
+      this.queue.sizeOf(WorkClass.Interactive) === 0 &&
+      !this.policies.admission.mayBatchTake({
+        free: pool.freeSlots,
+        interactive: pool.interactive,
+      })
+    );
+  }
+
   /** Until the work ahead, and then one more request, have passed the slots. */
   private waitMilliseconds(item: WorkItem, slots: number): number {
     if (slots === 0) {
--- a/packages/decisions/src/standing-queue.ts
+++ b/packages/decisions/src/standing-queue.ts
@@ -3,9 +3,11 @@
 
 /**
  * A queue that has not been empty for this long is standing. Shorter ones are
- * bursts, which the time until the deadline may absorb.
+ * bursts, which the time until the deadline may absorb. By the measurements
+ * `decisions-saturation` and `decisions-burst`: at 1 s the p99 at 1.5 times
+ * capacity misses its goal; at 0.1 s more of a burst is refused.
  */
-const STANDING_AFTER_MILLISECONDS = 1_000;
+const STANDING_AFTER_MILLISECONDS = 300;
 
 /** Tells a burst from an overload, for each class of work. */
 export class StandingQueue {
