--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -8,6 +8,7 @@
 import {Follow} from './commands/follow.js';
 import {Publish} from './commands/publish.js';
 import {RequestExplain} from './commands/request-explain.js';
+import {Schema} from './commands/schema.js';
 import {TopUp} from './commands/top-up.js';
 
 /** The commands by the words that an operator types, as oclif reads them. */
@@ -20,4 +21,5 @@
   'fleet:status': FleetStatus,
   dump: Dump,
   follow: Follow,
+  schema: Schema,
 };
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -10,6 +10,7 @@
 export * from './confirmed-append.js';
 export * from './credential.js';
 export * from './fold-sources.js';
+export * from './json-schema.js';
 export * from './opening-budgets.js';
 export * from './publication.js';
 export * from './stream-reader.js';
