Take results from the runtime, so that the router starts

Cause: the router's binary ended at its start with "Named export 'Err' not found"; tests are bundled and did not show it.

Ruled out: a default import of the library here (the runtime has the one module for that).

Before: no router process started.

--- a/packages/router/src/load-dispatcher.ts
+++ b/packages/router/src/load-dispatcher.ts
@@ -9,7 +9,7 @@
   type WorkResult,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
-import {Err, Ok, type Result} from 'ts-results';
+import {Err, Ok, type Result} from '@wisteriadeal/runtime';
 
 import type {Placement} from './request-life.js';
 
