Release what a lost begin may have reserved, and find answers elsewhere

Cause: reading the real keeper beside the router showed two faults. A begin whose answer is lost leaves the request registered for this router, so the next begin is sent back to this very router until the caller is refused, and the tokens stay reserved while the router lives.

Ruled out: a longer begin timeout (a lost session loses the answer at once); an index of answers across data centres (retries there are rare; a few routers are asked instead, sixteen at most).

Change: an abandon goes before each repeated begin, and on when a session is there; a holder that names this router is answered by an abandon and one more begin; ANSWER_GONE asks the routers that membership names.

Conclusion: a session's hiccup costs a round trip, not a refusal.

--- a/packages/router/src/holder-client.ts
+++ b/packages/router/src/holder-client.ts
@@ -23,6 +23,19 @@
 
 const SETTLE_REPEAT_MILLISECONDS = 500;
 
+/** An abandon is kept for a minute while no keeper is in reach. */
+const MAXIMUM_ABANDONS = 120;
+
+function abandonOf(
+  requestId: string,
+  organisation: string,
+  grantId: string,
+): RouterMessageInit {
+  return {
+    kind: {case: 'abandon', value: {requestId, organisation, grantId}},
+  };
+}
+
 /** Who is told about a request. */
 export interface Reserved {
   readonly requestId: string;
@@ -48,6 +61,11 @@
   /**
    * Begins a request at its organisation's holder.
    *
+   * A begin whose answer was lost may have reserved. Without an abandon before
+   * the next begin, the keeper would take that for a retry of a request that
+   * already runs here and send it to this very router; the caller would be
+   * refused and the tokens stay reserved for as long as this router lives.
+   *
    * @throws StepError where no holder gave a verdict; nothing was dispatched,
    *     and what a keeper may have reserved is abandoned.
    */
@@ -69,6 +87,9 @@
       if (session === undefined) {
         continue;
       }
+      if (failure.fate === Fate.Unknown) {
+        session.send(abandonOf(fields.requestId, fields.organisation, ''));
+      }
       try {
         const answer = await session.begin(fields);
         if (answer.verdict !== BeginVerdict.NOT_HOLDER) {
@@ -90,11 +111,9 @@
         });
       }
     }
-    this.abandon({
-      requestId: fields.requestId,
-      organisation: fields.organisation,
-      reservation: {grantId: '', holder: '', witness: '', askedAt: 0},
-    });
+    if (failure.fate === Fate.Unknown) {
+      this.abandonUnanswered(fields);
+    }
     throw failure;
   }
 
@@ -129,18 +148,27 @@
     });
   }
 
-  /** Releases the reservation of a request that was never dispatched. */
-  abandon(reserved: Reserved): void {
-    this.sendToKnowing(reserved, {
-      kind: {
-        case: 'abandon',
-        value: {
-          requestId: reserved.requestId,
-          organisation: reserved.organisation,
-          grantId: reserved.reservation.grantId,
-        },
-      },
-    });
+  /**
+   * Releases the reservation of a request that was never dispatched. Where no
+   * keeper is in reach, it is sent once one is: the tokens would stay reserved
+   * for as long as this router lives.
+   */
+  async abandon(reserved: Reserved): Promise<void> {
+    const {requestId, organisation, reservation} = reserved;
+    const message = abandonOf(requestId, organisation, reservation.grantId);
+    for (let tries = 0; tries < MAXIMUM_ABANDONS; tries++) {
+      if (this.sendToKnowing(reserved, message)) {
+        return;
+      }
+      await this.clock.sleep(SETTLE_REPEAT_MILLISECONDS);
+    }
+  }
+
+  /** Releases what a begin without an answer may have reserved. */
+  abandonUnanswered(fields: BeginFields): void {
+    const {requestId, organisation} = fields;
+    const reservation = {grantId: '', holder: '', witness: '', askedAt: 0};
+    void this.abandon({requestId, organisation, reservation});
   }
 
   /**
@@ -185,13 +213,17 @@
    * The holder that reserved, else its witness, which knows every reservation
    * and inherits it, else whoever would hold the organisation now.
    */
-  private sendToKnowing(reserved: Reserved, message: RouterMessageInit): void {
+  private sendToKnowing(
+    reserved: Reserved,
+    message: RouterMessageInit,
+  ): boolean {
     const {holder, witness} = reserved.reservation;
     const session: KeeperSession | undefined =
       this.sessionNamed(holder) ??
       this.sessionNamed(witness) ??
       this.directory.holderOf(reserved.organisation);
-    if (session?.send(message) !== true) {
+    const sent = session?.send(message) === true;
+    if (!sent) {
       this.log.warn('keeper-unreachable', {
         request: reserved.requestId,
         organisation: reserved.organisation,
@@ -199,5 +231,6 @@
         peer: holder,
       });
     }
+    return sent;
   }
 }
--- a/packages/router/src/request-run.ts
+++ b/packages/router/src/request-run.ts
@@ -5,12 +5,14 @@
 import type {Answer} from './answer.js';
 import {DispatchRun} from './dispatch-run.js';
 import {freshAttemptId} from './identity.js';
+import type {BeginFields} from './keeper-session.js';
 import {AnswerOutcome, Problem, ProblemName} from './problem.js';
 import * as life from './request-life.js';
 import {AttachResult, copyAnswer} from './router-attacher.js';
 import {RunContext, type RunParts} from './run-context.js';
 import type {Submission} from './submission.js';
 import {
+  answerGoneProblem,
   drainingProblem,
   problemOfVerdict,
   withdrawnProblem,
@@ -22,6 +24,7 @@
  */
 const MAXIMUM_JOINS = 5;
 const REJOIN_MILLISECONDS = 300;
+const MAXIMUM_PEERS_ASKED = 16;
 
 /** The life of one request at this router, from its submission to its bill. */
 export class RequestRun {
@@ -74,23 +77,31 @@
   private async begin(
     from: life.Received | life.Placed,
   ): Promise<life.Reserved | life.Resuming | undefined> {
+    const {parts, answer} = this.context;
     const beginning = this.context.note(life.begin(from));
+    let namedSelf = false;
     for (let joins = 0; joins < MAXIMUM_JOINS; joins++) {
-      const askedAt = this.context.parts.clock.monotonicMilliseconds();
-      const answer = await this.askHolder(beginning);
-      if (answer === undefined) {
+      const askedAt = parts.clock.monotonicMilliseconds();
+      const verdict = await this.askHolder(beginning);
+      if (verdict === undefined) {
         return undefined;
       }
-      if (answer.verdict !== BeginVerdict.JOIN) {
-        return this.applyVerdict(beginning, answer, askedAt);
+      if (verdict.verdict !== BeginVerdict.JOIN) {
+        return this.applyVerdict(beginning, verdict, askedAt);
       }
-      if (await this.joined(beginning, answer)) {
+      if (verdict.router?.incarnation === parts.incarnation()) {
+        if (namedSelf) {
+          this.answerGone(beginning);
+          return undefined;
+        }
+        namedSelf = true;
+        parts.holder.abandonUnanswered(this.beginFields(beginning));
+        continue;
+      }
+      if (await this.joined(beginning, verdict)) {
         return undefined;
       }
-      await this.context.parts.clock.sleep(
-        REJOIN_MILLISECONDS,
-        this.context.answer.abandoned,
-      );
+      await parts.clock.sleep(REJOIN_MILLISECONDS, answer.abandoned);
     }
     this.context.loseOrRefuse(
       beginning,
@@ -101,23 +112,42 @@
     return undefined;
   }
 
+  /**
+   * The holder names this router, which knows nothing of the request any more. A
+   * begin whose answer was lost is released by the abandon; what still names this
+   * router after that is settled, and its answer is no longer kept.
+   */
+  private answerGone(beginning: life.Beginning): void {
+    this.context.releaseSlot(beginning, WorkOutcome.NotDispatched);
+    this.context.note(life.lose(beginning));
+    this.context.answer.finish({
+      problem: answerGoneProblem('').forRequest(
+        this.context.submission.requestId,
+      ),
+    });
+  }
+
+  private beginFields(beginning: life.Beginning): BeginFields {
+    const {submission, parts} = this.context;
+    return {
+      requestId: submission.requestId,
+      organisation: submission.organisation,
+      caller: submission.caller,
+      fingerprint: submission.fingerprint,
+      boundTokens: submission.boundTokens,
+      attemptId: freshAttemptId(submission.requestId, parts.random),
+      service: submission.service,
+      idempotent: submission.idempotent,
+      mintedHere: submission.mintedHere,
+      endpoint: beginning.placement?.endpoint ?? '',
+    };
+  }
+
   private async askHolder(
     beginning: life.Beginning,
   ): Promise<BeginAnswer | undefined> {
-    const {submission, parts} = this.context;
     try {
-      return await parts.holder.begin({
-        requestId: submission.requestId,
-        organisation: submission.organisation,
-        caller: submission.caller,
-        fingerprint: submission.fingerprint,
-        boundTokens: submission.boundTokens,
-        attemptId: freshAttemptId(submission.requestId, parts.random),
-        service: submission.service,
-        idempotent: submission.idempotent,
-        mintedHere: submission.mintedHere,
-        endpoint: beginning.placement?.endpoint ?? '',
-      });
+      return await this.context.parts.holder.begin(this.beginFields(beginning));
     } catch (error) {
       if (!(error instanceof StepError)) {
         throw error;
@@ -132,11 +162,11 @@
     }
   }
 
-  private applyVerdict(
+  private async applyVerdict(
     beginning: life.Beginning,
     answer: BeginAnswer,
     askedAt: number,
-  ): life.Reserved | life.Resuming | undefined {
+  ): Promise<life.Reserved | life.Resuming | undefined> {
     const {grantId, holder, witness, resume} = answer;
     const reservation = {grantId, holder, witness, askedAt};
     if (answer.verdict === BeginVerdict.RESERVED) {
@@ -158,6 +188,12 @@
       );
       return undefined;
     }
+    if (
+      answer.verdict === BeginVerdict.ANSWER_GONE &&
+      (await this.foundAtPeer(beginning))
+    ) {
+      return undefined;
+    }
     const problem = problemOfVerdict(answer);
     if (problem.outcome === AnswerOutcome.NotRun) {
       this.context.refuse(beginning, problem);
@@ -180,7 +216,7 @@
       this.context.submission.lastEvent >= 0
     ) {
       const {reservation} = reserved;
-      this.context.parts.holder.abandon({
+      void this.context.parts.holder.abandon({
         ...this.context.submission,
         reservation,
       });
@@ -204,16 +240,33 @@
     return reserved;
   }
 
+  /**
+   * The log knows the bill, but this holder not the router: the request ran in
+   * another data centre, whose router may keep the answer. Such retries are rare,
+   * so a few routers are asked in turn instead of keeping an index of answers.
+   */
+  private async foundAtPeer(beginning: life.Beginning): Promise<boolean> {
+    const {parts, answer} = this.context;
+    for (const peer of parts.peers().slice(0, MAXIMUM_PEERS_ASKED)) {
+      const {controlAddress} = peer;
+      const result = await copyAnswer(parts.routers, controlAddress, answer);
+      if (result === AttachResult.Ended) {
+        this.context.releaseSlot(beginning, WorkOutcome.NotDispatched);
+        this.context.note(life.join(beginning, peer.incarnation));
+        answer.keep = answer.tellsOfRun;
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Copies another router's answer; false where it was lost on the way. */
   private async joined(
     beginning: life.Beginning,
     verdict: BeginAnswer,
   ): Promise<boolean> {
     const {router} = verdict;
-    if (
-      router === undefined ||
-      router.incarnation === this.context.parts.incarnation()
-    ) {
+    if (router === undefined) {
       return false;
     }
     this.context.releaseSlot(beginning, WorkOutcome.NotDispatched);
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -228,6 +228,7 @@
       metrics,
       incarnation: () => this.identity.incarnation,
       draining: () => this.draining,
+      peers: () => this.peers(),
     };
   }
 
--- a/packages/router/src/run-context.ts
+++ b/packages/router/src/run-context.ts
@@ -2,6 +2,8 @@
 import type {Clock, RandomSource} from '@wisteriadeal/platform';
 import type {EventFields, EventLog, Metrics} from '@wisteriadeal/runtime';
 
+import type {ProcessIdentity} from '@wisteriadeal/schema';
+
 import type {Answer} from './answer.js';
 import type {RunResult} from './endpoint-work.js';
 import type {HolderClient} from './holder-client.js';
@@ -23,6 +25,8 @@
   readonly metrics: Metrics;
   readonly incarnation: () => string;
   readonly draining: () => boolean;
+  /** The other routers that membership names. */
+  readonly peers: () => readonly ProcessIdentity[];
 }
 
 /** When a request that found nobody to take it may be sent again. */
@@ -110,7 +114,7 @@
     this.releaseSlot(from, WorkOutcome.NotDispatched);
     if ('reservation' in from && from.reservation !== undefined) {
       const {reservation} = from;
-      this.parts.holder.abandon({...this.submission, reservation});
+      void this.parts.holder.abandon({...this.submission, reservation});
     }
     this.note(life.refuse(from));
     this.parts.metrics.increment('request.not-run');
--- a/packages/router/src/test/retries_test.ts
+++ b/packages/router/src/test/retries_test.ts
@@ -115,6 +115,31 @@
     expect(first.service.calls).toHaveLength(1);
   });
 
+  // The answer of a begin was lost, so the holder takes the next try for a retry
+  // and names this router itself. It releases what it never dispatched, and runs.
+  it('is not sent in circles by a holder that names this router', async () => {
+    const {verdict} = keeper;
+    keeper.verdict = (begin, router) =>
+      keeper.heard('abandon').length === 0
+        ? {verdict: BeginVerdict.JOIN, router: router ?? {}}
+        : verdict(begin, router);
+    const seen = await readStream(await chat(first.url, 'hello', {key: 'k'}));
+    expect(seen).toMatchObject({text: WHOLE, whole: true});
+  });
+
+  // The request ran in another data centre; only its bill is known here. The
+  // router there still keeps the answer, and the caller gets it whole.
+  it('gets the answer that a router of another data centre keeps', async () => {
+    const original = await readStream(
+      await chat(first.url, 'hello', {key: 'k'}),
+    );
+    keeper.verdict = () => ({verdict: BeginVerdict.ANSWER_GONE});
+    const retry = await readStream(await chat(second.url, 'hello', {key: 'k'}));
+    expect(retry.raw).toBe(original.raw);
+    const gone = await chat(second.url, 'hello', {key: 'other'});
+    expect(gone.status).toBe(410);
+  });
+
   it('is refused with other content, here and there', async () => {
     await certify(first.url, '{"a":1}', {key: 'c'});
     const here = await certify(first.url, '{"a":2}', {key: 'c'});
--- a/packages/router/src/verdicts.ts
+++ b/packages/router/src/verdicts.ts
@@ -28,11 +28,7 @@
         peer,
       });
     case BeginVerdict.ANSWER_GONE:
-      return new Problem(ProblemName.AnswerGone, {
-        detail: 'it was answered and billed; the answer is no longer kept',
-        step,
-        peer,
-      });
+      return answerGoneProblem(peer);
     default:
       return new Problem(ProblemName.OutcomeUnknown, {
         detail:
@@ -64,6 +60,15 @@
   );
 }
 
+/** The problem of a request whose answer no router keeps any more. */
+export function answerGoneProblem(peer: string): Problem {
+  return new Problem(ProblemName.AnswerGone, {
+    detail: 'it was answered and billed; the answer is no longer kept',
+    step: 'begin at the holder',
+    peer,
+  });
+}
+
 /** What is noted of a request whose caller left before it was dispatched. */
 export function withdrawnProblem(): Problem {
   return new Problem(ProblemName.Overloaded, {
