Measure failures: partition, outage, killed routers and hosts, paused holder

Cause: only the faultless demo ran against the real processes.

Change: FleetCase runs a fleet under load while something happens; cases partition, platform-outage, kill-router-mid-stream, pause-holder and two-hosts-killed, each in its own file. Top-ups made during a run count for false refusals only from when they stand on the log. Callers come back also where a problem's outcome is unknown but its name says that the host was unavailable: a key makes that safe. The evidence (unbilled requests, false refusals, grants that still hold tokens) goes to standard error.

--- a/packages/measurements/src/cases/demo-case.ts
+++ b/packages/measurements/src/cases/demo-case.ts
@@ -1,7 +1,6 @@
-import {FleetRun} from '../fleet-run.js';
+import {FleetCase, type CaseFields} from '../fleet-case.js';
 import {SMALL_FLEET} from '../fleet-plan.js';
-import {MeasureCase, type CaseResult} from '../measure-case.js';
-import {toCaseResult} from '../outcome-report.js';
+import type {FleetRun, FleetRunOptions} from '../fleet-run.js';
 
 const REQUESTS = 600;
 const CONCURRENCY = 24;
@@ -10,13 +9,13 @@
 const KEYED_SHARE = 0.7;
 
 /** The demo: everything works, and one organisation runs out of budget. */
-export class DemoCase extends MeasureCase {
+export class DemoCase extends FleetCase {
   override readonly name = 'demo';
   override readonly description =
     'no fault; 600 requests of 5 organisations, one of which runs out of budget';
 
-  override async run(seed: number): Promise<CaseResult> {
-    const run = await FleetRun.start({
+  protected override options(seed: number): FleetRunOptions {
+    return {
       plan: {...SMALL_FLEET, seed},
       keyedShare: KEYED_SHARE,
       load: {
@@ -25,15 +24,11 @@
         repeatShare: REPEAT_SHARE,
         pauseMilliseconds: 0,
       },
-    });
-    let passed = false;
-    try {
-      await run.load.send(run.workload.requests(REQUESTS));
-      const result = toCaseResult(await run.finish());
-      passed = result.passed;
-      return result;
-    } finally {
-      await run.close(!passed);
-    }
+    };
+  }
+
+  protected override async act(run: FleetRun): Promise<CaseFields> {
+    await run.load.send(run.workload.requests(REQUESTS));
+    return {};
   }
 }
--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -1,5 +1,17 @@
 import type {MeasureCase} from '../measure-case.js';
 import {DemoCase} from './demo-case.js';
+import {KillRouterCase} from './kill-router-case.js';
+import {PartitionCase} from './partition-case.js';
+import {PauseHolderCase} from './pause-holder-case.js';
+import {PlatformOutageCase} from './platform-outage-case.js';
+import {TwoHostsKilledCase} from './two-hosts-killed-case.js';
 
 /** Every case; one file each, one line each here. */
-export const CASES: readonly MeasureCase[] = [new DemoCase()];
+export const CASES: readonly MeasureCase[] = [
+  new DemoCase(),
+  new KillRouterCase(),
+  new PartitionCase(),
+  new PauseHolderCase(),
+  new PlatformOutageCase(),
+  new TwoHostsKilledCase(),
+];
--- /dev/null
+++ b/packages/measurements/src/fleet-case.ts
@@ -0,0 +1,58 @@
+import {ResultKind} from './caller-result.js';
+import {FleetRun, type FleetRunOptions} from './fleet-run.js';
+import {
+  MeasureCase,
+  type CaseResult,
+  type ResultValue,
+} from './measure-case.js';
+import {toCaseResult} from './outcome-report.js';
+import type {RequestRecord} from './request-record.js';
+
+/** The case's own fields. */
+export type CaseFields = Readonly<Record<string, ResultValue>>;
+
+/** What callers got within a span of a case. */
+export function spanFields(
+  name: string,
+  records: readonly RequestRecord[],
+  from: number,
+  until: number,
+): CaseFields {
+  const within = records.filter(
+    ({startedAtMilliseconds}) =>
+      startedAtMilliseconds >= from && startedAtMilliseconds < until,
+  );
+  const answered = within.filter(
+    ({final}) => final?.kind === ResultKind.Answered,
+  );
+  return {
+    [`${name}Requests`]: within.length,
+    [`${name}Answered`]: answered.length,
+  };
+}
+
+/** A case that runs a fleet under load while something happens to it. */
+export abstract class FleetCase extends MeasureCase {
+  /** How the fleet and its callers are set up. */
+  protected abstract options(seed: number): FleetRunOptions;
+
+  /**
+   * Sends load and makes the faults.
+   *
+   * @returns The case's own fields.
+   */
+  protected abstract act(run: FleetRun): Promise<CaseFields>;
+
+  override async run(seed: number): Promise<CaseResult> {
+    const run = await FleetRun.start(this.options(seed));
+    let passed = false;
+    try {
+      const own = await this.act(run);
+      const result = toCaseResult(await run.finish(), own);
+      passed = result.passed;
+      return result;
+    } finally {
+      await run.close(!passed);
+    }
+  }
+}
--- a/packages/measurements/src/fleet-run.ts
+++ b/packages/measurements/src/fleet-run.ts
@@ -1,5 +1,9 @@
+import {topUp} from '@wisteriadeal/operator';
+import {SystemClock} from '@wisteriadeal/runtime';
 import {SeededRandomSource} from '@wisteriadeal/stand-ins';
 
+import {randomUUID} from 'node:crypto';
+
 import {ControlClient} from './control-client.js';
 import type {EntryHost} from './entry-host.js';
 import {ExecutionAudit} from './execution-audit.js';
@@ -10,6 +14,7 @@
 import {LoadRun, type LoadOptions} from './load-run.js';
 import {OutcomeJudge, type OutcomeReport} from './outcome-report.js';
 import {publish} from './publish.js';
+import type {RunTopUp} from './refusal-audit.js';
 import {pause, waitUntil} from './waiting.js';
 import {ORGANISATIONS, Workload, type OrganisationPlan} from './workload.js';
 
@@ -37,6 +42,7 @@
   readonly random: SeededRandomSource;
   readonly workload: Workload;
   readonly load: LoadRun;
+  private readonly topUps: RunTopUp[] = [];
 
   private constructor(
     readonly fleet: Fleet,
@@ -66,12 +72,40 @@
     return run;
   }
 
+  /** Sends the workload's requests while something happens. */
+  async loadWhile(happens: () => Promise<void>): Promise<void> {
+    const stopped = new AbortController();
+    const load = this.load.sendUntil(stopped.signal, () =>
+      this.workload.next(this.organisations),
+    );
+    try {
+      await happens();
+    } finally {
+      stopped.abort();
+      await load;
+    }
+  }
+
   /** Publishes the fleet's configuration, as it is now, over version `base`. */
   async publish(baseVersion = 0): Promise<void> {
     const configuration = fleetConfiguration(this.fleet, this.organisations);
     await publish(this.fleet, configuration, baseVersion);
   }
 
+  /** Tops a budget up, as an operator does; counts from when it is credited. */
+  async topUp(organisation: string, tokens: number): Promise<void> {
+    await topUp(this.fleet.log, new SystemClock(), {
+      organisation,
+      tokens,
+      entryId: randomUUID(),
+      operator: 'runner',
+      reason: 'measurement',
+      ledgerStreams: this.options.plan.ledgerStreams,
+    });
+    const atMilliseconds = performance.now();
+    this.topUps.push({organisation, tokens, atMilliseconds});
+  }
+
   /** Waits until routers say that they are ready. */
   async waitReady(hosts: readonly EntryHost[]): Promise<void> {
     for (const host of hosts) {
@@ -116,6 +150,7 @@
     const {fleet, options} = this;
     const ledger = await auditLedger(fleet.log, options.plan.ledgerStreams);
     const executions = await ExecutionAudit.read(fleet);
-    return new OutcomeJudge(this.load.records, ledger, executions);
+    const {records} = this.load;
+    return new OutcomeJudge(records, ledger, executions, this.topUps);
   }
 }
--- a/packages/measurements/src/fleet.ts
+++ b/packages/measurements/src/fleet.ts
@@ -79,6 +79,13 @@
     return this.starter.directory;
   }
 
+  /** Where callers may connect, by the platform's balancer. */
+  get callerAddresses(): readonly string[] {
+    return this.hosts
+      .filter(({state}) => state === ListedState.Live)
+      .map(({callerAddress}) => callerAddress);
+  }
+
   /** Starts one more entry host and lists it. */
   async addHost(dataCenter: string): Promise<EntryHost> {
     const host = await this.startHost(dataCenter);
@@ -95,10 +102,30 @@
     }
   }
 
-  /** Takes a host out of the list, after its processes have ended. */
-  async removeHost(host: EntryHost): Promise<void> {
+  /** A host is gone at once; the list shows it after its lag. */
+  async killHost(host: EntryHost): Promise<void> {
+    await host.kill();
+    this.hosts.splice(this.hosts.indexOf(host), 1);
+    await this.publishListing();
+  }
+
+  /**
+   * Takes a host out in good order: listed as leaving first, then stopped.
+   *
+   * @returns True where its processes stopped by themselves.
+   */
+  async retireHost(host: EntryHost): Promise<boolean> {
+    host.state = ListedState.Leaving;
+    await this.publishListing();
+    const stopped = await host.stop();
     this.hosts.splice(this.hosts.indexOf(host), 1);
     await this.publishListing();
+    return stopped;
+  }
+
+  /** The entry hosts of one data centre. */
+  hostsOf(dataCenter: string): readonly EntryHost[] {
+    return this.hosts.filter(host => host.dataCenter === dataCenter);
   }
 
   /** Cuts or heals between two data centres, or one and the platform. */
--- a/packages/measurements/src/ledger-audit.ts
+++ b/packages/measurements/src/ledger-audit.ts
@@ -1,7 +1,11 @@
 import {fromBinary} from '@bufbuild/protobuf';
 import {LedgerFold, VerdictKind} from '@wisteriadeal/ledger';
 import type {LogClient} from '@wisteriadeal/platform';
-import {LedgerBatchSchema, type Bill} from '@wisteriadeal/schema';
+import {
+  LedgerBatchSchema,
+  type Bill,
+  type GrantState,
+} from '@wisteriadeal/schema';
 
 const READ_LIMIT = 1_000;
 
@@ -20,6 +24,8 @@
   readonly organisations: readonly OrganisationAudit[];
   /** The bill that counts, by request identifier. */
   readonly bills: ReadonlyMap<string, Bill>;
+  /** Grants that still hold tokens. */
+  readonly openGrants: readonly GrantState[];
   /** Accepted bills beyond the first of a request identifier. */
   readonly billedTwice: number;
   readonly records: number;
@@ -28,6 +34,7 @@
 class AuditReader {
   readonly organisations: OrganisationAudit[] = [];
   readonly bills = new Map<string, Bill>();
+  readonly openGrants: GrantState[] = [];
   billedTwice = 0;
   records = 0;
 
@@ -44,9 +51,14 @@
       }
     }
     for (const organisation of fold.organisationNames) {
-      const grantedTokens = fold
-        .grants(organisation)
-        .reduce((sum, grant) => sum + grant.tokens - grant.billedTokens, 0);
+      const grants = fold.grants(organisation);
+      const grantedTokens = grants.reduce(
+        (sum, grant) => sum + grant.tokens - grant.billedTokens,
+        0,
+      );
+      this.openGrants.push(
+        ...grants.filter(({tokens, billedTokens}) => tokens > billedTokens),
+      );
       const totals = fold.totals(organisation);
       this.organisations.push({organisation, grantedTokens, ...totals});
     }
--- a/packages/measurements/src/load-run.ts
+++ b/packages/measurements/src/load-run.ts
@@ -20,7 +20,6 @@
   readonly repeatShare: number;
   /** Pause of each caller between two requests. */
   readonly pauseMilliseconds: number;
-  readonly signal?: AbortSignal;
 }
 
 const RETRIED_PROBLEMS: ReadonlySet<string> = new Set([
@@ -48,9 +47,6 @@
     const waiting = [...requests];
     const caller = async () => {
       for (let next = waiting.shift(); next; next = waiting.shift()) {
-        if (this.options.signal?.aborted === true) {
-          return;
-        }
         await this.sendOne(next);
         await pause(this.options.pauseMilliseconds);
       }
@@ -58,6 +54,25 @@
     await Promise.all(Array.from({length: this.options.concurrency}, caller));
   }
 
+  /**
+   * Sends requests until told to stop, and resolves when each has its last
+   * result.
+   *
+   * @param make Makes the next request.
+   */
+  async sendUntil(
+    stopped: AbortSignal,
+    make: () => CallerRequest,
+  ): Promise<void> {
+    const caller = async () => {
+      while (!stopped.aborted) {
+        await this.sendOne(make());
+        await pause(this.options.pauseMilliseconds);
+      }
+    };
+    await Promise.all(Array.from({length: this.options.concurrency}, caller));
+  }
+
   /** Ends open connections. */
   async close(): Promise<void> {
     await Promise.all([...this.clients.values()].map(client => client.close()));
@@ -87,9 +102,9 @@
   }
 
   private exchange(request: CallerRequest): Promise<CallerResult> {
-    const {hosts} = this.fleet;
-    const host = hosts[this.random.below(hosts.length)];
-    return this.client(host?.callerAddress ?? '').send(request);
+    const {callerAddresses} = this.fleet;
+    const chosen = this.random.below(callerAddresses.length);
+    return this.client(callerAddresses[chosen] ?? '').send(request);
   }
 
   private client(address: string): CallerClient {
@@ -104,10 +119,10 @@
 }
 
 function mayRetry(request: CallerRequest, result: CallerResult): boolean {
-  if (result.kind === ResultKind.NotRun) {
-    return RETRIED_PROBLEMS.has(result.problem);
+  if (result.kind === ResultKind.Lost) {
+    return request.key !== undefined;
   }
-  return result.kind === ResultKind.Lost && request.key !== undefined;
+  return RETRIED_PROBLEMS.has(result.problem);
 }
 
 function backoff(attempt: number, result: CallerResult): number {
--- a/packages/measurements/src/outcome-report.ts
+++ b/packages/measurements/src/outcome-report.ts
@@ -5,7 +5,11 @@
 import type {ExecutionAudit} from './execution-audit.js';
 import type {CaseResult} from './measure-case.js';
 import type {LedgerAudit, OrganisationAudit} from './ledger-audit.js';
-import {findFalseRefusals, type FalseRefusal} from './refusal-audit.js';
+import {
+  findFalseRefusals,
+  type FalseRefusal,
+  type RunTopUp,
+} from './refusal-audit.js';
 import type {RequestRecord} from './request-record.js';
 
 /** What every run reports; a run's last line is this as JSON. */
@@ -45,7 +49,7 @@
   readonly brokenPromises: readonly string[];
 }
 
-const REFUSALS_SHOWN = 5;
+const LINES_SHOWN = 5;
 const MEDIAN = 50;
 const NINETY_NINTH = 99;
 
@@ -75,6 +79,18 @@
   return (audit?.creditedTokens ?? 0) - (audit?.billedTokens ?? 0);
 }
 
+function describeRecords(
+  what: string,
+  records: readonly RequestRecord[],
+): string[] {
+  return records.slice(0, LINES_SHOWN).map(record => {
+    const {requestId, request, mismatch, results} = record;
+    const kinds = results.map(({kind, problem}) => `${kind} ${problem}`.trim());
+    const {organisation} = request.from;
+    return `${what}: ${requestId} of ${organisation}, ${request.kind} ${mismatch} (${kinds.join(', ')})`;
+  });
+}
+
 /** Judges a run by its callers' records, the log and the endpoints. */
 export class OutcomeJudge {
   private readonly falseRefusals: readonly FalseRefusal[];
@@ -83,8 +99,9 @@
     private readonly records: readonly RequestRecord[],
     private readonly ledger: LedgerAudit,
     private readonly executions: ExecutionAudit,
+    topUps: readonly RunTopUp[] = [],
   ) {
-    this.falseRefusals = findFalseRefusals(records, ledger);
+    this.falseRefusals = findFalseRefusals(records, ledger, topUps);
   }
 
   /** Answered requests that have no bill on the log yet. */
@@ -94,19 +111,27 @@
     );
   }
 
-  /** Evidence on wrong answers and false refusals, for people. */
+  /** Evidence on what went wrong, a few lines of each kind, for people. */
   get evidence(): readonly string[] {
-    const wrong = this.records
-      .filter(record => record.mismatch !== '')
-      .map(({requestId, request, mismatch, results}) => {
-        const kinds = results.map(({kind, problem}) => `${kind} ${problem}`);
-        return `${requestId} ${request.kind}: ${mismatch} (${kinds.join(', ')})`;
-      });
-    const refused = this.falseRefusals.map(
-      ({record, leftTokens}) =>
-        `${record.request.from.organisation}: refused a bound of ${record.boundTokens} with ${leftTokens} left`,
-    );
-    return [...wrong, ...refused.slice(0, REFUSALS_SHOWN)];
+    return [
+      ...describeRecords(
+        'wrong answer',
+        this.records.filter(record => record.mismatch !== ''),
+      ),
+      ...describeRecords('not billed', this.unbilled),
+      ...this.falseRefusals
+        .slice(0, LINES_SHOWN)
+        .map(
+          ({record, leftTokens}) =>
+            `${record.request.from.organisation}: refused a bound of ${record.boundTokens} with ${leftTokens} left`,
+        ),
+      ...this.ledger.openGrants
+        .slice(0, LINES_SHOWN)
+        .map(
+          grant =>
+            `grant ${grant.grantId} holds ${grant.tokens - grant.billedTokens}: holder ${grant.holder}, witness ${grant.witness}, ${grant.inherited.length} inherited${grant.closed ? ', closed' : ''}`,
+        ),
+    ];
   }
 
   /** The whole report. */
--- a/packages/measurements/src/refusal-audit.ts
+++ b/packages/measurements/src/refusal-audit.ts
@@ -33,14 +33,38 @@
   }, 0);
 }
 
+/** A top-up made during a run. */
+export interface RunTopUp {
+  readonly organisation: string;
+  readonly tokens: number;
+  /** When it stood on the log, on the runner's monotonic clock. */
+  readonly atMilliseconds: number;
+}
+
+/** Tokens credited after a request was refused. */
+function creditedLater(
+  refused: RequestRecord,
+  topUps: readonly RunTopUp[],
+): number {
+  const {organisation} = refused.request.from;
+  const from = refused.final?.startedAtMilliseconds ?? 0;
+  return topUps
+    .filter(
+      topUp =>
+        topUp.organisation === organisation && topUp.atMilliseconds > from,
+    )
+    .reduce((sum, topUp) => sum + topUp.tokens, 0);
+}
+
 /**
  * Finds requests that were refused for want of budget although enough of it was
- * left, wherever in the fleet it stood. Top-ups during a run make it find too
- * many: the budget counts as it is in the end.
+ * left, wherever in the fleet it stood, also where the refusing host could not
+ * reach it.
  */
 export function findFalseRefusals(
   records: readonly RequestRecord[],
   ledger: LedgerAudit,
+  topUps: readonly RunTopUp[],
 ): readonly FalseRefusal[] {
   return ledger.organisations.flatMap(({organisation, creditedTokens}) => {
     const own = records.filter(
@@ -53,7 +77,10 @@
       )
       .map(record => ({
         record,
-        leftTokens: creditedTokens - usedAt(record, own, ledger),
+        leftTokens:
+          creditedTokens -
+          creditedLater(record, topUps) -
+          usedAt(record, own, ledger),
       }))
       .filter(({record, leftTokens}) => leftTokens >= record.boundTokens);
   });
--- a/packages/measurements/src/workload.ts
+++ b/packages/measurements/src/workload.ts
@@ -90,13 +90,18 @@
     count: number,
     organisations: readonly OrganisationPlan[] = ORGANISATIONS,
   ): CallerRequest[] {
+    return Array.from({length: count}, () => this.next(organisations));
+  }
+
+  /** The next request, of an organisation drawn by its share. */
+  next(organisations: readonly OrganisationPlan[]): CallerRequest {
     const drawn = organisations.flatMap(plan =>
       Array.from({length: plan.share}, () => plan),
     );
-    return Array.from({length: count}, () => this.request(this.pick(drawn)));
+    return this.request(this.pick(drawn));
   }
 
-  /** One request of an organisation. */
+  /** A request of an organisation. */
   request(plan: OrganisationPlan): CallerRequest {
     const kind = this.pick(plan.kinds);
     const number = this.count++;
