Let a keeper start at once and stop hashing at every look

Cause: the profile of an idle keeper showed three costs: rendezvous hashes of every organisation at each look, a dependent abort signal left behind by each sleep that could be woken, and a look at everything for each request. Besides, a keeper's first read of an empty stream was a long poll, so that it took the platform for unreachable until the poll ended.

Change: choices are remembered while the candidates stay the same; one sleep that can be woken, with its listener taken off (WakeUp); a request wakes the look only when tokens lack; the first read, and the first after an outage, does not wait; the platform's list is read each second.

--- a/packages/keeper/src/gossip-task.ts
+++ b/packages/keeper/src/gossip-task.ts
@@ -10,6 +10,12 @@
 /** Peers elsewhere asked each round, in turn: never all with all. */
 const FAR_PEERS = 3;
 
+/**
+ * The platform's list lags by seconds anyway, peers are heard by gossip, and a
+ * reading costs as much as a heartbeat.
+ */
+const LIST_MILLISECONDS = 1_000;
+
 /** Exchanges heartbeats with peers and reads the platform's list. */
 export class GossipTask {
   private round = 0;
@@ -36,7 +42,11 @@
     }
   }
 
-  /** Reads the platform's list until the signal is aborted. */
+  /**
+   * Reads the platform's list until the signal is aborted; at the pace of the
+   * heartbeat until it names another host, so that a fresh keeper finds peers
+   * soon.
+   */
   async runList(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       try {
@@ -44,7 +54,13 @@
       } catch (error) {
         this.eventLog.debug('host list unreachable', {reason: String(error)});
       }
-      await this.clock.sleep(this.heartbeatMilliseconds, signal);
+      const alone = this.membership.listedAddresses.length === 0;
+      await this.clock.sleep(
+        alone
+          ? this.heartbeatMilliseconds
+          : Math.max(this.heartbeatMilliseconds, LIST_MILLISECONDS),
+        signal,
+      );
     }
   }
 
--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -17,6 +17,7 @@
 import type {MembershipTable} from './membership-table.js';
 import {OrganisationGrants} from './organisation-grants.js';
 import type {PlatformHealth} from './platform-health.js';
+import {WakeUp} from './wake-up.js';
 import type {WitnessLinks} from './witness-links.js';
 
 /** The users' pages: regions lose each other for an hour now and then. */
@@ -41,9 +42,10 @@
 /** Holds this keeper's grants of all organisations, and asks for more. */
 export class GrantManager {
   private readonly organisations = new Map<string, OrganisationGrants>();
-  private wake: (() => void) | undefined;
+  private readonly wakeUp: WakeUp;
 
   constructor(private readonly parts: GrantParts) {
+    this.wakeUp = new WakeUp(parts.clock);
     parts.links.setSnapshotSource(witness => this.snapshot(witness));
   }
 
@@ -57,7 +59,9 @@
       organisation,
       this.parts.replicator,
       this.parts.clock,
-      () => this.wake?.(),
+      () => {
+        this.wakeUp.wake();
+      },
     );
     this.organisations.set(organisation, grants);
     return grants;
@@ -75,15 +79,7 @@
 
   /** Resolves when something is wanted, or after the delay. */
   async untilWanted(milliseconds: number, signal: AbortSignal): Promise<void> {
-    const woken = new AbortController();
-    this.wake = () => {
-      woken.abort();
-    };
-    await this.parts.clock.sleep(
-      milliseconds,
-      AbortSignal.any([signal, woken.signal]),
-    );
-    this.wake = undefined;
+    await this.wakeUp.sleep(milliseconds, signal);
   }
 
   /** Lets the policy decide on one organisation. */
@@ -163,7 +159,7 @@
     if (tookEffect(own) && given !== undefined && !given.closed) {
       this.open(organisation, grantId, given.tokens, given.witness);
     }
-    this.wake?.();
+    this.wakeUp.wake();
   }
 
   private open(
--- a/packages/keeper/src/ledger-appender.ts
+++ b/packages/keeper/src/ledger-appender.ts
@@ -6,6 +6,7 @@
 
 import {LedgerListener, type FoldedEntry} from './ledger-replica.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
+import {WakeUp} from './wake-up.js';
 
 /** Entries of one record; about 100 KiB of bills. */
 const BATCH_ENTRIES = 400;
@@ -51,7 +52,7 @@
  */
 export class LedgerAppender extends LedgerListener {
   private readonly pending = new Map<string, Map<string, PendingEntry>>();
-  private readonly wakes = new Map<string, () => void>();
+  private readonly wakeUps = new Map<string, WakeUp>();
 
   constructor(
     private readonly writer: string,
@@ -97,7 +98,7 @@
       sentAt: undefined,
       uncertain: false,
     });
-    this.wakes.get(stream)?.();
+    this.wakeUpOf(stream).wake();
     return verdict;
   }
 
@@ -115,7 +116,7 @@
       pending.uncertain = pending.sentAt !== undefined;
       pending.sentAt = undefined;
     }
-    this.wakes.get(stream)?.();
+    this.wakeUpOf(stream).wake();
   }
 
   /** Appends what is due on one stream, one record at a time. */
@@ -150,15 +151,17 @@
       (earliest, pending) => Math.min(earliest, this.nextSendAt(pending)),
       now + RESEND_MILLISECONDS,
     );
-    const woken = new AbortController();
-    this.wakes.set(stream, () => {
-      woken.abort();
-    });
-    await this.clock.sleep(
-      Math.max(1, next - now),
-      AbortSignal.any([signal, woken.signal]),
-    );
-    this.wakes.delete(stream);
+    await this.wakeUpOf(stream).sleep(Math.max(1, next - now), signal);
+  }
+
+  private wakeUpOf(stream: string): WakeUp {
+    const known = this.wakeUps.get(stream);
+    if (known !== undefined) {
+      return known;
+    }
+    const wakeUp = new WakeUp(this.clock);
+    this.wakeUps.set(stream, wakeUp);
+    return wakeUp;
   }
 
   private async append(
--- a/packages/keeper/src/ledger-replicas.ts
+++ b/packages/keeper/src/ledger-replicas.ts
@@ -5,6 +5,8 @@
 /** All ledger streams of the fleet. */
 export class LedgerReplicas {
   readonly all: readonly LedgerReplica[];
+  /** Streams by organisation: hashing at each look took most of a review. */
+  private readonly byOrganisation = new Map<string, LedgerReplica>();
 
   /** @param ledgerStreams Number of streams. */
   constructor(private readonly ledgerStreams: number) {
@@ -16,17 +18,12 @@
 
   /** The stream of an organisation. */
   streamOf(organisation: string): string {
-    return ledgerStreamOf(organisation, this.ledgerStreams);
+    return this.replicaOf(organisation).stream;
   }
 
   /** The fold that holds an organisation. */
   ledgerOf(organisation: string): LedgerFold {
-    const stream = this.streamOf(organisation);
-    const replica = this.all.find(candidate => candidate.stream === stream);
-    if (replica === undefined) {
-      throw new Error(`there is no stream ${stream}`);
-    }
-    return replica.ledger;
+    return this.replicaOf(organisation).ledger;
   }
 
   /** Adds a listener to every stream. */
@@ -35,4 +32,18 @@
       replica.listen(listener);
     });
   }
+
+  private replicaOf(organisation: string): LedgerReplica {
+    const known = this.byOrganisation.get(organisation);
+    if (known !== undefined) {
+      return known;
+    }
+    const stream = ledgerStreamOf(organisation, this.ledgerStreams);
+    const replica = this.all.find(candidate => candidate.stream === stream);
+    if (replica === undefined) {
+      throw new Error(`there is no stream ${stream}`);
+    }
+    this.byOrganisation.set(organisation, replica);
+    return replica;
+  }
 }
--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -1,5 +1,4 @@
 import {create} from '@bufbuild/protobuf';
-import {chooseHolder, rankKeepers} from '@wisteriadeal/ledger';
 import {type Clock, type HostListing} from '@wisteriadeal/platform';
 import {
   GossipMessageSchema,
@@ -15,6 +14,7 @@
 } from '@wisteriadeal/schema';
 
 import {PlatformListing} from './platform-listing.js';
+import {RankedChoice} from './ranked-choice.js';
 
 /** A keeper not heard from for so many limits is forgotten. */
 const FORGET_LIMITS = 20;
@@ -39,6 +39,8 @@
   private ownState = HostState.LIVE;
   private readonly listeners: (() => void)[] = [];
   private lastMembership = '';
+  private readonly holders = new RankedChoice();
+  private readonly witnesses = new RankedChoice();
 
   constructor(
     readonly self: ProcessIdentity,
@@ -157,7 +159,7 @@
     if (!this.isLeaving) {
       candidates.push(this.self.incarnation);
     }
-    return chooseHolder(organisation, candidates);
+    return this.holders.best(organisation, candidates);
   }
 
   /**
@@ -170,10 +172,10 @@
     );
     const near = peers.filter(peer => peer.dataCenter === this.self.dataCenter);
     const candidates = near.length > 0 ? near : peers;
-    return rankKeepers(
+    return this.witnesses.best(
       organisation,
       candidates.map(peer => peer.incarnation),
-    )[0];
+    );
   }
 
   /** Data centres with a live keeper, as far as is known; at least this one. */
--- a/packages/keeper/src/organisation-grants.ts
+++ b/packages/keeper/src/organisation-grants.ts
@@ -113,8 +113,8 @@
       } else {
         outcome = ReserveOutcome.Budget;
         this.waitingBounds.set(requestId, bound);
+        this.wanted();
       }
-      this.wanted();
       if (this.clock.monotonicMilliseconds() >= deadline) {
         this.waitingBounds.delete(requestId);
         return {outcome};
--- a/packages/keeper/src/platform-health.ts
+++ b/packages/keeper/src/platform-health.ts
@@ -21,6 +21,11 @@
     return this.reachable.get(stream) ?? false;
   }
 
+  /** Whether the stream can be read and was once read to its end. */
+  isCurrent(stream: string): boolean {
+    return this.isReachable(stream) && this.hasCaughtUp(stream);
+  }
+
   /** Whether the stream was once read to its end. */
   hasCaughtUp(stream: string): boolean {
     return this.caughtUp.has(stream);
--- a/packages/keeper/src/stream-follower.ts
+++ b/packages/keeper/src/stream-follower.ts
@@ -12,8 +12,12 @@
 
 /** Records a read asks for; larger reads would hold up the process. */
 const PAGE_RECORDS = 500;
-/** How long the platform may hold a read open where nothing is new. */
-const LONG_POLL_MILLISECONDS = 1_000;
+/**
+ * How long the platform may hold a read open where nothing is new. A read costs
+ * about 1.6 ms of processor time and each stream has one open; but a silent
+ * outage is noticed only when a read is overdue.
+ */
+const LONG_POLL_MILLISECONDS = 2_000;
 /** Between two tries while the platform is away. */
 const RETRY_MILLISECONDS = 250;
 /** A relay is left after this long to see whether the platform is back. */
@@ -47,7 +51,14 @@
   }
 
   private async readLog(signal: AbortSignal): Promise<void> {
-    const page = await this.readPage(this.replica.nextOffset, signal);
+    // Until it has caught up, and after each outage, nothing may rest on this
+    // replica: the first read then must not wait for a record to come.
+    const current = this.health.isCurrent(this.replica.stream);
+    const page = await this.readPage(
+      this.replica.nextOffset,
+      current ? LONG_POLL_MILLISECONDS : 0,
+      signal,
+    );
     if (page.firstOffset > this.replica.nextOffset) {
       await this.restore(page.firstOffset, signal);
     } else {
@@ -61,12 +72,16 @@
     );
   }
 
-  private readPage(from: number, signal: AbortSignal): Promise<LogPage> {
+  private readPage(
+    from: number,
+    waitMilliseconds: number,
+    signal: AbortSignal,
+  ): Promise<LogPage> {
     return this.log.read(
       this.replica.stream,
       from,
       PAGE_RECORDS,
-      LONG_POLL_MILLISECONDS,
+      waitMilliseconds,
       signal,
     );
   }
@@ -104,7 +119,7 @@
     const records: LogRecord[] = [];
     let next = firstOffset;
     for (;;) {
-      const page = await this.readPage(next, signal);
+      const page = await this.readPage(next, 0, signal);
       records.push(...page.records);
       next = page.nextOffset;
       if (page.records.length === 0 || next >= page.endOffset) {
