--- /dev/null
+++ b/packages/measurements/src/cases/demo-case.ts
@@ -0,0 +1,34 @@
+import {FleetCase, type CaseFields} from '../fleet-case.js';
+import {SMALL_FLEET} from '../fleet-plan.js';
+import type {FleetRun, FleetRunOptions} from '../fleet-run.js';
+
+const REQUESTS = 600;
+const CONCURRENCY = 24;
+const MOST_ATTEMPTS = 5;
+const REPEAT_SHARE = 0.15;
+const KEYED_SHARE = 0.7;
+
+/** The demo: everything works, and one organisation runs out of budget. */
+export class DemoCase extends FleetCase {
+  override readonly name = 'demo';
+  override readonly description =
+    'no fault; 600 requests of 5 organisations, one of which runs out of budget';
+
+  protected override options(seed: number): FleetRunOptions {
+    return {
+      plan: {...SMALL_FLEET, seed},
+      keyedShare: KEYED_SHARE,
+      load: {
+        concurrency: CONCURRENCY,
+        mostAttempts: MOST_ATTEMPTS,
+        repeatShare: REPEAT_SHARE,
+        pauseMilliseconds: 0,
+      },
+    };
+  }
+
+  protected override async act(run: FleetRun): Promise<CaseFields> {
+    await run.load.send(run.workload.requests(REQUESTS));
+    return {};
+  }
+}
--- a/packages/router/src/verdicts.ts
+++ b/packages/router/src/verdicts.ts
@@ -28,11 +28,7 @@
         peer,
       });
     case BeginVerdict.ANSWER_GONE:
-      return new Problem(ProblemName.AnswerGone, {
-        detail: 'it was answered and billed; the answer is no longer kept',
-        step,
-        peer,
-      });
+      return answerGoneProblem(peer);
     default:
       return new Problem(ProblemName.OutcomeUnknown, {
         detail:
@@ -53,11 +49,7 @@
   const step = 'place';
   const peer = submission.service;
   if (refusal === 'withdrawn') {
-    return new Problem(ProblemName.Overloaded, {
-      detail: 'the caller hung up before the request was placed',
-      step,
-      peer,
-    });
+    return withdrawnProblem();
   }
   const {reason, retryAfterMilliseconds} = refusal;
   return new Problem(
@@ -68,6 +60,32 @@
   );
 }
 
+/** The problem of a request whose answer no router keeps any more. */
+export function answerGoneProblem(peer: string): Problem {
+  return new Problem(ProblemName.AnswerGone, {
+    detail: 'it was answered and billed; the answer is no longer kept',
+    step: 'begin at the holder',
+    peer,
+  });
+}
+
+/** What is noted of a request whose caller left before it was dispatched. */
+export function withdrawnProblem(): Problem {
+  return new Problem(ProblemName.Overloaded, {
+    detail: 'the caller hung up before the request was dispatched',
+    step: 'place',
+  });
+}
+
+/** The refusal of a call whose claim may have been given up meanwhile. */
+export function claimLostProblem(): Problem {
+  return new Problem(ProblemName.Unavailable, {
+    detail: 'the claim came too late to be relied upon; send it again',
+    step: 'dispatch',
+    retryAfterMilliseconds: 0,
+  });
+}
+
 /** The refusal of a router that leaves. */
 export function drainingProblem(): Problem {
   return new Problem(ProblemName.Draining, {
--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -2,6 +2,7 @@
 import {parseArgs} from 'node:util';
 
 import {formatSettingsProblem, loadSettings} from './settings-file.js';
+import {settingsCheckOf} from './settings-rules.js';
 
 /** A started process that can be stopped in good order. */
 export interface RunningBinary {
@@ -9,11 +10,24 @@
   close(): Promise<void>;
 }
 
-/** Standard exit codes (sysexits). */
+/** Exit codes; from 64 on those of sysexits. */
 export enum ExitCode {
   Success = 0,
+  /** Something that has no code of its own. */
   Failure = 1,
+  /** Another publication came first. */
+  Overtaken = 10,
+  /** No process and no record knows of what was asked for. */
+  NotFound = 11,
+  /** Wrong arguments. */
   Usage = 64,
+  /** What was handed in is not valid. */
+  InvalidInput = 65,
+  /** The platform or a process can't be reached; nothing was done. */
+  Unavailable = 69,
+  /** An answer was lost: it may have been done. */
+  Unknown = 75,
+  /** The settings are not valid. */
   Configuration = 78,
 }
 
@@ -67,7 +81,7 @@
     process.exitCode = ExitCode.Usage;
     return;
   }
-  const settings = loadSettings(schema, path);
+  const settings = loadSettings(schema, path, settingsCheckOf(schema));
   if (settings.err) {
     for (const problem of settings.val) {
       process.stderr.write(`${formatSettingsProblem(problem)}\n`);
