Try the keeper under ten failures over loopback

Cause: a holder or router that dies, an outage, lost answers and cut-off data centres were argued, not shown.

--- /dev/null
+++ b/packages/keeper/src/test/failures_test.ts
@@ -0,0 +1,226 @@
+import {create, toBinary} from '@bufbuild/protobuf';
+import {BeginVerdict, LedgerBatchSchema} from '@wisteriadeal/schema';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {Fleet, until} from './fleet.js';
+
+const OPENING_TOKENS = 100_000;
+
+function appendEntry(
+  fleet: Fleet,
+  entry: NonNullable<
+    Parameters<typeof create<typeof LedgerBatchSchema>>[1]
+  >['entries'],
+): void {
+  fleet.store.append(
+    'ledger-0',
+    toBinary(
+      LedgerBatchSchema,
+      create(LedgerBatchSchema, {writer: 'operator', entries: entry ?? []}),
+    ),
+  );
+}
+
+describe('failures', () => {
+  let fleet: Fleet;
+
+  beforeEach(() => {
+    fleet = new Fleet();
+  });
+
+  afterEach(async () => {
+    await fleet.close();
+  });
+
+  // The holder's process is lost while a request runs. Its witness fences the
+  // grant and takes it back; the router settles with the new holder. The caller
+  // is charged once, and what was not spent can be spent again.
+  it('takes back a lost holder and bills its request once', async () => {
+    const keepers = [await fleet.add('a'), await fleet.add('a')];
+    const holder = await fleet.holder('a');
+    const heir = keepers.find(keeper => keeper !== holder) ?? holder;
+    const atHeir = fleet.router(heir);
+    const answer = await fleet.router(holder).begin('r1', 100);
+    await holder.kill();
+    await until(
+      () => fleet.ledger().grant('org', answer.grantId)?.closed === true,
+    );
+    await atHeir.settle(answer, 30);
+    const state = fleet.ledger().grant('org', answer.grantId);
+    expect(state?.billedTokens).toBe(30);
+    expect(state?.tokens).toBe(30);
+    const next = await atHeir.begin('r2', 100);
+    expect(next.verdict).toBe(BeginVerdict.RESERVED);
+  });
+
+  // A holder is paused past every lease, fenced, and wakes in the middle of a
+  // request. Its router asks for more. Nothing may be dispatched under the old
+  // grant, whatever endpoints check: no reservation of it is acknowledged.
+  it('gives a woken holder nothing from a fenced grant', async () => {
+    const keepers = [await fleet.add('a'), await fleet.add('a')];
+    const holder = await fleet.holder('a');
+    const witness = keepers.find(keeper => keeper !== holder) ?? holder;
+    const router = fleet.router(holder);
+    const before = await router.begin('r1', 100);
+    fleet.store.faults.outage = true;
+    for (const id of holder.parts.grants.of('org').holdings.keys()) {
+      witness.parts.witnessBook.fence(id);
+    }
+    const after = await router.begin('r2', 100);
+    expect(before.verdict).toBe(BeginVerdict.RESERVED);
+    expect([BeginVerdict.UNAVAILABLE, BeginVerdict.BUDGET]).toContain(
+      after.verdict,
+    );
+  });
+
+  // A router is killed with a stream open. The caller's retry arrives at another
+  // router and continues the same attempt under the same reservation: one bill.
+  it('lets a retry resume what a killed router ran', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    const holder = await fleet.holder('a');
+    const lost = fleet.router(holder, 'host/router/lost');
+    const first = await lost.begin('r1', 100);
+    lost.kill();
+    await until(() => !holder.parts.sessions.has('host/router/lost'));
+    const other = fleet.router(holder, 'host/router/other');
+    const retry = await other.begin('r1', 100);
+    expect(retry.verdict).toBe(BeginVerdict.RESUME);
+    expect(retry.grantId).toBe(first.grantId);
+    await other.settle(retry, 25);
+    await until(() => fleet.ledger().isBilled('org', 'r1'));
+    expect(fleet.ledger().totals('org').billedTokens).toBe(25);
+  });
+
+  // A router is killed, the caller never returns and the engine can't be asked.
+  // The bound is charged, once, and the bill says that nobody confirmed it.
+  it('charges the bound of an orphan that nobody can explain', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    const holder = await fleet.holder('a');
+    const lost = fleet.router(holder, 'host/router/lost');
+    await lost.begin('r1', 100);
+    lost.kill();
+    await until(() => fleet.ledger().isBilled('org', 'r1'));
+    expect(fleet.ledger().totals('org').billedTokens).toBe(100);
+    const retry = await fleet.router(holder).begin('r1', 100);
+    expect(retry.verdict).toBe(BeginVerdict.ANSWER_GONE);
+  });
+
+  // The platform stores records and its answers are lost. Callers notice
+  // nothing; each request has one bill, each grant was given once.
+  it('bills once when answers of the log are lost', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    fleet.store.faults.loseAnswers = 3;
+    const router = fleet.router(await fleet.holder('a'));
+    fleet.store.faults.loseAnswers = 2;
+    for (const id of ['r1', 'r2', 'r3']) {
+      await router.settle(await router.begin(id, 100), 10);
+    }
+    await until(() => fleet.ledger().totals('org').billedTokens >= 30);
+    expect(fleet.ledger().totals('org').billedTokens).toBe(30);
+    expect(fleet.ledger().totals('org').creditedTokens).toBe(OPENING_TOKENS);
+  });
+
+  // The platform is away. One data centre has used up its grant, the other one
+  // has plenty and sees it: part of the grant moves, and no caller is refused.
+  it('moves grants between data centres while the platform is away', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    await fleet.add('b');
+    await fleet.add('b');
+    const atA = fleet.router(await fleet.holder('a'));
+    const holderB = await fleet.holder('b');
+    fleet.store.faults.outage = true;
+    const atB = fleet.router(holderB);
+    const held = holderB.parts.grants.of('org').spendableTokens;
+    const first = await atB.begin('r1', held);
+    const second = await atB.begin('r2', 500);
+    expect([first.verdict, second.verdict]).toEqual([
+      BeginVerdict.RESERVED,
+      BeginVerdict.RESERVED,
+    ]);
+    await atB.settle(second, 400);
+    fleet.store.faults.outage = false;
+    await until(() => fleet.ledger().isBilled('org', 'r2'));
+    expect((await atA.begin('r3', 100)).verdict).toBe(BeginVerdict.RESERVED);
+  });
+
+  // A data centre is cut off from the platform and sees another one. An operator
+  // tops up: the record reaches it by the other's relay.
+  it('sees a top-up through another data centre', async () => {
+    await fleet.add('a');
+    const far = await fleet.add('b');
+    await fleet.holder('b');
+    const log = fleet.logs[1];
+    if (log !== undefined) {
+      log.cutOff = true;
+    }
+    appendEntry(fleet, [
+      {
+        entryId: 'top-up-1',
+        organisation: 'org',
+        kind: {case: 'topUp', value: {tokens: 500}},
+      },
+    ]);
+    await until(
+      () =>
+        far.parts.replicas.ledgerOf('org').totals('org').creditedTokens ===
+        OPENING_TOKENS + 500,
+    );
+  });
+
+  // A host is replaced while the platform is away: the fresh keeper has to serve
+  // with the configuration in force, and knows the books from a peer.
+  it('starts a fresh keeper from its peers in an outage', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    await fleet.holder('a');
+    fleet.store.faults.outage = true;
+    const fresh = await fleet.add('a');
+    await until(() => fresh.parts.configuration.version === 1);
+    await until(
+      () =>
+        fresh.parts.replicas.ledgerOf('org').totals('org').creditedTokens ===
+        OPENING_TOKENS,
+    );
+  });
+
+  // Two hosts, holder and witness, are killed at once: nobody can tell what was
+  // spent, so the grant stays stranded until an operator says that they are gone.
+  it('strands a grant that lost holder and witness, until it is released', async () => {
+    const doomed = [await fleet.add('a'), await fleet.add('a')];
+    const holder = await fleet.holder('a');
+    const answer = await fleet.router(holder).begin('r1', 100);
+    await Promise.all(doomed.map(keeper => keeper.kill()));
+    await fleet.add('a');
+    expect(fleet.ledger().grant('org', answer.grantId)?.closed).toBe(false);
+    appendEntry(fleet, [
+      {
+        entryId: 'release-1',
+        organisation: 'org',
+        kind: {case: 'strandedRelease', value: {grantId: answer.grantId}},
+      },
+    ]);
+    expect(fleet.ledger().grant('org', answer.grantId)?.closed).toBe(true);
+    expect(fleet.ledger().totals('org').billedTokens).toBe(0);
+  });
+
+  // A keeper is stopped in good order: its grants go back to the budget.
+  it('returns its grants on a graceful stop', async () => {
+    await fleet.add('a');
+    await fleet.add('a');
+    const holder = await fleet.holder('a');
+    const router = fleet.router(holder);
+    await router.settle(await router.begin('r1', 100), 10);
+    await holder.close();
+    const held = fleet
+      .ledger()
+      .grants('org')
+      .filter(
+        grant => !grant.closed && grant.holder === holder.identity.incarnation,
+      );
+    expect(held).toEqual([]);
+  });
+});
