Keep an unlisted endpoint's work counted, and guarantee batch work its tenth

Such an endpoint now stays known until its work has ended.

Besides, the slots kept for interactive work could starve batch work in a small fleet whose interactive work never queues; batch work that has had less than its tenth is now exempt from the reserve.

Tests: properties of random sessions (nothing forgotten, no limit passed, no leaving endpoint, refusals final; chosen and baseline policies), fair queueing, slow and failing endpoints.

--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -41,6 +41,10 @@
       : this.size;
   }
 
+  override get owesBatch(): boolean {
+    return this.batch.size > 0 && this.shares.owesBatch;
+  }
+
   override push(work: QueuedWork): void {
     const {item} = work;
     const account = this.accounts.of(item);
@@ -61,7 +65,7 @@
     if (this.batch.size === 0) {
       return this.interactive.peek();
     }
-    return this.shares.owesBatch || this.lead(this.interactive.firstTag) > 0
+    return this.owesBatch || this.lead(this.interactive.firstTag) > 0
       ? this.batch.peek()
       : this.interactive.peek();
   }
--- a/packages/decisions/src/first-come-queue.ts
+++ b/packages/decisions/src/first-come-queue.ts
@@ -9,6 +9,9 @@
   private readonly waiting = new Map<string, QueuedWork>();
   private outputTokens = 0;
 
+  /** No class has a guaranteed share. */
+  override readonly owesBatch = false;
+
   override get size(): number {
     return this.waiting.size;
   }
--- a/packages/decisions/src/lane-directory.ts
+++ b/packages/decisions/src/lane-directory.ts
@@ -17,6 +17,9 @@
   private readonly lanes = new Map<string, Lane>();
   private readonly lanesByState = new Map<EndpointState, readonly Lane[]>();
 
+  /** Not on the list any more, but still at work. */
+  private readonly unlisted = new Set<EndpointState>();
+
   constructor(private readonly createLane: () => Lane) {}
 
   get allLanes(): readonly Lane[] {
@@ -55,17 +58,37 @@
     }
   }
 
+  /** Work has ended at an endpoint. */
+  release(state: EndpointState): void {
+    this.refresh(state);
+    this.forgetIfDone(state);
+  }
+
+  /**
+   * An endpoint with work in progress stays known when it vanishes from the
+   * list: if it is listed again, that work still takes its slots. Forgotten, it
+   * would get more work than it has slots.
+   */
   private drop(state: EndpointState): void {
     state.description = {...state.description, leaving: true};
     this.assign(state, []);
-    this.states.delete(state.endpoint);
-    this.lanesByState.delete(state);
+    this.unlisted.add(state);
+    this.forgetIfDone(state);
+  }
+
+  private forgetIfDone(state: EndpointState): void {
+    if (this.unlisted.has(state) && state.ownInProgress === 0) {
+      this.unlisted.delete(state);
+      this.states.delete(state.endpoint);
+      this.lanesByState.delete(state);
+    }
   }
 
   private describe(description: EndpointDescription): void {
     const known = this.states.get(description.endpoint);
     const state = known ?? new EndpointState(description);
     state.description = description;
+    this.unlisted.delete(state);
     this.states.set(description.endpoint, state);
     this.assign(state, laneKeysOf(description));
   }
--- a/packages/decisions/src/lane.ts
+++ b/packages/decisions/src/lane.ts
@@ -226,11 +226,16 @@
     }
   }
 
-  /** While interactive work waits, the queue itself decides whose turn it is. */
+  /**
+   * Whether free slots are kept from batch work. While interactive work waits,
+   * the queue itself decides whose turn it is; and batch work gets its share
+   * even where interactive work that never waits fills the rest.
+   */
   private isReserved(pool: EndpointPool, item: WorkItem): boolean {
     return (
       item.workClass === WorkClass.Batch &&
       this.queue.sizeOf(WorkClass.Interactive) === 0 &&
+      !this.queue.owesBatch &&
       !this.policies.admission.mayBatchTake({
         free: pool.freeSlots,
         interactive: pool.interactive,
--- a/packages/decisions/src/load-core.ts
+++ b/packages/decisions/src/load-core.ts
@@ -154,7 +154,7 @@
     const {state} = placement.work;
     state.end(requestId, now);
     placement.lane.ended(placement.work, result, now);
-    this.directory.refresh(state);
+    this.directory.release(state);
     const lanes = this.directory.lanesServedBy(state);
     return [...this.advance(now), ...this.placeWaiting(lanes, now)];
   }
--- a/packages/decisions/src/queue-policy.ts
+++ b/packages/decisions/src/queue-policy.ts
@@ -23,6 +23,9 @@
   /** Number of requests of a class that wait. */
   abstract sizeOf(workClass: WorkClass): number;
 
+  /** True where batch work waits that has had less than its guaranteed share. */
+  abstract readonly owesBatch: boolean;
+
   /** Adds a request. */
   abstract push(work: QueuedWork): void;
 
