Give precedence and the reserve to interactive work within its share only

And the exemption for batch work that is owed its tenth was asked each second, which filled the reserve.

Interactive work beyond its organisation's share now waits like batch work and leaves the reserve alone; the exemption looks at the last hundred requests.

--- a/packages/decisions/src/admission-policy.ts
+++ b/packages/decisions/src/admission-policy.ts
@@ -29,8 +29,8 @@
   /** @returns Why a request that finds no free slot may not wait. */
   abstract admitToQueue(occupancy: QueueOccupancy): RefusalReason | undefined;
 
-  /** Whether batch work may take a free slot that nobody else waits for. */
-  abstract mayBatchTake(occupancy: SlotOccupancy): boolean;
+  /** Whether work without precedence may take a free slot. */
+  abstract mayTakeOrdinary(occupancy: SlotOccupancy): boolean;
 }
 
 /** Everything is admitted: the baseline. */
@@ -45,7 +45,7 @@
       : RefusalReason.QueueFull;
   }
 
-  override mayBatchTake(): boolean {
+  override mayTakeOrdinary(): boolean {
     return true;
   }
 }
--- a/packages/decisions/src/class-shares.ts
+++ b/packages/decisions/src/class-shares.ts
@@ -8,8 +8,8 @@
  */
 export const BATCH_SHARE = 0.1;
 
-/** The measured share follows about the last fifty requests. */
-const SAMPLE_SHARE = 0.02;
+/** The measured share follows about the last hundred requests. */
+const SAMPLE_SHARE = 0.01;
 
 /**
  * Start-time fair queueing between the two classes of work, nine to one. While
@@ -28,6 +28,14 @@
     return this.batchTag < this.interactiveTag;
   }
 
+  /**
+   * True where batch work has got less than its tenth of the last hundred
+   * requests' tokens while it waited.
+   */
+  get isBatchStarved(): boolean {
+    return this.measuredBatchShare < BATCH_SHARE;
+  }
+
   /** The part of the tokens that batch work has got lately while it waited. */
   get batchShare(): number {
     return Math.max(BATCH_SHARE, this.measuredBatchShare);
--- a/packages/decisions/src/fair-admission.ts
+++ b/packages/decisions/src/fair-admission.ts
@@ -81,7 +81,7 @@
       : RefusalReason.ShareExhausted;
   }
 
-  override mayBatchTake({free, interactive}: SlotOccupancy): boolean {
+  override mayTakeOrdinary({free, interactive}: SlotOccupancy): boolean {
     const reserve = INTERACTIVE_RESERVE_ROOTS * Math.sqrt(interactive);
     return free > Math.floor(reserve);
   }
--- a/packages/decisions/src/fair-queue.ts
+++ b/packages/decisions/src/fair-queue.ts
@@ -34,15 +34,29 @@
     return this.interactive.size + this.batch.size;
   }
 
-  /** Those that a newcomer of the class may not overtake. */
   override sizeOf(workClass: WorkClass): number {
-    return workClass === WorkClass.Interactive
-      ? this.interactive.size
-      : this.size;
+    return this.queueOf(workClass).size;
+  }
+
+  override get precedenceWaits(): boolean {
+    return (
+      this.interactive.size > 0 && this.isWithinShare(this.interactive.firstTag)
+    );
   }
 
   override get owesBatch(): boolean {
-    return this.batch.size > 0 && this.shares.owesBatch;
+    return this.batch.size > 0 && this.shares.isBatchStarved;
+  }
+
+  override hasPrecedence(item: WorkItem): boolean {
+    return (
+      item.workClass === WorkClass.Interactive &&
+      this.isWithinShare(this.accounts.of(item).finishTag)
+    );
+  }
+
+  override mayOvertake(item: WorkItem): boolean {
+    return this.hasPrecedence(item) ? !this.precedenceWaits : this.size === 0;
   }
 
   override push(work: QueuedWork): void {
@@ -65,7 +79,7 @@
     if (this.batch.size === 0) {
       return this.interactive.peek();
     }
-    return this.owesBatch || this.lead(this.interactive.firstTag) > 0
+    return this.shares.owesBatch || !this.precedenceWaits
       ? this.batch.peek()
       : this.interactive.peek();
   }
@@ -105,6 +119,10 @@
     );
   }
 
+  private isWithinShare(tag: number): boolean {
+    return this.batch.size === 0 || this.lead(tag) <= 0;
+  }
+
   /** By how much a tag lies beyond the precedence of interactive work. */
   private lead(tag: number): number {
     const allowed = PRECEDENCE_REQUESTS * this.accounts.meanRequestStep;
@@ -113,11 +131,10 @@
 
   /** Batch work that others get before an organisation ahead of its share. */
   private batchBefore(tag: number): Backlog {
-    const lead = this.lead(tag);
-    if (this.batch.size === 0 || lead <= 0) {
+    if (this.isWithinShare(tag)) {
       return NO_BACKLOG;
     }
-    const requestsEach = lead / this.accounts.meanRequestStep;
+    const requestsEach = this.lead(tag) / this.accounts.meanRequestStep;
     const part = (requestsEach * this.batch.activeFlows) / this.batch.size;
     return scaled(this.batch.backlog, Math.min(1, part));
   }
--- a/packages/decisions/src/first-come-queue.ts
+++ b/packages/decisions/src/first-come-queue.ts
@@ -9,6 +9,7 @@
   private readonly waiting = new Map<string, QueuedWork>();
   private outputTokens = 0;
 
+  override readonly precedenceWaits = false;
   /** No class has a guaranteed share. */
   override readonly owesBatch = false;
 
@@ -16,11 +17,19 @@
     return this.waiting.size;
   }
 
-  /** Whoever waits stands before a newcomer, of whichever class. */
+  /** The classes are not told apart. */
   override sizeOf(): number {
     return this.waiting.size;
   }
 
+  override hasPrecedence(): boolean {
+    return false;
+  }
+
+  override mayOvertake(): boolean {
+    return this.waiting.size === 0;
+  }
+
   override push(work: QueuedWork): void {
     this.waiting.set(work.item.requestId, work);
     this.outputTokens += work.item.maximumOutputTokens;
--- a/packages/decisions/src/lane.ts
+++ b/packages/decisions/src/lane.ts
@@ -8,12 +8,7 @@
 import {ServiceTiming} from './service-timing.js';
 import {ShedEndpoints} from './shed-endpoints.js';
 import {StandingQueue} from './standing-queue.js';
-import {
-  WorkClass,
-  WorkOutcome,
-  type WorkItem,
-  type WorkResult,
-} from './work.js';
+import {WorkOutcome, type WorkItem, type WorkResult} from './work.js';
 
 /** Where a request goes. */
 export interface Choice {
@@ -227,16 +222,16 @@
   }
 
   /**
-   * Whether free slots are kept from batch work. While interactive work waits,
-   * the queue itself decides whose turn it is; and batch work gets its share
-   * even where interactive work that never waits fills the rest.
+   * Whether free slots are kept from ordinary work. While work with precedence
+   * waits, the queue itself decides whose turn it is; and batch work gets its
+   * share even where interactive work that never waits fills the rest.
    */
   private isReserved(pool: EndpointPool, item: WorkItem): boolean {
     return (
-      item.workClass === WorkClass.Batch &&
-      this.queue.sizeOf(WorkClass.Interactive) === 0 &&
+      !this.queue.hasPrecedence(item) &&
+      !this.queue.precedenceWaits &&
       !this.queue.owesBatch &&
-      !this.policies.admission.mayBatchTake({
+      !this.policies.admission.mayTakeOrdinary({
         free: pool.freeSlots,
         interactive: pool.interactive,
       })
--- a/packages/decisions/src/load-core.ts
+++ b/packages/decisions/src/load-core.ts
@@ -113,10 +113,9 @@
         now,
       );
     }
-    const choice =
-      lane.queue.sizeOf(item.workClass) === 0
-        ? lane.choose(item, now)
-        : lane.chooseRemote(item, now);
+    const choice = lane.queue.mayOvertake(item)
+      ? lane.choose(item, now)
+      : lane.chooseRemote(item, now);
     return choice === undefined
       ? this.queueOrRefuse(item, lane, estimate, now)
       : this.place(item, lane, choice, now);
--- a/packages/decisions/src/queue-policy.ts
+++ b/packages/decisions/src/queue-policy.ts
@@ -20,11 +20,20 @@
   /** Number of requests that wait. */
   abstract readonly size: number;
 
+  /** True where work with precedence waits. */
+  abstract readonly precedenceWaits: boolean;
+
+  /** True where batch work waits that lately had less than its guaranteed share. */
+  abstract readonly owesBatch: boolean;
+
   /** Number of requests of a class that wait. */
   abstract sizeOf(workClass: WorkClass): number;
 
-  /** True where batch work waits that has had less than its guaranteed share. */
-  abstract readonly owesBatch: boolean;
+  /** Whether the request goes before ordinary work that waits. */
+  abstract hasPrecedence(item: WorkItem): boolean;
+
+  /** Whether a newcomer may take a free slot past those that wait. */
+  abstract mayOvertake(item: WorkItem): boolean;
 
   /** Adds a request. */
   abstract push(work: QueuedWork): void;
