Measure the decisions by name, against their goals

The time after the measured time is now long enough for the longest answer at the slowest engine: before, two cases ended with answers still running and counted them as forgotten.

--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -1,6 +1,8 @@
+import {DECISIONS_CASES} from '../decisions-cases.js';
 import type {MeasureCase} from '../measure-case.js';
 import {CapacityRequestsCase} from './capacity-requests-case.js';
 import {CapacitySlopesCase} from './capacity-slopes-case.js';
+import {DecisionsMeasureCase} from './decisions-measure-case.js';
 import {DemoCase} from './demo-case.js';
 import {KillRouterCase} from './kill-router-case.js';
 import {PartitionCase} from './partition-case.js';
@@ -18,4 +20,5 @@
   new PauseHolderCase(),
   new PlatformOutageCase(),
   new TwoHostsKilledCase(),
+  ...DECISIONS_CASES.map(each => new DecisionsMeasureCase(each)),
 ];
--- a/packages/measurements/src/decisions-cases.ts
+++ b/packages/measurements/src/decisions-cases.ts
@@ -1,78 +1,18 @@
-import {baselinePolicies, chosenPolicies} from '@wisteriadeal/decisions';
-
+import {decisionsCase, type DecisionsCase} from './decisions-case.js';
 import {
   demands,
   fleet,
-  measureCapacity,
-  MEASURED_MILLISECONDS,
   NORMAL_MIX,
-  simulation,
   WARM_UP_MILLISECONDS,
 } from './decisions-fleet.js';
-import type {Simulation} from './decisions-scenario.js';
-import {SimulationRun} from './decisions-simulation.js';
-import type {DecisionsFigures} from './decisions-tally.js';
+import {
+  HEAVY_POSITION,
+  judgeSaturation,
+  judgeSkew,
+  judgeSlow,
+} from './decisions-goals.js';
 import {TUTOR_REPLY, type WorkShape} from './decisions-workload.js';
 
-/** Figures of one variant, such as one load, of a case. */
-export interface DecisionsVariant {
-  readonly name: string;
-  readonly chosen: DecisionsFigures;
-  readonly baseline: DecisionsFigures;
-}
-
-/** What one case printed. */
-export interface DecisionsReport {
-  readonly name: string;
-  readonly seed: number;
-  /** Work share and requests a second of a fleet that never runs dry. */
-  readonly capacityWorkShare: number;
-  readonly capacityRequestsPerSecond: number;
-  readonly variants: readonly DecisionsVariant[];
-}
-
-/** One named case. */
-export interface DecisionsCase {
-  readonly name: string;
-  readonly run: (seed: number) => DecisionsReport;
-}
-
-type Changes = Partial<Simulation> & Pick<Simulation, 'demands'>;
-
-function both(name: string, seed: number, changes: Changes): DecisionsVariant {
-  const play = (createPolicies: Simulation['createPolicies']) =>
-    new SimulationRun(simulation(seed, {...changes, createPolicies})).run();
-  return {
-    name,
-    chosen: play(chosenPolicies),
-    baseline: play(baselinePolicies),
-  };
-}
-
-function decisionsCase(
-  name: string,
-  variants: (
-    rate: number,
-  ) => readonly {readonly name: string; readonly changes: Changes}[],
-  shapes: readonly WorkShape[] = NORMAL_MIX,
-): DecisionsCase {
-  return {
-    name: `decisions-${name}`,
-    run: seed => {
-      const capacity = measureCapacity(seed, shapes);
-      return {
-        name: `decisions-${name}`,
-        seed,
-        capacityWorkShare: capacity.workShare,
-        capacityRequestsPerSecond: capacity.requestsPerSecond,
-        variants: variants(capacity.requestsPerSecond).map(variant =>
-          both(variant.name, seed, variant.changes),
-        ),
-      };
-    },
-  };
-}
-
 function isWithin(now: number, from: number, length: number): boolean {
   const since = now - WARM_UP_MILLISECONDS - from;
   return since >= 0 && since < length;
@@ -82,72 +22,88 @@
 const BURST_MILLISECONDS = 2_000;
 const BURST_SCALE = 4;
 
-const burst = decisionsCase('burst', rate => [
-  {
-    name: '0.6 of capacity, 4 times that for 2 s every 15 s',
-    changes: {
-      demands: demands(
-        0.6 * rate,
-        NORMAL_MIX,
-        (_, now) =>
-          now % BURST_EVERY_MILLISECONDS < BURST_MILLISECONDS ? BURST_SCALE : 1,
-        () => BURST_SCALE,
-      ),
+const burst = decisionsCase({
+  name: 'burst',
+  description: 'four times a quiet load for 2 s, every 15 s',
+  variants: rate => [
+    {
+      name: '0.6 of capacity, 4 times that for 2 s every 15 s',
+      changes: {
+        demands: demands(
+          0.6 * rate,
+          NORMAL_MIX,
+          (_, now) =>
+            now % BURST_EVERY_MILLISECONDS < BURST_MILLISECONDS
+              ? BURST_SCALE
+              : 1,
+          () => BURST_SCALE,
+        ),
+      },
     },
-  },
-]);
+  ],
+});
 
-const HEAVY_POSITION = 4;
 const HEAVY_SCALE = 10;
 
-const skewedDemand = decisionsCase('skewed-demand', rate => [
-  {
-    name: 'all within their shares, 0.95 of capacity',
-    changes: {demands: demands(0.95 * rate)},
-  },
-  {
-    name: 'one at ten times its share beside them',
-    changes: {
-      demands: demands(
-        0.95 * rate,
-        NORMAL_MIX,
-        position => (position === HEAVY_POSITION ? HEAVY_SCALE : 1),
-        position => (position === HEAVY_POSITION ? HEAVY_SCALE : 1),
-      ),
-    },
-  },
-]);
-
-const SLOW_FACTOR = 10;
-const DETECTION_MILLISECONDS = 5_000;
-
-const slowEndpoint = decisionsCase('slow-endpoint', rate => {
-  const slowFrom = WARM_UP_MILLISECONDS - DETECTION_MILLISECONDS;
-  return [
+const skewedDemand = decisionsCase({
+  name: 'skewed-demand',
+  description: 'one organisation at ten times its share',
+  judge: judgeSkew,
+  variants: rate => [
     {
-      name: 'without the endpoint, 0.7 of capacity',
-      changes: {demands: demands(0.7 * rate), engines: fleet(() => ({}), 7)},
+      name: 'all within their shares, 0.95 of capacity',
+      changes: {demands: demands(0.95 * rate)},
     },
     {
-      name: 'one endpoint ten times slower, from 5 s on',
+      name: 'one at ten times its share beside them',
       changes: {
-        demands: demands(0.7 * rate),
-        engines: fleet(position => ({
-          slowness: now => (position === 0 && now > slowFrom ? SLOW_FACTOR : 1),
-        })),
+        demands: demands(
+          0.95 * rate,
+          NORMAL_MIX,
+          position => (position === HEAVY_POSITION ? HEAVY_SCALE : 1),
+          position => (position === HEAVY_POSITION ? HEAVY_SCALE : 1),
+        ),
       },
     },
-    {
-      name: 'one endpoint ten times slower, the first 5 s counted too',
-      changes: {
-        demands: demands(0.7 * rate),
-        engines: fleet(position => ({
-          slowness: now =>
-            position === 0 && now > WARM_UP_MILLISECONDS ? SLOW_FACTOR : 1,
-        })),
+  ],
+});
+
+const SLOW_FACTOR = 10;
+const DETECTION_MILLISECONDS = 5_000;
+
+const slowEndpoint = decisionsCase({
+  name: 'slow-endpoint',
+  description: 'one endpoint of eight ten times slower',
+  judge: judgeSlow,
+  variants: rate => {
+    const slowFrom = WARM_UP_MILLISECONDS - DETECTION_MILLISECONDS;
+    return [
+      {
+        name: 'without the endpoint, 0.7 of capacity',
+        changes: {demands: demands(0.7 * rate), engines: fleet(() => ({}), 7)},
       },
-    },
-  ];
+      {
+        name: 'one endpoint ten times slower, from 5 s on',
+        changes: {
+          demands: demands(0.7 * rate),
+          engines: fleet(position => ({
+            slowness: now =>
+              position === 0 && now > slowFrom ? SLOW_FACTOR : 1,
+          })),
+        },
+      },
+      {
+        name: 'one endpoint ten times slower, the first 5 s counted too',
+        changes: {
+          demands: demands(0.7 * rate),
+          engines: fleet(position => ({
+            slowness: now =>
+              position === 0 && now > WARM_UP_MILLISECONDS ? SLOW_FACTOR : 1,
+          })),
+        },
+      },
+    ];
+  },
 });
 
 /** Interactive work with prompts and answers of very different lengths. */
@@ -170,9 +126,11 @@
   },
 ];
 
-const mixedLengths = decisionsCase(
-  'mixed-lengths',
-  rate => [
+const mixedLengths = decisionsCase({
+  name: 'mixed-lengths',
+  description: 'prompts and answers of very different lengths',
+  shapes: MIXED_LENGTHS,
+  variants: rate => [
     {
       name: '0.8 of capacity',
       changes: {demands: demands(0.8 * rate, MIXED_LENGTHS)},
@@ -182,102 +140,128 @@
       changes: {demands: demands(1.2 * rate, MIXED_LENGTHS)},
     },
   ],
-  MIXED_LENGTHS,
-);
+});
 
 const SATURATION_LOADS = [0.8, 1, 1.5, 3];
 
-const saturation = decisionsCase('saturation', rate =>
-  SATURATION_LOADS.map(load => ({
-    name: `${load} of capacity`,
-    changes: {demands: demands(load * rate)},
-  })),
-);
+/** Where all work is urgent, a queue without limit serves nobody in time. */
+const ONLY_TUTOR_REPLIES: readonly WorkShape[] = [{...TUTOR_REPLY, share: 1}];
+const REPLY_SCALE = 2;
+
+const saturation = decisionsCase({
+  name: 'saturation',
+  description: '0.8, 1, 1.5 and 3 times capacity',
+  judge: judgeSaturation,
+  variants: rate => [
+    ...SATURATION_LOADS.map(load => ({
+      name: `${load} of capacity`,
+      changes: {demands: demands(load * rate)},
+    })),
+    {
+      name: 'beyond capacity, interactive work only',
+      changes: {demands: demands(3 * REPLY_SCALE * rate, ONLY_TUTOR_REPLIES)},
+    },
+  ],
+});
 
 const STORM_FROM_MILLISECONDS = 5_000;
 const STORM_MILLISECONDS = 10_000;
 const STORM_SCALE = 3;
 const STORM_RETRIES = 3;
 
-const retryStorm = decisionsCase('retry-storm', rate =>
-  [true, false].map(obeysReturnTime => ({
-    name: `0.8 of capacity, 3 times that for 10 s, callers ${
-      obeysReturnTime ? 'obey the time to return' : 'try again at once'
-    }`,
-    changes: {
-      demands: demands(
-        0.8 * rate,
-        NORMAL_MIX,
-        (_, now) =>
-          isWithin(now, STORM_FROM_MILLISECONDS, STORM_MILLISECONDS)
-            ? STORM_SCALE
-            : 1,
-        () => STORM_SCALE,
-      ),
-      callers: {retries: STORM_RETRIES, obeysReturnTime},
-    },
-  })),
-);
+const retryStorm = decisionsCase({
+  name: 'retry-storm',
+  description: 'callers of a 10 s overload try again up to three times',
+  variants: rate =>
+    [true, false].map(obeysReturnTime => ({
+      name: `0.8 of capacity, 3 times that for 10 s, callers ${
+        obeysReturnTime ? 'obey the time to return' : 'try again at once'
+      }`,
+      changes: {
+        demands: demands(
+          0.8 * rate,
+          NORMAL_MIX,
+          (_, now) =>
+            isWithin(now, STORM_FROM_MILLISECONDS, STORM_MILLISECONDS)
+              ? STORM_SCALE
+              : 1,
+          () => STORM_SCALE,
+        ),
+        callers: {retries: STORM_RETRIES, obeysReturnTime},
+      },
+    })),
+});
 
-const cacheEvents = decisionsCase('late-and-gappy-cache-events', rate => [
-  {
-    name: 'events after 0.5 s, none lost',
-    changes: {demands: demands(0.7 * rate)},
-  },
-  {
-    name: 'events after 5 s, half of them lost',
-    changes: {
-      demands: demands(0.7 * rate),
-      reports: {
-        intervalMilliseconds: 500,
-        lagMilliseconds: 5_000,
-        lostCacheEvents: 0.5,
+const cacheEvents = decisionsCase({
+  name: 'late-and-gappy-cache-events',
+  description: 'engines announce cached prefixes late and with gaps',
+  variants: rate => [
+    {
+      name: 'events after 0.5 s, none lost',
+      changes: {demands: demands(0.7 * rate)},
+    },
+    {
+      name: 'events after 5 s, half of them lost',
+      changes: {
+        demands: demands(0.7 * rate),
+        reports: {
+          intervalMilliseconds: 500,
+          lagMilliseconds: 5_000,
+          lostCacheEvents: 0.5,
+        },
       },
     },
-  },
-]);
+  ],
+});
 
 const FLASH_FROM_MILLISECONDS = 20_000;
 const FLASH_MILLISECONDS = 20_000;
 const FLASH_SCALE = 40;
 
-const flashCrowd = decisionsCase('flash-crowd', rate => [
-  {
-    name: '0.6 of capacity, one organisation 40 times its rate for 20 s',
-    changes: {
-      demands: demands(
-        0.6 * rate,
-        NORMAL_MIX,
-        (position, now) =>
-          position === HEAVY_POSITION &&
-          isWithin(now, FLASH_FROM_MILLISECONDS, FLASH_MILLISECONDS)
-            ? FLASH_SCALE
-            : 1,
-        position => (position === HEAVY_POSITION ? FLASH_SCALE : 1),
-      ),
+const flashCrowd = decisionsCase({
+  name: 'flash-crowd',
+  description: 'one organisation at 40 times its rate for 20 s',
+  variants: rate => [
+    {
+      name: '0.6 of capacity, one organisation 40 times its rate for 20 s',
+      changes: {
+        demands: demands(
+          0.6 * rate,
+          NORMAL_MIX,
+          (position, now) =>
+            position === HEAVY_POSITION &&
+            isWithin(now, FLASH_FROM_MILLISECONDS, FLASH_MILLISECONDS)
+              ? FLASH_SCALE
+              : 1,
+          position => (position === HEAVY_POSITION ? FLASH_SCALE : 1),
+        ),
+      },
     },
-  },
-]);
+  ],
+});
 
 const LOCAL_ENGINES = 8;
 const ALL_ENGINES = 24;
 
-const dataCenterShift = decisionsCase('data-center-shift', rate =>
-  [3, 60].map(tripMilliseconds => ({
-    name: `twice the own capacity beside two idle data centres ${tripMilliseconds} ms away`,
-    changes: {
-      demands: demands(2 * rate),
-      tripMilliseconds,
-      engines: fleet(
-        position =>
-          position < LOCAL_ENGINES
-            ? {}
-            : {dataCenter: position % 2 === 0 ? 'kigali-2' : 'kigali-3'},
-        ALL_ENGINES,
-      ),
-    },
-  })),
-);
+const dataCenterShift = decisionsCase({
+  name: 'data-center-shift',
+  description: 'one data centre at twice its capacity beside idle ones',
+  variants: rate =>
+    [3, 60].map(tripMilliseconds => ({
+      name: `twice the own capacity beside two idle data centres ${tripMilliseconds} ms away`,
+      changes: {
+        demands: demands(2 * rate),
+        tripMilliseconds,
+        engines: fleet(
+          position =>
+            position < LOCAL_ENGINES
+              ? {}
+              : {dataCenter: position % 2 === 0 ? 'kigali-2' : 'kigali-3'},
+          ALL_ENGINES,
+        ),
+      },
+    })),
+});
 
 /** All cases of the decisions under load. */
 export const DECISIONS_CASES: readonly DecisionsCase[] = [
@@ -291,6 +275,3 @@
   flashCrowd,
   dataCenterShift,
 ];
-
-/** Seconds that each run measures. */
-export const MEASURED_SECONDS = MEASURED_MILLISECONDS / 1_000;
--- a/packages/measurements/src/decisions-simulation.ts
+++ b/packages/measurements/src/decisions-simulation.ts
@@ -24,8 +24,8 @@
 const MODEL = 'tutor-7b';
 /** Callers that don't obey try again after about this long. */
 const IMPATIENT_RETRY_MILLISECONDS = 100;
-/** Time after the measured time for answers in progress to end. */
-const DRAIN_MILLISECONDS = 40_000;
+/** Enough for the longest answer at the slowest engine to end. */
+const DRAIN_MILLISECONDS = 400_000;
 
 /** Plays one simulation. */
 export class SimulationRun {
@@ -99,7 +99,11 @@
     }
     this.timeline.runUntil(measureUntil + DRAIN_MILLISECONDS);
     const measured = measureUntil - measureFrom;
-    return this.tally.figures(measured * engines.length, measured / 1_000);
+    return this.tally.figures(
+      measured * engines.length,
+      measured / 1_000,
+      this.core.queuedRequests + this.core.placedRequests,
+    );
   }
 
   private offer(
@@ -126,11 +130,8 @@
     this.timeline.schedule(now + request.deadlineMilliseconds, at => {
       this.deadline(attempt, at);
     });
-    const decision = this.core.offer(
-      workItemOf(attempt, SERVICE, MODEL, isRetry),
-      now,
-    );
-    this.apply([decision], now);
+    const item = workItemOf(attempt, SERVICE, MODEL, isRetry);
+    this.apply([this.core.offer(item, now)], now);
     this.scheduleWake();
   }
 
--- a/packages/measurements/src/decisions-tally.ts
+++ b/packages/measurements/src/decisions-tally.ts
@@ -29,6 +29,8 @@
   readonly batchInTimeShare: number;
   readonly refusals: Readonly<Record<string, number>>;
   readonly gaveUp: number;
+  /** Requests that the core still held when all callers had gone. */
+  readonly forgotten: number;
   /** Jain's index over the organisations' shares of their offered work. */
   readonly fairness: number;
   readonly usefulTokensByOrganisation: Readonly<Record<string, number>>;
@@ -127,7 +129,11 @@
   }
 
   /** @param engineMilliseconds Time of all engines within the measured time. */
-  figures(engineMilliseconds: number, seconds: number): DecisionsFigures {
+  figures(
+    engineMilliseconds: number,
+    seconds: number,
+    forgotten: number,
+  ): DecisionsFigures {
     const sorted = this.firstTokens.toSorted((left, right) => left - right);
     const organisations = [...this.organisations].toSorted(([left], [right]) =>
       left.localeCompare(right),
@@ -144,6 +150,7 @@
       batchInTimeShare: this.inTimeShare(WorkClass.Batch),
       refusals: Object.fromEntries(this.refusals),
       gaveUp: this.gaveUp,
+      forgotten,
       fairness: rounded(
         jainIndex(
           organisations.map(
