Bound a decision's cost, and measure it by endpoints and queue

A prompt that everybody shares is held by every endpoint; looking for a free one among all holders cost as much as there are endpoints. Each prefix now remembers its eight latest holders; else two random endpoints are compared as before.

--- a/packages/decisions/src/prefix-index.ts
+++ b/packages/decisions/src/prefix-index.ts
@@ -7,6 +7,13 @@
  */
 const PREFIXES_PER_ENDPOINT = 2_048;
 
+/**
+ * Holders remembered for each prefix, the latest ones. A prompt that everybody
+ * shares is held by every endpoint; looking at all of them for one that is free
+ * would make a decision cost as much as there are endpoints.
+ */
+const HOLDERS_PER_PREFIX = 8;
+
 /**
  * Which endpoint has lately worked on which prompt prefix, from the router's own
  * placements (certain and immediate) and from the engines' events (late and with
@@ -17,7 +24,7 @@
   /** Least recently used first. */
   private readonly prefixes = new Map<EndpointState, Set<string>>();
 
-  /** Endpoints that hold the longest known prefix that any acceptable one holds. */
+  /** The endpoint that holds the longest prefix, among those acceptable. */
   longestHolder(
     prefixHashes: readonly string[],
     accept: (state: EndpointState) => boolean,
@@ -40,8 +47,7 @@
     for (const hash of prefixHashes) {
       known.delete(hash);
       known.add(hash);
-      const holders = this.holders.get(hash) ?? new Set<EndpointState>();
-      this.holders.set(hash, holders.add(state));
+      this.addHolder(state, hash);
     }
     for (const oldest of known) {
       if (known.size <= PREFIXES_PER_ENDPOINT) {
@@ -60,6 +66,20 @@
     this.prefixes.delete(state);
   }
 
+  private addHolder(state: EndpointState, hash: string): void {
+    const holders = this.holders.get(hash) ?? new Set<EndpointState>();
+    this.holders.set(hash, holders);
+    holders.delete(state);
+    holders.add(state);
+    for (const oldest of holders) {
+      if (holders.size <= HOLDERS_PER_PREFIX) {
+        break;
+      }
+      holders.delete(oldest);
+      this.prefixes.get(oldest)?.delete(hash);
+    }
+  }
+
   private forgetHolder(state: EndpointState, hash: string): void {
     const holders = this.holders.get(hash);
     holders?.delete(state);
--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -2,6 +2,7 @@
 import type {MeasureCase} from '../measure-case.js';
 import {CapacityRequestsCase} from './capacity-requests-case.js';
 import {CapacitySlopesCase} from './capacity-slopes-case.js';
+import {DecisionsCostCase} from './decisions-cost-case.js';
 import {DecisionsMeasureCase} from './decisions-measure-case.js';
 import {DemoCase} from './demo-case.js';
 import {KillRouterCase} from './kill-router-case.js';
@@ -20,5 +21,6 @@
   new PauseHolderCase(),
   new PlatformOutageCase(),
   new TwoHostsKilledCase(),
+  new DecisionsCostCase(),
   ...DECISIONS_CASES.map(each => new DecisionsMeasureCase(each)),
 ];
