--- a/packages/measurements/src/outcome-report.ts
+++ b/packages/measurements/src/outcome-report.ts
@@ -5,6 +5,11 @@
 import type {ExecutionAudit} from './execution-audit.js';
 import type {CaseResult} from './measure-case.js';
 import type {LedgerAudit, OrganisationAudit} from './ledger-audit.js';
+import {
+  findFalseRefusals,
+  type FalseRefusal,
+  type RunTopUp,
+} from './refusal-audit.js';
 import type {RequestRecord} from './request-record.js';
 
 /** What every run reports; a run's last line is this as JSON. */
@@ -18,7 +23,7 @@
   readonly budget: number;
   readonly spent: number;
   readonly overspentTokens: number;
-  /** Refused for want of budget though the budget left at the end suffices. */
+  /** Refused for want of budget although enough of it was left. */
   readonly falseRefusals: number;
   readonly p50Milliseconds: number;
   readonly p99Milliseconds: number;
@@ -44,7 +49,7 @@
   readonly brokenPromises: readonly string[];
 }
 
-const BUDGET_PROBLEM = 'budget-exhausted';
+const LINES_SHOWN = 5;
 const MEDIAN = 50;
 const NINETY_NINTH = 99;
 
@@ -74,13 +79,30 @@
   return (audit?.creditedTokens ?? 0) - (audit?.billedTokens ?? 0);
 }
 
+function describeRecords(
+  what: string,
+  records: readonly RequestRecord[],
+): string[] {
+  return records.slice(0, LINES_SHOWN).map(record => {
+    const {requestId, request, mismatch, results} = record;
+    const kinds = results.map(({kind, problem}) => `${kind} ${problem}`.trim());
+    const {organisation} = request.from;
+    return `${what}: ${requestId} of ${organisation}, ${request.kind} ${mismatch} (${kinds.join(', ')})`;
+  });
+}
+
 /** Judges a run by its callers' records, the log and the endpoints. */
 export class OutcomeJudge {
+  private readonly falseRefusals: readonly FalseRefusal[];
+
   constructor(
     private readonly records: readonly RequestRecord[],
     private readonly ledger: LedgerAudit,
     private readonly executions: ExecutionAudit,
-  ) {}
+    topUps: readonly RunTopUp[] = [],
+  ) {
+    this.falseRefusals = findFalseRefusals(records, ledger, topUps);
+  }
 
   /** Answered requests that have no bill on the log yet. */
   get unbilled(): readonly RequestRecord[] {
@@ -89,6 +111,29 @@
     );
   }
 
+  /** Evidence on what went wrong, a few lines of each kind, for people. */
+  get evidence(): readonly string[] {
+    return [
+      ...describeRecords(
+        'wrong answer',
+        this.records.filter(record => record.mismatch !== ''),
+      ),
+      ...describeRecords('not billed', this.unbilled),
+      ...this.falseRefusals
+        .slice(0, LINES_SHOWN)
+        .map(
+          ({record, leftTokens}) =>
+            `${record.request.from.organisation}: refused a bound of ${record.boundTokens} with ${leftTokens} left`,
+        ),
+      ...this.ledger.openGrants
+        .slice(0, LINES_SHOWN)
+        .map(
+          grant =>
+            `grant ${grant.grantId} holds ${grant.tokens - grant.billedTokens}: holder ${grant.holder}, witness ${grant.witness}, ${grant.inherited.length} inherited${grant.closed ? ', closed' : ''}`,
+        ),
+    ];
+  }
+
   /** The whole report. */
   report(): OutcomeReport {
     const counts = this.counts();
@@ -112,7 +157,7 @@
       overspentTokens: sum(
         organisations.map(each => Math.max(0, -leftTokens(each))),
       ),
-      falseRefusals: this.falseRefusals(),
+      falseRefusals: this.falseRefusals.length,
       p50Milliseconds: percentile(
         finals.map(result => result.milliseconds),
         MEDIAN,
@@ -144,19 +189,6 @@
     return this.records.filter(record => record.final?.kind === kind);
   }
 
-  private falseRefusals(): number {
-    const audits = new Map(
-      this.ledger.organisations.map(each => [each.organisation, each]),
-    );
-    return this.of(ResultKind.NotRun).filter(record => {
-      const {organisation} = record.request.from;
-      return (
-        record.final?.problem === BUDGET_PROBLEM &&
-        leftTokens(audits.get(organisation)) >= record.boundTokens
-      );
-    }).length;
-  }
-
   /** Confirmed bills that differ from what the answer says was used. */
   private wrongAmounts(): number {
     return this.of(ResultKind.Answered).filter(record => {
