--- a/packages/command-line/src/commands/budget-explain.ts
+++ b/packages/command-line/src/commands/budget-explain.ts
@@ -6,7 +6,7 @@
 
 import {CommandError} from '../command-error.js';
 import type {Connections} from '../connections.js';
-import {fleetProcesses, survey} from '../fleet-survey.js';
+import {fleetProcesses, survey, type SurveyAnswer} from '../fleet-survey.js';
 import {OperatorCommand, settingsFlag} from '../operator-command.js';
 import {readable, table} from '../readable.js';
 
@@ -60,11 +60,42 @@
   }
 }
 
+function describeLedger(organisation: string, ledger: LedgerView): string {
+  const {creditedTokens, billedTokens, unallocatedTokens, grants} = ledger;
+  const left = creditedTokens - billedTokens;
+  const granted = left - unallocatedTokens;
+  return [
+    `${organisation}: ${creditedTokens} credited = ${billedTokens} billed + ${unallocatedTokens} not granted yet + ${granted} in grants.`,
+    `A request is refused (402) where its bound, the prompt's bytes and max_tokens, is above what can be brought together: at most ${left} tokens now.`,
+    `To add to it: wisteriadeal top-up ${organisation} TOKENS --id INVOICE`,
+    table(
+      ['grant', 'data centre', 'holder', 'witness', 'left'],
+      grants.map(grant => [
+        grant.grantId,
+        grant.dataCenter,
+        grant.holder,
+        grant.witness || '(none)',
+        String(grant.leftTokens),
+      ]),
+    ),
+  ].join('\n');
+}
+
+/** What holders have that the log does not show: reservations in progress. */
+function describeHeld(answers: readonly SurveyAnswer[]): string {
+  return answers
+    .flatMap(({host, answer}) => {
+      const held = (answer as {heldHere?: readonly unknown[]}).heldHere ?? [];
+      return held.length === 0 ? [] : [`\nHeld by ${host}:\n${readable(held)}`];
+    })
+    .join('\n');
+}
+
 /** Says where an organisation's tokens are. */
 export class BudgetExplain extends OperatorCommand {
   static override summary = "Say where an organisation's tokens are";
   static override description =
-    'Folds the ledger on the log, and asks each process what it holds and why it refuses.';
+    'Folds the ledger on the log and asks each holder what it has reserved. With --json all that every process knows, latest bills included.';
   static override examples = [
     '<%= config.bin %> budget explain kigali-bar-school',
   ];
@@ -98,49 +129,21 @@
           'Check the name in the configuration; a new organisation is credited after it was published.',
         );
       }
-      this.describe(organisation, ledger);
-      for (const {host, process, answer} of known) {
-        this.log(`\n${host} ${process}:\n${readable(answer)}`);
+      if (ledger === undefined) {
+        this.log('The log can not be read now; this is what processes know.');
+        for (const {host, process, answer} of known) {
+          this.log(`\n${host} ${process}:\n${readable(answer)}`);
+        }
+      } else {
+        this.log(describeLedger(organisation, ledger));
+        this.log(describeHeld(known));
       }
       for (const {host, process, failure} of answers) {
         if (failure !== undefined) {
-          this.log(`\n${host} ${process}: not reached (${failure})`);
+          this.log(`${host} ${process}: not reached (${failure})`);
         }
       }
       return {organisation, ledger: ledger ?? null, processes: answers};
     });
   }
-
-  private describe(organisation: string, ledger: LedgerView | undefined): void {
-    if (ledger === undefined) {
-      this.log(
-        'The log can not be read now; what follows is what processes know.',
-      );
-      return;
-    }
-    const {creditedTokens, billedTokens, unallocatedTokens, grants} = ledger;
-    const granted = creditedTokens - billedTokens - unallocatedTokens;
-    this.log(
-      `${organisation}: ${creditedTokens} credited = ${billedTokens} billed + ${unallocatedTokens} not granted yet + ${granted} in grants.`,
-    );
-    if (creditedTokens === billedTokens) {
-      this.log(
-        `The budget is used up. Next: wisteriadeal top-up ${organisation} TOKENS --id INVOICE`,
-      );
-    }
-    if (grants.length > 0) {
-      this.log(
-        table(
-          ['grant', 'data centre', 'holder', 'witness', 'left'],
-          grants.map(grant => [
-            grant.grantId,
-            grant.dataCenter,
-            grant.holder,
-            grant.witness || '(none)',
-            String(grant.leftTokens),
-          ]),
-        ),
-      );
-    }
-  }
 }
--- a/packages/command-line/src/commands/check.ts
+++ b/packages/command-line/src/commands/check.ts
@@ -26,7 +26,7 @@
       models: configuration.models.length,
     };
     this.log(
-      `${args.file} is valid: ${counts.organisations} organisations, ${counts.services} services, ${counts.endpoints} endpoints, ${counts.models} models.`,
+      `${args.file} is valid: organisations ${counts.organisations}, services ${counts.services}, endpoints ${counts.endpoints}, models ${counts.models}.`,
     );
     this.log(`Next: wisteriadeal publish ${args.file}`);
     return {valid: true, ...counts};
--- a/packages/measurements/src/fleet.ts
+++ b/packages/measurements/src/fleet.ts
@@ -79,6 +79,11 @@
     return this.starter.directory;
   }
 
+  /** `IP:port` of the platform's stand-in. */
+  get platformAddress(): string {
+    return this.platform.address('address');
+  }
+
   /** Where callers may connect, by the platform's balancer. */
   get callerAddresses(): readonly string[] {
     return this.hosts
