--- /dev/null
+++ b/packages/command-line/src/commands/budget-release.ts
@@ -0,0 +1,76 @@
+import {Args, Flags} from '@oclif/core';
+import {
+  releaseStrandedGrant,
+  StrandedReleaseOutcome,
+} from '@wisteriadeal/operator';
+import {ExitCode} from '@wisteriadeal/runtime';
+
+import {CommandError} from '../command-error.js';
+import {OperatorCommand, settingsFlag} from '../operator-command.js';
+
+/** Gives back what is left of a grant that nobody holds any more. */
+export class BudgetRelease extends OperatorCommand {
+  static override summary =
+    'Give back what is left of a grant whose hosts are destroyed';
+  static override description =
+    'Only when the hosts of its holder and of its witness are certain to be gone: what a holder that still runs spends afterwards is not billed.';
+  static override examples = [
+    '<%= config.bin %> budget release kigali-bar-school 5c0c417c7706fc5900713012d1053cb8 --reason "rack 4 burnt" --yes',
+  ];
+  static override args = {
+    organisation: Args.string({
+      description: 'name of the organisation',
+      required: true,
+    }),
+    grant: Args.string({
+      description: 'identifier, as budget explain prints it',
+      required: true,
+    }),
+  };
+  static override flags = {
+    settings: settingsFlag,
+    reason: Flags.string({
+      description: 'how you know, for the records',
+      required: true,
+    }),
+    yes: Flags.boolean({description: 'the hosts are destroyed: release it'}),
+  };
+
+  override async run() {
+    const {args, flags} = await this.parse(BudgetRelease);
+    const {organisation, grant: grantId} = args;
+    if (!flags.yes) {
+      throw new CommandError(
+        ExitCode.Usage,
+        'Nothing was released: a holder that is only cut off or paused returns its grant itself, and what it spends after a release is not billed.',
+        'When both hosts of the grant are certain to be destroyed, run the same line with --yes.',
+      );
+    }
+    return this.withConnections(flags.settings, async connections => {
+      const {log, clock, settings} = connections;
+      const result = await this.showing(
+        `Releasing ${grantId}`,
+        releaseStrandedGrant(log, clock, {
+          organisation,
+          grantId,
+          operator: settings.operator,
+          reason: flags.reason,
+          ledgerStreams: settings.ledgerStreams,
+        }),
+      );
+      if (result.outcome === StrandedReleaseOutcome.UnknownGrant) {
+        throw new CommandError(
+          ExitCode.NotFound,
+          `${organisation} has no grant ${grantId}`,
+          `Run "wisteriadeal budget explain ${organisation}" for its grants.`,
+        );
+      }
+      this.log(
+        result.outcome === StrandedReleaseOutcome.Released
+          ? `Released. ${organisation} has ${result.unallocatedTokens} tokens that are not granted.`
+          : 'Nothing was released: the grant was closed before.',
+      );
+      return result;
+    });
+  }
+}
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -2,6 +2,7 @@
  * Binary: check, publish, top up, explain, dump.
  */
 import {BudgetExplain} from './commands/budget-explain.js';
+import {BudgetRelease} from './commands/budget-release.js';
 import {Check} from './commands/check.js';
 import {Dump} from './commands/dump.js';
 import {FleetStatus} from './commands/fleet-status.js';
@@ -17,6 +18,7 @@
   publish: Publish,
   'top-up': TopUp,
   'budget:explain': BudgetExplain,
+  'budget:release': BudgetRelease,
   'request:explain': RequestExplain,
   'fleet:status': FleetStatus,
   dump: Dump,
--- a/packages/command-line/src/test/commands_test.ts
+++ b/packages/command-line/src/test/commands_test.ts
@@ -8,6 +8,7 @@
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {BudgetExplain} from '../commands/budget-explain.js';
+import {BudgetRelease} from '../commands/budget-release.js';
 import {Check} from '../commands/check.js';
 import {FleetStatus} from '../commands/fleet-status.js';
 import {Publish} from '../commands/publish.js';
@@ -159,6 +160,17 @@
     );
   });
 
+  it('releases no grant without the word that its hosts are destroyed', async () => {
+    const line = ['a', 'g1', '--reason', 'rack 4 burnt', ...settings()];
+    const id = 'budget:release';
+    const without = await runCommand(BudgetRelease, id, ...line);
+    const unknown = await runCommand(BudgetRelease, id, ...line, '--yes');
+    expect(without.exitCode).toBe(ExitCode.Usage);
+    expect(without.errors).toContain('Nothing was released');
+    expect(unknown.exitCode).toBe(ExitCode.NotFound);
+    expect(store.endOffset('ledger-0')).toBe(0);
+  });
+
   it('says what is not known, and where to look', async () => {
     const budget = await runCommand(
       BudgetExplain,
--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -14,5 +14,6 @@
 export * from './opening-budgets.js';
 export * from './publication.js';
 export * from './stream-reader.js';
+export * from './stranded-release.js';
 export * from './top-up.js';
 export {BudgetPreference, EndpointState} from '@wisteriadeal/schema';
--- /dev/null
+++ b/packages/operator/src/test/stranded-release_test.ts
@@ -0,0 +1,90 @@
+import {create, toBinary} from '@bufbuild/protobuf';
+import {ledgerStreamOf} from '@wisteriadeal/ledger';
+import {LedgerBatchSchema} from '@wisteriadeal/schema';
+import {describe, expect, it} from 'vitest';
+
+import {
+  releaseStrandedGrant,
+  StrandedReleaseOutcome,
+} from '../stranded-release.js';
+import {topUp} from '../top-up.js';
+import {LEDGER_STREAMS, logInMemory, PATIENCE, settled} from './fixtures.js';
+
+const ORGANISATION = 'kigali-bar-school';
+
+/** A budget of 500 tokens, of which a lost holder has 200. */
+async function strandedWorld() {
+  const world = logInMemory();
+  const {log, clock} = world;
+  await topUp(log, clock, {
+    organisation: ORGANISATION,
+    tokens: 500,
+    entryId: 'invoice-1',
+    operator: 'aline',
+    reason: 'invoice',
+    ledgerStreams: LEDGER_STREAMS,
+    patience: PATIENCE,
+  });
+  const batch = create(LedgerBatchSchema, {
+    writer: 'h1/keeper/1',
+    entries: [
+      {
+        entryId: 'grant:g1',
+        organisation: ORGANISATION,
+        kind: {
+          case: 'grant',
+          value: {
+            grantId: 'g1',
+            tokens: 200,
+            minimumTokens: 1,
+            holder: 'h1/keeper/1',
+            witness: 'h2/keeper/1',
+          },
+        },
+      },
+    ],
+  });
+  const stream = ledgerStreamOf(ORGANISATION, LEDGER_STREAMS);
+  await log.append(stream, toBinary(LedgerBatchSchema, batch));
+  const release = (grantId: string) =>
+    settled(
+      clock,
+      releaseStrandedGrant(log, clock, {
+        organisation: ORGANISATION,
+        grantId,
+        operator: 'aline',
+        reason: 'rack 4 burnt',
+        ledgerStreams: LEDGER_STREAMS,
+        patience: PATIENCE,
+      }),
+    );
+  return {...world, release};
+}
+
+describe('releaseStrandedGrant', () => {
+  // Holder and witness are destroyed; the operator releases the grant, the
+  // answer is lost, and the operator runs the line again. The tokens must come
+  // back once: given back twice, the budget would be 700 tokens.
+  it('gives the rest back once, whatever answers are lost', async () => {
+    const {store, release} = await strandedWorld();
+    store.faults.loseAnswers = 2;
+    expect(await release('g1')).toEqual({
+      outcome: StrandedReleaseOutcome.Released,
+      unallocatedTokens: 500,
+    });
+    expect(await release('g1')).toEqual({
+      outcome: StrandedReleaseOutcome.AlreadyClosed,
+      unallocatedTokens: 500,
+    });
+  });
+
+  it('appends nothing for a grant that the ledger does not know', async () => {
+    const {store, release} = await strandedWorld();
+    const stream = ledgerStreamOf(ORGANISATION, LEDGER_STREAMS);
+    const before = store.endOffset(stream);
+    expect(await release('g2')).toMatchObject({
+      outcome: StrandedReleaseOutcome.UnknownGrant,
+    });
+    expect(store.endOffset(stream)).toBe(before);
+  });
+});
--- a/packages/operator/src/top-up.ts
+++ b/packages/operator/src/top-up.ts
@@ -1,7 +1,5 @@
-import {create, toBinary} from '@bufbuild/protobuf';
 import {ledgerStreamOf, type LedgerFold} from '@wisteriadeal/ledger';
 import type {Clock, LogClient} from '@wisteriadeal/platform';
-import {LedgerBatchSchema} from '@wisteriadeal/schema';
 
 import {
   appendUntilDecided,
@@ -9,6 +7,7 @@
   type AppendPatience,
 } from './confirmed-append.js';
 import {ledgerReader} from './fold-sources.js';
+import {operatorRecord} from './ledger-payload.js';
 
 /** A top-up of one organisation's budget. */
 export interface TopUpRequest {
@@ -38,29 +37,6 @@
   readonly unallocatedTokens: number;
 }
 
-function encodeTopUp(request: TopUpRequest): Uint8Array {
-  return toBinary(
-    LedgerBatchSchema,
-    create(LedgerBatchSchema, {
-      writer: `operator/${request.operator}`,
-      entries: [
-        {
-          entryId: request.entryId,
-          organisation: request.organisation,
-          kind: {
-            case: 'topUp',
-            value: {
-              tokens: request.tokens,
-              operator: request.operator,
-              reason: request.reason,
-            },
-          },
-        },
-      ],
-    }),
-  );
-}
-
 /**
  * Adds to a budget, once for each identifier. After a lost answer, repeat it
  * with the same identifier.
@@ -83,7 +59,7 @@
   if (!Number.isSafeInteger(request.tokens) || request.tokens <= 0) {
     throw new RangeError('expected a whole number of tokens above 0');
   }
-  const {organisation, entryId} = request;
+  const {organisation, entryId, tokens, operator, reason} = request;
   const stream = ledgerStreamOf(organisation, request.ledgerStreams);
   const reader = ledgerReader(log, stream);
   const isDecided = (fold: LedgerFold) => fold.hasSeen(organisation, entryId);
@@ -93,7 +69,11 @@
     log,
     clock,
     reader,
-    payload: encodeTopUp(request),
+    payload: operatorRecord(operator, {
+      entryId,
+      organisation,
+      kind: {case: 'topUp', value: {tokens, operator, reason}},
+    }),
     patience: request.patience ?? DEFAULT_PATIENCE,
     isDecided,
   });
