Measure a router's death, a rolling replacement and a leaving endpoint

Ruled out: a runner of their own; they stand on the fleet cases, which gained one hook for a case's own promise.

--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -2,6 +2,9 @@
 import {CapacityRequestsCase} from './capacity-requests-case.js';
 import {CapacitySlopesCase} from './capacity-slopes-case.js';
 import {DemoCase} from './demo-case.js';
+import {LeavingEndpointCase} from './leaving-endpoint-case.js';
+import {RetryStormCase} from './retry-storm-case.js';
+import {RollingReplacementCase} from './rolling-replacement-case.js';
 import {KillRouterCase} from './kill-router-case.js';
 import {PartitionCase} from './partition-case.js';
 import {PauseHolderCase} from './pause-holder-case.js';
@@ -18,4 +21,7 @@
   new PauseHolderCase(),
   new PlatformOutageCase(),
   new TwoHostsKilledCase(),
+  new LeavingEndpointCase(),
+  new RetryStormCase(),
+  new RollingReplacementCase(),
 ];
--- a/packages/measurements/src/fleet-case.ts
+++ b/packages/measurements/src/fleet-case.ts
@@ -43,14 +43,19 @@
    */
   protected abstract act(run: FleetRun): Promise<CaseFields>;
 
+  /** Whether the case's own fields keep its own promise. */
+  protected holds(own: CaseFields): boolean {
+    return own.passed !== false;
+  }
+
   override async run(seed: number): Promise<CaseResult> {
     const run = await FleetRun.start(this.options(seed));
     let passed = false;
     try {
       const own = await this.act(run);
       const result = toCaseResult(await run.finish(), own);
-      passed = result.passed;
-      return result;
+      passed = result.passed && this.holds(own);
+      return {...result, passed};
     } finally {
       await run.close(!passed);
     }
