--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -5,6 +5,9 @@
 import {DecisionsCostCase} from './decisions-cost-case.js';
 import {DecisionsMeasureCase} from './decisions-measure-case.js';
 import {DemoCase} from './demo-case.js';
+import {LeavingEndpointCase} from './leaving-endpoint-case.js';
+import {RetryStormCase} from './retry-storm-case.js';
+import {RollingReplacementCase} from './rolling-replacement-case.js';
 import {KillRouterCase} from './kill-router-case.js';
 import {PartitionCase} from './partition-case.js';
 import {PauseHolderCase} from './pause-holder-case.js';
@@ -23,4 +26,7 @@
   new TwoHostsKilledCase(),
   new DecisionsCostCase(),
   ...DECISIONS_CASES.map(each => new DecisionsMeasureCase(each)),
+  new LeavingEndpointCase(),
+  new RetryStormCase(),
+  new RollingReplacementCase(),
 ];
