Race operators under a cut, measure idle control, and make the cut hold

Change: the keeper's membership gives each peer the address that the list names for this viewer, also in what routers are told; the audit counts a reclaim's settled bills. New cases: configuration-in-force (two operators race while a data centre has lost the platform, then everything, and a host is replaced there) and control-cost (idle fleets of 4, 8 and 16 hosts). A case can name fields that must be 0.

Ruled out: hiding the leak by cutting inside the processes; membership must hold for networks whose addresses differ by viewer.

--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -1,4 +1,4 @@
-import {create} from '@bufbuild/protobuf';
+import {clone, create} from '@bufbuild/protobuf';
 import {chooseHolder, rankKeepers} from '@wisteriadeal/ledger';
 import {type Clock, type HostListing} from '@wisteriadeal/platform';
 import {
@@ -6,6 +6,7 @@
   HostState,
   KeeperMemberSchema,
   MembershipSchema,
+  ProcessIdentitySchema,
   RouterMemberSchema,
   type GossipMessage,
   type KeeperMember,
@@ -28,6 +29,21 @@
   leavingEndpoints: readonly string[];
 }
 
+function withAddress(
+  identity: ProcessIdentity,
+  controlAddress: string | undefined,
+): ProcessIdentity {
+  if (
+    controlAddress === undefined ||
+    controlAddress === identity.controlAddress
+  ) {
+    return identity;
+  }
+  const reached = clone(ProcessIdentitySchema, identity);
+  reached.controlAddress = controlAddress;
+  return reached;
+}
+
 /**
  * Who is live, from this keeper's own view: the platform's list says whom to
  * ask, and a peer counts as reachable while it was heard from within the limit.
@@ -125,9 +141,11 @@
 
   /** A known keeper. */
   identityOf(incarnation: string): ProcessIdentity | undefined {
-    return incarnation === this.self.incarnation
-      ? this.self
-      : this.keepers.get(incarnation)?.identity;
+    if (incarnation === this.self.incarnation) {
+      return this.self;
+    }
+    const identity = this.keepers.get(incarnation)?.identity;
+    return identity === undefined ? undefined : this.asReached(identity);
   }
 
   /** Other keepers that can be reached, not leaving. */
@@ -138,7 +156,7 @@
           keeper.state === HostState.LIVE &&
           this.isReachable(keeper.identity.incarnation),
       )
-      .map(keeper => keeper.identity);
+      .map(keeper => this.asReached(keeper.identity));
   }
 
   /** Reachable peers that have read a stream further than `offset`. */
@@ -196,7 +214,7 @@
   get membership(): Membership {
     const others = [...this.keepers.values()].map(keeper =>
       create(KeeperMemberSchema, {
-        identity: keeper.identity,
+        identity: this.asReached(keeper.identity),
         state: keeper.state,
         reachable: this.isReachable(keeper.identity.incarnation),
       }),
@@ -240,6 +258,29 @@
     }
   }
 
+  /**
+   * A peer with the address by which this host reaches it. Addresses differ by
+   * viewer where data centres reach each other over another network than their
+   * own hosts do; what a peer says of itself holds only next to it. Symptom
+   * without this: a host that is listed, and yet not reached from elsewhere.
+   */
+  private asReached(identity: ProcessIdentity): ProcessIdentity {
+    const listed = this.platform.lastKnown(identity.host);
+    return withAddress(identity, listed?.keeperAddress);
+  }
+
+  private routersAsReached(keeper: KnownKeeper): readonly RouterMember[] {
+    const listed = this.platform.lastKnown(keeper.identity.host);
+    return keeper.routers.map(({identity, state}) =>
+      identity === undefined
+        ? create(RouterMemberSchema, {state})
+        : create(RouterMemberSchema, {
+            identity: withAddress(identity, listed?.routerControlAddress),
+            state,
+          }),
+    );
+  }
+
   private get ownMember(): KeeperMember {
     return create(KeeperMemberSchema, {
       identity: this.self,
@@ -261,7 +302,7 @@
     );
     for (const member of [
       ...this.ownRouterMembers,
-      ...reachable.flatMap(keeper => keeper.routers),
+      ...reachable.flatMap(keeper => this.routersAsReached(keeper)),
     ]) {
       known.set(member.identity?.incarnation ?? '', member);
     }
--- a/packages/keeper/src/platform-listing.ts
+++ b/packages/keeper/src/platform-listing.ts
@@ -7,6 +7,7 @@
 /** The platform's list as it was last read. */
 export class PlatformListing {
   private readonly everListed = new Set<string>();
+  private readonly hostsEverListed = new Map<string, ListedHost>();
   private listing: HostListing = {hosts: [], endpoints: []};
 
   /** Takes a reading. */
@@ -15,6 +16,9 @@
     for (const {endpoint} of listing.endpoints) {
       this.everListed.add(endpoint);
     }
+    for (const host of listing.hosts) {
+      this.hostsEverListed.set(host.host, host);
+    }
   }
 
   /** Every listed host. */
@@ -22,6 +26,11 @@
     return this.listing.hosts;
   }
 
+  /** A host as the list named it last, whether or not it still does. */
+  lastKnown(host: string): ListedHost | undefined {
+    return this.hostsEverListed.get(host);
+  }
+
   /** Data centres with a live host. */
   get liveDataCenters(): readonly string[] {
     return this.hosts
--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -1,6 +1,8 @@
 import type {MeasureCase} from '../measure-case.js';
 import {CapacityRequestsCase} from './capacity-requests-case.js';
 import {CapacitySlopesCase} from './capacity-slopes-case.js';
+import {ConfigurationInForceCase} from './configuration-in-force-case.js';
+import {ControlCostCase} from './control-cost-case.js';
 import {DemoCase} from './demo-case.js';
 import {KillRouterCase} from './kill-router-case.js';
 import {PartitionCase} from './partition-case.js';
@@ -10,6 +12,8 @@
 
 /** Every case; one file each, one line each here. */
 export const CASES: readonly MeasureCase[] = [
+  new ConfigurationInForceCase(),
+  new ControlCostCase(),
   new DemoCase(),
   new CapacitySlopesCase(),
   new CapacityRequestsCase(),
--- a/packages/measurements/src/fleet-case.ts
+++ b/packages/measurements/src/fleet-case.ts
@@ -33,6 +33,9 @@
 
 /** A case that runs a fleet under load while something happens to it. */
 export abstract class FleetCase extends MeasureCase {
+  /** The case's own fields that break a promise unless they are 0. */
+  protected readonly mustBeZero: readonly string[] = [];
+
   /** How the fleet and its callers are set up. */
   protected abstract options(seed: number): FleetRunOptions;
 
@@ -48,7 +51,8 @@
     let passed = false;
     try {
       const own = await this.act(run);
-      const result = toCaseResult(await run.finish(), own);
+      const broken = this.mustBeZero.filter(name => own[name] !== 0);
+      const result = toCaseResult(await run.finish(), own, broken);
       passed = result.passed;
       return result;
     } finally {
--- a/packages/measurements/src/fleet-run.ts
+++ b/packages/measurements/src/fleet-run.ts
@@ -1,4 +1,4 @@
-import {topUp} from '@wisteriadeal/operator';
+import {topUp, type PublicationOutcome} from '@wisteriadeal/operator';
 import {SystemClock} from '@wisteriadeal/runtime';
 import {SeededRandomSource} from '@wisteriadeal/stand-ins';
 
@@ -13,7 +13,7 @@
 import {auditLedger} from './ledger-audit.js';
 import {LoadRun, type LoadOptions} from './load-run.js';
 import {OutcomeJudge, type OutcomeReport} from './outcome-report.js';
-import {publish} from './publish.js';
+import {publish, tryPublish} from './publish.js';
 import type {RunTopUp} from './refusal-audit.js';
 import {pause, waitUntil} from './waiting.js';
 import {ORGANISATIONS, Workload, type OrganisationPlan} from './workload.js';
@@ -92,6 +92,12 @@
     await publish(this.fleet, configuration, baseVersion);
   }
 
+  /** As `publish`, but tells what was decided. */
+  async tryPublish(baseVersion: number): Promise<PublicationOutcome> {
+    const configuration = fleetConfiguration(this.fleet, this.organisations);
+    return (await tryPublish(this.fleet, configuration, baseVersion)).outcome;
+  }
+
   /** Tops a budget up, as an operator does; counts from when it is credited. */
   async topUp(organisation: string, tokens: number): Promise<void> {
     await topUp(this.fleet.log, new SystemClock(), {
--- a/packages/measurements/src/ledger-audit.ts
+++ b/packages/measurements/src/ledger-audit.ts
@@ -69,11 +69,27 @@
     const {entries} = fromBinary(LedgerBatchSchema, payload);
     for (const [index, verdict] of verdicts.entries()) {
       const entry = entries[index];
-      if (
-        verdict.kind === VerdictKind.Accepted &&
-        entry?.kind.case === 'bill'
-      ) {
+      if (verdict.kind !== VerdictKind.Accepted) {
+        continue;
+      }
+      if (entry?.kind.case === 'bill') {
         this.noteBill(entry.kind.value);
+      } else if (entry?.kind.case === 'reclaim') {
+        this.noteReclaimed(fold, entry.organisation, entry.kind.value.settled);
+      }
+    }
+  }
+
+  /** A reclaim bills what its witness saw settled, unless it was billed before. */
+  private noteReclaimed(
+    fold: LedgerFold,
+    organisation: string,
+    settled: readonly Bill[],
+  ): void {
+    for (const bill of settled) {
+      const counts = fold.isBilled(organisation, bill.requestId);
+      if (counts && !this.bills.has(bill.requestId)) {
+        this.bills.set(bill.requestId, bill);
       }
     }
   }
--- a/packages/measurements/src/outcome-report.ts
+++ b/packages/measurements/src/outcome-report.ts
@@ -233,11 +233,16 @@
   return ZERO_COUNTS.filter(name => counts[name] !== 0);
 }
 
-/** A report as a case's result, with the case's own fields. */
+/**
+ * A report as a case's result, with the case's own fields and the promises of its
+ * own that were broken.
+ */
 export function toCaseResult(
   report: OutcomeReport,
   own: CaseResult['fields'] = {},
+  ownBroken: readonly string[] = [],
 ): CaseResult {
-  const fields = {...report, ...own};
-  return {fields, passed: report.brokenPromises.length === 0};
+  const broken = [...report.brokenPromises, ...ownBroken];
+  const fields = {...report, ...own, brokenPromises: broken};
+  return {fields, passed: broken.length === 0};
 }
--- a/packages/measurements/src/publish.ts
+++ b/packages/measurements/src/publish.ts
@@ -1,4 +1,8 @@
-import {PublicationOutcome, publishConfiguration} from '@wisteriadeal/operator';
+import {
+  PublicationOutcome,
+  publishConfiguration,
+  type PublicationResult,
+} from '@wisteriadeal/operator';
 import {SystemClock} from '@wisteriadeal/runtime';
 import type {Configuration} from '@wisteriadeal/schema';
 import {randomUUID} from 'node:crypto';
@@ -11,20 +15,33 @@
 /**
  * Publishes a configuration over a version, as an operator does.
  *
- * @throws Error where the fold did not accept it.
+ * @returns What the fold decided.
  */
-export async function publish(
+export function tryPublish(
   fleet: Fleet,
   configuration: Configuration,
   baseVersion: number,
-): Promise<void> {
-  const result = await publishConfiguration(fleet.log, new SystemClock(), {
+): Promise<PublicationResult> {
+  return publishConfiguration(fleet.log, new SystemClock(), {
     configuration,
     publicationId: randomUUID(),
     baseVersion,
     operator: OPERATOR,
     ledgerStreams: fleet.plan.ledgerStreams,
   });
+}
+
+/**
+ * Publishes a configuration that must be accepted.
+ *
+ * @throws Error where the fold did not accept it.
+ */
+export async function publish(
+  fleet: Fleet,
+  configuration: Configuration,
+  baseVersion: number,
+): Promise<void> {
+  const result = await tryPublish(fleet, configuration, baseVersion);
   if (result.outcome !== PublicationOutcome.Accepted) {
     throw new Error(`the configuration is ${result.outcome}: ${result.reason}`);
   }
