--- a/packages/measurements/src/cases/control-cost-case.ts
+++ b/packages/measurements/src/cases/control-cost-case.ts
@@ -6,7 +6,7 @@
   type ResultValue,
 } from '../measure-case.js';
 import type {ManagedProcess} from '../managed-process.js';
-import {readUsage} from '../process-cost.js';
+import {readProcessUsage} from '../processor-time.js';
 import {pause} from '../waiting.js';
 import {failureLoad} from './failure-load.js';
 
@@ -63,15 +63,16 @@
   private async cost(
     processes: readonly ManagedProcess[],
   ): Promise<ResultValue> {
-    const before = processes.map(({pid}) => readUsage(pid));
+    const before = processes.map(({pid}) => readProcessUsage(pid));
     const startedAt = performance.now();
     await pause(MEASURED_MILLISECONDS);
-    const after = processes.map(({pid}) => readUsage(pid));
+    const after = processes.map(({pid}) => readProcessUsage(pid));
     const seconds = (performance.now() - startedAt) / 1_000;
-    const total = (of: 'cpuSeconds' | 'bytes') =>
+    const total = (of: 'processorMilliseconds' | 'bytes') =>
       after.reduce((sum, usage) => sum + usage[of], 0) -
       before.reduce((sum, usage) => sum + usage[of], 0);
-    const share = total('cpuSeconds') / seconds / processes.length;
+    const milliseconds = seconds * 1_000 * processes.length;
+    const share = total('processorMilliseconds') / milliseconds;
     const resident = after.map(usage => usage.residentMegabytes);
     return {
       coreShare: Number(share.toFixed(CPU_DECIMALS)),
--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -4,6 +4,9 @@
 import {ConfigurationInForceCase} from './configuration-in-force-case.js';
 import {ControlCostCase} from './control-cost-case.js';
 import {DemoCase} from './demo-case.js';
+import {LeavingEndpointCase} from './leaving-endpoint-case.js';
+import {RetryStormCase} from './retry-storm-case.js';
+import {RollingReplacementCase} from './rolling-replacement-case.js';
 import {KillRouterCase} from './kill-router-case.js';
 import {PartitionCase} from './partition-case.js';
 import {PauseHolderCase} from './pause-holder-case.js';
@@ -22,4 +25,7 @@
   new PauseHolderCase(),
   new PlatformOutageCase(),
   new TwoHostsKilledCase(),
+  new LeavingEndpointCase(),
+  new RetryStormCase(),
+  new RollingReplacementCase(),
 ];
