--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -4,6 +4,8 @@
 import {CapacitySlopesCase} from './capacity-slopes-case.js';
 import {DecisionsCostCase} from './decisions-cost-case.js';
 import {DecisionsMeasureCase} from './decisions-measure-case.js';
+import {ConfigurationInForceCase} from './configuration-in-force-case.js';
+import {ControlCostCase} from './control-cost-case.js';
 import {DemoCase} from './demo-case.js';
 import {LeavingEndpointCase} from './leaving-endpoint-case.js';
 import {RetryStormCase} from './retry-storm-case.js';
@@ -16,6 +18,8 @@
 
 /** Every case; one file each, one line each here. */
 export const CASES: readonly MeasureCase[] = [
+  new ConfigurationInForceCase(),
+  new ControlCostCase(),
   new DemoCase(),
   new CapacitySlopesCase(),
   new CapacityRequestsCase(),
