Take a failed append for a sign that the platform is away

Ruled out: shorter polls only (each costs 1.6 ms of processor time and a stream has one open all the time); waiting longer before a refusal (a refusal must come at once).

Conclusion: whoever waits for tokens asks its peers as soon as its own grant request fails.

--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -97,6 +97,7 @@
       self.incarnation,
       this.replicas,
       log,
+      this.health,
       clock,
       options.billFlushMilliseconds,
       surroundings.metrics,
--- a/packages/keeper/src/ledger-appender.ts
+++ b/packages/keeper/src/ledger-appender.ts
@@ -6,6 +6,7 @@
 
 import {LedgerListener, type FoldedEntry} from './ledger-replica.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
+import type {PlatformHealth} from './platform-health.js';
 import {WakeUp} from './wake-up.js';
 
 /** Entries of one record; about 100 KiB of bills. */
@@ -58,6 +59,7 @@
     private readonly writer: string,
     private readonly replicas: LedgerReplicas,
     private readonly log: LogClient,
+    private readonly health: PlatformHealth,
     private readonly clock: Clock,
     private readonly batchMilliseconds: number,
     private readonly metrics: Metrics,
@@ -184,6 +186,9 @@
     try {
       await this.log.append(stream, payload, signal);
     } catch (error) {
+      // A read may be held open for seconds; an append tells of an outage at
+      // once, and whoever waits for tokens then asks peers in time.
+      this.health.failed(stream);
       this.eventLog.debug('append failed', {stream, reason: String(error)});
       await this.clock.sleep(RETRY_MILLISECONDS, signal);
       // Whether it took effect or not, the same entries go out again unless the
