Keep the linter out of the development fleet's directory

Cause: after npm run fleet and the tutorial, npm run lint failed on the files that a reader wrote to dev-fleet/, which git ignores and the linter did not.

Measured: npm run lint passes with dev-fleet/ present.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,7 @@
 import tseslint from 'typescript-eslint';
 
 export default defineConfig(
-  globalIgnores(['**/lib/', '**/generated/', 'node_modules/']),
+  globalIgnores(['**/lib/', '**/generated/', 'node_modules/', 'dev-fleet/']),
   js.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
