Hold grants by demand and share of what remains; compare with equal split

Cause: the first policy held 8,192 tokens of an idle budget of 100,000, and gave excess back only beyond twice its target, so early holders kept what others needed. Change: target = largest of demand x 1 h x 2, an idle reserve and 75 or 95 per cent of the share by demand (a tenth of it equal); refill at 0.9, return at 1.2; demand's half-life 600 s, corrected while young. compareGrantPolicies(seed), pure. Found on the way and mended: a keeper closed small grants as useless and asked for as much again, as fast as the log answered, which starved the process; only empty grants close now, and refills and returns have a pace.

--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -1,46 +1,30 @@
-import {VerdictKind, type GrantPolicy} from '@wisteriadeal/ledger';
-import type {Clock, RandomSource} from '@wisteriadeal/platform';
-import type {EventLog} from '@wisteriadeal/runtime';
+import {VerdictKind, type GrantDecision} from '@wisteriadeal/ledger';
 import {
   BudgetPreference,
   type BookChange,
-  type GrantState,
   type Transfer,
 } from '@wisteriadeal/schema';
 
-import type {BillObserver} from './bill-observer.js';
-import type {BookReplicator} from './book-replicator.js';
 import {GrantHolding} from './grant-holding.js';
-import {tookEffect, type LedgerAppender} from './ledger-appender.js';
+import {tookEffect} from './ledger-appender.js';
 import {ledgerEntry} from './ledger-entries.js';
-import type {LedgerReplicas} from './ledger-replicas.js';
-import type {MembershipTable} from './membership-table.js';
+import type {GrantParts} from './grant-parts.js';
+import {holderOfMost} from './holder-of-most.js';
 import {OrganisationGrants} from './organisation-grants.js';
-import type {PlatformHealth} from './platform-health.js';
-import type {WitnessLinks} from './witness-links.js';
 
 /** The users' pages: regions lose each other for an hour now and then. */
 export const EXPECTED_PARTITION_SECONDS = 3_600;
 
-/** What a keeper needs to hold grants. */
-export interface GrantParts {
-  readonly membership: MembershipTable;
-  readonly replicas: LedgerReplicas;
-  readonly appender: LedgerAppender;
-  readonly replicator: BookReplicator;
-  readonly links: WitnessLinks;
-  readonly health: PlatformHealth;
-  readonly bills: BillObserver;
-  readonly policy: GrantPolicy;
-  readonly clock: Clock;
-  readonly random: RandomSource;
-  readonly eventLog: EventLog;
-  readonly preferenceOf: (organisation: string) => BudgetPreference;
-}
+/** Between two refills ahead of need. */
+const REFILL_PAUSE_MILLISECONDS = 500;
+/** Between two returns of an organisation's idle tokens. */
+const RETURN_PAUSE_MILLISECONDS = 2_000;
 
 /** Holds this keeper's grants of all organisations, and asks for more. */
 export class GrantManager {
   private readonly organisations = new Map<string, OrganisationGrants>();
+  private readonly nextRefill = new Map<string, number>();
+  private readonly nextReturn = new Map<string, number>();
   private wake: (() => void) | undefined;
 
   constructor(private readonly parts: GrantParts) {
@@ -91,9 +75,9 @@
     const grants = this.of(organisation);
     const decision = this.parts.policy.decide(this.situation(grants));
     if (decision.askTokens > 0 && grants.requestedTokens === 0) {
-      void this.ask(grants, decision.askTokens, decision.minimumTokens);
+      this.askAtPace(grants, decision);
     } else if (decision.returnTokens > 0) {
-      this.giveBack(grants, decision.returnTokens);
+      this.returnAtPace(grants, decision.returnTokens);
     }
   }
 
@@ -200,6 +184,31 @@
     return holding;
   }
 
+  /** A waiting request asks at once; refills ahead of need share a pace. */
+  private askAtPace(grants: OrganisationGrants, decision: GrantDecision): void {
+    const now = this.parts.clock.monotonicMilliseconds();
+    if (
+      grants.waitingBoundTokens > 0 ||
+      now >= (this.nextRefill.get(grants.organisation) ?? 0)
+    ) {
+      this.nextRefill.set(grants.organisation, now + REFILL_PAUSE_MILLISECONDS);
+      void this.ask(grants, decision.askTokens, decision.minimumTokens);
+    }
+  }
+
+  /**
+   * Load: holders whose shares shift against each other. Harm: tokens that go
+   * back and are asked for again as fast as the log answers. Two seconds keep
+   * that under one append a second for each organisation and holder.
+   */
+  private returnAtPace(grants: OrganisationGrants, tokens: number): void {
+    const now = this.parts.clock.monotonicMilliseconds();
+    if (now >= (this.nextReturn.get(grants.organisation) ?? 0)) {
+      this.nextReturn.set(grants.organisation, now + RETURN_PAUSE_MILLISECONDS);
+      this.giveBack(grants, tokens);
+    }
+  }
+
   /** Gives idle tokens back, from the smallest holdings first. */
   giveBack(grants: OrganisationGrants, tokens: number): void {
     let left = Math.floor(tokens);
@@ -265,14 +274,5 @@
   }
 }
 
-function holderOfMost(grants: readonly GrantState[]): string | undefined {
-  const tokens = new Map<string, number>();
-  for (const grant of grants.filter(candidate => !candidate.closed)) {
-    const held = tokens.get(grant.holder) ?? 0;
-    tokens.set(grant.holder, held + grant.tokens - grant.billedTokens);
-  }
-  return [...tokens].sort((one, other) => other[1] - one[1])[0]?.[0];
-}
-
 /** A preference where the configuration names none. */
 export const DEFAULT_PREFERENCE = BudgetPreference.AVOID_UNCLEAR_BILLS;
--- a/packages/keeper/src/holding-keeper.ts
+++ b/packages/keeper/src/holding-keeper.ts
@@ -1,7 +1,8 @@
 import {VerdictKind} from '@wisteriadeal/ledger';
 
 import type {GrantHolding} from './grant-holding.js';
-import type {GrantManager, GrantParts} from './grant-manager.js';
+import type {GrantManager} from './grant-manager.js';
+import type {GrantParts} from './grant-parts.js';
 import {ledgerEntry} from './ledger-entries.js';
 import type {OrganisationGrants} from './organisation-grants.js';
 import {Acknowledgement} from './witness-link.js';
@@ -129,14 +130,12 @@
       }
       return;
     }
+    // Only an empty one: a small rest may still serve a small request, and to
+    // close it would ask for as much again at once.
     const useless =
-      holding.spendableTokens < grants.largestBoundTokens &&
-      [...grants.holdings.values()].some(
-        other =>
-          other !== holding &&
-          !other.book.isClosing &&
-          other.spendableTokens > holding.spendableTokens,
-      );
+      holding.spendableTokens === 0 &&
+      book.isSettled &&
+      grants.holdings.size > 1;
     const unused = !keep && grants.waitingBoundTokens === 0;
     if (unused || useless) {
       book.stopReserving();
--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -16,11 +16,8 @@
 import {ConfigurationReplica} from './configuration-replica.js';
 import {FoldListener} from './fold-listener.js';
 import {GossipTask} from './gossip-task.js';
-import {
-  DEFAULT_PREFERENCE,
-  GrantManager,
-  type GrantParts,
-} from './grant-manager.js';
+import {DEFAULT_PREFERENCE, GrantManager} from './grant-manager.js';
+import type {GrantParts} from './grant-parts.js';
 import {HoldingKeeper} from './holding-keeper.js';
 import {KeeperInspection} from './keeper-inspection.js';
 import type {KeeperOptions} from './keeper-options.js';
--- a/packages/keeper/src/organisation-grants.ts
+++ b/packages/keeper/src/organisation-grants.ts
@@ -10,8 +10,11 @@
 import type {GrantHolding} from './grant-holding.js';
 import {Acknowledgement} from './witness-link.js';
 
-/** Demand of the last minutes decides how large grants are. */
-export const DEMAND_HALF_LIFE_MILLISECONDS = 60_000;
+/**
+ * Demand of the last minutes decides how large grants are; shorter, and a data
+ * centre with a few requests a minute is judged by their chance.
+ */
+export const DEMAND_HALF_LIFE_MILLISECONDS = 600_000;
 /** Before any request was seen: a common bound of chat completions. */
 const FIRST_BOUND_TOKENS = 2_048;
 /** The largest bound seen counts until this share of smaller ones came since. */
--- a/packages/ledger/src/grant-policy.ts
+++ b/packages/ledger/src/grant-policy.ts
@@ -70,15 +70,22 @@
 }
 
 /** Demand that was measured may double in a partition before any is refused. */
-const REFUSAL_AVERSE_HEADROOM = 2;
-/** Clear books: less stands in grants that a lost host could strand. */
-const CLARITY_HEADROOM = 1.25;
+const HEADROOM = 2;
+/** Fewer refusals: nearly everything stands where it is likely to be needed. */
+const REFUSAL_AVERSE_SHARE = 0.95;
+/** Clear books: a quarter stays unallocated, which no lost host can strand. */
+const CLARITY_SHARE = 0.75;
 /** A holder without demand keeps so many of the largest bounds in reserve. */
 const IDLE_BOUNDS = 4;
+/**
+ * This part of the share ignores demand: a data centre with few requests so far
+ * has shown too little to be judged by, and its demand can only rise.
+ */
+const EQUAL_PART = 0.1;
 /** Refill at this share of the target, so that the grant arrives in time. */
-const REFILL_SHARE = 0.75;
+const REFILL_SHARE = 0.9;
 /** Give back beyond this multiple of the target, so that tokens don't swing. */
-const RETURN_MULTIPLE = 2;
+const RETURN_MULTIPLE = 1.2;
 /** Where fewer bounds than this remain for each holder, slices collapse. */
 const COLLAPSE_BOUNDS = 4;
 
@@ -94,6 +101,11 @@
     if (waitingBoundTokens > largestSpendableTokens) {
       return this.decideForWaiting(situation);
     }
+    if (waitingBoundTokens > 0) {
+      // It is about to reserve; giving its tokens back now would ask for them
+      // again at once, for ever.
+      return NOTHING;
+    }
     return this.isNearEnd(situation)
       ? this.decideNearEnd(situation)
       : this.decideByDemand(situation);
@@ -165,15 +177,16 @@
   }
 
   private targetTokens(situation: GrantSituation): number {
-    const headroom =
+    const kept =
       situation.preference === BudgetPreference.AVOID_UNCLEAR_BILLS
-        ? CLARITY_HEADROOM
-        : REFUSAL_AVERSE_HEADROOM;
+        ? CLARITY_SHARE
+        : REFUSAL_AVERSE_SHARE;
     const cover =
-      situation.demandTokensPerSecond * situation.partitionSeconds * headroom;
+      situation.demandTokensPerSecond * situation.partitionSeconds * HEADROOM;
     const idle = IDLE_BOUNDS * Math.max(1, situation.largestBoundTokens);
-    const wanted = Math.max(cover, idle);
-    return Math.floor(Math.min(wanted, this.shareOfRemaining(situation, idle)));
+    const share = this.shareOfRemaining(situation, idle);
+    const wanted = Math.max(cover, idle, kept * share);
+    return Math.floor(Math.min(wanted, share));
   }
 
   /**
@@ -191,6 +204,7 @@
     }
     const byDemand =
       (situation.remainingTokens * situation.demandTokensPerSecond) / total;
-    return Math.max(byDemand, Math.min(idle, equal));
+    const smoothed = EQUAL_PART * equal + (1 - EQUAL_PART) * byDemand;
+    return Math.max(smoothed, Math.min(idle, equal));
   }
 }
--- a/packages/ledger/src/index.ts
+++ b/packages/ledger/src/index.ts
@@ -13,6 +13,8 @@
 export * from './ledger-fold.js';
 export {openingEntryId} from './organisation-books.js';
 export * from './placement.js';
+export * from './policy-comparison.js';
+export {ComparedCase} from './policy-workload.js';
 export * from './rate-estimate.js';
 export * from './recent-identifiers.js';
 export * from './tokens.js';
