Run again what nobody can trace, and let an unused claim go on

A completion whose router died before it told where it had dispatched was answered as failed. A certificate whose holder died between winning the claim and telling its router could never run: each retry was sent to a router that knew nothing of it, and at last told 410, though it never ran.

Ruled out: letting any router take over an unused claim (only the claimant knows that it never dispatched); calling such a rerun's refusal not run (the first attempt may have run, so the state machine keeps it after dispatch).

Keeper, smallest change: a claim goes on for its own claimant that vouches for it; an abandon while a claim is on its way no longer marks it as won. Router: it remembers the non-idempotent calls it dispatched and vouches only for what it cannot have forgotten; an idempotent request of which nobody knows and nothing was seen runs once more elsewhere, under one reservation and one bill.

--- a/packages/keeper/src/claim-service.ts
+++ b/packages/keeper/src/claim-service.ts
@@ -46,8 +46,11 @@
     if (this.registry.takeUnusedClaim(requestId)) {
       return ClaimOutcome.Won;
     }
-    if (this.claimOf(organisation, requestId) !== undefined) {
-      return ClaimOutcome.Lost;
+    const existing = this.claimOf(organisation, requestId);
+    if (existing !== undefined) {
+      return this.goesOn(existing, begin, router)
+        ? ClaimOutcome.Won
+        : ClaimOutcome.Lost;
     }
     if (!this.health.isReachable(this.replicas.streamOf(organisation))) {
       return ClaimOutcome.Unsettled;
@@ -55,6 +58,23 @@
     return this.settle(begin, router);
   }
 
+  /**
+   * A holder died after the claim was won and before its router heard of it: the
+   * claim names a router that waits for nothing. Only that router may run the
+   * request, and it alone knows that it never did, so its word is enough.
+   */
+  private goesOn(
+    existing: ClaimState,
+    begin: BeginRequest,
+    router: string,
+  ): boolean {
+    return (
+      existing.claimant === router &&
+      existing.fingerprint === begin.fingerprint &&
+      begin.claimUnused
+    );
+  }
+
   private async settle(
     begin: BeginRequest,
     router: string,
--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -81,7 +81,8 @@
       return;
     }
     this.registry.remove(message.requestId);
-    if (!request.idempotent) {
+    // While its claim is on the way to the log, another may still win it.
+    if (!request.idempotent && request.phase !== RequestPhase.Reserving) {
       this.registry.noteUnusedClaim(message.requestId);
     }
     const holding = this.grants.holding(request.organisation, request.grantId);
--- a/packages/router/src/dispatch-run.ts
+++ b/packages/router/src/dispatch-run.ts
@@ -58,22 +58,22 @@
       this.context.refuse(reserved, claimLostProblem());
       return undefined;
     }
+    if (!submission.idempotent) {
+      parts.dispatchedCalls.add(submission.requestId);
+    }
     const endpoint = reserved.placement?.endpoint ?? '';
     const attemptId = freshAttemptId(submission.requestId, parts.random);
     const dispatching = this.context.note(
       life.dispatch(reserved, {endpoint, attemptId}),
     );
-    parts.holder.dispatching(
-      {...submission, reservation: reserved.reservation},
-      dispatching.attempt,
-    );
+    this.tellHolder(dispatching);
     try {
       const result = await submission.work.start(
         dispatching.attempt,
         this.context.answer,
         {started: this.startedHook(dispatching)},
       );
-      this.finish(dispatching, result);
+      await this.finishOrRerun(dispatching, result);
       return undefined;
     } catch (error) {
       if (!(error instanceof StepError) || error.fate !== Fate.NotDone) {
@@ -92,11 +92,8 @@
 
   /** Continues what a lost router dispatched. */
   async continueAttempt(resuming: life.Resuming): Promise<void> {
-    const {submission, parts} = this.context;
-    parts.holder.dispatching(
-      {...submission, reservation: resuming.reservation},
-      resuming.attempt,
-    );
+    const {submission} = this.context;
+    this.tellHolder(resuming);
     const result = await submission.work.resume(
       resuming.attempt,
       this.context.answer,
@@ -104,7 +101,53 @@
         started: this.startedHook(resuming),
       },
     );
-    this.finish(resuming, result);
+    await this.finishOrRerun(resuming, result);
+  }
+
+  /**
+   * Nobody can tell what became of an attempt: its engine is gone, or its router
+   * died before it told where it went. An idempotent request of which the caller
+   * has seen nothing is run once more elsewhere, under the same reservation and
+   * with one bill; a late answer of the first attempt has no connection left to
+   * come by. Anything else is told as unknown.
+   */
+  private async finishOrRerun(
+    from: life.Dispatching | life.Resuming,
+    result: RunResult,
+  ): Promise<void> {
+    const {submission, answer, parts} = this.context;
+    const mayRerun =
+      result.outcome === AnswerOutcome.Unknown &&
+      submission.idempotent &&
+      answer.events.length === 0 &&
+      submission.lastEvent < 0;
+    if (!mayRerun) {
+      this.finish(from, result);
+      return;
+    }
+    this.context.avoid(from.attempt.endpoint);
+    const placing = await this.context.offer();
+    if (placing.err) {
+      this.finish(from, result);
+      return;
+    }
+    const attemptId = freshAttemptId(submission.requestId, parts.random);
+    const {endpoint} = placing.val;
+    const again = this.context.note(life.rerun(from, {endpoint, attemptId}));
+    this.tellHolder(again);
+    try {
+      const hooks = {started: this.startedHook(again)};
+      const second = await submission.work.start(again.attempt, answer, hooks);
+      this.finish(again, second);
+    } catch {
+      this.finish(again, result);
+    }
+  }
+
+  private tellHolder(from: life.Dispatching | life.Resuming): void {
+    const {submission, parts} = this.context;
+    const {reservation, attempt} = from;
+    parts.holder.dispatching({...submission, reservation}, attempt);
   }
 
   private startedHook(from: life.AfterDispatch): () => void {
--- a/packages/router/src/keeper-session.ts
+++ b/packages/router/src/keeper-session.ts
@@ -24,6 +24,7 @@
   readonly idempotent: boolean;
   readonly mintedHere: boolean;
   readonly endpoint: string;
+  readonly claimUnused: boolean;
 }
 
 /** Told of what a session hears. */
--- a/packages/router/src/model-work.ts
+++ b/packages/router/src/model-work.ts
@@ -97,7 +97,7 @@
     const engine = this.engineOf(attempt.endpoint);
     if (engine === undefined) {
       return Promise.resolve(
-        this.broken(attempt, undefined, 'the endpoint is no longer configured'),
+        this.untraceable(attempt, 'its endpoint is not known'),
       );
     }
     const reading = {engine, attempt, answer, hooks, received: 0};
@@ -219,14 +219,18 @@
     if (reading.received > 0 || usage !== undefined) {
       return this.broken(reading.attempt, usage, reason);
     }
+    return this.untraceable(reading.attempt, reason);
+  }
+
+  private untraceable(attempt: Attempt, reason: string): RunResult {
     return {
       outcome: AnswerOutcome.Unknown,
       cancelled: false,
       usage: undefined,
       problem: new Problem(ProblemName.OutcomeUnknown, {
-        detail: `the engine can't be asked what became of it: ${reason}`,
+        detail: `nobody can be asked what became of it: ${reason}`,
         step: STREAM_STEP,
-        peer: reading.attempt.endpoint,
+        peer: attempt.endpoint,
       }),
     };
   }
--- a/packages/router/src/request-life.ts
+++ b/packages/router/src/request-life.ts
@@ -196,6 +196,22 @@
   return {kind: LifeKind.Resuming, from: from.kind, reservation, attempt};
 }
 
+/**
+ * Tries an idempotent request at another endpoint, after an attempt of which
+ * nobody knows what became. It stays after dispatch: the first may have run.
+ */
+export function rerun(
+  from: Dispatching | Resuming,
+  attempt: Attempt,
+): Resuming {
+  return {
+    kind: LifeKind.Resuming,
+    from: from.kind,
+    reservation: from.reservation,
+    attempt,
+  };
+}
+
 /** Part of the answer arrived. */
 export function stream(from: AfterDispatch): Streaming {
   return {
--- a/packages/router/src/request-run.ts
+++ b/packages/router/src/request-run.ts
@@ -90,7 +90,7 @@
         return this.applyVerdict(beginning, verdict, askedAt);
       }
       if (verdict.router?.incarnation === parts.incarnation()) {
-        if (namedSelf) {
+        if (namedSelf && !this.isUnusedCall) {
           this.answerGone(beginning);
           return undefined;
         }
@@ -127,6 +127,14 @@
     });
   }
 
+  private get isUnusedCall(): boolean {
+    const {submission, parts} = this.context;
+    return (
+      !submission.idempotent &&
+      parts.dispatchedCalls.isUnused(submission.requestId)
+    );
+  }
+
   private beginFields(beginning: life.Beginning): BeginFields {
     const {submission, parts} = this.context;
     return {
@@ -140,6 +148,7 @@
       idempotent: submission.idempotent,
       mintedHere: submission.mintedHere,
       endpoint: beginning.placement?.endpoint ?? '',
+      claimUnused: this.isUnusedCall,
     };
   }
 
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -24,6 +24,7 @@
 import {attachService} from './attach-service.js';
 import {CallerRoutes} from './caller-routes.js';
 import {CallerServer} from './caller-server.js';
+import {DispatchedCalls} from './dispatched-calls.js';
 import {EndpointDirectory} from './endpoint-directory.js';
 import {HolderClient} from './holder-client.js';
 import {KeeperDirectory} from './keeper-directory.js';
@@ -226,6 +227,7 @@
       random,
       log,
       metrics,
+      dispatchedCalls: new DispatchedCalls(),
       incarnation: () => this.identity.incarnation,
       draining: () => this.draining,
       peers: () => this.peers(),
--- a/packages/router/src/run-context.ts
+++ b/packages/router/src/run-context.ts
@@ -5,9 +5,10 @@
 import type {ProcessIdentity} from '@wisteriadeal/schema';
 
 import type {Answer} from './answer.js';
+import type {DispatchedCalls} from './dispatched-calls.js';
 import type {RunResult} from './endpoint-work.js';
 import type {HolderClient} from './holder-client.js';
-import type {LoadDispatcher} from './load-dispatcher.js';
+import type {LoadDispatcher, Placing} from './load-dispatcher.js';
 import {AnswerOutcome, Problem, ProblemName} from './problem.js';
 import * as life from './request-life.js';
 import type {RouterConnector} from './router-attacher.js';
@@ -23,6 +24,7 @@
   readonly random: RandomSource;
   readonly log: EventLog;
   readonly metrics: Metrics;
+  readonly dispatchedCalls: DispatchedCalls;
   readonly incarnation: () => string;
   readonly draining: () => boolean;
   /** The other routers that membership names. */
@@ -49,26 +51,29 @@
     return {request: requestId, organisation};
   }
 
+  /** Waits for an endpoint. */
+  offer(): Promise<Placing> {
+    const avoid =
+      this.avoidEndpoint === undefined
+        ? {}
+        : {avoidEndpoint: this.avoidEndpoint};
+    const isRetry = this.avoidEndpoint !== undefined;
+    return this.parts.dispatcher.place(
+      {...this.submission, isRetry, ...avoid},
+      this.answer.abandoned,
+    );
+  }
+
   /** Waits for an endpoint; refuses the request where there is none. */
   async findEndpoint(
     queued: life.Queued,
   ): Promise<life.Placed | life.Reserved | undefined> {
     this.note(queued);
-    const {submission} = this;
-    const placing = await this.parts.dispatcher.place(
-      {
-        ...submission,
-        isRetry: this.avoidEndpoint !== undefined,
-        ...(this.avoidEndpoint === undefined
-          ? {}
-          : {avoidEndpoint: this.avoidEndpoint}),
-      },
-      this.answer.abandoned,
-    );
+    const placing = await this.offer();
     if (placing.ok) {
       return this.note(life.place(queued, placing.val));
     }
-    this.refuse(queued, problemOfRefusal(placing.val, submission));
+    this.refuse(queued, problemOfRefusal(placing.val, this.submission));
     return undefined;
   }
 
--- a/packages/router/src/test/endpoint-faults_test.ts
+++ b/packages/router/src/test/endpoint-faults_test.ts
@@ -91,11 +91,26 @@
     });
   });
 
+  // As below, but only once. A completion is idempotent and its caller has seen
+  // nothing, so it runs again and is billed once.
+  it('runs a completion again of which nobody knows', async () => {
+    const refused = {fails: Fate.NotDone};
+    const lost = {fails: Fate.Unknown, forgets: true};
+    await startWith([lost, refused, refused, refused]);
+    const seen = await readStream(await chat(rig.url, 'hello'));
+    expect(seen).toMatchObject({text: WHOLE, whole: true});
+    await until(() => rig.keeper.heard('settle').length === 1);
+    expect(rig.keeper.heard('settle')[0]?.bill?.tokens).toBe(8);
+  });
+
   // The start's answer is lost and the engine then knows nothing of the attempt:
   // it may still arrive and run. Nobody can tell, so the caller is told that,
   // and the bound is charged and marked unconfirmed.
   it('tells an outcome that nobody knows', async () => {
-    await startWith([{fails: Fate.Unknown, forgets: true}]);
+    const lost = {fails: Fate.Unknown, forgets: true};
+    const refused = {fails: Fate.NotDone};
+    const attempt = [lost, refused, refused, refused];
+    await startWith([...attempt, ...attempt]);
     const response = await chat(rig.url, 'hello');
     expect(response.status).toBe(504);
     expect(response.headers.get('x-outcome')).toBe('unknown');
--- a/packages/router/src/test/keeper-directory_test.ts
+++ b/packages/router/src/test/keeper-directory_test.ts
@@ -44,6 +44,7 @@
   idempotent: true,
   mintedHere: false,
   endpoint: '',
+  claimUnused: false,
 };
 const reserved = {
   requestId: 'req_1',
--- a/packages/router/src/test/retries_test.ts
+++ b/packages/router/src/test/retries_test.ts
@@ -92,6 +92,33 @@
     expect(first.engine.starts).toBe(1);
   });
 
+  // The router died between its reservation and telling where it dispatched. The
+  // holder names an attempt without an endpoint; the completion runs anew.
+  it('runs anew where nobody knows the endpoint', async () => {
+    keeper.verdict = () => ({
+      verdict: BeginVerdict.RESUME,
+      resume: {attemptId: 'req_x.1', endpoint: ''},
+    });
+    const seen = await readStream(await chat(second.url, 'hello', {key: 'k'}));
+    expect(seen).toMatchObject({text: WHOLE, whole: true});
+  });
+
+  // A holder died after a claim was won and before the router heard of it. Only
+  // that router may run the call, so it says that it never did; once it has
+  // dispatched it, it must not say so any more.
+  it('vouches for an unused claim until it is used', async () => {
+    await certify(first.url, '{}', {key: 'c'});
+    const again = keeper.heard('begin')[0];
+    expect(again?.claimUnused).toBe(true);
+    keeper.verdict = () => undefined;
+    await certify(second.url, '{}', {key: 'd'});
+    await certify(second.url, '{}', {key: 'd'});
+    const unused = keeper
+      .heard('begin')
+      .filter(({requestId}) => requestId !== again?.requestId);
+    expect(unused.every(({claimUnused}) => claimUnused)).toBe(true);
+  });
+
   // As above, but the holder lost its books and reserves anew. The new run may
   // word its answer otherwise, so its rest must not be sewn to what was seen.
   it('never sews two runs into one answer', async () => {
