Let a prefix keep its first holders, and drop what nothing used

The eight holders of a prefix were the latest ones, tried from the one longest unused: work with the same prompt went round them all. Now the first eight stay.

Gaps in the cache events were worked out and used by nobody: removed.

--- a/packages/decisions/src/endpoint-state.ts
+++ b/packages/decisions/src/endpoint-state.ts
@@ -32,7 +32,6 @@
   private readonly awaited = new Map<string, PlacedWork>();
   private othersInProgress = 0;
   private saysLeaving = false;
-  private cacheSequence = 0;
   private smoothedOwn = 0;
   private smoothedAt = 0;
 
@@ -99,20 +98,13 @@
     this.awaited.delete(requestId);
   }
 
-  /**
-   * Takes in a lagging report: only what others do there is believed of it.
-   *
-   * @returns True where cache events were lost before it.
-   */
-  report(report: EngineLoadReport, now: number): boolean {
+  /** Takes in a lagging report: only what others do there is believed of it. */
+  report(report: EngineLoadReport, now: number): void {
     this.smoothOwn(now);
     const own = Math.max(this.smoothedOwn, this.inProgress.size);
     const reported = report.running + report.waiting;
     this.othersInProgress = Math.max(0, Math.floor(reported - own));
     this.saysLeaving = report.leaving;
-    const expected = this.cacheSequence + report.cachedPrefixes.length;
-    this.cacheSequence = report.cacheSequence;
-    return report.cacheSequence > expected;
   }
 
   private smoothOwn(now: number): void {
--- a/packages/decisions/src/load-core.ts
+++ b/packages/decisions/src/load-core.ts
@@ -205,11 +205,11 @@
     if (state === undefined) {
       return [];
     }
-    const hadGap = state.report(report, now);
+    state.report(report, now);
     this.directory.refresh(state);
     const lanes = this.directory.lanesServedBy(state);
     for (const lane of lanes) {
-      lane.placement.announced(state, report.cachedPrefixes, hadGap);
+      lane.placement.announced(state, report.cachedPrefixes);
     }
     return [
       ...this.advance(now),
--- a/packages/decisions/src/placement-policy.ts
+++ b/packages/decisions/src/placement-policy.ts
@@ -17,14 +17,12 @@
   abstract placed(item: WorkItem, state: EndpointState): void;
 
   /**
-   * An endpoint announced cached prefixes.
-   *
-   * @param hadGap True where earlier announcements were lost.
+   * An endpoint announced cached prefixes. Events come late and with gaps, so
+   * that what was not announced may be cached all the same.
    */
   abstract announced(
     state: EndpointState,
     prefixHashes: readonly string[],
-    hadGap: boolean,
   ): void;
 
   /** An endpoint is gone. */
--- a/packages/decisions/src/prefix-index.ts
+++ b/packages/decisions/src/prefix-index.ts
@@ -8,7 +8,7 @@
 const PREFIXES_PER_ENDPOINT = 2_048;
 
 /**
- * Holders remembered for each prefix, the latest ones. A prompt that everybody
+ * Holders remembered for each prefix, the first ones. A prompt that everybody
  * shares is held by every endpoint; looking at all of them for one that is free
  * would make a decision cost as much as there are endpoints.
  */
@@ -66,17 +66,12 @@
     this.prefixes.delete(state);
   }
 
+  /** The first holders stay the preferred ones, so that a prefix has a home. */
   private addHolder(state: EndpointState, hash: string): void {
     const holders = this.holders.get(hash) ?? new Set<EndpointState>();
     this.holders.set(hash, holders);
-    holders.delete(state);
-    holders.add(state);
-    for (const oldest of holders) {
-      if (holders.size <= HOLDERS_PER_PREFIX) {
-        break;
-      }
-      holders.delete(oldest);
-      this.prefixes.get(oldest)?.delete(hash);
+    if (holders.size < HOLDERS_PER_PREFIX) {
+      holders.add(state);
     }
   }
 
