--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -1,11 +1,11 @@
-import {create} from '@bufbuild/protobuf';
-import {chooseHolder, rankKeepers} from '@wisteriadeal/ledger';
+import {clone, create} from '@bufbuild/protobuf';
 import {type Clock, type HostListing} from '@wisteriadeal/platform';
 import {
   GossipMessageSchema,
   HostState,
   KeeperMemberSchema,
   MembershipSchema,
+  ProcessIdentitySchema,
   RouterMemberSchema,
   type GossipMessage,
   type KeeperMember,
@@ -15,6 +15,7 @@
 } from '@wisteriadeal/schema';
 
 import {PlatformListing} from './platform-listing.js';
+import {RankedChoice} from './ranked-choice.js';
 
 /** A keeper not heard from for so many limits is forgotten. */
 const FORGET_LIMITS = 20;
@@ -28,6 +29,21 @@
   leavingEndpoints: readonly string[];
 }
 
+function withAddress(
+  identity: ProcessIdentity,
+  controlAddress: string | undefined,
+): ProcessIdentity {
+  if (
+    controlAddress === undefined ||
+    controlAddress === identity.controlAddress
+  ) {
+    return identity;
+  }
+  const reached = clone(ProcessIdentitySchema, identity);
+  reached.controlAddress = controlAddress;
+  return reached;
+}
+
 /**
  * Who is live, from this keeper's own view: the platform's list says whom to
  * ask, and a peer counts as reachable while it was heard from within the limit.
@@ -39,6 +55,8 @@
   private ownState = HostState.LIVE;
   private readonly listeners: (() => void)[] = [];
   private lastMembership = '';
+  private readonly holders = new RankedChoice();
+  private readonly witnesses = new RankedChoice();
 
   constructor(
     readonly self: ProcessIdentity,
@@ -125,9 +143,11 @@
 
   /** A known keeper. */
   identityOf(incarnation: string): ProcessIdentity | undefined {
-    return incarnation === this.self.incarnation
-      ? this.self
-      : this.keepers.get(incarnation)?.identity;
+    if (incarnation === this.self.incarnation) {
+      return this.self;
+    }
+    const identity = this.keepers.get(incarnation)?.identity;
+    return identity === undefined ? undefined : this.asReached(identity);
   }
 
   /** Other keepers that can be reached, not leaving. */
@@ -138,7 +158,7 @@
           keeper.state === HostState.LIVE &&
           this.isReachable(keeper.identity.incarnation),
       )
-      .map(keeper => keeper.identity);
+      .map(keeper => this.asReached(keeper.identity));
   }
 
   /** Reachable peers that have read a stream further than `offset`. */
@@ -157,7 +177,7 @@
     if (!this.isLeaving) {
       candidates.push(this.self.incarnation);
     }
-    return chooseHolder(organisation, candidates);
+    return this.holders.best(organisation, candidates);
   }
 
   /**
@@ -170,10 +190,10 @@
     );
     const near = peers.filter(peer => peer.dataCenter === this.self.dataCenter);
     const candidates = near.length > 0 ? near : peers;
-    return rankKeepers(
+    return this.witnesses.best(
       organisation,
       candidates.map(peer => peer.incarnation),
-    )[0];
+    );
   }
 
   /** Data centres with a live keeper, as far as is known; at least this one. */
@@ -196,7 +216,7 @@
   get membership(): Membership {
     const others = [...this.keepers.values()].map(keeper =>
       create(KeeperMemberSchema, {
-        identity: keeper.identity,
+        identity: this.asReached(keeper.identity),
         state: keeper.state,
         reachable: this.isReachable(keeper.identity.incarnation),
       }),
@@ -240,6 +260,29 @@
     }
   }
 
+  /**
+   * A peer with the address by which this host reaches it. Addresses differ by
+   * viewer where data centres reach each other over another network than their
+   * own hosts do; what a peer says of itself holds only next to it. Symptom
+   * without this: a host that is listed, and yet not reached from elsewhere.
+   */
+  private asReached(identity: ProcessIdentity): ProcessIdentity {
+    const listed = this.platform.lastKnown(identity.host);
+    return withAddress(identity, listed?.keeperAddress);
+  }
+
+  private routersAsReached(keeper: KnownKeeper): readonly RouterMember[] {
+    const listed = this.platform.lastKnown(keeper.identity.host);
+    return keeper.routers.map(({identity, state}) =>
+      identity === undefined
+        ? create(RouterMemberSchema, {state})
+        : create(RouterMemberSchema, {
+            identity: withAddress(identity, listed?.routerControlAddress),
+            state,
+          }),
+    );
+  }
+
   private get ownMember(): KeeperMember {
     return create(KeeperMemberSchema, {
       identity: this.self,
@@ -261,7 +304,7 @@
     );
     for (const member of [
       ...this.ownRouterMembers,
-      ...reachable.flatMap(keeper => keeper.routers),
+      ...reachable.flatMap(keeper => this.routersAsReached(keeper)),
     ]) {
       known.set(member.identity?.incarnation ?? '', member);
     }
--- a/packages/measurements/src/fleet-case.ts
+++ b/packages/measurements/src/fleet-case.ts
@@ -33,6 +33,9 @@
 
 /** A case that runs a fleet under load while something happens to it. */
 export abstract class FleetCase extends MeasureCase {
+  /** The case's own fields that break a promise unless they are 0. */
+  protected readonly mustBeZero: readonly string[] = [];
+
   /** How the fleet and its callers are set up. */
   protected abstract options(seed: number): FleetRunOptions;
 
@@ -43,14 +46,20 @@
    */
   protected abstract act(run: FleetRun): Promise<CaseFields>;
 
+  /** Whether the case's own fields keep its own promise. */
+  protected holds(own: CaseFields): boolean {
+    return own.passed !== false;
+  }
+
   override async run(seed: number): Promise<CaseResult> {
     const run = await FleetRun.start(this.options(seed));
     let passed = false;
     try {
       const own = await this.act(run);
-      const result = toCaseResult(await run.finish(), own);
-      passed = result.passed;
-      return result;
+      const broken = this.mustBeZero.filter(name => own[name] !== 0);
+      const result = toCaseResult(await run.finish(), own, broken);
+      passed = result.passed && this.holds(own);
+      return {...result, passed};
     } finally {
       await run.close(!passed);
     }
--- a/packages/measurements/src/processor-time.ts
+++ b/packages/measurements/src/processor-time.ts
@@ -10,6 +10,8 @@
 export interface ProcessUsage {
   readonly processorMilliseconds: number;
   readonly residentMegabytes: number;
+  /** Bytes read and written, sockets and log lines included. */
+  readonly bytes: number;
 }
 
 const KILOBYTES_PER_MEGABYTE = 1_024;
@@ -30,9 +32,14 @@
   const ticks =
     Number(fields[USER_TICKS_FIELD]) + Number(fields[SYSTEM_TICKS_FIELD]);
   const status = readFileSync(`/proc/${pid}/status`, 'utf8');
+  const io = readFileSync(`/proc/${pid}/io`, 'utf8');
+  const bytes = [...io.matchAll(/^[rw]char: (\d+)/gm)].map(([, count]) =>
+    Number(count),
+  );
   const resident = /VmRSS:\s+(\d+) kB/.exec(status)?.[1] ?? '0';
   return {
     processorMilliseconds: ticks * MILLISECONDS_PER_TICK,
     residentMegabytes: Math.round(Number(resident) / KILOBYTES_PER_MEGABYTE),
+    bytes: bytes.reduce((sum, count) => sum + count, 0),
   };
 }
