Give each router the address of its own host, not of the keeper that names it

Cause: since the membership carries the addresses that the platform's list names, a retry at another host could hang until its caller gave up (20 s, 11 of 65 repeats in one demo): a keeper tells of all routers that have a session with it, and each got the router address of that keeper's host. A router that joined another one's answer then joined itself, and both waited.

Ruled out: the relays (it hung within one data centre too) and the begin at the holder (the explanation showed "joined" with two readers, one of them the router itself).

Change: the listed address is looked up by the router's own host.

A first request at a host just started ended not-run and its repeats then disagreed: noted for the router's owners.

--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -270,15 +270,16 @@
   }
 
   private routersAsReached(keeper: KnownKeeper): readonly RouterMember[] {
-    const listed = this.platform.lastKnown(keeper.identity.host);
-    return keeper.routers.map(({identity, state}) =>
-      identity === undefined
-        ? create(RouterMemberSchema, {state})
-        : create(RouterMemberSchema, {
-            identity: withAddress(identity, listed?.routerControlAddress),
-            state,
-          }),
-    );
+    // A keeper tells of all routers that have a session with it, so each one's
+    // own host says where it is.
+    return keeper.routers.flatMap(({identity, state}) => {
+      if (identity === undefined) {
+        return [];
+      }
+      const listed = this.platform.lastKnown(identity.host);
+      const reached = withAddress(identity, listed?.routerControlAddress);
+      return [create(RouterMemberSchema, {identity: reached, state})];
+    });
   }
 
   private get ownMember(): KeeperMember {
