--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -11,6 +11,7 @@
 import type {GrantParts} from './grant-parts.js';
 import {holderOfMost} from './holder-of-most.js';
 import {OrganisationGrants} from './organisation-grants.js';
+import {WakeUp} from './wake-up.js';
 
 /** The users' pages: regions lose each other for an hour now and then. */
 export const EXPECTED_PARTITION_SECONDS = 3_600;
@@ -25,9 +26,10 @@
   private readonly organisations = new Map<string, OrganisationGrants>();
   private readonly nextRefill = new Map<string, number>();
   private readonly nextReturn = new Map<string, number>();
-  private wake: (() => void) | undefined;
+  private readonly wakeUp: WakeUp;
 
   constructor(private readonly parts: GrantParts) {
+    this.wakeUp = new WakeUp(parts.clock);
     parts.links.setSnapshotSource(witness => this.snapshot(witness));
   }
 
@@ -41,7 +43,9 @@
       organisation,
       this.parts.replicator,
       this.parts.clock,
-      () => this.wake?.(),
+      () => {
+        this.wakeUp.wake();
+      },
     );
     this.organisations.set(organisation, grants);
     return grants;
@@ -59,15 +63,7 @@
 
   /** Resolves when something is wanted, or after the delay. */
   async untilWanted(milliseconds: number, signal: AbortSignal): Promise<void> {
-    const woken = new AbortController();
-    this.wake = () => {
-      woken.abort();
-    };
-    await this.parts.clock.sleep(
-      milliseconds,
-      AbortSignal.any([signal, woken.signal]),
-    );
-    this.wake = undefined;
+    await this.wakeUp.sleep(milliseconds, signal);
   }
 
   /** Lets the policy decide on one organisation. */
@@ -147,7 +143,7 @@
     if (tookEffect(own) && given !== undefined && !given.closed) {
       this.open(organisation, grantId, given.tokens, given.witness);
     }
-    this.wake?.();
+    this.wakeUp.wake();
   }
 
   private open(
--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -1,7 +1,15 @@
+import {DECISIONS_CASES} from '../decisions-cases.js';
 import type {MeasureCase} from '../measure-case.js';
 import {CapacityRequestsCase} from './capacity-requests-case.js';
 import {CapacitySlopesCase} from './capacity-slopes-case.js';
+import {DecisionsCostCase} from './decisions-cost-case.js';
+import {DecisionsMeasureCase} from './decisions-measure-case.js';
+import {ConfigurationInForceCase} from './configuration-in-force-case.js';
+import {ControlCostCase} from './control-cost-case.js';
 import {DemoCase} from './demo-case.js';
+import {LeavingEndpointCase} from './leaving-endpoint-case.js';
+import {RetryStormCase} from './retry-storm-case.js';
+import {RollingReplacementCase} from './rolling-replacement-case.js';
 import {KillRouterCase} from './kill-router-case.js';
 import {PartitionCase} from './partition-case.js';
 import {PauseHolderCase} from './pause-holder-case.js';
@@ -10,6 +18,8 @@
 
 /** Every case; one file each, one line each here. */
 export const CASES: readonly MeasureCase[] = [
+  new ConfigurationInForceCase(),
+  new ControlCostCase(),
   new DemoCase(),
   new CapacitySlopesCase(),
   new CapacityRequestsCase(),
@@ -18,4 +28,9 @@
   new PauseHolderCase(),
   new PlatformOutageCase(),
   new TwoHostsKilledCase(),
+  new DecisionsCostCase(),
+  ...DECISIONS_CASES.map(each => new DecisionsMeasureCase(each)),
+  new LeavingEndpointCase(),
+  new RetryStormCase(),
+  new RollingReplacementCase(),
 ];
