Wait for a lost holder's grant before refusing for budget

Change: where the fold shows an open, witnessed grant of an unreachable holder that covers the bound, the request waits 5 s more. 12 of 12 keeper tests pass.

--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -24,6 +24,8 @@
 
 /** A request waits at most this long for tokens or a witness. */
 const RESERVE_LIMIT_MILLISECONDS = 2_000;
+/** A lost holder's grant is back within about this time by default settings. */
+const RECLAIM_LIMIT_MILLISECONDS = 5_000;
 /** When a refusal for lack of a witness may have changed. */
 const UNAVAILABLE_RETRY_MILLISECONDS = 1_000;
 
@@ -212,26 +214,51 @@
       : beginAnswer(begin, BeginVerdict.JOIN, {router});
   }
 
+  /**
+   * Load: a host was killed and its grant is being taken back. Harm: telling a
+   * caller that its budget is spent while most of it is seconds away.
+   */
+  private isReclaimExpected({
+    organisation,
+    boundTokens,
+  }: BeginRequest): boolean {
+    return this.replicas
+      .ledgerOf(organisation)
+      .grants(organisation)
+      .some(
+        grant =>
+          !grant.closed &&
+          grant.witness !== '' &&
+          !this.membership.isReachable(grant.holder) &&
+          grant.tokens - grant.billedTokens >= boundTokens,
+      );
+  }
+
   private async reserve(
     begin: BeginRequest,
     request: TrackedRequest,
   ): Promise<BeginAnswer> {
     const grants = this.grants.of(begin.organisation);
-    const {outcome, holding} = await grants.reserve(
-      create(RequestReservationSchema, {
-        reservation: {
-          requestId: begin.requestId,
-          boundTokens: begin.boundTokens,
-          attemptId: begin.attemptId,
-          endpoint: begin.endpoint,
-          caller: begin.caller,
-        },
-        router: request.router,
-        fingerprint: begin.fingerprint,
-        idempotent: begin.idempotent,
-      }),
-      RESERVE_LIMIT_MILLISECONDS,
-    );
+    const reservation = create(RequestReservationSchema, {
+      reservation: {
+        requestId: begin.requestId,
+        boundTokens: begin.boundTokens,
+        attemptId: begin.attemptId,
+        endpoint: begin.endpoint,
+        caller: begin.caller,
+      },
+      router: request.router,
+      fingerprint: begin.fingerprint,
+      idempotent: begin.idempotent,
+    });
+    let answer = await grants.reserve(reservation, RESERVE_LIMIT_MILLISECONDS);
+    if (
+      answer.outcome === ReserveOutcome.Budget &&
+      this.isReclaimExpected(begin)
+    ) {
+      answer = await grants.reserve(reservation, RECLAIM_LIMIT_MILLISECONDS);
+    }
+    const {outcome, holding} = answer;
     if (outcome === ReserveOutcome.Reserved && holding !== undefined) {
       request.grantId = holding.grantId;
       this.registry.enter(request, RequestPhase.Running);
