--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -24,9 +24,9 @@
 /** Holds this keeper's grants of all organisations, and asks for more. */
 export class GrantManager {
   private readonly organisations = new Map<string, OrganisationGrants>();
-  private readonly wakeUp: WakeUp;
   private readonly nextRefill = new Map<string, number>();
   private readonly nextReturn = new Map<string, number>();
+  private readonly wakeUp: WakeUp;
 
   constructor(private readonly parts: GrantParts) {
     this.wakeUp = new WakeUp(parts.clock);
