--- a/packages/measurements/src/ledger-audit.ts
+++ b/packages/measurements/src/ledger-audit.ts
@@ -91,21 +91,6 @@
       if (counts && !this.bills.has(bill.requestId)) {
         this.bills.set(bill.requestId, bill);
       }
-      if (
-        verdict.kind === VerdictKind.Accepted &&
-        entry?.kind.case === 'reclaim'
-      ) {
-        this.noteReclaimed(entry.kind.value.settled);
-      }
-    }
-  }
-
-  /** A reclaim carries the bills that a lost holder had not appended. */
-  private noteReclaimed(settled: readonly Bill[]): void {
-    for (const bill of settled) {
-      if (!this.bills.has(bill.requestId)) {
-        this.bills.set(bill.requestId, bill);
-      }
     }
   }
 
--- a/packages/router/src/test/router-rig.ts
+++ b/packages/router/src/test/router-rig.ts
@@ -1,5 +1,9 @@
 import {create} from '@bufbuild/protobuf';
-import type {Clock, ModelEngineFactory} from '@wisteriadeal/platform';
+import type {
+  Clock,
+  ModelEngineFactory,
+  RandomSource,
+} from '@wisteriadeal/platform';
 import {
   EventLog,
   NoMetrics,
@@ -133,6 +137,7 @@
   readonly engines?: Readonly<Record<string, FakeEngine>>;
   readonly host?: string;
   readonly clock?: Clock;
+  readonly random?: RandomSource;
   readonly engineFactory?: ModelEngineFactory;
 }
 
@@ -179,7 +184,7 @@
       new FakeEngineFactory({'engine-1': engine, ...options.engines}),
     plainServices: new FakePlainServiceFactory(service),
     clock: options.clock ?? new SystemClock(),
-    random: new SystemRandomSource(),
+    random: options.random ?? new SystemRandomSource(),
     log: EventLog.create(LogLevel.DEBUG, {process: 'router'}, line => {
       logLines.push(line);
     }),
