--- a/packages/router/src/request-run.ts
+++ b/packages/router/src/request-run.ts
@@ -180,6 +180,7 @@
     const reservation = {grantId, holder, witness, askedAt};
     if (answer.verdict === BeginVerdict.RESERVED) {
       return this.checkReserved(
+        beginning,
         this.context.note(life.reserve(beginning, reservation)),
       );
     }
@@ -217,9 +218,14 @@
   /**
    * A new run may word its answer otherwise. Where the caller has seen part of an
    * earlier one, going on from there would mix two answers into one that looks
-   * whole; the caller is told instead, and may ask for the whole anew.
+   * whole. The router that keeps the earlier one is looked for (its data centre
+   * may be another, where this holder knows nothing of it); else the caller is
+   * told, and may ask for the whole anew.
    */
-  private checkReserved(reserved: life.Reserved): life.Reserved | undefined {
+  private async checkReserved(
+    beginning: life.Beginning,
+    reserved: life.Reserved,
+  ): Promise<life.Reserved | undefined> {
     if (
       this.context.answer.events.length > 0 ||
       this.context.submission.lastEvent >= 0
@@ -229,6 +235,9 @@
         ...this.context.submission,
         reservation,
       });
+      if (await this.foundAtPeer(beginning)) {
+        return undefined;
+      }
       this.context.answer.finish({
         problem: new Problem(ProblemName.FailedAfterRunning, {
           detail: 'the stream that was seen in part can no longer be continued',
--- a/packages/router/src/test/retries_test.ts
+++ b/packages/router/src/test/retries_test.ts
@@ -119,6 +119,21 @@
     expect(unused.every(({claimUnused}) => claimUnused)).toBe(true);
   });
 
+  // The caller reconnects in another data centre, where nothing is known of its
+  // request yet. The router that runs it is found, and the rest is exact.
+  it('finds the rest of a stream in another data centre', async () => {
+    const original = await readStream(
+      await chat(first.url, 'hello', {key: 'k'}),
+    );
+    keeper.verdict = () => ({verdict: BeginVerdict.RESERVED});
+    const rest = await readStream(
+      await chat(second.url, 'hello', {key: 'k', lastEvent: 1}),
+    );
+    expect(rest).toMatchObject({text: 'hello-2 hello-3 hello-4 ', whole: true});
+    expect(original.raw.endsWith(rest.raw)).toBe(true);
+    expect(keeper.heard('abandon')).toHaveLength(1);
+  });
+
   // As above, but the holder lost its books and reserves anew. The new run may
   // word its answer otherwise, so its rest must not be sewn to what was seen.
   it('never sews two runs into one answer', async () => {
