Wait in a graceful stop for the last reader of each answer

Cause: an answer ends in the router before another router that attached to it has read its end; the stop then closed the control services under it. And a caller that left before its answer began never counted as gone.

Ruled out: a fixed pause before closing (too short for a slow reader).

Change: a stop also waits for readers, within its limit; a response that is closed already counts its reader out at once.

Conclusion: no stream attached from elsewhere is cut by a stop, as far as read.

--- a/packages/router/src/answer-store.ts
+++ b/packages/router/src/answer-store.ts
@@ -32,6 +32,11 @@
       .length;
   }
 
+  /** Readers that have not read to their end. */
+  get readers(): number {
+    return this.answers().reduce((sum, answer) => sum + answer.readerCount, 0);
+  }
+
   /** Bytes of ended answers. */
   get bytes(): number {
     return this.endedBytes;
--- a/packages/router/src/caller-routes.ts
+++ b/packages/router/src/caller-routes.ts
@@ -251,10 +251,15 @@
   ): Promise<void> {
     const gone = new AbortController();
     const leave = this.parts.requests.attach(answer);
-    response.once('close', () => {
+    const end = () => {
       gone.abort();
       leave();
-    });
+    };
+    response.once('close', end);
+    // A caller that left before this has no close to come.
+    if (response.destroyed || response.socket?.destroyed === true) {
+      end();
+    }
     try {
       await write(gone.signal);
     } catch (error) {
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -200,11 +200,20 @@
     });
   }
 
+  /** An answer has ended here before its last reader has it. */
+  private get isBusy(): boolean {
+    return (
+      this.store.running > 0 ||
+      this.store.readers > 0 ||
+      this.holder.openSettlements > 0
+    );
+  }
+
   private async drained(): Promise<void> {
     const {clock, settings, log} = this.parts;
     const {drainLimitMilliseconds} = routerLimits(settings);
     const until = clock.monotonicMilliseconds() + drainLimitMilliseconds;
-    while (this.store.running > 0 || this.holder.openSettlements > 0) {
+    while (this.isBusy) {
       if (clock.monotonicMilliseconds() >= until) {
         log.warn('drain-limit-reached', {
           open: this.store.running,
