--- a/packages/decisions/src/load-core.ts
+++ b/packages/decisions/src/load-core.ts
@@ -113,10 +113,9 @@
         now,
       );
     }
-    const choice =
-      lane.queue.sizeOf(item.workClass) === 0
-        ? lane.choose(item, now)
-        : lane.chooseRemote(item, now);
+    const choice = lane.queue.mayOvertake(item)
+      ? lane.choose(item, now)
+      : lane.chooseRemote(item, now);
     return choice === undefined
       ? this.queueOrRefuse(item, lane, estimate, now)
       : this.place(item, lane, choice, now);
@@ -154,7 +153,7 @@
     const {state} = placement.work;
     state.end(requestId, now);
     placement.lane.ended(placement.work, result, now);
-    this.directory.refresh(state);
+    this.directory.release(state);
     const lanes = this.directory.lanesServedBy(state);
     return [...this.advance(now), ...this.placeWaiting(lanes, now)];
   }
@@ -206,11 +205,11 @@
     if (state === undefined) {
       return [];
     }
-    const hadGap = state.report(report, now);
+    state.report(report, now);
     this.directory.refresh(state);
     const lanes = this.directory.lanesServedBy(state);
     for (const lane of lanes) {
-      lane.placement.announced(state, report.cachedPrefixes, hadGap);
+      lane.placement.announced(state, report.cachedPrefixes);
     }
     return [
       ...this.advance(now),
--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -1,5 +1,4 @@
 import {clone, create} from '@bufbuild/protobuf';
-import {chooseHolder, rankKeepers} from '@wisteriadeal/ledger';
 import {type Clock, type HostListing} from '@wisteriadeal/platform';
 import {
   GossipMessageSchema,
@@ -16,6 +15,7 @@
 } from '@wisteriadeal/schema';
 
 import {PlatformListing} from './platform-listing.js';
+import {RankedChoice} from './ranked-choice.js';
 
 /** A keeper not heard from for so many limits is forgotten. */
 const FORGET_LIMITS = 20;
@@ -55,6 +55,8 @@
   private ownState = HostState.LIVE;
   private readonly listeners: (() => void)[] = [];
   private lastMembership = '';
+  private readonly holders = new RankedChoice();
+  private readonly witnesses = new RankedChoice();
 
   constructor(
     readonly self: ProcessIdentity,
@@ -175,7 +177,7 @@
     if (!this.isLeaving) {
       candidates.push(this.self.incarnation);
     }
-    return chooseHolder(organisation, candidates);
+    return this.holders.best(organisation, candidates);
   }
 
   /**
@@ -188,10 +190,10 @@
     );
     const near = peers.filter(peer => peer.dataCenter === this.self.dataCenter);
     const candidates = near.length > 0 ? near : peers;
-    return rankKeepers(
+    return this.witnesses.best(
       organisation,
       candidates.map(peer => peer.incarnation),
-    )[0];
+    );
   }
 
   /** Data centres with a live keeper, as far as is known; at least this one. */
