Send membership only when it changed, and exchange fewer heartbeats

A trace of the changes showed the order of the routers in the list flipping with each heartbeat: several keepers name the same router, and the last one heard from moved it. Each flip went to all routers. Besides, every round asked up to nine peers.

The grants' look is not the cost: the profile shows exchanges and reads.

Change: members in the order of their incarnations; a quarter of the peers each round, so that each pair meets at least every four rounds, with a limit of five; a heartbeat of 1 s by default; grants looked at four times a second; a checkpoint's need once a second. capacity-requests uses the times of operation.

The test was seen failing with the order taken out.

--- a/packages/keeper/src/gossip-task.ts
+++ b/packages/keeper/src/gossip-task.ts
@@ -5,10 +5,13 @@
 import type {MembershipTable} from './membership-table.js';
 import type {PeerClients} from './peer-clients.js';
 
-/** Peers of the own data centre asked each round; a data centre has few. */
-const NEAR_PEERS = 6;
-/** Peers elsewhere asked each round, in turn: never all with all. */
-const FAR_PEERS = 3;
+/**
+ * Each peer is asked once in so many rounds, and asks as often itself. Peers
+ * count as unreachable after five rounds by the default settings: fewer
+ * exchanges than this made peers of a fleet of 16 hosts come and go, and every
+ * change is sent to routers and moves holders.
+ */
+const ROUNDS_FOR_ALL = 4;
 
 /**
  * The platform's list lags by seconds anyway, peers are heard by gossip, and a
@@ -89,19 +92,16 @@
     );
     const near = all.filter(peer => peer.dataCenter === self.dataCenter);
     const far = all.filter(peer => peer.dataCenter !== self.dataCenter);
-    return [...this.inTurn(near, NEAR_PEERS), ...this.inTurn(far, FAR_PEERS)];
+    return [...this.inTurn(near), ...this.inTurn(far)];
   }
 
   private inTurn(
     peers: readonly {readonly address: string}[],
-    limit: number,
   ): readonly string[] {
     const addresses = [...new Set(peers.map(peer => peer.address))].sort();
-    const start = addresses.length === 0 ? 0 : this.round % addresses.length;
-    return [...addresses.slice(start), ...addresses.slice(0, start)].slice(
-      0,
-      limit,
-    );
+    const count = Math.ceil(addresses.length / ROUNDS_FOR_ALL);
+    const start = (this.round % ROUNDS_FOR_ALL) * count;
+    return addresses.slice(start, start + count);
   }
 
   private async exchange(address: string, signal?: AbortSignal): Promise<void> {
--- a/packages/keeper/src/keeper-review.ts
+++ b/packages/keeper/src/keeper-review.ts
@@ -6,7 +6,9 @@
 import type {OrganisationGrants} from './organisation-grants.js';
 
 /** How often grants, witnesses and lost peers are looked at. */
-const REVIEW_MILLISECONDS = 100;
+const REVIEW_MILLISECONDS = 250;
+/** A checkpoint is due after thousands of records. */
+const CHECKPOINT_REVIEW_MILLISECONDS = 1_000;
 
 /** Looks, again and again, at everything that time or peers can change. */
 export class KeeperReview {
@@ -25,7 +27,7 @@
     while (!signal.aborted) {
       await this.parts.checkpoints.review(signal);
       await this.parts.surroundings.clock.sleep(
-        10 * REVIEW_MILLISECONDS,
+        CHECKPOINT_REVIEW_MILLISECONDS,
         signal,
       );
     }
--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -222,8 +222,8 @@
       }),
     );
     return create(MembershipSchema, {
-      keepers: [this.ownMember, ...others],
-      routers: [...this.routers],
+      keepers: inOrder([this.ownMember, ...others]),
+      routers: inOrder([...this.routers]),
       leavingEndpoints: [...this.leavingEndpoints],
     });
   }
@@ -330,3 +330,17 @@
     ].sort();
   }
 }
+
+/**
+ * The order in which peers were heard from says nothing. Left in the message, it
+ * made each heartbeat of a larger fleet look like a change, which went to every
+ * router, whose answer was the next change.
+ */
+function inOrder<
+  Member extends {readonly identity?: ProcessIdentity | undefined},
+>(members: Member[]): Member[] {
+  const incarnationOf = (member: Member) => member.identity?.incarnation ?? '';
+  return members.sort((one, other) =>
+    incarnationOf(one) < incarnationOf(other) ? -1 : 1,
+  );
+}
--- /dev/null
+++ b/packages/keeper/src/test/membership-table_test.ts
@@ -0,0 +1,47 @@
+import {create} from '@bufbuild/protobuf';
+import {
+  GossipMessageSchema,
+  HostState,
+  ProcessIdentitySchema,
+} from '@wisteriadeal/schema';
+import {FakeClock} from '@wisteriadeal/stand-ins';
+import {expect, it} from 'vitest';
+
+import {MembershipTable} from '../membership-table.js';
+
+const HEARTBEAT_LIMIT_MILLISECONDS = 500;
+
+function identity(incarnation: string) {
+  return create(ProcessIdentitySchema, {incarnation, host: incarnation});
+}
+
+function gossipOf(keeper: string, routers: readonly string[]) {
+  return create(GossipMessageSchema, {
+    sender: identity(keeper),
+    routers: routers.map(router => ({
+      identity: identity(router),
+      state: HostState.LIVE,
+    })),
+  });
+}
+
+// Callers see routers that spend their time on control. Each router has a session
+// with every keeper, so several keepers name it, and the one heard from last
+// moved it to the end of the list: every heartbeat looked like a change and was
+// sent to all routers. What is known is the same, so nothing may be sent.
+it('tells routers nothing when peers repeat themselves in another order', () => {
+  const table = new MembershipTable(
+    identity('self'),
+    HEARTBEAT_LIMIT_MILLISECONDS,
+    new FakeClock(),
+  );
+  table.heard(gossipOf('k1', ['r1', 'r2']));
+  table.heard(gossipOf('k2', ['r2', 'r1']));
+  let changes = 0;
+  table.listen(() => {
+    changes++;
+  });
+  table.heard(gossipOf('k1', ['r2', 'r1']));
+  table.heard(gossipOf('k2', ['r1', 'r2']));
+  expect(changes).toBe(0);
+});
--- a/packages/measurements/src/cases/capacity-requests-case.ts
+++ b/packages/measurements/src/cases/capacity-requests-case.ts
@@ -7,10 +7,12 @@
 import {pause} from '../waiting.js';
 
 const IDLE_MILLISECONDS = 5_000;
-const REQUESTS = 600;
+const REQUESTS = 1_200;
 const WARM_UP_REQUESTS = 200;
 const CONCURRENCY = 16;
 const MOST_ATTEMPTS = 5;
+/** As in operation, not as fast as in the failure cases. */
+const OPERATION = {heartbeat: 1_000, heartbeatLimit: 5_000, billFlush: 500};
 const CONFIGURATION_STREAM = 'configuration';
 
 /** Sums over all entry hosts. */
@@ -62,7 +64,11 @@
 
   override async run(seed: number): Promise<CaseResult> {
     const run = await FleetRun.start({
-      plan: {...SMALL_FLEET, seed},
+      plan: {
+        ...SMALL_FLEET,
+        keeper: {...SMALL_FLEET.keeper, ...OPERATION},
+        seed,
+      },
       keyedShare: 0,
       load: {
         concurrency: CONCURRENCY,
