Let the platform's listing say by which address a peer is reached

Ruled out: splitting the message's making from the table (it reads all of it).

Change: addresses move to PlatformListing, which knows the list; the order of members has a module of its own. Behaviour stays as it was.

--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -1,11 +1,10 @@
-import {clone, create} from '@bufbuild/protobuf';
+import {create} from '@bufbuild/protobuf';
 import {type Clock, type HostListing} from '@wisteriadeal/platform';
 import {
   GossipMessageSchema,
   HostState,
   KeeperMemberSchema,
   MembershipSchema,
-  ProcessIdentitySchema,
   RouterMemberSchema,
   type GossipMessage,
   type KeeperMember,
@@ -14,6 +13,7 @@
   type RouterMember,
 } from '@wisteriadeal/schema';
 
+import {inOrder} from './member-order.js';
 import {PlatformListing} from './platform-listing.js';
 import {RankedChoice} from './ranked-choice.js';
 
@@ -29,21 +29,6 @@
   leavingEndpoints: readonly string[];
 }
 
-function withAddress(
-  identity: ProcessIdentity,
-  controlAddress: string | undefined,
-): ProcessIdentity {
-  if (
-    controlAddress === undefined ||
-    controlAddress === identity.controlAddress
-  ) {
-    return identity;
-  }
-  const reached = clone(ProcessIdentitySchema, identity);
-  reached.controlAddress = controlAddress;
-  return reached;
-}
-
 /**
  * Who is live, from this keeper's own view: the platform's list says whom to
  * ask, and a peer counts as reachable while it was heard from within the limit.
@@ -147,7 +132,9 @@
       return this.self;
     }
     const identity = this.keepers.get(incarnation)?.identity;
-    return identity === undefined ? undefined : this.asReached(identity);
+    return identity === undefined
+      ? undefined
+      : this.platform.keeperAsReached(identity);
   }
 
   /** Other keepers that can be reached, not leaving. */
@@ -158,7 +145,7 @@
           keeper.state === HostState.LIVE &&
           this.isReachable(keeper.identity.incarnation),
       )
-      .map(keeper => this.asReached(keeper.identity));
+      .map(keeper => this.platform.keeperAsReached(keeper.identity));
   }
 
   /** Reachable peers that have read a stream further than `offset`. */
@@ -216,7 +203,7 @@
   get membership(): Membership {
     const others = [...this.keepers.values()].map(keeper =>
       create(KeeperMemberSchema, {
-        identity: this.asReached(keeper.identity),
+        identity: this.platform.keeperAsReached(keeper.identity),
         state: keeper.state,
         reachable: this.isReachable(keeper.identity.incarnation),
       }),
@@ -260,30 +247,6 @@
     }
   }
 
-  /**
-   * A peer with the address by which this host reaches it. Addresses differ by
-   * viewer where data centres reach each other over another network than their
-   * own hosts do; what a peer says of itself holds only next to it. Symptom
-   * without this: a host that is listed, and yet not reached from elsewhere.
-   */
-  private asReached(identity: ProcessIdentity): ProcessIdentity {
-    const listed = this.platform.lastKnown(identity.host);
-    return withAddress(identity, listed?.keeperAddress);
-  }
-
-  private routersAsReached(keeper: KnownKeeper): readonly RouterMember[] {
-    // A keeper tells of all routers that have a session with it, so each one's
-    // own host says where it is.
-    return keeper.routers.flatMap(({identity, state}) => {
-      if (identity === undefined) {
-        return [];
-      }
-      const listed = this.platform.lastKnown(identity.host);
-      const reached = withAddress(identity, listed?.routerControlAddress);
-      return [create(RouterMemberSchema, {identity: reached, state})];
-    });
-  }
-
   private get ownMember(): KeeperMember {
     return create(KeeperMemberSchema, {
       identity: this.self,
@@ -305,7 +268,9 @@
     );
     for (const member of [
       ...this.ownRouterMembers,
-      ...reachable.flatMap(keeper => this.routersAsReached(keeper)),
+      ...reachable.flatMap(keeper =>
+        this.platform.routersAsReached(keeper.routers),
+      ),
     ]) {
       known.set(member.identity?.incarnation ?? '', member);
     }
@@ -330,17 +295,3 @@
     ].sort();
   }
 }
-
-/**
- * The order in which peers were heard from says nothing. Left in the message, it
- * made each heartbeat of a larger fleet look like a change, which went to every
- * router, whose answer was the next change.
- */
-function inOrder<
-  Member extends {readonly identity?: ProcessIdentity | undefined},
->(members: Member[]): Member[] {
-  const incarnationOf = (member: Member) => member.identity?.incarnation ?? '';
-  return members.sort((one, other) =>
-    incarnationOf(one) < incarnationOf(other) ? -1 : 1,
-  );
-}
--- a/packages/keeper/src/platform-listing.ts
+++ b/packages/keeper/src/platform-listing.ts
@@ -1,8 +1,15 @@
+import {clone, create} from '@bufbuild/protobuf';
 import {
   ListedState,
   type HostListing,
   type ListedHost,
 } from '@wisteriadeal/platform';
+import {
+  ProcessIdentitySchema,
+  RouterMemberSchema,
+  type ProcessIdentity,
+  type RouterMember,
+} from '@wisteriadeal/schema';
 
 /** The platform's list as it was last read. */
 export class PlatformListing {
@@ -47,4 +54,44 @@
     );
     return [...this.everListed].filter(endpoint => !live.has(endpoint));
   }
+
+  /**
+   * A keeper with the address by which this host reaches it. Addresses differ by
+   * viewer where data centres reach each other over another network than their
+   * own hosts do; what a peer says of itself holds only next to it. Symptom
+   * without this: a host that is listed, and yet not reached from elsewhere.
+   */
+  keeperAsReached(identity: ProcessIdentity): ProcessIdentity {
+    return withAddress(identity, this.lastKnown(identity.host)?.keeperAddress);
+  }
+
+  /**
+   * Routers likewise. A keeper tells of all routers that have a session with it,
+   * so each one's own host says where it is.
+   */
+  routersAsReached(routers: readonly RouterMember[]): readonly RouterMember[] {
+    return routers.flatMap(({identity, state}) => {
+      if (identity === undefined) {
+        return [];
+      }
+      const listed = this.lastKnown(identity.host);
+      const reached = withAddress(identity, listed?.routerControlAddress);
+      return [create(RouterMemberSchema, {identity: reached, state})];
+    });
+  }
+}
+
+function withAddress(
+  identity: ProcessIdentity,
+  controlAddress: string | undefined,
+): ProcessIdentity {
+  if (
+    controlAddress === undefined ||
+    controlAddress === identity.controlAddress
+  ) {
+    return identity;
+  }
+  const reached = clone(ProcessIdentitySchema, identity);
+  reached.controlAddress = controlAddress;
+  return reached;
 }
