Keep one queue of messages for streams

Cause: the keeper and the router each had a queue that feeds a stream, alike but for names.

Ruled out: a queue from a library (none of those pinned offers an async iterable that is closed from outside).

Change: runtime offers MessageQueue; both use it.

Conclusion: one place to bound it when that is needed.

--- a/packages/keeper/src/router-sessions.ts
+++ b/packages/keeper/src/router-sessions.ts
@@ -9,11 +9,10 @@
   type RouterMessage,
   type SettleRequest,
 } from '@wisteriadeal/schema';
-import type {EventLog} from '@wisteriadeal/runtime';
+import {MessageQueue, type EventLog} from '@wisteriadeal/runtime';
 
 import type {ConfigurationReplica} from './configuration-replica.js';
 import type {MembershipTable} from './membership-table.js';
-import {MessageQueue} from './message-queue.js';
 import {RequestPhase, type RequestRegistry} from './request-registry.js';
 import type {RequestService} from './request-service.js';
 import type {SettlementService} from './settlement-service.js';
--- a/packages/keeper/src/test/fleet.ts
+++ b/packages/keeper/src/test/fleet.ts
@@ -8,6 +8,7 @@
   NoMetrics,
   SystemClock,
   SystemRandomSource,
+  MessageQueue,
 } from '@wisteriadeal/runtime';
 import {
   BeginRequestSchema,
@@ -31,7 +32,6 @@
 } from '@wisteriadeal/stand-ins';
 
 import {Keeper} from '../keeper.js';
-import {MessageQueue} from '../message-queue.js';
 
 /** Engines that can't be asked. */
 class NoEngines extends ModelEngineFactory {
--- a/packages/keeper/src/witness-link.ts
+++ b/packages/keeper/src/witness-link.ts
@@ -1,6 +1,6 @@
 import {create} from '@bufbuild/protobuf';
 import type {Clock} from '@wisteriadeal/platform';
-import type {EventLog} from '@wisteriadeal/runtime';
+import {MessageQueue, type EventLog} from '@wisteriadeal/runtime';
 import {
   HolderMessageSchema,
   type BookChange,
@@ -9,7 +9,6 @@
   type WitnessMessage,
 } from '@wisteriadeal/schema';
 
-import {MessageQueue} from './message-queue.js';
 import type {KeeperClient} from './peer-clients.js';
 
 /** What became of a change that was sent to a witness. */
--- a/packages/router/src/keeper-link.ts
+++ b/packages/router/src/keeper-link.ts
@@ -1,6 +1,7 @@
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
+import {MessageQueue} from '@wisteriadeal/runtime';
 import {
   KeeperService,
   RouterMessageSchema,
@@ -8,8 +9,6 @@
   type RouterMessage,
 } from '@wisteriadeal/schema';
 
-import {MessageQueue} from './message-queue.js';
-
 /** A message to a keeper, before it is made. */
 export type RouterMessageInit = MessageInitShape<typeof RouterMessageSchema>;
 
--- a/packages/router/src/test/fake-keeper.ts
+++ b/packages/router/src/test/fake-keeper.ts
@@ -1,4 +1,5 @@
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
+import {MessageQueue} from '@wisteriadeal/runtime';
 import {
   BeginVerdict,
   KeeperMessageSchema,
@@ -14,7 +15,6 @@
 } from '@wisteriadeal/schema';
 
 import {KeeperConnector, type KeeperLink} from '../keeper-link.js';
-import {MessageQueue} from '../message-queue.js';
 
 type BeginAnswerInit = MessageInitShape<typeof BeginAnswerSchema>;
 type KeeperMessageInit = MessageInitShape<typeof KeeperMessageSchema>;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -6,6 +6,7 @@
 export * from './control-server.js';
 export * from './event-log.js';
 export * from './inspection.js';
+export * from './message-queue.js';
 export * from './metrics.js';
 export * from './results.js';
 export * from './schema-check.js';
--- a/packages/keeper/src/message-queue.ts
+++ b/packages/runtime/src/message-queue.ts
@@ -1,16 +1,23 @@
 /**
  * The sending side of a stream: what is pushed comes out of the iteration, in
  * order, until the queue is closed.
+ *
+ * @example
+ * ```ts
+ * const queue = new MessageQueue<RouterMessage>();
+ * const answers = client.routerSession(queue);
+ * queue.push(message);
+ * ```
  */
-export class MessageQueue<T> implements AsyncIterable<T> {
-  private readonly items: T[] = [];
+export class MessageQueue<Message> implements AsyncIterable<Message> {
+  private readonly items: Message[] = [];
   private wake: (() => void) | undefined;
   private closed = false;
 
   /** Adds a message; after `close` it is dropped. */
-  push(item: T): void {
+  push(message: Message): void {
     if (!this.closed) {
-      this.items.push(item);
+      this.items.push(message);
       this.wake?.();
     }
   }
@@ -26,7 +33,7 @@
     this.wake?.();
   }
 
-  async *[Symbol.asyncIterator](): AsyncIterator<T> {
+  async *[Symbol.asyncIterator](): AsyncGenerator<Message, void> {
     for (;;) {
       let item = this.items.shift();
       while (item !== undefined) {
