Ask in one place whether a record may still change a grant

Cause: five rules of the fold each asked whether the grant is known and open, and three of them whether its holder wrote the record. A rule that forgot one would let a closed grant's tokens count twice.

Ruled out: one check before all rules (a bill and a transfer may name a grant that is not known yet).

Change: openGrant and heldGrant; each rule calls one where its checks stood, so the order of the refusals is the same.

Conclusion: behaviour stays as it was, and the twins are gone.

--- a/packages/ledger/src/bill-rules.ts
+++ b/packages/ledger/src/bill-rules.ts
@@ -10,6 +10,7 @@
 } from '@wisteriadeal/schema';
 
 import {applyTransfer} from './grant-rules.js';
+import {heldGrant, openGrant} from './open-grant.js';
 import {spareTokens, type OrganisationBooks} from './organisation-books.js';
 import {isTokenAmount} from './tokens.js';
 import {RefusalReason, VerdictKind, type Ruling} from './verdict.js';
@@ -105,19 +106,13 @@
   ahead: WriteAhead,
   writer: string,
 ): Ruling {
-  const grant = books.grants.get(ahead.grantId);
   const reservation = ahead.reservation;
   if (reservation === undefined || !isTokenAmount(reservation.boundTokens)) {
     return RefusalReason.InvalidAmount;
   }
-  if (grant === undefined) {
-    return RefusalReason.UnknownGrant;
-  }
-  if (grant.closed) {
-    return RefusalReason.GrantClosed;
-  }
-  if (grant.holder !== writer) {
-    return RefusalReason.NotHolder;
+  const grant = heldGrant(books, ahead.grantId, writer);
+  if (typeof grant === 'string') {
+    return grant;
   }
   // The holder's book is the authority on the sum: requests that were released
   // again before dispatch stay listed here until the grant closes.
@@ -147,12 +142,9 @@
   writer: string,
   offset: number,
 ): Ruling {
-  const grant = books.grants.get(reclaim.grantId);
-  if (grant === undefined) {
-    return RefusalReason.UnknownGrant;
-  }
-  if (grant.closed) {
-    return RefusalReason.GrantClosed;
+  const grant = openGrant(books, reclaim.grantId);
+  if (typeof grant === 'string') {
+    return grant;
   }
   if (grant.witness !== reclaim.witness || writer !== reclaim.witness) {
     return RefusalReason.NotWitness;
--- a/packages/ledger/src/grant-rules.ts
+++ b/packages/ledger/src/grant-rules.ts
@@ -9,6 +9,7 @@
   type WitnessChange,
 } from '@wisteriadeal/schema';
 
+import {heldGrant, openGrant} from './open-grant.js';
 import {spareTokens, type OrganisationBooks} from './organisation-books.js';
 import {isTokenAmount} from './tokens.js';
 import {RefusalReason, VerdictKind, type Ruling} from './verdict.js';
@@ -67,15 +68,9 @@
   change: WitnessChange,
   writer: string,
 ): Ruling {
-  const grant = books.grants.get(change.grantId);
-  if (grant === undefined) {
-    return RefusalReason.UnknownGrant;
-  }
-  if (grant.closed) {
-    return RefusalReason.GrantClosed;
-  }
-  if (grant.holder !== writer) {
-    return RefusalReason.NotHolder;
+  const grant = heldGrant(books, change.grantId, writer);
+  if (typeof grant === 'string') {
+    return grant;
   }
   if (grant.witness !== change.from) {
     return RefusalReason.NotWitness;
@@ -91,19 +86,13 @@
   writer: string,
   offset: number,
 ): Ruling {
-  const grant = books.grants.get(giving.grantId);
   if (!isTokenAmount(giving.tokens)) {
     return RefusalReason.InvalidAmount;
   }
-  if (grant === undefined) {
-    return RefusalReason.UnknownGrant;
-  }
-  if (grant.closed) {
-    // After a reclaim, what the holder had returned is part of what came back.
-    return RefusalReason.GrantClosed;
-  }
-  if (grant.holder !== writer) {
-    return RefusalReason.NotHolder;
+  // Refused after a reclaim: what the holder had returned has come back with it.
+  const grant = heldGrant(books, giving.grantId, writer);
+  if (typeof grant === 'string') {
+    return grant;
   }
   if (spareTokens(grant) < giving.tokens) {
     return RefusalReason.GrantTooSmall;
@@ -168,12 +157,9 @@
   release: StrandedRelease,
   offset: number,
 ): Ruling {
-  const grant = books.grants.get(release.grantId);
-  if (grant === undefined) {
-    return RefusalReason.UnknownGrant;
-  }
-  if (grant.closed) {
-    return RefusalReason.GrantClosed;
+  const grant = openGrant(books, release.grantId);
+  if (typeof grant === 'string') {
+    return grant;
   }
   books.close(grant, offset);
   const released = Math.max(0, spareTokens(grant));
