--- a/eslint.config.js
+++ b/eslint.config.js
@@ -3,7 +3,13 @@
 import tseslint from 'typescript-eslint';
 
 export default defineConfig(
-  globalIgnores(['**/lib/', '**/generated/', 'node_modules/', 'dev-fleet/']),
+  globalIgnores([
+    '**/lib/',
+    '**/generated/',
+    'node_modules/',
+    'target/',
+    'dev-fleet/',
+  ]),
   js.configs.recommended,
   tseslint.configs.strictTypeChecked,
   tseslint.configs.stylisticTypeChecked,
@@ -24,7 +30,7 @@
     },
   },
   {
-    files: ['eslint.config.js', 'packages/*/bin/*.js'],
+    files: ['eslint.config.js', 'packages/*/bin/*.js', 'platform/*.js'],
     extends: [tseslint.configs.disableTypeChecked],
   },
 );
--- /dev/null
+++ b/packages/budgets/src/budget-fold.ts
@@ -0,0 +1,233 @@
+import type {
+  BudgetRecord,
+  GrantRequested,
+  GrantReturned,
+  HolderOpened,
+} from '@wisteriadeal/schema';
+
+import type {BudgetView, GrantVerdict} from './budget-view.js';
+
+/** One process that holds grants. */
+export interface FoldedHolder {
+  readonly incarnation: string;
+  readonly host: string;
+  /** Where it is asked for loans. */
+  readonly address: string;
+  lastSequence: number;
+  readonly grants: Map<string, FoldedGrant>;
+}
+
+/** What one process holds of one organisation's budget. */
+export interface FoldedGrant {
+  /** Granted and not returned; what the process has spent is part of it. */
+  outstanding: number;
+  /** What the process last said that it had spent; for people and refusals. */
+  spent: number;
+}
+
+/** One organisation's budget. */
+export interface FoldedOrganisation {
+  prepaid: number;
+  configurationVersion: number;
+  /** Granted to processes that have ended, and not returned by them. */
+  closedCharge: number;
+}
+
+/**
+ * A refill takes at most the rest divided by so many times the holders. Load: one
+ * host after another asks for all it may need while the store is away. Harm: with
+ * a divisor of 1 the first hosts take everything and the others refuse callers; 2
+ * leaves more than half of the rest for the first round of nine hosts.
+ */
+const SHARE_DIVISOR = 2;
+
+/**
+ * A late copy of an ended process's first record must not open it again. Copies
+ * come seconds late, so that some restarts of each host are enough.
+ */
+const REMEMBERED_CLOSED_INCARNATIONS = 4_096;
+
+/**
+ * Decides who holds what of each budget. It is deterministic: every process that
+ * folds the same records has the same state, and a verdict is what the fold says,
+ * never what an append answered.
+ *
+ * Spend can't pass a budget: a grant comes only out of what is unallocated, a
+ * process spends only what it was granted, and what an ended process had not
+ * returned counts as spent.
+ */
+export class BudgetFold {
+  readonly organisations = new Map<string, FoldedOrganisation>();
+  readonly holders = new Map<string, FoldedHolder>();
+  readonly closedIncarnations = new Set<string>();
+
+  /** @param nextOffset Offset of the next record that it takes. */
+  constructor(public nextOffset = 0) {}
+
+  /**
+   * Takes the record at `nextOffset`.
+   *
+   * @param record Undefined for bytes that are no budget record: they count as
+   *     an offset and change nothing.
+   * @returns The verdict where the record asked for a grant.
+   * @example
+   * ```ts
+   * const verdict = fold.apply(record);
+   * ```
+   */
+  apply(record: BudgetRecord | undefined): GrantVerdict | undefined {
+    this.nextOffset++;
+    if (record === undefined) {
+      return undefined;
+    }
+    const {change} = record;
+    if (change.case === 'opened') {
+      this.open(record, change.value);
+      return undefined;
+    }
+    const holder = this.holders.get(record.incarnation);
+    if (holder === undefined || record.sequence <= holder.lastSequence) {
+      return undefined;
+    }
+    holder.lastSequence = record.sequence;
+    if (change.case === 'returned') {
+      this.takeBack(holder, change.value);
+      return undefined;
+    }
+    return change.case === 'requested'
+      ? this.decide(holder, change.value)
+      : undefined;
+  }
+
+  /** Whether records of this process still count. */
+  isOpen(incarnation: string): boolean {
+    return this.holders.has(incarnation);
+  }
+
+  /** The budget of one organisation; undefined before any record named it. */
+  view(organisation: string): BudgetView | undefined {
+    const budget = this.organisations.get(organisation);
+    if (budget === undefined) {
+      return undefined;
+    }
+    let outstanding = 0;
+    let spent = budget.closedCharge;
+    for (const holder of this.holders.values()) {
+      const grant = holder.grants.get(organisation);
+      outstanding += grant?.outstanding ?? 0;
+      spent += grant?.spent ?? 0;
+    }
+    return {
+      prepaid: budget.prepaid,
+      unallocated: budget.prepaid - budget.closedCharge - outstanding,
+      spent,
+      holders: this.holders.size,
+    };
+  }
+
+  private open(record: BudgetRecord, opened: HolderOpened): void {
+    const {incarnation, sequence} = record;
+    const {host, address} = opened;
+    if (
+      this.holders.has(incarnation) ||
+      this.closedIncarnations.has(incarnation)
+    ) {
+      return;
+    }
+    for (const holder of this.holders.values()) {
+      if (holder.host === host) {
+        this.close(holder);
+      }
+    }
+    this.holders.set(incarnation, {
+      incarnation,
+      host,
+      address,
+      lastSequence: sequence,
+      grants: new Map(),
+    });
+  }
+
+  private close(holder: FoldedHolder): void {
+    for (const [organisation, grant] of holder.grants) {
+      this.organisation(organisation).closedCharge += grant.outstanding;
+    }
+    this.holders.delete(holder.incarnation);
+    this.closedIncarnations.add(holder.incarnation);
+    const [oldest] = this.closedIncarnations;
+    if (
+      oldest !== undefined &&
+      this.closedIncarnations.size > REMEMBERED_CLOSED_INCARNATIONS
+    ) {
+      this.closedIncarnations.delete(oldest);
+    }
+  }
+
+  private takeBack(holder: FoldedHolder, returned: GrantReturned): void {
+    const grant = holder.grants.get(returned.organisation);
+    if (grant === undefined || !isAmount(returned.amount)) {
+      return;
+    }
+    grant.outstanding -= Math.min(returned.amount, grant.outstanding);
+    grant.spent = Math.min(returned.spent, grant.outstanding);
+  }
+
+  private decide(holder: FoldedHolder, asked: GrantRequested): GrantVerdict {
+    const budget = this.organisation(asked.organisation);
+    if (
+      asked.configurationVersion > budget.configurationVersion &&
+      isAmount(asked.prepaid)
+    ) {
+      budget.configurationVersion = asked.configurationVersion;
+      budget.prepaid = asked.prepaid;
+    }
+    const grant = grantOf(holder, asked.organisation);
+    const granted = this.grantable(asked);
+    grant.outstanding += granted;
+    grant.spent = Math.min(asked.spent, grant.outstanding);
+    return {
+      incarnation: holder.incarnation,
+      sequence: holder.lastSequence,
+      organisation: asked.organisation,
+      granted,
+    };
+  }
+
+  private grantable(asked: GrantRequested): number {
+    const unallocated = this.view(asked.organisation)?.unallocated ?? 0;
+    if (
+      !isAmount(asked.least) ||
+      !isAmount(asked.wish) ||
+      unallocated < asked.least
+    ) {
+      return 0;
+    }
+    const share = Math.floor(unallocated / (SHARE_DIVISOR * this.holders.size));
+    if (share >= asked.least) {
+      return Math.min(asked.wish, share);
+    }
+    return asked.urgent ? asked.least : 0;
+  }
+
+  private organisation(name: string): FoldedOrganisation {
+    let organisation = this.organisations.get(name);
+    if (organisation === undefined) {
+      organisation = {prepaid: 0, configurationVersion: -1, closedCharge: 0};
+      this.organisations.set(name, organisation);
+    }
+    return organisation;
+  }
+}
+
+function grantOf(holder: FoldedHolder, organisation: string): FoldedGrant {
+  let grant = holder.grants.get(organisation);
+  if (grant === undefined) {
+    grant = {outstanding: 0, spent: 0};
+    holder.grants.set(organisation, grant);
+  }
+  return grant;
+}
+
+function isAmount(value: number): boolean {
+  return Number.isSafeInteger(value) && value >= 0;
+}
--- /dev/null
+++ b/packages/budgets/src/grant-account.ts
@@ -0,0 +1,85 @@
+import {UsageRate} from './usage-rate.js';
+
+/** Tokens put aside for one request until it is known what it used. */
+export interface Reservation {
+  readonly organisation: string;
+  /** The most that the request can use. */
+  readonly bound: number;
+}
+
+/**
+ * A process's own account of what it holds of one organisation's budget.
+ *
+ * `granted = available + reserved + spent + returned` at all times; tokens are
+ * taken off `available` before anything is sent or returned.
+ */
+export class GrantAccount {
+  private availableTokens = 0;
+  private reservedTokens = 0;
+  private spentTokens = 0;
+  private largestBound = 0;
+  private readonly rate: UsageRate;
+
+  constructor(now: number) {
+    this.rate = new UsageRate(now);
+  }
+
+  /** Tokens that a new request may take. */
+  get available(): number {
+    return this.availableTokens;
+  }
+
+  /** Tokens of requests that have not ended. */
+  get reserved(): number {
+    return this.reservedTokens;
+  }
+
+  /** Tokens of requests that have ended. */
+  get spent(): number {
+    return this.spentTokens;
+  }
+
+  /** The largest request so far. */
+  get largest(): number {
+    return this.largestBound;
+  }
+
+  /** Tokens used in a millisecond, averaged over some seconds. */
+  usagePerMillisecond(now: number): number {
+    return this.rate.at(now);
+  }
+
+  /** Adds what the fold granted. */
+  credit(tokens: number): void {
+    this.availableTokens += tokens;
+  }
+
+  /** Takes tokens off, to return them; never more than are available. */
+  debit(tokens: number): number {
+    const taken = Math.max(0, Math.min(tokens, this.availableTokens));
+    this.availableTokens -= taken;
+    return taken;
+  }
+
+  /** Puts a request's bound aside; false where there isn't enough. */
+  reserve(bound: number): boolean {
+    this.largestBound = Math.max(this.largestBound, bound);
+    if (bound > this.availableTokens) {
+      return false;
+    }
+    this.availableTokens -= bound;
+    this.reservedTokens += bound;
+    return true;
+  }
+
+  /**
+   * Ends a reservation. Use beyond the bound can't come from an endpoint that
+   * keeps the limit it was told; it is charged to what is available.
+   */
+  settle(bound: number, used: number, now: number): void {
+    this.reservedTokens -= bound;
+    this.availableTokens += bound - used;
+    this.spentTokens += used;
+    this.rate.add(used, now);
+  }
+}
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -29,3 +29,6 @@
 export * from './trip-cost-shift.js';
 export * from './weight-budget.js';
 export * from './work.js';
+export * from './endpoint-trust.js';
+export * from './resend-budget.js';
+export * from './shared-prompt-placement.js';
--- /dev/null
+++ b/packages/gateway/src/budget-holder.ts
@@ -0,0 +1,410 @@
+import {
+  DemandSizing,
+  lendersOf,
+  loanFor,
+  type GrantSizing,
+  type GrantVerdict,
+  type Reservation,
+} from '@wisteriadeal/budgets';
+import type {Clock} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {BudgetJournal} from './budget-journal.js';
+import type {BudgetReplica} from './budget-replica.js';
+import type {FleetConfiguration} from './configuration.js';
+import type {LoanPeers, LoanRequest} from './loan-peers.js';
+import {
+  BudgetRefusal,
+  OrganisationBudget,
+  type ReserveResult,
+} from './organisation-budget.js';
+import type {StoreHealth} from './store-health.js';
+
+/** The log is read at least this often: others' grants decide what is left. */
+const POLL_MILLISECONDS = 700;
+/** Between turns while requests wait or records are to be written. */
+const TURN_MILLISECONDS = 5;
+/** Between turns while the store fails. */
+const RETRY_MILLISECONDS = 200;
+/**
+ * A request waits so long for a grant. An append and a read take about 10 ms; the
+ * shortest goal among the users' requests is some 150 ms.
+ */
+const WAIT_MILLISECONDS = 400;
+/** Without the store's verdict by then, other holders are asked. */
+const BORROW_AFTER_MILLISECONDS = 60;
+/** Each lender that doesn't answer costs the request that waits 120 ms. */
+const MOST_LENDERS = 3;
+/** A loan is asked for so many times what waits, so that the next finds some. */
+const LOAN_FACTOR = 3;
+/** A lender that did not answer is not asked for this long. */
+const LENDER_PAUSE_MILLISECONDS = 2_000;
+
+/**
+ * Holds this process's grants: reservations are taken from them without a message.
+ * One task keeps them filled through the log; while the store is away, holders that
+ * see each other lend.
+ */
+export class BudgetHolder {
+  private readonly budgets = new Map<string, OrganisationBudget>();
+  private readonly silentLenders = new Map<string, number>();
+  private readonly stop = new AbortController();
+  private wake = new AbortController();
+  private running: Promise<void> = Promise.resolve();
+  private isClosing = false;
+  private hasOpened = false;
+
+  constructor(
+    private readonly journal: BudgetJournal,
+    private readonly replica: BudgetReplica,
+    private readonly peers: LoanPeers,
+    private readonly health: StoreHealth,
+    private readonly clock: Clock,
+    private readonly events: EventLog,
+    private readonly sizing: GrantSizing = new DemandSizing(),
+  ) {}
+
+  /** True once this process may hold grants. */
+  get isReady(): boolean {
+    return this.hasOpened;
+  }
+
+  /** Processes that share the budgets, this one included. */
+  get holders(): number {
+    return Math.max(1, this.replica.fold.holders.size);
+  }
+
+  /** What is known of an organisation's budget here, for dumps. */
+  describe(organisation: string): Readonly<Record<string, number>> | undefined {
+    const budget = this.budgets.get(organisation);
+    if (budget === undefined) {
+      return undefined;
+    }
+    const {account, prepaid, configurationVersion} = budget;
+    const view = this.replica.fold.view(organisation);
+    return {
+      prepaid,
+      configurationVersion,
+      available: account.available,
+      reserved: account.reserved,
+      spentHere: account.spent,
+      unallocated: view?.unallocated ?? prepaid,
+      spentKnown: view?.spent ?? 0,
+      waiting: budget.waitingRequests,
+    };
+  }
+
+  /** Takes the budgets of a configuration that has come into force. */
+  configure(configuration: FleetConfiguration): void {
+    for (const {name, prepaid} of configuration.organisations) {
+      if (prepaid !== undefined) {
+        this.setPrepaid(name, prepaid, configuration.version);
+      }
+    }
+    this.wake.abort();
+  }
+
+  /**
+   * Puts the most that a request can use aside.
+   *
+   * @returns At once where the grants cover it; else after the store's verdict or
+   *     a loan.
+   */
+  async reserve(organisation: string, bound: number): Promise<ReserveResult> {
+    const budget = this.budgets.get(organisation);
+    if (budget === undefined || bound === 0) {
+      return {reservation: {organisation, bound: 0}};
+    }
+    const reservation = budget.reserveNow(bound);
+    if (reservation !== undefined) {
+      return {reservation};
+    }
+    if (budget.isExhausted(this.replica.fold.view(organisation), bound)) {
+      return {refusal: BudgetRefusal.Exhausted};
+    }
+    const result = budget.reserveLater(bound, WAIT_MILLISECONDS);
+    this.wake.abort();
+    const patience = this.health.isAway ? 0 : BORROW_AFTER_MILLISECONDS;
+    const timer = setTimeout(() => void this.borrow(budget), patience);
+    try {
+      return await result;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  /** Ends a reservation with what the request used. */
+  settle(reservation: Reservation, used: number): void {
+    const budget = this.budgets.get(reservation.organisation);
+    if (budget !== undefined && reservation.bound > 0) {
+      budget.settle(
+        reservation.bound,
+        used,
+        this.clock.monotonicMilliseconds(),
+      );
+    }
+  }
+
+  /** Lends to another holder; what is lent is off this account for good. */
+  lend(request: LoanRequest): number {
+    const {organisation, least, wish, borrower} = request;
+    const budget = this.budgets.get(organisation);
+    if (budget === undefined || this.isClosing) {
+      return 0;
+    }
+    const lent = budget.account.debit(loanFor(budget.account, least, wish));
+    this.events.info('grant lent', {organisation, borrower, lent, wish});
+    return lent;
+  }
+
+  /** Keeps the grants filled until it is closed. */
+  run(): Promise<void> {
+    this.running = this.takeTurns();
+    return this.running;
+  }
+
+  /** Returns what nobody has reserved; ends when the store has it, or fails. */
+  async close(): Promise<void> {
+    this.isClosing = true;
+    this.stop.abort();
+    this.wake.abort();
+    await this.running;
+    for (const budget of this.budgets.values()) {
+      this.giveBack(budget, budget.account.available);
+    }
+    await this.turn();
+    this.peers.close();
+  }
+
+  private async takeTurns(): Promise<void> {
+    while (!this.stop.signal.aborted) {
+      this.rearm();
+      const pause = await this.turn();
+      await this.clock.sleep(pause, this.wake.signal);
+    }
+  }
+
+  private setPrepaid(name: string, prepaid: number, version: number): void {
+    const budget = this.budgets.get(name);
+    if (budget === undefined) {
+      const now = this.clock.monotonicMilliseconds();
+      this.budgets.set(
+        name,
+        new OrganisationBudget(name, prepaid, version, now),
+      );
+      return;
+    }
+    if (prepaid < budget.prepaid) {
+      // Grants given under the larger budget could be spent beyond the new one.
+      this.giveBack(budget, budget.account.available);
+    }
+    budget.isUntold ||= prepaid !== budget.prepaid;
+    budget.prepaid = prepaid;
+    budget.configurationVersion = version;
+  }
+
+  /** One exchange with the store; returns the pause before the next. */
+  private async turn(): Promise<number> {
+    try {
+      this.plan();
+      const verdicts = await this.journal.exchange();
+      this.health.answered(this.clock.monotonicMilliseconds());
+      verdicts.forEach(verdict => {
+        this.take(verdict);
+      });
+      this.noteOpening();
+      await this.replica.checkpointIfDue();
+    } catch (error) {
+      this.health.failed(this.clock.monotonicMilliseconds(), error);
+      return RETRY_MILLISECONDS;
+    }
+    return this.hasWork() ? TURN_MILLISECONDS : POLL_MILLISECONDS;
+  }
+
+  private noteOpening(): void {
+    if (this.hasOpened || !this.journal.isOpen) {
+      return;
+    }
+    this.hasOpened = true;
+    this.events.info('budget holder opened', {
+      incarnation: this.journal.incarnation,
+      offset: this.replica.fold.nextOffset,
+      holders: this.holders,
+    });
+  }
+
+  private plan(): void {
+    if (this.isClosing || !this.hasOpened) {
+      return;
+    }
+    if (!this.journal.isOpen && !this.journal.hasPending) {
+      this.journal.reopen();
+      for (const budget of this.budgets.values()) {
+        budget.isAsking = false;
+      }
+    }
+    for (const budget of this.budgets.values()) {
+      if (!budget.isAsking) {
+        this.planFor(budget);
+      }
+    }
+  }
+
+  private planFor(budget: OrganisationBudget): void {
+    if (budget.waitingRequests > 0) {
+      this.ask(budget, budget.waitingTokens, budget.firstBound, true);
+      return;
+    }
+    const change = this.sizing.change(
+      budget.account,
+      this.replica.fold.view(budget.name),
+      budget.prepaid,
+      this.clock.monotonicMilliseconds(),
+    );
+    this.giveBack(budget, change.giveBack);
+    if (change.wish > 0 || budget.isUntold) {
+      this.ask(budget, change.wish, change.least, false);
+    }
+  }
+
+  private ask(
+    budget: OrganisationBudget,
+    wish: number,
+    least: number,
+    urgent: boolean,
+  ): void {
+    budget.isAsking = true;
+    budget.isUntold = false;
+    this.journal.add({
+      case: 'requested',
+      value: {
+        $typeName: 'wisteriadeal.v1.GrantRequested',
+        organisation: budget.name,
+        least,
+        wish,
+        urgent,
+        prepaid: budget.prepaid,
+        configurationVersion: budget.configurationVersion,
+        spent: budget.account.spent,
+      },
+    });
+  }
+
+  private giveBack(budget: OrganisationBudget, tokens: number): void {
+    const amount = budget.account.debit(tokens);
+    if (amount === 0) {
+      return;
+    }
+    this.journal.add({
+      case: 'returned',
+      value: {
+        $typeName: 'wisteriadeal.v1.GrantReturned',
+        organisation: budget.name,
+        amount,
+        spent: budget.account.spent,
+      },
+    });
+  }
+
+  private take(verdict: GrantVerdict): void {
+    const budget = this.budgets.get(verdict.organisation);
+    if (budget === undefined) {
+      return;
+    }
+    budget.isAsking = false;
+    budget.credit(verdict.granted);
+    if (verdict.granted > 0 || budget.waitingRequests === 0) {
+      return;
+    }
+    const view = this.replica.fold.view(budget.name);
+    this.events.info('grant denied', {
+      organisation: budget.name,
+      bound: budget.firstBound,
+      unallocated: view?.unallocated,
+      spent: view?.spent,
+      prepaid: view?.prepaid,
+      offset: this.replica.fold.nextOffset,
+    });
+    if (budget.isExhausted(view, budget.firstBound)) {
+      budget.refuseFirst(BudgetRefusal.Exhausted);
+    } else {
+      void this.borrow(budget);
+    }
+  }
+
+  /** Asks the holders that have most, one after the other. */
+  private async borrow(budget: OrganisationBudget): Promise<void> {
+    if (budget.isBorrowing) {
+      return;
+    }
+    budget.isBorrowing = true;
+    try {
+      await this.borrowFromSome(budget);
+    } finally {
+      budget.isBorrowing = false;
+    }
+    if (this.health.isAway) {
+      budget.refuseAll(BudgetRefusal.StoreAway);
+    } else {
+      budget.refuseFirst(BudgetRefusal.HeldElsewhere);
+    }
+  }
+
+  private async borrowFromSome(budget: OrganisationBudget): Promise<void> {
+    const now = this.clock.monotonicMilliseconds();
+    const lenders = lendersOf(
+      this.replica.fold,
+      budget.name,
+      this.journal.incarnation,
+    ).filter(({address}) => (this.silentLenders.get(address) ?? 0) <= now);
+    for (const {address} of lenders.slice(0, MOST_LENDERS)) {
+      if (budget.waitingRequests === 0) {
+        return;
+      }
+      await this.borrowFrom(budget, address);
+    }
+  }
+
+  private async borrowFrom(
+    budget: OrganisationBudget,
+    address: string,
+  ): Promise<void> {
+    try {
+      const lent = await this.peers.borrow(address, {
+        organisation: budget.name,
+        least: budget.firstBound,
+        wish: LOAN_FACTOR * budget.waitingTokens,
+        borrower: this.journal.incarnation,
+      });
+      this.events.info('grant borrowed', {
+        organisation: budget.name,
+        lender: address,
+        lent,
+      });
+      budget.credit(lent);
+    } catch (error) {
+      const until =
+        this.clock.monotonicMilliseconds() + LENDER_PAUSE_MILLISECONDS;
+      this.silentLenders.set(address, until);
+      this.events.warn('lender silent', {
+        lender: address,
+        reason: String(error),
+      });
+    }
+  }
+
+  private hasWork(): boolean {
+    return (
+      this.journal.hasPending ||
+      [...this.budgets.values()].some(
+        ({waitingRequests}) => waitingRequests > 0,
+      )
+    );
+  }
+
+  private rearm(): void {
+    if (this.wake.signal.aborted) {
+      this.wake = new AbortController();
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/caller-exchange.ts
@@ -0,0 +1,138 @@
+import type {IncomingMessage, ServerResponse} from 'node:http';
+
+import type {CallerHeaders, Dialect} from './dialect.js';
+import type {OwnAnswer} from './own-answer.js';
+
+/** The caller sent a longer body than the limits allow. */
+export class BodyTooLargeError extends Error {
+  override readonly name: string = 'BodyTooLargeError';
+}
+
+/** One request of a caller and the way back to it. */
+export class CallerExchange {
+  readonly headers: CallerHeaders;
+  /** Part of the target before the query. */
+  readonly path: string;
+  private readonly left = new AbortController();
+
+  /** @param arrivedAt On this process's monotonic clock, milliseconds. */
+  constructor(
+    private readonly dialect: Dialect,
+    private readonly request: IncomingMessage,
+    private readonly response: ServerResponse,
+    readonly arrivedAt: number,
+  ) {
+    this.headers = dialect.callerHeaders(request.rawHeaders);
+    this.path = this.target.split('?', 1)[0] ?? '';
+    response.sendDate = false;
+    response.once('close', () => {
+      if (!response.writableFinished) {
+        this.left.abort();
+      }
+    });
+  }
+
+  get method(): string {
+    return this.request.method ?? 'GET';
+  }
+
+  /** Path and query as they came. */
+  get target(): string {
+    return this.request.url ?? '/';
+  }
+
+  get rawHeaders(): readonly string[] {
+    return this.request.rawHeaders;
+  }
+
+  /** Aborted when the caller leaves before its answer is whole. */
+  get leaving(): AbortSignal {
+    return this.left.signal;
+  }
+
+  /** True once any byte of an answer was given to the connection. */
+  get isAnswering(): boolean {
+    return this.response.headersSent;
+  }
+
+  /**
+   * Reads the whole body.
+   *
+   * @returns Undefined where the request has none, as told by its framing.
+   * @throws BodyTooLargeError
+   */
+  async readBody(limitBytes: number): Promise<Buffer | undefined> {
+    const {headers} = this.request;
+    if (
+      headers['content-length'] === undefined &&
+      headers['transfer-encoding'] === undefined
+    ) {
+      return undefined;
+    }
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of this.request as AsyncIterable<Buffer>) {
+      bytes += chunk.length;
+      if (bytes > limitBytes) {
+        throw new BodyTooLargeError();
+      }
+      chunks.push(chunk);
+    }
+    return Buffer.concat(chunks);
+  }
+
+  /** Tells the caller to use the connection for nothing more. */
+  closeAfterwards(): void {
+    this.response.shouldKeepAlive = false;
+  }
+
+  /** Answers with a whole body. */
+  answer(status: number, headers: readonly string[], body: Buffer): void {
+    const framed = [...headers, 'Content-Length', String(body.length)];
+    this.response.writeHead(status, framed);
+    this.response.end(body);
+  }
+
+  /** An answer of the system's own, without an endpoint's proof. */
+  answerOwn(own: OwnAnswer): void {
+    const {status, reason, retryAfterMilliseconds} = own;
+    const headers = ['Content-Type', 'application/problem+json'];
+    if (retryAfterMilliseconds !== undefined) {
+      headers.push(...this.dialect.retryHeaders(retryAfterMilliseconds));
+    }
+    const body = Buffer.from(JSON.stringify({status, title: reason}));
+    this.answer(status, headers, body);
+  }
+
+  /** Begins a stream; its length is not known. */
+  beginStream(status: number, headers: readonly string[]): void {
+    this.response.writeHead(status, [...headers]);
+    this.response.flushHeaders();
+  }
+
+  /** Writes a part of the stream; waits while the caller does not read. */
+  async write(bytes: Buffer): Promise<void> {
+    if (this.response.write(bytes) || this.left.signal.aborted) {
+      return;
+    }
+    await new Promise<void>(resolve => {
+      const done = () => {
+        this.response.off('drain', done);
+        this.response.off('close', done);
+        resolve();
+      };
+      this.response.once('drain', done);
+      this.response.once('close', done);
+    });
+  }
+
+  /** Ends a stream that is whole. */
+  endStream(): void {
+    this.response.end();
+  }
+
+  /** Breaks the connection off, so that a part can't be taken for the whole. */
+  breakOff(): void {
+    this.response.destroy();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/configuration-state.ts
@@ -0,0 +1,81 @@
+import type {KeyedRecord} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {FleetConfiguration} from './configuration.js';
+import type {Dialect} from './dialect.js';
+import {KeyedTopicReader} from './keyed-follower.js';
+
+/**
+ * The configuration in force on this host. Versions only go up: what a slow or
+ * repeated read brings later than a newer version is passed over.
+ */
+export class ConfigurationState extends KeyedTopicReader {
+  private inForce: FleetConfiguration | undefined;
+  private readonly listeners: ((
+    configuration: FleetConfiguration,
+    before: FleetConfiguration | undefined,
+  ) => void)[] = [];
+
+  /** @param key Name under which the configuration stands. */
+  constructor(
+    private readonly key: string,
+    private readonly dialect: Dialect,
+    private readonly events: EventLog,
+  ) {
+    super();
+  }
+
+  /** Undefined before any was read. */
+  get current(): FleetConfiguration | undefined {
+    return this.inForce;
+  }
+
+  /** Calls the listener for each version that comes into force. */
+  onChange(
+    listener: (
+      configuration: FleetConfiguration,
+      before: FleetConfiguration | undefined,
+    ) => void,
+  ): void {
+    this.listeners.push(listener);
+  }
+
+  override changed(record: KeyedRecord): void {
+    if (record.key !== this.key || record.value === undefined) {
+      return;
+    }
+    const configuration = this.dialect.configuration(record.value);
+    if (configuration === undefined) {
+      this.events.warn('configuration ignored', {
+        offset: record.offset,
+        reason: 'not a configuration',
+      });
+      return;
+    }
+    this.adopt(configuration, record.offset);
+  }
+
+  override replaced(records: readonly KeyedRecord[]): void {
+    for (const record of records) {
+      this.changed(record);
+    }
+  }
+
+  private adopt(configuration: FleetConfiguration, offset: number): void {
+    const before = this.inForce;
+    if (before !== undefined && configuration.version <= before.version) {
+      return;
+    }
+    this.inForce = configuration;
+    this.events.info('configuration in force', {
+      version: configuration.version,
+      before: before?.version,
+      offset,
+      routes: configuration.routes.length,
+      organisations: configuration.organisations.length,
+    });
+    for (const listener of this.listeners) {
+      listener(configuration, before);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -0,0 +1,192 @@
+import {
+  request as sendRequest,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
+
+import type {Dialect, EndpointAnswerHeaders} from './dialect.js';
+import type {EndpointConnections} from './endpoint-connections.js';
+import type {EndpointEntry} from './endpoint-entry.js';
+
+/** What is certain of a request that got no answer to pass on. */
+export enum ExchangeFate {
+  /** No connection: nothing was sent. */
+  NotSent = 'not-sent',
+  /** The endpoint states that it did not run it. */
+  NotRun = 'not-run',
+  /** Another endpoint has the address, and did not run it. */
+  WrongEndpoint = 'wrong-endpoint',
+  /** It may have run, or run still. */
+  Unknown = 'unknown',
+}
+
+/** An endpoint's answer up to its headers. */
+export interface AnswerHead {
+  readonly status: number;
+  readonly rawHeaders: readonly string[];
+  readonly said: EndpointAnswerHeaders;
+}
+
+/** Why there is no answer to pass on. */
+export interface ExchangeFailure {
+  readonly fate: ExchangeFate;
+  readonly reason: string;
+}
+
+/** What is sent to an endpoint. */
+export interface DispatchedRequest {
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer | undefined;
+  readonly attemptId: string | undefined;
+}
+
+/**
+ * A new connection that isn't there by then goes elsewhere: nothing was sent, so
+ * that is safe. Data centres are under 2 ms apart and a handshake takes 1 ms.
+ */
+const CONNECT_MILLISECONDS = 250;
+/** Longest body that is held until it is whole; a longer one is a failure. */
+const LONGEST_WHOLE_BODY_BYTES = 8 * 1024 * 1024;
+
+/** One request on its way to one endpoint, and its answer. */
+export class EndpointExchange {
+  private readonly outgoing: ClientRequest;
+  private incoming: IncomingMessage | undefined;
+  private failure: string | undefined;
+  private isConnected = false;
+  private connectTimer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly dialect: Dialect,
+    connections: EndpointConnections,
+    endpoint: EndpointEntry,
+    private readonly sent: DispatchedRequest,
+  ) {
+    this.outgoing = sendRequest({
+      agent: connections,
+      host: endpoint.address,
+      port: endpoint.port,
+      method: sent.method,
+      path: sent.target,
+      headers: [...sent.headers],
+    });
+    this.outgoing.once('socket', socket => {
+      if (!socket.connecting) {
+        this.isConnected = true;
+        return;
+      }
+      this.connectTimer = setTimeout(() => {
+        this.cancel('no connection in time');
+      }, CONNECT_MILLISECONDS);
+      socket.once('connect', () => {
+        clearTimeout(this.connectTimer);
+        this.isConnected = true;
+      });
+    });
+    this.outgoing.on('error', error => {
+      this.failure ??= error.message;
+    });
+    this.outgoing.end(sent.body);
+  }
+
+  /** Waits for the answer's headers. */
+  async head(): Promise<AnswerHead | ExchangeFailure> {
+    const incoming = await this.firstResponse();
+    if (incoming === undefined) {
+      return this.failed();
+    }
+    const status = incoming.statusCode ?? 0;
+    const {rawHeaders} = incoming;
+    const said = this.dialect.endpointAnswer(status, rawHeaders);
+    const {attemptId} = this.sent;
+    if (said.attemptId !== undefined && said.attemptId !== attemptId) {
+      this.cancel('answer to another request');
+      return this.failed();
+    }
+    if (said.isNotRun) {
+      incoming.resume();
+      const fate =
+        status === 421 ? ExchangeFate.WrongEndpoint : ExchangeFate.NotRun;
+      return {fate, reason: `answered ${status} without running it`};
+    }
+    return {status, rawHeaders, said};
+  }
+
+  /** Reads the rest of an answer; undefined where it was cut. */
+  async wholeBody(): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    for await (const chunk of this.parts()) {
+      bytes += chunk.length;
+      chunks.push(chunk);
+      if (bytes > LONGEST_WHOLE_BODY_BYTES) {
+        this.cancel('answer too long');
+        return undefined;
+      }
+    }
+    return this.isWhole ? Buffer.concat(chunks) : undefined;
+  }
+
+  /** The parts of an answer as they come; ends early where it is cut. */
+  async *parts(): AsyncGenerator<Buffer> {
+    if (this.incoming === undefined) {
+      return;
+    }
+    try {
+      for await (const chunk of this.incoming as AsyncIterable<Buffer>) {
+        yield chunk;
+      }
+    } catch (error) {
+      this.failure ??= String(error);
+    }
+  }
+
+  /**
+   * True where the answer came to its end. A connection that was reset ends an
+   * answer without a length as if it were whole: the error alone tells.
+   */
+  get isWhole(): boolean {
+    return this.incoming?.complete === true && this.failure === undefined;
+  }
+
+  /** Why it failed, where it did. */
+  get failureReason(): string {
+    return this.failure ?? 'answer cut';
+  }
+
+  /** Closes the connection: the endpoint stops working on the request. */
+  cancel(reason: string): void {
+    this.failure ??= reason;
+    clearTimeout(this.connectTimer);
+    this.outgoing.destroy();
+  }
+
+  private firstResponse(): Promise<IncomingMessage | undefined> {
+    return new Promise(resolve => {
+      this.outgoing.once('response', incoming => {
+        this.incoming = incoming;
+        resolve(incoming);
+      });
+      this.outgoing.once('close', () => {
+        clearTimeout(this.connectTimer);
+        resolve(undefined);
+      });
+    });
+  }
+
+  private failed(): ExchangeFailure {
+    return {
+      fate: this.isConnected ? ExchangeFate.Unknown : ExchangeFate.NotSent,
+      reason: this.failureReason,
+    };
+  }
+}
+
+/** Whether an exchange ended without an answer to pass on. */
+export function isFailure(
+  head: AnswerHead | ExchangeFailure,
+): head is ExchangeFailure {
+  return 'fate' in head;
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,294 @@
+import type {ResendLimits} from '@wisteriadeal/decisions';
+import type {Clock, PartitionedLog, RandomSource} from '@wisteriadeal/platform';
+import {
+  ControlServer,
+  type EventLog,
+  type JsonValue,
+  type RunningBinary,
+} from '@wisteriadeal/runtime';
+import type {GatewaySettings} from '@wisteriadeal/schema';
+
+import {BillWriter} from './bill-writer.js';
+import {BudgetHolder} from './budget-holder.js';
+import {BudgetJournal} from './budget-journal.js';
+import {BudgetReplica} from './budget-replica.js';
+import {CallerServer, type ListenAddress} from './caller-server.js';
+import {ConfigurationState} from './configuration-state.js';
+import type {Dialect} from './dialect.js';
+import {EndpointConnections} from './endpoint-connections.js';
+import {EndpointDirectory} from './endpoint-directory.js';
+import {GatewayMetrics} from './gateway-metrics.js';
+import type {GatewayNames} from './gateway-names.js';
+import {KeyedTopicFollower} from './keyed-follower.js';
+import {ConnectLoanPeers, registerLender} from './loan-peers.js';
+import {RequestHandler} from './request-handler.js';
+import {GatewayStatus, StatusServer} from './status-server.js';
+import {StoreHealth} from './store-health.js';
+
+/** What a gateway needs from outside. */
+export interface GatewayParts {
+  readonly settings: GatewaySettings;
+  readonly names: GatewayNames;
+  readonly dialect: Dialect;
+  readonly log: PartitionedLog;
+  readonly clock: Clock;
+  readonly random: RandomSource;
+  readonly events: EventLog;
+}
+
+/**
+ * A read of the configuration waits so long for a new version. Longer reads cost
+ * fewer calls; a connection that has gone silent shows only when one is overdue.
+ */
+const CONFIGURATION_WAIT_MILLISECONDS = 1_000;
+/** Endpoints' heartbeats are gathered so long, so that one call brings many. */
+const ENDPOINT_PAUSE_MILLISECONDS = 350;
+/** A checkpoint is due after this part of the time that the store keeps records. */
+const CHECKPOINT_PARTS = 5;
+/** The rest of the grace is left for returning grants and for the end itself. */
+const STOP_PART_OF_GRACE = 0.85;
+/** Connections that come between readiness' end and the platform's notice of it. */
+const NOTICE_MILLISECONDS = 2_600;
+
+/** The program of an entry host. */
+export class Gateway
+  extends GatewayStatus
+  implements RunningBinary<GatewaySettings>
+{
+  private readonly health: StoreHealth;
+  private readonly configuration: ConfigurationState;
+  private readonly directory: EndpointDirectory;
+  private readonly budgets: BudgetHolder;
+  private readonly bills: BillWriter;
+  private readonly handler: RequestHandler;
+  private readonly callers: CallerServer;
+  private readonly status: StatusServer;
+  private readonly followers: readonly KeyedTopicFollower[];
+  private readonly connections = new EndpointConnections();
+  private readonly metrics = new GatewayMetrics();
+  private lender: ControlServer | undefined;
+  private isStopping = false;
+
+  constructor(private readonly parts: GatewayParts) {
+    super();
+    const {settings, names, dialect, log, clock, events} = parts;
+    this.health = new StoreHealth(events);
+    this.configuration = new ConfigurationState(
+      names.configurationKey,
+      dialect,
+      events,
+    );
+    this.directory = new EndpointDirectory(dialect, this.health, clock, events);
+    this.budgets = this.createBudgets();
+    this.bills = new BillWriter(settings.host, log, clock, events);
+    this.handler = this.createHandler();
+    this.callers = new CallerServer(dialect, this.handler, clock, events);
+    this.status = new StatusServer(names.readyPath, this, this.metrics);
+    this.followers = this.createFollowers();
+    this.configuration.onChange(configuration => {
+      this.budgets.configure(configuration);
+      this.callers.limit(configuration.limits);
+    });
+  }
+
+  /** Listens, and begins to follow the store. */
+  async start(): Promise<void> {
+    const {settings, events} = this.parts;
+    await this.callers.listen(listenAddress(settings.callerAddress));
+    await this.status.listen(
+      listenAddress(settings.readyAddress),
+      listenAddress(settings.statusAddress),
+    );
+    const peer = listenAddress(settings.peerAddress);
+    this.lender = await ControlServer.listen(
+      peer.address,
+      peer.port,
+      router => {
+        registerLender(router, request => this.budgets.lend(request));
+      },
+    );
+    for (const follower of this.followers) {
+      void follower.run();
+    }
+    void this.budgets.run();
+    void this.bills.run();
+    events.info('started', {dataCenter: settings.dataCenter});
+  }
+
+  /** Says that it leaves, finishes what runs, returns its grants, and ends. */
+  async close(): Promise<void> {
+    const {clock, events, settings, log} = this.parts;
+    const giveUp = new AbortController();
+    const limit = settings.stopGraceSeconds * 1_000 * STOP_PART_OF_GRACE;
+    const deadline = clock.sleep(limit, giveUp.signal);
+    this.isStopping = true;
+    this.callers.beginStop();
+    events.info('stopping', {requests: this.callers.openRequests});
+    await Promise.race([clock.sleep(NOTICE_MILLISECONDS), deadline]);
+    await Promise.race([this.callers.drain(), deadline]);
+    await Promise.race([
+      Promise.all([this.budgets.close(), this.bills.close()]),
+      deadline,
+    ]);
+    giveUp.abort();
+    events.info('stopped', {requests: this.callers.openRequests});
+    this.callers.close();
+    this.status.close();
+    for (const follower of this.followers) {
+      follower.close();
+    }
+    await this.lender?.close();
+    this.connections.destroy();
+    log.close();
+  }
+
+  /**
+   * Takes the bounds that may change while it runs. Addresses stay: open
+   * connections hang on them, and a restart takes new ones.
+   */
+  reload(settings: GatewaySettings): void {
+    this.handler.limitResends(resendLimits(settings));
+    this.parts.events.info('settings read again', {host: settings.host});
+  }
+
+  override isReady(): boolean {
+    return (
+      !this.isStopping &&
+      this.budgets.isReady &&
+      this.configuration.current !== undefined &&
+      this.directory.all.length > 0
+    );
+  }
+
+  override dump(): JsonValue {
+    const now = this.parts.clock.monotonicMilliseconds();
+    const configuration = this.configuration.current;
+    return {
+      ready: this.isReady(),
+      stopping: this.isStopping,
+      configuration: configuration?.version ?? null,
+      storeAway: this.health.isAway,
+      storeAnswerAgeMilliseconds: Math.round(this.health.answerAge(now)),
+      openRequests: this.callers.openRequests,
+      endpoints: this.directory.all.map(({entry, load, trust}) => ({
+        id: entry.id,
+        service: entry.service,
+        leaving: entry.isLeaving,
+        load,
+        trusted: trust.isTrusted(now),
+        failedShare: trust.failedShare,
+      })),
+      budgets: Object.fromEntries(
+        (configuration?.organisations ?? []).map(({name}) => [
+          name,
+          this.budgets.describe(name) ?? null,
+        ]),
+      ),
+    };
+  }
+
+  override refresh(): void {
+    const now = this.parts.clock.monotonicMilliseconds();
+    this.metrics.state('open_requests', this.callers.openRequests);
+    this.metrics.state('ready', this.isReady() ? 1 : 0);
+    this.metrics.state('store_away', this.health.isAway ? 1 : 0);
+    this.metrics.state('store_answer_age_ms', this.health.answerAge(now));
+    this.metrics.state('endpoints', this.directory.all.length);
+    this.metrics.state('budget_holders', this.budgets.holders);
+    this.metrics.state('resident_bytes', process.memoryUsage.rss());
+    const version = this.configuration.current?.version ?? -1;
+    this.metrics.state('configuration_version', version);
+  }
+
+  private createBudgets(): BudgetHolder {
+    const {settings, log, clock, random, events} = this.parts;
+    const replica = new BudgetReplica(
+      log,
+      clock,
+      (settings.storeKeepSeconds * 1_000) / CHECKPOINT_PARTS,
+      events,
+    );
+    const identity = {
+      host: `${settings.host} ${settings.callerAddress}`,
+      peerAddress: settings.peerAddress,
+      newIncarnation: () => random.identifier(),
+    };
+    return new BudgetHolder(
+      new BudgetJournal(identity, replica, log, events),
+      replica,
+      new ConnectLoanPeers(),
+      this.health,
+      clock,
+      events,
+    );
+  }
+
+  private createHandler(): RequestHandler {
+    const {settings, dialect, clock, random, events} = this.parts;
+    return new RequestHandler(
+      this.configuration,
+      this.budgets,
+      this.bills,
+      {
+        dialect,
+        clock,
+        events,
+        connections: this.connections,
+        directory: this.directory,
+        dataCenter: settings.dataCenter,
+        hosts: () => this.budgets.holders,
+      },
+      resendLimits(settings),
+      this.metrics,
+      events,
+      () => random.fraction(),
+    );
+  }
+
+  private createFollowers(): readonly KeyedTopicFollower[] {
+    const {names, log, clock, events} = this.parts;
+    return [
+      new KeyedTopicFollower(
+        log,
+        this.configuration,
+        {
+          partition: names.configurationPartition,
+          waitMilliseconds: CONFIGURATION_WAIT_MILLISECONDS,
+          pauseMilliseconds: 0,
+        },
+        this.health,
+        clock,
+        events,
+      ),
+      new KeyedTopicFollower(
+        log,
+        this.directory,
+        {
+          partition: names.endpointPartition,
+          waitMilliseconds: 0,
+          pauseMilliseconds: ENDPOINT_PAUSE_MILLISECONDS,
+        },
+        this.health,
+        clock,
+        events,
+      ),
+    ];
+  }
+}
+
+function resendLimits(settings: GatewaySettings): ResendLimits {
+  return {
+    ratio: settings.retryBudgetRatio,
+    extra: settings.retryBudgetExtra,
+    windowMilliseconds: settings.retryBudgetWindowSeconds * 1_000,
+  };
+}
+
+/** Splits `IP:port`, which the settings' check has found to be well formed. */
+export function listenAddress(text: string): ListenAddress {
+  const colon = text.lastIndexOf(':');
+  return {
+    address: text.slice(0, colon),
+    port: Number(text.slice(colon + 1)),
+  };
+}
--- /dev/null
+++ b/packages/gateway/src/keyed-follower.ts
@@ -0,0 +1,112 @@
+import {
+  RecordsDroppedError,
+  type Clock,
+  type KeyedRecord,
+  type Partition,
+  type PartitionedLog,
+} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {StoreHealth} from './store-health.js';
+
+/** Takes what a keyed topic says. */
+export abstract class KeyedTopicReader {
+  /** One key has a new value; undefined where it was dropped. */
+  abstract changed(record: KeyedRecord): void;
+
+  /** These are all keys there are; any other has gone. */
+  abstract replaced(records: readonly KeyedRecord[]): void;
+}
+
+/** How a topic is followed. */
+export interface FollowOptions {
+  readonly partition: Partition;
+  /** How long one read waits for a record, milliseconds. */
+  readonly waitMilliseconds: number;
+  /** Pause between reads, so that many changes come with one call. */
+  readonly pauseMilliseconds: number;
+}
+
+/** Before a call that failed is made again; the store's own calls take 4 ms. */
+const RETRY_MILLISECONDS = 250;
+
+/**
+ * Follows the newest value of each key of a topic: the list first, then changes.
+ * Where the store has dropped the records in between, the list is read again.
+ */
+export class KeyedTopicFollower {
+  private readonly stop = new AbortController();
+  private position: number | undefined;
+
+  constructor(
+    private readonly log: PartitionedLog,
+    private readonly reader: KeyedTopicReader,
+    private readonly options: FollowOptions,
+    private readonly health: StoreHealth,
+    private readonly clock: Clock,
+    private readonly events: EventLog,
+  ) {}
+
+  /** Follows until it is closed. */
+  async run(): Promise<void> {
+    while (!this.stop.signal.aborted) {
+      try {
+        await this.step();
+        this.health.answered(this.clock.monotonicMilliseconds());
+      } catch (error) {
+        await this.recover(error);
+      }
+    }
+  }
+
+  /** Ends after the call in progress. */
+  close(): void {
+    this.stop.abort();
+  }
+
+  private async step(): Promise<void> {
+    const {partition, waitMilliseconds, pauseMilliseconds} = this.options;
+    if (this.position === undefined) {
+      const newest = await this.log.newest(partition);
+      this.position = newest.resumeAt;
+      this.reader.replaced(newest.items);
+      return;
+    }
+    const range = await this.log.read(
+      partition,
+      this.position,
+      waitMilliseconds,
+    );
+    range.records.forEach((bytes, index) => {
+      this.take(range.offset + index, bytes);
+    });
+    this.position = range.offset + range.records.length;
+    await this.clock.sleep(pauseMilliseconds, this.stop.signal);
+  }
+
+  private take(offset: number, bytes: Uint8Array): void {
+    const record = this.log.keyedRecord(offset, bytes);
+    if (record === undefined) {
+      this.events.warn('record ignored', {
+        topic: this.options.partition.topic,
+        offset,
+        reason: 'no keyed record',
+      });
+      return;
+    }
+    this.reader.changed(record);
+  }
+
+  private async recover(error: unknown): Promise<void> {
+    if (error instanceof RecordsDroppedError) {
+      this.events.warn('records dropped', {
+        topic: this.options.partition.topic,
+        first: error.first,
+      });
+      this.position = undefined;
+      return;
+    }
+    this.health.failed(this.clock.monotonicMilliseconds(), error);
+    await this.clock.sleep(RETRY_MILLISECONDS, this.stop.signal);
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/organisation-budget.ts
@@ -0,0 +1,139 @@
+import {
+  GrantAccount,
+  type BudgetView,
+  type Reservation,
+} from '@wisteriadeal/budgets';
+
+/** Why a request got no reservation. All mean that it has not run. */
+export enum BudgetRefusal {
+  /** What is known to be spent leaves less than the request may use. */
+  Exhausted = 'budget-exhausted',
+  /** The rest may be held elsewhere, or by requests that have not ended. */
+  HeldElsewhere = 'budget-held-elsewhere',
+  /** The store, which alone gives grants, does not answer. */
+  StoreAway = 'budget-store-away',
+}
+
+/** A reservation, or why there is none. */
+export type ReserveResult =
+  {readonly reservation: Reservation} | {readonly refusal: BudgetRefusal};
+
+interface Waiting {
+  readonly bound: number;
+  readonly resolve: (result: ReserveResult) => void;
+  timer: NodeJS.Timeout | undefined;
+}
+
+/** One organisation's budget as this process holds it. */
+export class OrganisationBudget {
+  readonly account: GrantAccount;
+  /** The fold has not been told of this configuration's budget. */
+  isUntold = true;
+  /** A grant was asked for whose verdict is not known. */
+  isAsking = false;
+  isBorrowing = false;
+  private readonly waiting: Waiting[] = [];
+
+  constructor(
+    readonly name: string,
+    public prepaid: number,
+    public configurationVersion: number,
+    now: number,
+  ) {
+    this.account = new GrantAccount(now);
+  }
+
+  /** Requests that wait for tokens. */
+  get waitingRequests(): number {
+    return this.waiting.length;
+  }
+
+  /** The most that the requests that wait can use, together. */
+  get waitingTokens(): number {
+    return this.waiting.reduce((sum, {bound}) => sum + bound, 0);
+  }
+
+  /** The most that the first request that waits can use; 0 where none does. */
+  get firstBound(): number {
+    return this.waiting[0]?.bound ?? 0;
+  }
+
+  /** Takes a reservation where nobody waits before it and the account covers it. */
+  reserveNow(bound: number): Reservation | undefined {
+    return this.waiting.length === 0 && this.account.reserve(bound)
+      ? {organisation: this.name, bound}
+      : undefined;
+  }
+
+  /** Waits until tokens come, or `limitMilliseconds` are over. */
+  reserveLater(
+    bound: number,
+    limitMilliseconds: number,
+  ): Promise<ReserveResult> {
+    return new Promise(resolve => {
+      const entry: Waiting = {bound, resolve, timer: undefined};
+      entry.timer = setTimeout(() => {
+        this.refuse(entry, BudgetRefusal.HeldElsewhere);
+      }, limitMilliseconds);
+      this.waiting.push(entry);
+    });
+  }
+
+  /** Adds tokens and serves those that wait, in order. */
+  credit(tokens: number): void {
+    this.account.credit(tokens);
+    this.serveWaiting();
+  }
+
+  /** Ends a reservation; what is left of it serves those that wait. */
+  settle(bound: number, used: number, now: number): void {
+    this.account.settle(bound, used, now);
+    this.serveWaiting();
+  }
+
+  /** Refuses the first that waits. */
+  refuseFirst(refusal: BudgetRefusal): void {
+    const [first] = this.waiting;
+    if (first !== undefined) {
+      this.refuse(first, refusal);
+    }
+  }
+
+  /** Refuses all that wait. */
+  refuseAll(refusal: BudgetRefusal): void {
+    for (const entry of [...this.waiting]) {
+      this.refuse(entry, refusal);
+    }
+  }
+
+  /** Whether what is known to be spent leaves too little, whoever holds the rest. */
+  isExhausted(view: BudgetView | undefined, bound: number): boolean {
+    const prepaid = Math.max(view?.prepaid ?? 0, this.prepaid);
+    return prepaid - (view?.spent ?? 0) < bound;
+  }
+
+  private serveWaiting(): void {
+    for (;;) {
+      const [first] = this.waiting;
+      if (first === undefined || !this.account.reserve(first.bound)) {
+        return;
+      }
+      this.remove(first);
+      const {bound} = first;
+      first.resolve({reservation: {organisation: this.name, bound}});
+    }
+  }
+
+  private refuse(entry: Waiting, refusal: BudgetRefusal): void {
+    this.remove(entry);
+    entry.resolve({refusal});
+  }
+
+  private remove(entry: Waiting): void {
+    clearTimeout(entry.timer);
+    const index = this.waiting.indexOf(entry);
+    if (index >= 0) {
+      this.waiting.splice(index, 1);
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request-handler.ts
@@ -0,0 +1,281 @@
+import {ResendBudget, type ResendLimits} from '@wisteriadeal/decisions';
+import type {EventLog} from '@wisteriadeal/runtime';
+import {BillOutcome} from '@wisteriadeal/schema';
+
+import type {BillWriter} from './bill-writer.js';
+import type {BudgetHolder} from './budget-holder.js';
+import {BodyTooLargeError, type CallerExchange} from './caller-exchange.js';
+import {
+  findRoute,
+  pickService,
+  type FleetConfiguration,
+  type Organisation,
+  type Route,
+} from './configuration.js';
+import type {ConfigurationState} from './configuration-state.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
+import {BudgetRefusal} from './organisation-budget.js';
+import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
+import {tokenBound, type RequestContext} from './request-context.js';
+import {RequestRecord} from './request-record.js';
+import {RequestRun, type RunParts} from './request-run.js';
+
+/** Where a request may go, by the configuration in force. */
+interface Admission {
+  readonly route: Route;
+  readonly organisation: Organisation | undefined;
+}
+
+/** Without a budget's grant now, one is likely after about this long. */
+const BUDGET_RETRY_MILLISECONDS = 600;
+/** A store that is away is asked again a few times a second; outages last seconds. */
+const STORE_RETRY_MILLISECONDS = 1_500;
+/** Start of a configuration's effect takes this long at most. */
+const CONFIGURATION_RETRY_MILLISECONDS = 500;
+
+/** Decides each caller's request: who it is, where it may go, what it may use. */
+export class RequestHandler {
+  private readonly resends = new Map<string, ResendBudget>();
+  private isStopping = false;
+
+  constructor(
+    private readonly configuration: ConfigurationState,
+    private readonly budgets: BudgetHolder,
+    private readonly bills: BillWriter,
+    private readonly parts: RunParts,
+    private resendLimits: ResendLimits,
+    private readonly metrics: GatewayMetrics,
+    private readonly events: EventLog,
+    private readonly fraction: () => number,
+  ) {}
+
+  /** From now on new requests are refused as not run. */
+  stop(): void {
+    this.isStopping = true;
+  }
+
+  /** Takes new bounds on resends; what was resent is forgotten with the old. */
+  limitResends(limits: ResendLimits): void {
+    this.resendLimits = limits;
+    this.resends.clear();
+  }
+
+  /** Serves one request to its end; never rejects. */
+  async handle(caller: CallerExchange): Promise<void> {
+    const record = new RequestRecord();
+    try {
+      const refusal = await this.serve(caller, record);
+      if (refusal !== undefined) {
+        this.refuse(caller, record, refusal);
+      }
+    } catch (error) {
+      this.fail(caller, record, error);
+    }
+    this.report(caller, record);
+  }
+
+  private async serve(
+    caller: CallerExchange,
+    record: RequestRecord,
+  ): Promise<OwnAnswer | undefined> {
+    const configuration = this.configuration.current;
+    if (configuration === undefined) {
+      return notRun(
+        OwnReason.NoConfiguration,
+        CONFIGURATION_RETRY_MILLISECONDS,
+      );
+    }
+    if (this.isStopping) {
+      caller.closeAfterwards();
+      return notRun(OwnReason.Stopping, 0);
+    }
+    const body = await caller.readBody(configuration.limits.bodyBytes);
+    // A version may have come into force while the body was read.
+    const inForce = this.configuration.current ?? configuration;
+    const admitted = admit(caller, inForce);
+    if ('status' in admitted) {
+      return admitted;
+    }
+    const context = this.contextOf(caller, body, inForce, admitted);
+    return context === undefined
+      ? notRun(OwnReason.NoEndpoint, CONFIGURATION_RETRY_MILLISECONDS)
+      : this.runWithinBudget(context, record);
+  }
+
+  private contextOf(
+    caller: CallerExchange,
+    body: Buffer | undefined,
+    configuration: FleetConfiguration,
+    {route, organisation}: Admission,
+  ): RequestContext | undefined {
+    const name = pickService(route, this.fraction());
+    const service = configuration.services.get(name ?? '');
+    if (service === undefined) {
+      return undefined;
+    }
+    const resends = this.resendsOf(service.name);
+    resends.requested(this.parts.clock.monotonicMilliseconds());
+    const waits = Math.min(
+      caller.headers.deadlineMilliseconds ?? route.timeoutMilliseconds,
+      route.timeoutMilliseconds,
+    );
+    return {
+      caller,
+      body,
+      route,
+      service,
+      organisation,
+      configurationVersion: configuration.version,
+      deadlineAt: caller.arrivedAt + waits,
+      resends,
+    };
+  }
+
+  private async runWithinBudget(
+    context: RequestContext,
+    record: RequestRecord,
+  ): Promise<OwnAnswer | undefined> {
+    const {caller, organisation, service} = context;
+    const bound = tokenBound(caller);
+    const reserved = await this.budgets.reserve(
+      organisation?.name ?? '',
+      bound,
+    );
+    if ('refusal' in reserved) {
+      return budgetAnswer(reserved.refusal);
+    }
+    const {promptTokens, maximumOutputTokens} = caller.headers;
+    try {
+      await new RequestRun(this.parts, context, record).run();
+    } finally {
+      const used = record.usedTokens(
+        promptTokens,
+        maximumOutputTokens,
+        service.tokensPerEvent,
+      );
+      this.budgets.settle(reserved.reservation, used);
+      this.bill(context, record, used);
+    }
+    return undefined;
+  }
+
+  private bill(
+    context: RequestContext,
+    record: RequestRecord,
+    used: number,
+  ): void {
+    const {caller, organisation} = context;
+    if (!record.mayHaveRun || organisation === undefined) {
+      return;
+    }
+    this.bills.add({
+      requestId: caller.headers.attemptId ?? '',
+      organisation: organisation.name,
+      inputTokens: caller.headers.promptTokens,
+      outputTokens: used - caller.headers.promptTokens,
+      endpoint: record.endpoint,
+      outcome: billOutcome(record),
+    });
+  }
+
+  private resendsOf(service: string): ResendBudget {
+    let resends = this.resends.get(service);
+    if (resends === undefined) {
+      resends = new ResendBudget(this.resendLimits);
+      this.resends.set(service, resends);
+    }
+    return resends;
+  }
+
+  private refuse(
+    caller: CallerExchange,
+    record: RequestRecord,
+    answer: OwnAnswer,
+  ): void {
+    caller.answerOwn(answer);
+    record.status = answer.status;
+    record.outcome = `own: ${answer.reason}`;
+  }
+
+  private fail(
+    caller: CallerExchange,
+    record: RequestRecord,
+    error: unknown,
+  ): void {
+    if (caller.leaving.aborted) {
+      record.outcome = 'caller-left';
+      return;
+    }
+    if (error instanceof BodyTooLargeError) {
+      caller.closeAfterwards();
+      this.refuse(caller, record, failed(413, OwnReason.BodyTooLarge));
+      return;
+    }
+    this.events.error('request failed inside', {
+      request: caller.headers.attemptId,
+      reason: error instanceof Error ? (error.stack ?? '') : String(error),
+    });
+    if (caller.isAnswering) {
+      caller.breakOff();
+      return;
+    }
+    this.refuse(caller, record, failed(500, OwnReason.Internal));
+  }
+
+  private report(caller: CallerExchange, record: RequestRecord): void {
+    const now = this.parts.clock.monotonicMilliseconds();
+    const took = now - caller.arrivedAt;
+    this.metrics.requestEnded(record, took);
+    this.events.info('request', {
+      request: caller.headers.attemptId,
+      path: caller.path,
+      outcome: record.outcome,
+      status: record.status,
+      tookMilliseconds: Math.round(took),
+      bound: tokenBound(caller),
+      events: record.eventsDelivered,
+      configuration: this.configuration.current?.version,
+      attempts: record.attempts
+        .map(
+          ({endpoint, atMilliseconds, result}) =>
+            `${endpoint} at ${atMilliseconds}: ${result}`,
+        )
+        .join('; '),
+    });
+  }
+}
+
+function admit(
+  caller: CallerExchange,
+  configuration: FleetConfiguration,
+): Admission | OwnAnswer {
+  const {host, key} = caller.headers;
+  const route = findRoute(configuration, host, caller.path);
+  if (route === undefined) {
+    return failed(404, OwnReason.NoRoute);
+  }
+  const organisation = configuration.organisationOfKey.get(key ?? '');
+  const needsKey = configuration.organisations.length > 0 && !route.isPublic;
+  if (needsKey && organisation === undefined) {
+    return failed(401, OwnReason.NoKey);
+  }
+  return {route, organisation};
+}
+
+function budgetAnswer(refusal: BudgetRefusal): OwnAnswer {
+  switch (refusal) {
+    case BudgetRefusal.Exhausted:
+      return failed(402, OwnReason.BudgetExhausted);
+    case BudgetRefusal.HeldElsewhere:
+      return notRun(OwnReason.BudgetUnavailable, BUDGET_RETRY_MILLISECONDS);
+    case BudgetRefusal.StoreAway:
+      return notRun(OwnReason.BudgetUnavailable, STORE_RETRY_MILLISECONDS);
+  }
+}
+
+function billOutcome(record: RequestRecord): BillOutcome {
+  if (record.outcome === 'answered') {
+    return BillOutcome.ANSWERED;
+  }
+  return record.eventsDelivered > 0 ? BillOutcome.CUT : BillOutcome.UNANSWERED;
+}
--- /dev/null
+++ b/packages/gateway/src/store-health.ts
@@ -0,0 +1,48 @@
+import type {EventLog} from '@wisteriadeal/runtime';
+
+/**
+ * Whether the store answers, as this host sees it. Calls that fail now and then
+ * are not an outage: one success ends it.
+ */
+export class StoreHealth {
+  private lastAnswerAt: number | undefined;
+  private failingSince: number | undefined;
+  private lastOutageEndedAt = -Infinity;
+
+  constructor(private readonly events: EventLog) {}
+
+  /** True while the newest calls fail. */
+  get isAway(): boolean {
+    return this.failingSince !== undefined;
+  }
+
+  /** How long ago an outage ended; 0 during one, milliseconds. */
+  sinceOutage(now: number): number {
+    return this.isAway ? 0 : now - this.lastOutageEndedAt;
+  }
+
+  /** Age of the newest answer, milliseconds. */
+  answerAge(now: number): number {
+    return this.lastAnswerAt === undefined ? Infinity : now - this.lastAnswerAt;
+  }
+
+  /** A call was answered. */
+  answered(now: number): void {
+    if (this.failingSince !== undefined) {
+      this.events.info('store regained', {
+        awayMilliseconds: Math.round(now - this.failingSince),
+      });
+      this.failingSince = undefined;
+      this.lastOutageEndedAt = now;
+    }
+    this.lastAnswerAt = now;
+  }
+
+  /** A call was not answered, or refused. */
+  failed(now: number, error: unknown): void {
+    if (this.failingSince === undefined) {
+      this.failingSince = now;
+      this.events.warn('store lost', {reason: String(error)});
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/stream-relay.ts
@@ -0,0 +1,115 @@
+import type {Clock} from '@wisteriadeal/platform';
+
+import type {CallerExchange} from './caller-exchange.js';
+import type {EndpointExchange} from './endpoint-exchange.js';
+import {
+  EventStreamSplitter,
+  type StreamEvent,
+} from './event-stream-splitter.js';
+import type {RequestRecord} from './request-record.js';
+
+/** How passing on one endpoint's part of a stream ended. */
+export enum RelayEnd {
+  /** The stream is whole. */
+  Whole = 'whole',
+  /** It was cut, fell silent, or does not follow what was passed on. */
+  Cut = 'cut',
+  /** The caller has left. */
+  CallerLeft = 'caller-left',
+}
+
+/** How long silence is borne. */
+export interface SilenceLimits {
+  /** Until the first event, milliseconds. */
+  readonly firstMilliseconds: number;
+  /** Between events, milliseconds. */
+  readonly nextMilliseconds: number;
+}
+
+/**
+ * Passes whole events on as they come. Each must follow the one before it: a run
+ * that was resumed elsewhere may begin too early or too late, and a stream with a
+ * gap or a repeated event is worse to its caller than one that was cut.
+ */
+export async function relayStream(
+  exchange: EndpointExchange,
+  caller: CallerExchange,
+  record: RequestRecord,
+  limits: SilenceLimits | undefined,
+  clock: Clock,
+): Promise<RelayEnd> {
+  const splitter = new EventStreamSplitter();
+  const watch = new SilenceWatch(exchange, limits);
+  const startedAt = clock.monotonicMilliseconds();
+  try {
+    for await (const chunk of exchange.parts()) {
+      for (const event of splitter.push(chunk)) {
+        if (!follows(event, record.lastEventId)) {
+          exchange.cancel('event out of order');
+          return RelayEnd.Cut;
+        }
+        watch.heard();
+        await pass(event, caller, record);
+        record.firstByteMilliseconds ??=
+          clock.monotonicMilliseconds() - startedAt;
+      }
+      if (caller.leaving.aborted) {
+        return RelayEnd.CallerLeft;
+      }
+    }
+  } finally {
+    watch.close();
+  }
+  if (caller.leaving.aborted) {
+    return RelayEnd.CallerLeft;
+  }
+  const isWhole = exchange.isWhole && splitter.rest.length === 0;
+  return isWhole ? RelayEnd.Whole : RelayEnd.Cut;
+}
+
+async function pass(
+  event: StreamEvent,
+  caller: CallerExchange,
+  record: RequestRecord,
+): Promise<void> {
+  record.eventsDelivered++;
+  record.lastEventId = event.id ?? record.lastEventId;
+  await caller.write(event.bytes);
+}
+
+/** Identifiers are whole numbers that count up by one. */
+function follows(event: StreamEvent, last: string | undefined): boolean {
+  if (event.id === undefined || last === undefined) {
+    return true;
+  }
+  return Number(event.id) === Number(last) + 1;
+}
+
+/** Ends an exchange that says nothing for too long. */
+class SilenceWatch {
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly exchange: EndpointExchange,
+    private readonly limits: SilenceLimits | undefined,
+  ) {
+    this.arm(limits?.firstMilliseconds);
+  }
+
+  heard(): void {
+    this.arm(this.limits?.nextMilliseconds);
+  }
+
+  close(): void {
+    clearTimeout(this.timer);
+  }
+
+  private arm(milliseconds: number | undefined): void {
+    clearTimeout(this.timer);
+    if (milliseconds !== undefined) {
+      this.timer = setTimeout(() => {
+        this.exchange.cancel('silent');
+      }, milliseconds);
+    }
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -17,6 +17,7 @@
 export * from './http-weight-store.js';
 export * from './log-client.js';
 export * from './model-engine.js';
+export * from './partitioned-log.js';
 export * from './plain-service.js';
 export * from './random-source.js';
 export * from './step-error.js';
--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -1,13 +1,26 @@
 import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
 import {parseArgs} from 'node:util';
 
-import {formatSettingsProblem, loadSettings} from './settings-file.js';
+import type {Result} from './results.js';
+import {
+  formatSettingsProblem,
+  loadSettings,
+  type SettingsProblem,
+} from './settings-file.js';
 import {settingsCheckOf} from './settings-rules.js';
 
 /** A started process that can be stopped in good order. */
-export interface RunningBinary {
+export interface RunningBinary<Settings = unknown> {
   /** Finishes what runs, returns what it holds, and leaves. */
   close(): Promise<void>;
+  /** Takes settings that were read again. Absent where a process keeps its own. */
+  reload?(settings: Settings): void;
+}
+
+/** How a binary finds its settings. */
+export interface BinaryOptions {
+  /** Environment variable that names the file where `--settings` doesn't. */
+  readonly settingsVariable?: string;
 }
 
 /** Exit codes; from 64 on those of sysexits. */
@@ -31,12 +44,16 @@
   Configuration = 78,
 }
 
-function settingsPath(): string | undefined {
+function settingsPath(options: BinaryOptions): string | undefined {
   const {values} = parseArgs({
     options: {settings: {type: 'string'}},
     allowPositionals: false,
   });
-  return values.settings;
+  const {settingsVariable} = options;
+  return (
+    values.settings ??
+    (settingsVariable === undefined ? undefined : process.env[settingsVariable])
+  );
 }
 
 function stopOnSignal(running: RunningBinary): void {
@@ -60,6 +77,30 @@
   process.on('SIGINT', stop);
 }
 
+/**
+ * SIGHUP says that the settings file has changed; without a handler it would end
+ * the process. Settings that don't fit leave those in force.
+ */
+function reloadOnSignal<Settings>(
+  running: RunningBinary<Settings>,
+  load: () => Result<Settings, readonly SettingsProblem[]>,
+): void {
+  process.on('SIGHUP', () => {
+    const settings = load();
+    if (settings.err) {
+      printProblems(settings.val);
+      return;
+    }
+    running.reload?.(settings.val);
+  });
+}
+
+function printProblems(problems: readonly SettingsProblem[]): void {
+  for (const problem of problems) {
+    process.stderr.write(`${formatSettingsProblem(problem)}\n`);
+  }
+}
+
 /**
  * Runs a binary: reads `--settings FILE`, starts, and on SIGTERM or SIGINT stops
  * in good order. Settings that don't fit end it with every problem printed.
@@ -73,21 +114,25 @@
  */
 export async function runBinary<Schema extends DescMessage>(
   schema: Schema,
-  start: (settings: MessageShape<Schema>) => Promise<RunningBinary>,
+  start: (
+    settings: MessageShape<Schema>,
+  ) => Promise<RunningBinary<MessageShape<Schema>>>,
+  options: BinaryOptions = {},
 ): Promise<void> {
-  const path = settingsPath();
+  const path = settingsPath(options);
   if (path === undefined) {
     process.stderr.write('usage: --settings FILE\n');
     process.exitCode = ExitCode.Usage;
     return;
   }
-  const settings = loadSettings(schema, path, settingsCheckOf(schema));
+  const load = () => loadSettings(schema, path, settingsCheckOf(schema));
+  const settings = load();
   if (settings.err) {
-    for (const problem of settings.val) {
-      process.stderr.write(`${formatSettingsProblem(problem)}\n`);
-    }
+    printProblems(settings.val);
     process.exitCode = ExitCode.Configuration;
     return;
   }
-  stopOnSignal(await start(settings.val));
+  const running = await start(settings.val);
+  stopOnSignal(running);
+  reloadOnSignal(running, load);
 }
--- a/packages/runtime/src/settings-rules.ts
+++ b/packages/runtime/src/settings-rules.ts
@@ -1,9 +1,11 @@
 import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
 import {
   CommandLineSettingsSchema,
+  GatewaySettingsSchema,
   KeeperSettingsSchema,
   RouterSettingsSchema,
   type CommandLineSettings,
+  type GatewaySettings,
   type KeeperSettings,
   type PlatformSettings,
   type ProcessSettings,
@@ -156,6 +158,28 @@
   ];
 }
 
+function checkGateway(settings: GatewaySettings): readonly SchemaMismatch[] {
+  return [
+    ...name(settings.host, ['host']),
+    ...name(settings.dataCenter, ['dataCenter']),
+    ...address(settings.callerAddress, ['callerAddress']),
+    ...address(settings.readyAddress, ['readyAddress']),
+    ...address(settings.statusAddress, ['statusAddress']),
+    ...address(settings.peerAddress, ['peerAddress']),
+    ...address(settings.storeAddress, ['storeAddress']),
+    ...positive(settings.stopGraceSeconds, ['stopGraceSeconds']),
+    ...positive(settings.storeKeepSeconds, ['storeKeepSeconds']),
+    ...positive(settings.storeRecordBytes, ['storeRecordBytes']),
+    ...positive(settings.retryBudgetWindowSeconds, [
+      'retryBudgetWindowSeconds',
+    ]),
+    ...rule<number>(value => value >= 0, 'a number from 0 on')(
+      settings.retryBudgetRatio,
+      ['retryBudgetRatio'],
+    ),
+  ];
+}
+
 /** Takes only the message that it is registered for. */
 type RegisteredCheck = (settings: never) => readonly SchemaMismatch[];
 
@@ -163,6 +187,7 @@
   [RouterSettingsSchema.typeName, checkRouter],
   [KeeperSettingsSchema.typeName, checkKeeper],
   [CommandLineSettingsSchema.typeName, checkCommandLine],
+  [GatewaySettingsSchema.typeName, checkGateway],
 ]);
 
 /**
--- a/vitest.config.ts
+++ b/vitest.config.ts
@@ -4,7 +4,7 @@
   resolve: {conditions: ['source']},
   ssr: {resolve: {conditions: ['source']}},
   test: {
-    include: ['packages/*/src/test/**/*_test.ts'],
+    include: ['{packages/*,platform}/src/test/**/*_test.ts'],
     testTimeout: 30_000,
   },
 });
