--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -93,6 +93,21 @@
     this.response.end(body);
   }
 
+  /**
+   * Answers with a body whose end is the connection's end, as the endpoint did. A
+   * length of our own would vouch for a body that may have been cut on the way.
+   */
+  answerUntilClose(
+    status: number,
+    headers: readonly string[],
+    body: Buffer,
+  ): void {
+    this.response.useChunkedEncodingByDefault = false;
+    this.response.shouldKeepAlive = false;
+    this.response.writeHead(status, [...headers]);
+    this.response.end(body);
+  }
+
   /** An answer of the system's own, without an endpoint's proof. */
   answerOwn(own: OwnAnswer): void {
     const {status, reason, retryAfterMilliseconds} = own;
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -151,6 +151,18 @@
     return this.incoming?.complete === true && this.failure === undefined;
   }
 
+  /**
+   * False for an answer without a length that ends with its connection: nothing
+   * but the connection's end tells that it is whole.
+   */
+  get hasLength(): boolean {
+    const headers = this.incoming?.headers;
+    return (
+      headers?.['content-length'] !== undefined ||
+      headers?.['transfer-encoding'] !== undefined
+    );
+  }
+
   /** Why it failed, where it did. */
   get failureReason(): string {
     return this.failure ?? 'answer cut';
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -34,6 +34,13 @@
   hosts(): number;
 }
 
+/** An endpoint's answer that was read to its end. */
+interface WholeAnswer {
+  readonly head: AnswerHead;
+  readonly body: Buffer;
+  readonly hasLength: boolean;
+}
+
 /** What follows an attempt: the request has ended, or another endpoint is tried. */
 enum Next {
   Ended,
@@ -62,7 +69,7 @@
   private sentTo = 0;
   private unreachable = 0;
   /** A whole failure of an endpoint, passed on if nothing better comes. */
-  private fallback: {head: AnswerHead; body: Buffer} | undefined;
+  private fallback: WholeAnswer | undefined;
   private current: EndpointExchange | undefined;
   private hasTimedOut = false;
 
@@ -272,7 +279,7 @@
     } else {
       endpoint.trust.succeeded();
     }
-    this.fallback = {head, body};
+    this.fallback = {head, body, hasLength: exchange.hasLength};
     const isWorthAnother =
       head.status >= 500 && mayRepeat(this.context.route) && !this.isOver();
     return isWorthAnother
@@ -360,10 +367,14 @@
     this.record.outcome = `own: ${answer.reason}`;
   }
 
-  private answerFallback(answer: {head: AnswerHead; body: Buffer}): Next {
-    const {head, body} = answer;
+  private answerFallback({head, body, hasLength}: WholeAnswer): Next {
+    const {caller} = this.context;
     const headers = this.parts.dialect.answerHeaders(head.rawHeaders);
-    this.context.caller.answer(head.status, headers, body);
+    if (hasLength) {
+      caller.answer(head.status, headers, body);
+    } else {
+      caller.answerUntilClose(head.status, headers, body);
+    }
     this.record.status = head.status;
     this.record.outcome = 'answered';
     return Next.Ended;
