--- /dev/null
+++ b/packages/budgets/src/test/fleet-model.ts
@@ -0,0 +1,200 @@
+import {create} from '@bufbuild/protobuf';
+import {BudgetRecordSchema, type BudgetRecord} from '@wisteriadeal/schema';
+
+import {BudgetFold} from '../budget-fold.js';
+import {GrantAccount} from '../grant-account.js';
+import {loanFor} from '../loans.js';
+
+const ORGANISATION = 'school';
+
+type Change = Exclude<BudgetRecord['change'], {case: undefined}>;
+
+/** One process: its account, and records that are not on the log yet. */
+interface ModelHost {
+  incarnation: string;
+  sequence: number;
+  account: GrantAccount;
+  unwritten: BudgetRecord[];
+  open: number[];
+}
+
+/**
+ * Hosts that share one budget on one log, without sockets or time. Each step is one
+ * thing that can happen to a process; whatever the order, what was spent stays
+ * within what was paid.
+ */
+export class FleetModel {
+  readonly fold = new BudgetFold();
+  /** Tokens that requests have used, over all processes that ever ran. */
+  spent = 0;
+  private readonly hosts: ModelHost[];
+  private readonly written: BudgetRecord[] = [];
+  private version = 1;
+  private starts = 0;
+
+  constructor(
+    hosts: number,
+    private paid: number,
+  ) {
+    this.hosts = Array.from({length: hosts}, (_unused, index) =>
+      this.start(index),
+    );
+  }
+
+  /** The most that was ever paid. */
+  get prepaid(): number {
+    return this.paid;
+  }
+
+  /** What processes hold and have not used. */
+  get held(): number {
+    return this.hosts.reduce((sum, {account}) => sum + account.held, 0);
+  }
+
+  ask(host: number, wish: number, least: number, urgent: boolean): void {
+    this.add(this.at(host), {
+      case: 'requested',
+      value: {
+        $typeName: 'wisteriadeal.v1.GrantRequested',
+        organisation: ORGANISATION,
+        wish,
+        least,
+        urgent,
+        prepaid: this.paid,
+        configurationVersion: this.version,
+        held: this.at(host).account.held,
+      },
+    });
+  }
+
+  begin(host: number, bound: number): void {
+    const {account, open} = this.at(host);
+    if (account.reserve(bound)) {
+      open.push(bound);
+    }
+  }
+
+  /** A request ends, having used a part of its bound. */
+  end(host: number, part: number): void {
+    const {account, open} = this.at(host);
+    const bound = open.pop();
+    if (bound !== undefined) {
+      const used = Math.floor(bound * part);
+      account.settle(bound, used, 0);
+      this.spent += used;
+    }
+  }
+
+  giveBack(host: number, tokens: number): void {
+    const {account} = this.at(host);
+    const amount = account.debit(tokens);
+    this.add(this.at(host), {
+      case: 'returned',
+      value: {
+        $typeName: 'wisteriadeal.v1.GrantReturned',
+        organisation: ORGANISATION,
+        amount,
+        held: account.held,
+      },
+    });
+  }
+
+  lend(from: number, to: number, wish: number, isAnswerLost: boolean): void {
+    const lender = this.at(from);
+    const borrower = this.at(to);
+    if (lender === borrower) {
+      return;
+    }
+    const {account} = lender;
+    const amount = account.debit(loanFor(account, 1, wish));
+    this.add(lender, {
+      case: 'lent',
+      value: {
+        $typeName: 'wisteriadeal.v1.GrantLent',
+        organisation: ORGANISATION,
+        borrower: borrower.incarnation,
+        amount,
+        held: account.held,
+      },
+    });
+    if (!isAnswerLost) {
+      borrower.account.credit(amount);
+    }
+  }
+
+  /** Appends what a process has not written; verdicts reach it at once. */
+  write(host: number): void {
+    const {unwritten} = this.at(host);
+    for (const record of unwritten.splice(0)) {
+      this.append(record);
+    }
+  }
+
+  /** An append that was made before is executed again, however old. */
+  repeat(index: number): void {
+    const record = this.written[index % Math.max(1, this.written.length)];
+    if (record !== undefined) {
+      this.append(record);
+    }
+  }
+
+  /** The process dies with all that it knew; its open requests may be used whole. */
+  restart(host: number): void {
+    const index = host % this.hosts.length;
+    for (const bound of this.at(host).open) {
+      this.spent += bound;
+    }
+    this.hosts[index] = this.start(index);
+  }
+
+  topUp(tokens: number): void {
+    this.paid += tokens;
+    this.version++;
+  }
+
+  private at(host: number): ModelHost {
+    const found = this.hosts[host % this.hosts.length];
+    if (found === undefined) {
+      throw new RangeError('a fleet has a host');
+    }
+    return found;
+  }
+
+  private start(index: number): ModelHost {
+    const host: ModelHost = {
+      incarnation: `start-${this.starts++}`,
+      sequence: 0,
+      account: new GrantAccount(0),
+      unwritten: [],
+      open: [],
+    };
+    this.add(host, {
+      case: 'opened',
+      value: {
+        $typeName: 'wisteriadeal.v1.HolderOpened',
+        host: `host-${index}`,
+        address: `10.0.0.${index}:1`,
+      },
+    });
+    return host;
+  }
+
+  private add(host: ModelHost, change: Change): void {
+    host.sequence++;
+    const {incarnation, sequence} = host;
+    host.unwritten.push(
+      create(BudgetRecordSchema, {incarnation, sequence, change}),
+    );
+  }
+
+  private append(record: BudgetRecord): void {
+    this.written.push(record);
+    const verdict = this.fold.apply(record);
+    const host = this.hosts.find(
+      ({incarnation}) => incarnation === verdict?.incarnation,
+    );
+    if (verdict !== undefined && host !== undefined) {
+      host.account.credit(verdict.granted);
+    }
+  }
+}
--- /dev/null
+++ b/packages/decisions/src/test/resend-budget_test.ts
@@ -0,0 +1,39 @@
+import {describe, expect, it} from 'vitest';
+
+import {ResendBudget} from '../resend-budget.js';
+
+const LIMITS = {ratio: 0.2, extra: 58, windowMilliseconds: 10_000};
+
+/** Resends granted when every request wants one. */
+function granted(hosts: number, requestsEach: number): number {
+  let total = 0;
+  for (let host = 0; host < hosts; host++) {
+    const budget = new ResendBudget(LIMITS);
+    for (let request = 0; request < requestsEach; request++) {
+      budget.requested(request);
+      total += budget.take(hosts, request) ? 1 : 0;
+    }
+  }
+  return total;
+}
+
+describe('ResendBudget', () => {
+  it.each([
+    [1, 1_000],
+    [9, 100],
+    [75, 10],
+    [75, 1],
+  ])('keeps %i hosts together within the bound', (hosts, requestsEach) => {
+    // Load: an endpoint fails and each request could go to a second one. Harm: the
+    // endpoints that are left get twice the load and fail as well.
+    const bound = LIMITS.ratio * hosts * requestsEach + LIMITS.extra;
+    expect(granted(hosts, requestsEach)).toBeLessThanOrEqual(bound);
+  });
+
+  it('forgets what is older than the window', () => {
+    const budget = new ResendBudget({...LIMITS, ratio: 0, extra: 2});
+    expect(budget.take(1, 0)).toBe(true);
+    expect(budget.take(1, 5_000)).toBe(false);
+    expect(budget.take(1, 10_001)).toBe(true);
+  });
+});
--- /dev/null
+++ b/packages/decisions/src/test/shared-prompt-placement_test.ts
@@ -0,0 +1,105 @@
+import {describe, expect, it} from 'vitest';
+
+import {
+  placeRequest,
+  type PlacementCandidate,
+} from '../shared-prompt-placement.js';
+
+function endpoint(
+  id: string,
+  options: Partial<PlacementCandidate> = {},
+): PlacementCandidate {
+  return {
+    id,
+    dataCenter: 'a',
+    slots: 6,
+    load: 0,
+    isTrusted: true,
+    ...options,
+  };
+}
+
+const NOTHING_AVOIDED: ReadonlySet<string> = new Set();
+
+function homeOf(part: string, candidates: readonly PlacementCandidate[]) {
+  const request = {
+    sharedPart: part,
+    dataCenter: 'a',
+    avoided: NOTHING_AVOIDED,
+  };
+  return placeRequest(request, candidates)?.id;
+}
+
+describe('placeRequest', () => {
+  const engines = Array.from({length: 8}, (_unused, index) =>
+    endpoint(`engine-${index}`),
+  );
+
+  it('sends a prompt part to the same endpoint from every host', () => {
+    const reversed = [...engines].reverse();
+    for (let part = 0; part < 50; part++) {
+      expect(homeOf(`part-${part}`, engines)).toBe(
+        homeOf(`part-${part}`, reversed),
+      );
+    }
+  });
+
+  it('moves only the parts of an endpoint that has left', () => {
+    const [, ...left] = engines;
+    for (let part = 0; part < 50; part++) {
+      const before = homeOf(`part-${part}`, engines);
+      if (before !== 'engine-0') {
+        expect(homeOf(`part-${part}`, left)).toBe(before);
+      }
+    }
+  });
+
+  it('passes over a home that has far more than its share', () => {
+    // Load: half of all requests share one prompt. Harm: its home gets them all and
+    // each waits behind the others, while seven endpoints idle.
+    const home = homeOf('hot', engines);
+    const busy = engines.map(engine =>
+      engine.id === home ? {...engine, load: 20} : engine,
+    );
+    expect(homeOf('hot', busy)).not.toBe(home);
+  });
+
+  it('prefers the endpoint of its own data centre for a plain request', () => {
+    const candidates = [
+      endpoint('near', {load: 2}),
+      endpoint('far', {dataCenter: 'b'}),
+    ];
+    const request = {
+      sharedPart: undefined,
+      dataCenter: 'a',
+      avoided: NOTHING_AVOIDED,
+    };
+    expect(placeRequest(request, candidates)?.id).toBe('near');
+  });
+
+  it('leaves its data centre when the endpoint there is full', () => {
+    const candidates = [
+      endpoint('near', {load: 6}),
+      endpoint('far', {dataCenter: 'b'}),
+    ];
+    const request = {
+      sharedPart: undefined,
+      dataCenter: 'a',
+      avoided: NOTHING_AVOIDED,
+    };
+    expect(placeRequest(request, candidates)?.id).toBe('far');
+  });
+
+  it('uses an endpoint without trust, or one that failed, only as the last', () => {
+    const request = {
+      sharedPart: undefined,
+      dataCenter: 'a',
+      avoided: new Set(['failed']),
+    };
+    const failed = endpoint('failed');
+    const doubted = endpoint('doubted', {isTrusted: false});
+    expect(placeRequest(request, [failed, doubted])?.id).toBe('doubted');
+    expect(placeRequest(request, [failed])?.id).toBe('failed');
+    expect(placeRequest(request, [])).toBeUndefined();
+  });
+});
--- a/packages/stand-ins/src/testing/index.ts
+++ b/packages/stand-ins/src/testing/index.ts
@@ -3,3 +3,4 @@
 export * from './memory-host-list.js';
 export * from './memory-log.js';
 export * from './seeded-random-source.js';
+export * from './memory-partitioned-log.js';
--- /dev/null
+++ b/packages/stand-ins/src/testing/memory-partitioned-log.ts
@@ -0,0 +1,182 @@
+import {
+  Fate,
+  PartitionedLog,
+  RecordsDroppedError,
+  StepError,
+  type KeyedRecord,
+  type NewestRecords,
+  type Partition,
+  type RecordRange,
+} from '@wisteriadeal/platform';
+
+/** What goes wrong at the log; all of it can be changed while it runs. */
+export interface PartitionedLogFaults {
+  /** Every call fails and does nothing. */
+  isAway: boolean;
+  /** The next appends, so many, take effect and answer with an unknown fate. */
+  loseAnswers: number;
+  /** The next appends, so many, are kept aside and answer with an unknown fate. */
+  delayAppends: number;
+}
+
+interface StoredPartition {
+  first: number;
+  records: Uint8Array[];
+}
+
+const KEY_LENGTH_BYTES = 1;
+
+/** A log in memory, shared by several users, with faults. */
+export class MemoryPartitionedLog extends PartitionedLog {
+  readonly faults: PartitionedLogFaults = {
+    isAway: false,
+    loseAnswers: 0,
+    delayAppends: 0,
+  };
+
+  private readonly partitions = new Map<string, StoredPartition>();
+  private delayed: {
+    readonly partition: Partition;
+    readonly records: readonly Uint8Array[];
+  }[] = [];
+
+  override append(
+    partition: Partition,
+    records: readonly Uint8Array[],
+  ): Promise<number> {
+    return this.answer('append', partition, () => {
+      if (this.faults.delayAppends > 0) {
+        this.faults.delayAppends--;
+        this.delayed.push({partition, records});
+        throw failure('append', partition, Fate.Unknown);
+      }
+      const stored = this.stored(partition);
+      const offset = stored.first + stored.records.length;
+      stored.records.push(...records.map(record => Uint8Array.from(record)));
+      if (this.faults.loseAnswers > 0) {
+        this.faults.loseAnswers--;
+        throw failure('append', partition, Fate.Unknown);
+      }
+      return offset;
+    });
+  }
+
+  override read(
+    partition: Partition,
+    from: number,
+    _waitMilliseconds: number,
+  ): Promise<RecordRange> {
+    return this.answer('read', partition, () => {
+      const {first, records} = this.stored(partition);
+      if (from < first) {
+        throw new RecordsDroppedError(partition, first);
+      }
+      return {
+        offset: from,
+        records: records.slice(from - first),
+        end: first + records.length,
+        first,
+      };
+    });
+  }
+
+  override newest(partition: Partition): Promise<NewestRecords> {
+    return this.answer('newest', partition, () => {
+      const {first, records} = this.stored(partition);
+      const newest = new Map<string, KeyedRecord>();
+      records.forEach((record, index) => {
+        const keyed = this.keyedRecord(first + index, record);
+        if (keyed !== undefined) {
+          newest.set(keyed.key, keyed);
+        }
+      });
+      const items = [...newest.values()].filter(
+        ({value}) => value !== undefined,
+      );
+      return {items, resumeAt: first + records.length};
+    });
+  }
+
+  override put(
+    partition: Partition,
+    key: string,
+    value: Uint8Array | undefined,
+  ): Promise<number> {
+    const name = Buffer.from(key);
+    return this.append(partition, [
+      Buffer.concat([
+        Buffer.from([name.length]),
+        name,
+        value ?? Buffer.alloc(0),
+      ]),
+    ]);
+  }
+
+  override keyedRecord(
+    offset: number,
+    record: Uint8Array,
+  ): KeyedRecord | undefined {
+    const length = record[0];
+    if (length === undefined || record.length < KEY_LENGTH_BYTES + length) {
+      return undefined;
+    }
+    const valueAt = KEY_LENGTH_BYTES + length;
+    const value = record.subarray(valueAt);
+    return {
+      key: Buffer.from(record.subarray(KEY_LENGTH_BYTES, valueAt)).toString(),
+      value: value.length === 0 ? undefined : value,
+      offset,
+    };
+  }
+
+  override close(): void {
+    // Nothing is open.
+  }
+
+  /** Executes the appends that were kept aside. */
+  async runDelayed(): Promise<void> {
+    for (const {partition, records} of this.delayed.splice(0)) {
+      await this.append(partition, records);
+    }
+  }
+
+  /** Drops all records before an offset; their offsets are not used again. */
+  dropBefore(partition: Partition, offset: number): void {
+    const stored = this.stored(partition);
+    stored.records = stored.records.slice(offset - stored.first);
+    stored.first = offset;
+  }
+
+  private stored({topic, partition}: Partition): StoredPartition {
+    const key = `${topic} ${partition}`;
+    let stored = this.partitions.get(key);
+    if (stored === undefined) {
+      stored = {first: 0, records: []};
+      this.partitions.set(key, stored);
+    }
+    return stored;
+  }
+
+  private answer<Value>(
+    step: string,
+    partition: Partition,
+    call: () => Value,
+  ): Promise<Value> {
+    return new Promise((resolve, reject) => {
+      setImmediate(() => {
+        try {
+          if (this.faults.isAway) {
+            throw failure(step, partition, Fate.NotDone);
+          }
+          resolve(call());
+        } catch (error) {
+          reject(error instanceof Error ? error : new Error(String(error)));
+        }
+      });
+    });
+  }
+}
+
+function failure(step: string, partition: Partition, fate: Fate): StepError {
+  return new StepError(step, partition.topic, fate, 'fault of the stand-in');
+}
