--- a/packages/gateway/src/bill-writer.ts
+++ b/packages/gateway/src/bill-writer.ts
@@ -58,6 +58,12 @@
     await this.flush();
   }
 
+  /** Ends at once; bills that were not written are lost. */
+  abort(): void {
+    this.waiting = [];
+    this.stop.abort();
+  }
+
   private async flush(): Promise<void> {
     const bills = this.waiting.slice(0, BILLS_PER_RECORD);
     if (bills.length === 0) {
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -194,6 +194,14 @@
     this.peers.close();
   }
 
+  /** Ends at once; what is held stays charged. */
+  abort(): void {
+    this.isClosing = true;
+    this.stop.abort();
+    this.wake.abort();
+    this.peers.close();
+  }
+
   private async takeTurns(): Promise<void> {
     while (!this.stop.signal.aborted) {
       this.rearm();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -122,7 +122,7 @@
    * hosts of a data centre stop at once, the platform still sends callers.
    */
   async close(): Promise<void> {
-    const {clock, events, settings, log} = this.parts;
+    const {clock, events, settings} = this.parts;
     const giveUp = new AbortController();
     const limit = settings.stopGraceSeconds * 1_000 * STOP_PART_OF_GRACE;
     const deadline = clock.sleep(limit, giveUp.signal);
@@ -138,14 +138,26 @@
     ]);
     giveUp.abort();
     events.info('stopped', {requests: this.callers.openRequests});
+    await this.abort();
+  }
+
+  /** Ends at once: open requests are cut and grants stay where they are. */
+  async abort(): Promise<void> {
     this.callers.close();
     this.status.close();
     for (const follower of this.followers) {
       follower.close();
     }
+    this.budgets.abort();
+    this.bills.abort();
     await this.lender?.close();
     this.connections.destroy();
-    log.close();
+    this.parts.log.close();
+  }
+
+  /** Port that callers use; the settings may leave the choice to the system. */
+  get callerPort(): number {
+    return this.callers.port;
   }
 
   /**
