Lend from the store where only some hosts are cut off; say when to come back by the outage

Cause: a host that alone was cut off found its lenders empty though they see the store; callers came back after 1.5 s into the same outage.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -2,6 +2,7 @@
   DemandSizing,
   lendersOf,
   loanFor,
+  type BudgetView,
   type GrantSizing,
   type GrantVerdict,
   type Reservation,
@@ -22,8 +23,16 @@
 
 /** The log is read at least this often: others' grants decide what is left. */
 const POLL_MILLISECONDS = 700;
-/** Between turns while requests wait or records are to be written. */
+/** Between turns while records are to be written. */
 const TURN_MILLISECONDS = 5;
+/** Between turns while requests wait for tokens that others may give back. */
+const WAITING_MILLISECONDS = 25;
+/**
+ * After a denial the log is not asked for so long. Load: an organisation at its
+ * budget's end sends many times its usual. Harm without it: 12,850 calls to the store
+ * in a day in place of 5,900, each with the same answer.
+ */
+const DENIED_MILLISECONDS = 250;
 /** Between turns while the store fails. */
 const RETRY_MILLISECONDS = 200;
 /**
@@ -41,6 +50,8 @@
 const MOST_LENDERS = 12;
 /** Lenders asked at once; a silent one costs the request that waits 120 ms. */
 const LENDERS_AT_ONCE = 3;
+/** A lender waits so long for the store; its borrower waits 120 ms for it. */
+const FETCH_MILLISECONDS = 70;
 /** A loan is asked for so many times what waits, so that the next finds some. */
 const LOAN_FACTOR = 3;
 /** A lender that did not answer is not asked for this long. */
@@ -151,13 +162,24 @@
     }
   }
 
-  /** Lends to another holder; what is lent is off this account for good. */
-  lend(request: LoanRequest): number {
+  /**
+   * Lends to another holder; what is lent is off this account for good. A lender
+   * that sees the store gets what it lacks from there: only some hosts are cut off.
+   */
+  async lend(request: LoanRequest): Promise<number> {
     const {organisation, least, wish, borrower} = request;
     const budget = this.budgets.get(organisation);
     if (budget === undefined || this.isClosing) {
       return 0;
     }
+    const view = this.replica.fold.view(organisation);
+    if (
+      budget.account.available < least &&
+      (view?.unallocated ?? 0) >= least &&
+      !this.health.isAway
+    ) {
+      await this.fetch(budget, least);
+    }
     const lent = budget.account.debit(loanFor(budget.account, least, wish));
     if (lent > 0) {
       this.journal.add({
@@ -244,7 +266,24 @@
       this.health.failed(this.clock.monotonicMilliseconds(), error);
       return RETRY_MILLISECONDS;
     }
-    return this.hasWork() ? TURN_MILLISECONDS : POLL_MILLISECONDS;
+    if (this.journal.hasPending) {
+      return TURN_MILLISECONDS;
+    }
+    return this.hasWaiting() ? WAITING_MILLISECONDS : POLL_MILLISECONDS;
+  }
+
+  /** Brings tokens from the store for a loan, without asking for one in turn. */
+  private async fetch(
+    budget: OrganisationBudget,
+    least: number,
+  ): Promise<void> {
+    const fetched = budget.reserveLater(least, FETCH_MILLISECONDS);
+    this.wake.abort();
+    const result = await fetched;
+    if ('reservation' in result) {
+      const now = this.clock.monotonicMilliseconds();
+      budget.account.settle(least, 0, now);
+    }
   }
 
   private noteOpening(): void {
@@ -278,15 +317,18 @@
   }
 
   private planFor(budget: OrganisationBudget): void {
+    const now = this.clock.monotonicMilliseconds();
     if (budget.waitingRequests > 0) {
-      this.ask(budget, budget.waitingTokens, budget.firstBound, true);
+      if (now >= budget.askAfter) {
+        this.ask(budget, budget.waitingTokens, budget.firstBound, true);
+      }
       return;
     }
     const change = this.sizing.change(
       budget.account,
       this.replica.fold.view(budget.name),
       budget.prepaid,
-      this.clock.monotonicMilliseconds(),
+      now,
     );
     this.giveBack(budget, change.giveBack);
     if (change.wish > 0 || budget.isUntold || budget.isReportDue) {
@@ -345,6 +387,7 @@
     if (verdict.granted > 0 || budget.waitingRequests === 0) {
       return;
     }
+    budget.askAfter = this.clock.monotonicMilliseconds() + DENIED_MILLISECONDS;
     const view = this.replica.fold.view(budget.name);
     this.events.info('grant denied', {
       organisation: budget.name,
@@ -354,10 +397,24 @@
       prepaid: view?.prepaid,
       offset: this.replica.fold.nextOffset,
     });
-    if (budget.isExhausted(view, budget.firstBound)) {
+    this.afterDenial(budget, view);
+  }
+
+  /** Others are asked only where they seem to hold what the log can't give. */
+  private afterDenial(
+    budget: OrganisationBudget,
+    view: BudgetView | undefined,
+  ): void {
+    const bound = budget.firstBound;
+    if (budget.isExhausted(view, bound)) {
       budget.refuseFirst(BudgetRefusal.Exhausted);
-    } else {
+      return;
+    }
+    const heldByAll = (view?.rest ?? 0) - (view?.unallocated ?? 0);
+    if (heldByAll - budget.account.held >= bound) {
       void this.borrow(budget);
+    } else {
+      budget.refuseFirst(BudgetRefusal.HeldElsewhere);
     }
   }
 
@@ -429,12 +486,9 @@
     }
   }
 
-  private hasWork(): boolean {
-    return (
-      this.journal.hasPending ||
-      [...this.budgets.values()].some(
-        ({waitingRequests}) => waitingRequests > 0,
-      )
+  private hasWaiting(): boolean {
+    return [...this.budgets.values()].some(
+      ({waitingRequests}) => waitingRequests > 0,
     );
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -246,6 +246,7 @@
     return new RequestHandler(
       this.configuration,
       this.budgets,
+      this.health,
       this.bills,
       {
         dialect,
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -102,9 +102,9 @@
 /** Registers the lender's side. */
 export function registerLender(
   router: ConnectRouter,
-  lend: (request: LoanRequest) => number,
+  lend: (request: LoanRequest) => Promise<number>,
 ): void {
   router.service(GrantLoanService, {
-    borrow: request => ({lent: lend(request)}),
+    borrow: async request => ({lent: await lend(request)}),
   });
 }
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -39,6 +39,8 @@
   /** A grant was asked for whose verdict is not known. */
   isAsking = false;
   isBorrowing = false;
+  /** The log has denied a grant: it is not asked again before; monotonic clock. */
+  askAfter = 0;
   /** What the fold was last told that this process has spent. */
   reportedSpent = 0;
   private readonly waiting: Waiting[] = [];
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -20,6 +20,7 @@
 import {tokenBound, type RequestContext} from './request-context.js';
 import {RequestRecord} from './request-record.js';
 import {RequestRun, type RunParts} from './request-run.js';
+import type {StoreHealth} from './store-health.js';
 
 /** Where a request may go, by the configuration in force. */
 interface Admission {
@@ -29,8 +30,14 @@
 
 /** Without a budget's grant now, one is likely after about this long. */
 const BUDGET_RETRY_MILLISECONDS = 600;
-/** A store that is away is asked again a few times a second; outages last seconds. */
-const STORE_RETRY_MILLISECONDS = 1_500;
+/**
+ * An outage of unknown length lasts, at the median, about as long again as it has
+ * lasted; within these bounds that is when to come back. Load: the store is away for
+ * 9 s and a small budget's grants are used up. Harm: callers that return at once are
+ * refused again, and have no try left when the store is back.
+ */
+const SHORTEST_STORE_RETRY_MILLISECONDS = 1_000;
+const LONGEST_STORE_RETRY_MILLISECONDS = 5_000;
 /** Another host takes the next connection. */
 const STOPPING_RETRY_MILLISECONDS = 100;
 /**
@@ -53,6 +60,7 @@
   constructor(
     private readonly configuration: ConfigurationState,
     private readonly budgets: BudgetHolder,
+    private readonly health: StoreHealth,
     private readonly bills: BillWriter,
     private readonly parts: RunParts,
     private resendLimits: ResendLimits,
@@ -177,7 +185,8 @@
         configuration: context.configurationVersion,
         ...this.budgets.describe(organisation?.name ?? ''),
       });
-      return budgetAnswer(reserved.refusal);
+      const now = this.parts.clock.monotonicMilliseconds();
+      return budgetAnswer(reserved.refusal, this.health.awayFor(now));
     }
     const {promptTokens, maximumOutputTokens} = caller.headers;
     try {
@@ -300,14 +309,23 @@
   return {route, organisation};
 }
 
-function budgetAnswer(refusal: BudgetRefusal): OwnAnswer {
+function budgetAnswer(
+  refusal: BudgetRefusal,
+  awayMilliseconds: number,
+): OwnAnswer {
   switch (refusal) {
     case BudgetRefusal.Exhausted:
       return failed(402, OwnReason.BudgetExhausted);
     case BudgetRefusal.HeldElsewhere:
       return notRun(OwnReason.BudgetUnavailable, BUDGET_RETRY_MILLISECONDS);
     case BudgetRefusal.StoreAway:
-      return notRun(OwnReason.BudgetUnavailable, STORE_RETRY_MILLISECONDS);
+      return notRun(
+        OwnReason.BudgetUnavailable,
+        Math.min(
+          LONGEST_STORE_RETRY_MILLISECONDS,
+          Math.max(SHORTEST_STORE_RETRY_MILLISECONDS, awayMilliseconds),
+        ),
+      );
   }
 }
 
--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -21,6 +21,11 @@
     return this.isAway ? 0 : now - this.lastOutageEndedAt;
   }
 
+  /** How long the calls have failed; 0 while they don't, milliseconds. */
+  awayFor(now: number): number {
+    return this.failingSince === undefined ? 0 : now - this.failingSince;
+  }
+
   /** Age of the newest answer, milliseconds. */
   answerAge(now: number): number {
     return this.lastAnswerAt === undefined ? Infinity : now - this.lastAnswerAt;
--- a/packages/stand-ins/src/testing/memory-partitioned-log.ts
+++ b/packages/stand-ins/src/testing/memory-partitioned-log.ts
@@ -64,9 +64,9 @@
   override read(
     partition: Partition,
     from: number,
-    _waitMilliseconds: number,
+    waitMilliseconds: number,
   ): Promise<RecordRange> {
-    return this.answer('read', partition, () => {
+    return this.answer(`read for ${waitMilliseconds} ms`, partition, () => {
       const {first, records} = this.stored(partition);
       if (from < first) {
         throw new RecordsDroppedError(partition, first);
