--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -25,6 +25,11 @@
     this.headers = dialect.callerHeaders(request.rawHeaders);
     this.path = this.target.split('?', 1)[0] ?? '';
     response.sendDate = false;
+    response.on('error', () => {
+      // A write that comes after the caller has gone; without a listener it would
+      // end the process.
+      this.left.abort();
+    });
     response.once('close', () => {
       if (!response.writableFinished) {
         this.left.abort();
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './binary.js';
 export * from './control-server.js';
+export * from './escaped-errors.js';
 export * from './event-log.js';
 export * from './inspection.js';
 export * from './message-queue.js';
