--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -55,7 +55,9 @@
   extends GatewayStatus
   implements RunningBinary<GatewaySettings>
 {
-  private readonly health: StoreHealth;
+  private readonly budgetHealth: StoreHealth;
+  private readonly endpointHealth: StoreHealth;
+  private readonly configurationHealth: StoreHealth;
   private readonly configuration: ConfigurationState;
   private readonly directory: EndpointDirectory;
   private readonly budgets: BudgetHolder;
@@ -72,13 +74,20 @@
   constructor(private readonly parts: GatewayParts) {
     super();
     const {settings, names, dialect, log, clock, events} = parts;
-    this.health = new StoreHealth(events);
+    this.budgetHealth = new StoreHealth('budgets', events);
+    this.endpointHealth = new StoreHealth('endpoints', events);
+    this.configurationHealth = new StoreHealth('configuration', events);
     this.configuration = new ConfigurationState(
       names.configurationKey,
       dialect,
       events,
     );
-    this.directory = new EndpointDirectory(dialect, this.health, clock, events);
+    this.directory = new EndpointDirectory(
+      dialect,
+      this.budgetHealth,
+      clock,
+      events,
+    );
     this.budgets = this.createBudgets();
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
@@ -185,8 +194,15 @@
       ready: this.isReady(),
       stopping: this.isStopping,
       configuration: configuration?.version ?? null,
-      storeAway: this.health.isAway,
-      storeAnswerAgeMilliseconds: Math.round(this.health.answerAge(now)),
+      away: {
+        budgets: this.budgetHealth.isAway,
+        endpoints: this.endpointHealth.isAway,
+        configuration: this.configurationHealth.isAway,
+      },
+      budgetAnswerAgeMilliseconds: Math.round(this.budgetHealth.answerAge(now)),
+      configurationAnswerAgeMilliseconds: Math.round(
+        this.configurationHealth.answerAge(now),
+      ),
       openRequests: this.callers.openRequests,
       endpoints: this.directory.all.map(({entry, load, trust}) => ({
         id: entry.id,
@@ -209,8 +225,14 @@
     const now = this.parts.clock.monotonicMilliseconds();
     this.metrics.state('open_requests', this.callers.openRequests);
     this.metrics.state('ready', this.isReady() ? 1 : 0);
-    this.metrics.state('store_away', this.health.isAway ? 1 : 0);
-    this.metrics.state('store_answer_age_ms', this.health.answerAge(now));
+    for (const [topic, health] of [
+      ['budgets', this.budgetHealth],
+      ['endpoints', this.endpointHealth],
+      ['configuration', this.configurationHealth],
+    ] as const) {
+      this.metrics.state(`${topic}_away`, health.isAway ? 1 : 0);
+      this.metrics.state(`${topic}_answer_age_ms`, health.answerAge(now));
+    }
     this.metrics.state('endpoints', this.directory.all.length);
     this.metrics.state('budget_holders', this.budgets.holders);
     this.metrics.state('resident_bytes', process.memoryUsage.rss());
@@ -235,7 +257,7 @@
       new BudgetJournal(identity, replica, log, events),
       replica,
       new ConnectLoanPeers(),
-      this.health,
+      this.budgetHealth,
       clock,
       events,
     );
@@ -246,7 +268,7 @@
     return new RequestHandler(
       this.configuration,
       this.budgets,
-      this.health,
+      this.budgetHealth,
       this.bills,
       {
         dialect,
@@ -275,7 +297,7 @@
           waitMilliseconds: CONFIGURATION_WAIT_MILLISECONDS,
           pauseMilliseconds: 0,
         },
-        this.health,
+        this.configurationHealth,
         clock,
         events,
       ),
@@ -287,7 +309,7 @@
           waitMilliseconds: 0,
           pauseMilliseconds: ENDPOINT_PAUSE_MILLISECONDS,
         },
-        this.health,
+        this.endpointHealth,
         clock,
         events,
       ),
--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -1,15 +1,21 @@
 import type {EventLog} from '@wisteriadeal/runtime';
 
 /**
- * Whether the store answers, as this host sees it. Calls that fail now and then
- * are not an outage: one success ends it.
+ * Whether one topic of the store answers, as this host sees it. Load: the store is
+ * down for some of its partitions only. Harm of one state for all topics: it changes
+ * with every answer, and requests are refused for budget although the budgets' topic
+ * answers.
  */
 export class StoreHealth {
   private lastAnswerAt: number | undefined;
   private failingSince: number | undefined;
   private lastOutageEndedAt = -Infinity;
 
-  constructor(private readonly events: EventLog) {}
+  /** @param topic What is followed, for logs. */
+  constructor(
+    private readonly topic: string,
+    private readonly events: EventLog,
+  ) {}
 
   /** True while the newest calls fail. */
   get isAway(): boolean {
@@ -35,6 +41,7 @@
   answered(now: number): void {
     if (this.failingSince !== undefined) {
       this.events.info('store regained', {
+        topic: this.topic,
         awayMilliseconds: Math.round(now - this.failingSince),
       });
       this.failingSince = undefined;
@@ -47,7 +54,10 @@
   failed(now: number, error: unknown): void {
     if (this.failingSince === undefined) {
       this.failingSince = now;
-      this.events.warn('store lost', {reason: String(error)});
+      this.events.warn('store lost', {
+        topic: this.topic,
+        reason: String(error),
+      });
     }
   }
 }
--- a/packages/stand-ins/src/testing/memory-partitioned-log.ts
+++ b/packages/stand-ins/src/testing/memory-partitioned-log.ts
@@ -13,6 +13,8 @@
 export interface PartitionedLogFaults {
   /** Every call fails and does nothing. */
   isAway: boolean;
+  /** Every call for these topics fails and does nothing. */
+  readonly awayTopics: Set<string>;
   /** The next appends, so many, take effect and answer with an unknown fate. */
   loseAnswers: number;
   /** The next appends, so many, are kept aside and answer with an unknown fate. */
@@ -30,6 +32,7 @@
 export class MemoryPartitionedLog extends PartitionedLog {
   readonly faults: PartitionedLogFaults = {
     isAway: false,
+    awayTopics: new Set(),
     loseAnswers: 0,
     delayAppends: 0,
   };
@@ -165,7 +168,10 @@
     return new Promise((resolve, reject) => {
       setImmediate(() => {
         try {
-          if (this.faults.isAway) {
+          if (
+            this.faults.isAway ||
+            this.faults.awayTopics.has(partition.topic)
+          ) {
             throw failure(step, partition, Fate.NotDone);
           }
           resolve(call());
