--- a/eslint.config.js
+++ b/eslint.config.js
@@ -30,7 +30,12 @@
     },
   },
   {
-    files: ['eslint.config.js', 'packages/*/bin/*.js', 'platform/*.js'],
+    files: [
+      'eslint.config.js',
+      'packages/*/bin/*.js',
+      'platform/*.js',
+      '.ci/*.js',
+    ],
     extends: [tseslint.configs.disableTypeChecked],
   },
 );
