Use one check of amounts and one watch of silence; drop what nothing reads

Ruled out: the ledger's RateEstimate for UsageRate (it corrects young estimates, so grants would change), the keeper's WakeUp for the holder's (it forgets a wake during a turn).

--- a/packages/budgets/src/budget-fold.ts
+++ b/packages/budgets/src/budget-fold.ts
@@ -1,3 +1,4 @@
+import {isTokenAmount} from '@wisteriadeal/ledger';
 import type {
   BudgetRecord,
   GrantLent,
@@ -175,7 +176,7 @@
 
   private takeBack(holder: FoldedHolder, returned: GrantReturned): void {
     const grant = holder.grants.get(returned.organisation);
-    if (grant === undefined || !isAmount(returned.amount)) {
+    if (grant === undefined || !isTokenAmount(returned.amount)) {
       return;
     }
     grant.outstanding -= Math.min(returned.amount, grant.outstanding);
@@ -184,7 +185,7 @@
 
   private lend(lender: FoldedHolder, lent: GrantLent): void {
     const grant = lender.grants.get(lent.organisation);
-    if (grant === undefined || !isAmount(lent.amount)) {
+    if (grant === undefined || !isTokenAmount(lent.amount)) {
       return;
     }
     const amount = Math.min(lent.amount, grant.outstanding);
@@ -203,13 +204,13 @@
     const budget = this.organisation(asked.organisation);
     if (
       asked.configurationVersion > budget.configurationVersion &&
-      isAmount(asked.prepaid)
+      isTokenAmount(asked.prepaid)
     ) {
       budget.configurationVersion = asked.configurationVersion;
       budget.prepaid = asked.prepaid;
     }
     const grant = grantOf(holder, asked.organisation);
-    grant.held = isAmount(asked.held) ? asked.held : 0;
+    grant.held = isTokenAmount(asked.held) ? asked.held : 0;
     const granted = this.grantable(asked, grant);
     grant.outstanding += granted;
     grant.held += granted;
@@ -225,8 +226,8 @@
     const view = this.view(asked.organisation);
     if (
       view === undefined ||
-      !isAmount(asked.least) ||
-      !isAmount(asked.wish) ||
+      !isTokenAmount(asked.least) ||
+      !isTokenAmount(asked.wish) ||
       view.unallocated < asked.least
     ) {
       return 0;
@@ -265,7 +266,3 @@
   }
   return grant;
 }
-
-function isAmount(value: number): boolean {
-  return Number.isSafeInteger(value) && value >= 0;
-}
--- a/packages/gateway/src/configuration-state.ts
+++ b/packages/gateway/src/configuration-state.ts
@@ -11,10 +11,8 @@
  */
 export class ConfigurationState extends KeyedTopicReader {
   private inForce: FleetConfiguration | undefined;
-  private readonly listeners: ((
-    configuration: FleetConfiguration,
-    before: FleetConfiguration | undefined,
-  ) => void)[] = [];
+  private readonly listeners: ((configuration: FleetConfiguration) => void)[] =
+    [];
 
   /** @param key Name under which the configuration stands. */
   constructor(
@@ -31,12 +29,7 @@
   }
 
   /** Calls the listener for each version that comes into force. */
-  onChange(
-    listener: (
-      configuration: FleetConfiguration,
-      before: FleetConfiguration | undefined,
-    ) => void,
-  ): void {
+  onChange(listener: (configuration: FleetConfiguration) => void): void {
     this.listeners.push(listener);
   }
 
@@ -75,7 +68,7 @@
       organisations: configuration.organisations.length,
     });
     for (const listener of this.listeners) {
-      listener(configuration, before);
+      listener(configuration);
     }
   }
 }
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -17,7 +17,6 @@
   outcome = 'open';
   status = 0;
   endpoint = '';
-  firstByteMilliseconds: number | undefined;
   organisation: string | undefined;
   /** Tokens charged in the end. */
   used = 0;
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -20,7 +20,12 @@
 import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
 import {mayRepeat, type RequestContext} from './request-context.js';
 import type {RequestRecord} from './request-record.js';
-import {RelayEnd, relayStream, type SilenceLimits} from './stream-relay.js';
+import {
+  RelayEnd,
+  relayStream,
+  SilenceWatch,
+  type SilenceLimits,
+} from './stream-relay.js';
 
 /** What all runs of a process share. */
 export interface RunParts {
@@ -190,15 +195,9 @@
   private async headWithinSilence(
     exchange: EndpointExchange,
   ): Promise<AnswerHead | ExchangeFailure> {
-    const limits = this.silenceLimits();
-    const timer =
-      limits === undefined
-        ? undefined
-        : setTimeout(() => {
-            exchange.cancel('silent');
-          }, limits.firstMilliseconds);
+    const watch = new SilenceWatch(exchange, this.silenceLimits());
     const head = await exchange.head();
-    clearTimeout(timer);
+    watch.close();
     return head;
   }
 
@@ -305,7 +304,6 @@
       caller,
       this.record,
       this.silenceLimits(),
-      this.parts.clock,
     );
     if (end === RelayEnd.Whole) {
       this.note(endpoint, 'whole stream');
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,5 +1,3 @@
-import type {Clock} from '@wisteriadeal/platform';
-
 import type {CallerExchange} from './caller-exchange.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
 import {
@@ -36,11 +34,9 @@
   caller: CallerExchange,
   record: RequestRecord,
   limits: SilenceLimits | undefined,
-  clock: Clock,
 ): Promise<RelayEnd> {
   const splitter = new EventStreamSplitter();
   const watch = new SilenceWatch(exchange, limits);
-  const startedAt = clock.monotonicMilliseconds();
   try {
     for await (const chunk of exchange.parts()) {
       for (const event of splitter.push(chunk)) {
@@ -50,8 +46,6 @@
         }
         watch.heard();
         await pass(event, caller, record);
-        record.firstByteMilliseconds ??=
-          clock.monotonicMilliseconds() - startedAt;
       }
       if (caller.leaving.aborted) {
         return RelayEnd.CallerLeft;
@@ -86,7 +80,7 @@
 }
 
 /** Ends an exchange that says nothing for too long. */
-class SilenceWatch {
+export class SilenceWatch {
   private timer: NodeJS.Timeout | undefined;
 
   constructor(
@@ -96,10 +90,12 @@
     this.arm(limits?.firstMilliseconds);
   }
 
+  /** Something came: the silence begins anew. */
   heard(): void {
     this.arm(this.limits?.nextMilliseconds);
   }
 
+  /** Watches no longer. */
   close(): void {
     clearTimeout(this.timer);
   }
