Ask the test's own fleet for the holder that all its keepers agree on

Cause of the listed red test: `holder()` of the rig took the first keeper with a witnessed grant. Ruled out: a fault of transfers or of the return of the store: no reservation was ever asked of a grant. Change: the rig waits until the keepers of the data centre name the same holder and it has the grant. Every check of the tests stands as it was.

--- a/packages/keeper/src/test/fleet.ts
+++ b/packages/keeper/src/test/fleet.ts
@@ -259,12 +259,22 @@
     return router;
   }
 
-  /** The keeper that holds the organisation, once it has a witnessed grant. */
+  /**
+   * The keeper that holds the organisation, once it has a witnessed grant. A first
+   * keeper that was alone may have a grant although a later one is the holder: it
+   * answers whom to ask instead, and a router would go there.
+   */
   async holder(dataCenter: string): Promise<Keeper> {
     for (;;) {
-      const found = this.keepers.find(
+      const near = this.keepers.filter(
+        ({identity}) => identity.dataCenter === dataCenter,
+      );
+      const found = near.find(
         keeper =>
-          keeper.identity.dataCenter === dataCenter &&
+          near.every(
+            ({parts}) =>
+              parts.membership.holderOf('org') === keeper.identity.incarnation,
+          ) &&
           [...keeper.parts.grants.of('org').holdings.values()].some(
             holding => holding.witness !== '' && holding.spendableTokens > 0,
           ),
