Read settings again without a signal too, and outlive one that comes at the start

Cause: SIGHUP had a handler only once the process had started; one that came in the half second before ended it (exit 129), which other hosts' callers see as a host that goes and comes back, and a change of the file without a signal was never seen. Ruled out: watching the file by the system's notifications, which the users' platform does not offer. Change: `SettingsWatch` takes the signal from before the start on and hands it over when there is somebody to take the settings; the file's text is compared each second.

--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -1,13 +1,13 @@
 import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
 import {parseArgs} from 'node:util';
 
-import type {Result} from './results.js';
 import {
   formatSettingsProblem,
   loadSettings,
   type SettingsProblem,
 } from './settings-file.js';
 import {settingsCheckOf} from './settings-rules.js';
+import {SETTINGS_POLL_MILLISECONDS, SettingsWatch} from './settings-watch.js';
 
 /** A started process that can be stopped in good order. */
 export interface RunningBinary<Settings = unknown> {
@@ -77,22 +77,20 @@
   process.on('SIGINT', stop);
 }
 
-/**
- * SIGHUP says that the settings file has changed; without a handler it would end
- * the process. Settings that don't fit leave those in force.
- */
-function reloadOnSignal<Settings>(
+/** Begins to hand changed settings to a process that has started. */
+function followSettings<Settings>(
+  watch: SettingsWatch<Settings>,
   running: RunningBinary<Settings>,
-  load: () => Result<Settings, readonly SettingsProblem[]>,
 ): void {
-  process.on('SIGHUP', () => {
-    const settings = load();
-    if (settings.err) {
-      printProblems(settings.val);
-      return;
-    }
-    running.reload?.(settings.val);
+  watch.begin({
+    reload: settings => {
+      running.reload?.(settings);
+    },
+    reject: printProblems,
   });
+  setInterval(() => {
+    watch.poll();
+  }, SETTINGS_POLL_MILLISECONDS).unref();
 }
 
 function printProblems(problems: readonly SettingsProblem[]): void {
@@ -132,7 +130,11 @@
     process.exitCode = ExitCode.Configuration;
     return;
   }
+  const watch = new SettingsWatch(path, load);
+  process.on('SIGHUP', () => {
+    watch.signalled();
+  });
   const running = await start(settings.val);
   stopOnSignal(running);
-  reloadOnSignal(running, load);
+  followSettings(watch, running);
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -15,3 +15,4 @@
 export * from './settings-rules.js';
 export * from './system-clock.js';
 export * from './system-random-source.js';
+export * from './settings-watch.js';
