--- a/packages/runtime/src/event-log.ts
+++ b/packages/runtime/src/event-log.ts
@@ -1,6 +1,9 @@
 import {LogLevel} from '@wisteriadeal/schema';
 import {createConsola, type ConsolaInstance} from 'consola';
 
+import {LineReporter, type LineSink} from './line-reporter.js';
+import {LineWriter} from './line-writer.js';
+
 /** Fields of one event. Never a prompt, an answer or a credential. */
 export type EventFields = Readonly<
   Record<string, string | number | boolean | undefined>
@@ -26,7 +29,8 @@
   /**
    * @param level What is written.
    * @param common Fields of every line, such as the process and host.
-   * @param write Takes one line with its line end.
+   * @param write Takes one line with its line end; standard output where absent,
+   *     which never makes the process wait for a reader.
    * @example
    * ```ts
    * const log = EventLog.create(LogLevel.INFO, {process: 'router'});
@@ -36,25 +40,15 @@
   static create(
     level: LogLevel,
     common: EventFields,
-    write: (line: string) => void = line => process.stdout.write(line),
+    write?: (line: string) => void,
   ): EventLog {
+    const sink =
+      write === undefined
+        ? standardOutput()
+        : {push: write, takeDropped: () => 0};
     const consola = createConsola({
       level: CONSOLA_LEVELS[level],
-      reporters: [
-        {
-          log: entry => {
-            const [event, fields] = entry.args as [string, EventFields];
-            write(
-              `${JSON.stringify({
-                time: entry.date.toISOString(),
-                level: entry.type,
-                event,
-                ...fields,
-              })}\n`,
-            );
-          },
-        },
-      ],
+      reporters: [new LineReporter(sink, common)],
     });
     return new EventLog(consola, common);
   }
@@ -84,3 +78,11 @@
     this.consola.debug(event, {...this.common, ...fields});
   }
 }
+
+function standardOutput(): LineSink {
+  const writer = new LineWriter();
+  process.once('exit', () => {
+    writer.close();
+  });
+  return writer;
+}
