--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -11,6 +11,7 @@
 /** What makes a kept connection unfit, taken off when it is used again. */
 interface IdleGuard {
   readonly onData: () => void;
+  readonly onClose: () => void;
   readonly timer: NodeJS.Timeout;
 }
 
@@ -34,11 +35,12 @@
     };
     const timer = setTimeout(onData, LONGEST_IDLE_MILLISECONDS);
     timer.unref();
-    socket.on('data', onData);
-    socket.once('close', () => {
+    const onClose = () => {
       clearTimeout(timer);
-    });
-    this.guards.set(socket, {onData, timer});
+    };
+    socket.on('data', onData);
+    socket.once('close', onClose);
+    this.guards.set(socket, {onData, onClose, timer});
     return true;
   }
 
@@ -47,6 +49,7 @@
     if (guard !== undefined) {
       clearTimeout(guard.timer);
       socket.off('data', guard.onData);
+      socket.off('close', guard.onClose);
       this.guards.delete(socket);
     }
     super.reuseSocket(socket, request);
