Refuse headers above the configuration's limit with 431

The limit was decoded and read by nobody: headers of up to 64 KiB passed. The test `long headers` got 200 before, and reaches no engine now.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -3,6 +3,11 @@
 import type {CallerHeaders, Dialect} from './dialect.js';
 import type {OwnAnswer} from './own-answer.js';
 
+/** Two spaces, `HTTP/1.1` and a line end. */
+const LINE_BYTES = 12;
+/** A colon and a space behind a name; a line end behind a value. */
+const SEPARATOR_BYTES = 2;
+
 /** The caller sent a longer body than the limits allow. */
 export class BodyTooLargeError extends Error {
   override readonly name: string = 'BodyTooLargeError';
@@ -50,6 +55,15 @@
     return this.request.rawHeaders;
   }
 
+  /** Bytes of the request's line and headers, as the protocol spells them. */
+  get headerBytes(): number {
+    const line = this.method.length + this.target.length + LINE_BYTES;
+    return this.rawHeaders.reduce(
+      (sum, text) => sum + Buffer.byteLength(text, 'latin1') + SEPARATOR_BYTES,
+      line,
+    );
+  }
+
   /** Aborted when the caller leaves before its answer is whole. */
   get leaving(): AbortSignal {
     return this.left.signal;
--- a/packages/gateway/src/own-answer.ts
+++ b/packages/gateway/src/own-answer.ts
@@ -3,6 +3,7 @@
   NoConfiguration = 'no-configuration',
   NoRoute = 'no-route',
   NoKey = 'no-key',
+  HeadersTooLarge = 'headers-too-large',
   BodyTooLarge = 'body-too-large',
   Stopping = 'stopping',
   NoEndpoint = 'no-endpoint',
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -120,6 +120,10 @@
       return notRun(OwnReason.Stopping, STOPPING_RETRY_MILLISECONDS);
     }
     const context = this.contextOf(caller, body, inForce, admitted);
+    if (caller.headerBytes > configuration.limits.headerBytes) {
+      caller.closeAfterwards();
+      return failed(431, OwnReason.HeadersTooLarge);
+    }
     return context === undefined
       ? notRun(OwnReason.NoEndpoint, CONFIGURATION_RETRY_MILLISECONDS)
       : this.runWithinBudget(context, record);
