Charge a request's prompt only where something of an answer was delivered

Cause: a request that was sent and given up, or whose engine broke before its first event, was charged its whole prompt. Change: the prompt counts from the first event or whole answer that was passed on. `chargeUndeliveredPrompts` charges what may have run, for who weighs that more.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -23,6 +23,7 @@
 import {ConnectLoanPeers, registerLender} from './loan-peers.js';
 import {RequestHandler} from './request-handler.js';
 import {GatewayStatus, StatusServer} from './status-server.js';
+import {UndeliveredCharge} from './request-record.js';
 import {StoreHealth} from './store-health.js';
 
 /** What a gateway needs from outside. */
@@ -176,6 +177,7 @@
   reload(settings: GatewaySettings): void {
     this.handler.limitResends(resendLimits(settings));
     this.parts.events.info('settings read again', {host: settings.host});
+    this.handler.chargeUndelivered(undeliveredCharge(settings));
   }
 
   override isReady(): boolean {
@@ -286,6 +288,7 @@
     );
   }
 
+      undeliveredCharge(settings),
   private createFollowers(): readonly KeyedTopicFollower[] {
     const {names, log, clock, events} = this.parts;
     return [
@@ -331,5 +334,11 @@
   return {
     address: text.slice(0, colon),
     port: Number(text.slice(colon + 1)),
+function undeliveredCharge(settings: GatewaySettings): UndeliveredCharge {
+  return settings.chargeUndeliveredPrompts
+    ? UndeliveredCharge.Prompt
+    : UndeliveredCharge.Nothing;
+}
+
   };
 }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -18,7 +18,7 @@
 import {BudgetRefusal} from './organisation-budget.js';
 import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
 import {tokenBound, type RequestContext} from './request-context.js';
-import {RequestRecord} from './request-record.js';
+import {RequestRecord, UndeliveredCharge} from './request-record.js';
 import {RequestRun, type RunParts} from './request-run.js';
 import type {StoreHealth} from './store-health.js';
 
@@ -69,6 +69,7 @@
     private readonly fraction: () => number,
   ) {}
 
+    private undeliveredCharge: UndeliveredCharge,
   /**
    * From now on requests that may not end in time are refused as not run.
    *
@@ -89,6 +90,11 @@
     const record = new RequestRecord();
     try {
       const refusal = await this.serve(caller, record);
+  /** Takes how requests are charged that settle from now on. */
+  chargeUndelivered(charge: UndeliveredCharge): void {
+    this.undeliveredCharge = charge;
+  }
+
       if (refusal !== undefined) {
         this.refuse(caller, record, refusal);
       }
@@ -206,6 +212,7 @@
       this.bill(context, record, used);
     }
     return undefined;
+        this.undeliveredCharge,
   }
 
   private bill(
@@ -220,9 +227,10 @@
     this.bills.add({
       requestId: caller.headers.attemptId ?? '',
       organisation: organisation.name,
-      inputTokens: caller.headers.promptTokens,
-      outputTokens: used - caller.headers.promptTokens,
+      inputTokens,
+      outputTokens: used - inputTokens,
       endpoint: record.endpoint,
+    const inputTokens = used === 0 ? 0 : caller.headers.promptTokens;
       outcome: billOutcome(record),
     });
   }
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -5,6 +5,14 @@
   readonly result: string;
 }
 
+/** What a request costs that may have run and of which nothing was delivered. */
+export enum UndeliveredCharge {
+  /** Its organisation got nothing, and pays nothing. */
+  Nothing = 'nothing',
+  /** Its prompt, as the endpoint may have read it. */
+  Prompt = 'prompt',
+}
+
 /** What became of a request, for its log line, metrics and bill. */
 export class RequestRecord {
   readonly attempts: AttemptRecord[] = [];
@@ -21,13 +29,20 @@
   /** Tokens charged in the end. */
   used = 0;
 
+  /** True once a part of an endpoint's answer was given to the caller. */
+  hasDelivered = false;
+
   /** Tokens used: input once, and the output that was delivered. */
   usedTokens(
     promptTokens: number,
     maximumOutputTokens: number,
     tokensPerEvent: number | undefined,
+    charge: UndeliveredCharge,
   ): number {
-    if (!this.mayHaveRun) {
+    const isCharged =
+      this.hasDelivered ||
+      (charge === UndeliveredCharge.Prompt && this.mayHaveRun);
+    if (!isCharged) {
       return 0;
     }
     const output = this.eventsDelivered * (tokensPerEvent ?? 0);
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -389,6 +389,7 @@
         SHORTEST_SILENCE_MILLISECONDS,
         FIRST_SILENCE_GOALS * route.goalMilliseconds,
       ),
+    this.record.hasDelivered = true;
       nextMilliseconds: Math.max(
         SHORTEST_SILENCE_MILLISECONDS,
         NEXT_SILENCE_PAUSES * route.pauseGoalMilliseconds,
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -64,6 +64,7 @@
 async function pass(
   event: StreamEvent,
   caller: CallerExchange,
+  record.hasDelivered = true;
   record: RequestRecord,
 ): Promise<void> {
   record.eventsDelivered++;
--- a/packages/runtime/src/settings-rules.ts
+++ b/packages/runtime/src/settings-rules.ts
@@ -169,7 +169,11 @@
     ...address(settings.storeAddress, ['storeAddress']),
     ...positive(settings.stopGraceSeconds, ['stopGraceSeconds']),
     ...positive(settings.storeKeepSeconds, ['storeKeepSeconds']),
-    ...positive(settings.storeRecordBytes, ['storeRecordBytes']),
+    ...positive(settings.budgetReserveSeconds, ['budgetReserveSeconds']),
+    ...rule<number>(
+      value => value > 0 && value <= 1,
+      'a number above 0, at most 1',
+    )(settings.budgetPooledPart, ['budgetPooledPart']),
     ...positive(settings.retryBudgetWindowSeconds, [
       'retryBudgetWindowSeconds',
     ]),
