Bear a stream's first silence by what its prompt takes now

Cause: a resumable stream was moved after 0.9 to 1.2 s without an event, whatever its size and however slow the service was. A prompt of 40,000 tokens takes an idle engine 1.1 s. Two watches, one for the head and one for the first event, also let a silent stream wait twice. Change: `FirstEventEstimate` (pure) learns milliseconds for a prompt's own tokens; silence is borne for three times that, and never less than before. One watch runs from the dispatch on.

--- a/packages/gateway/src/request-context.ts
+++ b/packages/gateway/src/request-context.ts
@@ -1,4 +1,4 @@
-import type {ResendBudget} from '@wisteriadeal/decisions';
+import type {FirstEventEstimate, ResendBudget} from '@wisteriadeal/decisions';
 
 import type {CallerExchange} from './caller-exchange.js';
 import {
@@ -19,6 +19,7 @@
   /** The caller or the route waits no longer; monotonic milliseconds. */
   readonly deadlineAt: number;
   readonly resends: ResendBudget;
+  readonly firstEvents: FirstEventEstimate;
 }
 
 /** Whether the request may run at a second endpoint after it may have run. */
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,4 +1,8 @@
-import {ResendBudget, type ResendLimits} from '@wisteriadeal/decisions';
+import {
+  FirstEventEstimate,
+  ResendBudget,
+  type ResendLimits,
+} from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 import {BillOutcome} from '@wisteriadeal/schema';
 
@@ -55,6 +59,7 @@
 /** Decides each caller's request: who it is, where it may go, what it may use. */
 export class RequestHandler {
   private readonly resends = new Map<string, ResendBudget>();
+  private readonly firstEvents = new Map<string, FirstEventEstimate>();
   private stopsAt = Infinity;
 
   constructor(
@@ -64,12 +69,12 @@
     private readonly bills: BillWriter,
     private readonly parts: RunParts,
     private resendLimits: ResendLimits,
+    private undeliveredCharge: UndeliveredCharge,
     private readonly metrics: GatewayMetrics,
     private readonly events: EventLog,
     private readonly fraction: () => number,
   ) {}
 
-    private undeliveredCharge: UndeliveredCharge,
   /**
    * From now on requests that may not end in time are refused as not run.
    *
@@ -85,16 +90,16 @@
     this.resends.clear();
   }
 
-  /** Serves one request to its end; never rejects. */
-  async handle(caller: CallerExchange): Promise<void> {
-    const record = new RequestRecord();
-    try {
-      const refusal = await this.serve(caller, record);
   /** Takes how requests are charged that settle from now on. */
   chargeUndelivered(charge: UndeliveredCharge): void {
     this.undeliveredCharge = charge;
   }
 
+  /** Serves one request to its end; never rejects. */
+  async handle(caller: CallerExchange): Promise<void> {
+    const record = new RequestRecord();
+    try {
+      const refusal = await this.serve(caller, record);
       if (refusal !== undefined) {
         this.refuse(caller, record, refusal);
       }
@@ -115,6 +120,10 @@
         CONFIGURATION_RETRY_MILLISECONDS,
       );
     }
+    if (caller.headerBytes > configuration.limits.headerBytes) {
+      caller.closeAfterwards();
+      return failed(431, OwnReason.HeadersTooLarge);
+    }
     const body = await caller.readBody(configuration.limits.bodyBytes);
     // A version may have come into force while the body was read.
     const inForce = this.configuration.current ?? configuration;
@@ -126,10 +135,6 @@
       return notRun(OwnReason.Stopping, STOPPING_RETRY_MILLISECONDS);
     }
     const context = this.contextOf(caller, body, inForce, admitted);
-    if (caller.headerBytes > configuration.limits.headerBytes) {
-      caller.closeAfterwards();
-      return failed(431, OwnReason.HeadersTooLarge);
-    }
     return context === undefined
       ? notRun(OwnReason.NoEndpoint, CONFIGURATION_RETRY_MILLISECONDS)
       : this.runWithinBudget(context, record);
@@ -172,6 +177,7 @@
       configurationVersion: configuration.version,
       deadlineAt: caller.arrivedAt + waits,
       resends,
+      firstEvents: this.firstEventsOf(service.name),
     };
   }
 
@@ -206,13 +212,13 @@
         promptTokens,
         maximumOutputTokens,
         service.tokensPerEvent,
+        this.undeliveredCharge,
       );
       record.used = used;
       this.budgets.settle(reserved.reservation, used);
       this.bill(context, record, used);
     }
     return undefined;
-        this.undeliveredCharge,
   }
 
   private bill(
@@ -224,13 +230,13 @@
     if (!record.mayHaveRun || organisation === undefined) {
       return;
     }
+    const inputTokens = used === 0 ? 0 : caller.headers.promptTokens;
     this.bills.add({
       requestId: caller.headers.attemptId ?? '',
       organisation: organisation.name,
       inputTokens,
       outputTokens: used - inputTokens,
       endpoint: record.endpoint,
-    const inputTokens = used === 0 ? 0 : caller.headers.promptTokens;
       outcome: billOutcome(record),
     });
   }
@@ -244,6 +250,15 @@
     return resends;
   }
 
+  private firstEventsOf(service: string): FirstEventEstimate {
+    let estimate = this.firstEvents.get(service);
+    if (estimate === undefined) {
+      estimate = new FirstEventEstimate();
+      this.firstEvents.set(service, estimate);
+    }
+    return estimate;
+  }
+
   private refuse(
     caller: CallerExchange,
     record: RequestRecord,
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -2,6 +2,7 @@
   failsMoreThanOthers,
   placeRequest,
   type PlacementCandidate,
+  type PromptSize,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
@@ -56,8 +57,10 @@
 const MOST_UNREACHABLE = 3;
 /** Less time than this is not worth another attempt, milliseconds. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 20;
-/** Before the first event a resumable stream is moved after this many goals. */
+/** Before the first event a resumable stream is moved after this many goals... */
 const FIRST_SILENCE_GOALS = 1.5;
+/** ... and after so many times what the service takes now for such a prompt. */
+const FIRST_SILENCE_EXPECTED = 3;
 /** Between events a resumable stream is moved after this many wanted pauses. */
 const NEXT_SILENCE_PAUSES = 3;
 /** Silence shorter than this is no reason to move a stream, milliseconds. */
@@ -120,19 +123,44 @@
       return this.giveUp(OwnReason.NoEndpoint);
     }
     const exchange = this.dispatch(endpoint);
+    const watch = new SilenceWatch(
+      exchange,
+      this.silenceLimits(),
+      this.parts.clock,
+    );
     this.current = exchange;
     try {
-      const head = await this.headWithinSilence(exchange);
+      const head = await exchange.head();
       const next = isFailure(head)
         ? this.afterFailure(endpoint, head)
-        : await this.afterHead(endpoint, exchange, head);
+        : await this.afterHead(endpoint, exchange, head, watch);
       return next;
     } finally {
+      watch.close();
+      this.learn(watch);
       endpoint.load--;
       this.current = undefined;
     }
   }
 
+  /** Takes note of how long the first event of a stream took, or did not come. */
+  private learn(watch: SilenceWatch): void {
+    const {route, firstEvents} = this.context;
+    if (route.kind !== RouteKind.Streaming) {
+      return;
+    }
+    if (watch.firstMilliseconds === undefined) {
+      firstEvents.missed(this.promptSize(), watch.elapsedMilliseconds);
+    } else {
+      firstEvents.came(this.promptSize(), watch.firstMilliseconds);
+    }
+  }
+
+  private promptSize(): PromptSize {
+    const {promptParts, promptTokens} = this.context.caller.headers;
+    return {ownTokens: promptParts.at(-1)?.tokens ?? promptTokens};
+  }
+
   private place(): KnownEndpoint | undefined {
     const {route, service, caller} = this.context;
     const now = this.now();
@@ -192,15 +220,6 @@
     });
   }
 
-  private async headWithinSilence(
-    exchange: EndpointExchange,
-  ): Promise<AnswerHead | ExchangeFailure> {
-    const watch = new SilenceWatch(exchange, this.silenceLimits());
-    const head = await exchange.head();
-    watch.close();
-    return head;
-  }
-
   private afterFailure(
     endpoint: KnownEndpoint,
     failure: ExchangeFailure,
@@ -248,6 +267,7 @@
     endpoint: KnownEndpoint,
     exchange: EndpointExchange,
     head: AnswerHead,
+    watch: SilenceWatch,
   ): Promise<Next> {
     this.record.mayHaveRun = true;
     if (head.status < 300 && !head.said.hasProof) {
@@ -258,7 +278,7 @@
     const isStream =
       this.context.route.kind === RouteKind.Streaming && head.status === 200;
     return isStream
-      ? this.passStream(endpoint, exchange, head)
+      ? this.passStream(endpoint, exchange, head, watch)
       : this.passWhole(endpoint, exchange, head);
   }
 
@@ -290,6 +310,7 @@
     endpoint: KnownEndpoint,
     exchange: EndpointExchange,
     head: AnswerHead,
+    watch: SilenceWatch,
   ): Promise<Next> {
     const {caller} = this.context;
     if (!caller.isAnswering) {
@@ -299,12 +320,7 @@
       );
       this.record.status = head.status;
     }
-    const end = await relayStream(
-      exchange,
-      caller,
-      this.record,
-      this.silenceLimits(),
-    );
+    const end = await relayStream(exchange, caller, this.record, watch);
     if (end === RelayEnd.Whole) {
       this.note(endpoint, 'whole stream');
       endpoint.trust.succeeded();
@@ -373,23 +389,26 @@
     } else {
       caller.answerUntilClose(head.status, headers, body);
     }
+    this.record.hasDelivered = true;
     this.record.status = head.status;
     this.record.outcome = 'answered';
     return Next.Ended;
   }
 
   private silenceLimits(): SilenceLimits | undefined {
-    const {route} = this.context;
+    const {route, firstEvents} = this.context;
     const isLast = this.sentTo + 1 >= route.maximumAttempts;
     if (route.kind !== RouteKind.Streaming || !route.resumable || isLast) {
       return undefined;
     }
     return {
-      firstMilliseconds: Math.max(
-        SHORTEST_SILENCE_MILLISECONDS,
-        FIRST_SILENCE_GOALS * route.goalMilliseconds,
-      ),
-    this.record.hasDelivered = true;
+      firstMilliseconds: firstEvents.limit(this.promptSize(), {
+        shortestMilliseconds: Math.max(
+          SHORTEST_SILENCE_MILLISECONDS,
+          FIRST_SILENCE_GOALS * route.goalMilliseconds,
+        ),
+        expectedFactor: FIRST_SILENCE_EXPECTED,
+      }),
       nextMilliseconds: Math.max(
         SHORTEST_SILENCE_MILLISECONDS,
         NEXT_SILENCE_PAUSES * route.pauseGoalMilliseconds,
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,3 +1,5 @@
+import type {Clock} from '@wisteriadeal/platform';
+
 import type {CallerExchange} from './caller-exchange.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
 import {
@@ -33,26 +35,21 @@
   exchange: EndpointExchange,
   caller: CallerExchange,
   record: RequestRecord,
-  limits: SilenceLimits | undefined,
+  watch: SilenceWatch,
 ): Promise<RelayEnd> {
   const splitter = new EventStreamSplitter();
-  const watch = new SilenceWatch(exchange, limits);
-  try {
-    for await (const chunk of exchange.parts()) {
-      for (const event of splitter.push(chunk)) {
-        if (!follows(event, record.lastEventId)) {
-          exchange.cancel('event out of order');
-          return RelayEnd.Cut;
-        }
-        watch.heard();
-        await pass(event, caller, record);
-      }
-      if (caller.leaving.aborted) {
-        return RelayEnd.CallerLeft;
+  for await (const chunk of exchange.parts()) {
+    for (const event of splitter.push(chunk)) {
+      if (!follows(event, record.lastEventId)) {
+        exchange.cancel('event out of order');
+        return RelayEnd.Cut;
       }
+      watch.heard();
+      await pass(event, caller, record);
+    }
+    if (caller.leaving.aborted) {
+      return RelayEnd.CallerLeft;
     }
-  } finally {
-    watch.close();
   }
   if (caller.leaving.aborted) {
     return RelayEnd.CallerLeft;
@@ -64,10 +61,10 @@
 async function pass(
   event: StreamEvent,
   caller: CallerExchange,
-  record.hasDelivered = true;
   record: RequestRecord,
 ): Promise<void> {
   record.eventsDelivered++;
+  record.hasDelivered = true;
   record.lastEventId = event.id ?? record.lastEventId;
   await caller.write(event.bytes);
 }
@@ -82,17 +79,33 @@
 
 /** Ends an exchange that says nothing for too long. */
 export class SilenceWatch {
+  private readonly startedAt: number;
   private timer: NodeJS.Timeout | undefined;
+  private firstAfter: number | undefined;
 
+  /** @param limits Undefined where any silence is borne. */
   constructor(
     private readonly exchange: EndpointExchange,
     private readonly limits: SilenceLimits | undefined,
+    private readonly clock: Clock,
   ) {
+    this.startedAt = clock.monotonicMilliseconds();
     this.arm(limits?.firstMilliseconds);
   }
 
-  /** Something came: the silence begins anew. */
+  /** How long the first event took; undefined where none came, milliseconds. */
+  get firstMilliseconds(): number | undefined {
+    return this.firstAfter;
+  }
+
+  /** Since the request was sent, milliseconds. */
+  get elapsedMilliseconds(): number {
+    return this.clock.monotonicMilliseconds() - this.startedAt;
+  }
+
+  /** An event came: the silence begins anew. */
   heard(): void {
+    this.firstAfter ??= this.elapsedMilliseconds;
     this.arm(this.limits?.nextMilliseconds);
   }
 
