Learn from the silence of streams that may not be moved

Cause: an engine that goes dark was noticed only by streams that may be moved; one that may run once waited until its caller left, and then said nothing of the engine, which got more of them meanwhile (no health checks are made). Change: the first silence pauses the engine for others; the stream itself stays. Test first: the second such stream went to the dark engine and never ended.

--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -123,11 +123,7 @@
       return this.giveUp(OwnReason.NoEndpoint);
     }
     const exchange = this.dispatch(endpoint);
-    const watch = new SilenceWatch(
-      exchange,
-      this.silenceLimits(),
-      this.parts.clock,
-    );
+    const watch = this.watch(endpoint, exchange);
     this.current = exchange;
     try {
       const head = await exchange.head();
@@ -143,6 +139,32 @@
     }
   }
 
+  /**
+   * Watches for silence. A stream that may be moved is; one that may not still tells
+   * of its endpoint. Load: an engine goes dark, and a third of the streams may run
+   * once only. Harm without the latter: it gets more of them until their callers
+   * leave, two seconds later.
+   */
+  private watch(
+    endpoint: KnownEndpoint,
+    exchange: EndpointExchange,
+  ): SilenceWatch {
+    const onSilence = this.mayMove()
+      ? () => {
+          exchange.cancel('silent');
+        }
+      : () => {
+          endpoint.trust.broke(this.now());
+        };
+    return new SilenceWatch(this.silenceLimits(), this.parts.clock, onSilence);
+  }
+
+  /** Whether the stream may go on at another endpoint after this one. */
+  private mayMove(): boolean {
+    const {route} = this.context;
+    return mayRepeat(route) && this.sentTo + 1 < route.maximumAttempts;
+  }
+
   /** Takes note of how long the first event of a stream took, or did not come. */
   private learn(watch: SilenceWatch): void {
     const {route, firstEvents} = this.context;
@@ -397,8 +419,7 @@
 
   private silenceLimits(): SilenceLimits | undefined {
     const {route, firstEvents} = this.context;
-    const isLast = this.sentTo + 1 >= route.maximumAttempts;
-    if (route.kind !== RouteKind.Streaming || !route.resumable || isLast) {
+    if (route.kind !== RouteKind.Streaming) {
       return undefined;
     }
     return {
@@ -409,10 +430,12 @@
         ),
         expectedFactor: FIRST_SILENCE_EXPECTED,
       }),
-      nextMilliseconds: Math.max(
-        SHORTEST_SILENCE_MILLISECONDS,
-        NEXT_SILENCE_PAUSES * route.pauseGoalMilliseconds,
-      ),
+      nextMilliseconds: this.mayMove()
+        ? Math.max(
+            SHORTEST_SILENCE_MILLISECONDS,
+            NEXT_SILENCE_PAUSES * route.pauseGoalMilliseconds,
+          )
+        : undefined,
     };
   }
 
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -22,8 +22,8 @@
 export interface SilenceLimits {
   /** Until the first event, milliseconds. */
   readonly firstMilliseconds: number;
-  /** Between events, milliseconds. */
-  readonly nextMilliseconds: number;
+  /** Between events, milliseconds; undefined where any silence is borne there. */
+  readonly nextMilliseconds: number | undefined;
 }
 
 /**
@@ -77,7 +77,7 @@
   return Number(event.id) === Number(last) + 1;
 }
 
-/** Ends an exchange that says nothing for too long. */
+/** Tells when an exchange says nothing for too long. */
 export class SilenceWatch {
   private readonly startedAt: number;
   private timer: NodeJS.Timeout | undefined;
@@ -85,9 +85,9 @@
 
   /** @param limits Undefined where any silence is borne. */
   constructor(
-    private readonly exchange: EndpointExchange,
     private readonly limits: SilenceLimits | undefined,
     private readonly clock: Clock,
+    private readonly onSilence: () => void,
   ) {
     this.startedAt = clock.monotonicMilliseconds();
     this.arm(limits?.firstMilliseconds);
@@ -117,9 +117,7 @@
   private arm(milliseconds: number | undefined): void {
     clearTimeout(this.timer);
     if (milliseconds !== undefined) {
-      this.timer = setTimeout(() => {
-        this.exchange.cancel('silent');
-      }, milliseconds);
+      this.timer = setTimeout(this.onSilence, milliseconds);
     }
   }
 }
