Let a witness count only when the log names it, where clear books are wanted

Reservations were then taken on the neighbour's word alone, which may not reclaim what the log does not give it. Ruled out: bills that a keeper had not appended at its stop (every process stopped by itself), the HTTP/2 session's escaped error (keepers do not abort their sessions). Change: without a witness in force a reservation also goes ahead to the log; without the log it is refused where the organisation wants clear books.

--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -32,12 +32,12 @@
     holding: GrantHolding,
     change: BookChange,
   ): Promise<Acknowledgement> {
-    if (holding.witnesses.length === 0) {
-      return this.withoutWitness(holding, change);
-    }
-    const answers = await Promise.all(
-      holding.witnesses.map(witness => this.send(witness, change)),
-    );
+    // A candidate alone does not count: until the log names it, it can't reclaim
+    // the grant, and what it acknowledged would have no bill if the holder died.
+    const answers = await Promise.all([
+      ...holding.witnesses.map(witness => this.send(witness, change)),
+      ...(holding.witness === '' ? [this.withoutWitness(holding, change)] : []),
+    ]);
     if (answers.includes(Acknowledgement.Fenced)) {
       holding.fenced = true;
     }
