Write checkpoints in turn after a thousand records, and open budgets first

Change: the holder whose turn it is by the offset writes one after 1,000 records; the library is loaded when the budgets are open, 0.3 s later at the most.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -64,6 +64,7 @@
   private running: Promise<void> = Promise.resolve();
   private isClosing = false;
   private hasOpened = false;
+  private readonly openListeners: (() => void)[] = [];
 
   constructor(
     private readonly journal: BudgetJournal,
@@ -90,6 +91,11 @@
     return this.hasOpened;
   }
 
+  /** Calls the listener once this process may hold grants. */
+  onOpened(listener: () => void): void {
+    this.openListeners.push(listener);
+  }
+
   /** Processes that share the budgets, this one included. */
   get holders(): number {
     return Math.max(1, this.replica.fold.holders.size);
@@ -299,7 +305,7 @@
         this.takeOutcome(outcome);
       });
       this.noteOpening();
-      await this.replica.checkpointIfDue();
+      await this.replica.checkpointIfDue(this.journal.incarnation);
     } catch (error) {
       this.health.failed(this.clock.monotonicMilliseconds(), error);
       return RETRY_MILLISECONDS;
@@ -333,6 +339,9 @@
       offset: this.replica.fold.nextOffset,
       holders: this.holders,
     });
+    for (const listener of this.openListeners) {
+      listener();
+    }
   }
 
   private plan(): void {
--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -23,12 +23,20 @@
   CHECKPOINT_PARTITION,
 } from './budget-topics.js';
 
+/**
+ * A checkpoint is written after so many records, by the holder whose turn it is. A
+ * record takes a process that has just started some 50 µs: without one, the 4,500
+ * records of a minute held its first grant up for 0.25 s.
+ */
+const CHECKPOINT_RECORDS = 1_000;
+
 /** This process's copy of the fold, and how it keeps up with the log. */
 export class BudgetReplica {
   private folded = new BudgetFold();
   private isLoaded = false;
   private checkpointAt = 0;
   private checkpointTime: number;
+  private turn = 0;
 
   /**
    * @param checkpointMilliseconds A checkpoint is written when the newest is
@@ -74,13 +82,15 @@
     return this.foldAll(records);
   }
 
-  /** Writes a checkpoint where the newest one known is getting old. */
-  async checkpointIfDue(): Promise<void> {
+  /**
+   * Writes a checkpoint where the newest one known is getting old, or it is this
+   * holder's turn.
+   */
+  async checkpointIfDue(incarnation: string): Promise<void> {
     const now = this.clock.monotonicMilliseconds();
-    if (
-      now - this.checkpointTime < this.checkpointMilliseconds ||
-      this.folded.nextOffset === this.checkpointAt
-    ) {
+    const isOld = now - this.checkpointTime >= this.checkpointMilliseconds;
+    const isTurn = this.isNewTurnOf(incarnation);
+    if ((!isOld && !isTurn) || this.folded.nextOffset === this.checkpointAt) {
       return;
     }
     const offset = this.folded.nextOffset;
@@ -94,6 +104,17 @@
     this.events.info('budget checkpoint written', {offset});
   }
 
+  /** Holders take turns by the log's offset; a dead one's turn is passed over. */
+  private isNewTurnOf(incarnation: string): boolean {
+    const turn = Math.floor(this.folded.nextOffset / CHECKPOINT_RECORDS);
+    if (turn === this.turn) {
+      return false;
+    }
+    this.turn = turn;
+    const holders = [...this.folded.holders.keys()];
+    return holders[turn % holders.length] === incarnation;
+  }
+
   private async load(): Promise<void> {
     const newest = await this.log.newest(CHECKPOINT_PARTITION);
     const bytes = newest.items.find(({key}) => key === CHECKPOINT_KEY)?.value;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -43,8 +43,8 @@
 const ENDPOINT_PAUSE_MILLISECONDS = 350;
 /** A checkpoint is due after this part of the time that the store keeps records. */
 const CHECKPOINT_PARTS = 5;
-/** Two calls to the store bring the configuration, 4 ms each when it is well. */
-const FIRST_CONFIGURATION_MILLISECONDS = 200;
+/** Some calls to the store bring what serving needs, 4 ms each when it is well. */
+const FIRST_CALLS_MILLISECONDS = 300;
 /** The rest of the grace is left for returning grants and for the end itself. */
 const STOP_PART_OF_GRACE = 0.85;
 /** Connections that come between readiness' end and the platform's notice of it. */
@@ -113,7 +113,7 @@
     }
     void this.budgets.run();
     void this.bills.run();
-    await this.configurationOrDelay();
+    await this.readyToServeOrDelay();
     await this.status.listen(
       listenAddress(settings.readyAddress),
       listenAddress(settings.statusAddress),
@@ -122,18 +122,19 @@
   }
 
   /**
-   * Waits for the first configuration, within bounds: loading the status server's
-   * library holds up everything else, and callers wait already.
+   * Waits for the first configuration and for the budgets, within bounds: loading the
+   * status server's library holds up everything else, and callers wait already.
    */
-  private async configurationOrDelay(): Promise<void> {
-    const known = new AbortController();
-    this.configuration.onChange(() => {
-      known.abort();
-    });
-    await this.parts.clock.sleep(
-      FIRST_CONFIGURATION_MILLISECONDS,
-      known.signal,
-    );
+  private async readyToServeOrDelay(): Promise<void> {
+    const canServe = new AbortController();
+    const look = () => {
+      if (this.configuration.current !== undefined && this.budgets.isReady) {
+        canServe.abort();
+      }
+    };
+    this.configuration.onChange(look);
+    this.budgets.onOpened(look);
+    await this.parts.clock.sleep(FIRST_CALLS_MILLISECONDS, canServe.signal);
   }
 
   /**
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -1,6 +1,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
+import {BUDGET_PARTITION} from '../budget-topics.js';
 import {HolderFleet, SCHOOL, until} from './holder-fleet.js';
 
 const PREPAID = 100_000;
@@ -77,6 +78,27 @@
     expect(spent).toBeGreaterThan(0.9 * PREPAID);
   });
 
+  it('leaves a successor few records to read', async () => {
+    // The callers of a host that was killed are served a quarter of a second sooner.
+    // Its successor reads the log from the newest checkpoint; holders write one in
+    // turn, each after a thousand records, and not all of them at once.
+    await fleet.start('one');
+    await fleet.start('two');
+    await fleet.start('three');
+    const foreign = Array.from({length: 1_000}, () => Uint8Array.of(0xff));
+    await fleet.log.append(BUDGET_PARTITION, foreign);
+    await until(() =>
+      fleet.events.some(({event}) => event === 'budget checkpoint written'),
+    );
+    await fleet.start('four');
+    const events = fleet.events.map(({event}) => event);
+    const written = events.filter(
+      event => event === 'budget checkpoint written',
+    );
+    expect(written).toHaveLength(1);
+    expect(events).toContain('budget checkpoint read');
+  });
+
   it('gets a loan whose answer was lost from the lender’s record', async () => {
     // The caller sees its later requests served. Loans are made while the store is
     // away, and every answer is lost: the tokens are off the lender's account and
