Try lowered budgets in the property test of the fold

Spent and held stay within the most that was ever paid, and nothing is granted beyond a lowered budget until more is paid than was granted. Both hold without a change.

--- a/packages/budgets/src/test/budget-fold_test.ts
+++ b/packages/budgets/src/test/budget-fold_test.ts
@@ -45,6 +45,9 @@
   tokens.map(amount => (fleet: FleetModel) => {
     fleet.topUp(amount);
   }),
+  tokens.map(amount => (fleet: FleetModel) => {
+    fleet.lower(amount);
+  }),
 );
 
 describe('BudgetFold', () => {
@@ -75,6 +78,26 @@
     },
   );
 
+  it('grants nothing beyond a budget that was lowered', () => {
+    // The caller sees 402. Half of the budget is granted; the operator sets it to a
+    // third of what it was. What is held may still be used, and no more is given,
+    // until a new configuration pays for more than was granted.
+    const fleet = new FleetModel(2, 9_000);
+    fleet.write(0);
+    fleet.write(1);
+    fleet.ask(0, 4_500, 4_500, true);
+    fleet.write(0);
+    fleet.lower(6_000);
+    fleet.ask(1, 100, 100, true);
+    fleet.write(1);
+    expect(fleet.held).toBe(4_500);
+    expect(fleet.fold.view('school')?.prepaid).toBe(fleet.newestPrepaid);
+    fleet.topUp(2_000);
+    fleet.ask(1, 500, 500, true);
+    fleet.write(1);
+    expect(fleet.held).toBe(5_000);
+  });
+
   it('charges what a dead process held, and no more', () => {
     // The caller sees: after a restart of its host, requests go on. The process is
     // killed with tokens in hand, and its successor on the same host opens. Nobody
--- a/packages/budgets/src/test/fleet-model.ts
+++ b/packages/budgets/src/test/fleet-model.ts
@@ -36,11 +36,13 @@
   private version = 1;
   private starts = 0;
   private loans = 0;
+  private mostPaid: number;
 
   constructor(
     hosts: number,
     private paid: number,
   ) {
+    this.mostPaid = paid;
     this.hosts = Array.from({length: hosts}, (_unused, index) =>
       this.start(index),
     );
@@ -48,6 +50,11 @@
 
   /** The most that was ever paid. */
   get prepaid(): number {
+    return this.mostPaid;
+  }
+
+  /** The budget of the newest configuration. */
+  get newestPrepaid(): number {
     return this.paid;
   }
 
@@ -159,6 +166,13 @@
 
   topUp(tokens: number): void {
     this.paid += tokens;
+    this.mostPaid = Math.max(this.mostPaid, this.paid);
+    this.version++;
+  }
+
+  /** A configuration sets the budget to less, below what was used perhaps. */
+  lower(tokens: number): void {
+    this.paid = Math.max(0, this.paid - tokens);
     this.version++;
   }
 
