--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -1,9 +1,7 @@
 import {
   loanFor,
-  type BudgetView,
   type FoldOutcome,
   type GrantSizing,
-  type GrantVerdict,
   type Reservation,
 } from '@wisteriadeal/budgets';
 import type {Clock} from '@wisteriadeal/platform';
@@ -13,6 +11,7 @@
 import type {BudgetReplica} from './budget-replica.js';
 import type {FleetConfiguration} from './configuration.js';
 import {GrantBorrower} from './grant-borrower.js';
+import {GrantPlanner} from './grant-planner.js';
 import type {
   Gift,
   GivenAmount,
@@ -33,12 +32,6 @@
 const TURN_MILLISECONDS = 5;
 /** Between turns while requests wait for tokens that others may give back. */
 const WAITING_MILLISECONDS = 25;
-/**
- * After a denial the log is not asked for so long. Load: an organisation at its
- * budget's end sends many times its usual. Harm without it: 12,850 calls to the store
- * in a day in place of 5,900, each with the same answer.
- */
-const DENIED_MILLISECONDS = 250;
 /** Between turns while the store fails. */
 const RETRY_MILLISECONDS = 200;
 /**
@@ -59,6 +52,7 @@
 export class BudgetHolder implements LoanHolder {
   private readonly budgets = new Map<string, OrganisationBudget>();
   private readonly borrower: GrantBorrower;
+  private readonly planner: GrantPlanner;
   private readonly stop = new AbortController();
   private wake = new AbortController();
   private running: Promise<void> = Promise.resolve();
@@ -73,8 +67,8 @@
     private readonly health: StoreHealth,
     private readonly clock: Clock,
     private readonly events: EventLog,
-    private readonly sizing: GrantSizing,
-    private readonly pooledPart: number,
+    sizing: GrantSizing,
+    pooledPart: number,
   ) {
     this.borrower = new GrantBorrower(
       journal,
@@ -84,6 +78,15 @@
       clock,
       events,
     );
+    this.planner = new GrantPlanner(
+      journal,
+      replica,
+      this.borrower,
+      clock,
+      events,
+      sizing,
+      pooledPart,
+    );
   }
 
   /** True once this process may hold grants. */
@@ -236,7 +239,7 @@
       await this.borrower.handOver(this.takeRest());
     } else {
       for (const budget of this.budgets.values()) {
-        this.giveBack(budget, budget.account.available);
+        this.planner.giveBack(budget, budget.account.available);
       }
     }
     await this.turn();
@@ -270,7 +273,7 @@
     }
     if (prepaid < budget.prepaid) {
       // Grants given under the larger budget could be spent beyond the new one.
-      this.giveBack(budget, budget.account.available);
+      this.planner.giveBack(budget, budget.account.available);
     }
     if (prepaid !== budget.prepaid) {
       budget.isUntold = true;
@@ -356,72 +359,8 @@
       }
     }
     for (const budget of this.budgets.values()) {
-      if (!budget.isAsking) {
-        this.planFor(budget);
-      }
-    }
-  }
-
-  private planFor(budget: OrganisationBudget): void {
-    const now = this.clock.monotonicMilliseconds();
-    if (budget.waitingRequests > 0) {
-      if (now >= budget.askAfter) {
-        this.ask(budget, budget.waitingTokens, budget.firstBound, true);
-      }
-      return;
-    }
-    const change = this.sizing.change(
-      budget.account,
-      this.replica.fold.view(budget.name),
-      budget.prepaid,
-      now,
-    );
-    this.giveBack(budget, change.giveBack);
-    if (change.wish > 0 || budget.isUntold || budget.isReportDue) {
-      this.ask(budget, change.wish, change.least, false);
-    }
-  }
-
-  private ask(
-    budget: OrganisationBudget,
-    wish: number,
-    least: number,
-    urgent: boolean,
-  ): void {
-    budget.isAsking = true;
-    budget.isUntold = false;
-    budget.reportedSpent = budget.account.spent;
-    this.journal.add({
-      case: 'requested',
-      value: {
-        $typeName: 'wisteriadeal.v1.GrantRequested',
-        organisation: budget.name,
-        least,
-        wish,
-        urgent,
-        prepaid: budget.prepaid,
-        configurationVersion: budget.configurationVersion,
-        held: Math.max(0, budget.account.held),
-        pooledPart: this.pooledPart,
-      },
-    });
-  }
-
-  private giveBack(budget: OrganisationBudget, tokens: number): void {
-    const amount = budget.account.debit(tokens);
-    if (amount === 0) {
-      return;
+      this.planner.plan(budget);
     }
-    budget.reportedSpent = budget.account.spent;
-    this.journal.add({
-      case: 'returned',
-      value: {
-        $typeName: 'wisteriadeal.v1.GrantReturned',
-        organisation: budget.name,
-        amount,
-        held: Math.max(0, budget.account.held),
-      },
-    });
   }
 
   private takeOutcome(outcome: FoldOutcome): void {
@@ -432,44 +371,7 @@
     if (outcome.kind === 'loan') {
       this.borrower.recorded(budget, outcome);
     } else {
-      this.takeVerdict(budget, outcome);
-    }
-  }
-
-  private takeVerdict(budget: OrganisationBudget, verdict: GrantVerdict): void {
-    budget.isAsking = false;
-    budget.credit(verdict.granted);
-    if (verdict.granted > 0 || budget.waitingRequests === 0) {
-      return;
-    }
-    budget.askAfter = this.clock.monotonicMilliseconds() + DENIED_MILLISECONDS;
-    const view = this.replica.fold.view(budget.name);
-    this.events.info('grant denied', {
-      organisation: budget.name,
-      bound: budget.firstBound,
-      unallocated: view?.unallocated,
-      spent: view?.spent,
-      prepaid: view?.prepaid,
-      offset: this.replica.fold.nextOffset,
-    });
-    this.afterDenial(budget, view);
-  }
-
-  /** Others are asked only where they seem to hold what the log can't give. */
-  private afterDenial(
-    budget: OrganisationBudget,
-    view: BudgetView | undefined,
-  ): void {
-    const bound = budget.firstBound;
-    if (budget.isExhausted(view, bound)) {
-      budget.refuseFirst(BudgetRefusal.Exhausted);
-      return;
-    }
-    const heldByAll = (view?.rest ?? 0) - (view?.unallocated ?? 0);
-    if (heldByAll - budget.account.held >= bound) {
-      void this.borrower.borrow(budget);
-    } else {
-      budget.refuseFirst(BudgetRefusal.HeldElsewhere);
+      this.planner.take(budget, outcome);
     }
   }
 
--- /dev/null
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -0,0 +1,60 @@
+import {
+  failsMoreThanOthers,
+  placeRequest,
+  type PlacementCandidate,
+} from '@wisteriadeal/decisions';
+import type {Clock} from '@wisteriadeal/platform';
+
+import {RouteKind} from './configuration.js';
+import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
+import type {RequestContext} from './request-context.js';
+
+interface Candidate extends PlacementCandidate {
+  readonly endpoint: KnownEndpoint;
+}
+
+/** Brings what is known of a service's endpoints before the decision on a place. */
+export class EndpointChooser {
+  constructor(
+    private readonly directory: EndpointDirectory,
+    private readonly clock: Clock,
+    private readonly dataCenter: string,
+  ) {}
+
+  /**
+   * The endpoint for a request; undefined where its service has none.
+   *
+   * @param avoided Identifiers of endpoints that got it before.
+   */
+  choose(
+    {route, service, caller}: RequestContext,
+    avoided: ReadonlySet<string>,
+  ): KnownEndpoint | undefined {
+    const candidates = this.candidates(service.name);
+    const sharedPart =
+      route.kind === RouteKind.Streaming
+        ? (caller.headers.promptParts.at(-2)?.id ?? '')
+        : undefined;
+    const chosen = placeRequest(
+      {sharedPart, dataCenter: this.dataCenter, avoided},
+      candidates,
+    );
+    return candidates.find(candidate => candidate === chosen)?.endpoint;
+  }
+
+  private candidates(service: string): readonly Candidate[] {
+    const now = this.clock.monotonicMilliseconds();
+    const open = this.directory.openEndpoints(service);
+    const shares = open.map(({trust}) => trust.failedShare);
+    return open.map(endpoint => ({
+      endpoint,
+      id: endpoint.entry.id,
+      dataCenter: endpoint.entry.dataCenter,
+      slots: endpoint.entry.slots,
+      load: endpoint.load,
+      isTrusted:
+        endpoint.trust.isTrusted(now) &&
+        !failsMoreThanOthers(endpoint.trust.failedShare, shares),
+    }));
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/grant-planner.ts
@@ -0,0 +1,136 @@
+import type {
+  BudgetView,
+  GrantSizing,
+  GrantVerdict,
+} from '@wisteriadeal/budgets';
+import type {Clock} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {BudgetJournal} from './budget-journal.js';
+import type {BudgetReplica} from './budget-replica.js';
+import type {GrantBorrower} from './grant-borrower.js';
+import {BudgetRefusal, type OrganisationBudget} from './organisation-budget.js';
+
+/**
+ * After a denial the log is not asked for so long. Load: an organisation at its
+ * budget's end sends many times its usual. Harm without it: 12,850 calls to the store
+ * in a day in place of 5,900, each with the same answer.
+ */
+const DENIED_MILLISECONDS = 250;
+/** Decides what is asked of the log for each organisation, and takes its verdicts. */
+export class GrantPlanner {
+  constructor(
+    private readonly journal: BudgetJournal,
+    private readonly replica: BudgetReplica,
+    private readonly borrower: GrantBorrower,
+    private readonly clock: Clock,
+    private readonly events: EventLog,
+    private readonly sizing: GrantSizing,
+    private readonly pooledPart: number,
+  ) {}
+
+  /** Asks for what an organisation's callers need, or gives back what they don't. */
+  plan(budget: OrganisationBudget): void {
+    if (budget.isAsking) {
+      return;
+    }
+    const now = this.clock.monotonicMilliseconds();
+    if (budget.waitingRequests > 0) {
+      if (now >= budget.askAfter) {
+        this.ask(budget, budget.waitingTokens, budget.firstBound, true);
+      }
+      return;
+    }
+    const change = this.sizing.change(
+      budget.account,
+      this.replica.fold.view(budget.name),
+      budget.prepaid,
+      now,
+    );
+    this.giveBack(budget, change.giveBack);
+    if (change.wish > 0 || budget.isUntold || budget.isReportDue) {
+      this.ask(budget, change.wish, change.least, false);
+    }
+  }
+
+  /** Returns tokens that no request has reserved, as many as there are. */
+  giveBack(budget: OrganisationBudget, tokens: number): void {
+    const amount = budget.account.debit(tokens);
+    if (amount === 0) {
+      return;
+    }
+    budget.reportedSpent = budget.account.spent;
+    this.journal.add({
+      case: 'returned',
+      value: {
+        $typeName: 'wisteriadeal.v1.GrantReturned',
+        organisation: budget.name,
+        amount,
+        held: Math.max(0, budget.account.held),
+      },
+    });
+  }
+
+  /** Takes the log's verdict on what was asked. */
+  take(budget: OrganisationBudget, verdict: GrantVerdict): void {
+    budget.isAsking = false;
+    budget.credit(verdict.granted);
+    if (verdict.granted > 0 || budget.waitingRequests === 0) {
+      return;
+    }
+    budget.askAfter = this.clock.monotonicMilliseconds() + DENIED_MILLISECONDS;
+    const view = this.replica.fold.view(budget.name);
+    this.events.info('grant denied', {
+      organisation: budget.name,
+      bound: budget.firstBound,
+      unallocated: view?.unallocated,
+      spent: view?.spent,
+      prepaid: view?.prepaid,
+      offset: this.replica.fold.nextOffset,
+    });
+    this.afterDenial(budget, view);
+  }
+
+  private ask(
+    budget: OrganisationBudget,
+    wish: number,
+    least: number,
+    urgent: boolean,
+  ): void {
+    budget.isAsking = true;
+    budget.isUntold = false;
+    budget.reportedSpent = budget.account.spent;
+    this.journal.add({
+      case: 'requested',
+      value: {
+        $typeName: 'wisteriadeal.v1.GrantRequested',
+        organisation: budget.name,
+        least,
+        wish,
+        urgent,
+        prepaid: budget.prepaid,
+        configurationVersion: budget.configurationVersion,
+        held: Math.max(0, budget.account.held),
+        pooledPart: this.pooledPart,
+      },
+    });
+  }
+
+  /** Others are asked only where they seem to hold what the log can't give. */
+  private afterDenial(
+    budget: OrganisationBudget,
+    view: BudgetView | undefined,
+  ): void {
+    const bound = budget.firstBound;
+    if (budget.isExhausted(view, bound)) {
+      budget.refuseFirst(BudgetRefusal.Exhausted);
+      return;
+    }
+    const heldByAll = (view?.rest ?? 0) - (view?.unallocated ?? 0);
+    if (heldByAll - budget.account.held >= bound) {
+      void this.borrower.borrow(budget);
+    } else {
+      budget.refuseFirst(BudgetRefusal.HeldElsewhere);
+    }
+  }
+}
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,12 +1,9 @@
-import {
-  FirstEventEstimate,
-  ResendBudget,
-  type ResendLimits,
-} from '@wisteriadeal/decisions';
+import type {ResendLimits} from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 import {BillOutcome} from '@wisteriadeal/schema';
 
 import type {BillWriter} from './bill-writer.js';
+import {budgetAnswer} from './budget-answer.js';
 import type {BudgetHolder} from './budget-holder.js';
 import {BodyTooLargeError, type CallerExchange} from './caller-exchange.js';
 import {
@@ -19,11 +16,11 @@
 } from './configuration.js';
 import type {ConfigurationState} from './configuration-state.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import {BudgetRefusal} from './organisation-budget.js';
 import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
 import {tokenBound, type RequestContext} from './request-context.js';
 import {RequestRecord, UndeliveredCharge} from './request-record.js';
 import {RequestRun, type RunParts} from './request-run.js';
+import {ServiceStates} from './service-states.js';
 import type {StoreHealth} from './store-health.js';
 
 /** Where a request may go, by the configuration in force. */
@@ -32,16 +29,6 @@
   readonly organisation: Organisation | undefined;
 }
 
-/** Without a budget's grant now, one is likely after about this long. */
-const BUDGET_RETRY_MILLISECONDS = 600;
-/**
- * An outage of unknown length lasts, at the median, about as long again as it has
- * lasted; within these bounds that is when to come back. Load: the store is away for
- * 9 s and a small budget's grants are used up. Harm: callers that return at once are
- * refused again, and have no try left when the store is back.
- */
-const SHORTEST_STORE_RETRY_MILLISECONDS = 1_000;
-const LONGEST_STORE_RETRY_MILLISECONDS = 5_000;
 /** Another host takes the next connection. */
 const STOPPING_RETRY_MILLISECONDS = 100;
 /**
@@ -58,8 +45,7 @@
 
 /** Decides each caller's request: who it is, where it may go, what it may use. */
 export class RequestHandler {
-  private readonly resends = new Map<string, ResendBudget>();
-  private readonly firstEvents = new Map<string, FirstEventEstimate>();
+  private readonly services: ServiceStates;
   private stopsAt = Infinity;
 
   constructor(
@@ -68,12 +54,14 @@
     private readonly health: StoreHealth,
     private readonly bills: BillWriter,
     private readonly parts: RunParts,
-    private resendLimits: ResendLimits,
+    resendLimits: ResendLimits,
     private undeliveredCharge: UndeliveredCharge,
     private readonly metrics: GatewayMetrics,
     private readonly events: EventLog,
     private readonly fraction: () => number,
-  ) {}
+  ) {
+    this.services = new ServiceStates(resendLimits);
+  }
 
   /**
    * From now on requests that may not end in time are refused as not run.
@@ -86,8 +74,7 @@
 
   /** Takes new bounds on resends; what was resent is forgotten with the old. */
   limitResends(limits: ResendLimits): void {
-    this.resendLimits = limits;
-    this.resends.clear();
+    this.services.limitResends(limits);
   }
 
   /** Takes how requests are charged that settle from now on. */
@@ -162,7 +149,7 @@
     if (service === undefined) {
       return undefined;
     }
-    const resends = this.resendsOf(service.name);
+    const {resends, firstEvents} = this.services.of(service.name);
     resends.requested(this.parts.clock.monotonicMilliseconds());
     const waits = Math.min(
       caller.headers.deadlineMilliseconds ?? route.timeoutMilliseconds,
@@ -177,7 +164,7 @@
       configurationVersion: configuration.version,
       deadlineAt: caller.arrivedAt + waits,
       resends,
-      firstEvents: this.firstEventsOf(service.name),
+      firstEvents,
     };
   }
 
@@ -241,24 +228,6 @@
     });
   }
 
-  private resendsOf(service: string): ResendBudget {
-    let resends = this.resends.get(service);
-    if (resends === undefined) {
-      resends = new ResendBudget(this.resendLimits);
-      this.resends.set(service, resends);
-    }
-    return resends;
-  }
-
-  private firstEventsOf(service: string): FirstEventEstimate {
-    let estimate = this.firstEvents.get(service);
-    if (estimate === undefined) {
-      estimate = new FirstEventEstimate();
-      this.firstEvents.set(service, estimate);
-    }
-    return estimate;
-  }
-
   private refuse(
     caller: CallerExchange,
     record: RequestRecord,
@@ -336,26 +305,6 @@
   return {route, organisation};
 }
 
-function budgetAnswer(
-  refusal: BudgetRefusal,
-  awayMilliseconds: number,
-): OwnAnswer {
-  switch (refusal) {
-    case BudgetRefusal.Exhausted:
-      return failed(402, OwnReason.BudgetExhausted);
-    case BudgetRefusal.HeldElsewhere:
-      return notRun(OwnReason.BudgetUnavailable, BUDGET_RETRY_MILLISECONDS);
-    case BudgetRefusal.StoreAway:
-      return notRun(
-        OwnReason.BudgetUnavailable,
-        Math.min(
-          LONGEST_STORE_RETRY_MILLISECONDS,
-          Math.max(SHORTEST_STORE_RETRY_MILLISECONDS, awayMilliseconds),
-        ),
-      );
-  }
-}
-
 function billOutcome(record: RequestRecord): BillOutcome {
   if (record.outcome === 'answered') {
     return BillOutcome.ANSWERED;
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -1,14 +1,9 @@
-import {
-  failsMoreThanOthers,
-  placeRequest,
-  type PlacementCandidate,
-  type PromptSize,
-} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import {RouteKind} from './configuration.js';
 import type {Dialect} from './dialect.js';
+import {EndpointChooser} from './endpoint-chooser.js';
 import type {EndpointConnections} from './endpoint-connections.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import {
@@ -21,12 +16,8 @@
 import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
 import {mayRepeat, type RequestContext} from './request-context.js';
 import type {RequestRecord} from './request-record.js';
-import {
-  RelayEnd,
-  relayStream,
-  SilenceWatch,
-  type SilenceLimits,
-} from './stream-relay.js';
+import {StreamPatience} from './stream-patience.js';
+import {RelayEnd, relayStream, type SilenceWatch} from './stream-relay.js';
 
 /** What all runs of a process share. */
 export interface RunParts {
@@ -57,14 +48,6 @@
 const MOST_UNREACHABLE = 3;
 /** Less time than this is not worth another attempt, milliseconds. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 20;
-/** Before the first event a resumable stream is moved after this many goals... */
-const FIRST_SILENCE_GOALS = 1.5;
-/** ... and after so many times what the service takes now for such a prompt. */
-const FIRST_SILENCE_EXPECTED = 3;
-/** Between events a resumable stream is moved after this many wanted pauses. */
-const NEXT_SILENCE_PAUSES = 3;
-/** Silence shorter than this is no reason to move a stream, milliseconds. */
-const SHORTEST_SILENCE_MILLISECONDS = 900;
 /** A service without a free endpoint is worth asking again after this long. */
 const RETRY_AFTER_MILLISECONDS = 300;
 /** A tenant's urgency goes before a route's; ten levels are left to endpoints. */
@@ -74,6 +57,8 @@
 /** Takes one request to endpoints until it has a final answer. */
 export class RequestRun {
   private readonly avoided = new Set<string>();
+  private readonly chooser: EndpointChooser;
+  private readonly patience: StreamPatience;
   private sentTo = 0;
   private unreachable = 0;
   /** A whole failure of an endpoint, passed on if nothing better comes. */
@@ -85,7 +70,11 @@
     private readonly parts: RunParts,
     private readonly context: RequestContext,
     private readonly record: RequestRecord,
-  ) {}
+  ) {
+    const {directory, clock, dataCenter} = parts;
+    this.chooser = new EndpointChooser(directory, clock, dataCenter);
+    this.patience = new StreamPatience(context, clock);
+  }
 
   /** Ends when the caller has its answer, was told why not, or has left. */
   async run(): Promise<void> {
@@ -118,12 +107,12 @@
     if (this.remaining() < SHORTEST_ATTEMPT_MILLISECONDS) {
       return this.giveUp(OwnReason.DeadlinePassed);
     }
-    const endpoint = this.place();
+    const endpoint = this.chooser.choose(this.context, this.avoided);
     if (endpoint === undefined) {
       return this.giveUp(OwnReason.NoEndpoint);
     }
     const exchange = this.dispatch(endpoint);
-    const watch = this.watch(endpoint, exchange);
+    const watch = this.patience.watch(endpoint, exchange, this.mayMove());
     this.current = exchange;
     try {
       const head = await exchange.head();
@@ -133,92 +122,18 @@
       return next;
     } finally {
       watch.close();
-      this.learn(watch);
+      this.patience.learn(watch);
       endpoint.load--;
       this.current = undefined;
     }
   }
 
-  /**
-   * Watches for silence. A stream that may be moved is; one that may not still tells
-   * of its endpoint. Load: an engine goes dark, and a third of the streams may run
-   * once only. Harm without the latter: it gets more of them until their callers
-   * leave, two seconds later.
-   */
-  private watch(
-    endpoint: KnownEndpoint,
-    exchange: EndpointExchange,
-  ): SilenceWatch {
-    const onSilence = this.mayMove()
-      ? () => {
-          exchange.cancel('silent');
-        }
-      : () => {
-          endpoint.trust.broke(this.now());
-        };
-    return new SilenceWatch(this.silenceLimits(), this.parts.clock, onSilence);
-  }
-
   /** Whether the stream may go on at another endpoint after this one. */
   private mayMove(): boolean {
     const {route} = this.context;
     return mayRepeat(route) && this.sentTo + 1 < route.maximumAttempts;
   }
 
-  /** Takes note of how long the first event of a stream took, or did not come. */
-  private learn(watch: SilenceWatch): void {
-    const {route, firstEvents} = this.context;
-    if (route.kind !== RouteKind.Streaming) {
-      return;
-    }
-    if (watch.firstMilliseconds === undefined) {
-      firstEvents.missed(this.promptSize(), watch.elapsedMilliseconds);
-    } else {
-      firstEvents.came(this.promptSize(), watch.firstMilliseconds);
-    }
-  }
-
-  private promptSize(): PromptSize {
-    const {promptParts, promptTokens} = this.context.caller.headers;
-    return {ownTokens: promptParts.at(-1)?.tokens ?? promptTokens};
-  }
-
-  private place(): KnownEndpoint | undefined {
-    const {route, service, caller} = this.context;
-    const now = this.now();
-    const open = this.parts.directory.openEndpoints(service.name);
-    const shares = open.map(({trust}) => trust.failedShare);
-    const candidates = open.map(
-      (
-        endpoint,
-      ): PlacementCandidate & {
-        readonly endpoint: KnownEndpoint;
-      } => ({
-        endpoint,
-        id: endpoint.entry.id,
-        dataCenter: endpoint.entry.dataCenter,
-        slots: endpoint.entry.slots,
-        load: endpoint.load,
-        isTrusted:
-          endpoint.trust.isTrusted(now) &&
-          !failsMoreThanOthers(endpoint.trust.failedShare, shares),
-      }),
-    );
-    const shared =
-      route.kind === RouteKind.Streaming
-        ? (caller.headers.promptParts.at(-2)?.id ?? '')
-        : undefined;
-    const chosen = placeRequest(
-      {
-        sharedPart: shared,
-        dataCenter: this.parts.dataCenter,
-        avoided: this.avoided,
-      },
-      candidates,
-    );
-    return candidates.find(candidate => candidate === chosen)?.endpoint;
-  }
-
   private dispatch(endpoint: KnownEndpoint): EndpointExchange {
     const {caller, body, organisation} = this.context;
     const {dialect, connections} = this.parts;
@@ -417,28 +332,6 @@
     return Next.Ended;
   }
 
-  private silenceLimits(): SilenceLimits | undefined {
-    const {route, firstEvents} = this.context;
-    if (route.kind !== RouteKind.Streaming) {
-      return undefined;
-    }
-    return {
-      firstMilliseconds: firstEvents.limit(this.promptSize(), {
-        shortestMilliseconds: Math.max(
-          SHORTEST_SILENCE_MILLISECONDS,
-          FIRST_SILENCE_GOALS * route.goalMilliseconds,
-        ),
-        expectedFactor: FIRST_SILENCE_EXPECTED,
-      }),
-      nextMilliseconds: this.mayMove()
-        ? Math.max(
-            SHORTEST_SILENCE_MILLISECONDS,
-            NEXT_SILENCE_PAUSES * route.pauseGoalMilliseconds,
-          )
-        : undefined,
-    };
-  }
-
   private priority(): number {
     const {organisation, route} = this.context;
     const routeLevel = Math.min(route.priority, ROUTE_LEVELS - 1);
