Check the gateway's settings by the command line, and split off its state

Idle connections for loans are kept for a minute: the server closed them after five seconds, at the moment of a call at times.

--- a/packages/command-line/src/schema-names.ts
+++ b/packages/command-line/src/schema-names.ts
@@ -2,6 +2,7 @@
 import {
   CommandLineSettingsSchema,
   ConfigurationSchema,
+  GatewaySettingsSchema,
   KeeperSettingsSchema,
   RouterSettingsSchema,
 } from '@wisteriadeal/schema';
@@ -11,5 +12,6 @@
   configuration: ConfigurationSchema,
   router: RouterSettingsSchema,
   keeper: KeeperSettingsSchema,
+  gateway: GatewaySettingsSchema,
   'command-line': CommandLineSettingsSchema,
 };
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -14,13 +14,14 @@
 import {EndpointConnections} from './endpoint-connections.js';
 import {EndpointDirectory} from './endpoint-directory.js';
 import {GatewayMetrics} from './gateway-metrics.js';
+import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
 import {ConnectLoanPeers} from './loan-peers.js';
 import {LoanServer} from './loan-server.js';
 import {RequestHandler} from './request-handler.js';
 import {UndeliveredCharge} from './request-record.js';
-import {GatewayStatus, StatusServer} from './status-server.js';
+import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
 
 /** What a gateway needs from outside. */
@@ -51,13 +52,9 @@
 const NOTICE_MILLISECONDS = 2_600;
 
 /** The program of an entry host. */
-export class Gateway
-  extends GatewayStatus
-  implements RunningBinary<GatewaySettings>
-{
-  private readonly budgetHealth: StoreHealth;
-  private readonly endpointHealth: StoreHealth;
-  private readonly configurationHealth: StoreHealth;
+export class Gateway implements RunningBinary<GatewaySettings> {
+  private readonly health: TopicHealth;
+  private readonly state: GatewayState;
   private readonly configuration: ConfigurationState;
   private readonly directory: EndpointDirectory;
   private readonly budgets: BudgetHolder;
@@ -69,14 +66,14 @@
   private readonly connections = new EndpointConnections();
   private readonly metrics = new GatewayMetrics();
   private lender: LoanServer | undefined;
-  private isStopping = false;
 
   constructor(private readonly parts: GatewayParts) {
-    super();
     const {settings, names, dialect, log, clock, events} = parts;
-    this.budgetHealth = new StoreHealth('budgets', events);
-    this.endpointHealth = new StoreHealth('endpoints', events);
-    this.configurationHealth = new StoreHealth('configuration', events);
+    this.health = {
+      budgets: new StoreHealth('budgets', events),
+      endpoints: new StoreHealth('endpoints', events),
+      configuration: new StoreHealth('configuration', events),
+    };
     this.configuration = new ConfigurationState(
       names.configurationKey,
       dialect,
@@ -84,7 +81,7 @@
     );
     this.directory = new EndpointDirectory(
       dialect,
-      this.budgetHealth,
+      this.health.budgets,
       clock,
       events,
     );
@@ -92,7 +89,16 @@
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
     this.callers = new CallerServer(dialect, this.handler, clock, events);
-    this.status = new StatusServer(names.readyPath, this, this.metrics);
+    this.state = new GatewayState(
+      this.configuration,
+      this.directory,
+      this.budgets,
+      this.callers,
+      this.health,
+      this.metrics,
+      clock,
+    );
+    this.status = new StatusServer(names.readyPath, this.state, this.metrics);
     this.followers = this.createFollowers();
     this.configuration.onChange(configuration => {
       this.budgets.configure(configuration);
@@ -148,7 +154,7 @@
     const giveUp = new AbortController();
     const limit = settings.stopGraceSeconds * 1_000 * STOP_PART_OF_GRACE;
     const deadline = clock.sleep(limit, giveUp.signal);
-    this.isStopping = true;
+    this.state.beginStop();
     this.callers.beginStop();
     this.handler.stopAt(clock.monotonicMilliseconds() + limit);
     events.info('stopping', {requests: this.callers.openRequests});
@@ -177,6 +183,16 @@
     this.parts.log.close();
   }
 
+  /** Whether it takes callers. */
+  isReady(): boolean {
+    return this.state.isReady();
+  }
+
+  /** Its state, for people. */
+  dump(): JsonValue {
+    return this.state.dump();
+  }
+
   /** Port that callers use; the settings may leave the choice to the system. */
   get callerPort(): number {
     return this.callers.port;
@@ -192,68 +208,6 @@
     this.parts.events.info('settings read again', {host: settings.host});
   }
 
-  override isReady(): boolean {
-    return (
-      !this.isStopping &&
-      this.budgets.isReady &&
-      this.configuration.current !== undefined &&
-      this.directory.all.length > 0
-    );
-  }
-
-  override dump(): JsonValue {
-    const now = this.parts.clock.monotonicMilliseconds();
-    const configuration = this.configuration.current;
-    return {
-      ready: this.isReady(),
-      stopping: this.isStopping,
-      configuration: configuration?.version ?? null,
-      away: {
-        budgets: this.budgetHealth.isAway,
-        endpoints: this.endpointHealth.isAway,
-        configuration: this.configurationHealth.isAway,
-      },
-      budgetAnswerAgeMilliseconds: Math.round(this.budgetHealth.answerAge(now)),
-      configurationAnswerAgeMilliseconds: Math.round(
-        this.configurationHealth.answerAge(now),
-      ),
-      openRequests: this.callers.openRequests,
-      endpoints: this.directory.all.map(({entry, load, trust}) => ({
-        id: entry.id,
-        service: entry.service,
-        leaving: entry.isLeaving,
-        load,
-        trusted: trust.isTrusted(now),
-        failedShare: trust.failedShare,
-      })),
-      budgets: Object.fromEntries(
-        (configuration?.organisations ?? []).map(({name}) => [
-          name,
-          this.budgets.describe(name) ?? null,
-        ]),
-      ),
-    };
-  }
-
-  override refresh(): void {
-    const now = this.parts.clock.monotonicMilliseconds();
-    this.metrics.state('open_requests', this.callers.openRequests);
-    this.metrics.state('ready', this.isReady() ? 1 : 0);
-    for (const [topic, health] of [
-      ['budgets', this.budgetHealth],
-      ['endpoints', this.endpointHealth],
-      ['configuration', this.configurationHealth],
-    ] as const) {
-      this.metrics.state(`${topic}_away`, health.isAway ? 1 : 0);
-      this.metrics.state(`${topic}_answer_age_ms`, health.answerAge(now));
-    }
-    this.metrics.state('endpoints', this.directory.all.length);
-    this.metrics.state('budget_holders', this.budgets.holders);
-    this.metrics.state('resident_bytes', process.memoryUsage.rss());
-    const version = this.configuration.current?.version ?? -1;
-    this.metrics.state('configuration_version', version);
-  }
-
   private createBudgets(): BudgetHolder {
     const {settings, log, clock, random, events} = this.parts;
     const replica = new BudgetReplica(
@@ -271,7 +225,7 @@
       new BudgetJournal(identity, replica, log, events),
       replica,
       new ConnectLoanPeers(),
-      this.budgetHealth,
+      this.health.budgets,
       clock,
       events,
       new DemandSizing({
@@ -287,7 +241,7 @@
     return new RequestHandler(
       this.configuration,
       this.budgets,
-      this.budgetHealth,
+      this.health.budgets,
       this.bills,
       {
         dialect,
@@ -317,7 +271,7 @@
           waitMilliseconds: CONFIGURATION_WAIT_MILLISECONDS,
           pauseMilliseconds: 0,
         },
-        this.configurationHealth,
+        this.health.configuration,
         clock,
         events,
       ),
@@ -329,7 +283,7 @@
           waitMilliseconds: 0,
           pauseMilliseconds: ENDPOINT_PAUSE_MILLISECONDS,
         },
-        this.endpointHealth,
+        this.health.endpoints,
         clock,
         events,
       ),
--- a/packages/gateway/src/loan-server.ts
+++ b/packages/gateway/src/loan-server.ts
@@ -6,6 +6,12 @@
 import type {ListenAddress} from './caller-server.js';
 import type {LoanHolder} from './loan-peers.js';
 
+/**
+ * Idle connections are kept so long: a call that crosses the close of one loses its
+ * answer, and the lender is passed over for two seconds.
+ */
+const IDLE_MILLISECONDS = 60_000;
+
 /**
  * Where other holders ask for loans and leave what they have at their end. It speaks
  * HTTP/1.1, as `ConnectLoanPeers` says why.
@@ -33,6 +39,7 @@
     const server = createServer((request, response) => {
       routes(request, response);
     });
+    server.keepAliveTimeout = IDLE_MILLISECONDS;
     await new Promise<void>((resolve, reject) => {
       server.once('error', reject);
       server.listen(at.port, at.address, () => {
