Wait for a slow store that has enough, and name the store when it is silent

The same way a store that answers in 0.3 s had requests refused as soon as other hosts had nothing to lend, although the grant was on its way. Change: where the log is known to have enough and has not answered, its answer is waited for (0.4 s at the most), and the refusal then names the store. Test first: refused after 0.15 s, now served; a silent store was `held elsewhere`.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -152,7 +152,9 @@
     if (budget.isExhausted(this.replica.fold.view(organisation), bound)) {
       return {refusal: BudgetRefusal.Exhausted};
     }
-    const result = budget.reserveLater(bound, WAIT_MILLISECONDS);
+    const result = budget.reserveLater(bound, WAIT_MILLISECONDS, () =>
+      this.refusalOfLate(budget, bound),
+    );
     this.wake.abort();
     const patience = this.health.isAway ? 0 : BORROW_AFTER_MILLISECONDS;
     const timer = setTimeout(() => void this.borrower.borrow(budget), patience);
@@ -324,7 +326,9 @@
     budget: OrganisationBudget,
     least: number,
   ): Promise<void> {
-    const fetched = budget.reserveLater(least, FETCH_MILLISECONDS);
+    const fetched = budget.reserveLater(least, FETCH_MILLISECONDS, () =>
+      this.refusalOfLate(budget, least),
+    );
     this.wake.abort();
     const result = await fetched;
     if ('reservation' in result) {
@@ -332,6 +336,21 @@
     }
   }
 
+  /**
+   * Why a request got no tokens in time. Load: a data centre is cut off, and calls to
+   * the store have not given up yet. Harm of naming others' hands while the log is
+   * known to have enough: callers come back after 0.6 s, into the same outage.
+   */
+  private refusalOfLate(
+    budget: OrganisationBudget,
+    bound: number,
+  ): BudgetRefusal {
+    const view = this.replica.fold.view(budget.name);
+    return this.health.isAway || budget.awaitsLog(view, bound)
+      ? BudgetRefusal.StoreAway
+      : BudgetRefusal.HeldElsewhere;
+  }
+
   private noteOpening(): void {
     if (this.hasOpened || !this.journal.isOpen) {
       return;
--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -42,7 +42,8 @@
 
   /**
    * Asks the holders that have most, a few at once. What still waits then is
-   * refused: all while the store is away, else the first.
+   * refused: all while the store is away, else the first. Where the log has enough and
+   * has not answered, its answer is waited for: a slow store takes 0.3 s and more.
    */
   async borrow(budget: OrganisationBudget): Promise<void> {
     if (budget.isBorrowing) {
@@ -54,9 +55,10 @@
     } finally {
       budget.isBorrowing = false;
     }
+    const view = this.replica.fold.view(budget.name);
     if (this.health.isAway) {
       budget.refuseAll(BudgetRefusal.StoreAway);
-    } else {
+    } else if (!budget.awaitsLog(view, budget.firstBound)) {
       budget.refuseFirst(BudgetRefusal.HeldElsewhere);
     }
   }
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -75,15 +75,20 @@
       : undefined;
   }
 
-  /** Waits until tokens come, or `limitMilliseconds` are over. */
+  /**
+   * Waits until tokens come, or `limitMilliseconds` are over.
+   *
+   * @param refusal Says then why there are none.
+   */
   reserveLater(
     bound: number,
     limitMilliseconds: number,
+    refusal: () => BudgetRefusal,
   ): Promise<ReserveResult> {
     return new Promise(resolve => {
       const entry: Waiting = {bound, resolve, timer: undefined};
       entry.timer = setTimeout(() => {
-        this.refuse(entry, BudgetRefusal.HeldElsewhere);
+        this.refuse(entry, refusal());
       }, limitMilliseconds);
       this.waiting.push(entry);
     });
@@ -129,6 +134,11 @@
     return prepaid - (view?.spent ?? 0) - untold < bound;
   }
 
+  /** Whether the log has enough for a request: only its answer is missing. */
+  awaitsLog(view: BudgetView | undefined, bound: number): boolean {
+    return this.isAsking && (view?.unallocated ?? 0) >= bound;
+  }
+
   private reserve(bound: number): boolean {
     return this.account.reserve(bound, this.clock.monotonicMilliseconds());
   }
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -1,6 +1,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
+import {BudgetRefusal} from '../organisation-budget.js';
 import {BUDGET_PARTITION} from '../budget-topics.js';
 import {HolderFleet, SCHOOL, until} from './holder-fleet.js';
 
@@ -78,6 +79,21 @@
     expect(spent).toBeGreaterThan(0.9 * PREPAID);
   });
 
+  it('waits for a slow store that has enough, and says so when it is silent', async () => {
+    // The caller is served, half a second later than usual. The store takes 0.3 s to
+    // answer, as it does on slow days; the other hosts have nothing to lend. A store
+    // that says nothing at all is named as the reason, and not others' hands.
+    const holder = await fleet.start('one');
+    await fleet.start('two');
+    await until(() => available(holder) > 0);
+    fleet.log.faults.answerAfterMilliseconds = 150;
+    expect(await use(holder, 40_000)).toBe(true);
+    fleet.log.faults.answerAfterMilliseconds = 1_000;
+    expect(await holder.reserve(SCHOOL, 30_000)).toEqual({
+      refusal: BudgetRefusal.StoreAway,
+    });
+  });
+
   it('leaves a successor few records to read', async () => {
     // The callers of a host that was killed are served a quarter of a second sooner.
     // Its successor reads the log from the newest checkpoint; holders write one in
--- a/packages/stand-ins/src/testing/memory-partitioned-log.ts
+++ b/packages/stand-ins/src/testing/memory-partitioned-log.ts
@@ -15,6 +15,8 @@
   isAway: boolean;
   /** Every call for these topics fails and does nothing. */
   readonly awayTopics: Set<string>;
+  /** Every call takes effect and is answered so much later. */
+  answerAfterMilliseconds: number;
   /** The next appends, so many, take effect and answer with an unknown fate. */
   loseAnswers: number;
   /** The next appends, so many, are kept aside and answer with an unknown fate. */
@@ -33,6 +35,7 @@
   readonly faults: PartitionedLogFaults = {
     isAway: false,
     awayTopics: new Set(),
+    answerAfterMilliseconds: 0,
     loseAnswers: 0,
     delayAppends: 0,
   };
@@ -174,7 +177,14 @@
           ) {
             throw failure(step, partition, Fate.NotDone);
           }
-          resolve(call());
+          const value = call();
+          if (this.faults.answerAfterMilliseconds === 0) {
+            resolve(value);
+            return;
+          }
+          setTimeout(() => {
+            resolve(value);
+          }, this.faults.answerAfterMilliseconds);
         } catch (error) {
           reject(error instanceof Error ? error : new Error(String(error)));
         }
