--- a/packages/gateway/src/budget-answer.ts
+++ b/packages/gateway/src/budget-answer.ts
@@ -11,6 +11,7 @@
  */
 const SHORTEST_STORE_RETRY_MILLISECONDS = 1_000;
 const LONGEST_STORE_RETRY_MILLISECONDS = 5_000;
+
 /**
  * What a caller is told whose request got no reservation.
  *
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -17,6 +17,7 @@
  * in a day in place of 5,900, each with the same answer.
  */
 const DENIED_MILLISECONDS = 250;
+
 /** Decides what is asked of the log for each organisation, and takes its verdicts. */
 export class GrantPlanner {
   constructor(
--- a/packages/gateway/src/stream-patience.ts
+++ b/packages/gateway/src/stream-patience.ts
@@ -15,6 +15,7 @@
 const NEXT_SILENCE_PAUSES = 3;
 /** Silence shorter than this is no reason to move a stream, milliseconds. */
 const SHORTEST_SILENCE_MILLISECONDS = 900;
+
 /** Bears an endpoint's silence as long as it makes sense, and learns from it. */
 export class StreamPatience {
   constructor(
--- a/packages/measurements/src/cases/demo-case.ts
+++ b/packages/measurements/src/cases/demo-case.ts
@@ -1,6 +1,7 @@
 import {FleetCase, type CaseFields} from '../fleet-case.js';
 import {SMALL_FLEET} from '../fleet-plan.js';
 import type {FleetRun, FleetRunOptions} from '../fleet-run.js';
+import {failureLoad} from './failure-load.js';
 
 const REQUESTS = 600;
 const CONCURRENCY = 24;
@@ -15,16 +16,16 @@
     'no fault; 600 requests of 5 organisations, one of which runs out of budget';
 
   protected override options(seed: number): FleetRunOptions {
-    return {
-      plan: {...SMALL_FLEET, seed},
-      keyedShare: KEYED_SHARE,
-      load: {
+    return failureLoad(
+      {...SMALL_FLEET, seed},
+      {
+        keyedShare: KEYED_SHARE,
         concurrency: CONCURRENCY,
         mostAttempts: MOST_ATTEMPTS,
         repeatShare: REPEAT_SHARE,
         pauseMilliseconds: 0,
       },
-    };
+    );
   }
 
   protected override async act(run: FleetRun): Promise<CaseFields> {
--- a/packages/measurements/src/cases/leaving-endpoint-case.ts
+++ b/packages/measurements/src/cases/leaving-endpoint-case.ts
@@ -5,6 +5,7 @@
 import type {FleetRun, FleetRunOptions} from '../fleet-run.js';
 import type {RunningEndpoint} from '../fleet.js';
 import {pause} from '../waiting.js';
+import {failureLoad} from './failure-load.js';
 
 const CONCURRENCY = 24;
 const MOST_ATTEMPTS = 5;
@@ -36,16 +37,16 @@
     'an engine is listed as leaving under 24 callers; list lag 0.2 s';
 
   protected override options(seed: number): FleetRunOptions {
-    return {
-      plan: {...SMALL_FLEET, seed},
-      keyedShare: KEYED_SHARE,
-      load: {
+    return failureLoad(
+      {...SMALL_FLEET, seed},
+      {
+        keyedShare: KEYED_SHARE,
         concurrency: CONCURRENCY,
         mostAttempts: MOST_ATTEMPTS,
         repeatShare: REPEAT_SHARE,
         pauseMilliseconds: PAUSE_MILLISECONDS,
       },
-    };
+    );
   }
 
   protected override async act(run: FleetRun): Promise<CaseFields> {
--- a/packages/measurements/src/cases/retry-storm-case.ts
+++ b/packages/measurements/src/cases/retry-storm-case.ts
@@ -1,8 +1,8 @@
 import {ResultKind} from '../caller-result.js';
 import {FleetCase, type CaseFields} from '../fleet-case.js';
-import {SMALL_FLEET} from '../fleet-plan.js';
 import type {FleetRun, FleetRunOptions} from '../fleet-run.js';
 import {pause} from '../waiting.js';
+import {failureLoad, slowFleet} from './failure-load.js';
 
 const REQUESTS = 500;
 const CONCURRENCY = 48;
@@ -29,23 +29,13 @@
 
   protected override options(seed: number): FleetRunOptions {
     this.wholeHost = seed % 2 === 0;
-    return {
-      plan: {
-        ...SMALL_FLEET,
-        engine: {
-          ...SMALL_FLEET.engine,
-          millisecondsPerToken: MILLISECONDS_PER_TOKEN,
-        },
-        seed,
-      },
+    return failureLoad(slowFleet(seed, MILLISECONDS_PER_TOKEN), {
       keyedShare: KEYED_SHARE,
-      load: {
-        concurrency: CONCURRENCY,
-        mostAttempts: MOST_ATTEMPTS,
-        repeatShare: REPEAT_SHARE,
-        pauseMilliseconds: 0,
-      },
-    };
+      concurrency: CONCURRENCY,
+      mostAttempts: MOST_ATTEMPTS,
+      repeatShare: REPEAT_SHARE,
+      pauseMilliseconds: 0,
+    });
   }
 
   protected override async act(run: FleetRun): Promise<CaseFields> {
--- a/packages/measurements/src/cases/rolling-replacement-case.ts
+++ b/packages/measurements/src/cases/rolling-replacement-case.ts
@@ -3,9 +3,9 @@
 import {ResultKind} from '../caller-result.js';
 import type {EntryHost} from '../entry-host.js';
 import {FleetCase, type CaseFields} from '../fleet-case.js';
-import {SMALL_FLEET} from '../fleet-plan.js';
 import type {FleetRun, FleetRunOptions} from '../fleet-run.js';
 import {pause} from '../waiting.js';
+import {failureLoad, slowFleet} from './failure-load.js';
 
 const CONCURRENCY = 24;
 const MOST_ATTEMPTS = 10;
@@ -28,23 +28,13 @@
     'every entry host replaced in turn by SIGTERM under 24 callers; keeper times scaled to a tenth';
 
   protected override options(seed: number): FleetRunOptions {
-    return {
-      plan: {
-        ...SMALL_FLEET,
-        engine: {
-          ...SMALL_FLEET.engine,
-          millisecondsPerToken: MILLISECONDS_PER_TOKEN,
-        },
-        seed,
-      },
+    return failureLoad(slowFleet(seed, MILLISECONDS_PER_TOKEN), {
       keyedShare: KEYED_SHARE,
-      load: {
-        concurrency: CONCURRENCY,
-        mostAttempts: MOST_ATTEMPTS,
-        repeatShare: REPEAT_SHARE,
-        pauseMilliseconds: PAUSE_MILLISECONDS,
-      },
-    };
+      concurrency: CONCURRENCY,
+      mostAttempts: MOST_ATTEMPTS,
+      repeatShare: REPEAT_SHARE,
+      pauseMilliseconds: PAUSE_MILLISECONDS,
+    });
   }
 
   protected override async act(run: FleetRun): Promise<CaseFields> {
