Send nothing to endpoints for callers that left before their request was read

Request and close wait in the connection; the request was read, dispatched at once, and the close seen 0.15 s later. Ruled out: budgets (the requests are plain), a frozen host (it was not), late timers. Change: two turns of the event loop pass between reading a request and deciding on it, so that a close behind it is seen.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -8,6 +8,10 @@
 /** A colon and a space behind a name; a line end behind a value. */
 const SEPARATOR_BYTES = 2;
 
+function turnOfEventLoop(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
 /** The caller sent a longer body than the limits allow. */
 export class BodyTooLargeError extends Error {
   override readonly name: string = 'BodyTooLargeError';
@@ -74,6 +78,20 @@
     return this.response.headersSent;
   }
 
+  /**
+   * Lets a close be read that stands behind the request. Load: callers of one
+   * organisation send six times their usual to a host, which reads requests over a
+   * second late. Harm without it: 43 requests of a day went to endpoints after their
+   * callers had given up, and kept the host busy for nothing.
+   *
+   * The system tells of a close in the turn of the event loop after the one that
+   * read the request; the second turn from here comes after it.
+   */
+  async closeSeen(): Promise<void> {
+    await turnOfEventLoop();
+    await turnOfEventLoop();
+  }
+
   /**
    * Reads the whole body.
    *
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -112,6 +112,11 @@
       return failed(431, OwnReason.HeadersTooLarge);
     }
     const body = await caller.readBody(configuration.limits.bodyBytes);
+    await caller.closeSeen();
+    if (caller.leaving.aborted) {
+      record.outcome = 'caller-left';
+      return undefined;
+    }
     // A version may have come into force while the body was read.
     const inForce = this.configuration.current ?? configuration;
     const admitted = admit(caller, inForce);
