See a caller's leaving by the end of its connection, not by the response's close

Change: the connection's end counts at once; the listener goes with the response. The test waited for one log line a caller; a connection that is reset before it is read gives none. It now sends a request behind them and counts what reached the engine: one.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -39,7 +39,14 @@
       // end the process.
       this.left.abort();
     });
+    const {socket} = request;
+    const onEnd = () => {
+      // The response closes some turns of the event loop later.
+      this.left.abort();
+    };
+    socket.once('end', onEnd);
     response.once('close', () => {
+      socket.off('end', onEnd);
       if (!response.writableFinished) {
         this.left.abort();
       }
