--- a/packages/gateway/src/service-states.ts
+++ b/packages/gateway/src/service-states.ts
@@ -29,9 +29,12 @@
     return state;
   }
 
-  /** Takes new bounds on resends; what was seen is forgotten with the old. */
+  /** Takes new bounds on resends; what was resent is forgotten with the old. */
   limitResends(limits: ResendLimits): void {
     this.limits = limits;
-    this.states.clear();
+    for (const [service, state] of this.states) {
+      const resends = new ResendBudget(limits);
+      this.states.set(service, {...state, resends});
+    }
   }
 }
