Say in one place which holders are silent

Cause: the filter of silent holders and the note of one stood twice in `GrantBorrower`, and a holder that was silent when a stopping process asked it was logged and not noted. Change: `isSpeaking` and `noteSilent` serve borrowing and handing over. The process ends after the latter, so that nothing else changes. Tests of the gateway pass as they were.

--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -119,30 +119,41 @@
       });
       return true;
     } catch (error) {
-      this.events.warn('lender silent', {
-        lender: address,
-        reason: String(error),
-      });
+      this.noteSilent(address, '', error);
       return false;
     }
   }
 
   /** Other holders, without those that were silent lately. */
   private otherHolders(): readonly string[] {
-    const now = this.clock.monotonicMilliseconds();
     return [...this.replica.fold.holders.values()]
       .filter(({incarnation}) => incarnation !== this.journal.incarnation)
       .map(({address}) => address)
-      .filter(address => (this.silentLenders.get(address) ?? 0) <= now);
+      .filter(address => this.isSpeaking(address));
   }
 
-  private async borrowFromSome(budget: OrganisationBudget): Promise<void> {
+  private isSpeaking(address: string): boolean {
     const now = this.clock.monotonicMilliseconds();
+    return (this.silentLenders.get(address) ?? 0) <= now;
+  }
+
+  private noteSilent(address: string, loan: string, error: unknown): void {
+    const until =
+      this.clock.monotonicMilliseconds() + LENDER_PAUSE_MILLISECONDS;
+    this.silentLenders.set(address, until);
+    this.events.warn('lender silent', {
+      lender: address,
+      loan,
+      reason: String(error),
+    });
+  }
+
+  private async borrowFromSome(budget: OrganisationBudget): Promise<void> {
     const lenders = lendersOf(
       this.replica.fold,
       budget.name,
       this.journal.incarnation,
-    ).filter(({address}) => (this.silentLenders.get(address) ?? 0) <= now);
+    ).filter(({address}) => this.isSpeaking(address));
     const most = Math.min(MOST_LENDERS, lenders.length);
     for (let asked = 0; asked < most; asked += LENDERS_AT_ONCE) {
       if (budget.waitingRequests === 0) {
@@ -192,14 +203,7 @@
     loan: string,
     error: unknown,
   ): void {
-    const until =
-      this.clock.monotonicMilliseconds() + LENDER_PAUSE_MILLISECONDS;
-    this.silentLenders.set(address, until);
-    this.events.warn('lender silent', {
-      lender: address,
-      loan,
-      reason: String(error),
-    });
+    this.noteSilent(address, loan, error);
     const found = this.unanswered.lost(loan);
     if (found > 0) {
       this.credit(budget, loan, found);
