Take a request's tokens when its answer is there, not before the dispatch

Cause: what a process held counts as spent when it dies, and most of what was lost with all hosts were the bounds of requests in flight that had delivered nothing. Ruled out: membership with a time limit at the store, heartbeats of endpoints as a clock: both pause while the store is down, so that neither tells a cut from a sudden death. An answer that is ready waits for tokens before new requests do, until its deadline or its caller's leaving. While the store is away or late, and near a budget's end, tokens are taken before the dispatch as before. Each process logs what its predecessor's grants were and held.

--- a/packages/budgets/src/budget-fold.ts
+++ b/packages/budgets/src/budget-fold.ts
@@ -11,8 +11,10 @@
   pooledShare,
   pooledTokens,
   type BudgetView,
+  type ClosedGrant,
   type FoldOutcome,
   type GrantVerdict,
+  type HolderOpening,
   type RecordedLoan,
 } from './budget-view.js';
 
@@ -90,8 +92,7 @@
     }
     const {change} = record;
     if (change.case === 'opened') {
-      this.open(record, change.value);
-      return undefined;
+      return this.open(record, change.value);
     }
     const holder = this.holders.get(record.incarnation);
     if (holder === undefined || record.sequence <= holder.lastSequence) {
@@ -138,18 +139,22 @@
     };
   }
 
-  private open(record: BudgetRecord, opened: HolderOpened): void {
+  private open(
+    record: BudgetRecord,
+    opened: HolderOpened,
+  ): HolderOpening | undefined {
     const {incarnation, sequence} = record;
     const {host, address} = opened;
     if (
       this.holders.has(incarnation) ||
       this.closedIncarnations.has(incarnation)
     ) {
-      return;
+      return undefined;
     }
+    const closed: ClosedGrant[] = [];
     for (const holder of this.holders.values()) {
       if (holder.host === host) {
-        this.close(holder);
+        closed.push(...this.close(holder));
       }
     }
     this.holders.set(incarnation, {
@@ -159,11 +164,18 @@
       lastSequence: sequence,
       grants: new Map(),
     });
+    return {kind: 'opening', incarnation, closed};
   }
 
-  private close(holder: FoldedHolder): void {
+  private close(holder: FoldedHolder): readonly ClosedGrant[] {
+    const closed: ClosedGrant[] = [];
     for (const [organisation, grant] of holder.grants) {
       this.organisation(organisation).closedCharge += grant.outstanding;
+      closed.push({
+        organisation,
+        charged: grant.outstanding,
+        lastHeld: grant.held,
+      });
     }
     this.holders.delete(holder.incarnation);
     this.closedIncarnations.add(holder.incarnation);
@@ -174,6 +186,7 @@
     ) {
       this.closedIncarnations.delete(oldest);
     }
+    return closed;
   }
 
   private takeBack(holder: FoldedHolder, returned: GrantReturned): void {
--- a/packages/budgets/src/budget-view.ts
+++ b/packages/budgets/src/budget-view.ts
@@ -33,8 +33,24 @@
   readonly amount: number;
 }
 
+/** A grant of an ended process, which counts as spent from now on. */
+export interface ClosedGrant {
+  readonly organisation: string;
+  /** Granted or borrowed, and not returned or lent. */
+  readonly charged: number;
+  /** What of it the process last said that it had not spent. */
+  readonly lastHeld: number;
+}
+
+/** A process was opened; those that were open on its host are closed. */
+export interface HolderOpening {
+  readonly kind: 'opening';
+  readonly incarnation: string;
+  readonly closed: readonly ClosedGrant[];
+}
+
 /** What a record says to one process. */
-export type FoldOutcome = GrantVerdict | RecordedLoan;
+export type FoldOutcome = GrantVerdict | RecordedLoan | HolderOpening;
 
 /**
  * What all holders together keep in hand, unless requests wait. It shrinks faster
--- a/packages/budgets/src/grant-account.ts
+++ b/packages/budgets/src/grant-account.ts
@@ -9,21 +9,16 @@
 /** Requests over which the usual bound is averaged; sizes differ twentyfold. */
 const MEAN_REQUESTS = 8;
 
-/** Tokens put aside for one request until it is known what it used. */
-export interface Reservation {
-  readonly organisation: string;
-  /** The most that the request can use. */
-  readonly bound: number;
-}
-
 /**
  * A process's own account of what it holds of one organisation's budget.
  *
  * `granted + borrowed = available + reserved + spent + returned + lent` at all times; tokens are
- * taken off `available` before anything is sent or returned.
+ * taken off `available` before anything is delivered, sent or returned. Promised
+ * tokens are no part of that sum.
  */
 export class GrantAccount {
   private availableTokens = 0;
+  private promisedTokens = 0;
   private reservedTokens = 0;
   private spentTokens = 0;
   private meanBound = 0;
@@ -34,6 +29,16 @@
     return this.availableTokens;
   }
 
+  /** Bounds of requests that run and whose tokens were not taken yet. */
+  get promised(): number {
+    return this.promisedTokens;
+  }
+
+  /** Tokens that are left once all promises are kept from here; may be negative. */
+  get unpromised(): number {
+    return this.availableTokens - this.promisedTokens;
+  }
+
   /** Tokens of requests that have not ended. */
   get reserved(): number {
     return this.reservedTokens;
@@ -76,16 +81,33 @@
 
   /** Puts a request's bound aside; false where there isn't enough. */
   reserve(bound: number, now: number): boolean {
-    if (bound > this.availableTokens) {
+    if (!this.setAside(bound)) {
       return false;
     }
-    this.availableTokens -= bound;
-    this.reservedTokens += bound;
-    this.learn(bound);
-    this.rate.add(bound, now);
+    this.learn(bound, now);
+    return true;
+  }
+
+  /** A request of this bound begins; nothing is taken until it delivers. */
+  promise(bound: number, now: number): void {
+    this.promisedTokens += bound;
+    this.learn(bound, now);
+  }
+
+  /** Puts a promised bound aside, before anything is delivered; false as above. */
+  keepPromise(bound: number): boolean {
+    if (!this.setAside(bound)) {
+      return false;
+    }
+    this.promisedTokens -= bound;
     return true;
   }
 
+  /** A promised request ends, and nothing of it was delivered. */
+  dropPromise(bound: number): void {
+    this.promisedTokens -= bound;
+  }
+
   /**
    * Ends a reservation. Use beyond the bound can't come from an endpoint that
    * keeps the limit it was told; it is charged to what is available.
@@ -96,7 +118,17 @@
     this.spentTokens += used;
   }
 
-  private learn(bound: number): void {
+  private setAside(bound: number): boolean {
+    if (bound > this.availableTokens) {
+      return false;
+    }
+    this.availableTokens -= bound;
+    this.reservedTokens += bound;
+    return true;
+  }
+
+  private learn(bound: number, now: number): void {
+    this.rate.add(bound, now);
     this.meanBound =
       this.meanBound === 0
         ? bound
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -8,4 +8,5 @@
 export * from './grant-account.js';
 export * from './grant-sizing.js';
 export * from './loans.js';
+export * from './reservation.js';
 export * from './unanswered-loans.js';
--- a/packages/budgets/src/loans.ts
+++ b/packages/budgets/src/loans.ts
@@ -36,6 +36,7 @@
  * How much of an account is lent: half at most, unless the one request that waits
  * at the borrower needs more. An account that can't cover that request lends all:
  * pieces that are too small everywhere serve nobody, and together they serve one.
+ * What its own requests were promised is not lent.
  */
 export function loanFor(
   account: GrantAccount,
@@ -45,9 +46,10 @@
   if (least <= 0) {
     return 0;
   }
-  if (account.available < least) {
-    return account.available;
+  const spare = Math.max(0, account.unpromised);
+  if (spare < least) {
+    return spare;
   }
-  const half = Math.floor(account.available / KEPT_PART);
+  const half = Math.floor(spare / KEPT_PART);
   return Math.max(least, Math.min(wish, half));
 }
--- a/packages/budgets/src/test/budget-fold_test.ts
+++ b/packages/budgets/src/test/budget-fold_test.ts
@@ -17,6 +17,15 @@
   fc.tuple(host, tokens).map(([at, bound]) => (fleet: FleetModel) => {
     fleet.begin(at, bound);
   }),
+  fc.tuple(host, tokens).map(([at, bound]) => (fleet: FleetModel) => {
+    fleet.promise(at, bound);
+  }),
+  host.map(at => (fleet: FleetModel) => {
+    fleet.deliver(at);
+  }),
+  host.map(at => (fleet: FleetModel) => {
+    fleet.dropPromise(at);
+  }),
   fc
     .tuple(host, fc.constantFrom(0, 0.3, 1))
     .map(([at, part]) => (fleet: FleetModel) => {
@@ -116,6 +125,23 @@
     });
   });
 
+  it('charges nothing for requests that had delivered nothing', () => {
+    // The caller sees: after all hosts lost power at once, the rest of its budget is
+    // still there. Each host runs a long prompt whose first event has not come; their
+    // promises stand in no record, and the successors find the budget whole.
+    const fleet = new FleetModel(4, 100_000);
+    for (let at = 0; at < 4; at++) {
+      fleet.ask(at, 1, 1, true);
+      fleet.promise(at, 12_000);
+      fleet.write(at);
+    }
+    for (let at = 0; at < 4; at++) {
+      fleet.restart(at);
+      fleet.write(at);
+    }
+    expect(fleet.fold.view('school')).toMatchObject({unallocated: 99_996});
+  });
+
   it('does not open a dead process again when its first record comes late', () => {
     // The caller sees nothing. The store executes an append seconds late: the first
     // record of a process that has died since. Opening it would close its successor,
--- a/packages/budgets/src/test/fleet-model.ts
+++ b/packages/budgets/src/test/fleet-model.ts
@@ -19,6 +19,8 @@
   account: GrantAccount;
   unwritten: BudgetRecord[];
   open: number[];
+  /** Bounds of requests that run and deliver nothing yet. */
+  promised: number[];
   unanswered: UnansweredLoans;
 }
 
@@ -87,6 +89,32 @@
     }
   }
 
+  /** A request begins whose tokens are taken when its answer is there. */
+  promise(host: number, bound: number): void {
+    const {account, promised} = this.at(host);
+    account.promise(bound, 0);
+    promised.push(bound);
+  }
+
+  /** The answer to the newest such request is there. */
+  deliver(host: number): void {
+    const {account, open, promised} = this.at(host);
+    const bound = promised.at(-1);
+    if (bound !== undefined && account.keepPromise(bound)) {
+      promised.pop();
+      open.push(bound);
+    }
+  }
+
+  /** The newest such request ends without an answer. */
+  dropPromise(host: number): void {
+    const {account, promised} = this.at(host);
+    const bound = promised.pop();
+    if (bound !== undefined) {
+      account.dropPromise(bound);
+    }
+  }
+
   /** A request ends, having used a part of its bound. */
   end(host: number, part: number): void {
     const {account, open} = this.at(host);
@@ -155,7 +183,10 @@
     }
   }
 
-  /** The process dies with all that it knew; its open requests may be used whole. */
+  /**
+   * The process dies with all that it knew. Open requests may be used whole; of those
+   * that were promised nothing was delivered.
+   */
   restart(host: number): void {
     const index = host % this.hosts.length;
     for (const bound of this.at(host).open) {
@@ -191,6 +222,7 @@
       account: new GrantAccount(),
       unwritten: [],
       open: [],
+      promised: [],
       unanswered: new UnansweredLoans(),
     };
     this.add(host, {
@@ -218,7 +250,11 @@
     const host = this.hosts.find(
       ({incarnation}) => incarnation === outcome?.incarnation,
     );
-    if (outcome === undefined || host === undefined) {
+    if (
+      outcome === undefined ||
+      outcome.kind === 'opening' ||
+      host === undefined
+    ) {
       return;
     }
     host.account.credit(
--- a/packages/gateway/src/budget-answer.ts
+++ b/packages/gateway/src/budget-answer.ts
@@ -1,5 +1,5 @@
-import {BudgetRefusal} from './organisation-budget.js';
 import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
+import {BudgetRefusal} from './token-waiters.js';
 
 /** Without a budget's grant now, one is likely after about this long. */
 const BUDGET_RETRY_MILLISECONDS = 600;
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -1,5 +1,8 @@
 import {
+  ChargePoint,
+  chargePoint,
   loanFor,
+  type ClosedGrant,
   type FoldOutcome,
   type GrantSizing,
   type Reservation,
@@ -19,12 +22,9 @@
   LoanPeers,
   LoanRequest,
 } from './loan-peers.js';
-import {
-  BudgetRefusal,
-  OrganisationBudget,
-  type ReserveResult,
-} from './organisation-budget.js';
+import {OrganisationBudget, type ReserveResult} from './organisation-budget.js';
 import type {StoreHealth} from './store-health.js';
+import {BudgetRefusal} from './token-waiters.js';
 
 /** The log is read at least this often: others' grants decide what is left. */
 const POLL_MILLISECONDS = 700;
@@ -44,6 +44,19 @@
 /** A lender waits so long for the store; its borrower waits 120 ms for it. */
 const FETCH_MILLISECONDS = 70;
 
+/** How long an answer that is ready waits for its tokens. */
+export interface DeliveryLimit {
+  readonly milliseconds: number;
+  readonly signal: AbortSignal;
+}
+
+/** What became of a promise when its answer was ready. */
+export interface TakenReservation {
+  readonly reservation: Reservation;
+  /** Undefined where the answer may be passed on. */
+  readonly refusal: BudgetRefusal | undefined;
+}
+
 /**
  * Holds this process's grants: reservations are taken from them without a message.
  * One task keeps them filled through the log; while the store is away, holders that
@@ -116,11 +129,12 @@
       prepaid,
       configurationVersion,
       available: account.available,
+      promised: account.promised,
       reserved: account.reserved,
       spentHere: account.spent,
       unallocated: view?.unallocated ?? prepaid,
       spentKnown: view?.spent ?? 0,
-      waiting: budget.waitingRequests,
+      waiting: budget.waiters.count,
     };
   }
 
@@ -135,41 +149,81 @@
   }
 
   /**
-   * Puts the most that a request can use aside.
+   * Lets a request begin: puts the most that it can use aside, or promises it.
    *
-   * @returns At once where the grants cover it; else after the store's verdict or
-   *     a loan.
+   * @param mayPromise Whether a request of which nothing is delivered costs nothing.
+   * @returns At once where the grants or the log cover it; else after the store's
+   *     verdict or a loan.
    */
-  async reserve(organisation: string, bound: number): Promise<ReserveResult> {
+  async reserve(
+    organisation: string,
+    bound: number,
+    mayPromise: boolean,
+  ): Promise<ReserveResult> {
     const budget = this.budgets.get(organisation);
     if (budget === undefined || bound === 0) {
-      return {reservation: {organisation, bound: 0}};
+      return {reservation: unlimited(organisation)};
     }
-    const reservation = budget.reserveNow(bound);
+    const view = this.replica.fold.view(organisation);
+    const isLogAtHand = this.health.isAtHand(
+      this.clock.monotonicMilliseconds(),
+    );
+    const {account} = budget;
+    if (
+      mayPromise &&
+      chargePoint(account, view, bound, isLogAtHand) === ChargePoint.Delivery
+    ) {
+      return {reservation: budget.promise(bound)};
+    }
+    const reservation = budget.reserveNow(bound, !isLogAtHand);
     if (reservation !== undefined) {
       return {reservation};
     }
-    if (budget.isExhausted(this.replica.fold.view(organisation), bound)) {
+    if (budget.isExhausted(view, bound)) {
       return {refusal: BudgetRefusal.Exhausted};
     }
-    const result = budget.reserveLater(bound, WAIT_MILLISECONDS, () =>
-      this.refusalOfLate(budget, bound),
-    );
-    this.wake.abort();
-    const patience = this.health.isAway ? 0 : BORROW_AFTER_MILLISECONDS;
-    const timer = setTimeout(() => void this.borrower.borrow(budget), patience);
-    try {
-      return await result;
-    } finally {
-      clearTimeout(timer);
+    const result = budget.reserveLater(bound, {
+      milliseconds: WAIT_MILLISECONDS,
+      refusal: () => this.refusalOfLate(budget, bound),
+    });
+    return this.bring(budget, result);
+  }
+
+  /**
+   * Takes what was promised, before the first part of an answer is passed on: all
+   * that was delivered stands on the log as granted to this process.
+   *
+   * @returns The reservation that is left, and why its tokens are not taken.
+   */
+  async take(
+    reservation: Reservation,
+    limit: DeliveryLimit,
+  ): Promise<TakenReservation> {
+    const {organisation, bound} = reservation;
+    const budget = this.budgets.get(organisation);
+    if (
+      budget === undefined ||
+      reservation.chargePoint === ChargePoint.Dispatch
+    ) {
+      return {reservation, refusal: undefined};
     }
+    const taken = {...reservation, chargePoint: ChargePoint.Dispatch};
+    if (budget.keepPromiseNow(bound)) {
+      return {reservation: taken, refusal: undefined};
+    }
+    const result = budget.keepPromiseLater(bound, {
+      ...limit,
+      refusal: () => this.refusalOfLate(budget, bound),
+    });
+    const refusal = await this.bring(budget, result);
+    return {reservation: refusal === undefined ? taken : reservation, refusal};
   }
 
   /** Ends a reservation with what the request used. */
   settle(reservation: Reservation, used: number): void {
     const budget = this.budgets.get(reservation.organisation);
     if (budget !== undefined && reservation.bound > 0) {
-      budget.settle(reservation.bound, used);
+      budget.settle(reservation, used);
     }
   }
 
@@ -216,7 +270,7 @@
   }
 
   /** Takes what a process has left that stops while the store is away. */
-  take({giver, given}: Gift): boolean {
+  takeOver({giver, given}: Gift): boolean {
     if (this.isClosing || !this.hasOpened) {
       return false;
     }
@@ -304,6 +358,7 @@
   private async turn(): Promise<number> {
     try {
       this.plan();
+      this.health.called(this.clock.monotonicMilliseconds());
       const outcomes = await this.journal.exchange();
       this.health.answered(this.clock.monotonicMilliseconds());
       outcomes.forEach(outcome => {
@@ -326,9 +381,10 @@
     budget: OrganisationBudget,
     least: number,
   ): Promise<void> {
-    const fetched = budget.reserveLater(least, FETCH_MILLISECONDS, () =>
-      this.refusalOfLate(budget, least),
-    );
+    const fetched = budget.reserveLater(least, {
+      milliseconds: FETCH_MILLISECONDS,
+      refusal: () => this.refusalOfLate(budget, least),
+    });
     this.wake.abort();
     const result = await fetched;
     if ('reservation' in result) {
@@ -336,6 +392,21 @@
     }
   }
 
+  /** Wakes the exchange with the store, and asks other holders where it is late. */
+  private async bring<Result>(
+    budget: OrganisationBudget,
+    result: Promise<Result>,
+  ): Promise<Result> {
+    this.wake.abort();
+    const patience = this.health.isAway ? 0 : BORROW_AFTER_MILLISECONDS;
+    const timer = setTimeout(() => void this.borrower.borrow(budget), patience);
+    try {
+      return await result;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
   /**
    * Why a request got no tokens in time. Load: a data centre is cut off, and calls to
    * the store have not given up yet. Harm of naming others' hands while the log is
@@ -383,6 +454,10 @@
   }
 
   private takeOutcome(outcome: FoldOutcome): void {
+    if (outcome.kind === 'opening') {
+      this.logClosed(outcome.closed);
+      return;
+    }
     const budget = this.budgets.get(outcome.organisation);
     if (budget === undefined) {
       return;
@@ -394,10 +469,20 @@
     }
   }
 
+  /** What the process before this one on the host had, and took with it. */
+  private logClosed(closed: readonly ClosedGrant[]): void {
+    for (const {organisation, charged, lastHeld} of closed) {
+      this.events.info('grant of an ended process closed', {
+        organisation,
+        charged,
+        lastHeld,
+        ...this.describe(organisation),
+      });
+    }
+  }
+
   private hasWaiting(): boolean {
-    return [...this.budgets.values()].some(
-      ({waitingRequests}) => waitingRequests > 0,
-    );
+    return [...this.budgets.values()].some(({waiters}) => waiters.count > 0);
   }
 
   private rearm(): void {
@@ -406,3 +491,8 @@
     }
   }
 }
+
+/** Of an organisation without a budget, or a request without tokens. */
+function unlimited(organisation: string): Reservation {
+  return {organisation, bound: 0, chargePoint: ChargePoint.Dispatch};
+}
--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -9,8 +9,9 @@
 import type {BudgetJournal} from './budget-journal.js';
 import type {BudgetReplica} from './budget-replica.js';
 import type {GivenAmount, LoanPeers} from './loan-peers.js';
-import {BudgetRefusal, type OrganisationBudget} from './organisation-budget.js';
+import type {OrganisationBudget} from './organisation-budget.js';
 import type {StoreHealth} from './store-health.js';
+import {BudgetRefusal} from './token-waiters.js';
 
 /**
  * Lenders that are asked for one loan. Load: nine hosts hold a small budget in
@@ -57,9 +58,9 @@
     }
     const view = this.replica.fold.view(budget.name);
     if (this.health.isAway) {
-      budget.refuseAll(BudgetRefusal.StoreAway);
+      budget.waiters.refuseUndispatched(BudgetRefusal.StoreAway);
     } else if (!budget.awaitsLog(view, budget.firstBound)) {
-      budget.refuseFirst(BudgetRefusal.HeldElsewhere);
+      budget.waiters.refuseFirst(BudgetRefusal.HeldElsewhere);
     }
   }
 
@@ -156,7 +157,7 @@
     ).filter(({address}) => this.isSpeaking(address));
     const most = Math.min(MOST_LENDERS, lenders.length);
     for (let asked = 0; asked < most; asked += LENDERS_AT_ONCE) {
-      if (budget.waitingRequests === 0) {
+      if (budget.waiters.count === 0) {
         return;
       }
       const next = lenders.slice(
@@ -180,7 +181,7 @@
       const lent = await this.peers.borrow(address, {
         organisation: budget.name,
         least: budget.firstBound,
-        wish: LOAN_FACTOR * budget.waitingTokens,
+        wish: LOAN_FACTOR * budget.waiters.tokens,
         borrower,
         loan,
       });
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -9,7 +9,8 @@
 import type {BudgetJournal} from './budget-journal.js';
 import type {BudgetReplica} from './budget-replica.js';
 import type {GrantBorrower} from './grant-borrower.js';
-import {BudgetRefusal, type OrganisationBudget} from './organisation-budget.js';
+import type {OrganisationBudget} from './organisation-budget.js';
+import {BudgetRefusal} from './token-waiters.js';
 
 /**
  * After a denial the log is not asked for so long. Load: an organisation at its
@@ -36,9 +37,10 @@
       return;
     }
     const now = this.clock.monotonicMilliseconds();
-    if (budget.waitingRequests > 0) {
+    const {waiters} = budget;
+    if (waiters.count > 0) {
       if (now >= budget.askAfter) {
-        this.ask(budget, budget.waitingTokens, budget.firstBound, true);
+        this.ask(budget, waiters.tokens, budget.firstBound, true);
       }
       return;
     }
@@ -76,7 +78,7 @@
   take(budget: OrganisationBudget, verdict: GrantVerdict): void {
     budget.isAsking = false;
     budget.credit(verdict.granted);
-    if (verdict.granted > 0 || budget.waitingRequests === 0) {
+    if (verdict.granted > 0 || budget.waiters.count === 0) {
       return;
     }
     budget.askAfter = this.clock.monotonicMilliseconds() + DENIED_MILLISECONDS;
@@ -124,14 +126,14 @@
   ): void {
     const bound = budget.firstBound;
     if (budget.isExhausted(view, bound)) {
-      budget.refuseFirst(BudgetRefusal.Exhausted);
+      budget.waiters.refuseFirst(BudgetRefusal.Exhausted);
       return;
     }
     const heldByAll = (view?.rest ?? 0) - (view?.unallocated ?? 0);
     if (heldByAll - budget.account.held >= bound) {
       void this.borrower.borrow(budget);
     } else {
-      budget.refuseFirst(BudgetRefusal.HeldElsewhere);
+      budget.waiters.refuseFirst(BudgetRefusal.HeldElsewhere);
     }
   }
 }
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -57,7 +57,7 @@
   /** Lends what it can spare; 0 for nothing. */
   lend(request: LoanRequest): Promise<number>;
   /** Takes what a stopping process has left; false where it stops itself. */
-  take(gift: Gift): boolean;
+  takeOver(gift: Gift): boolean;
 }
 
 /** A lender in another data centre answers within some 10 ms; a frozen one never. */
--- a/packages/gateway/src/loan-server.ts
+++ b/packages/gateway/src/loan-server.ts
@@ -32,7 +32,7 @@
       routes: router => {
         router.service(GrantLoanService, {
           borrow: async request => ({lent: await holder.lend(request)}),
-          give: request => ({taken: holder.take(request)}),
+          give: request => ({taken: holder.takeOver(request)}),
         });
       },
     });
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -1,24 +1,31 @@
 import {
+  ChargePoint,
   GrantAccount,
   type BudgetView,
   type Reservation,
 } from '@wisteriadeal/budgets';
 import type {Clock} from '@wisteriadeal/platform';
 
-/** Why a request got no reservation. All mean that it has not run. */
-export enum BudgetRefusal {
-  /** What is known to be spent leaves less than the request may use. */
-  Exhausted = 'budget-exhausted',
-  /** The rest may be held elsewhere, or by requests that have not ended. */
-  HeldElsewhere = 'budget-held-elsewhere',
-  /** The store, which alone gives grants, does not answer. */
-  StoreAway = 'budget-store-away',
-}
+import {
+  TokenUse,
+  TokenWaiters,
+  type BudgetRefusal,
+  type TokenWaiter,
+} from './token-waiters.js';
 
-/** A reservation, or why there is none. */
+/** A reservation, or why there is none. The latter means that it has not run. */
 export type ReserveResult =
   {readonly reservation: Reservation} | {readonly refusal: BudgetRefusal};
 
+/** How long a request waits for tokens. */
+export interface WaitLimit {
+  readonly milliseconds: number;
+  /** Ends the wait sooner: the caller has left. */
+  readonly signal?: AbortSignal;
+  /** Says at the end why there are none. */
+  refusal(): BudgetRefusal;
+}
+
 /**
  * Use beyond this part of a budget is told to the others. Harm without it: near a
  * budget's end, callers were told to come back for tokens that had been spent, 266
@@ -26,12 +33,6 @@
  */
 const REPORTED_PART = 0.01;
 
-interface Waiting {
-  readonly bound: number;
-  readonly resolve: (result: ReserveResult) => void;
-  timer: NodeJS.Timeout | undefined;
-}
-
 /** One organisation's budget as this process holds it. */
 export class OrganisationBudget {
   readonly account = new GrantAccount();
@@ -44,7 +45,7 @@
   askAfter = 0;
   /** What the fold was last told that this process has spent. */
   reportedSpent = 0;
-  private readonly waiting: Waiting[] = [];
+  readonly waiters = new TokenWaiters();
 
   constructor(
     readonly name: string,
@@ -53,45 +54,60 @@
     private readonly clock: Clock,
   ) {}
 
-  /** Requests that wait for tokens. */
-  get waitingRequests(): number {
-    return this.waiting.length;
+  /** The most that the first request that waits can use; 0 where none does. */
+  get firstBound(): number {
+    return this.waiters.first?.bound ?? 0;
+  }
+
+  /** Lets a request begin whose tokens are taken when its answer is there. */
+  promise(bound: number): Reservation {
+    this.account.promise(bound, this.now());
+    return this.reservation(bound, ChargePoint.Delivery);
   }
 
-  /** The most that the requests that wait can use, together. */
-  get waitingTokens(): number {
-    return this.waiting.reduce((sum, {bound}) => sum + bound, 0);
+  /**
+   * Takes a new request's tokens where nobody waits before it.
+   *
+   * @param keepsPromises Leaves what requests that run will take: nothing else comes.
+   */
+  reserveNow(bound: number, keepsPromises: boolean): Reservation | undefined {
+    const {account, waiters} = this;
+    if (
+      waiters.isAhead(TokenUse.Dispatch) ||
+      (keepsPromises && bound > account.unpromised) ||
+      !account.reserve(bound, this.now())
+    ) {
+      return undefined;
+    }
+    return this.reservation(bound, ChargePoint.Dispatch);
   }
 
-  /** The most that the first request that waits can use; 0 where none does. */
-  get firstBound(): number {
-    return this.waiting[0]?.bound ?? 0;
+  /** Takes a new request's tokens when they come. */
+  async reserveLater(bound: number, limit: WaitLimit): Promise<ReserveResult> {
+    const refusal = await this.wait(bound, TokenUse.Dispatch, limit);
+    return refusal === undefined
+      ? {reservation: this.reservation(bound, ChargePoint.Dispatch)}
+      : {refusal};
   }
 
-  /** Takes a reservation where nobody waits before it and the account covers it. */
-  reserveNow(bound: number): Reservation | undefined {
-    return this.waiting.length === 0 && this.reserve(bound)
-      ? {organisation: this.name, bound}
-      : undefined;
+  /** Takes promised tokens where no answer waits before this one. */
+  keepPromiseNow(bound: number): boolean {
+    return (
+      !this.waiters.isAhead(TokenUse.Delivery) &&
+      this.account.keepPromise(bound)
+    );
   }
 
   /**
-   * Waits until tokens come, or `limitMilliseconds` are over.
+   * Takes promised tokens when they come.
    *
-   * @param refusal Says then why there are none.
+   * @returns Undefined once they are taken; else the promise stands.
    */
-  reserveLater(
+  keepPromiseLater(
     bound: number,
-    limitMilliseconds: number,
-    refusal: () => BudgetRefusal,
-  ): Promise<ReserveResult> {
-    return new Promise(resolve => {
-      const entry: Waiting = {bound, resolve, timer: undefined};
-      entry.timer = setTimeout(() => {
-        this.refuse(entry, refusal());
-      }, limitMilliseconds);
-      this.waiting.push(entry);
-    });
+    limit: WaitLimit,
+  ): Promise<BudgetRefusal | undefined> {
+    return this.wait(bound, TokenUse.Delivery, limit);
   }
 
   /** Adds tokens and serves those that wait, in order. */
@@ -100,27 +116,16 @@
     this.serveWaiting();
   }
 
-  /** Ends a reservation; what is left of it serves those that wait. */
-  settle(bound: number, used: number): void {
+  /** Ends a request; what is left of its bound serves those that wait. */
+  settle({bound, chargePoint}: Reservation, used: number): void {
+    if (chargePoint === ChargePoint.Delivery) {
+      this.account.dropPromise(bound);
+      return;
+    }
     this.account.settle(bound, used);
     this.serveWaiting();
   }
 
-  /** Refuses the first that waits. */
-  refuseFirst(refusal: BudgetRefusal): void {
-    const [first] = this.waiting;
-    if (first !== undefined) {
-      this.refuse(first, refusal);
-    }
-  }
-
-  /** Refuses all that wait. */
-  refuseAll(refusal: BudgetRefusal): void {
-    for (const entry of [...this.waiting]) {
-      this.refuse(entry, refusal);
-    }
-  }
-
   /** The others' view of this budget is too old to refuse by. */
   get isReportDue(): boolean {
     const untold = this.account.spent - this.reportedSpent;
@@ -139,32 +144,51 @@
     return this.isAsking && (view?.unallocated ?? 0) >= bound;
   }
 
-  private reserve(bound: number): boolean {
-    return this.account.reserve(bound, this.clock.monotonicMilliseconds());
+  private wait(
+    bound: number,
+    use: TokenUse,
+    limit: WaitLimit,
+  ): Promise<BudgetRefusal | undefined> {
+    return new Promise(resolve => {
+      const giveUp = () => {
+        this.waiters.remove(waiter, limit.refusal());
+      };
+      const timer = setTimeout(giveUp, limit.milliseconds);
+      limit.signal?.addEventListener('abort', giveUp);
+      const waiter: TokenWaiter = {
+        bound,
+        use,
+        done: refusal => {
+          clearTimeout(timer);
+          limit.signal?.removeEventListener('abort', giveUp);
+          resolve(refusal);
+        },
+      };
+      this.waiters.add(waiter);
+    });
   }
 
   private serveWaiting(): void {
     for (;;) {
-      const [first] = this.waiting;
-      if (first === undefined || !this.reserve(first.bound)) {
+      const {first} = this.waiters;
+      if (first === undefined || !this.takeFor(first)) {
         return;
       }
-      this.remove(first);
-      const {bound} = first;
-      first.resolve({reservation: {organisation: this.name, bound}});
+      this.waiters.remove(first);
     }
   }
 
-  private refuse(entry: Waiting, refusal: BudgetRefusal): void {
-    this.remove(entry);
-    entry.resolve({refusal});
+  private takeFor({bound, use}: TokenWaiter): boolean {
+    return use === TokenUse.Delivery
+      ? this.account.keepPromise(bound)
+      : this.account.reserve(bound, this.now());
   }
 
-  private remove(entry: Waiting): void {
-    clearTimeout(entry.timer);
-    const index = this.waiting.indexOf(entry);
-    if (index >= 0) {
-      this.waiting.splice(index, 1);
-    }
+  private reservation(bound: number, chargePoint: ChargePoint): Reservation {
+    return {organisation: this.name, bound, chargePoint};
+  }
+
+  private now(): number {
+    return this.clock.monotonicMilliseconds();
   }
 }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -17,6 +17,7 @@
 import type {ConfigurationState} from './configuration-state.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
+import {RequestBudget} from './request-budget.js';
 import {tokenBound, type RequestContext} from './request-context.js';
 import {RequestRecord, UndeliveredCharge} from './request-record.js';
 import {RequestRun, type RunParts} from './request-run.js';
@@ -180,9 +181,12 @@
     const {caller, organisation, service} = context;
     const bound = tokenBound(caller);
     record.organisation = organisation?.name;
+    // Settings may change while it runs: what it began with holds to its end.
+    const charge = this.undeliveredCharge;
     const reserved = await this.budgets.reserve(
       organisation?.name ?? '',
       bound,
+      charge === UndeliveredCharge.Nothing,
     );
     if ('refusal' in reserved) {
       this.events.info('refused for budget', {
@@ -197,17 +201,19 @@
       return budgetAnswer(reserved.refusal, this.health.awayFor(now));
     }
     const {promptTokens, maximumOutputTokens} = caller.headers;
+    const budget = new RequestBudget(this.budgets, reserved.reservation);
     try {
-      await new RequestRun(this.parts, context, record).run();
+      await new RequestRun(this.parts, context, budget, record).run();
     } finally {
       const used = record.usedTokens(
         promptTokens,
         maximumOutputTokens,
         service.tokensPerEvent,
-        this.undeliveredCharge,
+        charge,
       );
       record.used = used;
-      this.budgets.settle(reserved.reservation, used);
+      record.waitedForTokens = budget.waitedMilliseconds;
+      budget.settle(used);
       this.bill(context, record, used);
     }
     return undefined;
@@ -282,6 +288,7 @@
       bound: tokenBound(caller),
       used: record.used,
       events: record.eventsDelivered,
+      waitedForTokensMilliseconds: Math.round(record.waitedForTokens),
       configuration: this.configuration.current?.version,
       attempts: record.attempts
         .map(
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -28,6 +28,8 @@
   organisation: string | undefined;
   /** Tokens charged in the end. */
   used = 0;
+  /** How long an answer that was ready waited for its tokens, milliseconds. */
+  waitedForTokens = 0;
 
   /** True once a part of an endpoint's answer was given to the caller. */
   hasDelivered = false;
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -14,10 +14,12 @@
   type ExchangeFailure,
 } from './endpoint-exchange.js';
 import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
+import type {RequestBudget} from './request-budget.js';
 import {mayRepeat, type RequestContext} from './request-context.js';
 import type {RequestRecord} from './request-record.js';
 import {StreamPatience} from './stream-patience.js';
 import {RelayEnd, relayStream, type SilenceWatch} from './stream-relay.js';
+import {BudgetRefusal} from './token-waiters.js';
 
 /** What all runs of a process share. */
 export interface RunParts {
@@ -69,6 +71,7 @@
   constructor(
     private readonly parts: RunParts,
     private readonly context: RequestContext,
+    private readonly budget: RequestBudget,
     private readonly record: RequestRecord,
   ) {
     const {directory, clock, dataCenter} = parts;
@@ -235,6 +238,10 @@
     } else {
       endpoint.trust.succeeded();
     }
+    const refusal = await this.takeTokens();
+    if (refusal !== undefined) {
+      return this.giveUpForBudget(refusal);
+    }
     this.fallback = {head, body, hasLength: exchange.hasLength};
     const isWorthAnother =
       head.status >= 500 && mayRepeat(this.context.route) && !this.isOver();
@@ -250,6 +257,14 @@
     watch: SilenceWatch,
   ): Promise<Next> {
     const {caller} = this.context;
+    watch.answered();
+    const refusal = await this.takeTokens();
+    if (refusal !== undefined) {
+      exchange.cancel('no tokens');
+      this.note(endpoint, `no tokens: ${refusal}`);
+      endpoint.trust.succeeded();
+      return this.giveUpForBudget(refusal);
+    }
     if (!caller.isAnswering) {
       caller.beginStream(
         head.status,
@@ -275,6 +290,26 @@
     return this.afterBroken(endpoint);
   }
 
+  /** Takes the tokens that were promised; waits while others may still give them. */
+  private takeTokens(): Promise<BudgetRefusal | undefined> {
+    return this.budget.take(
+      {
+        milliseconds: Math.max(0, this.remaining()),
+        signal: this.context.caller.leaving,
+      },
+      () => this.now(),
+    );
+  }
+
+  /** It has run, and nothing of its answer may be passed on. */
+  private giveUpForBudget(refusal: BudgetRefusal): Next {
+    if (refusal === BudgetRefusal.Exhausted) {
+      this.answerOwn(failed(402, OwnReason.BudgetExhausted));
+      return Next.Ended;
+    }
+    return this.giveUp(OwnReason.BudgetUnavailable);
+  }
+
   /** Another endpoint, where the route, the fleet's bound and the time allow it. */
   private tryAgain(reason: OwnReason, isNotRun: boolean): Next {
     this.sentTo++;
--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -1,5 +1,8 @@
 import type {EventLog} from '@wisteriadeal/runtime';
 
+/** A store that is well answers in some milliseconds. */
+const LONG_WAIT_MILLISECONDS = 250;
+
 /**
  * Whether one topic of the store answers, as this host sees it. Load: the store is
  * down for some of its partitions only. Harm of one state for all topics: it changes
@@ -10,6 +13,7 @@
   private lastAnswerAt: number | undefined;
   private failingSince: number | undefined;
   private lastOutageEndedAt = -Infinity;
+  private calledAt: number | undefined;
 
   /** @param topic What is followed, for logs. */
   constructor(
@@ -37,8 +41,28 @@
     return this.lastAnswerAt === undefined ? Infinity : now - this.lastAnswerAt;
   }
 
+  /** The newest call was made. */
+  called(now: number): void {
+    this.calledAt = now;
+  }
+
+  /**
+   * Whether answers come without delay. Load: a data centre is cut off in silence, and
+   * the first call that shows it times out a second later. Harm of going by failed
+   * calls alone: all that while requests begin on tokens that do not come.
+   */
+  isAtHand(now: number): boolean {
+    const waited = this.calledAt === undefined ? 0 : now - this.calledAt;
+    return (
+      !this.isAway &&
+      this.lastAnswerAt !== undefined &&
+      waited < LONG_WAIT_MILLISECONDS
+    );
+  }
+
   /** A call was answered. */
   answered(now: number): void {
+    this.calledAt = undefined;
     if (this.failingSince !== undefined) {
       this.events.info('store regained', {
         topic: this.topic,
@@ -52,6 +76,7 @@
 
   /** A call was not answered, or refused. */
   failed(now: number, error: unknown): void {
+    this.calledAt = undefined;
     if (this.failingSince === undefined) {
       this.failingSince = now;
       this.events.warn('store lost', {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -103,6 +103,12 @@
     return this.clock.monotonicMilliseconds() - this.startedAt;
   }
 
+  /** The endpoint has answered; what follows until `heard` is not its silence. */
+  answered(): void {
+    this.firstAfter ??= this.elapsedMilliseconds;
+    clearTimeout(this.timer);
+  }
+
   /** An event came: the silence begins anew. */
   heard(): void {
     this.firstAfter ??= this.elapsedMilliseconds;
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -1,12 +1,14 @@
+import {ChargePoint} from '@wisteriadeal/budgets';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
-import {BudgetRefusal} from '../organisation-budget.js';
+import {BudgetRefusal} from '../token-waiters.js';
 import {BUDGET_PARTITION} from '../budget-topics.js';
 import {HolderFleet, SCHOOL, until} from './holder-fleet.js';
 
 const PREPAID = 100_000;
 const REQUEST = 2_500;
+const WAIT = {milliseconds: 3_000, signal: new AbortController().signal};
 
 let fleet: HolderFleet;
 
@@ -24,7 +26,7 @@
 
 /** One request that uses its whole bound; whether it was let in. */
 async function use(holder: BudgetHolder, tokens: number): Promise<boolean> {
-  const result = await holder.reserve(SCHOOL, tokens);
+  const result = await holder.reserve(SCHOOL, tokens, false);
   if ('refusal' in result) {
     return false;
   }
@@ -89,7 +91,7 @@
     fleet.log.faults.answerAfterMilliseconds = 150;
     expect(await use(holder, 40_000)).toBe(true);
     fleet.log.faults.answerAfterMilliseconds = 1_000;
-    expect(await holder.reserve(SCHOOL, 30_000)).toEqual({
+    expect(await holder.reserve(SCHOOL, 30_000, false)).toEqual({
       refusal: BudgetRefusal.StoreAway,
     });
   });
@@ -149,4 +151,97 @@
     }
     expect(PREPAID - spent).toBeLessThanOrEqual(REQUEST);
   });
+
+  it('charges nothing for answers that were not there when all hosts died', async () => {
+    // The caller sees: after all hosts lost power at once, its budget is there. Each
+    // host runs requests whose first event has not come, and promised their tokens.
+    const holders = [await fleet.start('one'), await fleet.start('two')];
+    await until(() => holders.every(holder => available(holder) > 0));
+    for (const holder of holders) {
+      for (let request = 0; request < 10; request++) {
+        const result = await holder.reserve(SCHOOL, REQUEST, true);
+        expect(result).toMatchObject({
+          reservation: {chargePoint: ChargePoint.Delivery},
+        });
+      }
+    }
+    const held = holders.reduce((sum, holder) => sum + available(holder), 0);
+    fleet.kill('one');
+    fleet.kill('two');
+    const successor = await fleet.start('one');
+    await fleet.start('two');
+    await until(() => available(successor) > 0);
+    expect(successor.describe(SCHOOL)?.spentKnown).toBeLessThanOrEqual(held);
+    expect(
+      fleet.events.filter(
+        ({event}) => event === 'grant of an ended process closed',
+      ),
+    ).toHaveLength(2);
+  });
+
+  it('takes promised tokens from the store when the answer is there', async () => {
+    // The caller sees its whole answer. Its bound is more than the host has in hand,
+    // the store has it, and the answer waits for one exchange with the store.
+    const holder = await fleet.start('one');
+    await until(() => available(holder) > 0);
+    const bound = available(holder) + 20_000;
+    const begun = await holder.reserve(SCHOOL, bound, true);
+    expect('reservation' in begun).toBe(true);
+    if ('reservation' in begun) {
+      const taken = await holder.take(begun.reservation, WAIT);
+      expect(taken.refusal).toBeUndefined();
+      holder.settle(taken.reservation, bound);
+      expect(holder.describe(SCHOOL)).toMatchObject({
+        promised: 0,
+        reserved: 0,
+        spentHere: bound,
+      });
+    }
+  });
+
+  it('holds a ready answer back until the store is back, before new requests', async () => {
+    // The caller sees its answer late, and whole. The store goes away while the
+    // request runs, and the host has too little in hand; a request that comes then is
+    // refused at once as not run.
+    const holder = await fleet.start('one');
+    await until(() => available(holder) > 0);
+    const bound = available(holder) + 20_000;
+    const begun = await holder.reserve(SCHOOL, bound, true);
+    fleet.log.faults.isAway = true;
+    await until(() => fleet.events.some(({event}) => event === 'store lost'));
+    expect(await holder.reserve(SCHOOL, bound, true)).toEqual({
+      refusal: BudgetRefusal.StoreAway,
+    });
+    if ('reservation' in begun) {
+      const taken = holder.take(begun.reservation, WAIT);
+      fleet.log.faults.isAway = false;
+      expect((await taken).refusal).toBeUndefined();
+    }
+    expect(holder.describe(SCHOOL)).toMatchObject({reserved: bound});
+  });
+
+  it('stops waiting for tokens when the caller leaves', async () => {
+    // Tokens that come later go to others: the caller closed its connection while its
+    // answer waited for the store.
+    const holder = await fleet.start('one');
+    await until(() => available(holder) > 0);
+    const begun = await holder.reserve(
+      SCHOOL,
+      available(holder) + 20_000,
+      true,
+    );
+    fleet.log.faults.isAway = true;
+    const leaving = new AbortController();
+    if ('reservation' in begun) {
+      const taken = holder.take(begun.reservation, {
+        ...WAIT,
+        signal: leaving.signal,
+      });
+      leaving.abort();
+      const {reservation, refusal} = await taken;
+      expect(refusal).toBeDefined();
+      holder.settle(reservation, 0);
+    }
+    expect(holder.describe(SCHOOL)).toMatchObject({promised: 0, waiting: 0});
+  });
 });
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -42,7 +42,7 @@
   }
 
   override give(address: string, gift: Gift): Promise<boolean> {
-    return Promise.resolve(this.holder(address).take(gift));
+    return Promise.resolve(this.holder(address).takeOver(gift));
   }
 
   override close(): void {
--- a/packages/gateway/src/test/loan-peers_test.ts
+++ b/packages/gateway/src/test/loan-peers_test.ts
@@ -28,7 +28,7 @@
     return Promise.resolve(5);
   }
 
-  take(gift: Gift): boolean {
+  takeOver(gift: Gift): boolean {
     this.gifts.push(gift);
     return true;
   }
--- /dev/null
+++ b/packages/gateway/src/token-waiters.ts
@@ -0,0 +1,90 @@
+/** Why a request got no tokens. */
+export enum BudgetRefusal {
+  /** What is known to be spent leaves less than the request may use. */
+  Exhausted = 'budget-exhausted',
+  /** The rest may be held elsewhere, or by requests that have not ended. */
+  HeldElsewhere = 'budget-held-elsewhere',
+  /** The store, which alone gives grants, does not answer. */
+  StoreAway = 'budget-store-away',
+}
+
+/** What a request waits for. */
+export enum TokenUse {
+  /** An answer is ready, and is passed on once its tokens are there. */
+  Delivery = 0,
+  /** It was sent to no endpoint yet. */
+  Dispatch = 1,
+}
+
+/** A request that waits for tokens. */
+export interface TokenWaiter {
+  readonly bound: number;
+  readonly use: TokenUse;
+  /** Called once, when it leaves the line; undefined where it got its tokens. */
+  readonly done: (refusal: BudgetRefusal | undefined) => void;
+}
+
+/**
+ * Requests that wait for one organisation's tokens, those first whose answers are
+ * ready: their work is done, and each further moment makes them late.
+ */
+export class TokenWaiters {
+  private readonly line: TokenWaiter[] = [];
+
+  /** Requests in line. */
+  get count(): number {
+    return this.line.length;
+  }
+
+  /** The most that they can use, together. */
+  get tokens(): number {
+    return this.line.reduce((sum, {bound}) => sum + bound, 0);
+  }
+
+  /** The next to be served. */
+  get first(): TokenWaiter | undefined {
+    return this.line[0];
+  }
+
+  /** Whether one of this use, or one that goes before it, is in line. */
+  isAhead(use: TokenUse): boolean {
+    return this.line.some(waiter => waiter.use <= use);
+  }
+
+  /** Puts one behind those of its use. */
+  add(waiter: TokenWaiter): void {
+    const behind = this.line.findIndex(({use}) => use > waiter.use);
+    this.line.splice(behind === -1 ? this.line.length : behind, 0, waiter);
+  }
+
+  /**
+   * Takes one out of the line and tells it; nothing happens where it has left.
+   *
+   * @param refusal Undefined where it got its tokens.
+   */
+  remove(waiter: TokenWaiter, refusal?: BudgetRefusal): void {
+    const index = this.line.indexOf(waiter);
+    if (index >= 0) {
+      this.line.splice(index, 1);
+      waiter.done(refusal);
+    }
+  }
+
+  /** Refuses those that were sent nowhere yet. */
+  refuseUndispatched(refusal: BudgetRefusal): void {
+    for (const waiter of [...this.line]) {
+      if (waiter.use === TokenUse.Dispatch) {
+        this.remove(waiter, refusal);
+      }
+    }
+  }
+
+  /** Refuses the first, unless an answer is ready that may still get its tokens. */
+  refuseFirst(refusal: BudgetRefusal): void {
+    const {first} = this;
+    const isFinal = refusal === BudgetRefusal.Exhausted;
+    if (first !== undefined && (isFinal || first.use === TokenUse.Dispatch)) {
+      this.remove(first, refusal);
+    }
+  }
+}
