Load the status pages' library when somebody first asks for them

Ruled out: loading it later by a timer, which moves the stall into traffic. Change: readiness is answered by node:http; restify is loaded by the first request for metrics or the dump. The wait for the first configuration went with it.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -71,7 +71,6 @@
   private running: Promise<void> = Promise.resolve();
   private isClosing = false;
   private hasOpened = false;
-  private readonly openListeners: (() => void)[] = [];
 
   constructor(
     private readonly journal: BudgetJournal,
@@ -107,11 +106,6 @@
     return this.hasOpened;
   }
 
-  /** Calls the listener once this process may hold grants. */
-  onOpened(listener: () => void): void {
-    this.openListeners.push(listener);
-  }
-
   /** Processes that share the budgets, this one included. */
   get holders(): number {
     return Math.max(1, this.replica.fold.holders.size);
@@ -432,9 +426,6 @@
       offset: this.replica.fold.nextOffset,
       holders: this.holders,
     });
-    for (const listener of this.openListeners) {
-      listener();
-    }
   }
 
   private plan(): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,8 +44,6 @@
 const ENDPOINT_PAUSE_MILLISECONDS = 350;
 /** A checkpoint is due after this part of the time that the store keeps records. */
 const CHECKPOINT_PARTS = 5;
-/** Some calls to the store bring what serving needs, 4 ms each when it is well. */
-const FIRST_CALLS_MILLISECONDS = 300;
 /** The rest of the grace is left for returning grants and for the end itself. */
 const STOP_PART_OF_GRACE = 0.85;
 /** Connections that come between readiness' end and the platform's notice of it. */
@@ -98,7 +96,12 @@
       this.metrics,
       clock,
     );
-    this.status = new StatusServer(names.readyPath, this.state, this.metrics);
+    this.status = new StatusServer(
+      names.readyPath,
+      this.state,
+      this.metrics,
+      events,
+    );
     this.followers = this.createFollowers();
     this.configuration.onChange(configuration => {
       this.budgets.configure(configuration);
@@ -119,7 +122,6 @@
     }
     void this.budgets.run();
     void this.bills.run();
-    await this.readyToServeOrDelay();
     await this.status.listen(
       listenAddress(settings.readyAddress),
       listenAddress(settings.statusAddress),
@@ -127,22 +129,6 @@
     events.info('started', {dataCenter: settings.dataCenter});
   }
 
-  /**
-   * Waits for the first configuration and for the budgets, within bounds: loading the
-   * status server's library holds up everything else, and callers wait already.
-   */
-  private async readyToServeOrDelay(): Promise<void> {
-    const canServe = new AbortController();
-    const look = () => {
-      if (this.configuration.current !== undefined && this.budgets.isReady) {
-        canServe.abort();
-      }
-    };
-    this.configuration.onChange(look);
-    this.budgets.onOpened(look);
-    await this.parts.clock.sleep(FIRST_CALLS_MILLISECONDS, canServe.signal);
-  }
-
   /**
    * Says that it leaves, serves those who come before that is known, refuses the
    * rest as not run, finishes
--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -1,5 +1,10 @@
-import type {JsonValue} from '@wisteriadeal/runtime';
-import type {Server} from 'restify';
+import type {EventLog, JsonValue} from '@wisteriadeal/runtime';
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 
 import type {ListenAddress} from './caller-server.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -14,64 +19,114 @@
   abstract refresh(): void;
 }
 
-const SERVER_OPTIONS = {name: 'wisteriadeal'};
-
-/** Serves readiness on one address, metrics and the dump on another. */
+/**
+ * Serves readiness on one address, metrics and the dump on another. The latter's
+ * library is loaded when somebody first asks there: loading it keeps the process busy
+ * for longer than the rest of its start, while the callers of a host that was down
+ * come back.
+ */
 export class StatusServer {
-  private readonly servers: Server[] = [];
-  private isClosed = false;
+  private readonly readiness: Server;
+  private readonly inside: Server;
+  private routes: Promise<RequestListener> | undefined;
 
   /** @param readyPath Where the platform asks for readiness. */
   constructor(
     private readonly readyPath: string,
     private readonly status: GatewayStatus,
     private readonly metrics: GatewayMetrics,
-  ) {}
+    private readonly events: EventLog,
+  ) {
+    this.readiness = createServer((request, response) => {
+      this.answerReadiness(request, response);
+    });
+    this.inside = createServer((request, response) => {
+      void this.answerInside(request, response);
+    });
+  }
 
-  /**
-   * Loads its library first, which takes longer than the rest of a start: callers
-   * are served before it is there.
-   *
-   * @throws The system's error where an address can't be taken.
-   */
+  /** @throws The system's error where an address can't be taken. */
   async listen(ready: ListenAddress, inner: ListenAddress): Promise<void> {
-    const {default: restify} = await import('restify');
-    if (this.isClosed) {
-      return;
+    await listening(this.readiness, ready);
+    await listening(this.inside, inner);
+  }
+
+  /** Port of the readiness address; the settings may leave it to the system. */
+  get readyPort(): number {
+    return portOf(this.readiness);
+  }
+
+  /** Port of metrics and the dump. */
+  get statusPort(): number {
+    return portOf(this.inside);
+  }
+
+  /** Stops listening, and ends idle connections. */
+  close(): void {
+    this.readiness.close();
+    this.inside.close();
+  }
+
+  private answerReadiness(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): void {
+    const isKnown = request.url === this.readyPath;
+    const isReady = isKnown && this.status.isReady();
+    response.statusCode = isKnown ? (isReady ? 200 : 503) : 404;
+    response.end();
+  }
+
+  private async answerInside(
+    request: IncomingMessage,
+    response: ServerResponse,
+  ): Promise<void> {
+    try {
+      this.routes ??= this.loadRoutes();
+      (await this.routes)(request, response);
+    } catch (error) {
+      this.events.error('status not served', {
+        path: request.url,
+        reason: String(error),
+      });
+      response.statusCode = 500;
+      response.end();
     }
-    const readiness = restify.createServer(SERVER_OPTIONS);
-    readiness.get(this.readyPath, (_request, response, next) => {
-      response.send(this.status.isReady() ? 200 : 503);
-      next();
-    });
-    const inside = restify.createServer(SERVER_OPTIONS);
-    inside.get('/metrics', async (_request, response) => {
+  }
+
+  private async loadRoutes(): Promise<RequestListener> {
+    const {default: restify} = await import('restify');
+    const routes = restify.createServer({name: 'wisteriadeal'});
+    routes.get('/metrics', async (_request, response) => {
       this.status.refresh();
       const {type, body} = await this.metrics.text();
       response.sendRaw(200, body, {'Content-Type': type});
     });
-    inside.get('/state', (_request, response, next) => {
+    routes.get('/state', (_request, response, next) => {
       response.send(200, this.status.dump());
       next();
     });
-    this.servers.push(readiness, inside);
-    await listening(readiness, ready);
-    await listening(inside, inner);
+    return (request, response) => {
+      routes.server.emit('request', request, response);
+    };
   }
+}
 
-  /** Stops listening. */
-  close(): void {
-    this.isClosed = true;
-    for (const server of this.servers) {
-      server.close();
-    }
-  }
+type RequestListener = (
+  request: IncomingMessage,
+  response: ServerResponse,
+) => void;
+
+function portOf(server: Server): number {
+  const address = server.address();
+  return typeof address === 'object' && address !== null ? address.port : 0;
 }
 
 function listening(server: Server, at: ListenAddress): Promise<void> {
   return new Promise((resolve, reject) => {
     server.once('error', reject);
     server.listen(at.port, at.address, () => {
+      server.off('error', reject);
       resolve();
     });
   });
