Believe an endpoint's silence, of plain requests too, and try it out over a new connection

Cause: in a cut that drops packets no connection breaks. An exchange that hung until its deadline only released its endpoint, so that plain requests went on being sent across, one time limit each, and streams for 0.9 s each. Ruled out: health checks (priced, and no sign that answers don't give). Change: an endpoint is suspected after 3 times (streams) or 6 times (whole answers) what its service takes now, 400 and 150 ms at the least, and believed again as soon as it answers anything; an idempotent whole answer moves after 8 times, 200 ms. A request that tries an endpoint out opens a new connection: where that fails nothing was sent, and what may not be repeated goes elsewhere.

--- a/packages/decisions/src/answer-estimate.ts
+++ b/packages/decisions/src/answer-estimate.ts
@@ -1,14 +1,14 @@
-/** What of a request decides how long its first event takes. */
+/** What of a request decides how long its answer takes to begin. */
 export interface PromptSize {
   /** Tokens of the part that no other request shares: surely not cached. */
   readonly ownTokens: number;
 }
 
-/** The silence after which a stream is moved to another endpoint. */
+/** How long silence is borne. */
 export interface SilenceBounds {
-  /** Never moved sooner, milliseconds. */
+  /** Never less, milliseconds. */
   readonly shortestMilliseconds: number;
-  /** Moved only after so many times what is expected. */
+  /** So many times what is expected. */
   readonly expectedFactor: number;
 }
 
@@ -17,34 +17,34 @@
  * shared parts that were not cached.
  */
 const BASE_TOKENS = 1_000;
-/** The mean follows about so many streams; an endpoint's loss shows within a second. */
-const MEAN_STREAMS = 12;
+/** The mean follows about so many answers; an endpoint's loss shows within a second. */
+const MEAN_ANSWERS = 12;
 
 /**
- * How long a stream's first event takes at a service now, as this host sees it.
+ * How long answers of a service take to begin now, as this host sees it: the first
+ * event of a stream, or the head of a whole answer.
  *
- * Load: three of six engines are lost, and the first events of the others take over
- * a second. Harm with a fixed limit of 0.9 s: 235 streams of a day were moved though
- * their engine was at work, each prompt was read twice, and 55 of them were lost
- * with no attempt left. A prompt of 40,000 tokens takes over a second to read on an
- * idle engine.
+ * Load: three of six engines are lost, and the first events of the others take ten
+ * times as long. Harm with a fixed limit: streams are moved though their engine is at
+ * work, each prompt is read twice, and some are lost with no attempt left. A prompt
+ * of 40,000 tokens takes over a second to read on an idle engine.
  */
-export class FirstEventEstimate {
+export class AnswerEstimate {
   private perToken = 0;
-  private streams = 0;
+  private answers = 0;
 
-  /** A first event came. */
+  /** An answer began. */
   came(prompt: PromptSize, milliseconds: number): void {
     this.learn(milliseconds / weightOf(prompt));
   }
 
-  /** None came so long, and it was not waited for any longer. */
+  /** None began so long, and it was not waited for any longer. */
   missed(prompt: PromptSize, milliseconds: number): void {
     this.learn(Math.max(this.perToken, milliseconds / weightOf(prompt)));
   }
 
   /**
-   * How long silence is borne before the first event.
+   * How long silence is borne before an answer begins.
    *
    * @returns Milliseconds.
    * @example
@@ -61,8 +61,8 @@
   }
 
   private learn(perToken: number): void {
-    this.streams = Math.min(MEAN_STREAMS, this.streams + 1);
-    this.perToken += (perToken - this.perToken) / this.streams;
+    this.answers = Math.min(MEAN_ANSWERS, this.answers + 1);
+    this.perToken += (perToken - this.perToken) / this.answers;
   }
 }
 
--- a/packages/decisions/src/endpoint-trust.ts
+++ b/packages/decisions/src/endpoint-trust.ts
@@ -21,6 +21,7 @@
   private pausedUntil = -Infinity;
   private failedShareMean = 0;
   private probes = 0;
+  private isSilent = false;
 
   /** The mean share of failed answers. */
   get failedShare(): number {
@@ -44,9 +45,32 @@
     }
   }
 
+  /**
+   * It says nothing for much longer than others. Load: a data centre is cut off, and
+   * packets are dropped: no connection breaks. Harm of learning from breaks alone:
+   * requests go there until their callers' time is over, each of them lost.
+   */
+  fellSilent(now: number): void {
+    if (now >= this.pausedUntil) {
+      this.isSilent = true;
+      this.pause(now);
+    }
+  }
+
+  /** Any answer came: what was taken for silence was slowness. */
+  spoke(): void {
+    if (this.isSilent) {
+      this.isSilent = false;
+      this.pauseMilliseconds = 0;
+      this.pausedUntil = -Infinity;
+      this.probes = 0;
+    }
+  }
+
   /** A whole, good answer came. */
   succeeded(): void {
     this.learn(0);
+    this.isSilent = false;
     this.pauseMilliseconds = 0;
     this.probes = 0;
   }
@@ -61,14 +85,9 @@
   broke(now: number): void {
     this.learn(1);
     this.probes = 0;
-    if (now < this.pausedUntil) {
-      return;
+    if (now >= this.pausedUntil) {
+      this.pause(now);
     }
-    this.pauseMilliseconds = Math.min(
-      LONGEST_PAUSE_MILLISECONDS,
-      Math.max(FIRST_PAUSE_MILLISECONDS, 2 * this.pauseMilliseconds),
-    );
-    this.pausedUntil = now + this.pauseMilliseconds;
   }
 
   /** A request ended and says nothing of the endpoint. */
@@ -76,6 +95,15 @@
     this.probes = Math.max(0, this.probes - 1);
   }
 
+  private pause(now: number): void {
+    this.probes = 0;
+    this.pauseMilliseconds = Math.min(
+      LONGEST_PAUSE_MILLISECONDS,
+      Math.max(FIRST_PAUSE_MILLISECONDS, 2 * this.pauseMilliseconds),
+    );
+    this.pausedUntil = now + this.pauseMilliseconds;
+  }
+
   private learn(failed: 0 | 1): void {
     this.failedShareMean += (failed - this.failedShareMean) / SHARE_SAMPLES;
   }
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -30,6 +30,6 @@
 export * from './weight-budget.js';
 export * from './work.js';
 export * from './endpoint-trust.js';
-export * from './first-event-estimate.js';
+export * from './answer-estimate.js';
 export * from './resend-budget.js';
 export * from './shared-prompt-placement.js';
--- a/packages/decisions/src/test/answer-estimate_test.ts
+++ b/packages/decisions/src/test/answer-estimate_test.ts
@@ -1,12 +1,12 @@
 import {describe, expect, it} from 'vitest';
 
-import {FirstEventEstimate} from '../first-event-estimate.js';
+import {AnswerEstimate} from '../answer-estimate.js';
 
 const BOUNDS = {shortestMilliseconds: 900, expectedFactor: 3};
 const USUAL = {ownTokens: 600};
 
-function after(firstEvents: readonly number[]): FirstEventEstimate {
-  const estimate = new FirstEventEstimate();
+function after(firstEvents: readonly number[]): AnswerEstimate {
+  const estimate = new AnswerEstimate();
   for (const milliseconds of firstEvents) {
     estimate.came(USUAL, milliseconds);
   }
@@ -15,9 +15,9 @@
 
 const CALM = Array.from({length: 40}, () => 80);
 
-describe('FirstEventEstimate', () => {
+describe('AnswerEstimate', () => {
   it('bears the shortest silence before it has seen any stream', () => {
-    expect(new FirstEventEstimate().limit(USUAL, BOUNDS)).toBe(900);
+    expect(new AnswerEstimate().limit(USUAL, BOUNDS)).toBe(900);
   });
 
   it('moves a stream of a calm service after the shortest silence', () => {
--- a/packages/decisions/src/test/endpoint-trust_test.ts
+++ b/packages/decisions/src/test/endpoint-trust_test.ts
@@ -36,6 +36,35 @@
   });
 });
 
+describe('an endpoint that falls silent', () => {
+  it('gets nothing more, though no connection breaks', () => {
+    // Load: a data centre is cut off and packets are dropped. Its endpoint took a
+    // request and says nothing; others would follow it until their time is over.
+    const trust = new EndpointTrust();
+    trust.sent();
+    trust.fellSilent(150);
+    expect(trust.isTrusted(151)).toBe(false);
+    expect(trust.isOnTrial).toBe(true);
+  });
+
+  it('is trusted at once when it speaks after all', () => {
+    const trust = new EndpointTrust();
+    trust.fellSilent(150);
+    trust.spoke();
+    expect(trust.isTrusted(151)).toBe(true);
+    expect(trust.isOnTrial).toBe(false);
+  });
+
+  it('stays paused after a break, whatever else it answers', () => {
+    // Load: an endpoint breaks off four in ten of its answers. The other six must not
+    // bring it back at once.
+    const trust = new EndpointTrust();
+    trust.broke(0);
+    trust.spoke();
+    expect(trust.isTrusted(1)).toBe(false);
+  });
+});
+
 describe('failsMoreThanOthers', () => {
   it('judges an endpoint by the others of its service', () => {
     expect(failsMoreThanOthers(0.6, [0.14, 0.16, 0.15, 0.6])).toBe(true);
--- a/packages/gateway/src/answer-patience.ts
+++ b/packages/gateway/src/answer-patience.ts
@@ -1,86 +1,134 @@
-import type {PromptSize} from '@wisteriadeal/decisions';
+import type {
+  AnswerEstimate,
+  PromptSize,
+  SilenceBounds,
+} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 
 import {RouteKind} from './configuration.js';
 import type {KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
 import type {RequestContext} from './request-context.js';
-import {SilenceWatch, type SilenceLimits} from './stream-relay.js';
+import {SilenceWatch, type SilenceLimits} from './silence-watch.js';
 
-/** Before the first event a resumable stream is moved after this many goals... */
-const FIRST_SILENCE_GOALS = 1.5;
-/** ... and after so many times what the service takes now for such a prompt. */
-const FIRST_SILENCE_EXPECTED = 3;
-/** Between events a resumable stream is moved after this many wanted pauses. */
+/** How long one kind of answer may be silent. */
+interface PatienceOptions {
+  /** Its endpoint gets nothing new after so many times what is expected. */
+  readonly suspectFactor: number;
+  /** Never sooner, milliseconds. */
+  readonly shortestSuspectMilliseconds: number;
+  /** A request that may run elsewhere is moved after so many times... */
+  readonly moveFactor: number;
+  /** ... or so many goals of its route, whichever is more. */
+  readonly moveGoals: number;
+  /** Never sooner, milliseconds. */
+  readonly shortestMoveMilliseconds: number;
+}
+
+/** Engines read prompts in turn: a first event comes late where long ones go before. */
+const STREAM_PATIENCE: PatienceOptions = {
+  suspectFactor: 3,
+  shortestSuspectMilliseconds: 400,
+  moveFactor: 3,
+  moveGoals: 1.5,
+  shortestMoveMilliseconds: 900,
+};
+/** Whole answers differ little, but for one in a hundred. */
+const WHOLE_PATIENCE: PatienceOptions = {
+  suspectFactor: 6,
+  shortestSuspectMilliseconds: 150,
+  moveFactor: 8,
+  moveGoals: 2,
+  shortestMoveMilliseconds: 200,
+};
+/** Between events silence counts after this many wanted pauses. */
 const NEXT_SILENCE_PAUSES = 3;
-/** Silence shorter than this is no reason to move a stream, milliseconds. */
-const SHORTEST_SILENCE_MILLISECONDS = 900;
 
 /** Bears an endpoint's silence as long as it makes sense, and learns from it. */
-export class StreamPatience {
+export class AnswerPatience {
+  private readonly options: PatienceOptions;
+  private readonly estimate: AnswerEstimate;
+
   constructor(
     private readonly context: RequestContext,
     private readonly clock: Clock,
-  ) {}
+  ) {
+    const isStream = context.route.kind === RouteKind.Streaming;
+    this.options = isStream ? STREAM_PATIENCE : WHOLE_PATIENCE;
+    this.estimate = isStream ? context.firstEvents : context.wholeAnswers;
+  }
 
   /**
-   * Watches for silence. A stream that may be moved is; one that may not still tells
-   * of its endpoint. Load: an engine goes dark, and a third of the streams may run
-   * once only. Harm without the latter: it gets more of them until their callers
-   * leave, two seconds later.
+   * Watches for silence. Load: a data centre is cut off and packets are dropped, or an
+   * engine goes dark. Harm of waiting for a connection's end: none comes, and requests
+   * go there for as long as callers wait. A request that may run elsewhere is moved;
+   * one that may not stays, and still tells of its endpoint.
    *
-   * @param mayMove Whether the stream may go on at another endpoint after this one.
+   * @param mayMove Whether the request may go on at another endpoint after this one.
    */
   watch(
     endpoint: KnownEndpoint,
     exchange: EndpointExchange,
     mayMove: boolean,
   ): SilenceWatch {
-    const onSilence = mayMove
-      ? () => {
-          exchange.cancel('silent');
-        }
-      : () => {
-          endpoint.trust.broke(this.clock.monotonicMilliseconds());
-        };
-    return new SilenceWatch(this.limits(mayMove), this.clock, onSilence);
+    return new SilenceWatch(this.limits(mayMove), this.clock, {
+      onSuspicion: () => {
+        endpoint.trust.fellSilent(this.clock.monotonicMilliseconds());
+      },
+      onSilence: () => {
+        exchange.cancel('silent');
+      },
+    });
   }
 
-  /** Takes note of how long the first event of a stream took, or did not come. */
+  /** Takes note of how long an answer took to begin, or did not. */
   learn(watch: SilenceWatch): void {
-    const {route, firstEvents} = this.context;
-    if (route.kind !== RouteKind.Streaming) {
-      return;
-    }
     if (watch.firstMilliseconds === undefined) {
-      firstEvents.missed(this.promptSize(), watch.elapsedMilliseconds);
+      this.estimate.missed(this.promptSize(), watch.elapsedMilliseconds);
     } else {
-      firstEvents.came(this.promptSize(), watch.firstMilliseconds);
+      this.estimate.came(this.promptSize(), watch.firstMilliseconds);
     }
   }
 
-  private limits(mayMove: boolean): SilenceLimits | undefined {
-    const {route, firstEvents} = this.context;
-    if (route.kind !== RouteKind.Streaming) {
-      return undefined;
-    }
+  private limits(mayMove: boolean): SilenceLimits {
+    const {route} = this.context;
+    const next = Math.max(
+      this.options.shortestMoveMilliseconds,
+      NEXT_SILENCE_PAUSES * route.pauseGoalMilliseconds,
+    );
     return {
-      firstMilliseconds: firstEvents.limit(this.promptSize(), {
-        shortestMilliseconds: Math.max(
-          SHORTEST_SILENCE_MILLISECONDS,
-          FIRST_SILENCE_GOALS * route.goalMilliseconds,
-        ),
-        expectedFactor: FIRST_SILENCE_EXPECTED,
-      }),
-      nextMilliseconds: mayMove
-        ? Math.max(
-            SHORTEST_SILENCE_MILLISECONDS,
-            NEXT_SILENCE_PAUSES * route.pauseGoalMilliseconds,
-          )
+      suspectMilliseconds: this.firstLimit(this.suspectBounds()),
+      firstMilliseconds: mayMove
+        ? this.firstLimit(this.moveBounds())
         : undefined,
+      nextMilliseconds: next,
+      mayMove,
+    };
+  }
+
+  private suspectBounds(): SilenceBounds {
+    const {suspectFactor, shortestSuspectMilliseconds} = this.options;
+    return {
+      expectedFactor: suspectFactor,
+      shortestMilliseconds: shortestSuspectMilliseconds,
+    };
+  }
+
+  private moveBounds(): SilenceBounds {
+    const {moveFactor, moveGoals, shortestMoveMilliseconds} = this.options;
+    return {
+      expectedFactor: moveFactor,
+      shortestMilliseconds: Math.max(
+        shortestMoveMilliseconds,
+        moveGoals * this.context.route.goalMilliseconds,
+      ),
     };
   }
 
+  private firstLimit(bounds: SilenceBounds): number {
+    return this.estimate.limit(this.promptSize(), bounds);
+  }
+
   private promptSize(): PromptSize {
     const {promptParts, promptTokens} = this.context.caller.headers;
     return {ownTokens: promptParts.at(-1)?.tokens ?? promptTokens};
--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -8,6 +8,12 @@
  */
 const LONGEST_IDLE_MILLISECONDS = 4_000;
 
+/** Where an endpoint is reached. */
+export interface EndpointAddress {
+  readonly address: string;
+  readonly port: number;
+}
+
 /** What makes a kept connection unfit, taken off when it is used again. */
 interface IdleGuard {
   readonly onData: () => void;
@@ -26,6 +32,18 @@
     super({keepAlive: true, scheduling: 'lifo', noDelay: true, ...options});
   }
 
+  /**
+   * Closes kept connections to an endpoint that may have been cut off: the next
+   * request opens a new one. Where that fails, nothing was sent, and any request may go
+   * elsewhere; on a kept one it would hang, and might have run.
+   */
+  dropIdle({address, port}: EndpointAddress): void {
+    const idle = this.freeSockets[this.getName({host: address, port})] ?? [];
+    for (const socket of [...idle]) {
+      socket.destroy();
+    }
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     if (!keepsAlive(this, socket)) {
       return false;
--- a/packages/gateway/src/request-context.ts
+++ b/packages/gateway/src/request-context.ts
@@ -1,4 +1,4 @@
-import type {FirstEventEstimate, ResendBudget} from '@wisteriadeal/decisions';
+import type {AnswerEstimate, ResendBudget} from '@wisteriadeal/decisions';
 
 import type {CallerExchange} from './caller-exchange.js';
 import {
@@ -19,7 +19,8 @@
   /** The caller or the route waits no longer; monotonic milliseconds. */
   readonly deadlineAt: number;
   readonly resends: ResendBudget;
-  readonly firstEvents: FirstEventEstimate;
+  readonly firstEvents: AnswerEstimate;
+  readonly wholeAnswers: AnswerEstimate;
 }
 
 /** Whether the request may run at a second endpoint after it may have run. */
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -155,7 +155,7 @@
     if (service === undefined) {
       return undefined;
     }
-    const {resends, firstEvents} = this.services.of(service.name);
+    const {resends, firstEvents, wholeAnswers} = this.services.of(service.name);
     resends.requested(this.parts.clock.monotonicMilliseconds());
     const waits = Math.min(
       caller.headers.deadlineMilliseconds ?? route.timeoutMilliseconds,
@@ -171,6 +171,7 @@
       deadlineAt: caller.arrivedAt + waits,
       resends,
       firstEvents,
+      wholeAnswers,
     };
   }
 
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -1,6 +1,7 @@
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import {AnswerPatience} from './answer-patience.js';
 import {RouteKind} from './configuration.js';
 import type {Dialect} from './dialect.js';
 import {EndpointChooser} from './endpoint-chooser.js';
@@ -17,8 +18,8 @@
 import type {RequestBudget} from './request-budget.js';
 import {mayRepeat, type RequestContext} from './request-context.js';
 import type {RequestRecord} from './request-record.js';
-import {StreamPatience} from './stream-patience.js';
-import {RelayEnd, relayStream, type SilenceWatch} from './stream-relay.js';
+import type {SilenceWatch} from './silence-watch.js';
+import {RelayEnd, relayStream} from './stream-relay.js';
 import {BudgetRefusal} from './token-waiters.js';
 
 /** What all runs of a process share. */
@@ -60,7 +61,7 @@
 export class RequestRun {
   private readonly avoided = new Set<string>();
   private readonly chooser: EndpointChooser;
-  private readonly patience: StreamPatience;
+  private readonly patience: AnswerPatience;
   private sentTo = 0;
   private unreachable = 0;
   /** A whole failure of an endpoint, passed on if nothing better comes. */
@@ -76,7 +77,7 @@
   ) {
     const {directory, clock, dataCenter} = parts;
     this.chooser = new EndpointChooser(directory, clock, dataCenter);
-    this.patience = new StreamPatience(context, clock);
+    this.patience = new AnswerPatience(context, clock);
   }
 
   /** Ends when the caller has its answer, was told why not, or has left. */
@@ -119,6 +120,7 @@
     this.current = exchange;
     try {
       const head = await exchange.head();
+      this.noteAnswer(endpoint, head, watch);
       const next = isFailure(head)
         ? this.afterFailure(endpoint, head)
         : await this.afterHead(endpoint, exchange, head, watch);
@@ -148,6 +150,9 @@
       lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
     });
     endpoint.load++;
+    if (endpoint.trust.isOnTrial) {
+      connections.dropIdle(endpoint.entry);
+    }
     endpoint.trust.sent();
     this.avoided.add(endpoint.entry.id);
     this.record.endpoint = endpoint.entry.id;
@@ -160,6 +165,23 @@
     });
   }
 
+  /** Whatever an endpoint answers, it speaks; a refusal tells nothing of its pace. */
+  private noteAnswer(
+    endpoint: KnownEndpoint,
+    head: AnswerHead | ExchangeFailure,
+    watch: SilenceWatch,
+  ): void {
+    if (!isFailure(head)) {
+      watch.answered();
+      endpoint.trust.spoke();
+    } else if (
+      head.fate === ExchangeFate.NotRun ||
+      head.fate === ExchangeFate.WrongEndpoint
+    ) {
+      endpoint.trust.spoke();
+    }
+  }
+
   private afterFailure(
     endpoint: KnownEndpoint,
     failure: ExchangeFailure,
@@ -257,7 +279,6 @@
     watch: SilenceWatch,
   ): Promise<Next> {
     const {caller} = this.context;
-    watch.answered();
     const refusal = await this.takeTokens();
     if (refusal !== undefined) {
       exchange.cancel('no tokens');
--- a/packages/gateway/src/service-states.ts
+++ b/packages/gateway/src/service-states.ts
@@ -1,5 +1,5 @@
 import {
-  FirstEventEstimate,
+  AnswerEstimate,
   ResendBudget,
   type ResendLimits,
 } from '@wisteriadeal/decisions';
@@ -7,7 +7,10 @@
 /** What this host has seen of one service's requests. */
 export interface ServiceState {
   readonly resends: ResendBudget;
-  readonly firstEvents: FirstEventEstimate;
+  /** First events of streams. */
+  readonly firstEvents: AnswerEstimate;
+  /** Whole answers. */
+  readonly wholeAnswers: AnswerEstimate;
 }
 
 /** The states of all services that requests came for. */
@@ -22,7 +25,8 @@
     if (state === undefined) {
       state = {
         resends: new ResendBudget(this.limits),
-        firstEvents: new FirstEventEstimate(),
+        firstEvents: new AnswerEstimate(),
+        wholeAnswers: new AnswerEstimate(),
       };
       this.states.set(service, state);
     }
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,5 +1,3 @@
-import type {Clock} from '@wisteriadeal/platform';
-
 import type {CallerExchange} from './caller-exchange.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
 import {
@@ -7,6 +5,7 @@
   type StreamEvent,
 } from './event-stream-splitter.js';
 import type {RequestRecord} from './request-record.js';
+import type {SilenceWatch} from './silence-watch.js';
 
 /** How passing on one endpoint's part of a stream ended. */
 export enum RelayEnd {
@@ -18,14 +17,6 @@
   CallerLeft = 'caller-left',
 }
 
-/** How long silence is borne. */
-export interface SilenceLimits {
-  /** Until the first event, milliseconds. */
-  readonly firstMilliseconds: number;
-  /** Between events, milliseconds; undefined where any silence is borne there. */
-  readonly nextMilliseconds: number | undefined;
-}
-
 /**
  * Passes whole events on as they come. Each must follow the one before it: a run
  * that was resumed elsewhere may begin too early or too late, and a stream with a
@@ -76,54 +67,3 @@
   }
   return Number(event.id) === Number(last) + 1;
 }
-
-/** Tells when an exchange says nothing for too long. */
-export class SilenceWatch {
-  private readonly startedAt: number;
-  private timer: NodeJS.Timeout | undefined;
-  private firstAfter: number | undefined;
-
-  /** @param limits Undefined where any silence is borne. */
-  constructor(
-    private readonly limits: SilenceLimits | undefined,
-    private readonly clock: Clock,
-    private readonly onSilence: () => void,
-  ) {
-    this.startedAt = clock.monotonicMilliseconds();
-    this.arm(limits?.firstMilliseconds);
-  }
-
-  /** How long the first event took; undefined where none came, milliseconds. */
-  get firstMilliseconds(): number | undefined {
-    return this.firstAfter;
-  }
-
-  /** Since the request was sent, milliseconds. */
-  get elapsedMilliseconds(): number {
-    return this.clock.monotonicMilliseconds() - this.startedAt;
-  }
-
-  /** The endpoint has answered; what follows until `heard` is not its silence. */
-  answered(): void {
-    this.firstAfter ??= this.elapsedMilliseconds;
-    clearTimeout(this.timer);
-  }
-
-  /** An event came: the silence begins anew. */
-  heard(): void {
-    this.firstAfter ??= this.elapsedMilliseconds;
-    this.arm(this.limits?.nextMilliseconds);
-  }
-
-  /** Watches no longer. */
-  close(): void {
-    clearTimeout(this.timer);
-  }
-
-  private arm(milliseconds: number | undefined): void {
-    clearTimeout(this.timer);
-    if (milliseconds !== undefined) {
-      this.timer = setTimeout(this.onSilence, milliseconds);
-    }
-  }
-}
