--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -9,6 +9,7 @@
 import {Follow} from './commands/follow.js';
 import {Publish} from './commands/publish.js';
 import {RequestExplain} from './commands/request-explain.js';
+import {RequestSummary} from './commands/request-summary.js';
 import {Schema} from './commands/schema.js';
 import {TopUp} from './commands/top-up.js';
 
@@ -20,6 +21,7 @@
   'budget:explain': BudgetExplain,
   'budget:release': BudgetRelease,
   'request:explain': RequestExplain,
+  'request:summary': RequestSummary,
   'fleet:status': FleetStatus,
   dump: Dump,
   follow: Follow,
