Listen for callers before anything else is loaded, and let them wait for the first configuration

Change: the entry loads the door alone (24 kB), which takes the address of the settings and listens; requests wait there until the gateway takes them, and then at most 0.4 s for the first configuration and list of endpoints.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -36,6 +36,7 @@
   private readonly lapsed = new Map<string, number>();
   /** Offset at which each key was last heard of. */
   private readonly offsets = new Map<string, number>();
+  private readonly readListeners: (() => void)[] = [];
 
   constructor(
     private readonly dialect: Dialect,
@@ -46,6 +47,11 @@
     super();
   }
 
+  /** Calls the listener each time the whole list was read. */
+  onRead(listener: () => void): void {
+    this.readListeners.push(listener);
+  }
+
   /** Every endpoint known, also those that leave. */
   get all(): readonly KnownEndpoint[] {
     return [...this.endpoints.values()];
@@ -100,6 +106,9 @@
         this.dropped(id);
       }
     }
+    for (const listener of this.readListeners) {
+      listener();
+    }
   }
 
   private listed(entry: EndpointEntry, offset: number): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -8,7 +8,8 @@
 import {BudgetHolder} from './budget-holder.js';
 import {BudgetJournal} from './budget-journal.js';
 import {BudgetReplica} from './budget-replica.js';
-import {CallerServer, type ListenAddress} from './caller-server.js';
+import {listenAddress, type CallerDoor} from './caller-door.js';
+import {CallerServer} from './caller-server.js';
 import {ConfigurationState} from './configuration-state.js';
 import type {Dialect} from './dialect.js';
 import {EndpointConnections} from './endpoint-connections.js';
@@ -21,6 +22,7 @@
 import {LoanServer} from './loan-server.js';
 import {RequestHandler} from './request-handler.js';
 import {UndeliveredCharge} from './request-record.js';
+import {StartGate} from './start-gate.js';
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
 
@@ -33,6 +35,8 @@
   readonly clock: Clock;
   readonly random: RandomSource;
   readonly events: EventLog;
+  /** May listen already. */
+  readonly door: CallerDoor;
 }
 
 /**
@@ -49,6 +53,15 @@
 /** Connections that come between readiness' end and the platform's notice of it. */
 const NOTICE_MILLISECONDS = 2_600;
 
+/** What a process must know before it can serve. */
+enum StartNeed {
+  Configuration = 'configuration',
+  Endpoints = 'endpoints',
+}
+
+/** Some calls to the store bring what serving needs, 4 ms each when it is well. */
+const FIRST_CALLS_MILLISECONDS = 400;
+
 /** The program of an entry host. */
 export class Gateway implements RunningBinary<GatewaySettings> {
   private readonly health: TopicHealth;
@@ -63,6 +76,7 @@
   private readonly followers: readonly KeyedTopicFollower[];
   private readonly connections = new EndpointConnections();
   private readonly metrics = new GatewayMetrics();
+  private readonly gate = new StartGate(Object.values(StartNeed));
   private lender: LoanServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -86,7 +100,7 @@
     this.budgets = this.createBudgets();
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
-    this.callers = new CallerServer(dialect, this.handler, clock, events);
+    this.callers = new CallerServer(parts.door, dialect, this.handler, events);
     this.state = new GatewayState(
       this.configuration,
       this.directory,
@@ -103,7 +117,11 @@
       events,
     );
     this.followers = this.createFollowers();
+    this.directory.onRead(() => {
+      this.gate.met(StartNeed.Endpoints);
+    });
     this.configuration.onChange(configuration => {
+      this.gate.met(StartNeed.Configuration);
       this.budgets.configure(configuration);
       this.callers.limit(configuration.limits);
     });
@@ -112,6 +130,7 @@
   /** Listens, and begins to follow the store. */
   async start(): Promise<void> {
     const {settings, events} = this.parts;
+    this.gate.openAfter(FIRST_CALLS_MILLISECONDS);
     await this.callers.listen(listenAddress(settings.callerAddress));
     this.lender = await LoanServer.listen(
       listenAddress(settings.peerAddress),
@@ -157,6 +176,7 @@
 
   /** Ends at once: open requests are cut and grants stay where they are. */
   async abort(): Promise<void> {
+    this.gate.close();
     this.callers.close();
     this.status.close();
     for (const follower of this.followers) {
@@ -242,6 +262,7 @@
       undeliveredCharge(settings),
       this.metrics,
       events,
+      this.gate,
       () => random.fraction(),
     );
   }
@@ -290,12 +311,3 @@
     ? UndeliveredCharge.Prompt
     : UndeliveredCharge.Nothing;
 }
-
-/** Splits `IP:port`, which the settings' check has found to be well formed. */
-export function listenAddress(text: string): ListenAddress {
-  const colon = text.lastIndexOf(':');
-  return {
-    address: text.slice(0, colon),
-    port: Number(text.slice(colon + 1)),
-  };
-}
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
  * callers' requests to endpoints, within organisations' prepaid budgets. What is
  * outside stands behind `Dialect` and `PartitionedLog`.
  */
+export * from './caller-door.js';
 export * from './configuration.js';
 export * from './dialect.js';
 export * from './endpoint-entry.js';
--- a/packages/gateway/src/loan-server.ts
+++ b/packages/gateway/src/loan-server.ts
@@ -3,7 +3,7 @@
 import {createServer, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 
-import type {ListenAddress} from './caller-server.js';
+import type {ListenAddress} from './caller-door.js';
 import type {LoanHolder} from './loan-peers.js';
 
 /**
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -22,6 +22,7 @@
 import {RequestRecord, UndeliveredCharge} from './request-record.js';
 import {RequestRun, type RunParts} from './request-run.js';
 import {ServiceStates} from './service-states.js';
+import type {StartGate} from './start-gate.js';
 import type {StoreHealth} from './store-health.js';
 
 /** Where a request may go, by the configuration in force. */
@@ -59,6 +60,7 @@
     private undeliveredCharge: UndeliveredCharge,
     private readonly metrics: GatewayMetrics,
     private readonly events: EventLog,
+    private readonly gate: StartGate,
     private readonly fraction: () => number,
   ) {
     this.services = new ServiceStates(resendLimits);
@@ -101,6 +103,7 @@
     caller: CallerExchange,
     record: RequestRecord,
   ): Promise<OwnAnswer | undefined> {
+    await this.gate.passed();
     const configuration = this.configuration.current;
     if (configuration === undefined) {
       return notRun(
--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -6,7 +6,7 @@
   type ServerResponse,
 } from 'node:http';
 
-import type {ListenAddress} from './caller-server.js';
+import type {ListenAddress} from './caller-door.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 
 /** What a process tells on its status addresses. */
--- /dev/null
+++ b/packages/gateway/src/test/caller-door_test.ts
@@ -0,0 +1,62 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {CallerDoor} from '../caller-door.js';
+
+const ANY_PORT = {address: '127.0.0.1', port: 0};
+
+let door: CallerDoor;
+
+beforeEach(() => {
+  door = new CallerDoor(() => performance.now());
+});
+
+afterEach(() => {
+  door.close();
+});
+
+describe('CallerDoor', () => {
+  it('keeps requests that come before there is anybody to serve them', async () => {
+    // The caller is answered, some tenths of a second later than usual. All hosts lost
+    // power; it comes back while the process still loads its libraries. A reset of its
+    // connection would cost the one retry that it has.
+    await door.listen(ANY_PORT);
+    const answers = [1, 2].map(async caller => {
+      const url = `http://127.0.0.1:${door.port}/${caller}`;
+      return (await fetch(url)).text();
+    });
+    const waited = new Promise(resolve => {
+      door.server.on('request', resolve);
+    });
+    await waited;
+    door.openTo((request, response) => {
+      response.end(request.url);
+    });
+    expect(await Promise.all(answers)).toEqual(['/1', '/2']);
+  });
+
+  it('tells when a request arrived, not when it was taken', async () => {
+    await door.listen(ANY_PORT);
+    const before = performance.now();
+    const answer = fetch(`http://127.0.0.1:${door.port}/`);
+    await new Promise(resolve => {
+      door.server.on('request', resolve);
+    });
+    const arrivedBy = performance.now();
+    const arrivedAt = await new Promise<number>(resolve => {
+      door.openTo((_request, response, at) => {
+        response.end();
+        resolve(at);
+      });
+    });
+    await answer;
+    expect(arrivedAt).toBeGreaterThanOrEqual(before);
+    expect(arrivedAt).toBeLessThanOrEqual(arrivedBy);
+  });
+
+  it('listens once, whoever asks again', async () => {
+    await door.listen(ANY_PORT);
+    const {port} = door;
+    await door.listen(ANY_PORT);
+    expect(door.port).toBe(port);
+  });
+});
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -13,6 +13,7 @@
 export * from './metrics.js';
 export * from './results.js';
 export * from './schema-check.js';
+export * from './setting-reader.js';
 export * from './settings-file.js';
 export * from './settings-rules.js';
 export * from './settings-watch.js';
