--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -292,6 +292,8 @@
       bound: tokenBound(caller),
       used: record.used,
       events: record.eventsDelivered,
+      firstEventMilliseconds: sinceArrival(record.firstEventAt, caller),
+      longestPauseMilliseconds: Math.round(record.longestPause),
       waitedForTokensMilliseconds: Math.round(record.waitedForTokens),
       configuration: this.configuration.current?.version,
       attempts: record.attempts
@@ -304,6 +306,13 @@
   }
 }
 
+function sinceArrival(
+  at: number | undefined,
+  caller: CallerExchange,
+): number | undefined {
+  return at === undefined ? undefined : Math.round(at - caller.arrivedAt);
+}
+
 function admit(
   caller: CallerExchange,
   configuration: FleetConfiguration,
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -33,6 +33,23 @@
 
   /** True once a part of an endpoint's answer was given to the caller. */
   hasDelivered = false;
+  /** When the first event was passed on; undefined before, milliseconds. */
+  firstEventAt: number | undefined;
+  /** The longest time between two events that were passed on, milliseconds. */
+  longestPause = 0;
+  private lastEventAt = 0;
+
+  /** An event is passed on. */
+  eventPassed(now: number): void {
+    this.eventsDelivered++;
+    this.hasDelivered = true;
+    if (this.firstEventAt === undefined) {
+      this.firstEventAt = now;
+    } else {
+      this.longestPause = Math.max(this.longestPause, now - this.lastEventAt);
+    }
+    this.lastEventAt = now;
+  }
 
   /** Tokens used: input once, and the output that was delivered. */
   usedTokens(
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -293,7 +293,9 @@
       );
       this.record.status = head.status;
     }
-    const end = await relayStream(exchange, caller, this.record, watch);
+    const end = await relayStream(exchange, caller, this.record, watch, () =>
+      this.now(),
+    );
     if (end === RelayEnd.Whole) {
       this.note(endpoint, 'whole stream');
       endpoint.trust.succeeded();
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -27,6 +27,7 @@
   caller: CallerExchange,
   record: RequestRecord,
   watch: SilenceWatch,
+  now: () => number,
 ): Promise<RelayEnd> {
   const splitter = new EventStreamSplitter();
   for await (const chunk of exchange.parts()) {
@@ -36,6 +37,7 @@
         return RelayEnd.Cut;
       }
       watch.heard();
+      record.eventPassed(now());
       await pass(event, caller, record);
     }
     if (caller.leaving.aborted) {
@@ -54,8 +56,6 @@
   caller: CallerExchange,
   record: RequestRecord,
 ): Promise<void> {
-  record.eventsDelivered++;
-  record.hasDelivered = true;
   record.lastEventId = event.id ?? record.lastEventId;
   await caller.write(event.bytes);
 }
