Leave what is in hand to the more urgent while the store is away; split the budget holder

Cause: in an outage tokens went first come, first served: the least urgent of an organisation's requests used up what those who talk with an engine needed later. Change: while nothing comes from the store, a request leaves in hand what the more urgent ones use, lately, in as long again as the outage has lasted, 4 s at the least. Requests that wait stand in line by urgency, behind ready answers. The test fails without it.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -134,7 +134,7 @@
     await this.callers.listen(listenAddress(settings.callerAddress));
     this.lender = await LoanServer.listen(
       listenAddress(settings.peerAddress),
-      this.budgets,
+      this.budgets.lender,
     );
     for (const follower of this.followers) {
       void follower.run();
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -17,6 +17,16 @@
 export type ReserveResult =
   {readonly reservation: Reservation} | {readonly refusal: BudgetRefusal};
 
+/** What of a new request decides on its tokens. */
+export interface TokenWish {
+  /** The most that it can use. */
+  readonly bound: number;
+  /** Urgency, from 0, the most urgent. */
+  readonly rank: number;
+  /** Whether a request of which nothing is delivered costs nothing. */
+  readonly mayPromise: boolean;
+}
+
 /** How long a request waits for tokens. */
 export interface WaitLimit {
   readonly milliseconds: number;
@@ -60,22 +70,22 @@
   }
 
   /** Lets a request begin whose tokens are taken when its answer is there. */
-  promise(bound: number): Reservation {
-    this.account.promise(bound, this.now());
+  promise({bound, rank}: TokenWish): Reservation {
+    this.account.promise(bound, this.now(), rank);
     return this.reservation(bound, ChargePoint.Delivery);
   }
 
   /**
    * Takes a new request's tokens where nobody waits before it.
    *
-   * @param keepsPromises Leaves what requests that run will take: nothing else comes.
+   * @param kept Tokens that must be left in hand.
    */
-  reserveNow(bound: number, keepsPromises: boolean): Reservation | undefined {
+  reserveNow({bound, rank}: TokenWish, kept: number): Reservation | undefined {
     const {account, waiters} = this;
     if (
-      waiters.isAhead(TokenUse.Dispatch) ||
-      (keepsPromises && bound > account.unpromised) ||
-      !account.reserve(bound, this.now())
+      waiters.isAhead(TokenUse.Dispatch, rank) ||
+      bound + kept > account.available ||
+      !account.reserve(bound, this.now(), rank)
     ) {
       return undefined;
     }
@@ -83,8 +93,12 @@
   }
 
   /** Takes a new request's tokens when they come. */
-  async reserveLater(bound: number, limit: WaitLimit): Promise<ReserveResult> {
-    const refusal = await this.wait(bound, TokenUse.Dispatch, limit);
+  async reserveLater(
+    {bound, rank}: TokenWish,
+    limit: WaitLimit,
+  ): Promise<ReserveResult> {
+    const waiting = {bound, rank, use: TokenUse.Dispatch};
+    const refusal = await this.wait(waiting, limit);
     return refusal === undefined
       ? {reservation: this.reservation(bound, ChargePoint.Dispatch)}
       : {refusal};
@@ -93,7 +107,7 @@
   /** Takes promised tokens where no answer waits before this one. */
   keepPromiseNow(bound: number): boolean {
     return (
-      !this.waiters.isAhead(TokenUse.Delivery) &&
+      !this.waiters.isAhead(TokenUse.Delivery, 0) &&
       this.account.keepPromise(bound)
     );
   }
@@ -107,7 +121,8 @@
     bound: number,
     limit: WaitLimit,
   ): Promise<BudgetRefusal | undefined> {
-    return this.wait(bound, TokenUse.Delivery, limit);
+    const waiting = {bound, rank: 0, use: TokenUse.Delivery};
+    return this.wait(waiting, limit);
   }
 
   /** Adds tokens and serves those that wait, in order. */
@@ -145,8 +160,7 @@
   }
 
   private wait(
-    bound: number,
-    use: TokenUse,
+    waiting: Omit<TokenWaiter, 'done'>,
     limit: WaitLimit,
   ): Promise<BudgetRefusal | undefined> {
     return new Promise(resolve => {
@@ -156,8 +170,7 @@
       const timer = setTimeout(giveUp, limit.milliseconds);
       limit.signal?.addEventListener('abort', giveUp);
       const waiter: TokenWaiter = {
-        bound,
-        use,
+        ...waiting,
         done: refusal => {
           clearTimeout(timer);
           limit.signal?.removeEventListener('abort', giveUp);
@@ -178,10 +191,10 @@
     }
   }
 
-  private takeFor({bound, use}: TokenWaiter): boolean {
+  private takeFor({bound, use, rank}: TokenWaiter): boolean {
     return use === TokenUse.Delivery
       ? this.account.keepPromise(bound)
-      : this.account.reserve(bound, this.now());
+      : this.account.reserve(bound, this.now(), rank);
   }
 
   private reservation(bound: number, chargePoint: ChargePoint): Reservation {
--- a/packages/gateway/src/request-budget.ts
+++ b/packages/gateway/src/request-budget.ts
@@ -1,10 +1,10 @@
 import type {Reservation} from '@wisteriadeal/budgets';
 
 import type {
-  BudgetHolder,
   DeliveryLimit,
   TakenReservation,
-} from './budget-holder.js';
+  TokenReservations,
+} from './token-reservations.js';
 
 /** The tokens of one request, from its beginning to its bill. */
 export class RequestBudget {
@@ -12,7 +12,7 @@
   waitedMilliseconds = 0;
 
   constructor(
-    private readonly holder: BudgetHolder,
+    private readonly reservations: TokenReservations,
     private reservation: Reservation,
   ) {}
 
@@ -26,7 +26,7 @@
     now: () => number,
   ): Promise<TakenReservation['refusal']> {
     const startedAt = now();
-    const taken = await this.holder.take(this.reservation, limit);
+    const taken = await this.reservations.take(this.reservation, limit);
     this.reservation = taken.reservation;
     this.waitedMilliseconds += now() - startedAt;
     return taken.refusal;
@@ -34,6 +34,6 @@
 
   /** Ends it with what the request used; once. */
   settle(used: number): void {
-    this.holder.settle(this.reservation, used);
+    this.reservations.settle(this.reservation, used);
   }
 }
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -187,10 +187,13 @@
     record.organisation = organisation?.name;
     // Settings may change while it runs: what it began with holds to its end.
     const charge = this.undeliveredCharge;
-    const reserved = await this.budgets.reserve(
+    const reserved = await this.budgets.reservations.reserve(
       organisation?.name ?? '',
-      bound,
-      charge === UndeliveredCharge.Nothing,
+      {
+        bound,
+        rank: context.route.priority,
+        mayPromise: charge === UndeliveredCharge.Nothing,
+      },
     );
     if ('refusal' in reserved) {
       this.events.info('refused for budget', {
@@ -205,7 +208,10 @@
       return budgetAnswer(reserved.refusal, this.health.awayFor(now));
     }
     const {promptTokens, maximumOutputTokens} = caller.headers;
-    const budget = new RequestBudget(this.budgets, reserved.reservation);
+    const budget = new RequestBudget(
+      this.budgets.reservations,
+      reserved.reservation,
+    );
     try {
       await new RequestRun(this.parts, context, budget, record).run();
     } finally {
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -2,6 +2,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
+import type {TokenWish} from '../organisation-budget.js';
 import {BudgetRefusal} from '../token-waiters.js';
 import {BUDGET_PARTITION} from '../budget-topics.js';
 import {HolderFleet, SCHOOL, until} from './holder-fleet.js';
@@ -24,13 +25,17 @@
   return holder.describe(SCHOOL)?.available ?? 0;
 }
 
+function wish(bound: number, mayPromise: boolean): TokenWish {
+  return {bound, rank: 0, mayPromise};
+}
+
 /** One request that uses its whole bound; whether it was let in. */
 async function use(holder: BudgetHolder, tokens: number): Promise<boolean> {
-  const result = await holder.reserve(SCHOOL, tokens, false);
+  const result = await holder.reservations.reserve(SCHOOL, wish(tokens, false));
   if ('refusal' in result) {
     return false;
   }
-  holder.settle(result.reservation, tokens);
+  holder.reservations.settle(result.reservation, tokens);
   return true;
 }
 
@@ -91,7 +96,9 @@
     fleet.log.faults.answerAfterMilliseconds = 150;
     expect(await use(holder, 40_000)).toBe(true);
     fleet.log.faults.answerAfterMilliseconds = 1_000;
-    expect(await holder.reserve(SCHOOL, 30_000, false)).toEqual({
+    expect(
+      await holder.reservations.reserve(SCHOOL, wish(30_000, false)),
+    ).toEqual({
       refusal: BudgetRefusal.StoreAway,
     });
   });
@@ -159,7 +166,10 @@
     await until(() => holders.every(holder => available(holder) > 0));
     for (const holder of holders) {
       for (let request = 0; request < 10; request++) {
-        const result = await holder.reserve(SCHOOL, REQUEST, true);
+        const result = await holder.reservations.reserve(
+          SCHOOL,
+          wish(REQUEST, true),
+        );
         expect(result).toMatchObject({
           reservation: {chargePoint: ChargePoint.Delivery},
         });
@@ -185,12 +195,12 @@
     const holder = await fleet.start('one');
     await until(() => available(holder) > 0);
     const bound = available(holder) + 20_000;
-    const begun = await holder.reserve(SCHOOL, bound, true);
+    const begun = await holder.reservations.reserve(SCHOOL, wish(bound, true));
     expect('reservation' in begun).toBe(true);
     if ('reservation' in begun) {
-      const taken = await holder.take(begun.reservation, WAIT);
+      const taken = await holder.reservations.take(begun.reservation, WAIT);
       expect(taken.refusal).toBeUndefined();
-      holder.settle(taken.reservation, bound);
+      holder.reservations.settle(taken.reservation, bound);
       expect(holder.describe(SCHOOL)).toMatchObject({
         promised: 0,
         reserved: 0,
@@ -206,41 +216,73 @@
     const holder = await fleet.start('one');
     await until(() => available(holder) > 0);
     const bound = available(holder) + 20_000;
-    const begun = await holder.reserve(SCHOOL, bound, true);
+    const begun = await holder.reservations.reserve(SCHOOL, wish(bound, true));
     fleet.log.faults.isAway = true;
     await until(() => fleet.events.some(({event}) => event === 'store lost'));
-    expect(await holder.reserve(SCHOOL, bound, true)).toEqual({
+    expect(
+      await holder.reservations.reserve(SCHOOL, wish(bound, true)),
+    ).toEqual({
       refusal: BudgetRefusal.StoreAway,
     });
     if ('reservation' in begun) {
-      const taken = holder.take(begun.reservation, WAIT);
+      const taken = holder.reservations.take(begun.reservation, WAIT);
       fleet.log.faults.isAway = false;
       expect((await taken).refusal).toBeUndefined();
     }
     expect(holder.describe(SCHOOL)).toMatchObject({reserved: bound});
   });
 
+  it('leaves what is in hand to the more urgent while the store is away', async () => {
+    // The callers who talk with an engine are served through the outage. Requests that
+    // nobody waits for come just as often, and would use up what is in hand first.
+    const holder = await fleet.start('one');
+    const urgent = {...wish(REQUEST, false), rank: 0};
+    const patient = {...wish(REQUEST, false), rank: 2};
+    for (let request = 0; request < 8; request++) {
+      const result = await holder.reservations.reserve(SCHOOL, urgent);
+      if ('reservation' in result) {
+        holder.reservations.settle(result.reservation, 0);
+      }
+    }
+    await until(() => available(holder) > 4 * REQUEST);
+    fleet.log.faults.isAway = true;
+    await until(() => fleet.events.some(({event}) => event === 'store lost'));
+    let served = 0;
+    while (
+      'reservation' in (await holder.reservations.reserve(SCHOOL, patient))
+    ) {
+      served += REQUEST;
+    }
+    expect(available(holder)).toBeGreaterThan(REQUEST);
+    while (
+      'reservation' in (await holder.reservations.reserve(SCHOOL, urgent))
+    ) {
+      served += REQUEST;
+    }
+    expect(available(holder)).toBeLessThan(REQUEST);
+    expect(served).toBeLessThanOrEqual(PREPAID);
+  });
+
   it('stops waiting for tokens when the caller leaves', async () => {
     // Tokens that come later go to others: the caller closed its connection while its
     // answer waited for the store.
     const holder = await fleet.start('one');
     await until(() => available(holder) > 0);
-    const begun = await holder.reserve(
+    const begun = await holder.reservations.reserve(
       SCHOOL,
-      available(holder) + 20_000,
-      true,
+      wish(available(holder) + 20_000, true),
     );
     fleet.log.faults.isAway = true;
     const leaving = new AbortController();
     if ('reservation' in begun) {
-      const taken = holder.take(begun.reservation, {
+      const taken = holder.reservations.take(begun.reservation, {
         ...WAIT,
         signal: leaving.signal,
       });
       leaving.abort();
       const {reservation, refusal} = await taken;
       expect(refusal).toBeDefined();
-      holder.settle(reservation, 0);
+      holder.reservations.settle(reservation, 0);
     }
     expect(holder.describe(SCHOOL)).toMatchObject({promised: 0, waiting: 0});
   });
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -34,7 +34,7 @@
     address: string,
     request: LoanRequest,
   ): Promise<number> {
-    const lent = await this.holder(address).lend(request);
+    const lent = await this.holder(address).lender.lend(request);
     if (this.faults.losesAnswers) {
       throw new StepError('borrow grant', address, Fate.Unknown, 'lost');
     }
@@ -42,7 +42,7 @@
   }
 
   override give(address: string, gift: Gift): Promise<boolean> {
-    return Promise.resolve(this.holder(address).takeOver(gift));
+    return Promise.resolve(this.holder(address).lender.takeOver(gift));
   }
 
   override close(): void {
--- /dev/null
+++ b/packages/gateway/src/token-reservations.ts
@@ -0,0 +1,167 @@
+import {
+  ChargePoint,
+  chargePoint,
+  keptForUrgent,
+  type Reservation,
+} from '@wisteriadeal/budgets';
+
+import type {BudgetBook} from './budget-book.js';
+import type {GrantBorrower} from './grant-borrower.js';
+import type {
+  OrganisationBudget,
+  ReserveResult,
+  TokenWish,
+} from './organisation-budget.js';
+import {BudgetRefusal} from './token-waiters.js';
+
+/**
+ * A request waits so long for a grant. An append and a read take about 10 ms; the
+ * shortest goal among the users' requests is some 150 ms.
+ */
+const WAIT_MILLISECONDS = 400;
+/** Without the store's verdict by then, other holders are asked. */
+const BORROW_AFTER_MILLISECONDS = 60;
+/** A lender waits so long for the store; its borrower waits 120 ms for it. */
+const FETCH_MILLISECONDS = 70;
+
+/** How long an answer that is ready waits for its tokens. */
+export interface DeliveryLimit {
+  readonly milliseconds: number;
+  readonly signal: AbortSignal;
+}
+
+/** What became of a promise when its answer was ready. */
+export interface TakenReservation {
+  readonly reservation: Reservation;
+  /** Undefined where the answer may be passed on. */
+  readonly refusal: BudgetRefusal | undefined;
+}
+
+/**
+ * Takes requests' tokens from this process's grants, without a message where they
+ * cover them.
+ */
+export class TokenReservations {
+  /** @param wake Begins the next exchange with the store at once. */
+  constructor(
+    private readonly book: BudgetBook,
+    private readonly borrower: GrantBorrower,
+    private readonly wake: () => void,
+  ) {}
+
+  /**
+   * Lets a request begin: puts the most that it can use aside, or promises it.
+   *
+   * @returns At once where the grants or the log cover it; else after the store's
+   *     verdict or a loan.
+   */
+  async reserve(organisation: string, wish: TokenWish): Promise<ReserveResult> {
+    const {bound, mayPromise} = wish;
+    const budget = this.book.get(organisation);
+    if (budget === undefined || bound === 0) {
+      return {reservation: unlimited(organisation)};
+    }
+    const view = this.book.view(organisation);
+    const now = this.book.now();
+    const isLogAtHand = this.book.health.isAtHand(now);
+    const point = chargePoint(budget.account, view, bound, isLogAtHand);
+    if (mayPromise && point === ChargePoint.Delivery) {
+      return {reservation: budget.promise(wish)};
+    }
+    const kept = isLogAtHand ? 0 : this.keptInOutage(budget, wish.rank, now);
+    const reservation = budget.reserveNow(wish, kept);
+    if (reservation !== undefined) {
+      return {reservation};
+    }
+    if (budget.isExhausted(view, bound)) {
+      return {refusal: BudgetRefusal.Exhausted};
+    }
+    const result = budget.reserveLater(wish, {
+      milliseconds: WAIT_MILLISECONDS,
+      refusal: () => this.book.refusalOfLate(budget, bound),
+    });
+    return this.bring(budget, result);
+  }
+
+  /**
+   * Takes what was promised, before the first part of an answer is passed on: all
+   * that was delivered stands on the log as granted to this process.
+   *
+   * @returns The reservation that is left, and why its tokens are not taken.
+   */
+  async take(
+    reservation: Reservation,
+    limit: DeliveryLimit,
+  ): Promise<TakenReservation> {
+    const {organisation, bound} = reservation;
+    const budget = this.book.get(organisation);
+    if (
+      budget === undefined ||
+      reservation.chargePoint === ChargePoint.Dispatch
+    ) {
+      return {reservation, refusal: undefined};
+    }
+    const taken = {...reservation, chargePoint: ChargePoint.Dispatch};
+    if (budget.keepPromiseNow(bound)) {
+      return {reservation: taken, refusal: undefined};
+    }
+    const result = budget.keepPromiseLater(bound, {
+      ...limit,
+      refusal: () => this.book.refusalOfLate(budget, bound),
+    });
+    const refusal = await this.bring(budget, result);
+    return {reservation: refusal === undefined ? taken : reservation, refusal};
+  }
+
+  /** Ends a reservation with what the request used. */
+  settle(reservation: Reservation, used: number): void {
+    const budget = this.book.get(reservation.organisation);
+    if (budget !== undefined && reservation.bound > 0) {
+      budget.settle(reservation, used);
+    }
+  }
+
+  /** Brings tokens from the store for a loan, without asking for one in turn. */
+  async fetch(budget: OrganisationBudget, least: number): Promise<void> {
+    const wish = {bound: least, rank: 0, mayPromise: false};
+    const fetched = budget.reserveLater(wish, {
+      milliseconds: FETCH_MILLISECONDS,
+      refusal: () => this.book.refusalOfLate(budget, least),
+    });
+    this.wake();
+    const result = await fetched;
+    if ('reservation' in result) {
+      budget.account.settle(least, 0);
+    }
+  }
+
+  /** What must stay in hand while nothing comes from the store. */
+  private keptInOutage(
+    {account}: OrganisationBudget,
+    rank: number,
+    now: number,
+  ): number {
+    const away = this.book.health.awayFor(now);
+    return account.promised + keptForUrgent(account, rank, away, now);
+  }
+
+  /** Wakes the exchange with the store, and asks other holders where it is late. */
+  private async bring<Result>(
+    budget: OrganisationBudget,
+    result: Promise<Result>,
+  ): Promise<Result> {
+    this.wake();
+    const patience = this.book.health.isAway ? 0 : BORROW_AFTER_MILLISECONDS;
+    const timer = setTimeout(() => void this.borrower.borrow(budget), patience);
+    try {
+      return await result;
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+}
+
+/** Of an organisation without a budget, or a request without tokens. */
+function unlimited(organisation: string): Reservation {
+  return {organisation, bound: 0, chargePoint: ChargePoint.Dispatch};
+}
--- a/packages/gateway/src/token-waiters.ts
+++ b/packages/gateway/src/token-waiters.ts
@@ -11,22 +11,25 @@
 /** What a request waits for. */
 export enum TokenUse {
   /** An answer is ready, and is passed on once its tokens are there. */
-  Delivery = 0,
+  Delivery = 'delivery',
   /** It was sent to no endpoint yet. */
-  Dispatch = 1,
+  Dispatch = 'dispatch',
 }
 
 /** A request that waits for tokens. */
 export interface TokenWaiter {
   readonly bound: number;
   readonly use: TokenUse;
+  /** Urgency, from 0, the most urgent; orders those that were not sent yet. */
+  readonly rank: number;
   /** Called once, when it leaves the line; undefined where it got its tokens. */
   readonly done: (refusal: BudgetRefusal | undefined) => void;
 }
 
 /**
  * Requests that wait for one organisation's tokens, those first whose answers are
- * ready: their work is done, and each further moment makes them late.
+ * ready: their work is done, and each further moment makes them late. The others
+ * follow by their urgency.
  */
 export class TokenWaiters {
   private readonly line: TokenWaiter[] = [];
@@ -46,14 +49,18 @@
     return this.line[0];
   }
 
-  /** Whether one of this use, or one that goes before it, is in line. */
-  isAhead(use: TokenUse): boolean {
-    return this.line.some(waiter => waiter.use <= use);
+  /** Whether one is in line that goes before a new one of this kind. */
+  isAhead(use: TokenUse, rank: number): boolean {
+    const place = placeOf(use, rank);
+    return this.line.some(waiter => placeOf(waiter.use, waiter.rank) <= place);
   }
 
-  /** Puts one behind those of its use. */
+  /** Puts one behind those that go before it. */
   add(waiter: TokenWaiter): void {
-    const behind = this.line.findIndex(({use}) => use > waiter.use);
+    const place = placeOf(waiter.use, waiter.rank);
+    const behind = this.line.findIndex(
+      ({use, rank}) => placeOf(use, rank) > place,
+    );
     this.line.splice(behind === -1 ? this.line.length : behind, 0, waiter);
   }
 
@@ -88,3 +95,7 @@
     }
   }
 }
+
+function placeOf(use: TokenUse, rank: number): number {
+  return use === TokenUse.Delivery ? -1 : rank;
+}
