--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -1,3 +1,4 @@
+import type {DataCenterTrust} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
@@ -14,13 +15,14 @@
   type AnswerHead,
   type ExchangeFailure,
 } from './endpoint-exchange.js';
-import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
+import {OwnReason} from './own-answer.js';
 import type {RequestBudget} from './request-budget.js';
 import {mayRepeat, type RequestContext} from './request-context.js';
+import {RequestEnding} from './request-ending.js';
 import type {RequestRecord} from './request-record.js';
 import type {SilenceWatch} from './silence-watch.js';
 import {RelayEnd, relayStream} from './stream-relay.js';
-import {BudgetRefusal} from './token-waiters.js';
+import type {BudgetRefusal} from './token-waiters.js';
 
 /** What all runs of a process share. */
 export interface RunParts {
@@ -30,17 +32,11 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dataCenter: string;
+  readonly dataCenters: DataCenterTrust;
   /** Hosts that share the bound on resends. */
   hosts(): number;
 }
 
-/** An endpoint's answer that was read to its end. */
-interface WholeAnswer {
-  readonly head: AnswerHead;
-  readonly body: Buffer;
-  readonly hasLength: boolean;
-}
-
 /** What follows an attempt: the request has ended, or another endpoint is tried. */
 enum Next {
   Ended,
@@ -51,8 +47,6 @@
 const MOST_UNREACHABLE = 3;
 /** Less time than this is not worth another attempt, milliseconds. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 20;
-/** A service without a free endpoint is worth asking again after this long. */
-const RETRY_AFTER_MILLISECONDS = 300;
 /** A tenant's urgency goes before a route's; ten levels are left to endpoints. */
 const ROUTE_LEVELS = 3;
 const LAST_PRIORITY = 9;
@@ -62,10 +56,9 @@
   private readonly avoided = new Set<string>();
   private readonly chooser: EndpointChooser;
   private readonly patience: AnswerPatience;
+  private readonly ending: RequestEnding;
   private sentTo = 0;
   private unreachable = 0;
-  /** A whole failure of an endpoint, passed on if nothing better comes. */
-  private fallback: WholeAnswer | undefined;
   private current: EndpointExchange | undefined;
   private hasTimedOut = false;
 
@@ -75,9 +68,15 @@
     private readonly budget: RequestBudget,
     private readonly record: RequestRecord,
   ) {
-    const {directory, clock, dataCenter} = parts;
-    this.chooser = new EndpointChooser(directory, clock, dataCenter);
-    this.patience = new AnswerPatience(context, clock);
+    const {directory, dataCenters, clock, dataCenter} = parts;
+    this.chooser = new EndpointChooser(
+      directory,
+      dataCenters,
+      clock,
+      dataCenter,
+    );
+    this.ending = new RequestEnding(parts.dialect, context, record);
+    this.patience = new AnswerPatience(context, dataCenters, clock);
   }
 
   /** Ends when the caller has its answer, was told why not, or has left. */
@@ -129,6 +128,7 @@
       watch.close();
       this.patience.learn(watch);
       endpoint.load--;
+      this.parts.dataCenters.released(endpoint.entry.dataCenter);
       this.current = undefined;
     }
   }
@@ -154,6 +154,7 @@
       connections.dropIdle(endpoint.entry);
     }
     endpoint.trust.sent();
+    this.parts.dataCenters.sent(endpoint.entry.dataCenter);
     this.avoided.add(endpoint.entry.id);
     this.record.endpoint = endpoint.entry.id;
     return new EndpointExchange(dialect, connections, endpoint.entry, {
@@ -171,14 +172,16 @@
     head: AnswerHead | ExchangeFailure,
     watch: SilenceWatch,
   ): void {
+    const hasRefused =
+      isFailure(head) &&
+      (head.fate === ExchangeFate.NotRun ||
+        head.fate === ExchangeFate.WrongEndpoint);
     if (!isFailure(head)) {
       watch.answered();
+    }
+    if (!isFailure(head) || hasRefused) {
       endpoint.trust.spoke();
-    } else if (
-      head.fate === ExchangeFate.NotRun ||
-      head.fate === ExchangeFate.WrongEndpoint
-    ) {
-      endpoint.trust.spoke();
+      this.parts.dataCenters.spoke(endpoint.entry.dataCenter);
     }
   }
 
@@ -205,7 +208,9 @@
 
   private afterNotSent(endpoint: KnownEndpoint): Next {
     if (!this.isOver()) {
+      const {dataCenter, id} = endpoint.entry;
       endpoint.trust.broke(this.now());
+      this.parts.dataCenters.fellSilent(dataCenter, id, this.now());
     }
     this.unreachable++;
     return this.unreachable < MOST_UNREACHABLE && !this.isOver()
@@ -262,14 +267,15 @@
     }
     const refusal = await this.takeTokens();
     if (refusal !== undefined) {
-      return this.giveUpForBudget(refusal);
+      this.ending.refuseForBudget(refusal, this.hasTimedOut);
+      return Next.Ended;
     }
-    this.fallback = {head, body, hasLength: exchange.hasLength};
+    this.ending.keep({head, body, hasLength: exchange.hasLength});
     const isWorthAnother =
       head.status >= 500 && mayRepeat(this.context.route) && !this.isOver();
     return isWorthAnother
       ? this.tryAgain(OwnReason.AnswerLost, false)
-      : this.answerFallback(this.fallback);
+      : this.giveUp(OwnReason.AnswerLost);
   }
 
   private async passStream(
@@ -284,7 +290,8 @@
       exchange.cancel('no tokens');
       this.note(endpoint, `no tokens: ${refusal}`);
       endpoint.trust.succeeded();
-      return this.giveUpForBudget(refusal);
+      this.ending.refuseForBudget(refusal, this.hasTimedOut);
+      return Next.Ended;
     }
     if (!caller.isAnswering) {
       caller.beginStream(
@@ -324,15 +331,6 @@
     );
   }
 
-  /** It has run, and nothing of its answer may be passed on. */
-  private giveUpForBudget(refusal: BudgetRefusal): Next {
-    if (refusal === BudgetRefusal.Exhausted) {
-      this.answerOwn(failed(402, OwnReason.BudgetExhausted));
-      return Next.Ended;
-    }
-    return this.giveUp(OwnReason.BudgetUnavailable);
-  }
-
   /** Another endpoint, where the route, the fleet's bound and the time allow it. */
   private tryAgain(reason: OwnReason, isNotRun: boolean): Next {
     this.sentTo++;
@@ -347,46 +345,7 @@
   }
 
   private giveUp(reason: OwnReason): Next {
-    const {caller} = this.context;
-    if (caller.leaving.aborted) {
-      this.record.outcome = 'caller-left';
-    } else if (caller.isAnswering) {
-      caller.breakOff();
-      this.record.outcome = `cut: ${reason}`;
-    } else if (this.fallback !== undefined) {
-      this.answerFallback(this.fallback);
-    } else {
-      this.answerOwn(this.ownAnswer(reason));
-    }
-    return Next.Ended;
-  }
-
-  private ownAnswer(reason: OwnReason): OwnAnswer {
-    if (!this.record.mayHaveRun) {
-      return notRun(reason, RETRY_AFTER_MILLISECONDS);
-    }
-    return this.hasTimedOut
-      ? failed(504, OwnReason.TimedOut)
-      : failed(502, reason);
-  }
-
-  private answerOwn(answer: OwnAnswer): void {
-    this.context.caller.answerOwn(answer);
-    this.record.status = answer.status;
-    this.record.outcome = `own: ${answer.reason}`;
-  }
-
-  private answerFallback({head, body, hasLength}: WholeAnswer): Next {
-    const {caller} = this.context;
-    const headers = this.parts.dialect.answerHeaders(head.rawHeaders);
-    if (hasLength) {
-      caller.answer(head.status, headers, body);
-    } else {
-      caller.answerUntilClose(head.status, headers, body);
-    }
-    this.record.hasDelivered = true;
-    this.record.status = head.status;
-    this.record.outcome = 'answered';
+    this.ending.giveUp(reason, this.hasTimedOut);
     return Next.Ended;
   }
 
