Take a data centre for cut off once two of its endpoints are silent; connect within 120 ms

Change: a data centre with two silent or unreachable endpoints is paused as a whole, as an endpoint is, tried by one request, and believed at its first word; its own data centre is never judged. Connections are given up after 120 ms in place of 250 ms, and not before what came in a standstill was read.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -4,6 +4,7 @@
  */
 export * from './admission-policy.js';
 export * from './affinity-placement.js';
+export * from './data-center-trust.js';
 export * from './deadline-refusal.js';
 export * from './decision.js';
 export * from './endpoint-description.js';
--- a/packages/gateway/src/answer-patience.ts
+++ b/packages/gateway/src/answer-patience.ts
@@ -1,5 +1,6 @@
 import type {
   AnswerEstimate,
+  DataCenterTrust,
   PromptSize,
   SilenceBounds,
 } from '@wisteriadeal/decisions';
@@ -51,6 +52,7 @@
 
   constructor(
     private readonly context: RequestContext,
+    private readonly dataCenters: DataCenterTrust,
     private readonly clock: Clock,
   ) {
     const isStream = context.route.kind === RouteKind.Streaming;
@@ -73,7 +75,10 @@
   ): SilenceWatch {
     return new SilenceWatch(this.limits(mayMove), this.clock, {
       onSuspicion: () => {
-        endpoint.trust.fellSilent(this.clock.monotonicMilliseconds());
+        const now = this.clock.monotonicMilliseconds();
+        const {dataCenter, id} = endpoint.entry;
+        endpoint.trust.fellSilent(now);
+        this.dataCenters.fellSilent(dataCenter, id, now);
       },
       onSilence: () => {
         exchange.cancel('silent');
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -1,6 +1,7 @@
 import {
   failsMoreThanOthers,
   placeRequest,
+  type DataCenterTrust,
   type PlacementCandidate,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
@@ -17,6 +18,7 @@
 export class EndpointChooser {
   constructor(
     private readonly directory: EndpointDirectory,
+    private readonly dataCenters: DataCenterTrust,
     private readonly clock: Clock,
     private readonly dataCenter: string,
   ) {}
@@ -54,6 +56,7 @@
       load: endpoint.load,
       isTrusted:
         endpoint.trust.isTrusted(now) &&
+        this.dataCenters.isTrusted(endpoint.entry.dataCenter, now) &&
         !failsMoreThanOthers(endpoint.trust.failedShare, shares),
     }));
   }
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -46,7 +46,7 @@
  * A new connection that isn't there by then goes elsewhere: nothing was sent, so
  * that is safe. Data centres are under 2 ms apart and a handshake takes 1 ms.
  */
-const CONNECT_MILLISECONDS = 250;
+const CONNECT_MILLISECONDS = 120;
 /** Longest body that is held until it is whole; a longer one is a failure. */
 const LONGEST_WHOLE_BODY_BYTES = 8 * 1024 * 1024;
 
@@ -78,7 +78,7 @@
         return;
       }
       this.connectTimer = setTimeout(() => {
-        this.cancel('no connection in time');
+        this.giveUpUnconnected();
       }, CONNECT_MILLISECONDS);
       socket.once('connect', () => {
         clearTimeout(this.connectTimer);
@@ -175,6 +175,15 @@
     this.outgoing.destroy();
   }
 
+  /** A process that stood still finds its timers due before it reads what came. */
+  private giveUpUnconnected(): void {
+    setImmediate(() => {
+      if (!this.isConnected) {
+        this.cancel('no connection in time');
+      }
+    });
+  }
+
   private firstResponse(): Promise<IncomingMessage | undefined> {
     return new Promise(resolve => {
       this.outgoing.once('response', incoming => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
-import type {ResendLimits} from '@wisteriadeal/decisions';
+import {DataCenterTrust, type ResendLimits} from '@wisteriadeal/decisions';
 import type {Clock, PartitionedLog, RandomSource} from '@wisteriadeal/platform';
 import type {EventLog, JsonValue, RunningBinary} from '@wisteriadeal/runtime';
 import type {GatewaySettings} from '@wisteriadeal/schema';
@@ -256,6 +256,7 @@
         connections: this.connections,
         directory: this.directory,
         dataCenter: settings.dataCenter,
+        dataCenters: new DataCenterTrust(settings.dataCenter),
         hosts: () => this.budgets.holders,
       },
       resendLimits(settings),
