Replay the moment of charging on the pure fold, beside the sizes of grants

npm run measure -- budget-reserve has a row for each moment: tokens taken at the dispatch or at the delivery.

--- a/packages/measurements/src/budget-replay.ts
+++ b/packages/measurements/src/budget-replay.ts
@@ -1,6 +1,8 @@
 import {create} from '@bufbuild/protobuf';
 import {
   BudgetFold,
+  ChargePoint,
+  chargePoint,
   GrantAccount,
   lendersOf,
   loanFor,
@@ -25,6 +27,8 @@
   readonly name: string;
   readonly sizing: GrantSizing;
   readonly pooledPart: number;
+  /** The latest moment at which tokens are taken, where the log has plenty. */
+  readonly chargePoint: ChargePoint;
 }
 
 /** What callers saw, and what it cost. */
@@ -53,6 +57,11 @@
   readonly incarnation: string;
   readonly organisation: string;
   readonly bound: number;
+  readonly isOwed: boolean;
+  /** When its first event is there, seconds. */
+  readonly answersAt: number;
+  /** Its tokens are taken when its first event is there. */
+  isPromised: boolean;
 }
 
 interface Totals {
@@ -65,6 +74,8 @@
 const TOKENS_SIGMA = 0.8;
 /** Callers are told a bound; about this part of it is used. */
 const USED_PART = 0.91;
+/** This part of a request's time is over before its first event. */
+const UNANSWERED_PART = 0.3;
 const SHORTEST_SECONDS = 0.5;
 const LONGEST_SECONDS = 5;
 /** Holders look at their grants so often. */
@@ -159,6 +170,7 @@
   }
 
   private endUntil(at: number): void {
+    this.answerUntil(at);
     const ended = this.running.filter(({endsAt}) => endsAt <= at);
     this.running = this.running.filter(({endsAt}) => endsAt > at);
     for (const {host, incarnation, organisation, bound} of ended) {
@@ -170,6 +182,41 @@
     }
   }
 
+  private answerUntil(at: number): void {
+    const due = this.running.filter(
+      ({isPromised, answersAt}) => isPromised && answersAt <= at,
+    );
+    for (const request of due) {
+      const {host, organisation, bound} = request;
+      request.isPromised = false;
+      if (!this.keepPromise(host, organisation, bound)) {
+        accountOf(host, organisation).dropPromise(bound);
+        this.running = this.running.filter(each => each !== request);
+        this.settleTotals(organisation, bound, 0);
+        this.refusedOwed += request.isOwed ? 1 : 0;
+      }
+    }
+  }
+
+  private keepPromise(
+    host: ReplayHost,
+    organisation: string,
+    bound: number,
+  ): boolean {
+    const account = accountOf(host, organisation);
+    if (account.keepPromise(bound)) {
+      return true;
+    }
+    if (this.reachesStore(host.index)) {
+      this.ask(host, organisation, bound, bound, true);
+    }
+    if (account.keepPromise(bound)) {
+      return true;
+    }
+    this.borrow(host, organisation, bound);
+    return account.keepPromise(bound);
+  }
+
   private die(index: number): void {
     const host = this.host(index);
     const cut = this.running.filter(running => running.host === host);
@@ -243,14 +290,42 @@
       return;
     }
     this.owed += isOwed ? 1 : 0;
-    if (!this.reserve(host, organisation, bound)) {
+    const isPromised = this.promise(host, organisation, bound);
+    if (!isPromised && !this.reserve(host, organisation, bound)) {
       this.refusedOwed += isOwed ? 1 : 0;
       return;
     }
     totals.reserved += bound;
-    const {incarnation} = host;
-    const endsAt = at + seconds;
-    this.running.push({endsAt, host, incarnation, organisation, bound});
+    this.running.push({
+      endsAt: at + seconds,
+      answersAt: at + UNANSWERED_PART * seconds,
+      host,
+      incarnation: host.incarnation,
+      organisation,
+      bound,
+      isOwed,
+      isPromised,
+    });
+  }
+
+  private promise(
+    host: ReplayHost,
+    organisation: string,
+    bound: number,
+  ): boolean {
+    if (this.policy.chargePoint === ChargePoint.Dispatch) {
+      return false;
+    }
+    const account = accountOf(host, organisation);
+    const view = this.fold.view(organisation);
+    const isLogAtHand = this.reachesStore(host.index);
+    if (
+      chargePoint(account, view, bound, isLogAtHand) === ChargePoint.Dispatch
+    ) {
+      return false;
+    }
+    account.promise(bound, this.now * MILLISECONDS);
+    return true;
   }
 
   private reserve(
--- a/packages/measurements/src/cases/budget-reserve-case.ts
+++ b/packages/measurements/src/cases/budget-reserve-case.ts
@@ -1,4 +1,5 @@
 import {
+  ChargePoint,
   DemandSizing,
   GrantSizing,
   type BudgetView,
@@ -31,19 +32,28 @@
   }
 }
 
+const CHARGE_POINTS = [ChargePoint.Dispatch, ChargePoint.Delivery];
 const POOLED_PARTS = [0.2, 0.4, 0.6, 0.8, 1];
 const RESERVE_SECONDS = [6, 12, 20, 30];
 /** Each seed gives other requests; a single one differs by some refusals. */
 const SEEDS_PER_RUN = 5;
 
 const POLICIES: readonly ReplayPolicy[] = [
-  {name: 'equal-split', sizing: new EqualSplitSizing(), pooledPart: 1},
-  ...POOLED_PARTS.flatMap(pooledPart =>
-    RESERVE_SECONDS.map(seconds => ({
-      name: `part-${pooledPart}-seconds-${seconds}`,
-      sizing: new DemandSizing({pooledPart, seconds}),
-      pooledPart,
-    })),
+  {
+    name: 'equal-split',
+    sizing: new EqualSplitSizing(),
+    pooledPart: 1,
+    chargePoint: ChargePoint.Dispatch,
+  },
+  ...CHARGE_POINTS.flatMap(chargePoint =>
+    POOLED_PARTS.flatMap(pooledPart =>
+      RESERVE_SECONDS.map(seconds => ({
+        name: `at-${chargePoint}-part-${pooledPart}-seconds-${seconds}`,
+        sizing: new DemandSizing({pooledPart, seconds}),
+        pooledPart,
+        chargePoint,
+      })),
+    ),
   ),
 ];
 
@@ -51,7 +61,7 @@
 export class BudgetReserveCase extends MeasureCase {
   override readonly name = 'budget-reserve';
   override readonly description =
-    'false refusals and stranded tokens of grant sizings, through cuts and deaths';
+    'false refusals and stranded tokens by size of grants and moment of charging';
 
   override run(seed: number): Promise<CaseResult> {
     const rows = POLICIES.map(policy => rowOf(policy, seed));
