--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -163,6 +163,9 @@
     waiting: Omit<TokenWaiter, 'done'>,
     limit: WaitLimit,
   ): Promise<BudgetRefusal | undefined> {
+    if (limit.signal?.aborted === true) {
+      return Promise.resolve(limit.refusal());
+    }
     return new Promise(resolve => {
       const giveUp = () => {
         this.waiters.remove(waiter, limit.refusal());
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -300,6 +300,7 @@
       );
       this.record.status = head.status;
     }
+    watch.reading();
     const end = await relayStream(exchange, caller, this.record, watch, () =>
       this.now(),
     );
--- a/packages/gateway/src/silence-watch.ts
+++ b/packages/gateway/src/silence-watch.ts
@@ -54,22 +54,21 @@
     return this.clock.monotonicMilliseconds() - this.startedAt;
   }
 
-  /** The endpoint has answered; what follows until `heard` is not its silence. */
+  /** The endpoint has answered; what follows until the next call is not its silence. */
   answered(): void {
     this.firstAfter ??= this.elapsedMilliseconds;
     this.close();
   }
 
+  /** The answer is read from now on, and no event of it has come. */
+  reading(): void {
+    const {firstMilliseconds = 0, nextMilliseconds} = this.limits;
+    this.expectWithin(Math.max(firstMilliseconds, nextMilliseconds));
+  }
+
   /** An event came: the silence begins anew. */
   heard(): void {
-    this.answered();
-    this.arm(this.limits.nextMilliseconds, () => {
-      if (this.limits.mayMove) {
-        this.actions.onSilence();
-      } else {
-        this.actions.onSuspicion();
-      }
-    });
+    this.expectWithin(this.limits.nextMilliseconds);
   }
 
   /** Watches no longer. */
@@ -81,6 +80,17 @@
     this.timers.clear();
   }
 
+  private expectWithin(milliseconds: number): void {
+    this.answered();
+    this.arm(milliseconds, () => {
+      if (this.limits.mayMove) {
+        this.actions.onSilence();
+      } else {
+        this.actions.onSuspicion();
+      }
+    });
+  }
+
   /**
    * A process that stood still finds all its timers due, before it reads what came
    * meanwhile: without the turn in between, it would take every endpoint for silent.
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -286,4 +286,23 @@
     }
     expect(holder.describe(SCHOOL)).toMatchObject({promised: 0, waiting: 0});
   });
+
+  it('takes no tokens for a caller that left before its answer came', async () => {
+    // The next caller is served: nobody stands before it in line whose connection is
+    // closed already.
+    const holder = await fleet.start('one');
+    await until(() => available(holder) > 0);
+    const begun = await holder.reservations.reserve(
+      SCHOOL,
+      wish(available(holder) + 20_000, true),
+    );
+    const left = {...WAIT, signal: AbortSignal.abort()};
+    if ('reservation' in begun) {
+      const taken = await holder.reservations.take(begun.reservation, left);
+      expect(taken.refusal).toBeDefined();
+      holder.reservations.settle(taken.reservation, 0);
+    }
+    expect(holder.describe(SCHOOL)).toMatchObject({promised: 0, waiting: 0});
+    expect(await use(holder, REQUEST)).toBe(true);
+  });
 });
--- a/packages/gateway/src/test/silence-watch_test.ts
+++ b/packages/gateway/src/test/silence-watch_test.ts
@@ -48,6 +48,16 @@
     expect(seen).toEqual([]);
   });
 
+  it('goes on watching where headers came and no event follows', () => {
+    // The caller's stream is not forgotten: its engine sent headers and went dark.
+    watch.answered();
+    vi.advanceTimersByTime(1_000);
+    expect(seen).toEqual([]);
+    watch.reading();
+    vi.advanceTimersByTime(301);
+    expect(seen).toEqual(['suspicion']);
+  });
+
   it('only suspects where a stream that has begun may not move', () => {
     watch.heard();
     vi.advanceTimersByTime(201);
