--- a/packages/budgets/src/grant-account.ts
+++ b/packages/budgets/src/grant-account.ts
@@ -6,8 +6,6 @@
  * little by then; a shorter one takes one long prompt for a trend.
  */
 const USE_HALF_LIFE_MILLISECONDS = 7_000;
-/** Ranks of urgency that are told apart, from 0, the most urgent. */
-export const URGENCY_RANKS = 4;
 /** Requests over which the usual bound is averaged; sizes differ twentyfold. */
 const MEAN_REQUESTS = 8;
 
@@ -24,10 +22,7 @@
   private reservedTokens = 0;
   private spentTokens = 0;
   private meanBound = 0;
-  private readonly rates = Array.from(
-    {length: URGENCY_RANKS},
-    () => new RateEstimate(USE_HALF_LIFE_MILLISECONDS),
-  );
+  private readonly rate = new RateEstimate(USE_HALF_LIFE_MILLISECONDS);
 
   /** Tokens that a new request may take. */
   get available(): number {
@@ -69,14 +64,7 @@
    * when they end, seconds later; it is nine tenths of that.
    */
   usagePerSecond(now: number): number {
-    return this.usageBefore(URGENCY_RANKS, now);
-  }
-
-  /** The part of that which more urgent requests than this rank's put aside. */
-  usageBefore(rank: number, now: number): number {
-    return this.rates
-      .slice(0, rank)
-      .reduce((sum, rate) => sum + rate.perSecond(now), 0);
+    return this.rate.perSecond(now);
   }
 
   /** Adds what the fold granted. */
@@ -92,18 +80,18 @@
   }
 
   /** Puts a request's bound aside; false where there isn't enough. */
-  reserve(bound: number, now: number, rank = 0): boolean {
+  reserve(bound: number, now: number): boolean {
     if (!this.setAside(bound)) {
       return false;
     }
-    this.learn(bound, now, rank);
+    this.learn(bound, now);
     return true;
   }
 
   /** A request of this bound begins; nothing is taken until it delivers. */
-  promise(bound: number, now: number, rank = 0): void {
+  promise(bound: number, now: number): void {
     this.promisedTokens += bound;
-    this.learn(bound, now, rank);
+    this.learn(bound, now);
   }
 
   /** Puts a promised bound aside, before anything is delivered; false as above. */
@@ -139,8 +127,8 @@
     return true;
   }
 
-  private learn(bound: number, now: number, rank: number): void {
-    this.rates[Math.min(rank, URGENCY_RANKS - 1)]?.add(bound, now);
+  private learn(bound: number, now: number): void {
+    this.rate.add(bound, now);
     this.meanBound =
       this.meanBound === 0
         ? bound
--- a/packages/budgets/src/reservation.ts
+++ b/packages/budgets/src/reservation.ts
@@ -25,34 +25,6 @@
  */
 const SCARCE_PART = 0.03;
 
-/**
- * An outage whose end nobody knows lasts at least so long: one that is over sooner
- * refuses few, whatever is kept.
- */
-const SHORTEST_OUTAGE_MILLISECONDS = 4_000;
-const MILLISECONDS_PER_SECOND = 1_000;
-
-/**
- * Tokens that a request leaves to more urgent ones while nothing comes from the store.
- *
- * Load: the store is away for 8 s, and an organisation's grants cover half of what its
- * callers send. Harm of first come, first served: what is least urgent uses up what is
- * left, and those who talk with an engine are refused for the rest of the outage. An
- * outage of unknown length lasts, at the median, as long again as it has lasted.
- *
- * @param rank Urgency of the request, from 0, the most urgent.
- * @param awayMilliseconds How long the store has been away.
- */
-export function keptForUrgent(
-  account: GrantAccount,
-  rank: number,
-  awayMilliseconds: number,
-  now: number,
-): number {
-  const rest = Math.max(SHORTEST_OUTAGE_MILLISECONDS, awayMilliseconds);
-  return (account.usageBefore(rank, now) * rest) / MILLISECONDS_PER_SECOND;
-}
-
 /**
  * When to take a new request's tokens.
  *
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -21,8 +21,6 @@
 export interface TokenWish {
   /** The most that it can use. */
   readonly bound: number;
-  /** Urgency, from 0, the most urgent. */
-  readonly rank: number;
   /** Whether a request of which nothing is delivered costs nothing. */
   readonly mayPromise: boolean;
 }
@@ -70,8 +68,8 @@
   }
 
   /** Lets a request begin whose tokens are taken when its answer is there. */
-  promise({bound, rank}: TokenWish): Reservation {
-    this.account.promise(bound, this.now(), rank);
+  promise(bound: number): Reservation {
+    this.account.promise(bound, this.now());
     return this.reservation(bound, ChargePoint.Delivery);
   }
 
@@ -80,12 +78,12 @@
    *
    * @param kept Tokens that must be left in hand.
    */
-  reserveNow({bound, rank}: TokenWish, kept: number): Reservation | undefined {
+  reserveNow(bound: number, kept: number): Reservation | undefined {
     const {account, waiters} = this;
     if (
-      waiters.isAhead(TokenUse.Dispatch, rank) ||
+      waiters.isAhead(TokenUse.Dispatch) ||
       bound + kept > account.available ||
-      !account.reserve(bound, this.now(), rank)
+      !account.reserve(bound, this.now())
     ) {
       return undefined;
     }
@@ -93,11 +91,8 @@
   }
 
   /** Takes a new request's tokens when they come. */
-  async reserveLater(
-    {bound, rank}: TokenWish,
-    limit: WaitLimit,
-  ): Promise<ReserveResult> {
-    const waiting = {bound, rank, use: TokenUse.Dispatch};
+  async reserveLater(bound: number, limit: WaitLimit): Promise<ReserveResult> {
+    const waiting = {bound, use: TokenUse.Dispatch};
     const refusal = await this.wait(waiting, limit);
     return refusal === undefined
       ? {reservation: this.reservation(bound, ChargePoint.Dispatch)}
@@ -107,7 +102,7 @@
   /** Takes promised tokens where no answer waits before this one. */
   keepPromiseNow(bound: number): boolean {
     return (
-      !this.waiters.isAhead(TokenUse.Delivery, 0) &&
+      !this.waiters.isAhead(TokenUse.Delivery) &&
       this.account.keepPromise(bound)
     );
   }
@@ -121,7 +116,7 @@
     bound: number,
     limit: WaitLimit,
   ): Promise<BudgetRefusal | undefined> {
-    const waiting = {bound, rank: 0, use: TokenUse.Delivery};
+    const waiting = {bound, use: TokenUse.Delivery};
     return this.wait(waiting, limit);
   }
 
@@ -194,10 +189,10 @@
     }
   }
 
-  private takeFor({bound, use, rank}: TokenWaiter): boolean {
+  private takeFor({bound, use}: TokenWaiter): boolean {
     return use === TokenUse.Delivery
       ? this.account.keepPromise(bound)
-      : this.account.reserve(bound, this.now(), rank);
+      : this.account.reserve(bound, this.now());
   }
 
   private reservation(bound: number, chargePoint: ChargePoint): Reservation {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -191,7 +191,6 @@
       organisation?.name ?? '',
       {
         bound,
-        rank: context.route.priority,
         mayPromise: charge === UndeliveredCharge.Nothing,
       },
     );
--- a/packages/gateway/src/token-reservations.ts
+++ b/packages/gateway/src/token-reservations.ts
@@ -1,7 +1,6 @@
 import {
   ChargePoint,
   chargePoint,
-  keptForUrgent,
   type Reservation,
 } from '@wisteriadeal/budgets';
 
@@ -66,17 +65,17 @@
     const isLogAtHand = this.book.health.isAtHand(now);
     const point = chargePoint(budget.account, view, bound, isLogAtHand);
     if (mayPromise && point === ChargePoint.Delivery) {
-      return {reservation: budget.promise(wish)};
+      return {reservation: budget.promise(bound)};
     }
-    const kept = isLogAtHand ? 0 : this.keptInOutage(budget, wish.rank, now);
-    const reservation = budget.reserveNow(wish, kept);
+    const kept = isLogAtHand ? 0 : budget.account.promised;
+    const reservation = budget.reserveNow(bound, kept);
     if (reservation !== undefined) {
       return {reservation};
     }
     if (budget.isExhausted(view, bound)) {
       return {refusal: BudgetRefusal.Exhausted};
     }
-    const result = budget.reserveLater(wish, {
+    const result = budget.reserveLater(bound, {
       milliseconds: WAIT_MILLISECONDS,
       refusal: () => this.book.refusalOfLate(budget, bound),
     });
@@ -123,8 +122,7 @@
 
   /** Brings tokens from the store for a loan, without asking for one in turn. */
   async fetch(budget: OrganisationBudget, least: number): Promise<void> {
-    const wish = {bound: least, rank: 0, mayPromise: false};
-    const fetched = budget.reserveLater(wish, {
+    const fetched = budget.reserveLater(least, {
       milliseconds: FETCH_MILLISECONDS,
       refusal: () => this.book.refusalOfLate(budget, least),
     });
@@ -135,16 +133,6 @@
     }
   }
 
-  /** What must stay in hand while nothing comes from the store. */
-  private keptInOutage(
-    {account}: OrganisationBudget,
-    rank: number,
-    now: number,
-  ): number {
-    const away = this.book.health.awayFor(now);
-    return account.promised + keptForUrgent(account, rank, away, now);
-  }
-
   /** Wakes the exchange with the store, and asks other holders where it is late. */
   private async bring<Result>(
     budget: OrganisationBudget,
--- a/packages/gateway/src/token-waiters.ts
+++ b/packages/gateway/src/token-waiters.ts
@@ -20,16 +20,13 @@
 export interface TokenWaiter {
   readonly bound: number;
   readonly use: TokenUse;
-  /** Urgency, from 0, the most urgent; orders those that were not sent yet. */
-  readonly rank: number;
   /** Called once, when it leaves the line; undefined where it got its tokens. */
   readonly done: (refusal: BudgetRefusal | undefined) => void;
 }
 
 /**
  * Requests that wait for one organisation's tokens, those first whose answers are
- * ready: their work is done, and each further moment makes them late. The others
- * follow by their urgency.
+ * ready: their work is done, and each further moment makes them late.
  */
 export class TokenWaiters {
   private readonly line: TokenWaiter[] = [];
@@ -49,17 +46,15 @@
     return this.line[0];
   }
 
-  /** Whether one is in line that goes before a new one of this kind. */
-  isAhead(use: TokenUse, rank: number): boolean {
-    const place = placeOf(use, rank);
-    return this.line.some(waiter => placeOf(waiter.use, waiter.rank) <= place);
+  /** Whether one is in line that goes before a new one of this use. */
+  isAhead(use: TokenUse): boolean {
+    return this.line.some(waiter => placeOf(waiter.use) <= placeOf(use));
   }
 
   /** Puts one behind those that go before it. */
   add(waiter: TokenWaiter): void {
-    const place = placeOf(waiter.use, waiter.rank);
     const behind = this.line.findIndex(
-      ({use, rank}) => placeOf(use, rank) > place,
+      ({use}) => placeOf(use) > placeOf(waiter.use),
     );
     this.line.splice(behind === -1 ? this.line.length : behind, 0, waiter);
   }
@@ -96,6 +91,6 @@
   }
 }
 
-function placeOf(use: TokenUse, rank: number): number {
-  return use === TokenUse.Delivery ? -1 : rank;
+function placeOf(use: TokenUse): number {
+  return use === TokenUse.Delivery ? 0 : 1;
 }
