--- a/packages/budgets/src/budget-view.ts
+++ b/packages/budgets/src/budget-view.ts
@@ -60,7 +60,7 @@
  * the dead held leaves too little for those who come afterwards.
  *
  * @param pooledPart The part of a whole budget that may be in hand, above 0, at
- *     most 1; of half a budget it is half that part.
+ *     most 1; of half a budget an eighth of it.
  */
 export function pooledTokens(view: BudgetView, pooledPart: number): number {
   const {rest, prepaid} = view;
--- a/packages/budgets/src/grant-sizing.ts
+++ b/packages/budgets/src/grant-sizing.ts
@@ -41,10 +41,10 @@
 /** An answer of less than this part of what is missing is of no use. */
 const LEAST_PART = 0.25;
 /**
- * What a host that an organisation's callers do not come to keeps of its even share.
- * Load: a customer's callers come to one of nine hosts, and another host dies. Harm:
- * each of the others holds a twentieth of the budget, which is lost with it; with
- * nothing, a caller who comes to a host that is cut off is refused.
+ * What every host keeps at least of its even share, whether callers come to it or not.
+ * Load: a customer's callers come to one host, and the store goes away. Harm: with
+ * nothing, the first who comes to another host is refused while plenty lies in the
+ * store; with its whole share, each host that dies takes it along.
  */
 const IDLE_PART = 0.15;
 /** Before the fold knows a budget, so many holders are assumed to share it. */
@@ -54,8 +54,8 @@
 /**
  * The rest is nearly gone when it can't give each holder so many usual requests:
  * then nothing is kept that no request has reserved. Harm with the largest request
- * in place of the usual one: budgets of under 300,000 tokens were never kept at
- * hosts, and each cut from the store refused their callers.
+ * in place of the usual one: small budgets are never kept at hosts, and each cut from
+ * the store refuses their callers.
  */
 const NEARLY_GONE_REQUESTS = 1;
 
--- a/packages/budgets/src/unanswered-loans.ts
+++ b/packages/budgets/src/unanswered-loans.ts
@@ -13,9 +13,8 @@
 
 /**
  * Loans whose answer was lost: the lender has taken the tokens off its account, and
- * its record on the log brings them. Load: nine hosts lend each other some 2,000
- * times in a day of a minute, and lenders freeze or are cut off. Harm without it:
- * 84,000 to 200,000 tokens of a day were nobody's.
+ * its record on the log brings them. Load: hosts lend each other all the time, and
+ * lenders freeze or are cut off. Harm without it: the tokens are nobody's.
  *
  * Each loan is taken once: by its answer or by its record. The borrower decides
  * which when the call ends, so that an answer that comes later changes nothing.
--- a/packages/decisions/src/endpoint-trust.ts
+++ b/packages/decisions/src/endpoint-trust.ts
@@ -10,8 +10,8 @@
 const SHARE_SAMPLES = 12;
 /**
  * An endpoint that fails this much more of its answers than its service's best
- * half is passed over. Some services fail a seventh of their answers everywhere,
- * so that the share itself says nothing.
+ * half is passed over. Some services fail a part of their answers everywhere, so that
+ * the share itself says nothing.
  */
 const EXCESS_SHARE = 0.25;
 
--- a/packages/decisions/src/shared-prompt-placement.ts
+++ b/packages/decisions/src/shared-prompt-placement.ts
@@ -26,8 +26,7 @@
 /**
  * An endpoint above this times the mean load, and two, is passed over. Load: one
  * scenario's prompt is in a third of the requests. Harm: its home endpoint would
- * get them all. Mean worth of a day with affinity against least load: 0.816 to
- * 0.903, one play each, shared tokens read again 1,043 to 107 thousand.
+ * get them all, and its streams slow down while others idle.
  */
 const LOAD_BOUND = 1.5;
 const LOAD_ALLOWANCE = 2;
--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -24,9 +24,9 @@
 } from './budget-topics.js';
 
 /**
- * A checkpoint is written after so many records, by the holder whose turn it is. A
- * record takes a process that has just started some 50 µs: without one, the 4,500
- * records of a minute held its first grant up for 0.25 s.
+ * A checkpoint is written after so many records, by the holder whose turn it is.
+ * Without one, a process that has just started folds all records since the last, and
+ * its callers wait for its first grant meanwhile.
  */
 const CHECKPOINT_RECORDS = 1_000;
 
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -88,8 +88,8 @@
   /**
    * Lets a close be read that stands behind the request. Load: callers of one
    * organisation send six times their usual to a host, which reads requests over a
-   * second late. Harm without it: 43 requests of a day went to endpoints after their
-   * callers had given up, and kept the host busy for nothing.
+   * second late. Harm without it: requests go to endpoints after their callers have
+   * given up, and keep the host busy for nothing.
    *
    * The system tells of a close in the turn of the event loop after the one that
    * read the request; the second turn from here comes after it.
--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -14,9 +14,9 @@
 import {BudgetRefusal} from './token-waiters.js';
 
 /**
- * Lenders that are asked for one loan. Load: nine hosts hold a small budget in
- * pieces that are smaller than a request. Harm: with three lenders, 102 of 1,761
- * requests of a calm day with two cuts were refused.
+ * Lenders that are asked for one loan. Load: many hosts hold a small budget in
+ * pieces that are smaller than a request. Harm with few lenders: the pieces are not
+ * gathered, and the request is refused.
  */
 const MOST_LENDERS = 12;
 /** Lenders asked at once; a silent one costs the request that waits 120 ms. */
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -14,8 +14,8 @@
 
 /**
  * After a denial the log is not asked for so long. Load: an organisation at its
- * budget's end sends many times its usual. Harm without it: 12,850 calls to the store
- * in a day in place of 5,900, each with the same answer.
+ * budget's end sends many times its usual. Harm without it: twice as many calls to the
+ * store, each with the same answer.
  */
 const DENIED_MILLISECONDS = 250;
 
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -71,8 +71,7 @@
 /**
  * Holders over Connect, by HTTP/1.1. Over HTTP/2 the library's session raises an
  * error that nobody catches where the peer says that it ends (GOAWAY) while the
- * session is given up: the process ends with all its requests. 10 of 300 ends of a
- * peer did so on loopback.
+ * session is given up: the process ends with all its requests.
  */
 export class ConnectLoanPeers extends LoanPeers {
   private readonly peers = new Map<string, Peer>();
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -36,8 +36,7 @@
 
 /**
  * Use beyond this part of a budget is told to the others. Harm without it: near a
- * budget's end, callers were told to come back for tokens that had been spent, 266
- * times on a calm day.
+ * budget's end, callers are told to come back for tokens that have been spent.
  */
 const REPORTED_PART = 0.01;
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -36,9 +36,8 @@
 /**
  * What a stream may take until its first event, and for each token after it. Load:
  * most hosts of a data centre stop at once and callers still come to them. Harm:
- * without serving those, 430 requests of a day were refused by stopping hosts; with
- * a shorter estimate, streams are cut when the process ends. Engines take 4 to 10
- * ms a token under the users' load.
+ * without serving those, they are refused by host after host; with a shorter estimate,
+ * streams are cut when the process ends.
  */
 const STREAM_START_MILLISECONDS = 1_000;
 const TOKEN_MILLISECONDS = 12;
