Cut nobody who comes while a stopping process hands its grants back

Trace: SIGTERM at 12.15 s; the store is cut off from 14 s on, so that handing grants back took until its timeouts; a request came at 17.739 s, in between, reached its endpoint, and the process closed all connections at 17.752. Change: it stops listening then and waits once more, within the same limit. Requests that need tokens are told at once that they have not run, from the moment on at which grants go back; before, they waited 0.4 s for tokens that could not come.

--- a/packages/gateway/src/budget-answer.ts
+++ b/packages/gateway/src/budget-answer.ts
@@ -1,4 +1,10 @@
-import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
+import {
+  failed,
+  notRun,
+  OwnReason,
+  STOPPING_RETRY_MILLISECONDS,
+  type OwnAnswer,
+} from './own-answer.js';
 import {BudgetRefusal} from './token-waiters.js';
 
 /** Without a budget's grant now, one is likely after about this long. */
@@ -26,6 +32,8 @@
       return failed(402, OwnReason.BudgetExhausted);
     case BudgetRefusal.HeldElsewhere:
       return notRun(OwnReason.BudgetUnavailable, BUDGET_RETRY_MILLISECONDS);
+    case BudgetRefusal.Stopping:
+      return notRun(OwnReason.Stopping, STOPPING_RETRY_MILLISECONDS);
     case BudgetRefusal.StoreAway:
       return notRun(
         OwnReason.BudgetUnavailable,
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -127,6 +127,7 @@
    */
   async close(): Promise<void> {
     this.isClosing = true;
+    this.reservations.close();
     this.grantLender.close();
     this.stop.abort();
     this.wake.abort();
@@ -145,6 +146,7 @@
   /** Ends at once; what is held stays charged. */
   abort(): void {
     this.isClosing = true;
+    this.reservations.close();
     this.grantLender.close();
     this.stop.abort();
     this.wake.abort();
--- a/packages/gateway/src/caller-door.ts
+++ b/packages/gateway/src/caller-door.ts
@@ -84,6 +84,11 @@
     }
   }
 
+  /** Takes no new connections, and ends those that are idle. */
+  stopListening(): void {
+    this.server.close();
+  }
+
   /** Ends all connections at once. */
   close(): void {
     this.server.close();
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -59,6 +59,11 @@
     }
   }
 
+  /** Takes no new connections, and ends those that are idle. */
+  stopListening(): void {
+    this.door.stopListening();
+  }
+
   /** Ends all connections at once. */
   close(): void {
     this.door.close();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -169,6 +169,9 @@
       Promise.all([this.budgets.close(), this.bills.close()]),
       deadline,
     ]);
+    // Returning grants takes seconds while the store is away, and callers still come.
+    this.callers.stopListening();
+    await Promise.race([this.callers.idle(), deadline]);
     giveUp.abort();
     events.info('stopped', {requests: this.callers.openRequests});
     await this.abort();
--- a/packages/gateway/src/own-answer.ts
+++ b/packages/gateway/src/own-answer.ts
@@ -17,6 +17,9 @@
   Internal = 'internal-error',
 }
 
+/** When to come back to a host that stops: another takes the next connection. */
+export const STOPPING_RETRY_MILLISECONDS = 100;
+
 /** An answer of the system's own. */
 export interface OwnAnswer {
   readonly status: number;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -16,7 +16,13 @@
 } from './configuration.js';
 import type {ConfigurationState} from './configuration-state.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import {failed, notRun, OwnReason, type OwnAnswer} from './own-answer.js';
+import {
+  failed,
+  notRun,
+  OwnReason,
+  STOPPING_RETRY_MILLISECONDS,
+  type OwnAnswer,
+} from './own-answer.js';
 import {RequestBudget} from './request-budget.js';
 import {tokenBound, type RequestContext} from './request-context.js';
 import {RequestRecord, UndeliveredCharge} from './request-record.js';
@@ -31,8 +37,6 @@
   readonly organisation: Organisation | undefined;
 }
 
-/** Another host takes the next connection. */
-const STOPPING_RETRY_MILLISECONDS = 100;
 /**
  * What a stream may take until its first event, and for each token after it. Load:
  * most hosts of a data centre stop at once and callers still come to them. Harm:
--- a/packages/gateway/src/token-reservations.ts
+++ b/packages/gateway/src/token-reservations.ts
@@ -41,6 +41,8 @@
  * cover them.
  */
 export class TokenReservations {
+  private isClosing = false;
+
   /** @param wake Begins the next exchange with the store at once. */
   constructor(
     private readonly book: BudgetBook,
@@ -48,6 +50,11 @@
     private readonly wake: () => void,
   ) {}
 
+  /** Lets no more requests begin that need tokens: they are handed back. */
+  close(): void {
+    this.isClosing = true;
+  }
+
   /**
    * Lets a request begin: puts the most that it can use aside, or promises it.
    *
@@ -60,6 +67,9 @@
     if (budget === undefined || bound === 0) {
       return {reservation: unlimited(organisation)};
     }
+    if (this.isClosing) {
+      return {refusal: BudgetRefusal.Stopping};
+    }
     const view = this.book.view(organisation);
     const now = this.book.now();
     const isLogAtHand = this.book.health.isAtHand(now);
--- a/packages/gateway/src/token-waiters.ts
+++ b/packages/gateway/src/token-waiters.ts
@@ -6,6 +6,8 @@
   HeldElsewhere = 'budget-held-elsewhere',
   /** The store, which alone gives grants, does not answer. */
   StoreAway = 'budget-store-away',
+  /** This process stops and has handed its grants back. */
+  Stopping = 'budget-stopping',
 }
 
 /** What a request waits for. */
