--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -126,11 +126,7 @@
    * stopped in turn also during an outage.
    */
   async close(): Promise<void> {
-    this.isClosing = true;
-    this.reservations.close();
-    this.grantLender.close();
-    this.stop.abort();
-    this.wake.abort();
+    this.beginClosing();
     await this.running;
     if (this.health.isAway) {
       await this.borrower.handOver(this.takeRest());
@@ -145,12 +141,17 @@
 
   /** Ends at once; what is held stays charged. */
   abort(): void {
+    this.beginClosing();
+    this.peers.close();
+  }
+
+  /** Takes, lends and asks for nothing more. */
+  private beginClosing(): void {
     this.isClosing = true;
     this.reservations.close();
     this.grantLender.close();
     this.stop.abort();
     this.wake.abort();
-    this.peers.close();
   }
 
   private async takeTurns(): Promise<void> {
--- a/packages/gateway/src/caller-door.ts
+++ b/packages/gateway/src/caller-door.ts
@@ -5,11 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 
-/** An address to listen on. */
-export interface ListenAddress {
-  readonly address: string;
-  readonly port: number;
-}
+import {listening, portOf, type ListenAddress} from './listening.js';
 
 /** Takes a request; `arrivedAt` is on the process's monotonic clock, milliseconds. */
 export type RequestTaker = (
@@ -26,9 +22,6 @@
 
 /** Longest headers that are parsed at all; the configuration's limit is lower. */
 const LONGEST_HEADER_BYTES = 65_536;
-/** New connections that wait to be taken; a burst of callers comes at once. */
-const BACKLOG = 1_024;
-
 /**
  * Listens for callers before there is anybody to serve them. Load: all hosts lose
  * power, and callers come back while the processes load their libraries. Harm of
@@ -54,8 +47,7 @@
 
   /** Port that was taken; 0 before it listens. */
   get port(): number {
-    const address = this.server.address();
-    return typeof address === 'object' && address !== null ? address.port : 0;
+    return portOf(this.server);
   }
 
   /**
@@ -63,17 +55,10 @@
    *
    * @throws The system's error where the address can't be taken.
    */
-  async listen({address, port}: ListenAddress): Promise<void> {
-    if (this.server.listening) {
-      return;
+  async listen(at: ListenAddress): Promise<void> {
+    if (!this.server.listening) {
+      await listening(this.server, at);
     }
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen({host: address, port, backlog: BACKLOG}, () => {
-        this.server.off('error', reject);
-        resolve();
-      });
-    });
   }
 
   /** From now on requests go there, those that waited first. */
@@ -103,12 +88,3 @@
     }
   }
 }
-
-/** Splits `IP:port`, which the settings' check has found to be well formed. */
-export function listenAddress(text: string): ListenAddress {
-  const colon = text.lastIndexOf(':');
-  return {
-    address: text.slice(0, colon),
-    port: Number(text.slice(colon + 1)),
-  };
-}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,10 +1,11 @@
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
-import type {CallerDoor, ListenAddress} from './caller-door.js';
+import type {CallerDoor} from './caller-door.js';
 import {CallerExchange} from './caller-exchange.js';
 import type {CallerLimits} from './configuration.js';
 import type {Dialect} from './dialect.js';
+import type {ListenAddress} from './listening.js';
 import type {RequestHandler} from './request-handler.js';
 
 /** Serves the callers that come through the door. */
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,3 +10,4 @@
 export * from './gateway.js';
 export * from './gateway-names.js';
 export * from './hop-headers.js';
+export * from './listening.js';
--- a/packages/gateway/src/loan-server.ts
+++ b/packages/gateway/src/loan-server.ts
@@ -1,9 +1,8 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {GrantLoanService} from '@wisteriadeal/schema';
 import {createServer, type Server} from 'node:http';
-import type {AddressInfo} from 'node:net';
 
-import type {ListenAddress} from './caller-door.js';
+import {listening, portOf, type ListenAddress} from './listening.js';
 import type {LoanHolder} from './loan-peers.js';
 
 /**
@@ -40,15 +39,8 @@
       routes(request, response);
     });
     server.keepAliveTimeout = IDLE_MILLISECONDS;
-    await new Promise<void>((resolve, reject) => {
-      server.once('error', reject);
-      server.listen(at.port, at.address, () => {
-        server.off('error', reject);
-        resolve();
-      });
-    });
-    const {port} = server.address() as AddressInfo;
-    return new LoanServer(server, `${at.address}:${port}`);
+    await listening(server, at);
+    return new LoanServer(server, `${at.address}:${portOf(server)}`);
   }
 
   /** Stops listening and ends every connection. */
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -43,7 +43,7 @@
   Again,
 }
 
-/** Unreachable endpoints are passed over so often; each try costs up to 250 ms. */
+/** Unreachable endpoints are passed over so often; each try costs the time of a connection. */
 const MOST_UNREACHABLE = 3;
 /** Less time than this is not worth another attempt, milliseconds. */
 const SHORTEST_ATTEMPT_MILLISECONDS = 20;
--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -6,8 +6,8 @@
   type ServerResponse,
 } from 'node:http';
 
-import type {ListenAddress} from './caller-door.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import {listening, portOf, type ListenAddress} from './listening.js';
 
 /** What a process tells on its status addresses. */
 export abstract class GatewayStatus {
@@ -116,18 +116,3 @@
   request: IncomingMessage,
   response: ServerResponse,
 ) => void;
-
-function portOf(server: Server): number {
-  const address = server.address();
-  return typeof address === 'object' && address !== null ? address.port : 0;
-}
-
-function listening(server: Server, at: ListenAddress): Promise<void> {
-  return new Promise((resolve, reject) => {
-    server.once('error', reject);
-    server.listen(at.port, at.address, () => {
-      server.off('error', reject);
-      resolve();
-    });
-  });
-}
