Say at each stage of a stop what callers' connections are in the middle of

Now stopping, notice over, requests ended, grants returned and stopped each tell requests, connections, begun heads, running requests and unsent answers: five lines a process. Counting starts in the door, by each connection's own bytes.

--- a/packages/gateway/src/caller-door.ts
+++ b/packages/gateway/src/caller-door.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from 'node:http';
 
+import {CallerConnections} from './caller-connections.js';
 import {listening, portOf, type ListenAddress} from './listening.js';
 
 /** Takes a request; `arrivedAt` is on the process's monotonic clock, milliseconds. */
@@ -30,6 +31,7 @@
  */
 export class CallerDoor {
   readonly server: Server;
+  readonly connections: CallerConnections;
   private readonly waiting: WaitingRequest[] = [];
   private taker: RequestTaker | undefined;
 
@@ -41,6 +43,7 @@
         this.take({request, response, arrivedAt: now()});
       },
     );
+    this.connections = new CallerConnections(this.server);
     // A request's own deadline bounds it; a long upload is no error.
     this.server.requestTimeout = 0;
   }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,6 +1,7 @@
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
+import type {ConnectionCounts} from './caller-connections.js';
 import type {CallerDoor} from './caller-door.js';
 import {CallerExchange} from './caller-exchange.js';
 import type {CallerLimits} from './configuration.js';
@@ -26,6 +27,11 @@
     return this.open;
   }
 
+  /** What callers' connections are in the middle of. */
+  get connectionCounts(): ConnectionCounts {
+    return this.door.connections.counts;
+  }
+
   /** @throws The system's error where the address can't be taken. */
   async listen(at: ListenAddress): Promise<void> {
     await this.door.listen(at);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -156,25 +156,32 @@
    * hosts of a data centre stop at once, the platform still sends callers.
    */
   async close(): Promise<void> {
-    const {clock, events, settings} = this.parts;
+    const {clock, settings} = this.parts;
     const giveUp = new AbortController();
     const limit = settings.stopGraceSeconds * 1_000 * STOP_PART_OF_GRACE;
     const deadline = clock.sleep(limit, giveUp.signal);
     this.state.beginStop();
     this.callers.beginStop();
     this.handler.stopAt(clock.monotonicMilliseconds() + limit);
-    events.info('stopping', {requests: this.callers.openRequests});
+    const startedAt = clock.monotonicMilliseconds();
+    const note = (event: string) => {
+      this.noteStop(event, startedAt);
+    };
+    note('stopping');
     await Promise.race([clock.sleep(NOTICE_MILLISECONDS), deadline]);
+    note('notice over');
     await Promise.race([this.callers.idle(), deadline]);
+    note('requests ended');
     await Promise.race([
       Promise.all([this.budgets.close(), this.bills.close()]),
       deadline,
     ]);
+    note('grants returned');
     // Returning grants takes seconds while the store is away, and callers still come.
     this.callers.stopListening();
     await Promise.race([this.callers.idle(), deadline]);
     giveUp.abort();
-    events.info('stopped', {requests: this.callers.openRequests});
+    note('stopped');
     await this.abort();
   }
 
@@ -218,6 +225,16 @@
     this.parts.events.info('settings read again', {host: settings.host});
   }
 
+  /** Tells what is open at a stage of a graceful stop. */
+  private noteStop(event: string, startedAt: number): void {
+    const {clock, events} = this.parts;
+    events.info(event, {
+      afterMilliseconds: Math.round(clock.monotonicMilliseconds() - startedAt),
+      requests: this.callers.openRequests,
+      ...this.callers.connectionCounts,
+    });
+  }
+
   private createBudgets(): BudgetHolder {
     const {settings, log, clock, random, events} = this.parts;
     const replica = new BudgetReplica(
--- /dev/null
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -0,0 +1,89 @@
+import {once} from 'node:events';
+import {createServer, type Server, type ServerResponse} from 'node:http';
+import {connect, type AddressInfo, type Socket} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import {CallerConnections} from '../caller-connections.js';
+
+/** More than the system takes for a caller that does not read. */
+const LONG_ANSWER = Buffer.alloc(16_000_000, 'a');
+
+let server: Server;
+let connections: CallerConnections;
+let callers: Socket[];
+
+beforeEach(async () => {
+  callers = [];
+  server = createServer();
+  connections = new CallerConnections(server);
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+});
+
+afterEach(() => {
+  for (const caller of callers) {
+    caller.destroy();
+  }
+  server.close();
+  server.closeAllConnections();
+});
+
+/** Connects a caller that sends so much at once. */
+async function callerSends(text: string): Promise<Socket> {
+  const {port} = server.address() as AddressInfo;
+  const caller = connect(port, '127.0.0.1');
+  caller.on('error', () => {
+    // Tests end connections from both sides.
+  });
+  callers.push(caller);
+  await once(caller, 'connect');
+  caller.write(text);
+  return caller;
+}
+
+async function nextResponse(): Promise<ServerResponse> {
+  const [, response] = (await once(server, 'request')) as [
+    unknown,
+    ServerResponse,
+  ];
+  return response;
+}
+
+async function until(holds: () => boolean): Promise<void> {
+  while (!holds()) {
+    await new Promise(resolve => setTimeout(resolve, 1));
+  }
+}
+
+describe('CallerConnections', () => {
+  it('counts what each connection is in the middle of', async () => {
+    // Guards against work that has been accepted and is counted as nothing.
+    const counts = () => connections.counts;
+    await callerSends('');
+    await until(() => counts().connections === 1);
+    expect(counts()).toMatchObject({begunRequests: 0, runningRequests: 0});
+
+    const caller = await callerSends('GET / HT');
+    await until(() => counts().begunRequests === 1);
+
+    caller.write('TP/1.1\r\nHost: shop.example\r\n\r\n');
+    const response = await nextResponse();
+    expect(counts()).toMatchObject({begunRequests: 0, runningRequests: 1});
+
+    caller.pause();
+    response.end(LONG_ANSWER);
+    expect(counts()).toMatchObject({runningRequests: 0, unsentAnswers: 1});
+
+    caller.resume();
+    await until(() => counts().unsentAnswers === 0);
+    expect(counts()).toEqual({
+      connections: 2,
+      begunRequests: 0,
+      runningRequests: 0,
+      unsentAnswers: 0,
+    });
+
+    caller.write('G');
+    await until(() => counts().begunRequests === 1);
+  });
+});
