Send a ready answer to its end before a stopping process closes the connection

Callers saw an answer cut: 3.9 of 8.0 MB, over a connection that they read slowly. Cause: the stop closed the HTTP server, and Node's close destroys connections whose answer has ended, also while its bytes stand in the socket's buffer. Evidence: the test (answer of 8 MB during the return of grants, caller paused) got 3,919,872 of 8,000,103 bytes before. Now the listener alone is closed, and each connection ends by itself once no answer is on it; the answer's close event comes after the system has all of it.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -16,6 +16,7 @@
 /** One connection; callers send no second request before the first is answered. */
 class CallerConnection {
   readonly answers = new Set<ServerResponse>();
+  private isDraining = false;
   /** What had been read when the last request was over. */
   private settledBytes = 0;
 
@@ -26,6 +27,7 @@
     response.once('close', () => {
       this.answers.delete(response);
       this.settledBytes = this.socket.bytesRead;
+      this.endIfQuiet();
     });
   }
 
@@ -33,17 +35,30 @@
   get hasBegun(): boolean {
     return this.answers.size === 0 && this.socket.bytesRead > this.settledBytes;
   }
+
+  /** Ends it as soon as nothing of a request or an answer is on it. */
+  drain(): void {
+    this.isDraining = true;
+    this.endIfQuiet();
+  }
+
+  private endIfQuiet(): void {
+    if (this.isDraining && this.answers.size === 0) {
+      this.socket.destroy();
+    }
+  }
 }
 
-/** Knows what each caller's connection is in the middle of. */
+/** Knows what each caller's connection is in the middle of, and ends them in order. */
 export class CallerConnections {
   private readonly open = new Map<Socket, CallerConnection>();
+  private onNone: (() => void) | undefined;
 
   constructor(server: Server) {
     server.on('connection', socket => {
       this.open.set(socket, new CallerConnection(socket));
       socket.once('close', () => {
-        this.open.delete(socket);
+        this.remove(socket);
       });
     });
     server.prependListener('request', (request, response) => {
@@ -65,4 +80,28 @@
       unsentAnswers,
     };
   }
+
+  /**
+   * Ends each connection as soon as nothing of a request or an answer is on it. New
+   * ones must not come any more.
+   *
+   * @returns Resolves when there is none left.
+   */
+  async drain(): Promise<void> {
+    for (const connection of this.open.values()) {
+      connection.drain();
+    }
+    if (this.open.size > 0) {
+      await new Promise<void>(resolve => {
+        this.onNone = resolve;
+      });
+    }
+  }
+
+  private remove(socket: Socket): void {
+    this.open.delete(socket);
+    if (this.open.size === 0) {
+      this.onNone?.();
+    }
+  }
 }
--- a/packages/gateway/src/caller-door.ts
+++ b/packages/gateway/src/caller-door.ts
@@ -4,6 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
+import {Server as NetServer} from 'node:net';
 
 import {CallerConnections} from './caller-connections.js';
 import {listening, portOf, type ListenAddress} from './listening.js';
@@ -72,9 +73,15 @@
     }
   }
 
-  /** Takes no new connections, and ends those that are idle. */
-  stopListening(): void {
-    this.server.close();
+  /**
+   * Takes no new connections, and ends each as soon as nothing is on it.
+   *
+   * @returns Resolves when there is none left.
+   */
+  drain(): Promise<void> {
+    // The close of an HTTP server also destroys connections whose answer is not sent.
+    NetServer.prototype.close.call(this.server);
+    return this.connections.drain();
   }
 
   /** Ends all connections at once. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -66,9 +66,13 @@
     }
   }
 
-  /** Takes no new connections, and ends those that are idle. */
-  stopListening(): void {
-    this.door.stopListening();
+  /**
+   * Takes no new connections, and ends each as soon as nothing is on it.
+   *
+   * @returns Resolves when there is none left.
+   */
+  drain(): Promise<void> {
+    return this.door.drain();
   }
 
   /** Ends all connections at once. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -178,8 +178,7 @@
     ]);
     note('grants returned');
     // Returning grants takes seconds while the store is away, and callers still come.
-    this.callers.stopListening();
-    await Promise.race([this.callers.idle(), deadline]);
+    await Promise.race([this.callers.drain(), deadline]);
     giveUp.abort();
     note('stopped');
     await this.abort();
