Answer requests that have begun when a stopping process closes its connections

Callers saw their connection closed without an answer after they had sent a part of a request's head, or a connection that had just been taken reset with its request on the way. Cause: a request counted from the end of its head, so that the last look found nothing. Now a connection drains by what was read on it: a head that has begun may come to its end for 1 s, a new connection may bring its first request until 0.5 s after it was opened; a head that is later is told 408, truly not run, since nobody gets to see it.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,4 +1,4 @@
-import type {Server, ServerResponse} from 'node:http';
+import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
 /** What callers' connections are in the middle of. */
@@ -13,27 +13,51 @@
   readonly unsentAnswers: number;
 }
 
+/**
+ * A caller that opens a connection sends its request at once. Harm of less: it is
+ * reset with its request on the way.
+ */
+const FIRST_REQUEST_MILLISECONDS = 500;
+/** The rest of a head that has begun may take so long while its connection drains. */
+const HEAD_MILLISECONDS = 1_000;
+const HEAD_TOO_LATE =
+  'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
+
 /** One connection; callers send no second request before the first is answered. */
 class CallerConnection {
   readonly answers = new Set<ServerResponse>();
+  private readonly openedAt = performance.now();
   private isDraining = false;
-  /** What had been read when the last request was over. */
-  private settledBytes = 0;
+  private isRefused = false;
+  private timer: NodeJS.Timeout | undefined;
+  /** What had been read when the last request was over; undefined before the first. */
+  private settledBytes: number | undefined;
 
-  constructor(readonly socket: Socket) {}
+  constructor(readonly socket: Socket) {
+    socket.once('close', () => {
+      clearTimeout(this.timer);
+    });
+  }
 
-  add(response: ServerResponse): void {
+  /** @returns False where it was refused before its head had ended. */
+  add(response: ServerResponse): boolean {
+    if (this.isRefused) {
+      return false;
+    }
+    clearTimeout(this.timer);
     this.answers.add(response);
     response.once('close', () => {
       this.answers.delete(response);
       this.settledBytes = this.socket.bytesRead;
       this.endIfQuiet();
     });
+    return true;
   }
 
   /** Whether a part of a request's head was read, and not all of it. */
   get hasBegun(): boolean {
-    return this.answers.size === 0 && this.socket.bytesRead > this.settledBytes;
+    const settled = this.settledBytes ?? 0;
+    return this.answers.size === 0 && this.socket.bytesRead > settled;
   }
 
   /** Ends it as soon as nothing of a request or an answer is on it. */
@@ -43,10 +67,36 @@
   }
 
   private endIfQuiet(): void {
-    if (this.isDraining && this.answers.size === 0) {
+    if (!this.isDraining || this.answers.size > 0) {
+      return;
+    }
+    const firstEndsAt = this.openedAt + FIRST_REQUEST_MILLISECONDS;
+    const waitsForFirst = firstEndsAt - performance.now();
+    if (this.hasBegun) {
+      this.after(HEAD_MILLISECONDS, () => {
+        this.refuse();
+      });
+    } else if (this.settledBytes === undefined && waitsForFirst > 0) {
+      this.after(waitsForFirst, () => {
+        this.endIfQuiet();
+      });
+    } else {
       this.socket.destroy();
     }
   }
+
+  /** Nobody has seen the request: it has not run. */
+  private refuse(): void {
+    this.isRefused = true;
+    this.socket.end(HEAD_TOO_LATE, () => {
+      this.socket.destroy();
+    });
+  }
+
+  private after(milliseconds: number, call: () => void): void {
+    clearTimeout(this.timer);
+    this.timer = setTimeout(call, milliseconds);
+  }
 }
 
 /** Knows what each caller's connection is in the middle of, and ends them in order. */
@@ -61,9 +111,15 @@
         this.remove(socket);
       });
     });
-    server.prependListener('request', (request, response) => {
-      this.open.get(request.socket)?.add(response);
-    });
+  }
+
+  /**
+   * A request's head has ended.
+   *
+   * @returns False where the caller has been told that it came too late.
+   */
+  begin(request: IncomingMessage, response: ServerResponse): boolean {
+    return this.open.get(request.socket)?.add(response) ?? false;
   }
 
   /** What they are in the middle of now. */
--- a/packages/gateway/src/caller-door.ts
+++ b/packages/gateway/src/caller-door.ts
@@ -41,7 +41,9 @@
     this.server = createServer(
       {maxHeaderSize: LONGEST_HEADER_BYTES, noDelay: true},
       (request, response) => {
-        this.take({request, response, arrivedAt: now()});
+        if (this.connections.begin(request, response)) {
+          this.take({request, response, arrivedAt: now()});
+        }
       },
     );
     this.connections = new CallerConnections(this.server);
--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -16,6 +16,9 @@
   callers = [];
   server = createServer();
   connections = new CallerConnections(server);
+  server.on('request', (request, response) => {
+    connections.begin(request, response);
+  });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
 });
@@ -86,4 +89,21 @@
     caller.write('G');
     await until(() => counts().begunRequests === 1);
   });
+
+  it('refuses a head that does not come to its end while it drains', async () => {
+    // Guards against a stop that waits for a caller that has fallen silent.
+    const caller = await callerSends('GET / HT');
+    await until(() => connections.counts.begunRequests === 1);
+    const refused = once(caller, 'data');
+    await connections.drain();
+    const [refusal] = (await refused) as [Buffer];
+    expect(refusal.toString()).toMatch(/^HTTP\/1.1 408 /);
+  });
+
+  it('ends a connection without a request while it drains', async () => {
+    // Guards against a stop that waits for connections that were only opened.
+    const caller = await callerSends('');
+    await until(() => connections.counts.connections === 1);
+    await Promise.all([once(caller, 'close'), connections.drain()]);
+  });
 });
