Start with every sound figure of the platform

What callers saw: nothing.

Cause: the schema says uint32 for two figures that the platform fills in (retryBudgetExtra, storeKeepSeconds), while its page says that figures are whole numbers or fractions. Two more ways for a figure to end each process: one that the platform does not give left `"key": ,` in the file, and 0 was refused for three times, though proto3 can't tell it from absent.

Now: all five figures are doubles; the template leaves out what is not given; null is absent, as in protobuf's own JSON; a time that is 0 or absent gets a default in gateway-limits.ts, as the router and keeper do it; no bound on resends is none at all, as before. Numbers beyond a double's range are reported instead of thrown by the parser. Negative figures, texts and true or false still end the start. Addresses and names are required as before. Downstream, the resend budget already counts with fractions (it rounds each host's part of `extra` down).

settings-template_test.ts fills in the deployed template with figures of each kind by fast-check and loads the result.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
-import {DataCenterTrust, type ResendLimits} from '@wisteriadeal/decisions';
+import {DataCenterTrust} from '@wisteriadeal/decisions';
 import type {Clock, PartitionedLog, RandomSource} from '@wisteriadeal/platform';
 import type {EventLog, JsonValue, RunningBinary} from '@wisteriadeal/runtime';
 import type {GatewaySettings} from '@wisteriadeal/schema';
@@ -14,6 +14,7 @@
 import type {Dialect} from './dialect.js';
 import {EndpointConnections} from './endpoint-connections.js';
 import {EndpointDirectory} from './endpoint-directory.js';
+import {gatewayLimits} from './gateway-limits.js';
 import {GatewayMetrics} from './gateway-metrics.js';
 import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
@@ -158,7 +159,8 @@
   async close(): Promise<void> {
     const {clock, settings} = this.parts;
     const giveUp = new AbortController();
-    const limit = settings.stopGraceSeconds * 1_000 * STOP_PART_OF_GRACE;
+    const {stopGraceMilliseconds} = gatewayLimits(settings);
+    const limit = stopGraceMilliseconds * STOP_PART_OF_GRACE;
     const deadline = clock.sleep(limit, giveUp.signal);
     this.state.beginStop();
     this.callers.beginStop();
@@ -219,7 +221,7 @@
    * connections hang on them, and a restart takes new ones.
    */
   reload(settings: GatewaySettings): void {
-    this.handler.limitResends(resendLimits(settings));
+    this.handler.limitResends(gatewayLimits(settings).resends);
     this.handler.chargeUndelivered(undeliveredCharge(settings));
     this.parts.events.info('settings read again', {host: settings.host});
   }
@@ -239,7 +241,7 @@
     const replica = new BudgetReplica(
       log,
       clock,
-      (settings.storeKeepSeconds * 1_000) / CHECKPOINT_PARTS,
+      gatewayLimits(settings).storeKeepMilliseconds / CHECKPOINT_PARTS,
       events,
     );
     const identity = {
@@ -279,7 +281,7 @@
         dataCenters: new DataCenterTrust(settings.dataCenter),
         hosts: () => this.budgets.holders,
       },
-      resendLimits(settings),
+      gatewayLimits(settings).resends,
       undeliveredCharge(settings),
       this.metrics,
       events,
@@ -319,14 +321,6 @@
   }
 }
 
-function resendLimits(settings: GatewaySettings): ResendLimits {
-  return {
-    ratio: settings.retryBudgetRatio,
-    extra: settings.retryBudgetExtra,
-    windowMilliseconds: settings.retryBudgetWindowSeconds * 1_000,
-  };
-}
-
 function undeliveredCharge(settings: GatewaySettings): UndeliveredCharge {
   return settings.chargeUndeliveredPrompts
     ? UndeliveredCharge.Prompt
--- /dev/null
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -0,0 +1,33 @@
+import {create} from '@bufbuild/protobuf';
+import {GatewaySettingsSchema} from '@wisteriadeal/schema';
+import {describe, expect, it} from 'vitest';
+
+import {gatewayLimits} from '../gateway-limits.js';
+
+describe('gatewayLimits', () => {
+  it('takes figures as they are, with fractions', () => {
+    const settings = create(GatewaySettingsSchema, {
+      stopGraceSeconds: 7.5,
+      retryBudgetRatio: 0.25,
+      retryBudgetExtra: 190.5,
+      retryBudgetWindowSeconds: 7.25,
+      storeKeepSeconds: 20.5,
+    });
+    expect(gatewayLimits(settings)).toEqual({
+      stopGraceMilliseconds: 7_500,
+      resends: {ratio: 0.25, extra: 190.5, windowMilliseconds: 7_250},
+      storeKeepMilliseconds: 20_500,
+    });
+  });
+
+  it('stops in order, resends nothing and keeps records where nothing is said', () => {
+    // Callers' answers are cut at a stop, and budgets are lost with dropped records:
+    // a time that the platform leaves out is taken for no time at all.
+    const limits = gatewayLimits(create(GatewaySettingsSchema));
+    expect(limits).toEqual({
+      stopGraceMilliseconds: 8_000,
+      resends: {ratio: 0, extra: 0, windowMilliseconds: 10_000},
+      storeKeepMilliseconds: 20_000,
+    });
+  });
+});
--- a/packages/runtime/src/schema-check.ts
+++ b/packages/runtime/src/schema-check.ts
@@ -33,7 +33,7 @@
         ? []
         : [{path, expected: `a whole number from 0 to ${MAXIMUM_UINT32}`}];
     case ScalarType.DOUBLE:
-      return typeof value === 'number' && value >= 0
+      return Number.isFinite(value) && (value as number) >= 0
         ? []
         : [{path, expected: 'a number of at least 0'}];
     default:
@@ -105,14 +105,12 @@
   const fields = new Map(schema.fields.map(field => [field.jsonName, field]));
   return Object.entries(value).flatMap(([key, item]) => {
     const field = fields.get(key);
-    return field === undefined
-      ? [
-          {
-            path: [...path, key],
-            expected: `one of the keys ${[...fields.keys()].join(', ')}`,
-          },
-        ]
-      : checkField(field, item, [...path, key]);
+    if (field === undefined) {
+      const expected = `one of the keys ${[...fields.keys()].join(', ')}`;
+      return [{path: [...path, key], expected}];
+    }
+    // As in protobuf's own JSON, null is an absent value.
+    return item === null ? [] : checkField(field, item, [...path, key]);
   });
 }
 
--- a/packages/runtime/src/settings-rules.ts
+++ b/packages/runtime/src/settings-rules.ts
@@ -167,20 +167,11 @@
     ...address(settings.statusAddress, ['statusAddress']),
     ...address(settings.peerAddress, ['peerAddress']),
     ...address(settings.storeAddress, ['storeAddress']),
-    ...positive(settings.stopGraceSeconds, ['stopGraceSeconds']),
-    ...positive(settings.storeKeepSeconds, ['storeKeepSeconds']),
     ...positive(settings.budgetReserveSeconds, ['budgetReserveSeconds']),
     ...rule<number>(
       value => value > 0 && value <= 1,
       'a number above 0, at most 1',
     )(settings.budgetPooledPart, ['budgetPooledPart']),
-    ...positive(settings.retryBudgetWindowSeconds, [
-      'retryBudgetWindowSeconds',
-    ]),
-    ...rule<number>(value => value >= 0, 'a number from 0 on')(
-      settings.retryBudgetRatio,
-      ['retryBudgetRatio'],
-    ),
   ];
 }
 
--- a/packages/runtime/src/test/settings-file_test.ts
+++ b/packages/runtime/src/test/settings-file_test.ts
@@ -1,4 +1,7 @@
-import {RouterSettingsSchema} from '@wisteriadeal/schema';
+import {
+  GatewaySettingsSchema,
+  RouterSettingsSchema,
+} from '@wisteriadeal/schema';
 import {describe, expect, it} from 'vitest';
 
 import {formatSettingsProblem, parseSettings} from '../settings-file.js';
@@ -28,6 +31,24 @@
     ]);
   });
 
+  it('takes null for a value that is absent', () => {
+    const text = '{"callerPort": null, "process": null}';
+    const result = parseSettings(RouterSettingsSchema, text, 'router.jsonc');
+    expect(result.unwrap().callerPort).toBe(0);
+    expect(result.unwrap().process).toBeUndefined();
+  });
+
+  it('refuses a number that is too large for a number', () => {
+    const result = parseSettings(
+      GatewaySettingsSchema,
+      '{"retryBudgetExtra": 1e999}',
+      'gateway.jsonc',
+    );
+    expect(result.ok ? [] : result.val.map(formatSettingsProblem)).toEqual([
+      'gateway.jsonc:1: retryBudgetExtra: expected a number of at least 0',
+    ]);
+  });
+
   it('names the line of malformed JSON', () => {
     expect(problemsOf('{\n  "callerPort": 1\n  "x": 2\n}')[0]).toContain(
       'router.jsonc:3: file: expected JSON with comments',
