Charge whole tokens whatever an event stands for

What callers see: 402 for a budget that is not used up. Where an event stands for 4.5 tokens, the account of a host holds a fraction, and the fold passes over records whose amount is not whole: what a host gives back or lends is gone.

--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -51,7 +51,7 @@
     this.lastEventAt = now;
   }
 
-  /** Tokens used: input once, and the output that was delivered. */
+  /** Whole tokens used: input once, and the output that was delivered. */
   usedTokens(
     promptTokens: number,
     maximumOutputTokens: number,
@@ -64,7 +64,7 @@
     if (!isCharged) {
       return 0;
     }
-    const output = this.eventsDelivered * (tokensPerEvent ?? 0);
+    const output = Math.ceil(this.eventsDelivered * (tokensPerEvent ?? 0));
     return promptTokens + Math.min(output, maximumOutputTokens);
   }
 }
--- a/packages/gateway/src/test/request-record_test.ts
+++ b/packages/gateway/src/test/request-record_test.ts
@@ -39,6 +39,17 @@
     expect(used(record, UndeliveredCharge.Nothing)).toBe(PROMPT + 20);
   });
 
+  it('is whole where an event stands for a fraction of tokens', () => {
+    // The caller sees 402 for a budget that is not used up. Records of amounts with a
+    // fraction are passed over, so that what a host gave back was gone.
+    const record = new RequestRecord();
+    record.hasDelivered = true;
+    record.eventsDelivered = 5;
+    expect(
+      record.usedTokens(PROMPT, MOST_OUTPUT, 4.5, UndeliveredCharge.Nothing),
+    ).toBe(PROMPT + 23);
+  });
+
   it('is never more than its bound', () => {
     const record = new RequestRecord();
     record.hasDelivered = true;
