Stop in good order when told to while the process starts

Callers that a starting process had taken saw their connection reset. Cause: the door listens before the libraries are loaded, and SIGTERM had no handler until the start was over, so that it ended the process at once. Evidence: with the bundled program as a child process, SIGTERM 0, 30 and 60 ms after it listens cut the caller (no byte of an answer; the start took some 90 ms on a calm machine and takes far longer on a small core); from 100 ms on it was answered. Further signals change nothing: SIGTERM twice, then SIGINT.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,12 +155,17 @@
    * rest as not run, finishes
    * what runs, returns its grants, and ends. It listens to its end: where most
    * hosts of a data centre stop at once, the platform still sends callers.
+   *
+   * @param toldAgo How long ago the process was told to stop, milliseconds.
    */
-  async close(): Promise<void> {
+  async close(toldAgo = 0): Promise<void> {
     const {clock, settings} = this.parts;
     const giveUp = new AbortController();
     const {stopGraceMilliseconds} = gatewayLimits(settings);
-    const limit = stopGraceMilliseconds * STOP_PART_OF_GRACE;
+    const limit = Math.max(
+      0,
+      stopGraceMilliseconds * STOP_PART_OF_GRACE - toldAgo,
+    );
     const deadline = clock.sleep(limit, giveUp.signal);
     this.state.beginStop();
     this.callers.beginStop();
--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -8,11 +8,16 @@
 } from './settings-file.js';
 import {settingsCheckOf} from './settings-rules.js';
 import {SETTINGS_POLL_MILLISECONDS, SettingsWatch} from './settings-watch.js';
+import {StopSignal} from './stop-signal.js';
 
 /** A started process that can be stopped in good order. */
 export interface RunningBinary<Settings = unknown> {
-  /** Finishes what runs, returns what it holds, and leaves. */
-  close(): Promise<void>;
+  /**
+   * Finishes what runs, returns what it holds, and leaves.
+   *
+   * @param toldAgo How long ago the process was told to, milliseconds.
+   */
+  close(toldAgo: number): Promise<void>;
   /** Takes settings that were read again. Absent where a process keeps its own. */
   reload?(settings: Settings): void;
 }
@@ -21,8 +26,13 @@
 export interface BinaryOptions {
   /** Environment variable that names the file where `--settings` doesn't. */
   readonly settingsVariable?: string;
+  /** Listens to the process already; one of its own where absent. */
+  readonly stopSignal?: StopSignal;
 }
 
+/** A process that is told to stop while it starts may start for so long. */
+const STOPPED_START_MILLISECONDS = 4_000;
+
 /** Exit codes; from 64 on those of sysexits. */
 export enum ExitCode {
   Success = 0,
@@ -56,25 +66,33 @@
   );
 }
 
-function stopOnSignal(running: RunningBinary): void {
-  let stopping = false;
-  const stop = () => {
-    if (stopping) {
-      return;
-    }
-    stopping = true;
-    running.close().then(
-      () => {
-        process.exit(ExitCode.Success);
-      },
-      (error: unknown) => {
-        process.stderr.write(`stop failed: ${String(error)}\n`);
-        process.exit(ExitCode.Failure);
-      },
-    );
-  };
-  process.on('SIGTERM', stop);
-  process.on('SIGINT', stop);
+/**
+ * Stops a process in good order once it is told to, also where that was while it
+ * started.
+ *
+ * @returns The code to exit with.
+ */
+export async function stopWhenTold(
+  signal: StopSignal,
+  started: Promise<RunningBinary>,
+): Promise<ExitCode> {
+  await signal.told;
+  try {
+    const running = await Promise.race([started, startOverdue()]);
+    await running.close(signal.age);
+    return ExitCode.Success;
+  } catch (error) {
+    process.stderr.write(`stop failed: ${String(error)}\n`);
+    return ExitCode.Failure;
+  }
+}
+
+function startOverdue(): Promise<never> {
+  return new Promise((_resolve, reject) => {
+    setTimeout(() => {
+      reject(new Error('the start took too long'));
+    }, STOPPED_START_MILLISECONDS).unref();
+  });
 }
 
 /** Begins to hand changed settings to a process that has started. */
@@ -117,6 +135,7 @@
   ) => Promise<RunningBinary<MessageShape<Schema>>>,
   options: BinaryOptions = {},
 ): Promise<void> {
+  const stopSignal = options.stopSignal ?? new StopSignal(process);
   const path = settingsPath(options);
   if (path === undefined) {
     process.stderr.write('usage: --settings FILE\n');
@@ -134,7 +153,9 @@
   process.on('SIGHUP', () => {
     watch.signalled();
   });
-  const running = await start(settings.val);
-  stopOnSignal(running);
-  followSettings(watch, running);
+  const started = start(settings.val);
+  void stopWhenTold(stopSignal, started).then(code => {
+    process.exit(code);
+  });
+  followSettings(watch, await started);
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -17,5 +17,6 @@
 export * from './settings-file.js';
 export * from './settings-rules.js';
 export * from './settings-watch.js';
+export * from './stop-signal.js';
 export * from './system-clock.js';
 export * from './system-random-source.js';
