Begin nothing after the notice of a stop that might be cut at its end

Callers saw a stream cut 6.8 s after SIGTERM that had begun 2.6 s after it. Cause: a stream was let in by an estimate (1,000 ms and 12 ms a token), whatever its own time limit was. Evidence: the test (15 s of time, silent endpoint, sent while grants go back) was passed on and cut at the limit, status 0 after 6.87 s. Now: until callers can know of the stop, what is likely to end is served, as before; later, only what its own time limit ends before the cut, and the rest is told 503, not run, at once. Plain requests are taken until their own time limit no longer fits, where the route's whole timeout was asked for before.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -29,6 +29,7 @@
 export * from './shift-policy.js';
 export * from './trip-cost-shift.js';
 export * from './weight-budget.js';
+export * from './stop-admission.js';
 export * from './work.js';
 export * from './endpoint-trust.js';
 export * from './answer-estimate.js';
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
-import {DataCenterTrust} from '@wisteriadeal/decisions';
+import {DataCenterTrust, StopAdmission} from '@wisteriadeal/decisions';
 import type {Clock, PartitionedLog, RandomSource} from '@wisteriadeal/platform';
 import type {EventLog, JsonValue, RunningBinary} from '@wisteriadeal/runtime';
 import type {GatewaySettings} from '@wisteriadeal/schema';
@@ -169,8 +169,10 @@
     const deadline = clock.sleep(limit, giveUp.signal);
     this.state.beginStop();
     this.callers.beginStop();
-    this.handler.stopAt(clock.monotonicMilliseconds() + limit);
     const startedAt = clock.monotonicMilliseconds();
+    this.handler.beginStop(
+      new StopAdmission(startedAt + NOTICE_MILLISECONDS, startedAt + limit),
+    );
     const note = (event: string) => {
       this.noteStop(event, startedAt);
     };
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,4 +1,4 @@
-import type {ResendLimits} from '@wisteriadeal/decisions';
+import {StopAdmission, type ResendLimits} from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 import {BillOutcome} from '@wisteriadeal/schema';
 
@@ -37,12 +37,7 @@
   readonly organisation: Organisation | undefined;
 }
 
-/**
- * What a stream may take until its first event, and for each token after it. Load:
- * most hosts of a data centre stop at once and callers still come to them. Harm:
- * without serving those, they are refused by host after host; with a shorter estimate,
- * streams are cut when the process ends.
- */
+/** What a stream is likely to take until its first event, and for each token after it. */
 const STREAM_START_MILLISECONDS = 1_000;
 const TOKEN_MILLISECONDS = 12;
 /** Start of a configuration's effect takes this long at most. */
@@ -51,7 +46,7 @@
 /** Decides each caller's request: who it is, where it may go, what it may use. */
 export class RequestHandler {
   private readonly services: ServiceStates;
-  private stopsAt = Infinity;
+  private stop = new StopAdmission(Infinity, Infinity);
 
   constructor(
     private readonly configuration: ConfigurationState,
@@ -69,13 +64,9 @@
     this.services = new ServiceStates(resendLimits);
   }
 
-  /**
-   * From now on requests that may not end in time are refused as not run.
-   *
-   * @param at When open requests are cut, on the monotonic clock.
-   */
-  stopAt(at: number): void {
-    this.stopsAt = at;
+  /** From now on requests are refused as not run that this does not admit. */
+  beginStop(stop: StopAdmission): void {
+    this.stop = stop;
   }
 
   /** Takes new bounds on resends; what was resent is forgotten with the old. */
@@ -141,13 +132,14 @@
 
   /** Whether a request that begins now ends before a graceful stop does. */
   private endsInTime(caller: CallerExchange, route: Route): boolean {
-    const left = this.stopsAt - this.parts.clock.monotonicMilliseconds();
-    const needed =
+    const now = this.parts.clock.monotonicMilliseconds();
+    const longestMilliseconds = deadlineOf(caller, route) - now;
+    const likelyMilliseconds =
       route.kind === RouteKind.Streaming
         ? STREAM_START_MILLISECONDS +
           caller.headers.maximumOutputTokens * TOKEN_MILLISECONDS
-        : route.timeoutMilliseconds;
-    return left >= needed;
+        : longestMilliseconds;
+    return this.stop.admits(now, {likelyMilliseconds, longestMilliseconds});
   }
 
   private contextOf(
@@ -163,10 +155,6 @@
     }
     const {resends, firstEvents, wholeAnswers} = this.services.of(service.name);
     resends.requested(this.parts.clock.monotonicMilliseconds());
-    const waits = Math.min(
-      caller.headers.deadlineMilliseconds ?? route.timeoutMilliseconds,
-      route.timeoutMilliseconds,
-    );
     return {
       caller,
       body,
@@ -174,7 +162,7 @@
       service,
       organisation,
       configurationVersion: configuration.version,
-      deadlineAt: caller.arrivedAt + waits,
+      deadlineAt: deadlineOf(caller, route),
       resends,
       firstEvents,
       wholeAnswers,
@@ -314,6 +302,13 @@
   }
 }
 
+/** When a request ends in any case, on the monotonic clock. */
+function deadlineOf(caller: CallerExchange, route: Route): number {
+  const {timeoutMilliseconds} = route;
+  const wanted = caller.headers.deadlineMilliseconds ?? timeoutMilliseconds;
+  return caller.arrivedAt + Math.min(wanted, timeoutMilliseconds);
+}
+
 function sinceArrival(
   at: number | undefined,
   caller: CallerExchange,
