Write the bills of requests that end after a stop has returned its grants

The organisation found no bill for a request that was answered. Cause: a stop wrote its bills beside the return of grants, and requests that came meanwhile ended later. Now bills are written there and once more when nothing is open.

--- a/packages/gateway/src/bill-writer.ts
+++ b/packages/gateway/src/bill-writer.ts
@@ -64,7 +64,8 @@
     this.stop.abort();
   }
 
-  private async flush(): Promise<void> {
+  /** Writes what waits, if the store answers. */
+  async flush(): Promise<void> {
     const bills = this.waiting.slice(0, BILLS_PER_RECORD);
     if (bills.length === 0) {
       return;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -182,12 +182,13 @@
     await Promise.race([this.callers.idle(), deadline]);
     note('requests ended');
     await Promise.race([
-      Promise.all([this.budgets.close(), this.bills.close()]),
+      Promise.all([this.budgets.close(), this.bills.flush()]),
       deadline,
     ]);
     note('grants returned');
     // Returning grants takes seconds while the store is away, and callers still come.
     await Promise.race([this.callers.drain(), deadline]);
+    await Promise.race([this.bills.close(), deadline]);
     giveUp.abort();
     note('stopped');
     await this.abort();
