Return grants also where a stop has to cut a request at its limit

The organisation lost 60,000 of 1,000,000 tokens when a host was stopped while one request was at work, and its caller saw the connection closed. Cause: work and the return of grants shared one limit, 0.85 of the grace; once it was over, nothing was waited for any more. Now a request that has to be cut ends with what there is (504, or a stream broken off), is charged and billed, and grants and unsent answers have until 0.95 of the grace. What runs is counted until it is settled, not until its answer is closed. The order of a stop stands in a class of its own.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,5 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
-import {DataCenterTrust, StopAdmission} from '@wisteriadeal/decisions';
+import {DataCenterTrust} from '@wisteriadeal/decisions';
 import type {Clock, PartitionedLog, RandomSource} from '@wisteriadeal/platform';
 import type {EventLog, JsonValue, RunningBinary} from '@wisteriadeal/runtime';
 import type {GatewaySettings} from '@wisteriadeal/schema';
@@ -19,6 +19,7 @@
 import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
+import {GracefulStop} from './graceful-stop.js';
 import {listenAddress} from './listening.js';
 import {ConnectLoanPeers} from './loan-peers.js';
 import {LoanServer} from './loan-server.js';
@@ -50,11 +51,6 @@
 const ENDPOINT_PAUSE_MILLISECONDS = 350;
 /** A checkpoint is due after this part of the time that the store keeps records. */
 const CHECKPOINT_PARTS = 5;
-/** The rest of the grace is left for returning grants and for the end itself. */
-const STOP_PART_OF_GRACE = 0.85;
-/** Connections that come between readiness' end and the platform's notice of it. */
-const NOTICE_MILLISECONDS = 2_600;
-
 /** What a process must know before it can serve. */
 enum StartNeed {
   Configuration = 'configuration',
@@ -151,46 +147,21 @@
   }
 
   /**
-   * Says that it leaves, serves those who come before that is known, refuses the
-   * rest as not run, finishes
-   * what runs, returns its grants, and ends. It listens to its end: where most
-   * hosts of a data centre stop at once, the platform still sends callers.
+   * Says that it leaves, ends its work in good order, and ends.
    *
    * @param toldAgo How long ago the process was told to stop, milliseconds.
    */
   async close(toldAgo = 0): Promise<void> {
-    const {clock, settings} = this.parts;
-    const giveUp = new AbortController();
+    const {settings, clock, events} = this.parts;
     const {stopGraceMilliseconds} = gatewayLimits(settings);
-    const limit = Math.max(
-      0,
-      stopGraceMilliseconds * STOP_PART_OF_GRACE - toldAgo,
+    const {callers, handler, budgets, bills} = this;
+    const stop = new GracefulStop(
+      {callers, handler, budgets, bills, clock, events},
+      stopGraceMilliseconds,
+      toldAgo,
     );
-    const deadline = clock.sleep(limit, giveUp.signal);
     this.state.beginStop();
-    this.callers.beginStop();
-    const startedAt = clock.monotonicMilliseconds();
-    this.handler.beginStop(
-      new StopAdmission(startedAt + NOTICE_MILLISECONDS, startedAt + limit),
-    );
-    const note = (event: string) => {
-      this.noteStop(event, startedAt);
-    };
-    note('stopping');
-    await Promise.race([clock.sleep(NOTICE_MILLISECONDS), deadline]);
-    note('notice over');
-    await Promise.race([this.callers.idle(), deadline]);
-    note('requests ended');
-    await Promise.race([
-      Promise.all([this.budgets.close(), this.bills.flush()]),
-      deadline,
-    ]);
-    note('grants returned');
-    // Returning grants takes seconds while the store is away, and callers still come.
-    await Promise.race([this.callers.drain(), deadline]);
-    await Promise.race([this.bills.close(), deadline]);
-    giveUp.abort();
-    note('stopped');
+    await stop.run();
     await this.abort();
   }
 
@@ -234,16 +205,6 @@
     this.parts.events.info('settings read again', {host: settings.host});
   }
 
-  /** Tells what is open at a stage of a graceful stop. */
-  private noteStop(event: string, startedAt: number): void {
-    const {clock, events} = this.parts;
-    events.info(event, {
-      afterMilliseconds: Math.round(clock.monotonicMilliseconds() - startedAt),
-      requests: this.callers.openRequests,
-      ...this.callers.connectionCounts,
-    });
-  }
-
   private createBudgets(): BudgetHolder {
     const {settings, log, clock, random, events} = this.parts;
     const replica = new BudgetReplica(
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -47,6 +47,7 @@
 export class RequestHandler {
   private readonly services: ServiceStates;
   private stop = new StopAdmission(Infinity, Infinity);
+  private readonly running = new Map<RequestRun, Promise<void>>();
 
   constructor(
     private readonly configuration: ConfigurationState,
@@ -69,6 +70,18 @@
     this.stop = stop;
   }
 
+  /** Ends what runs with what there is. */
+  cutRunning(): void {
+    for (const run of this.running.keys()) {
+      run.cut();
+    }
+  }
+
+  /** Resolves when what runs now is charged and billed. */
+  async settled(): Promise<void> {
+    await Promise.allSettled(this.running.values());
+  }
+
   /** Takes new bounds on resends; what was resent is forgotten with the old. */
   limitResends(limits: ResendLimits): void {
     this.services.limitResends(limits);
@@ -173,7 +186,7 @@
     context: RequestContext,
     record: RequestRecord,
   ): Promise<OwnAnswer | undefined> {
-    const {caller, organisation, service} = context;
+    const {caller, organisation} = context;
     const bound = tokenBound(caller);
     record.organisation = organisation?.name;
     // Settings may change while it runs: what it began with holds to its end.
@@ -197,18 +210,36 @@
       const now = this.parts.clock.monotonicMilliseconds();
       return budgetAnswer(reserved.refusal, this.health.awayFor(now));
     }
-    const {promptTokens, maximumOutputTokens} = caller.headers;
     const budget = new RequestBudget(
       this.budgets.reservations,
       reserved.reservation,
     );
+    const run = new RequestRun(this.parts, context, budget, record);
+    const ended = this.runAndSettle(run, context, budget, record, charge);
+    this.running.set(run, ended);
     try {
-      await new RequestRun(this.parts, context, budget, record).run();
+      await ended;
+    } finally {
+      this.running.delete(run);
+    }
+    return undefined;
+  }
+
+  private async runAndSettle(
+    run: RequestRun,
+    context: RequestContext,
+    budget: RequestBudget,
+    record: RequestRecord,
+    charge: UndeliveredCharge,
+  ): Promise<void> {
+    const {promptTokens, maximumOutputTokens} = context.caller.headers;
+    try {
+      await run.run();
     } finally {
       const used = record.usedTokens(
         promptTokens,
         maximumOutputTokens,
-        service.tokensPerEvent,
+        context.service.tokensPerEvent,
         charge,
       );
       record.used = used;
@@ -216,7 +247,6 @@
       budget.settle(used);
       this.bill(context, record, used);
     }
-    return undefined;
   }
 
   private bill(
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -101,13 +101,19 @@
     }
   }
 
+  /** Ends it with what there is: the process that runs it ends. */
+  cut(): void {
+    this.hasTimedOut = true;
+    this.current?.cancel('stopping');
+  }
+
   private async attempt(): Promise<Next> {
     const {caller} = this.context;
     if (caller.leaving.aborted) {
       this.record.outcome = 'caller-left';
       return Next.Ended;
     }
-    if (this.remaining() < SHORTEST_ATTEMPT_MILLISECONDS) {
+    if (this.hasTimedOut || this.remaining() < SHORTEST_ATTEMPT_MILLISECONDS) {
       return this.giveUp(OwnReason.DeadlinePassed);
     }
     const endpoint = this.chooser.choose(this.context, this.avoided);
