Sleep on where a wait is longer than a timer can be set for

What callers would see: with a stop grace beyond 24 days in the settings, a stop ends at once and cuts every answer. A timer that is set for more than 2^31 - 1 ms is due after a millisecond.

Now such a sleep takes the longest that a timer can.

--- a/packages/runtime/src/system-clock.ts
+++ b/packages/runtime/src/system-clock.ts
@@ -1,6 +1,9 @@
 import {Clock} from '@wisteriadeal/platform';
 
-/** The operating system's clocks. */
+/** 24 days; a timer that is set for longer is due at once. */
+const LONGEST_TIMER_MILLISECONDS = 2 ** 31 - 1;
+
+/** The operating system's clocks. A sleep ends after 24 days at the latest. */
 export class SystemClock extends Clock {
   override monotonicMilliseconds(): number {
     return performance.now();
@@ -20,7 +23,10 @@
         signal?.removeEventListener('abort', finish);
         resolve();
       };
-      const timer = setTimeout(finish, milliseconds);
+      const timer = setTimeout(
+        finish,
+        Math.min(milliseconds, LONGEST_TIMER_MILLISECONDS),
+      );
       signal?.addEventListener('abort', finish, {once: true});
     });
   }
