--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -1,5 +1,5 @@
 import {ChargePoint} from '@wisteriadeal/budgets';
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
 import type {TokenWish} from '../organisation-budget.js';
@@ -9,6 +9,7 @@
 
 const PREPAID = 100_000;
 const REQUEST = 2_500;
+const LARGE_REQUEST = 30_000;
 const WAIT = {milliseconds: 3_000, signal: new AbortController().signal};
 
 let fleet: HolderFleet;
@@ -19,12 +20,31 @@
 
 afterEach(() => {
   fleet.close();
+  vi.useRealTimers();
 });
 
 function available(holder: BudgetHolder): number {
   return holder.describe(SCHOOL)?.available ?? 0;
 }
 
+/** What the log can still grant, as a holder knows. */
+function unallocated(holder: BudgetHolder): number {
+  return holder.describe(SCHOOL)?.unallocated ?? 0;
+}
+
+/** Lets the test's own time pass until something is done. */
+async function inHeldTime<Result>(work: Promise<Result>): Promise<Result> {
+  const ended = new AbortController();
+  const end = () => {
+    ended.abort();
+  };
+  work.then(end, end);
+  while (!ended.signal.aborted) {
+    await vi.advanceTimersByTimeAsync(1);
+  }
+  return work;
+}
+
 function wish(bound: number, mayPromise: boolean): TokenWish {
   return {bound, mayPromise};
 }
@@ -86,22 +106,37 @@
     expect(spent).toBeGreaterThan(0.9 * PREPAID);
   });
 
-  it('waits for a slow store that has enough, and says so when it is silent', async () => {
-    // The caller is served, half a second later than usual. The store takes 0.3 s to
-    // answer, as it does on slow days; the other hosts have nothing to lend. A store
-    // that says nothing at all is named as the reason, and not others' hands.
-    const holder = await fleet.start('one');
-    await fleet.start('two');
-    await until(() => available(holder) > 0);
-    fleet.log.faults.answerAfterMilliseconds = 150;
-    expect(await use(holder, 40_000)).toBe(true);
-    fleet.log.faults.answerAfterMilliseconds = 1_000;
-    expect(
-      await holder.reservations.reserve(SCHOOL, wish(30_000, false)),
-    ).toEqual({
-      refusal: BudgetRefusal.StoreAway,
-    });
-  });
+  it.each([0, 180, 360, 540, 690])(
+    'waits for a slow store that has enough, and says so when it is silent (%i ms later)',
+    async laterMilliseconds => {
+      // The caller is served, half a second later than usual. The store takes 0.3 s to
+      // answer, as it does on slow days; the other hosts have nothing to lend. A store
+      // that says nothing at all is named as the reason, and not others' hands.
+      vi.useFakeTimers();
+      const holder = await inHeldTime(fleet.start('one'));
+      const other = await inHeldTime(fleet.start('two'));
+      const haveUsualGrants = () =>
+        [holder, other].every(
+          one => available(one) > 0 && available(one) < LARGE_REQUEST / 2,
+        );
+      await inHeldTime(until(haveUsualGrants));
+      await vi.advanceTimersByTimeAsync(laterMilliseconds);
+      fleet.log.faults.answerAfterMilliseconds = 150;
+      expect(await inHeldTime(use(holder, 40_000))).toBe(true);
+      // A lender that sees the store fetches tokens, too late here, and returns them.
+      await inHeldTime(
+        until(() => haveUsualGrants() && unallocated(holder) >= LARGE_REQUEST),
+      );
+      fleet.log.faults.answerAfterMilliseconds = 1_000;
+      const late = holder.reservations.reserve(
+        SCHOOL,
+        wish(LARGE_REQUEST, false),
+      );
+      expect(await inHeldTime(late)).toEqual({
+        refusal: BudgetRefusal.StoreAway,
+      });
+    },
+  );
 
   it('leaves a successor few records to read', async () => {
     // The callers of a host that was killed are served a quarter of a second sooner.
