Call the store without a library between

Callers of hosts with small cores wait while the host's own calls to the store are prepared: an idle host makes some five a second, a busy one thirteen. Cause: `got` builds and checks its options, a URL and a pipeline of streams for each call, a quarter of what an idle host costs and a tenth of a start. `HttpCaller` makes such a call over `node:http`, with the same limits, kept connections and fates: nothing was done only where no connection was made. `HttpPeer` stays for what needs more.

--- a/packages/platform/src/http-peer.ts
+++ b/packages/platform/src/http-peer.ts
@@ -1,24 +1,12 @@
 import got, {RequestError, TimeoutError, type Got, type Request} from 'got';
 import {Agent} from 'node:http';
 
+import {
+  IDLE_CONNECTION_MILLISECONDS,
+  isNeverSentCode,
+} from './connection-errors.js';
 import {Fate, StepError} from './step-error.js';
 
-/**
- * Servers commonly close an idle connection after 5 s. A request written to a
- * connection that is just being closed fails with an unknown fate, which for a
- * non-idempotent call would be an unclear outcome without need. Dropping idle
- * connections a second earlier leaves the server nothing to close.
- */
-const IDLE_CONNECTION_MILLISECONDS = 4_000;
-
-/** Errors of the connect step: no byte of the request was sent. */
-const NEVER_SENT_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-]);
-
 /** Limits of one exchange, in milliseconds; absent means none. */
 export interface ExchangeTimeouts {
   readonly connect: number;
@@ -62,7 +50,7 @@
   if (error instanceof TimeoutError && error.event === 'connect') {
     return Fate.NotDone;
   }
-  return error instanceof RequestError && NEVER_SENT_CODES.has(error.code)
+  return error instanceof RequestError && isNeverSentCode(error.code)
     ? Fate.NotDone
     : Fate.Unknown;
 }
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,7 @@
   type ServerSentEvent,
 } from './event-stream-reader.js';
 export * from './host-list.js';
+export * from './http-caller.js';
 export * from './http-endpoint-options.js';
 export * from './http-host-list.js';
 export * from './http-log-client.js';
