Pass an endpoint's answer on without layers of iterators

Callers of streams on a small core saw pauses and late first events. Cause: each part of an answer went through two asynchronous iterators and several promises, each event was written by itself, and each took down a timer and set up another. Now a part's events are checked and written together as they come, the answer is held back where the caller does not read, and the timer for silence is begun anew in place.

Nothing else changes: an event out of order ends the stream after those before it, a cut answer is not whole, and a process that stood still reads before it believes a timer.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -169,12 +169,16 @@
     this.response.flushHeaders();
   }
 
-  /** Writes a part of the stream; waits while the caller does not read. */
-  async write(bytes: Buffer): Promise<void> {
+  /**
+   * Writes a part of the stream.
+   *
+   * @returns Where the caller does not read: resolves when more may be written.
+   */
+  write(bytes: Buffer): Promise<void> | undefined {
     if (this.response.write(bytes) || this.left.signal.aborted) {
-      return;
+      return undefined;
     }
-    await new Promise<void>(resolve => {
+    return new Promise<void>(resolve => {
       const done = () => {
         this.response.off('drain', done);
         this.response.off('close', done);
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -118,29 +118,41 @@
   async wholeBody(): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
     let bytes = 0;
-    for await (const chunk of this.parts()) {
+    await this.read(chunk => {
       bytes += chunk.length;
       chunks.push(chunk);
       if (bytes > LONGEST_WHOLE_BODY_BYTES) {
         this.cancel('answer too long');
-        return undefined;
       }
-    }
+    });
     return this.isWhole ? Buffer.concat(chunks) : undefined;
   }
 
-  /** The parts of an answer as they come; ends early where it is cut. */
-  async *parts(): AsyncGenerator<Buffer> {
-    if (this.incoming === undefined) {
-      return;
-    }
-    try {
-      for await (const chunk of this.incoming as AsyncIterable<Buffer>) {
-        yield chunk;
-      }
-    } catch (error) {
-      this.failure ??= String(error);
+  /**
+   * Hands on the parts of an answer as they come; resolves where it ends or is cut.
+   *
+   * @param take Takes a part; no other comes before the promise that it may return.
+   */
+  read(take: (chunk: Buffer) => Promise<void> | undefined): Promise<void> {
+    const {incoming} = this;
+    if (incoming === undefined || incoming.destroyed) {
+      this.failure ??= 'answer cut';
+      return Promise.resolve();
     }
+    return new Promise(resolve => {
+      incoming.on('error', error => {
+        this.failure ??= String(error);
+      });
+      incoming.once('end', resolve);
+      incoming.once('close', resolve);
+      incoming.on('data', (chunk: Buffer) => {
+        const taken = take(chunk);
+        if (taken !== undefined) {
+          incoming.pause();
+          void taken.then(() => incoming.resume());
+        }
+      });
+    });
   }
 
   /**
--- a/packages/gateway/src/silence-watch.ts
+++ b/packages/gateway/src/silence-watch.ts
@@ -25,6 +25,8 @@
   private readonly startedAt: number;
   private readonly timers = new Set<NodeJS.Timeout>();
   private firstAfter: number | undefined;
+  /** Begins anew with each event. */
+  private nextTimer: NodeJS.Timeout | undefined;
   /** Counts up with every sign of life: what was due before it is void. */
   private period = 0;
 
@@ -68,7 +70,12 @@
 
   /** An event came: the silence begins anew. */
   heard(): void {
-    this.expectWithin(this.limits.nextMilliseconds);
+    if (this.nextTimer === undefined) {
+      this.nextTimer = this.expectWithin(this.limits.nextMilliseconds);
+    } else {
+      this.period++;
+      this.nextTimer.refresh();
+    }
   }
 
   /** Watches no longer. */
@@ -78,11 +85,12 @@
       clearTimeout(timer);
     }
     this.timers.clear();
+    this.nextTimer = undefined;
   }
 
-  private expectWithin(milliseconds: number): void {
+  private expectWithin(milliseconds: number): NodeJS.Timeout {
     this.answered();
-    this.arm(milliseconds, () => {
+    return this.arm(milliseconds, () => {
       if (this.limits.mayMove) {
         this.actions.onSilence();
       } else {
@@ -95,10 +103,9 @@
    * A process that stood still finds all its timers due, before it reads what came
    * meanwhile: without the turn in between, it would take every endpoint for silent.
    */
-  private arm(milliseconds: number, action: () => void): void {
-    const {period} = this;
+  private arm(milliseconds: number, action: () => void): NodeJS.Timeout {
     const timer = setTimeout(() => {
-      this.timers.delete(timer);
+      const {period} = this;
       setImmediate(() => {
         if (this.period === period) {
           action();
@@ -106,5 +113,6 @@
       });
     }, milliseconds);
     this.timers.add(timer);
+    return timer;
   }
 }
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -29,35 +29,77 @@
   watch: SilenceWatch,
   now: () => number,
 ): Promise<RelayEnd> {
-  const splitter = new EventStreamSplitter();
-  for await (const chunk of exchange.parts()) {
-    for (const event of splitter.push(chunk)) {
-      if (!follows(event, record.lastEventId)) {
-        exchange.cancel('event out of order');
-        return RelayEnd.Cut;
-      }
-      watch.heard();
-      record.eventPassed(now());
-      await pass(event, caller, record);
+  const relay = new StreamRelay(exchange, caller, record, watch, now);
+  await exchange.read(chunk => relay.take(chunk));
+  return relay.end;
+}
+
+class StreamRelay {
+  private readonly splitter = new EventStreamSplitter();
+  private isOutOfOrder = false;
+
+  constructor(
+    private readonly exchange: EndpointExchange,
+    private readonly caller: CallerExchange,
+    private readonly record: RequestRecord,
+    private readonly watch: SilenceWatch,
+    private readonly now: () => number,
+  ) {}
+
+  /** @returns Where the caller does not read: resolves when more may come. */
+  take(chunk: Buffer): Promise<void> | undefined {
+    if (this.isOutOfOrder) {
+      return undefined;
+    }
+    const events = this.splitter.push(chunk);
+    const passed = inOrder(events, this.record.lastEventId);
+    if (passed.length < events.length) {
+      this.isOutOfOrder = true;
+      this.exchange.cancel('event out of order');
+    }
+    return passed.length === 0 ? undefined : this.pass(passed);
+  }
+
+  get end(): RelayEnd {
+    if (this.isOutOfOrder) {
+      return RelayEnd.Cut;
     }
-    if (caller.leaving.aborted) {
+    if (this.caller.leaving.aborted) {
       return RelayEnd.CallerLeft;
     }
+    const isWhole = this.exchange.isWhole && this.splitter.rest.length === 0;
+    return isWhole ? RelayEnd.Whole : RelayEnd.Cut;
   }
-  if (caller.leaving.aborted) {
-    return RelayEnd.CallerLeft;
+
+  private pass(events: readonly StreamEvent[]): Promise<void> | undefined {
+    this.watch.heard();
+    for (const {id} of events) {
+      this.record.eventPassed(this.now());
+      this.record.lastEventId = id ?? this.record.lastEventId;
+    }
+    return this.caller.write(joined(events));
   }
-  const isWhole = exchange.isWhole && splitter.rest.length === 0;
-  return isWhole ? RelayEnd.Whole : RelayEnd.Cut;
 }
 
-async function pass(
-  event: StreamEvent,
-  caller: CallerExchange,
-  record: RequestRecord,
-): Promise<void> {
-  record.lastEventId = event.id ?? record.lastEventId;
-  await caller.write(event.bytes);
+/** The events up to the first that does not follow what was passed on. */
+function inOrder(
+  events: readonly StreamEvent[],
+  lastEventId: string | undefined,
+): readonly StreamEvent[] {
+  let last = lastEventId;
+  const broken = events.findIndex(event => {
+    const isBroken = !follows(event, last);
+    last = event.id ?? last;
+    return isBroken;
+  });
+  return broken === -1 ? events : events.slice(0, broken);
+}
+
+function joined(events: readonly StreamEvent[]): Buffer {
+  const [first] = events;
+  return events.length === 1 && first !== undefined
+    ? first.bytes
+    : Buffer.concat(events.map(({bytes}) => bytes));
 }
 
 /** Identifiers are whole numbers that count up by one. */
--- a/packages/gateway/src/test/caller-exchange_test.ts
+++ b/packages/gateway/src/test/caller-exchange_test.ts
@@ -33,8 +33,7 @@
         const caller = new CallerExchange(dialect, incoming, response, 0);
         caller.beginStream(200, []);
         response.destroy();
-        void caller
-          .write(Buffer.from('id: 1\n\n'))
+        void Promise.resolve(caller.write(Buffer.from('id: 1\n\n')))
           .then(() => new Promise(done => setTimeout(done, 50)))
           .then(() => {
             server.close();
--- a/packages/gateway/src/test/silence-watch_test.ts
+++ b/packages/gateway/src/test/silence-watch_test.ts
@@ -63,4 +63,27 @@
     vi.advanceTimersByTime(201);
     expect(seen).toEqual(['suspicion']);
   });
+
+  it('begins anew with each event', () => {
+    // A long stream is not given up: its events come within the limit, one by one.
+    for (let event = 0; event < 5; event++) {
+      watch.heard();
+      vi.advanceTimersByTime(150);
+    }
+    expect(seen).toEqual([]);
+    vi.advanceTimersByTime(51);
+    expect(seen).toEqual(['suspicion']);
+  });
+
+  it('believes an event that was waiting to be read before it believes a timer', () => {
+    // The stream goes on: the process stood still between two events, and the next
+    // one is read right after the timers.
+    watch.heard();
+    vi.advanceTimersByTime(100);
+    watch.heard();
+    vi.advanceTimersToNextTimer();
+    watch.heard();
+    vi.advanceTimersByTime(150);
+    expect(seen).toEqual([]);
+  });
 });
