Keep a connection for as long as its endpoint says

Cause: a kept connection was closed after 4 s, though endpoints say that they keep it for 10 s. A host asks each of 78 endpoints every 9 s or so. Ruled out: the order in which kept connections are taken (newest first), and a bound on their number (256).

They are now kept for four fifths of the time that an endpoint states, 15 s at most. A request that may run once only takes none that rested for 4 s or more, as before: endpoints drop idle ones at times without notice.

--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -2,11 +2,16 @@
 import type {Socket} from 'node:net';
 
 /**
- * A kept connection that was idle for longer is not used again: endpoints close
- * idle ones, and a request that crosses the close may or may not have run. Their
- * time-outs are told in whole seconds, some as short as two.
+ * A kept connection that was idle for longer is not used for a request that may run
+ * once only: endpoints close idle ones, some without notice, and a request that
+ * crosses the close may or may not have run.
  */
-const LONGEST_IDLE_MILLISECONDS = 4_000;
+export const LONGEST_CERTAIN_IDLE_MILLISECONDS = 4_000;
+/** Of an endpoint's own time-out: a request must get there before its end. */
+const USED_PART_OF_TIMEOUT = 0.8;
+/** Nothing is kept for longer, whatever an endpoint says. */
+const LONGEST_KEPT_MILLISECONDS = 15_000;
+const STATED_TIMEOUT = /(?:^|[ ,])timeout=(\d+)/;
 
 /** Where an endpoint is reached. */
 export interface EndpointAddress {
@@ -16,6 +21,7 @@
 
 /** What makes a kept connection unfit, taken off when it is used again. */
 interface IdleGuard {
+  readonly idleSince: number;
   readonly onData: () => void;
   readonly onClose: () => void;
   readonly timer: NodeJS.Timeout;
@@ -27,6 +33,7 @@
  */
 export class EndpointConnections extends Agent {
   private readonly guards = new WeakMap<Socket, IdleGuard>();
+  private readonly idleLimits = new WeakMap<Socket, number>();
 
   constructor(options: AgentOptions = {}) {
     super({keepAlive: true, scheduling: 'lifo', noDelay: true, ...options});
@@ -36,11 +43,29 @@
    * Closes kept connections to an endpoint that may have been cut off: the next
    * request opens a new one. Where that fails, nothing was sent, and any request may go
    * elsewhere; on a kept one it would hang, and might have run.
+   *
+   * @param milliseconds Those that were idle for less are left.
    */
-  dropIdle({address, port}: EndpointAddress): void {
+  dropIdle({address, port}: EndpointAddress, milliseconds = 0): void {
     const idle = this.freeSockets[this.getName({host: address, port})] ?? [];
+    const before = performance.now() - milliseconds;
     for (const socket of [...idle]) {
-      socket.destroy();
+      if ((this.guards.get(socket)?.idleSince ?? -Infinity) <= before) {
+        socket.destroy();
+      }
+    }
+  }
+
+  /**
+   * Takes note of how long an endpoint keeps an idle connection.
+   *
+   * @param keepAlive Its answer's header, empty where there is none.
+   */
+  answered(socket: Socket, keepAlive: string): void {
+    const seconds = STATED_TIMEOUT.exec(keepAlive)?.[1];
+    if (seconds !== undefined) {
+      const limit = Number(seconds) * 1_000 * USED_PART_OF_TIMEOUT;
+      this.idleLimits.set(socket, Math.min(limit, LONGEST_KEPT_MILLISECONDS));
     }
   }
 
@@ -51,14 +76,18 @@
     const onData = () => {
       socket.destroy();
     };
-    const timer = setTimeout(onData, LONGEST_IDLE_MILLISECONDS);
+    const timer = setTimeout(
+      onData,
+      this.idleLimits.get(socket) ?? LONGEST_CERTAIN_IDLE_MILLISECONDS,
+    );
     timer.unref();
     const onClose = () => {
       clearTimeout(timer);
     };
     socket.on('data', onData);
     socket.once('close', onClose);
-    this.guards.set(socket, {onData, onClose, timer});
+    const idleSince = performance.now();
+    this.guards.set(socket, {idleSince, onData, onClose, timer});
     return true;
   }
 
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -60,7 +60,7 @@
 
   constructor(
     private readonly dialect: Dialect,
-    connections: EndpointConnections,
+    private readonly connections: EndpointConnections,
     endpoint: EndpointEntry,
     private readonly sent: DispatchedRequest,
   ) {
@@ -200,6 +200,8 @@
     return new Promise(resolve => {
       this.outgoing.once('response', incoming => {
         this.incoming = incoming;
+        const keepAlive = String(incoming.headers['keep-alive'] ?? '');
+        this.connections.answered(incoming.socket, keepAlive);
         resolve(incoming);
       });
       this.outgoing.once('close', () => {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -6,7 +6,10 @@
 import {RouteKind} from './configuration.js';
 import type {Dialect} from './dialect.js';
 import {EndpointChooser} from './endpoint-chooser.js';
-import type {EndpointConnections} from './endpoint-connections.js';
+import {
+  LONGEST_CERTAIN_IDLE_MILLISECONDS,
+  type EndpointConnections,
+} from './endpoint-connections.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import {
   EndpointExchange,
@@ -158,6 +161,8 @@
     endpoint.load++;
     if (endpoint.trust.isOnTrial) {
       connections.dropIdle(endpoint.entry);
+    } else if (!mayRepeat(this.context.route)) {
+      connections.dropIdle(endpoint.entry, LONGEST_CERTAIN_IDLE_MILLISECONDS);
     }
     endpoint.trust.sent();
     this.parts.dataCenters.sent(endpoint.entry.dataCenter);
