Judge a lapsed endpoint by the outage of its own topic

A request reached an endpoint 3,486 ms after its leaving was acknowledged (bound 3,000).

Cause: the list of endpoints took entries that were dropped for lapsed while the store is away, and went by the health of the budgets' topic. Small hosts never caught up with that topic after a cut of nine seconds (reads of 1 MB over a link of 10 Mbit/s time out), so that for them each endpoint that left lapsed and was kept. The endpoints' own topic was read all the while.

Evidence: log of the host: 'store lost' for budgets at 2.6 s and never regained, 'endpoint lapsed' at 16.55 s where 47 other hosts logged 'endpoint gone'. The test failed before (200, the endpoint was reached) and passes now. The list now goes by the topic that it is read from; entries that lapse while that one is away are still kept for its grace.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -91,7 +91,7 @@
     );
     this.directory = new EndpointDirectory(
       dialect,
-      this.health.budgets,
+      this.health.endpoints,
       clock,
       events,
     );
