Keep verdicts that were read before a read that failed

What callers would see: a host never asks the store for an organisation's tokens again, and its grant or loan is nobody's until the process ends.

Cause: reading to the log's end takes several reads. The fold keeps what the first ones brought; their verdicts and loans were returned only if the last read succeeded. The process's own records count as folded then, so that nothing brings the verdicts back.

Fix: verdicts wait in the replica until a read to the end returns them.

The test failed before the fix: the opening's and the first grant's outcome were missing.

--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -37,6 +37,8 @@
   private checkpointAt = 0;
   private checkpointTime: number;
   private turn = 0;
+  /** What folded records say to processes, until a read to the end has returned it. */
+  private untold: FoldOutcome[] = [];
 
   /**
    * @param checkpointMilliseconds A checkpoint is written when the newest is
@@ -57,7 +59,8 @@
   }
 
   /**
-   * Reads to the end of the log as it is now.
+   * Reads to the end of the log as it is now. What was read before a call that fails
+   * is returned by the next.
    *
    * @returns What the records say to processes, in their order.
    * @throws StepError where the store gave no usable answer.
@@ -79,7 +82,8 @@
 
   /** Folds records that this process knows to stand at the next offsets. */
   takeOwn(records: readonly BudgetRecord[]): readonly FoldOutcome[] {
-    return this.foldAll(records);
+    this.foldAll(records);
+    return this.takeUntold();
   }
 
   /**
@@ -132,25 +136,31 @@
   }
 
   private async readOn(): Promise<readonly FoldOutcome[]> {
-    const outcomes: FoldOutcome[] = [];
     for (;;) {
       const range = await this.log.read(
         BUDGET_PARTITION,
         this.folded.nextOffset,
         0,
       );
-      outcomes.push(...this.foldAll(range.records.map(decodeRecord)));
+      this.foldAll(range.records.map(decodeRecord));
       if (this.folded.nextOffset >= range.end || range.records.length === 0) {
-        return outcomes;
+        return this.takeUntold();
       }
     }
   }
 
-  private foldAll(
-    records: readonly (BudgetRecord | undefined)[],
-  ): FoldOutcome[] {
-    return records
-      .map(record => this.folded.apply(record))
-      .filter(outcome => outcome !== undefined);
+  private foldAll(records: readonly (BudgetRecord | undefined)[]): void {
+    for (const record of records) {
+      const outcome = this.folded.apply(record);
+      if (outcome !== undefined) {
+        this.untold.push(outcome);
+      }
+    }
+  }
+
+  private takeUntold(): readonly FoldOutcome[] {
+    const outcomes = this.untold;
+    this.untold = [];
+    return outcomes;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/test/budget-replica_test.ts
@@ -0,0 +1,86 @@
+import {
+  Fate,
+  StepError,
+  type Partition,
+  type RecordRange,
+} from '@wisteriadeal/platform';
+import {EventLog, SystemClock} from '@wisteriadeal/runtime';
+import {LogLevel} from '@wisteriadeal/schema';
+import {MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
+import {expect, it} from 'vitest';
+
+import {
+  budgetRecord,
+  encodeRecord,
+  type BudgetChange,
+} from '../budget-codec.js';
+import {BudgetReplica} from '../budget-replica.js';
+import {BUDGET_PARTITION} from '../budget-topics.js';
+
+const HOST = 'one';
+const CHECKPOINT_MILLISECONDS = 60_000;
+
+const OPENED: BudgetChange = {
+  case: 'opened',
+  value: {$typeName: 'wisteriadeal.v1.HolderOpened', host: HOST, address: HOST},
+};
+const REQUESTED: BudgetChange = {
+  case: 'requested',
+  value: {
+    $typeName: 'wisteriadeal.v1.GrantRequested',
+    organisation: 'school',
+    least: 10,
+    wish: 10,
+    urgent: true,
+    prepaid: 1_000,
+    configurationVersion: 1,
+    held: 0,
+    pooledPart: 0.5,
+  },
+};
+
+/** Answers one record at a time; one of the reads fails. */
+class PagedLog extends MemoryPartitionedLog {
+  private reads = 0;
+
+  constructor(private readonly failedRead: number) {
+    super();
+  }
+
+  override async read(
+    partition: Partition,
+    from: number,
+    waitMilliseconds: number,
+  ): Promise<RecordRange> {
+    if (++this.reads === this.failedRead) {
+      throw new StepError('read', 'store', Fate.NotDone, 'no answer');
+    }
+    const range = await super.read(partition, from, waitMilliseconds);
+    return {...range, records: range.records.slice(0, 1)};
+  }
+}
+
+it('tells what was read before a read that failed', async () => {
+  // A host never asked for an organisation's tokens again, and its grant was lost.
+  const log = new PagedLog(3);
+  await log.append(BUDGET_PARTITION, [
+    encodeRecord(budgetRecord(HOST, 1, OPENED)),
+    encodeRecord(budgetRecord(HOST, 2, REQUESTED)),
+    encodeRecord(budgetRecord(HOST, 3, REQUESTED)),
+  ]);
+  const events = EventLog.create(LogLevel.INFO, {}, () => undefined);
+  const clock = new SystemClock();
+  const replica = new BudgetReplica(
+    log,
+    clock,
+    CHECKPOINT_MILLISECONDS,
+    events,
+  );
+  await expect(replica.catchUp()).rejects.toThrow(StepError);
+  expect(await replica.catchUp()).toMatchObject([
+    {kind: 'opening'},
+    {kind: 'grant', granted: 10},
+    {kind: 'grant', granted: 10},
+  ]);
+  expect(await replica.catchUp()).toEqual([]);
+});
