Take no denial of more in hand for a denial of a request

What callers saw: requests waited 250 ms and for loans from up to twelve hosts, or were refused for budget-held-elsewhere, though the log had their tokens.

Cause: a request that came while the log was asked for more in hand, which it may deny with millions left (the hosts hold as much as they may), took that verdict for its own: the log was not asked again for 250 ms, and others were asked for loans.

Fix: a verdict denies the first that waits only where the log was asked for requests that wait, and for no more than it needs, or has less than it needs. Else the log is asked for it in the next exchange, at once.

The test failed before the fix: the request was refused.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -211,7 +211,7 @@
       this.health.failed(this.clock.monotonicMilliseconds(), error);
       return RETRY_MILLISECONDS;
     }
-    if (this.journal.hasPending) {
+    if (this.journal.hasPending || this.mayAskForWaiting()) {
       return TURN_MILLISECONDS;
     }
     return this.hasWaiting() ? WAITING_MILLISECONDS : POLL_MILLISECONDS;
@@ -273,6 +273,11 @@
     }
   }
 
+  private mayAskForWaiting(): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    return this.book.all.some(budget => budget.mayAskForWaiting(now));
+  }
+
   private hasWaiting(): boolean {
     return this.book.all.some(({waiters}) => waiters.count > 0);
   }
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -39,7 +39,7 @@
     const now = this.clock.monotonicMilliseconds();
     const {waiters} = budget;
     if (waiters.count > 0) {
-      if (now >= budget.askAfter) {
+      if (budget.mayAskForWaiting(now)) {
         this.ask(budget, waiters.tokens, budget.firstBound, true);
       }
       return;
@@ -77,12 +77,16 @@
   /** Takes the log's verdict on what was asked. */
   take(budget: OrganisationBudget, verdict: GrantVerdict): void {
     budget.isAsking = false;
+    const now = this.clock.monotonicMilliseconds();
     budget.credit(verdict.granted);
     if (verdict.granted > 0 || budget.waiters.count === 0) {
       return;
     }
-    budget.askAfter = this.clock.monotonicMilliseconds() + DENIED_MILLISECONDS;
     const view = this.replica.fold.view(budget.name);
+    if (!budget.isFirstDenied(view)) {
+      return;
+    }
+    budget.askAfter = now + DENIED_MILLISECONDS;
     this.events.info('grant denied', {
       organisation: budget.name,
       bound: budget.firstBound,
@@ -101,6 +105,7 @@
     urgent: boolean,
   ): void {
     budget.isAsking = true;
+    budget.askedForWaiting = urgent ? least : undefined;
     budget.isUntold = false;
     budget.reportedSpent = budget.account.spent;
     this.journal.add({
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -47,6 +47,8 @@
   isUntold = true;
   /** A grant was asked for whose verdict is not known. */
   isAsking = false;
+  /** The least that was last asked for requests that wait; else undefined. */
+  askedForWaiting: number | undefined;
   isBorrowing = false;
   /** The log has denied a grant: it is not asked again before; monotonic clock. */
   askAfter = 0;
@@ -153,6 +155,23 @@
     return this.isAsking && (view?.unallocated ?? 0) >= bound;
   }
 
+  /** Whether requests wait and the log may be asked for them now. */
+  mayAskForWaiting(now: number): boolean {
+    return this.waiters.count > 0 && !this.isAsking && now >= this.askAfter;
+  }
+
+  /**
+   * Whether the log's denial of what was last asked denies the first that waits. What
+   * was asked before it came, for more in hand, says nothing of it.
+   */
+  isFirstDenied(view: BudgetView | undefined): boolean {
+    const {askedForWaiting, firstBound} = this;
+    return (
+      (view?.unallocated ?? 0) < firstBound ||
+      (askedForWaiting !== undefined && askedForWaiting <= firstBound)
+    );
+  }
+
   private wait(
     waiting: Omit<TokenWaiter, 'done'>,
     limit: WaitLimit,
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -138,6 +138,16 @@
     },
   );
 
+  it('serves a request that comes while the log denies more in hand', async () => {
+    // Callers were refused, or waited for loans, though the log had their tokens.
+    const holder = await fleet.start('one');
+    await until(() => available(holder) > 0.05 * PREPAID);
+    fleet.log.faults.answerAfterMilliseconds = 40;
+    fleet.changeBudget(PREPAID + 1);
+    await new Promise(resolve => setTimeout(resolve, 10));
+    expect(await use(holder, available(holder) + 20_000)).toBe(true);
+  });
+
   it('leaves a successor few records to read', async () => {
     // The callers of a host that was killed are served a quarter of a second sooner.
     // Its successor reads the log from the newest checkpoint; holders write one in
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -66,8 +66,9 @@
   private readonly clock = new SystemClock();
   private readonly holders = new Map<string, BudgetHolder>();
   private starts = 0;
+  private version = 1;
 
-  constructor(private readonly prepaid: number) {}
+  constructor(private prepaid: number) {}
 
   /** Starts a holder on a host of this name. */
   async start(host: string): Promise<BudgetHolder> {
@@ -103,6 +104,15 @@
     return holder;
   }
 
+  /** Puts a configuration with another budget into force at every holder. */
+  changeBudget(prepaid: number): void {
+    this.prepaid = prepaid;
+    this.version++;
+    for (const holder of this.holders.values()) {
+      holder.configure(this.configuration());
+    }
+  }
+
   /** Ends a holder at once, as a kill does. */
   kill(host: string): void {
     this.holders.get(host)?.abort();
@@ -119,7 +129,7 @@
   private configuration(): FleetConfiguration {
     const school = {name: SCHOOL, priority: undefined, prepaid: this.prepaid};
     return {
-      version: 1,
+      version: this.version,
       routes: [],
       services: new Map(),
       limits: {
