Pause refills that the log denies

What callers saw: every host of a large fleet was busy with the others' records; from 24 s on answers came late, the store's answers too, and half of all was not served.

Cause: what all hosts together may hold of a budget had no room left, and most lacked a part of their usual.

Fix: after a denial more in hand is asked for after 0.25 s, and after each further one in twice that time, 4 s at most; a grant ends it. Requests that wait are asked for at once, as before. A pure class decides.

--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -8,5 +8,6 @@
 export * from './grant-account.js';
 export * from './grant-sizing.js';
 export * from './loans.js';
+export * from './refill-pacing.js';
 export * from './reservation.js';
 export * from './unanswered-loans.js';
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -51,7 +51,8 @@
       now,
     );
     this.giveBack(budget, change.giveBack);
-    if (change.wish > 0 || budget.isUntold || budget.isReportDue) {
+    const isRefillDue = change.wish > 0 && budget.refills.mayAsk(now);
+    if (isRefillDue || budget.isUntold || budget.isReportDue) {
       this.ask(budget, change.wish, change.least, false);
     }
   }
@@ -78,6 +79,9 @@
   take(budget: OrganisationBudget, verdict: GrantVerdict): void {
     budget.isAsking = false;
     const now = this.clock.monotonicMilliseconds();
+    if (budget.askedForWaiting === undefined) {
+      budget.refills.decided(verdict.granted, now);
+    }
     budget.credit(verdict.granted);
     if (verdict.granted > 0 || budget.waiters.count === 0) {
       return;
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -1,6 +1,7 @@
 import {
   ChargePoint,
   GrantAccount,
+  RefillPacing,
   type BudgetView,
   type Reservation,
 } from '@wisteriadeal/budgets';
@@ -49,6 +50,8 @@
   isAsking = false;
   /** The least that was last asked for requests that wait; else undefined. */
   askedForWaiting: number | undefined;
+  /** When the log may be asked for more in hand. */
+  readonly refills = new RefillPacing();
   isBorrowing = false;
   /** The log has denied a grant: it is not asked again before; monotonic clock. */
   askAfter = 0;
