Borrow where the store is late by its usual pace

What callers saw: hosts of a large fleet that were busy asked up to twelve others for loans for each organisation, 60 ms after a request began to wait, while the store was about to answer; that made all of them busier.

Cause: the limit was 60 ms from the request's wait on, whatever an exchange takes.

Fix: while the store is not away, loans begin where its newest call has taken three times the usual, at least 60 ms and at most 250 ms. The usual is measured here, so that it holds what the process itself is late by. While the store is away, at once as before.

--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -2,6 +2,12 @@
 
 /** A store that is well answers in some milliseconds. */
 const LONG_WAIT_MILLISECONDS = 250;
+/** A call is not late before this, however fast the store is. */
+const SHORTEST_LATE_MILLISECONDS = 60;
+/** A call is late after so many times the usual. */
+const LATE_FACTOR = 3;
+/** Calls over which the usual time falls; it rises with one. */
+const MEAN_CALLS = 8;
 
 /**
  * Whether one topic of the store answers, as this host sees it. Load: the store is
@@ -14,6 +20,7 @@
   private failingSince: number | undefined;
   private lastOutageEndedAt = -Infinity;
   private calledAt: number | undefined;
+  private usualMilliseconds = 0;
 
   /** @param topic What is followed, for logs. */
   constructor(
@@ -60,8 +67,35 @@
     );
   }
 
+  /**
+   * Until the newest call is late by the usual time of answers here, which holds what
+   * the process itself is late by. Load: sixty busy hosts, whose calls take 0.1 s. Harm
+   * of a fixed limit: each host works around a store that is well, and is busier.
+   *
+   * @returns Milliseconds; 0 where it is late, or the store is away.
+   */
+  lateIn(now: number): number {
+    if (this.isAway) {
+      return 0;
+    }
+    const waited = this.calledAt === undefined ? 0 : now - this.calledAt;
+    const late = Math.min(
+      LONG_WAIT_MILLISECONDS,
+      Math.max(
+        SHORTEST_LATE_MILLISECONDS,
+        LATE_FACTOR * this.usualMilliseconds,
+      ),
+    );
+    return Math.max(0, late - waited);
+  }
+
   /** A call was answered. */
   answered(now: number): void {
+    if (this.calledAt !== undefined) {
+      const took = now - this.calledAt;
+      const change = took - this.usualMilliseconds;
+      this.usualMilliseconds += change > 0 ? change : change / MEAN_CALLS;
+    }
     this.calledAt = undefined;
     if (this.failingSince !== undefined) {
       this.events.info('store regained', {
--- /dev/null
+++ b/packages/gateway/src/test/large-fleet_test.ts
@@ -0,0 +1,93 @@
+import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+
+import type {BudgetHolder} from '../budget-holder.js';
+import {HolderFleet, SCHOOL} from './holder-fleet.js';
+
+const HOSTS = 61;
+const PREPAID = 2_800_000;
+const BOUND = 12_000;
+const USED = 200;
+const ANSWER_MILLISECONDS = 40;
+const BETWEEN_REQUESTS_MILLISECONDS = 250;
+/** Every host has exchanged with the slow store by then. */
+const SETTLE_MILLISECONDS = 1_500;
+const LOAD_MILLISECONDS = 6_000;
+const WAIT = {milliseconds: 3_000, signal: new AbortController().signal};
+const TEST_MILLISECONDS = 30_000;
+
+interface LoadResult {
+  readonly loanCalls: number;
+  readonly served: number;
+  readonly refused: number;
+}
+
+let fleet: HolderFleet;
+
+beforeEach(() => {
+  fleet = new HolderFleet(PREPAID);
+});
+
+afterEach(() => {
+  fleet.close();
+});
+
+function sleep(milliseconds: number): Promise<void> {
+  return new Promise(resolve => setTimeout(resolve, milliseconds));
+}
+
+/** One request from its dispatch to its end; whether it was served. */
+async function serve(holder: BudgetHolder): Promise<boolean> {
+  const {reservations} = holder;
+  const wish = {bound: BOUND, mayPromise: true};
+  const begun = await reservations.reserve(SCHOOL, wish);
+  if ('refusal' in begun) {
+    return false;
+  }
+  const taken = await reservations.take(begun.reservation, WAIT);
+  const isTaken = taken.refusal === undefined;
+  reservations.settle(taken.reservation, isTaken ? USED : 0);
+  return isTaken;
+}
+
+/** Requests at every host, one after another, for the time of the load. */
+async function load(holders: readonly BudgetHolder[]): Promise<LoadResult> {
+  const end = performance.now() + LOAD_MILLISECONDS;
+  let served = 0;
+  let refused = 0;
+  await Promise.all(
+    holders.map(async (holder, index) => {
+      await sleep((index * BETWEEN_REQUESTS_MILLISECONDS) / HOSTS);
+      while (performance.now() < end) {
+        if (await serve(holder)) {
+          served++;
+        } else {
+          refused++;
+        }
+        await sleep(BETWEEN_REQUESTS_MILLISECONDS);
+      }
+    }),
+  );
+  const loanCalls = fleet.events.filter(
+    ({event}) => event === 'grant borrowed' || event === 'lender silent',
+  ).length;
+  return {loanCalls, served, refused};
+}
+
+describe('BudgetHolder of a large fleet', () => {
+  it(
+    'asks for no loans while a slow store answers',
+    async () => {
+      // Loans grew with every host that was busy, and made all hosts busier.
+      const holders: BudgetHolder[] = [];
+      for (let host = 0; host < HOSTS; host++) {
+        holders.push(await fleet.start(`host-${host}`));
+      }
+      fleet.log.faults.answerAfterMilliseconds = ANSWER_MILLISECONDS;
+      await sleep(SETTLE_MILLISECONDS);
+      const result = await load(holders);
+      expect(result.refused).toBe(0);
+      expect(result.loanCalls).toBe(0);
+    },
+    TEST_MILLISECONDS,
+  );
+});
--- a/packages/gateway/src/token-reservations.ts
+++ b/packages/gateway/src/token-reservations.ts
@@ -18,8 +18,6 @@
  * shortest goal among the users' requests is some 150 ms.
  */
 const WAIT_MILLISECONDS = 400;
-/** Without the store's verdict by then, other holders are asked. */
-const BORROW_AFTER_MILLISECONDS = 60;
 /** A lender waits so long for the store; its borrower waits 120 ms for it. */
 const FETCH_MILLISECONDS = 70;
 
@@ -149,8 +147,16 @@
     result: Promise<Result>,
   ): Promise<Result> {
     this.wake();
-    const patience = this.book.health.isAway ? 0 : BORROW_AFTER_MILLISECONDS;
-    const timer = setTimeout(() => void this.borrower.borrow(budget), patience);
+    const {health} = this.book;
+    const borrowIfLate = () => {
+      const patience = health.lateIn(this.book.now());
+      if (patience > 0) {
+        timer = setTimeout(borrowIfLate, patience);
+      } else {
+        void this.borrower.borrow(budget);
+      }
+    };
+    let timer = setTimeout(borrowIfLate, health.lateIn(this.book.now()));
     try {
       return await result;
     } finally {
