Give up a silent exchange only where the request can go on elsewhere

Callers saw streams broken off after 0.9 s of silence while the endpoint still worked. Cause: the exchange was cancelled first, and the fleet's bound on resends, or the lack of another endpoint, was found out afterwards; the stream then went on nowhere.

Evidence: with an endpoint that pauses for 1.1 s both tests failed before (answer not whole), with no resend allowed and with no other endpoint. The permission is now taken before the exchange is given up; without it the endpoint is only suspected. Open: an endpoint that accepts no more when the stream comes to it (not run, last attempt) still ends the stream.

--- a/packages/gateway/src/answer-patience.ts
+++ b/packages/gateway/src/answer-patience.ts
@@ -67,21 +67,29 @@
    * one that may not stays, and still tells of its endpoint.
    *
    * @param mayMove Whether the request may go on at another endpoint after this one.
+   * @param claimMove Whether there is one that it can go on at now; asked before the
+   *     exchange is given up.
    */
   watch(
     endpoint: KnownEndpoint,
     exchange: EndpointExchange,
     mayMove: boolean,
+    claimMove: () => boolean,
   ): SilenceWatch {
+    const suspect = () => {
+      const now = this.clock.monotonicMilliseconds();
+      const {dataCenter, id} = endpoint.entry;
+      endpoint.trust.fellSilent(now);
+      this.dataCenters.fellSilent(dataCenter, id, now);
+    };
     return new SilenceWatch(this.limits(mayMove), this.clock, {
-      onSuspicion: () => {
-        const now = this.clock.monotonicMilliseconds();
-        const {dataCenter, id} = endpoint.entry;
-        endpoint.trust.fellSilent(now);
-        this.dataCenters.fellSilent(dataCenter, id, now);
-      },
+      onSuspicion: suspect,
       onSilence: () => {
-        exchange.cancel('silent');
+        if (claimMove()) {
+          exchange.cancel('silent');
+        } else {
+          suspect();
+        }
       },
     });
   }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -64,6 +64,7 @@
   private unreachable = 0;
   private current: EndpointExchange | undefined;
   private hasTimedOut = false;
+  private hasClaimedMove = false;
 
   constructor(
     private readonly parts: RunParts,
@@ -124,7 +125,9 @@
       return this.giveUp(OwnReason.NoEndpoint);
     }
     const exchange = this.dispatch(endpoint);
-    const watch = this.patience.watch(endpoint, exchange, this.mayMove());
+    const watch = this.patience.watch(endpoint, exchange, this.mayMove(), () =>
+      this.claimMove(),
+    );
     this.current = exchange;
     try {
       const head = await exchange.head();
@@ -148,6 +151,23 @@
     return mayRepeat(route) && this.sentTo + 1 < route.maximumAttempts;
   }
 
+  /**
+   * Takes the fleet's permission to go on elsewhere. Without one, or without an
+   * endpoint to go to, an answer that is only late would be cut.
+   */
+  private claimMove(): boolean {
+    const other = this.chooser.choose(this.context, this.avoided);
+    this.hasClaimedMove =
+      other !== undefined &&
+      !this.avoided.has(other.entry.id) &&
+      this.takeResend();
+    return this.hasClaimedMove;
+  }
+
+  private takeResend(): boolean {
+    return this.context.resends.take(this.parts.hosts(), this.now());
+  }
+
   private dispatch(endpoint: KnownEndpoint): EndpointExchange {
     const {caller, body, organisation} = this.context;
     const {dialect, connections} = this.parts;
@@ -346,13 +366,15 @@
   /** Another endpoint, where the route, the fleet's bound and the time allow it. */
   private tryAgain(reason: OwnReason, isNotRun: boolean): Next {
     this.sentTo++;
-    const {route, resends} = this.context;
+    const {route} = this.context;
+    const hasClaimed = this.hasClaimedMove;
+    this.hasClaimedMove = false;
     const mayResend =
       !this.isOver() &&
       this.sentTo < route.maximumAttempts &&
       this.remaining() > SHORTEST_ATTEMPT_MILLISECONDS &&
       (isNotRun || mayRepeat(route)) &&
-      resends.take(this.parts.hosts(), this.now());
+      (hasClaimed || this.takeResend());
     return mayResend ? Next.Again : this.giveUp(reason);
   }
 
