Write all bills that wait before a process ends

Bills were lost where a host stopped soon after an outage of the store. Cause: its end wrote one record of 1,000 bills and left the rest, and did not wait for one that was on its way. Evidence: of 2,500 bills that waited, 1,000 stood on the log after the end; and the end came before the store's answer to a bill that was being written. Now appends go one after another and the end waits for all, as long as the store answers.

--- a/packages/gateway/src/bill-writer.ts
+++ b/packages/gateway/src/bill-writer.ts
@@ -26,6 +26,8 @@
 export class BillWriter {
   private waiting: RequestBill[] = [];
   private dropped = 0;
+  /** Resolves when nothing is being written; one append at a time. */
+  private writing: Promise<void> = Promise.resolve();
   private readonly stop = new AbortController();
 
   constructor(
@@ -64,17 +66,28 @@
     this.stop.abort();
   }
 
-  /** Writes what waits, if the store answers. */
-  async flush(): Promise<void> {
-    const bills = this.waiting.slice(0, BILLS_PER_RECORD);
-    if (bills.length === 0) {
-      return;
+  /** Resolves when all that waits is written, or the store gives no answer. */
+  flush(): Promise<void> {
+    this.writing = this.writing.then(() => this.writeAll());
+    return this.writing;
+  }
+
+  private async writeAll(): Promise<void> {
+    let isAnswered = true;
+    while (isAnswered && this.waiting.length > 0) {
+      isAnswered = await this.writeSome();
     }
+  }
+
+  /** @returns Whether the store answered. */
+  private async writeSome(): Promise<boolean> {
+    const bills = this.waiting.slice(0, BILLS_PER_RECORD);
     this.waiting = this.waiting.slice(bills.length);
     try {
       await this.log.append(BILL_PARTITION, [
         toBinary(RequestBillsSchema, create(RequestBillsSchema, {bills})),
       ]);
+      return true;
     } catch (error) {
       // A bill that stands twice bears the same request: readers take the first.
       this.waiting = [...bills, ...this.waiting];
@@ -83,6 +96,7 @@
         dropped: this.dropped,
         reason: String(error),
       });
+      return false;
     }
   }
 }
