Tell a late event loop from slow endpoints

What callers saw: their requests waited out their time limits at one host, whose own record of them began 10 ms before it noticed that they had left. Nothing told whether the host or its endpoints were late.

The loop is watched while requests come (no chain of turns beyond the two that each request waits anyway): work between two looks at the sockets, time without a pause, and from both the likely wait of a request before it was read. The request line carries that wait; a line a second at most, 'host late', and four metrics tell the rest.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -24,12 +24,16 @@
   readonly path: string;
   private readonly left = new AbortController();
 
-  /** @param arrivedAt On this process's monotonic clock, milliseconds. */
+  /**
+   * @param arrivedAt On this process's monotonic clock, milliseconds.
+   * @param unseenMilliseconds How long it is likely to have waited before that.
+   */
   constructor(
     private readonly dialect: Dialect,
     private readonly request: IncomingMessage,
     private readonly response: ServerResponse,
     readonly arrivedAt: number,
+    readonly unseenMilliseconds: number,
   ) {
     this.headers = dialect.callerHeaders(request.rawHeaders);
     this.path = this.target.split('?', 1)[0] ?? '';
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,3 +1,4 @@
+import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
@@ -6,7 +7,10 @@
 import {CallerExchange} from './caller-exchange.js';
 import type {CallerLimits} from './configuration.js';
 import type {Dialect} from './dialect.js';
+import type {GatewayMetrics} from './gateway-metrics.js';
 import type {ListenAddress} from './listening.js';
+import {LoadReport} from './load-report.js';
+import {LoopWatch} from './loop-watch.js';
 import type {RequestHandler} from './request-handler.js';
 
 /** Serves the callers that come through the door. */
@@ -14,13 +18,27 @@
   private isStopping = false;
   private open = 0;
   private onIdle: (() => void) | undefined;
+  private readonly report: LoadReport;
+  private readonly watch: LoopWatch;
 
   constructor(
     private readonly door: CallerDoor,
     private readonly dialect: Dialect,
     private readonly handler: RequestHandler,
+    private readonly metrics: GatewayMetrics,
+    private readonly clock: Clock,
     private readonly events: EventLog,
-  ) {}
+  ) {
+    this.report = new LoadReport(events);
+    this.watch = new LoopWatch(
+      () => clock.monotonicMilliseconds(),
+      () => performance.nodeTiming.idleTime,
+      milliseconds => {
+        this.metrics.turn(milliseconds);
+        this.report.turned(milliseconds);
+      },
+    );
+  }
 
   /** Requests that have not ended. */
   get openRequests(): number {
@@ -35,6 +53,11 @@
   /** @throws The system's error where the address can't be taken. */
   async listen(at: ListenAddress): Promise<void> {
     await this.door.listen(at);
+    this.door.server.on('connection', () => {
+      this.watch.connected();
+      this.report.connected();
+      this.metrics.callerConnected();
+    });
     this.door.openTo((request, response, arrivedAt) => {
       this.serve(request, response, arrivedAt);
     });
@@ -85,11 +108,14 @@
     response: ServerResponse,
     arrivedAt: number,
   ): void {
+    const unseenMilliseconds = this.watch.requested();
+    this.noteSeen(unseenMilliseconds);
     const caller = new CallerExchange(
       this.dialect,
       request,
       response,
       arrivedAt,
+      unseenMilliseconds,
     );
     if (this.isStopping) {
       caller.closeAfterwards();
@@ -98,7 +124,14 @@
     response.once('close', () => {
       this.ended();
     });
-    void this.handler.handle(caller);
+    void this.handler.handle(caller, this.report);
+  }
+
+  private noteSeen(unseenMilliseconds: number): void {
+    this.metrics.requestSeen(unseenMilliseconds);
+    this.report.requested(unseenMilliseconds);
+    const now = this.clock.monotonicMilliseconds();
+    this.report.tell(now, this.open, this.watch.reading);
   }
 
   private ended(): void {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -7,6 +7,9 @@
   0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 3.2, 6.4, 12.8,
 ];
 
+/** Seconds; from an idle loop's turn to one that misses every objective. */
+const LOOP_BUCKETS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1];
+
 /** Counters and latencies of a gateway, served as text. */
 export class GatewayMetrics {
   private readonly registry = new Registry();
@@ -28,6 +31,28 @@
     help: 'Further endpoints that requests were sent to.',
     registers: [this.registry],
   });
+  private readonly turns = new Histogram({
+    name: 'wisteriadeal_loop_turn_seconds',
+    help: 'Work of the event loop between two looks at its sockets.',
+    buckets: LOOP_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly unseen = new Histogram({
+    name: 'wisteriadeal_unseen_wait_seconds',
+    help: 'Estimated wait of requests in the sockets before they were read.',
+    buckets: LOOP_BUCKETS,
+    registers: [this.registry],
+  });
+  private readonly accepted = new Counter({
+    name: 'wisteriadeal_caller_connections_total',
+    help: 'Connections of callers that were accepted.',
+    registers: [this.registry],
+  });
+  private readonly leftUnserved = new Counter({
+    name: 'wisteriadeal_callers_left_unserved_total',
+    help: 'Callers that left before anything was done for their request.',
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'What the process believes: one sample a name.',
@@ -43,6 +68,26 @@
     this.resends.inc(Math.max(0, record.attempts.length - 1));
   }
 
+  /** The event loop has worked for so long between two looks at its sockets. */
+  turn(milliseconds: number): void {
+    this.turns.observe(milliseconds / 1_000);
+  }
+
+  /** A request was read that had waited unseen for so long. */
+  requestSeen(unseenMilliseconds: number): void {
+    this.unseen.observe(unseenMilliseconds / 1_000);
+  }
+
+  /** A caller's connection was accepted. */
+  callerConnected(): void {
+    this.accepted.inc();
+  }
+
+  /** A caller left before anything was done for its request. */
+  callerLeftUnserved(): void {
+    this.leftUnserved.inc();
+  }
+
   /** Sets what the process believes. */
   state(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -98,7 +98,14 @@
     this.budgets = this.createBudgets();
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
-    this.callers = new CallerServer(parts.door, dialect, this.handler, events);
+    this.callers = new CallerServer(
+      parts.door,
+      dialect,
+      this.handler,
+      this.metrics,
+      clock,
+      events,
+    );
     this.state = new GatewayState(
       this.configuration,
       this.directory,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -16,6 +16,7 @@
 } from './configuration.js';
 import type {ConfigurationState} from './configuration-state.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {LoadReport} from './load-report.js';
 import {
   failed,
   notRun,
@@ -93,7 +94,7 @@
   }
 
   /** Serves one request to its end; never rejects. */
-  async handle(caller: CallerExchange): Promise<void> {
+  async handle(caller: CallerExchange, load: LoadReport): Promise<void> {
     const record = new RequestRecord();
     try {
       const refusal = await this.serve(caller, record);
@@ -103,6 +104,10 @@
     } catch (error) {
       this.fail(caller, record, error);
     }
+    if (record.outcome === 'caller-left' && record.attempts.length === 0) {
+      this.metrics.callerLeftUnserved();
+      load.callerLeft(caller.headers.attemptId);
+    }
     this.report(caller, record);
   }
 
@@ -314,6 +319,7 @@
       outcome: record.outcome,
       status: record.status,
       tookMilliseconds: Math.round(took),
+      unseenMilliseconds: Math.round(caller.unseenMilliseconds),
       organisation: record.organisation,
       bound: tokenBound(caller),
       used: record.used,
--- a/packages/gateway/src/test/caller-exchange_test.ts
+++ b/packages/gateway/src/test/caller-exchange_test.ts
@@ -30,7 +30,7 @@
     process.on('uncaughtException', catchEscaped);
     const written = new Promise<CallerExchange>(resolve => {
       const server = createServer((incoming, response) => {
-        const caller = new CallerExchange(dialect, incoming, response, 0);
+        const caller = new CallerExchange(dialect, incoming, response, 0, 0);
         caller.beginStream(200, []);
         response.destroy();
         void Promise.resolve(caller.write(Buffer.from('id: 1\n\n')))
