--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -35,3 +35,4 @@
 export * from './answer-estimate.js';
 export * from './resend-budget.js';
 export * from './shared-prompt-placement.js';
+export * from './arrival-admission.js';
