Refuse at once what a host that is behind would answer too late; read who waits in time

Cause: Node.js 20 (libuv 1.46) accepts one connection a turn of its loop. 1,024 of them wait in the system, longer than callers wait; each that is taken has been given up, costs a turn, and its caller comes back on a new one. Requests and answers aren't the load any more: the queue is.

16 connections wait now. Requests are held for the two turns in which a close behind them would show, which they were anyway, before anything is done: one whose caller has left costs its reading and no line beyond five examples a second. The time that a request waited unseen counts for its time limit.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -8,6 +8,9 @@
 /** A colon and a space behind a name; a line end behind a value. */
 const SEPARATOR_BYTES = 2;
 
+/** Turns of the event loop after which a close behind a request has been read. */
+const CLOSE_TURNS = 2;
+
 function turnOfEventLoop(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
 }
@@ -19,10 +22,10 @@
 
 /** One request of a caller and the way back to it. */
 export class CallerExchange {
-  readonly headers: CallerHeaders;
-  /** Part of the target before the query. */
-  readonly path: string;
   private readonly left = new AbortController();
+  private parsed: CallerHeaders | undefined;
+  private turnsSinceRead = 0;
+  private onAnswering: () => void = () => undefined;
 
   /**
    * @param arrivedAt On this process's monotonic clock, milliseconds.
@@ -35,8 +38,6 @@
     readonly arrivedAt: number,
     readonly unseenMilliseconds: number,
   ) {
-    this.headers = dialect.callerHeaders(request.rawHeaders);
-    this.path = this.target.split('?', 1)[0] ?? '';
     response.sendDate = false;
     response.on('error', () => {
       // A write that comes after the caller has gone; without a listener it would
@@ -57,6 +58,21 @@
     });
   }
 
+  get headers(): CallerHeaders {
+    this.parsed ??= this.dialect.callerHeaders(this.request.rawHeaders);
+    return this.parsed;
+  }
+
+  /** Part of the target before the query. */
+  get path(): string {
+    return this.target.split('?', 1)[0] ?? '';
+  }
+
+  /** When its first byte came, as far as is known, on the monotonic clock. */
+  get cameAt(): number {
+    return this.arrivedAt - this.unseenMilliseconds;
+  }
+
   get method(): string {
     return this.request.method ?? 'GET';
   }
@@ -84,6 +100,11 @@
     return this.left.signal;
   }
 
+  /** Calls the listener, in place of one before it, when an answer begins. */
+  whenAnswering(listener: () => void): void {
+    this.onAnswering = listener;
+  }
+
   /** True once any byte of an answer was given to the connection. */
   get isAnswering(): boolean {
     return this.response.headersSent;
@@ -99,8 +120,23 @@
    * read the request; the second turn from here comes after it.
    */
   async closeSeen(): Promise<void> {
-    await turnOfEventLoop();
-    await turnOfEventLoop();
+    while (this.turnsSinceRead < CLOSE_TURNS) {
+      await turnOfEventLoop();
+      this.turnsSinceRead++;
+    }
+  }
+
+  /**
+   * Whether it may be begun without missing a close that stands behind it; to be asked
+   * once in each turn of the event loop. Behind a body that still comes, the close is
+   * waited for when the body has been read.
+   */
+  mayBegin(): boolean {
+    if (!this.request.complete) {
+      return true;
+    }
+    this.turnsSinceRead++;
+    return this.turnsSinceRead >= CLOSE_TURNS;
   }
 
   /**
@@ -137,7 +173,7 @@
   /** Answers with a whole body. */
   answer(status: number, headers: readonly string[], body: Buffer): void {
     const framed = [...headers, 'Content-Length', String(body.length)];
-    this.response.writeHead(status, framed);
+    this.begin(status, framed);
     this.response.end(body);
   }
 
@@ -152,7 +188,7 @@
   ): void {
     this.response.useChunkedEncodingByDefault = false;
     this.response.shouldKeepAlive = false;
-    this.response.writeHead(status, [...headers]);
+    this.begin(status, [...headers]);
     this.response.end(body);
   }
 
@@ -169,7 +205,7 @@
 
   /** Begins a stream; its length is not known. */
   beginStream(status: number, headers: readonly string[]): void {
-    this.response.writeHead(status, [...headers]);
+    this.begin(status, [...headers]);
     this.response.flushHeaders();
   }
 
@@ -198,6 +234,11 @@
     this.response.end();
   }
 
+  private begin(status: number, headers: string[]): void {
+    this.response.writeHead(status, headers);
+    this.onAnswering();
+  }
+
   /** Breaks the connection off, so that a part can't be taken for the whole. */
   breakOff(): void {
     this.response.destroy();
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,7 +1,10 @@
+import {BeginWithinLimit} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import type {Socket} from 'node:net';
 
+import {ArrivalQueue} from './arrival-queue.js';
 import type {ConnectionCounts} from './caller-connections.js';
 import type {CallerDoor} from './caller-door.js';
 import {CallerExchange} from './caller-exchange.js';
@@ -12,6 +15,7 @@
 import {LoadReport} from './load-report.js';
 import {LoopWatch} from './loop-watch.js';
 import type {RequestHandler} from './request-handler.js';
+import type {StartGate} from './start-gate.js';
 
 /** Serves the callers that come through the door. */
 export class CallerServer {
@@ -20,11 +24,15 @@
   private onIdle: (() => void) | undefined;
   private readonly report: LoadReport;
   private readonly watch: LoopWatch;
+  private readonly arrivals: ArrivalQueue;
+  /** Connections that no request came on yet. */
+  private readonly unread = new WeakSet<Socket>();
 
   constructor(
     private readonly door: CallerDoor,
     private readonly dialect: Dialect,
     private readonly handler: RequestHandler,
+    private readonly gate: StartGate,
     private readonly metrics: GatewayMetrics,
     private readonly clock: Clock,
     private readonly events: EventLog,
@@ -36,6 +44,27 @@
       milliseconds => {
         this.metrics.turn(milliseconds);
         this.report.turned(milliseconds);
+        this.arrivals.turned();
+      },
+    );
+    this.arrivals = new ArrivalQueue(
+      new BeginWithinLimit(),
+      this.watch,
+      () => clock.monotonicMilliseconds(),
+      {
+        begin: caller => {
+          void this.handler.handle(caller, this.report);
+        },
+        refuse: ({request: {caller}, retryAfterMilliseconds}) => {
+          this.handler.refuseUnbegun(
+            caller,
+            this.report,
+            retryAfterMilliseconds,
+          );
+        },
+        left: caller => {
+          this.handler.leftUnbegun(caller, this.report);
+        },
       },
     );
   }
@@ -53,8 +82,10 @@
   /** @throws The system's error where the address can't be taken. */
   async listen(at: ListenAddress): Promise<void> {
     await this.door.listen(at);
-    this.door.server.on('connection', () => {
+    this.door.server.on('connection', socket => {
+      this.unread.add(socket);
       this.watch.connected();
+      this.arrivals.connected();
       this.report.connected();
       this.metrics.callerConnected();
     });
@@ -122,9 +153,27 @@
     }
     this.open++;
     response.once('close', () => {
+      this.arrivals.ended(caller);
       this.ended();
     });
-    void this.handler.handle(caller, this.report);
+    const isFirst = this.unread.delete(request.socket);
+    if (this.gate.isOpen) {
+      this.arrive(caller, isFirst);
+    } else {
+      void this.gate.passed().then(() => {
+        this.arrive(caller, isFirst);
+      });
+    }
+  }
+
+  private arrive(caller: CallerExchange, isFirst: boolean): void {
+    const expected = this.handler.expectationOf(caller);
+    if (expected === undefined) {
+      void this.handler.handle(caller, this.report);
+      return;
+    }
+    const {cameAt} = caller;
+    this.arrivals.add({caller, cameAt, ...expected}, isFirst);
   }
 
   private noteSeen(unseenMilliseconds: number): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -102,6 +102,7 @@
       parts.door,
       dialect,
       this.handler,
+      this.gate,
       this.metrics,
       clock,
       events,
--- a/packages/gateway/src/listening.ts
+++ b/packages/gateway/src/listening.ts
@@ -6,8 +6,12 @@
   readonly port: number;
 }
 
-/** New connections that wait to be taken; a burst of callers comes at once. */
-const BACKLOG = 1_024;
+/**
+ * New connections that wait to be taken. The loop takes one a turn: a longer queue
+ * takes a small host longer to read than callers wait, and it reads of nobody but of
+ * those that have left.
+ */
+const BACKLOG = 16;
 
 /** Splits `IP:port`, which the settings' check has found to be well formed. */
 export function listenAddress(text: string): ListenAddress {
--- a/packages/gateway/src/load-report.ts
+++ b/packages/gateway/src/load-report.ts
@@ -18,11 +18,14 @@
     return this.count === 0;
   }
 
-  add(request: string | undefined): void {
+  /** @returns Whether it became an example. */
+  add(request: string | undefined): boolean {
     this.count++;
-    if (this.examples.length < MOST_EXAMPLES) {
+    const isExample = this.examples.length < MOST_EXAMPLES;
+    if (isExample) {
       this.examples.push(request ?? '');
     }
+    return isExample;
   }
 
   take(): {readonly count: number; readonly examples: string} {
@@ -64,9 +67,13 @@
     this.longestUnseen = Math.max(this.longestUnseen, unseenMilliseconds);
   }
 
-  /** A caller left before anything was done for its request. */
-  callerLeft(request: string | undefined): void {
-    this.left.add(request);
+  /**
+   * A caller left before anything was done for its request.
+   *
+   * @returns Whether it is one of the examples, which have a line of their own.
+   */
+  callerLeft(request: string | undefined): boolean {
+    return this.left.add(request);
   }
 
   /** A request was refused, as the host can't serve it in time. */
--- a/packages/gateway/src/loop-watch.ts
+++ b/packages/gateway/src/loop-watch.ts
@@ -65,6 +65,12 @@
     this.watch(1);
   }
 
+  /** Something is to be done in the next turn. */
+  working(): void {
+    this.notePause(this.now());
+    this.watch(2);
+  }
+
   /**
    * A request was read.
    *
--- a/packages/gateway/src/own-answer.ts
+++ b/packages/gateway/src/own-answer.ts
@@ -6,6 +6,7 @@
   HeadersTooLarge = 'headers-too-large',
   BodyTooLarge = 'body-too-large',
   Stopping = 'stopping',
+  HostBehind = 'host-behind',
   NoEndpoint = 'no-endpoint',
   EndpointsRefused = 'endpoints-refused',
   EndpointsUnreachable = 'endpoints-unreachable',
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -38,6 +38,14 @@
   readonly organisation: Organisation | undefined;
 }
 
+/** When an answer is wanted, from the request's first byte, milliseconds. */
+export interface Expectation {
+  /** It should have begun. */
+  readonly objectiveMilliseconds: number;
+  /** Nobody waits for it any longer. */
+  readonly limitMilliseconds: number;
+}
+
 /** What a stream is likely to take until its first event, and for each token after it. */
 const STREAM_START_MILLISECONDS = 1_000;
 const TOKEN_MILLISECONDS = 12;
@@ -93,6 +101,22 @@
     this.undeliveredCharge = charge;
   }
 
+  /** When a request's answer is wanted; undefined where no route is known for it. */
+  expectationOf(caller: CallerExchange): Expectation | undefined {
+    const {headers, path} = caller;
+    const configuration = this.configuration.current;
+    const route =
+      configuration === undefined
+        ? undefined
+        : findRoute(configuration, headers.host, path);
+    return route === undefined
+      ? undefined
+      : {
+          objectiveMilliseconds: route.goalMilliseconds,
+          limitMilliseconds: limitOf(caller, route),
+        };
+  }
+
   /** Serves one request to its end; never rejects. */
   async handle(caller: CallerExchange, load: LoadReport): Promise<void> {
     const record = new RequestRecord();
@@ -111,6 +135,26 @@
     this.report(caller, record);
   }
 
+  /** A caller left before its request was begun. */
+  leftUnbegun(caller: CallerExchange, load: LoadReport): void {
+    const record = new RequestRecord();
+    record.outcome = 'caller-left';
+    this.metrics.callerLeftUnserved();
+    if (load.callerLeft(caller.headers.attemptId)) {
+      this.report(caller, record);
+    } else {
+      this.metrics.requestEnded(record, this.ageOf(caller));
+    }
+  }
+
+  /** Refuses a request that was not begun; its line is one with others. */
+  refuseUnbegun(caller: CallerExchange, load: LoadReport, after: number): void {
+    const record = new RequestRecord();
+    this.refuse(caller, record, notRun(OwnReason.HostBehind, after));
+    this.metrics.requestEnded(record, this.ageOf(caller));
+    load.requestRefused(caller.headers.attemptId);
+  }
+
   private async serve(
     caller: CallerExchange,
     record: RequestRecord,
@@ -309,9 +353,12 @@
     this.refuse(caller, record, failed(500, OwnReason.Internal));
   }
 
+  private ageOf(caller: CallerExchange): number {
+    return this.parts.clock.monotonicMilliseconds() - caller.arrivedAt;
+  }
+
   private report(caller: CallerExchange, record: RequestRecord): void {
-    const now = this.parts.clock.monotonicMilliseconds();
-    const took = now - caller.arrivedAt;
+    const took = this.ageOf(caller);
     this.metrics.requestEnded(record, took);
     this.events.info('request', {
       request: caller.headers.attemptId,
@@ -340,9 +387,15 @@
 
 /** When a request ends in any case, on the monotonic clock. */
 function deadlineOf(caller: CallerExchange, route: Route): number {
+  return caller.cameAt + limitOf(caller, route);
+}
+
+function limitOf({headers}: CallerExchange, route: Route): number {
   const {timeoutMilliseconds} = route;
-  const wanted = caller.headers.deadlineMilliseconds ?? timeoutMilliseconds;
-  return caller.arrivedAt + Math.min(wanted, timeoutMilliseconds);
+  return Math.min(
+    headers.deadlineMilliseconds ?? timeoutMilliseconds,
+    timeoutMilliseconds,
+  );
 }
 
 function sinceArrival(
--- a/packages/gateway/src/start-gate.ts
+++ b/packages/gateway/src/start-gate.ts
@@ -8,12 +8,16 @@
   private open: () => void = () => undefined;
   private readonly missing: Set<string>;
   private timer: NodeJS.Timeout | undefined;
+  private hasOpened = false;
 
   /** @param needs Names of what must be known. */
   constructor(needs: readonly string[]) {
     this.missing = new Set(needs);
     this.opened = new Promise(resolve => {
-      this.open = resolve;
+      this.open = () => {
+        this.hasOpened = true;
+        resolve();
+      };
     });
   }
 
@@ -31,6 +35,10 @@
     }
   }
 
+  get isOpen(): boolean {
+    return this.hasOpened;
+  }
+
   /** Resolves once it is open. */
   passed(): Promise<void> {
     return this.opened;
