Cut a run that waits for its tokens when a stop reaches its limit

What callers saw: where a process stopped while the store was away, a request whose answer was ready and waited for its tokens got no answer at all: its connection was closed at the end of the grace.

Cause: the stop's limit cancelled only the exchange with the endpoint; the wait for tokens ended with the caller or the deadline alone.

Now the limit ends the wait too; the caller gets a whole 504, as it may have run, and its place in the line of waiters is freed.

--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -65,6 +65,8 @@
   private current: EndpointExchange | undefined;
   private hasTimedOut = false;
   private hasClaimedMove = false;
+  /** Ends the wait for tokens: the caller has left, or the run is cut. */
+  private readonly tokenWait = new AbortController();
 
   constructor(
     private readonly parts: RunParts,
@@ -86,7 +88,10 @@
   /** Ends when the caller has its answer, was told why not, or has left. */
   async run(): Promise<void> {
     const {caller, deadlineAt} = this.context;
-    const onLeave = () => this.current?.cancel('caller left');
+    const onLeave = () => {
+      this.current?.cancel('caller left');
+      this.tokenWait.abort();
+    };
     caller.leaving.addEventListener('abort', onLeave);
     const timer = setTimeout(
       () => {
@@ -109,6 +114,7 @@
   cut(): void {
     this.hasTimedOut = true;
     this.current?.cancel('stopping');
+    this.tokenWait.abort();
   }
 
   private async attempt(): Promise<Next> {
@@ -357,7 +363,7 @@
     return this.budget.take(
       {
         milliseconds: Math.max(0, this.remaining()),
-        signal: this.context.caller.leaving,
+        signal: this.tokenWait.signal,
       },
       () => this.now(),
     );
