Count a stop's notice from the signal

What callers saw: a process that was told to stop while it started took streams that it could not finish: its notice ran for 2.6 s from the end of the start, though the grace counted from the signal, and they were cut with 504.

Now the notice, like the grace, counts from the signal. The test (told 2.6 s ago; a stream that may take 15 s) failed before with 504 and one request at the endpoint; now it is refused as not run. A second test guards against a stop that ignores how long ago it was told; it passed before.

--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -34,6 +34,7 @@
  */
 export class GracefulStop {
   private readonly toldAt: number;
+  private readonly noticeEndsAt: number;
   private readonly cutAt: number;
   private readonly endAt: number;
 
@@ -47,6 +48,7 @@
     toldAgo: number,
   ) {
     this.toldAt = this.now() - toldAgo;
+    this.noticeEndsAt = this.toldAt + NOTICE_MILLISECONDS;
     this.cutAt = this.toldAt + graceMilliseconds * WORK_PART_OF_GRACE;
     this.endAt = this.toldAt + graceMilliseconds * END_PART_OF_GRACE;
   }
@@ -57,11 +59,10 @@
     const isOver = new AbortController();
     void this.cutOverdue(isOver.signal);
     callers.beginStop();
-    handler.beginStop(
-      new StopAdmission(this.now() + NOTICE_MILLISECONDS, this.cutAt),
-    );
+    handler.beginStop(new StopAdmission(this.noticeEndsAt, this.cutAt));
     this.note('stopping');
-    await this.until(this.cutAt, clock.sleep(NOTICE_MILLISECONDS));
+    const noticeLeft = Math.max(0, this.noticeEndsAt - this.now());
+    await this.until(this.cutAt, clock.sleep(noticeLeft));
     this.note('notice over');
     await this.until(this.cutAt + CUT_MILLISECONDS, this.requestsEnded());
     this.note('requests ended');
