Tell callers whose requests were open at a stop's begin that it ends

What callers saw: an answer to a request that was open at SIGTERM said keep-alive, so that its caller sent the next request over a connection that was about to end, and might see it closed with the request on the way.

Cause: the exchange was told to close afterwards when it was taken, and only where the stop had begun by then. Now a stop's begin marks the last unsent answer of each connection too.

The test for a request that was open before failed before the fix ('Connection: keep-alive'). A second test, that a request which comes on a kept connection during the stop is told the same, passed before; no test said so.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -60,6 +60,14 @@
     return this.answers.size === 0 && this.socket.bytesRead > settled;
   }
 
+  /** Its last answer says that the connection ends, if it says nothing yet. */
+  announceEnd(): void {
+    const last = [...this.answers].at(-1);
+    if (last?.headersSent === false) {
+      last.shouldKeepAlive = false;
+    }
+  }
+
   /** Ends it as soon as nothing of a request or an answer is on it. */
   drain(): void {
     this.isDraining = true;
@@ -137,6 +145,13 @@
     };
   }
 
+  /** Callers that wait for an answer are told with it to use another connection. */
+  announceEnd(): void {
+    for (const connection of this.open.values()) {
+      connection.announceEnd();
+    }
+  }
+
   /**
    * Ends each connection as soon as nothing of a request or an answer is on it. New
    * ones must not come any more.
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -109,6 +109,7 @@
   /** Answers say from now on that the connection ends. */
   beginStop(): void {
     this.isStopping = true;
+    this.door.connections.announceEnd();
   }
 
   /** Resolves when no request is open; new ones are still taken. */
