Drop requests whose callers left while the process was loading

What callers saw: a caller that left before the process could serve it was served all the same: its request ran at an endpoint for nobody, counted as open for ever, and each later stop waited to its limit for it.

Cause: the door keeps requests until the gateway is there; the connection's close had passed by then, and what waits for it waits for ever.

Now the door hands on only requests whose connection is there. The test failed before the fix (the request of the caller that had left was taken).

--- a/packages/gateway/src/caller-door.ts
+++ b/packages/gateway/src/caller-door.ts
@@ -67,11 +67,13 @@
     }
   }
 
-  /** From now on requests go there, those that waited first. */
+  /** From now on requests go there, those first whose callers have waited. */
   openTo(taker: RequestTaker): void {
     this.taker = taker;
     for (const {request, response, arrivedAt} of this.waiting.splice(0)) {
-      taker(request, response, arrivedAt);
+      if (!request.socket.destroyed) {
+        taker(request, response, arrivedAt);
+      }
     }
   }
 
--- a/packages/gateway/src/test/caller-door_test.ts
+++ b/packages/gateway/src/test/caller-door_test.ts
@@ -1,3 +1,5 @@
+import {once} from 'node:events';
+import {connect} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {CallerDoor} from '../caller-door.js';
@@ -53,6 +55,28 @@
     expect(arrivedAt).toBeLessThanOrEqual(arrivedBy);
   });
 
+  it('forgets callers that leave while they wait', async () => {
+    // Guards against runs for callers that have left, which count as open for ever.
+    await door.listen(ANY_PORT);
+    const closed = new Promise(resolve => {
+      door.server.once('connection', socket => socket.once('close', resolve));
+    });
+    const leaver = connect(door.port, '127.0.0.1');
+    leaver.write('GET /left HTTP/1.1\r\nHost: shop.example\r\n\r\n');
+    await once(door.server, 'request');
+    leaver.destroy();
+    await closed;
+    const staying = fetch(`http://127.0.0.1:${door.port}/stays`);
+    await once(door.server, 'request');
+    const taken: (string | undefined)[] = [];
+    door.openTo((request, response) => {
+      taken.push(request.url);
+      response.end();
+    });
+    await staying;
+    expect(taken).toEqual(['/stays']);
+  });
+
   it('listens once, whoever asks again', async () => {
     await door.listen(ANY_PORT);
     const {port} = door;
