--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -70,6 +70,7 @@
     this.note('grants returned');
     // Returning grants takes seconds while the store is away, and callers still come.
     await this.until(this.endAt, callers.drain());
+    await this.until(this.endAt, handler.settled());
     await this.until(this.endAt, bills.close());
     this.note('stopped');
     isOver.abort();
