End reading an answer after its last part was taken, and with its taker's error

Found by a test of the new way of reading answers, before callers saw anything: a paused answer that has no more parts ends although its last part is still being taken, so that the end of a stream was written while its caller did not read; and an error in passing a part on escaped to the process, where it would end all its requests, instead of ending the one. Both tests fail on the code before.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -132,6 +132,7 @@
    * Hands on the parts of an answer as they come; resolves where it ends or is cut.
    *
    * @param take Takes a part; no other comes before the promise that it may return.
+   * @throws What `take` throws.
    */
   read(take: (chunk: Buffer) => Promise<void> | undefined): Promise<void> {
     const {incoming} = this;
@@ -139,17 +140,24 @@
       this.failure ??= 'answer cut';
       return Promise.resolve();
     }
-    return new Promise(resolve => {
+    return new Promise((resolve, reject) => {
+      let taken: Promise<void> | undefined;
+      const finish = () => {
+        // A stream that is paused ends nevertheless once it has no more parts.
+        resolve(taken);
+      };
       incoming.on('error', error => {
         this.failure ??= String(error);
       });
-      incoming.once('end', resolve);
-      incoming.once('close', resolve);
+      incoming.once('end', finish);
+      incoming.once('close', finish);
       incoming.on('data', (chunk: Buffer) => {
-        const taken = take(chunk);
-        if (taken !== undefined) {
-          incoming.pause();
-          void taken.then(() => incoming.resume());
+        try {
+          taken = take(chunk);
+          holdBackUntil(incoming, taken);
+        } catch (error) {
+          this.cancel('not passed on');
+          reject(error instanceof Error ? error : new Error(String(error)));
         }
       });
     });
@@ -219,6 +227,16 @@
   }
 }
 
+function holdBackUntil(
+  incoming: IncomingMessage,
+  taken: Promise<void> | undefined,
+): void {
+  if (taken !== undefined) {
+    incoming.pause();
+    void taken.then(() => incoming.resume());
+  }
+}
+
 /** Whether an exchange ended without an answer to pass on. */
 export function isFailure(
   head: AnswerHead | ExchangeFailure,
--- /dev/null
+++ b/packages/gateway/src/test/endpoint-exchange_test.ts
@@ -0,0 +1,104 @@
+import {once} from 'node:events';
+import {createServer, type Server} from 'node:http';
+import type {AddressInfo} from 'node:net';
+import {afterEach, describe, expect, it} from 'vitest';
+
+import type {Dialect} from '../dialect.js';
+import {EndpointConnections} from '../endpoint-connections.js';
+import {EndpointExchange} from '../endpoint-exchange.js';
+
+const dialect = {
+  endpointAnswer: () => ({
+    attemptId: undefined,
+    isNotRun: false,
+    hasProof: true,
+  }),
+} as unknown as Dialect;
+
+const connections = new EndpointConnections();
+let server: Server | undefined;
+
+afterEach(() => {
+  connections.destroy();
+  server?.closeAllConnections();
+  server?.close();
+});
+
+/** An exchange with an endpoint that sends a part every few milliseconds. */
+async function openExchange(parts: number): Promise<EndpointExchange> {
+  const listening = createServer((_request, response) => {
+    let sent = 0;
+    const timer = setInterval(() => {
+      response.write(`part ${++sent};`);
+      if (sent === parts) {
+        response.end();
+      }
+    }, 5);
+    response.on('close', () => {
+      clearInterval(timer);
+    });
+  });
+  server = listening;
+  listening.listen(0, '127.0.0.1');
+  await once(listening, 'listening');
+  const {port} = listening.address() as AddressInfo;
+  const exchange = new EndpointExchange(
+    dialect,
+    connections,
+    {
+      id: 'i-1',
+      service: 'models',
+      address: '127.0.0.1',
+      port,
+      dataCenter: 'a',
+      slots: 1,
+      isLeaving: false,
+      bornAt: 0,
+    },
+    {
+      method: 'GET',
+      target: '/',
+      headers: ['Host', 'models'],
+      body: undefined,
+      attemptId: undefined,
+    },
+  );
+  await exchange.head();
+  return exchange;
+}
+
+describe('reading an answer', () => {
+  it('hands each part on after the one before it was taken', async () => {
+    // Guards against parts that overtake each other or are lost while a caller does
+    // not read.
+    const exchange = await openExchange(4);
+    let text = '';
+    let taking = 0;
+    await exchange.read(async chunk => {
+      expect(++taking).toBe(1);
+      await new Promise(resolve => setTimeout(resolve, 12));
+      text += chunk.toString();
+      taking--;
+    });
+    expect(text).toBe('part 1;part 2;part 3;part 4;');
+    expect(exchange.isWhole).toBe(true);
+  });
+
+  it('ends with the error of what takes its parts, and its endpoint stops', async () => {
+    // Guards against a process that ends with all its requests for a fault in one.
+    const exchange = await openExchange(1_000);
+    await expect(
+      exchange.read(() => {
+        throw new RangeError('a fault');
+      }),
+    ).rejects.toThrow('a fault');
+    expect(exchange.isWhole).toBe(false);
+    const connected = () =>
+      new Promise<number>(resolve => {
+        server?.getConnections((_error, count) => {
+          resolve(count);
+        });
+      });
+    await expect.poll(connected).toBe(0);
+  });
+});
