Tell how much comes in on a host's link, and when callers fill it

At full size the bodies of a few callers fill a small host's link (7 Mbit/s), so that whatever comes in waits over a second. Nothing told of it: requests look late by endpoints, store and peers alike. Metrics now give the bytes received and sent, the rate against the link's capacity, and the time of connects to endpoints; one log line 'link' tells when callers fill it and when that is over. Nothing is decided by it here.

--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -13,6 +13,9 @@
 const LONGEST_KEPT_MILLISECONDS = 15_000;
 const STATED_TIMEOUT = /(?:^|[ ,])timeout=(\d+)/;
 
+/** The mean time of connects follows about so many of them. */
+const CONNECT_SAMPLES = 16;
+
 /** Where an endpoint is reached. */
 export interface EndpointAddress {
   readonly address: string;
@@ -33,6 +36,7 @@
  */
 export class EndpointConnections extends Agent {
   private readonly guards = new WeakMap<Socket, IdleGuard>();
+  private connectMean = 0;
   private readonly idleLimits = new WeakMap<Socket, number>();
 
   constructor(options: AgentOptions = {}) {
@@ -69,6 +73,16 @@
     }
   }
 
+  /** Mean time of the newest connects that came, milliseconds. */
+  get connectMilliseconds(): number {
+    return this.connectMean;
+  }
+
+  /** A connection came after so long. */
+  connected(milliseconds: number): void {
+    this.connectMean += (milliseconds - this.connectMean) / CONNECT_SAMPLES;
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     if (!keepsAlive(this, socket)) {
       return false;
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -80,7 +80,9 @@
       this.connectTimer = setTimeout(() => {
         this.giveUpUnconnected();
       }, CONNECT_MILLISECONDS);
+      const startedAt = performance.now();
       socket.once('connect', () => {
+        connections.connected(performance.now() - startedAt);
         clearTimeout(this.connectTimer);
         this.isConnected = true;
       });
--- a/packages/gateway/src/gateway-limits.ts
+++ b/packages/gateway/src/gateway-limits.ts
@@ -8,11 +8,14 @@
   readonly resends: ResendLimits;
   /** The store may drop records that are older. */
   readonly storeKeepMilliseconds: number;
+  /** Of the host's link, bytes a second; 0 where it is not known. */
+  readonly linkCapacity: number;
 }
 
 const DEFAULT_STOP_GRACE_SECONDS = 8;
 const DEFAULT_RETRY_WINDOW_SECONDS = 10;
 const DEFAULT_STORE_KEEP_SECONDS = 20;
+const MEGABIT_BYTES = 125_000;
 
 /** A number of the settings; proto3 gives 0 where none was written. */
 function milliseconds(seconds: number, standard: number): number {
@@ -46,5 +49,6 @@
       settings.storeKeepSeconds,
       DEFAULT_STORE_KEEP_SECONDS,
     ),
+    linkCapacity: settings.linkMegabitsPerSecond * MEGABIT_BYTES,
   };
 }
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -4,8 +4,10 @@
 import type {BudgetHolder} from './budget-holder.js';
 import type {CallerServer} from './caller-server.js';
 import type {ConfigurationState} from './configuration-state.js';
+import type {EndpointConnections} from './endpoint-connections.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {LinkWatch} from './link-watch.js';
 import {GatewayStatus} from './status-server.js';
 import type {StoreHealth} from './store-health.js';
 
@@ -27,6 +29,8 @@
     private readonly callers: CallerServer,
     private readonly health: TopicHealth,
     private readonly metrics: GatewayMetrics,
+    private readonly link: LinkWatch,
+    private readonly connections: EndpointConnections,
     private readonly clock: Clock,
   ) {
     super();
@@ -94,6 +98,17 @@
       this.metrics.state(`${topic}_away`, health.isAway ? 1 : 0);
       this.metrics.state(`${topic}_answer_age_ms`, health.answerAge(now));
     }
+    this.metrics.state('link_received_bytes', this.link.receivedBytes);
+    this.metrics.state('link_sent_bytes', this.link.sentBytes);
+    this.metrics.state(
+      'link_received_bytes_a_second',
+      this.link.bytesPerSecond,
+    );
+    this.metrics.state(
+      'endpoint_connect_ms',
+      this.connections.connectMilliseconds,
+    );
+    this.metrics.state('link_full', this.link.isFull ? 1 : 0);
     this.metrics.state('endpoints', this.directory.all.length);
     this.metrics.state('budget_holders', this.budgets.holders);
     this.metrics.state('resident_bytes', process.memoryUsage.rss());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,9 +20,11 @@
 import type {GatewayNames} from './gateway-names.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
 import {GracefulStop} from './graceful-stop.js';
+import {LinkWatch} from './link-watch.js';
 import {listenAddress} from './listening.js';
 import {ConnectLoanPeers} from './loan-peers.js';
 import {LoanServer} from './loan-server.js';
+import {ProcessTraffic} from './process-traffic.js';
 import {RequestHandler} from './request-handler.js';
 import {UndeliveredCharge} from './request-record.js';
 import {StartGate} from './start-gate.js';
@@ -74,6 +76,7 @@
   private readonly followers: readonly KeyedTopicFollower[];
   private readonly connections = new EndpointConnections();
   private readonly metrics = new GatewayMetrics();
+  private readonly link: LinkWatch;
   private readonly gate = new StartGate(Object.values(StartNeed));
   private lender: LoanServer | undefined;
 
@@ -96,6 +99,7 @@
       events,
     );
     this.budgets = this.createBudgets();
+    this.link = this.createLink();
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
     this.callers = new CallerServer(
@@ -114,6 +118,8 @@
       this.callers,
       this.health,
       this.metrics,
+      this.link,
+      this.connections,
       clock,
     );
     this.status = new StatusServer(
@@ -137,6 +143,7 @@
   async start(): Promise<void> {
     const {settings, events} = this.parts;
     this.gate.openAfter(FIRST_CALLS_MILLISECONDS);
+    this.link.start();
     await this.callers.listen(listenAddress(settings.callerAddress));
     this.lender = await LoanServer.listen(
       listenAddress(settings.peerAddress),
@@ -178,6 +185,7 @@
     this.gate.close();
     this.callers.close();
     this.status.close();
+    this.link.close();
     for (const follower of this.followers) {
       follower.close();
     }
@@ -241,6 +249,16 @@
     );
   }
 
+  private createLink(): LinkWatch {
+    const {settings, clock, events} = this.parts;
+    return new LinkWatch(
+      gatewayLimits(settings).linkCapacity,
+      new ProcessTraffic(),
+      events,
+      () => clock.monotonicMilliseconds(),
+    );
+  }
+
   private createHandler(): RequestHandler {
     const {settings, dialect, clock, random, events} = this.parts;
     return new RequestHandler(
--- /dev/null
+++ b/packages/gateway/src/link-watch.ts
@@ -0,0 +1,74 @@
+import {LinkLoad} from '@wisteriadeal/decisions';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {ProcessTraffic} from './process-traffic.js';
+
+/** A burst of callers shows within a second. */
+const SAMPLE_MILLISECONDS = 200;
+
+/** Watches the host's inbound link, and tells when callers fill it. */
+export class LinkWatch {
+  private readonly load: LinkLoad;
+  private timer: NodeJS.Timeout | undefined;
+
+  /** @param capacity Of the link, bytes a second; 0 where it is not known. */
+  constructor(
+    private readonly capacity: number,
+    private readonly traffic: ProcessTraffic,
+    private readonly events: EventLog,
+    private readonly now: () => number,
+  ) {
+    this.load = new LinkLoad(capacity);
+  }
+
+  /** Begins to watch. */
+  start(): void {
+    this.timer = setInterval(() => {
+      this.observe();
+    }, SAMPLE_MILLISECONDS);
+    this.timer.unref();
+  }
+
+  /** Watches no longer. */
+  close(): void {
+    clearInterval(this.timer);
+    this.traffic.close();
+  }
+
+  /** Bytes received a second. */
+  get bytesPerSecond(): number {
+    return this.load.bytesPerSecond;
+  }
+
+  /** Bytes sent since the start. */
+  get sentBytes(): number {
+    return this.traffic.sent.inAll;
+  }
+
+  /** Bytes received since the start. */
+  get receivedBytes(): number {
+    return this.traffic.received.inAll;
+  }
+
+  /** Whether what comes in waits at the link: lateness says nothing of others. */
+  get isFull(): boolean {
+    return this.load.isFull;
+  }
+
+  private observe(): void {
+    const {isFull} = this;
+    const {fromCallers, inAll} = this.traffic.received;
+    this.load.observe(this.now(), {
+      callerBytes: fromCallers,
+      bytes: inAll,
+    });
+    if (isFull !== this.isFull) {
+      this.events.info('link', {
+        isFull: this.isFull,
+        capacityBytes: Math.round(this.capacity),
+        receivedBytes: Math.round(this.bytesPerSecond),
+        fromCallersBytes: Math.round(this.load.callerBytesPerSecond),
+      });
+    }
+  }
+}
--- a/packages/gateway/src/test/gateway-limits_test.ts
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -17,6 +17,7 @@
       stopGraceMilliseconds: 7_500,
       resends: {ratio: 0.25, extra: 190.5, windowMilliseconds: 7_250},
       storeKeepMilliseconds: 20_500,
+      linkCapacity: 0,
     });
   });
 
@@ -28,6 +29,7 @@
       stopGraceMilliseconds: 8_000,
       resends: {ratio: 0, extra: 0, windowMilliseconds: 10_000},
       storeKeepMilliseconds: 20_000,
+      linkCapacity: 0,
     });
   });
 });
