--- a/packages/decisions/src/arrival-admission.ts
+++ b/packages/decisions/src/arrival-admission.ts
@@ -89,7 +89,6 @@
   private intervalMilliseconds = 0;
   private answers = 0;
   private answeredAt = -Infinity;
-  private bearableMilliseconds = Infinity;
 
   override answered({busyMilliseconds}: LoopLoad, now: number): void {
     const interval = now - this.answeredAt;
@@ -112,7 +111,7 @@
     for (const request of arrived) {
       const inWork = load.unanswered + begun.length;
       const ahead = inWork * this.intervalMilliseconds;
-      const isTooLate = now + ahead - request.cameAt > this.bearable(request);
+      const isTooLate = now + ahead - request.cameAt > longestUseful(request);
       if (inWork > 0 && isTooLate && isBehind(request, load)) {
         refused.push({
           request,
@@ -124,23 +123,6 @@
     }
     return {begun, refused};
   }
-
-  /**
-   * How old a request may be when its answer begins: no older than is of use to the
-   * most pressing ones that came lately. Harm of a bound for each kind: those that can
-   * wait fill the host up to theirs, and the others are never served.
-   */
-  private bearable(request: ArrivedRequest): number {
-    const useful = longestUseful(request);
-    const relaxed =
-      this.bearableMilliseconds +
-      (useful - this.bearableMilliseconds) / SMOOTHED;
-    this.bearableMilliseconds =
-      this.bearableMilliseconds === Infinity
-        ? useful
-        : Math.min(useful, relaxed);
-    return this.bearableMilliseconds;
-  }
 }
 
 /** From its first byte on, milliseconds. */
