Look at callers that have come before a stop closes the listener

What callers saw: a reset, where they connected while the stopping process was busy: the system had taken the connection, and closing the listener resets those that the process has not accepted.

Now two turns of the event loop pass before the listener closes, as they do before a request is run; both use one function. The test (a thread connects and writes while the loop is blocked, then the door drains) failed before the fix with nothing received; now it gets its answer. Connections that the system takes between the last look and the close are still reset.

--- a/packages/gateway/src/caller-door.ts
+++ b/packages/gateway/src/caller-door.ts
@@ -7,6 +7,7 @@
 import {Server as NetServer} from 'node:net';
 
 import {CallerConnections} from './caller-connections.js';
+import {turnOfEventLoop} from './event-loop.js';
 import {listening, portOf, type ListenAddress} from './listening.js';
 
 /** Takes a request; `arrivedAt` is on the process's monotonic clock, milliseconds. */
@@ -78,14 +79,19 @@
   }
 
   /**
-   * Takes no new connections, and ends each as soon as nothing is on it.
+   * Takes no new connections, and ends each as soon as nothing is on it. Load: callers
+   * come while the process is busy. Harm of closing at once: those that it has not
+   * looked at are reset.
    *
    * @returns Resolves when there is none left.
    */
-  drain(): Promise<void> {
+  async drain(): Promise<void> {
+    // The system tells of what has come once in a turn, perhaps already in this one.
+    await turnOfEventLoop();
+    await turnOfEventLoop();
     // The close of an HTTP server also destroys connections whose answer is not sent.
     NetServer.prototype.close.call(this.server);
-    return this.connections.drain();
+    await this.connections.drain();
   }
 
   /** Ends all connections at once. */
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -1,6 +1,7 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
 
 import type {CallerHeaders, Dialect} from './dialect.js';
+import {turnOfEventLoop} from './event-loop.js';
 import type {OwnAnswer} from './own-answer.js';
 
 /** Two spaces, `HTTP/1.1` and a line end. */
@@ -11,10 +12,6 @@
 /** Turns of the event loop after which a close behind a request has been read. */
 const CLOSE_TURNS = 2;
 
-function turnOfEventLoop(): Promise<void> {
-  return new Promise(resolve => setImmediate(resolve));
-}
-
 /** The caller sent a longer body than the limits allow. */
 export class BodyTooLargeError extends Error {
   override readonly name: string = 'BodyTooLargeError';
--- a/packages/gateway/src/test/caller-door_test.ts
+++ b/packages/gateway/src/test/caller-door_test.ts
@@ -1,9 +1,11 @@
 import {once} from 'node:events';
 import {connect} from 'node:net';
+import {Worker} from 'node:worker_threads';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import {CallerDoor} from '../caller-door.js';
 
+const LONGEST_CALL_MILLISECONDS = 10_000;
 const ANY_PORT = {address: '127.0.0.1', port: 0};
 
 let door: CallerDoor;
@@ -16,6 +18,22 @@
   door.close();
 });
 
+/** Calls, says when its request is with the system, and tells what came back. */
+const CALLER = `
+  const {parentPort, workerData} = require('node:worker_threads');
+  const {port, hasCalled} = workerData;
+  const socket = require('node:net').connect(port, '127.0.0.1', () => {
+    socket.write('GET / HTTP/1.1\\r\\nHost: shop.example\\r\\n\\r\\n', () => {
+      Atomics.store(hasCalled, 0, 1);
+      Atomics.notify(hasCalled, 0);
+    });
+  });
+  let received = '';
+  socket.on('data', data => { received += data; });
+  socket.on('error', () => undefined);
+  socket.on('close', () => { parentPort.postMessage(received); });
+`;
+
 describe('CallerDoor', () => {
   it('keeps requests that come before there is anybody to serve them', async () => {
     // The caller is answered, some tenths of a second later than usual. All hosts lost
@@ -77,6 +95,23 @@
     expect(taken).toEqual(['/stays']);
   });
 
+  it('answers a caller that came while the process was busy', async () => {
+    // Guards against a reset of callers that the process has not looked at yet.
+    await door.listen(ANY_PORT);
+    door.openTo((_request, response) => {
+      response.end('done');
+    });
+    const hasCalled = new Int32Array(new SharedArrayBuffer(4));
+    const caller = new Worker(CALLER, {
+      eval: true,
+      workerData: {port: door.port, hasCalled},
+    });
+    const received = once(caller, 'message');
+    Atomics.wait(hasCalled, 0, 0, LONGEST_CALL_MILLISECONDS);
+    await door.drain();
+    expect(await received).toEqual([expect.stringMatching(/^HTTP\/1.1 200 /)]);
+  });
+
   it('listens once, whoever asks again', async () => {
     await door.listen(ANY_PORT);
     const {port} = door;
