End a request with its connection, and begin none that can't be answered

What callers saw: a caller that sends a second request before the first is answered, and leaves, or whose first answer ends the connection: the second request ran with no way to answer it, went on after its caller had left, and counted as open for ever, so that each later stop waited to its limit.

Cause: a response that waits behind another one has no connection yet and does not close with it; and a request behind an answer that is to end the connection was taken like any other.

Now a request ends with its response or its connection, whichever closes first, and is not begun behind an answer that is to end the connection. Both tests failed before the fix (2 requests at the endpoint for one answer; an open request after its connection had closed); the one for a single request on its connection passed before, and guards against counting its end twice.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -39,9 +39,12 @@
     });
   }
 
-  /** @returns False where it was refused before its head had ended. */
+  /** @returns False where no answer to it can be sent: it must not be served. */
   add(response: ServerResponse): boolean {
-    if (this.isRefused) {
+    const endsBefore = [...this.answers].some(
+      ({shouldKeepAlive}) => !shouldKeepAlive,
+    );
+    if (this.isRefused || endsBefore) {
       return false;
     }
     clearTimeout(this.timer);
@@ -124,7 +127,8 @@
   /**
    * A request's head has ended.
    *
-   * @returns False where the caller has been told that it came too late.
+   * @returns False where the caller was told that it came too late, or that the
+   *     connection ends with an answer before: the request must not be served.
    */
   begin(request: IncomingMessage, response: ServerResponse): boolean {
     return this.open.get(request.socket)?.add(response) ?? false;
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -23,6 +23,7 @@
   private parsed: CallerHeaders | undefined;
   private turnsSinceRead = 0;
   private onAnswering: () => void = () => undefined;
+  private onClosed: () => void = () => undefined;
 
   /**
    * @param arrivedAt On this process's monotonic clock, milliseconds.
@@ -46,13 +47,23 @@
       // The response closes some turns of the event loop later.
       this.left.abort();
     };
-    socket.once('end', onEnd);
-    response.once('close', () => {
+    let isOpen = true;
+    const onClose = () => {
+      if (!isOpen) {
+        return;
+      }
+      isOpen = false;
       socket.off('end', onEnd);
+      socket.off('close', onClose);
       if (!response.writableFinished) {
         this.left.abort();
       }
-    });
+      this.onClosed();
+    };
+    socket.once('end', onEnd);
+    // A response that waits behind another on its connection does not close with it.
+    socket.once('close', onClose);
+    response.once('close', onClose);
   }
 
   get headers(): CallerHeaders {
@@ -102,6 +113,11 @@
     this.onAnswering = listener;
   }
 
+  /** Calls the listener, in place of one before it, when no more can be sent to it. */
+  whenClosed(listener: () => void): void {
+    this.onClosed = listener;
+  }
+
   /** True once any byte of an answer was given to the connection. */
   get isAnswering(): boolean {
     return this.response.headersSent;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -153,7 +153,7 @@
       caller.closeAfterwards();
     }
     this.open++;
-    response.once('close', () => {
+    caller.whenClosed(() => {
       this.arrivals.ended(caller);
       this.ended();
     });
