--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -1,7 +1,7 @@
 import {once} from 'node:events';
 import {createServer, type Server, type ServerResponse} from 'node:http';
 import {connect, type AddressInfo, type Socket} from 'node:net';
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {CallerConnections} from '../caller-connections.js';
 
@@ -11,13 +11,16 @@
 let server: Server;
 let connections: CallerConnections;
 let callers: Socket[];
+/** Whether each request was begun. */
+let begun: boolean[];
 
 beforeEach(async () => {
   callers = [];
+  begun = [];
   server = createServer();
   connections = new CallerConnections(server);
   server.on('request', (request, response) => {
-    connections.begin(request, response);
+    begun.push(connections.begin(request, response));
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
@@ -100,6 +103,25 @@
     expect(refusal.toString()).toMatch(/^HTTP\/1.1 408 /);
   });
 
+  it('begins no request that it has refused', async () => {
+    // Guards against a request that was told that it has not run, and runs.
+    const accepted = once(server, 'connection');
+    const caller = await callerSends('GET / HT');
+    const [socket] = (await accepted) as [Socket];
+    await until(() => connections.counts.begunRequests === 1);
+    const destroy = vi.spyOn(socket, 'destroy').mockReturnValue(socket);
+    const refused = once(caller, 'data');
+    const drained = connections.drain();
+    await refused;
+    const requested = once(server, 'request');
+    caller.write('TP/1.1\r\nHost: shop.example\r\n\r\n');
+    await requested;
+    expect(begun).toEqual([false]);
+    destroy.mockRestore();
+    socket.destroy();
+    await drained;
+  });
+
   it('ends a connection without a request while it drains', async () => {
     // Guards against a stop that waits for connections that were only opened.
     const caller = await callerSends('');
