Let no call of the loan tests end by a busy machine's clock

Two tests failed beside load, one in 1 of 4 whole runs beside 10 busy processes and the other in 1 of 6 runs at a load of 40: a first call took longer than the 120 ms that a borrower waits, which neither test is about.

Now no time passes for timers, so that calls end by what their peer does. What is asserted is the same.

--- a/packages/gateway/src/test/loan-peers_test.ts
+++ b/packages/gateway/src/test/loan-peers_test.ts
@@ -1,4 +1,4 @@
-import {afterEach, beforeEach, describe, expect, it} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {
   ConnectLoanPeers,
@@ -48,6 +48,8 @@
   let peers: ConnectLoanPeers;
 
   beforeEach(() => {
+    // No time passes: calls end by what their peer does, and none by its limit.
+    vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
     peers = new ConnectLoanPeers();
     escaped.length = 0;
     process.on('uncaughtException', catchEscaped);
@@ -56,6 +58,7 @@
   afterEach(() => {
     peers.close();
     process.off('uncaughtException', catchEscaped);
+    vi.useRealTimers();
   });
 
   it('brings loans and gifts', async () => {
