Lose no keeper to a busy machine where a test loses none

The test of grants that move in an outage failed in 1 of 4 whole runs beside 10 busy processes, then in 1 of 12 and at the first of 16 runs: BUDGET in place of RESERVED. The log of the failure shows why: heartbeats were late by more than the rig's 300 ms, witnesses fenced the grants of holders that live, and in the outage nothing could replace them. That is right, and not what the test is about: it loses nobody.

Now its keepers bear 30 s of silence; all else and what is asserted are the same.

--- a/packages/keeper/src/test/failures_test.ts
+++ b/packages/keeper/src/test/failures_test.ts
@@ -126,6 +126,8 @@
   // The platform is away. One data centre has used up its grant, the other one
   // has plenty and sees it: part of the grant moves, and no caller is refused.
   it('moves grants between data centres while the platform is away', async () => {
+    // Nobody is lost here, however late a busy machine's heartbeats are.
+    fleet.heartbeatLimitMilliseconds = 30_000;
     await fleet.add('a');
     await fleet.add('a');
     await fleet.add('b');
--- a/packages/keeper/src/test/fleet.ts
+++ b/packages/keeper/src/test/fleet.ts
@@ -195,6 +195,8 @@
   readonly keepers: Keeper[] = [];
   readonly logs: MemoryLog[] = [];
   readonly routers: FakeRouter[] = [];
+  /** Of keepers that are added from now on. */
+  heartbeatLimitMilliseconds = 300;
 
   constructor() {
     this.store.append(
@@ -212,7 +214,7 @@
       ledgerStreams: 1,
       billFlushMilliseconds: 20,
       heartbeatMilliseconds: 20,
-      heartbeatLimitMilliseconds: 300,
+      heartbeatLimitMilliseconds: this.heartbeatLimitMilliseconds,
       fenceDelayMilliseconds: 100,
       orphanWaitMilliseconds: 100,
       checkpointRecords: 1_000,
