End a stop's notice no sooner than was said

What was seen: since the notice counts from the signal, tests that send a request once 2.6 s are over failed now and then (2 of 7 in each of two runs of gateway-stop_test.ts): the wait had a fraction of a millisecond that timers drop, and grants went back up to some milliseconds before requests were refused by the same notice.

Now the wait goes on until the notice's end is reached. The test, with a clock whose sleeps end 2 ms early, failed before with 2598 for 2600.

--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -55,14 +55,13 @@
 
   /** Resolves when nothing is left, or the grace is nearly over. */
   async run(): Promise<void> {
-    const {callers, handler, budgets, bills, clock} = this.parts;
+    const {callers, handler, budgets, bills} = this.parts;
     const isOver = new AbortController();
     void this.cutOverdue(isOver.signal);
     callers.beginStop();
     handler.beginStop(new StopAdmission(this.noticeEndsAt, this.cutAt));
     this.note('stopping');
-    const noticeLeft = Math.max(0, this.noticeEndsAt - this.now());
-    await this.until(this.cutAt, clock.sleep(noticeLeft));
+    await this.until(this.cutAt, this.noticeOver());
     this.note('notice over');
     await this.until(this.cutAt + CUT_MILLISECONDS, this.requestsEnded());
     this.note('requests ended');
@@ -76,6 +75,14 @@
     isOver.abort();
   }
 
+  /** A sleep may end a little early. */
+  private async noticeOver(): Promise<void> {
+    while (this.now() < this.noticeEndsAt) {
+      const left = this.noticeEndsAt - this.now();
+      await this.parts.clock.sleep(Math.max(0, Math.ceil(left)));
+    }
+  }
+
   private async requestsEnded(): Promise<void> {
     const {callers, handler} = this.parts;
     await callers.idle();
