--- a/packages/decisions/src/test/link-load_test.ts
+++ b/packages/decisions/src/test/link-load_test.ts
@@ -36,7 +36,7 @@
 
 describe('callers of one organisation fill one host’s link', () => {
   it.each([1, 1.3, 2, 3])('tells within a second, at %d of its link', part => {
-    // SHORT: a host takes its own full link for silence of endpoints.
+    // Guards against a host that takes its own full link for silence of endpoints.
     const {load} = new LinkReplay().play(5, 0.14).play(1, part);
     expect(load.isFull).toBe(true);
   });
--- a/packages/gateway/src/test/endpoint-connections_test.ts
+++ b/packages/gateway/src/test/endpoint-connections_test.ts
@@ -77,8 +77,7 @@
 
 describe('a kept connection', () => {
   it('is used for as long as its endpoint says that it keeps it', async () => {
-    // Guards against a new connection for each request of a host that asks each of
-    // many endpoints every few seconds.
+    // Guards against a new connection for each request where there are many endpoints.
     answersWith('timeout=10');
     await exchange();
     await rest(7_900);
@@ -108,8 +107,7 @@
   });
 
   it('is not used after a long rest where a request may run once only', async () => {
-    // Guards against a request that is lost on a connection which was dropped
-    // without notice.
+    // Guards against requests lost on a connection that was dropped without notice.
     answersWith('timeout=10');
     await exchange();
     await rest(LONGEST_CERTAIN_IDLE_MILLISECONDS - 100);
--- a/packages/gateway/src/test/endpoint-exchange_test.ts
+++ b/packages/gateway/src/test/endpoint-exchange_test.ts
@@ -69,8 +69,7 @@
 
 describe('reading an answer', () => {
   it('hands each part on after the one before it was taken', async () => {
-    // Guards against parts that overtake each other or are lost while a caller does
-    // not read.
+    // Guards against parts that overtake each other while a caller does not read.
     const exchange = await openExchange(4);
     let text = '';
     let taking = 0;
--- a/packages/gateway/src/test/gateway-limits_test.ts
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -22,8 +22,7 @@
   });
 
   it('stops in order, resends nothing and keeps records where nothing is said', () => {
-    // Callers' answers are cut at a stop, and budgets are lost with dropped records:
-    // a time that the platform leaves out is taken for no time at all.
+    // Guards against a time that is left out and taken for no time at all.
     const limits = gatewayLimits(create(GatewaySettingsSchema));
     expect(limits).toEqual({
       stopGraceMilliseconds: 8_000,
--- a/packages/gateway/src/test/process-traffic_test.ts
+++ b/packages/gateway/src/test/process-traffic_test.ts
@@ -5,7 +5,7 @@
 import {ProcessTraffic} from '../process-traffic.js';
 
 it('counts what came on connections of both sides, also after their close', async () => {
-  // SHORT: nothing tells that callers' bodies fill a host's link.
+  // Guards against bytes of callers that nothing tells of.
   const traffic = new ProcessTraffic();
   const server = createServer(socket => {
     socket.resume();
--- a/packages/gateway/src/test/request-record_test.ts
+++ b/packages/gateway/src/test/request-record_test.ts
@@ -40,8 +40,7 @@
   });
 
   it('is whole where an event stands for a fraction of tokens', () => {
-    // The caller sees 402 for a budget that is not used up. Records of amounts with a
-    // fraction are passed over, so that what a host gave back was gone.
+    // Guards against records with fractions, which are passed over: their tokens are gone.
     const record = new RequestRecord();
     record.hasDelivered = true;
     record.eventsDelivered = 5;
--- a/packages/gateway/src/test/silence-watch_test.ts
+++ b/packages/gateway/src/test/silence-watch_test.ts
@@ -76,8 +76,7 @@
   });
 
   it('believes an event that was waiting to be read before it believes a timer', () => {
-    // The stream goes on: the process stood still between two events, and the next
-    // one is read right after the timers.
+    // Guards against a stream given up for a silence in which the process stood still.
     watch.heard();
     vi.advanceTimersByTime(100);
     watch.heard();
