--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -15,6 +15,7 @@
 export * from './fair-admission.js';
 export * from './fair-queue.js';
 export * from './first-come-queue.js';
+export * from './link-delay.js';
 export * from './link-load.js';
 export * from './load-core-options.js';
 export * from './load-core.js';
