--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -1,3 +1,4 @@
+import {FreeLink, type HostLink} from '@wisteriadeal/platform';
 import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -13,6 +14,11 @@
 const LONGEST_KEPT_MILLISECONDS = 15_000;
 const STATED_TIMEOUT = /(?:^|[ ,])timeout=(\d+)/;
 
+/**
+ * A new connection that isn't there by then goes elsewhere: nothing was sent, so
+ * that is safe. Data centres are under 2 ms apart and a handshake takes 1 ms.
+ */
+const CONNECT_MILLISECONDS = 120;
 /** The mean time of connects follows about so many of them. */
 const CONNECT_SAMPLES = 16;
 
@@ -39,7 +45,11 @@
   private connectMean = 0;
   private readonly idleLimits = new WeakMap<Socket, number>();
 
-  constructor(options: AgentOptions = {}) {
+  /** @param link Of this host: connects take longer while it is full. */
+  constructor(
+    private readonly link: HostLink = new FreeLink(),
+    options: AgentOptions = {},
+  ) {
     super({keepAlive: true, scheduling: 'lifo', noDelay: true, ...options});
   }
 
@@ -80,9 +90,20 @@
 
   /** A connection came after so long. */
   connected(milliseconds: number): void {
+    this.link.arrived(milliseconds);
     this.connectMean += (milliseconds - this.connectMean) / CONNECT_SAMPLES;
   }
 
+  /** How long a new connection is waited for from now on, milliseconds. */
+  get connectLimitMilliseconds(): number {
+    return CONNECT_MILLISECONDS + this.link.delayMilliseconds;
+  }
+
+  /** A connection had not come after so long, and was given up. */
+  connectGivenUp(milliseconds: number): void {
+    this.link.expired(milliseconds);
+  }
+
   override keepSocketAlive(socket: Socket): boolean {
     if (!keepsAlive(this, socket)) {
       return false;
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -43,11 +43,6 @@
   readonly attemptId: string | undefined;
 }
 
-/**
- * A new connection that isn't there by then goes elsewhere: nothing was sent, so
- * that is safe. Data centres are under 2 ms apart and a handshake takes 1 ms.
- */
-const CONNECT_MILLISECONDS = 120;
 /** Longest body that is held until it is whole; a longer one is a failure. */
 const LONGEST_WHOLE_BODY_BYTES = 8 * 1024 * 1024;
 
@@ -57,6 +52,7 @@
   private incoming: IncomingMessage | undefined;
   private failure: string | undefined;
   private isConnected = false;
+  private connectStartedAt: number | undefined;
   private connectTimeout: NetworkTimeout | undefined;
 
   constructor(
@@ -78,10 +74,12 @@
         this.isConnected = true;
         return;
       }
-      this.connectTimeout = new NetworkTimeout(CONNECT_MILLISECONDS, () => {
+      const startedAt = performance.now();
+      this.connectStartedAt = startedAt;
+      const limit = connections.connectLimitMilliseconds;
+      this.connectTimeout = new NetworkTimeout(limit, () => {
         this.cancel('no connection in time');
       });
-      const startedAt = performance.now();
       socket.once('connect', () => {
         connections.connected(performance.now() - startedAt);
         this.connectTimeout?.close();
@@ -193,11 +191,21 @@
 
   /** Closes the connection: the endpoint stops working on the request. */
   cancel(reason: string): void {
+    if (this.failure === undefined) {
+      this.noteConnectGivenUp();
+    }
     this.failure ??= reason;
     this.connectTimeout?.close();
     this.outgoing.destroy();
   }
 
+  private noteConnectGivenUp(): void {
+    if (this.connectStartedAt !== undefined && !this.isConnected) {
+      const waited = performance.now() - this.connectStartedAt;
+      this.connections.connectGivenUp(waited);
+    }
+  }
+
   private firstResponse(): Promise<IncomingMessage | undefined> {
     return new Promise(resolve => {
       this.outgoing.once('response', incoming => {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -75,7 +75,7 @@
   private readonly callers: CallerServer;
   private readonly status: StatusServer;
   private readonly followers: readonly KeyedTopicFollower[];
-  private readonly connections = new EndpointConnections();
+  private readonly connections: EndpointConnections;
   private readonly metrics = new GatewayMetrics();
   private readonly link: LinkWatch;
   private readonly gate = new StartGate(Object.values(StartNeed));
@@ -84,6 +84,7 @@
   constructor(private readonly parts: GatewayParts) {
     const {settings, names, dialect, log, clock, events} = parts;
     this.link = this.createLink();
+    this.connections = new EndpointConnections(this.link);
     this.health = this.createHealth();
     this.configuration = new ConfigurationState(
       names.configurationKey,
--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -1,4 +1,5 @@
-import {LinkLoad} from '@wisteriadeal/decisions';
+import {LinkDelay, LinkLoad} from '@wisteriadeal/decisions';
+import {HostLink} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {ProcessTraffic} from './process-traffic.js';
@@ -8,9 +9,13 @@
 /** Data queued at a full link arrives within this time after the link was full. */
 const QUEUE_DRAIN_MILLISECONDS = 2_000;
 
-/** Watches the host's inbound link, and tells when callers fill it. */
-export class LinkWatch {
+/**
+ * Watches the host's inbound link, and tells when callers fill it and how long what
+ * comes in waits there.
+ */
+export class LinkWatch extends HostLink {
   private readonly load: LinkLoad;
+  private readonly delay = new LinkDelay();
   private timer: NodeJS.Timeout | undefined;
   private lastFullAt = -Infinity;
 
@@ -21,6 +26,7 @@
     private readonly events: EventLog,
     private readonly now: () => number,
   ) {
+    super();
     this.load = new LinkLoad(capacity);
   }
 
@@ -59,10 +65,22 @@
   }
 
   /** Whether the link is or was recently full, so that answers may be queued at it. */
-  get isCongested(): boolean {
+  override get isCongested(): boolean {
     return this.now() - this.lastFullAt < QUEUE_DRAIN_MILLISECONDS;
   }
 
+  override get delayMilliseconds(): number {
+    return this.delay.milliseconds(this.isCongested);
+  }
+
+  override arrived(milliseconds: number): void {
+    this.delay.arrived(milliseconds);
+  }
+
+  override expired(milliseconds: number): void {
+    this.delay.expired(milliseconds);
+  }
+
   private observe(): void {
     const {isFull} = this;
     const {fromCallers, inAll} = this.traffic.received;
--- /dev/null
+++ b/packages/platform/src/host-link.ts
@@ -0,0 +1,36 @@
+/**
+ * The host's own inbound link, as calls of the host need to know it: what comes in over
+ * a full link is late, whatever the peer does.
+ *
+ * @example
+ * ```ts
+ * const timeout = new NetworkTimeout(120 + link.delayMilliseconds, giveUp);
+ * ```
+ */
+export abstract class HostLink {
+  /** How long what comes in waits at the link; 0 while it is free, milliseconds. */
+  abstract get delayMilliseconds(): number;
+
+  /** Whether the link is full or was so recently: lateness says nothing of peers. */
+  abstract get isCongested(): boolean;
+
+  /** What a peer sends without delay came after so long. */
+  abstract arrived(milliseconds: number): void;
+
+  /** It had not come after so long, and is not waited for any longer. */
+  abstract expired(milliseconds: number): void;
+}
+
+/** A link at which nothing waits. */
+export class FreeLink extends HostLink {
+  override readonly delayMilliseconds = 0;
+  override readonly isCongested = false;
+
+  override arrived(): void {
+    // Nothing depends on it.
+  }
+
+  override expired(): void {
+    // Nothing depends on it.
+  }
+}
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -7,6 +7,7 @@
   readServerSentEvents,
   type ServerSentEvent,
 } from './event-stream-reader.js';
+export * from './host-link.js';
 export * from './host-list.js';
 export * from './http-caller.js';
 export * from './http-endpoint-options.js';
