--- a/packages/gateway/src/answer-patience.ts
+++ b/packages/gateway/src/answer-patience.ts
@@ -77,6 +77,9 @@
     claimMove: () => boolean,
   ): SilenceWatch {
     const suspect = () => {
+      if (exchange.awaitsLink) {
+        return;
+      }
       const now = this.clock.monotonicMilliseconds();
       const {dataCenter, id} = endpoint.entry;
       endpoint.trust.fellSilent(now);
--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -99,6 +99,11 @@
     return CONNECT_MILLISECONDS + this.link.delayMilliseconds;
   }
 
+  /** Whether connections may be late for this host's own link. */
+  get isLinkCongested(): boolean {
+    return this.link.isCongested;
+  }
+
   /** A connection had not come after so long, and was given up. */
   connectGivenUp(milliseconds: number): void {
     this.link.expired(milliseconds);
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -32,6 +32,8 @@
 export interface ExchangeFailure {
   readonly fate: ExchangeFate;
   readonly reason: string;
+  /** The connection may have been late for this host's own link. */
+  readonly isLinkDelay?: boolean;
 }
 
 /** What is sent to an endpoint. */
@@ -53,6 +55,7 @@
   private failure: string | undefined;
   private isConnected = false;
   private connectStartedAt: number | undefined;
+  private wasLinkDelay = false;
   private connectTimeout: NetworkTimeout | undefined;
 
   constructor(
@@ -184,6 +187,15 @@
     );
   }
 
+  /** Whether its connection is awaited, and may be late for this host's own link. */
+  get awaitsLink(): boolean {
+    return (
+      this.connectStartedAt !== undefined &&
+      !this.isConnected &&
+      this.connections.isLinkCongested
+    );
+  }
+
   /** Why it failed, where it did. */
   get failureReason(): string {
     return this.failure ?? 'answer cut';
@@ -203,6 +215,7 @@
     if (this.connectStartedAt !== undefined && !this.isConnected) {
       const waited = performance.now() - this.connectStartedAt;
       this.connections.connectGivenUp(waited);
+      this.wasLinkDelay = this.awaitsLink;
     }
   }
 
@@ -225,6 +238,7 @@
     return {
       fate: this.isConnected ? ExchangeFate.Unknown : ExchangeFate.NotSent,
       reason: this.failureReason,
+      isLinkDelay: this.wasLinkDelay,
     };
   }
 }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -238,14 +238,19 @@
       return this.tryAgain(OwnReason.EndpointsRefused, true);
     }
     if (fate === ExchangeFate.NotSent) {
-      return this.afterNotSent(endpoint);
+      return this.afterNotSent(endpoint, failure);
     }
     this.record.mayHaveRun = true;
     return this.afterBroken(endpoint);
   }
 
-  private afterNotSent(endpoint: KnownEndpoint): Next {
-    if (!this.isOver()) {
+  private afterNotSent(
+    endpoint: KnownEndpoint,
+    {isLinkDelay}: ExchangeFailure,
+  ): Next {
+    if (this.isOver() || isLinkDelay === true) {
+      endpoint.trust.released();
+    } else {
       const {dataCenter, id} = endpoint.entry;
       endpoint.trust.broke(this.now());
       this.parts.dataCenters.fellSilent(dataCenter, id, this.now());
