--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -239,7 +239,7 @@
     return new BudgetHolder(
       new BudgetJournal(identity, replica, log, events),
       replica,
-      new ConnectLoanPeers(),
+      new ConnectLoanPeers(this.link),
       this.health.budgets,
       clock,
       events,
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -5,7 +5,13 @@
   type Client,
 } from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {Fate, NetworkTimeout, StepError} from '@wisteriadeal/platform';
+import {
+  Fate,
+  FreeLink,
+  NetworkTimeout,
+  StepError,
+  type HostLink,
+} from '@wisteriadeal/platform';
 import {GrantLoanService} from '@wisteriadeal/schema';
 import {Agent} from 'node:http';
 
@@ -81,6 +87,11 @@
 export class ConnectLoanPeers extends LoanPeers {
   private readonly peers = new Map<string, Peer>();
 
+  /** @param link Of this host: answers take longer while it is full. */
+  constructor(private readonly link: HostLink = new FreeLink()) {
+    super();
+  }
+
   override async borrow(
     address: string,
     request: LoanRequest,
@@ -111,7 +122,8 @@
     exchange: (client: Peer['client'], signal: AbortSignal) => Promise<Answer>,
   ): Promise<Answer> {
     const controller = new AbortController();
-    const timeout = new NetworkTimeout(ANSWER_MILLISECONDS, () => {
+    const limit = ANSWER_MILLISECONDS + this.linkDelay(address);
+    const timeout = new NetworkTimeout(limit, () => {
       controller.abort(
         new ConnectError('the operation timed out', Code.DeadlineExceeded),
       );
@@ -127,6 +139,13 @@
     }
   }
 
+  /** A new connection is delayed at the link before the answer is. */
+  private linkDelay(address: string): number {
+    const kept = this.peers.get(address)?.connections.freeSockets ?? {};
+    const isNew = Object.keys(kept).length === 0;
+    return (isNew ? 2 : 1) * this.link.delayMilliseconds;
+  }
+
   private peer(address: string): Peer {
     let peer = this.peers.get(address);
     if (peer === undefined) {
--- a/packages/gateway/src/test/loan-peers_test.ts
+++ b/packages/gateway/src/test/loan-peers_test.ts
@@ -1,3 +1,4 @@
+import {FakeHostLink} from '@wisteriadeal/stand-ins';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {
@@ -34,6 +35,29 @@
   }
 }
 
+/** Lends when a test says so. */
+class SlowHolder extends GenerousHolder {
+  private readonly waiting: (() => void)[] = [];
+
+  override async lend(): Promise<number> {
+    await new Promise<void>(resolve => this.waiting.push(resolve));
+    return super.lend();
+  }
+
+  /** Answers the one borrower that asks, now or soon. */
+  async answer(): Promise<void> {
+    await this.asked();
+    this.waiting.shift()?.();
+  }
+
+  /** Waits until a borrower asks. */
+  async asked(): Promise<void> {
+    while (this.waiting.length === 0) {
+      await turn();
+    }
+  }
+}
+
 /** Passes a turn of the event loop. */
 function turn(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
@@ -99,3 +123,57 @@
     expect(escaped).toEqual([]);
   });
 });
+
+describe('ConnectLoanPeers behind a full link', () => {
+  const IDLE_LIMIT = 120;
+  const DELAY = 900;
+  let holder: SlowHolder;
+  let server: LoanServer;
+  let link: FakeHostLink;
+  let peers: ConnectLoanPeers;
+
+  beforeEach(async () => {
+    holder = new SlowHolder();
+    server = await LoanServer.listen({address: '127.0.0.1', port: 0}, holder);
+    vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
+    link = new FakeHostLink();
+    peers = new ConnectLoanPeers(link);
+  });
+
+  afterEach(async () => {
+    peers.close();
+    vi.useRealTimers();
+    await server.close();
+  });
+
+  /** Asks for a loan that is answered after so long; undefined for none. */
+  async function borrowAfter(
+    milliseconds: number,
+  ): Promise<number | undefined> {
+    const loan = peers.borrow(server.address, REQUEST).catch(() => undefined);
+    await holder.asked();
+    vi.advanceTimersByTime(milliseconds);
+    await turn();
+    await turn();
+    await holder.answer();
+    return loan;
+  }
+
+  it('waits for a loan as long as the link delays the connection and the answer', async () => {
+    // Guards against lenders that are taken for silent by a host that is late itself.
+    link.delayMilliseconds = DELAY;
+    expect(await borrowAfter(IDLE_LIMIT + 2 * DELAY - 1)).toBe(5);
+    expect(await borrowAfter(IDLE_LIMIT + DELAY - 1)).toBe(5);
+    expect(await borrowAfter(IDLE_LIMIT + DELAY)).toBeUndefined();
+  });
+
+  it('waits no longer than before once the link is free', async () => {
+    // Guards against requests that wait for silent lenders.
+    link.delayMilliseconds = DELAY;
+    expect(await borrowAfter(0)).toBe(5);
+    link.delayMilliseconds = 0;
+    expect(await borrowAfter(IDLE_LIMIT - 1)).toBe(5);
+    expect(await borrowAfter(IDLE_LIMIT)).toBeUndefined();
+    expect(await borrowAfter(IDLE_LIMIT)).toBeUndefined();
+  });
+});
--- /dev/null
+++ b/packages/stand-ins/src/testing/fake-host-link.ts
@@ -0,0 +1,21 @@
+import {HostLink} from '@wisteriadeal/platform';
+
+/** A link whose delay a test sets; it keeps what it is told. */
+export class FakeHostLink extends HostLink {
+  override delayMilliseconds = 0;
+  /** How long that took which came, and that which did not, milliseconds. */
+  readonly arrivals: number[] = [];
+  readonly expiries: number[] = [];
+
+  override get isCongested(): boolean {
+    return this.delayMilliseconds > 0;
+  }
+
+  override arrived(milliseconds: number): void {
+    this.arrivals.push(milliseconds);
+  }
+
+  override expired(milliseconds: number): void {
+    this.expiries.push(milliseconds);
+  }
+}
--- a/packages/stand-ins/src/testing/index.ts
+++ b/packages/stand-ins/src/testing/index.ts
@@ -1,5 +1,6 @@
 /** Fakes at the interfaces of the platform, for tests of other packages. */
 export * from './fake-clock.js';
+export * from './fake-host-link.js';
 export * from './memory-host-list.js';
 export * from './memory-log.js';
 export * from './seeded-random-source.js';
