--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -85,6 +85,7 @@
     const {settings, names, dialect, log, clock, events} = parts;
     this.link = this.createLink();
     this.connections = new EndpointConnections(this.link);
+    log.useLink(this.link);
     this.health = this.createHealth();
     this.configuration = new ConfigurationState(
       names.configurationKey,
--- a/packages/platform/src/http-caller.ts
+++ b/packages/platform/src/http-caller.ts
@@ -1,9 +1,11 @@
 import {Agent, request as sendRequest, type ClientRequest} from 'node:http';
+import type {Socket} from 'node:net';
 
 import {
   IDLE_CONNECTION_MILLISECONDS,
   isNeverSentCode,
 } from './connection-errors.js';
+import {FreeLink, type HostLink} from './host-link.js';
 import type {Exchange, ExchangeTimeouts, WholeAnswer} from './http-peer.js';
 import {NetworkTimeout} from './network-timeout.js';
 import {Fate, StepError} from './step-error.js';
@@ -12,7 +14,14 @@
 export type HttpCall = Pick<
   Exchange,
   'step' | 'method' | 'path' | 'headers' | 'body'
-> & {readonly timeouts: Required<Pick<ExchangeTimeouts, 'connect' | 'total'>>};
+> & {
+  /** On a free link, milliseconds. */
+  readonly timeouts: Required<Pick<ExchangeTimeouts, 'connect' | 'total'>>;
+  /** The peer may hold its answer back for so long, beyond the limits; 0 by default. */
+  readonly heldMilliseconds?: number;
+  /** Of this host; it lengthens the limits, and is told what came when. */
+  readonly link?: HostLink;
+};
 
 /** A call exceeded one of its time limits. */
 class CallTimeoutError extends Error {
@@ -72,7 +81,7 @@
       path,
       headers: {...headers},
     });
-    const answer = wholeAnswer(outgoing, call.timeouts);
+    const answer = wholeAnswer(outgoing, call);
     outgoing.end(body);
     try {
       return await answer;
@@ -90,27 +99,104 @@
   }
 }
 
+/**
+ * The time limits of one call. While the host's link delays what comes in, they are
+ * longer by the delay, and the answer's begins with its connection.
+ */
+class CallLimits {
+  private readonly link: HostLink;
+  private readonly delay: number;
+  private readonly answer: NetworkTimeout;
+  private connection: NetworkTimeout | undefined;
+  /** The peer's next sign is awaited since then; undefined where none is. */
+  private awaitedSince: number | undefined = performance.now();
+
+  constructor(
+    private readonly call: HttpCall,
+    private readonly fail: (error: Error) => void,
+  ) {
+    const {timeouts, link = new FreeLink(), heldMilliseconds = 0} = call;
+    this.link = link;
+    this.delay = link.delayMilliseconds;
+    const total = timeouts.total + heldMilliseconds + this.delay;
+    this.answer = new NetworkTimeout(total, () => {
+      this.noteExpired(heldMilliseconds);
+      fail(new CallTimeoutError(false, total));
+    });
+  }
+
+  /** The connection is new. */
+  connecting(socket: Socket): void {
+    const limit = this.call.timeouts.connect + this.delay;
+    this.connection = new NetworkTimeout(limit, () => {
+      this.noteExpired(0);
+      this.fail(new CallTimeoutError(true, limit));
+    });
+    socket.once('connect', () => {
+      this.connection?.close();
+      this.noteArrived();
+      this.awaitedSince = performance.now();
+      if (this.delay > 0) {
+        this.answer.refresh();
+      }
+    });
+    socket.once('close', () => {
+      this.connection?.close();
+    });
+  }
+
+  /** The answer begins. */
+  answered(): void {
+    if ((this.call.heldMilliseconds ?? 0) === 0) {
+      this.noteArrived();
+    }
+    this.awaitedSince = undefined;
+  }
+
+  /** The call has ended. */
+  close(): void {
+    this.answer.close();
+    this.connection?.close();
+  }
+
+  private noteArrived(): void {
+    if (this.awaitedSince !== undefined) {
+      this.link.arrived(performance.now() - this.awaitedSince);
+    }
+  }
+
+  private noteExpired(heldMilliseconds: number): void {
+    if (this.awaitedSince !== undefined) {
+      const waited = performance.now() - this.awaitedSince;
+      this.link.expired(waited - heldMilliseconds);
+    }
+  }
+}
+
 function wholeAnswer(
   outgoing: ClientRequest,
-  {connect, total}: HttpCall['timeouts'],
+  call: HttpCall,
 ): Promise<WholeAnswer> {
   return new Promise((resolve, reject) => {
     const fail = (error: Error) => {
-      timeout.close();
+      limits.close();
       reject(error);
       outgoing.destroy();
     };
-    const timeout = new NetworkTimeout(total, () => {
-      fail(new CallTimeoutError(false, total));
+    const limits = new CallLimits(call, fail);
+    outgoing.once('socket', socket => {
+      if (socket.connecting) {
+        limits.connecting(socket);
+      }
     });
-    limitConnecting(outgoing, connect, fail);
     outgoing.on('error', fail);
     outgoing.once('response', incoming => {
+      limits.answered();
       const chunks: Buffer[] = [];
       incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
       incoming.on('error', fail);
       incoming.once('end', () => {
-        timeout.close();
+        limits.close();
         const {statusCode = 0, headers} = incoming;
         resolve({status: statusCode, headers, body: Buffer.concat(chunks)});
       });
@@ -118,26 +204,6 @@
   });
 }
 
-function limitConnecting(
-  outgoing: ClientRequest,
-  milliseconds: number,
-  fail: (error: Error) => void,
-): void {
-  outgoing.once('socket', socket => {
-    if (!socket.connecting) {
-      return;
-    }
-    const timeout = new NetworkTimeout(milliseconds, () => {
-      fail(new CallTimeoutError(true, milliseconds));
-    });
-    const close = () => {
-      timeout.close();
-    };
-    socket.once('connect', close);
-    socket.once('close', close);
-  });
-}
-
 function fateOf(error: unknown): Fate {
   if (error instanceof CallTimeoutError) {
     return error.isUnconnected ? Fate.NotDone : Fate.Unknown;
--- a/packages/platform/src/partitioned-log.ts
+++ b/packages/platform/src/partitioned-log.ts
@@ -1,3 +1,5 @@
+import {FreeLink, type HostLink} from './host-link.js';
+
 /** One partition of a topic. */
 export interface Partition {
   readonly topic: string;
@@ -48,6 +50,14 @@
  * of a partition without gaps and are the only order that everyone shares.
  */
 export abstract class PartitionedLog {
+  /** The link that answers to this host cross. */
+  protected link: HostLink = new FreeLink();
+
+  /** Answers cross this link from now on: calls wait longer while it is full. */
+  useLink(link: HostLink): void {
+    this.link = link;
+  }
+
   /**
    * Appends all records or none.
    *
