--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -26,7 +26,7 @@
   readonly partition: Partition;
   /** How long one read waits for a record, milliseconds. */
   readonly waitMilliseconds: number;
-  /** Pause between reads, so that many changes come with one call. */
+  /** Pause after all was read, so that many changes come with one call. */
   readonly pauseMilliseconds: number;
 }
 
@@ -88,6 +88,8 @@
     this.position = range.offset + range.records.length;
     if (this.position >= range.end) {
       this.reader.caughtUp(requestedAt);
+    } else if (range.records.length > 0) {
+      return;
     }
     await this.clock.sleep(pauseMilliseconds, this.stop.signal);
   }
