--- a/packages/decisions/src/link-load.ts
+++ b/packages/decisions/src/link-load.ts
@@ -20,6 +20,10 @@
 const FREE_PART = 0.6;
 /** Callers fill the link, rather than the store's records at a start. */
 const CALLERS_PART = 0.5;
+/** Of what callers leave, for one answer; endpoints' answers take the rest. */
+const ANSWER_PART = 0.5;
+/** An answer of this size has to get through, whatever callers leave. */
+const SMALLEST_ANSWER_BYTES = 16_384;
 /**
  * Whether callers fill a host's inbound link. Load: callers of one organisation are led
  * to one host, and their bodies are 1.3 to 3 times what its link takes. Harm of not
@@ -48,6 +52,19 @@
     return this.isLinkFull;
   }
 
+  /**
+   * Largest answer that crosses the link within a time, beside what callers send.
+   *
+   * @returns Bytes.
+   */
+  answerBytes(milliseconds: number): number {
+    const left = Math.max(0, this.capacity - this.callerBytesPerSecond);
+    return Math.max(
+      SMALLEST_ANSWER_BYTES,
+      (ANSWER_PART * left * milliseconds) / 1_000,
+    );
+  }
+
   /**
    * Takes what has come in; to be called some times a second.
    *
--- a/packages/decisions/src/test/link-load_test.ts
+++ b/packages/decisions/src/test/link-load_test.ts
@@ -86,3 +86,32 @@
     expect(load.isFull).toBe(false);
   });
 });
+
+describe('answers that cross a full link', () => {
+  /** What a store is given to answer within, milliseconds. */
+  const LIMIT_MILLISECONDS = 1_200;
+  const SMALLEST_BYTES = 16_384;
+  const rates = fc.double({min: 0, max: 3, noNaN: true});
+
+  it('fit into what callers leave, within their limit', () => {
+    // Guards against reads that expire, one after the other, on their own size.
+    fc.assert(
+      fc.property(rates, callers => {
+        const {load} = new LinkReplay().play(3, callers);
+        const bytes = load.answerBytes(LIMIT_MILLISECONDS);
+        const left = Math.max(0, 1 - callers) * CAPACITY;
+        const fits = (left * LIMIT_MILLISECONDS) / 1_000;
+        expect(bytes).toBeLessThanOrEqual(Math.max(SMALLEST_BYTES, fits));
+        expect(bytes).toBeGreaterThanOrEqual(SMALLEST_BYTES);
+      }),
+    );
+  });
+
+  it('are larger where callers leave more', () => {
+    const bytes = [0.2, 0.6, 0.9].map(callers =>
+      new LinkReplay().play(3, callers).load.answerBytes(LIMIT_MILLISECONDS),
+    );
+    expect(bytes).toEqual([...bytes].sort((one, other) => other - one));
+    expect(new Set(bytes).size).toBe(bytes.length);
+  });
+});
--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -73,6 +73,10 @@
     return this.delay.milliseconds(this.isCongested);
   }
 
+  override answerBytes(milliseconds: number): number {
+    return this.isCongested ? this.load.answerBytes(milliseconds) : Infinity;
+  }
+
   override arrived(milliseconds: number): void {
     this.delay.arrived(milliseconds);
   }
--- a/packages/platform/src/host-link.ts
+++ b/packages/platform/src/host-link.ts
@@ -14,6 +14,9 @@
   /** Whether the link is full or was so recently: lateness says nothing of peers. */
   abstract get isCongested(): boolean;
 
+  /** Largest answer that crosses the link within a time; Infinity while it is free. */
+  abstract answerBytes(milliseconds: number): number;
+
   /** What a peer sends without delay came after so long. */
   abstract arrived(milliseconds: number): void;
 
@@ -26,6 +29,10 @@
   override readonly delayMilliseconds = 0;
   override readonly isCongested = false;
 
+  override answerBytes(): number {
+    return Infinity;
+  }
+
   override arrived(): void {
     // Nothing depends on it.
   }
--- a/packages/stand-ins/src/testing/fake-host-link.ts
+++ b/packages/stand-ins/src/testing/fake-host-link.ts
@@ -7,10 +7,20 @@
   readonly arrivals: number[] = [];
   readonly expiries: number[] = [];
 
+  /** The largest answer that crosses in time. */
+  mostAnswerBytes = Infinity;
+  /** The times that it was asked for, milliseconds. */
+  readonly answerLimits: number[] = [];
+
   override get isCongested(): boolean {
     return this.delayMilliseconds > 0;
   }
 
+  override answerBytes(milliseconds: number): number {
+    this.answerLimits.push(milliseconds);
+    return this.mostAnswerBytes;
+  }
+
   override arrived(milliseconds: number): void {
     this.arrivals.push(milliseconds);
   }
