--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -20,6 +20,7 @@
 import type {GatewayNames} from './gateway-names.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
 import {GracefulStop} from './graceful-stop.js';
+import type {HostTraffic} from './host-traffic.js';
 import {LinkWatch} from './link-watch.js';
 import {listenAddress} from './listening.js';
 import {ConnectLoanPeers} from './loan-peers.js';
@@ -43,6 +44,8 @@
   readonly events: EventLog;
   /** May listen already. */
   readonly door: CallerDoor;
+  /** Of its host; by default that of this process. */
+  readonly traffic?: HostTraffic;
 }
 
 /**
@@ -212,6 +215,11 @@
     return this.callers.port;
   }
 
+  /** Port of the readiness address; the settings may leave it to the system. */
+  get readyPort(): number {
+    return this.status.readyPort;
+  }
+
   /**
    * Takes the bounds that may change while it runs. Addresses stay: open
    * connections hang on them, and a restart takes new ones.
@@ -264,10 +272,10 @@
   }
 
   private createLink(): LinkWatch {
-    const {settings, clock, events} = this.parts;
+    const {settings, clock, events, traffic} = this.parts;
     return new LinkWatch(
       gatewayLimits(settings).linkCapacity,
-      new ProcessTraffic(),
+      traffic ?? new ProcessTraffic(),
       events,
       () => clock.monotonicMilliseconds(),
     );
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -10,4 +10,5 @@
 export * from './gateway.js';
 export * from './gateway-names.js';
 export * from './hop-headers.js';
+export * from './host-traffic.js';
 export * from './listening.js';
--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -1,7 +1,7 @@
 import {LinkLoad} from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 
-import type {ProcessTraffic} from './process-traffic.js';
+import type {HostTraffic} from './host-traffic.js';
 
 /** A burst of callers shows within a second. */
 const SAMPLE_MILLISECONDS = 200;
@@ -17,7 +17,7 @@
   /** @param capacity Of the link, bytes a second; 0 where it is not known. */
   constructor(
     private readonly capacity: number,
-    private readonly traffic: ProcessTraffic,
+    private readonly traffic: HostTraffic,
     private readonly events: EventLog,
     private readonly now: () => number,
   ) {
--- a/packages/gateway/src/process-traffic.ts
+++ b/packages/gateway/src/process-traffic.ts
@@ -1,6 +1,8 @@
 import {subscribe, unsubscribe} from 'node:diagnostics_channel';
 import {Socket} from 'node:net';
 
+import {HostTraffic} from './host-traffic.js';
+
 /** Node.js names each new connection there. */
 const OPENED_CHANNEL = 'net.client.socket';
 const ACCEPTED_CHANNEL = 'net.server.socket';
@@ -42,31 +44,32 @@
   }
 }
 
-/** Bytes that a process has received and sent on its TCP connections since it began. */
-export class ProcessTraffic {
+/** Bytes on all TCP connections of this process since it began: it is alone on its host. */
+export class ProcessTraffic extends HostTraffic {
   private readonly accepted = new SideTraffic();
   private readonly opened = new SideTraffic();
 
   /** Counts connections that come from now on. */
   constructor() {
+    super();
     subscribe(ACCEPTED_CHANNEL, this.accepted.add);
     subscribe(OPENED_CHANNEL, this.opened.add);
   }
 
-  /** Bytes received on connections that callers opened, and on all. */
-  get received(): {readonly fromCallers: number; readonly inAll: number} {
+  override get received(): {
+    readonly fromCallers: number;
+    readonly inAll: number;
+  } {
     const fromCallers = this.accepted.read;
     return {fromCallers, inAll: fromCallers + this.opened.read};
   }
 
-  /** Bytes given to connections that callers opened, and to all. */
-  get sent(): {readonly toCallers: number; readonly inAll: number} {
+  override get sent(): {readonly toCallers: number; readonly inAll: number} {
     const toCallers = this.accepted.written;
     return {toCallers, inAll: toCallers + this.opened.written};
   }
 
-  /** Counts no new connections. */
-  close(): void {
+  override close(): void {
     unsubscribe(ACCEPTED_CHANNEL, this.accepted.add);
     unsubscribe(OPENED_CHANNEL, this.opened.add);
   }
