--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -2,7 +2,7 @@
 import {HostLink} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
-import type {ProcessTraffic} from './process-traffic.js';
+import type {HostTraffic} from './host-traffic.js';
 
 /** A burst of callers shows within a second. */
 const SAMPLE_MILLISECONDS = 200;
@@ -22,7 +22,7 @@
   /** @param capacity Of the link, bytes a second; 0 where it is not known. */
   constructor(
     private readonly capacity: number,
-    private readonly traffic: ProcessTraffic,
+    private readonly traffic: HostTraffic,
     private readonly events: EventLog,
     private readonly now: () => number,
   ) {
