--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -255,9 +255,9 @@
   private createHealth(): TopicHealth {
     const {clock, events} = this.parts;
     const now = () => clock.monotonicMilliseconds();
-    const isLinkCongested = () => this.link.isCongested;
-    const linkDelays = {isLinkCongested};
-    const budgetDelays = {lag: new LoopLag(now), isLinkCongested};
+    const {link} = this;
+    const linkDelays = {link};
+    const budgetDelays = {lag: new LoopLag(now), link};
     return {
       budgets: new StoreHealth('budgets', events, budgetDelays),
       endpoints: new StoreHealth('endpoints', events, linkDelays),
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -24,6 +24,8 @@
   readonly bound: number;
   /** Whether a request of which nothing is delivered costs nothing. */
   readonly mayPromise: boolean;
+  /** Time left to the request; no bound by default. */
+  readonly remainingMilliseconds?: number;
 }
 
 /** How long a request waits for tokens. */
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -245,6 +245,8 @@
       {
         bound,
         mayPromise: charge === UndeliveredCharge.Nothing,
+        remainingMilliseconds:
+          context.deadlineAt - this.parts.clock.monotonicMilliseconds(),
       },
     );
     if ('refusal' in reserved) {
--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -1,4 +1,4 @@
-import {isCallTimeout} from '@wisteriadeal/platform';
+import {isCallTimeout, type HostLink} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {LoopLag} from './loop-lag.js';
@@ -11,13 +11,18 @@
 const LATE_FACTOR = 3;
 /** Calls over which the usual time falls; it rises with one. */
 const MEAN_CALLS = 8;
+/** An exchange with the store is an append and a read. */
+const EXCHANGE_CALLS = 2;
 
 /** Delays of this host itself, which make the store's answers late. */
 export interface HostDelays {
   /** Of the event loop; excluded from the time that a call has waited. */
   readonly lag?: LoopLag;
-  /** Whether answers may be queued at this host's link; a timeout is then no outage. */
-  readonly isLinkCongested?: () => boolean;
+  /**
+   * Of this host. Its delay is excluded from the time that a call has waited; a timeout
+   * while it is congested is no outage.
+   */
+  readonly link?: HostLink;
 }
 
 /**
@@ -73,6 +78,11 @@
     return this.lastAnswerAt === undefined ? Infinity : now - this.lastAnswerAt;
   }
 
+  /** How much longer an exchange takes for this host's own link, milliseconds. */
+  get linkDelayMilliseconds(): number {
+    return EXCHANGE_CALLS * (this.delays.link?.delayMilliseconds ?? 0);
+  }
+
   /** The newest call was made. */
   called(now: number): void {
     this.calledAt = now;
@@ -141,7 +151,7 @@
     this.delays.lag?.stop();
     this.calledAt = undefined;
     const isLinkDelay =
-      isCallTimeout(error) && this.delays.isLinkCongested?.() === true;
+      isCallTimeout(error) && this.delays.link?.isCongested === true;
     this.hasOutage ||= !isLinkDelay;
     if (this.failingSince === undefined) {
       this.failingSince = now;
@@ -153,10 +163,13 @@
     }
   }
 
-  /** How long the newest call has waited, without blocked time, milliseconds. */
+  /** How long the newest call has waited, without this host's delays, milliseconds. */
   private waited(now: number): number {
     return this.calledAt === undefined
       ? 0
-      : now - this.calledAt - (this.delays.lag?.blockedMilliseconds ?? 0);
+      : now -
+          this.calledAt -
+          (this.delays.lag?.blockedMilliseconds ?? 0) -
+          this.linkDelayMilliseconds;
   }
 }
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -138,6 +138,47 @@
     },
   );
 
+  describe('whose host’s full link delays the store’s answers', () => {
+    const DELAY_MILLISECONDS = 900;
+    let holder: BudgetHolder;
+
+    beforeEach(async () => {
+      vi.useFakeTimers();
+      holder = await inHeldTime(fleet.start('one'));
+      await inHeldTime(until(() => available(holder) > 0));
+      fleet.link.delayMilliseconds = DELAY_MILLISECONDS;
+      fleet.log.faults.answerAfterMilliseconds = DELAY_MILLISECONDS;
+    });
+
+    it('waits for a grant as long as it takes to come', async () => {
+      // Guards against refusals for tokens that nobody has been granted.
+      expect(await inHeldTime(use(holder, LARGE_REQUEST))).toBe(true);
+    });
+
+    it('waits no longer than the request has time', async () => {
+      // Guards against callers that are told too late to come back.
+      const startedAt = performance.now();
+      const late = holder.reservations.reserve(SCHOOL, {
+        ...wish(LARGE_REQUEST, false),
+        remainingMilliseconds: 600,
+      });
+      expect(await inHeldTime(late)).toHaveProperty('refusal');
+      expect(performance.now() - startedAt).toBeLessThanOrEqual(601);
+    });
+
+    it('lets requests begin on what the log has while its answers are awaited', async () => {
+      // Guards against a late answer that is taken for a store that is away.
+      await vi.advanceTimersByTimeAsync(2 * DELAY_MILLISECONDS);
+      for (let step = 0; step < 20; step++) {
+        await vi.advanceTimersByTimeAsync(100);
+        const begun = holder.reservations.reserve(SCHOOL, wish(REQUEST, true));
+        expect(await inHeldTime(begun)).toMatchObject({
+          reservation: {chargePoint: ChargePoint.Delivery},
+        });
+      }
+    });
+  });
+
   it('serves a request that comes while the log denies more in hand', async () => {
     // Callers were refused, or waited for loans, though the log had their tokens.
     const holder = await fleet.start('one');
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -2,7 +2,7 @@
 import {Fate, StepError} from '@wisteriadeal/platform';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
 import {LogLevel} from '@wisteriadeal/schema';
-import {MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
+import {FakeHostLink, MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
 
 import {BudgetHolder} from '../budget-holder.js';
 import {BudgetJournal} from '../budget-journal.js';
@@ -63,6 +63,8 @@
 export class HolderFleet {
   readonly log = new MemoryPartitionedLog();
   readonly faults: PeerFaults = {losesAnswers: false};
+  /** Of every host. */
+  readonly link = new FakeHostLink();
   readonly events: Record<string, unknown>[] = [];
   private readonly clock = new SystemClock();
   private readonly holders = new Map<string, BudgetHolder>();
@@ -91,6 +93,7 @@
     };
     const health = new StoreHealth('budgets', events, {
       lag: new LoopLag(() => clock.monotonicMilliseconds()),
+      link: this.link,
     });
     this.storeHealths.push(health);
     const holder = new BudgetHolder(
--- a/packages/gateway/src/test/store-health_test.ts
+++ b/packages/gateway/src/test/store-health_test.ts
@@ -1,5 +1,6 @@
 import {EventLog} from '@wisteriadeal/runtime';
 import {LogLevel} from '@wisteriadeal/schema';
+import {FakeHostLink} from '@wisteriadeal/stand-ins';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {LoopLag} from '../loop-lag.js';
@@ -101,3 +102,34 @@
     expect(health.lateIn(now)).toBeGreaterThan(0);
   });
 });
+
+describe('StoreHealth of a host whose link is full', () => {
+  const DELAY_MILLISECONDS = 500;
+  let link: FakeHostLink;
+  let health: StoreHealth;
+
+  beforeEach(() => {
+    link = new FakeHostLink();
+    const events = EventLog.create(LogLevel.INFO, {}, () => undefined);
+    health = new StoreHealth('budgets', events, {link});
+    health.answered(0);
+    health.called(0);
+  });
+
+  it('does not count the delay of an append and a read as waiting', () => {
+    // Guards against a host that borrows from others because of its own delay.
+    link.delayMilliseconds = DELAY_MILLISECONDS;
+    expect(health.lateIn(1_000)).toBe(60);
+    expect(health.isAtHand(1_249)).toBe(true);
+    expect(health.isAtHand(1_250)).toBe(false);
+  });
+
+  it('counts all of it once the link is free', () => {
+    // Guards against requests that keep waiting for an unreachable store.
+    link.delayMilliseconds = DELAY_MILLISECONDS;
+    expect(health.isAtHand(300)).toBe(true);
+    link.delayMilliseconds = 0;
+    expect(health.isAtHand(300)).toBe(false);
+    expect(health.lateIn(300)).toBe(0);
+  });
+});
--- a/packages/gateway/src/token-reservations.ts
+++ b/packages/gateway/src/token-reservations.ts
@@ -19,6 +19,8 @@
  * shortest goal among the users' requests is some 150 ms.
  */
 const WAIT_MILLISECONDS = 400;
+/** The exchange with the store that is under way, and the one that brings the grant. */
+const WAIT_EXCHANGES = 2;
 /** A lender waits so long for the store; its borrower waits 120 ms for it. */
 const FETCH_MILLISECONDS = 70;
 
@@ -85,7 +87,7 @@
       return {refusal: BudgetRefusal.Exhausted};
     }
     const result = budget.reserveLater(bound, {
-      milliseconds: WAIT_MILLISECONDS,
+      milliseconds: this.waitFor(wish),
       refusal: () => this.book.refusalOfLate(budget, bound),
     });
     return this.bring(budget, result);
@@ -142,6 +144,15 @@
     }
   }
 
+  /** Longer while this host's link delays the store's answers, within its time. */
+  private waitFor({remainingMilliseconds = Infinity}: TokenWish): number {
+    const delay = WAIT_EXCHANGES * this.book.health.linkDelayMilliseconds;
+    return Math.max(
+      WAIT_MILLISECONDS,
+      Math.min(remainingMilliseconds, WAIT_MILLISECONDS + delay),
+    );
+  }
+
   /** Wakes the exchange with the store, and asks other holders where it is late. */
   private async bring<Result>(
     budget: OrganisationBudget,
