--- a/packages/gateway/src/answer-patience.ts
+++ b/packages/gateway/src/answer-patience.ts
@@ -4,7 +4,7 @@
   PromptSize,
   SilenceBounds,
 } from '@wisteriadeal/decisions';
-import type {Clock} from '@wisteriadeal/platform';
+import type {Clock, HostLink} from '@wisteriadeal/platform';
 
 import {RouteKind} from './configuration.js';
 import type {KnownEndpoint} from './endpoint-directory.js';
@@ -54,6 +54,7 @@
     private readonly context: RequestContext,
     private readonly dataCenters: DataCenterTrust,
     private readonly clock: Clock,
+    private readonly link: HostLink,
   ) {
     const isStream = context.route.kind === RouteKind.Streaming;
     this.options = isStream ? STREAM_PATIENCE : WHOLE_PATIENCE;
@@ -117,7 +118,7 @@
       firstMilliseconds: mayMove
         ? this.firstLimit(this.moveBounds())
         : undefined,
-      nextMilliseconds: next,
+      nextMilliseconds: next + this.link.delayMilliseconds,
       mayMove,
     };
   }
@@ -142,7 +143,8 @@
   }
 
   private firstLimit(bounds: SilenceBounds): number {
-    return this.estimate.limit(this.promptSize(), bounds);
+    const limit = this.estimate.limit(this.promptSize(), bounds);
+    return limit + this.link.delayMilliseconds;
   }
 
   private promptSize(): PromptSize {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -287,6 +287,7 @@
         clock,
         events,
         connections: this.connections,
+        link: this.link,
         directory: this.directory,
         dataCenter: settings.dataCenter,
         dataCenters: new DataCenterTrust(settings.dataCenter),
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -1,5 +1,9 @@
 import type {DataCenterTrust} from '@wisteriadeal/decisions';
-import {NetworkTimeout, type Clock} from '@wisteriadeal/platform';
+import {
+  NetworkTimeout,
+  type Clock,
+  type HostLink,
+} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import {AnswerPatience} from './answer-patience.js';
@@ -31,6 +35,7 @@
 export interface RunParts {
   readonly dialect: Dialect;
   readonly connections: EndpointConnections;
+  readonly link: HostLink;
   readonly directory: EndpointDirectory;
   readonly clock: Clock;
   readonly events: EventLog;
@@ -82,7 +87,7 @@
       dataCenter,
     );
     this.ending = new RequestEnding(parts.dialect, context, record);
-    this.patience = new AnswerPatience(context, dataCenters, clock);
+    this.patience = new AnswerPatience(context, dataCenters, clock, parts.link);
   }
 
   /** Ends when the caller has its answer, was told why not, or has left. */
