--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -101,6 +101,7 @@
         capacityBytes: Math.round(this.capacity),
         receivedBytes: Math.round(this.bytesPerSecond),
         fromCallersBytes: Math.round(this.load.callerBytesPerSecond),
+        delayMilliseconds: Math.round(this.delayMilliseconds),
       });
     }
   }
