--- a/packages/decisions/src/link-load.ts
+++ b/packages/decisions/src/link-load.ts
@@ -18,6 +18,8 @@
 const FULL_PART = 0.85;
 /** ... and below this it doesn't any more. */
 const FREE_PART = 0.6;
+/** A link that carries all it can: protocol headers are not counted. */
+const SATURATED_PART = 0.92;
 /** Callers fill the link, rather than the store's records at a start. */
 const CALLERS_PART = 0.5;
 /** Of what callers leave, for one answer; endpoints' answers take the rest. */
@@ -65,6 +67,13 @@
     );
   }
 
+  /** Whether callers send as much as the link carries, or more. */
+  get isSaturated(): boolean {
+    return (
+      this.isLinkFull && this.bytesPerSecond >= SATURATED_PART * this.capacity
+    );
+  }
+
   /**
    * Takes what has come in; to be called some times a second.
    *
--- a/packages/decisions/src/test/link-load_test.ts
+++ b/packages/decisions/src/test/link-load_test.ts
@@ -41,6 +41,13 @@
     expect(load.isFull).toBe(true);
   });
 
+  it('is saturated as long as callers send more than it carries', () => {
+    const replay = new LinkReplay().play(5, 0.14);
+    expect(replay.play(2, 1.1).load.isSaturated).toBe(true);
+    expect(replay.play(3, 0.7).load.isSaturated).toBe(false);
+    expect(replay.load.isFull).toBe(true);
+  });
+
   it('is not full below its capacity', () => {
     const parts = fc.array(fc.double({min: 0, max: 0.84, noNaN: true}));
     fc.assert(
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -134,6 +134,16 @@
     return this.open.get(request.socket)?.add(response) ?? false;
   }
 
+  /**
+   * Whether a connection can end with this answer: nothing else is on it. Another
+   * request on it would get no answer, and a body that still comes resets the
+   * connection before the caller has read the answer.
+   */
+  mayEndWith(request: IncomingMessage, response: ServerResponse): boolean {
+    const answers = this.open.get(request.socket)?.answers;
+    return request.complete && answers?.size === 1 && answers.has(response);
+  }
+
   /** What they are in the middle of now. */
   get counts(): ConnectionCounts {
     const connections = [...this.open.values()];
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -28,6 +28,8 @@
   /**
    * @param arrivedAt On this process's monotonic clock, milliseconds.
    * @param unseenMilliseconds How long it is likely to have waited before that.
+   * @param endsConnection Whether the connection ends with the answer; asked when the
+   *     answer begins.
    */
   constructor(
     private readonly dialect: Dialect,
@@ -35,6 +37,7 @@
     private readonly response: ServerResponse,
     readonly arrivedAt: number,
     readonly unseenMilliseconds: number,
+    private readonly endsConnection: () => boolean = () => false,
   ) {
     response.sendDate = false;
     response.on('error', () => {
@@ -248,6 +251,9 @@
   }
 
   private begin(status: number, headers: string[]): void {
+    if (this.endsConnection()) {
+      this.closeAfterwards();
+    }
     this.response.writeHead(status, headers);
     this.onAnswering();
   }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -11,6 +11,7 @@
 import type {CallerLimits} from './configuration.js';
 import type {Dialect} from './dialect.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {HostRotation} from './host-rotation.js';
 import type {ListenAddress} from './listening.js';
 import {LoadReport} from './load-report.js';
 import {LoopWatch} from './loop-watch.js';
@@ -21,6 +22,7 @@
 export class CallerServer {
   private isStopping = false;
   private open = 0;
+  private accepted = 0;
   private onIdle: (() => void) | undefined;
   private readonly report: LoadReport;
   private readonly watch: LoopWatch;
@@ -33,6 +35,7 @@
     private readonly dialect: Dialect,
     private readonly handler: RequestHandler,
     private readonly gate: StartGate,
+    private readonly rotation: HostRotation,
     private readonly metrics: GatewayMetrics,
     private readonly clock: Clock,
     private readonly events: EventLog,
@@ -74,6 +77,11 @@
     return this.open;
   }
 
+  /** Connections that callers have opened since the start. */
+  get acceptedConnections(): number {
+    return this.accepted;
+  }
+
   /** What callers' connections are in the middle of. */
   get connectionCounts(): ConnectionCounts {
     return this.door.connections.counts;
@@ -84,6 +92,7 @@
     await this.door.listen(at);
     this.door.server.on('connection', socket => {
       this.unread.add(socket);
+      this.accepted++;
       this.watch.connected();
       this.arrivals.connected();
       this.report.connected();
@@ -148,6 +157,9 @@
       response,
       arrivedAt,
       unseenMilliseconds,
+      () =>
+        this.rotation.endsConnections &&
+        this.door.connections.mayEndWith(request, response),
     );
     if (this.isStopping) {
       caller.closeAfterwards();
--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -19,6 +19,12 @@
  * that is safe. Data centres are under 2 ms apart and a handshake takes 1 ms.
  */
 const CONNECT_MILLISECONDS = 120;
+/**
+ * A connection to an endpoint is waited for no longer, however full the host's link is:
+ * by then the endpoint may have been listed as leaving, and the request has less time
+ * left than it was given with it.
+ */
+const LONGEST_CONNECT_MILLISECONDS = 400;
 /** The mean time of connects follows about so many of them. */
 const CONNECT_SAMPLES = 16;
 
@@ -96,12 +102,15 @@
 
   /** How long a new connection is waited for from now on, milliseconds. */
   get connectLimitMilliseconds(): number {
-    return CONNECT_MILLISECONDS + this.link.delayMilliseconds;
+    return Math.min(
+      LONGEST_CONNECT_MILLISECONDS,
+      CONNECT_MILLISECONDS + this.link.delayMilliseconds,
+    );
   }
 
-  /** Whether connections may be late for this host's own link. */
-  get isLinkCongested(): boolean {
-    return this.link.isCongested;
+  /** Whether connections are late for this host's own link. */
+  get isLinkLate(): boolean {
+    return this.link.isLate;
   }
 
   /** A connection had not come after so long, and was given up. */
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -192,7 +192,7 @@
     return (
       this.connectStartedAt !== undefined &&
       !this.isConnected &&
-      this.connections.isLinkCongested
+      this.connections.isLinkLate
     );
   }
 
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -7,6 +7,7 @@
 import type {EndpointConnections} from './endpoint-connections.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {HostRotation} from './host-rotation.js';
 import type {LinkWatch} from './link-watch.js';
 import {GatewayStatus} from './status-server.js';
 import type {StoreHealth} from './store-health.js';
@@ -30,6 +31,7 @@
     private readonly health: TopicHealth,
     private readonly metrics: GatewayMetrics,
     private readonly link: LinkWatch,
+    private readonly rotation: HostRotation,
     private readonly connections: EndpointConnections,
     private readonly clock: Clock,
   ) {
@@ -44,18 +46,24 @@
   override isReady(): boolean {
     return (
       !this.isStopping &&
+      this.rotation.takesConnections &&
       this.budgets.isReady &&
       this.configuration.current !== undefined &&
       this.directory.all.length > 0
     );
   }
 
+  override probed(isReady: boolean): void {
+    this.rotation.probed(isReady);
+  }
+
   override dump(): JsonValue {
     const now = this.clock.monotonicMilliseconds();
     const configuration = this.configuration.current;
     return {
       ready: this.isReady(),
       stopping: this.isStopping,
+      rotation: this.rotation.state,
       configuration: configuration?.version ?? null,
       away: {
         budgets: this.health.budgets.isAway,
@@ -109,6 +117,7 @@
       this.connections.connectMilliseconds,
     );
     this.metrics.state('link_full', this.link.isFull ? 1 : 0);
+    this.metrics.state('in_rotation', this.rotation.takesConnections ? 1 : 0);
     this.metrics.state('endpoints', this.directory.all.length);
     this.metrics.state('budget_holders', this.budgets.holders);
     this.metrics.state('resident_bytes', process.memoryUsage.rss());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,8 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
-import {DataCenterTrust} from '@wisteriadeal/decisions';
+import {
+  DataCenterTrust,
+  WithdrawWhileOverloaded,
+} from '@wisteriadeal/decisions';
 import type {Clock, PartitionedLog, RandomSource} from '@wisteriadeal/platform';
 import type {EventLog, JsonValue, RunningBinary} from '@wisteriadeal/runtime';
 import type {GatewaySettings} from '@wisteriadeal/schema';
@@ -18,6 +21,7 @@
 import {GatewayMetrics} from './gateway-metrics.js';
 import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
+import {HostRotation} from './host-rotation.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
 import {GracefulStop} from './graceful-stop.js';
 import type {HostTraffic} from './host-traffic.js';
@@ -81,6 +85,7 @@
   private readonly connections: EndpointConnections;
   private readonly metrics = new GatewayMetrics();
   private readonly link: LinkWatch;
+  private readonly rotation: HostRotation;
   private readonly gate = new StartGate(Object.values(StartNeed));
   private lender: LoanServer | undefined;
 
@@ -89,6 +94,7 @@
     this.link = this.createLink();
     this.connections = new EndpointConnections(this.link);
     log.useLink(this.link);
+    this.rotation = this.createRotation();
     this.health = this.createHealth();
     this.configuration = new ConfigurationState(
       names.configurationKey,
@@ -113,6 +119,7 @@
       dialect,
       this.handler,
       this.gate,
+      this.rotation,
       this.metrics,
       clock,
       events,
@@ -125,6 +132,7 @@
       this.health,
       this.metrics,
       this.link,
+      this.rotation,
       this.connections,
       clock,
     );
@@ -135,6 +143,12 @@
       events,
     );
     this.followers = this.createFollowers();
+    this.link.whenSampled(() => {
+      this.rotation.observe({
+        isOverloaded: this.link.isOverloaded,
+        connections: this.callers.acceptedConnections,
+      });
+    });
     this.directory.onRead(() => {
       this.gate.met(StartNeed.Endpoints);
     });
@@ -283,6 +297,15 @@
     );
   }
 
+  private createRotation(): HostRotation {
+    const {clock, events} = this.parts;
+    return new HostRotation({
+      policy: new WithdrawWhileOverloaded(),
+      events,
+      now: () => clock.monotonicMilliseconds(),
+    });
+  }
+
   private createHandler(): RequestHandler {
     const {settings, dialect, clock, random, events} = this.parts;
     return new RequestHandler(
--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -1,4 +1,4 @@
-import {LinkDelay, LinkLoad} from '@wisteriadeal/decisions';
+import {LinkDelay, LinkLoad, StandingDelay} from '@wisteriadeal/decisions';
 import {HostLink} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
@@ -16,8 +16,10 @@
 export class LinkWatch extends HostLink {
   private readonly load: LinkLoad;
   private readonly delay = new LinkDelay();
+  private readonly standing = new StandingDelay();
   private timer: NodeJS.Timeout | undefined;
   private lastFullAt = -Infinity;
+  private onSample: () => void = () => undefined;
 
   /** @param capacity Of the link, bytes a second; 0 where it is not known. */
   constructor(
@@ -30,6 +32,11 @@
     this.load = new LinkLoad(capacity);
   }
 
+  /** Calls the listener, in place of one before it, after each sample. */
+  whenSampled(listener: () => void): void {
+    this.onSample = listener;
+  }
+
   /** Begins to watch. */
   start(): void {
     this.timer = setInterval(() => {
@@ -64,6 +71,16 @@
     return this.load.isFull;
   }
 
+  override get isLate(): boolean {
+    return this.isCongested && this.standing.isStanding(this.now());
+  }
+
+  /** Whether callers send more than the link carries, or did so and still wait. */
+  get isOverloaded(): boolean {
+    const isStanding = this.standing.isStanding(this.now());
+    return this.isFull && (this.load.isSaturated || isStanding);
+  }
+
   /** Whether the link is or was recently full, so that answers may be queued at it. */
   override get isCongested(): boolean {
     return this.now() - this.lastFullAt < QUEUE_DRAIN_MILLISECONDS;
@@ -79,6 +96,7 @@
 
   override arrived(milliseconds: number): void {
     this.delay.arrived(milliseconds);
+    this.standing.arrived(this.now(), milliseconds);
   }
 
   override expired(milliseconds: number): void {
@@ -104,5 +122,6 @@
         delayMilliseconds: Math.round(this.delayMilliseconds),
       });
     }
+    this.onSample();
   }
 }
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -73,6 +73,8 @@
 
 /** A lender in another data centre answers within some 10 ms; a frozen one never. */
 const ANSWER_MILLISECONDS = 120;
+/** A silent lender holds up all loans of an organisation for no longer. */
+const LONGEST_ANSWER_MILLISECONDS = 1_000;
 
 interface Peer {
   readonly client: Client<typeof GrantLoanService>;
@@ -122,7 +124,10 @@
     exchange: (client: Peer['client'], signal: AbortSignal) => Promise<Answer>,
   ): Promise<Answer> {
     const controller = new AbortController();
-    const limit = ANSWER_MILLISECONDS + this.linkDelay(address);
+    const limit = Math.min(
+      LONGEST_ANSWER_MILLISECONDS,
+      ANSWER_MILLISECONDS + this.linkDelay(address),
+    );
     const timeout = new NetworkTimeout(limit, () => {
       controller.abort(
         new ConnectError('the operation timed out', Code.DeadlineExceeded),
--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -13,6 +13,8 @@
 export abstract class GatewayStatus {
   /** Whether this host takes callers. */
   abstract isReady(): boolean;
+  /** The platform's balancer was answered whether this host takes callers. */
+  abstract probed(isReady: boolean): void;
   /** The state, for people. */
   abstract dump(): JsonValue;
   /** Brings gauges up to date before they are read. */
@@ -73,6 +75,9 @@
   ): void {
     const isKnown = request.url === this.readyPath;
     const isReady = isKnown && this.status.isReady();
+    if (isKnown) {
+      this.status.probed(isReady);
+    }
     response.statusCode = isKnown ? (isReady ? 200 : 503) : 404;
     response.end();
   }
--- /dev/null
+++ b/packages/gateway/src/test/host-rotation_test.ts
@@ -0,0 +1,51 @@
+import {WithdrawWhileOverloaded} from '@wisteriadeal/decisions';
+import {EventLog} from '@wisteriadeal/runtime';
+import {LogLevel} from '@wisteriadeal/schema';
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {HostRotation} from '../host-rotation.js';
+
+let now: number;
+let lines: Record<string, unknown>[];
+let rotation: HostRotation;
+
+function observe(isOverloaded: boolean): void {
+  now += 200;
+  rotation.observe({isOverloaded, connections: 0});
+}
+
+beforeEach(() => {
+  now = 0;
+  lines = [];
+  rotation = new HostRotation({
+    policy: new WithdrawWhileOverloaded(),
+    events: EventLog.create(LogLevel.INFO, {}, line => {
+      lines.push(JSON.parse(line) as Record<string, unknown>);
+    }),
+    now: () => now,
+  });
+});
+
+describe('HostRotation', () => {
+  it('ends connections once the balancer has been told twice', () => {
+    // Guards against callers that come back to the host that sent them away.
+    observe(true);
+    expect(rotation.takesConnections).toBe(false);
+    rotation.probed(false);
+    now += 1_000;
+    observe(true);
+    expect(rotation.endsConnections).toBe(false);
+    rotation.probed(false);
+    observe(true);
+    expect(rotation.endsConnections).toBe(true);
+  });
+
+  it('logs each change once', () => {
+    observe(false);
+    observe(true);
+    observe(true);
+    expect(lines).toMatchObject([
+      {event: 'rotation', from: 'serving', to: 'withdrawing'},
+    ]);
+  });
+});
--- a/packages/gateway/src/test/loan-peers_test.ts
+++ b/packages/gateway/src/test/loan-peers_test.ts
@@ -126,7 +126,8 @@
 
 describe('ConnectLoanPeers behind a full link', () => {
   const IDLE_LIMIT = 120;
-  const DELAY = 900;
+  const DELAY = 400;
+  const LONGEST_LIMIT = 1_000;
   let holder: SlowHolder;
   let server: LoanServer;
   let link: FakeHostLink;
@@ -167,6 +168,13 @@
     expect(await borrowAfter(IDLE_LIMIT + DELAY)).toBeUndefined();
   });
 
+  it('waits a second at the most', async () => {
+    // Guards against a frozen lender that holds up all loans of an organisation.
+    link.delayMilliseconds = 2_000;
+    expect(await borrowAfter(LONGEST_LIMIT - 1)).toBe(5);
+    expect(await borrowAfter(LONGEST_LIMIT)).toBeUndefined();
+  });
+
   it('waits no longer than before once the link is free', async () => {
     // Guards against requests that wait for silent lenders.
     link.delayMilliseconds = DELAY;
--- a/packages/gateway/src/test/status-server_test.ts
+++ b/packages/gateway/src/test/status-server_test.ts
@@ -15,6 +15,11 @@
 /** A process that is ready or not, as the test says. */
 class FixedStatus extends GatewayStatus {
   ready = true;
+  readonly told: boolean[] = [];
+
+  override probed(isReady: boolean): void {
+    this.told.push(isReady);
+  }
 
   override isReady(): boolean {
     return this.ready;
@@ -56,6 +61,15 @@
     expect(library.isLoaded).toBe(false);
   });
 
+  it('tells what each readiness probe was answered', async () => {
+    const url = `http://127.0.0.1:${server.readyPort}`;
+    await fetch(`${url}/ready`);
+    status.ready = false;
+    await fetch(`${url}/ready`);
+    await fetch(`${url}/other`);
+    expect(status.told).toEqual([true, false]);
+  });
+
   it('serves metrics and the dump to whoever asks', async () => {
     const url = `http://127.0.0.1:${server.statusPort}`;
     const dump = await fetch(`${url}/state`);
--- a/packages/platform/src/host-link.ts
+++ b/packages/platform/src/host-link.ts
@@ -17,6 +17,9 @@
   /** Largest answer that crosses the link within a time; Infinity while it is free. */
   abstract answerBytes(milliseconds: number): number;
 
+  /** Whether all that comes in is late, and not what one peer sends. */
+  abstract get isLate(): boolean;
+
   /** What a peer sends without delay came after so long. */
   abstract arrived(milliseconds: number): void;
 
@@ -28,6 +31,7 @@
 export class FreeLink extends HostLink {
   override readonly delayMilliseconds = 0;
   override readonly isCongested = false;
+  override readonly isLate = false;
 
   override answerBytes(): number {
     return Infinity;
--- a/packages/stand-ins/src/testing/fake-host-link.ts
+++ b/packages/stand-ins/src/testing/fake-host-link.ts
@@ -16,6 +16,10 @@
     return this.delayMilliseconds > 0;
   }
 
+  override get isLate(): boolean {
+    return this.isCongested;
+  }
+
   override answerBytes(milliseconds: number): number {
     this.answerLimits.push(milliseconds);
     return this.mostAnswerBytes;
