--- a/packages/budgets/src/test/budget-fold_test.ts
+++ b/packages/budgets/src/test/budget-fold_test.ts
@@ -39,6 +39,9 @@
     .map(([from, to, wish, lost]) => (fleet: FleetModel) => {
       fleet.lend(from, to, wish, lost);
     }),
+  host.map(at => (fleet: FleetModel) => {
+    fleet.answerLate(at);
+  }),
   host.map(at => (fleet: FleetModel) => {
     fleet.write(at);
   }),
--- a/packages/budgets/src/test/fleet-model.ts
+++ b/packages/budgets/src/test/fleet-model.ts
@@ -22,6 +22,13 @@
   /** Bounds of requests that run and deliver nothing yet. */
   promised: number[];
   unanswered: UnansweredLoans;
+  /** Answers of lenders that were given up, and may come yet. */
+  lateAnswers: LateAnswer[];
+}
+
+interface LateAnswer {
+  readonly loan: string;
+  readonly amount: number;
 }
 
 /**
@@ -179,11 +186,21 @@
     });
     if (isAnswerLost) {
       borrower.unanswered.lost(loan);
+      borrower.lateAnswers.push({loan, amount});
     } else {
       borrower.account.credit(amount);
     }
   }
 
+  /** The newest answer that was given up arrives nevertheless. */
+  answerLate(host: number): void {
+    const {account, unanswered, lateAnswers} = this.at(host);
+    const answer = lateAnswers.pop();
+    if (answer !== undefined) {
+      account.credit(unanswered.answeredLate(answer.loan, answer.amount));
+    }
+  }
+
   /** Appends what a process has not written; verdicts reach it at once. */
   write(host: number): void {
     const {unwritten} = this.at(host);
@@ -241,6 +258,7 @@
       open: [],
       promised: [],
       unanswered: new UnansweredLoans(),
+      lateAnswers: [],
     };
     this.add(host, {
       case: 'opened',
--- a/packages/budgets/src/test/unanswered-loans_test.ts
+++ b/packages/budgets/src/test/unanswered-loans_test.ts
@@ -34,6 +34,19 @@
     expect(loans.recorded('lost', 700)).toBe(0);
   });
 
+  it('takes a loan once whose answer comes after the call was given up', () => {
+    // Guards against tokens that are nobody's, or two borrowers', after a late answer.
+    const loans = new UnansweredLoans();
+    loans.asked('answered first');
+    loans.asked('recorded first');
+    loans.lost('answered first');
+    loans.lost('recorded first');
+    expect(loans.answeredLate('answered first', 700)).toBe(700);
+    expect(loans.recorded('answered first', 700)).toBe(0);
+    expect(loans.recorded('recorded first', 500)).toBe(500);
+    expect(loans.answeredLate('recorded first', 500)).toBe(0);
+  });
+
   it('leaves nothing with nobody once the log has been read', () => {
     const fleet = new FleetModel(2, 10_000);
     fleet.write(0);
--- a/packages/budgets/src/unanswered-loans.ts
+++ b/packages/budgets/src/unanswered-loans.ts
@@ -16,8 +16,8 @@
  * its record on the log brings them. Load: hosts lend each other all the time, and
  * lenders freeze or are cut off. Harm without it: the tokens are nobody's.
  *
- * Each loan is taken once: by its answer or by its record. The borrower decides
- * which when the call ends, so that an answer that comes later changes nothing.
+ * Each loan is taken once: by its answer or by its record. Until the call is given up
+ * the answer decides; after that, whichever comes first.
  */
 export class UnansweredLoans {
   private readonly loans = new Map<string, AskedLoan>();
@@ -37,7 +37,20 @@
   }
 
   /**
-   * The call ended without an answer.
+   * The answer came after the call was given up.
+   *
+   * @returns Tokens to credit now; 0 where the record brought them.
+   * @example
+   * ```ts
+   * account.credit(loans.answeredLate(loan, lent));
+   * ```
+   */
+  answeredLate(loan: string, lent: number): number {
+    return this.loans.delete(loan) ? lent : 0;
+  }
+
+  /**
+   * The call ended without an answer in time.
    *
    * @returns Tokens to credit now: the record came first.
    */
--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -23,7 +23,9 @@
 const LENDERS_AT_ONCE = 3;
 /** A loan is asked for so many times what waits, so that the next finds some. */
 const LOAN_FACTOR = 3;
-/** A lender that did not answer is not asked for this long. */
+/** Why a lender is not asked until its late answer has come. */
+const LATE = 'no answer in time, as this host’s link is late';
+/** A lender that did not answer is not asked for this long, or until it answers. */
 const LENDER_PAUSE_MILLISECONDS = 2_000;
 
 /** Brings tokens from other holders where the store gives none in time. */
@@ -44,7 +46,8 @@
   /**
    * Asks the holders that have most, a few at once. What still waits then is
    * refused: all while the store is away, else the first. Where the log has enough and
-   * has not answered, its answer is waited for: a slow store takes 0.3 s and more.
+   * has not answered, its answer is waited for: a slow store takes 0.3 s and more. So
+   * are loans that this host's own link holds up.
    */
   async borrow(budget: OrganisationBudget): Promise<void> {
     if (budget.isBorrowing) {
@@ -56,12 +59,7 @@
     } finally {
       budget.isBorrowing = false;
     }
-    const view = this.replica.fold.view(budget.name);
-    if (this.health.isAway) {
-      budget.waiters.refuseUndispatched(BudgetRefusal.StoreAway);
-    } else if (!budget.awaitsLog(view, budget.firstBound)) {
-      budget.waiters.refuseFirst(BudgetRefusal.HeldElsewhere);
-    }
+    this.refuseUnserved(budget);
   }
 
   /** The log tells of a loan to this process. */
@@ -108,6 +106,19 @@
     });
   }
 
+  /** Refuses what neither a loan nor the log is about to serve. */
+  private refuseUnserved(budget: OrganisationBudget): void {
+    if (budget.isBorrowing || budget.lateLoans > 0) {
+      return;
+    }
+    const view = this.replica.fold.view(budget.name);
+    if (this.health.isAway) {
+      budget.waiters.refuseUndispatched(BudgetRefusal.StoreAway);
+    } else if (!budget.awaitsLog(view, budget.firstBound)) {
+      budget.waiters.refuseFirst(BudgetRefusal.HeldElsewhere);
+    }
+  }
+
   /** Whether a holder speaks; a loan of nothing is asked for, and none is given. */
   private async answers(address: string): Promise<boolean> {
     try {
@@ -177,27 +188,59 @@
     const borrower = this.journal.incarnation;
     const loan = `${borrower}.${this.asked++}`;
     this.unanswered.asked(loan);
+    const request = {
+      organisation: budget.name,
+      least: budget.firstShortfall,
+      wish: LOAN_FACTOR * budget.waiters.tokens,
+      borrower,
+      loan,
+    };
+    const awaitLate = (answer: Promise<number>) => {
+      void this.awaitLate(budget, address, loan, answer);
+    };
     try {
-      const lent = await this.peers.borrow(address, {
-        organisation: budget.name,
-        least: budget.firstShortfall,
-        wish: LOAN_FACTOR * budget.waiters.tokens,
-        borrower,
-        loan,
-      });
-      this.unanswered.answered(loan);
-      this.events.info('grant borrowed', {
-        organisation: budget.name,
-        lender: address,
-        lent,
-        loan,
-      });
-      budget.credit(lent);
+      const lent = await this.peers.borrow(address, request, awaitLate);
+      if (lent !== undefined) {
+        this.unanswered.answered(loan);
+        this.noteBorrowed(budget, address, loan, lent);
+      }
     } catch (error) {
       this.lost(budget, address, loan, error);
     }
   }
 
+  private noteBorrowed(
+    budget: OrganisationBudget,
+    lender: string,
+    loan: string,
+    lent: number,
+  ): void {
+    const organisation = budget.name;
+    this.events.info('grant borrowed', {organisation, lender, lent, loan});
+    budget.credit(lent);
+  }
+
+  /** The loan is lost for now, so that its record brings it where that comes first. */
+  private async awaitLate(
+    budget: OrganisationBudget,
+    address: string,
+    loan: string,
+    answer: Promise<number>,
+  ): Promise<void> {
+    budget.lateLoans++;
+    this.lost(budget, address, loan, LATE);
+    try {
+      const tokens = this.unanswered.answeredLate(loan, await answer);
+      this.silentLenders.delete(address);
+      this.noteBorrowed(budget, address, loan, tokens);
+    } catch (error) {
+      this.noteSilent(address, loan, error);
+    } finally {
+      budget.lateLoans--;
+      this.refuseUnserved(budget);
+    }
+  }
+
   private lost(
     budget: OrganisationBudget,
     address: string,
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -27,16 +27,29 @@
   readonly loan: string;
 }
 
+/**
+ * Takes an answer that this host's own link holds up beyond its limit. It is rejected
+ * once it is given up.
+ */
+export type LateTaker = (answer: Promise<number>) => void;
+
 /** Other holders, as lenders. */
 export abstract class LoanPeers {
   /**
    * Asks one holder.
    *
-   * @returns Tokens lent; the borrower owns them from now on.
+   * @param late Called before this ends where the answer is late at this host's own
+   *     link; without it such an answer is given up.
+   * @returns Tokens lent; the borrower owns them from now on. Undefined where the
+   *     answer is late and still awaited.
    * @throws StepError where no answer came in time; what was lent then stands in
    *     the lender's record.
    */
-  abstract borrow(address: string, request: LoanRequest): Promise<number>;
+  abstract borrow(
+    address: string,
+    request: LoanRequest,
+    late?: LateTaker,
+  ): Promise<number | undefined>;
 
   /**
    * Gives one holder what this process has left.
@@ -75,6 +88,13 @@
 const ANSWER_MILLISECONDS = 120;
 /** A silent lender holds up all loans of an organisation for no longer. */
 const LONGEST_ANSWER_MILLISECONDS = 1_000;
+/** An answer that this host's own link holds up is awaited so long after its limit. */
+const LATE_ANSWER_MILLISECONDS = 5_000;
+
+type Exchange<Answer> = (
+  client: Client<typeof GrantLoanService>,
+  signal: AbortSignal,
+) => Promise<Answer>;
 
 interface Peer {
   readonly client: Client<typeof GrantLoanService>;
@@ -97,50 +117,78 @@
   override async borrow(
     address: string,
     request: LoanRequest,
-  ): Promise<number> {
-    const {lent} = await this.call('borrow grant', address, (client, signal) =>
-      client.borrow(request, {signal}),
+    late?: LateTaker,
+  ): Promise<number | undefined> {
+    return this.call(
+      'borrow grant',
+      address,
+      async (client, signal) => (await client.borrow(request, {signal})).lent,
+      late,
     );
-    return lent;
   }
 
   override async give(address: string, {giver, given}: Gift): Promise<boolean> {
     const message = {giver, given: [...given]};
-    const {taken} = await this.call('give grant', address, (client, signal) =>
-      client.give(message, {signal}),
+    const taken = await this.call(
+      'give grant',
+      address,
+      async (client, signal) => (await client.give(message, {signal})).taken,
     );
-    return taken;
+    return taken === true;
   }
 
   override close(): void {
-    for (const address of [...this.peers.keys()]) {
-      this.drop(address);
+    for (const [address, peer] of [...this.peers]) {
+      this.drop(address, peer);
     }
   }
 
   private async call<Answer>(
     step: string,
     address: string,
-    exchange: (client: Peer['client'], signal: AbortSignal) => Promise<Answer>,
-  ): Promise<Answer> {
+    exchange: Exchange<Answer>,
+    late?: (answer: Promise<Answer>) => void,
+  ): Promise<Answer | undefined> {
     const controller = new AbortController();
+    const giveUp = () => {
+      controller.abort(
+        new ConnectError('the operation timed out', Code.DeadlineExceeded),
+      );
+    };
     const limit = Math.min(
       LONGEST_ANSWER_MILLISECONDS,
       ANSWER_MILLISECONDS + this.linkDelay(address),
     );
-    const timeout = new NetworkTimeout(limit, () => {
-      controller.abort(
-        new ConnectError('the operation timed out', Code.DeadlineExceeded),
-      );
-    });
+    const answer = this.exchange(step, address, exchange, controller.signal);
+    if (await endsWithin(answer, limit)) {
+      return answer;
+    }
+    if (late === undefined || !this.link.isLate) {
+      giveUp();
+      return answer;
+    }
+    const timeout = new NetworkTimeout(LATE_ANSWER_MILLISECONDS, giveUp);
+    late(
+      answer.finally(() => {
+        timeout.close();
+      }),
+    );
+    return undefined;
+  }
+
+  private async exchange<Answer>(
+    step: string,
+    address: string,
+    exchange: Exchange<Answer>,
+    signal: AbortSignal,
+  ): Promise<Answer> {
+    const peer = this.peer(address);
     try {
-      return await exchange(this.peer(address).client, controller.signal);
+      return await exchange(peer.client, signal);
     } catch (error) {
-      this.drop(address);
+      this.drop(address, peer);
       const reason = String(error);
       throw new StepError(step, address, Fate.Unknown, reason, {cause: error});
-    } finally {
-      timeout.close();
     }
   }
 
@@ -167,8 +215,27 @@
   }
 
   /** A connection that gave no answer may be silent for good. */
-  private drop(address: string): void {
-    this.peers.get(address)?.connections.destroy();
-    this.peers.delete(address);
+  private drop(address: string, peer: Peer): void {
+    peer.connections.destroy();
+    if (this.peers.get(address) === peer) {
+      this.peers.delete(address);
+    }
   }
 }
+
+/** Whether an answer or a failure comes within a time. */
+function endsWithin(
+  work: Promise<unknown>,
+  milliseconds: number,
+): Promise<boolean> {
+  return new Promise(resolve => {
+    const timeout = new NetworkTimeout(milliseconds, () => {
+      resolve(false);
+    });
+    const end = () => {
+      timeout.close();
+      resolve(true);
+    };
+    work.then(end, end);
+  });
+}
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -55,6 +55,8 @@
   /** When the log may be asked for more in hand. */
   readonly refills = new RefillPacing();
   isBorrowing = false;
+  /** Loans whose answers are late at this host's own link and still awaited. */
+  lateLoans = 0;
   /** The log has denied a grant: it is not asked again before; monotonic clock. */
   askAfter = 0;
   /** What the fold was last told that this process has spent. */
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -274,6 +274,48 @@
     },
   );
 
+  it('serves a request by a loan that its own late link held up, and takes it once', async () => {
+    // Guards against refusals while a lender's answer waits at this host's link.
+    const borrower = await fleet.start('one');
+    const lender = await fleet.start('two');
+    for (let request = 0; request < 4; request++) {
+      expect(await use(lender, REQUEST)).toBe(true);
+    }
+    await until(() => available(lender) > 2 * REQUEST);
+    await until(() => borrower.holders === 2);
+    fleet.log.faults.isAway = true;
+    await until(() =>
+      fleet.events.some(
+        ({event, host}) => event === 'store lost' && host === 'one',
+      ),
+    );
+    fleet.link.delayMilliseconds = 200;
+    fleet.faults.answersLateMilliseconds = 300;
+    const large = available(borrower) + REQUEST;
+    expect(await use(borrower, large)).toBe(true);
+    // The lender that has answered is asked again at once.
+    const another = available(borrower) + REQUEST;
+    expect(await use(borrower, another)).toBe(true);
+    fleet.faults.answersLateMilliseconds = 0;
+    fleet.link.delayMilliseconds = 0;
+    fleet.log.faults.isAway = false;
+    await until(() =>
+      ['one', 'two'].every(host =>
+        fleet.events.some(
+          ({event, host: of}) => event === 'store regained' && of === host,
+        ),
+      ),
+    );
+    let spent = 4 * REQUEST + large + another;
+    for (const holder of [borrower, lender, borrower]) {
+      while (await use(holder, REQUEST)) {
+        spent += REQUEST;
+      }
+    }
+    expect(spent).toBeLessThanOrEqual(PREPAID);
+    expect(PREPAID - spent).toBeLessThanOrEqual(REQUEST);
+  });
+
   it('charges nothing for answers that were not there when all hosts died', async () => {
     // The caller sees: after all hosts lost power at once, its budget is there. Each
     // host runs requests whose first event has not come, and promised their tokens.
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -8,7 +8,12 @@
 import {BudgetJournal} from '../budget-journal.js';
 import {BudgetReplica} from '../budget-replica.js';
 import type {FleetConfiguration} from '../configuration.js';
-import {LoanPeers, type Gift, type LoanRequest} from '../loan-peers.js';
+import {
+  LoanPeers,
+  type Gift,
+  type LateTaker,
+  type LoanRequest,
+} from '../loan-peers.js';
 import {LoopLag} from '../loop-lag.js';
 import {StoreHealth} from '../store-health.js';
 
@@ -20,6 +25,8 @@
 export interface PeerFaults {
   /** Answers to loans are lost after the lender took the tokens off. */
   losesAnswers: boolean;
+  /** Answers to loans come so long after their limit; 0 for in time. */
+  answersLateMilliseconds: number;
 }
 
 /** Calls holders of the same process, by their addresses. */
@@ -34,12 +41,23 @@
   override async borrow(
     address: string,
     request: LoanRequest,
-  ): Promise<number> {
+    late?: LateTaker,
+  ): Promise<number | undefined> {
+    const {losesAnswers, answersLateMilliseconds} = this.faults;
     const lent = await this.holder(address).lender.lend(request);
-    if (this.faults.losesAnswers) {
+    const isLate = answersLateMilliseconds > 0;
+    if (losesAnswers || (isLate && late === undefined)) {
       throw new StepError('borrow grant', address, Fate.Unknown, 'lost');
     }
-    return lent;
+    if (!isLate) {
+      return lent;
+    }
+    late?.(
+      new Promise(resolve => {
+        setTimeout(resolve, answersLateMilliseconds, lent);
+      }),
+    );
+    return undefined;
   }
 
   override give(address: string, gift: Gift): Promise<boolean> {
@@ -62,7 +80,10 @@
 /** Holders of one budget over one log in memory, without sockets. */
 export class HolderFleet {
   readonly log = new MemoryPartitionedLog();
-  readonly faults: PeerFaults = {losesAnswers: false};
+  readonly faults: PeerFaults = {
+    losesAnswers: false,
+    answersLateMilliseconds: 0,
+  };
   /** Of every host. */
   readonly link = new FakeHostLink();
   readonly events: Record<string, unknown>[] = [];
--- a/packages/gateway/src/test/loan-peers_test.ts
+++ b/packages/gateway/src/test/loan-peers_test.ts
@@ -1,4 +1,6 @@
+import {StepError} from '@wisteriadeal/platform';
 import {FakeHostLink} from '@wisteriadeal/stand-ins';
+import {Agent} from 'node:http';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {
@@ -128,6 +130,7 @@
   const IDLE_LIMIT = 120;
   const DELAY = 400;
   const LONGEST_LIMIT = 1_000;
+  const LATE_LIMIT = 5_000;
   let holder: SlowHolder;
   let server: LoanServer;
   let link: FakeHostLink;
@@ -175,6 +178,39 @@
     expect(await borrowAfter(LONGEST_LIMIT)).toBeUndefined();
   });
 
+  it('takes a loan that its own late link held up beyond the limit', async () => {
+    // Guards against tokens that stay lent as their borrower has closed the connection.
+    link.delayMilliseconds = DELAY;
+    const connecting = vi.spyOn(Agent.prototype, 'createConnection');
+    const late: Promise<number>[] = [];
+    const loan = peers.borrow(server.address, REQUEST, answer => {
+      late.push(answer);
+    });
+    await holder.asked();
+    vi.advanceTimersByTime(LONGEST_LIMIT);
+    expect(await loan).toBeUndefined();
+    await holder.answer();
+    expect(await Promise.all(late)).toEqual([5]);
+    expect(await borrowAfter(0)).toBe(5);
+    expect(connecting).toHaveBeenCalledTimes(1);
+    connecting.mockRestore();
+  });
+
+  it('gives a loan up that its own late link does not bring in seconds', async () => {
+    // Guards against connections to frozen lenders that are kept for good.
+    link.delayMilliseconds = DELAY;
+    const late: Promise<number>[] = [];
+    const loan = peers.borrow(server.address, REQUEST, answer => {
+      late.push(answer);
+    });
+    await holder.asked();
+    vi.advanceTimersByTime(LONGEST_LIMIT);
+    expect(await loan).toBeUndefined();
+    expect(late).toHaveLength(1);
+    vi.advanceTimersByTime(LATE_LIMIT);
+    await expect(Promise.all(late)).rejects.toBeInstanceOf(StepError);
+  });
+
   it('waits no longer than before once the link is free', async () => {
     // Guards against requests that wait for silent lenders.
     link.delayMilliseconds = DELAY;
