--- a/packages/budgets/src/test/fleet-model.ts
+++ b/packages/budgets/src/test/fleet-model.ts
@@ -22,6 +22,13 @@
   /** Bounds of requests that run and deliver nothing yet. */
   promised: number[];
   unanswered: UnansweredLoans;
+  /** Answers of lenders that were given up, and may come yet. */
+  lateAnswers: LateAnswer[];
+}
+
+interface LateAnswer {
+  readonly loan: string;
+  readonly amount: number;
 }
 
 /**
@@ -67,7 +74,14 @@
     return {outstanding, held};
   }
 
-  /** The same, grant by grant. */
+  /** What the fold has granted and not got back: the most that may be spent or held. */
+  get charged(): number {
+    const {outstanding = 0, closedCharge = 0} =
+      this.fold.organisations.get(ORGANISATION) ?? {};
+    return outstanding + closedCharge;
+  }
+
+  /** What the fold keeps of all grants together, grant by grant. */
   get sumsOverHolders(): FoldedGrant {
     const sums = {outstanding: 0, held: 0};
     for (const {grants} of this.fold.holders.values()) {
@@ -179,11 +193,21 @@
     });
     if (isAnswerLost) {
       borrower.unanswered.lost(loan);
+      borrower.lateAnswers.push({loan, amount});
     } else {
       borrower.account.credit(amount);
     }
   }
 
+  /** The newest answer that was given up arrives nevertheless. */
+  answerLate(host: number): void {
+    const {account, unanswered, lateAnswers} = this.at(host);
+    const answer = lateAnswers.pop();
+    if (answer !== undefined) {
+      account.credit(unanswered.answeredLate(answer.loan, answer.amount));
+    }
+  }
+
   /** Appends what a process has not written; verdicts reach it at once. */
   write(host: number): void {
     const {unwritten} = this.at(host);
@@ -241,6 +265,7 @@
       open: [],
       promised: [],
       unanswered: new UnansweredLoans(),
+      lateAnswers: [],
     };
     this.add(host, {
       case: 'opened',
