--- a/packages/runtime/src/line-writer.ts
+++ b/packages/runtime/src/line-writer.ts
@@ -11,20 +11,33 @@
   done: (error: Error | null, written: number) => void,
 ) => void;
 
+/** Writes bytes before it returns, as `fs.writeSync` does, and says how many. */
+export type WriteBytesNow = (bytes: Buffer) => number;
+
 /**
  * Writes lines without ever waiting for their reader. `process.stdout` writes to a
  * pipe synchronously: when nobody reads it, the first 64 KB fill the pipe and the
  * next line stops the process with all its requests. Here one write is under way at
  * a time, off the event loop, and what comes beyond a bound is dropped and counted.
+ * Only whole lines are dropped: the rest of a line whose beginning was written is kept.
  */
 export class LineWriter {
   private waiting: string[] = [];
   private waitingBytes = 0;
-  private isWriting = false;
+  /** What was taken from the waiting lines and is not written yet. */
+  private batch: Buffer = Buffer.alloc(0);
+  private isBatchBegun = false;
+  private isUnderWay = false;
+  /** Whether the batch begins in the middle of a line. */
+  private isMidLine = false;
   private droppedLines = 0;
   private timer: NodeJS.Timeout | undefined;
+  private retryTimer: NodeJS.Timeout | undefined;
 
-  constructor(private readonly writeBytes: WriteBytes = writeStandardOutput) {}
+  constructor(
+    private readonly writeBytes: WriteBytes = writeStandardOutput,
+    private readonly writeBytesNow: WriteBytesNow = writeStandardOutputNow,
+  ) {}
 
   /** Lines that were dropped since the last call. */
   takeDropped(): number {
@@ -54,46 +67,101 @@
    */
   close(): void {
     clearTimeout(this.timer);
-    if (this.isWriting || this.waiting.length === 0) {
+    clearTimeout(this.retryTimer);
+    if (this.isUnderWay) {
       return;
     }
+    const bytes = this.takeWaiting();
+    this.batch = Buffer.alloc(0);
     try {
-      writeSync(STANDARD_OUTPUT, this.waiting.join(''));
+      this.writeNow(bytes);
     } catch {
-      // The reader has gone; there is nowhere left to say so.
+      // Nobody reads; there is nowhere left to say so.
+    }
+  }
+
+  /** Each line by itself, which a pipe takes whole or not at all. */
+  private writeNow(bytes: Buffer): void {
+    let rest = bytes;
+    let written = 1;
+    while (rest.length > 0 && written > 0) {
+      written = this.writeBytesNow(rest.subarray(0, firstLineBytes(rest)));
+      rest = rest.subarray(written);
     }
-    this.waiting = [];
   }
 
   private flush(): void {
     this.timer = undefined;
-    if (this.isWriting || this.waiting.length === 0) {
+    if (this.isBatchBegun || this.waiting.length === 0) {
       return;
     }
-    const bytes = Buffer.from(this.waiting.join(''));
+    this.batch = this.takeWaiting();
+    this.isBatchBegun = true;
+    this.writeBatch();
+  }
+
+  private takeWaiting(): Buffer {
+    const bytes = Buffer.concat([
+      this.batch,
+      Buffer.from(this.waiting.join('')),
+    ]);
     this.waiting = [];
-    this.isWriting = true;
-    this.writeAll(bytes);
+    return bytes;
   }
 
-  private writeAll(bytes: Buffer): void {
-    this.writeBytes(bytes, (error, written) => {
-      const rest = bytes.subarray(written);
-      if (error === null && rest.length > 0) {
-        this.writeAll(rest);
-        return;
+  private writeBatch(): void {
+    this.isUnderWay = true;
+    this.writeBytes(this.batch, (error, written) => {
+      this.isUnderWay = false;
+      this.wrote(written);
+      if (error === null && this.batch.length > 0) {
+        this.writeBatch();
+      } else if (isPipeFull(error)) {
+        this.retryTimer = setTimeout(() => {
+          this.writeBatch();
+        }, GATHER_MILLISECONDS).unref();
+      } else {
+        this.endBatch();
       }
-      this.isWriting = false;
-      this.waitingBytes = this.waiting.reduce(
-        (sum, line) => sum + Buffer.byteLength(line),
-        0,
-      );
-      this.flush();
     });
   }
+
+  private wrote(bytes: number): void {
+    if (bytes > 0) {
+      this.isMidLine = this.batch[bytes - 1] !== LINE_END;
+      this.batch = this.batch.subarray(bytes);
+    }
+  }
+
+  /** Drops what an error left of the batch. */
+  private endBatch(): void {
+    const kept = this.isMidLine ? firstLineBytes(this.batch) : 0;
+    this.droppedLines += countLines(this.batch.subarray(kept));
+    this.batch = this.batch.subarray(0, kept);
+    this.isBatchBegun = false;
+    this.waitingBytes = this.waiting.reduce(
+      (sum, line) => sum + Buffer.byteLength(line),
+      this.batch.length,
+    );
+    this.flush();
+  }
+}
+
+/** Whether the reader has not yet read what fills the pipe. */
+function isPipeFull(error: Error | null): boolean {
+  return error !== null && 'code' in error && error.code === 'EAGAIN';
+}
+
+function firstLineBytes(bytes: Buffer): number {
+  return bytes.indexOf(LINE_END) + 1;
+}
+
+function countLines(bytes: Buffer): number {
+  return bytes.filter(byte => byte === LINE_END).length;
 }
 
 const STANDARD_OUTPUT = 1;
+const LINE_END = 0x0a;
 
 function writeStandardOutput(
   bytes: Buffer,
@@ -101,3 +169,7 @@
 ): void {
   write(STANDARD_OUTPUT, bytes, 0, bytes.length, null, done);
 }
+
+function writeStandardOutputNow(bytes: Buffer): number {
+  return writeSync(STANDARD_OUTPUT, bytes);
+}
