--- a/packages/runtime/src/event-log.ts
+++ b/packages/runtime/src/event-log.ts
@@ -45,7 +45,7 @@
     const sink =
       write === undefined
         ? standardOutput()
-        : {push: write, takeDropped: () => 0};
+        : {push: write, takeDropped: () => 0, hasRoom: true};
     const consola = createConsola({
       level: CONSOLA_LEVELS[level],
       reporters: [new LineReporter(sink, common)],
--- a/packages/runtime/src/line-reporter.ts
+++ b/packages/runtime/src/line-reporter.ts
@@ -9,6 +9,8 @@
   push(line: string): void;
   /** Lines that were dropped since the last call. */
   takeDropped(): number;
+  /** Whether a few more lines would be taken. */
+  readonly hasRoom: boolean;
 }
 
 /** How often it is told that lines were left out. */
@@ -35,7 +37,9 @@
 
   private tellWhatIsMissing(date: Date): void {
     // A clock that was set back must not silence this for as long.
-    if (Math.abs(date.getTime() - this.toldAt) < TELL_MILLISECONDS) {
+    const isTold = Math.abs(date.getTime() - this.toldAt) < TELL_MILLISECONDS;
+    // A number that is dropped with its line is lost.
+    if (isTold || !this.sink.hasRoom) {
       return;
     }
     this.toldAt = date.getTime();
--- a/packages/runtime/src/line-writer.ts
+++ b/packages/runtime/src/line-writer.ts
@@ -4,6 +4,8 @@
 const MOST_WAITING_BYTES = 262_144;
 /** Lines are gathered so long, so that one call of the system writes many. */
 const GATHER_MILLISECONDS = 20;
+/** Room for some lines. */
+const ROOM_BYTES = 8_192;
 
 /** Writes bytes somewhere and says when it is done, as `fs.write` does. */
 export type WriteBytes = (
@@ -46,6 +48,11 @@
     return dropped;
   }
 
+  /** Whether a few more lines would be taken. */
+  get hasRoom(): boolean {
+    return this.waitingBytes + ROOM_BYTES <= MOST_WAITING_BYTES;
+  }
+
   /** Takes a line with its line end. */
   push(line: string): void {
     const bytes = Buffer.byteLength(line);
