--- a/packages/gateway/src/budget-codec.ts
+++ b/packages/gateway/src/budget-codec.ts
@@ -6,6 +6,10 @@
   type BudgetRecord,
 } from '@wisteriadeal/schema';
 
+import {PlainMessageReader} from './plain-message-reader.js';
+
+const RECORD_READER = new PlainMessageReader(BudgetRecordSchema);
+
 /** What a record changes. */
 export type BudgetChange = Exclude<
   BudgetRecord['change'],
@@ -28,7 +32,10 @@
 
 /** A record; undefined for bytes that are none, which the fold passes over. */
 export function decodeRecord(bytes: Uint8Array): BudgetRecord | undefined {
-  return decoded(() => fromBinary(BudgetRecordSchema, bytes));
+  return (
+    RECORD_READER.read(bytes) ??
+    decoded(() => fromBinary(BudgetRecordSchema, bytes))
+  );
 }
 
 /** Bytes of a checkpoint. */
