--- a/packages/decisions/src/rotation-policy.ts
+++ b/packages/decisions/src/rotation-policy.ts
@@ -77,7 +77,9 @@
 /** A host out of rotation that gets this part of its usual connections is needed. */
 const NEEDED_PART = 0.5;
 /** A host that is out gets some connections nevertheless. */
-const STRAY_CONNECTIONS = 1;
+const STRAY_CONNECTIONS = 4;
+/** An overload that goes on for so long without its callers is no reason to stay away. */
+const LONGEST_ABSENCE_MILLISECONDS = 8_000;
 /** The overload has been over for so long before the host returns. */
 const SHORTEST_CALM_MILLISECONDS = 2_000;
 /** The longest calm that is asked for, however often the host was overloaded. */
@@ -107,6 +109,8 @@
 export class WithdrawWhileOverloaded extends RotationPolicy {
   private current = RotationState.Serving;
   private since = -Infinity;
+  /** When the host last said that it is not ready. */
+  private absentSince = -Infinity;
   private observedAt = -Infinity;
   private refusedProbes = 0;
   private refusedAt = -Infinity;
@@ -175,10 +179,12 @@
         if (!isOverloaded) {
           return RotationState.Returning;
         }
-        return this.isNeeded() ? RotationState.Needed : this.current;
+        return this.isNeeded(now) ? RotationState.Needed : this.current;
       case RotationState.Returning:
         if (isOverloaded) {
-          return RotationState.Withdrawing;
+          return this.isNeeded(now)
+            ? RotationState.Needed
+            : RotationState.Withdrawing;
         }
         return this.isCalm(now) ? RotationState.Serving : this.current;
       case RotationState.Needed:
@@ -210,6 +216,7 @@
 
   /** The usual connections and the calm to ask for, of a host that withdraws. */
   private leave(now: number): void {
+    this.absentSince = now;
     this.usualConnections = this.arrivals.lastSpan;
     this.refusedProbes = 0;
     this.refusedAt = -Infinity;
@@ -228,8 +235,11 @@
   }
 
   /** Whether connections go on coming, so that no other host takes them. */
-  private isNeeded(): boolean {
+  private isNeeded(now: number): boolean {
     const {lastSpan, spans} = this.arrivals;
+    if (now - this.absentSince >= LONGEST_ABSENCE_MILLISECONDS) {
+      return true;
+    }
     return (
       spans >= LATE_SPANS &&
       lastSpan > STRAY_CONNECTIONS &&
