--- a/packages/decisions/src/link-load.ts
+++ b/packages/decisions/src/link-load.ts
@@ -18,7 +18,7 @@
 const FULL_PART = 0.85;
 /** ... and below this it doesn't any more. */
 const FREE_PART = 0.6;
-/** A link that carries all it can: protocol headers are not counted. */
+/** A link that carries all it can, until it is not full any more: headers aren't counted. */
 const SATURATED_PART = 0.92;
 /** Callers fill the link, rather than the store's records at a start. */
 const CALLERS_PART = 0.5;
@@ -35,6 +35,7 @@
 export class LinkLoad {
   private readonly samples: Sample[] = [];
   private isLinkFull = false;
+  private wasSaturated = false;
 
   /** @param capacity Of the link, bytes a second; 0 where it is not known. */
   constructor(private readonly capacity: number) {}
@@ -69,9 +70,7 @@
 
   /** Whether callers send as much as the link carries, or more. */
   get isSaturated(): boolean {
-    return (
-      this.isLinkFull && this.bytesPerSecond >= SATURATED_PART * this.capacity
-    );
+    return this.wasSaturated;
   }
 
   /**
@@ -98,6 +97,10 @@
     } else if (bytesPerSecond < FREE_PART * this.capacity) {
       this.isLinkFull = false;
     }
+    this.wasSaturated =
+      this.isLinkFull &&
+      bytesPerSecond >=
+        (this.wasSaturated ? FULL_PART : SATURATED_PART) * this.capacity;
   }
 
   private perSecond(of: (use: LinkUse) => number): number {
--- a/packages/gateway/src/endpoint-connections.ts
+++ b/packages/gateway/src/endpoint-connections.ts
@@ -96,6 +96,7 @@
 
   /** A connection came after so long. */
   connected(milliseconds: number): void {
+    this.link.connected(milliseconds);
     this.link.arrived(milliseconds);
     this.connectMean += (milliseconds - this.connectMean) / CONNECT_SAMPLES;
   }
@@ -115,6 +116,7 @@
 
   /** A connection had not come after so long, and was given up. */
   connectGivenUp(milliseconds: number): void {
+    this.link.connected(milliseconds);
     this.link.expired(milliseconds);
   }
 
--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -72,7 +72,7 @@
   }
 
   override get isLate(): boolean {
-    return this.isCongested && this.standing.isStanding(this.now());
+    return this.isCongested && !this.standing.isPrompt(this.now());
   }
 
   /** Whether callers send more than the link carries, or did so and still wait. */
@@ -94,13 +94,19 @@
     return this.isCongested ? this.load.answerBytes(milliseconds) : Infinity;
   }
 
+  override connected(milliseconds: number): void {
+    this.standing.arrived(this.now(), milliseconds);
+  }
+
   override arrived(milliseconds: number): void {
     this.delay.arrived(milliseconds);
-    this.standing.arrived(this.now(), milliseconds);
   }
 
+  /** While connections are prompt, what a peer does not send says nothing of the link. */
   override expired(milliseconds: number): void {
-    this.delay.expired(milliseconds);
+    if (this.isLate) {
+      this.delay.expired(milliseconds);
+    }
   }
 
   private observe(): void {
--- a/packages/platform/src/host-link.ts
+++ b/packages/platform/src/host-link.ts
@@ -17,9 +17,12 @@
   /** Largest answer that crosses the link within a time; Infinity while it is free. */
   abstract answerBytes(milliseconds: number): number;
 
-  /** Whether all that comes in is late, and not what one peer sends. */
+  /** Whether the link is congested, and nothing has come without delay lately. */
   abstract get isLate(): boolean;
 
+  /** A connection came, or had not come, after so long. */
+  abstract connected(milliseconds: number): void;
+
   /** What a peer sends without delay came after so long. */
   abstract arrived(milliseconds: number): void;
 
@@ -33,6 +36,10 @@
   override readonly isCongested = false;
   override readonly isLate = false;
 
+  override connected(): void {
+    // Nothing depends on it.
+  }
+
   override answerBytes(): number {
     return Infinity;
   }
--- a/packages/stand-ins/src/testing/fake-host-link.ts
+++ b/packages/stand-ins/src/testing/fake-host-link.ts
@@ -25,6 +25,10 @@
     return this.mostAnswerBytes;
   }
 
+  override connected(): void {
+    // Arrivals and expiries tell it, too.
+  }
+
   override arrived(milliseconds: number): void {
     this.arrivals.push(milliseconds);
   }
