--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -185,6 +185,19 @@
       expect(performance.now() - startedAt).toBeLessThanOrEqual(601);
     });
 
+    it('refuses while the caller has time for another host', async () => {
+      // Guards against requests that are held for tokens until their time is over.
+      fleet.link.delayMilliseconds = 5_000;
+      fleet.log.faults.answerAfterMilliseconds = 5_000;
+      const startedAt = performance.now();
+      const late = holder.reservations.reserve(SCHOOL, {
+        ...wish(LARGE_REQUEST, false),
+        remainingMilliseconds: 10_000,
+      });
+      expect(await inHeldTime(late)).toHaveProperty('refusal');
+      expect(performance.now() - startedAt).toBeLessThanOrEqual(1_501);
+    });
+
     it('lets requests begin on what the log has while its answers are awaited', async () => {
       // Guards against a late answer that is taken for a store that is away.
       await vi.advanceTimersByTimeAsync(2 * DELAY_MILLISECONDS);
--- a/packages/gateway/src/token-reservations.ts
+++ b/packages/gateway/src/token-reservations.ts
@@ -19,6 +19,8 @@
  * shortest goal among the users' requests is some 150 ms.
  */
 const WAIT_MILLISECONDS = 400;
+/** A request is refused by then, while its caller has time to try another host. */
+const LONGEST_WAIT_MILLISECONDS = 1_500;
 /** The exchange with the store that is under way, and the one that brings the grant. */
 const WAIT_EXCHANGES = 2;
 /** A lender waits so long for the store; its borrower waits 120 ms for it. */
@@ -147,9 +149,13 @@
   /** Longer while this host's link delays the store's answers, within its time. */
   private waitFor({remainingMilliseconds = Infinity}: TokenWish): number {
     const delay = WAIT_EXCHANGES * this.book.health.linkDelayMilliseconds;
+    const longest = Math.min(
+      LONGEST_WAIT_MILLISECONDS,
+      remainingMilliseconds / 2,
+    );
     return Math.max(
       WAIT_MILLISECONDS,
-      Math.min(remainingMilliseconds, WAIT_MILLISECONDS + delay),
+      Math.min(longest, WAIT_MILLISECONDS + delay),
     );
   }
 
--- a/packages/platform/src/host-link.ts
+++ b/packages/platform/src/host-link.ts
@@ -32,7 +32,7 @@
 
 /** A link at which nothing waits. */
 export class FreeLink extends HostLink {
-  override readonly delayMilliseconds = 0;
+  override readonly delayMilliseconds: number = 0;
   override readonly isCongested = false;
   override readonly isLate = false;
 
--- a/packages/platform/src/http-caller.ts
+++ b/packages/platform/src/http-caller.ts
@@ -23,6 +23,9 @@
   readonly link?: HostLink;
 };
 
+/** A connection that has gone silent is noticed, however full the host's link is. */
+const LONGEST_DELAY_MILLISECONDS = 1_000;
+
 /** A call exceeded one of its time limits. */
 class CallTimeoutError extends Error {
   override readonly name: string = 'CallTimeoutError';
@@ -117,7 +120,7 @@
   ) {
     const {timeouts, link = new FreeLink(), heldMilliseconds = 0} = call;
     this.link = link;
-    this.delay = link.delayMilliseconds;
+    this.delay = Math.min(LONGEST_DELAY_MILLISECONDS, link.delayMilliseconds);
     const total = timeouts.total + heldMilliseconds + this.delay;
     this.answer = new NetworkTimeout(total, () => {
       this.noteExpired(heldMilliseconds);
--- a/packages/platform/src/test/http-caller_test.ts
+++ b/packages/platform/src/test/http-caller_test.ts
@@ -2,7 +2,7 @@
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 
-import {Fate, HttpCaller, type HttpCall} from '../index.js';
+import {Fate, FreeLink, HttpCaller, type HttpCall} from '../index.js';
 
 type Handler = Parameters<typeof createServer>[1];
 
@@ -13,6 +13,11 @@
   timeouts: {connect: 300, total: 300},
 };
 
+/** A host's link at which all that comes in waits for long. */
+class FullLink extends FreeLink {
+  override readonly delayMilliseconds = 5_000;
+}
+
 let server: Server | undefined;
 let caller: HttpCaller | undefined;
 
@@ -109,6 +114,14 @@
     await expect.poll(() => isClosed).toBe(true);
   });
 
+  it('notices a silent peer soon also while the host’s link is full', async () => {
+    // Guards against changes of the store that a host learns of seconds too late.
+    const {call} = bound(await callerOf(() => undefined));
+    const startedAt = performance.now();
+    await expect(call({...CALL, link: new FullLink()})).rejects.toThrow();
+    expect(performance.now() - startedAt).toBeLessThan(3_000);
+  });
+
   it('takes no answer for whole whose connection was cut', async () => {
     // Half of the records would be taken for all of them.
     const {call} = bound(
