--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -117,6 +117,7 @@
       this.connections.connectMilliseconds,
     );
     this.metrics.state('link_full', this.link.isFull ? 1 : 0);
+    this.metrics.state('link_delay_ms', this.link.delayMilliseconds);
     this.metrics.state('in_rotation', this.rotation.takesConnections ? 1 : 0);
     this.metrics.state('endpoints', this.directory.all.length);
     this.metrics.state('budget_holders', this.budgets.holders);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -236,6 +236,11 @@
     return this.status.readyPort;
   }
 
+  /** Port of the status address. */
+  get statusPort(): number {
+    return this.status.statusPort;
+  }
+
   /**
    * Takes the bounds that may change while it runs. Addresses stay: open
    * connections hang on them, and a restart takes new ones.
--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -1,6 +1,6 @@
 import {LinkDelay, LinkLoad, StandingDelay} from '@wisteriadeal/decisions';
 import {HostLink} from '@wisteriadeal/platform';
-import type {EventLog} from '@wisteriadeal/runtime';
+import type {EventFields, EventLog} from '@wisteriadeal/runtime';
 
 import type {HostTraffic} from './host-traffic.js';
 
@@ -8,6 +8,8 @@
 const SAMPLE_MILLISECONDS = 200;
 /** Data queued at a full link arrives within this time after the link was full. */
 const QUEUE_DRAIN_MILLISECONDS = 2_000;
+/** While the link is full a line comes this often. */
+const TELL_MILLISECONDS = 1_000;
 
 /**
  * Watches the host's inbound link, and tells when callers fill it and how long what
@@ -19,6 +21,8 @@
   private readonly standing = new StandingDelay();
   private timer: NodeJS.Timeout | undefined;
   private lastFullAt = -Infinity;
+  private fullSince = 0;
+  private tellAt = Infinity;
   private onSample: () => void = () => undefined;
 
   /** @param capacity Of the link, bytes a second; 0 where it is not known. */
@@ -114,14 +118,37 @@
       this.lastFullAt = this.now();
     }
     if (isFull !== this.isFull) {
-      this.events.info('link', {
-        isFull: this.isFull,
-        capacityBytes: Math.round(this.capacity),
-        receivedBytes: Math.round(this.bytesPerSecond),
-        fromCallersBytes: Math.round(this.load.callerBytesPerSecond),
-        delayMilliseconds: Math.round(this.delayMilliseconds),
-      });
+      this.changed();
     }
+    this.tellWhileFull();
     this.onSample();
   }
+
+  private changed(): void {
+    this.fullSince = this.now();
+    this.tellAt = this.isFull ? this.fullSince + TELL_MILLISECONDS : Infinity;
+    this.events.info('link', {isFull: this.isFull, ...this.fields});
+  }
+
+  private tellWhileFull(): void {
+    const now = this.now();
+    if (now < this.tellAt) {
+      return;
+    }
+    const late = (now - this.tellAt) % TELL_MILLISECONDS;
+    this.tellAt = now - late + TELL_MILLISECONDS;
+    this.events.info('link full', {
+      ...this.fields,
+      fullForMilliseconds: Math.round(now - this.fullSince),
+    });
+  }
+
+  private get fields(): EventFields {
+    return {
+      capacityBytes: Math.round(this.capacity),
+      receivedBytes: Math.round(this.bytesPerSecond),
+      fromCallersBytes: Math.round(this.load.callerBytesPerSecond),
+      delayMilliseconds: Math.round(this.delayMilliseconds),
+    };
+  }
 }
