--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -13,6 +13,8 @@
 const MEAN_CALLS = 8;
 /** An exchange with the store is an append and a read. */
 const EXCHANGE_CALLS = 2;
+/** While calls fail this is told no more often. */
+const TELL_MILLISECONDS = 2_000;
 
 /** Delays of this host itself, which make the store's answers late. */
 export interface HostDelays {
@@ -34,6 +36,8 @@
 export class StoreHealth {
   private lastAnswerAt: number | undefined;
   private failingSince: number | undefined;
+  private failures = 0;
+  private toldAt = -Infinity;
   private hasOutage = false;
   private lastOutageEndedAt = -Infinity;
   private calledAt: number | undefined;
@@ -155,11 +159,25 @@
     this.hasOutage ||= !isLinkDelay;
     if (this.failingSince === undefined) {
       this.failingSince = now;
+      this.failures = 1;
+      this.toldAt = now;
       this.events.warn('store lost', {
         topic: this.topic,
         reason: String(error),
         isLinkDelay,
       });
+      return;
+    }
+    this.failures++;
+    if (now - this.toldAt >= TELL_MILLISECONDS) {
+      this.toldAt = now;
+      this.events.warn('store still lost', {
+        topic: this.topic,
+        awayMilliseconds: Math.round(this.awayFor(now)),
+        failures: this.failures,
+        reason: String(error),
+        isLinkDelay,
+      });
     }
   }
 
--- a/packages/gateway/src/test/store-health_test.ts
+++ b/packages/gateway/src/test/store-health_test.ts
@@ -1,11 +1,31 @@
+import {HttpCaller} from '@wisteriadeal/platform';
 import {EventLog} from '@wisteriadeal/runtime';
 import {LogLevel} from '@wisteriadeal/schema';
 import {FakeHostLink} from '@wisteriadeal/stand-ins';
+import {once} from 'node:events';
+import {createServer, type AddressInfo} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {LoopLag} from '../loop-lag.js';
 import {StoreHealth} from '../store-health.js';
 
+/** Of a call to a store that says nothing. */
+async function timeoutOfCall(): Promise<unknown> {
+  const server = createServer();
+  server.listen(0, '127.0.0.1');
+  await once(server, 'listening');
+  const {port} = server.address() as AddressInfo;
+  const caller = new HttpCaller('127.0.0.1', port, 'store');
+  const timeouts = {connect: 1_000, total: 20};
+  const call = {step: 'read', method: 'GET', path: '/', headers: {}, timeouts};
+  try {
+    return await caller.call(call).catch((error: unknown) => error);
+  } finally {
+    caller.close();
+    server.close();
+  }
+}
+
 describe('StoreHealth', () => {
   let health: StoreHealth;
 
@@ -133,3 +153,67 @@
     expect(health.lateIn(300)).toBe(0);
   });
 });
+
+describe('StoreHealth of a store that stays away', () => {
+  let link: FakeHostLink;
+  let lines: Record<string, unknown>[];
+  let health: StoreHealth;
+
+  beforeEach(() => {
+    link = new FakeHostLink();
+    lines = [];
+    const events = EventLog.create(LogLevel.INFO, {}, line => {
+      lines.push(JSON.parse(line) as Record<string, unknown>);
+    });
+    health = new StoreHealth('budgets', events, {link});
+    health.answered(0);
+  });
+
+  function failEach(milliseconds: number, from: number, to: number): void {
+    for (let now = from; now <= to; now += milliseconds) {
+      health.failed(now, 'refused');
+    }
+  }
+
+  function stillLost(): readonly Record<string, unknown>[] {
+    return lines.filter(({event}) => event === 'store still lost');
+  }
+
+  it('says every two seconds that calls go on failing', () => {
+    // Guards against an outage of which only the first failure has a line.
+    failEach(500, 1_000, 6_000);
+    expect(lines.filter(({event}) => event === 'store lost')).toHaveLength(1);
+    expect(stillLost()).toMatchObject([
+      {
+        topic: 'budgets',
+        awayMilliseconds: 2_000,
+        failures: 5,
+        reason: 'refused',
+        isLinkDelay: false,
+      },
+      {awayMilliseconds: 4_000, failures: 9},
+    ]);
+  });
+
+  it('tells for each line whether the link was full', async () => {
+    // Guards against an outage whose later failures pass for the link's.
+    const timeout = await timeoutOfCall();
+    health.failed(1_000, 'refused');
+    link.delayMilliseconds = 500;
+    health.failed(3_000, timeout);
+    link.delayMilliseconds = 0;
+    health.failed(5_000, timeout);
+    expect(stillLost().map(({isLinkDelay}) => isLinkDelay)).toEqual([
+      true,
+      false,
+    ]);
+  });
+
+  it('begins anew after an answer', () => {
+    // Guards against lines that count an earlier outage.
+    failEach(500, 1_000, 2_500);
+    health.answered(2_600);
+    failEach(500, 3_000, 5_000);
+    expect(stillLost()).toMatchObject([{awayMilliseconds: 2_000, failures: 5}]);
+  });
+});
