--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -30,6 +30,7 @@
    * @param unseenMilliseconds How long it is likely to have waited before that.
    * @param endsConnection Whether the connection ends with the answer; asked when the
    *     answer begins.
+   * @param isFirst Whether no request came on its connection before it.
    */
   constructor(
     private readonly dialect: Dialect,
@@ -38,6 +39,7 @@
     readonly arrivedAt: number,
     readonly unseenMilliseconds: number,
     private readonly endsConnection: () => boolean = () => false,
+    readonly isFirst = false,
   ) {
     response.sendDate = false;
     response.on('error', () => {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -151,6 +151,7 @@
   ): void {
     const unseenMilliseconds = this.watch.requested();
     this.noteSeen(unseenMilliseconds);
+    const isFirst = this.unread.delete(request.socket);
     const caller = new CallerExchange(
       this.dialect,
       request,
@@ -160,6 +161,7 @@
       () =>
         this.rotation.endsConnections &&
         this.door.connections.mayEndWith(request, response),
+      isFirst,
     );
     if (this.isStopping) {
       caller.closeAfterwards();
@@ -169,7 +171,6 @@
       this.arrivals.ended(caller);
       this.ended();
     });
-    const isFirst = this.unread.delete(request.socket);
     if (this.gate.isOpen) {
       this.arrive(caller, isFirst);
     } else {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -365,6 +365,7 @@
     this.events.info('request', {
       request: caller.headers.attemptId,
       path: caller.path,
+      isFirst: caller.isFirst,
       outcome: record.outcome,
       status: record.status,
       tookMilliseconds: Math.round(took),
