--- a/packages/runtime/src/line-reporter.ts
+++ b/packages/runtime/src/line-reporter.ts
@@ -56,7 +56,7 @@
       this.write(date, 'warn', 'log lines dropped', {
         ...this.common,
         lines: dropped,
-        reason: 'standard output was not read in time',
+        reason: 'standard output was not read in time, or a write failed',
       });
     }
   }
