--- a/packages/decisions/src/rotation-policy.ts
+++ b/packages/decisions/src/rotation-policy.ts
@@ -102,7 +102,7 @@
  * @example
  * ```ts
  * const rotation = new WithdrawWhileOverloaded();
- * rotation.observe(now, {isOverloaded: link.isFull, connections});
+ * rotation.observe(now, {isOverloaded: link.isOverloaded, connections});
  * response.statusCode = rotation.takesConnections ? 200 : 503;
  * ```
  */
