--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -23,6 +23,11 @@
 const LENDERS_AT_ONCE = 3;
 /** A loan is asked for so many times what waits, so that the next finds some. */
 const LOAN_FACTOR = 3;
+/**
+ * Calls to the store that fail for this host's own link alone fail no longer: the store
+ * may be away as well, and requests would wait in vain.
+ */
+const LINK_FAILURE_MILLISECONDS = 2_000;
 /** Why a lender is not asked until its late answer has come. */
 const LATE = 'no answer in time, as this host’s link is late';
 /** A lender that did not answer is not asked for this long, or until it answers. */
@@ -112,13 +117,22 @@
       return;
     }
     const view = this.replica.fold.view(budget.name);
+    if (this.answersCome() && budget.awaitsLog(view, budget.firstBound)) {
+      return;
+    }
     if (this.health.isAway) {
       budget.waiters.refuseUndispatched(BudgetRefusal.StoreAway);
-    } else if (!budget.awaitsLog(view, budget.firstBound)) {
+    } else {
       budget.waiters.refuseFirst(BudgetRefusal.HeldElsewhere);
     }
   }
 
+  /** Whether the store answers, or has failed to for this host's own link alone. */
+  private answersCome(): boolean {
+    const awayFor = this.health.awayFor(this.clock.monotonicMilliseconds());
+    return !this.health.isOutage && awayFor < LINK_FAILURE_MILLISECONDS;
+  }
+
   /** Whether a holder speaks; a loan of nothing is asked for, and none is given. */
   private async answers(address: string): Promise<boolean> {
     try {
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -167,10 +167,11 @@
     return prepaid - (view?.spent ?? 0) - untold < bound;
   }
 
-  /** Whether the log has enough for a request: only its answer is missing. */
+  /** Whether the log has enough for a request, and is asked now or next. */
   awaitsLog(view: BudgetView | undefined, bound: number): boolean {
     return (
-      this.isAsking && (view?.unallocated ?? 0) >= this.shortfallFor(bound)
+      (this.isAsking || this.mayAskForWaiting(this.now())) &&
+      (view?.unallocated ?? 0) >= this.shortfallFor(bound)
     );
   }
 
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -1,4 +1,5 @@
 import {ChargePoint} from '@wisteriadeal/budgets';
+import {CallTimeoutError, Fate, StepError} from '@wisteriadeal/platform';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
@@ -68,6 +69,12 @@
   };
 }
 
+/** What a call of the store ends with whose answer did not come in time. */
+function callTimeout(): StepError {
+  const cause = new CallTimeoutError(false, 1_200);
+  return new StepError('read', 'store', Fate.Unknown, cause.message, {cause});
+}
+
 /** One request that uses its whole bound; whether it was let in. */
 async function use(holder: BudgetHolder, tokens: number): Promise<boolean> {
   const result = await holder.reservations.reserve(SCHOOL, wish(tokens, false));
@@ -157,6 +164,24 @@
     },
   );
 
+  it.each([70, 140, 190])(
+    'waits for the log while an exchange under way is late (after %i ms)',
+    async lateMilliseconds => {
+      // Guards against refusals before the log was asked for tokens that it has.
+      vi.useFakeTimers();
+      const holder = await inHeldTime(fleet.start('one'));
+      await inHeldTime(fleet.start('two'));
+      await inHeldTime(until(() => holder.holders === 2));
+      await inHeldTime(until(() => available(holder) > 0));
+      await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+      const reading = vi.spyOn(fleet.log, 'read');
+      fleet.log.faults.answerAfterMilliseconds = 200;
+      await inHeldTime(until(() => reading.mock.calls.length === 2));
+      await vi.advanceTimersByTimeAsync(lateMilliseconds);
+      expect(await inHeldTime(use(holder, LARGE_REQUEST))).toBe(true);
+    },
+  );
+
   describe('whose host’s full link delays the store’s answers', () => {
     const DELAY_MILLISECONDS = 900;
     let holder: BudgetHolder;
@@ -174,6 +199,38 @@
       expect(await inHeldTime(use(holder, LARGE_REQUEST))).toBe(true);
     });
 
+    it('waits for a grant although a call has timed out', async () => {
+      // Guards against an outage that is made of a late answer.
+      vi.spyOn(fleet.log, 'read').mockRejectedValueOnce(callTimeout());
+      await inHeldTime(
+        until(() => fleet.events.some(({event}) => event === 'store lost')),
+      );
+      expect(fleet.events).toContainEqual(
+        expect.objectContaining({event: 'store lost', isLinkDelay: true}),
+      );
+      expect(await inHeldTime(use(holder, LARGE_REQUEST))).toBe(true);
+    });
+
+    it('refuses at once after calls have timed out for seconds', async () => {
+      // Guards against callers that wait for a store that is away behind a full link.
+      vi.spyOn(fleet.log, 'read').mockImplementation(() =>
+        Promise.reject(callTimeout()),
+      );
+      await inHeldTime(
+        until(() => fleet.events.some(({event}) => event === 'store lost')),
+      );
+      await vi.advanceTimersByTimeAsync(3_000);
+      const startedAt = performance.now();
+      const refused = holder.reservations.reserve(
+        SCHOOL,
+        wish(LARGE_REQUEST, false),
+      );
+      expect(await inHeldTime(refused)).toEqual({
+        refusal: BudgetRefusal.StoreAway,
+      });
+      expect(performance.now() - startedAt).toBeLessThan(100);
+    });
+
     it('waits no longer than the request has time', async () => {
       // Guards against callers that are told too late to come back.
       const startedAt = performance.now();
--- a/packages/platform/src/http-caller.ts
+++ b/packages/platform/src/http-caller.ts
@@ -24,7 +24,7 @@
 };
 
 /** A call exceeded one of its time limits. */
-class CallTimeoutError extends Error {
+export class CallTimeoutError extends Error {
   override readonly name: string = 'CallTimeoutError';
 
   constructor(
