--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -38,20 +38,16 @@
     }
     const now = this.clock.monotonicMilliseconds();
     const {waiters} = budget;
+    const view = this.replica.fold.view(budget.name);
     if (waiters.count > 0) {
       if (budget.mayAskForWaiting(now)) {
-        this.ask(
-          budget,
-          budget.shortfallFor(waiters.tokens),
-          budget.firstShortfall,
-          true,
-        );
+        this.askForWaiting(budget, view);
       }
       return;
     }
     const change = this.sizing.change(
       budget.account,
-      this.replica.fold.view(budget.name),
+      view,
       budget.prepaid,
       now,
     );
@@ -108,6 +104,20 @@
     this.afterDenial(budget, view);
   }
 
+  /**
+   * Asks for all that wait at once where the log has it. Load: all holders have as much
+   * in hand as they may, and many requests come to one that has little. Harm of asking
+   * for the first alone: each exchange with the store serves one request.
+   */
+  private askForWaiting(
+    budget: OrganisationBudget,
+    view: BudgetView | undefined,
+  ): void {
+    const wish = budget.shortfallFor(budget.waiters.tokens);
+    const coversAll = (view?.unallocated ?? 0) >= wish;
+    this.ask(budget, wish, coversAll ? wish : budget.firstShortfall, true);
+  }
+
   private ask(
     budget: OrganisationBudget,
     wish: number,
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -255,6 +255,24 @@
     });
   });
 
+  it('serves all that wait at once while other holders have all that is kept in hand', async () => {
+    // Guards against a grant for one request in each exchange with a store that is late.
+    vi.useFakeTimers();
+    const holder = await inHeldTime(fleet.start('one'));
+    const busy = await inHeldTime(fleet.start('two'));
+    for (let request = 0; request < 12; request++) {
+      expect(await inHeldTime(use(busy, 2_000))).toBe(true);
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+    fleet.link.delayMilliseconds = 300;
+    fleet.log.faults.answerAfterMilliseconds = 300;
+    const waiting = Array.from({length: 20}, () => use(holder, 2_000));
+    expect(unallocated(holder)).toBeGreaterThan(20 * 2_000);
+    const served = await inHeldTime(Promise.all(waiting));
+    expect(served.filter(isServed => isServed)).toHaveLength(20);
+  });
+
   it('serves a request that comes while the log denies more in hand', async () => {
     // Callers were refused, or waited for loans, though the log had their tokens.
     const holder = await fleet.start('one');
