--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -7,6 +7,7 @@
 export * from './budget-view.js';
 export * from './grant-account.js';
 export * from './grant-sizing.js';
+export * from './leaving-surplus.js';
 export * from './loans.js';
 export * from './refill-pacing.js';
 export * from './reservation.js';
--- a/packages/budgets/src/reservation.ts
+++ b/packages/budgets/src/reservation.ts
@@ -23,7 +23,7 @@
  * the dispatch. Failure prevented: hosts that do not see each other's promises run
  * more than is left, and callers are refused whose answers were ready.
  */
-const SCARCE_PART = 0.03;
+export const SCARCE_PART = 0.03;
 
 /**
  * When to take a new request's tokens.
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -114,6 +114,17 @@
     this.wake.abort();
   }
 
+  /**
+   * Whether this host's callers are led to other hosts, which then need what is in hand
+   * here where the log has little.
+   */
+  setLeaving(isLeaving: boolean): void {
+    if (isLeaving !== this.planner.isLeaving) {
+      this.planner.isLeaving = isLeaving;
+      this.wake.abort();
+    }
+  }
+
   /** Keeps the grants filled until it is closed. */
   run(): Promise<void> {
     this.running = this.takeTurns();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -148,6 +148,7 @@
         isOverloaded: this.link.isOverloaded,
         connections: this.callers.acceptedConnections,
       });
+      this.budgets.setLeaving(this.rotation.endsConnections);
     });
     this.directory.onRead(() => {
       this.gate.met(StartNeed.Endpoints);
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -1,7 +1,9 @@
-import type {
-  BudgetView,
-  GrantSizing,
-  GrantVerdict,
+import {
+  leavingSurplus,
+  type BudgetView,
+  type GrantChange,
+  type GrantSizing,
+  type GrantVerdict,
 } from '@wisteriadeal/budgets';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
@@ -21,6 +23,9 @@
 
 /** Decides what is asked of the log for each organisation, and takes its verdicts. */
 export class GrantPlanner {
+  /** Whether this host's callers are led to other hosts. */
+  isLeaving = false;
+
   constructor(
     private readonly journal: BudgetJournal,
     private readonly replica: BudgetReplica,
@@ -45,12 +50,7 @@
       }
       return;
     }
-    const change = this.sizing.change(
-      budget.account,
-      view,
-      budget.prepaid,
-      now,
-    );
+    const change = this.changeOf(budget, view, now);
     this.giveBack(budget, change.giveBack);
     const isRefillDue = change.wish > 0 && budget.refills.mayAsk(now);
     if (isRefillDue || budget.isUntold || budget.isReportDue) {
@@ -104,6 +104,18 @@
     this.afterDenial(budget, view);
   }
 
+  private changeOf(
+    {account, prepaid}: OrganisationBudget,
+    view: BudgetView | undefined,
+    now: number,
+  ): GrantChange {
+    const usual = this.sizing.change(account, view, prepaid, now);
+    const surplus = this.isLeaving ? leavingSurplus(account, view) : undefined;
+    return surplus === undefined
+      ? usual
+      : {wish: 0, least: 0, giveBack: Math.max(surplus, usual.giveBack)};
+  }
+
   /**
    * Asks for all that wait at once where the log has it. Load: all holders have as much
    * in hand as they may, and many requests come to one that has little. Harm of asking
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -85,6 +85,19 @@
   return true;
 }
 
+/** One request that uses a part of its bound within a second. */
+async function usePart(
+  holder: BudgetHolder,
+  bound: number,
+  used: number,
+): Promise<void> {
+  const result = await holder.reservations.reserve(SCHOOL, wish(bound, false));
+  await new Promise(resolve => setTimeout(resolve, 1_000));
+  if ('reservation' in result) {
+    holder.reservations.settle(result.reservation, used);
+  }
+}
+
 describe('BudgetHolder', () => {
   it('hands what it has left to another holder when it stops in an outage', async () => {
     // The caller sees its requests served. Hosts are stopped in turn while the store
@@ -273,6 +286,38 @@
     expect(served.filter(isServed => isServed)).toHaveLength(20);
   });
 
+  it('leaves the end of a budget to the hosts that its callers are led to', async () => {
+    // Guards against refusals while a host without callers keeps the last tokens.
+    vi.useFakeTimers();
+    const leaving = await inHeldTime(fleet.start('one'));
+    const holder = await inHeldTime(fleet.start('two'));
+    const running: Promise<void>[] = [];
+    while (unallocated(leaving) > 2_000) {
+      running.push(usePart(leaving, 4_000, 2_000));
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    await inHeldTime(Promise.all(running));
+    vi.spyOn(leaving.lender, 'lend').mockRejectedValue(new Error('silent'));
+    leaving.setLeaving(true);
+    expect(available(leaving)).toBeGreaterThan(10_000);
+    await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+    expect(await inHeldTime(use(holder, 10_000))).toBe(true);
+  });
+
+  it('keeps what it holds while its callers are led away and the log has plenty', async () => {
+    // Guards against records that help nobody.
+    vi.useFakeTimers();
+    const holder = await inHeldTime(fleet.start('one'));
+    await inHeldTime(until(() => available(holder) > 0));
+    await vi.advanceTimersByTimeAsync(2 * LONGER_THAN_POLL_MILLISECONDS);
+    const before = available(holder);
+    const appending = vi.spyOn(fleet.log, 'append');
+    holder.setLeaving(true);
+    await vi.advanceTimersByTimeAsync(2 * LONGER_THAN_POLL_MILLISECONDS);
+    expect(available(holder)).toBe(before);
+    expect(appending).not.toHaveBeenCalled();
+  });
+
   it('serves a request that comes while the log denies more in hand', async () => {
     // Callers were refused, or waited for loans, though the log had their tokens.
     const holder = await fleet.start('one');
