--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -1,4 +1,5 @@
 import {ChargePoint} from '@wisteriadeal/budgets';
+import {CallTimeoutError, Fate, StepError} from '@wisteriadeal/platform';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
@@ -68,6 +69,12 @@
   };
 }
 
+/** What a call of the store ends with whose answer did not come in time. */
+function callTimeout(): StepError {
+  const cause = new CallTimeoutError(false, 1_200);
+  return new StepError('read', 'store', Fate.Unknown, cause.message, {cause});
+}
+
 /** One request that uses its whole bound; whether it was let in. */
 async function use(holder: BudgetHolder, tokens: number): Promise<boolean> {
   const result = await holder.reservations.reserve(SCHOOL, wish(tokens, false));
@@ -78,6 +85,19 @@
   return true;
 }
 
+/** One request that uses a part of its bound within a second. */
+async function usePart(
+  holder: BudgetHolder,
+  bound: number,
+  used: number,
+): Promise<void> {
+  const result = await holder.reservations.reserve(SCHOOL, wish(bound, false));
+  await new Promise(resolve => setTimeout(resolve, 1_000));
+  if ('reservation' in result) {
+    holder.reservations.settle(result.reservation, used);
+  }
+}
+
 describe('BudgetHolder', () => {
   it('hands what it has left to another holder when it stops in an outage', async () => {
     // The caller sees its requests served. Hosts are stopped in turn while the store
@@ -157,6 +177,24 @@
     },
   );
 
+  it.each([70, 140, 190])(
+    'waits for the log while an exchange under way is late (after %i ms)',
+    async lateMilliseconds => {
+      // Guards against refusals before the log was asked for tokens that it has.
+      vi.useFakeTimers();
+      const holder = await inHeldTime(fleet.start('one'));
+      await inHeldTime(fleet.start('two'));
+      await inHeldTime(until(() => holder.holders === 2));
+      await inHeldTime(until(() => available(holder) > 0));
+      await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+      const reading = vi.spyOn(fleet.log, 'read');
+      fleet.log.faults.answerAfterMilliseconds = 200;
+      await inHeldTime(until(() => reading.mock.calls.length === 2));
+      await vi.advanceTimersByTimeAsync(lateMilliseconds);
+      expect(await inHeldTime(use(holder, LARGE_REQUEST))).toBe(true);
+    },
+  );
+
   describe('whose host’s full link delays the store’s answers', () => {
     const DELAY_MILLISECONDS = 900;
     let holder: BudgetHolder;
@@ -174,6 +212,38 @@
       expect(await inHeldTime(use(holder, LARGE_REQUEST))).toBe(true);
     });
 
+    it('waits for a grant although a call has timed out', async () => {
+      // Guards against an outage that is made of a late answer.
+      vi.spyOn(fleet.log, 'read').mockRejectedValueOnce(callTimeout());
+      await inHeldTime(
+        until(() => fleet.events.some(({event}) => event === 'store lost')),
+      );
+      expect(fleet.events).toContainEqual(
+        expect.objectContaining({event: 'store lost', isLinkDelay: true}),
+      );
+      expect(await inHeldTime(use(holder, LARGE_REQUEST))).toBe(true);
+    });
+
+    it('refuses at once after calls have timed out for seconds', async () => {
+      // Guards against callers that wait for a store that is away behind a full link.
+      vi.spyOn(fleet.log, 'read').mockImplementation(() =>
+        Promise.reject(callTimeout()),
+      );
+      await inHeldTime(
+        until(() => fleet.events.some(({event}) => event === 'store lost')),
+      );
+      await vi.advanceTimersByTimeAsync(3_000);
+      const startedAt = performance.now();
+      const refused = holder.reservations.reserve(
+        SCHOOL,
+        wish(LARGE_REQUEST, false),
+      );
+      expect(await inHeldTime(refused)).toEqual({
+        refusal: BudgetRefusal.StoreAway,
+      });
+      expect(performance.now() - startedAt).toBeLessThan(100);
+    });
+
     it('waits no longer than the request has time', async () => {
       // Guards against callers that are told too late to come back.
       const startedAt = performance.now();
@@ -211,6 +281,56 @@
     });
   });
 
+  it('serves all that wait at once while other holders have all that is kept in hand', async () => {
+    // Guards against a grant for one request in each exchange with a store that is late.
+    vi.useFakeTimers();
+    const holder = await inHeldTime(fleet.start('one'));
+    const busy = await inHeldTime(fleet.start('two'));
+    for (let request = 0; request < 12; request++) {
+      expect(await inHeldTime(use(busy, 2_000))).toBe(true);
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+    fleet.link.delayMilliseconds = 300;
+    fleet.log.faults.answerAfterMilliseconds = 300;
+    const waiting = Array.from({length: 20}, () => use(holder, 2_000));
+    expect(unallocated(holder)).toBeGreaterThan(20 * 2_000);
+    const served = await inHeldTime(Promise.all(waiting));
+    expect(served.filter(isServed => isServed)).toHaveLength(20);
+  });
+
+  it('leaves the end of a budget to the hosts that its callers are led to', async () => {
+    // Guards against refusals while a host without callers keeps the last tokens.
+    vi.useFakeTimers();
+    const leaving = await inHeldTime(fleet.start('one'));
+    const holder = await inHeldTime(fleet.start('two'));
+    const running: Promise<void>[] = [];
+    while (unallocated(leaving) > 2_000) {
+      running.push(usePart(leaving, 4_000, 2_000));
+      await vi.advanceTimersByTimeAsync(100);
+    }
+    await inHeldTime(Promise.all(running));
+    vi.spyOn(leaving.lender, 'lend').mockRejectedValue(new Error('silent'));
+    leaving.setLeaving(true);
+    expect(available(leaving)).toBeGreaterThan(10_000);
+    await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+    expect(await inHeldTime(use(holder, 10_000))).toBe(true);
+  });
+
+  it('keeps what it holds while its callers are led away and the log has plenty', async () => {
+    // Guards against records that help nobody.
+    vi.useFakeTimers();
+    const holder = await inHeldTime(fleet.start('one'));
+    await inHeldTime(until(() => available(holder) > 0));
+    await vi.advanceTimersByTimeAsync(2 * LONGER_THAN_POLL_MILLISECONDS);
+    const before = available(holder);
+    const appending = vi.spyOn(fleet.log, 'append');
+    holder.setLeaving(true);
+    await vi.advanceTimersByTimeAsync(2 * LONGER_THAN_POLL_MILLISECONDS);
+    expect(available(holder)).toBe(before);
+    expect(appending).not.toHaveBeenCalled();
+  });
+
   it('serves a request that comes while the log denies more in hand', async () => {
     // Callers were refused, or waited for loans, though the log had their tokens.
     const holder = await fleet.start('one');
--- a/packages/platform/src/http-caller.ts
+++ b/packages/platform/src/http-caller.ts
@@ -27,7 +27,7 @@
 const LONGEST_DELAY_MILLISECONDS = 1_000;
 
 /** A call exceeded one of its time limits. */
-class CallTimeoutError extends Error {
+export class CallTimeoutError extends Error {
   override readonly name: string = 'CallTimeoutError';
 
   constructor(
