--- a/packages/decisions/src/link-load.ts
+++ b/packages/decisions/src/link-load.ts
@@ -59,6 +59,10 @@
    * Largest answer that crosses the link within a time, beside what callers send.
    *
    * @returns Bytes.
+   * @example
+   * ```ts
+   * const pageBytes = load.answerBytes(1_200);
+   * ```
    */
   answerBytes(milliseconds: number): number {
     const left = Math.max(0, this.capacity - this.callerBytesPerSecond);
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -138,6 +138,11 @@
    * Whether a connection can end with this answer: nothing else is on it. Another
    * request on it would get no answer, and a body that still comes resets the
    * connection before the caller has read the answer.
+   *
+   * @example
+   * ```ts
+   * response.shouldKeepAlive = !connections.mayEndWith(request, response);
+   * ```
    */
   mayEndWith(request: IncomingMessage, response: ServerResponse): boolean {
     const answers = this.open.get(request.socket)?.answers;
--- a/packages/gateway/src/host-rotation.ts
+++ b/packages/gateway/src/host-rotation.ts
@@ -9,7 +9,16 @@
   readonly now: () => number;
 }
 
-/** This host's place in the balancer's rotation. */
+/**
+ * This host's place in the balancer's rotation.
+ *
+ * @example
+ * ```ts
+ * rotation.observe({isOverloaded: link.isOverloaded, connections});
+ * response.statusCode = rotation.takesConnections ? 200 : 503;
+ * rotation.probed(rotation.takesConnections);
+ * ```
+ */
 export class HostRotation {
   constructor(private readonly parts: RotationParts) {}
 
--- a/packages/gateway/src/link-watch.ts
+++ b/packages/gateway/src/link-watch.ts
@@ -14,6 +14,18 @@
 /**
  * Watches the host's inbound link, and tells when callers fill it and how long what
  * comes in waits there.
+ *
+ * - `isFull`: callers use most of the link.
+ * - `isCongested`: it is full, or was in the last two seconds.
+ * - `isLate`: it is congested, and no connection has come without delay lately.
+ * - `isOverloaded`: callers send more than it carries, so that some have to go elsewhere.
+ *
+ * @example
+ * ```ts
+ * const link = new LinkWatch(875_000, new ProcessTraffic(), events, now);
+ * link.start();
+ * const limitMilliseconds = 120 + link.delayMilliseconds;
+ * ```
  */
 export class LinkWatch extends HostLink {
   private readonly load: LinkLoad;
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -44,6 +44,10 @@
    *     answer is late and still awaited.
    * @throws StepError where no answer came in time; what was lent then stands in
    *     the lender's record.
+   * @example
+   * ```ts
+   * const lent = await peers.borrow('10.0.0.1:7200', request);
+   * ```
    */
   abstract borrow(
     address: string,
--- a/packages/platform/src/partitioned-log.ts
+++ b/packages/platform/src/partitioned-log.ts
@@ -53,7 +53,14 @@
   /** The link that answers to this host cross. */
   protected link: HostLink = new FreeLink();
 
-  /** Answers cross this link from now on: calls wait longer while it is full. */
+  /**
+   * Answers cross this link from now on: calls wait longer while it is full.
+   *
+   * @example
+   * ```ts
+   * log.useLink(linkWatch);
+   * ```
+   */
   useLink(link: HostLink): void {
     this.link = link;
   }
