--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -145,6 +145,23 @@
     expect(spent).toBeGreaterThan(0.9 * PREPAID);
   });
 
+  it('waits for a slow store that has enough, and says so when it is silent', async () => {
+    // The caller is served, half a second later than usual. The store takes 0.3 s to
+    // answer, as it does on slow days; the other hosts have nothing to lend. A store
+    // that says nothing at all is named as the reason, and not others' hands.
+    const holder = await fleet.start('one');
+    await fleet.start('two');
+    await until(() => available(holder) > 0);
+    fleet.log.faults.answerAfterMilliseconds = 150;
+    expect(await use(holder, 40_000)).toBe(true);
+    fleet.log.faults.answerAfterMilliseconds = 1_000;
+    expect(
+      await holder.reservations.reserve(SCHOOL, wish(30_000, false)),
+    ).toEqual({
+      refusal: BudgetRefusal.StoreAway,
+    });
+  });
+
   it.each([0, 180, 360, 540, 690])(
     'waits for a slow store that has enough, and says so when it is silent (%i ms later)',
     async laterMilliseconds => {
