Have a lender ask the store for nothing that its borrower has asked for already

Callers were refused for budget that nobody had used (`budget-held-elsewhere` with 60,000 of 100,000 tokens unspent), just while the store was slow.

Cause: one need is asked of two sources, and both grant it. The borrower has asked the store, which is slow, and asks other holders meanwhile; a lender that sees the store asks it for the same tokens. Its answer is later than the loan's patience, so the loan comes to nothing, and the grant stands at a host that nobody asked.

A loan's request now says whether the store has been asked for the same tokens (`in_hand_only`); the lender then lends only what it has. The borrower says so by the rule by which it waits for the log itself: the log has enough and has not failed, or has failed for less than 2 s for this host's own full link alone. A host of an older version doesn't send the field and gets loans as before.

--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -116,8 +116,7 @@
     if (budget.isBorrowing || budget.lateLoans > 0) {
       return;
     }
-    const view = this.replica.fold.view(budget.name);
-    if (this.answersCome() && budget.awaitsLog(view, budget.firstBound)) {
+    if (this.awaitsLog(budget)) {
       return;
     }
     if (this.health.isAway) {
@@ -127,6 +126,12 @@
     }
   }
 
+  /** Whether the log has enough for the first that waits, and is to give it. */
+  private awaitsLog(budget: OrganisationBudget): boolean {
+    const view = this.replica.fold.view(budget.name);
+    return this.answersCome() && budget.awaitsLog(view, budget.firstBound);
+  }
+
   /** Whether the store answers, or has failed to for this host's own link alone. */
   private answersCome(): boolean {
     const awayFor = this.health.awayFor(this.clock.monotonicMilliseconds());
@@ -142,6 +147,7 @@
         wish: 0,
         borrower: this.journal.incarnation,
         loan: '',
+        inHandOnly: true,
       });
       return true;
     } catch (error) {
@@ -208,6 +214,7 @@
       wish: LOAN_FACTOR * budget.waiters.tokens,
       borrower,
       loan,
+      inHandOnly: this.awaitsLog(budget),
     };
     const awaitLate = (answer: Promise<number>) => {
       void this.awaitLate(budget, address, loan, answer);
--- a/packages/gateway/src/grant-lender.ts
+++ b/packages/gateway/src/grant-lender.ts
@@ -25,15 +25,18 @@
   /**
    * Lends to another holder; what is lent is off this account for good. A lender
    * that sees the store gets what it lacks from there: only some hosts are cut off.
+   * Not for a borrower that has asked the store itself: both would be granted the same
+   * need, and others would be refused for tokens that nobody uses.
    */
   async lend(request: LoanRequest): Promise<number> {
-    const {organisation, least, wish, borrower, loan} = request;
+    const {organisation, least, wish, borrower, loan, inHandOnly} = request;
     const budget = this.book.get(organisation);
     if (budget === undefined || this.isClosing) {
       return 0;
     }
     const view = this.book.view(organisation);
     if (
+      !inHandOnly &&
       budget.account.available < least &&
       (view?.unallocated ?? 0) >= least &&
       !this.book.health.isAway
--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -25,6 +25,8 @@
   readonly borrower: string;
   /** Names the loan, so that the borrower takes it once. */
   readonly loan: string;
+  /** The lender asks the store for nothing: it has been asked for the same tokens. */
+  readonly inHandOnly: boolean;
 }
 
 /**
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -13,6 +13,8 @@
 const LARGE_REQUEST = 30_000;
 /** Longer than a holder's pause between two reads of the log. */
 const LONGER_THAN_POLL_MILLISECONDS = 900;
+/** From one read of the log by an idle holder to the next, milliseconds. */
+const EVERY_MOMENT_OF_POLLS = Array.from({length: 70}, (_, step) => 10 * step);
 const WAIT = {milliseconds: 3_000, signal: new AbortController().signal};
 
 let fleet: HolderFleet;
@@ -162,6 +164,28 @@
     });
   });
 
+  it.each(EVERY_MOMENT_OF_POLLS)(
+    'waits for a slow store that has enough, at each moment of others’ polls (%i ms)',
+    async laterMilliseconds => {
+      // Guards against a lender that fetches what the borrower has asked the store for.
+      vi.useFakeTimers();
+      const holder = await inHeldTime(fleet.start('one'));
+      await inHeldTime(fleet.start('two'));
+      await inHeldTime(until(() => available(holder) > 0));
+      await vi.advanceTimersByTimeAsync(laterMilliseconds);
+      fleet.log.faults.answerAfterMilliseconds = 150;
+      expect(await inHeldTime(use(holder, 40_000))).toBe(true);
+      fleet.log.faults.answerAfterMilliseconds = 1_000;
+      const late = holder.reservations.reserve(
+        SCHOOL,
+        wish(LARGE_REQUEST, false),
+      );
+      expect(await inHeldTime(late)).toEqual({
+        refusal: BudgetRefusal.StoreAway,
+      });
+    },
+  );
+
   it.each([0, 180, 360, 540, 690])(
     'waits for a slow store that has enough, and says so when it is silent (%i ms later)',
     async laterMilliseconds => {
--- a/packages/gateway/src/test/loan-peers_test.ts
+++ b/packages/gateway/src/test/loan-peers_test.ts
@@ -17,6 +17,7 @@
   wish: 10,
   borrower: 'borrower',
   loan: 'loan',
+  inHandOnly: false,
 };
 const GIFT: Gift = {
   giver: 'giver',
