Tell a witness that has no book of a grant from one that has fenced it

Up to half of a budget was out of use after all hosts had stopped, in grants that nobody held and nobody took back.

Cause: a witness gave the same answer for a grant that it had fenced and for one that it had no book of. A holder drops a fenced grant; the log had these open, so that they were neither returned nor reclaimed. A witness lost the book whenever it read on the log that another was named, while the holder, some records behind or on its way back to that witness, still sent its changes there.

The last one is worse than tokens out of use: a holder goes from a witness to another and back, the witness has the new book already and reads the first of the two records then. It forgot the book, the log named it, and a reclaim by it would have listed nothing of what requests were spending.

- A witness says which grants it does not know.
They stay in the list of those that are not acknowledged, as an older holder takes all others for acknowledged.
- A holder sends such a witness the whole book; the acknowledgement of that stands for the change, and without it the change is lost, not fenced.
- A witness keeps a book until its grant is closed.
A stale one does no harm: the log names a witness only once it has acknowledged the whole book anew, and its settled bills count once.

--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -35,7 +35,7 @@
     // A candidate alone does not count: until the log names it, it can't reclaim
     // the grant, and what it acknowledged would have no bill if the holder died.
     const answers = await Promise.all([
-      ...holding.witnesses.map(witness => this.send(witness, change)),
+      ...holding.witnesses.map(witness => this.send(holding, witness, change)),
       ...(holding.witness === '' ? [this.withoutWitness(holding, change)] : []),
     ]);
     if (answers.includes(Acknowledgement.Fenced)) {
@@ -49,11 +49,21 @@
       : Acknowledgement.Applied;
   }
 
-  private send(witness: string, change: BookChange): Promise<Acknowledgement> {
+  private async send(
+    holding: GrantHolding,
+    witness: string,
+    change: BookChange,
+  ): Promise<Acknowledgement> {
     const link = this.links.to(witness);
-    return link === undefined
-      ? Promise.resolve(Acknowledgement.Lost)
-      : link.send(change);
+    if (link === undefined) {
+      return Acknowledgement.Lost;
+    }
+    let answer = await link.send(change);
+    if (answer === Acknowledgement.Unknown) {
+      // The whole book has the change in it.
+      answer = await link.send(holding.book.opened());
+    }
+    return answer === Acknowledgement.Unknown ? Acknowledgement.Lost : answer;
   }
 
   /**
--- a/packages/keeper/src/fold-listener.ts
+++ b/packages/keeper/src/fold-listener.ts
@@ -41,11 +41,7 @@
         return;
       case 'strandedRelease':
         this.fence(this.grants.holding(organisation, kind.value.grantId));
-        return;
-      case 'witnessChange':
-        if (kind.value.from === this.self) {
-          this.witnessBook.forget(kind.value.grantId);
-        }
+        this.witnessBook.forget(kind.value.grantId);
         return;
       default:
         return;
@@ -123,20 +119,18 @@
     reclaim.transfers.forEach(transfer => {
       holding?.book.transferFolded(transfer.transferId);
     });
-    if (reclaim.witness !== this.self) {
-      return;
-    }
-    for (const open of this.witnessBook.openReservations(reclaim.grantId)) {
-      this.registry.adopt(
-        organisation,
-        reclaim.grantId,
-        open,
-        RequestPhase.Running,
-      );
+    if (reclaim.witness === this.self) {
+      this.adoptRequests(organisation, reclaim.grantId);
     }
     this.witnessBook.forget(reclaim.grantId);
   }
 
+  private adoptRequests(organisation: string, grantId: string): void {
+    for (const open of this.witnessBook.openReservations(grantId)) {
+      this.registry.adopt(organisation, grantId, open, RequestPhase.Running);
+    }
+  }
+
   private fence(holding: GrantHolding | undefined): void {
     if (holding !== undefined) {
       holding.fenced = true;
--- a/packages/keeper/src/test/book-replicator_test.ts
+++ b/packages/keeper/src/test/book-replicator_test.ts
@@ -3,6 +3,7 @@
   BookChangeSchema,
   BudgetPreference,
   RequestReservationSchema,
+  type BookChange,
 } from '@wisteriadeal/schema';
 import {FakeClock} from '@wisteriadeal/stand-ins';
 import {describe, expect, it} from 'vitest';
@@ -15,9 +16,20 @@
 import {Acknowledgement} from '../witness-link.js';
 import type {WitnessLinks} from '../witness-links.js';
 
-const acknowledges = {
-  to: () => ({send: () => Promise.resolve(Acknowledgement.Applied)}),
-} as unknown as WitnessLinks;
+/** Links to witnesses that answer so, in turn; the last answer stays. */
+function linksThatAnswer(
+  answers: readonly Acknowledgement[],
+  sent: BookChange[] = [],
+): WitnessLinks {
+  const send = (change: BookChange) => {
+    const index = Math.min(sent.length, answers.length - 1);
+    sent.push(change);
+    return Promise.resolve(answers[index]);
+  };
+  return {to: () => ({send})} as unknown as WitnessLinks;
+}
+
+const acknowledges = linksThatAnswer([Acknowledgement.Applied]);
 const logIsAway = {isReachable: () => false} as unknown as PlatformHealth;
 
 function holdingOf(witness: string, candidate: string): GrantHolding {
@@ -33,9 +45,13 @@
   return holding;
 }
 
-function commit(holding: GrantHolding, preference: BudgetPreference) {
+function commit(
+  holding: GrantHolding,
+  preference: BudgetPreference,
+  links = acknowledges,
+) {
   const replicator = new BookReplicator(
-    acknowledges,
+    links,
     {} as unknown as LedgerAppender,
     {streamOf: () => 'ledger-0'} as unknown as LedgerReplicas,
     logIsAway,
@@ -82,4 +98,27 @@
       ),
     ).toBe(Acknowledgement.Applied);
   });
+
+  it('sends the whole book to a witness that has none', async () => {
+    // Guards against refusals for a grant that its witness has only forgotten.
+    const sent: BookChange[] = [];
+    const answers = [Acknowledgement.Unknown, Acknowledgement.Applied];
+    const acknowledgement = await commit(
+      holdingOf('witness', ''),
+      BudgetPreference.AVOID_UNCLEAR_BILLS,
+      linksThatAnswer(answers, sent),
+    );
+    expect(acknowledgement).toBe(Acknowledgement.Applied);
+    expect(sent.map(({kind}) => kind.case)).toEqual(['reserved', 'opened']);
+  });
+
+  it('does not take a witness without a book for one that has fenced the grant', async () => {
+    // Guards against grants that their holder drops while the log has them open.
+    const acknowledgement = await commit(
+      holdingOf('witness', ''),
+      BudgetPreference.AVOID_UNCLEAR_BILLS,
+      linksThatAnswer([Acknowledgement.Unknown]),
+    );
+    expect(acknowledgement).toBe(Acknowledgement.Lost);
+  });
 });
--- a/packages/keeper/src/test/failures_test.ts
+++ b/packages/keeper/src/test/failures_test.ts
@@ -22,6 +22,14 @@
   );
 }
 
+/** Grants that the log has open for a keeper. */
+function openGrantsOf(fleet: Fleet, {identity}: Keeper) {
+  return fleet
+    .ledger()
+    .grants('org')
+    .filter(grant => !grant.closed && grant.holder === identity.incarnation);
+}
+
 /** Replicates the holder's books to a witness that the log has not named yet. */
 async function replicateToCandidate(
   holder: Keeper,
@@ -249,12 +257,24 @@
     const router = fleet.router(holder);
     await router.settle(await router.begin('r1', 100), 10);
     await holder.close();
-    const held = fleet
-      .ledger()
-      .grants('org')
-      .filter(
-        grant => !grant.closed && grant.holder === holder.identity.incarnation,
-      );
-    expect(held).toEqual([]);
+    expect(openGrantsOf(fleet, holder)).toEqual([]);
+  });
+
+  it('returns a grant that its witness has no book of', async () => {
+    // Guards against tokens that nobody can use after the host has stopped.
+    const keepers = [await fleet.add('a'), await fleet.add('a')];
+    const holder = await fleet.holder('a');
+    const witness = keepers.find(keeper => keeper !== holder) ?? holder;
+    const router = fleet.router(holder);
+    await router.settle(await router.begin('r1', 100), 10);
+    const forgotten = [...holder.parts.grants.of('org').holdings.keys()];
+    forgotten.forEach(id => {
+      witness.parts.witnessBook.forget(id);
+    });
+    const answer = await router.begin('r2', 100);
+    expect(forgotten).toContain(answer.grantId);
+    await router.settle(answer, 10);
+    await holder.close();
+    expect(openGrantsOf(fleet, holder)).toEqual([]);
   });
 });
--- a/packages/keeper/src/witness-link.ts
+++ b/packages/keeper/src/witness-link.ts
@@ -17,6 +17,8 @@
   Applied = 'applied',
   /** The witness has fenced the grant: nothing may be dispatched under it. */
   Fenced = 'fenced',
+  /** The witness has no book of the grant and needs the whole of it first. */
+  Unknown = 'unknown',
   /** Nobody knows; nothing may be dispatched on its strength. */
   Lost = 'lost',
 }
@@ -137,15 +139,18 @@
       return true;
     }
     if (message.kind.case === 'answer') {
-      const {sequence, fencedGrants} = message.kind.value;
+      const {sequence, fencedGrants, unknownGrants} = message.kind.value;
       const fenced = new Set(fencedGrants);
+      const unknown = new Set(unknownGrants);
       const done = this.waiting.filter(item => item.sequence <= sequence);
       this.waiting = this.waiting.filter(item => item.sequence > sequence);
       for (const item of done) {
         item.resolve(
-          fenced.has(item.grantId)
-            ? Acknowledgement.Fenced
-            : Acknowledgement.Applied,
+          unknown.has(item.grantId)
+            ? Acknowledgement.Unknown
+            : fenced.has(item.grantId)
+              ? Acknowledgement.Fenced
+              : Acknowledgement.Applied,
         );
       }
     }
--- a/packages/keeper/src/witness-service.ts
+++ b/packages/keeper/src/witness-service.ts
@@ -1,5 +1,5 @@
 import {create} from '@bufbuild/protobuf';
-import type {WitnessBook} from '@wisteriadeal/ledger';
+import {BookChangeResult, type WitnessBook} from '@wisteriadeal/ledger';
 import {
   WitnessMessageSchema,
   type HolderMessage,
@@ -32,15 +32,26 @@
 
   private apply(batch: ReplicateBatch): WitnessMessage {
     const fencedGrants = new Set<string>();
+    const unknownGrants = new Set<string>();
     for (const change of batch.changes) {
-      if (!this.book.apply(change)) {
+      const result = this.book.apply(change);
+      if (result !== BookChangeResult.Applied) {
+        // Also the unknown ones: an older holder reads no other list, and takes a
+        // grant that is in none for acknowledged.
         fencedGrants.add(change.grantId);
       }
+      if (result === BookChangeResult.Unknown) {
+        unknownGrants.add(change.grantId);
+      }
     }
     return create(WitnessMessageSchema, {
       kind: {
         case: 'answer',
-        value: {sequence: batch.sequence, fencedGrants: [...fencedGrants]},
+        value: {
+          sequence: batch.sequence,
+          fencedGrants: [...fencedGrants],
+          unknownGrants: [...unknownGrants],
+        },
       },
     });
   }
--- a/packages/ledger/src/test/escrow-model.ts
+++ b/packages/ledger/src/test/escrow-model.ts
@@ -13,7 +13,7 @@
 
 import {HolderBook} from '../holder-book.js';
 import {LedgerFold} from '../ledger-fold.js';
-import {WitnessBook} from '../witness-book.js';
+import {BookChangeResult, WitnessBook} from '../witness-book.js';
 
 type EntryKind = NonNullable<
   MessageInitShape<typeof LedgerEntrySchema>['kind']
@@ -364,7 +364,7 @@
       actor => actor.name === chosen?.witness,
     )?.witnessBook;
     for (const item of chosen?.channel.splice(0, items) ?? []) {
-      if (witness?.apply(item.change) === true) {
+      if (witness?.apply(item.change) === BookChangeResult.Applied) {
         item.acknowledged();
       }
     }
--- a/packages/ledger/src/witness-book.ts
+++ b/packages/ledger/src/witness-book.ts
@@ -11,6 +11,16 @@
   type Transfer,
 } from '@wisteriadeal/schema';
 
+/** What a witness did with a change. */
+export enum BookChangeResult {
+  /** It stands in the book and may be acknowledged. */
+  Applied = 'applied',
+  /** The grant is fenced: nothing of it is acknowledged. */
+  Fenced = 'fenced',
+  /** There is no book of the grant here. Says nothing about the grant itself. */
+  Unknown = 'unknown',
+}
+
 interface WitnessedGrant {
   readonly organisation: string;
   readonly holder: string;
@@ -45,23 +55,26 @@
   /**
    * Applies a change of the holder.
    *
-   * @returns False where it must not be acknowledged: the grant is fenced, or
-   *     this witness never got the whole book.
+   * @returns `Applied` alone may be acknowledged.
+   * @example
+   * ```ts
+   * const isAcknowledged = book.apply(change) === BookChangeResult.Applied;
+   * ```
    */
-  apply(change: BookChange): boolean {
+  apply(change: BookChange): BookChangeResult {
     if (this.fenced.has(change.grantId)) {
-      return false;
+      return BookChangeResult.Fenced;
     }
     if (change.kind.case === 'opened') {
       this.grants.set(change.grantId, fromGrantBook(change.kind.value));
-      return true;
+      return BookChangeResult.Applied;
     }
     const grant = this.grants.get(change.grantId);
     if (grant === undefined) {
-      return false;
+      return BookChangeResult.Unknown;
     }
     applyChange(grant, change);
-    return true;
+    return BookChangeResult.Applied;
   }
 
   /** Stops acknowledging for a grant, for ever; also for one not known yet. */
@@ -116,7 +129,11 @@
     this.grants.get(grantId)?.transfers.delete(transferId);
   }
 
-  /** The grant is closed or has another witness. */
+  /**
+   * The grant is closed. One that only has another witness is kept: a holder that is
+   * some records behind still sends its changes here, and one that names this witness
+   * again has sent the whole book before the log shows that it named another.
+   */
   forget(grantId: string): void {
     this.grants.delete(grantId);
   }
