Leave it to the log whether a fenced grant is closed

Tokens stayed in grants that nobody could use any more, in hosts that had stopped in good order, and a later loss of the holder was never reclaimed.

Cause: a witness that takes a slow holder for lost fences the grant and asks the log to take it back. The holder has named another witness meanwhile, and the log refuses ("the witness named is not the one in force"). Three things made that last for ever:

- The holder believed the fence and dropped the grant, which the log has open.
Now a fence keeps it from reserving while that witness must acknowledge; only a record on the log closes a grant here.
A grant that the fold does not show yet is no closed one either.
- The witness kept the fence.
It lifts it now when its reclaim is refused for another witness; the book lacks only what was not acknowledged.
The holder asks a fencing witness again at each review, with the whole book.
- The reclaim's identifier named the grant alone, so that each later one, also of the witness in force, was a duplicate of the refused one.

Safe: until the log decides both witnesses must acknowledge, and a keeper has one reclaim of a grant on its way at a time.

Tests that failed before: a grant that a witness has fenced is returned at the stop; the fence is lifted and the next reclaim has another identifier.

--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -38,10 +38,7 @@
       ...holding.witnesses.map(witness => this.send(holding, witness, change)),
       ...(holding.witness === '' ? [this.withoutWitness(holding, change)] : []),
     ]);
-    if (answers.includes(Acknowledgement.Fenced)) {
-      holding.fenced = true;
-    }
-    if (holding.fenced) {
+    if (holding.isClosed || answers.includes(Acknowledgement.Fenced)) {
       return Acknowledgement.Fenced;
     }
     return answers.includes(Acknowledgement.Lost)
@@ -63,6 +60,7 @@
       // The whole book has the change in it.
       answer = await link.send(holding.book.opened());
     }
+    holding.answered(witness, answer);
     return answer === Acknowledgement.Unknown ? Acknowledgement.Lost : answer;
   }
 
@@ -110,7 +108,7 @@
       .then(() => otherwise);
     const first = await Promise.race([written, limit]);
     ended.abort();
-    holding.fenced ||= first === Acknowledgement.Fenced;
+    holding.isClosed ||= first === Acknowledgement.Fenced;
     return first;
   }
 }
--- a/packages/keeper/src/fold-listener.ts
+++ b/packages/keeper/src/fold-listener.ts
@@ -40,7 +40,7 @@
         }
         return;
       case 'strandedRelease':
-        this.fence(this.grants.holding(organisation, kind.value.grantId));
+        this.noteClosed(this.grants.holding(organisation, kind.value.grantId));
         this.witnessBook.forget(kind.value.grantId);
         return;
       default:
@@ -112,7 +112,7 @@
 
   private reclaimed(organisation: string, reclaim: Reclaim): void {
     const holding = this.grants.holding(organisation, reclaim.grantId);
-    this.fence(holding);
+    this.noteClosed(holding);
     reclaim.settled.forEach(bill => {
       holding?.book.billFolded(bill.requestId);
     });
@@ -131,9 +131,9 @@
     }
   }
 
-  private fence(holding: GrantHolding | undefined): void {
+  private noteClosed(holding: GrantHolding | undefined): void {
     if (holding !== undefined) {
-      holding.fenced = true;
+      holding.isClosed = true;
     }
   }
 }
--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -268,7 +268,7 @@
     return this.all.flatMap(grants =>
       [...grants.holdings.values()]
         .filter(
-          holding => !holding.fenced && holding.witnesses.includes(witness),
+          holding => !holding.isClosed && holding.witnesses.includes(witness),
         )
         .map(holding => holding.book.opened()),
     );
--- a/packages/keeper/src/holding-keeper.ts
+++ b/packages/keeper/src/holding-keeper.ts
@@ -10,6 +10,8 @@
 /** Keeps held grants in shape: a live witness each, and no empty remains. */
 export class HoldingKeeper {
   private readonly changing = new Set<string>();
+  /** Grants whose fencing witness is asked whether it still fences them. */
+  private readonly asking = new Set<string>();
 
   constructor(
     private readonly parts: GrantParts,
@@ -25,6 +27,7 @@
       !this.parts.membership.isLeaving;
     for (const holding of [...grants.holdings.values()]) {
       this.reviewWitness(grants.organisation, holding);
+      this.reviewFence(holding);
       this.reviewRemains(grants, holding, keep);
     }
   }
@@ -41,7 +44,7 @@
   private reviewWitness(organisation: string, holding: GrantHolding): void {
     const {membership, health, replicas, links} = this.parts;
     if (
-      holding.fenced ||
+      holding.isClosed ||
       this.changing.has(holding.grantId) ||
       !health.isReachable(replicas.streamOf(organisation))
     ) {
@@ -64,6 +67,23 @@
     }
   }
 
+  /**
+   * A fence is lifted where the log has refused the reclaim; until the witness
+   * acknowledges again, nothing is reserved that would show it.
+   */
+  private reviewFence(holding: GrantHolding): void {
+    const {grantId} = holding;
+    if (holding.isClosed || !holding.isFenced || this.asking.has(grantId)) {
+      return;
+    }
+    this.asking.add(grantId);
+    void this.parts.replicator
+      .commit(holding, holding.book.opened())
+      .finally(() => {
+        this.asking.delete(grantId);
+      });
+  }
+
   /**
    * The new witness gets the whole book before the log names it, and both must
    * acknowledge until the log has decided; so whichever is in force when it
@@ -76,9 +96,10 @@
   ): Promise<void> {
     if (candidate !== '') {
       holding.candidate = candidate;
-      const answer = await this.parts.links
-        .to(candidate)
-        ?.send(holding.book.opened());
+      const answer =
+        (await this.parts.links.to(candidate)?.send(holding.book.opened())) ??
+        Acknowledgement.Lost;
+      holding.answered(candidate, answer);
       if (answer !== Acknowledgement.Applied) {
         holding.candidate = undefined;
         return;
@@ -110,9 +131,9 @@
     const state = this.parts.replicas
       .ledgerOf(organisation)
       .grant(organisation, holding.grantId);
-    if (state === undefined || state.closed) {
-      holding.fenced = true;
-    } else {
+    if (state?.closed === true) {
+      holding.isClosed = true;
+    } else if (state !== undefined) {
       holding.witness = state.witness;
     }
     holding.candidate = undefined;
@@ -124,7 +145,7 @@
     keep: boolean,
   ): void {
     const {book} = holding;
-    if (holding.fenced) {
+    if (holding.isClosed) {
       if (book.isSettled) {
         grants.holdings.delete(holding.grantId);
       }
--- a/packages/keeper/src/keeper-inspection.ts
+++ b/packages/keeper/src/keeper-inspection.ts
@@ -155,7 +155,8 @@
         grant: holding.grantId,
         organisation: grants.organisation,
         witness: holding.witness,
-        fenced: holding.fenced,
+        fenced: holding.isFenced,
+        closed: holding.isClosed,
         spendableTokens: holding.spendableTokens,
         reservedTokens: holding.book.openTokens,
         openRequests: holding.book.openReservations.map(
--- a/packages/keeper/src/organisation-grants.ts
+++ b/packages/keeper/src/organisation-grants.ts
@@ -148,7 +148,8 @@
     return [...this.holdings.values()]
       .filter(
         holding =>
-          !holding.fenced &&
+          !holding.isClosed &&
+          !holding.isFenced &&
           !holding.book.isClosing &&
           holding.spendableTokens >= bound,
       )
--- a/packages/keeper/src/reclaimer.ts
+++ b/packages/keeper/src/reclaimer.ts
@@ -1,4 +1,8 @@
-import type {WitnessBook} from '@wisteriadeal/ledger';
+import {
+  RefusalReason,
+  type EntryVerdict,
+  type WitnessBook,
+} from '@wisteriadeal/ledger';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {Bill} from '@wisteriadeal/schema';
 
@@ -18,6 +22,7 @@
   private readonly firstMissed = new Map<string, number>();
   /** Request identifiers of bills submitted for lost holders, until folded. */
   private readonly pendingBills = new Set<string>();
+  private reclaims = 0;
 
   constructor(
     private readonly membership: MembershipTable,
@@ -115,13 +120,10 @@
       peer: holder,
       openReservations: value.openReservations.length,
     });
+    // A refused reclaim must not make a duplicate of a later one.
+    const entryId = `reclaim:${grantId}:${value.witness}:${this.reclaims++}`;
     void this.appender
-      .submit(
-        ledgerEntry(`reclaim:${grantId}`, organisation, {
-          case: 'reclaim',
-          value,
-        }),
-      )
+      .submit(ledgerEntry(entryId, organisation, {case: 'reclaim', value}))
       .then(({verdict}) => {
         this.eventLog.info('grant reclaimed', {
           organisation,
@@ -129,6 +131,19 @@
           verdict: verdict.kind,
           reason: verdict.reason,
         });
+        this.reclaimDecided(grantId, verdict);
       });
   }
+
+  /**
+   * Load: a slow holder was taken for lost, and has named another witness meanwhile.
+   * Harm of a fence that stays: the holder can never come back to this witness, and
+   * nobody reclaims the grant here once the holder is lost.
+   */
+  private reclaimDecided(grantId: string, {reason}: EntryVerdict): void {
+    if (reason === RefusalReason.NotWitness) {
+      this.witnessBook.liftFence(grantId);
+      this.reclaiming.delete(grantId);
+    }
+  }
 }
--- a/packages/keeper/src/test/failures_test.ts
+++ b/packages/keeper/src/test/failures_test.ts
@@ -277,4 +277,23 @@
     await holder.close();
     expect(openGrantsOf(fleet, holder)).toEqual([]);
   });
+
+  it('returns a grant that a witness has fenced and the log has open', async () => {
+    // Guards against tokens that nobody can use after a reclaim that was refused.
+    const keepers = [await fleet.add('a'), await fleet.add('a')];
+    const holder = await fleet.holder('a');
+    const witness = keepers.find(keeper => keeper !== holder) ?? holder;
+    const router = fleet.router(holder);
+    const fenced = [...holder.parts.grants.of('org').holdings.keys()];
+    fenced.forEach(id => {
+      witness.parts.witnessBook.fence(id);
+    });
+    const answer = await router.begin('r1', 100);
+    expect(fenced).not.toContain(answer.grantId);
+    if (answer.verdict === BeginVerdict.RESERVED) {
+      await router.settle(answer, 10);
+    }
+    await holder.close();
+    expect(openGrantsOf(fleet, holder)).toEqual([]);
+  });
 });
--- /dev/null
+++ b/packages/keeper/src/test/reclaimer_test.ts
@@ -0,0 +1,72 @@
+import {RefusalReason, VerdictKind, WitnessBook} from '@wisteriadeal/ledger';
+import {EventLog} from '@wisteriadeal/runtime';
+import {LogLevel, type LedgerEntry} from '@wisteriadeal/schema';
+import {describe, expect, it} from 'vitest';
+
+import type {LedgerAppender, OwnVerdict} from '../ledger-appender.js';
+import type {LedgerReplicas} from '../ledger-replicas.js';
+import type {MembershipTable} from '../membership-table.js';
+import {Reclaimer} from '../reclaimer.js';
+
+const SELF = 'witness';
+const GRANT = 'g1';
+const PATIENCE_MILLISECONDS = 1_000;
+
+const holderIsSilent = {
+  self: {incarnation: SELF},
+  silenceMilliseconds: () => PATIENCE_MILLISECONDS + 1,
+} as unknown as MembershipTable;
+
+/** A log whose one grant names this witness, as the keeper has read it. */
+const namesSelf = {
+  all: [
+    {
+      ledger: {
+        organisationNames: ['org'],
+        grants: () => [
+          {grantId: GRANT, closed: false, witness: SELF, holder: 'holder'},
+        ],
+      },
+    },
+  ],
+} as unknown as LedgerReplicas;
+
+/** A log on which another witness is in force already. */
+class RefusingAppender {
+  readonly submitted: LedgerEntry[] = [];
+
+  submit(entry: LedgerEntry): Promise<OwnVerdict> {
+    this.submitted.push(entry);
+    const verdict = {
+      entryId: entry.entryId,
+      organisation: entry.organisation,
+      kind: VerdictKind.Refused,
+      reason: RefusalReason.NotWitness,
+    };
+    return Promise.resolve({verdict, uncertain: false});
+  }
+}
+
+describe('Reclaimer', () => {
+  it('lifts its fence when the log has named another witness before', async () => {
+    // Guards against a grant that neither its holder nor a later witness gets back.
+    const book = new WitnessBook();
+    const appender = new RefusingAppender();
+    const reclaimer = new Reclaimer(
+      holderIsSilent,
+      namesSelf,
+      book,
+      appender as unknown as LedgerAppender,
+      PATIENCE_MILLISECONDS,
+      () => 0,
+      EventLog.create(LogLevel.ERROR, {}),
+    );
+    reclaimer.review();
+    expect(book.isFenced(GRANT)).toBe(true);
+    await new Promise(resolve => setImmediate(resolve));
+    expect(book.isFenced(GRANT)).toBe(false);
+    reclaimer.review();
+    const entryIds = appender.submitted.map(({entryId}) => entryId);
+    expect(new Set(entryIds).size).toBe(2);
+  });
+});
--- a/packages/ledger/src/test/escrow-model.ts
+++ b/packages/ledger/src/test/escrow-model.ts
@@ -13,6 +13,7 @@
 
 import {HolderBook} from '../holder-book.js';
 import {LedgerFold} from '../ledger-fold.js';
+import {RefusalReason, VerdictKind, type EntryVerdict} from '../verdict.js';
 import {BookChangeResult, WitnessBook} from '../witness-book.js';
 
 type EntryKind = NonNullable<
@@ -74,6 +75,7 @@
   readonly fold = new LedgerFold();
   readonly holdings = new Map<string, Holding>();
   readonly witnessBook = new WitnessBook();
+  readonly undecidedReclaims = new Set<string>();
   readonly channels = new Map<string, ChannelItem[]>();
   readonly unappended: LedgerEntry[] = [];
   position = 0;
@@ -285,8 +287,11 @@
   }
 
   private fold(actor: Actor, batch: LedgerBatch): void {
-    actor.fold.applyBatch(actor.position, batch);
-    for (const {kind} of batch.entries) {
+    const verdicts = actor.fold.applyBatch(actor.position, batch);
+    for (const [index, {kind}] of batch.entries.entries()) {
+      if (kind.case === 'reclaim' && batch.writer === actor.name) {
+        this.reclaimDecided(actor, kind.value.grantId, verdicts[index]);
+      }
       if (kind.case === 'grant' && kind.value.holder === actor.name) {
         const state = actor.fold.grant(ORGANISATION, kind.value.grantId);
         if (state !== undefined && !state.closed) {
@@ -542,11 +547,30 @@
       chosen.grantId,
       chosen.actor.name,
     );
-    if (chosen !== undefined && value !== undefined) {
+    if (
+      chosen !== undefined &&
+      value !== undefined &&
+      !chosen.actor.undecidedReclaims.has(chosen.grantId)
+    ) {
+      chosen.actor.undecidedReclaims.add(chosen.grantId);
       this.append(chosen.actor.name, {case: 'reclaim', value});
     }
   }
 
+  private reclaimDecided(
+    actor: Actor,
+    grantId: string,
+    verdict: EntryVerdict | undefined,
+  ): void {
+    if (verdict?.kind === VerdictKind.Duplicate) {
+      return;
+    }
+    actor.undecidedReclaims.delete(grantId);
+    if (verdict?.reason === RefusalReason.NotWitness) {
+      actor.witnessBook.liftFence(grantId);
+    }
+  }
+
   private changeWitness(
     actor: Actor,
     holding: Holding | undefined,
--- a/packages/ledger/src/witness-book.ts
+++ b/packages/ledger/src/witness-book.ts
@@ -43,10 +43,10 @@
  *
  * The failure it meets: a holder is taken for dead, its grant is given to
  * others, and it wakes and spends. Once fenced, no change of the grant is
- * acknowledged any more, and a holder dispatches nothing without the
- * acknowledgement; so what this book lists when it is fenced is everything that
- * can ever be spent under the grant, whether or not endpoints check fencing
- * numbers.
+ * acknowledged any more, unless the log refuses to take the grant back, and a holder
+ * dispatches nothing without the acknowledgement; so what this book lists when it is
+ * fenced is everything that can ever be spent under the grant, whether or not
+ * endpoints check fencing numbers.
  */
 export class WitnessBook {
   private readonly grants = new Map<string, WitnessedGrant>();
@@ -77,11 +77,23 @@
     return BookChangeResult.Applied;
   }
 
-  /** Stops acknowledging for a grant, for ever; also for one not known yet. */
+  /**
+   * Stops acknowledging for a grant until the log has refused its reclaim; also for
+   * one not known yet.
+   */
   fence(grantId: string): void {
     this.fenced.add(grantId);
   }
 
+  /**
+   * The log refused the reclaim, as another witness is in force: nothing was taken
+   * back. The book stays: it lacks only changes that were not acknowledged, and the
+   * holder may have named this witness again meanwhile.
+   */
+  liftFence(grantId: string): void {
+    this.fenced.delete(grantId);
+  }
+
   /** Whether the grant is fenced. */
   isFenced(grantId: string): boolean {
     return this.fenced.has(grantId);
