Fail configuration-in-force on tokens that nobody can use after a stop

The case printed how many tokens were left in grants when all hosts had stopped, and passed whatever they were: the second half of its entry left the list unseen.

The bounds come from the users' rules, and were written down before any fix: a refusal for budget is owed only beyond 97 % of what was paid, so that at most 3 % may lie unused; a host that stops in good order returns its grants, so that it leaves none.

--- a/packages/measurements/src/cases/configuration-in-force-case.ts
+++ b/packages/measurements/src/cases/configuration-in-force-case.ts
@@ -5,6 +5,7 @@
 import {PLATFORM_PLACE} from '../fleet-network.js';
 import {SMALL_FLEET} from '../fleet-plan.js';
 import type {FleetRun, FleetRunOptions} from '../fleet-run.js';
+import type {OutcomeReport} from '../outcome-report.js';
 import {RelayState} from '../relay.js';
 import {VersionWatch} from '../version-watch.js';
 import {pause} from '../waiting.js';
@@ -14,11 +15,25 @@
 const OTHER = 'kigali-1';
 const LIMIT_MILLISECONDS = 16_000;
 const CUT_MILLISECONDS = 4_000;
+/** A refusal for budget is owed only beyond 97 % of what was paid. */
+const MOST_UNUSABLE_PART = 0.03;
 
 function processesOf(hosts: readonly EntryHost[]) {
   return hosts.flatMap(({router, keeper}) => [router, keeper]);
 }
 
+/**
+ * Tokens in grants after all hosts have stopped are of no use to anybody. A budget may
+ * lie idle to a small part; a host that stopped in good order keeps nothing.
+ */
+function unusableTokens(report: OutcomeReport): readonly string[] {
+  const {grantedTokens, grantedTokensOfStoppedHosts, budget} = report;
+  return [
+    ...(grantedTokens > MOST_UNUSABLE_PART * budget ? ['grantedTokens'] : []),
+    ...(grantedTokensOfStoppedHosts > 0 ? ['grantedTokensOfStoppedHosts'] : []),
+  ];
+}
+
 /**
  * Operators race, one data centre loses the platform and then everything, and a
  * host is replaced meanwhile. Each accepted version must reach every process and
@@ -39,6 +54,8 @@
     return failureLoad({...SMALL_FLEET, seed});
   }
 
+  protected override readonly brokenAtEnd = unusableTokens;
+
   protected override async act(run: FleetRun): Promise<CaseFields> {
     const watch = new VersionWatch(run.fleet);
     const watching = watch.run();
--- a/packages/measurements/src/fleet-case.ts
+++ b/packages/measurements/src/fleet-case.ts
@@ -5,7 +5,7 @@
   type CaseResult,
   type ResultValue,
 } from './measure-case.js';
-import {toCaseResult} from './outcome-report.js';
+import {toCaseResult, type OutcomeReport} from './outcome-report.js';
 import type {RequestRecord} from './request-record.js';
 
 /** The case's own fields. */
@@ -51,13 +51,19 @@
     return own.passed !== false;
   }
 
+  /** Promises of the case's own that are broken once all hosts have stopped. */
+  protected readonly brokenAtEnd: (report: OutcomeReport) => readonly string[] =
+    () => [];
+
   override async run(seed: number): Promise<CaseResult> {
     const run = await FleetRun.start(this.options(seed));
     let passed = false;
     try {
       const own = await this.act(run);
       const broken = this.mustBeZero.filter(name => own[name] !== 0);
-      const result = toCaseResult(await run.finish(), own, broken);
+      const report = await run.finish();
+      broken.push(...this.brokenAtEnd(report));
+      const result = toCaseResult(report, own, broken);
       passed = result.passed && this.holds(own);
       return {...result, passed};
     } finally {
--- a/packages/measurements/src/fleet-run.ts
+++ b/packages/measurements/src/fleet-run.ts
@@ -138,8 +138,8 @@
       await pause(LOOK_MILLISECONDS);
       judge = await this.judge();
     }
-    await this.fleet.stopHosts();
-    judge = await this.judge();
+    const stoppedHosts = await this.fleet.stopHosts();
+    judge = await this.judge(stoppedHosts);
     for (const line of judge.evidence) {
       process.stderr.write(`${line}\n`);
     }
@@ -152,11 +152,19 @@
     await this.fleet.close(keepOutput);
   }
 
-  private async judge(): Promise<OutcomeJudge> {
+  private async judge(
+    stoppedHosts: readonly string[] = [],
+  ): Promise<OutcomeJudge> {
     const {fleet, options} = this;
     const ledger = await auditLedger(fleet.log, options.plan.ledgerStreams);
     const executions = await ExecutionAudit.read(fleet);
     const {records} = this.load;
-    return new OutcomeJudge(records, ledger, executions, this.topUps);
+    return new OutcomeJudge(
+      records,
+      ledger,
+      executions,
+      this.topUps,
+      stoppedHosts,
+    );
   }
 }
--- a/packages/measurements/src/fleet.ts
+++ b/packages/measurements/src/fleet.ts
@@ -150,12 +150,13 @@
   /**
    * Stops all hosts in good order.
    *
-   * @returns True where every process stopped by itself.
+   * @returns Names of the hosts whose keeper stopped by itself.
    */
-  async stopHosts(): Promise<boolean> {
-    const routers = await Promise.all(this.hosts.map(h => h.router.stop()));
-    const keepers = await Promise.all(this.hosts.map(h => h.keeper.stop()));
-    return [...routers, ...keepers].every(stopped => stopped);
+  async stopHosts(): Promise<readonly string[]> {
+    const hosts = [...this.hosts];
+    await Promise.all(hosts.map(host => host.router.stop()));
+    const stopped = await Promise.all(hosts.map(host => host.keeper.stop()));
+    return hosts.filter((_, index) => stopped[index]).map(({name}) => name);
   }
 
   /** Ends everything. */
--- a/packages/measurements/src/outcome-report.ts
+++ b/packages/measurements/src/outcome-report.ts
@@ -1,3 +1,4 @@
+import type {GrantState} from '@wisteriadeal/schema';
 import {build} from 'hdr-histogram-js';
 
 import {RequestKind} from './caller-request.js';
@@ -43,6 +44,8 @@
   readonly ranTwice: number;
   /** In grants, neither billed nor returned, when the run ended. */
   readonly grantedTokens: number;
+  /** Of these, in grants of hosts that stopped in good order. */
+  readonly grantedTokensOfStoppedHosts: number;
   /** Last results by name of their problem. */
   readonly problems: Readonly<Record<string, number>>;
   /** What of the above breaks a promise; empty where all hold. */
@@ -100,6 +103,7 @@
     private readonly ledger: LedgerAudit,
     private readonly executions: ExecutionAudit,
     topUps: readonly RunTopUp[] = [],
+    private readonly stoppedHosts: readonly string[] = [],
   ) {
     this.falseRefusals = findFalseRefusals(records, ledger, topUps);
   }
@@ -181,6 +185,10 @@
       notRunThatRan: this.notRunThatRan(),
       ranTwice: this.ranTwice(),
       grantedTokens: sum(organisations.map(each => each.grantedTokens)),
+      grantedTokensOfStoppedHosts: tokensHeldBy(
+        this.ledger.openGrants,
+        this.stoppedHosts,
+      ),
       problems: countProblems(this.records),
     };
   }
@@ -216,6 +224,25 @@
   }
 }
 
+/**
+ * Tokens in grants whose holders run on some hosts.
+ *
+ * @param hosts Names of hosts; a holder's incarnation begins with its host's.
+ * @example
+ * ```ts
+ * const left = tokensHeldBy(audit.openGrants, ['kigali-1-host-0']);
+ * ```
+ */
+export function tokensHeldBy(
+  grants: readonly GrantState[],
+  hosts: readonly string[],
+): number {
+  const held = grants.filter(({holder}) =>
+    hosts.some(host => holder.startsWith(`${host}/`)),
+  );
+  return sum(held.map(({tokens, billedTokens}) => tokens - billedTokens));
+}
+
 /** The counts that must be 0, whatever fails. */
 const ZERO_COUNTS = [
   'overspentTokens',
