--- a/packages/keeper/src/fold-listener.ts
+++ b/packages/keeper/src/fold-listener.ts
@@ -127,6 +127,13 @@
 
   private adoptRequests(organisation: string, grantId: string): void {
     for (const open of this.witnessBook.openReservations(grantId)) {
+      this.eventLog.info('request inherited', {
+        request: open.reservation?.requestId,
+        organisation,
+        grant: grantId,
+        router: open.router,
+        tokens: open.reservation?.boundTokens,
+      });
       this.registry.adopt(organisation, grantId, open, RequestPhase.Running);
     }
   }
--- a/packages/measurements/src/outcome-report.ts
+++ b/packages/measurements/src/outcome-report.ts
@@ -123,6 +123,7 @@
         this.records.filter(record => record.mismatch !== ''),
       ),
       ...describeRecords('not billed', this.unbilled),
+      ...describeRecords('told "not run"', this.notRunThatRan),
       ...this.falseRefusals
         .slice(0, LINES_SHOWN)
         .map(
@@ -133,7 +134,7 @@
         .slice(0, LINES_SHOWN)
         .map(
           grant =>
-            `grant ${grant.grantId} holds ${grant.tokens - grant.billedTokens}: holder ${grant.holder}, witness ${grant.witness}, ${grant.inherited.length} inherited${grant.closed ? ', closed' : ''}`,
+            `grant ${grant.grantId} holds ${grant.tokens - grant.billedTokens}: holder ${grant.holder}, witness ${grant.witness}, inherited ${grant.inherited.map(({requestId}) => requestId).join(' ')}${grant.closed ? ', closed' : ''}`,
         ),
     ];
   }
@@ -182,7 +183,7 @@
       answeredNotBilled: this.unbilled.length,
       wrongAmounts: this.wrongAmounts(),
       unconfirmedBills: bills.filter(bill => !bill.confirmed).length,
-      notRunThatRan: this.notRunThatRan(),
+      notRunThatRan: this.notRunThatRan.length,
       ranTwice: this.ranTwice(),
       grantedTokens: sum(organisations.map(each => each.grantedTokens)),
       grantedTokensOfStoppedHosts: tokensHeldBy(
@@ -205,14 +206,14 @@
     }).length;
   }
 
-  private notRunThatRan(): number {
+  private get notRunThatRan(): readonly RequestRecord[] {
     return this.records.filter(
       record =>
         record.requestId !== '' &&
         record.results.every(({kind}) => kind === ResultKind.NotRun) &&
         (this.executions.runs(record.requestId) > 0 ||
           this.ledger.bills.has(record.requestId)),
-    ).length;
+    );
   }
 
   private ranTwice(): number {
