Bill nothing for a begin whose answer was lost with its holder

A router numbers its begins, the reservation carries the number, and an abandon names those whose answers were lost. A witness forgets just these reservations of that router, unless the grant is fenced, whose reclaim is on its way. The number is needed: a later begin of the same request may run by then, under another reservation that this witness also has. A router that takes a request over clears the number, and an older one sends none.

Tests that failed before: no bill for a begin that was lost with its holder; the abandon names the begins.

--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -143,6 +143,7 @@
         clock,
       ),
       this.registry,
+      this.witnessBook,
     );
     this.sessions = new RouterSessions(
       this.membership,
--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -1,4 +1,5 @@
 import {create} from '@bufbuild/protobuf';
+import type {WitnessBook} from '@wisteriadeal/ledger';
 import {
   BeginVerdict,
   Outcome,
@@ -38,6 +39,7 @@
     private readonly grants: GrantManager,
     private readonly claims: ClaimService,
     private readonly registry: RequestRegistry,
+    private readonly witnessBook: WitnessBook,
   ) {}
 
   /** Registers a request and reserves its bound. */
@@ -76,6 +78,15 @@
     }
   }
 
+  /**
+   * Forgets, as the witness of a holder that may be lost, what it reserved for begins
+   * without an answer: their callers are told that nothing ran, and are billed nothing.
+   */
+  forgetLostBegins(message: AbandonRequest, router: string): void {
+    const {requestId, lostBegins} = message;
+    this.witnessBook.releaseLostBegins(requestId, router, lostBegins);
+  }
+
   /** Releases a request that was never dispatched. */
   async abandon(message: AbandonRequest): Promise<void> {
     const request = this.registry.get(message.requestId);
@@ -251,6 +262,7 @@
       router: request.router,
       fingerprint: begin.fingerprint,
       idempotent: begin.idempotent,
+      beginNumber: begin.beginNumber,
     });
     let answer = await grants.reserve(reservation, RESERVE_LIMIT_MILLISECONDS);
     if (
--- a/packages/keeper/src/router-sessions.ts
+++ b/packages/keeper/src/router-sessions.ts
@@ -1,8 +1,10 @@
 import {create} from '@bufbuild/protobuf';
 import {
+  AbandonRequestSchema,
   BeginVerdict,
   ConfigurationInForceSchema,
   KeeperMessageSchema,
+  type AbandonRequest,
   type BeginRequest,
   type KeeperMessage,
   type ProcessIdentity,
@@ -102,13 +104,21 @@
         void this.settle(session, kind.value);
         return;
       case 'abandon':
-        void this.requests.abandon(kind.value);
+        this.abandon(session, kind.value);
         return;
       default:
         return;
     }
   }
 
+  private abandon(session: RouterSession, message: AbandonRequest): void {
+    const router = session.router?.incarnation;
+    if (router !== undefined) {
+      this.requests.forgetLostBegins(message, router);
+    }
+    void this.requests.abandon(message);
+  }
+
   private welcome(session: RouterSession, router: ProcessIdentity): void {
     session.router = router;
     session.queue.push(
@@ -140,12 +150,13 @@
     const value = await this.requests.begin(begin, router);
     if (!session.open && value.verdict === BeginVerdict.RESERVED) {
       // The router never learns of it, so it can't have dispatched.
-      await this.requests.abandon({
-        $typeName: 'wisteriadeal.v1.AbandonRequest',
-        requestId: begin.requestId,
-        organisation: begin.organisation,
-        grantId: value.grantId,
-      });
+      await this.requests.abandon(
+        create(AbandonRequestSchema, {
+          requestId: begin.requestId,
+          organisation: begin.organisation,
+          grantId: value.grantId,
+        }),
+      );
       return;
     }
     session.queue.push(
--- a/packages/keeper/src/test/failures_test.ts
+++ b/packages/keeper/src/test/failures_test.ts
@@ -1,11 +1,17 @@
 import {create, toBinary} from '@bufbuild/protobuf';
-import {BeginVerdict, LedgerBatchSchema} from '@wisteriadeal/schema';
+import {
+  AbandonRequestSchema,
+  BeginVerdict,
+  LedgerBatchSchema,
+} from '@wisteriadeal/schema';
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {Keeper} from '../keeper.js';
 import {Fleet, until} from './fleet.js';
 
 const OPENING_TOKENS = 100_000;
+/** Milliseconds; the fleet's keepers settle orphans after 100. */
+const LONGER_THAN_ORPHANS_WAIT = 1_000;
 
 function appendEntry(
   fleet: Fleet,
@@ -96,6 +102,53 @@
     );
   });
 
+  it('bills nothing for a begin whose answer was lost with its holder', async () => {
+    // Guards against a bill for a request whose caller was told that nothing ran.
+    const keepers = [await fleet.add('a'), await fleet.add('a')];
+    const holder = await fleet.holder('a');
+    const witness = keepers.find(keeper => keeper !== holder) ?? holder;
+    const router = fleet.router(holder);
+    const answer = await router.begin('r1', 100, {beginNumber: 7});
+    const atWitness = fleet.router(witness);
+    await holder.kill();
+    const {requestId} = answer;
+    const value = {requestId, organisation: 'org', lostBegins: [7]};
+    atWitness.send({
+      case: 'abandon',
+      value: create(AbandonRequestSchema, value),
+    });
+    await until(
+      () => fleet.ledger().grant('org', answer.grantId)?.closed === true,
+    );
+    atWitness.kill();
+    await new Promise(resolve => setTimeout(resolve, LONGER_THAN_ORPHANS_WAIT));
+    expect(fleet.ledger().isBilled('org', 'r1')).toBe(false);
+    expect(fleet.ledger().grant('org', answer.grantId)?.tokens).toBe(0);
+  });
+
+  it('still bills another begin of the request after its holder is lost', async () => {
+    // Guards against a late abandon that takes the reservation of what runs.
+    const keepers = [await fleet.add('a'), await fleet.add('a')];
+    const holder = await fleet.holder('a');
+    const witness = keepers.find(keeper => keeper !== holder) ?? holder;
+    const router = fleet.router(holder);
+    const answer = await router.begin('r1', 100, {beginNumber: 8});
+    const atWitness = fleet.router(witness);
+    const {requestId} = answer;
+    const value = {requestId, organisation: 'org', lostBegins: [7]};
+    atWitness.send({
+      case: 'abandon',
+      value: create(AbandonRequestSchema, value),
+    });
+    await holder.kill();
+    await until(
+      () => fleet.ledger().grant('org', answer.grantId)?.closed === true,
+    );
+    await atWitness.settle(answer, 30);
+    await until(() => fleet.ledger().isBilled('org', 'r1'));
+    expect(fleet.ledger().totals('org').billedTokens).toBe(30);
+  });
+
   // A router is killed with a stream open. The caller's retry arrives at another
   // router and continues the same attempt under the same reservation: one bill.
   it('lets a retry resume what a killed router ran', async () => {
--- a/packages/keeper/src/test/fleet.ts
+++ b/packages/keeper/src/test/fleet.ts
@@ -74,7 +74,11 @@
   async begin(
     requestId: string,
     boundTokens: number,
-    more: Partial<{idempotent: boolean; fingerprint: string}> = {},
+    more: Partial<{
+      idempotent: boolean;
+      fingerprint: string;
+      beginNumber: number;
+    }> = {},
   ): Promise<BeginAnswer> {
     this.sequence += 1;
     const {sequence} = this;
--- a/packages/ledger/src/holder-book.ts
+++ b/packages/ledger/src/holder-book.ts
@@ -115,6 +115,7 @@
       return undefined;
     }
     open.router = router;
+    open.beginNumber = 0;
     return this.change({case: 'reserved', value: open});
   }
 
--- a/packages/ledger/src/witness-book.ts
+++ b/packages/ledger/src/witness-book.ts
@@ -121,6 +121,29 @@
     });
   }
 
+  /**
+   * Forgets what a holder reserved for begins whose answers never reached their
+   * router. Not under a fenced grant: its reclaim has been made already.
+   *
+   * @param beginNumbers Of begins of this router incarnation.
+   */
+  releaseLostBegins(
+    requestId: string,
+    router: string,
+    beginNumbers: readonly number[],
+  ): void {
+    for (const [grantId, {open}] of this.grants) {
+      const reservation = open.get(requestId);
+      if (
+        reservation?.router === router &&
+        beginNumbers.includes(reservation.beginNumber) &&
+        !this.fenced.has(grantId)
+      ) {
+        open.delete(requestId);
+      }
+    }
+  }
+
   /** The reservations of a grant, with router and fingerprint. */
   openReservations(grantId: string): readonly RequestReservation[] {
     return [...(this.grants.get(grantId)?.open.values() ?? [])];
--- a/packages/router/src/holder-client.ts
+++ b/packages/router/src/holder-client.ts
@@ -30,10 +30,15 @@
   requestId: string,
   organisation: string,
   grantId: string,
+  lostBegins: readonly number[] = [],
 ): RouterMessageInit {
-  return {
-    kind: {case: 'abandon', value: {requestId, organisation, grantId}},
+  const value = {
+    requestId,
+    organisation,
+    grantId,
+    lostBegins: [...lostBegins],
   };
+  return {kind: {case: 'abandon', value}};
 }
 
 /** Who is told about a request. */
@@ -46,6 +51,7 @@
 /** Talks to whichever keeper holds an organisation. */
 export class HolderClient {
   private readonly unacknowledged = new Map<string, () => void>();
+  private begins = 0;
 
   constructor(
     private readonly directory: KeeperDirectory,
@@ -64,12 +70,14 @@
    * A begin whose answer was lost may have reserved. Without an abandon before
    * the next begin, the keeper would take that for a retry of a request that
    * already runs here and send it to this very router; the caller would be
-   * refused and the tokens stay reserved for as long as this router lives.
+   * refused and the tokens stay reserved for as long as this router lives. Where
+   * the holder was lost with the answer, its witness would bill them.
    *
    * @throws StepError where no holder gave a verdict; nothing was dispatched,
    *     and what a keeper may have reserved is abandoned.
    */
   async begin(fields: BeginFields): Promise<BeginAnswer> {
+    const lostBegins: number[] = [];
     let named: string | undefined;
     let failure = new StepError(
       'begin at the holder',
@@ -88,10 +96,12 @@
         continue;
       }
       if (failure.fate === Fate.Unknown) {
-        session.send(abandonOf(fields.requestId, fields.organisation, ''));
+        const {requestId, organisation} = fields;
+        session.send(abandonOf(requestId, organisation, '', lostBegins));
       }
+      const beginNumber = ++this.begins;
       try {
-        const answer = await session.begin(fields);
+        const answer = await session.begin({...fields, beginNumber});
         if (answer.verdict !== BeginVerdict.NOT_HOLDER) {
           return answer;
         }
@@ -102,6 +112,7 @@
         }
         failure = error;
         named = undefined;
+        lostBegins.push(beginNumber);
         this.log.warn('begin-lost', {
           request: fields.requestId,
           organisation: fields.organisation,
@@ -112,7 +123,7 @@
       }
     }
     if (failure.fate === Fate.Unknown) {
-      this.abandonUnanswered(fields);
+      this.abandonUnanswered(fields, lostBegins);
     }
     throw failure;
   }
@@ -153,9 +164,17 @@
    * keeper is in reach, it is sent once one is: the tokens would stay reserved
    * for as long as this router lives.
    */
-  async abandon(reserved: Reserved): Promise<void> {
+  async abandon(
+    reserved: Reserved,
+    lostBegins: readonly number[] = [],
+  ): Promise<void> {
     const {requestId, organisation, reservation} = reserved;
-    const message = abandonOf(requestId, organisation, reservation.grantId);
+    const message = abandonOf(
+      requestId,
+      organisation,
+      reservation.grantId,
+      lostBegins,
+    );
     for (let tries = 0; tries < MAXIMUM_ABANDONS; tries++) {
       if (this.sendToKnowing(reserved, message)) {
         return;
@@ -164,11 +183,18 @@
     }
   }
 
-  /** Releases what a begin without an answer may have reserved. */
-  abandonUnanswered(fields: BeginFields): void {
+  /**
+   * Releases what begins without an answer may have reserved.
+   *
+   * @param lostBegins Their numbers, as far as they are known.
+   */
+  abandonUnanswered(
+    fields: BeginFields,
+    lostBegins: readonly number[] = [],
+  ): void {
     const {requestId, organisation} = fields;
     const reservation = {grantId: '', holder: '', witness: '', askedAt: 0};
-    void this.abandon({requestId, organisation, reservation});
+    void this.abandon({requestId, organisation, reservation}, lostBegins);
   }
 
   /**
--- a/packages/router/src/keeper-session.ts
+++ b/packages/router/src/keeper-session.ts
@@ -27,6 +27,12 @@
   readonly claimUnused: boolean;
 }
 
+/** One try to begin a request. */
+export interface NumberedBegin extends BeginFields {
+  /** Names the try among all of this router. */
+  readonly beginNumber: number;
+}
+
 /** Told of what a session hears. */
 export interface KeeperSessionListener {
   heard(session: KeeperSession, message: KeeperMessage): void;
@@ -100,13 +106,13 @@
    * @throws StepError; fate NotDone where nothing was sent, else Unknown: the
    *     keeper may have reserved, and the caller has to abandon the request.
    */
-  async begin(fields: BeginFields): Promise<BeginAnswer> {
+  async begin(begin: NumberedBegin): Promise<BeginAnswer> {
     const sequence = ++this.sequence;
     const answer = new Promise<BeginAnswer>((resolve, reject) => {
       this.pending.set(sequence, {resolve, reject});
     });
     const sent = this.send({
-      kind: {case: 'begin', value: {...fields, sequence}},
+      kind: {case: 'begin', value: {...begin, sequence}},
     });
     if (!sent) {
       this.pending.delete(sequence);
--- a/packages/router/src/test/keeper-directory_test.ts
+++ b/packages/router/src/test/keeper-directory_test.ts
@@ -185,6 +185,29 @@
   ]);
 });
 
+it('names the begins without an answer when it abandons them', async () => {
+  // Guards against bills for requests whose callers were told that nothing ran.
+  const {first, second, holder} = start();
+  await until(() => directory.openSessions().length === 2);
+  first.verdict = () => undefined;
+  second.verdict = () => undefined;
+  await expect(holder.begin(begin)).rejects.toThrow('begin at the holder');
+  const heard = <Case extends 'begin' | 'abandon'>(kind: Case) => [
+    ...first.heard(kind),
+    ...second.heard(kind),
+  ];
+  await until(() => heard('abandon').length === 4);
+  const numbers = heard('begin')
+    .map(({beginNumber}) => beginNumber)
+    .sort((a, b) => a - b);
+  const abandoned = heard('abandon')
+    .map(({lostBegins}) => lostBegins)
+    .sort((a, b) => a.length - b.length);
+  expect(abandoned).toEqual(
+    numbers.map((_, index) => numbers.slice(0, index + 1)),
+  );
+});
+
 it('fails a begin whose session is lost, and abandons it', async () => {
   const {first, second, holder} = start();
   await until(() => directory.openSessions().length === 2);
