Keep a witness named, and grants small, while no other host is heard

A holder writes a change to none as soon as all peers have been silent for one heartbeat limit, which is what a process that was itself held up sees: one grant lost its witness 47 ms after it had got it, another 0.35 s after. And a holder that knew no peer yet took its whole share without a witness. Nobody but an operator can take such a grant back.

- A peer stays a witness until all have been silent for the time after which a witness takes a holder for lost.
A peer that is heard is still named at once.
Meanwhile reservations need its acknowledgement and are refused as not run without it.
- While nobody can witness, a holder asks for four of its largest bounds and gives back the rest; the log, which is reached then, has more for each request.

Weighed: to keep the old name on the log until there is a new one. A host that is alone would then refuse everything, since nothing may be dispatched that a witness in force does not know. Cost: by the defaults a host whose peers are all gone refuses 3 s longer before it goes on alone; cut off from the log as well, it has four bounds to spend.

Tests that failed before: the witness that is silent for a moment, and the size of a grant without a witness. 44 tests of keeper and ledger pass.

--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -115,6 +115,7 @@
       holders: parts.membership.dataCenters.size,
       partitionSeconds: EXPECTED_PARTITION_SECONDS,
       preference: parts.preferenceOf(organisation),
+      hasWitness: parts.membership.witnessFor(organisation) !== undefined,
     };
   }
 
--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -89,6 +89,7 @@
       self,
       options.heartbeatLimitMilliseconds,
       clock,
+      options.heartbeatLimitMilliseconds + options.fenceDelayMilliseconds,
     );
     this.appender = new LedgerAppender(
       self.incarnation,
--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -47,6 +47,7 @@
     readonly self: ProcessIdentity,
     private readonly heartbeatLimitMilliseconds: number,
     private readonly clock: Clock,
+    private readonly witnessPatienceMilliseconds = heartbeatLimitMilliseconds,
   ) {}
 
   /** Calls back when the membership that routers see has changed. */
@@ -139,13 +140,7 @@
 
   /** Other keepers that can be reached, not leaving. */
   get reachablePeers(): readonly ProcessIdentity[] {
-    return [...this.keepers.values()]
-      .filter(
-        keeper =>
-          keeper.state === HostState.LIVE &&
-          this.isReachable(keeper.identity.incarnation),
-      )
-      .map(keeper => this.platform.keeperAsReached(keeper.identity));
+    return this.peersHeardWithin(this.heartbeatLimitMilliseconds);
   }
 
   /** Reachable peers that have read a stream further than `offset`. */
@@ -170,11 +165,20 @@
   /**
    * The peer that should witness this keeper's grants of an organisation: in
    * its own data centre where there is one, else elsewhere; another host always.
+   *
+   * Load: this process, or the machine, was held up, and all peers seem silent. Harm
+   * of naming nobody at once: nobody can take the grant back if this host is lost.
+   *
+   * @returns Undefined once all peers have been silent for the witness's patience.
    */
   witnessFor(organisation: string): string | undefined {
-    const peers = this.reachablePeers.filter(
-      peer => peer.host !== this.self.host,
+    const reachable = this.witnessesHeardWithin(
+      this.heartbeatLimitMilliseconds,
     );
+    const peers =
+      reachable.length > 0
+        ? reachable
+        : this.witnessesHeardWithin(this.witnessPatienceMilliseconds);
     const near = peers.filter(peer => peer.dataCenter === this.self.dataCenter);
     const candidates = near.length > 0 ? near : peers;
     return this.witnesses.best(
@@ -183,6 +187,24 @@
     );
   }
 
+  private witnessesHeardWithin(
+    milliseconds: number,
+  ): readonly ProcessIdentity[] {
+    return this.peersHeardWithin(milliseconds).filter(
+      peer => peer.host !== this.self.host,
+    );
+  }
+
+  private peersHeardWithin(milliseconds: number): readonly ProcessIdentity[] {
+    return [...this.keepers.values()]
+      .filter(
+        ({state, identity}) =>
+          state === HostState.LIVE &&
+          this.silenceMilliseconds(identity.incarnation) <= milliseconds,
+      )
+      .map(keeper => this.platform.keeperAsReached(keeper.identity));
+  }
+
   /** Data centres with a live keeper, as far as is known; at least this one. */
   get dataCenters(): ReadonlySet<string> {
     return new Set([
--- a/packages/keeper/src/test/membership-table_test.ts
+++ b/packages/keeper/src/test/membership-table_test.ts
@@ -25,6 +25,28 @@
   });
 }
 
+// Guards against a grant that nobody can take back, as its holder was held up.
+it('names a witness that is silent for a moment, and none after its patience', async () => {
+  const clock = new FakeClock();
+  const patience = 3 * HEARTBEAT_LIMIT_MILLISECONDS;
+  const table = new MembershipTable(
+    identity('self'),
+    HEARTBEAT_LIMIT_MILLISECONDS,
+    clock,
+    patience,
+  );
+  expect(table.witnessFor('org')).toBeUndefined();
+  table.heard(gossipOf('k1', []));
+  expect(table.witnessFor('org')).toBe('k1');
+  await clock.advance(patience);
+  expect(table.reachablePeers).toEqual([]);
+  expect(table.witnessFor('org')).toBe('k1');
+  table.heard(gossipOf('k2', []));
+  expect(table.witnessFor('org')).toBe('k2');
+  await clock.advance(patience + 1);
+  expect(table.witnessFor('org')).toBeUndefined();
+});
+
 // Callers see routers that spend their time on control. Each router has a session
 // with every keeper, so several keepers name it, and the one heard from last
 // moved it to the end of the list: every heartbeat looked like a change and was
--- a/packages/ledger/src/grant-policy.ts
+++ b/packages/ledger/src/grant-policy.ts
@@ -27,6 +27,8 @@
   /** How long the holder wants to be able to go on without the platform. */
   readonly partitionSeconds: number;
   readonly preference: BudgetPreference;
+  /** Another host can witness, and take back what this one holds if it is lost. */
+  readonly hasWitness: boolean;
 }
 
 /** What to do now. All amounts are whole tokens; 0 means nothing. */
@@ -176,15 +178,29 @@
       : NOTHING;
   }
 
+  /**
+   * Load: no other host can be reached. Harm of a large grant: it is stranded with this
+   * host until an operator releases it, and every other host refuses meanwhile.
+   */
   private targetTokens(situation: GrantSituation): number {
+    const idle = IDLE_BOUNDS * Math.max(1, situation.largestBoundTokens);
+    const share = this.shareOfRemaining(situation, idle);
+    return situation.hasWitness
+      ? this.witnessedTarget(situation, idle, share)
+      : Math.floor(Math.min(idle, share));
+  }
+
+  private witnessedTarget(
+    situation: GrantSituation,
+    idle: number,
+    share: number,
+  ): number {
     const kept =
       situation.preference === BudgetPreference.AVOID_UNCLEAR_BILLS
         ? CLARITY_SHARE
         : REFUSAL_AVERSE_SHARE;
     const cover =
       situation.demandTokensPerSecond * situation.partitionSeconds * HEADROOM;
-    const idle = IDLE_BOUNDS * Math.max(1, situation.largestBoundTokens);
-    const share = this.shareOfRemaining(situation, idle);
     const wanted = Math.max(cover, idle, kept * share);
     return Math.floor(Math.min(wanted, share));
   }
--- a/packages/ledger/src/policy-organisation.ts
+++ b/packages/ledger/src/policy-organisation.ts
@@ -129,6 +129,7 @@
   ): void {
     const totals = this.fold.totals('org');
     const decision = this.policy.decide({
+      hasWitness: true,
       spendableTokens: holder.spendable,
       largestSpendableTokens: holder.largest,
       requestedTokens: 0,
--- a/packages/ledger/src/test/grant-policy_test.ts
+++ b/packages/ledger/src/test/grant-policy_test.ts
@@ -19,6 +19,7 @@
   holders: 4,
   partitionSeconds: 3_600,
   preference: BudgetPreference.AVOID_REFUSALS,
+  hasWitness: true,
 };
 
 describe('DemandGrantPolicy', () => {
@@ -39,6 +40,17 @@
     expect(busy.askTokens + quiet.askTokens).toBeLessThanOrEqual(100_000);
   });
 
+  it('holds a few bounds while no other host can witness', () => {
+    // Guards against a budget that is stranded with one host.
+    const alone = {...SITUATION, hasWitness: false, holders: 1};
+    expect(policy.decide(alone).askTokens).toBe(4 * 100);
+    const held = {spendableTokens: 95_000, largestSpendableTokens: 95_000};
+    const unallocatedTokens = 5_000;
+    expect(
+      policy.decide({...alone, ...held, unallocatedTokens}).returnTokens,
+    ).toBe(95_000 - 4 * 100);
+  });
+
   it('gives pieces back so that a waiting request gets one whole grant', () => {
     const pieces = {
       ...SITUATION,
