Free what a closed grant keeps for a request that another grant has billed

An open grant has a holder whose book takes such tokens back; a closed one has none.

The fold frees the reservations of a request in closed grants once a bill of it counts.

--- a/packages/ledger/src/bill-rules.ts
+++ b/packages/ledger/src/bill-rules.ts
@@ -71,9 +71,28 @@
     grant.tokens -= unused;
     books.unallocatedTokens += unused;
   }
+  releaseInherited(books, bill.requestId);
   return RefusalReason.None;
 }
 
+/**
+ * Load: a request runs under the grants of two holders, one of which was taken for
+ * lost. The first bill counts; the other holder's book would take its tokens back, but
+ * a closed grant has no book any more. Harm: they would be reserved for ever.
+ */
+function releaseInherited(books: OrganisationBooks, requestId: string): void {
+  for (const grant of books.grants.values()) {
+    const open = grant.closed
+      ? grant.inherited.find(inherited => inherited.requestId === requestId)
+      : undefined;
+    if (open !== undefined) {
+      grant.inherited = grant.inherited.filter(inherited => inherited !== open);
+      grant.tokens -= open.boundTokens;
+      books.unallocatedTokens += open.boundTokens;
+    }
+  }
+}
+
 /** Settles who runs a non-idempotent request: the first in log order. */
 export function applyClaim(
   books: OrganisationBooks,
--- a/packages/ledger/src/test/ledger-fold_test.ts
+++ b/packages/ledger/src/test/ledger-fold_test.ts
@@ -129,6 +129,29 @@
     ).toBe(RefusalReason.GrantClosed);
   });
 
+  it('frees what a closed grant keeps for a request that another grant billed', () => {
+    // Guards against tokens that stay reserved for ever under a reclaimed grant.
+    const log = new Log();
+    log.topUp(100);
+    log.grant('lost', 40);
+    log.grant('other', 40);
+    const reclaim = {
+      grantId: 'lost',
+      witness: 'w',
+      openReservations: [
+        {requestId: 'twice', boundTokens: 20},
+        {requestId: 'once', boundTokens: 5},
+      ],
+    };
+    log.add('w', 'reclaim', {case: 'reclaim', value: reclaim});
+    expect(log.totals()).toEqual([35, 65, 0]);
+    log.bill('twice', 'other', 12);
+    expect(log.totals()).toEqual([55, 33, 12]);
+    expect(log.bill('twice', 'lost', 20)?.kind).toBe(VerdictKind.Duplicate);
+    log.bill('once', 'lost', 5);
+    expect(log.totals()).toEqual([55, 28, 17]);
+  });
+
   it('lets log order decide between a change of witness and a reclaim', () => {
     const log = new Log();
     log.topUp(100);
