Give nothing back for the moment that no witness is heard

A data centre that is cut off next has only what its holder has kept.

Cause: a process that was held up hears nobody either, and gives back what it needs a second later.

--- a/packages/ledger/src/grant-policy.ts
+++ b/packages/ledger/src/grant-policy.ts
@@ -172,7 +172,10 @@
         returnTokens: 0,
       };
     }
-    const excess = situation.spendableTokens - target;
+    // What is held without a witness may be all that there is through a partition.
+    const excess = situation.hasWitness
+      ? situation.spendableTokens - target
+      : 0;
     return excess > (RETURN_MULTIPLE - 1) * target
       ? {...NOTHING, returnTokens: excess}
       : NOTHING;
