Let one lender at a time ask the store for what a cut-off host needs

Callers everywhere were refused for budget while one host that was cut off from the store held most of it unused.

Cause: a borrower asks three lenders at once, and each that has too little asks the store for the whole need and lends it.

The first of the lenders asked at once may ask the store; the others lend what they have.

--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -196,14 +196,18 @@
         Math.min(most, asked + LENDERS_AT_ONCE),
       );
       await Promise.all(
-        next.map(({address}) => this.borrowFrom(budget, address)),
+        next.map(({address}, index) =>
+          this.borrowFrom(budget, address, index > 0),
+        ),
       );
     }
   }
 
+  /** @param inHandOnly Another lender may ask the store for the same tokens. */
   private async borrowFrom(
     budget: OrganisationBudget,
     address: string,
+    inHandOnly: boolean,
   ): Promise<void> {
     const borrower = this.journal.incarnation;
     const loan = `${borrower}.${this.asked++}`;
@@ -214,7 +218,7 @@
       wish: LOAN_FACTOR * budget.waiters.tokens,
       borrower,
       loan,
-      inHandOnly: this.awaitsLog(budget),
+      inHandOnly: inHandOnly || this.awaitsLog(budget),
     };
     const awaitLate = (answer: Promise<number>) => {
       void this.awaitLate(budget, address, loan, answer);
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -54,6 +54,16 @@
   return {bound, mayPromise};
 }
 
+/** Cuts hosts off from the log, and waits until each has seen it. */
+async function cutOff(hosts: readonly string[]): Promise<void> {
+  hosts.forEach(host => fleet.cutOff.add(host));
+  const isLost = (host: string) =>
+    fleet.events.some(
+      line => line.event === 'store lost' && line.host === host,
+    );
+  await until(() => hosts.every(isLost));
+}
+
 /** Blocks the process, as a machine that is busy elsewhere does. */
 function holdUp(milliseconds: number): void {
   const never = new Int32Array(new SharedArrayBuffer(4));
@@ -322,6 +332,40 @@
     });
   });
 
+  it('has one lender at a time ask the store for what a cut-off host needs', async () => {
+    // Guards against refusals elsewhere for tokens that were fetched several times.
+    vi.useFakeTimers();
+    const borrower = await inHeldTime(fleet.start('one'));
+    const others: BudgetHolder[] = [];
+    for (const host of ['two', 'three', 'four']) {
+      others.push(await inHeldTime(fleet.start(host)));
+    }
+    const all = [borrower, ...others];
+    await inHeldTime(until(() => all.every(one => available(one) > 0)));
+    await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+    await inHeldTime(cutOff(['one']));
+    expect(await inHeldTime(use(borrower, LARGE_REQUEST))).toBe(true);
+    await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+    const held = all.reduce((sum, one) => sum + available(one), 0);
+    expect(held).toBeLessThan(LARGE_REQUEST);
+  });
+
+  it('finds a lender that sees the store behind those that are cut off too', async () => {
+    // Guards against refusals in a data centre that only others can help.
+    vi.useFakeTimers();
+    const names = ['one', 'two', 'three', 'four', 'five', 'six'];
+    const all: BudgetHolder[] = [];
+    for (const host of names) {
+      all.push(await inHeldTime(fleet.start(host)));
+    }
+    await inHeldTime(until(() => all.every(one => available(one) > 0)));
+    await vi.advanceTimersByTimeAsync(LONGER_THAN_POLL_MILLISECONDS);
+    await inHeldTime(cutOff(names.slice(0, 4)));
+    for (const holder of all.slice(0, 4)) {
+      expect(await inHeldTime(use(holder, 10_000))).toBe(true);
+    }
+  });
+
   it('serves all that wait at once while other holders have all that is kept in hand', async () => {
     // Guards against a grant for one request in each exchange with a store that is late.
     vi.useFakeTimers();
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -1,5 +1,10 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
-import {Fate, StepError} from '@wisteriadeal/platform';
+import {
+  Fate,
+  PartitionedLog,
+  StepError,
+  type Partition,
+} from '@wisteriadeal/platform';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
 import {LogLevel} from '@wisteriadeal/schema';
 import {FakeHostLink, MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
@@ -77,6 +82,46 @@
   }
 }
 
+/** The log as one host reaches it: not at all while that host is cut off. */
+class LogOfHost extends PartitionedLog {
+  constructor(
+    private readonly log: MemoryPartitionedLog,
+    private readonly isCutOff: () => boolean,
+  ) {
+    super();
+  }
+
+  override append(partition: Partition, records: readonly Uint8Array[]) {
+    return this.reached(() => this.log.append(partition, records));
+  }
+
+  override read(partition: Partition, from: number, waitMilliseconds: number) {
+    return this.reached(() => this.log.read(partition, from, waitMilliseconds));
+  }
+
+  override newest(partition: Partition) {
+    return this.reached(() => this.log.newest(partition));
+  }
+
+  override put(partition: Partition, key: string, value?: Uint8Array) {
+    return this.reached(() => this.log.put(partition, key, value));
+  }
+
+  override keyedRecord(offset: number, record: Uint8Array) {
+    return this.log.keyedRecord(offset, record);
+  }
+
+  override close(): void {
+    // The log is the fleet's.
+  }
+
+  private reached<Value>(call: () => Promise<Value>): Promise<Value> {
+    return this.isCutOff()
+      ? Promise.reject(new StepError('reach log', '', Fate.NotDone, 'cut off'))
+      : call();
+  }
+}
+
 /** Holders of one budget over one log in memory, without sockets. */
 export class HolderFleet {
   readonly log = new MemoryPartitionedLog();
@@ -87,6 +132,8 @@
   /** Of every host. */
   readonly link = new FakeHostLink();
   readonly events: Record<string, unknown>[] = [];
+  /** Hosts that do not reach the log. */
+  readonly cutOff = new Set<string>();
   private readonly clock = new SystemClock();
   private readonly holders = new Map<string, BudgetHolder>();
   private readonly storeHealths: StoreHealth[] = [];
@@ -97,7 +144,8 @@
 
   /** Starts a holder on a host of this name. */
   async start(host: string): Promise<BudgetHolder> {
-    const {log, clock} = this;
+    const {clock} = this;
+    const log = new LogOfHost(this.log, () => this.cutOff.has(host));
     const events = EventLog.create(LogLevel.INFO, {host}, line => {
       this.events.push(JSON.parse(line) as Record<string, unknown>);
     });
