Let a router release only what it began itself

Requests were answered and never billed.

The first router abandons what it may have reserved, for up to a minute until a keeper is in reach; the keeper looked at the request's identifier alone, and released the reservation under which the other router's request was running. Its bill then found none and was dropped, and its tokens could have been spent again.

A keeper takes an abandon only from the router that runs the request.

Test that failed before: a request that another router abandons late is billed. 98 tests of keeper and router pass.

--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -87,10 +87,16 @@
     this.witnessBook.releaseLostBegins(requestId, router, lostBegins);
   }
 
-  /** Releases a request that was never dispatched. */
-  async abandon(message: AbandonRequest): Promise<void> {
+  /**
+   * Releases a request that was never dispatched.
+   *
+   * Load: a caller that was told "not run" tries another router, and the abandon of the
+   * first one comes late. Harm without a look at the router: the reservation of what
+   * runs is gone, and its bill finds none.
+   */
+  async abandon(message: AbandonRequest, router: string): Promise<void> {
     const request = this.registry.get(message.requestId);
-    if (request === undefined || request.phase === RequestPhase.Settled) {
+    if (request?.router !== router || request.phase === RequestPhase.Settled) {
       return;
     }
     this.registry.remove(message.requestId);
--- a/packages/keeper/src/router-sessions.ts
+++ b/packages/keeper/src/router-sessions.ts
@@ -115,8 +115,8 @@
     const router = session.router?.incarnation;
     if (router !== undefined) {
       this.requests.forgetLostBegins(message, router);
+      void this.requests.abandon(message, router);
     }
-    void this.requests.abandon(message);
   }
 
   private welcome(session: RouterSession, router: ProcessIdentity): void {
@@ -156,6 +156,7 @@
           organisation: begin.organisation,
           grantId: value.grantId,
         }),
+        router,
       );
       return;
     }
--- a/packages/keeper/src/test/failures_test.ts
+++ b/packages/keeper/src/test/failures_test.ts
@@ -126,6 +126,23 @@
     expect(fleet.ledger().grant('org', answer.grantId)?.tokens).toBe(0);
   });
 
+  it('bills a request that another router abandons late', async () => {
+    // Guards against an answer without a bill after a retry at another router.
+    await fleet.add('a');
+    await fleet.add('a');
+    const holder = await fleet.holder('a');
+    const first = fleet.router(holder, 'host/router/first');
+    const second = fleet.router(holder, 'host/router/second');
+    const answer = await second.begin('r1', 100, {beginNumber: 1});
+    const {requestId} = answer;
+    const value = {requestId, organisation: 'org', lostBegins: [1]};
+    first.send({case: 'abandon', value: create(AbandonRequestSchema, value)});
+    await first.begin('r2', 100);
+    await second.settle(answer, 30);
+    await until(() => fleet.ledger().isBilled('org', 'r1'));
+    expect(fleet.ledger().totals('org').billedTokens).toBe(30);
+  });
+
   it('still bills another begin of the request after its holder is lost', async () => {
     // Guards against a late abandon that takes the reservation of what runs.
     const keepers = [await fleet.add('a'), await fleet.add('a')];
