Open a fenced holder again although records wait to be written

Callers of one host got no tokens any more until its process was restarted, or found a process that was never ready. It appended the same records to the budget log every 5 ms.

Cause: a late opening of an earlier process on the host closes the running one in the fold. The holder opened again only with no record pending. Records of a closed incarnation are never folded, so they stayed pending for good; and a process whose own opening was folded just before the late one, with its answer lost, was never seen as open at all.

The holder now opens again whenever the fold lists its incarnation as closed, with or without pending records and before its first opening as well. Its pending records have no effect by then, and the grants of the closed incarnation stay charged, so that spending is bounded as before.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -253,16 +253,19 @@
   }
 
   private planGrants(): void {
-    if (this.isClosing || !this.hasOpened) {
+    if (this.isClosing) {
       return;
     }
-    if (!this.journal.isOpen && !this.journal.hasPending) {
+    if (this.journal.isFenced) {
       this.journal.reopen();
       for (const budget of this.registry.all) {
         budget.isRequesting = false;
         budget.hasUnreportedBudget = true;
       }
     }
+    if (!this.hasOpened) {
+      return;
+    }
     for (const budget of this.registry.all) {
       this.planner.plan(budget);
     }
--- a/packages/gateway/src/budget-journal.ts
+++ b/packages/gateway/src/budget-journal.ts
@@ -47,6 +47,11 @@
     return this.replica.fold.isOpen(this.currentIncarnation);
   }
 
+  /** Whether the fold has closed this process, so that it ignores its records. */
+  get isFenced(): boolean {
+    return this.replica.fold.closedIncarnations.has(this.currentIncarnation);
+  }
+
   /** Whether records are waiting to be written. */
   get hasPending(): boolean {
     return this.pending.length > 0;
@@ -63,7 +68,7 @@
   /**
    * Starts a new incarnation after the fold has closed this one: another process opened
    * on this host, or a delayed duplicate of an older opening was folded. The grants of
-   * the closed incarnation are charged already.
+   * the closed incarnation are charged already, and its pending records have no effect.
    */
   reopen(): void {
     this.events.warn('budget holder fenced', {
