Request tokens again after the log dropped a verdict

A host that lost the store while it requested an organisation's tokens, and saw it again only after the log's retention (20 s by default), never requested tokens of that organisation any more. Its callers were refused until the process was restarted, unless other holders lent.

Cause: the request's record had been folded by others, and the host continued from a checkpoint behind it. The checkpoint has the grant, but no outcome that ends the request, so that the request counted as under way for good.

Evidence: the new test failed before. Expected a reservation, seen 'budget-store-away' although the log answered.

Requests without a verdict now end once an exchange has succeeded and no record is pending: every record that was written has been folded then, and the outcomes that were read are applied. The tokens of the lost verdict stay charged to the process, as before.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -227,6 +227,7 @@
         this.applyOutcome(outcome);
       });
       this.recordOpening();
+      this.endLostRequests();
       await this.replica.checkpointIfDue(this.journal.incarnation);
     } catch (error) {
       this.health.failed(this.clock.monotonicMilliseconds(), error);
@@ -252,6 +253,19 @@
     });
   }
 
+  /**
+   * Ends grant requests without a verdict. The log may drop a verdict while this host is
+   * disconnected; a checkpoint then has the request's effect but not its outcome.
+   */
+  private endLostRequests(): void {
+    if (this.journal.hasPending) {
+      return;
+    }
+    for (const budget of this.registry.all) {
+      budget.isRequesting = false;
+    }
+  }
+
   private planGrants(): void {
     if (this.isClosing) {
       return;
