Keep accepted tokens of an organisation that is not configured yet

Tokens that a stopping host handed over in an outage were lost where the taker had an older configuration without the organisation, although it answered that it had accepted them. Callers of a new organisation were refused for tokens that nobody held.

Cause: the taker credited only budgets that it knew, and dropped the rest.

The taker now keeps such tokens and credits them when the budget is added. They were granted to the giver, in whose charge they stay, so that spending remains bounded.

--- a/packages/gateway/src/budget-registry.ts
+++ b/packages/gateway/src/budget-registry.ts
@@ -9,6 +9,8 @@
 /** All organisations' budgets in this process, with the log's view of each. */
 export class BudgetRegistry {
   private readonly budgets = new Map<string, OrganisationBudget>();
+  /** Tokens taken over for organisations whose budgets are not configured here yet. */
+  private readonly unclaimed = new Map<string, number>();
 
   constructor(
     private readonly replica: BudgetReplica,
@@ -29,6 +31,23 @@
   /** Adds an organisation's budget. */
   add(budget: OrganisationBudget): void {
     this.budgets.set(budget.name, budget);
+    budget.credit(this.unclaimed.get(budget.name) ?? 0);
+    this.unclaimed.delete(budget.name);
+  }
+
+  /**
+   * Credits tokens that another process handed over. This host's configuration may be
+   * older than the other's; tokens of an unknown organisation are credited when its
+   * budget is added.
+   */
+  takeOver(organisation: string, tokens: number): void {
+    const budget = this.get(organisation);
+    if (budget === undefined) {
+      const before = this.unclaimed.get(organisation) ?? 0;
+      this.unclaimed.set(organisation, before + tokens);
+    } else {
+      budget.credit(tokens);
+    }
   }
 
   /** The budget as of the fold's offset; undefined before any grant. */
--- a/packages/gateway/src/grant-lender.ts
+++ b/packages/gateway/src/grant-lender.ts
@@ -74,7 +74,7 @@
       return false;
     }
     for (const {organisation, amount} of given) {
-      this.registry.get(organisation)?.credit(Math.max(0, amount));
+      this.registry.takeOver(organisation, Math.max(0, amount));
       this.events.info('grant taken over', {organisation, amount, giver});
     }
     return true;
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -149,8 +149,12 @@
   private readonly storeHealths: StoreHealth[] = [];
   private starts = 0;
   private version = 1;
+  /** Budgets by organisation, in tokens. */
+  private readonly budgets = new Map<string, number>();
 
-  constructor(private prepaid: number) {}
+  constructor(prepaid: number) {
+    this.budgets.set(SCHOOL, prepaid);
+  }
 
   /** Starts a holder on a host of this name. */
   async start(host: string): Promise<BudgetHolder> {
@@ -194,7 +198,12 @@
 
   /** Applies a configuration with another budget at every holder. */
   changeBudget(prepaid: number): void {
-    this.prepaid = prepaid;
+    this.addBudget(SCHOOL, prepaid);
+  }
+
+  /** Applies a configuration with a budget of one more organisation at every holder. */
+  addBudget(organisation: string, prepaid: number): void {
+    this.budgets.set(organisation, prepaid);
     this.version++;
     for (const holder of this.holders.values()) {
       holder.configure(this.configuration());
@@ -229,7 +238,6 @@
   }
 
   private configuration(): FleetConfiguration {
-    const school = {name: SCHOOL, priority: undefined, prepaid: this.prepaid};
     return {
       version: this.version,
       routes: [],
@@ -240,7 +248,11 @@
         headerMilliseconds: 1,
         idleMilliseconds: 1,
       },
-      organisations: [school],
+      organisations: [...this.budgets].map(([name, prepaid]) => ({
+        name,
+        priority: undefined,
+        prepaid,
+      })),
       organisationOfKey: new Map(),
     };
   }
