Repeat the return of grants at a stop while the log answers

A host that stopped while the log answered could leave its tokens charged for good: its whole grant if the append of the return was lost with its connection, or a grant that the log made for a request from before the stop. Later callers were refused for these tokens.

Cause: a stop made one exchange with the store and ignored whether its records were folded, and what they granted.

A stop now repeats the exchange while records are pending or tokens are available, as long as the store answers and no longer than 1 s after it began. A call that the store leaves unanswered takes longer than that, so that such a stop takes no more calls than before.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -26,6 +26,11 @@
 const WAITING_REQUESTS_INTERVAL_MILLISECONDS = 25;
 /** Interval between exchanges while the store fails. */
 const RETRY_INTERVAL_MILLISECONDS = 200;
+/**
+ * Time after which no further exchange is started at a stop. A call that the store does
+ * not answer takes longer, so that it is not repeated; connections must still be closed.
+ */
+const RETURN_RETRY_MILLISECONDS = 1_000;
 
 /**
  * Manages this process's grants, from which requests reserve tokens without a message.
@@ -145,12 +150,8 @@
     await this.running;
     if (this.health.isUnavailable) {
       await this.borrower.handOver(this.debitAvailable());
-    } else {
-      for (const budget of this.registry.all) {
-        this.planner.returnTokens(budget, budget.account.available);
-      }
     }
-    await this.exchange();
+    await this.returnAvailable();
     this.peers.close();
   }
 
@@ -160,6 +161,39 @@
     this.peers.close();
   }
 
+  /**
+   * Returns all unreserved tokens to the store. It repeats exchanges while the store
+   * answers: an append may have been lost, and the verdict on a grant request from before
+   * the stop may add tokens.
+   */
+  private async returnAvailable(): Promise<void> {
+    const endAt =
+      this.clock.monotonicMilliseconds() + RETURN_RETRY_MILLISECONDS;
+    for (;;) {
+      for (const budget of this.registry.all) {
+        this.planner.returnTokens(budget, budget.account.available);
+      }
+      await this.exchange();
+      if (
+        !this.mayReturnMore() ||
+        this.clock.monotonicMilliseconds() >= endAt
+      ) {
+        return;
+      }
+      await this.clock.sleep(PENDING_RECORDS_INTERVAL_MILLISECONDS);
+    }
+  }
+
+  /** Whether a further exchange may return tokens that the last one did not. */
+  private mayReturnMore(): boolean {
+    return (
+      !this.health.isUnavailable &&
+      !this.journal.isFenced &&
+      (this.journal.hasPending ||
+        this.registry.all.some(({account}) => account.available > 0))
+    );
+  }
+
   /** Stops reservations, loans and exchanges. */
   private beginClosing(): void {
     this.isClosing = true;
