Return refused tokens of a handover to a store that is back

A host that stopped in an outage, or 0.2 s after a failed call, lost all that it held if no other holder accepted it, even when the store answered its last exchange. Later callers were refused for these tokens.

Cause: the tokens were taken off the accounts for the handover, and its refusal was only logged.

Evidence: the new test failed before. Expected 96,250 spendable tokens after the stop, seen 90,625: the 5,625 of the stopped host were missing.

Tokens that no holder can have accepted are credited again and returned to the store with the last exchange. A holder that gave no answer may have accepted them; these stay lost.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -143,15 +143,19 @@
   /**
    * Returns all unreserved tokens to the store and resolves when it has accepted them or
    * failed. While the store is unavailable, the tokens go to another holder. They would
-   * be lost otherwise, because hosts are also stopped one by one during an outage.
+   * be lost otherwise, because hosts are also stopped one by one during an outage. If no
+   * holder accepts them, the store may be available again.
    */
   async close(): Promise<void> {
     this.beginClosing();
     await this.running;
-    if (this.health.isUnavailable) {
-      await this.borrower.handOver(this.debitAvailable());
-    }
+    const isHandedOver = this.health.isUnavailable && (await this.handOver());
     await this.returnAvailable();
+    if (this.health.isUnavailable && !isHandedOver) {
+      this.events.warn('grants lost at shutdown', {
+        reason: 'neither another holder nor the store accepted the tokens',
+      });
+    }
     this.peers.close();
   }
 
@@ -161,6 +165,18 @@
     this.peers.close();
   }
 
+  /** Returns false if no holder accepts the tokens, which are then credited again. */
+  private async handOver(): Promise<boolean> {
+    const given = this.debitAvailable();
+    const isHandedOver = await this.borrower.handOver(given);
+    if (!isHandedOver) {
+      for (const {organisation, amount} of given) {
+        this.registry.get(organisation)?.credit(amount);
+      }
+    }
+    return isHandedOver;
+  }
+
   /**
    * Returns all unreserved tokens to the store. It repeats exchanges while the store
    * answers: an append may have been lost, and the verdict on a grant request from before
--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -81,10 +81,12 @@
   /**
    * Hands tokens over to another holder before this process ends. If a holder does not
    * answer, it may have accepted them, so no other holder is tried.
+   *
+   * @returns False if no holder can have accepted them; this process still has them then.
    */
-  async handOver(given: readonly GrantAmount[]): Promise<void> {
+  async handOver(given: readonly GrantAmount[]): Promise<boolean> {
     if (given.length === 0) {
-      return;
+      return true;
     }
     const handover = {giver: this.journal.incarnation, given};
     for (const address of this.responsiveHolders()) {
@@ -97,7 +99,7 @@
             recipient: address,
             organisations: given.length,
           });
-          return;
+          return true;
         }
       } catch (error) {
         this.events.warn('grants lost at shutdown', {
@@ -105,13 +107,10 @@
           organisations: given.length,
           reason: String(error),
         });
-        return;
+        return true;
       }
     }
-    this.events.warn('grants lost at shutdown', {
-      organisations: given.length,
-      reason: 'no other holder accepted the tokens',
-    });
+    return false;
   }
 
   /** Refuses waiting requests that neither a loan nor the log is expected to serve. */
--- a/packages/gateway/src/test/return-at-stop_test.ts
+++ b/packages/gateway/src/test/return-at-stop_test.ts
@@ -70,4 +70,22 @@
     expect(closing).toBeDefined();
     expect(spendable(await start('two'))).toBe(PREPAID_TOKENS);
   });
+
+  it('returns its tokens to a store that is back if no holder accepts them', async () => {
+    // Guards against tokens that a stopping host forgets because another host refused
+    // them.
+    const stopping = await start('one');
+    const refusing = await start('two');
+    refusing.abort();
+    fleet.log.faults.isUnavailable = true;
+    await vi.advanceTimersByTimeAsync(2_000);
+    const handOver = vi.spyOn(refusing.lender, 'takeOver');
+    fleet.log.faults.isUnavailable = false;
+    await stop(stopping);
+    expect(handOver).toHaveReturnedWith(false);
+    const heldByRefusing = refusing.describe(SCHOOL)?.available ?? 0;
+    expect(spendable(await start('three'))).toBe(
+      PREPAID_TOKENS - heldByRefusing,
+    );
+  });
 });
