Keep surplus tokens while the store is away

In an outage a host refused callers, and other hosts' requests for loans, although it held their tokens; a host that stopped then handed over less than it had.

Cause: the planner went on returning surplus tokens. It took them off the account for a record that could not be written, and no account had them until the store was back. A surplus arises as soon as a host's usage falls, with a half-life of 7 s.

The planner now returns nothing while the store is unavailable. The budget that a new configuration lowers is still returned at once.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -86,6 +86,7 @@
       journal,
       replica,
       this.borrower,
+      health,
       clock,
       events,
       sizing,
@@ -268,6 +269,7 @@
    * @returns The pause before the next exchange, milliseconds.
    */
   private async exchange(): Promise<number> {
+    const wasUnavailable = this.health.isUnavailable;
     try {
       this.planGrants();
       this.health.called(this.clock.monotonicMilliseconds());
@@ -283,7 +285,11 @@
       this.health.failed(this.clock.monotonicMilliseconds(), error);
       return RETRY_INTERVAL_MILLISECONDS;
     }
-    if (this.journal.hasPending || this.mayRequestForWaiting()) {
+    if (
+      wasUnavailable ||
+      this.journal.hasPending ||
+      this.mayRequestForWaiting()
+    ) {
       return PENDING_RECORDS_INTERVAL_MILLISECONDS;
     }
     return this.hasWaitingRequests()
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -12,6 +12,7 @@
 import type {BudgetReplica} from './budget-replica.js';
 import type {GrantBorrower} from './grant-borrower.js';
 import type {OrganisationBudget} from './organisation-budget.js';
+import type {StoreHealth} from './store-health.js';
 import {BudgetRefusal} from './token-waiters.js';
 
 /**
@@ -30,13 +31,18 @@
     private readonly journal: BudgetJournal,
     private readonly replica: BudgetReplica,
     private readonly borrower: GrantBorrower,
+    private readonly health: StoreHealth,
     private readonly clock: Clock,
     private readonly events: EventLog,
     private readonly sizing: GrantSizing,
     private readonly pooledPart: number,
   ) {}
 
-  /** Requests the tokens that an organisation's callers need, or returns surplus ones. */
+  /**
+   * Requests the tokens that an organisation's callers need, or returns surplus ones.
+   * Nothing is returned while the store is unavailable: nobody could use the tokens until
+   * the record is written.
+   */
   plan(budget: OrganisationBudget): void {
     if (budget.isRequesting) {
       return;
@@ -51,7 +57,9 @@
       return;
     }
     const change = this.planChange(budget, view, now);
-    this.returnTokens(budget, change.returnTokens);
+    if (!this.health.isUnavailable) {
+      this.returnTokens(budget, change.returnTokens);
+    }
     const isRefillDue =
       change.requestTokens > 0 && budget.refillBackoff.mayRequest(now);
     if (isRefillDue || budget.hasUnreportedBudget || budget.isReportDue) {
--- a/packages/gateway/src/test/grant-planner_test.ts
+++ b/packages/gateway/src/test/grant-planner_test.ts
@@ -9,6 +9,7 @@
 import type {GrantBorrower} from '../grant-borrower.js';
 import {GrantPlanner} from '../grant-planner.js';
 import {OrganisationBudget} from '../organisation-budget.js';
+import {StoreHealth} from '../store-health.js';
 import {BudgetRefusal} from '../token-waiters.js';
 
 const PREPAID_TOKENS = 100_000;
@@ -30,12 +31,14 @@
       },
     };
     const clock = new SystemClock();
+    const events = EventLog.create(LogLevel.ERROR, {}, () => undefined);
     planner = new GrantPlanner(
       journal as unknown as BudgetJournal,
       {fold: new BudgetFold()} as unknown as BudgetReplica,
       {} as unknown as GrantBorrower,
+      new StoreHealth('budgets', events),
       clock,
-      EventLog.create(LogLevel.ERROR, {}, () => undefined),
+      events,
       new DemandSizing({pooledPart: POOLED_PART, seconds: 10}),
       POOLED_PART,
     );
