Return borrowed tokens only once their loan is recorded

Tokens of a loan could be lost to everybody although the lender, the borrower and the store were all there again after an outage. Later callers of the budget were refused for them.

Cause: a borrower that saw the store before its lender did returned its surplus with tokens of the loan. The log takes a return only out of what it attributes to the process; that was less until the lender's record came. It ignored the rest, which the borrower had already taken off its account.

A surplus is now returned only as far as the log attributes it to the process, less what its pending records give away. The rest stays with the borrower, which may spend or lend it, and goes back at the first plan after the lender's record. A stop still returns all that is available, and can lose such tokens.

--- a/packages/gateway/src/budget-journal.ts
+++ b/packages/gateway/src/budget-journal.ts
@@ -57,6 +57,24 @@
     return this.pending.length > 0;
   }
 
+  /**
+   * Tokens of an organisation that the log attributes to this process once the pending
+   * records are folded. Borrowed tokens are part of it after the lender's record.
+   */
+  recordedTokens(organisation: string): number {
+    const holder = this.replica.fold.holders.get(this.currentIncarnation);
+    let tokens = holder?.grants.get(organisation)?.outstanding ?? 0;
+    for (const {change} of this.pending) {
+      if (
+        (change.case === 'returned' || change.case === 'lent') &&
+        change.value.organisation === organisation
+      ) {
+        tokens -= change.value.amount;
+      }
+    }
+    return Math.max(0, tokens);
+  }
+
   /** Adds a record for the next exchange. */
   add(change: BudgetChange): void {
     this.sequence++;
--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -57,9 +57,7 @@
       return;
     }
     const change = this.planChange(budget, view, now);
-    if (!this.health.isUnavailable) {
-      this.returnTokens(budget, change.returnTokens);
-    }
+    this.returnSurplus(budget, change.returnTokens);
     const isRefillDue =
       change.requestTokens > 0 && budget.refillBackoff.mayRequest(now);
     if (isRefillDue || budget.hasUnreportedBudget || budget.isReportDue) {
@@ -118,6 +116,17 @@
     this.handleDenial(budget, view);
   }
 
+  /**
+   * Returns a surplus as far as the log attributes it to this process. It would ignore
+   * the return of a loan that the lender has not recorded yet.
+   */
+  private returnSurplus(budget: OrganisationBudget, surplus: number): void {
+    if (surplus > 0 && !this.health.isUnavailable) {
+      const recorded = this.journal.recordedTokens(budget.name);
+      this.returnTokens(budget, Math.min(surplus, recorded));
+    }
+  }
+
   private planChange(
     {account, prepaid}: OrganisationBudget,
     view: BudgetView | undefined,
