Write a checkpoint of the budget log at the end of a stop

A fleet whose hosts were all stopped for longer than the store keeps records (20 s by default) never became ready again, and no caller was served: each new process reported "records before N were dropped" as an unavailable store, every 0.2 s.

Cause: holders write a checkpoint when it is their turn or the newest one is old. The last records, with the return of all grants, are in none. Nobody was left to write one before the store dropped them.

Evidence: the new test failed before.

A graceful stop now ends with a checkpoint, after its callers' connections and bills, so that a slow store delays neither. As several hosts may stop at once and the last write counts, each reads the log again after its own write and writes once more if it has grown, three times at most.

The graceful stop's test names the new step as the last one; its other steps and their order are as before.

Not fixed: all hosts killed, and none started again within the time that the store keeps records. What was granted after the last checkpoint is then in no record.

--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -160,6 +160,22 @@
     this.peers.close();
   }
 
+  /**
+   * Writes a last checkpoint after `close`, because no other process may run. Without it
+   * the records since the newest one would be missing once the store drops them, and no
+   * process could open. Resolves when it is written or the store has failed.
+   */
+  async checkpointEnd(): Promise<void> {
+    if (this.health.isUnavailable) {
+      return;
+    }
+    try {
+      await this.replica.checkpointEnd();
+    } catch (error) {
+      this.health.failed(this.clock.monotonicMilliseconds(), error);
+    }
+  }
+
   /** Stops immediately; tokens held stay charged. */
   abort(): void {
     this.beginClosing();
--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -29,6 +29,8 @@
  * callers wait for its first grant meanwhile.
  */
 const CHECKPOINT_RECORDS = 1_000;
+/** Maximum number of checkpoints that a stopping process writes. */
+const MAXIMUM_END_CHECKPOINTS = 3;
 
 /** This process's copy of the fold, which it updates from the log. */
 export class BudgetReplica {
@@ -99,14 +101,35 @@
     ) {
       return;
     }
+    await this.writeCheckpoint();
+  }
+
+  /**
+   * Writes a checkpoint of the log's end. All holders may be stopping at once, and one of
+   * them may overwrite a newer checkpoint: each reads the log again after its own.
+   *
+   * @throws StepError if the store gave no usable answer.
+   */
+  async checkpointEnd(): Promise<void> {
+    for (let write = 0; write < MAXIMUM_END_CHECKPOINTS; write++) {
+      if (this.currentFold.nextOffset === this.checkpointOffset) {
+        return;
+      }
+      await this.writeCheckpoint();
+      await this.catchUp();
+    }
+  }
+
+  private async writeCheckpoint(): Promise<void> {
     const offset = this.currentFold.nextOffset;
+    const writtenAt = this.clock.monotonicMilliseconds();
     await this.log.put(
       CHECKPOINT_PARTITION,
       CHECKPOINT_KEY,
       encodeCheckpoint(createCheckpoint(this.currentFold)),
     );
     this.checkpointOffset = offset;
-    this.checkpointWrittenAt = now;
+    this.checkpointWrittenAt = writtenAt;
     this.events.info('budget checkpoint written', {offset});
   }
 
--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -87,6 +87,7 @@
     await this.waitUntil(this.endAt, callers.drain());
     await this.waitUntil(this.endAt, handler.settled());
     await this.waitUntil(this.endAt, bills.close());
+    await this.waitUntil(this.endAt, budgets.checkpointEnd());
     this.logStep('stopped');
     stopEnded.abort();
   }
--- a/packages/gateway/src/test/dropped-records_test.ts
+++ b/packages/gateway/src/test/dropped-records_test.ts
@@ -38,6 +38,12 @@
   return reserved;
 }
 
+/** Ends a holder as a graceful stop does. */
+async function stop(holder: BudgetHolder): Promise<void> {
+  await holder.close();
+  await holder.checkpointEnd();
+}
+
 /** Stores the next append and isolates the host before its answer. */
 function isolateDuringNextAppend(host: string): void {
   const append = fleet.log.append.bind(fleet.log);
@@ -74,3 +80,25 @@
   );
   expect(await reserveLarge(holder)).toHaveProperty('reservation');
 });
+
+it('opens after all hosts were stopped for longer than the log keeps records', async () => {
+  // Guards against a fleet that is never ready again, because the store has dropped the
+  // records since the last checkpoint.
+  const one = await start('one');
+  const two = await start('two');
+  await reserveLarge(one);
+  const closing = Promise.all([stop(one), stop(two)]);
+  await vi.advanceTimersByTimeAsync(2_000);
+  await closing;
+  const {end} = await answered(fleet.log.read(BUDGET_PARTITION, 0, 0));
+  fleet.log.dropBefore(BUDGET_PARTITION, end);
+  let successor: BudgetHolder | undefined;
+  void fleet.start('one').then(holder => {
+    successor = holder;
+  });
+  await vi.advanceTimersByTimeAsync(2_000);
+  expect(successor?.isReady).toBe(true);
+  expect(successor?.describe(SCHOOL)?.unallocated).toBeLessThanOrEqual(
+    PREPAID_TOKENS - LARGE_REQUEST_TOKENS,
+  );
+});
--- a/packages/gateway/src/test/graceful-stop_test.ts
+++ b/packages/gateway/src/test/graceful-stop_test.ts
@@ -53,7 +53,10 @@
       drain: step('connections drained'),
     },
     handler: {beginStop: () => undefined, settled: step('runs settled')},
-    budgets: {close: step('grants returned')},
+    budgets: {
+      close: step('grants returned'),
+      checkpointEnd: step('checkpoint written'),
+    },
     bills: {flush: step('bills flushed'), close: step('bills closed')},
     clock,
     events: EventLog.create(LogLevel.ERROR, {}, () => undefined),
@@ -80,6 +83,7 @@
       'connections drained',
       'runs settled',
       'bills closed',
+      'checkpoint written',
     ]);
   });
 
