Don't take the verdict on a report for the denial of a refill

A host whose tokens ran low right after it had reported its spending, or after a new configuration, asked for no refill for 0.25 s, and up to 4 s after several reports. If the store went away meanwhile, its callers were refused for tokens that the log had had.

Cause: a report is a grant request for no tokens. The log grants none, and the planner took that for a denied refill, which doubles the pause before the next one.

Evidence: the new test failed before. Expected a second request, seen only the report.

The verdict now counts for the pause only if tokens were requested while no request waited. Denied refills are requested as seldom as before.

--- a/packages/gateway/src/grant-planner.ts
+++ b/packages/gateway/src/grant-planner.ts
@@ -92,7 +92,7 @@
   applyVerdict(budget: OrganisationBudget, verdict: GrantVerdict): void {
     budget.isRequesting = false;
     const now = this.clock.monotonicMilliseconds();
-    if (budget.requestedForWaiting === undefined) {
+    if (budget.isRefillRequested) {
       budget.refillBackoff.recordVerdict(verdict.granted, now);
     }
     budget.credit(verdict.granted);
@@ -171,6 +171,7 @@
   ): void {
     budget.isRequesting = true;
     budget.requestedForWaiting = urgent ? least : undefined;
+    budget.isRefillRequested = !urgent && wish > 0;
     budget.hasUnreportedBudget = false;
     budget.reportedSpent = budget.account.spent;
     this.journal.add({
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -52,9 +52,11 @@
   isRequesting = false;
   /**
    * Minimum tokens of the last grant request if it was made for waiting requests;
-   * undefined if it was a refill.
+   * undefined if it was a refill or a report.
    */
   requestedForWaiting: number | undefined;
+  /** Whether the last grant request was a refill; a report requests no tokens. */
+  isRefillRequested = false;
   /** Limits how often refills are requested from the log. */
   readonly refillBackoff = new RefillBackoff();
   isBorrowing = false;
--- a/packages/gateway/src/test/grant-planner_test.ts
+++ b/packages/gateway/src/test/grant-planner_test.ts
@@ -16,6 +16,8 @@
 const POOLED_PART = 0.5;
 const BOUND_TOKENS = 2_500;
 const AVAILABLE_TOKENS = 2_400;
+/** Neither a surplus nor so few that a refill is requested. */
+const IDLE_TOKENS = 500;
 const LIMIT = {milliseconds: 1_000, refusal: () => BudgetRefusal.HeldElsewhere};
 
 describe('GrantPlanner', () => {
@@ -69,4 +71,22 @@
     expect(await reserved).toMatchObject({reservation: {bound: BOUND_TOKENS}});
     expect(budget.account.available).toBe(AVAILABLE_TOKENS);
   });
+
+  it('requests a refill right after a report that requested nothing', () => {
+    // Guards against a host without tokens in an outage that began meanwhile: the verdict
+    // on the report was taken for the denial of a refill.
+    budget.account.debit(AVAILABLE_TOKENS - IDLE_TOKENS);
+    planner.plan(budget);
+    expect(changes).toMatchObject([{case: 'requested', value: {wish: 0}}]);
+    planner.applyVerdict(budget, {
+      kind: 'grant',
+      incarnation: 'one',
+      sequence: 2,
+      organisation: 'school',
+      granted: 0,
+    });
+    budget.account.debit(IDLE_TOKENS);
+    planner.plan(budget);
+    expect(changes).toHaveLength(2);
+  });
 });
