End the processes of a fleet that fails to start

A runner whose fleet missed a start limit printed the error and did not exit: the processes that had started kept it alive until it was ended by hand. The processes are closed and their output kept.

--- a/packages/measurements/src/fleet.ts
+++ b/packages/measurements/src/fleet.ts
@@ -58,6 +58,19 @@
    */
   static async start(plan: FleetPlan): Promise<Fleet> {
     const starter = new ProcessStarter();
+    try {
+      return await Fleet.startWith(starter, plan);
+    } catch (error) {
+      // Processes that still run would keep the runner from exiting.
+      await starter.close(true);
+      throw error;
+    }
+  }
+
+  private static async startWith(
+    starter: ProcessStarter,
+    plan: FleetPlan,
+  ): Promise<Fleet> {
     const platform = await starter.start(EntryScript.Platform, 'platform', {
       process: standInProcess('platform', plan.seed),
       listLagMilliseconds: plan.listLagMilliseconds,
