Measure the replacement of hosts at other moments of a partition

The listed case, configuration-in-force, kills one host at one moment. The checks are those of the listed case, whose file changes by an export only.

--- a/packages/measurements/src/cases/configuration-in-force-case.ts
+++ b/packages/measurements/src/cases/configuration-in-force-case.ts
@@ -29,7 +29,7 @@
  *
  * @returns Names of the report's fields that exceed their limit.
  */
-function findUnusableTokens(report: OutcomeReport): readonly string[] {
+export function findUnusableTokens(report: OutcomeReport): readonly string[] {
   const {grantedTokens, grantedTokensOfStoppedHosts, budget} = report;
   return [
     ...(grantedTokens > MAXIMUM_UNUSED_SHARE * budget ? ['grantedTokens'] : []),
--- a/packages/measurements/src/cases/index.ts
+++ b/packages/measurements/src/cases/index.ts
@@ -9,6 +9,10 @@
 import {ControlCostCase} from './control-cost-case.js';
 import {DemoCase} from './demo-case.js';
 import {LeavingEndpointCase} from './leaving-endpoint-case.js';
+import {
+  REPLACEMENT_PLANS,
+  ReplacedDataCenterCase,
+} from './replaced-data-center-case.js';
 import {RetryStormCase} from './retry-storm-case.js';
 import {RollingReplacementCase} from './rolling-replacement-case.js';
 import {KillRouterCase} from './kill-router-case.js';
@@ -33,6 +37,7 @@
   new DecisionsCostCase(),
   ...DECISIONS_CASES.map(each => new DecisionsMeasureCase(each)),
   new LeavingEndpointCase(),
+  ...REPLACEMENT_PLANS.map(plan => new ReplacedDataCenterCase(plan)),
   new RetryStormCase(),
   new RollingReplacementCase(),
 ];
