Keep a listener for errors of connections to peers that stop

A keeper or router could exit because a peer stopped: its bills of the last half second were lost, its grants stayed, and a router cut its callers' answers.

Cause: a peer that stops sends GOAWAY, and the library destroys the connection with an error. If a call replaces the connection before the error is emitted, the library has removed its listener, and the error is an uncaught exception. The gateway avoids HTTP/2 between hosts for this reason; keepers and routers did not.

Each connection that carried a request keeps a listener of its own; its streams report the error to their callers.

--- a/packages/keeper/src/peer-clients.ts
+++ b/packages/keeper/src/peer-clients.ts
@@ -1,8 +1,6 @@
 import {createClient, type Client} from '@connectrpc/connect';
-import {
-  createConnectTransport,
-  Http2SessionManager,
-} from '@connectrpc/connect-node';
+import {createConnectTransport} from '@connectrpc/connect-node';
+import {PeerSessionManager} from '@wisteriadeal/runtime';
 import {KeeperService} from '@wisteriadeal/schema';
 
 /**
@@ -30,7 +28,7 @@
       return known;
     }
     const baseUrl = `http://${address}`;
-    const sessionManager = new Http2SessionManager(baseUrl, {
+    const sessionManager = new PeerSessionManager(baseUrl, {
       pingIntervalMs: PING_INTERVAL_MILLISECONDS,
       pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
     });
@@ -46,10 +44,7 @@
 
   /**
    * Drops all clients. Streams are ended by their own signals, and a connection
-   * without streams does not keep the process alive. `abort` of the session
-   * manager is not called: if the peer closes the connection at the same
-   * moment, `abort` leaves the socket's error without a listener, which ends
-   * the process.
+   * without streams does not keep the process alive.
    */
   close(): void {
     this.clients.clear();
--- a/packages/router/src/keeper-connector.ts
+++ b/packages/router/src/keeper-connector.ts
@@ -1,7 +1,7 @@
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
-import {MessageQueue} from '@wisteriadeal/runtime';
+import {MessageQueue, PeerSessionManager} from '@wisteriadeal/runtime';
 import {
   KeeperService,
   RouterMessageSchema,
@@ -30,13 +30,16 @@
 /** Opens streams with Connect over HTTP/2. */
 export class ConnectKeeperConnector extends KeeperConnector {
   override open(address: string, signal: AbortSignal): KeeperStream {
+    const baseUrl = `http://${address}`;
     const client = createClient(
       KeeperService,
       createConnectTransport({
-        baseUrl: `http://${address}`,
+        baseUrl,
         httpVersion: '2',
-        pingIntervalMs: PING_INTERVAL_MILLISECONDS,
-        pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+        sessionManager: new PeerSessionManager(baseUrl, {
+          pingIntervalMs: PING_INTERVAL_MILLISECONDS,
+          pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+        }),
       }),
     );
     const queue = new MessageQueue<RouterMessage>();
--- a/packages/router/src/router-connector.ts
+++ b/packages/router/src/router-connector.ts
@@ -1,5 +1,6 @@
 import {createClient} from '@connectrpc/connect';
 import {createConnectTransport} from '@connectrpc/connect-node';
+import {PeerSessionManager} from '@wisteriadeal/runtime';
 import {RouterService, type AttachMessage} from '@wisteriadeal/schema';
 
 import type {Answer} from './answer.js';
@@ -32,13 +33,16 @@
     answer: Answer,
     signal: AbortSignal,
   ): AsyncIterable<AttachMessage> {
+    const baseUrl = `http://${address}`;
     const client = createClient(
       RouterService,
       createConnectTransport({
-        baseUrl: `http://${address}`,
+        baseUrl,
         httpVersion: '2',
-        pingIntervalMs: PING_INTERVAL_MILLISECONDS,
-        pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+        sessionManager: new PeerSessionManager(baseUrl, {
+          pingIntervalMs: PING_INTERVAL_MILLISECONDS,
+          pingTimeoutMs: PING_TIMEOUT_MILLISECONDS,
+        }),
       }),
     );
     const {requestId, organisation, caller} = answer.options;
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,6 +11,7 @@
 export * from './line-writer.js';
 export * from './message-queue.js';
 export * from './metrics.js';
+export * from './peer-session-manager.js';
 export * from './results.js';
 export * from './schema-check.js';
 export * from './setting-reader.js';
