Don't let a holder's earlier stream overwrite its book at the witness

The tokens of a running request could be given out twice, and its bill was refused: the reclaim of its grant did not list its reservation.

Cause: a holder that reconnects sends the whole book on a new stream, and the witness served both streams. A delayed book of the earlier one erased what the witness had acknowledged on the later one. In the same way a book that had waited for the connection was sent after newer changes, and undid them.

A holder numbers its streams, and a witness ignores changes of a stream older than the one that sent the grant's book. Holders that send no numbers are told apart by arrival. What has waited for a connection is replaced by the book as it is when it is sent.

--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -63,10 +63,11 @@
     if (link === undefined) {
       return Acknowledgement.Unconfirmed;
     }
-    let answer = await link.send(change);
+    // The full book includes the change.
+    const createBook = () => holding.book.createOpenedChange();
+    let answer = await link.send(change, createBook);
     if (answer === Acknowledgement.UnknownGrant) {
-      // The full book includes the change.
-      answer = await link.send(holding.book.createOpenedChange());
+      answer = await link.send(createBook(), createBook);
     }
     holding.recordAcknowledgement(witness, answer);
     return answer === Acknowledgement.UnknownGrant
--- a/packages/keeper/src/witness-link.ts
+++ b/packages/keeper/src/witness-link.ts
@@ -47,6 +47,7 @@
  */
 export class WitnessLink {
   private sequence = 0;
+  private streamNumber = 0;
   private queue: MessageQueue<HolderMessage> | undefined;
   private unacknowledged: UnacknowledgedChange[] = [];
   private batch: BookChange[] = [];
@@ -59,6 +60,7 @@
     readonly witness: string,
     private readonly client: KeeperClient,
     private readonly snapshotSource: SnapshotSource,
+    private readonly nextStreamNumber: () => number,
     private readonly acknowledgementTimeoutMilliseconds: number,
     private readonly clock: Clock,
     private readonly eventLog: EventLog,
@@ -71,17 +73,26 @@
 
   /**
    * Sends one change; changes of the same turn of the event loop share a
-   * message. If the stream is not open, waits for it up to the timeout.
+   * message. If the stream is not open, waits for it up to the timeout, and
+   * then sends the book as it is by that time: newer changes may have been sent
+   * before it, and this one would undo them.
    */
-  async send(change: BookChange): Promise<Acknowledgement> {
-    if (!this.connected && !(await this.waitUntilConnected())) {
-      return Acknowledgement.Unconfirmed;
+  async send(
+    change: BookChange,
+    createBook = () => change,
+  ): Promise<Acknowledgement> {
+    let current = change;
+    if (!this.connected) {
+      if (!(await this.waitUntilConnected())) {
+        return Acknowledgement.Unconfirmed;
+      }
+      current = createBook();
     }
     const {promise, resolve} = acknowledgementResolver();
-    this.batch.push(change);
+    this.batch.push(current);
     this.unacknowledged.push({
       sequence: this.sequence + 1,
-      grantId: change.grantId,
+      grantId: current.grantId,
       resolve,
     });
     if (this.batch.length === 1) {
@@ -124,6 +135,7 @@
   private async connect(signal: AbortSignal): Promise<void> {
     const queue = new MessageQueue<HolderMessage>();
     this.queue = queue;
+    this.streamNumber = this.nextStreamNumber();
     queue.push(
       create(HolderMessageSchema, {kind: {case: 'hello', value: this.self}}),
     );
@@ -184,7 +196,11 @@
       create(HolderMessageSchema, {
         kind: {
           case: 'batch',
-          value: {sequence: this.sequence, changes: this.batch},
+          value: {
+            sequence: this.sequence,
+            streamNumber: this.streamNumber,
+            changes: this.batch,
+          },
         },
       }),
     );
--- a/packages/keeper/src/witness-links.ts
+++ b/packages/keeper/src/witness-links.ts
@@ -10,6 +10,7 @@
   private readonly links = new Map<string, WitnessLink>();
   private readonly tasks = new Set<Promise<void>>();
   private snapshotSource: SnapshotSource = () => [];
+  private openedStreams = 0;
 
   constructor(
     private readonly membership: MembershipTable,
@@ -42,6 +43,7 @@
       witness,
       this.peers.client(peer.controlAddress),
       incarnation => this.snapshotSource(incarnation),
+      () => ++this.openedStreams,
       this.acknowledgementTimeoutMilliseconds,
       this.clock,
       this.eventLog,
--- a/packages/keeper/src/witness-service.ts
+++ b/packages/keeper/src/witness-service.ts
@@ -13,6 +13,8 @@
  * acknowledges them.
  */
 export class WitnessService {
+  private servedStreams = 0;
+
   constructor(
     private readonly self: ProcessIdentity,
     private readonly book: WitnessBook,
@@ -22,22 +24,25 @@
   async *replicate(
     messages: AsyncIterable<HolderMessage>,
   ): AsyncGenerator<WitnessMessage> {
+    // Holders that do not number their streams are told apart by arrival.
+    const arrivalNumber = ++this.servedStreams;
     for await (const message of messages) {
       if (message.kind.case === 'hello') {
         yield create(WitnessMessageSchema, {
           kind: {case: 'welcome', value: this.self},
         });
       } else if (message.kind.case === 'batch') {
-        yield this.apply(message.kind.value);
+        const batch = message.kind.value;
+        yield this.apply(batch, batch.streamNumber || arrivalNumber);
       }
     }
   }
 
-  private apply(batch: ReplicateBatch): WitnessMessage {
+  private apply(batch: ReplicateBatch, streamNumber: number): WitnessMessage {
     const fencedGrants = new Set<string>();
     const unknownGrants = new Set<string>();
     for (const change of batch.changes) {
-      const result = this.book.apply(change);
+      const result = this.book.apply(change, streamNumber);
       if (result !== BookChangeResult.Applied) {
         // Unknown grants are listed here as well: holders of an older version
         // read only this list, and treat a grant that is not on it as
--- a/packages/ledger/src/witness-book.ts
+++ b/packages/ledger/src/witness-book.ts
@@ -21,11 +21,18 @@
    * This witness has no book of the grant; the grant itself may still exist.
    */
   Unknown = 'unknown',
+  /**
+   * The change came on an older stream than the grant's book, which may contain
+   * what this change lacks.
+   */
+  Superseded = 'superseded',
 }
 
 interface WitnessedGrant {
   readonly organisation: string;
   readonly holder: string;
+  /** Number of the holder's stream that sent the book. */
+  readonly streamNumber: number;
   readonly open: Map<string, RequestReservation>;
   readonly settled: Map<string, Bill>;
   readonly transfers: Map<string, Transfer>;
@@ -57,6 +64,9 @@
   /**
    * Applies a change sent by the holder.
    *
+   * @param streamNumber Number of the holder's stream on which the change came.
+   *     A holder that reconnects sends the book on a new stream, and messages
+   *     of the old one can still arrive.
    * @returns The result. The change may be acknowledged only if it is
    *     `Applied`.
    * @example
@@ -64,15 +74,21 @@
    * const isAcknowledged = book.apply(change) === BookChangeResult.Applied;
    * ```
    */
-  apply(change: BookChange): BookChangeResult {
+  apply(change: BookChange, streamNumber = 0): BookChangeResult {
     if (this.fencedGrants.has(change.grantId)) {
       return BookChangeResult.Fenced;
     }
+    const grant = this.grants.get(change.grantId);
+    if (grant !== undefined && streamNumber < grant.streamNumber) {
+      return BookChangeResult.Superseded;
+    }
     if (change.kind.case === 'opened') {
-      this.grants.set(change.grantId, createWitnessedGrant(change.kind.value));
+      this.grants.set(
+        change.grantId,
+        createWitnessedGrant(change.kind.value, streamNumber),
+      );
       return BookChangeResult.Applied;
     }
-    const grant = this.grants.get(change.grantId);
     if (grant === undefined) {
       return BookChangeResult.Unknown;
     }
@@ -192,10 +208,14 @@
   }
 }
 
-function createWitnessedGrant(book: GrantBook): WitnessedGrant {
+function createWitnessedGrant(
+  book: GrantBook,
+  streamNumber: number,
+): WitnessedGrant {
   return {
     organisation: book.organisation,
     holder: book.holder,
+    streamNumber,
     open: new Map(
       book.open.map(open => [
         open.reservation?.requestId ?? '',
