Acknowledge a bill only once it can't be lost with its keeper

Answered requests had no bill. A router resends a settlement every 0.5 s; the second copy found no reservation any more and was acknowledged at once, while the first still waited for the witness or the log. The router dropped its bill, the holder was killed, and nobody had it. The same held for a bill whose reservation had vanished, and for one that the log had refused.

It is the only cause seen that loses a bill while its router lives.

Copies of a settlement share one result. A bill without a reservation is charged to the grant's free tokens. A bill that the log refuses is charged to another grant of the keeper, also when a witness submits it for a lost holder; without one the router isn't told, and asks again. A settlement may be acknowledged by any witness that has it, as each of them submits the bills of a lost holder. The holder's book follows the amount that the log has accepted.

--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -54,7 +54,28 @@
       : Acknowledgement.Applied;
   }
 
-  private async sendToWitness(
+  /**
+   * Replicates a settlement, which may be acknowledged once any other host has
+   * stored it: each host with a copy submits the bills of a lost holder.
+   *
+   * @returns Whether another host has stored it.
+   */
+  async store(holding: GrantHolding, change: BookChange): Promise<boolean> {
+    const answers = holding.witnesses.map(async witness => {
+      const answer = await this.sendToWitness(holding, witness, change);
+      if (answer !== Acknowledgement.Applied) {
+        throw new Error(`witness ${witness} has not stored the change`);
+      }
+      return true;
+    });
+    return Promise.any(answers).catch(() => false);
+  }
+
+  /**
+   * Sends a change to one witness; sends the whole book instead if the witness
+   * has none.
+   */
+  async sendToWitness(
     holding: GrantHolding,
     witness: string,
     change: BookChange,
--- a/packages/keeper/src/fold-listener.ts
+++ b/packages/keeper/src/fold-listener.ts
@@ -64,12 +64,7 @@
     const holding = this.grantManager.holding(organisation, bill.grantId);
     if (kind === VerdictKind.Accepted) {
       this.witnessBook.removeFoldedBill(bill.grantId, bill.requestId);
-      if (holding !== undefined) {
-        // Another process may have billed the request, for example after its
-        // router connected to another keeper. The book follows the log.
-        holding.book.settle(bill);
-        holding.book.removeFoldedBill(bill.requestId);
-      }
+      holding?.book.applyFoldedBill(bill);
       const request = this.registry.get(bill.requestId);
       if (request?.grantId === bill.grantId) {
         this.registry.settle(request, bill);
--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -10,6 +10,7 @@
 import type {ProcessIdentity} from '@wisteriadeal/schema';
 
 import {BillObserver} from './bill-observer.js';
+import {BillSubmitter} from './bill-submitter.js';
 import {BookReplicator} from './book-replicator.js';
 import {CheckpointWriter} from './checkpoint-writer.js';
 import {ClaimService} from './claim-service.js';
@@ -125,8 +126,16 @@
         eventLog,
       ),
     );
-    const settlements = new SettlementService(
+    const billSubmitter = new BillSubmitter(
       this.appender,
+      this.replicas,
+      grantDependencies.replicator,
+      this.grantManager,
+      eventLog,
+    );
+    const settlements = new SettlementService(
+      billSubmitter,
+      this.replicas,
       grantDependencies.replicator,
       this.grantManager,
       this.registry,
@@ -180,6 +189,7 @@
       this.replicas,
       this.witnessBook,
       this.appender,
+      billSubmitter,
       options.heartbeatLimitMilliseconds + options.fenceDelayMilliseconds,
       () => clock.monotonicMilliseconds(),
       eventLog,
--- a/packages/keeper/src/reclaimer.ts
+++ b/packages/keeper/src/reclaimer.ts
@@ -4,10 +4,10 @@
   type WitnessBook,
 } from '@wisteriadeal/ledger';
 import type {EventLog} from '@wisteriadeal/runtime';
-import type {Bill} from '@wisteriadeal/schema';
 
+import type {BillSubmitter} from './bill-submitter.js';
 import type {LedgerAppender} from './ledger-appender.js';
-import {billEntry, ledgerEntry} from './ledger-entries.js';
+import {ledgerEntry} from './ledger-entries.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
 import type {MembershipTable} from './membership-table.js';
 
@@ -36,6 +36,7 @@
     private readonly replicas: LedgerReplicas,
     private readonly witnessBook: WitnessBook,
     private readonly appender: LedgerAppender,
+    private readonly bills: BillSubmitter,
     private readonly holderTimeoutMilliseconds: number,
     private readonly now: () => number,
     private readonly eventLog: EventLog,
@@ -58,7 +59,7 @@
           }
           const bills = this.witnessBook.settledBills(grant.grantId);
           if (bills.length > 0 && this.isLost(grant.holder)) {
-            this.submitBills(organisation, grant.grantId, bills);
+            this.submitBills(organisation, grant.grantId);
           }
         }
       }
@@ -72,30 +73,24 @@
    * never be written. If the holder returns and submits them too, the fold
    * counts only the first bill of each request.
    */
-  private submitBills(
-    organisation: string,
-    grantId: string,
-    bills: readonly Bill[],
-  ): void {
-    for (const bill of bills) {
+  private submitBills(organisation: string, grantId: string): void {
+    for (const bill of this.witnessBook.settledBills(grantId)) {
       const {requestId} = bill;
       if (this.pendingBills.has(requestId)) {
         continue;
       }
       this.pendingBills.add(requestId);
-      void this.appender
-        .submit(billEntry(organisation, bill))
-        .then(({verdict}) => {
-          this.pendingBills.delete(requestId);
+      void this.bills.submit(organisation, bill).then(isBilled => {
+        this.pendingBills.delete(requestId);
+        if (isBilled) {
           this.witnessBook.removeFoldedBill(grantId, requestId);
           this.eventLog.info('holder lost: bill submitted', {
             organisation,
             grant: grantId,
             request: requestId,
-            verdict: verdict.kind,
-            reason: verdict.reason,
           });
-        });
+        }
+      });
     }
   }
 
--- a/packages/keeper/src/router-sessions.ts
+++ b/packages/keeper/src/router-sessions.ts
@@ -173,12 +173,13 @@
     session: RouterSession,
     settle: SettleRequest,
   ): Promise<void> {
-    await this.settlements.settle(settle);
-    session.queue.push(
-      create(KeeperMessageSchema, {
-        kind: {case: 'settleAnswer', value: {requestId: settle.requestId}},
-      }),
-    );
+    if (await this.settlements.settle(settle)) {
+      session.queue.push(
+        create(KeeperMessageSchema, {
+          kind: {case: 'settleAnswer', value: {requestId: settle.requestId}},
+        }),
+      );
+    }
   }
 
   private endSession(session: RouterSession): void {
--- a/packages/keeper/src/settlement-service.ts
+++ b/packages/keeper/src/settlement-service.ts
@@ -1,68 +1,141 @@
 import {clone, create} from '@bufbuild/protobuf';
-import {BillSchema, type Bill, type SettleRequest} from '@wisteriadeal/schema';
+import {
+  BillSchema,
+  type Bill,
+  type BookChange,
+  type SettleRequest,
+} from '@wisteriadeal/schema';
 
+import type {BillSubmitter} from './bill-submitter.js';
 import type {BookReplicator} from './book-replicator.js';
+import type {GrantHolding} from './grant-holding.js';
 import type {GrantManager} from './grant-manager.js';
-import {Urgency, type LedgerAppender} from './ledger-appender.js';
-import {billEntry} from './ledger-entries.js';
+import {Urgency} from './ledger-appender.js';
+import type {LedgerReplicas} from './ledger-replicas.js';
 import type {RequestRegistry} from './request-registry.js';
-import {Acknowledgement} from './witness-link.js';
 
 /** Settles requests and submits their bills to the log. */
 export class SettlementService {
+  /** Settlements whose bills are not stored yet, by request identifier. */
+  private readonly inProgress = new Map<string, Promise<boolean>>();
+
   constructor(
-    private readonly appender: LedgerAppender,
+    private readonly bills: BillSubmitter,
+    private readonly replicas: LedgerReplicas,
     private readonly replicator: BookReplicator,
     private readonly grantManager: GrantManager,
     private readonly registry: RequestRegistry,
   ) {}
 
   /**
-   * Settles a request. Resolves once the bill is stored on a second host or on
-   * the log, so that the router may drop it.
+   * Settles a request.
+   *
+   * @returns Whether the bill is stored on a second host or on the log, so that
+   *     the router may drop it. Otherwise the router must send it again.
    */
-  async settle(message: SettleRequest): Promise<void> {
+  async settle(message: SettleRequest): Promise<boolean> {
     const bill = clone(BillSchema, message.bill ?? create(BillSchema));
     bill.requestId = message.requestId;
     bill.grantId = message.grantId;
-    await this.settleBill(message.organisation, bill);
+    return this.settleBill(message.organisation, bill);
   }
 
   /**
-   * Settles a request with a bill from its router or from the orphan settler.
+   * Settles a request with a bill from its router or from the orphan settler. A
+   * settlement that is repeated shares the result of the first one.
+   *
+   * @returns Whether the bill is stored on a second host or on the log.
    */
-  async settleBill(organisation: string, bill: Bill): Promise<void> {
-    const request = this.registry.get(bill.requestId);
-    const holding = this.grantManager.holding(organisation, bill.grantId);
+  settleBill(organisation: string, bill: Bill): Promise<boolean> {
+    const {requestId} = bill;
+    const running = this.inProgress.get(requestId);
+    if (running !== undefined) {
+      return running;
+    }
+    const settlement = this.store(organisation, bill).finally(() => {
+      this.inProgress.delete(requestId);
+    });
+    this.inProgress.set(requestId, settlement);
+    return settlement;
+  }
+
+  private async store(organisation: string, bill: Bill): Promise<boolean> {
+    const {requestId, grantId} = bill;
+    const holding = this.grantManager.holding(organisation, grantId);
     const change = holding?.book.settle(bill);
-    if (holding === undefined || change?.kind.case !== 'settled') {
-      if (request !== undefined) {
-        this.registry.settle(request, bill);
-      }
-      if (holding === undefined) {
-        // The grant belongs to another holder or was reclaimed. The fold
-        // contains the inherited reservations, so the bill only has to be on
-        // the log.
-        await this.appender.submit(billEntry(organisation, bill));
-      }
-      return;
+    if (holding !== undefined && change !== undefined) {
+      return this.storeChange(organisation, holding, change);
     }
-    const charged = change.kind.value;
-    if (request !== undefined) {
-      this.registry.settle(request, charged);
+    if (
+      holding?.book.hasPendingBill(requestId) === true ||
+      this.replicas.ledgerOf(organisation).isBilled(organisation, requestId)
+    ) {
+      this.settleInRegistry(bill);
+      return true;
     }
+    return this.storeWithoutReservation(organisation, holding, bill);
+  }
+
+  private async storeChange(
+    organisation: string,
+    holding: GrantHolding,
+    change: BookChange,
+  ): Promise<boolean> {
+    if (change.kind.case !== 'settled') {
+      return false;
+    }
+    const charged = change.kind.value;
+    this.settleInRegistry(charged);
     this.grantManager
       .forOrganisation(organisation)
       .recordDemand(charged.tokens);
-    const logged = this.appender.submit(
-      billEntry(organisation, charged),
-      Urgency.Batched,
-    );
-    const acknowledged = await this.replicator.commit(holding, change);
-    const witnessed =
-      acknowledged === Acknowledgement.Applied && holding.witness !== '';
-    if (!witnessed) {
-      await logged;
+    return firstTrue([
+      this.bills.submit(organisation, charged, Urgency.Batched),
+      this.replicator.store(holding, change),
+    ]);
+  }
+
+  /**
+   * Stores the bill of a request that has no reservation here. Either the grant
+   * belongs to another holder or was reclaimed, and the fold contains the
+   * inherited reservations. Or the reservation was released although the
+   * request ran, and its tokens are charged again.
+   */
+  private async storeWithoutReservation(
+    organisation: string,
+    holding: GrantHolding | undefined,
+    bill: Bill,
+  ): Promise<boolean> {
+    if (holding?.isClosed === false) {
+      const change = holding.book.charge(bill);
+      if (change !== undefined) {
+        return this.storeChange(organisation, holding, change);
+      }
     }
+    const isStored = await this.bills.submit(organisation, bill);
+    if (isStored) {
+      this.settleInRegistry(bill);
+    }
+    return isStored;
   }
+
+  private settleInRegistry(bill: Bill): void {
+    const request = this.registry.get(bill.requestId);
+    if (request !== undefined) {
+      this.registry.settle(request, bill);
+    }
+  }
+}
+
+/** Resolves with true once one of the promises does, else with false. */
+async function firstTrue(
+  promises: readonly Promise<boolean>[],
+): Promise<boolean> {
+  const results = promises.map(async promise => {
+    if (!(await promise)) {
+      throw new Error('not stored');
+    }
+    return true;
+  });
+  return Promise.any(results).catch(() => false);
 }
--- a/packages/keeper/src/test/reclaimer_test.ts
+++ b/packages/keeper/src/test/reclaimer_test.ts
@@ -3,6 +3,7 @@
 import {LogLevel, type LedgerEntry} from '@wisteriadeal/schema';
 import {describe, expect, it} from 'vitest';
 
+import type {BillSubmitter} from '../bill-submitter.js';
 import type {LedgerAppender, SubmittedVerdict} from '../ledger-appender.js';
 import type {LedgerReplicas} from '../ledger-replicas.js';
 import type {MembershipTable} from '../membership-table.js';
@@ -58,6 +59,7 @@
       replicasNamingSelf,
       book,
       appender as unknown as LedgerAppender,
+      {} as unknown as BillSubmitter,
       HOLDER_TIMEOUT_MILLISECONDS,
       () => 0,
       EventLog.create(LogLevel.ERROR, {}),
--- a/packages/ledger/src/holder-book.ts
+++ b/packages/ledger/src/holder-book.ts
@@ -158,14 +158,30 @@
     if (bound === undefined) {
       return undefined;
     }
-    const charged = clone(BillSchema, bill);
-    charged.grantId = this.grant.grantId;
-    charged.tokens = isTokenAmount(bill.tokens)
+    const tokens = isTokenAmount(bill.tokens)
       ? Math.min(bill.tokens, bound)
       : bound;
-    this.pendingBillsByRequestId.set(charged.requestId, charged);
-    this.settledTokens += charged.tokens;
-    return this.createChange({case: 'settled', value: charged});
+    return this.addPendingBill(bill, tokens);
+  }
+
+  /**
+   * Charges a bill whose reservation does not exist any more, or was made under
+   * another grant.
+   *
+   * @returns undefined if the amount is invalid or above the free tokens, or if
+   *     the request has a bill in this book.
+   */
+  charge(bill: Bill): BookChange | undefined {
+    return isTokenAmount(bill.tokens) &&
+      bill.tokens <= this.freeTokens &&
+      !this.pendingBillsByRequestId.has(bill.requestId)
+      ? this.addPendingBill(bill, bill.tokens)
+      : undefined;
+  }
+
+  /** Whether the book has a bill that has not been folded from the log yet. */
+  hasPendingBill(requestId: string): boolean {
+    return this.pendingBillsByRequestId.has(requestId);
   }
 
   /** Releases the reservation of a request that was not dispatched. */
@@ -227,6 +243,18 @@
     );
   }
 
+  /**
+   * Applies a bill that the fold has accepted under this grant. Another process
+   * may have written it, with another amount or after the reservation was
+   * released; the book follows the log.
+   */
+  applyFoldedBill({requestId, tokens}: Bill): void {
+    const pending = this.pendingBillsByRequestId.get(requestId);
+    this.removeFoldedBill(requestId);
+    this.removeReservation(requestId);
+    this.settledTokens += tokens - (pending?.tokens ?? 0);
+  }
+
   /** Removes a bill that has been folded from the log. */
   removeFoldedBill(requestId: string): void {
     this.pendingBillsByRequestId.delete(requestId);
@@ -265,6 +293,15 @@
     });
   }
 
+  private addPendingBill(bill: Bill, tokens: number): BookChange {
+    const charged = clone(BillSchema, bill);
+    charged.grantId = this.grant.grantId;
+    charged.tokens = tokens;
+    this.pendingBillsByRequestId.set(charged.requestId, charged);
+    this.settledTokens += charged.tokens;
+    return this.createChange({case: 'settled', value: charged});
+  }
+
   private removeReservation(requestId: string): number | undefined {
     const bound = this.openByRequestId.get(requestId)?.reservation?.boundTokens;
     if (bound === undefined) {
