Debit a transfer once, open it once, and charge bills of skipped records

Causes, each between a holder's book and the log: - A transfer request that was repeated before the witness had answered, or after it had not, was debited again under the same identifier. The second debit is on no record, so the grant never closed.

--- a/packages/keeper/src/fold-listener.ts
+++ b/packages/keeper/src/fold-listener.ts
@@ -53,6 +53,11 @@
   override checkpointRestored(): void {
     // Holdings are compared with the restored state when the verdicts of their
     // own entries arrive.
+    for (const {holdings} of this.grantManager.all) {
+      for (const {book} of holdings.values()) {
+        book.recordSkippedRecords();
+      }
+    }
   }
 
   private handleBill(
@@ -76,9 +81,9 @@
 
   /**
    * Handles a bill of this keeper that the fold did not accept. If an earlier
-   * copy of the same bill had been accepted, the book would already have
-   * dropped it. A duplicate therefore means that a bill under another grant
-   * came first.
+   * copy of the same bill had been folded, the book would already have dropped
+   * it. A duplicate therefore means that a bill under another grant came first,
+   * unless records were skipped.
    */
   private handleIgnoredOwnBill(
     holding: GrantHolding | undefined,
@@ -119,6 +124,10 @@
     });
     reclaim.transfers.forEach(transfer => {
       holding?.book.removeFoldedTransfer(transfer.transferId);
+      if (transfer.toHolder === this.self) {
+        // No record of its own may follow, if the sending holder is lost.
+        this.grantManager.acceptLoggedTransfer(organisation, transfer);
+      }
     });
     if (reclaim.witness === this.self) {
       this.adoptRequests(organisation, reclaim.grantId);
--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -108,8 +108,20 @@
     }
   }
 
-  /** Opens a grant with the tokens that another holder transferred. */
-  acceptTransfer(organisation: string, transfer: Transfer): GrantHolding {
+  /**
+   * Opens a grant with the tokens that another holder transferred. An answer
+   * that arrives after the grant was used and closed opens nothing.
+   */
+  acceptTransfer(
+    organisation: string,
+    transfer: Transfer,
+  ): GrantHolding | undefined {
+    const logged = this.dependencies.replicas
+      .ledgerOf(organisation)
+      .grant(organisation, transfer.transferId);
+    if (logged?.closed === true) {
+      return undefined;
+    }
     return this.openHolding(
       organisation,
       transfer.transferId,
@@ -118,6 +130,19 @@
     );
   }
 
+  /**
+   * Opens a grant with transferred tokens if the log shows it. A transfer that a
+   * reclaim lists may have been refused.
+   */
+  acceptLoggedTransfer(organisation: string, transfer: Transfer): void {
+    const logged = this.dependencies.replicas
+      .ledgerOf(organisation)
+      .grant(organisation, transfer.transferId);
+    if (logged !== undefined && !logged.announcedByBill) {
+      this.acceptTransfer(organisation, transfer);
+    }
+  }
+
   private policyInput(grants: OrganisationGrants) {
     const {dependencies} = this;
     const {organisation} = grants;
--- a/packages/keeper/src/ledger-appender.ts
+++ b/packages/keeper/src/ledger-appender.ts
@@ -43,6 +43,8 @@
   readonly resolve: (verdict: SubmittedVerdict) => void;
   readonly dueAt: number;
   sentAt: number | undefined;
+  /** Whether it was sent at least once, even if that failed. */
+  wasSent: boolean;
   mayDuplicateItself: boolean;
 }
 
@@ -107,6 +109,7 @@
       resolve,
       dueAt: this.clock.monotonicMilliseconds() + delay,
       sentAt: undefined,
+      wasSent: false,
       mayDuplicateItself: false,
     });
     this.sleepOf(stream).wake();
@@ -124,7 +127,7 @@
 
   override checkpointRestored(stream: string): void {
     for (const pending of this.pending.get(stream)?.values() ?? []) {
-      pending.mayDuplicateItself = pending.sentAt !== undefined;
+      pending.mayDuplicateItself ||= pending.wasSent;
       pending.sentAt = undefined;
     }
     this.sleepOf(stream).wake();
@@ -197,6 +200,7 @@
     const sentAt = this.clock.monotonicMilliseconds();
     batch.forEach(pending => {
       pending.sentAt = sentAt;
+      pending.wasSent = true;
     });
     try {
       await this.log.append(stream, payload, signal);
--- a/packages/keeper/src/transfer-service.ts
+++ b/packages/keeper/src/transfer-service.ts
@@ -55,6 +55,12 @@
  */
 export class TransferService {
   private readonly completedTransfers = new Map<string, Transfer>();
+  /** Debited transfers that no witness has acknowledged. */
+  private readonly unansweredTransfers = new Set<string>();
+  private readonly runningDebits = new Map<
+    string,
+    Promise<Transfer | undefined>
+  >();
   private readonly nextRequestAt = new Map<string, number>();
 
   constructor(
@@ -76,8 +82,11 @@
   async handleRequest(
     request: TransferGrantRequest,
   ): Promise<TransferGrantAnswer> {
-    const known = this.completedTransfers.get(request.transferId);
-    const transfer = known ?? (await this.debit(request));
+    const {transferId} = request;
+    const transfer = this.unansweredTransfers.has(transferId)
+      ? undefined
+      : (this.completedTransfers.get(transferId) ??
+        (await this.debitOnce(request)));
     return create(
       TransferGrantAnswerSchema,
       transfer === undefined ? {} : {transfer},
@@ -108,6 +117,22 @@
     }
   }
 
+  /** Shares one debit between repeated requests for the same transfer. */
+  private debitOnce(
+    request: TransferGrantRequest,
+  ): Promise<Transfer | undefined> {
+    const {transferId} = request;
+    const running = this.runningDebits.get(transferId);
+    if (running !== undefined) {
+      return running;
+    }
+    const debit = this.debit(request).finally(() => {
+      this.runningDebits.delete(transferId);
+    });
+    this.runningDebits.set(transferId, debit);
+    return debit;
+  }
+
   private async debit(
     request: TransferGrantRequest,
   ): Promise<Transfer | undefined> {
@@ -144,12 +169,24 @@
     // tokens when it reads the entry, if the fold accepts it.
     void this.appender.submit(transferEntry(organisation, transfer));
     if (acknowledged !== Acknowledgement.Applied) {
+      this.recordUnanswered(transferId);
       return undefined;
     }
     this.recordTransfer(transfer);
     return transfer;
   }
 
+  /** Keeps a repeated request from being debited again. */
+  private recordUnanswered(transferId: string): void {
+    this.unansweredTransfers.add(transferId);
+    for (const oldest of this.unansweredTransfers) {
+      if (this.unansweredTransfers.size <= MAXIMUM_COMPLETED_TRANSFERS) {
+        return;
+      }
+      this.unansweredTransfers.delete(oldest);
+    }
+  }
+
   private recordTransfer(transfer: Transfer): void {
     this.completedTransfers.set(transfer.transferId, transfer);
     for (const transferId of this.completedTransfers.keys()) {
--- a/packages/ledger/src/holder-book.ts
+++ b/packages/ledger/src/holder-book.ts
@@ -43,6 +43,8 @@
 export class HolderBook {
   private readonly openByRequestId = new Map<string, RequestReservation>();
   private readonly pendingBillsByRequestId = new Map<string, Bill>();
+  /** Pending bills that may have been folded from a skipped record. */
+  private readonly possiblyFoldedBills = new Set<string>();
   private readonly pendingTransfersById = new Map<string, Transfer>();
   private reservedTokens = 0;
   private settledTokens = 0;
@@ -258,20 +260,32 @@
   /** Removes a bill that has been folded from the log. */
   removeFoldedBill(requestId: string): void {
     this.pendingBillsByRequestId.delete(requestId);
+    this.possiblyFoldedBills.delete(requestId);
   }
 
   /**
    * Removes a bill that the fold ignored as a duplicate of an earlier bill of
-   * the request, and makes its tokens free again.
+   * the request, and makes its tokens free again. They stay charged if the
+   * earlier bill may be a copy of this one in a skipped record.
    */
   refundDuplicateBill(requestId: string): void {
     const bill = this.pendingBillsByRequestId.get(requestId);
-    if (bill !== undefined) {
-      this.pendingBillsByRequestId.delete(requestId);
+    if (bill === undefined) {
+      return;
+    }
+    this.pendingBillsByRequestId.delete(requestId);
+    if (!this.possiblyFoldedBills.delete(requestId)) {
       this.settledTokens -= bill.tokens;
     }
   }
 
+  /** Notes that records were skipped, which may contain the pending bills. */
+  recordSkippedRecords(): void {
+    for (const requestId of this.pendingBillsByRequestId.keys()) {
+      this.possiblyFoldedBills.add(requestId);
+    }
+  }
+
   /** Removes a transfer that has been folded from the log. */
   removeFoldedTransfer(transferId: string): void {
     this.pendingTransfersById.delete(transferId);
