Change a witness that is lost, leaving or far away, also without the log

In a partition callers were refused for budget while nearly all of it was left.

Cause: the witness of a grant changed only while the log was in reach. A witness in another data centre was kept while healthy, so that a partition left the grant without one that could acknowledge; and a witness that was leaving was kept until it was gone, or stopped with bills of a holder that had just died.

The change of witness is redesigned: the candidate gets the book, then the holder makes its acknowledgement required until the log has decided, and gives it the entry. If the holder dies, the nominee appends the same entry and reclaims. Safe, because the nominee has everything that was acknowledged, the holder can't drop it by itself, and the entry counts once, whoever appends it. A grant without a named witness can be used once a nominee has confirmed. A local peer that has been reachable for the witness's timeout replaces a remote witness; a leaving one counts as lost, and a keeper that stops waits until no grant names it.

--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -35,16 +35,16 @@
     holding: GrantHolding,
     change: BookChange,
   ): Promise<Acknowledgement> {
-    // The acknowledgement of a candidate alone is not sufficient: until the log
-    // names it as the witness, it can't reclaim the grant, and requests that it
-    // acknowledged would get no bill if the holder died.
+    // The acknowledgement of a candidate alone is not sufficient: until it is
+    // nominated or the log names it as the witness, it can't reclaim the grant,
+    // and requests that it acknowledged would get no bill if the holder died.
     const answers = await Promise.all([
       ...holding.witnesses.map(witness =>
         this.sendToWitness(holding, witness, change),
       ),
-      ...(holding.witness === ''
-        ? [this.commitWithoutWitness(holding, change)]
-        : []),
+      ...(holding.hasWitness
+        ? []
+        : [this.commitWithoutWitness(holding, change)]),
     ]);
     if (holding.isClosed || answers.includes(Acknowledgement.Fenced)) {
       return Acknowledgement.Fenced;
@@ -85,7 +85,7 @@
       return Acknowledgement.Unconfirmed;
     }
     // The full book includes the change.
-    const createBook = () => holding.book.createOpenedChange();
+    const createBook = () => holding.createOpenedChange(witness);
     let answer = await link.send(change, createBook);
     if (answer === Acknowledgement.UnknownGrant) {
       answer = await link.send(createBook(), createBook);
--- a/packages/keeper/src/grant-holding.ts
+++ b/packages/keeper/src/grant-holding.ts
@@ -1,17 +1,20 @@
 import {HolderBook, type GrantTerms} from '@wisteriadeal/ledger';
+import type {BookChange, WitnessNomination} from '@wisteriadeal/schema';
 
 import {Acknowledgement} from './witness-link.js';
 
 /** A grant that this keeper holds. */
 export class GrantHolding {
   readonly book: HolderBook;
-  /** The next witness, until the log has decided the change of witness. */
+  /** The next witness, until it has the book and is nominated. */
   candidate: string | undefined;
   /** Whether the log has closed the grant: nothing can be spent or returned. */
   isClosed = false;
   /** Whether a return that closes the grant was submitted to the log. */
   isReturning = false;
   private readonly fencingWitnesses = new Set<string>();
+  private readonly nominations = new Map<string, WitnessNomination>();
+  private readonly confirmedNominees = new Set<string>();
 
   /** @param witness The witness in force on the log; empty if there is none. */
   constructor(
@@ -41,10 +44,54 @@
 
   /**
    * Witnesses that must acknowledge changes. During a change of witness these
-   * are both, as either may be the one in force on the log.
+   * are all that the log may name, as each of them may be in force on the log.
    */
   get witnesses(): readonly string[] {
-    return [this.witness, this.candidate ?? ''].filter(name => name !== '');
+    const names = [
+      this.witness,
+      this.candidate ?? '',
+      ...this.nominations.keys(),
+    ];
+    return [...new Set(names)].filter(name => name !== '');
+  }
+
+  /**
+   * Whether the grant can be reclaimed if this keeper is lost: the log names a
+   * witness, or one has confirmed that it is nominated.
+   */
+  get hasWitness(): boolean {
+    return this.witness !== '' || this.confirmedNominees.size > 0;
+  }
+
+  /** The nominated witnesses whose entries the log has not decided. */
+  get nominees(): readonly string[] {
+    return [...this.nominations.keys()];
+  }
+
+  /**
+   * Makes a witness required until the log has decided its entry. The entry may
+   * be appended by either side, so the nomination can't be withdrawn.
+   */
+  nominate(witness: string, nomination: WitnessNomination): void {
+    this.nominations.set(witness, nomination);
+  }
+
+  /** Records that a witness has received its nomination. */
+  confirmNomination(witness: string): void {
+    if (this.nominations.has(witness)) {
+      this.confirmedNominees.add(witness);
+    }
+  }
+
+  /** Ends a nomination once the log has decided its entry. */
+  endNomination(witness: string): void {
+    this.nominations.delete(witness);
+    this.confirmedNominees.delete(witness);
+  }
+
+  /** Returns a change with the whole book for one witness. */
+  createOpenedChange(witness: string): BookChange {
+    return this.book.createOpenedChange(this.nominations.get(witness));
   }
 
   /** Records the last acknowledgement of a witness. */
--- a/packages/keeper/src/grant-maintainer.ts
+++ b/packages/keeper/src/grant-maintainer.ts
@@ -1,9 +1,14 @@
+import {create} from '@bufbuild/protobuf';
 import {VerdictKind} from '@wisteriadeal/ledger';
+import {
+  WitnessNominationSchema,
+  type WitnessNomination,
+} from '@wisteriadeal/schema';
 
 import type {GrantHolding} from './grant-holding.js';
 import type {GrantManager} from './grant-manager.js';
 import type {GrantDependencies} from './grant-dependencies.js';
-import {ledgerEntry} from './ledger-entries.js';
+import {witnessChangeEntry} from './ledger-entries.js';
 import type {OrganisationGrants} from './organisation-grants.js';
 import {Acknowledgement} from './witness-link.js';
 
@@ -12,7 +17,10 @@
  * longer needed.
  */
 export class GrantMaintainer {
+  /** Grants whose next witness is being sent the book. */
   private readonly changingWitness = new Set<string>();
+  /** Grants whose change to no witness the log has not decided. */
+  private readonly removingWitness = new Set<string>();
   /** Grants whose witness is being asked whether they are still fenced. */
   private readonly recheckingFence = new Set<string>();
 
@@ -45,29 +53,91 @@
   }
 
   private reviewWitness(organisation: string, holding: GrantHolding): void {
-    const {membership, health, replicas, links} = this.dependencies;
-    if (
-      holding.isClosed ||
-      this.changingWitness.has(holding.grantId) ||
-      !health.isReachable(replicas.streamOf(organisation))
-    ) {
+    if (holding.isClosed || this.changingWitness.has(holding.grantId)) {
       return;
     }
-    const isHealthy =
-      holding.witness !== '' &&
-      links.linkTo(holding.witness)?.isConnected === true &&
-      membership.isReachable(holding.witness);
-    const isLost =
-      holding.witness === '' ||
-      membership.millisecondsSinceHeartbeat(holding.witness) >
-        this.witnessTimeoutMilliseconds;
-    const candidate = membership.witnessFor(organisation) ?? '';
-    if (!isHealthy && isLost && candidate !== holding.witness) {
+    const {membership, health, replicas} = this.dependencies;
+    const candidate = membership.witnessFor(organisation);
+    const isLogReachable = health.isReachable(replicas.streamOf(organisation));
+    if (candidate === undefined) {
+      if (isLogReachable && this.mustRemoveWitness(holding)) {
+        void this.removeWitness(organisation, holding);
+      }
+    } else if (this.mustChangeWitness(holding, candidate, isLogReachable)) {
       this.changingWitness.add(holding.grantId);
-      void this.changeWitness(organisation, holding, candidate).finally(() => {
-        this.changingWitness.delete(holding.grantId);
-      });
+      void this.nominateWitness(organisation, holding, candidate).finally(
+        () => {
+          this.changingWitness.delete(holding.grantId);
+        },
+      );
+    }
+  }
+
+  /**
+   * Whether a grant keeps a witness that is not heard any more, while no other
+   * peer is heard either.
+   */
+  private mustRemoveWitness(holding: GrantHolding): boolean {
+    return (
+      holding.witness !== '' &&
+      !this.removingWitness.has(holding.grantId) &&
+      this.isWitnessLost(holding.witness) &&
+      !this.hasLiveNominee(holding)
+    );
+  }
+
+  /**
+   * Whether a candidate must replace the witness. While the log is unreachable,
+   * a lost witness is replaced too: the candidate then has a copy of the book,
+   * and can append the change itself if this keeper dies.
+   */
+  private mustChangeWitness(
+    holding: GrantHolding,
+    candidate: string,
+    isLogReachable: boolean,
+  ): boolean {
+    if (candidate === holding.witness || this.hasLiveNominee(holding)) {
+      return false;
     }
+    return (
+      holding.witness === '' ||
+      this.isWitnessLost(holding.witness) ||
+      (isLogReachable && this.isCloser(candidate, holding.witness))
+    );
+  }
+
+  private isWitnessLost(witness: string): boolean {
+    const {membership, links} = this.dependencies;
+    const isHealthy =
+      links.linkTo(witness)?.isConnected === true &&
+      membership.isReachable(witness);
+    const isSilent =
+      membership.millisecondsSinceHeartbeat(witness) >
+      this.witnessTimeoutMilliseconds;
+    return membership.isLeavingPeer(witness) || (!isHealthy && isSilent);
+  }
+
+  /**
+   * Whether a candidate is in this data centre and the witness is not. A grant
+   * with a witness in another data centre can't be used in a partition. The
+   * candidate must have been reachable for some time, so that a peer whose
+   * heartbeats come late does not cause one change after the other.
+   */
+  private isCloser(candidate: string, witness: string): boolean {
+    const {membership} = this.dependencies;
+    return (
+      membership.isLocal(candidate) &&
+      !membership.isLocal(witness) &&
+      membership.isSteadilyReachable(candidate)
+    );
+  }
+
+  private hasLiveNominee(holding: GrantHolding): boolean {
+    return holding.nominees.some(
+      nominee =>
+        this.dependencies.membership.millisecondsSinceHeartbeat(nominee) <=
+        this.witnessTimeoutMilliseconds,
+    );
   }
 
   /**
@@ -97,42 +167,81 @@
    * the log names it, and both witnesses must acknowledge changes until the log
    * has decided. The witness that is in force when it fences the grant
    * therefore has every dispatched request in its book.
+   *
+   * The new witness also gets the entry that names it, so that it can append
+   * the entry and reclaim the grant if this keeper is lost while the log is
+   * unreachable. It gets the entry only after this keeper has decided to need
+   * its acknowledgement until the log shows the entry.
    */
-  private async changeWitness(
+  private async nominateWitness(
     organisation: string,
     holding: GrantHolding,
     candidate: string,
   ): Promise<void> {
-    if (candidate !== '') {
-      holding.candidate = candidate;
-      const answer =
-        (await this.dependencies.links
-          .linkTo(candidate)
-          ?.send(holding.book.createOpenedChange())) ??
-        Acknowledgement.Unconfirmed;
-      holding.recordAcknowledgement(candidate, answer);
-      if (answer !== Acknowledgement.Applied) {
-        holding.candidate = undefined;
-        return;
-      }
+    const {replicator, random} = this.dependencies;
+    holding.candidate = candidate;
+    const answer = await replicator.sendToWitness(
+      holding,
+      candidate,
+      holding.createOpenedChange(candidate),
+    );
+    holding.candidate = undefined;
+    if (answer !== Acknowledgement.Applied) {
+      return;
+    }
+    const nomination = create(WitnessNominationSchema, {
+      entryId: `witness:${holding.grantId}:${random.identifier()}`,
+      from: holding.witness,
+    });
+    holding.nominate(candidate, nomination);
+    void this.submitWitnessChange(organisation, holding, nomination, candidate);
+    const confirmed = await replicator.sendToWitness(
+      holding,
+      candidate,
+      holding.book.createNominatedChange(nomination),
+    );
+    if (confirmed === Acknowledgement.Applied) {
+      holding.confirmNomination(candidate);
     }
-    const from = holding.witness;
+  }
+
+  private async removeWitness(
+    organisation: string,
+    holding: GrantHolding,
+  ): Promise<void> {
+    const {witness, grantId} = holding;
+    const entryId = `witness:${grantId}:${this.dependencies.random.identifier()}`;
+    const nomination = create(WitnessNominationSchema, {
+      entryId,
+      from: witness,
+    });
+    // The log may become unreachable before it has decided, and a peer may then
+    // be nominated meanwhile.
+    this.removingWitness.add(grantId);
+    await this.submitWitnessChange(organisation, holding, nomination, '');
+    this.removingWitness.delete(grantId);
+  }
+
+  private async submitWitnessChange(
+    organisation: string,
+    holding: GrantHolding,
+    {entryId, from}: WitnessNomination,
+    to: string,
+  ): Promise<void> {
     const {verdict} = await this.dependencies.appender.submit(
-      ledgerEntry(
-        `witness:${holding.grantId}:${this.dependencies.random.identifier()}`,
-        organisation,
-        {
-          case: 'witnessChange',
-          value: {grantId: holding.grantId, from, to: candidate},
-        },
-      ),
+      witnessChangeEntry(entryId, organisation, {
+        grantId: holding.grantId,
+        from,
+        to,
+      }),
     );
+    holding.endNomination(to);
     this.applyLoggedWitness(organisation, holding);
     this.dependencies.eventLog.info('witness changed', {
       organisation,
       grant: holding.grantId,
       from,
-      to: candidate,
+      to,
       accepted: verdict.kind === VerdictKind.Accepted,
     });
   }
@@ -153,7 +262,6 @@
     } else if (state !== undefined) {
       holding.witness = state.witness;
     }
-    holding.candidate = undefined;
   }
 
   private reviewUnused(
--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -338,7 +338,7 @@
         .filter(
           holding => !holding.isClosed && holding.witnesses.includes(witness),
         )
-        .map(holding => holding.book.createOpenedChange()),
+        .map(holding => holding.createOpenedChange(witness)),
     );
   }
 }
--- a/packages/keeper/src/keeper.ts
+++ b/packages/keeper/src/keeper.ts
@@ -75,10 +75,12 @@
 
   /**
    * Stops the keeper gracefully: accepts no new requests, waits for those in
-   * progress, returns the grants, and then ends all tasks.
+   * progress, returns the grants, waits until no grant has it as its witness,
+   * and then ends all tasks.
    */
   async close(): Promise<void> {
-    const {membership, registry, grantManager, appender} = this.parts;
+    const {membership, registry, grantManager, appender, reclaimer} =
+      this.parts;
     membership.startLeaving();
     await this.parts.gossip.announce();
     await this.waitUntil(
@@ -95,6 +97,14 @@
         ) && appender.pendingEntries === 0,
       RETURN_TIMEOUT_MILLISECONDS,
     );
+    const {heartbeatLimitMilliseconds, fenceDelayMilliseconds} =
+      this.parts.options;
+    await this.waitUntil(
+      () => !reclaimer.isNeeded && appender.pendingEntries === 0,
+      heartbeatLimitMilliseconds +
+        fenceDelayMilliseconds +
+        RETURN_TIMEOUT_MILLISECONDS,
+    );
     await this.kill();
   }
 
--- a/packages/keeper/src/ledger-entries.ts
+++ b/packages/keeper/src/ledger-entries.ts
@@ -1,6 +1,7 @@
 import {create, type MessageInitShape} from '@bufbuild/protobuf';
 import {
   LedgerEntrySchema,
+  WitnessChangeSchema,
   type Bill,
   type LedgerEntry,
   type Transfer,
@@ -32,6 +33,21 @@
   return ledgerEntry(entryId, organisation, {case: 'bill', value: bill});
 }
 
+/**
+ * Creates the entry of a change of witness. The holder and the witness that it
+ * has nominated append the same entry.
+ */
+export function witnessChangeEntry(
+  entryId: string,
+  organisation: string,
+  value: MessageInitShape<typeof WitnessChangeSchema>,
+): LedgerEntry {
+  return ledgerEntry(entryId, organisation, {
+    case: 'witnessChange',
+    value: create(WitnessChangeSchema, value),
+  });
+}
+
 /**
  * Creates the entry of a transfer. The sending and the receiving holder append
  * the same entry.
--- a/packages/keeper/src/membership-table.ts
+++ b/packages/keeper/src/membership-table.ts
@@ -24,6 +24,8 @@
   readonly identity: ProcessIdentity;
   state: HostState;
   lastHeartbeatAt: number;
+  /** Time since which no heartbeat was later than the heartbeat limit. */
+  readonly reachableSince: number;
   routers: readonly RouterMember[];
   nextOffsets: Readonly<Record<string, number>>;
   leavingEndpoints: readonly string[];
@@ -98,10 +100,15 @@
       message.keepers.find(
         keeper => keeper.identity?.incarnation === sender.incarnation,
       )?.state ?? HostState.LIVE;
+    const now = this.clock.monotonicMilliseconds();
+    const earlier = this.keepers.get(sender.incarnation);
+    const wasReachable =
+      earlier !== undefined && this.isReachable(sender.incarnation);
     this.keepers.set(sender.incarnation, {
       identity: sender,
       state,
-      lastHeartbeatAt: this.clock.monotonicMilliseconds(),
+      lastHeartbeatAt: now,
+      reachableSince: wasReachable ? earlier.reachableSince : now,
       routers: message.routers,
       nextOffsets: message.nextOffsets,
       leavingEndpoints: message.leavingEndpoints,
@@ -129,6 +136,30 @@
     );
   }
 
+  /**
+   * Whether a peer has been reachable for at least the time after which a
+   * silent witness is replaced.
+   */
+  isSteadilyReachable(incarnation: string): boolean {
+    const keeper = this.keepers.get(incarnation);
+    return (
+      keeper !== undefined &&
+      this.isReachable(incarnation) &&
+      this.clock.monotonicMilliseconds() - keeper.reachableSince >=
+        this.witnessTimeoutMilliseconds
+    );
+  }
+
+  /** Whether a peer has reported that it is leaving. */
+  isLeavingPeer(incarnation: string): boolean {
+    return this.keepers.get(incarnation)?.state === HostState.LEAVING;
+  }
+
+  /** Whether a known keeper is in this keeper's data centre. */
+  isLocal(incarnation: string): boolean {
+    return this.identityOf(incarnation)?.dataCenter === this.self.dataCenter;
+  }
+
   /** Time since a peer's last heartbeat; Infinity if there was none. */
   millisecondsSinceHeartbeat(incarnation: string): number {
     const keeper = this.keepers.get(incarnation);
@@ -248,6 +279,35 @@
     )?.identity;
   }
 
+  /**
+   * Whether the lack of a router on the heartbeats of its data centre shows that
+   * it has stopped. That is so for this keeper's own data centre, for one with a
+   * keeper that has been reachable for the given time, and for one that has no
+   * live host any more. Otherwise the data centre may be partitioned from this
+   * one.
+   */
+  knowsRoutersOf(dataCenter: string, milliseconds: number): boolean {
+    if (dataCenter === this.self.dataCenter) {
+      return true;
+    }
+    const now = this.clock.monotonicMilliseconds();
+    const keepers = [...this.keepers.values()].filter(
+      ({identity}) => identity.dataCenter === dataCenter,
+    );
+    const reachable = keepers.filter(({identity}) =>
+      this.isReachable(identity.incarnation),
+    );
+    if (reachable.length > 0) {
+      return reachable.some(
+        ({reachableSince}) => now - reachableSince >= milliseconds,
+      );
+    }
+    return (
+      keepers.every(({state}) => state === HostState.LEAVING) &&
+      !this.platformListing.liveDataCenters.includes(dataCenter)
+    );
+  }
+
   /** The membership that is sent to routers. */
   get membership(): Membership {
     const others = [...this.keepers.values()].map(keeper =>
--- a/packages/keeper/src/reclaimer.ts
+++ b/packages/keeper/src/reclaimer.ts
@@ -4,10 +4,11 @@
   type WitnessBook,
 } from '@wisteriadeal/ledger';
 import type {EventLog} from '@wisteriadeal/runtime';
+import type {GrantState} from '@wisteriadeal/schema';
 
 import type {BillSubmitter} from './bill-submitter.js';
 import type {LedgerAppender} from './ledger-appender.js';
-import {ledgerEntry} from './ledger-entries.js';
+import {ledgerEntry, witnessChangeEntry} from './ledger-entries.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
 import type {MembershipTable} from './membership-table.js';
 
@@ -29,6 +30,8 @@
    * folded yet.
    */
   private readonly pendingBills = new Set<string>();
+  /** Identifiers of the nominations that were submitted for lost holders. */
+  private readonly appendedNominations = new Set<string>();
   private submittedReclaims = 0;
 
   constructor(
@@ -57,15 +60,76 @@
             }
             continue;
           }
-          const bills = this.witnessBook.settledBills(grant.grantId);
-          if (bills.length > 0 && this.isLost(grant.holder)) {
+          if (this.hasCopyOf(grant.grantId) && this.isLost(grant.holder)) {
             this.submitBills(organisation, grant.grantId);
+            this.appendNomination(organisation, grant);
           }
         }
       }
     }
   }
 
+  /**
+   * Whether this keeper must not stop yet: the log names it as the witness of a
+   * grant, which its holder has to change or this keeper to reclaim, or it has
+   * bills of a lost holder.
+   */
+  get isNeeded(): boolean {
+    const {incarnation} = this.membership.self;
+    return this.replicas.all.some(({ledger}) =>
+      ledger.organisationNames.some(organisation =>
+        ledger
+          .grants(organisation)
+          .some(
+            ({closed, witness, holder, grantId}) =>
+              !closed &&
+              (witness === incarnation ||
+                (this.hasCopyOf(grantId) &&
+                  !this.membership.isReachable(holder))),
+          ),
+      ),
+    );
+  }
+
+  /** Whether this keeper has bills or a nomination of a grant to write. */
+  private hasCopyOf(grantId: string): boolean {
+    return (
+      this.witnessBook.nomination(grantId) !== undefined ||
+      this.witnessBook.settledBills(grantId).length > 0
+    );
+  }
+
+  /**
+   * Appends the change of witness by which a lost holder nominated this keeper,
+   * so that it can reclaim the grant. The holder may have lost its connection to
+   * the log, and the witness that the log names may be lost as well.
+   */
+  private appendNomination(
+    organisation: string,
+    {grantId, witness}: GrantState,
+  ): void {
+    const nomination = this.witnessBook.nomination(grantId);
+    if (
+      nomination?.from !== witness ||
+      this.appendedNominations.has(nomination.entryId)
+    ) {
+      return;
+    }
+    const {entryId, from} = nomination;
+    this.appendedNominations.add(entryId);
+    const to = this.membership.self.incarnation;
+    void this.appender
+      .submit(witnessChangeEntry(entryId, organisation, {grantId, from, to}))
+      .then(({verdict}) => {
+        this.eventLog.info('holder lost: nomination submitted', {
+          organisation,
+          grant: grantId,
+          verdict: verdict.kind,
+          reason: verdict.reason,
+        });
+      });
+  }
+
   /**
    * Submits the settled bills of a lost holder whose grant this keeper can't
    * reclaim because the log has not named it as the witness. Otherwise the
--- a/packages/ledger/src/grant-rules.ts
+++ b/packages/ledger/src/grant-rules.ts
@@ -70,16 +70,21 @@
  * Changes the witness of a grant. The record names the previous witness, so
  * that this change and a reclaim by that witness are mutually exclusive: the
  * first in log order takes effect and the other is refused.
+ *
+ * The new witness may write the record too, once the holder has nominated it.
  */
 export function applyWitnessChange(
   books: OrganisationBooks,
   change: WitnessChange,
   writer: string,
 ): EntryOutcome {
-  const grant = findOpenGrantOfHolder(books, change.grantId, writer);
+  const grant = findOpenGrant(books, change.grantId);
   if (typeof grant === 'string') {
     return grant;
   }
+  if (grant.holder !== writer && (change.to === '' || change.to !== writer)) {
+    return RefusalReason.NotHolder;
+  }
   if (grant.witness !== change.from) {
     return RefusalReason.NotWitness;
   }
--- a/packages/ledger/src/holder-book.ts
+++ b/packages/ledger/src/holder-book.ts
@@ -10,6 +10,7 @@
   type BookChange,
   type RequestReservation,
   type Transfer,
+  type WitnessNomination,
 } from '@wisteriadeal/schema';
 
 import {isTokenAmount} from './tokens.js';
@@ -286,6 +287,11 @@
     }
   }
 
+  /** Returns a change that tells a witness that it is nominated. */
+  createNominatedChange(nomination: WitnessNomination): BookChange {
+    return this.createChange({case: 'nominated', value: nomination});
+  }
+
   /** Removes a transfer that has been folded from the log. */
   removeFoldedTransfer(transferId: string): void {
     this.pendingTransfersById.delete(transferId);
@@ -293,8 +299,10 @@
 
   /**
    * Returns a change with the whole book, for a witness that has no copy of it.
+   *
+   * @param nomination The nomination of that witness, if there is one.
    */
-  createOpenedChange(): BookChange {
+  createOpenedChange(nomination?: WitnessNomination): BookChange {
     return this.createChange({
       case: 'opened',
       value: create(GrantBookSchema, {
@@ -303,6 +311,7 @@
         settled: [...this.pendingBillsByRequestId.values()],
         transfers: [...this.pendingTransfersById.values()],
         returnedTokens: this.returnedTokens,
+        ...(nomination === undefined ? {} : {nomination}),
       }),
     });
   }
--- a/packages/ledger/src/witness-book.ts
+++ b/packages/ledger/src/witness-book.ts
@@ -9,6 +9,7 @@
   type Reclaim,
   type RequestReservation,
   type Transfer,
+  type WitnessNomination,
 } from '@wisteriadeal/schema';
 
 /** The result of applying a change to a witness book. */
@@ -33,6 +34,7 @@
   readonly holder: string;
   /** Number of the holder's stream that sent the book. */
   readonly streamNumber: number;
+  nomination: WitnessNomination | undefined;
   readonly open: Map<string, RequestReservation>;
   readonly settled: Map<string, Bill>;
   readonly transfers: Map<string, Transfer>;
@@ -85,7 +87,11 @@
     if (change.kind.case === 'opened') {
       this.grants.set(
         change.grantId,
-        createWitnessedGrant(change.kind.value, streamNumber),
+        createWitnessedGrant(
+          change.kind.value,
+          streamNumber,
+          grant?.nomination,
+        ),
       );
       return BookChangeResult.Applied;
     }
@@ -171,6 +177,14 @@
     return [...(this.grants.get(grantId)?.open.values() ?? [])];
   }
 
+  /**
+   * The change of witness by which the holder nominated this keeper; undefined
+   * if there is none.
+   */
+  nomination(grantId: string): WitnessNomination | undefined {
+    return this.grants.get(grantId)?.nomination;
+  }
+
   /** The bills of a grant that have not been folded from the log yet. */
   settledBills(grantId: string): readonly Bill[] {
     return [...(this.grants.get(grantId)?.settled.values() ?? [])];
@@ -211,11 +225,13 @@
 function createWitnessedGrant(
   book: GrantBook,
   streamNumber: number,
+  earlierNomination: WitnessNomination | undefined,
 ): WitnessedGrant {
   return {
     organisation: book.organisation,
     holder: book.holder,
     streamNumber,
+    nomination: book.nomination ?? earlierNomination,
     open: new Map(
       book.open.map(open => [
         open.reservation?.requestId ?? '',
@@ -254,6 +270,9 @@
     case 'transferred':
       grant.transfers.set(change.kind.value.transferId, change.kind.value);
       return;
+    case 'nominated':
+      grant.nomination = change.kind.value;
+      return;
     default:
       // Returns are not recorded: a folded return has reduced the grant, and a
       // later one is refused after a reclaim.
