Give peers the entries that a keeper can't append

Cause: what a keeper can't append waits in its memory.

While a stream is out of reach, its pending entries are sent to one peer of the data centre and one of another, which append them in the name of the writer. That is what the writer would do itself: pending entries are never withdrawn, and the fold ignores the second copy. A bill may be acknowledged once a peer keeps it. A data centre that only lost the log has its entries written through the other.

--- a/packages/keeper/src/bill-submitter.ts
+++ b/packages/keeper/src/bill-submitter.ts
@@ -49,6 +49,21 @@
       : verdict.kind !== VerdictKind.Refused;
   }
 
+  /**
+   * Submits a bill and resolves once it can't be lost with this keeper.
+   *
+   * @returns Whether a peer keeps the bill or the request is billed on the log.
+   */
+  async store(
+    organisation: string,
+    bill: Bill,
+    urgency = Urgency.Immediate,
+  ): Promise<boolean> {
+    const billed = this.submit(organisation, bill, urgency);
+    const copied = this.appender.whenCopied(billEntry(organisation, bill));
+    return (await Promise.race([copied, billed])) || billed;
+  }
+
   /** Whether the log, as far as it was read, would refuse a bill. */
   private isRefusalCertain(organisation: string, bill: Bill): boolean {
     const ledger = this.replicas.ledgerOf(organisation);
--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -15,6 +15,7 @@
 import {CheckpointWriter} from './checkpoint-writer.js';
 import {ClaimService} from './claim-service.js';
 import {ConfigurationReplica} from './configuration-replica.js';
+import {EntryCopies} from './entry-copies.js';
 import {FoldListener} from './fold-listener.js';
 import {GossipTask} from './gossip-task.js';
 import {DEFAULT_BUDGET_PREFERENCE, GrantManager} from './grant-manager.js';
@@ -22,6 +23,7 @@
 import {GrantMaintainer} from './grant-maintainer.js';
 import {KeeperInspection} from './keeper-inspection.js';
 import type {KeeperOptions} from './keeper-options.js';
+import {KeptEntries} from './kept-entries.js';
 import {LedgerAppender} from './ledger-appender.js';
 import {LedgerReplicas} from './ledger-replicas.js';
 import {MembershipTable} from './membership-table.js';
@@ -61,6 +63,7 @@
   readonly replicas: LedgerReplicas;
   readonly membership: MembershipTable;
   readonly appender: LedgerAppender;
+  readonly keptEntries: KeptEntries;
   readonly links: WitnessLinks;
   readonly grantManager: GrantManager;
   readonly grantMaintainer: GrantMaintainer;
@@ -99,9 +102,18 @@
       this.health,
       clock,
       options.billFlushMilliseconds,
+      new EntryCopies(this.membership, this.peers, clock, eventLog),
       dependencies.metrics,
       eventLog,
     );
+    this.keptEntries = new KeptEntries(
+      this.replicas,
+      log,
+      this.health,
+      clock,
+      eventLog,
+    );
+    this.replicas.addListener(this.keptEntries);
     this.links = new WitnessLinks(
       this.membership,
       this.peers,
--- a/packages/keeper/src/keeper-review.ts
+++ b/packages/keeper/src/keeper-review.ts
@@ -44,6 +44,8 @@
 
   private review(signal: AbortSignal): void {
     const {parts} = this;
+    parts.appender.review();
+    parts.keptEntries.review(signal);
     parts.reclaimer.review();
     parts.orphans.review();
     for (const organisation of parts.configuration.configuration
--- a/packages/keeper/src/keeper-services.ts
+++ b/packages/keeper/src/keeper-services.ts
@@ -15,6 +15,7 @@
     followStream: (request, context) =>
       parts.relayServer.follow(request, context.signal),
     transferGrant: request => parts.transfers.handleRequest(request),
+    keepEntries: request => parts.keptEntries.keep(request),
     gossip: message => {
       parts.membership.recordHeartbeat(message);
       return parts.gossipMessage();
--- a/packages/keeper/src/ledger-appender.ts
+++ b/packages/keeper/src/ledger-appender.ts
@@ -4,6 +4,7 @@
 import type {EventLog, Metrics} from '@wisteriadeal/runtime';
 import {LedgerBatchSchema, type LedgerEntry} from '@wisteriadeal/schema';
 
+import type {CopiedEntry, EntryCopies} from './entry-copies.js';
 import {LedgerListener, type FoldedEntry} from './ledger-replica.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
 import type {PlatformHealth} from './platform-health.js';
@@ -37,8 +38,9 @@
   readonly mayDuplicateItself: boolean;
 }
 
-interface PendingEntry {
-  readonly entry: LedgerEntry;
+interface PendingEntry extends CopiedEntry {
+  /** Whether a peer has a copy; false if the entry was folded before. */
+  readonly copied: Promise<boolean>;
   readonly verdict: Promise<SubmittedVerdict>;
   readonly resolve: (verdict: SubmittedVerdict) => void;
   readonly dueAt: number;
@@ -58,6 +60,7 @@
  */
 export class LedgerAppender extends LedgerListener {
   private readonly pending = new Map<string, Map<string, PendingEntry>>();
+  private readonly copyingStreams = new Set<string>();
   private readonly sleeps = new Map<string, InterruptibleSleep>();
 
   constructor(
@@ -67,6 +70,7 @@
     private readonly health: PlatformHealth,
     private readonly clock: Clock,
     private readonly batchDelayMilliseconds: number,
+    private readonly copies: EntryCopies,
     private readonly metrics: Metrics,
     private readonly eventLog: EventLog,
   ) {
@@ -103,8 +107,17 @@
     const verdict = new Promise<SubmittedVerdict>(resolvePromise => {
       resolve = resolvePromise;
     });
+    let onCopied: () => void = () => undefined;
+    const firstCopy = new Promise<boolean>(resolveCopied => {
+      onCopied = () => {
+        resolveCopied(true);
+      };
+    });
     this.pending.get(stream)?.set(entry.entryId, {
       entry,
+      copied: Promise.race([firstCopy, verdict.then(() => false)]),
+      copiedTo: new Set(),
+      onCopied,
       verdict,
       resolve,
       dueAt: this.clock.monotonicMilliseconds() + delay,
@@ -113,9 +126,44 @@
       mayDuplicateItself: false,
     });
     this.sleepOf(stream).wake();
+    this.copyPending(stream);
     return verdict;
   }
 
+  /**
+   * Resolves with true once a peer has a copy of a pending entry, and with false
+   * if the entry is not pending any more.
+   */
+  async whenCopied({organisation, entryId}: LedgerEntry): Promise<boolean> {
+    const stream = this.replicas.streamOf(organisation);
+    return this.pending.get(stream)?.get(entryId)?.copied ?? false;
+  }
+
+  /** Sends the pending entries of unreachable streams to peers. */
+  review(): void {
+    for (const stream of this.pending.keys()) {
+      this.copyPending(stream);
+    }
+  }
+
+  private copyPending(stream: string): void {
+    const entries = [...(this.pending.get(stream)?.values() ?? [])];
+    if (
+      entries.length === 0 ||
+      this.health.isReachable(stream) ||
+      this.copyingStreams.has(stream)
+    ) {
+      return;
+    }
+    this.copyingStreams.add(stream);
+    void this.copies.send(stream, entries).then(isComplete => {
+      this.copyingStreams.delete(stream);
+      if (!isComplete) {
+        this.copyPending(stream);
+      }
+    });
+  }
+
   override entryFolded({stream, writer, entry, verdict}: FoldedEntry): void {
     const pending = this.pending.get(stream)?.get(entry.entryId);
     if (pending === undefined || writer !== this.writer) {
--- a/packages/keeper/src/settlement-service.ts
+++ b/packages/keeper/src/settlement-service.ts
@@ -90,7 +90,7 @@
       .forOrganisation(organisation)
       .recordDemand(charged.tokens);
     return firstTrue([
-      this.bills.submit(organisation, charged, Urgency.Batched),
+      this.bills.store(organisation, charged, Urgency.Batched),
       this.replicator.store(holding, change),
     ]);
   }
@@ -112,7 +112,7 @@
         return this.storeChange(organisation, holding, change);
       }
     }
-    const isStored = await this.bills.submit(organisation, bill);
+    const isStored = await this.bills.store(organisation, bill);
     if (isStored) {
       this.settleInRegistry(bill);
     }
