Don't bill a request because its router or engine is not heard

Cause: a witness in the other data centre inherits the reservation, hears nothing of the router beyond the partition, takes it for lost and bills. An engine that could not be asked was taken for one that does not know the request. And a router whose session with one keeper had broken was taken for lost although another keeper reported it.

An engine that is out of reach is asked again every 5 s for as long. The tokens are safe meanwhile: the reservation stands on the log. A keeper that is leaving settles at once, as before.

--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -190,6 +190,7 @@
       this.registry,
       settlements,
       this.membership,
+      this.replicas,
       this.configuration,
       dependencies.engines,
       options.orphanWaitMilliseconds,
--- a/packages/keeper/src/orphan-settler.ts
+++ b/packages/keeper/src/orphan-settler.ts
@@ -10,6 +10,7 @@
 } from '@wisteriadeal/schema';
 
 import type {ConfigurationReplica} from './configuration-replica.js';
+import type {LedgerReplicas} from './ledger-replicas.js';
 import type {MembershipTable} from './membership-table.js';
 import {
   RequestPhase,
@@ -20,20 +21,31 @@
 
 /** Maximum time to wait for an engine's usage report. */
 const ENGINE_TIMEOUT_MILLISECONDS = 3_000;
+/** Delay between two queries to an engine that is unreachable. */
+const ENGINE_RETRY_DELAY_MILLISECONDS = 5_000;
+/**
+ * Maximum time that a request stays reserved while its router's data centre or
+ * its engine is unreachable. Partitions between regions last up to an hour.
+ */
+const MAXIMUM_SILENCE_MILLISECONDS = 2 * 3_600_000;
 
 /**
  * Settles requests whose router was lost and whose caller did not retry. If the
- * engine reports the usage, the request is charged for it. Otherwise the bound
+ * engine reports the usage, the request is charged for it. If it does not know
+ * the request, or stays unreachable for longer than a partition lasts, the bound
  * is charged and the bill is marked unconfirmed, so that the books neither omit
  * usage nor present an estimate as measured.
  */
 export class OrphanSettler {
   private readonly settlingRequests = new Set<string>();
+  /** Earliest time of the next query to an engine that was unreachable. */
+  private readonly nextQueryAt = new Map<string, number>();
 
   constructor(
     private readonly registry: RequestRegistry,
     private readonly settlements: SettlementService,
     private readonly membership: MembershipTable,
+    private readonly replicas: LedgerReplicas,
     private readonly configuration: ConfigurationReplica,
     private readonly engines: ModelEngineFactory,
     private readonly orphanWaitMilliseconds: number,
@@ -53,10 +65,10 @@
         this.registry.enterPhase(request, RequestPhase.Orphaned);
       }
     }
-    const now = this.clock.monotonicMilliseconds();
     for (const request of this.registry.inPhase(RequestPhase.Orphaned)) {
       if (
-        now - request.phaseEnteredAt > this.orphanWaitMilliseconds &&
+        this.isRouterLost(request) &&
+        this.isQueryDue(request) &&
         !this.settlingRequests.has(request.requestId)
       ) {
         this.settlingRequests.add(request.requestId);
@@ -67,8 +79,60 @@
     }
   }
 
+  private isQueryDue({requestId}: TrackedRequest): boolean {
+    return (
+      this.membership.isLeaving ||
+      this.clock.monotonicMilliseconds() >=
+        (this.nextQueryAt.get(requestId) ?? 0)
+    );
+  }
+
+  /**
+   * Whether the router of an orphaned request has been missing for long enough.
+   *
+   * A router that is not heard may run in a data centre that can't be reached.
+   * It counts as lost only once keepers of its data centre have been reachable
+   * for that long and none has reported it, or after a time that is longer than
+   * a partition lasts.
+   */
+  private isRouterLost(request: TrackedRequest): boolean {
+    const waited = this.clock.monotonicMilliseconds() - request.phaseEnteredAt;
+    if (
+      waited <= this.orphanWaitMilliseconds ||
+      this.membership.liveRouter(request.router) !== undefined
+    ) {
+      return false;
+    }
+    return (
+      request.router === '' ||
+      waited > MAXIMUM_SILENCE_MILLISECONDS ||
+      this.membership.knowsRoutersOf(
+        this.dataCenterOf(request),
+        Math.min(waited, this.orphanWaitMilliseconds),
+      )
+    );
+  }
+
+  /** The data centre of the router, which is that of the grant's holder. */
+  private dataCenterOf({organisation, grantId}: TrackedRequest): string {
+    const grant = this.replicas
+      .ledgerOf(organisation)
+      .grant(organisation, grantId);
+    return grant === undefined || grant.dataCenter === ''
+      ? this.membership.self.dataCenter
+      : grant.dataCenter;
+  }
+
   private async settle(request: TrackedRequest): Promise<void> {
     const bill = await this.billFromEngine(request);
+    if (bill === undefined) {
+      this.nextQueryAt.set(
+        request.requestId,
+        this.clock.monotonicMilliseconds() + ENGINE_RETRY_DELAY_MILLISECONDS,
+      );
+      return;
+    }
+    this.nextQueryAt.delete(request.requestId);
     if (request.phase !== RequestPhase.Orphaned) {
       return;
     }
@@ -81,7 +145,13 @@
     await this.settlements.settleBill(request.organisation, bill);
   }
 
-  private async billFromEngine(request: TrackedRequest): Promise<Bill> {
+  /**
+   * Returns the bill of an orphaned request; undefined if its engine is
+   * unreachable and has to be asked again later.
+   */
+  private async billFromEngine(
+    request: TrackedRequest,
+  ): Promise<Bill | undefined> {
     const endpoint = this.modelEndpoint(request.attempt.endpoint);
     if (endpoint === undefined) {
       return unconfirmedBill(request);
@@ -107,12 +177,23 @@
         peer: endpoint.name,
         reason: String(error),
       });
-      return unconfirmedBill(request);
+      return this.mayWaitForEngine(request)
+        ? undefined
+        : unconfirmedBill(request);
     } finally {
       await engine.close();
     }
   }
 
+  /**
+   * Whether a request may stay reserved because its engine is unreachable. A
+   * keeper that is leaving settles its requests before it stops.
+   */
+  private mayWaitForEngine({phaseEnteredAt}: TrackedRequest): boolean {
+    const waited = this.clock.monotonicMilliseconds() - phaseEnteredAt;
+    return !this.membership.isLeaving && waited <= MAXIMUM_SILENCE_MILLISECONDS;
+  }
+
   private modelEndpoint(name: string): Endpoint | undefined {
     const {configuration} = this.configuration;
     const endpoint = configuration?.endpoints.find(
