Give each reservation an owner, and let only its own begin release it

Answered requests had no bill, requests that had not run were billed, and tokens stayed in closed grants for good.

Causes: - An abandon named its request only. One that came late released the reservation under which a later begin of the same router was running; one that came while the begin was still being made left a reservation that nothing tracked; the end of an earlier begin removed the later one's entry. Begins and abandons are now matched by number: an abandon names the last begin that its router had sent. - An abandon was heard by one keeper, once. Keepers remember abandoned and refused begins, a router tells another one if the one it told is lost, and the reservation that a reclaim lists is released by the record InheritedRelease. - Only the witness that had reclaimed a grant knew its requests, in memory. The log lists them with their routers, and another keeper takes them over. - A router that took over a request and gave up released what the lost one had dispatched.

--- a/packages/keeper/src/fold-listener.ts
+++ b/packages/keeper/src/fold-listener.ts
@@ -5,7 +5,7 @@
 import type {GrantHolding} from './grant-holding.js';
 import type {GrantManager} from './grant-manager.js';
 import {LedgerListener, type FoldedEntry} from './ledger-replica.js';
-import {RequestPhase, type RequestRegistry} from './request-registry.js';
+import type {RequestRegistry} from './request-registry.js';
 
 /** Applies folded log entries to the holder's books and the witness's book. */
 export class FoldListener extends LedgerListener {
@@ -129,30 +129,9 @@
         this.grantManager.acceptLoggedTransfer(organisation, transfer);
       }
     });
-    if (reclaim.witness === this.self) {
-      this.adoptRequests(organisation, reclaim.grantId);
-    }
     this.witnessBook.removeGrant(reclaim.grantId);
   }
 
-  private adoptRequests(organisation: string, grantId: string): void {
-    for (const open of this.witnessBook.openReservations(grantId)) {
-      this.eventLog.info('request inherited', {
-        request: open.reservation?.requestId,
-        organisation,
-        grant: grantId,
-        router: open.router,
-        tokens: open.reservation?.boundTokens,
-      });
-      this.registry.addInherited(
-        organisation,
-        grantId,
-        open,
-        RequestPhase.Running,
-      );
-    }
-  }
-
   private markClosed(holding: GrantHolding | undefined): void {
     if (holding !== undefined) {
       holding.isClosed = true;
--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -9,6 +9,7 @@
 import type {EventLog, Metrics} from '@wisteriadeal/runtime';
 import type {ProcessIdentity} from '@wisteriadeal/schema';
 
+import {AbandonedBegins} from './abandoned-begins.js';
 import {BillObserver} from './bill-observer.js';
 import {BillSubmitter} from './bill-submitter.js';
 import {BookReplicator} from './book-replicator.js';
@@ -21,6 +22,7 @@
 import {DEFAULT_BUDGET_PREFERENCE, GrantManager} from './grant-manager.js';
 import type {GrantDependencies} from './grant-dependencies.js';
 import {GrantMaintainer} from './grant-maintainer.js';
+import {InheritedRequests} from './inherited-requests.js';
 import {KeeperInspection} from './keeper-inspection.js';
 import type {KeeperOptions} from './keeper-options.js';
 import {KeptEntries} from './kept-entries.js';
@@ -68,6 +70,7 @@
   readonly grantManager: GrantManager;
   readonly grantMaintainer: GrantMaintainer;
   readonly registry: RequestRegistry;
+  readonly inherited: InheritedRequests;
   readonly requests: RequestService;
   readonly sessions: RouterSessions;
   readonly transfers: TransferService;
@@ -138,6 +141,17 @@
         eventLog,
       ),
     );
+    const abandonedBegins = new AbandonedBegins();
+    this.inherited = new InheritedRequests(
+      this.membership,
+      this.replicas,
+      this.registry,
+      abandonedBegins,
+      this.appender,
+      options.heartbeatLimitMilliseconds + options.fenceDelayMilliseconds,
+      eventLog,
+    );
+    this.replicas.addListener(this.inherited);
     const billSubmitter = new BillSubmitter(
       this.appender,
       this.replicas,
@@ -166,6 +180,7 @@
       ),
       this.registry,
       this.witnessBook,
+      abandonedBegins,
     );
     this.sessions = new RouterSessions(
       this.membership,
--- a/packages/keeper/src/keeper-review.ts
+++ b/packages/keeper/src/keeper-review.ts
@@ -47,6 +47,7 @@
     parts.appender.review();
     parts.keptEntries.review(signal);
     parts.reclaimer.review();
+    parts.inherited.review();
     parts.orphans.review();
     for (const organisation of parts.configuration.configuration
       ?.organisations ?? []) {
--- a/packages/keeper/src/keeper.ts
+++ b/packages/keeper/src/keeper.ts
@@ -11,7 +11,6 @@
 import {KeeperParts, type KeeperDependencies} from './keeper-parts.js';
 import {KeeperReview} from './keeper-review.js';
 import {registerKeeper} from './keeper-services.js';
-import {RequestPhase} from './request-registry.js';
 import {StreamFollower} from './stream-follower.js';
 
 /** Maximum time that a graceful stop waits for requests in progress. */
@@ -85,9 +84,9 @@
     await this.parts.gossip.announce();
     await this.waitUntil(
       () =>
-        registry.inPhase(RequestPhase.Running).length === 0 &&
-        registry.inPhase(RequestPhase.Reserving).length === 0 &&
-        registry.inPhase(RequestPhase.Orphaned).length === 0,
+        registry.unsettled.every(request =>
+          this.parts.inherited.canBeTakenOver(request),
+        ),
       DRAIN_TIMEOUT_MILLISECONDS,
     );
     await this.waitUntil(
--- a/packages/keeper/src/organisation-grants.ts
+++ b/packages/keeper/src/organisation-grants.ts
@@ -50,7 +50,8 @@
   /** Tokens of grant requests that the log has not decided yet. */
   requestedTokens = 0;
   private readonly demand = new RateEstimate(DEMAND_HALF_LIFE_MILLISECONDS);
-  private readonly waitingBounds = new Map<string, number>();
+  /** Bounds of the waiting reservations. */
+  private readonly waitingBounds = new Map<RequestReservation, number>();
   private largestBound = INITIAL_BOUND_TOKENS;
 
   constructor(
@@ -122,7 +123,6 @@
     reservation: RequestReservation,
     timeoutMilliseconds: number,
   ): Promise<ReserveAnswer> {
-    const requestId = reservation.reservation?.requestId ?? '';
     const bound = reservation.reservation?.boundTokens ?? 0;
     const deadline = this.clock.monotonicMilliseconds() + timeoutMilliseconds;
     this.largestBound = Math.max(
@@ -135,12 +135,12 @@
       if (holding !== undefined) {
         const acknowledged = await this.tryReserve(holding, reservation);
         if (acknowledged === Acknowledgement.Applied) {
-          this.waitingBounds.delete(requestId);
+          this.waitingBounds.delete(reservation);
           return {outcome: ReserveOutcome.Reserved, holding};
         }
       } else {
         outcome = ReserveOutcome.BudgetExhausted;
-        this.waitingBounds.set(requestId, bound);
+        this.waitingBounds.set(reservation, bound);
         this.onTokensNeeded();
       }
       // If the whole budget does not cover the bound, no refill, return or peer
@@ -149,7 +149,7 @@
         outcome === ReserveOutcome.BudgetExhausted &&
         this.remainingTokens < bound;
       if (cannotBeCovered || this.clock.monotonicMilliseconds() >= deadline) {
-        this.waitingBounds.delete(requestId);
+        this.waitingBounds.delete(reservation);
         return {outcome};
       }
       await this.clock.sleep(RETRY_INTERVAL_MILLISECONDS);
--- a/packages/keeper/src/request-registry.ts
+++ b/packages/keeper/src/request-registry.ts
@@ -2,7 +2,7 @@
 import type {
   AttemptReference,
   Bill,
-  RequestReservation,
+  OpenReservation,
 } from '@wisteriadeal/schema';
 
 /** The state of a request at its holder. */
@@ -25,6 +25,14 @@
   readonly idempotent: boolean;
   readonly boundTokens: number;
   readonly caller: string;
+  /**
+   * Number of the begin of `router` that made or took over the reservation; 0 if
+   * the router does not number its begins, or the request was inherited after
+   * another router had taken it over.
+   */
+  beginNumber: number;
+  /** Whether `router` has taken over the request from a lost router. */
+  isResumed: boolean;
   attempt: AttemptReference;
   /**
    * Incarnation of the router that runs the request, or was the last to run it.
@@ -87,27 +95,24 @@
   addInherited(
     organisation: string,
     grantId: string,
-    open: RequestReservation,
-    phase: RequestPhase,
+    reservation: OpenReservation,
   ): void {
-    const {reservation} = open;
-    if (reservation === undefined || this.requests.has(reservation.requestId)) {
-      return;
-    }
     this.add({
       requestId: reservation.requestId,
       organisation,
-      fingerprint: open.fingerprint,
-      idempotent: open.idempotent,
+      fingerprint: reservation.fingerprint,
+      idempotent: reservation.idempotent,
       boundTokens: reservation.boundTokens,
       caller: reservation.caller,
+      beginNumber: reservation.beginNumber,
+      isResumed: false,
       attempt: {
         $typeName: 'wisteriadeal.v1.AttemptReference',
         attemptId: reservation.attemptId,
         endpoint: reservation.endpoint,
       },
-      router: open.router,
-      phase,
+      router: reservation.router,
+      phase: RequestPhase.Running,
       grantId,
     });
   }
@@ -128,9 +133,19 @@
     }
   }
 
-  /** Removes a request that was never dispatched. */
-  remove(requestId: string): void {
-    this.requests.delete(requestId);
+  /**
+   * Removes a request that was never dispatched. A request with the same
+   * identifier that was registered later stays.
+   */
+  remove(request: TrackedRequest): void {
+    if (this.isTracked(request)) {
+      this.requests.delete(request.requestId);
+    }
+  }
+
+  /** Whether a request was not removed or replaced by a later one. */
+  isTracked(request: TrackedRequest): boolean {
+    return this.requests.get(request.requestId) === request;
   }
 
   /**
@@ -156,14 +171,18 @@
     );
   }
 
-  /** Returns the requests of a router that are not settled. */
-  unsettledOfRouter(router: string): readonly TrackedRequest[] {
+  /** The requests that are not settled. */
+  get unsettled(): readonly TrackedRequest[] {
     return [...this.requests.values()].filter(
-      request =>
-        request.router === router && request.phase !== RequestPhase.Settled,
+      ({phase}) => phase !== RequestPhase.Settled,
     );
   }
 
+  /** Returns the requests of a router that are not settled. */
+  unsettledOfRouter(router: string): readonly TrackedRequest[] {
+    return this.unsettled.filter(request => request.router === router);
+  }
+
   private evictOldestSettled(): void {
     while (this.settledOrder.length > MAXIMUM_SETTLED_REQUESTS) {
       const oldest = this.settledOrder.shift();
--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -10,9 +10,11 @@
   type Dispatching,
 } from '@wisteriadeal/schema';
 
+import type {AbandonedBegins} from './abandoned-begins.js';
 import {beginAnswer} from './begin-answers.js';
 import type {BookReplicator} from './book-replicator.js';
 import {ClaimOutcome, type ClaimService} from './claim-service.js';
+import type {GrantHolding} from './grant-holding.js';
 import type {GrantManager} from './grant-manager.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
 import type {MembershipTable} from './membership-table.js';
@@ -49,6 +51,7 @@
     private readonly claims: ClaimService,
     private readonly registry: RequestRegistry,
     private readonly witnessBook: WitnessBook,
+    private readonly abandonedBegins: AbandonedBegins,
   ) {}
 
   /**
@@ -56,6 +59,9 @@
    * is joined, resumed or refused, depending on its phase.
    */
   async begin(begin: BeginRequest, router: string): Promise<BeginAnswer> {
+    if (this.isAbandoned(begin, router)) {
+      return abandonedAnswer(begin);
+    }
     const known = this.registry.get(begin.requestId);
     if (known !== undefined) {
       return this.answerKnown(begin, known, router);
@@ -94,29 +100,36 @@
   }
 
   /**
-   * Releases the witnessed reservations of begins whose answers were lost, for
-   * the case that the holder is lost too. The callers of these requests were
-   * told that nothing ran, so they must not be billed.
-   */
-  releaseLostBegins(message: AbandonRequest, router: string): void {
-    const {requestId, lostBegins} = message;
-    this.witnessBook.releaseLostBegins(requestId, router, lostBegins);
-  }
-
-  /**
-   * Releases a request that was never dispatched.
+   * Releases a request that was never dispatched, here and in the books that
+   * this keeper witnesses, for the case that the holder is lost. Its caller was
+   * told that nothing ran, so it must not be billed.
    *
-   * Messages of other routers are ignored. After a "not run" answer, a caller
-   * may retry at another router before the abandon message of the first router
-   * arrives. That message must not release the reservation of the running
-   * request, whose bill would then have no reservation.
+   * Messages of other routers and of earlier begins are ignored. After a "not
+   * run" answer, a caller may retry before the abandon message arrives. That
+   * message must not release the reservation of the running request, whose bill
+   * would then have no reservation.
    */
   async abandon(message: AbandonRequest, router: string): Promise<void> {
-    const request = this.registry.get(message.requestId);
-    if (request?.router !== router || request.phase === RequestPhase.Settled) {
+    const {requestId} = message;
+    this.abandonedBegins.add(message, router);
+    this.witnessBook.releaseLostBegins(requestId, router, beginNumber =>
+      this.abandonedBegins.has(requestId, router, beginNumber),
+    );
+    const request = this.registry.get(requestId);
+    if (
+      request?.router !== router ||
+      request.phase === RequestPhase.Settled ||
+      !this.isMeant(message, request)
+    ) {
       return;
     }
-    this.registry.remove(message.requestId);
+    if (request.isResumed) {
+      // The router before this one may have dispatched the request.
+      request.router = '';
+      this.registry.enterPhase(request, RequestPhase.Orphaned);
+      return;
+    }
+    this.registry.remove(request);
     // While the request is reserving, its claim may not be decided yet and
     // another router may still win it.
     if (!request.idempotent && request.phase !== RequestPhase.Reserving) {
@@ -126,12 +139,29 @@
       request.organisation,
       request.grantId,
     );
-    const change = holding?.book.release(message.requestId);
+    const change = holding?.book.release(requestId);
     if (holding !== undefined && change !== undefined) {
       await this.replicator.commit(holding, change);
     }
   }
 
+  /**
+   * Whether an abandon message refers to the begin of a request. A message
+   * without numbers comes from a router that does not number its begins.
+   */
+  private isMeant(message: AbandonRequest, request: TrackedRequest): boolean {
+    const {requestId, router, beginNumber} = request;
+    const hasNumbers =
+      message.throughBegin > 0 || message.lostBegins.length > 0;
+    return (
+      !hasNumbers || this.abandonedBegins.has(requestId, router, beginNumber)
+    );
+  }
+
+  private isAbandoned(begin: BeginRequest, router: string): boolean {
+    return this.abandonedBegins.has(begin.requestId, router, begin.beginNumber);
+  }
+
   private answerKnown(
     begin: BeginRequest,
     known: TrackedRequest,
@@ -179,6 +209,8 @@
     router: string,
   ): BeginAnswer {
     known.router = router;
+    known.beginNumber = begin.beginNumber;
+    known.isResumed = true;
     this.registry.enterPhase(known, RequestPhase.Running);
     const holding = this.grantManager.holding(
       known.organisation,
@@ -207,6 +239,8 @@
       idempotent: begin.idempotent,
       boundTokens: begin.boundTokens,
       caller: begin.caller,
+      beginNumber: begin.beginNumber,
+      isResumed: false,
       attempt: {
         $typeName: 'wisteriadeal.v1.AttemptReference',
         attemptId: begin.attemptId,
@@ -220,7 +254,10 @@
       (await this.claimOrRefuse(begin, router)) ??
       (await this.reserve(begin, request));
     if (answer.verdict !== BeginVerdict.RESERVED) {
-      this.registry.remove(begin.requestId);
+      this.registry.remove(request);
+      // A witness that took this keeper for lost may have listed a reservation
+      // of this begin in its reclaim.
+      this.abandonedBegins.addBegin(begin, router);
     }
     return answer;
   }
@@ -309,7 +346,11 @@
       answer = await grants.reserve(reservation, RECLAIM_TIMEOUT_MILLISECONDS);
     }
     const {outcome, holding} = answer;
-    if (outcome === ReserveOutcome.Reserved && holding !== undefined) {
+    const isReserved = outcome === ReserveOutcome.Reserved;
+    if (isReserved && holding !== undefined) {
+      if (!this.registry.isTracked(request)) {
+        return this.releaseAbandoned(begin, holding);
+      }
       request.grantId = holding.grantId;
       this.registry.enterPhase(request, RequestPhase.Running);
       return beginAnswer(begin, BeginVerdict.RESERVED, {
@@ -318,9 +359,7 @@
         witness: holding.witness,
       });
     }
-    if (!begin.idempotent && !begin.mintedHere) {
-      this.registry.addUnusedClaim(begin.requestId);
-    }
+    this.recordUnusedClaim(begin);
     return outcome === ReserveOutcome.BudgetExhausted
       ? beginAnswer(begin, BeginVerdict.BUDGET, {
           availableTokens: grants.spendableTokens,
@@ -330,4 +369,30 @@
           retryAfterMilliseconds: UNAVAILABLE_RETRY_DELAY_MILLISECONDS,
         });
   }
+
+  /** Releases a reservation whose begin was abandoned while it was made. */
+  private releaseAbandoned(
+    begin: BeginRequest,
+    holding: GrantHolding,
+  ): BeginAnswer {
+    this.recordUnusedClaim(begin);
+    const released = holding.book.release(begin.requestId);
+    if (released !== undefined) {
+      void this.replicator.commit(holding, released);
+    }
+    return abandonedAnswer(begin);
+  }
+
+  private recordUnusedClaim(begin: BeginRequest): void {
+    if (!begin.idempotent && !begin.mintedHere) {
+      this.registry.addUnusedClaim(begin.requestId);
+    }
+  }
+}
+
+function abandonedAnswer(begin: BeginRequest): BeginAnswer {
+  return beginAnswer(begin, BeginVerdict.UNAVAILABLE, {
+    reason: 'its router has abandoned this begin',
+    retryAfterMilliseconds: UNAVAILABLE_RETRY_DELAY_MILLISECONDS,
+  });
 }
--- a/packages/keeper/src/router-sessions.ts
+++ b/packages/keeper/src/router-sessions.ts
@@ -117,7 +117,6 @@
   private abandon(session: RouterSession, message: AbandonRequest): void {
     const router = session.router?.incarnation;
     if (router !== undefined) {
-      this.requests.releaseLostBegins(message, router);
       void this.requests.abandon(message, router);
     }
   }
@@ -151,7 +150,10 @@
       return;
     }
     const value = await this.requests.begin(begin, router);
-    if (!session.open && value.verdict === BeginVerdict.RESERVED) {
+    const hasReservation =
+      value.verdict === BeginVerdict.RESERVED ||
+      value.verdict === BeginVerdict.RESUME;
+    if (!session.open && hasReservation) {
       // The router did not get the answer, so it can't have dispatched the
       // request.
       await this.requests.abandon(
@@ -159,6 +161,7 @@
           requestId: begin.requestId,
           organisation: begin.organisation,
           grantId: value.grantId,
+          lostBegins: begin.beginNumber > 0 ? [begin.beginNumber] : [],
         }),
         router,
       );
--- a/packages/ledger/src/bill-rules.ts
+++ b/packages/ledger/src/bill-rules.ts
@@ -5,6 +5,8 @@
   type Bill,
   type Claim,
   type GrantState,
+  type InheritedRelease,
+  type OpenReservation,
   type Reclaim,
   type WriteAhead,
 } from '@wisteriadeal/schema';
@@ -93,13 +95,50 @@
       ? grant.inherited.find(inherited => inherited.requestId === requestId)
       : undefined;
     if (open !== undefined) {
-      grant.inherited = grant.inherited.filter(inherited => inherited !== open);
-      grant.tokens -= open.boundTokens;
-      books.unallocatedTokens += open.boundTokens;
+      releaseInherited(books, grant, open);
     }
   }
 }
 
+function releaseInherited(
+  books: OrganisationBooks,
+  grant: GrantState,
+  open: OpenReservation,
+): void {
+  grant.inherited = grant.inherited.filter(inherited => inherited !== open);
+  grant.tokens -= open.boundTokens;
+  books.unallocatedTokens += open.boundTokens;
+}
+
+/**
+ * Releases the inherited reservation of a request that did not run. A bill of
+ * the request that was folded before has removed the reservation; one that
+ * follows is refused.
+ */
+export function applyInheritedRelease(
+  books: OrganisationBooks,
+  release: InheritedRelease,
+): EntryOutcome {
+  const grant = books.grants.get(release.grantId);
+  if (grant === undefined) {
+    return RefusalReason.UnknownGrant;
+  }
+  const open = grant.inherited.find(
+    inherited => inherited.requestId === release.requestId,
+  );
+  if (
+    !grant.closed ||
+    open?.router !== release.router ||
+    open.router === '' ||
+    open.beginNumber !== release.beginNumber ||
+    open.beginNumber === 0
+  ) {
+    return RefusalReason.NotInherited;
+  }
+  releaseInherited(books, grant, open);
+  return RefusalReason.None;
+}
+
 /**
  * Accepts the first claim in log order on a non-idempotent request; its
  * claimant runs the request.
--- a/packages/ledger/src/ledger-fold.ts
+++ b/packages/ledger/src/ledger-fold.ts
@@ -15,6 +15,7 @@
 import {
   applyBill,
   applyClaim,
+  applyInheritedRelease,
   applyReclaim,
   applyWriteAhead,
 } from './bill-rules.js';
@@ -282,6 +283,8 @@
       return applyTransfer(books, entry.kind.value);
     case 'reclaim':
       return applyReclaim(books, entry.kind.value, writer, offset);
+    case 'inheritedRelease':
+      return applyInheritedRelease(books, entry.kind.value);
     case 'writeAhead':
       return applyWriteAhead(books, entry.kind.value, writer);
     case 'strandedRelease':
--- a/packages/ledger/src/witness-book.ts
+++ b/packages/ledger/src/witness-book.ts
@@ -6,6 +6,7 @@
   type Bill,
   type BookChange,
   type GrantBook,
+  type OpenReservation,
   type Reclaim,
   type RequestReservation,
   type Transfer,
@@ -140,8 +141,8 @@
     return create(ReclaimSchema, {
       grantId,
       witness,
-      openReservations: [...(grant?.open.values() ?? [])].map(open =>
-        create(OpenReservationSchema, open.reservation),
+      openReservations: [...(grant?.open.values() ?? [])].map(
+        toOpenReservation,
       ),
       settled: [...(grant?.settled.values() ?? [])],
       transfers: [...(grant?.transfers.values() ?? [])],
@@ -153,18 +154,19 @@
    * router. Reservations of fenced grants stay, since the reclaim has been
    * created already.
    *
-   * @param beginNumbers Numbers of begins of this router incarnation.
+   * @param isAbandoned Whether a begin of this router incarnation is abandoned,
+   *     by its number.
    */
   releaseLostBegins(
     requestId: string,
     router: string,
-    beginNumbers: readonly number[],
+    isAbandoned: (beginNumber: number) => boolean,
   ): void {
     for (const [grantId, {open}] of this.grants) {
       const reservation = open.get(requestId);
       if (
         reservation?.router === router &&
-        beginNumbers.includes(reservation.beginNumber) &&
+        isAbandoned(reservation.beginNumber) &&
         !this.fencedGrants.has(grantId)
       ) {
         open.delete(requestId);
@@ -222,6 +224,19 @@
   }
 }
 
+/** Returns the form of a reservation in which the log lists it. */
+function toOpenReservation(open: RequestReservation): OpenReservation {
+  const reservation =
+    open.reservation === undefined
+      ? create(OpenReservationSchema)
+      : clone(OpenReservationSchema, open.reservation);
+  reservation.router = open.router;
+  reservation.fingerprint = open.fingerprint;
+  reservation.idempotent = open.idempotent;
+  reservation.beginNumber = open.beginNumber;
+  return reservation;
+}
+
 function createWitnessedGrant(
   book: GrantBook,
   streamNumber: number,
--- a/packages/router/src/holder-client.ts
+++ b/packages/router/src/holder-client.ts
@@ -27,19 +27,23 @@
 /** Retries an abandon for one minute while no keeper is reachable. */
 const MAXIMUM_ABANDON_SENDS = 120;
 
-function abandonMessage(
-  requestId: string,
-  organisation: string,
-  grantId: string,
-  lostBegins: readonly number[] = [],
-): RouterMessageInit {
-  const value = {
-    requestId,
-    organisation,
-    grantId,
-    lostBegins: [...lostBegins],
-  };
-  return {kind: {case: 'abandon', value}};
+/** Resends a settlement to the current holder once in this many times. */
+const SENDS_PER_CURRENT_HOLDER_SEND = 4;
+
+/**
+ * Abandons kept to tell another keeper if the one that was told is lost. It
+ * may be needed until a reservation has been inherited after a partition.
+ */
+const MAXIMUM_DELIVERED_ABANDONS = 5_000;
+const DELIVERED_ABANDON_RETENTION_MILLISECONDS = 2 * 3_600_000;
+
+/** An abandon message with the keeper that it was sent to. */
+interface DeliveredAbandon {
+  readonly reserved: ReservedRequest;
+  readonly message: RouterMessageInit;
+  readonly deliveredAt: number;
+  /** Incarnation of the keeper. */
+  readonly keeper: string;
 }
 
 /** A request with its reservation, which names the keepers to notify. */
@@ -49,22 +53,40 @@
   readonly reservation: Reservation;
 }
 
+const NO_RESERVATION: Reservation = {
+  grantId: '',
+  holder: '',
+  witness: '',
+  beginSentAt: 0,
+};
+
 /** Sends requests and their bills to the keeper that holds an organisation. */
 export class HolderClient {
   private readonly unacknowledged = new Map<string, () => void>();
+  private deliveredAbandons: DeliveredAbandon[] = [];
+  private undeliveredAbandons = 0;
   private lastBeginNumber = 0;
 
   constructor(
     private readonly directory: KeeperDirectory,
     private readonly clock: Clock,
     private readonly log: EventLog,
-  ) {}
+  ) {
+    directory.addSessionListener(() => {
+      this.resendAbandons();
+    });
+  }
 
   /** Number of settlements not yet acknowledged by a keeper. */
   get openSettlements(): number {
     return this.unacknowledged.size;
   }
 
+  /** Number of abandons that no keeper could be sent yet. */
+  get openAbandons(): number {
+    return this.undeliveredAbandons;
+  }
+
   /**
    * Begins a request at its organisation's holder.
    *
@@ -99,12 +121,15 @@
       }
       if (failure.fate === Fate.Unknown) {
         const {requestId, organisation} = fields;
-        session.send(abandonMessage(requestId, organisation, '', lostBegins));
+        session.send(
+          this.abandonMessage(requestId, organisation, '', lostBegins),
+        );
       }
       const beginNumber = ++this.lastBeginNumber;
       try {
         const answer = await session.begin({...fields, beginNumber});
         if (answer.verdict !== BeginVerdict.NOT_HOLDER) {
+          this.recordNotRun(fields, answer, session, beginNumber);
           return answer;
         }
         namedHolder = answer.holder;
@@ -172,18 +197,20 @@
     lostBegins: readonly number[] = [],
   ): Promise<void> {
     const {requestId, organisation, reservation} = reserved;
-    const message = abandonMessage(
+    const message = this.abandonMessage(
       requestId,
       organisation,
       reservation.grantId,
       lostBegins,
     );
+    this.undeliveredAbandons += 1;
     for (let tries = 0; tries < MAXIMUM_ABANDON_SENDS; tries++) {
-      if (this.sendToHolder(reserved, message)) {
-        return;
+      if (this.deliverAbandon(reserved, message)) {
+        break;
       }
       await this.clock.sleep(RESEND_INTERVAL_MILLISECONDS);
     }
+    this.undeliveredAbandons -= 1;
   }
 
   /**
@@ -196,7 +223,7 @@
     lostBegins: readonly number[] = [],
   ): void {
     const {requestId, organisation} = fields;
-    const reservation = {grantId: '', holder: '', witness: '', beginSentAt: 0};
+    const reservation = NO_RESERVATION;
     void this.abandon({requestId, organisation, reservation}, lostBegins);
   }
 
@@ -210,18 +237,20 @@
     this.unacknowledged.set(requestId, () => {
       acknowledged.abort();
     });
-    while (!acknowledged.signal.aborted) {
-      this.sendToHolder(reserved, {
-        kind: {
-          case: 'settle',
-          value: {
-            requestId,
-            organisation,
-            grantId: reservation.grantId,
-            bill,
-          },
-        },
-      });
+    const {grantId} = reservation;
+    const message: RouterMessageInit = {
+      kind: {
+        case: 'settle',
+        value: {requestId, organisation, grantId, bill},
+      },
+    };
+    for (let sends = 1; !acknowledged.signal.aborted; sends++) {
+      // The keeper that made the reservation may be unable to store the bill.
+      const isForCurrentHolder = sends % SENDS_PER_CURRENT_HOLDER_SEND === 0;
+      this.sendToHolder(
+        isForCurrentHolder ? withoutKeepers(reserved) : reserved,
+        message,
+      );
       await this.clock.sleep(RESEND_INTERVAL_MILLISECONDS, acknowledged.signal);
     }
   }
@@ -247,7 +276,7 @@
   private sendToHolder(
     reserved: ReservedRequest,
     message: RouterMessageInit,
-  ): boolean {
+  ): KeeperSession | undefined {
     const {holder, witness} = reserved.reservation;
     const session: KeeperSession | undefined =
       this.findSession(holder) ??
@@ -262,6 +291,104 @@
         peer: holder,
       });
     }
-    return sent;
+    return sent ? session : undefined;
+  }
+
+  private abandonMessage(
+    requestId: string,
+    organisation: string,
+    grantId: string,
+    lostBegins: readonly number[],
+  ): RouterMessageInit {
+    const value = {
+      requestId,
+      organisation,
+      grantId,
+      lostBegins: [...lostBegins],
+      throughBegin: this.lastBeginNumber,
+    };
+    return {kind: {case: 'abandon', value}};
+  }
+
+  /**
+   * Records a begin that its holder refused, as if it had been abandoned there.
+   * If the holder is lost, its witness may have a reservation of the begin whose
+   * release it did not receive.
+   */
+  private recordNotRun(
+    {requestId, organisation}: BeginFields,
+    {verdict}: BeginAnswer,
+    session: KeeperSession,
+    beginNumber: number,
+  ): void {
+    const keeper = session.keeper?.incarnation;
+    const isRefused =
+      verdict === BeginVerdict.UNAVAILABLE || verdict === BeginVerdict.BUDGET;
+    if (isRefused && keeper !== undefined) {
+      this.addDelivered({
+        reserved: {requestId, organisation, reservation: NO_RESERVATION},
+        message: this.abandonMessage(requestId, organisation, '', [
+          beginNumber,
+        ]),
+        deliveredAt: this.clock.monotonicMilliseconds(),
+        keeper,
+      });
+    }
+  }
+
+  private addDelivered(abandon: DeliveredAbandon): void {
+    this.deliveredAbandons.push(abandon);
+    if (this.deliveredAbandons.length > MAXIMUM_DELIVERED_ABANDONS) {
+      this.deliveredAbandons.shift();
+    }
+  }
+
+  /** Returns false if no keeper could be sent the message. */
+  private deliverAbandon(
+    reserved: ReservedRequest,
+    message: RouterMessageInit,
+  ): boolean {
+    const session = this.sendToHolder(reserved, message);
+    const keeper = session?.keeper?.incarnation;
+    if (keeper === undefined) {
+      return false;
+    }
+    const deliveredAt = this.clock.monotonicMilliseconds();
+    this.addDelivered({reserved, message, deliveredAt, keeper});
+    return true;
   }
+
+  /**
+   * Sends the abandons of lost keepers to others. A keeper remembers them, and
+   * releases reservations that it finds on the log later.
+   */
+  private resendAbandons(): void {
+    const oldest =
+      this.clock.monotonicMilliseconds() -
+      DELIVERED_ABANDON_RETENTION_MILLISECONDS;
+    const kept = this.deliveredAbandons.filter(
+      ({deliveredAt}) => deliveredAt >= oldest,
+    );
+    this.deliveredAbandons = kept;
+    const open = new Set(
+      this.directory.openSessions().map(({keeper}) => keeper?.incarnation),
+    );
+    if (open.size === 0) {
+      return;
+    }
+    this.deliveredAbandons = kept.filter(({keeper}) => open.has(keeper));
+    for (const {keeper, reserved, message} of kept) {
+      if (!open.has(keeper)) {
+        this.deliverAbandon(reserved, message);
+      }
+    }
+  }
+}
+
+/** Returns a request that is settled at the organisation's current holder. */
+function withoutKeepers(reserved: ReservedRequest): ReservedRequest {
+  return {
+    ...reserved,
+    reservation: {...reserved.reservation, holder: '', witness: ''},
+  };
 }
--- a/packages/router/src/keeper-directory.ts
+++ b/packages/router/src/keeper-directory.ts
@@ -37,6 +37,7 @@
 export class KeeperDirectory implements KeeperSessionListener {
   private readonly sessions = new Map<string, KeeperSession>();
   private readonly memberships = new Map<KeeperSession, Membership>();
+  private readonly sessionListeners: (() => void)[] = [];
   private inForce: ConfigurationInForce | undefined;
 
   constructor(
@@ -49,6 +50,11 @@
     this.openSession(this.options.localKeeper);
   }
 
+  /** Adds a listener that is called when a session has opened or was lost. */
+  addSessionListener(listener: () => void): void {
+    this.sessionListeners.push(listener);
+  }
+
   /** The configuration with the highest version received so far. */
   get configuration(): ConfigurationInForce | undefined {
     return this.inForce;
@@ -123,6 +129,9 @@
       this.memberships.delete(session);
     }
     this.listener.membershipChanged();
+    this.sessionListeners.forEach(listener => {
+      listener();
+    });
   }
 
   /** Sends a goodbye to every keeper and closes all sessions. */
--- a/packages/router/src/router.ts
+++ b/packages/router/src/router.ts
@@ -209,7 +209,8 @@
     return (
       this.store.running > 0 ||
       this.store.readers > 0 ||
-      this.holderClient.openSettlements > 0
+      this.holderClient.openSettlements > 0 ||
+      this.holderClient.openAbandons > 0
     );
   }
 
--- a/packages/router/src/test/keeper-directory_test.ts
+++ b/packages/router/src/test/keeper-directory_test.ts
@@ -226,3 +226,59 @@
       4,
   );
 });
+
+it('tells another keeper of an abandoned request when the one it told is lost', async () => {
+  // Guards against a bill for a request that was reported as not run: its
+  // reservation may be inherited only after the keeper that was told is lost.
+  const {first, second, holder} = start();
+  await waitUntil(() => directory.openSessions().length === 2);
+  await holder.abandon(reserved);
+  expect(first.receivedOf('abandon')).toHaveLength(1);
+  expect(second.receivedOf('abandon')).toHaveLength(0);
+  first.unreachable = true;
+  first.closeSessions();
+  await waitUntil(() => second.receivedOf('abandon').length === 1);
+  expect(second.receivedOf('abandon')).toEqual(first.receivedOf('abandon'));
+});
+
+it('names the last begin that an abandon refers to', async () => {
+  // Guards against an abandon that arrives late and releases the reservation of
+  // a later begin, which may run.
+  const {first, second, holder} = start();
+  await waitUntil(() => directory.openSessions().length === 2);
+  await holder.begin(begin);
+  await holder.abandon(reserved);
+  await holder.begin(begin);
+  const [earlier = 0, later = 0] = [
+    ...first.receivedOf('begin'),
+    ...second.receivedOf('begin'),
+  ].map(({beginNumber}) => beginNumber);
+  const [abandon] = first.receivedOf('abandon');
+  expect(abandon?.throughBegin).toBe(earlier);
+  expect(later).toBeGreaterThan(earlier);
+});
+
+it('sends a settlement to the current holder too if its own keeper does not store it', async () => {
+  // Guards against an answer without a bill: the keeper that made the
+  // reservation may be unable to have the bill accepted.
+  const {first, second, holder} = start();
+  await waitUntil(() => directory.openSessions().length === 2);
+  const current = directory.holderOf(reserved.organisation)?.keeper;
+  const isFirstCurrent = current?.incarnation === FIRST_KEEPER;
+  const [own, other] = isFirstCurrent ? [second, first] : [first, second];
+  own.acknowledges = false;
+  const {reservation} = reserved;
+  await holder.settle(
+    {
+      ...reserved,
+      reservation: {
+        ...reservation,
+        holder: isFirstCurrent ? SECOND_KEEPER : FIRST_KEEPER,
+        witness: '',
+      },
+    },
+    create(BillSchema, {requestId: 'req_1', tokens: 4}),
+  );
+  expect(own.receivedOf('settle').length).toBeGreaterThan(0);
+  expect(other.receivedOf('settle')).toHaveLength(1);
+});
