Extend the escrow model: nominations, late streams and inherited releases

New steps: a further witness is nominated while a change is undecided (with four keepers also several at once), the nominee appends the same entry at any time, the witness is removed, changes of a broken channel arrive late on their old stream, a request begins again, a reservation is written ahead, and an inherited reservation is released, also late, twice or for another begin. New property: once one keeper is left, no tokens stay in grants of lost holders of which it is the witness or an undecided nominee. A reservation lost with a channel is now released at all its witnesses, as keepers do.

A return reaches the log before the witness has the release or settlement that freed its tokens, and the later reclaim lists them again.

--- a/packages/ledger/src/test/escrow-model.ts
+++ b/packages/ledger/src/test/escrow-model.ts
@@ -5,10 +5,17 @@
   LedgerEntrySchema,
   RequestReservationSchema,
   TransferSchema,
+  WitnessChangeSchema,
+  WitnessNominationSchema,
   type Bill,
   type BookChange,
+  type GrantState,
   type LedgerBatch,
   type LedgerEntry,
+  type OpenReservation,
+  type RequestReservation,
+  type WitnessChange,
+  type WitnessNomination,
 } from '@wisteriadeal/schema';
 
 import {HolderBook} from '../holder-book.js';
@@ -21,24 +28,64 @@
 >;
 
 const ORGANISATION = 'org';
+const ROUTER = 'router';
 /**
  * Size of grants relative to reservations, so that several requests share a
  * grant.
  */
 const GRANT_MULTIPLE = 4;
 
-/**
- * A change in transit to a witness, with the callback for its acknowledgement.
- */
+/** A change in transit to a witness, with the callbacks for its result. */
 interface PendingChange {
   readonly change: BookChange;
   readonly onAcknowledged: () => void;
+  /** Called if the change is refused, or lost without an acknowledgement. */
+  readonly onFailed?: () => void;
+}
+
+/** A holder's stream to a witness, with the changes in transit. */
+interface Channel {
+  readonly streamNumber: number;
+  readonly changes: PendingChange[];
 }
 
+/** Changes of a broken channel that can still arrive. */
+interface LateChanges {
+  readonly witness: string;
+  readonly streamNumber: number;
+  readonly changes: BookChange[];
+}
+
+/**
+ * A held grant. All witnesses that the log may name have to acknowledge each
+ * change: the one in force, the candidate that is being sent the book, and the
+ * nominees whose entries the log has not decided.
+ */
 interface HeldGrant {
   readonly book: HolderBook;
   witness: string;
-  proposedWitness: string | undefined;
+  candidate: string | undefined;
+  isClosed: boolean;
+  readonly nominations: Map<string, WitnessNomination>;
+  /** Nominees that have acknowledged their nomination. */
+  readonly informedNominees: Set<string>;
+  /** Entries of the holder whose own copies it has not read from the log. */
+  readonly undecidedWitnessChanges: Set<string>;
+}
+
+/** A request with the number of its newest begin. */
+interface BegunRequest {
+  readonly boundTokens: number;
+  beginNumber: number;
+  /** Numbers of the begins that the router has reported as not run. */
+  readonly abandonedBegins: Set<number>;
+}
+
+/** A reservation that was made at any time. */
+interface MadeReservation {
+  readonly grantId: string;
+  readonly requestId: string;
+  readonly beginNumber: number;
 }
 
 /**
@@ -46,6 +93,8 @@
  * bill.
  */
 interface DispatchedRequest {
+  readonly grantId: string;
+  readonly beginNumber: number;
   readonly boundTokens: number;
   chargedTokens: number | undefined;
 }
@@ -78,6 +127,13 @@
   Reclaim,
   ChangeWitness,
   BillInherited,
+  Nominate,
+  AppendNomination,
+  RemoveWitness,
+  DeliverLate,
+  BeginAgain,
+  WriteAhead,
+  ReleaseInherited,
 }
 
 /**
@@ -89,8 +145,9 @@
   readonly holdings = new Map<string, HeldGrant>();
   readonly witnessBook = new WitnessBook();
   readonly undecidedReclaims = new Set<string>();
-  readonly channels = new Map<string, PendingChange[]>();
-  readonly pendingEntries: LedgerEntry[] = [];
+  readonly channels = new Map<string, Channel>();
+  pendingEntries: LedgerEntry[] = [];
+  openedStreams = 0;
   nextOffset = 0;
 
   constructor(readonly name: string) {}
@@ -99,8 +156,8 @@
 /**
  * A model of holders and witnesses that share one log, executed step by step in
  * any order. Each keeper reads the log at its own pace, which models a
- * partition from the platform. Changes reach a witness in order or are lost
- * when their channel breaks.
+ * partition from the platform. Changes reach a witness in order. When their
+ * channel breaks, they are lost or arrive late, beside those of the next one.
  */
 export class EscrowModel {
   readonly log: LedgerBatch[] = [];
@@ -108,7 +165,12 @@
   readonly dispatched = new Map<string, DispatchedRequest>();
   /** Sum of the distinct top-ups, in tokens; repeated records do not count. */
   toppedUpTokens = 0;
+  /** All accepted charges of each request, in tokens. */
+  readonly chargesByRequest = new Map<string, number[]>();
   private readonly actors: readonly Actor[];
+  private readonly requests = new Map<string, BegunRequest>();
+  private readonly reservations: MadeReservation[] = [];
+  private lateChanges: LateChanges[] = [];
   private readonly fenced: {readonly actor: Actor; readonly grantId: string}[] =
     [];
   private lastIdentifier = 0;
@@ -172,11 +234,32 @@
         this.reclaim(pick);
         return;
       case StepKind.ChangeWitness:
-        this.changeWitness(actor, holding, pick);
+        this.changeWitness(actor, holding, pick, true);
         return;
       case StepKind.BillInherited:
         this.billInherited(pick);
         return;
+      case StepKind.Nominate:
+        this.changeWitness(actor, holding, pick, false);
+        return;
+      case StepKind.AppendNomination:
+        this.appendNomination(pick);
+        return;
+      case StepKind.RemoveWitness:
+        this.removeWitness(actor, holding);
+        return;
+      case StepKind.DeliverLate:
+        this.deliverLate(pick, amount);
+        return;
+      case StepKind.BeginAgain:
+        this.beginAgain(actor, holding, pick);
+        return;
+      case StepKind.WriteAhead:
+        this.writeAhead(actor, holding, pick);
+        return;
+      case StepKind.ReleaseInherited:
+        this.releaseInherited(pick, amount);
+        return;
     }
   }
 
@@ -224,7 +307,7 @@
       for (const {book} of actor.holdings.values()) {
         for (const open of book.openReservations) {
           const requestId = open.reservation?.requestId ?? '';
-          if (this.dispatched.has(requestId)) {
+          if (this.isDispatched(requestId, book.grant.grantId)) {
             this.queueBill(actor, book, requestId, 1);
           }
         }
@@ -233,6 +316,89 @@
     }
   }
 
+  /**
+   * Delivers all changes and then continues with one keeper only: it reads the
+   * whole log, appends the nominations of lost holders, reclaims the grants of
+   * which the log names it as the witness, and bills or releases all inherited
+   * reservations.
+   */
+  continueAlone(index: number): void {
+    const survivor = this.actorAt(index);
+    this.deliverAll();
+    let records: number;
+    do {
+      records = this.log.length;
+      this.appendPending(survivor);
+      this.readRecords(survivor, Infinity);
+      for (const grant of survivor.fold.grants(ORGANISATION)) {
+        if (!grant.closed && grant.holder !== survivor.name) {
+          this.recoverGrant(survivor, grant);
+        }
+      }
+    } while (this.log.length > records);
+    for (const grant of survivor.fold.grants(ORGANISATION)) {
+      for (const open of grant.closed ? [...grant.inherited] : []) {
+        this.endInherited(grant.grantId, open);
+      }
+    }
+  }
+
+  /**
+   * The grants of lost holders that still have tokens, although the one keeper
+   * that is alive is their witness, or a nominee whose entry the log can accept.
+   */
+  strandedGrants(index: number): readonly GrantState[] {
+    const survivor = this.actorAt(index);
+    return this.referenceFold
+      .grants(ORGANISATION)
+      .filter(
+        grant =>
+          grant.holder !== survivor.name &&
+          grant.tokens !== grant.billedTokens &&
+          (grant.witness === survivor.name ||
+            this.isUndecidedNominee(survivor, grant)),
+      );
+  }
+
+  private isUndecidedNominee(
+    actor: Actor,
+    {grantId, holder, witness}: GrantState,
+  ): boolean {
+    const holding = this.actors
+      .find(other => other.name === holder)
+      ?.holdings.get(grantId);
+    const nomination = holding?.nominations.get(actor.name);
+    return (
+      holding?.informedNominees.has(actor.name) === true &&
+      nomination?.from === witness &&
+      !this.referenceFold.hasSeen(ORGANISATION, nomination.entryId)
+    );
+  }
+
+  private recoverGrant(survivor: Actor, grant: GrantState): void {
+    const {grantId} = grant;
+    if (grant.witness === survivor.name) {
+      survivor.witnessBook.fence(grantId);
+      this.appendReclaim(survivor, grantId);
+    } else if (
+      survivor.witnessBook.nomination(grantId)?.from === grant.witness
+    ) {
+      this.appendNominationOf(survivor, grantId);
+    }
+  }
+
+  /** Ends an inherited reservation with a bill if its request ran. */
+  private endInherited(grantId: string, open: OpenReservation): void {
+    const {requestId, beginNumber, router} = open;
+    if (this.isDispatched(requestId, grantId)) {
+      const value = {requestId, grantId, tokens: open.boundTokens};
+      this.append('survivor', {case: 'bill', value});
+    } else {
+      const value = {requestId, grantId, beginNumber, router};
+      this.append('survivor', {case: 'inheritedRelease', value});
+    }
+  }
+
   private actorAt(index: number): Actor {
     const actor = this.actors[index % this.actors.length];
     if (actor === undefined) {
@@ -261,8 +427,31 @@
 
   private appendEntries(writer: string, entries: LedgerEntry[]): void {
     const batch = create(LedgerBatchSchema, {writer, entries});
-    this.referenceFold.applyBatch(this.log.length, batch);
+    const verdicts = this.referenceFold.applyBatch(this.log.length, batch);
     this.log.push(batch);
+    for (const [index, {kind}] of batch.entries.entries()) {
+      if (verdicts[index]?.kind !== VerdictKind.Accepted) {
+        continue;
+      }
+      if (kind.case === 'bill') {
+        this.recordCharge(kind.value);
+      } else if (kind.case === 'reclaim') {
+        kind.value.settled
+          .filter(
+            ({requestId}) =>
+              !this.chargesByRequest.has(requestId) &&
+              this.referenceFold.isBilled(ORGANISATION, requestId),
+          )
+          .forEach(bill => {
+            this.recordCharge(bill);
+          });
+      }
+    }
+  }
+
+  private recordCharge({requestId, tokens}: Bill): void {
+    const charges = this.chargesByRequest.get(requestId) ?? [];
+    this.chargesByRequest.set(requestId, [...charges, tokens]);
   }
 
   /**
@@ -283,6 +472,16 @@
     }
   }
 
+  /** Appends all pending entries except bills, which wait for others. */
+  private appendUrgent(actor: Actor): void {
+    const entries = actor.pendingEntries;
+    actor.pendingEntries = entries.filter(({kind}) => kind.case === 'bill');
+    this.appendEntries(
+      actor.name,
+      entries.filter(({kind}) => kind.case !== 'bill'),
+    );
+  }
+
   private witnessOf(actor: Actor, pick: number): string {
     const others = this.actors.filter(other => other !== actor);
     return others[pick % Math.max(1, others.length)]?.name ?? '';
@@ -315,9 +514,15 @@
 
   private foldRecord(actor: Actor, batch: LedgerBatch): void {
     const verdicts = actor.fold.applyBatch(actor.nextOffset, batch);
-    for (const [index, {kind}] of batch.entries.entries()) {
-      if (kind.case === 'reclaim' && batch.writer === actor.name) {
-        this.handleReclaimVerdict(actor, kind.value.grantId, verdicts[index]);
+    for (const [index, {entryId, kind}] of batch.entries.entries()) {
+      const isOwn = batch.writer === actor.name;
+      const verdict = verdicts[index];
+      if (kind.case === 'reclaim') {
+        this.foldReclaim(actor, kind.value.grantId, verdict, isOwn);
+      } else if (kind.case === 'witnessChange' && isOwn) {
+        this.endWitnessChange(actor, entryId, kind.value);
+      } else if (kind.case === 'bill') {
+        this.foldBill(actor, kind.value, verdict, isOwn);
       }
       if (kind.case === 'grant' && kind.value.holder === actor.name) {
         const state = actor.fold.grant(ORGANISATION, kind.value.grantId);
@@ -326,12 +531,55 @@
         }
       }
     }
-    for (const holding of actor.holdings.values()) {
-      const state = actor.fold.grant(ORGANISATION, holding.book.grant.grantId);
-      if (state !== undefined && holding.proposedWitness === state.witness) {
-        holding.witness = state.witness;
-        holding.proposedWitness = undefined;
-      }
+  }
+
+  private foldReclaim(
+    actor: Actor,
+    grantId: string,
+    verdict: EntryVerdict | undefined,
+    isOwn: boolean,
+  ): void {
+    if (isOwn) {
+      this.handleReclaimVerdict(actor, grantId, verdict);
+    }
+    const holding = actor.holdings.get(grantId);
+    if (holding !== undefined && verdict?.kind === VerdictKind.Accepted) {
+      holding.isClosed = true;
+    }
+  }
+
+  private foldBill(
+    actor: Actor,
+    bill: Bill,
+    verdict: EntryVerdict | undefined,
+    isOwn: boolean,
+  ): void {
+    const book = actor.holdings.get(bill.grantId)?.book;
+    if (verdict?.kind === VerdictKind.Accepted) {
+      actor.witnessBook.removeFoldedBill(bill.grantId, bill.requestId);
+      book?.applyFoldedBill(bill);
+    } else if (verdict?.kind === VerdictKind.Duplicate && isOwn) {
+      book?.refundDuplicateBill(bill.requestId);
+    }
+  }
+
+  /** Ends a change of witness when the holder reads its own copy of the entry. */
+  private endWitnessChange(
+    actor: Actor,
+    entryId: string,
+    {grantId, to}: WitnessChange,
+  ): void {
+    const holding = actor.holdings.get(grantId);
+    if (holding?.undecidedWitnessChanges.delete(entryId) !== true) {
+      return;
+    }
+    holding.nominations.delete(to);
+    holding.informedNominees.delete(to);
+    const state = actor.fold.grant(ORGANISATION, grantId);
+    if (state?.closed === true) {
+      holding.isClosed = true;
+    } else if (state !== undefined) {
+      holding.witness = state.witness;
     }
   }
 
@@ -351,15 +599,33 @@
       holder: actor.name,
       dataCenter: 'a',
     });
-    const holding = {book, witness, proposedWitness: undefined};
+    const holding = {
+      book,
+      witness,
+      candidate: undefined,
+      isClosed: false,
+      nominations: new Map<string, WitnessNomination>(),
+      informedNominees: new Set<string>(),
+      undecidedWitnessChanges: new Set<string>(),
+    };
     actor.holdings.set(grantId, holding);
     this.replicate(actor, holding, book.createOpenedChange(), () => undefined);
   }
 
+  private channelTo(actor: Actor, witness: string): Channel {
+    const channel = actor.channels.get(witness) ?? this.openChannel(actor, []);
+    actor.channels.set(witness, channel);
+    return channel;
+  }
+
+  private openChannel(actor: Actor, changes: PendingChange[]): Channel {
+    actor.openedStreams += 1;
+    return {streamNumber: actor.openedStreams, changes};
+  }
+
   /**
-   * Sends a change to the current and the proposed witness, either of which may
-   * be in force. `onAcknowledged` is called once all of them have acknowledged
-   * it.
+   * Sends a change to all witnesses that the log may name. `onAcknowledged` is
+   * called once all of them have acknowledged it, at once if there is none.
    */
   private replicate(
     actor: Actor,
@@ -367,18 +633,17 @@
     change: BookChange,
     onAcknowledged: () => void,
   ): void {
-    const witnesses = [holding.witness, holding.proposedWitness].flatMap(
-      witness => witness ?? [],
-    );
+    const witnesses = witnessesOf(holding);
     let unacknowledgedCount = witnesses.length;
+    if (unacknowledgedCount === 0) {
+      onAcknowledged();
+    }
     for (const witness of witnesses) {
-      const channel = actor.channels.get(witness) ?? [];
-      actor.channels.set(witness, channel);
-      channel.push({
+      this.channelTo(actor, witness).changes.push({
         change,
         onAcknowledged: () => {
           unacknowledgedCount -= 1;
-          if (unacknowledgedCount === 0) {
+          if (unacknowledgedCount === 0 && !holding.isClosed) {
             onAcknowledged();
           }
         },
@@ -386,49 +651,122 @@
     }
   }
 
-  private deliver(pick: number, items: number): void {
-    const nonEmptyChannels = this.actors.flatMap(actor =>
+  private nonEmptyChannels(): readonly {
+    readonly witness: string;
+    readonly channel: Channel;
+  }[] {
+    return this.actors.flatMap(actor =>
       [...actor.channels]
-        .filter(([, channel]) => channel.length > 0)
+        .filter(([, {changes}]) => changes.length > 0)
         .map(([witness, channel]) => ({witness, channel})),
     );
-    const chosen =
-      nonEmptyChannels[pick % Math.max(1, nonEmptyChannels.length)];
-    const witness = this.actors.find(
-      actor => actor.name === chosen?.witness,
-    )?.witnessBook;
-    for (const item of chosen?.channel.splice(0, items) ?? []) {
-      if (witness?.apply(item.change) === BookChangeResult.Applied) {
+  }
+
+  private deliver(pick: number, items: number): void {
+    const channels = this.nonEmptyChannels();
+    const chosen = channels[pick % Math.max(1, channels.length)];
+    if (chosen === undefined) {
+      return;
+    }
+    const {witness, channel} = chosen;
+    for (const item of channel.changes.splice(0, items)) {
+      const result = this.witnessBookOf(witness)?.apply(
+        item.change,
+        channel.streamNumber,
+      );
+      if (result === BookChangeResult.Applied) {
         item.onAcknowledged();
+      } else {
+        item.onFailed?.();
       }
     }
   }
 
+  private deliverAll(): void {
+    while (this.nonEmptyChannels().length > 0) {
+      this.deliver(0, Infinity);
+    }
+  }
+
+  /**
+   * Delivers changes of a broken channel. Their acknowledgements don't reach
+   * the holder.
+   */
+  private deliverLate(pick: number, items: number): void {
+    const chosen =
+      this.lateChanges[pick % Math.max(1, this.lateChanges.length)];
+    for (const change of chosen?.changes.splice(0, items) ?? []) {
+      this.witnessBookOf(chosen?.witness)?.apply(change, chosen?.streamNumber);
+    }
+    this.lateChanges = this.lateChanges.filter(
+      ({changes}) => changes.length > 0,
+    );
+  }
+
+  private witnessBookOf(name: string | undefined): WitnessBook | undefined {
+    return this.actors.find(actor => actor.name === name)?.witnessBook;
+  }
+
   /**
-   * Breaks the channel to a witness. Unacknowledged changes are lost, and the
-   * next channel starts with the whole books.
+   * Breaks the channel to a witness. Unacknowledged changes are lost or arrive
+   * late, and the next channel starts with the whole books.
    */
   private breakChannel(actor: Actor, witness: Actor): void {
-    const channel = actor.channels.get(witness.name) ?? [];
-    for (const {change} of channel) {
+    const {streamNumber, changes} = this.channelTo(actor, witness.name);
+    for (const {onFailed} of changes) {
+      onFailed?.();
+    }
+    if (changes.length > 0) {
+      this.lateChanges.push({
+        witness: witness.name,
+        streamNumber,
+        changes: changes.map(({change}) => change),
+      });
+    }
+    const books = [...actor.holdings.values()]
+      .filter(holding => witnessesOf(holding).includes(witness.name))
+      .map(holding => this.openedChange(holding, witness.name));
+    actor.channels.set(witness.name, this.openChannel(actor, books));
+    for (const {change} of changes) {
       if (change.kind.case === 'reserved') {
-        const requestId = change.kind.value.reservation?.requestId ?? '';
-        if (!this.dispatched.has(requestId)) {
-          actor.holdings.get(change.grantId)?.book.release(requestId);
-        }
+        this.releaseLost(actor, change.grantId, change.kind.value);
       }
     }
-    actor.channels.set(
-      witness.name,
-      [...actor.holdings.values()]
-        .filter(holding =>
-          [holding.witness, holding.proposedWitness].includes(witness.name),
-        )
-        .map(holding => ({
-          change: holding.book.createOpenedChange(),
-          onAcknowledged: () => undefined,
-        })),
-    );
+  }
+
+  /** Releases a reservation that was not acknowledged, at all witnesses. */
+  private releaseLost(
+    actor: Actor,
+    grantId: string,
+    {reservation}: RequestReservation,
+  ): void {
+    const requestId = reservation?.requestId ?? '';
+    const holding = actor.holdings.get(grantId);
+    if (holding !== undefined && !this.isDispatched(requestId, grantId)) {
+      const released = holding.book.release(requestId);
+      if (released !== undefined) {
+        this.replicate(actor, holding, released, () => undefined);
+      }
+    }
+  }
+
+  /** The whole book for one witness, with its nomination if there is one. */
+  private openedChange(holding: HeldGrant, witness: string): PendingChange {
+    const nomination = holding.nominations.get(witness);
+    return {
+      change: holding.book.createOpenedChange(nomination),
+      onAcknowledged: () => {
+        if (nomination !== undefined) {
+          this.recordInformed(holding, witness);
+        }
+      },
+    };
+  }
+
+  private recordInformed(holding: HeldGrant, nominee: string): void {
+    if (holding.nominations.has(nominee)) {
+      holding.informedNominees.add(nominee);
+    }
   }
 
   private reserve(
@@ -438,22 +776,79 @@
   ): void {
     this.lastIdentifier += 1;
     const requestId = `request-${this.lastIdentifier}`;
-    const change = holding?.book.reserve(
-      create(RequestReservationSchema, {reservation: {requestId, boundTokens}}),
+    const request = {
+      boundTokens,
+      beginNumber: 1,
+      abandonedBegins: new Set<number>(),
+    };
+    this.requests.set(requestId, request);
+    this.begin(actor, holding, requestId, request);
+  }
+
+  /**
+   * Begins a request again after its router has not got the answer to the last
+   * begin, under this or another grant. The router uses only the newest begin.
+   */
+  private beginAgain(
+    actor: Actor,
+    holding: HeldGrant | undefined,
+    pick: number,
+  ): void {
+    const undispatched = [...this.requests].filter(
+      ([requestId]) => !this.dispatched.has(requestId),
     );
-    if (holding !== undefined && change !== undefined) {
-      this.replicate(actor, holding, change, () => {
-        const stillOpen = holding.book.openReservations.some(
-          open => open.reservation?.requestId === requestId,
-        );
-        if (stillOpen) {
-          this.dispatched.set(requestId, {
-            boundTokens,
-            chargedTokens: undefined,
-          });
-        }
-      });
+    const chosen = undispatched[pick % Math.max(1, undispatched.length)];
+    if (chosen !== undefined) {
+      const [requestId, request] = chosen;
+      request.beginNumber += 1;
+      this.begin(actor, holding, requestId, request);
+    }
+  }
+
+  private begin(
+    actor: Actor,
+    holding: HeldGrant | undefined,
+    requestId: string,
+    request: BegunRequest,
+  ): void {
+    const {boundTokens, beginNumber} = request;
+    if (holding === undefined || holding.isClosed) {
+      return;
+    }
+    const {grantId} = holding.book.grant;
+    const change = holding.book.reserve(
+      create(RequestReservationSchema, {
+        reservation: {requestId, boundTokens},
+        router: ROUTER,
+        beginNumber,
+      }),
+    );
+    if (change === undefined) {
+      return;
     }
+    this.reservations.push({grantId, requestId, beginNumber});
+    this.replicate(actor, holding, change, () => {
+      const stillOpen = holding.book.openReservations.some(
+        open =>
+          open.reservation?.requestId === requestId &&
+          open.beginNumber === beginNumber,
+      );
+      const isCurrent =
+        request.beginNumber === beginNumber &&
+        !request.abandonedBegins.has(beginNumber);
+      if (stillOpen && isCurrent) {
+        this.dispatched.set(requestId, {
+          grantId,
+          beginNumber,
+          boundTokens,
+          chargedTokens: undefined,
+        });
+      }
+    });
+  }
+
+  private isDispatched(requestId: string, grantId: string): boolean {
+    return this.dispatched.get(requestId)?.grantId === grantId;
   }
 
   private openRequest(holding: HeldGrant, pick: number): string | undefined {
@@ -472,7 +867,7 @@
     if (
       holding !== undefined &&
       requestId !== undefined &&
-      this.dispatched.has(requestId)
+      this.isDispatched(requestId, holding.book.grant.grantId)
     ) {
       const change = this.queueBill(actor, holding.book, requestId, amount);
       if (change !== undefined) {
@@ -509,7 +904,7 @@
     if (
       holding !== undefined &&
       requestId !== undefined &&
-      !this.dispatched.has(requestId)
+      !this.isDispatched(requestId, holding.book.grant.grantId)
     ) {
       const change = holding.book.release(requestId);
       if (change !== undefined) {
@@ -544,7 +939,10 @@
       toHolder: recipient.name,
       toWitness: this.witnessOf(recipient, tokens),
     });
-    const change = holding?.book.transferOut(transfer);
+    const change =
+      holding?.isClosed === false
+        ? holding.book.transferOut(transfer)
+        : undefined;
     if (holding === undefined || change?.kind.case !== 'transferred') {
       return;
     }
@@ -577,17 +975,16 @@
 
   private reclaim(pick: number): void {
     const chosen = this.fenced[pick % Math.max(1, this.fenced.length)];
-    const value = chosen?.actor.witnessBook.reclaim(
-      chosen.grantId,
-      chosen.actor.name,
-    );
-    if (
-      chosen !== undefined &&
-      value !== undefined &&
-      !chosen.actor.undecidedReclaims.has(chosen.grantId)
-    ) {
-      chosen.actor.undecidedReclaims.add(chosen.grantId);
-      this.append(chosen.actor.name, {case: 'reclaim', value});
+    if (chosen !== undefined) {
+      this.appendReclaim(chosen.actor, chosen.grantId);
+    }
+  }
+
+  private appendReclaim(actor: Actor, grantId: string): void {
+    const value = actor.witnessBook.reclaim(grantId, actor.name);
+    if (value !== undefined && !actor.undecidedReclaims.has(grantId)) {
+      actor.undecidedReclaims.add(grantId);
+      this.append(actor.name, {case: 'reclaim', value});
     }
   }
 
@@ -605,46 +1002,178 @@
     }
   }
 
+  /**
+   * Sends the book to a further witness and then nominates it. The witness gets
+   * its nomination only once the holder needs its acknowledgement. If the log
+   * is unreachable, the entry stays pending; it can then be one of several.
+   */
   private changeWitness(
     actor: Actor,
     holding: HeldGrant | undefined,
     pick: number,
+    isLogReachable: boolean,
   ): void {
-    if (holding === undefined || holding.proposedWitness !== undefined) {
+    if (holding?.isClosed !== false || holding.candidate !== undefined) {
       return;
     }
     const newWitness = this.witnessOf(actor, pick);
-    if (newWitness === holding.witness) {
+    if (newWitness === holding.witness || holding.nominations.has(newWitness)) {
       return;
     }
-    holding.proposedWitness = newWitness;
-    const channel = actor.channels.get(newWitness) ?? [];
-    actor.channels.set(newWitness, channel);
-    channel.push({
+    holding.candidate = newWitness;
+    this.channelTo(actor, newWitness).changes.push({
       change: holding.book.createOpenedChange(),
       onAcknowledged: () => {
-        this.append(actor.name, {
-          case: 'witnessChange',
-          value: {
-            grantId: holding.book.grant.grantId,
-            from: holding.witness,
-            to: newWitness,
-          },
-        });
+        holding.candidate = undefined;
+        this.nominate(actor, holding, newWitness);
+        if (isLogReachable) {
+          this.appendUrgent(actor);
+        }
+      },
+      onFailed: () => {
+        holding.candidate = undefined;
+      },
+    });
+  }
+
+  private nominate(actor: Actor, holding: HeldGrant, nominee: string): void {
+    const entryId = this.submitWitnessChange(actor, holding, nominee);
+    const nomination = create(WitnessNominationSchema, {
+      entryId,
+      from: holding.witness,
+    });
+    holding.nominations.set(nominee, nomination);
+    this.channelTo(actor, nominee).changes.push({
+      change: holding.book.createNominatedChange(nomination),
+      onAcknowledged: () => {
+        this.recordInformed(holding, nominee);
       },
     });
   }
 
+  private submitWitnessChange(
+    actor: Actor,
+    holding: HeldGrant,
+    to: string,
+  ): string {
+    const entry = this.entry({
+      case: 'witnessChange',
+      value: {grantId: holding.book.grant.grantId, from: holding.witness, to},
+    });
+    holding.undecidedWitnessChanges.add(entry.entryId);
+    actor.pendingEntries.push(entry);
+    return entry.entryId;
+  }
+
+  /** Changes to no witness, as if none were heard any more. */
+  private removeWitness(actor: Actor, holding: HeldGrant | undefined): void {
+    if (holding?.isClosed === false && holding.witness !== '') {
+      this.submitWitnessChange(actor, holding, '');
+    }
+  }
+
+  /**
+   * Appends the entry that names a nominee, as the nominee does if it treats
+   * the holder as lost, whether or not it is.
+   */
+  private appendNomination(pick: number): void {
+    const nominated = this.actors.flatMap(actor =>
+      actor.fold
+        .grants(ORGANISATION)
+        .filter(
+          ({grantId, closed, witness}) =>
+            !closed && actor.witnessBook.nomination(grantId)?.from === witness,
+        )
+        .map(({grantId}) => ({actor, grantId})),
+    );
+    const chosen = nominated[pick % Math.max(1, nominated.length)];
+    if (chosen !== undefined) {
+      this.appendNominationOf(chosen.actor, chosen.grantId);
+    }
+  }
+
+  private appendNominationOf(actor: Actor, grantId: string): void {
+    const nomination = actor.witnessBook.nomination(grantId);
+    if (
+      nomination === undefined ||
+      actor.fold.hasSeen(ORGANISATION, nomination.entryId)
+    ) {
+      return;
+    }
+    const {entryId, from} = nomination;
+    const value = create(WitnessChangeSchema, {grantId, from, to: actor.name});
+    const entry = this.entry({case: 'witnessChange', value});
+    entry.entryId = entryId;
+    this.appendEntries(actor.name, [entry]);
+  }
+
+  /**
+   * Writes a reservation to the log while its grant is open, so that the log
+   * lists it there.
+   */
+  private writeAhead(
+    actor: Actor,
+    holding: HeldGrant | undefined,
+    pick: number,
+  ): void {
+    const open = holding?.book.openReservations ?? [];
+    const chosen = open[pick % Math.max(1, open.length)];
+    if (holding !== undefined && chosen?.reservation !== undefined) {
+      const {requestId, boundTokens} = chosen.reservation;
+      const {router, beginNumber} = chosen;
+      const value = {
+        grantId: holding.book.grant.grantId,
+        reservation: {requestId, boundTokens, router, beginNumber},
+      };
+      actor.pendingEntries.push(this.entry({case: 'writeAhead', value}));
+    }
+  }
+
+  /**
+   * Releases a reservation of a begin that did not run, as a keeper does to
+   * which the router has reported it. The reservation can be one of any time,
+   * of an open grant, or of another begin of the request, which may have run.
+   */
+  private releaseInherited(pick: number, amount: number): void {
+    const inherited = this.closedGrants().flatMap(grant =>
+      grant.inherited.map(({requestId, beginNumber}) => ({
+        grantId: grant.grantId,
+        requestId,
+        beginNumber,
+      })),
+    );
+    const candidates =
+      amount % 2 === 0 && inherited.length > 0 ? inherited : this.reservations;
+    const chosen = candidates[pick % Math.max(1, candidates.length)];
+    const request = this.requests.get(chosen?.requestId ?? '');
+    if (chosen === undefined || request === undefined) {
+      return;
+    }
+    const beginNumber = chosen.beginNumber + (amount % 3 === 0 ? 1 : 0);
+    if (this.dispatched.get(chosen.requestId)?.beginNumber === beginNumber) {
+      return;
+    }
+    request.abandonedBegins.add(beginNumber);
+    this.append('keeper', {
+      case: 'inheritedRelease',
+      value: {...chosen, beginNumber, router: ROUTER},
+    });
+  }
+
+  private closedGrants(): readonly GrantState[] {
+    return this.referenceFold
+      .grants(ORGANISATION)
+      .filter(grant => grant.closed);
+  }
+
   /**
    * Bills the bound of an inherited request, as a witness does if the outcome
    * of the request cannot be determined.
    */
   private billInherited(pick: number): void {
-    const inherited = this.referenceFold
-      .grants(ORGANISATION)
-      .flatMap(grant =>
-        grant.inherited.map(open => ({grant, requestId: open.requestId, open})),
-      );
+    const inherited = this.closedGrants().flatMap(grant =>
+      grant.inherited.map(open => ({grant, requestId: open.requestId, open})),
+    );
     const chosen = inherited[pick % Math.max(1, inherited.length)];
     if (chosen !== undefined) {
       const bill: Bill = create(BillSchema, {
@@ -656,3 +1185,13 @@
     }
   }
 }
+
+/** The witnesses that have to acknowledge the changes of a grant. */
+function witnessesOf(holding: HeldGrant): readonly string[] {
+  const names = [
+    holding.witness,
+    holding.candidate ?? '',
+    ...holding.nominations.keys(),
+  ];
+  return [...new Set(names)].filter(name => name !== '');
+}
