Test nominees' changes of witness and inherited releases in the fold

Five tests: a change of witness counts once beside the holder's, a keeper that neither holds the grant nor is named can't append it, and an inherited reservation is released once, only for its router and begin, only of a closed grant, never without a router or begin number, and not after its bill.

--- a/packages/ledger/src/test/ledger-fold_test.ts
+++ b/packages/ledger/src/test/ledger-fold_test.ts
@@ -165,6 +165,143 @@
     ).toBe(RefusalReason.NotWitness);
   });
 
+  // Guards against a nomination that takes effect a second time, after the
+  // holder has changed to another witness.
+  it('counts a change of witness once if both its holder and its nominee append it', () => {
+    const log = new Log();
+    log.topUp(100);
+    log.grant('g', 80);
+    const value = {grantId: 'g', from: 'w', to: 'n'};
+    const change = {case: 'witnessChange' as const, value};
+    expect(log.append('n', 'change', change)?.kind).toBe(VerdictKind.Accepted);
+    expect(log.append('h', 'change', change)?.kind).toBe(VerdictKind.Duplicate);
+    expect(log.fold.grant('org', 'g')?.witness).toBe('n');
+    log.append('h', 'back', {
+      case: 'witnessChange',
+      value: {grantId: 'g', from: 'n', to: 'w'},
+    });
+    expect(log.append('n', 'change', change)?.kind).toBe(VerdictKind.Duplicate);
+    expect(log.fold.grant('org', 'g')?.witness).toBe('w');
+  });
+
+  // Guards against a keeper that appoints another one, or removes the witness.
+  it('refuses a change of witness from a keeper that neither holds the grant nor is named by it', () => {
+    const log = new Log();
+    log.topUp(100);
+    log.grant('g', 80);
+    for (const to of ['n', '']) {
+      const value = {grantId: 'g', from: 'w', to};
+      for (const writer of ['w', 'other']) {
+        expect(
+          log.append(writer, `${writer}:${to}`, {case: 'witnessChange', value})
+            ?.reason,
+        ).toBe(RefusalReason.NotHolder);
+      }
+    }
+    expect(log.fold.grant('org', 'g')?.witness).toBe('w');
+  });
+
+  // Guards against releasing the tokens of a request that runs: one of another
+  // begin, of another router, or whose grant is open.
+  it('releases an inherited reservation once, for its router and begin, and only of a closed grant', () => {
+    const log = new Log();
+    log.topUp(100);
+    log.grant('g', 80);
+    const reservation = {
+      requestId: 'r',
+      boundTokens: 20,
+      router: 'router',
+      beginNumber: 2,
+    };
+    const value = {
+      grantId: 'g',
+      requestId: 'r',
+      router: 'router',
+      beginNumber: 2,
+    };
+    const release = (entryId: string, changed = {}) =>
+      log.append('k', entryId, {
+        case: 'inheritedRelease',
+        value: {...value, ...changed},
+      })?.reason;
+    log.append('h', 'ahead', {
+      case: 'writeAhead',
+      value: {grantId: 'g', reservation},
+    });
+    expect(release('open')).toBe(RefusalReason.NotInherited);
+    expect(log.totals()).toEqual([20, 80, 0]);
+    log.append('w', 'reclaim', {
+      case: 'reclaim',
+      value: {grantId: 'g', witness: 'w', openReservations: [reservation]},
+    });
+    for (const [name, changed] of Object.entries({
+      begin: {beginNumber: 1},
+      router: {router: 'other'},
+      request: {requestId: 'other'},
+    })) {
+      expect(release(name, changed)).toBe(RefusalReason.NotInherited);
+    }
+    expect(release('grant', {grantId: 'other'})).toBe(
+      RefusalReason.UnknownGrant,
+    );
+    expect(log.totals()).toEqual([80, 20, 0]);
+    expect(release('closed')).toBe(RefusalReason.None);
+    expect(log.totals()).toEqual([100, 0, 0]);
+    expect(release('again')).toBe(RefusalReason.NotInherited);
+    expect(log.bill('r', 'g', 5)?.reason).toBe(RefusalReason.NotInherited);
+    expect(log.totals()).toEqual([100, 0, 0]);
+  });
+
+  // Guards against releasing reservations that no router can have reported: a
+  // begin without a number or router, as after a takeover by another router.
+  it('keeps an inherited reservation that has no router or no begin number', () => {
+    const log = new Log();
+    log.topUp(100);
+    log.grant('g', 80);
+    const openReservations = [
+      {requestId: 'taken-over', boundTokens: 20, router: 'router'},
+      {requestId: 'unknown-router', boundTokens: 5, beginNumber: 1},
+    ];
+    log.append('w', 'reclaim', {
+      case: 'reclaim',
+      value: {grantId: 'g', witness: 'w', openReservations},
+    });
+    for (const {requestId, router = '', beginNumber = 0} of openReservations) {
+      expect(
+        log.append('k', requestId, {
+          case: 'inheritedRelease',
+          value: {grantId: 'g', requestId, router, beginNumber},
+        })?.reason,
+      ).toBe(RefusalReason.NotInherited);
+    }
+    expect(log.totals()).toEqual([75, 25, 0]);
+  });
+
+  // Guards against crediting tokens twice if a request that was reported as not
+  // run has a bill all the same.
+  it('refuses the release of an inherited reservation whose bill came first', () => {
+    const log = new Log();
+    log.topUp(100);
+    log.grant('g', 80);
+    const open = {requestId: 'r', router: 'router', beginNumber: 1};
+    log.append('w', 'reclaim', {
+      case: 'reclaim',
+      value: {
+        grantId: 'g',
+        witness: 'w',
+        openReservations: [{...open, boundTokens: 20}],
+      },
+    });
+    log.bill('r', 'g', 12);
+    expect(
+      log.append('k', 'release', {
+        case: 'inheritedRelease',
+        value: {grantId: 'g', ...open},
+      })?.reason,
+    ).toBe(RefusalReason.NotInherited);
+    expect(log.totals()).toEqual([88, 0, 12]);
+  });
+
   it('accepts the first claim in log order', () => {
     const log = new Log();
     const claim = {requestId: 'r', claimant: 'router-1', attemptId: 'r.1'};
