Return tokens only once the witnesses have what freed them

Tokens could be spent twice, and a budget overspent by what was returned.

Cause: a return was submitted at once, while the release or settlement that had freed its tokens could still be on its way to the witness. A reclaim by that witness listed the bound.

The return is replicated like each other change and submitted once it is acknowledged, so that all earlier changes are in every book; without the acknowledgement it is cancelled.

--- a/packages/keeper/src/grant-holding.ts
+++ b/packages/keeper/src/grant-holding.ts
@@ -10,6 +10,11 @@
   candidate: string | undefined;
   /** Whether the log has closed the grant: nothing can be spent or returned. */
   isClosed = false;
+  /**
+   * Number of returns that the witnesses have not acknowledged. The grant must
+   * not be closed before they are submitted.
+   */
+  uncommittedReturns = 0;
   /** Whether a return that closes the grant was submitted to the log. */
   isReturning = false;
   private readonly fencingWitnesses = new Set<string>();
--- a/packages/keeper/src/grant-maintainer.ts
+++ b/packages/keeper/src/grant-maintainer.ts
@@ -292,7 +292,8 @@
       .ledgerOf(grants.organisation)
       .grant(grants.organisation, holding.grantId);
     const isOnLog = state !== undefined && !state.announcedByBill;
-    if (book.isClosing && book.isSettled && isOnLog && !holding.isReturning) {
+    const canClose = book.isSettled && holding.uncommittedReturns === 0;
+    if (book.isClosing && canClose && isOnLog && !holding.isReturning) {
       void this.grantManager.closeHolding(holding);
     }
   }
--- a/packages/keeper/src/grant-manager.ts
+++ b/packages/keeper/src/grant-manager.ts
@@ -12,6 +12,7 @@
 import {largestHolder} from './largest-holder.js';
 import {OrganisationGrants} from './organisation-grants.js';
 import {InterruptibleSleep} from './interruptible-sleep.js';
+import {Acknowledgement} from './witness-link.js';
 
 /**
  * Length of a network partition, in seconds, that grants should cover: users
@@ -286,13 +287,37 @@
       .sort((one, other) => one.spendableTokens - other.spendableTokens);
     for (const holding of holdings) {
       const returned = Math.min(remaining, holding.spendableTokens);
-      if (returned > 0 && holding.book.returnTokens(returned) !== undefined) {
+      const change =
+        returned > 0 ? holding.book.returnTokens(returned) : undefined;
+      if (change !== undefined) {
         remaining -= returned;
-        void this.submitReturn(holding, returned, false);
+        void this.commitReturn(holding, change, returned);
       }
     }
   }
 
+  /**
+   * Submits a return once the witnesses have acknowledged it, and with it all
+   * earlier changes. The tokens may come from a release or a settlement; a
+   * reclaim by a witness without that change would list them as reserved, and
+   * they would count twice.
+   */
+  private async commitReturn(
+    holding: GrantHolding,
+    change: BookChange,
+    tokens: number,
+  ): Promise<void> {
+    const {replicator} = this.dependencies;
+    holding.uncommittedReturns += 1;
+    const acknowledged = await replicator.commit(holding, change);
+    holding.uncommittedReturns -= 1;
+    if (acknowledged === Acknowledgement.Applied) {
+      await this.submitReturn(holding, tokens, false);
+    } else {
+      holding.book.cancelReturn(tokens);
+    }
+  }
+
   /**
    * Closes a holding that is settled. All its bills and transfers are on the
    * log, so the free tokens of its book equal those of the grant in the fold.
--- a/packages/ledger/src/holder-book.ts
+++ b/packages/ledger/src/holder-book.ts
@@ -232,6 +232,11 @@
     });
   }
 
+  /** Makes the tokens of a return that was not submitted free again. */
+  cancelReturn(tokens: number): void {
+    this.returnedTokens -= tokens;
+  }
+
   /**
    * Tokens of the grant that are neither reserved, billed, transferred nor
    * returned. A return that closes the grant returns this amount.
--- a/packages/ledger/src/test/escrow-model.ts
+++ b/packages/ledger/src/test/escrow-model.ts
@@ -918,11 +918,15 @@
     holding: HeldGrant | undefined,
     amount: number,
   ): void {
-    if (holding?.book.returnTokens(amount) !== undefined) {
+    const change = holding?.book.returnTokens(amount);
+    if (holding !== undefined && change !== undefined) {
       const {grantId} = holding.book.grant;
-      actor.pendingEntries.push(
-        this.entry({case: 'return', value: {grantId, tokens: amount}}),
-      );
+      // The witnesses must have the changes that freed the tokens.
+      this.replicate(actor, holding, change, () => {
+        actor.pendingEntries.push(
+          this.entry({case: 'return', value: {grantId, tokens: amount}}),
+        );
+      });
     }
   }
 
