Record the router that resumes an inherited request

The log went on naming the router before: its late report released the reservation under which the other one was running, so that the tokens were spent twice; and a keeper that took over the request at a stop settled it and stopped its answer.

A request whose reservation stands on the log is resumed once the record InheritedTakeover is accepted, which names the new router and makes the begin of the old one void. A release and a takeover exclude each other by the order of the log. Only begins whose reservation was made and released again are remembered as refused, and the keeper says so to the router, so that refusals for budget don't push out abandons.

--- a/packages/keeper/src/inherited-requests.ts
+++ b/packages/keeper/src/inherited-requests.ts
@@ -1,4 +1,5 @@
 import {chooseHolder, VerdictKind} from '@wisteriadeal/ledger';
+import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {GrantState, OpenReservation} from '@wisteriadeal/schema';
 
@@ -14,6 +15,9 @@
   type TrackedRequest,
 } from './request-registry.js';
 
+/** Maximum time that a resumed request waits for its record. */
+const TAKEOVER_TIMEOUT_MILLISECONDS = 3_000;
+
 /**
  * The requests whose reservations stand in reclaimed grants.
  *
@@ -31,6 +35,7 @@
     private readonly registry: RequestRegistry,
     private readonly abandonedBegins: AbandonedBegins,
     private readonly appender: LedgerAppender,
+    private readonly clock: Clock,
     private readonly witnessTimeoutMilliseconds: number,
     private readonly eventLog: EventLog,
   ) {
@@ -66,6 +71,69 @@
     }
   }
 
+  /**
+   * Records that a router resumes an inherited request. Otherwise a report of
+   * the router before it would release the reservation, and another keeper that
+   * takes over the request would not know the new one.
+   *
+   * @returns Whether it is recorded, or the request is not inherited.
+   */
+  async takeOver(
+    {organisation, grantId, requestId}: TrackedRequest,
+    router: string,
+  ): Promise<boolean> {
+    const ledger = this.replicas.ledgerOf(organisation);
+    const grant = ledger.grant(organisation, grantId);
+    if (grant?.closed !== true) {
+      return true;
+    }
+    const open = grant.inherited.find(
+      reservation => reservation.requestId === requestId,
+    );
+    if (
+      open === undefined ||
+      this.abandonedBegins.has(requestId, open.router, open.beginNumber)
+    ) {
+      return false;
+    }
+    const value = {
+      grantId,
+      requestId,
+      fromRouter: open.router,
+      fromBeginNumber: open.beginNumber,
+      router,
+    };
+    const entryId = `takeover:${grantId}:${requestId}:${open.router}:${router}`;
+    const timeoutController = new AbortController();
+    const timeout = this.clock
+      .sleep(TAKEOVER_TIMEOUT_MILLISECONDS, timeoutController.signal)
+      .then(() => false);
+    const recorded = this.appender
+      .submit(
+        ledgerEntry(entryId, organisation, {case: 'inheritedTakeover', value}),
+      )
+      .then(() => this.isRunBy(organisation, grantId, requestId, router));
+    const isRecorded = await Promise.race([recorded, timeout]);
+    timeoutController.abort();
+    return isRecorded;
+  }
+
+  private isRunBy(
+    organisation: string,
+    grantId: string,
+    requestId: string,
+    router: string,
+  ): boolean {
+    const grant = this.replicas
+      .ledgerOf(organisation)
+      .grant(organisation, grantId);
+    return (
+      grant?.inherited.some(
+        open => open.requestId === requestId && open.router === router,
+      ) === true
+    );
+  }
+
   /**
    * Whether another keeper settles a request if this one stops: the log lists
    * its reservation, and there is such a keeper.
--- a/packages/keeper/src/organisation-grants.ts
+++ b/packages/keeper/src/organisation-grants.ts
@@ -39,6 +39,8 @@
 export interface ReserveAnswer {
   readonly outcome: ReserveOutcome;
   readonly holding?: GrantHolding;
+  /** Whether a reservation was made and released, as it was not acknowledged. */
+  readonly hasReleased: boolean;
 }
 
 /**
@@ -129,6 +131,7 @@
       bound,
       this.largestBound * LARGEST_BOUND_DECAY,
     );
+    let hasReleased = false;
     for (;;) {
       let outcome = ReserveOutcome.Unavailable;
       const holding = this.holdingFor(bound);
@@ -136,8 +139,9 @@
         const acknowledged = await this.tryReserve(holding, reservation);
         if (acknowledged === Acknowledgement.Applied) {
           this.waitingBounds.delete(reservation);
-          return {outcome: ReserveOutcome.Reserved, holding};
+          return {outcome: ReserveOutcome.Reserved, holding, hasReleased};
         }
+        hasReleased = true;
       } else {
         outcome = ReserveOutcome.BudgetExhausted;
         this.waitingBounds.set(reservation, bound);
@@ -150,7 +154,7 @@
         this.remainingTokens < bound;
       if (cannotBeCovered || this.clock.monotonicMilliseconds() >= deadline) {
         this.waitingBounds.delete(reservation);
-        return {outcome};
+        return {outcome, hasReleased};
       }
       await this.clock.sleep(RETRY_INTERVAL_MILLISECONDS);
     }
--- a/packages/keeper/src/orphan-settler.ts
+++ b/packages/keeper/src/orphan-settler.ts
@@ -126,10 +126,7 @@
   private async settle(request: TrackedRequest): Promise<void> {
     const bill = await this.billFromEngine(request);
     if (bill === undefined) {
-      this.nextQueryAt.set(
-        request.requestId,
-        this.clock.monotonicMilliseconds() + ENGINE_RETRY_DELAY_MILLISECONDS,
-      );
+      this.delayNextQuery(request);
       return;
     }
     this.nextQueryAt.delete(request.requestId);
@@ -142,7 +139,16 @@
       tokens: bill.tokens,
       confirmed: bill.confirmed,
     });
-    await this.settlements.settleBill(request.organisation, bill);
+    if (!(await this.settlements.settleBill(request.organisation, bill))) {
+      this.delayNextQuery(request);
+    }
+  }
+
+  private delayNextQuery({requestId}: TrackedRequest): void {
+    this.nextQueryAt.set(
+      requestId,
+      this.clock.monotonicMilliseconds() + ENGINE_RETRY_DELAY_MILLISECONDS,
+    );
   }
 
   /**
--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -16,6 +16,7 @@
 import {ClaimOutcome, type ClaimService} from './claim-service.js';
 import type {GrantHolding} from './grant-holding.js';
 import type {GrantManager} from './grant-manager.js';
+import type {InheritedRequests} from './inherited-requests.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
 import type {MembershipTable} from './membership-table.js';
 import {ReserveOutcome} from './organisation-grants.js';
@@ -52,6 +53,7 @@
     private readonly registry: RequestRegistry,
     private readonly witnessBook: WitnessBook,
     private readonly abandonedBegins: AbandonedBegins,
+    private readonly inherited: InheritedRequests,
   ) {}
 
   /**
@@ -162,11 +164,11 @@
     return this.abandonedBegins.has(begin.requestId, router, begin.beginNumber);
   }
 
-  private answerKnown(
+  private async answerKnown(
     begin: BeginRequest,
     known: TrackedRequest,
     router: string,
-  ): BeginAnswer {
+  ): Promise<BeginAnswer> {
     if (known.fingerprint !== begin.fingerprint) {
       return beginAnswer(begin, BeginVerdict.CONFLICT);
     }
@@ -203,11 +205,17 @@
       : beginAnswer(begin, BeginVerdict.JOIN, {router: identity});
   }
 
-  private resume(
+  private async resume(
     begin: BeginRequest,
     known: TrackedRequest,
     router: string,
-  ): BeginAnswer {
+  ): Promise<BeginAnswer> {
+    if (!(await this.inherited.takeOver(known, router))) {
+      return beginAnswer(begin, BeginVerdict.UNAVAILABLE, {
+        reason: 'the log could not record the router that resumes it',
+        retryAfterMilliseconds: UNAVAILABLE_RETRY_DELAY_MILLISECONDS,
+      });
+    }
     known.router = router;
     known.beginNumber = begin.beginNumber;
     known.isResumed = true;
@@ -255,8 +263,10 @@
       (await this.reserve(begin, request));
     if (answer.verdict !== BeginVerdict.RESERVED) {
       this.registry.remove(request);
-      // A witness that took this keeper for lost may have listed a reservation
-      // of this begin in its reclaim.
+    }
+    if (answer.reservationReleased) {
+      // A witness that took this keeper for lost may have listed the reservation
+      // in its reclaim.
       this.abandonedBegins.addBegin(begin, router);
     }
     return answer;
@@ -343,9 +353,12 @@
       answer.outcome === ReserveOutcome.BudgetExhausted &&
       this.isReclaimExpected(begin)
     ) {
+      const {hasReleased} = answer;
       answer = await grants.reserve(reservation, RECLAIM_TIMEOUT_MILLISECONDS);
+      answer = {...answer, hasReleased: answer.hasReleased || hasReleased};
     }
     const {outcome, holding} = answer;
+    const reservationReleased = answer.hasReleased;
     const isReserved = outcome === ReserveOutcome.Reserved;
     if (isReserved && holding !== undefined) {
       if (!this.registry.isTracked(request)) {
@@ -363,10 +376,12 @@
     return outcome === ReserveOutcome.BudgetExhausted
       ? beginAnswer(begin, BeginVerdict.BUDGET, {
           availableTokens: grants.spendableTokens,
+          reservationReleased,
         })
       : beginAnswer(begin, BeginVerdict.UNAVAILABLE, {
           reason: 'no witness and no log took note of it',
           retryAfterMilliseconds: UNAVAILABLE_RETRY_DELAY_MILLISECONDS,
+          reservationReleased,
         });
   }
 
@@ -394,5 +409,6 @@
   return beginAnswer(begin, BeginVerdict.UNAVAILABLE, {
     reason: 'its router has abandoned this begin',
     retryAfterMilliseconds: UNAVAILABLE_RETRY_DELAY_MILLISECONDS,
+    reservationReleased: true,
   });
 }
--- a/packages/keeper/src/test/orphaned-requests_test.ts
+++ b/packages/keeper/src/test/orphaned-requests_test.ts
@@ -152,7 +152,7 @@
     let refuse: () => void = () => undefined;
     const refused = new Promise<ReserveAnswer>(resolve => {
       refuse = () => {
-        resolve({outcome: ReserveOutcome.Unavailable});
+        resolve({outcome: ReserveOutcome.Unavailable, hasReleased: false});
       };
     });
     const reserve = vi
--- a/packages/ledger/src/bill-rules.ts
+++ b/packages/ledger/src/bill-rules.ts
@@ -6,6 +6,7 @@
   type Claim,
   type GrantState,
   type InheritedRelease,
+  type InheritedTakeover,
   type OpenReservation,
   type Reclaim,
   type WriteAhead,
@@ -119,26 +120,58 @@
   books: OrganisationBooks,
   release: InheritedRelease,
 ): EntryOutcome {
-  const grant = books.grants.get(release.grantId);
+  const {grantId, requestId, router, beginNumber} = release;
+  const grant = books.grants.get(grantId);
   if (grant === undefined) {
     return RefusalReason.UnknownGrant;
   }
-  const open = grant.inherited.find(
-    inherited => inherited.requestId === release.requestId,
-  );
-  if (
-    !grant.closed ||
-    open?.router !== release.router ||
-    open.router === '' ||
-    open.beginNumber !== release.beginNumber ||
-    open.beginNumber === 0
-  ) {
+  const open = findInherited(grant, requestId, router, beginNumber);
+  if (open === undefined || beginNumber === 0) {
     return RefusalReason.NotInherited;
   }
   releaseInherited(books, grant, open);
   return RefusalReason.None;
 }
 
+/**
+ * Assigns an inherited request to the router that resumes it. From then on, the
+ * router before it can't report the request as not run.
+ */
+export function applyInheritedTakeover(
+  books: OrganisationBooks,
+  takeover: InheritedTakeover,
+): EntryOutcome {
+  const {grantId, requestId, fromRouter, fromBeginNumber} = takeover;
+  const grant = books.grants.get(grantId);
+  if (grant === undefined) {
+    return RefusalReason.UnknownGrant;
+  }
+  const open = findInherited(grant, requestId, fromRouter, fromBeginNumber);
+  if (open === undefined || takeover.router === '') {
+    return RefusalReason.NotInherited;
+  }
+  open.router = takeover.router;
+  open.beginNumber = 0;
+  return RefusalReason.None;
+}
+
+/** Returns the reservation of a closed grant that a router's begin has made. */
+function findInherited(
+  grant: GrantState,
+  requestId: string,
+  router: string,
+  beginNumber: number,
+): OpenReservation | undefined {
+  return grant.closed && router !== ''
+    ? grant.inherited.find(
+        open =>
+          open.requestId === requestId &&
+          open.router === router &&
+          open.beginNumber === beginNumber,
+      )
+    : undefined;
+}
+
 /**
  * Accepts the first claim in log order on a non-idempotent request; its
  * claimant runs the request.
--- a/packages/ledger/src/ledger-fold.ts
+++ b/packages/ledger/src/ledger-fold.ts
@@ -16,6 +16,7 @@
   applyBill,
   applyClaim,
   applyInheritedRelease,
+  applyInheritedTakeover,
   applyReclaim,
   applyWriteAhead,
 } from './bill-rules.js';
@@ -285,6 +286,8 @@
       return applyReclaim(books, entry.kind.value, writer, offset);
     case 'inheritedRelease':
       return applyInheritedRelease(books, entry.kind.value);
+    case 'inheritedTakeover':
+      return applyInheritedTakeover(books, entry.kind.value);
     case 'writeAhead':
       return applyWriteAhead(books, entry.kind.value, writer);
     case 'strandedRelease':
--- a/packages/router/src/holder-client.ts
+++ b/packages/router/src/holder-client.ts
@@ -311,20 +311,18 @@
   }
 
   /**
-   * Records a begin that its holder refused, as if it had been abandoned there.
-   * If the holder is lost, its witness may have a reservation of the begin whose
-   * release it did not receive.
+   * Records a begin whose reservation the holder has released, as if it had been
+   * abandoned there. If the holder is lost, its witness may not have received
+   * the release.
    */
   private recordNotRun(
     {requestId, organisation}: BeginFields,
-    {verdict}: BeginAnswer,
+    {reservationReleased}: BeginAnswer,
     session: KeeperSession,
     beginNumber: number,
   ): void {
     const keeper = session.keeper?.incarnation;
-    const isRefused =
-      verdict === BeginVerdict.UNAVAILABLE || verdict === BeginVerdict.BUDGET;
-    if (isRefused && keeper !== undefined) {
+    if (reservationReleased && keeper !== undefined) {
       this.addDelivered({
         reserved: {requestId, organisation, reservation: NO_RESERVATION},
         message: this.abandonMessage(requestId, organisation, '', [
@@ -377,9 +375,10 @@
       return;
     }
     this.deliveredAbandons = kept.filter(({keeper}) => open.has(keeper));
-    for (const {keeper, reserved, message} of kept) {
-      if (!open.has(keeper)) {
-        this.deliverAbandon(reserved, message);
+    for (const abandon of kept) {
+      const {keeper, reserved, message} = abandon;
+      if (!open.has(keeper) && !this.deliverAbandon(reserved, message)) {
+        this.addDelivered(abandon);
       }
     }
   }
