Number the changes of a witness, and forget decided nominations

A nominee kept its nomination after the log had decided it. When the identifiers that the log remembers had passed (65,536 offsets) and the named witness was the same again, the old entry took effect a second time, and the former nominee reclaimed a grant that its holder went on spending.

A change names its number among the accepted ones of its grant, and the fold refuses any other than the next. A nominee forgets its nomination when the log shows the entry. A nomination that was not acknowledged is sent again, also to a witness that had fenced the grant. Bills that a reclaim by another witness did not list are submitted before their book is dropped, and a refused bill no longer keeps its tokens.

The number itself has no test of its own.

--- a/packages/keeper/src/fold-listener.ts
+++ b/packages/keeper/src/fold-listener.ts
@@ -24,6 +24,10 @@
     if (kind.case === 'bill') {
       this.handleBill(organisation, kind.value, writer, verdict.kind);
     }
+    if (kind.case === 'witnessChange') {
+      // An entry that was decided long ago is no longer known as a duplicate.
+      this.witnessBook.removeNomination(kind.value.grantId, entry.entryId);
+    }
     if (verdict.kind !== VerdictKind.Accepted) {
       return;
     }
@@ -94,7 +98,7 @@
     if (kind === VerdictKind.Duplicate) {
       holding?.book.refundDuplicateBill(bill.requestId);
     } else {
-      holding?.book.removeFoldedBill(bill.requestId);
+      holding?.book.refundDuplicateBill(bill.requestId);
       this.eventLog.error('bill refused', {
         request: bill.requestId,
         grant: bill.grantId,
@@ -129,7 +133,14 @@
         this.grantManager.acceptLoggedTransfer(organisation, transfer);
       }
     });
-    this.witnessBook.removeGrant(reclaim.grantId);
+    reclaim.settled.forEach(({requestId}) => {
+      this.witnessBook.removeFoldedBill(reclaim.grantId, requestId);
+    });
+    // Bills that the reclaiming witness did not have stay until they are
+    // submitted.
+    if (this.witnessBook.settledBills(reclaim.grantId).length === 0) {
+      this.witnessBook.removeGrant(reclaim.grantId);
+    }
   }
 
   private markClosed(holding: GrantHolding | undefined): void {
--- a/packages/keeper/src/grant-holding.ts
+++ b/packages/keeper/src/grant-holding.ts
@@ -81,6 +81,16 @@
     this.nominations.set(witness, nomination);
   }
 
+  /** The nominations that no acknowledgement was received for, by witness. */
+  get unconfirmedNominations(): readonly (readonly [
+    string,
+    WitnessNomination,
+  ])[] {
+    return [...this.nominations].filter(
+      ([witness]) => !this.confirmedNominees.has(witness),
+    );
+  }
+
   /** Records that a witness has received its nomination. */
   confirmNomination(witness: string): void {
     if (this.nominations.has(witness)) {
--- a/packages/keeper/src/grant-maintainer.ts
+++ b/packages/keeper/src/grant-maintainer.ts
@@ -21,6 +21,8 @@
   private readonly changingWitness = new Set<string>();
   /** Grants whose change to no witness the log has not decided. */
   private readonly removingWitness = new Set<string>();
+  /** Grants and nominees whose nomination is being sent. */
+  private readonly confirmingNominees = new Set<string>();
   /** Grants whose witness is being asked whether they are still fenced. */
   private readonly recheckingFence = new Set<string>();
 
@@ -38,6 +40,7 @@
       !this.dependencies.membership.isLeaving;
     for (const holding of [...grants.holdings.values()]) {
       this.reviewWitness(grants.organisation, holding);
+      this.reviewNominees(holding);
       this.reviewFence(holding);
       this.reviewUnused(grants, holding, isHolder);
     }
@@ -140,6 +143,37 @@
     );
   }
 
+  /**
+   * Sends nominations that were not acknowledged again. A grant that the log
+   * names no witness for can't be used until one is.
+   */
+  private reviewNominees(holding: GrantHolding): void {
+    for (const [nominee, nomination] of holding.unconfirmedNominations) {
+      const key = `${holding.grantId}:${nominee}`;
+      if (!this.confirmingNominees.has(key)) {
+        this.confirmingNominees.add(key);
+        void this.confirmNominee(holding, nominee, nomination).finally(() => {
+          this.confirmingNominees.delete(key);
+        });
+      }
+    }
+  }
+
+  private async confirmNominee(
+    holding: GrantHolding,
+    nominee: string,
+    nomination: WitnessNomination,
+  ): Promise<void> {
+    const answer = await this.dependencies.replicator.sendToWitness(
+      holding,
+      nominee,
+      holding.book.createNominatedChange(nomination),
+    );
+    if (answer === Acknowledgement.Applied) {
+      holding.confirmNomination(nominee);
+    }
+  }
+
   /**
    * Sends the book of a fenced grant again. The witness lifts its fence when
    * the log has refused the reclaim, but no reservation is sent while the grant
@@ -155,11 +189,17 @@
       return;
     }
     this.recheckingFence.add(grantId);
-    void this.dependencies.replicator
-      .commit(holding, holding.book.createOpenedChange())
-      .finally(() => {
-        this.recheckingFence.delete(grantId);
-      });
+    const {replicator} = this.dependencies;
+    const answers = holding.witnesses.map(witness =>
+      replicator.sendToWitness(
+        holding,
+        witness,
+        holding.createOpenedChange(witness),
+      ),
+    );
+    void Promise.all(answers).finally(() => {
+      this.recheckingFence.delete(grantId);
+    });
   }
 
   /**
@@ -192,17 +232,11 @@
     const nomination = create(WitnessNominationSchema, {
       entryId: `witness:${holding.grantId}:${random.identifier()}`,
       from: holding.witness,
+      changeNumber: this.nextChangeNumber(organisation, holding),
     });
     holding.nominate(candidate, nomination);
     void this.submitWitnessChange(organisation, holding, nomination, candidate);
-    const confirmed = await replicator.sendToWitness(
-      holding,
-      candidate,
-      holding.book.createNominatedChange(nomination),
-    );
-    if (confirmed === Acknowledgement.Applied) {
-      holding.confirmNomination(candidate);
-    }
+    this.reviewNominees(holding);
   }
 
   private async removeWitness(
@@ -214,6 +248,7 @@
     const nomination = create(WitnessNominationSchema, {
       entryId,
       from: witness,
+      changeNumber: this.nextChangeNumber(organisation, holding),
     });
     // The log may become unreachable before it has decided, and a peer may then
     // be nominated meanwhile.
@@ -222,10 +257,18 @@
     this.removingWitness.delete(grantId);
   }
 
+  private nextChangeNumber(
+    organisation: string,
+    {grantId}: GrantHolding,
+  ): number {
+    const ledger = this.dependencies.replicas.ledgerOf(organisation);
+    return (ledger.grant(organisation, grantId)?.witnessChanges ?? 0) + 1;
+  }
+
   private async submitWitnessChange(
     organisation: string,
     holding: GrantHolding,
-    {entryId, from}: WitnessNomination,
+    {entryId, from, changeNumber}: WitnessNomination,
     to: string,
   ): Promise<void> {
     const {verdict} = await this.dependencies.appender.submit(
@@ -233,6 +276,7 @@
         grantId: holding.grantId,
         from,
         to,
+        changeNumber,
       }),
     );
     holding.endNomination(to);
--- a/packages/keeper/src/reclaimer.ts
+++ b/packages/keeper/src/reclaimer.ts
@@ -51,7 +51,11 @@
     for (const {ledger} of this.replicas.all) {
       for (const organisation of ledger.organisationNames) {
         for (const grant of ledger.grants(organisation)) {
-          if (grant.closed || this.reclaiming.has(grant.grantId)) {
+          if (grant.closed) {
+            this.submitLeftoverBills(organisation, grant.grantId);
+            continue;
+          }
+          if (this.reclaiming.has(grant.grantId)) {
             continue;
           }
           if (grant.witness === self.incarnation) {
@@ -91,6 +95,16 @@
     );
   }
 
+  /**
+   * Submits bills that were settled here and that the witness which reclaimed
+   * the grant did not have.
+   */
+  private submitLeftoverBills(organisation: string, grantId: string): void {
+    if (this.witnessBook.settledBills(grantId).length > 0) {
+      this.submitBills(organisation, grantId);
+    }
+  }
+
   /** Whether this keeper has bills or a nomination of a grant to write. */
   private hasCopyOf(grantId: string): boolean {
     return (
@@ -111,15 +125,25 @@
     const nomination = this.witnessBook.nomination(grantId);
     if (
       nomination?.from !== witness ||
-      this.appendedNominations.has(nomination.entryId)
+      this.appendedNominations.has(nomination.entryId) ||
+      this.replicas
+        .ledgerOf(organisation)
+        .hasSeen(organisation, nomination.entryId)
     ) {
       return;
     }
-    const {entryId, from} = nomination;
+    const {entryId, from, changeNumber} = nomination;
     this.appendedNominations.add(entryId);
     const to = this.membership.self.incarnation;
     void this.appender
-      .submit(witnessChangeEntry(entryId, organisation, {grantId, from, to}))
+      .submit(
+        witnessChangeEntry(entryId, organisation, {
+          grantId,
+          from,
+          to,
+          changeNumber,
+        }),
+      )
       .then(({verdict}) => {
         this.eventLog.info('holder lost: nomination submitted', {
           organisation,
--- a/packages/keeper/src/test/witness-nomination_test.ts
+++ b/packages/keeper/src/test/witness-nomination_test.ts
@@ -2,6 +2,7 @@
 import {afterEach, beforeEach, describe, expect, it} from 'vitest';
 
 import type {Keeper} from '../keeper.js';
+import {witnessChangeEntry} from '../ledger-entries.js';
 import {Fleet, waitUntil} from './fleet.js';
 
 /** Whether a keeper has received the nomination for a grant. */
@@ -84,10 +85,20 @@
     const replacement = await fleet.add('b');
     await waitUntil(() => isNominated(replacement, grantId));
     const nomination = replacement.parts.witnessBook.nomination(grantId);
-    fleet.store.faults.outage = false;
+    const {entryId = '', from = '', changeNumber = 0} = nomination ?? {};
     const to = replacement.identity.incarnation;
+    void replacement.parts.appender.submit(
+      witnessChangeEntry(entryId, 'org', {grantId, from, to, changeNumber}),
+    );
+    fleet.store.faults.outage = false;
     await waitUntil(() => fleet.ledger().grant('org', grantId)?.witness === to);
-    expect(fleet.ledger().hasSeen('org', nomination?.entryId ?? '')).toBe(true);
+    await waitUntil(
+      () =>
+        holder.parts.appender.pendingEntries === 0 &&
+        replacement.parts.appender.pendingEntries === 0,
+    );
+    const {witnessChanges} = fleet.ledger().grant('org', grantId) ?? {};
+    expect(witnessChanges).toBe(changeNumber);
     expect((await router.begin('r2', 100)).verdict).toBe(BeginVerdict.RESERVED);
   });
 });
--- a/packages/ledger/src/grant-rules.ts
+++ b/packages/ledger/src/grant-rules.ts
@@ -85,10 +85,14 @@
   if (grant.holder !== writer && (change.to === '' || change.to !== writer)) {
     return RefusalReason.NotHolder;
   }
-  if (grant.witness !== change.from) {
+  const isNext =
+    change.changeNumber === 0 ||
+    change.changeNumber === grant.witnessChanges + 1;
+  if (grant.witness !== change.from || !isNext) {
     return RefusalReason.NotWitness;
   }
   grant.witness = change.to;
+  grant.witnessChanges += 1;
   return RefusalReason.None;
 }
 
--- a/packages/ledger/src/witness-book.ts
+++ b/packages/ledger/src/witness-book.ts
@@ -187,6 +187,14 @@
     return this.grants.get(grantId)?.nomination;
   }
 
+  /** Removes a nomination whose entry the log has decided. */
+  removeNomination(grantId: string, entryId: string): void {
+    const grant = this.grants.get(grantId);
+    if (grant?.nomination?.entryId === entryId) {
+      grant.nomination = undefined;
+    }
+  }
+
   /** The bills of a grant that have not been folded from the log yet. */
   settledBills(grantId: string): readonly Bill[] {
     return [...(this.grants.get(grantId)?.settled.values() ?? [])];
