Keep only entries that record what has happened, and hand them over at a stop

A keeper that stopped dropped the entries it kept for others, and with them acknowledged bills. Entries older than the identifiers that the log remembers could count twice. Two bills of a request under two grants shared an identifier, so that one of them was never submitted, or was debited twice.

Bills, transfers, reclaims and releases are copied, and nothing else. A keeper that stops sends what it keeps to another one. Kept entries are appended only by a keeper that has read the stream to its end, and expire with an error line. A bill's entry names its grant, and a bill that waits under one grant is not charged to a second.

--- a/packages/keeper/src/bill-submitter.ts
+++ b/packages/keeper/src/bill-submitter.ts
@@ -84,9 +84,19 @@
     organisation: string,
     bill: Bill,
   ): Promise<boolean> {
-    const holding = [
+    const holdings = [
       ...this.grantManager.forOrganisation(organisation).holdings.values(),
-    ].find(
+    ];
+    const pending = holdings
+      .flatMap(({book}) => book.pendingBills)
+      .find(
+        ({requestId, grantId}) =>
+          requestId === bill.requestId && grantId !== bill.grantId,
+      );
+    if (pending !== undefined) {
+      return this.submit(organisation, pending);
+    }
+    const holding = holdings.find(
       ({grantId, spendableTokens}) =>
         grantId !== bill.grantId && spendableTokens >= bill.tokens,
     );
--- a/packages/keeper/src/entry-copies.ts
+++ b/packages/keeper/src/entry-copies.ts
@@ -41,14 +41,16 @@
   /**
    * Sends each entry to the chosen peers that have no copy of it.
    *
+   * @param writer Incarnation in whose name the peers append the entries.
    * @returns Whether all chosen peers have all entries.
    */
   async send(
     stream: string,
+    writer: string,
     entries: readonly CopiedEntry[],
   ): Promise<boolean> {
     const results = await Promise.all(
-      this.chosenPeers.map(peer => this.sendTo(peer, stream, entries)),
+      this.chosenPeers.map(peer => this.sendTo(peer, stream, writer, entries)),
     );
     return results.every(result => result);
   }
@@ -66,6 +68,7 @@
   private async sendTo(
     {incarnation, controlAddress}: ProcessIdentity,
     stream: string,
+    writer: string,
     entries: readonly CopiedEntry[],
   ): Promise<boolean> {
     const now = this.clock.monotonicMilliseconds();
@@ -81,7 +84,7 @@
     try {
       await this.peers.client(controlAddress).keepEntries(
         {
-          writer: this.membership.self.incarnation,
+          writer,
           stream,
           entries: missing.map(({entry}) => entry),
         },
--- a/packages/keeper/src/keeper-parts.ts
+++ b/packages/keeper/src/keeper-parts.ts
@@ -65,6 +65,7 @@
   readonly replicas: LedgerReplicas;
   readonly membership: MembershipTable;
   readonly appender: LedgerAppender;
+  readonly entryCopies: EntryCopies;
   readonly keptEntries: KeptEntries;
   readonly links: WitnessLinks;
   readonly grantManager: GrantManager;
@@ -98,6 +99,12 @@
       clock,
       options.heartbeatLimitMilliseconds + options.fenceDelayMilliseconds,
     );
+    this.entryCopies = new EntryCopies(
+      this.membership,
+      this.peers,
+      clock,
+      eventLog,
+    );
     this.appender = new LedgerAppender(
       self.incarnation,
       this.replicas,
@@ -105,7 +112,7 @@
       this.health,
       clock,
       options.billFlushMilliseconds,
-      new EntryCopies(this.membership, this.peers, clock, eventLog),
+      this.entryCopies,
       dependencies.metrics,
       eventLog,
     );
@@ -148,6 +155,7 @@
       this.registry,
       abandonedBegins,
       this.appender,
+      clock,
       options.heartbeatLimitMilliseconds + options.fenceDelayMilliseconds,
       eventLog,
     );
@@ -181,6 +189,7 @@
       this.registry,
       this.witnessBook,
       abandonedBegins,
+      this.inherited,
     );
     this.sessions = new RouterSessions(
       this.membership,
--- a/packages/keeper/src/keeper.ts
+++ b/packages/keeper/src/keeper.ts
@@ -78,8 +78,14 @@
    * and then ends all tasks.
    */
   async close(): Promise<void> {
-    const {membership, registry, grantManager, appender, reclaimer} =
-      this.parts;
+    const {
+      membership,
+      registry,
+      grantManager,
+      appender,
+      reclaimer,
+      keptEntries,
+    } = this.parts;
     membership.startLeaving();
     await this.parts.gossip.announce();
     await this.waitUntil(
@@ -99,11 +105,19 @@
     const {heartbeatLimitMilliseconds, fenceDelayMilliseconds} =
       this.parts.options;
     await this.waitUntil(
-      () => !reclaimer.isNeeded && appender.pendingEntries === 0,
+      () =>
+        !reclaimer.isNeeded &&
+        appender.pendingEntries === 0 &&
+        keptEntries.size === 0,
       heartbeatLimitMilliseconds +
         fenceDelayMilliseconds +
         RETURN_TIMEOUT_MILLISECONDS,
     );
+    if (!(await keptEntries.handOver(this.parts.entryCopies))) {
+      this.parts.dependencies.eventLog.error('kept entries lost at shutdown', {
+        entries: keptEntries.size,
+      });
+    }
     await this.kill();
   }
 
--- a/packages/keeper/src/kept-entries.ts
+++ b/packages/keeper/src/kept-entries.ts
@@ -1,5 +1,6 @@
 import {create, toBinary} from '@bufbuild/protobuf';
 import {Code, ConnectError} from '@connectrpc/connect';
+import {IDENTIFIER_RETENTION_OFFSETS} from '@wisteriadeal/ledger';
 import type {Clock, LogClient} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import {
@@ -10,6 +11,7 @@
   type LedgerEntry,
 } from '@wisteriadeal/schema';
 
+import type {CopiedEntry, EntryCopies} from './entry-copies.js';
 import {LedgerListener, type FoldedEntry} from './ledger-replica.js';
 import type {LedgerReplicas} from './ledger-replicas.js';
 import type {PlatformHealth} from './platform-health.js';
@@ -21,10 +23,11 @@
 /** Delay before entries are appended again if the fold has not shown them. */
 const RESEND_DELAY_MILLISECONDS = 5_000;
 
-interface KeptEntry {
-  readonly entry: LedgerEntry;
+interface KeptEntry extends CopiedEntry {
   readonly writer: string;
   readonly stream: string;
+  /** Offset up to which the stream was folded when the entry arrived. */
+  readonly keptAtOffset: number;
   nextAppendAt: number;
 }
 
@@ -53,6 +56,11 @@
     return this.kept.size;
   }
 
+  /** The kinds of the kept entries, in the order of their arrival. */
+  get kinds(): readonly (string | undefined)[] {
+    return [...this.kept.values()].map(({entry}) => entry.kind.case);
+  }
+
   /**
    * Keeps the entries of a peer.
    *
@@ -65,13 +73,40 @@
     }
     for (const entry of entries) {
       if (!this.isFolded(entry)) {
-        const {entryId} = entry;
-        this.kept.set(entryId, {entry, writer, stream, nextAppendAt: 0});
+        const copiedTo = new Set<string>();
+        this.kept.set(entry.entryId, {
+          entry,
+          writer,
+          stream,
+          keptAtOffset: this.replicas.ledgerOf(entry.organisation).nextOffset,
+          nextAppendAt: 0,
+          copiedTo,
+          onCopied: () => undefined,
+        });
       }
     }
     return create(KeepEntriesAnswerSchema);
   }
 
+  /**
+   * Sends the entries to other peers, because this keeper stops.
+   *
+   * @returns Whether peers have all of them.
+   */
+  async handOver(copies: EntryCopies): Promise<boolean> {
+    const writers = new Set(
+      [...this.kept.values()].map(({stream, writer}) => `${stream}\0${writer}`),
+    );
+    for (const key of writers) {
+      const [stream = '', writer = ''] = key.split('\0');
+      const entries = [...this.kept.values()].filter(
+        kept => kept.stream === stream && kept.writer === writer,
+      );
+      await copies.send(stream, writer, entries);
+    }
+    return [...this.kept.values()].every(({copiedTo}) => copiedTo.size > 0);
+  }
+
   override entryFolded({entry}: FoldedEntry): void {
     this.kept.delete(entry.entryId);
   }
@@ -86,11 +121,12 @@
 
   /** Appends the entries of the streams that are reachable. */
   review(signal: AbortSignal): void {
+    this.removeExpired();
     const now = this.clock.monotonicMilliseconds();
     const due = [...this.kept.values()].filter(
       ({stream, nextAppendAt}) =>
         nextAppendAt <= now &&
-        this.health.isReachable(stream) &&
+        this.health.isCurrent(stream) &&
         !this.appendingStreams.has(stream),
     );
     const [first] = due;
@@ -139,6 +175,25 @@
     }
   }
 
+  /**
+   * Removes entries of which the log may not know any more whether they were
+   * folded.
+   */
+  private removeExpired(): void {
+    for (const [entryId, {entry, keptAtOffset, writer}] of this.kept) {
+      const {organisation} = entry;
+      const {nextOffset} = this.replicas.ledgerOf(organisation);
+      if (nextOffset - keptAtOffset > IDENTIFIER_RETENTION_OFFSETS / 2) {
+        this.kept.delete(entryId);
+        this.eventLog.error('kept entry expired', {
+          organisation,
+          entry: entryId,
+          peer: writer,
+        });
+      }
+    }
+  }
+
   private isFolded({organisation, entryId, kind}: LedgerEntry): boolean {
     const ledger = this.replicas.ledgerOf(organisation);
     if (kind.case === 'bill') {
--- a/packages/keeper/src/ledger-appender.ts
+++ b/packages/keeper/src/ledger-appender.ts
@@ -20,6 +20,18 @@
  */
 const RESEND_DELAY_MILLISECONDS = 5_000;
 
+/**
+ * Kinds of entries that peers keep. They record what has happened. The others
+ * are requests of their writer, which would have no effect that anybody could
+ * use if it were lost.
+ */
+const COPIED_KINDS: ReadonlySet<LedgerEntry['kind']['case']> = new Set([
+  'bill',
+  'transfer',
+  'reclaim',
+  'inheritedRelease',
+]);
+
 /** How soon an entry has to be appended. */
 export enum Urgency {
   /** Append at once, since a request or a task waits for the verdict. */
@@ -147,7 +159,9 @@
   }
 
   private copyPending(stream: string): void {
-    const entries = [...(this.pending.get(stream)?.values() ?? [])];
+    const entries = [...(this.pending.get(stream)?.values() ?? [])].filter(
+      ({entry}) => COPIED_KINDS.has(entry.kind.case),
+    );
     if (
       entries.length === 0 ||
       this.health.isReachable(stream) ||
@@ -156,7 +170,7 @@
       return;
     }
     this.copyingStreams.add(stream);
-    void this.copies.send(stream, entries).then(isComplete => {
+    void this.copies.send(stream, this.writer, entries).then(isComplete => {
       this.copyingStreams.delete(stream);
       if (!isComplete) {
         this.copyPending(stream);
--- a/packages/keeper/src/ledger-entries.ts
+++ b/packages/keeper/src/ledger-entries.ts
@@ -27,9 +27,12 @@
   return create(LedgerEntrySchema, {entryId, organisation, kind});
 }
 
-/** Creates the entry of a bill; its identifier depends only on the request. */
+/**
+ * Creates the entry of a bill. The fold counts the first bill of a request,
+ * whichever grant it names.
+ */
 export function billEntry(organisation: string, bill: Bill): LedgerEntry {
-  const entryId = `bill:${bill.requestId}`;
+  const entryId = `bill:${bill.requestId}:${bill.grantId}`;
   return ledgerEntry(entryId, organisation, {case: 'bill', value: bill});
 }
 
--- a/packages/keeper/src/test/entry-copies_test.ts
+++ b/packages/keeper/src/test/entry-copies_test.ts
@@ -1,13 +1,15 @@
 import {create} from '@bufbuild/protobuf';
 import {
   BeginVerdict,
+  BillSchema,
+  KeepEntriesRequestSchema,
   TransferSchema,
   type BookChange,
 } from '@wisteriadeal/schema';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import type {Keeper} from '../keeper.js';
-import {ledgerEntry} from '../ledger-entries.js';
+import {billEntry, ledgerEntry} from '../ledger-entries.js';
 import {Acknowledgement} from '../witness-link.js';
 import {Fleet, waitUntil} from './fleet.js';
 
@@ -35,6 +37,24 @@
   return fleet.holder('a');
 }
 
+/** Returns the holder's grant under which a witness has a request reserved. */
+function reservedGrant(fleet: Fleet, holder: Keeper, requestId: string) {
+  const {holdings} = holder.parts.grantManager.forOrganisation('org');
+  const found = [...holdings.values()].find(({grantId, witness}) =>
+    fleet.keepers.some(
+      ({identity, parts}) =>
+        identity.incarnation === witness &&
+        parts.witnessBook
+          .openReservations(grantId)
+          .some(open => open.reservation?.requestId === requestId),
+    ),
+  );
+  if (found === undefined) {
+    throw new Error(`no witness has a reservation of ${requestId}`);
+  }
+  return found;
+}
+
 describe('entries that a keeper can’t append', () => {
   let fleet: Fleet;
 
@@ -60,7 +80,11 @@
     fleet.store.faults.outage = true;
     await router.settle(answered, 30);
     await holder.kill();
-    await waitUntil(() => third?.parts.keptEntries.size !== 0);
+    await waitUntil(
+      () =>
+        witness.parts.witnessBook.isFenced(running.grantId) &&
+        third?.parts.keptEntries.kinds.includes('reclaim') === true,
+    );
     await witness.kill();
     fleet.store.faults.outage = false;
     const {grantId} = running;
@@ -93,6 +117,36 @@
     expect(fleet.ledger().totals('org').billedTokens).toBe(30);
   });
 
+  it('hands kept entries to another keeper when the keeper that has them stops', async () => {
+    // Guards against an acknowledged bill that is lost when hosts are replaced
+    // one after the other in an outage.
+    const [first, second] = [await fleet.add('a'), await fleet.add('a')];
+    await waitUntil(
+      () =>
+        first.parts.membership.reachablePeers.length === 1 &&
+        second.parts.membership.reachablePeers.length === 1,
+    );
+    await fleet.holder('a');
+    fleet.store.faults.outage = true;
+    await waitUntil(() => !first.parts.health.isReachable('ledger-0'));
+    const bill = create(BillSchema, {
+      requestId: 'r1',
+      grantId: 'g1',
+      tokens: 30,
+    });
+    first.parts.keptEntries.keep(
+      create(KeepEntriesRequestSchema, {
+        writer: 'lost-keeper',
+        stream: 'ledger-0',
+        entries: [billEntry('org', bill)],
+      }),
+    );
+    await first.close();
+    expect(second.parts.keptEntries.kinds).toEqual(['bill']);
+    fleet.store.faults.outage = false;
+    await waitUntil(() => fleet.ledger().isBilled('org', 'r1'));
+  });
+
   it('appends the entries of a data centre that can’t reach the log', async () => {
     // Guards against bills that wait in one data centre although another one
     // that it reaches can append them.
@@ -114,24 +168,24 @@
     // Guards against a bill for a request that a slow holder reported as not
     // run after its witness had taken it for lost.
     const holder = await startHolder(fleet);
-    const [holding] = holder.parts.grantManager
-      .forOrganisation('org')
-      .holdings.values();
-    const {grantId = '', witness = ''} = holding ?? {};
-    const link = holder.parts.links.linkTo(witness);
-    if (link === undefined) {
-      throw new Error('the witness is unknown');
-    }
-    const send = link.send.bind(link);
-    vi.spyOn(link, 'send').mockImplementation(async (change: BookChange) => {
-      if (change.kind.case === 'reserved') {
-        await send(change);
+    const others = fleet.keepers.filter(keeper => keeper !== holder);
+    for (const {identity} of others) {
+      const link = holder.parts.links.linkTo(identity.incarnation);
+      if (link === undefined) {
+        throw new Error('the other keepers must be known');
       }
-      return Acknowledgement.Unconfirmed;
-    });
+      const send = link.send.bind(link);
+      vi.spyOn(link, 'send').mockImplementation(async (change: BookChange) => {
+        if (change.kind.case === 'reserved') {
+          await send(change);
+        }
+        return Acknowledgement.Unconfirmed;
+      });
+    }
     const router = fleet.router(holder);
     const refused = await router.begin('r1', 100, {beginNumber: 3});
     expect(refused.verdict).toBe(BeginVerdict.UNAVAILABLE);
+    const {grantId, witness} = reservedGrant(fleet, holder, 'r1');
     const {witnessBook, appender} = keeperOf(fleet, witness).parts;
     witnessBook.fence(grantId);
     const value = witnessBook.reclaim(grantId, witness);
