Test that an old change of witness is refused

The number of a change had no test of its own. Without the check the third change of this test, which has another identifier and the right previous witness, is accepted.

--- a/packages/ledger/src/test/ledger-fold_test.ts
+++ b/packages/ledger/src/test/ledger-fold_test.ts
@@ -184,6 +184,32 @@
     expect(log.fold.grant('org', 'g')?.witness).toBe('w');
   });
 
+  // Guards against a nomination of long ago, whose identifier the log has
+  // forgotten, and a former nominee that reclaims what the holder spends.
+  it('refuses a change of witness that is not the next one of its grant', () => {
+    const log = new Log();
+    log.topUp(100);
+    log.grant('g', 80);
+    const changes = [
+      {writer: 'h', from: 'w', to: 'n', changeNumber: 1},
+      {writer: 'h', from: 'n', to: 'w', changeNumber: 2},
+      {writer: 'n', from: 'w', to: 'n', changeNumber: 1},
+    ];
+    const reasons = changes.map(
+      ({writer, ...change}, index) =>
+        log.append(writer, `change-${index}`, {
+          case: 'witnessChange',
+          value: {grantId: 'g', ...change},
+        })?.reason,
+    );
+    expect(reasons).toEqual([
+      RefusalReason.None,
+      RefusalReason.None,
+      RefusalReason.NotWitness,
+    ]);
+    expect(log.fold.grant('org', 'g')?.witness).toBe('w');
+  });
+
   // Guards against a keeper that appoints another one, or removes the witness.
   it('refuses a change of witness from a keeper that neither holds the grant nor is named by it', () => {
     const log = new Log();
