Resume a request at one router only

Two routers could run one attempt: since a resume waits for its record, two callers' retries that came together both passed the check of the phase and were both told to resume.

The phase is checked again after the wait, and the later one joins. The test failed before (two RESUME in place of RESUME and JOIN). Kept entries no longer handle claims, which are not copied.

--- a/packages/keeper/src/kept-entries.ts
+++ b/packages/keeper/src/kept-entries.ts
@@ -196,12 +196,8 @@
 
   private isFolded({organisation, entryId, kind}: LedgerEntry): boolean {
     const ledger = this.replicas.ledgerOf(organisation);
-    if (kind.case === 'bill') {
-      return ledger.isBilled(organisation, kind.value.requestId);
-    }
-    if (kind.case === 'claim') {
-      return ledger.claim(organisation, kind.value.requestId) !== undefined;
-    }
-    return ledger.hasSeen(organisation, entryId);
+    return kind.case === 'bill'
+      ? ledger.isBilled(organisation, kind.value.requestId)
+      : ledger.hasSeen(organisation, entryId);
   }
 }
--- a/packages/keeper/src/request-service.ts
+++ b/packages/keeper/src/request-service.ts
@@ -216,6 +216,10 @@
         retryAfterMilliseconds: UNAVAILABLE_RETRY_DELAY_MILLISECONDS,
       });
     }
+    if (known.phase !== RequestPhase.Orphaned) {
+      // Another router has resumed it, or it was settled, meanwhile.
+      return this.answerKnown(begin, known, router);
+    }
     known.router = router;
     known.beginNumber = begin.beginNumber;
     known.isResumed = true;
--- a/packages/keeper/src/test/failures_test.ts
+++ b/packages/keeper/src/test/failures_test.ts
@@ -1,6 +1,7 @@
 import {create, toBinary} from '@bufbuild/protobuf';
 import {
   AbandonRequestSchema,
+  BeginRequestSchema,
   BeginVerdict,
   LedgerBatchSchema,
 } from '@wisteriadeal/schema';
@@ -201,6 +202,43 @@
     expect(fleet.ledger().totals('org').billedTokens).toBe(25);
   });
 
+  it('resumes the request of a killed router at one router only', async () => {
+    // Guards against two routers that run one attempt when a caller retries at
+    // both at the same time.
+    await fleet.add('a');
+    await fleet.add('a');
+    const holder = await fleet.holder('a');
+    const lost = fleet.router(holder, 'host/router/lost');
+    await lost.begin('r1', 100);
+    lost.kill();
+    await waitUntil(
+      () => !holder.parts.sessions.hasSession('host/router/lost'),
+    );
+    const routers = ['host/router/second', 'host/router/third'].map(name =>
+      fleet.router(holder, name),
+    );
+    await waitUntil(() =>
+      routers.every(({incarnation}) =>
+        holder.parts.sessions.hasSession(incarnation),
+      ),
+    );
+    const begin = create(BeginRequestSchema, {
+      requestId: 'r1',
+      organisation: 'org',
+      fingerprint: 'f',
+      idempotent: true,
+    });
+    const answers = await Promise.all(
+      routers.map(({incarnation}) =>
+        holder.parts.requests.begin(begin, incarnation),
+      ),
+    );
+    expect(answers.map(({verdict}) => verdict)).toEqual([
+      BeginVerdict.RESUME,
+      BeginVerdict.JOIN,
+    ]);
+  });
+
   // A router is killed, the caller does not retry and the engine is
   // unreachable. The bound is charged once, with a bill that is marked as
   // unconfirmed.
