Name what is stored and replicated at a settlement apart

Three methods called store did three things, and a refusal that is expected from what was read was called certain. A table of the keepers that witness a grant stands in GrantHolding. No behaviour changes.

--- a/packages/keeper/src/abandoned-begins.ts
+++ b/packages/keeper/src/abandoned-begins.ts
@@ -26,7 +26,7 @@
     message.lostBegins.forEach(beginNumber => numbers.listed.add(beginNumber));
   }
 
-  /** Records a begin that this keeper has answered without a reservation. */
+  /** Records a begin whose reservation this keeper has released again. */
   addBegin({requestId, beginNumber}: BeginRequest, router: string): void {
     if (beginNumber > 0) {
       this.getOrCreate(requestId, router).listed.add(beginNumber);
--- a/packages/keeper/src/bill-submitter.ts
+++ b/packages/keeper/src/bill-submitter.ts
@@ -34,7 +34,7 @@
     bill: Bill,
     urgency = Urgency.Immediate,
   ): Promise<boolean> {
-    if (this.isRefusalCertain(organisation, bill)) {
+    if (this.isRefusalExpected(organisation, bill)) {
       return this.chargeOtherGrant(organisation, bill);
     }
     const {verdict} = await this.appender.submit(
@@ -54,7 +54,7 @@
    *
    * @returns Whether a peer keeps the bill or the request is billed on the log.
    */
-  async store(
+  async submitAndStore(
     organisation: string,
     bill: Bill,
     urgency = Urgency.Immediate,
@@ -65,7 +65,7 @@
   }
 
   /** Whether the log, as far as it was read, would refuse a bill. */
-  private isRefusalCertain(organisation: string, bill: Bill): boolean {
+  private isRefusalExpected(organisation: string, bill: Bill): boolean {
     const ledger = this.replicas.ledgerOf(organisation);
     const grant = ledger.grant(organisation, bill.grantId);
     if (
@@ -110,7 +110,7 @@
       });
       return false;
     }
-    void this.replicator.store(holding, change);
+    void this.replicator.replicateSettlement(holding, change);
     return this.submit(organisation, change.kind.value);
   }
 }
--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -60,7 +60,10 @@
    *
    * @returns Whether another host has stored it.
    */
-  async store(holding: GrantHolding, change: BookChange): Promise<boolean> {
+  async replicateSettlement(
+    holding: GrantHolding,
+    change: BookChange,
+  ): Promise<boolean> {
     const answers = holding.witnesses.map(async witness => {
       const answer = await this.sendToWitness(holding, witness, change);
       if (answer !== Acknowledgement.Applied) {
--- a/packages/keeper/src/grant-holding.ts
+++ b/packages/keeper/src/grant-holding.ts
@@ -3,7 +3,16 @@
 
 import {Acknowledgement} from './witness-link.js';
 
-/** A grant that this keeper holds. */
+/**
+ * A grant that this keeper holds, with the keepers that witness it:
+ *
+ * - the witness, which the log names;
+ * - the candidate, which is being sent the book;
+ * - nominees, which have the book and the entry that would make each of them
+ *   the witness, and are confirmed once they have acknowledged it.
+ *
+ * Each of them must acknowledge a reservation before it is dispatched.
+ */
 export class GrantHolding {
   readonly book: HolderBook;
   /** The next witness, until it has the book and is nominated. */
--- a/packages/keeper/src/settlement-service.ts
+++ b/packages/keeper/src/settlement-service.ts
@@ -52,14 +52,14 @@
     if (running !== undefined) {
       return running;
     }
-    const settlement = this.store(organisation, bill).finally(() => {
+    const settlement = this.settleOnce(organisation, bill).finally(() => {
       this.inProgress.delete(requestId);
     });
     this.inProgress.set(requestId, settlement);
     return settlement;
   }
 
-  private async store(organisation: string, bill: Bill): Promise<boolean> {
+  private async settleOnce(organisation: string, bill: Bill): Promise<boolean> {
     const {requestId, grantId} = bill;
     const holding = this.grantManager.holding(organisation, grantId);
     const change = holding?.book.settle(bill);
@@ -90,8 +90,8 @@
       .forOrganisation(organisation)
       .recordDemand(charged.tokens);
     return firstTrue([
-      this.bills.store(organisation, charged, Urgency.Batched),
-      this.replicator.store(holding, change),
+      this.bills.submitAndStore(organisation, charged, Urgency.Batched),
+      this.replicator.replicateSettlement(holding, change),
     ]);
   }
 
@@ -112,7 +112,7 @@
         return this.storeChange(organisation, holding, change);
       }
     }
-    const isStored = await this.bills.store(organisation, bill);
+    const isStored = await this.bills.submitAndStore(organisation, bill);
     if (isStored) {
       this.settleInRegistry(bill);
     }
