Don't acknowledge a bill that nothing can write

Cause: a holder that drains settles a request whose grant was reclaimed without it, and has no other grant left to charge. The witness took the whole book of the closed grant anew and acknowledged the bill, which it can't have accepted either; and when the router sent the bill again, the pending bill in the holder's book was taken for a stored one.

Only the log and peers that keep an entry count for a closed grant. A keeper that stops waits for bills of closed grants.

Evidence: the test failed before (acknowledged and not billed).

--- a/packages/keeper/src/book-replicator.ts
+++ b/packages/keeper/src/book-replicator.ts
@@ -64,6 +64,10 @@
     holding: GrantHolding,
     change: BookChange,
   ): Promise<boolean> {
+    if (holding.isClosed) {
+      // The log decides what is billed under a closed grant, not its books.
+      return false;
+    }
     const answers = holding.witnesses.map(async witness => {
       const answer = await this.sendToWitness(holding, witness, change);
       if (answer !== Acknowledgement.Applied) {
--- a/packages/keeper/src/reclaimer.ts
+++ b/packages/keeper/src/reclaimer.ts
@@ -86,10 +86,9 @@
           .grants(organisation)
           .some(
             ({closed, witness, holder, grantId}) =>
-              !closed &&
-              (witness === incarnation ||
-                (this.hasCopyOf(grantId) &&
-                  !this.membership.isReachable(holder))),
+              (!closed && witness === incarnation) ||
+              (this.hasCopyOf(grantId) &&
+                (closed || !this.membership.isReachable(holder))),
           ),
       ),
     );
--- a/packages/keeper/src/settlement-service.ts
+++ b/packages/keeper/src/settlement-service.ts
@@ -89,10 +89,16 @@
     this.grantManager
       .forOrganisation(organisation)
       .recordDemand(charged.tokens);
-    return firstTrue([
+    const isStored = await firstTrue([
       this.bills.submitAndStore(organisation, charged, Urgency.Batched),
       this.replicator.replicateSettlement(holding, change),
     ]);
+    if (!isStored) {
+      // The log refuses it under this grant, and no other grant covers it yet.
+      // A pending bill would be acknowledged when the router sends it again.
+      holding.book.refundDuplicateBill(charged.requestId);
+    }
+    return isStored;
   }
 
   /**
--- a/packages/keeper/src/test/failures_test.ts
+++ b/packages/keeper/src/test/failures_test.ts
@@ -386,6 +386,34 @@
     expect(fleet.ledger().totals('org').billedTokens).toBe(30);
   });
 
+  it('does not acknowledge a bill that the closed grant of its request can’t take', async () => {
+    // Guards against an answer without a bill: a witness with a copy of a closed
+    // grant's book can't have the bill accepted.
+    await fleet.add('a');
+    await fleet.add('a');
+    const holder = await fleet.holder('a');
+    const router = fleet.router(holder);
+    const answer = await router.begin('r1', 100);
+    const {grantManager} = holder.parts;
+    const organisation = grantManager.forOrganisation('org');
+    appendEntries(
+      fleet,
+      [...organisation.holdings.keys()].map(grantId => ({
+        entryId: `release:${grantId}`,
+        organisation: 'org',
+        kind: {case: 'strandedRelease' as const, value: {grantId}},
+      })),
+    );
+    await waitUntil(() => organisation.spendableTokens === 0);
+    const settling = router.settle(answer, 30);
+    const resending = setInterval(() => {
+      void router.settle(answer, 30);
+    }, 100);
+    await settling;
+    clearInterval(resending);
+    expect(fleet.ledger().isBilled('org', 'r1')).toBe(true);
+  });
+
   // On a graceful stop, a keeper returns its grants to the budget.
   it('returns its grants on a graceful stop', async () => {
     await fleet.add('a');
