Log when a host reaches no endpoint of a service

From the lines of one host, lost paths looked like a service that is down: no line said that a host reaches no endpoint, of which service and since when, a breaker's opening was not logged, and a request did not say whether its connection was new.

ReachByConnects decides from connects alone: three endpoints in a row (all of a smaller service) within 2 s, back after two that accept. Open connections are no evidence, as they are reset or go on working. It changes no request yet.

New: the lines 'service unreachable', 'service reachable again' and 'circuit breaker opened', the origin of the connection in a request's attempts, the metric wisteriadeal_endpoint_connects_total, and the gauge unreachable_services.

--- a/packages/decisions/src/endpoint-circuit-breaker.ts
+++ b/packages/decisions/src/endpoint-circuit-breaker.ts
@@ -31,6 +31,9 @@
   private trials = 0;
   private isSilent = false;
 
+  /** @param onTrip Called when the breaker opens after a success. */
+  constructor(private readonly onTrip: () => void = () => undefined) {}
+
   /** Moving average of the share of failed answers. */
   get failedShare(): number {
     return this.meanFailedShare;
@@ -111,6 +114,9 @@
 
   private trip(now: number): void {
     this.trials = 0;
+    if (!this.isTripped) {
+      this.onTrip();
+    }
     this.openMilliseconds = Math.min(
       MAXIMUM_OPEN_MILLISECONDS,
       Math.max(MINIMUM_OPEN_MILLISECONDS, 2 * this.openMilliseconds),
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -41,3 +41,4 @@
 export * from './resend-budget.js';
 export * from './shared-prompt-placement.js';
 export * from './arrival-admission.js';
+export * from './service-reach.js';
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -2,6 +2,9 @@
 import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
 import type {Socket} from 'node:net';
 
+import type {ConnectObserver} from './connect-observer.js';
+import type {EndpointEntry} from './endpoint-entry.js';
+
 /**
  * Maximum idle time of a pooled connection that is used for a request that may
  * run only once. Endpoints close idle connections, some without notice, and a
@@ -60,6 +63,7 @@
   private readonly guards = new WeakMap<Socket, IdleGuard>();
   private meanConnectMilliseconds = 0;
   private readonly idleLimits = new WeakMap<Socket, number>();
+  private observer: ConnectObserver | undefined;
 
   /** @param link This host's link; connects take longer while it is full. */
   constructor(
@@ -109,14 +113,40 @@
     return this.meanConnectMilliseconds;
   }
 
-  /** Records the duration of a successful connect. */
-  recordConnect(milliseconds: number): void {
+  /** Sets the observer of connects, replacing any earlier one. */
+  setConnectObserver(observer: ConnectObserver): void {
+    this.observer = observer;
+  }
+
+  /**
+   * Records a successful connect.
+   *
+   * @param startedAt Monotonic clock, milliseconds.
+   */
+  recordConnect(endpoint: EndpointEntry, startedAt: number): void {
+    const milliseconds = performance.now() - startedAt;
+    this.observer?.connected(endpoint, startedAt);
     this.link.recordConnection(milliseconds);
     this.link.recordArrival(milliseconds);
     this.meanConnectMilliseconds +=
       (milliseconds - this.meanConnectMilliseconds) / CONNECT_MEAN_SAMPLES;
   }
 
+  /**
+   * Records that an endpoint refused a connect or did not accept it in time.
+   *
+   * @param startedAt Monotonic clock, milliseconds.
+   */
+  recordConnectFailure(
+    endpoint: EndpointEntry,
+    startedAt: number,
+    reason: string,
+  ): void {
+    if (!this.isLinkLate) {
+      this.observer?.connectFailed(endpoint, startedAt, reason);
+    }
+  }
+
   /** Current connect timeout, milliseconds. */
   get connectTimeoutMilliseconds(): number {
     return Math.min(
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -9,7 +9,7 @@
 
 /** An endpoint, and this host's observations of it. */
 export class KnownEndpoint {
-  readonly breaker = new EndpointCircuitBreaker();
+  readonly breaker: EndpointCircuitBreaker;
   /** Number of this host's requests in progress at the endpoint. */
   load = 0;
   /**
@@ -22,7 +22,13 @@
    */
   confirmedOpenAt = -Infinity;
 
-  constructor(public entry: EndpointEntry) {}
+  /** @param onTrip Called when the circuit breaker opens after a success. */
+  constructor(
+    public entry: EndpointEntry,
+    onTrip: () => void = () => undefined,
+  ) {
+    this.breaker = new EndpointCircuitBreaker(onTrip);
+  }
 
   /**
    * Records that the answer to a request sent at this time kept the connection
@@ -200,7 +206,10 @@
       this.update(known, entry, offset);
       return;
     }
-    this.endpoints.set(entry.id, new KnownEndpoint(entry));
+    const endpoint = new KnownEndpoint(entry, () => {
+      this.events.info('circuit breaker opened', {endpoint: entry.id});
+    });
+    this.endpoints.set(entry.id, endpoint);
     this.events.info('endpoint listed', {
       endpoint: entry.id,
       service: entry.service,
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -21,6 +21,16 @@
   Unknown = 'unknown',
 }
 
+/** How a request got its connection to an endpoint. */
+export enum ConnectionOrigin {
+  /** No connection was opened. */
+  None = 'none',
+  /** Opened for this request. */
+  New = 'new',
+  /** Kept from an earlier request. */
+  Kept = 'kept',
+}
+
 /** Status and headers of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -56,7 +66,7 @@
   private readonly outgoing: ClientRequest;
   private incoming: IncomingMessage | undefined;
   private failure: string | undefined;
-  private isConnected = false;
+  private origin = ConnectionOrigin.None;
   private connectStartedAt: number | undefined;
   private wasDelayedByLink = false;
   private connectTimeout: NetworkTimeout | undefined;
@@ -64,7 +74,7 @@
   constructor(
     private readonly dialect: Dialect,
     private readonly connections: EndpointConnectionPool,
-    endpoint: EndpointEntry,
+    private readonly endpoint: EndpointEntry,
     private readonly dispatched: DispatchedRequest,
   ) {
     this.outgoing = sendRequest({
@@ -77,7 +87,7 @@
     });
     this.outgoing.once('socket', socket => {
       if (!socket.connecting) {
-        this.isConnected = true;
+        this.origin = ConnectionOrigin.Kept;
         return;
       }
       const startedAt = performance.now();
@@ -85,19 +95,28 @@
       const limit = connections.connectTimeoutMilliseconds;
       this.connectTimeout = new NetworkTimeout(limit, () => {
         this.cancel('connect timeout');
+        this.recordConnectFailure(startedAt);
       });
       socket.once('connect', () => {
-        connections.recordConnect(performance.now() - startedAt);
+        connections.recordConnect(endpoint, startedAt);
         this.connectTimeout?.close();
-        this.isConnected = true;
+        this.origin = ConnectionOrigin.New;
       });
     });
     this.outgoing.on('error', error => {
-      this.failure ??= error.message;
+      if (this.failure === undefined) {
+        this.failure = error.message;
+        this.recordConnectFailure(this.connectStartedAt);
+      }
     });
     this.outgoing.end(dispatched.body);
   }
 
+  /** How the request got its connection, as far as it has one. */
+  get connectionOrigin(): ConnectionOrigin {
+    return this.origin;
+  }
+
   /** Resolves with the answer's head, or with the failure. */
   async head(): Promise<AnswerHead | ExchangeFailure> {
     const incoming = await this.firstResponse();
@@ -225,6 +244,17 @@
     this.outgoing.destroy();
   }
 
+  private get isConnected(): boolean {
+    return this.origin !== ConnectionOrigin.None;
+  }
+
+  private recordConnectFailure(startedAt: number | undefined): void {
+    if (startedAt !== undefined && !this.isConnected) {
+      const {connections, endpoint, failureReason} = this;
+      connections.recordConnectFailure(endpoint, startedAt, failureReason);
+    }
+  }
+
   private recordAbandonedConnect(): void {
     if (this.connectStartedAt !== undefined && !this.isConnected) {
       const waited = performance.now() - this.connectStartedAt;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {RequestRecord} from './request-record.js';
+import type {ConnectResult} from './service-reach-monitor.js';
 
 /**
  * Buckets of request durations in seconds, from a plain call of a few
@@ -59,6 +60,12 @@
     help: 'Callers that disconnected before their request was sent to an endpoint.',
     registers: [this.registry],
   });
+  private readonly connects = new Counter({
+    name: 'wisteriadeal_endpoint_connects_total',
+    help: 'Connects to endpoints, by service and result.',
+    labelNames: ['service', 'result'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -97,6 +104,11 @@
     this.leftUnserved.inc();
   }
 
+  /** Counts a connect to an endpoint. */
+  connectEnded(service: string, result: ConnectResult): void {
+    this.connects.inc({service, result});
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -10,6 +10,7 @@
 import type {HostRotation} from './host-rotation.js';
 import type {LinkMonitor} from './link-monitor.js';
 import {GatewayStatus} from './status-server.js';
+import type {ServiceReachMonitor} from './service-reach-monitor.js';
 import type {StoreHealth} from './store-health.js';
 
 /** This host's view of the store's health, by topic. */
@@ -33,6 +34,7 @@
     private readonly link: LinkMonitor,
     private readonly rotation: HostRotation,
     private readonly connections: EndpointConnectionPool,
+    private readonly reach: ServiceReachMonitor,
     private readonly clock: Clock,
   ) {
     super();
@@ -77,6 +79,7 @@
         this.health.configuration.answerAgeMilliseconds(now),
       ),
       openRequests: this.callers.openRequests,
+      unreachableServices: [...this.reach.unreachableServices],
       endpoints: this.directory.all.map(({entry, load, breaker}) => ({
         id: entry.id,
         service: entry.service,
@@ -125,6 +128,10 @@
       'in_rotation',
       this.rotation.acceptsConnections ? 1 : 0,
     );
+    this.metrics.setState(
+      'unreachable_services',
+      this.reach.unreachableServices.length,
+    );
     this.metrics.setState('endpoints', this.directory.all.length);
     this.metrics.setState('budget_holders', this.budgets.holderCount);
     this.metrics.setState('resident_bytes', process.memoryUsage.rss());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -33,6 +33,7 @@
 import {ProcessTraffic} from './process-traffic.js';
 import {RequestHandler} from './request-handler.js';
 import {UndeliveredCharge} from './request-record.js';
+import {ServiceReachMonitor} from './service-reach-monitor.js';
 import {StartGate} from './start-gate.js';
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
@@ -93,6 +94,7 @@
   private readonly connections: EndpointConnectionPool;
   private readonly metrics = new GatewayMetrics();
   private readonly link: LinkMonitor;
+  private readonly reach: ServiceReachMonitor;
   private readonly rotation: HostRotation;
   private readonly gate = new StartGate(Object.values(StartRequirement));
   private lender: LoanServer | undefined;
@@ -119,6 +121,9 @@
         isLinkCongested: () => this.link.isCongested,
       },
     );
+    const {directory, metrics} = this;
+    this.reach = new ServiceReachMonitor({directory, metrics, clock, events});
+    this.connections.setConnectObserver(this.reach);
     this.budgets = this.createBudgets();
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
@@ -142,6 +147,7 @@
       this.link,
       this.rotation,
       this.connections,
+      this.reach,
       clock,
     );
     this.status = new StatusServer(
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -421,8 +421,8 @@
       configuration: this.configuration.current?.version,
       attempts: record.attempts
         .map(
-          ({endpoint, atMilliseconds, result}) =>
-            `${endpoint} at ${atMilliseconds}: ${result}`,
+          ({endpoint, connection, atMilliseconds, result}) =>
+            `${endpoint} (${connection}) at ${atMilliseconds}: ${result}`,
         )
         .join('; '),
     });
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -1,6 +1,9 @@
+import type {ConnectionOrigin} from './endpoint-exchange.js';
+
 /** One attempt of a request at an endpoint, for the request's log line. */
 export interface AttemptRecord {
   readonly endpoint: string;
+  readonly connection: ConnectionOrigin;
   readonly atMilliseconds: number;
   readonly result: string;
 }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -16,6 +16,7 @@
 } from './endpoint-connection-pool.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import {
+  ConnectionOrigin,
   EndpointExchange,
   FailureKind,
   isFailure,
@@ -447,6 +448,7 @@
   private recordAttempt(endpoint: KnownEndpoint, result: string): void {
     this.record.attempts.push({
       endpoint: endpoint.entry.id,
+      connection: this.current?.connectionOrigin ?? ConnectionOrigin.None,
       atMilliseconds: Math.round(this.now() - this.context.caller.arrivedAt),
       result,
     });
