Record the data centre and region of each holder

A host that needs another one, for a loan or for a path to an endpoint, knew the addresses of all holders but not where they are. The opening record and the checkpoint now say so; records of earlier processes leave it empty, and verdicts don't depend on it. Older processes skip the new fields (their fast decoder falls back to the library).

--- a/packages/budgets/src/budget-checkpoint.ts
+++ b/packages/budgets/src/budget-checkpoint.ts
@@ -23,6 +23,8 @@
       incarnation: holder.incarnation,
       host: holder.host,
       address: holder.address,
+      dataCenter: holder.dataCenter,
+      region: holder.region,
       lastSequence: holder.lastSequence,
       grants: [...holder.grants].map(([organisation, grant]) => ({
         organisation,
@@ -50,6 +52,8 @@
       incarnation: holder.incarnation,
       host: holder.host,
       address: holder.address,
+      dataCenter: holder.dataCenter,
+      region: holder.region,
       lastSequence: holder.lastSequence,
       grants: new Map(),
     };
--- a/packages/budgets/src/budget-fold.ts
+++ b/packages/budgets/src/budget-fold.ts
@@ -22,8 +22,11 @@
 export interface FoldedHolder {
   readonly incarnation: string;
   readonly host: string;
-  /** `IP:port` of its loan service. */
+  /** `IP:port` where other holders reach it. */
   readonly address: string;
+  /** Where it is; empty if it did not state this. */
+  readonly dataCenter: string;
+  readonly region: string;
   lastSequence: number;
   /** Grants by organisation. Modified only by `BudgetFold.setGrant`. */
   readonly grants: Map<string, FoldedGrant>;
@@ -165,7 +168,7 @@
     opened: HolderOpened,
   ): HolderOpening | undefined {
     const {incarnation, sequence} = record;
-    const {host, address} = opened;
+    const {host, address, dataCenter, region} = opened;
     if (
       this.holders.has(incarnation) ||
       this.closedIncarnations.has(incarnation)
@@ -182,6 +185,8 @@
       incarnation,
       host,
       address,
+      dataCenter,
+      region,
       lastSequence: sequence,
       grants: new Map(),
     });
--- a/packages/budgets/src/test/fleet-model.ts
+++ b/packages/budgets/src/test/fleet-model.ts
@@ -279,6 +279,8 @@
         $typeName: 'wisteriadeal.v1.HolderOpened',
         host: `host-${index}`,
         address: `10.0.0.${index}:1`,
+        dataCenter: 'a',
+        region: '',
       },
     });
     return host;
--- a/packages/gateway/src/budget-journal.ts
+++ b/packages/gateway/src/budget-journal.ts
@@ -11,8 +11,11 @@
 export interface HolderIdentity {
   /** Identifies the host and the address that only one process listens on. */
   readonly host: string;
-  /** `IP:port` where other holders request loans. */
+  /** `IP:port` where other holders reach this process. */
   readonly peerAddress: string;
+  readonly dataCenter: string;
+  /** Empty if there is only one region. */
+  readonly region: string;
   /** Generates an identifier that was never used before. */
   newIncarnation(): string;
 }
@@ -120,13 +123,15 @@
   }
 
   private addOpening(): void {
-    const {host, peerAddress} = this.identity;
+    const {host, peerAddress, dataCenter, region} = this.identity;
     this.add({
       case: 'opened',
       value: {
         $typeName: 'wisteriadeal.v1.HolderOpened',
         host,
         address: peerAddress,
+        dataCenter,
+        region,
       },
     });
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -284,6 +284,8 @@
     const identity = {
       host: `${settings.host} ${settings.callerAddress}`,
       peerAddress: settings.peerAddress,
+      dataCenter: settings.dataCenter,
+      region: settings.region,
       newIncarnation: () => random.identifier(),
     };
     return new BudgetHolder(
--- a/packages/gateway/src/test/budget-replica_test.ts
+++ b/packages/gateway/src/test/budget-replica_test.ts
@@ -22,7 +22,13 @@
 
 const OPENED: BudgetChange = {
   case: 'opened',
-  value: {$typeName: 'wisteriadeal.v1.HolderOpened', host: HOST, address: HOST},
+  value: {
+    $typeName: 'wisteriadeal.v1.HolderOpened',
+    host: HOST,
+    address: HOST,
+    dataCenter: 'a',
+    region: '',
+  },
 };
 const REQUESTED: BudgetChange = {
   case: 'requested',
--- a/packages/gateway/src/test/fast-message-decoder_test.ts
+++ b/packages/gateway/src/test/fast-message-decoder_test.ts
@@ -32,6 +32,8 @@
       $typeName: constant('wisteriadeal.v1.HolderOpened' as const),
       host: text(),
       address: text(),
+      dataCenter: text(),
+      region: text(),
     }),
   }),
   record({
--- a/packages/gateway/src/test/fenced-holder_test.ts
+++ b/packages/gateway/src/test/fenced-holder_test.ts
@@ -15,6 +15,8 @@
       $typeName: 'wisteriadeal.v1.HolderOpened',
       host: HOST,
       address: HOST,
+      dataCenter: 'a',
+      region: '',
     },
   }),
 );
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -172,6 +172,8 @@
     const identity = {
       host,
       peerAddress: host,
+      dataCenter: '',
+      region: '',
       newIncarnation: () => `${host}-${this.starts++}`,
     };
     const health = new StoreHealth('budgets', events, {
--- a/packages/gateway/src/test/random-faults_test.ts
+++ b/packages/gateway/src/test/random-faults_test.ts
@@ -110,6 +110,8 @@
         $typeName: 'wisteriadeal.v1.HolderOpened',
         host,
         address: host,
+        dataCenter: 'a',
+        region: '',
       },
     });
     const appending = this.fleet.log.append(BUDGET_PARTITION, [
--- a/packages/measurements/src/budget-replay.ts
+++ b/packages/measurements/src/budget-replay.ts
@@ -448,6 +448,8 @@
         $typeName: 'wisteriadeal.v1.HolderOpened',
         host: `host-${index}`,
         address: `host-${index}`,
+        dataCenter: 'a',
+        region: '',
       },
     });
     return host;
