Send requests through another host when the own paths to a service are lost

Cause: whether an endpoint can be reached was taken for a property of the endpoint. A host had no notion of its own paths, so each request repeated three failing connects and was refused, though other hosts reached every endpoint.

Now: while a service is unreachable (ReachByConnects), connections to its endpoints are tunnels through another host, opened by CONNECT at the address for other hosts. The request itself, its budget, resends and bill stay where they are, so nothing that holds for a request changes. Failures over the lost path are kept apart from those of the endpoint. Idempotent requests and resumable streams that hang move on at once.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -42,3 +42,4 @@
 export * from './shared-prompt-placement.js';
 export * from './arrival-admission.js';
 export * from './service-reach.js';
+export * from './relay-choice.js';
--- a/packages/gateway/src/answer-timeouts.ts
+++ b/packages/gateway/src/answer-timeouts.ts
@@ -1,6 +1,5 @@
 import type {
   AnswerEstimate,
-  DataCenterCircuitBreaker,
   PromptSize,
   FirstEventTimeoutBounds,
 } from '@wisteriadeal/decisions';
@@ -9,11 +8,13 @@
 import {RouteKind} from './configuration.js';
 import type {KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
+import type {EndpointPath} from './endpoint-path.js';
 import type {RequestContext} from './request-context.js';
 import {
   InactivityMonitor,
   type InactivityLimits,
 } from './inactivity-monitor.js';
+import type {ServicePaths} from './service-paths.js';
 
 /** Inactivity timeouts for one kind of answer. */
 interface TimeoutOptions {
@@ -73,7 +74,7 @@
 
   constructor(
     private readonly context: RequestContext,
-    private readonly dataCenters: DataCenterCircuitBreaker,
+    private readonly paths: ServicePaths,
     private readonly clock: Clock,
     private readonly link: HostLink,
   ) {
@@ -98,6 +99,7 @@
    */
   startMonitor(
     endpoint: KnownEndpoint,
+    path: EndpointPath,
     exchange: EndpointExchange,
     canFailOver: boolean,
     claimFailover: () => boolean,
@@ -107,9 +109,10 @@
         return;
       }
       const now = this.clock.monotonicMilliseconds();
-      const {dataCenter, id} = endpoint.entry;
-      endpoint.breaker.recordSilence(now);
-      this.dataCenters.recordSilence(dataCenter, id, now);
+      const {dataCenter, id, service} = endpoint.entry;
+      path.breakerOf(endpoint).recordSilence(now);
+      path.dataCenters.recordSilence(dataCenter, id, now);
+      this.paths.suspect(service);
     };
     return new InactivityMonitor(this.limits(canFailOver), this.clock, {
       onSuspect: suspect,
@@ -120,6 +123,9 @@
           suspect();
         }
       },
+      onData: () => {
+        this.paths.dataReceived(path, endpoint.entry.service);
+      },
     });
   }
 
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -1,5 +1,6 @@
 import type {
   ClosedGrant,
+  FoldedHolder,
   FoldOutcome,
   GrantSizing,
 } from '@wisteriadeal/budgets';
@@ -104,6 +105,14 @@
     return Math.max(1, this.replica.fold.holders.size);
   }
 
+  /** The other processes that share the budgets, as of the last read. */
+  get otherHolders(): readonly FoldedHolder[] {
+    const {incarnation} = this.journal;
+    return [...this.replica.fold.holders.values()].filter(
+      holder => holder.incarnation !== incarnation,
+    );
+  }
+
   /** The service that other holders call. */
   get lender(): LoanHolder {
     return this.grantLender;
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -1,13 +1,13 @@
 import {
   failedShareLimit,
   placeRequest,
-  type DataCenterCircuitBreaker,
   type PlacementCandidate,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 
 import {RouteKind} from './configuration.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
+import type {EndpointPath} from './endpoint-path.js';
 import type {RequestContext} from './request-context.js';
 
 interface Candidate extends PlacementCandidate {
@@ -20,7 +20,6 @@
 export class EndpointChooser {
   constructor(
     private readonly directory: EndpointDirectory,
-    private readonly dataCenters: DataCenterCircuitBreaker,
     private readonly clock: Clock,
     private readonly dataCenter: string,
   ) {}
@@ -30,12 +29,14 @@
    *
    * @param avoided Identifiers of endpoints that the request was already sent
    *     to.
+   * @param path The path over which the request is sent.
    */
   choose(
     {route, service, caller}: RequestContext,
     avoided: ReadonlySet<string>,
+    path: EndpointPath,
   ): KnownEndpoint | undefined {
-    const candidates = this.candidates(service.name);
+    const candidates = this.candidates(service.name, path);
     const sharedPart =
       route.kind === RouteKind.Streaming
         ? (caller.headers.promptParts.at(-2)?.id ?? '')
@@ -47,11 +48,14 @@
     return candidates.find(candidate => candidate === chosen)?.endpoint;
   }
 
-  private candidates(service: string): readonly Candidate[] {
+  private candidates(
+    service: string,
+    path: EndpointPath,
+  ): readonly Candidate[] {
     const now = this.clock.monotonicMilliseconds();
     const open = this.directory.openEndpoints(service);
     const limit = failedShareLimit(
-      open.map(({breaker}) => breaker.failedShare),
+      open.map(endpoint => path.breakerOf(endpoint).failedShare),
     );
     return open.map(endpoint => ({
       endpoint,
@@ -60,9 +64,9 @@
       slots: endpoint.entry.slots,
       load: endpoint.load,
       isAvailable:
-        endpoint.breaker.isAvailable(now) &&
-        this.dataCenters.isAvailable(endpoint.entry.dataCenter, now) &&
-        endpoint.breaker.failedShare <= limit,
+        path.breakerOf(endpoint).isAvailable(now) &&
+        path.dataCenters.isAvailable(endpoint.entry.dataCenter, now) &&
+        path.breakerOf(endpoint).failedShare <= limit,
     }));
   }
 }
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -1,5 +1,10 @@
 import {UncongestedLink, type HostLink} from '@wisteriadeal/platform';
-import {Agent, type AgentOptions, type ClientRequest} from 'node:http';
+import {
+  Agent,
+  type AgentOptions,
+  type ClientRequest,
+  type RequestOptions,
+} from 'node:http';
 import type {Socket} from 'node:net';
 
 import type {ConnectObserver} from './connect-observer.js';
@@ -38,6 +43,11 @@
 /** Number of recent connects that the moving average reflects. */
 const CONNECT_MEAN_SAMPLES = 16;
 
+/** Options of a request to an endpoint. */
+export interface EndpointRequestOptions extends RequestOptions {
+  readonly endpointId: string;
+}
+
 /** Network address of an endpoint. */
 export interface EndpointAddress {
   readonly address: string;
@@ -67,7 +77,7 @@
 
   /** @param link This host's link; connects take longer while it is full. */
   constructor(
-    private readonly link: HostLink = new UncongestedLink(),
+    protected readonly link: HostLink = new UncongestedLink(),
     options: AgentOptions = {},
   ) {
     super({keepAlive: true, scheduling: 'lifo', noDelay: true, ...options});
@@ -95,6 +105,12 @@
     }
   }
 
+  /** Whether a connection to an endpoint is idle, so that a request can use it. */
+  hasIdle({address, port}: EndpointAddress): boolean {
+    const idle = this.freeSockets[this.getName({host: address, port})] ?? [];
+    return idle.some(socket => !socket.destroyed);
+  }
+
   /**
    * Records the idle timeout that an endpoint states for a connection.
    *
@@ -166,16 +182,22 @@
     this.link.recordTimeout(milliseconds);
   }
 
-  override keepSocketAlive(socket: Socket): boolean {
+  /** @param maximumIdleMilliseconds Limit besides that of the endpoint. */
+  override keepSocketAlive(
+    socket: Socket,
+    maximumIdleMilliseconds = Infinity,
+  ): boolean {
     if (!baseKeepSocketAlive(this, socket)) {
       return false;
     }
     const onData = () => {
       socket.destroy();
     };
+    const idleLimit =
+      this.idleLimits.get(socket) ?? MAXIMUM_SAFE_IDLE_MILLISECONDS;
     const timer = setTimeout(
       onData,
-      this.idleLimits.get(socket) ?? MAXIMUM_SAFE_IDLE_MILLISECONDS,
+      Math.min(idleLimit, maximumIdleMilliseconds),
     );
     timer.unref();
     const onClose = () => {
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -9,7 +9,13 @@
 
 /** An endpoint, and this host's observations of it. */
 export class KnownEndpoint {
-  readonly breaker: EndpointCircuitBreaker;
+  /** For connections that this host opens itself. */
+  breaker: EndpointCircuitBreaker;
+  /**
+   * For connections through other hosts. What the host sees over a path that
+   * it has lost says nothing of the endpoint.
+   */
+  readonly relayedBreaker = new EndpointCircuitBreaker();
   /** Number of this host's requests in progress at the endpoint. */
   load = 0;
   /**
@@ -25,11 +31,16 @@
   /** @param onTrip Called when the circuit breaker opens after a success. */
   constructor(
     public entry: EndpointEntry,
-    onTrip: () => void = () => undefined,
+    private readonly onTrip: () => void = () => undefined,
   ) {
     this.breaker = new EndpointCircuitBreaker(onTrip);
   }
 
+  /** Forgets what was observed over this host's own path. */
+  resetBreaker(): void {
+    this.breaker = new EndpointCircuitBreaker(this.onTrip);
+  }
+
   /**
    * Records that the answer to a request sent at this time kept the connection
    * open.
@@ -102,6 +113,11 @@
     return [...this.endpoints.values()];
   }
 
+  /** The endpoint with this identifier. */
+  find(id: string): KnownEndpoint | undefined {
+    return this.endpoints.get(id);
+  }
+
   /** The endpoints of a service that may get new requests. */
   openEndpoints(service: string): readonly KnownEndpoint[] {
     this.removeUnlisted();
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -6,8 +6,12 @@
 } from 'node:http';
 
 import type {Dialect, EndpointAnswerHeaders} from './dialect.js';
-import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
+import type {
+  EndpointConnectionPool,
+  EndpointRequestOptions,
+} from './endpoint-connection-pool.js';
 import type {EndpointEntry} from './endpoint-entry.js';
+import {NoRelayError} from './relayed-connection-pool.js';
 
 /** What is known about a request that got no answer to forward. */
 export enum FailureKind {
@@ -44,6 +48,8 @@
   readonly reason: string;
   /** Whether the connect may have been delayed by this host's own link. */
   readonly mayBeLinkDelay?: boolean;
+  /** Whether neither this host nor another one reaches the service. */
+  readonly hasNoPath?: boolean;
 }
 
 /** A request as it is sent to an endpoint. */
@@ -69,6 +75,8 @@
   private origin = ConnectionOrigin.None;
   private connectStartedAt: number | undefined;
   private wasDelayedByLink = false;
+  private hasNoPath = false;
+  private abandonWait: () => void = () => undefined;
   private connectTimeout: NetworkTimeout | undefined;
 
   constructor(
@@ -77,17 +85,21 @@
     private readonly endpoint: EndpointEntry,
     private readonly dispatched: DispatchedRequest,
   ) {
-    this.outgoing = sendRequest({
+    const options: EndpointRequestOptions = {
       agent: connections,
       host: endpoint.address,
       port: endpoint.port,
       method: dispatched.method,
       path: dispatched.target,
       headers: [...dispatched.headers],
-    });
+      endpointId: endpoint.id,
+    };
+    this.outgoing = sendRequest(options);
     this.outgoing.once('socket', socket => {
       if (!socket.connecting) {
-        this.origin = ConnectionOrigin.Kept;
+        this.origin = this.outgoing.reusedSocket
+          ? ConnectionOrigin.Kept
+          : ConnectionOrigin.New;
         return;
       }
       const startedAt = performance.now();
@@ -106,6 +118,7 @@
     this.outgoing.on('error', error => {
       if (this.failure === undefined) {
         this.failure = error.message;
+        this.hasNoPath = error instanceof NoRelayError;
         this.recordConnectFailure(this.connectStartedAt);
       }
     });
@@ -242,6 +255,10 @@
     this.failure ??= reason;
     this.connectTimeout?.close();
     this.outgoing.destroy();
+    if (!this.isConnected) {
+      // A request that waits for its connection closes only when it gets one.
+      this.abandonWait();
+    }
   }
 
   private get isConnected(): boolean {
@@ -265,6 +282,9 @@
 
   private firstResponse(): Promise<IncomingMessage | undefined> {
     return new Promise(resolve => {
+      this.abandonWait = () => {
+        resolve(undefined);
+      };
       this.outgoing.once('response', incoming => {
         this.incoming = incoming;
         const keepAlive = String(incoming.headers['keep-alive'] ?? '');
@@ -283,6 +303,7 @@
       kind: this.isConnected ? FailureKind.Unknown : FailureKind.NotSent,
       reason: this.failureReason,
       mayBeLinkDelay: this.wasDelayedByLink,
+      hasNoPath: this.hasNoPath,
     };
   }
 }
--- /dev/null
+++ b/packages/gateway/src/endpoint-path.ts
@@ -0,0 +1,49 @@
+import type {
+  DataCenterCircuitBreaker,
+  EndpointCircuitBreaker,
+} from '@wisteriadeal/decisions';
+
+import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
+import type {KnownEndpoint} from './endpoint-directory.js';
+
+/** How connections get to an endpoint, as it appears in logs. */
+export enum PathKind {
+  /** Opened by this host. */
+  Direct = 'direct',
+  /** Opened by another host, which relays them. */
+  Relayed = 'relayed',
+}
+
+/**
+ * A way to the endpoints of a service, with what was observed over it. A path
+ * that is lost must not make its endpoints look as if they had failed.
+ */
+export abstract class EndpointPath {
+  abstract readonly kind: PathKind;
+
+  constructor(
+    readonly connections: EndpointConnectionPool,
+    readonly dataCenters: DataCenterCircuitBreaker,
+  ) {}
+
+  /** The endpoint's circuit breaker for requests over this path. */
+  abstract breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker;
+}
+
+/** The path by which this host itself connects to endpoints. */
+export class DirectPath extends EndpointPath {
+  override readonly kind = PathKind.Direct;
+
+  override breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker {
+    return endpoint.breaker;
+  }
+}
+
+/** A path through other hosts. */
+export class RelayedPath extends EndpointPath {
+  override readonly kind = PathKind.Relayed;
+
+  override breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker {
+    return endpoint.relayedBreaker;
+  }
+}
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -2,6 +2,7 @@
 
 import type {RequestRecord} from './request-record.js';
 import type {ConnectResult} from './service-reach-monitor.js';
+import type {TunnelStatus} from './tunnel-protocol.js';
 
 /**
  * Buckets of request durations in seconds, from a plain call of a few
@@ -66,6 +67,12 @@
     labelNames: ['service', 'result'],
     registers: [this.registry],
   });
+  private readonly tunnels = new Counter({
+    name: 'wisteriadeal_tunnels_total',
+    help: 'Tunnels to endpoints that other hosts requested, by answer.',
+    labelNames: ['answer'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -109,6 +116,11 @@
     this.connects.inc({service, result});
   }
 
+  /** Counts a tunnel that another host requested. */
+  tunnelAnswered(status: TunnelStatus): void {
+    this.tunnels.inc({answer: String(status)});
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -10,6 +10,7 @@
 import type {HostRotation} from './host-rotation.js';
 import type {LinkMonitor} from './link-monitor.js';
 import {GatewayStatus} from './status-server.js';
+import type {TunnelServer} from './tunnel-server.js';
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
 import type {StoreHealth} from './store-health.js';
 
@@ -35,6 +36,7 @@
     private readonly rotation: HostRotation,
     private readonly connections: EndpointConnectionPool,
     private readonly reach: ServiceReachMonitor,
+    private readonly tunnels: TunnelServer,
     private readonly clock: Clock,
   ) {
     super();
@@ -80,6 +82,7 @@
       ),
       openRequests: this.callers.openRequests,
       unreachableServices: [...this.reach.unreachableServices],
+      tunnels: this.tunnels.openTunnels,
       endpoints: this.directory.all.map(({entry, load, breaker}) => ({
         id: entry.id,
         service: entry.service,
@@ -132,6 +135,7 @@
       'unreachable_services',
       this.reach.unreachableServices.length,
     );
+    this.metrics.setState('tunnels', this.tunnels.openTunnels);
     this.metrics.setState('endpoints', this.directory.all.length);
     this.metrics.setState('budget_holders', this.budgets.holderCount);
     this.metrics.setState('resident_bytes', process.memoryUsage.rss());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,8 +1,5 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
-import {
-  DataCenterCircuitBreaker,
-  WithdrawWhileOverloaded,
-} from '@wisteriadeal/decisions';
+import {WithdrawWhileOverloaded} from '@wisteriadeal/decisions';
 import type {Clock, PartitionedLog, RandomSource} from '@wisteriadeal/platform';
 import type {EventLog, JsonValue, RunningBinary} from '@wisteriadeal/runtime';
 import type {GatewaySettings} from '@wisteriadeal/schema';
@@ -28,15 +25,18 @@
 import {LinkMonitor} from './link-monitor.js';
 import {listenAddress} from './listening.js';
 import {ConnectLoanPeers} from './loan-peers.js';
-import {LoanServer} from './loan-server.js';
 import {LoopLag} from './loop-lag.js';
+import {PeerServer} from './peer-server.js';
 import {ProcessTraffic} from './process-traffic.js';
 import {RequestHandler} from './request-handler.js';
 import {UndeliveredCharge} from './request-record.js';
+import type {PeerHost} from './relay-directory.js';
+import {ServicePaths} from './service-paths.js';
 import {ServiceReachMonitor} from './service-reach-monitor.js';
 import {StartGate} from './start-gate.js';
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
+import {TunnelServer} from './tunnel-server.js';
 
 /** Dependencies of a gateway. */
 export interface GatewayParts {
@@ -97,7 +97,9 @@
   private readonly reach: ServiceReachMonitor;
   private readonly rotation: HostRotation;
   private readonly gate = new StartGate(Object.values(StartRequirement));
-  private lender: LoanServer | undefined;
+  private readonly paths: ServicePaths;
+  private readonly tunnels: TunnelServer;
+  private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
     const {settings, names, dialect, log, clock, events} = parts;
@@ -125,6 +127,14 @@
     this.reach = new ServiceReachMonitor({directory, metrics, clock, events});
     this.connections.setConnectObserver(this.reach);
     this.budgets = this.createBudgets();
+    this.paths = this.createPaths();
+    this.tunnels = new TunnelServer({
+      directory,
+      reach: this.reach,
+      connections: this.connections,
+      metrics,
+      isFull: () => this.link.isFull || !this.rotation.acceptsConnections,
+    });
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
     this.callers = new CallerServer(
@@ -148,6 +158,7 @@
       this.rotation,
       this.connections,
       this.reach,
+      this.tunnels,
       clock,
     );
     this.status = new StatusServer(
@@ -180,9 +191,9 @@
     this.gate.openAfter(START_GATE_TIMEOUT_MILLISECONDS);
     this.link.start();
     await this.callers.listen(listenAddress(settings.callerAddress));
-    this.lender = await LoanServer.listen(
+    this.peerServer = await PeerServer.listen(
       listenAddress(settings.peerAddress),
-      this.budgets.lender,
+      {loans: this.budgets.lender, tunnels: this.tunnels},
     );
     for (const follower of this.followers) {
       void follower.run();
@@ -205,9 +216,9 @@
   async close(stopRequestedMillisecondsAgo = 0): Promise<void> {
     const {settings, clock, events} = this.parts;
     const {stopGraceMilliseconds} = gatewayLimits(settings);
-    const {callers, handler, budgets, bills} = this;
+    const {callers, handler, budgets, bills, tunnels} = this;
     const stop = new GracefulStop(
-      {callers, handler, budgets, bills, clock, events},
+      {callers, handler, budgets, bills, tunnels, clock, events},
       stopGraceMilliseconds,
       stopRequestedMillisecondsAgo,
     );
@@ -229,7 +240,9 @@
     }
     this.budgets.abort();
     this.bills.abort();
-    await this.lender?.close();
+    this.tunnels.close();
+    await this.peerServer?.close();
+    this.paths.close();
     this.connections.destroy();
     this.parts.log.close();
   }
@@ -335,6 +348,25 @@
     });
   }
 
+  private createPaths(): ServicePaths {
+    const {settings, clock, random} = this.parts;
+    return new ServicePaths({
+      directory: this.directory,
+      reach: this.reach,
+      connections: this.connections,
+      link: this.link,
+      clock,
+      dataCenter: settings.dataCenter,
+      peers: () => this.peersInRegion(),
+      fraction: () => random.fraction(),
+    });
+  }
+
+  private peersInRegion(): readonly PeerHost[] {
+    const {region} = this.parts.settings;
+    return this.budgets.otherHolders.filter(holder => holder.region === region);
+  }
+
   private createHandler(): RequestHandler {
     const {settings, dialect, clock, random, events} = this.parts;
     return new RequestHandler(
@@ -346,11 +378,10 @@
         dialect,
         clock,
         events,
-        connections: this.connections,
+        paths: this.paths,
         link: this.link,
         directory: this.directory,
         dataCenter: settings.dataCenter,
-        dataCenters: new DataCenterCircuitBreaker(settings.dataCenter),
         hostCount: () => this.budgets.holderCount,
       },
       gatewayLimits(settings).resends,
--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -7,6 +7,7 @@
 import type {CallerServer} from './caller-server.js';
 import {nextEventLoopTurn} from './event-loop.js';
 import type {RequestHandler} from './request-handler.js';
+import type {TunnelServer} from './tunnel-server.js';
 
 /** The components that a graceful stop shuts down. */
 export interface StopParts {
@@ -14,6 +15,7 @@
   readonly handler: RequestHandler;
   readonly budgets: BudgetHolder;
   readonly bills: BillWriter;
+  readonly tunnels: TunnelServer;
   readonly clock: Clock;
   readonly events: EventLog;
 }
@@ -65,10 +67,11 @@
 
   /** Resolves when all work has ended, or the grace period is almost over. */
   async run(): Promise<void> {
-    const {callers, handler, budgets, bills} = this.parts;
+    const {callers, handler, budgets, bills, tunnels} = this.parts;
     const stopEnded = new AbortController();
     void this.cutRequestsAtDeadline(stopEnded.signal);
     callers.beginStop();
+    tunnels.beginStop();
     handler.beginStop(new StopAdmission(this.deregisteredAt, this.cutAt));
     this.logStep('stopping');
     await this.waitUntil(this.cutAt, this.waitForDeregistration());
@@ -101,9 +104,11 @@
   }
 
   private async waitForRequests(): Promise<void> {
-    const {callers, handler} = this.parts;
+    const {callers, handler, tunnels} = this.parts;
     await callers.idle();
     await handler.settled();
+    // Other hosts send no further requests through tunnels by then.
+    await tunnels.idle();
   }
 
   private async cutRequestsAtDeadline(stopEnded: AbortSignal): Promise<void> {
@@ -134,10 +139,11 @@
   }
 
   private logStep(event: string): void {
-    const {callers, events} = this.parts;
+    const {callers, tunnels, events} = this.parts;
     events.info(event, {
       afterMilliseconds: Math.round(this.now() - this.stopRequestedAt),
       requests: callers.openRequests,
+      tunnels: tunnels.openTunnels,
       ...callers.connectionCounts,
     });
   }
--- a/packages/gateway/src/inactivity-monitor.ts
+++ b/packages/gateway/src/inactivity-monitor.ts
@@ -24,6 +24,8 @@
   onSuspect(): void;
   /** The exchange has timed out. */
   onTimeout(): void;
+  /** The endpoint has sent something. */
+  onData(): void;
 }
 
 /** Detects an exchange that has been inactive for too long. */
@@ -65,8 +67,8 @@
    * call.
    */
   headReceived(): void {
-    this.firstByteMilliseconds ??= this.elapsedMilliseconds;
-    this.close();
+    this.handlers.onData();
+    this.stopUntilBody();
   }
 
   /**
@@ -81,6 +83,7 @@
 
   /** Restarts the timeout between events, because an event arrived. */
   eventReceived(): void {
+    this.handlers.onData();
     if (this.eventTimeout === undefined) {
       this.eventTimeout = this.startEventTimeout(
         this.limits.betweenEventsMilliseconds,
@@ -90,6 +93,13 @@
     }
   }
 
+  /** Times out now, if the exchange may fail over. */
+  expire(): void {
+    if (this.limits.canFailOver) {
+      this.handlers.onTimeout();
+    }
+  }
+
   /** Stops all timeouts. */
   close(): void {
     for (const timeout of this.timeouts) {
@@ -99,8 +109,13 @@
     this.eventTimeout = undefined;
   }
 
+  private stopUntilBody(): void {
+    this.firstByteMilliseconds ??= this.elapsedMilliseconds;
+    this.close();
+  }
+
   private startEventTimeout(milliseconds: number): NetworkTimeout {
-    this.headReceived();
+    this.stopUntilBody();
     return this.startTimeout(milliseconds, () => {
       if (this.limits.canFailOver) {
         this.handlers.onTimeout();
--- a/packages/gateway/src/loan-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -1,9 +1,11 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {GrantLoanService} from '@wisteriadeal/schema';
 import {createServer, type Server} from 'node:http';
+import {Socket} from 'node:net';
 
 import {listen, portOf, type ListenAddress} from './listening.js';
 import type {LoanHolder} from './loan-peers.js';
+import type {TunnelServer} from './tunnel-server.js';
 
 /**
  * How long idle connections are kept. A call sent while the connection is being closed
@@ -11,11 +13,19 @@
  */
 const KEEP_ALIVE_MILLISECONDS = 60_000;
 
+/** What a host does for other hosts. */
+export interface PeerServices {
+  /** Lends tokens, and takes over those of stopping processes. */
+  readonly loans: LoanHolder;
+  /** Relays connections to endpoints; without it, CONNECT requests are closed. */
+  readonly tunnels?: TunnelServer;
+}
+
 /**
- * Server for other holders, which request loans and hand over their tokens when they
- * stop. It uses HTTP/1.1 for the reason given at `ConnectLoanPeers`.
+ * Server for other hosts, which request loans, hand over their tokens when they stop, and
+ * open tunnels to endpoints. It uses HTTP/1.1 for the reason given at `ConnectLoanPeers`.
  */
-export class LoanServer {
+export class PeerServer {
   private constructor(
     private readonly server: Server,
     /** `IP:port` for peers. */
@@ -25,22 +35,29 @@
   /** @throws The system's error if the address cannot be bound. */
   static async listen(
     at: ListenAddress,
-    holder: LoanHolder,
-  ): Promise<LoanServer> {
+    {loans, tunnels}: PeerServices,
+  ): Promise<PeerServer> {
     const routes = connectNodeAdapter({
       routes: router => {
         router.service(GrantLoanService, {
-          borrow: async request => ({lent: await holder.lend(request)}),
-          give: request => ({taken: holder.takeOver(request)}),
+          borrow: async request => ({lent: await loans.lend(request)}),
+          give: request => ({taken: loans.takeOver(request)}),
         });
       },
     });
     const server = createServer((request, response) => {
       routes(request, response);
     });
+    server.on('connect', (request, socket) => {
+      if (tunnels === undefined || !(socket instanceof Socket)) {
+        socket.destroy();
+      } else {
+        tunnels.accept(request, socket);
+      }
+    });
     server.keepAliveTimeout = KEEP_ALIVE_MILLISECONDS;
     await listen(server, at);
-    return new LoanServer(server, `${at.address}:${portOf(server)}`);
+    return new PeerServer(server, `${at.address}:${portOf(server)}`);
   }
 
   /** Stops listening and closes all connections. */
--- /dev/null
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -0,0 +1,196 @@
+import {NetworkTimeout, type HostLink} from '@wisteriadeal/platform';
+import {request, type ClientRequest, type ClientRequestArgs} from 'node:http';
+import {Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
+
+import {
+  EndpointConnectionPool,
+  type EndpointRequestOptions,
+} from './endpoint-connection-pool.js';
+import {listenAddress} from './listening.js';
+import type {Relay, RelayDirectory} from './relay-directory.js';
+import {TUNNEL_ENDPOINT_HEADER, TunnelStatus} from './tunnel-protocol.js';
+
+/**
+ * Time after its opening in which a tunnel may get further requests. A stopping relay
+ * accepts no new tunnels, so it is idle this long after its stop began plus the time of
+ * the last requests, and needs no notice to its users.
+ */
+const TUNNEL_REUSE_MILLISECONDS = 2_000;
+/**
+ * Longest time until a relay answers: that of its own connect, and a round trip between
+ * hosts.
+ */
+const RELAY_TIMEOUT_MILLISECONDS = 150;
+/** Relays tried for one connection; a frozen one costs its timeout. */
+const MAXIMUM_RELAYS = 3;
+/** Longest time for all of them, for the reason given at the direct connect timeout. */
+const MAXIMUM_TUNNEL_MILLISECONDS = 400;
+
+/** No other host relays connections to the service. */
+export class NoRelayError extends Error {
+  override readonly name: string = 'NoRelayError';
+}
+
+/** The endpoint accepts no connection from the relay either. */
+export class RelayedConnectError extends Error {
+  override readonly name: string = 'RelayedConnectError';
+}
+
+/** The endpoint that a tunnel leads to. */
+interface TunnelTarget {
+  /** `IP:port`, for the request line. */
+  readonly authority: string;
+  readonly endpointId: string;
+}
+
+/** Response to a CONNECT request; the socket is usable only if the tunnel is open. */
+interface TunnelResponse {
+  readonly status: number;
+  readonly socket: Socket;
+}
+
+/**
+ * Connections to the endpoints of one service through other hosts, for a host that has
+ * lost its own paths to them.
+ */
+export class RelayedConnectionPool extends EndpointConnectionPool {
+  private readonly openedAt = new WeakMap<Duplex, number>();
+
+  /**
+   * @param relays Hosts that may relay to the service.
+   */
+  constructor(
+    private readonly relays: RelayDirectory,
+    link?: HostLink,
+  ) {
+    super(link);
+  }
+
+  override createConnection(
+    options: ClientRequestArgs & Partial<EndpointRequestOptions>,
+    callback?: (error: Error | null, stream: Duplex) => void,
+  ): undefined {
+    const {host, port, endpointId} = options;
+    const target = {
+      authority: `${host ?? ''}:${port ?? ''}`,
+      endpointId: endpointId ?? '',
+    };
+    this.openTunnel(target).then(
+      socket => callback?.(null, socket),
+      (error: unknown) => {
+        // The callback ignores the stream if there is an error.
+        const reason =
+          error instanceof Error ? error : new Error(String(error));
+        callback?.(reason, new Socket());
+      },
+    );
+    return undefined;
+  }
+
+  /** Also closes a tunnel that is too old for further requests. */
+  override keepSocketAlive(socket: Socket): boolean {
+    const age = performance.now() - (this.openedAt.get(socket) ?? -Infinity);
+    const left = TUNNEL_REUSE_MILLISECONDS - age;
+    return left > 0 && super.keepSocketAlive(socket, left);
+  }
+
+  /**
+   * @throws NoRelayError if no host relays to the service.
+   * @throws RelayedConnectError if the endpoint does not accept the connection.
+   */
+  private async openTunnel(target: TunnelTarget): Promise<Socket> {
+    const tried = new Set<Relay>();
+    const until = performance.now() + MAXIMUM_TUNNEL_MILLISECONDS;
+    while (tried.size < MAXIMUM_RELAYS && performance.now() < until) {
+      const relay = this.relays.choose(tried);
+      if (relay === undefined) {
+        break;
+      }
+      tried.add(relay);
+      const timeout = Math.min(
+        RELAY_TIMEOUT_MILLISECONDS + this.link.delayMilliseconds,
+        until - performance.now(),
+      );
+      const socket = await this.openThrough(relay, target, timeout);
+      if (socket !== undefined) {
+        return socket;
+      }
+    }
+    throw new NoRelayError(`no relay; ${tried.size} tried`);
+  }
+
+  /** Resolves with undefined if another relay should be tried. */
+  private async openThrough(
+    relay: Relay,
+    target: TunnelTarget,
+    milliseconds: number,
+  ): Promise<Socket | undefined> {
+    const {address} = relay.host;
+    const response = await requestTunnel(address, target, milliseconds);
+    if (response?.status === TunnelStatus.Open) {
+      this.relays.recordSuccess(relay);
+      this.track(response.socket, relay);
+      return response.socket;
+    }
+    response?.socket.destroy();
+    switch (response?.status) {
+      case TunnelStatus.EndpointUnknown:
+      case TunnelStatus.EndpointUnreachable:
+        this.relays.recordInconclusive(relay);
+        throw new RelayedConnectError(
+          `relay ${address} answered ${response.status}`,
+        );
+      default:
+        this.relays.recordFailure(relay);
+        return undefined;
+    }
+  }
+
+  private track(socket: Socket, relay: Relay): void {
+    this.openedAt.set(socket, performance.now());
+    socket.setNoDelay(true);
+    relay.openConnections++;
+    socket.once('close', () => {
+      relay.openConnections--;
+    });
+  }
+}
+
+/** Sends a CONNECT request; resolves with undefined if there is no response in time. */
+function requestTunnel(
+  relayAddress: string,
+  {authority, endpointId}: TunnelTarget,
+  milliseconds: number,
+): Promise<TunnelResponse | undefined> {
+  const {address, port} = listenAddress(relayAddress);
+  return new Promise(resolve => {
+    const outgoing: ClientRequest = request({
+      agent: false,
+      host: address,
+      port,
+      method: 'CONNECT',
+      path: authority,
+      headers: {[TUNNEL_ENDPOINT_HEADER]: endpointId},
+    });
+    const timeout = new NetworkTimeout(milliseconds, () => {
+      outgoing.destroy();
+    });
+    outgoing.once('connect', (incoming, socket) => {
+      timeout.close();
+      resolve(
+        socket instanceof Socket
+          ? {status: incoming.statusCode ?? 0, socket}
+          : undefined,
+      );
+    });
+    outgoing.on('error', () => {
+      // 'close' follows.
+    });
+    outgoing.once('close', () => {
+      timeout.close();
+      resolve(undefined);
+    });
+    outgoing.end();
+  });
+}
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -421,8 +421,8 @@
       configuration: this.configuration.current?.version,
       attempts: record.attempts
         .map(
-          ({endpoint, connection, atMilliseconds, result}) =>
-            `${endpoint} (${connection}) at ${atMilliseconds}: ${result}`,
+          ({endpoint, path, connection, atMilliseconds, result}) =>
+            `${endpoint} (${path}, ${connection}) at ${atMilliseconds}: ${result}`,
         )
         .join('; '),
     });
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -1,8 +1,10 @@
 import type {ConnectionOrigin} from './endpoint-exchange.js';
+import type {PathKind} from './endpoint-path.js';
 
 /** One attempt of a request at an endpoint, for the request's log line. */
 export interface AttemptRecord {
   readonly endpoint: string;
+  readonly path: PathKind;
   readonly connection: ConnectionOrigin;
   readonly atMilliseconds: number;
   readonly result: string;
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -1,4 +1,4 @@
-import type {DataCenterCircuitBreaker} from '@wisteriadeal/decisions';
+import type {EndpointCircuitBreaker} from '@wisteriadeal/decisions';
 import {
   NetworkTimeout,
   type Clock,
@@ -10,10 +10,7 @@
 import {RouteKind} from './configuration.js';
 import type {Dialect} from './dialect.js';
 import {EndpointChooser} from './endpoint-chooser.js';
-import {
-  MAXIMUM_SAFE_IDLE_MILLISECONDS,
-  type EndpointConnectionPool,
-} from './endpoint-connection-pool.js';
+import {MAXIMUM_SAFE_IDLE_MILLISECONDS} from './endpoint-connection-pool.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import {
   ConnectionOrigin,
@@ -23,25 +20,26 @@
   type AnswerHead,
   type ExchangeFailure,
 } from './endpoint-exchange.js';
+import {PathKind, type EndpointPath} from './endpoint-path.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestBudget} from './request-budget.js';
 import {isRepeatable, type RequestContext} from './request-context.js';
 import {RequestCompletion} from './request-completion.js';
 import type {RequestRecord} from './request-record.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
+import type {ServicePaths} from './service-paths.js';
 import {RelayResult, relayStream} from './stream-relay.js';
 import type {BudgetRefusal} from './token-waiters.js';
 
 /** Dependencies shared by all request runs of a process. */
 export interface RunParts {
   readonly dialect: Dialect;
-  readonly connections: EndpointConnectionPool;
+  readonly paths: ServicePaths;
   readonly link: HostLink;
   readonly directory: EndpointDirectory;
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dataCenter: string;
-  readonly dataCenters: DataCenterCircuitBreaker;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
 }
@@ -56,8 +54,8 @@
 }
 
 /**
- * Unreachable endpoints tried before the request is given up; each try costs a
- * connect timeout.
+ * Unreachable endpoints tried over one path before the request is given up; each
+ * try costs a connect timeout.
  */
 const MAXIMUM_UNREACHABLE_ENDPOINTS = 3;
 /**
@@ -81,6 +79,8 @@
   private attemptCount = 0;
   private unreachableCount = 0;
   private current: EndpointExchange | undefined;
+  /** The path of the current attempt, or of the last one. */
+  private path: EndpointPath;
   private hasTimedOut = false;
   private hasClaimedFailover = false;
   /** Aborts the wait for tokens when the caller has left or the run is cut. */
@@ -92,15 +92,11 @@
     private readonly budget: RequestBudget,
     private readonly record: RequestRecord,
   ) {
-    const {directory, dataCenters, clock, dataCenter} = parts;
-    this.chooser = new EndpointChooser(
-      directory,
-      dataCenters,
-      clock,
-      dataCenter,
-    );
+    const {directory, paths, clock, dataCenter} = parts;
+    this.path = paths.pathTo(context.service.name);
+    this.chooser = new EndpointChooser(directory, clock, dataCenter);
     this.completion = new RequestCompletion(parts.dialect, context, record);
-    this.timeouts = new AnswerTimeouts(context, dataCenters, clock, parts.link);
+    this.timeouts = new AnswerTimeouts(context, paths, clock, parts.link);
   }
 
   /** Resolves when the caller has its answer or a local reply, or has left. */
@@ -144,17 +140,20 @@
     if (this.hasTimedOut || this.remaining() < MINIMUM_ATTEMPT_MILLISECONDS) {
       return this.giveUp(LocalReplyReason.DeadlinePassed);
     }
-    const endpoint = this.chooser.choose(this.context, this.avoided);
+    const endpoint = this.chooseEndpoint();
     if (endpoint === undefined) {
       return this.giveUp(LocalReplyReason.NoEndpoint);
     }
+    this.usePathTo(endpoint);
     const exchange = this.dispatch(endpoint);
     const monitor = this.timeouts.startMonitor(
       endpoint,
+      this.path,
       exchange,
       this.canFailOver(),
       () => this.claimFailover(),
     );
+    const stopWatchingPath = this.watchPath(monitor);
     this.current = exchange;
     try {
       const head = await exchange.head();
@@ -164,14 +163,42 @@
         : await this.afterHead(endpoint, exchange, head, monitor);
       return next;
     } finally {
+      stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
       endpoint.load--;
-      this.parts.dataCenters.requestEnded(endpoint.entry.dataCenter);
+      this.path.dataCenters.requestEnded(endpoint.entry.dataCenter);
       this.current = undefined;
     }
   }
 
+  private chooseEndpoint(): KnownEndpoint | undefined {
+    const path = this.parts.paths.pathTo(this.context.service.name);
+    return this.chooser.choose(this.context, this.avoided, path);
+  }
+
+  /** Selects the path of the next attempt, which has tries of its own. */
+  private usePathTo(endpoint: KnownEndpoint): void {
+    const {paths} = this.parts;
+    const path = paths.pathToEndpoint(
+      paths.pathTo(endpoint.entry.service),
+      endpoint,
+    );
+    if (path !== this.path) {
+      this.unreachableCount = 0;
+    }
+    this.path = path;
+  }
+
+  /** Makes an attempt fail over at once when this host loses its own path. */
+  private watchPath(monitor: InactivityMonitor): () => void {
+    return this.path.kind === PathKind.Direct
+      ? this.parts.paths.onLost(this.context.service.name, () => {
+          monitor.expire();
+        })
+      : () => undefined;
+  }
+
   /**
    * Whether the request may fail over to another endpoint after this attempt.
    */
@@ -186,7 +213,7 @@
    * it.
    */
   private claimFailover(): boolean {
-    const other = this.chooser.choose(this.context, this.avoided);
+    const other = this.chooseEndpoint();
     this.hasClaimedFailover =
       other !== undefined &&
       !this.avoided.has(other.entry.id) &&
@@ -200,7 +227,9 @@
 
   private dispatch(endpoint: KnownEndpoint): EndpointExchange {
     const {caller, body, organisation} = this.context;
-    const {dialect, connections} = this.parts;
+    const {dialect} = this.parts;
+    const {connections} = this.path;
+    const breaker = this.breakerOf(endpoint);
     const headers = dialect.dispatchHeaders(caller.rawHeaders, {
       endpointId: endpoint.entry.id,
       organisation: organisation?.name,
@@ -209,13 +238,13 @@
       lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
     });
     endpoint.load++;
-    if (endpoint.breaker.isTripped) {
+    if (breaker.isTripped) {
       connections.closeIdle(endpoint.entry);
     } else if (!isRepeatable(this.context.route)) {
       connections.closeIdle(endpoint.entry, MAXIMUM_SAFE_IDLE_MILLISECONDS);
     }
-    endpoint.breaker.requestSent();
-    this.parts.dataCenters.requestSent(endpoint.entry.dataCenter);
+    breaker.requestSent();
+    this.path.dataCenters.requestSent(endpoint.entry.dataCenter);
     this.avoided.add(endpoint.entry.id);
     this.record.endpoint = endpoint.entry.id;
     return new EndpointExchange(dialect, connections, endpoint.entry, {
@@ -247,8 +276,8 @@
       monitor.headReceived();
     }
     if (!isFailure(head) || hasRefused) {
-      endpoint.breaker.recordResponse();
-      this.parts.dataCenters.recordResponse(endpoint.entry.dataCenter);
+      this.breakerOf(endpoint).recordResponse();
+      this.path.dataCenters.recordResponse(endpoint.entry.dataCenter);
     }
   }
 
@@ -259,7 +288,7 @@
     const {kind, reason} = failure;
     this.recordAttempt(endpoint, `${kind}: ${reason}`);
     if (kind === FailureKind.NotRun) {
-      endpoint.breaker.requestEnded();
+      this.breakerOf(endpoint).requestEnded();
       return this.retryOrGiveUp(LocalReplyReason.EndpointsRefused, true);
     }
     if (kind === FailureKind.WrongEndpoint) {
@@ -275,14 +304,18 @@
 
   private afterNotSent(
     endpoint: KnownEndpoint,
-    {mayBeLinkDelay}: ExchangeFailure,
+    {mayBeLinkDelay, hasNoPath}: ExchangeFailure,
   ): NextStep {
+    if (hasNoPath === true) {
+      this.breakerOf(endpoint).requestEnded();
+      return this.giveUp(LocalReplyReason.EndpointsUnreachable);
+    }
     if (this.isAbandoned() || mayBeLinkDelay === true) {
-      endpoint.breaker.requestEnded();
+      this.breakerOf(endpoint).requestEnded();
     } else {
       const {dataCenter, id} = endpoint.entry;
-      endpoint.breaker.recordConnectionFailure(this.now());
-      this.parts.dataCenters.recordSilence(dataCenter, id, this.now());
+      this.breakerOf(endpoint).recordConnectionFailure(this.now());
+      this.path.dataCenters.recordSilence(dataCenter, id, this.now());
     }
     this.unreachableCount++;
     return this.unreachableCount < MAXIMUM_UNREACHABLE_ENDPOINTS &&
@@ -294,10 +327,10 @@
   /** Handles a request that reached the endpoint but got no complete answer. */
   private afterBroken(endpoint: KnownEndpoint): NextStep {
     if (this.isAbandoned()) {
-      endpoint.breaker.requestEnded();
+      this.breakerOf(endpoint).requestEnded();
       return this.giveUp(LocalReplyReason.TimedOut);
     }
-    endpoint.breaker.recordConnectionFailure(this.now());
+    this.breakerOf(endpoint).recordConnectionFailure(this.now());
     return isRepeatable(this.context.route)
       ? this.retryOrGiveUp(LocalReplyReason.AnswerLost, false)
       : this.giveUp(LocalReplyReason.AnswerLost);
@@ -334,9 +367,9 @@
     }
     this.recordAttempt(endpoint, `answered ${head.status}`);
     if (head.status >= 500) {
-      endpoint.breaker.recordFailedAnswer();
+      this.breakerOf(endpoint).recordFailedAnswer();
     } else {
-      endpoint.breaker.recordSuccess();
+      this.breakerOf(endpoint).recordSuccess();
     }
     const refusal = await this.acquireTokens();
     if (refusal !== undefined) {
@@ -364,7 +397,7 @@
     if (refusal !== undefined) {
       exchange.cancel('tokens refused');
       this.recordAttempt(endpoint, `tokens refused: ${refusal}`);
-      endpoint.breaker.recordSuccess();
+      this.breakerOf(endpoint).recordSuccess();
       this.completion.refuseForBudget(refusal, this.hasTimedOut);
       return NextStep.Ended;
     }
@@ -385,7 +418,7 @@
     );
     if (result === RelayResult.Complete) {
       this.recordAttempt(endpoint, 'complete stream');
-      endpoint.breaker.recordSuccess();
+      this.breakerOf(endpoint).recordSuccess();
       caller.endStream();
       this.record.outcome = 'answered';
       return NextStep.Ended;
@@ -393,7 +426,7 @@
     exchange.cancel('stream no longer relayed');
     this.recordAttempt(endpoint, `${result}: ${exchange.failureReason}`);
     if (result === RelayResult.CallerLeft) {
-      endpoint.breaker.requestEnded();
+      this.breakerOf(endpoint).requestEnded();
       this.record.outcome = 'caller-left';
       return NextStep.Ended;
     }
@@ -432,6 +465,10 @@
     return mayResend ? NextStep.Retry : this.giveUp(reason);
   }
 
+  private breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker {
+    return this.path.breakerOf(endpoint);
+  }
+
   private giveUp(reason: LocalReplyReason): NextStep {
     this.completion.giveUp(reason, this.hasTimedOut);
     return NextStep.Ended;
@@ -448,6 +485,7 @@
   private recordAttempt(endpoint: KnownEndpoint, result: string): void {
     this.record.attempts.push({
       endpoint: endpoint.entry.id,
+      path: this.path.kind,
       connection: this.current?.connectionOrigin ?? ConnectionOrigin.None,
       atMilliseconds: Math.round(this.now() - this.context.caller.arrivedAt),
       result,
--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -31,6 +31,9 @@
   unreachableSince: number | undefined;
 }
 
+/** Called with the name of a service. */
+type ServiceListener = (service: string) => void;
+
 /**
  * Tracks which services this host reaches, and logs each change. Without it, a
  * host that has lost its paths to all endpoints looks like a service that is
@@ -38,6 +41,8 @@
  */
 export class ServiceReachMonitor extends ConnectObserver {
   private readonly services = new Map<string, ServiceReach>();
+  private readonly changeListeners = new Set<ServiceListener>();
+  private readonly failureListeners = new Set<ServiceListener>();
 
   constructor(
     private readonly parts: ServiceReachParts,
@@ -53,6 +58,37 @@
     return state !== ReachState.Unreachable;
   }
 
+  /**
+   * Whether connections that were opened earlier still work, as opposed to new
+   * ones.
+   */
+  keepsConnections(service: string): boolean {
+    const policy = this.services.get(service)?.policy;
+    return policy?.keepsConnections(this.now()) ?? true;
+  }
+
+  /** Records data from a service on a connection that this host opened. */
+  dataReceived(service: string): void {
+    this.services.get(service)?.policy.recordData(this.now());
+  }
+
+  /**
+   * Adds a listener for services that became unreachable, or reachable again.
+   *
+   * @returns Removes the listener.
+   */
+  onChange(listener: ServiceListener): () => void {
+    this.changeListeners.add(listener);
+    return () => {
+      this.changeListeners.delete(listener);
+    };
+  }
+
+  /** Adds a listener for failed connects to services that count as reachable. */
+  onFailure(listener: ServiceListener): void {
+    this.failureListeners.add(listener);
+  }
+
   /** The services that this host does not reach. */
   get unreachableServices(): readonly string[] {
     return [...this.services.keys()].filter(name => !this.isReachable(name));
@@ -65,7 +101,7 @@
       this.attempt(endpoint, startedAt),
       this.endpointCount(service),
     );
-    this.logChange(service);
+    this.reportChange(service);
   }
 
   override connectFailed(
@@ -79,7 +115,10 @@
       this.attempt(endpoint, startedAt),
       this.endpointCount(service),
     );
-    this.logChange(service, {endpoint: endpoint.id, reason});
+    this.reportChange(service, {endpoint: endpoint.id, reason});
+    if (this.isReachable(service)) {
+      notify(this.failureListeners, service);
+    }
   }
 
   private attempt({id}: EndpointEntry, startedAt: number) {
@@ -90,7 +129,7 @@
     return this.parts.directory.openEndpoints(service).length;
   }
 
-  private logChange(
+  private reportChange(
     service: string,
     cause: Readonly<Record<string, string>> = {},
   ): void {
@@ -114,6 +153,7 @@
         afterMilliseconds: Math.round(this.now() - unreachableSince),
       });
     }
+    notify(this.changeListeners, service);
   }
 
   private reachOf(service: string): ServiceReach {
@@ -129,3 +169,12 @@
     return this.parts.clock.monotonicMilliseconds();
   }
 }
+
+function notify(
+  listeners: ReadonlySet<ServiceListener>,
+  service: string,
+): void {
+  for (const listener of [...listeners]) {
+    listener(service);
+  }
+}
--- a/packages/gateway/src/test/graceful-stop_test.ts
+++ b/packages/gateway/src/test/graceful-stop_test.ts
@@ -57,6 +57,7 @@
       close: step('grants returned'),
       checkpointEnd: step('checkpoint written'),
     },
+    tunnels: {beginStop: () => undefined, idle: step('tunnels ended')},
     bills: {flush: step('bills flushed'), close: step('bills closed')},
     clock,
     events: EventLog.create(LogLevel.ERROR, {}, () => undefined),
@@ -78,6 +79,7 @@
     expect(ended).toEqual([
       'answers sent',
       'runs settled',
+      'tunnels ended',
       'grants returned',
       'bills flushed',
       'connections drained',
--- a/packages/gateway/src/test/inactivity-monitor_test.ts
+++ b/packages/gateway/src/test/inactivity-monitor_test.ts
@@ -23,6 +23,7 @@
     onTimeout: () => {
       seen.push('timeout');
     },
+    onData: () => undefined,
   });
 });
 
--- a/packages/gateway/src/test/loan-peers_test.ts
+++ b/packages/gateway/src/test/loan-peers_test.ts
@@ -9,7 +9,7 @@
   type LoanHolder,
   type LoanRequest,
 } from '../loan-peers.js';
-import {LoanServer} from '../loan-server.js';
+import {PeerServer} from '../peer-server.js';
 
 const REQUEST: LoanRequest = {
   organisation: 'school',
@@ -89,9 +89,9 @@
   });
 
   it('transfers loans and handovers', async () => {
-    const server = await LoanServer.listen(
+    const server = await PeerServer.listen(
       {address: '127.0.0.1', port: 0},
-      holder,
+      {loans: holder},
     );
     expect(await peers.borrow(server.address, REQUEST)).toBe(5);
     expect(await peers.handOver(server.address, HANDOVER)).toBe(true);
@@ -104,9 +104,9 @@
     // connections. A stopping peer closes its connections while a call to it fails and
     // abandons its connection. With HTTP/2 this failed in 10 of 300 rounds.
     for (let round = 0; round < 150; round++) {
-      const server = await LoanServer.listen(
+      const server = await PeerServer.listen(
         {address: '127.0.0.1', port: 0},
-        holder,
+        {loans: holder},
       );
       await peers.borrow(server.address, REQUEST);
       const closing = server.close();
@@ -133,13 +133,16 @@
   const MAXIMUM_TIMEOUT_MILLISECONDS = 1_000;
   const LATE_TIMEOUT_MILLISECONDS = 5_000;
   let holder: DeferredLoanHolder;
-  let server: LoanServer;
+  let server: PeerServer;
   let link: FakeHostLink;
   let peers: ConnectLoanPeers;
 
   beforeEach(async () => {
     holder = new DeferredLoanHolder();
-    server = await LoanServer.listen({address: '127.0.0.1', port: 0}, holder);
+    server = await PeerServer.listen(
+      {address: '127.0.0.1', port: 0},
+      {loans: holder},
+    );
     vi.useFakeTimers({toFake: ['setTimeout', 'clearTimeout']});
     link = new FakeHostLink();
     peers = new ConnectLoanPeers(link);
--- /dev/null
+++ b/packages/gateway/src/tunnel-protocol.ts
@@ -0,0 +1,17 @@
+/**
+ * Header of a CONNECT request between hosts that names the endpoint. The relay looks up
+ * its address: addresses are used again by endpoints of other services.
+ */
+export const TUNNEL_ENDPOINT_HEADER = 'endpoint-id';
+
+/** Response status to a CONNECT request between hosts. */
+export enum TunnelStatus {
+  /** The connection to the endpoint is open, and bytes are relayed from now on. */
+  Open = 200,
+  /** The relay's list has no such endpoint, or has it as leaving. */
+  EndpointUnknown = 404,
+  /** The endpoint did not accept a connection from the relay. */
+  EndpointUnreachable = 502,
+  /** The relay is full or stopping, or does not reach the endpoint's service. */
+  Unavailable = 503,
+}
