Use hosts of a data centre with several cut hosts last, not never, and test tunnels

A host whose two neighbours are cut off as well got no relay in its data centre for half a second although a third one reached the service: the data centre's breaker left it out. Now such a data centre only comes last.

--- a/packages/decisions/src/relay-choice.ts
+++ b/packages/decisions/src/relay-choice.ts
@@ -7,6 +7,8 @@
   readonly openConnections: number;
   /** False if the candidate could recently not be reached, or not relay. */
   readonly isAvailable: boolean;
+  /** Whether several hosts of its data centre could recently not relay. */
+  readonly isDoubtful: boolean;
 }
 
 /** Number of candidates drawn at random, of which the least used one is taken. */
@@ -17,10 +19,11 @@
  * none is available.
  *
  * Hosts of the own data centre come first: traffic between data centres is
- * expensive, and they may be cut off from each other. Among them, the less used
- * one of two random hosts is taken (power of two choices; Mitzenmacher, 2001),
- * so that the connections of many hosts that have lost their paths at the same
- * time don't meet at one host.
+ * expensive, and they may be cut off from each other. A data centre that may have
+ * lost its paths as a whole comes last, so that its hosts are not asked in turn.
+ * Among equals, the less used one of two random hosts is taken (power of two
+ * choices; Mitzenmacher, 2001), so that the connections of many hosts that have
+ * lost their paths at the same time don't meet at one host.
  *
  * @param fraction Returns random numbers in [0, 1).
  * @example
@@ -34,10 +37,10 @@
   fraction: () => number,
 ): Candidate | undefined {
   const available = candidates.filter(({isAvailable}) => isAvailable);
-  const local = available.filter(
-    ({dataCenter}) => dataCenter === ownDataCenter,
-  );
-  return leastUsed(local.length > 0 ? local : available, fraction);
+  const sure = available.filter(({isDoubtful}) => !isDoubtful);
+  const usable = sure.length > 0 ? sure : available;
+  const local = usable.filter(({dataCenter}) => dataCenter === ownDataCenter);
+  return leastUsed(local.length > 0 ? local : usable, fraction);
 }
 
 function leastUsed<Candidate extends RelayCandidate>(
--- a/packages/decisions/src/test/relay-choice_test.ts
+++ b/packages/decisions/src/test/relay-choice_test.ts
@@ -20,7 +20,8 @@
   isAvailable = true,
   openConnections = 0,
 ): RelayCandidate {
-  return {address, dataCenter, isAvailable, openConnections};
+  const isDoubtful = false;
+  return {address, dataCenter, isAvailable, isDoubtful, openConnections};
 }
 
 describe('chooseRelay', () => {
@@ -34,6 +35,14 @@
     expect(chooseRelay([unavailable], OWN, fraction)).toBeUndefined();
   });
 
+  it('uses hosts of a doubtful data centre last', () => {
+    const own = {...candidate('own', OWN), isDoubtful: true};
+    const other = candidate('other', OTHER);
+    const fraction = repeatableFraction();
+    expect(chooseRelay([own, other], OWN, fraction)).toBe(other);
+    expect(chooseRelay([own], OWN, fraction)).toBe(own);
+  });
+
   it('spreads the connections of many cut hosts over the others', () => {
     // Guards against hosts that are filled by the callers of cut ones.
     const fraction = repeatableFraction();
--- a/packages/gateway/src/relay-directory.ts
+++ b/packages/gateway/src/relay-directory.ts
@@ -39,8 +39,7 @@
 
 /**
  * The hosts that may relay connections to one service. Hosts that can't are skipped for
- * a while, as are data centres in which several can't, so that a host whose whole data
- * centre has lost its paths does not ask all its neighbours in turn.
+ * a while, and data centres in which several can't come last.
  */
 export class RelayDirectory {
   private relays = new Map<string, Relay>();
@@ -97,9 +96,8 @@
       address: host.address,
       dataCenter: host.dataCenter,
       openConnections,
-      isAvailable:
-        breaker.isAvailable(now) &&
-        this.dataCenters.isAvailable(host.dataCenter, now),
+      isAvailable: breaker.isAvailable(now),
+      isDoubtful: !this.dataCenters.isAvailable(host.dataCenter, now),
     };
   }
 
--- /dev/null
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -0,0 +1,310 @@
+import {SystemClock} from '@wisteriadeal/runtime';
+import {once} from 'node:events';
+import {
+  createServer,
+  request as sendRequest,
+  type RequestListener,
+  type Server,
+} from 'node:http';
+import {createServer as createTcpServer, type AddressInfo} from 'node:net';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
+
+import {
+  EndpointConnectionPool,
+  type EndpointRequestOptions,
+} from '../endpoint-connection-pool.js';
+import {KnownEndpoint, type EndpointDirectory} from '../endpoint-directory.js';
+import {GatewayMetrics} from '../gateway-metrics.js';
+import type {LoanHolder} from '../loan-peers.js';
+import {PeerServer} from '../peer-server.js';
+import {RelayDirectory} from '../relay-directory.js';
+import {RelayedConnectionPool} from '../relayed-connection-pool.js';
+import type {ServiceReachMonitor} from '../service-reach-monitor.js';
+import {TunnelServer} from '../tunnel-server.js';
+
+const NO_LOANS: LoanHolder = {
+  lend: () => Promise.resolve(0),
+  takeOver: () => false,
+};
+
+/** An answer, or the error that ended the exchange. */
+interface Received {
+  readonly body: string;
+  readonly isComplete: boolean;
+  readonly error: string;
+}
+
+/** A host that relays, with settings that a test changes. */
+class RelayHost {
+  isFull = false;
+  reachesService = true;
+  readonly endpoints = new Map<string, KnownEndpoint>();
+  readonly tunnels: TunnelServer;
+  private readonly connections = new EndpointConnectionPool();
+  private server: PeerServer | undefined;
+
+  constructor() {
+    this.tunnels = new TunnelServer({
+      directory: {
+        find: (id: string) => this.endpoints.get(id),
+      } as unknown as EndpointDirectory,
+      reach: {
+        isReachable: () => this.reachesService,
+      } as unknown as ServiceReachMonitor,
+      connections: this.connections,
+      metrics: new GatewayMetrics(),
+      isFull: () => this.isFull,
+    });
+  }
+
+  async listen(): Promise<void> {
+    this.server = await PeerServer.listen(
+      {address: '127.0.0.1', port: 0},
+      {loans: NO_LOANS, tunnels: this.tunnels},
+    );
+  }
+
+  get address(): string {
+    return this.server?.address ?? '';
+  }
+
+  async close(): Promise<void> {
+    this.tunnels.close();
+    this.connections.destroy();
+    await this.server?.close();
+  }
+}
+
+let relays: RelayHost[];
+let pool: RelayedConnectionPool;
+let endpointServer: Server;
+let endpoint: KnownEndpoint;
+let answer: RequestListener;
+
+beforeEach(async () => {
+  relays = [];
+  answer = (_request, response) => {
+    response.end('done');
+  };
+  endpointServer = createServer((request, response) => {
+    answer(request, response);
+  });
+  endpointServer.listen(0, '127.0.0.1');
+  await once(endpointServer, 'listening');
+  endpoint = endpointAt((endpointServer.address() as AddressInfo).port);
+  pool = new RelayedConnectionPool(
+    new RelayDirectory({
+      peers: () =>
+        relays.map(({address}) => ({address, dataCenter: 'kigali-a'})),
+      dataCenter: 'kigali-a',
+      clock: new SystemClock(),
+      fraction: () => 0,
+    }),
+  );
+});
+
+afterEach(async () => {
+  vi.useRealTimers();
+  pool.destroy();
+  for (const relay of relays) {
+    await relay.close();
+  }
+  endpointServer.closeAllConnections();
+  endpointServer.close();
+});
+
+function endpointAt(port: number): KnownEndpoint {
+  return new KnownEndpoint({
+    id: 'i-1',
+    service: 'models',
+    address: '127.0.0.1',
+    port,
+    dataCenter: 'kigali-a',
+    slots: 1,
+    isLeaving: false,
+    bornAt: 0,
+  });
+}
+
+async function startRelay(): Promise<RelayHost> {
+  const relay = new RelayHost();
+  relay.endpoints.set('i-1', endpoint);
+  await relay.listen();
+  relays.push(relay);
+  return relay;
+}
+
+/** Sends a request through the pool; `onChunk` gets each part of the answer. */
+function exchange(
+  onChunk: (destroy: () => void) => void = () => undefined,
+): Promise<Received> {
+  return new Promise(resolve => {
+    let body = '';
+    const options: EndpointRequestOptions = {
+      agent: pool,
+      host: endpoint.entry.address,
+      port: endpoint.entry.port,
+      endpointId: endpoint.entry.id,
+    };
+    const outgoing = sendRequest(options, incoming => {
+      incoming.on('data', (chunk: Buffer) => {
+        body += chunk.toString();
+        onChunk(() => outgoing.destroy());
+      });
+      incoming.on('error', () => {
+        // `complete` is false if the answer was cut.
+      });
+      incoming.on('close', () => {
+        resolve({body, isComplete: incoming.complete, error: ''});
+      });
+    });
+    outgoing.on('error', error => {
+      resolve({body, isComplete: false, error: error.name});
+    });
+    outgoing.end();
+  });
+}
+
+describe('a tunnel', () => {
+  it('carries several requests over one connection', async () => {
+    await startRelay();
+    let connections = 0;
+    endpointServer.on('connection', () => connections++);
+    expect(await exchange()).toMatchObject({body: 'done', isComplete: true});
+    expect(await exchange()).toMatchObject({body: 'done', isComplete: true});
+    expect(connections).toBe(1);
+  });
+
+  it('does not make a reset look like the end of an answer', async () => {
+    // Guards against half an answer without a length that passes for the whole.
+    await startRelay();
+    answer = (_request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.write('half');
+      response.socket?.resetAndDestroy();
+    };
+    const received = await exchange();
+    expect(received.isComplete && received.error === '').toBe(false);
+  });
+
+  it('ends the endpoint’s connection when the caller leaves', async () => {
+    // Guards against endpoints that go on working for callers that have left.
+    await startRelay();
+    let hasEnded = false;
+    answer = (_request, response) => {
+      response.write('part');
+      response.on('close', () => {
+        hasEnded = true;
+      });
+    };
+    await exchange(destroy => {
+      destroy();
+    });
+    await expect.poll(() => hasEnded).toBe(true);
+    await relays[0]?.tunnels.idle();
+  });
+
+  it('holds the endpoint back while the caller does not read', async () => {
+    // Guards against a relay whose memory a slow reader fills.
+    const relay = await startRelay();
+    const chunk = Buffer.alloc(1_000_000);
+    let written = 0;
+    answer = (_request, response) => {
+      const write = () => {
+        while (written < 200 && response.write(chunk)) {
+          written++;
+        }
+      };
+      response.on('drain', write);
+      write();
+    };
+    const options: EndpointRequestOptions = {
+      agent: pool,
+      host: endpoint.entry.address,
+      port: endpoint.entry.port,
+      endpointId: endpoint.entry.id,
+    };
+    const outgoing = sendRequest(options).end();
+    outgoing.on('error', () => undefined);
+    const [incoming] = (await once(outgoing, 'response')) as [{pause(): void}];
+    incoming.pause();
+    await new Promise(resolve => setTimeout(resolve, 200));
+    expect(written).toBeLessThan(100);
+    outgoing.destroy();
+    await relay.tunnels.idle();
+  });
+});
+
+describe('a host that needs a relay', () => {
+  it('tries another one if the first is full or cut off as well', async () => {
+    const full = await startRelay();
+    full.isFull = true;
+    const cut = await startRelay();
+    cut.reachesService = false;
+    await startRelay();
+    expect(await exchange()).toMatchObject({body: 'done'});
+  });
+
+  it('asks hosts that can’t relay only once in a while', async () => {
+    // Guards against requests that each ask all cut hosts in turn.
+    const cut = await startRelay();
+    cut.reachesService = false;
+    expect((await exchange()).error).toBe('NoRelayError');
+    cut.reachesService = true;
+    expect((await exchange()).error).toBe('NoRelayError');
+    await new Promise(resolve => setTimeout(resolve, 600));
+    expect(await exchange()).toMatchObject({body: 'done'});
+  });
+
+  it('does not wait long for a relay that is frozen', async () => {
+    const frozen = createTcpServer().listen(0, '127.0.0.1');
+    await once(frozen, 'listening');
+    const {port} = frozen.address() as AddressInfo;
+    const relay = {address: `127.0.0.1:${port}`, close: () => undefined};
+    relays.push(relay as unknown as RelayHost);
+    await startRelay();
+    const startedAt = performance.now();
+    expect(await exchange()).toMatchObject({body: 'done'});
+    expect(performance.now() - startedAt).toBeLessThan(400);
+    frozen.close();
+  });
+
+  it('learns that an endpoint accepts no connections', async () => {
+    // Guards against a dead endpoint that is held against the relay.
+    const relay = await startRelay();
+    relay.endpoints.set('i-1', endpointAt(1));
+    expect((await exchange()).error).toBe('RelayedConnectError');
+    relay.endpoints.set('i-1', endpoint);
+    expect(await exchange()).toMatchObject({body: 'done'});
+  });
+
+  it('gets no tunnel to an endpoint that is leaving or not listed', async () => {
+    // Guards against new requests to a leaving endpoint by hosts with an older list.
+    const relay = await startRelay();
+    endpoint.entry = {...endpoint.entry, isLeaving: true};
+    expect((await exchange()).error).toBe('RelayedConnectError');
+    relay.endpoints.clear();
+    expect((await exchange()).error).toBe('RelayedConnectError');
+  });
+});
+
+describe('a relay that stops', () => {
+  it('ends the tunnels’ requests and takes no new tunnels', async () => {
+    // Guards against requests of other hosts that a graceful stop cuts.
+    const relay = await startRelay();
+    answer = (_request, response) => {
+      response.write('first,');
+      setTimeout(() => response.end('second'), 100);
+    };
+    const running = exchange();
+    await expect.poll(() => relay.tunnels.openTunnels).toBe(1);
+    relay.tunnels.beginStop();
+    expect((await exchange()).error).toBe('NoRelayError');
+    expect(await running).toMatchObject({
+      body: 'first,second',
+      isComplete: true,
+    });
+    // The tunnel is kept for further requests, and closes by itself.
+    await relay.tunnels.idle();
+  });
+});
