Move requests that hang at the start of a cut within half a second

What callers saw: streams that were open when a host lost its paths went on only after 0.9 s of silence and up to three connect timeouts of 120 ms, and those that were the first to meet the cut used up their three tries before the service counted as unreachable.

Cause: a lost path was looked for only when a single answer timed out, with trials of two endpoints where three have to fail; and the tries over the lost path counted against the new one.

Now ServiceSilence notices that all endpoints that work for a host are silent at once (two at least, 300 ms), trials go to three endpoints, and an attempt that ends when its path has just been lost goes on over the other one.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -43,3 +43,4 @@
 export * from './arrival-admission.js';
 export * from './service-reach.js';
 export * from './relay-choice.js';
+export * from './service-silence.js';
--- a/packages/decisions/src/service-reach.ts
+++ b/packages/decisions/src/service-reach.ts
@@ -73,9 +73,9 @@
  * Number of endpoints that have to fail with no successful connect between
  * them. Fewer may have crashed together.
  */
-const MINIMUM_FAILED_ENDPOINTS = 3;
+export const MINIMUM_FAILED_ENDPOINTS = 3;
 /** Number of endpoints that have to accept a connect before the path is back. */
-const MINIMUM_CONNECTED_ENDPOINTS = 2;
+export const MINIMUM_CONNECTED_ENDPOINTS = 2;
 /**
  * Older failures are not counted: while requests reuse open connections, two
  * crashes that are minutes apart may have no connect between them.
--- a/packages/gateway/src/connect-trials.ts
+++ b/packages/gateway/src/connect-trials.ts
@@ -15,8 +15,6 @@
   readonly fraction: () => number;
 }
 
-/** Endpoints that are tried at the same time. */
-const CONCURRENT_TRIALS = 2;
 /** Minimum time between two trials of a service. */
 const TRIAL_INTERVAL_MILLISECONDS = 400;
 
@@ -33,15 +31,17 @@
   /**
    * Starts a trial, unless the last one began a short time ago. One of the endpoints is
    * in this data centre, if there are any: the others may be cut off as a whole.
+   *
+   * @param count Number of endpoints that are tried at the same time.
    */
-  start(service: string): void {
+  start(service: string, count: number): void {
     const now = performance.now();
     const last = this.startedAt.get(service) ?? -Infinity;
     if (now - last < TRIAL_INTERVAL_MILLISECONDS) {
       return;
     }
     this.startedAt.set(service, now);
-    for (const {entry} of this.chosenEndpoints(service)) {
+    for (const {entry} of this.chosenEndpoints(service, count)) {
       this.connectTo(entry);
     }
   }
@@ -53,7 +53,10 @@
     }
   }
 
-  private chosenEndpoints(service: string): readonly KnownEndpoint[] {
+  private chosenEndpoints(
+    service: string,
+    count: number,
+  ): readonly KnownEndpoint[] {
     const {directory, dataCenter, fraction} = this.parts;
     const shuffled = directory
       .openEndpoints(service)
@@ -62,10 +65,7 @@
       .map(({endpoint}) => endpoint);
     const local = shuffled.find(({entry}) => entry.dataCenter === dataCenter);
     const others = shuffled.filter(endpoint => endpoint !== local);
-    return [...(local === undefined ? [] : [local]), ...others].slice(
-      0,
-      CONCURRENT_TRIALS,
-    );
+    return [...(local === undefined ? [] : [local]), ...others].slice(0, count);
   }
 
   private connectTo(endpoint: EndpointEntry): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -174,6 +174,7 @@
         connections: this.callers.acceptedConnections,
       });
       this.budgets.setLeaving(this.rotation.closesConnections);
+      this.paths.observe();
     });
     this.directory.onRead(() => {
       this.gate.requirementMet(StartRequirement.Endpoints);
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -318,8 +318,11 @@
       this.path.dataCenters.recordSilence(dataCenter, id, this.now());
     }
     this.unreachableCount++;
-    return this.unreachableCount < MAXIMUM_UNREACHABLE_ENDPOINTS &&
-      !this.isAbandoned()
+    // The host may have lost this path during the attempt, and there is another one.
+    const hasOtherPath =
+      this.path !== this.parts.paths.pathTo(this.context.service.name);
+    const maximum = (hasOtherPath ? 2 : 1) * MAXIMUM_UNREACHABLE_ENDPOINTS;
+    return this.unreachableCount < maximum && !this.isAbandoned()
       ? NextStep.Retry
       : this.giveUp(LocalReplyReason.EndpointsUnreachable);
   }
--- a/packages/gateway/src/service-paths.ts
+++ b/packages/gateway/src/service-paths.ts
@@ -1,4 +1,9 @@
-import {DataCenterCircuitBreaker} from '@wisteriadeal/decisions';
+import {
+  DataCenterCircuitBreaker,
+  MINIMUM_CONNECTED_ENDPOINTS,
+  MINIMUM_FAILED_ENDPOINTS,
+  ServiceSilence,
+} from '@wisteriadeal/decisions';
 import type {Clock, HostLink} from '@wisteriadeal/platform';
 
 import {ConnectTrials} from './connect-trials.js';
@@ -31,6 +36,7 @@
 export class ServicePaths {
   private readonly direct: DirectPath;
   private readonly relayed = new Map<string, RelayedPath>();
+  private readonly silences = new Map<string, ServiceSilence>();
   private readonly trials: ConnectTrials;
 
   constructor(private readonly parts: ServicePathParts) {
@@ -41,7 +47,7 @@
     );
     this.trials = new ConnectTrials(parts);
     reach.onFailure(service => {
-      this.trials.start(service);
+      this.trials.start(service, MINIMUM_FAILED_ENDPOINTS);
     });
     reach.onChange(service => {
       this.forgetFailures(service);
@@ -54,7 +60,7 @@
       return this.direct;
     }
     // Without requests there is no need to know whether the path is back.
-    this.trials.start(service);
+    this.trials.start(service, MINIMUM_CONNECTED_ENDPOINTS);
     return this.relayedPath(service);
   }
 
@@ -69,10 +75,33 @@
       : path;
   }
 
+  /**
+   * Finds out whether services are still reachable whose endpoints are all silent. Must
+   * be called several times a second.
+   */
+  observe(): void {
+    const {directory, reach, clock} = this.parts;
+    const busyEndpoints = new Map<string, number>();
+    for (const {entry, load} of directory.all) {
+      const before = busyEndpoints.get(entry.service) ?? 0;
+      busyEndpoints.set(entry.service, before + (load > 0 ? 1 : 0));
+    }
+    const now = clock.monotonicMilliseconds();
+    for (const [service, count] of busyEndpoints) {
+      const activity = {
+        busyEndpoints: count,
+        lastDataAt: reach.lastDataAt(service),
+      };
+      if (this.silenceOf(service).observe(activity, now)) {
+        this.suspect(service);
+      }
+    }
+  }
+
   /** Finds out whether a service is still reachable, because an endpoint is silent. */
   suspect(service: string): void {
     if (this.parts.reach.isReachable(service)) {
-      this.trials.start(service);
+      this.trials.start(service, MINIMUM_FAILED_ENDPOINTS);
     }
   }
 
@@ -120,6 +149,15 @@
     }
   }
 
+  private silenceOf(service: string): ServiceSilence {
+    let silence = this.silences.get(service);
+    if (silence === undefined) {
+      silence = new ServiceSilence();
+      this.silences.set(service, silence);
+    }
+    return silence;
+  }
+
   private relayedPath(service: string): RelayedPath {
     let path = this.relayed.get(service);
     if (path === undefined) {
--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -29,6 +29,7 @@
 interface ServiceReach {
   readonly policy: ReachPolicy;
   unreachableSince: number | undefined;
+  lastDataAt: number;
 }
 
 /** Called with the name of a service. */
@@ -69,7 +70,14 @@
 
   /** Records data from a service on a connection that this host opened. */
   dataReceived(service: string): void {
-    this.services.get(service)?.policy.recordData(this.now());
+    const reach = this.reachOf(service);
+    reach.lastDataAt = this.now();
+    reach.policy.recordData(reach.lastDataAt);
+  }
+
+  /** When `dataReceived` was last called for a service. */
+  lastDataAt(service: string): number {
+    return this.services.get(service)?.lastDataAt ?? -Infinity;
   }
 
   /**
@@ -159,7 +167,11 @@
   private reachOf(service: string): ServiceReach {
     let reach = this.services.get(service);
     if (reach === undefined) {
-      reach = {policy: this.createPolicy(), unreachableSince: undefined};
+      reach = {
+        policy: this.createPolicy(),
+        unreachableSince: undefined,
+        lastDataAt: -Infinity,
+      };
       this.services.set(service, reach);
     }
     return reach;
