Use relays that did not reach an endpoint last

Now a relay that failed to reach one endpoint comes last for a second, and one that failed to reach two counts as cut off.

--- a/packages/decisions/src/relay-choice.ts
+++ b/packages/decisions/src/relay-choice.ts
@@ -7,7 +7,10 @@
   readonly openConnections: number;
   /** False if the candidate could recently not be reached, or not relay. */
   readonly isAvailable: boolean;
-  /** Whether several hosts of its data centre could recently not relay. */
+  /**
+   * Whether it, or several hosts of its data centre, recently did not reach an
+   * endpoint.
+   */
   readonly isDoubtful: boolean;
 }
 
@@ -19,8 +22,8 @@
  * none is available.
  *
  * Hosts of the own data centre come first: traffic between data centres is
- * expensive, and they may be cut off from each other. A data centre that may have
- * lost its paths as a whole comes last, so that its hosts are not asked in turn.
+ * expensive, and they may be cut off from each other. Hosts that may be cut off
+ * themselves come last, as do those of a data centre with several of them.
  * Among equals, the less used one of two random hosts is taken (power of two
  * choices; Mitzenmacher, 2001), so that the connections of many hosts that have
  * lost their paths at the same time don't meet at one host.
--- a/packages/gateway/src/relay-directory.ts
+++ b/packages/gateway/src/relay-directory.ts
@@ -19,10 +19,23 @@
   readonly breaker = new EndpointCircuitBreaker();
   /** Number of this host's open connections through it. */
   openConnections = 0;
+  /**
+   * Endpoints that it did not reach since its last success, with the time on
+   * the monotonic clock in milliseconds.
+   */
+  readonly failedEndpoints = new Map<string, number>();
 
   constructor(readonly host: PeerHost) {}
 }
 
+/**
+ * Endpoints that a relay has to fail to reach before it counts as cut off itself; it may
+ * not have noticed that yet.
+ */
+const MAXIMUM_FAILED_ENDPOINTS = 2;
+/** A relay that did not reach an endpoint comes last for this time. */
+const DOUBT_MILLISECONDS = 1_000;
+
 interface Candidate extends RelayCandidate {
   readonly relay: Relay;
 }
@@ -69,7 +82,8 @@
   }
 
   /** Records that a relay reaches the service. */
-  recordSuccess({breaker, host}: Relay): void {
+  recordSuccess({breaker, host, failedEndpoints}: Relay): void {
+    failedEndpoints.clear();
     breaker.recordSuccess();
     this.dataCenters.recordResponse(host.dataCenter);
   }
@@ -82,22 +96,41 @@
     this.dataCenters.recordSilence(host.dataCenter, host.address, now);
   }
 
-  /** Records a result that says nothing about the relay. */
-  recordInconclusive({breaker, host}: Relay): void {
-    breaker.requestEnded();
-    this.dataCenters.requestEnded(host.dataCenter);
+  /**
+   * Records that a relay did not reach an endpoint: either the endpoint is down or
+   * the relay is cut off as well.
+   */
+  recordEndpointFailure(relay: Relay, endpoint: string): void {
+    const {breaker, host, failedEndpoints} = relay;
+    const now = this.now();
+    for (const [failed, at] of failedEndpoints) {
+      if (now - at >= DOUBT_MILLISECONDS) {
+        failedEndpoints.delete(failed);
+      }
+    }
+    failedEndpoints.set(endpoint, now);
+    if (failedEndpoints.size >= MAXIMUM_FAILED_ENDPOINTS) {
+      this.recordFailure(relay);
+    } else {
+      breaker.requestEnded();
+      this.dataCenters.requestEnded(host.dataCenter);
+    }
   }
 
   private candidate(relay: Relay): Candidate {
-    const {host, breaker, openConnections} = relay;
+    const {host, breaker, openConnections, failedEndpoints} = relay;
     const now = this.now();
+    const hasFailed = [...failedEndpoints.values()].some(
+      at => now - at < DOUBT_MILLISECONDS,
+    );
     return {
       relay,
       address: host.address,
       dataCenter: host.dataCenter,
       openConnections,
       isAvailable: breaker.isAvailable(now),
-      isDoubtful: !this.dataCenters.isAvailable(host.dataCenter, now),
+      isDoubtful:
+        hasFailed || !this.dataCenters.isAvailable(host.dataCenter, now),
     };
   }
 
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -137,7 +137,7 @@
     switch (response?.status) {
       case TunnelStatus.EndpointUnknown:
       case TunnelStatus.EndpointUnreachable:
-        this.relays.recordInconclusive(relay);
+        this.relays.recordEndpointFailure(relay, target.endpointId);
         throw new RelayedConnectError(
           `relay ${address} answered ${response.status}`,
         );
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -278,6 +278,15 @@
     expect(await exchange()).toMatchObject({body: 'done'});
   });
 
+  it('prefers relays that have not failed to reach an endpoint', async () => {
+    // Guards against tries that are used up at one relay that is cut off as well.
+    const cut = await startRelay();
+    cut.endpoints.set('i-1', endpointAt(1));
+    await startRelay();
+    expect((await exchange()).error).toBe('RelayedConnectError');
+    expect(await exchange()).toMatchObject({body: 'done'});
+  });
+
   it('gets no tunnel to an endpoint that is leaving or not listed', async () => {
     // Guards against new requests to a leaving endpoint by hosts with an older list.
     const relay = await startRelay();
