--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -9,6 +9,13 @@
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointPath} from './endpoint-path.js';
 import type {RequestContext} from './request-context.js';
+import type {ServicePaths} from './service-paths.js';
+
+/** The endpoint for a request, and the path over which it is sent. */
+export interface ChosenEndpoint {
+  readonly endpoint: KnownEndpoint;
+  readonly path: EndpointPath;
+}
 
 interface Candidate extends PlacementCandidate {
   readonly endpoint: KnownEndpoint;
@@ -20,6 +27,7 @@
 export class EndpointChooser {
   constructor(
     private readonly directory: EndpointDirectory,
+    private readonly paths: ServicePaths,
     private readonly clock: Clock,
     private readonly dataCenter: string,
   ) {}
@@ -29,13 +37,12 @@
    *
    * @param avoided Identifiers of endpoints that the request was already sent
    *     to.
-   * @param path The path over which the request is sent.
    */
   choose(
     {route, service, caller}: RequestContext,
     avoided: ReadonlySet<string>,
-    path: EndpointPath,
-  ): KnownEndpoint | undefined {
+  ): ChosenEndpoint | undefined {
+    const path = this.paths.pathTo(service.name);
     const candidates = this.candidates(service.name, path);
     const sharedPart =
       route.kind === RouteKind.Streaming
@@ -45,7 +52,12 @@
       {sharedPart, dataCenter: this.dataCenter, avoided},
       candidates,
     );
-    return candidates.find(candidate => candidate === chosen)?.endpoint;
+    const endpoint = candidates.find(
+      candidate => candidate === chosen,
+    )?.endpoint;
+    return endpoint === undefined
+      ? undefined
+      : {endpoint, path: this.paths.pathToEndpoint(path, endpoint)};
   }
 
   private candidates(
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -94,7 +94,7 @@
   ) {
     const {directory, paths, clock, dataCenter} = parts;
     this.path = paths.pathTo(context.service.name);
-    this.chooser = new EndpointChooser(directory, clock, dataCenter);
+    this.chooser = new EndpointChooser(directory, paths, clock, dataCenter);
     this.completion = new RequestCompletion(parts.dialect, context, record);
     this.timeouts = new AnswerTimeouts(context, paths, clock, parts.link);
   }
@@ -140,11 +140,12 @@
     if (this.hasTimedOut || this.remaining() < MINIMUM_ATTEMPT_MILLISECONDS) {
       return this.giveUp(LocalReplyReason.DeadlinePassed);
     }
-    const endpoint = this.chooseEndpoint();
-    if (endpoint === undefined) {
+    const chosen = this.chooser.choose(this.context, this.avoided);
+    if (chosen === undefined) {
       return this.giveUp(LocalReplyReason.NoEndpoint);
     }
-    this.usePathTo(endpoint);
+    const {endpoint} = chosen;
+    this.usePath(chosen.path);
     const exchange = this.dispatch(endpoint);
     const monitor = this.timeouts.startMonitor(
       endpoint,
@@ -172,18 +173,8 @@
     }
   }
 
-  private chooseEndpoint(): KnownEndpoint | undefined {
-    const path = this.parts.paths.pathTo(this.context.service.name);
-    return this.chooser.choose(this.context, this.avoided, path);
-  }
-
-  /** Selects the path of the next attempt, which has tries of its own. */
-  private usePathTo(endpoint: KnownEndpoint): void {
-    const {paths} = this.parts;
-    const path = paths.pathToEndpoint(
-      paths.pathTo(endpoint.entry.service),
-      endpoint,
-    );
+  /** Sets the path of the next attempt. Each path has tries of its own. */
+  private usePath(path: EndpointPath): void {
     if (path !== this.path) {
       this.unreachableCount = 0;
     }
@@ -213,7 +204,7 @@
    * it.
    */
   private claimFailover(): boolean {
-    const other = this.chooseEndpoint();
+    const other = this.chooser.choose(this.context, this.avoided)?.endpoint;
     this.hasClaimedFailover =
       other !== undefined &&
       !this.avoided.has(other.entry.id) &&
