--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -11,7 +11,7 @@
   EndpointRequestOptions,
 } from './endpoint-connection-pool.js';
 import type {EndpointEntry} from './endpoint-entry.js';
-import {NoRelayError} from './relayed-connection-pool.js';
+import {NoRelayError} from './relay-errors.js';
 
 /** What is known about a request that got no answer to forward. */
 export enum FailureKind {
--- a/packages/gateway/src/relay-directory.ts
+++ b/packages/gateway/src/relay-directory.ts
@@ -74,8 +74,8 @@
       .filter(relay => !tried.has(relay))
       .map(relay => this.candidate(relay));
     const relay = chooseRelay(candidates, dataCenter, fraction)?.relay;
-    relay?.breaker.requestSent();
     if (relay !== undefined) {
+      relay.breaker.requestSent();
       this.dataCenters.requestSent(relay.host.dataCenter);
     }
     return relay;
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -9,34 +9,22 @@
 } from './endpoint-connection-pool.js';
 import {listenAddress} from './listening.js';
 import type {Relay, RelayDirectory} from './relay-directory.js';
+import {NoRelayError, RelayedConnectError} from './relay-errors.js';
 import {TUNNEL_ENDPOINT_HEADER, TunnelStatus} from './tunnel-protocol.js';
 
 /**
  * Time after its opening in which a tunnel may get further requests. A stopping relay
- * accepts no new tunnels, so it is idle this long after its stop began plus the time of
- * the last requests, and needs no notice to its users.
+ * accepts no new tunnels, so the last request comes this long after its stop began. That
+ * is before the end of its deregistration delay, and needs no notice to other hosts.
  */
 const TUNNEL_REUSE_MILLISECONDS = 2_000;
-/**
- * Longest time until a relay answers: that of its own connect, and a round trip between
- * hosts.
- */
+/** Timeout of a relay: its own connect timeout, and a round trip between hosts. */
 const RELAY_TIMEOUT_MILLISECONDS = 150;
 /** Relays tried for one connection; a frozen one costs its timeout. */
 const MAXIMUM_RELAYS = 3;
-/** Longest time for all of them, for the reason given at the direct connect timeout. */
+/** Timeout for all of them, for the reason given at the direct connect timeout. */
 const MAXIMUM_TUNNEL_MILLISECONDS = 400;
 
-/** No other host relays connections to the service. */
-export class NoRelayError extends Error {
-  override readonly name: string = 'NoRelayError';
-}
-
-/** The endpoint accepts no connection from the relay either. */
-export class RelayedConnectError extends Error {
-  override readonly name: string = 'RelayedConnectError';
-}
-
 /** The endpoint that a tunnel leads to. */
 interface TunnelTarget {
   /** `IP:port`, for the request line. */
@@ -57,9 +45,7 @@
 export class RelayedConnectionPool extends EndpointConnectionPool {
   private readonly openedAt = new WeakMap<Duplex, number>();
 
-  /**
-   * @param relays Hosts that may relay to the service.
-   */
+  /** @param relays Hosts that may relay to the service. */
   constructor(
     private readonly relays: RelayDirectory,
     link?: HostLink,
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -93,7 +93,7 @@
 
   private refuse(socket: Socket, status: TunnelStatus): void {
     this.parts.metrics.tunnelAnswered(status);
-    refuse(socket, status);
+    endWith(socket, status);
   }
 
   private open(endpoint: KnownEndpoint, socket: Socket): void {
@@ -188,12 +188,13 @@
     const {connections, endpoint, startedAt} = this;
     connections.recordConnectFailure(endpoint.entry, startedAt, reason);
     this.onAnswered(TunnelStatus.EndpointUnreachable);
-    refuse(this.inbound, TunnelStatus.EndpointUnreachable);
+    endWith(this.inbound, TunnelStatus.EndpointUnreachable);
     this.outbound.destroy();
   }
 }
 
-function refuse(socket: Socket, status: TunnelStatus): void {
+/** Answers a CONNECT request without opening a tunnel. */
+function endWith(socket: Socket, status: TunnelStatus): void {
   socket.on('error', () => {
     // The other host has already given up.
   });
