Don't remember endpoints that accept connects while their service is reachable

The set grew by each endpoint that was started anew, for as long as no connect failed. It is only needed for the way back. No change in behaviour otherwise; a property test follows a cut and its end after any history of connects.

--- a/packages/decisions/src/service-reach.ts
+++ b/packages/decisions/src/service-reach.ts
@@ -107,7 +107,7 @@
   private currentState = ReachState.Reachable;
   /** The last failures of endpoints since the last successful connect. */
   private readonly failures = new Map<string, ConnectAttempt>();
-  /** Endpoints that accepted a connect since the last failure. */
+  /** While unreachable, endpoints that accepted a connect since the last failure. */
   private readonly connected = new Set<string>();
   private lastSuccessStartedAt = -Infinity;
   private unreachableSince = Infinity;
@@ -123,9 +123,13 @@
       attempt.startedAt,
     );
     this.failures.clear();
+    if (this.currentState === ReachState.Reachable) {
+      return;
+    }
     this.connected.add(attempt.endpoint);
     const required = Math.min(MINIMUM_CONNECTED_ENDPOINTS, endpointCount);
     if (this.connected.size >= required) {
+      this.connected.clear();
       this.currentState = ReachState.Reachable;
       this.unreachableSince = Infinity;
     }
--- a/packages/decisions/src/test/service-reach_test.ts
+++ b/packages/decisions/src/test/service-reach_test.ts
@@ -1,3 +1,4 @@
+import {array, assert, boolean, nat, property, record} from 'fast-check';
 import {describe, expect, it} from 'vitest';
 
 import {
@@ -140,4 +141,27 @@
     expect(reach.keepsConnections(160)).toBe(true);
     expect(reach.keepsConnections(1_200)).toBe(false);
   });
+
+  it('follows a cut and its end after any history', () => {
+    // Guards against a state that no further connect changes.
+    const history = array(
+      record({endpoint: nat(ENDPOINTS.length - 1), isAccepted: boolean()}),
+    );
+    assert(
+      property(history, steps => {
+        const reach = new ReachByConnects();
+        let now = 0;
+        for (const {endpoint, isAccepted} of steps) {
+          now += 50;
+          connect(reach, ENDPOINTS[endpoint] ?? '', now, isAccepted);
+        }
+        fail(reach, ENDPOINTS, now + 50);
+        expect(reach.state).toBe(ReachState.Unreachable);
+        connect(reach, 'engine-0', now + 500, true);
+        connect(reach, 'engine-1', now + 510, true);
+        expect(reach.state).toBe(ReachState.Reachable);
+        expect(reach.keepsConnections(now + 520)).toBe(true);
+      }),
+    );
+  });
 });
