--- /dev/null
+++ b/packages/gateway/src/answer-relay.ts
@@ -0,0 +1,139 @@
+import {RouteKind} from './configuration.js';
+import type {Dialect} from './dialect.js';
+import type {EndpointAttempt} from './endpoint-attempt.js';
+import type {AnswerHead} from './endpoint-exchange.js';
+import type {RequestBudget} from './request-budget.js';
+import type {RequestCompletion} from './request-completion.js';
+import type {RequestContext} from './request-context.js';
+import type {RequestLifetime} from './request-lifetime.js';
+import type {RequestRecord} from './request-record.js';
+import {RelayResult, relayStream} from './stream-relay.js';
+import type {BudgetRefusal} from './token-waiters.js';
+
+/** How an endpoint's answer ended for its request. */
+export enum AnswerResult {
+  /** The request has ended. */
+  Ended,
+  /** The answer is not complete. */
+  Broken,
+  /** The answer is complete, and is sent unless another attempt is better. */
+  Answered,
+  /** As `Answered`, but the endpoint answered that it failed. */
+  Failed,
+}
+
+/** Relays the answers of a request's attempts to its caller. */
+export class AnswerRelay {
+  constructor(
+    private readonly dialect: Dialect,
+    private readonly context: RequestContext,
+    private readonly budget: RequestBudget,
+    private readonly record: RequestRecord,
+    private readonly completion: RequestCompletion,
+    private readonly lifetime: RequestLifetime,
+  ) {}
+
+  /** Relays the answer that begins with `head`. */
+  async relay(
+    attempt: EndpointAttempt,
+    head: AnswerHead,
+  ): Promise<AnswerResult> {
+    this.record.mayHaveRun = true;
+    if (head.status < 300 && !head.endpointHeaders.hasProof) {
+      attempt.exchange.cancel('success status without endpoint proof');
+      attempt.ended('success status without endpoint proof');
+      return AnswerResult.Broken;
+    }
+    const isStream =
+      this.context.route.kind === RouteKind.Streaming && head.status === 200;
+    return isStream
+      ? this.relayEventStream(attempt, head)
+      : this.relayBufferedAnswer(attempt, head);
+  }
+
+  private async relayBufferedAnswer(
+    attempt: EndpointAttempt,
+    head: AnswerHead,
+  ): Promise<AnswerResult> {
+    const {exchange, breaker} = attempt;
+    const body = await exchange.readBody();
+    if (body === undefined) {
+      attempt.ended(exchange.failureReason);
+      return AnswerResult.Broken;
+    }
+    attempt.ended(`answered ${head.status}`);
+    if (head.status >= 500) {
+      breaker.recordFailedAnswer();
+    } else {
+      breaker.recordSuccess();
+    }
+    const refusal = await this.acquireTokens();
+    if (refusal !== undefined) {
+      this.completion.refuseForBudget(refusal, this.lifetime.hasTimedOut);
+      return AnswerResult.Ended;
+    }
+    this.completion.setFallback({head, body, hasLength: exchange.hasLength});
+    return head.status >= 500 ? AnswerResult.Failed : AnswerResult.Answered;
+  }
+
+  private async relayEventStream(
+    attempt: EndpointAttempt,
+    head: AnswerHead,
+  ): Promise<AnswerResult> {
+    const {exchange, breaker, monitor} = attempt;
+    const {caller} = this.context;
+    const refusal = await this.acquireTokens();
+    if (refusal !== undefined) {
+      exchange.cancel('tokens refused');
+      attempt.ended(`tokens refused: ${refusal}`);
+      breaker.recordSuccess();
+      this.completion.refuseForBudget(refusal, this.lifetime.hasTimedOut);
+      return AnswerResult.Ended;
+    }
+    if (!caller.isAnswering) {
+      caller.beginStream(
+        head.status,
+        this.dialect.answerHeaders(head.rawHeaders),
+      );
+      this.record.status = head.status;
+    }
+    monitor.bodyStarted();
+    const result = await relayStream(
+      exchange,
+      caller,
+      this.record,
+      monitor,
+      () => this.lifetime.now(),
+    );
+    if (result === RelayResult.Complete) {
+      attempt.ended('complete stream');
+      breaker.recordSuccess();
+      caller.endStream();
+      this.record.outcome = 'answered';
+      return AnswerResult.Ended;
+    }
+    exchange.cancel('stream no longer relayed');
+    attempt.ended(`${result}: ${exchange.failureReason}`);
+    if (result === RelayResult.CallerLeft) {
+      breaker.requestEnded();
+      this.record.outcome = 'caller-left';
+      return AnswerResult.Ended;
+    }
+    return AnswerResult.Broken;
+  }
+
+  /**
+   * Acquires the tokens reserved for this request; waits while other holders
+   * may still provide them.
+   */
+  private acquireTokens(): Promise<BudgetRefusal | undefined> {
+    const {lifetime} = this;
+    return this.budget.acquireTokens(
+      {
+        milliseconds: Math.max(0, lifetime.remaining()),
+        signal: lifetime.waitSignal,
+      },
+      () => lifetime.now(),
+    );
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -0,0 +1,35 @@
+import type {EndpointCircuitBreaker} from '@wisteriadeal/decisions';
+
+import type {KnownEndpoint} from './endpoint-directory.js';
+import type {EndpointExchange} from './endpoint-exchange.js';
+import type {EndpointPath} from './endpoint-path.js';
+import type {InactivityMonitor} from './inactivity-monitor.js';
+import type {RequestRecord} from './request-record.js';
+
+/** One attempt of a request at an endpoint. */
+export class EndpointAttempt {
+  constructor(
+    readonly endpoint: KnownEndpoint,
+    readonly path: EndpointPath,
+    readonly exchange: EndpointExchange,
+    readonly monitor: InactivityMonitor,
+    private readonly record: RequestRecord,
+    private readonly ageMilliseconds: () => number,
+  ) {}
+
+  /** The endpoint's circuit breaker for the path of this attempt. */
+  get breaker(): EndpointCircuitBreaker {
+    return this.path.breakerOf(this.endpoint);
+  }
+
+  /** Adds the attempt to the request's record. */
+  ended(result: string): void {
+    this.record.attempts.push({
+      endpoint: this.endpoint.entry.id,
+      path: this.path.kind,
+      connection: this.exchange.connectionOrigin,
+      atMilliseconds: Math.round(this.ageMilliseconds()),
+      result,
+    });
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/request-retries.ts
@@ -0,0 +1,204 @@
+import {AnswerResult} from './answer-relay.js';
+import type {EndpointAttempt} from './endpoint-attempt.js';
+import type {EndpointChooser} from './endpoint-chooser.js';
+import type {EndpointDirectory} from './endpoint-directory.js';
+import {FailureKind, type ExchangeFailure} from './endpoint-exchange.js';
+import type {EndpointPath} from './endpoint-path.js';
+import {LocalReplyReason} from './local-reply.js';
+import type {RequestCompletion} from './request-completion.js';
+import {isRepeatable, type RequestContext} from './request-context.js';
+import type {RequestLifetime} from './request-lifetime.js';
+import type {RequestRecord} from './request-record.js';
+import type {ServicePaths} from './service-paths.js';
+
+/**
+ * What to do after an attempt: the request has ended, or another endpoint is
+ * tried.
+ */
+export enum NextStep {
+  Ended,
+  Retry,
+}
+
+/** Dependencies of `RequestRetries`. */
+export interface RequestRetriesParts {
+  readonly context: RequestContext;
+  readonly record: RequestRecord;
+  readonly completion: RequestCompletion;
+  readonly lifetime: RequestLifetime;
+  readonly chooser: EndpointChooser;
+  readonly directory: EndpointDirectory;
+  readonly paths: ServicePaths;
+  /** Number of hosts that share the resend budget. */
+  readonly hostCount: () => number;
+}
+
+/**
+ * Unreachable endpoints tried over one path before the request is given up; each
+ * try costs a connect timeout.
+ */
+const MAXIMUM_UNREACHABLE_ENDPOINTS = 3;
+/**
+ * No attempt is started with less time than this left until the deadline,
+ * milliseconds.
+ */
+const MINIMUM_ATTEMPT_MILLISECONDS = 20;
+
+/** Decides what follows each attempt of one request. */
+export class RequestRetries {
+  /** Identifiers of the endpoints that the request was sent to. */
+  readonly avoided = new Set<string>();
+  private attemptCount = 0;
+  private unreachableCount = 0;
+  private hasClaimedFailover = false;
+  private path: EndpointPath | undefined;
+
+  constructor(private readonly parts: RequestRetriesParts) {}
+
+  /** Whether enough time is left for an attempt. */
+  get mayAttempt(): boolean {
+    const {lifetime} = this.parts;
+    return (
+      !lifetime.hasTimedOut &&
+      lifetime.remaining() >= MINIMUM_ATTEMPT_MILLISECONDS
+    );
+  }
+
+  /** Records where an attempt is made. Each path has tries of its own. */
+  attemptBegins(endpointId: string, path: EndpointPath): void {
+    if (path !== this.path) {
+      this.unreachableCount = 0;
+    }
+    this.path = path;
+    this.avoided.add(endpointId);
+  }
+
+  /**
+   * Whether the request may fail over to another endpoint after this attempt.
+   */
+  canFailOver(): boolean {
+    const {route} = this.parts.context;
+    return isRepeatable(route) && this.attemptCount + 1 < route.maximumAttempts;
+  }
+
+  /**
+   * Claims a resend from the fleet-wide budget for a failover. Without one, or
+   * without another endpoint, cancelling an answer that is only late would cut
+   * it.
+   */
+  claimFailover(): boolean {
+    const {chooser, context} = this.parts;
+    const other = chooser.choose(context, this.avoided)?.endpoint;
+    this.hasClaimedFailover =
+      other !== undefined &&
+      !this.avoided.has(other.entry.id) &&
+      this.claimResend();
+    return this.hasClaimedFailover;
+  }
+
+  /** Decides what follows an attempt without an answer to forward. */
+  afterFailure(attempt: EndpointAttempt, failure: ExchangeFailure): NextStep {
+    const {kind, reason} = failure;
+    attempt.ended(`${kind}: ${reason}`);
+    if (kind === FailureKind.NotRun) {
+      attempt.breaker.requestEnded();
+      return this.retryOrGiveUp(LocalReplyReason.EndpointsRefused, true);
+    }
+    if (kind === FailureKind.WrongEndpoint) {
+      this.parts.directory.remove(attempt.endpoint, reason);
+      return this.retryOrGiveUp(LocalReplyReason.EndpointsRefused, true);
+    }
+    if (kind === FailureKind.NotSent) {
+      return this.afterNotSent(attempt, failure);
+    }
+    this.parts.record.mayHaveRun = true;
+    return this.afterBroken(attempt);
+  }
+
+  /** Decides what follows an answer. */
+  afterAnswer(attempt: EndpointAttempt, result: AnswerResult): NextStep {
+    const {context, lifetime} = this.parts;
+    switch (result) {
+      case AnswerResult.Ended:
+        return NextStep.Ended;
+      case AnswerResult.Broken:
+        return this.afterBroken(attempt);
+      case AnswerResult.Answered:
+        return this.giveUp(LocalReplyReason.AnswerLost);
+      case AnswerResult.Failed:
+        return isRepeatable(context.route) && !lifetime.isAbandoned
+          ? this.retryOrGiveUp(LocalReplyReason.AnswerLost, false)
+          : this.giveUp(LocalReplyReason.AnswerLost);
+    }
+  }
+
+  /** Ends the request with the best answer that there is. */
+  giveUp(reason: LocalReplyReason): NextStep {
+    const {completion, lifetime} = this.parts;
+    completion.giveUp(reason, lifetime.hasTimedOut);
+    return NextStep.Ended;
+  }
+
+  private afterNotSent(
+    {endpoint, path, breaker}: EndpointAttempt,
+    {mayBeLinkDelay, hasNoPath}: ExchangeFailure,
+  ): NextStep {
+    const {context, lifetime, paths} = this.parts;
+    if (hasNoPath === true) {
+      breaker.requestEnded();
+      return this.giveUp(LocalReplyReason.EndpointsUnreachable);
+    }
+    if (lifetime.isAbandoned || mayBeLinkDelay === true) {
+      breaker.requestEnded();
+    } else {
+      const {dataCenter, id} = endpoint.entry;
+      const now = lifetime.now();
+      breaker.recordConnectionFailure(now);
+      path.dataCenters.recordSilence(dataCenter, id, now);
+    }
+    this.unreachableCount++;
+    // The host may have lost this path during the attempt, and there is another one.
+    const hasOtherPath = path !== paths.pathTo(context.service.name);
+    const maximum = (hasOtherPath ? 2 : 1) * MAXIMUM_UNREACHABLE_ENDPOINTS;
+    return this.unreachableCount < maximum && !lifetime.isAbandoned
+      ? NextStep.Retry
+      : this.giveUp(LocalReplyReason.EndpointsUnreachable);
+  }
+
+  /** Handles a request that reached the endpoint but got no complete answer. */
+  private afterBroken({breaker}: EndpointAttempt): NextStep {
+    const {context, lifetime} = this.parts;
+    if (lifetime.isAbandoned) {
+      breaker.requestEnded();
+      return this.giveUp(LocalReplyReason.TimedOut);
+    }
+    breaker.recordConnectionFailure(lifetime.now());
+    return isRepeatable(context.route)
+      ? this.retryOrGiveUp(LocalReplyReason.AnswerLost, false)
+      : this.giveUp(LocalReplyReason.AnswerLost);
+  }
+
+  /**
+   * Retries at another endpoint if the route, the fleet's resend budget and the
+   * remaining time allow it.
+   */
+  private retryOrGiveUp(reason: LocalReplyReason, isNotRun: boolean): NextStep {
+    this.attemptCount++;
+    const {context, lifetime} = this.parts;
+    const {route} = context;
+    const hasClaimed = this.hasClaimedFailover;
+    this.hasClaimedFailover = false;
+    const mayResend =
+      !lifetime.isAbandoned &&
+      this.attemptCount < route.maximumAttempts &&
+      lifetime.remaining() > MINIMUM_ATTEMPT_MILLISECONDS &&
+      (isNotRun || isRepeatable(route)) &&
+      (hasClaimed || this.claimResend());
+    return mayResend ? NextStep.Retry : this.giveUp(reason);
+  }
+
+  private claimResend(): boolean {
+    const {context, lifetime, hostCount} = this.parts;
+    return context.resends.tryTake(hostCount(), lifetime.now());
+  }
+}
