Log how each answer was framed, what came of it and how it ended

Each attempt whose body was read now says what marks its end (length, chunks, the end of the connection), how many events of it were delivered, and how the body ended; the metric wisteriadeal_endpoint_answers_total counts framing and end. No decision uses it yet.

Checked: a test of the description, types, lint, gateway_test.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -58,10 +58,10 @@
     const {exchange, breaker} = attempt;
     const body = await exchange.readBody();
     if (body === undefined) {
-      attempt.ended(exchange.failureReason);
+      attempt.answerEnded(exchange.failureReason);
       return AnswerResult.Broken;
     }
-    attempt.ended(`answered ${head.status}`);
+    attempt.answerEnded(`answered ${head.status}`);
     if (head.status >= 500) {
       breaker.recordFailedAnswer();
     } else {
@@ -72,7 +72,7 @@
       this.completion.refuseForBudget(refusal, this.lifetime.hasTimedOut);
       return AnswerResult.Ended;
     }
-    this.completion.setFallback({head, body, hasLength: exchange.hasLength});
+    this.completion.setFallback({head, body, framing: exchange.framing});
     return head.status >= 500 ? AnswerResult.Failed : AnswerResult.Answered;
   }
 
@@ -106,14 +106,14 @@
       () => this.lifetime.now(),
     );
     if (result === RelayResult.Complete) {
-      attempt.ended('complete stream');
+      attempt.answerEnded('complete stream');
       breaker.recordSuccess();
       caller.endStream();
       this.record.outcome = 'answered';
       return AnswerResult.Ended;
     }
     exchange.cancel('stream no longer relayed');
-    attempt.ended(`${result}: ${exchange.failureReason}`);
+    attempt.answerEnded(`${result}: ${exchange.failureReason}`);
     if (result === RelayResult.CallerLeft) {
       breaker.requestEnded();
       this.record.outcome = 'caller-left';
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -4,10 +4,12 @@
 import type {EndpointExchange} from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
-import type {RequestRecord} from './request-record.js';
+import type {AnswerRecord, RequestRecord} from './request-record.js';
 
 /** One attempt of a request at an endpoint. */
 export class EndpointAttempt {
+  private readonly eventsBefore: number;
+
   constructor(
     readonly endpoint: KnownEndpoint,
     readonly path: EndpointPath,
@@ -15,16 +17,26 @@
     readonly monitor: InactivityMonitor,
     private readonly record: RequestRecord,
     private readonly ageMilliseconds: () => number,
-  ) {}
+  ) {
+    this.eventsBefore = record.eventsDelivered;
+  }
 
   /** The endpoint's circuit breaker for the path of this attempt. */
   get breaker(): EndpointCircuitBreaker {
     return this.path.breakerOf(this.endpoint);
   }
 
+  /** Adds an attempt whose answer was read to the request's record. */
+  answerEnded(result: string): void {
+    const {framing, bodyEnd} = this.exchange;
+    const events = this.record.eventsDelivered - this.eventsBefore;
+    this.ended(result, {framing, bodyEnd, events});
+  }
+
   /** Adds the attempt to the request's record. */
-  ended(result: string): void {
+  ended(result: string, answer?: AnswerRecord): void {
     this.record.attempts.push({
+      answer,
       endpoint: this.endpoint.entry.id,
       path: this.path.kind,
       connection: this.exchange.connectionOrigin,
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -35,6 +35,26 @@
   Kept = 'kept',
 }
 
+/** What marks the end of an answer's body, as it appears in logs. */
+export enum AnswerFraming {
+  /** A content length. */
+  Length = 'length',
+  /** A last chunk. */
+  Chunked = 'chunked',
+  /** The end of its connection, which doesn't tell whether it is complete. */
+  UntilClose = 'until-close',
+}
+
+/** How an answer's body ended, as it appears in logs. */
+export enum BodyEnd {
+  /** At the end that its framing marks. */
+  Framed = 'framed',
+  /** The connection of an answer without a length ended. */
+  ConnectionClosed = 'closed',
+  /** The connection broke, or this host cancelled the exchange. */
+  Broken = 'broken',
+}
+
 /** Status and headers of an endpoint's answer. */
 export interface AnswerHead {
   readonly status: number;
@@ -216,16 +236,25 @@
     return this.incoming?.complete === true && this.failure === undefined;
   }
 
-  /**
-   * False for an answer without a length, whose end is only marked by the close
-   * of its connection.
-   */
-  get hasLength(): boolean {
+  /** What marks the end of the answer's body. */
+  get framing(): AnswerFraming {
     const headers = this.incoming?.headers;
-    return (
-      headers?.['content-length'] !== undefined ||
-      headers?.['transfer-encoding'] !== undefined
-    );
+    if (headers?.['transfer-encoding'] !== undefined) {
+      return AnswerFraming.Chunked;
+    }
+    return headers?.['content-length'] === undefined
+      ? AnswerFraming.UntilClose
+      : AnswerFraming.Length;
+  }
+
+  /** How the answer's body ended, once it has been read. */
+  get bodyEnd(): BodyEnd {
+    if (!this.isComplete) {
+      return BodyEnd.Broken;
+    }
+    return this.framing === AnswerFraming.UntilClose
+      ? BodyEnd.ConnectionClosed
+      : BodyEnd.Framed;
   }
 
   /**
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -39,6 +39,12 @@
     help: 'Attempts of requests after the first one.',
     registers: [this.registry],
   });
+  private readonly answers = new Counter({
+    name: 'wisteriadeal_endpoint_answers_total',
+    help: 'Answers of endpoints whose body was read, by framing and how the body ended.',
+    labelNames: ['framing', 'end'],
+    registers: [this.registry],
+  });
   private readonly turns = new Histogram({
     name: 'wisteriadeal_loop_turn_seconds',
     help: 'Busy time of an event loop turn between two polls of the sockets.',
@@ -86,6 +92,11 @@
     this.requests.inc({outcome, status: String(record.status)});
     this.durations.observe({outcome}, durationMilliseconds / 1_000);
     this.resends.inc(Math.max(0, record.attempts.length - 1));
+    for (const {answer} of record.attempts) {
+      if (answer !== undefined) {
+        this.answers.inc({framing: answer.framing, end: answer.bodyEnd});
+      }
+    }
   }
 
   /**
--- a/packages/gateway/src/request-completion.ts
+++ b/packages/gateway/src/request-completion.ts
@@ -1,5 +1,5 @@
 import type {Dialect} from './dialect.js';
-import type {AnswerHead} from './endpoint-exchange.js';
+import {AnswerFraming, type AnswerHead} from './endpoint-exchange.js';
 import {
   failureReply,
   notExecutedReply,
@@ -14,7 +14,7 @@
 export interface BufferedAnswer {
   readonly head: AnswerHead;
   readonly body: Buffer;
-  readonly hasLength: boolean;
+  readonly framing: AnswerFraming;
 }
 
 /** Retry delay given to callers of a service that has no usable endpoint. */
@@ -89,13 +89,13 @@
     this.record.outcome = `own: ${reply.reason}`;
   }
 
-  private forwardAnswer({head, body, hasLength}: BufferedAnswer): void {
+  private forwardAnswer({head, body, framing}: BufferedAnswer): void {
     const {caller} = this.context;
     const headers = this.dialect.answerHeaders(head.rawHeaders);
-    if (hasLength) {
-      caller.answer(head.status, headers, body);
-    } else {
+    if (framing === AnswerFraming.UntilClose) {
       caller.answerUntilClose(head.status, headers, body);
+    } else {
+      caller.answer(head.status, headers, body);
     }
     this.record.hasDelivered = true;
     this.record.status = head.status;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -26,7 +26,11 @@
 } from './local-reply.js';
 import {RequestBudget} from './request-budget.js';
 import {maximumTokens, type RequestContext} from './request-context.js';
-import {RequestRecord, UndeliveredCharge} from './request-record.js';
+import {
+  describeAttempt,
+  RequestRecord,
+  UndeliveredCharge,
+} from './request-record.js';
 import {RequestRun, type RunParts} from './request-run.js';
 import {ServiceStates} from './service-states.js';
 import type {StartGate} from './start-gate.js';
@@ -419,12 +423,7 @@
       longestPauseMilliseconds: Math.round(record.longestPauseMilliseconds),
       waitedForTokensMilliseconds: Math.round(record.tokenWaitMilliseconds),
       configuration: this.configuration.current?.version,
-      attempts: record.attempts
-        .map(
-          ({endpoint, path, connection, atMilliseconds, result}) =>
-            `${endpoint} (${path}, ${connection}) at ${atMilliseconds}: ${result}`,
-        )
-        .join('; '),
+      attempts: record.attempts.map(describeAttempt).join('; '),
     });
   }
 }
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -1,6 +1,18 @@
-import type {ConnectionOrigin} from './endpoint-exchange.js';
+import type {
+  AnswerFraming,
+  BodyEnd,
+  ConnectionOrigin,
+} from './endpoint-exchange.js';
 import type {PathKind} from './endpoint-path.js';
 
+/** How the body of an endpoint's answer came to its end. */
+export interface AnswerRecord {
+  readonly framing: AnswerFraming;
+  readonly bodyEnd: BodyEnd;
+  /** Number of its events that were delivered. */
+  readonly events: number;
+}
+
 /** One attempt of a request at an endpoint, for the request's log line. */
 export interface AttemptRecord {
   readonly endpoint: string;
@@ -8,6 +20,8 @@
   readonly connection: ConnectionOrigin;
   readonly atMilliseconds: number;
   readonly result: string;
+  /** Undefined if no body was read. */
+  readonly answer: AnswerRecord | undefined;
 }
 
 /** Charge for a request that may have run but had nothing delivered. */
@@ -18,6 +32,16 @@
   Prompt = 'prompt',
 }
 
+/** An attempt as it appears in the request's log line. */
+export function describeAttempt(attempt: AttemptRecord): string {
+  const {endpoint, path, connection, atMilliseconds, result, answer} = attempt;
+  const body =
+    answer === undefined
+      ? ''
+      : ` (${answer.framing}, ${answer.events} events, ${answer.bodyEnd})`;
+  return `${endpoint} (${path}, ${connection}) at ${atMilliseconds}: ${result}${body}`;
+}
+
 /** The outcome of a request, for its log line, metrics and bill. */
 export class RequestRecord {
   readonly attempts: AttemptRecord[] = [];
--- a/packages/gateway/src/test/request-record_test.ts
+++ b/packages/gateway/src/test/request-record_test.ts
@@ -1,6 +1,16 @@
 import {describe, expect, it} from 'vitest';
 
-import {RequestRecord, UndeliveredCharge} from '../request-record.js';
+import {
+  AnswerFraming,
+  BodyEnd,
+  ConnectionOrigin,
+} from '../endpoint-exchange.js';
+import {PathKind} from '../endpoint-path.js';
+import {
+  describeAttempt,
+  RequestRecord,
+  UndeliveredCharge,
+} from '../request-record.js';
 
 const PROMPT_TOKENS = 900;
 const MAXIMUM_OUTPUT_TOKENS = 100;
@@ -69,3 +79,32 @@
     );
   });
 });
+
+describe('the description of an attempt', () => {
+  const attempt = {
+    endpoint: 'i-1',
+    path: PathKind.Direct,
+    connection: ConnectionOrigin.New,
+    atMilliseconds: 12,
+    result: 'complete stream',
+    answer: undefined,
+  };
+
+  it('tells how an answer was framed and how it ended', () => {
+    // Guards against broken answers that look like complete ones in the log.
+    const answer = {
+      framing: AnswerFraming.UntilClose,
+      bodyEnd: BodyEnd.ConnectionClosed,
+      events: 0,
+    };
+    expect(describeAttempt({...attempt, answer})).toBe(
+      'i-1 (direct, new) at 12: complete stream (until-close, 0 events, closed)',
+    );
+  });
+
+  it('leaves out the answer of an attempt whose body was not read', () => {
+    expect(describeAttempt({...attempt, result: 'not-sent: refused'})).toBe(
+      'i-1 (direct, new) at 12: not-sent: refused',
+    );
+  });
+});
