--- a/packages/gateway/src/test/endpoint-exchange_test.ts
+++ b/packages/gateway/src/test/endpoint-exchange_test.ts
@@ -1,5 +1,5 @@
 import {once} from 'node:events';
-import {createServer, type Server} from 'node:http';
+import {createServer, type RequestListener, type Server} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 
@@ -26,8 +26,8 @@
 });
 
 /** Opens an exchange with an endpoint that sends a part every 5 ms. */
-async function openExchange(parts: number): Promise<EndpointExchange> {
-  const listening = createServer((_request, response) => {
+function openExchange(parts: number): Promise<EndpointExchange> {
+  return openExchangeWith((_request, response) => {
     let sent = 0;
     const timer = setInterval(() => {
       response.write(`part ${++sent};`);
@@ -39,6 +39,13 @@
       clearInterval(timer);
     });
   });
+}
+
+/** Opens an exchange, and waits for the answer's head. */
+async function openExchangeWith(
+  answer: RequestListener,
+): Promise<EndpointExchange> {
+  const listening = createServer(answer);
   server = listening;
   listening.listen(0, '127.0.0.1');
   await once(listening, 'listening');
@@ -102,4 +109,30 @@
       });
     await expect.poll(connected).toBe(0);
   });
+
+  it.each([
+    {headers: {Connection: 'close'}, isWhole: true},
+    {headers: {Connection: 'close', 'Content-Length': '5'}, isWhole: true},
+    {headers: {Connection: 'close', 'Content-Length': '6'}, isWhole: false},
+    {headers: {'Transfer-Encoding': 'chunked'}, isWhole: false},
+  ])(
+    'tells a whole answer from a broken one that ended before it is read ($headers)',
+    async ({headers, isWhole}) => {
+      // Guards against a break during the wait for tokens that passes for an end.
+      const exchange = await openExchangeWith(({socket}, response) => {
+        response.useChunkedEncodingByDefault = false;
+        response.writeHead(200, headers);
+        response.write('whole');
+        socket.end();
+      });
+      await new Promise(resolve => setTimeout(resolve, 30));
+      let text = '';
+      await exchange.read(chunk => {
+        text += chunk.toString();
+        return undefined;
+      });
+      expect(exchange.isComplete).toBe(isWhole);
+      expect(text === 'whole' || !isWhole).toBe(true);
+    },
+  );
 });
