Don't take the end of a connection for the end of a stream without events

The request was billed and logged as answered, the breaker counted a success, and a resumable stream was not resumed.

Cause: StreamRelay took a stream for complete if its exchange had ended and no part of an event was left over. An answer with neither a length nor chunks ends with its connection, and before its first event nothing is left over either.

Why it works: the end of a connection shows nothing by itself. Without a framing the stream has to end after an event with data that came from the same endpoint; a comment is none.

--- a/packages/gateway/src/event-stream-splitter.ts
+++ b/packages/gateway/src/event-stream-splitter.ts
@@ -6,6 +6,7 @@
 }
 
 const LINE_FEED = 0x0a;
+const DATA_LINE = /(?:^|\n)data[:\r\n]/;
 const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
 
 /**
@@ -41,6 +42,11 @@
   }
 }
 
+/** Whether an event carries data; comments and bare identifiers don't. */
+export function hasData({bytes}: StreamEvent): boolean {
+  return DATA_LINE.test(bytes.toString('latin1'));
+}
+
 /**
  * Index after the empty line that ends the first event; undefined if that line
  * has not arrived.
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,7 +1,8 @@
 import type {CallerExchange} from './caller-exchange.js';
-import type {EndpointExchange} from './endpoint-exchange.js';
+import {AnswerFraming, type EndpointExchange} from './endpoint-exchange.js';
 import {
   EventStreamSplitter,
+  hasData,
   type StreamEvent,
 } from './event-stream-splitter.js';
 import type {RequestRecord} from './request-record.js';
@@ -41,6 +42,8 @@
 class StreamRelay {
   private readonly splitter = new EventStreamSplitter();
   private isOutOfOrder = false;
+  /** Whether an event with data came from this endpoint. */
+  private hasEvent = false;
 
   constructor(
     private readonly exchange: EndpointExchange,
@@ -74,13 +77,25 @@
     if (this.caller.disconnectSignal.aborted) {
       return RelayResult.CallerLeft;
     }
-    const isComplete =
-      this.exchange.isComplete && this.splitter.incompleteEvent.length === 0;
-    return isComplete ? RelayResult.Complete : RelayResult.Cut;
+    return this.isComplete ? RelayResult.Complete : RelayResult.Cut;
+  }
+
+  /**
+   * Whether the endpoint sent its whole stream. The end of a connection alone
+   * doesn't show that: a stream without a length has to end after an event.
+   */
+  private get isComplete(): boolean {
+    const {isComplete, framing} = this.exchange;
+    return (
+      isComplete &&
+      this.splitter.incompleteEvent.length === 0 &&
+      (this.hasEvent || framing !== AnswerFraming.UntilClose)
+    );
   }
 
   private forward(events: readonly StreamEvent[]): Promise<void> | undefined {
     this.monitor.eventReceived();
+    this.hasEvent ||= events.some(hasData);
     for (const {id} of events) {
       this.record.eventDelivered(this.now());
       this.record.lastEventId = id ?? this.record.lastEventId;
