Don't take the end of a tunnel for the end of an answer without a length

If a relay stopped or was killed while it forwarded an answer without a length or chunks, the host took the tunnel's end for the endpoint's: part of an answer passed for the whole.

Cause: the system closes the connections of a process that ends as an endpoint does, and the host knew no difference. Evidence: two of the five new cases of tunnels_test failed before (the relay closes the tunnel, the relay is gone: isComplete true after the first part of two); a whole answer, and one whose connection is reset after its end, passed before and pass now.

A relay that stops stays 0.2 s longer for the question. Nothing is asked for answers with a length or chunks, or over own connections. A relay of the code before doesn't know the question, so that such an answer counts as broken while both codes run.

--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -70,6 +70,13 @@
  * the answer to the next one.
  */
 export class EndpointConnectionPool extends Agent {
+  /**
+   * Whether the end of a connection is that of the endpoint's connection, so
+   * that it may mark the end of an answer without a length.
+   */
+  readonly confirmEnd: (socket: Socket) => Promise<boolean> = () =>
+    Promise.resolve(true);
+
   private readonly guards = new WeakMap<Socket, IdleGuard>();
   private meanConnectMilliseconds = 0;
   private readonly idleLimits = new WeakMap<Socket, number>();
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -43,6 +43,8 @@
   Chunked = 'chunked',
   /** The end of its connection, which doesn't tell whether it is complete. */
   UntilClose = 'until-close',
+  /** Nothing: answers of this status or to this method have no body. */
+  NoBody = 'no-body',
 }
 
 /** How an answer's body ended, as it appears in logs. */
@@ -87,6 +89,8 @@
  */
 const MAXIMUM_BUFFERED_BODY_BYTES = 8 * 1024 * 1024;
 
+const BODILESS_STATUSES: readonly number[] = [204, 304];
+
 /** One request to one endpoint, and its answer. */
 export class EndpointExchange {
   private readonly outgoing: ClientRequest;
@@ -198,33 +202,22 @@
    *     may return has resolved.
    * @throws The error that `onChunk` throws.
    */
-  read(onChunk: (chunk: Buffer) => Promise<void> | undefined): Promise<void> {
+  async read(
+    onChunk: (chunk: Buffer) => Promise<void> | undefined,
+  ): Promise<void> {
     const {incoming} = this;
     if (incoming === undefined || incoming.destroyed) {
       this.failure ??= 'answer cut';
-      return Promise.resolve();
+      return;
+    }
+    const {socket} = incoming;
+    await this.readChunks(incoming, onChunk);
+    if (
+      this.bodyEnd === BodyEnd.ConnectionClosed &&
+      !(await this.connections.confirmEnd(socket))
+    ) {
+      this.failure ??= 'end not confirmed by the relay';
     }
-    return new Promise((resolve, reject) => {
-      let consumed: Promise<void> | undefined;
-      const finish = () => {
-        // A paused stream still emits its end once it has no more chunks.
-        resolve(consumed);
-      };
-      incoming.on('error', error => {
-        this.failure ??= String(error);
-      });
-      incoming.once('end', finish);
-      incoming.once('close', finish);
-      incoming.on('data', (chunk: Buffer) => {
-        try {
-          consumed = onChunk(chunk);
-          pauseUntil(incoming, consumed);
-        } catch (error) {
-          this.cancel('relaying failed');
-          reject(error instanceof Error ? error : new Error(String(error)));
-        }
-      });
-    });
   }
 
   /**
@@ -242,9 +235,10 @@
     if (headers?.['transfer-encoding'] !== undefined) {
       return AnswerFraming.Chunked;
     }
-    return headers?.['content-length'] === undefined
-      ? AnswerFraming.UntilClose
-      : AnswerFraming.Length;
+    if (headers?.['content-length'] !== undefined) {
+      return AnswerFraming.Length;
+    }
+    return this.mayHaveBody ? AnswerFraming.UntilClose : AnswerFraming.NoBody;
   }
 
   /** How the answer's body ended, once it has been read. */
@@ -290,10 +284,44 @@
     }
   }
 
+  private get mayHaveBody(): boolean {
+    const status = this.incoming?.statusCode ?? 0;
+    return (
+      this.dispatched.method !== 'HEAD' && !BODILESS_STATUSES.includes(status)
+    );
+  }
+
   private get isConnected(): boolean {
     return this.origin !== ConnectionOrigin.None;
   }
 
+  private readChunks(
+    incoming: IncomingMessage,
+    onChunk: (chunk: Buffer) => Promise<void> | undefined,
+  ): Promise<void> {
+    return new Promise((resolve, reject) => {
+      let consumed: Promise<void> | undefined;
+      const finish = () => {
+        // A paused stream still emits its end once it has no more chunks.
+        resolve(consumed);
+      };
+      incoming.on('error', error => {
+        this.failure ??= String(error);
+      });
+      incoming.once('end', finish);
+      incoming.once('close', finish);
+      incoming.on('data', (chunk: Buffer) => {
+        try {
+          consumed = onChunk(chunk);
+          pauseUntil(incoming, consumed);
+        } catch (error) {
+          this.cancel('relaying failed');
+          reject(error instanceof Error ? error : new Error(String(error)));
+        }
+      });
+    });
+  }
+
   private recordConnectFailure(startedAt: number | undefined): void {
     if (startedAt !== undefined && !this.isConnected) {
       const {connections, endpoint, failureReason} = this;
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -5,6 +5,7 @@
 
 import {listen, portOf, type ListenAddress} from './listening.js';
 import type {LoanHolder} from './loan-peers.js';
+import {TUNNEL_END_PATH} from './tunnel-protocol.js';
 import type {TunnelServer} from './tunnel-server.js';
 
 /**
@@ -22,8 +23,8 @@
 }
 
 /**
- * Server for other hosts, which request loans, hand over their tokens when they stop, and
- * open tunnels to endpoints. It uses HTTP/1.1 for the reason given at `ConnectLoanPeers`.
+ * Server for other hosts, which request loans, hand over their tokens when they stop, open
+ * tunnels to endpoints and ask how these ended. It uses HTTP/1.1 for the reason given at `ConnectLoanPeers`.
  */
 export class PeerServer {
   private constructor(
@@ -46,7 +47,15 @@
       },
     });
     const server = createServer((request, response) => {
-      routes(request, response);
+      const path = request.url ?? '';
+      if (path.startsWith(TUNNEL_END_PATH)) {
+        const id = path.slice(TUNNEL_END_PATH.length);
+        response.statusCode =
+          tunnels?.wasEndedByEndpoint(id) === true ? 204 : 404;
+        response.end();
+      } else {
+        routes(request, response);
+      }
     });
     server.on('connect', (request, socket) => {
       if (tunnels === undefined || !(socket instanceof Socket)) {
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -1,4 +1,5 @@
 import {NetworkTimeout, type HostLink} from '@wisteriadeal/platform';
+import {randomUUID} from 'node:crypto';
 import {request, type ClientRequest, type ClientRequestArgs} from 'node:http';
 import {Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
@@ -10,7 +11,12 @@
 import {listenAddress} from './listening.js';
 import type {Relay, RelayDirectory} from './relay-directory.js';
 import {NoRelayError, RelayedConnectError} from './relay-errors.js';
-import {TUNNEL_ENDPOINT_HEADER, TunnelStatus} from './tunnel-protocol.js';
+import {wasEndedByEndpoint} from './tunnel-end-query.js';
+import {
+  TUNNEL_ENDPOINT_HEADER,
+  TUNNEL_ID_HEADER,
+  TunnelStatus,
+} from './tunnel-protocol.js';
 
 /**
  * Time after its opening in which a tunnel may get further requests. A stopping relay
@@ -32,6 +38,14 @@
   readonly endpointId: string;
 }
 
+/** A tunnel as its relay knows it. */
+interface OpenTunnel {
+  readonly id: string;
+  readonly relayAddress: string;
+  /** On the monotonic clock, milliseconds. */
+  readonly openedAt: number;
+}
+
 /** Response to a CONNECT request; the socket is usable only if the tunnel is open. */
 interface TunnelResponse {
   readonly status: number;
@@ -43,7 +57,19 @@
  * lost its own paths to them.
  */
 export class RelayedConnectionPool extends EndpointConnectionPool {
-  private readonly openedAt = new WeakMap<Duplex, number>();
+  /** Asks the relay, whose own end closes its tunnels as well. */
+  override readonly confirmEnd = (socket: Socket): Promise<boolean> => {
+    const tunnel = this.tunnels.get(socket);
+    return tunnel === undefined
+      ? Promise.resolve(false)
+      : wasEndedByEndpoint(
+          tunnel.relayAddress,
+          tunnel.id,
+          RELAY_TIMEOUT_MILLISECONDS + this.link.delayMilliseconds,
+        );
+  };
+
+  private readonly tunnels = new WeakMap<Duplex, OpenTunnel>();
 
   /** @param relays Hosts that may relay to the service. */
   constructor(
@@ -76,7 +102,8 @@
 
   /** Also closes a tunnel that is too old for further requests. */
   override keepSocketAlive(socket: Socket): boolean {
-    const age = performance.now() - (this.openedAt.get(socket) ?? -Infinity);
+    const openedAt = this.tunnels.get(socket)?.openedAt ?? -Infinity;
+    const age = performance.now() - openedAt;
     const left = TUNNEL_REUSE_MILLISECONDS - age;
     return left > 0 && super.keepSocketAlive(socket, left);
   }
@@ -113,10 +140,11 @@
     milliseconds: number,
   ): Promise<Socket | undefined> {
     const {address} = relay.host;
-    const response = await requestTunnel(address, target, milliseconds);
+    const id = randomUUID();
+    const response = await requestTunnel(address, target, id, milliseconds);
     if (response?.status === TunnelStatus.Open) {
       this.relays.recordSuccess(relay);
-      this.track(response.socket, relay);
+      this.track(response.socket, relay, id);
       return response.socket;
     }
     response?.socket.destroy();
@@ -133,8 +161,10 @@
     }
   }
 
-  private track(socket: Socket, relay: Relay): void {
-    this.openedAt.set(socket, performance.now());
+  private track(socket: Socket, relay: Relay, id: string): void {
+    const relayAddress = relay.host.address;
+    const openedAt = performance.now();
+    this.tunnels.set(socket, {id, relayAddress, openedAt});
     socket.setNoDelay(true);
     relay.openConnections++;
     socket.once('close', () => {
@@ -147,6 +177,7 @@
 function requestTunnel(
   relayAddress: string,
   {authority, endpointId}: TunnelTarget,
+  tunnelId: string,
   milliseconds: number,
 ): Promise<TunnelResponse | undefined> {
   const {address, port} = listenAddress(relayAddress);
@@ -157,7 +188,10 @@
       port,
       method: 'CONNECT',
       path: authority,
-      headers: {[TUNNEL_ENDPOINT_HEADER]: endpointId},
+      headers: {
+        [TUNNEL_ENDPOINT_HEADER]: endpointId,
+        [TUNNEL_ID_HEADER]: tunnelId,
+      },
     });
     const timeout = new NetworkTimeout(milliseconds, () => {
       outgoing.destroy();
--- a/packages/gateway/src/request-completion.ts
+++ b/packages/gateway/src/request-completion.ts
@@ -92,10 +92,10 @@
   private forwardAnswer({head, body, framing}: BufferedAnswer): void {
     const {caller} = this.context;
     const headers = this.dialect.answerHeaders(head.rawHeaders);
-    if (framing === AnswerFraming.UntilClose) {
-      caller.answerUntilClose(head.status, headers, body);
-    } else {
+    if (framing === AnswerFraming.Length || framing === AnswerFraming.Chunked) {
       caller.answer(head.status, headers, body);
+    } else {
+      caller.answerUntilClose(head.status, headers, body);
     }
     this.record.hasDelivered = true;
     this.record.status = head.status;
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -13,7 +13,9 @@
   EndpointConnectionPool,
   type EndpointRequestOptions,
 } from '../endpoint-connection-pool.js';
+import type {Dialect} from '../dialect.js';
 import {KnownEndpoint, type EndpointDirectory} from '../endpoint-directory.js';
+import {EndpointExchange} from '../endpoint-exchange.js';
 import {GatewayMetrics} from '../gateway-metrics.js';
 import type {LoanHolder} from '../loan-peers.js';
 import {PeerServer} from '../peer-server.js';
@@ -27,6 +29,15 @@
   takeOver: () => false,
 };
 
+const dialect = {
+  endpointAnswer: () => ({
+    attemptId: undefined,
+    isNotRun: false,
+    closesConnection: false,
+    hasProof: true,
+  }),
+} as unknown as Dialect;
+
 /** An answer, or the error that ended the exchange. */
 interface Received {
   readonly body: string;
@@ -235,6 +246,90 @@
   });
 });
 
+describe('an answer that ends with its tunnel', () => {
+  /** Answers without a length, and ends the connection after the second part. */
+  function answerInTwoParts(): void {
+    answer = (_request, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.write('first,');
+      setTimeout(() => response.end('second'), 60);
+    };
+  }
+
+  /** Reads an answer as a request does, and calls `onFirst` after its first part. */
+  async function readAnswer(
+    onFirst: () => void = () => undefined,
+  ): Promise<Received> {
+    const open = new EndpointExchange(dialect, pool, endpoint.entry, {
+      method: 'GET',
+      target: '/',
+      headers: ['Host', 'models'],
+      body: undefined,
+      attemptId: undefined,
+    });
+    await open.head();
+    let body = '';
+    await open.read(chunk => {
+      body += chunk.toString();
+      onFirst();
+      return undefined;
+    });
+    return {body, isComplete: open.isComplete, error: open.failureReason};
+  }
+
+  it('is complete if its endpoint ended it', async () => {
+    await startRelay();
+    answerInTwoParts();
+    expect(await readAnswer()).toMatchObject({
+      body: 'first,second',
+      isComplete: true,
+    });
+  });
+
+  it('is not complete if the relay closed the tunnel', async () => {
+    // Guards against a relay that stops in the middle of an answer.
+    const relay = await startRelay();
+    answerInTwoParts();
+    const received = await readAnswer(() => {
+      relay.tunnels.close();
+    });
+    expect(received).toMatchObject({body: 'first,', isComplete: false});
+  });
+
+  it('is not complete if the relay is gone', async () => {
+    // Guards against a killed relay whose connections the system closes.
+    const relay = await startRelay();
+    answerInTwoParts();
+    const received = await readAnswer(() => {
+      void relay.close();
+    });
+    expect(received).toMatchObject({body: 'first,', isComplete: false});
+  });
+
+  it('is not awaited for an answer without a body', async () => {
+    // Guards against answers without a body that are taken for broken ones.
+    await startRelay();
+    answer = (_request, response) => {
+      response.writeHead(204).end();
+    };
+    expect(await readAnswer()).toMatchObject({body: '', isComplete: true});
+  });
+
+  it('is complete if its endpoint resets the connection after the end', async () => {
+    // Guards against whole answers that a late reset takes along.
+    await startRelay();
+    answer = ({socket}, response) => {
+      response.useChunkedEncodingByDefault = false;
+      response.end('whole');
+      socket.once('end', () => socket.resetAndDestroy());
+    };
+    expect(await readAnswer()).toMatchObject({
+      body: 'whole',
+      isComplete: true,
+    });
+  });
+});
+
 describe('a host that needs a relay', () => {
   it('tries another one if the first is full or cut off as well', async () => {
     const full = await startRelay();
--- a/packages/gateway/src/tunnel-protocol.ts
+++ b/packages/gateway/src/tunnel-protocol.ts
@@ -4,6 +4,15 @@
  */
 export const TUNNEL_ENDPOINT_HEADER = 'endpoint-id';
 
+/** Header of a CONNECT request between hosts with an identifier for the tunnel. */
+export const TUNNEL_ID_HEADER = 'tunnel-id';
+
+/**
+ * Path prefix of a request between hosts: 204 if the tunnel with the identifier
+ * that follows was ended by its endpoint.
+ */
+export const TUNNEL_END_PATH = '/tunnel-ends/';
+
 /** Response status to a CONNECT request between hosts. */
 export enum TunnelStatus {
   /** The connection to the endpoint is open, and bytes are relayed from now on. */
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -6,7 +6,12 @@
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
-import {TUNNEL_ENDPOINT_HEADER, TunnelStatus} from './tunnel-protocol.js';
+import {TunnelEnds} from './tunnel-ends.js';
+import {
+  TUNNEL_ENDPOINT_HEADER,
+  TUNNEL_ID_HEADER,
+  TunnelStatus,
+} from './tunnel-protocol.js';
 
 /** Dependencies of `TunnelServer`. */
 export interface TunnelServerParts {
@@ -21,6 +26,11 @@
 
 /** Maximum number of open tunnels; each takes two sockets and their buffers. */
 const MAXIMUM_TUNNELS = 512;
+/**
+ * Time in which the other host asks how a tunnel ended, milliseconds; a stop
+ * waits for it.
+ */
+const END_QUERY_MILLISECONDS = 200;
 /** Idle time after which the system checks whether the other host still exists. */
 const KEEP_ALIVE_MILLISECONDS = 5_000;
 
@@ -34,11 +44,21 @@
  */
 export class TunnelServer {
   private readonly tunnels = new Set<Tunnel>();
+  private readonly ends = new TunnelEnds();
   private isStopping = false;
   private onIdle: (() => void) | undefined;
 
   constructor(private readonly parts: TunnelServerParts) {}
 
+  /**
+   * Whether a tunnel was ended by its endpoint. The end of a connection is all
+   * that marks the end of an answer without a length, and a tunnel also ends
+   * when its relay does.
+   */
+  wasEndedByEndpoint(tunnelId: string): boolean {
+    return this.ends.has(tunnelId);
+  }
+
   /** Number of tunnels that are open or being opened. */
   get openTunnels(): number {
     return this.tunnels.size;
@@ -51,7 +71,11 @@
     if (endpoint?.isOpen !== true) {
       this.refuse(socket, TunnelStatus.EndpointUnknown);
     } else if (this.canRelayTo(endpoint)) {
-      this.open(endpoint, socket);
+      this.open(
+        endpoint,
+        socket,
+        String(request.headers[TUNNEL_ID_HEADER] ?? ''),
+      );
     } else {
       this.refuse(socket, TunnelStatus.Unavailable);
     }
@@ -96,19 +120,34 @@
     endWith(socket, status);
   }
 
-  private open(endpoint: KnownEndpoint, socket: Socket): void {
+  private open(endpoint: KnownEndpoint, socket: Socket, id: string): void {
     const {connections, metrics} = this.parts;
     const tunnel = new Tunnel(endpoint, socket, connections, status => {
       metrics.tunnelAnswered(status);
     });
     this.tunnels.add(tunnel);
+    let isEndKept = false;
+    tunnel.onEndedByEndpoint(() => {
+      isEndKept = true;
+      this.ends.record(id);
+    });
     tunnel.onClosed(() => {
-      this.tunnels.delete(tunnel);
-      if (this.tunnels.size === 0) {
-        this.onIdle?.();
+      if (isEndKept) {
+        setTimeout(() => {
+          this.remove(tunnel);
+        }, END_QUERY_MILLISECONDS).unref();
+      } else {
+        this.remove(tunnel);
       }
     });
   }
+
+  private remove(tunnel: Tunnel): void {
+    this.tunnels.delete(tunnel);
+    if (this.tunnels.size === 0) {
+      this.onIdle?.();
+    }
+  }
 }
 
 /** One relayed connection. */
@@ -162,6 +201,11 @@
     }
   }
 
+  /** Sets the listener for an end of the endpoint's connection without an error. */
+  onEndedByEndpoint(listener: () => void): void {
+    this.outbound.once('end', listener);
+  }
+
   /** Sets the listener for the end of the tunnel. */
   onClosed(listener: () => void): void {
     this.inbound.once('close', listener);
