Don't count JSON that ends inside its value as an answer

A success with neither a length nor chunks that was cut in the middle of its JSON was passed on, billed, counted as the endpoint's success, and not requested again where that is allowed.

Cause: the end of the connection was all that marked the end. The answer keeps its framing, so the caller was told nothing false, but the host could have known better.

Why it works: a text that ends inside a string or with open brackets is no JSON, whatever follows; this is looked for in successes without a length only. Text that isn't JSON or says something else of itself is passed on as it is.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -1,7 +1,12 @@
 import {RouteKind} from './configuration.js';
 import type {Dialect} from './dialect.js';
 import type {EndpointAttempt} from './endpoint-attempt.js';
-import type {AnswerHead} from './endpoint-exchange.js';
+import {
+  AnswerFraming,
+  type AnswerHead,
+  type EndpointExchange,
+} from './endpoint-exchange.js';
+import {endsInsideJson, isJsonType} from './json-ending.js';
 import type {RequestBudget} from './request-budget.js';
 import type {RequestCompletion} from './request-completion.js';
 import type {RequestContext} from './request-context.js';
@@ -61,6 +66,11 @@
       attempt.answerEnded(exchange.failureReason);
       return AnswerResult.Broken;
     }
+    // A failure means what its status says, whatever came of its body.
+    if (head.status < 300 && endsInside(body, exchange)) {
+      attempt.answerEnded('ends inside its JSON value');
+      return AnswerResult.Broken;
+    }
     attempt.answerEnded(`answered ${head.status}`);
     if (head.status >= 500) {
       breaker.recordFailedAnswer();
@@ -137,3 +147,18 @@
     );
   }
 }
+
+/**
+ * Whether a body breaks off. The end of a connection doesn't show that an answer
+ * without a length is complete; its content may show that it isn't.
+ */
+function endsInside(
+  body: Buffer,
+  {framing, contentType}: EndpointExchange,
+): boolean {
+  return (
+    framing === AnswerFraming.UntilClose &&
+    isJsonType(contentType) &&
+    endsInsideJson(body.toString())
+  );
+}
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -241,6 +241,11 @@
     return this.mayHaveBody ? AnswerFraming.UntilClose : AnswerFraming.NoBody;
   }
 
+  /** The answer's content type; empty if it states none. */
+  get contentType(): string {
+    return this.incoming?.headers['content-type'] ?? '';
+  }
+
   /** How the answer's body ended, once it has been read. */
   get bodyEnd(): BodyEnd {
     if (!this.isComplete) {
