Log which broken requests are the same request

Each attempt of a caller has its own identifier, so that the log couldn't tell whether one request comes again or several do.

The line of a request whose answer broke off now has a digest of method, target, host, key and body. No decision uses it yet. Checked: its test, gateway_test, types, lint.

--- a/packages/gateway/src/request-context.ts
+++ b/packages/gateway/src/request-context.ts
@@ -7,11 +7,13 @@
   type Route,
   type ServiceDescription,
 } from './configuration.js';
+import type {RequestIdentity} from './request-identity.js';
 
 /** An admitted request with everything needed to place and run it. */
 export interface RequestContext {
   readonly caller: CallerExchange;
   readonly body: Buffer | undefined;
+  readonly identity: RequestIdentity;
   readonly route: Route;
   readonly service: ServiceDescription;
   readonly organisation: Organisation | undefined;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -26,6 +26,7 @@
 } from './local-reply.js';
 import {RequestBudget} from './request-budget.js';
 import {maximumTokens, type RequestContext} from './request-context.js';
+import {RequestIdentity} from './request-identity.js';
 import {
   describeAttempt,
   RequestRecord,
@@ -257,6 +258,7 @@
     return {
       caller,
       body,
+      identity: new RequestIdentity(caller, body),
       route,
       service,
       organisation,
@@ -423,6 +425,7 @@
       longestPauseMilliseconds: Math.round(record.longestPauseMilliseconds),
       waitedForTokensMilliseconds: Math.round(record.tokenWaitMilliseconds),
       configuration: this.configuration.current?.version,
+      identity: record.brokenIdentity,
       attempts: record.attempts.map(describeAttempt).join('; '),
     });
   }
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -167,12 +167,13 @@
 
   /** Handles a request that reached the endpoint but got no complete answer. */
   private afterBroken({breaker}: EndpointAttempt): NextStep {
-    const {context, lifetime} = this.parts;
+    const {context, lifetime, record} = this.parts;
     if (lifetime.isAbandoned) {
       breaker.requestEnded();
       return this.giveUp(LocalReplyReason.TimedOut);
     }
     breaker.recordConnectionFailure(lifetime.now());
+    record.brokenIdentity = context.identity.digest;
     return isRepeatable(context.route)
       ? this.retryOrGiveUp(LocalReplyReason.AnswerLost, false)
       : this.giveUp(LocalReplyReason.AnswerLost);
