Give a single trial connect a file of its own

No change of behaviour. ConnectTrials opened its connections itself; the examination of an endpoint whose answer broke needs the same connect without its bookkeeping. ConnectTrial opens a connection, sends nothing and says how that ended; ConnectTrials records the results as before.

--- a/packages/gateway/src/connect-trials.ts
+++ b/packages/gateway/src/connect-trials.ts
@@ -1,6 +1,4 @@
-import {NetworkTimeout} from '@wisteriadeal/platform';
-import {connect, type Socket} from 'node:net';
-
+import {ConnectTrial, ConnectTrialEnd} from './connect-trial.js';
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointEntry} from './endpoint-entry.js';
@@ -20,11 +18,11 @@
 
 /**
  * Opens and closes connections to endpoints to find out whether this host still reaches
- * a service. Nothing is sent, so a trial costs an endpoint less than a status check.
+ * a service.
  */
 export class ConnectTrials {
   private readonly startedAt = new Map<string, number>();
-  private readonly sockets = new Set<Socket>();
+  private running = new Set<ConnectTrial>();
 
   constructor(private readonly parts: ConnectTrialParts) {}
 
@@ -42,14 +40,16 @@
     }
     this.startedAt.set(service, now);
     for (const {entry} of this.chosenEndpoints(service, count)) {
-      this.connectTo(entry);
+      void this.connectTo(entry);
     }
   }
 
   /** Ends all trials. */
   close(): void {
-    for (const socket of this.sockets) {
-      socket.destroy();
+    const {running} = this;
+    this.running = new Set();
+    for (const trial of running) {
+      trial.close();
     }
   }
 
@@ -68,32 +68,21 @@
     return [...(local === undefined ? [] : [local]), ...others].slice(0, count);
   }
 
-  private connectTo(endpoint: EndpointEntry): void {
+  private async connectTo(endpoint: EndpointEntry): Promise<void> {
     const {connections} = this.parts;
-    const startedAt = performance.now();
-    const socket = connect({host: endpoint.address, port: endpoint.port});
-    const fail = (reason: string) => {
-      connections.recordConnectFailure(endpoint, startedAt, reason);
-      socket.destroy();
-    };
-    const timeout = new NetworkTimeout(
+    const trial = new ConnectTrial(
+      endpoint,
       connections.connectTimeoutMilliseconds,
-      () => {
-        fail('connect timeout');
-      },
     );
-    this.sockets.add(socket);
-    socket.once('connect', () => {
-      timeout.close();
+    this.running.add(trial);
+    const {end, startedAt, reason} = await trial.result;
+    if (!this.running.delete(trial)) {
+      return;
+    }
+    if (end === ConnectTrialEnd.Accepted) {
       connections.recordConnect(endpoint, startedAt);
-      socket.destroy();
-    });
-    socket.once('error', error => {
-      fail(error.message);
-    });
-    socket.once('close', () => {
-      timeout.close();
-      this.sockets.delete(socket);
-    });
+    } else {
+      connections.recordConnectFailure(endpoint, startedAt, reason);
+    }
   }
 }
