Decide which requests may be sent to endpoints after crashes

CrashSuspects counts, for each request, the endpoints that crashed while they began to run it: served as before after one, one try at a time after two, three more tries in all after three (10 s, 1 min, 5 min), cleared by a success. Knowledge of several hosts merges in any order with one result.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -44,3 +44,4 @@
 export * from './service-reach.js';
 export * from './relay-choice.js';
 export * from './service-silence.js';
+export * from './crash-suspects.js';
