Refuse requests that crash the engines that run them

Cause: nothing remembered a request beyond its own attempts. It comes under a new identifier at any host, and each host sent it to its best endpoint.

Why it works: a broken answer is a crash if its endpoint then refuses a connection or leaves the list; what the endpoint had just begun to run is suspected by a digest of method, target, host, key and body, and all hosts are told. The second crash makes a request a suspect that is tried once at a time in the fleet, the third leaves three tries. One host decides on a try, and hosts that start ask others. Single answers that a living endpoint breaks off count for nothing, a success clears, and a heartbeat of the endpoint takes its crash back.

--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -4,8 +4,15 @@
 import type {EndpointExchange} from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
+import type {RequestIdentity} from './request-identity.js';
 import type {AnswerRecord, RequestRecord} from './request-record.js';
 
+/**
+ * An endpoint that a request crashes ends within a fraction of this after it
+ * began to answer; one that was served for longer did not crash it.
+ */
+const JUST_BEGUN_MILLISECONDS = 1_000;
+
 /** One attempt of a request at an endpoint. */
 export class EndpointAttempt {
   private readonly eventsBefore: number;
@@ -15,12 +22,25 @@
     readonly path: EndpointPath,
     readonly exchange: EndpointExchange,
     readonly monitor: InactivityMonitor,
+    readonly identity: RequestIdentity,
     private readonly record: RequestRecord,
     private readonly ageMilliseconds: () => number,
   ) {
     this.eventsBefore = record.eventsDelivered;
   }
 
+  /**
+   * Whether the endpoint has not answered for long, so that this request may be
+   * what it does first.
+   */
+  get hasJustBegun(): boolean {
+    const {timeToFirstByte, elapsedMilliseconds} = this.monitor;
+    return (
+      timeToFirstByte === undefined ||
+      elapsedMilliseconds - timeToFirstByte < JUST_BEGUN_MILLISECONDS
+    );
+  }
+
   /** The endpoint's circuit breaker for the path of this attempt. */
   get breaker(): EndpointCircuitBreaker {
     return this.path.breakerOf(this.endpoint);
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -39,13 +39,13 @@
    *     to.
    */
   choose(
-    {route, service, caller}: RequestContext,
+    {route, service, caller, isTry}: RequestContext,
     avoided: ReadonlySet<string>,
   ): ChosenEndpoint | undefined {
     const path = this.paths.pathTo(service.name);
     const candidates = this.candidates(service.name, path);
     const sharedPart =
-      route.kind === RouteKind.Streaming
+      route.kind === RouteKind.Streaming && !isTry
         ? (caller.headers.promptParts.at(-2)?.id ?? '')
         : undefined;
     const chosen = placeRequest(
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -49,6 +49,11 @@
     this.confirmedOpenAt = Math.max(this.confirmedOpenAt, sentAt);
   }
 
+  /** Identifies one run of the endpoint; it may start again under its identifier. */
+  get incarnation(): string {
+    return `${this.entry.id}/${this.entry.bornAt}`;
+  }
+
   /** Whether the endpoint may get new requests. */
   get isOpen(): boolean {
     return !this.entry.isLeaving && !this.hasAnnouncedLeaving;
@@ -75,6 +80,9 @@
   readonly isLinkCongested: () => boolean;
 }
 
+/** Called with an endpoint's incarnation. */
+type IncarnationListener = (incarnation: string) => void;
+
 /** The endpoints on the platform's list. */
 export class EndpointDirectory extends KeyedTopicReader {
   private readonly endpoints = new Map<string, KnownEndpoint>();
@@ -86,6 +94,11 @@
   /** Offset of the latest record of each key. */
   private readonly offsets = new Map<string, number>();
   private readonly readListeners: (() => void)[] = [];
+  private readonly goneListeners: IncarnationListener[] = [];
+  private readonly heartbeatListeners: ((
+    incarnation: string,
+    writtenAfter: number,
+  ) => void)[] = [];
   /**
    * The list includes every change written before this time; monotonic clock,
    * milliseconds.
@@ -108,6 +121,21 @@
     this.readListeners.push(listener);
   }
 
+  /** Adds a listener for endpoints that are off the list. */
+  onGone(listener: IncarnationListener): void {
+    this.goneListeners.push(listener);
+  }
+
+  /**
+   * Adds a listener for new entries of listed endpoints. It gets a time on the
+   * monotonic clock, milliseconds, after which the entry was written.
+   */
+  onHeartbeat(
+    listener: (incarnation: string, writtenAfter: number) => void,
+  ): void {
+    this.heartbeatListeners.push(listener);
+  }
+
   /** All known endpoints, including those that are leaving. */
   get all(): readonly KnownEndpoint[] {
     return [...this.endpoints.values()];
@@ -145,7 +173,8 @@
 
   override changed(record: KeyedRecord): void {
     const {key, value, offset} = record;
-    if (offset < (this.offsets.get(key) ?? -1)) {
+    const knownOffset = this.offsets.get(key) ?? -1;
+    if (offset < knownOffset) {
       return;
     }
     this.offsets.set(key, offset);
@@ -162,7 +191,12 @@
       });
       return;
     }
-    this.entryListed(entry, offset);
+    const endpoint = this.entryListed(entry, offset);
+    if (offset > knownOffset) {
+      for (const listener of this.heartbeatListeners) {
+        listener(endpoint.incarnation, this.currentAsOf);
+      }
+    }
   }
 
   override replaced(records: readonly KeyedRecord[]): void {
@@ -215,12 +249,15 @@
     );
   }
 
-  private entryListed(entry: EndpointEntry, offset: number): void {
+  private entryListed(entry: EndpointEntry, offset: number): KnownEndpoint {
     this.unlisted.delete(entry.id);
     const known = this.endpoints.get(entry.id);
     if (known?.entry.bornAt === entry.bornAt) {
       this.update(known, entry, offset);
-      return;
+      return known;
+    }
+    if (known !== undefined) {
+      this.forget(known);
     }
     const endpoint = new KnownEndpoint(entry, () => {
       this.events.info('circuit breaker opened', {endpoint: entry.id});
@@ -232,6 +269,14 @@
       isLeaving: entry.isLeaving,
       offset,
     });
+    return endpoint;
+  }
+
+  private forget(endpoint: KnownEndpoint): void {
+    this.endpoints.delete(endpoint.entry.id);
+    for (const listener of this.goneListeners) {
+      listener(endpoint.incarnation);
+    }
   }
 
   private update(
@@ -246,7 +291,8 @@
   }
 
   private entryRemoved(id: string): void {
-    if (!this.endpoints.has(id)) {
+    const endpoint = this.endpoints.get(id);
+    if (endpoint === undefined) {
       return;
     }
     const now = this.clock.monotonicMilliseconds();
@@ -257,7 +303,7 @@
       this.events.warn('unlisted endpoint kept', {endpoint: id});
       return;
     }
-    this.endpoints.delete(id);
+    this.forget(endpoint);
     this.events.info('endpoint gone', {endpoint: id});
   }
 
@@ -272,7 +318,10 @@
       return;
     }
     for (const id of this.unlisted.keys()) {
-      this.endpoints.delete(id);
+      const endpoint = this.endpoints.get(id);
+      if (endpoint !== undefined) {
+        this.forget(endpoint);
+      }
       this.events.info('endpoint gone', {
         endpoint: id,
         reason: 'not listed again after the store outage',
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -96,6 +96,7 @@
   private readonly outgoing: ClientRequest;
   private incoming: IncomingMessage | undefined;
   private failure: string | undefined;
+  private isCancelled = false;
   private origin = ConnectionOrigin.None;
   private connectStartedAt: number | undefined;
   private wasDelayedByLink = false;
@@ -267,6 +268,11 @@
     );
   }
 
+  /** Whether this host ended the exchange, and not the endpoint. */
+  get wasCancelled(): boolean {
+    return this.isCancelled;
+  }
+
   /** Reason of a failure. */
   get failureReason(): string {
     return this.failure ?? 'answer cut';
@@ -278,6 +284,7 @@
    */
   cancel(reason: string): void {
     if (this.failure === undefined) {
+      this.isCancelled = this.incoming?.complete !== true;
       this.recordAbandonedConnect();
     }
     this.failure ??= reason;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -2,6 +2,7 @@
 
 import type {RequestRecord} from './request-record.js';
 import type {ConnectResult} from './service-reach-monitor.js';
+import type {SuspectEvent} from './suspect-event.js';
 import type {TunnelStatus} from './tunnel-protocol.js';
 
 /**
@@ -79,6 +80,12 @@
     labelNames: ['answer'],
     registers: [this.registry],
   });
+  private readonly suspectEvents = new Counter({
+    name: 'wisteriadeal_crash_suspects_total',
+    help: 'Crashes of endpoints while they began to run requests, and what followed for these.',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -132,6 +139,11 @@
     this.tunnels.inc({answer: String(status)});
   }
 
+  /** Counts what happened to a request that may crash endpoints. */
+  suspectEvent(event: SuspectEvent): void {
+    this.suspectEvents.inc({event});
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -10,6 +10,7 @@
 import type {HostRotation} from './host-rotation.js';
 import type {LinkMonitor} from './link-monitor.js';
 import {GatewayStatus} from './status-server.js';
+import type {SuspectRegistry} from './suspect-registry.js';
 import type {TunnelServer} from './tunnel-server.js';
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
 import type {StoreHealth} from './store-health.js';
@@ -37,6 +38,7 @@
     private readonly connections: EndpointConnectionPool,
     private readonly reach: ServiceReachMonitor,
     private readonly tunnels: TunnelServer,
+    private readonly suspects: SuspectRegistry,
     private readonly clock: Clock,
   ) {
     super();
@@ -83,6 +85,7 @@
       openRequests: this.callers.openRequests,
       unreachableServices: [...this.reach.unreachableServices],
       tunnels: this.tunnels.openTunnels,
+      crashSuspects: this.suspects.requestCount,
       endpoints: this.directory.all.map(({entry, load, breaker}) => ({
         id: entry.id,
         service: entry.service,
@@ -136,6 +139,7 @@
       this.reach.unreachableServices.length,
     );
     this.metrics.setState('tunnels', this.tunnels.openTunnels);
+    this.metrics.setState('crash_suspects', this.suspects.requestCount);
     this.metrics.setState('endpoints', this.directory.all.length);
     this.metrics.setState('budget_holders', this.budgets.holderCount);
     this.metrics.setState('resident_bytes', process.memoryUsage.rss());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type {CallerListener} from './caller-listener.js';
 import {CallerServer} from './caller-server.js';
 import {ConfigurationState} from './configuration-state.js';
+import {CrashDetector} from './crash-detector.js';
 import type {Dialect} from './dialect.js';
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import {EndpointDirectory} from './endpoint-directory.js';
@@ -36,6 +37,8 @@
 import {StartGate} from './start-gate.js';
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
+import {ConnectSuspectPeers} from './suspect-peers.js';
+import {SuspectRegistry} from './suspect-registry.js';
 import {TunnelServer} from './tunnel-server.js';
 
 /** Dependencies of a gateway. */
@@ -99,6 +102,8 @@
   private readonly gate = new StartGate(Object.values(StartRequirement));
   private readonly paths: ServicePaths;
   private readonly tunnels: TunnelServer;
+  private readonly crashes: CrashDetector;
+  private readonly suspects: SuspectRegistry;
   private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -135,6 +140,21 @@
       metrics,
       isFull: () => this.link.isFull || !this.rotation.acceptsConnections,
     });
+    this.suspects = this.createSuspects();
+    this.crashes = new CrashDetector({
+      connections: this.connections,
+      clock,
+      onCrash: crash => {
+        this.suspects.endpointCrashed(crash);
+      },
+    });
+    directory.onGone(incarnation => {
+      this.crashes.endpointGone(incarnation);
+    });
+    directory.onHeartbeat((incarnation, writtenAfter) => {
+      this.crashes.endpointLived(incarnation, writtenAfter);
+      this.suspects.endpointLived(incarnation, writtenAfter);
+    });
     this.bills = new BillWriter(settings.host, log, clock, events);
     this.handler = this.createHandler();
     this.callers = new CallerServer(
@@ -159,6 +179,7 @@
       this.connections,
       this.reach,
       this.tunnels,
+      this.suspects,
       clock,
     );
     this.status = new StatusServer(
@@ -194,8 +215,13 @@
     await this.callers.listen(listenAddress(settings.callerAddress));
     this.peerServer = await PeerServer.listen(
       listenAddress(settings.peerAddress),
-      {loans: this.budgets.lender, tunnels: this.tunnels},
+      {
+        loans: this.budgets.lender,
+        suspects: this.suspects,
+        tunnels: this.tunnels,
+      },
     );
+    void this.suspects.learn();
     for (const follower of this.followers) {
       void follower.run();
     }
@@ -242,6 +268,8 @@
     this.budgets.abort();
     this.bills.abort();
     this.tunnels.close();
+    this.crashes.close();
+    this.suspects.close();
     await this.peerServer?.close();
     this.paths.close();
     this.connections.destroy();
@@ -363,6 +391,19 @@
     });
   }
 
+  private createSuspects(): SuspectRegistry {
+    const {settings, clock, events} = this.parts;
+    return new SuspectRegistry({
+      peers: new ConnectSuspectPeers(this.link),
+      clock,
+      events,
+      metrics: this.metrics,
+      ownAddress: settings.peerAddress,
+      otherAddresses: () =>
+        this.budgets.otherHolders.map(({address}) => address),
+    });
+  }
+
   private peersInRegion(): readonly PeerHost[] {
     const {region} = this.parts.settings;
     return this.budgets.otherHolders.filter(holder => holder.region === region);
@@ -382,6 +423,8 @@
         paths: this.paths,
         link: this.link,
         directory: this.directory,
+        crashes: this.crashes,
+        suspects: this.suspects,
         dataCenter: settings.dataCenter,
         hostCount: () => this.budgets.holderCount,
       },
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -14,6 +14,7 @@
   BudgetExhausted = 'budget-exhausted',
   BudgetUnavailable = 'budget-unavailable',
   AnswerLost = 'answer-lost',
+  CrashSuspect = 'crash-suspect',
   TimedOut = 'timed-out',
   Internal = 'internal-error',
 }
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -1,10 +1,11 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import {GrantLoanService} from '@wisteriadeal/schema';
+import {CrashSuspectService, GrantLoanService} from '@wisteriadeal/schema';
 import {createServer, type Server} from 'node:http';
 import {Socket} from 'node:net';
 
 import {listen, portOf, type ListenAddress} from './listening.js';
 import type {LoanHolder} from './loan-peers.js';
+import type {SuspectHolder} from './suspect-peers.js';
 import {TUNNEL_END_PATH} from './tunnel-protocol.js';
 import type {TunnelServer} from './tunnel-server.js';
 
@@ -18,6 +19,8 @@
 export interface PeerServices {
   /** Lends tokens, and takes over those of stopping processes. */
   readonly loans: LoanHolder;
+  /** Exchanges knowledge of requests that crash endpoints. */
+  readonly suspects?: SuspectHolder;
   /** Relays connections to endpoints; without it, CONNECT requests are closed. */
   readonly tunnels?: TunnelServer;
 }
@@ -36,7 +39,7 @@
   /** @throws The system's error if the address cannot be bound. */
   static async listen(
     at: ListenAddress,
-    {loans, tunnels}: PeerServices,
+    {loans, tunnels, suspects}: PeerServices,
   ): Promise<PeerServer> {
     const routes = connectNodeAdapter({
       routes: router => {
@@ -44,6 +47,17 @@
           borrow: async request => ({lent: await loans.lend(request)}),
           give: request => ({taken: loans.takeOver(request)}),
         });
+        if (suspects !== undefined) {
+          router.service(CrashSuspectService, {
+            share: news => suspects.receive(news),
+            requestTry: ({request, known}) => {
+              if (known !== undefined) {
+                suspects.receive(known);
+              }
+              return suspects.permitTry(request);
+            },
+          });
+        }
       },
     });
     const server = createServer((request, response) => {
--- a/packages/gateway/src/request-context.ts
+++ b/packages/gateway/src/request-context.ts
@@ -14,6 +14,8 @@
   readonly caller: CallerExchange;
   readonly body: Buffer | undefined;
   readonly identity: RequestIdentity;
+  /** Whether the request may be sent to one endpoint only, as it may crash it. */
+  readonly isTry: boolean;
   readonly route: Route;
   readonly service: ServiceDescription;
   readonly organisation: Organisation | undefined;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,4 +1,8 @@
-import {StopAdmission, type ResendLimits} from '@wisteriadeal/decisions';
+import {
+  StopAdmission,
+  SuspectVerdict,
+  type ResendLimits,
+} from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 import {BillOutcome} from '@wisteriadeal/schema';
 
@@ -220,7 +224,30 @@
           LocalReplyReason.NoEndpoint,
           CONFIGURATION_RETRY_AFTER_MILLISECONDS,
         )
-      : this.runWithinBudget(context, record);
+      : this.runUnlessSuspect(context, record);
+  }
+
+  /** Refuses a request that may crash one more endpoint. */
+  private async runUnlessSuspect(
+    context: RequestContext,
+    record: RequestRecord,
+  ): Promise<LocalReply | undefined> {
+    const {identity, service} = context;
+    const {suspects, directory} = this.parts;
+    const {verdict, waitMilliseconds} = await suspects.admit(
+      identity,
+      () => directory.openEndpoints(service.name).length > 1,
+    );
+    if (verdict === SuspectVerdict.Refuse) {
+      record.identity = identity.digest;
+      return notExecutedReply(LocalReplyReason.CrashSuspect, waitMilliseconds);
+    }
+    const isTry = verdict === SuspectVerdict.Try;
+    const refusal = await this.runWithinBudget({...context, isTry}, record);
+    if (record.outcome === 'answered' && record.status < 500) {
+      suspects.requestAnswered(identity);
+    }
+    return refusal;
   }
 
   /**
@@ -259,6 +286,7 @@
       caller,
       body,
       identity: new RequestIdentity(caller, body),
+      isTry: false,
       route,
       service,
       organisation,
@@ -425,7 +453,7 @@
       longestPauseMilliseconds: Math.round(record.longestPauseMilliseconds),
       waitedForTokensMilliseconds: Math.round(record.tokenWaitMilliseconds),
       configuration: this.configuration.current?.version,
-      identity: record.brokenIdentity,
+      identity: record.identity,
       attempts: record.attempts.map(describeAttempt).join('; '),
     });
   }
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -55,8 +55,8 @@
   status = 0;
   endpoint = '';
   organisation: string | undefined;
-  /** Digest of the request, if an endpoint's answer to it broke off. */
-  brokenIdentity: string | undefined;
+  /** Digest of the request, if an answer to it broke off or it was refused for that. */
+  identity: string | undefined;
   /** Tokens charged when the request settled. */
   chargedTokens = 0;
   /** How long an available answer waited for its tokens, milliseconds. */
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -1,4 +1,5 @@
 import {AnswerResult} from './answer-relay.js';
+import type {CrashDetector} from './crash-detector.js';
 import type {EndpointAttempt} from './endpoint-attempt.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
@@ -10,6 +11,7 @@
 import type {RequestLifetime} from './request-lifetime.js';
 import type {RequestRecord} from './request-record.js';
 import type {ServicePaths} from './service-paths.js';
+import type {SuspectRegistry} from './suspect-registry.js';
 
 /**
  * What to do after an attempt: the request has ended, or another endpoint is
@@ -29,6 +31,8 @@
   readonly chooser: EndpointChooser;
   readonly directory: EndpointDirectory;
   readonly paths: ServicePaths;
+  readonly crashes: CrashDetector;
+  readonly suspects: SuspectRegistry;
   /** Number of hosts that share the resend budget. */
   readonly hostCount: () => number;
 }
@@ -77,8 +81,12 @@
    * Whether the request may fail over to another endpoint after this attempt.
    */
   canFailOver(): boolean {
-    const {route} = this.parts.context;
-    return isRepeatable(route) && this.attemptCount + 1 < route.maximumAttempts;
+    const {route, isTry} = this.parts.context;
+    return (
+      isRepeatable(route) &&
+      !isTry &&
+      this.attemptCount + 1 < route.maximumAttempts
+    );
   }
 
   /**
@@ -166,15 +174,17 @@
   }
 
   /** Handles a request that reached the endpoint but got no complete answer. */
-  private afterBroken({breaker}: EndpointAttempt): NextStep {
-    const {context, lifetime, record} = this.parts;
+  private afterBroken(attempt: EndpointAttempt): NextStep {
+    const {context, lifetime, record, crashes, suspects} = this.parts;
+    const {breaker} = attempt;
     if (lifetime.isAbandoned) {
       breaker.requestEnded();
       return this.giveUp(LocalReplyReason.TimedOut);
     }
     breaker.recordConnectionFailure(lifetime.now());
-    record.brokenIdentity = context.identity.digest;
-    return isRepeatable(context.route)
+    record.identity = context.identity.digest;
+    crashes.answerBroke(attempt);
+    return isRepeatable(context.route) && suspects.mayResend(context.identity)
       ? this.retryOrGiveUp(LocalReplyReason.AnswerLost, false)
       : this.giveUp(LocalReplyReason.AnswerLost);
   }
@@ -191,6 +201,7 @@
     this.hasClaimedFailover = false;
     const mayResend =
       !lifetime.isAbandoned &&
+      !context.isTry &&
       this.attemptCount < route.maximumAttempts &&
       lifetime.remaining() > MINIMUM_ATTEMPT_MILLISECONDS &&
       (isNotRun || isRepeatable(route)) &&
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -7,6 +7,7 @@
 
 import {AnswerRelay} from './answer-relay.js';
 import {AnswerTimeouts} from './answer-timeouts.js';
+import type {CrashDetector} from './crash-detector.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
 import {EndpointChooser, type ChosenEndpoint} from './endpoint-chooser.js';
@@ -29,6 +30,7 @@
 import type {RequestRecord} from './request-record.js';
 import {NextStep, RequestRetries} from './request-retries.js';
 import type {ServicePaths} from './service-paths.js';
+import type {SuspectRegistry} from './suspect-registry.js';
 
 /** Dependencies shared by all request runs of a process. */
 export interface RunParts {
@@ -36,6 +38,8 @@
   readonly paths: ServicePaths;
   readonly link: HostLink;
   readonly directory: EndpointDirectory;
+  readonly crashes: CrashDetector;
+  readonly suspects: SuspectRegistry;
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dataCenter: string;
@@ -79,6 +83,8 @@
       chooser,
       directory,
       paths,
+      crashes: parts.crashes,
+      suspects: parts.suspects,
       hostCount: () => parts.hostCount(),
     });
     this.answers = new AnswerRelay(
@@ -140,6 +146,7 @@
     const {endpoint, path, exchange, monitor} = attempt;
     const stopWatchingPath = this.watchPath(path, monitor);
     this.current = exchange;
+    this.parts.crashes.attemptBegan(attempt);
     try {
       const head = await exchange.head();
       this.recordAnswer(attempt, head);
@@ -147,6 +154,7 @@
         ? retries.afterFailure(attempt, head)
         : retries.afterAnswer(attempt, await this.answers.relay(attempt, head));
     } finally {
+      this.parts.crashes.attemptEnded(attempt);
       stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
@@ -173,6 +181,7 @@
       path,
       exchange,
       monitor,
+      context.identity,
       this.record,
       () => lifetime.now() - context.caller.arrivedAt,
     );
--- /dev/null
+++ b/packages/gateway/src/suspect-registry.ts
@@ -0,0 +1,271 @@
+import {
+  CrashSuspects,
+  SuspectVerdict,
+  type EndpointCrash,
+  type SuspectDecision,
+} from '@wisteriadeal/decisions';
+import type {Clock} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+import type {SuspectNews, TryAnswer} from '@wisteriadeal/schema';
+import {createHash} from 'node:crypto';
+
+import type {GatewayMetrics} from './gateway-metrics.js';
+import type {RequestIdentity} from './request-identity.js';
+import {SuspectEvent} from './suspect-event.js';
+import {decodeNews, encodeNews} from './suspect-news.js';
+import {SuspectHolder, type SuspectPeers} from './suspect-peers.js';
+
+/** Dependencies of `SuspectRegistry`. */
+export interface SuspectRegistryParts {
+  readonly peers: SuspectPeers;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly metrics: GatewayMetrics;
+  /** Address of this host for other hosts, `IP:port`. */
+  readonly ownAddress: string;
+  /** Addresses of the other hosts. */
+  otherAddresses(): readonly string[];
+}
+
+/**
+ * Times of one try that hosts learn from each other differ by less than this,
+ * milliseconds; two tries of a request are further apart.
+ */
+const SAME_TRY_MILLISECONDS = 1_000;
+/** Hosts that are asked in turn to decide on a try. */
+const MAXIMUM_DECIDERS = 3;
+/** Hosts that a starting one asks for their knowledge. */
+const TEACHERS = 3;
+/** Crashed endpoints are back after some seconds. */
+const LAST_ENDPOINT_WAIT_MILLISECONDS = 2_000;
+const LEARN_ATTEMPTS = 10;
+const LEARN_INTERVAL_MILLISECONDS = 300;
+
+const SERVE: SuspectDecision = {
+  verdict: SuspectVerdict.Serve,
+  waitMilliseconds: 0,
+};
+
+/**
+ * What this host and, through messages, the whole fleet know of requests that may
+ * crash the endpoints that run them.
+ */
+export class SuspectRegistry extends SuspectHolder {
+  private readonly suspects = new CrashSuspects();
+  private isClosed = false;
+
+  constructor(private readonly parts: SuspectRegistryParts) {
+    super();
+  }
+
+  /** Number of suspected requests. */
+  get requestCount(): number {
+    return this.suspects.requestCount;
+  }
+
+  /** Asks other hosts for what they know, once there are any. */
+  async learn(): Promise<void> {
+    for (let attempt = 0; attempt < LEARN_ATTEMPTS; attempt++) {
+      const teachers = this.parts.otherAddresses().slice(-TEACHERS);
+      const answers = await Promise.all(
+        teachers.map(address => this.shareWith(address)),
+      );
+      if (this.isClosed || answers.includes(true)) {
+        return;
+      }
+      await this.parts.clock.sleep(LEARN_INTERVAL_MILLISECONDS);
+    }
+  }
+
+  /**
+   * Decides whether a request that arrives may be sent to endpoints.
+   *
+   * @param hasOtherEndpoint Whether its service could lose an endpoint; asked
+   *     before a try.
+   */
+  async admit(
+    identity: RequestIdentity,
+    hasOtherEndpoint: () => boolean,
+  ): Promise<SuspectDecision> {
+    if (this.suspects.isEmpty) {
+      return SERVE;
+    }
+    const decision = await this.decide(identity.digest, hasOtherEndpoint);
+    if (decision.verdict === SuspectVerdict.Refuse) {
+      this.parts.metrics.suspectEvent(SuspectEvent.Refused);
+    }
+    return decision;
+  }
+
+  /** Whether a request whose answer broke may be sent to another endpoint. */
+  mayResend(identity: RequestIdentity): boolean {
+    return (
+      this.suspects.isEmpty || this.suspects.crashCount(identity.digest) === 0
+    );
+  }
+
+  /** Records that a request was answered. */
+  requestAnswered(identity: RequestIdentity): void {
+    if (
+      !this.suspects.isEmpty &&
+      this.suspects.recordSuccess(identity.digest, this.now())
+    ) {
+      this.report(SuspectEvent.Cleared, {request: identity.digest});
+      this.shareWithAll();
+    }
+  }
+
+  /** Records the end of an endpoint, and tells all hosts. */
+  endpointCrashed(crash: EndpointCrash): void {
+    this.suspects.prune(this.now());
+    if (this.suspects.recordCrash(crash)) {
+      this.reportCrash(crash);
+      this.shareWithAll();
+    }
+  }
+
+  /** Takes a crash back if the endpoint was at work at a later time. */
+  endpointLived(endpoint: string, at: number): void {
+    if (this.suspects.withdrawCrash(endpoint, at)) {
+      this.report(SuspectEvent.Withdrawn, {endpoint});
+    }
+  }
+
+  override receive(news: SuspectNews): SuspectNews {
+    this.merge(news);
+    return this.news();
+  }
+
+  override permitTry(
+    request: string,
+  ): Pick<TryAnswer, 'isPermitted' | 'waitMilliseconds'> {
+    const decision = this.decideTry(request);
+    return {
+      isPermitted: decision.verdict !== SuspectVerdict.Refuse,
+      waitMilliseconds: decision.waitMilliseconds,
+    };
+  }
+
+  /** Ends learning and closes the connections to other hosts. */
+  close(): void {
+    this.isClosed = true;
+    this.parts.peers.close();
+  }
+
+  private async decide(
+    request: string,
+    hasOtherEndpoint: () => boolean,
+  ): Promise<SuspectDecision> {
+    const decision = this.suspects.decide(request, this.now());
+    if (decision.verdict !== SuspectVerdict.Try) {
+      return decision;
+    }
+    return hasOtherEndpoint()
+      ? this.requestTry(request)
+      : {
+          verdict: SuspectVerdict.Refuse,
+          waitMilliseconds: LAST_ENDPOINT_WAIT_MILLISECONDS,
+        };
+  }
+
+  /**
+   * Asks the host that decides for the fleet: the first one in an order that
+   * depends on the request, so that all hosts ask the same one.
+   */
+  private async requestTry(request: string): Promise<SuspectDecision> {
+    const {peers, ownAddress} = this.parts;
+    const order = [ownAddress, ...this.parts.otherAddresses()]
+      .map(address => ({address, rank: rankOf(request, address)}))
+      .sort((one, other) => (one.rank < other.rank ? -1 : 1))
+      .slice(0, MAXIMUM_DECIDERS);
+    for (const {address} of order) {
+      if (address === ownAddress) {
+        break;
+      }
+      try {
+        const answer = await peers.requestTry(address, request, this.news());
+        const {isPermitted, waitMilliseconds} = answer;
+        if (isPermitted) {
+          this.suspects.recordTry(request, this.now());
+        }
+        return {
+          verdict: isPermitted ? SuspectVerdict.Try : SuspectVerdict.Refuse,
+          waitMilliseconds,
+        };
+      } catch (error) {
+        this.parts.events.info('suspect decision not available', {
+          address,
+          reason: String(error),
+        });
+      }
+    }
+    return this.decideTry(request);
+  }
+
+  private decideTry(request: string): SuspectDecision {
+    const now = this.now();
+    const decision = this.suspects.decide(request, now);
+    if (decision.verdict === SuspectVerdict.Try) {
+      this.suspects.recordTry(request, now);
+      this.report(SuspectEvent.Tried, {request});
+      this.shareWithAll();
+    }
+    return decision;
+  }
+
+  private shareWithAll(): void {
+    for (const address of this.parts.otherAddresses()) {
+      void this.shareWith(address);
+    }
+  }
+
+  /** Resolves with whether the host answered. */
+  private async shareWith(address: string): Promise<boolean> {
+    try {
+      this.merge(await this.parts.peers.share(address, this.news()));
+      return true;
+    } catch (error) {
+      // The host learns it with the next message, or was lost with what it ran.
+      this.parts.events.info('suspects not shared', {
+        address,
+        reason: String(error),
+      });
+      return false;
+    }
+  }
+
+  private merge(news: SuspectNews): void {
+    const knowledge = decodeNews(news, this.now());
+    this.suspects.merge(knowledge, SAME_TRY_MILLISECONDS);
+  }
+
+  private news(): SuspectNews {
+    return encodeNews(this.suspects.knowledge, this.now());
+  }
+
+  private reportCrash({endpoint, requests}: EndpointCrash): void {
+    this.report(SuspectEvent.Crash, {
+      endpoint,
+      requests: requests
+        .map(request => `${request}: ${this.suspects.crashCount(request)}`)
+        .join(', '),
+    });
+  }
+
+  private report(
+    event: SuspectEvent,
+    fields: Readonly<Record<string, string>>,
+  ): void {
+    this.parts.metrics.suspectEvent(event);
+    this.parts.events.info(`crash suspects: ${event}`, fields);
+  }
+
+  private now(): number {
+    return this.parts.clock.monotonicMilliseconds();
+  }
+}
+
+/** Rendezvous hashing (Thaler and Ravishankar, 1998): the lowest rank decides. */
+function rankOf(request: string, address: string): string {
+  return createHash('sha256').update(`${request} ${address}`).digest('hex');
+}
--- /dev/null
+++ b/packages/gateway/src/test/suspect-registry_test.ts
@@ -0,0 +1,220 @@
+import {create} from '@bufbuild/protobuf';
+import {SuspectVerdict} from '@wisteriadeal/decisions';
+import {EventLog, SystemClock} from '@wisteriadeal/runtime';
+import {
+  LogLevel,
+  TryAnswerSchema,
+  type SuspectNews,
+  type TryAnswer,
+} from '@wisteriadeal/schema';
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {GatewayMetrics} from '../gateway-metrics.js';
+import type {RequestIdentity} from '../request-identity.js';
+import {SuspectPeers} from '../suspect-peers.js';
+import {SuspectRegistry} from '../suspect-registry.js';
+
+/** Delivers messages between the registries of a test. */
+class FakePeers extends SuspectPeers {
+  /** Addresses that can't be reached. */
+  static readonly lost = new Set<string>();
+  static readonly hosts = new Map<string, SuspectRegistry>();
+
+  override share(address: string, news: SuspectNews): Promise<SuspectNews> {
+    return this.call(address, host => host.receive(news));
+  }
+
+  override requestTry(
+    address: string,
+    request: string,
+    known: SuspectNews,
+  ): Promise<TryAnswer> {
+    return this.call(address, host => {
+      host.receive(known);
+      return create(TryAnswerSchema, host.permitTry(request));
+    });
+  }
+
+  override close(): void {
+    // Nothing is open.
+  }
+
+  private async call<Answer>(
+    address: string,
+    answer: (host: SuspectRegistry) => Answer,
+  ): Promise<Answer> {
+    const host = FakePeers.hosts.get(address);
+    if (host === undefined || FakePeers.lost.has(address)) {
+      throw new Error(`${address} does not answer`);
+    }
+    return Promise.resolve(answer(host));
+  }
+}
+
+/** A clock that a test sets. */
+class SetClock extends SystemClock {
+  now = 1_000_000;
+
+  override monotonicMilliseconds(): number {
+    return this.now;
+  }
+}
+
+const ADDRESSES = ['10.0.0.1:7200', '10.0.0.2:7200', '10.0.0.3:7200'];
+function identityOf(digest: string): RequestIdentity {
+  return {digest} as unknown as RequestIdentity;
+}
+
+const deadly = identityOf('deadly');
+
+let clock: SetClock;
+
+function startHost(ownAddress: string): SuspectRegistry {
+  const host = new SuspectRegistry({
+    peers: new FakePeers(),
+    clock,
+    events: EventLog.create(LogLevel.ERROR, {}, () => undefined),
+    metrics: new GatewayMetrics(),
+    ownAddress,
+    otherAddresses: () => ADDRESSES.filter(address => address !== ownAddress),
+  });
+  FakePeers.hosts.set(ownAddress, host);
+  return host;
+}
+
+function hostAt(index: number): SuspectRegistry {
+  const host = FakePeers.hosts.get(ADDRESSES[index] ?? '');
+  if (host === undefined) {
+    throw new RangeError(`no host ${index}`);
+  }
+  return host;
+}
+
+async function verdictAt(
+  host: number,
+  hasOtherEndpoint = true,
+): Promise<SuspectVerdict> {
+  const decision = await hostAt(host).admit(deadly, () => hasOtherEndpoint);
+  return decision.verdict;
+}
+
+/** Messages are delivered in the next turns of the event loop. */
+async function delivered(): Promise<void> {
+  await new Promise(resolve => setTimeout(resolve, 5));
+}
+
+async function crash(host: number, endpoint: string): Promise<void> {
+  hostAt(host).endpointCrashed({
+    endpoint,
+    at: clock.now,
+    requests: [deadly.digest],
+  });
+  await delivered();
+}
+
+beforeEach(() => {
+  clock = new SetClock();
+  FakePeers.lost.clear();
+  FakePeers.hosts.clear();
+  ADDRESSES.forEach(startHost);
+});
+
+describe('a request that crashed two endpoints at different hosts', () => {
+  beforeEach(async () => {
+    await crash(0, 'i-1');
+    await crash(1, 'i-2');
+  });
+
+  it('is refused at every host', async () => {
+    // Guards against hosts that each pay their own endpoints.
+    for (const host of [0, 1, 2]) {
+      expect(await verdictAt(host)).toBe(SuspectVerdict.Refuse);
+    }
+  });
+
+  it('is tried by one host at a time', async () => {
+    // Guards against as many tries as there are hosts.
+    clock.now += 2_001;
+    const verdicts = await Promise.all([0, 1, 2].map(host => verdictAt(host)));
+    expect(
+      verdicts.filter(verdict => verdict === SuspectVerdict.Try).length,
+    ).toBe(1);
+  });
+
+  it('is tried though hosts are lost that decide on it', async () => {
+    // Guards against refusals for as long as a host is away.
+    clock.now += 2_001;
+    FakePeers.lost.add(ADDRESSES[1] ?? '').add(ADDRESSES[2] ?? '');
+    expect(await verdictAt(0)).toBe(SuspectVerdict.Try);
+  });
+
+  it('is not tried at the last endpoint of its service', async () => {
+    clock.now += 2_001;
+    expect(await verdictAt(0, false)).toBe(SuspectVerdict.Refuse);
+  });
+
+  it('is served everywhere after one success', async () => {
+    hostAt(2).requestAnswered(deadly);
+    await delivered();
+    for (const host of [0, 1, 2]) {
+      expect(await verdictAt(host)).toBe(SuspectVerdict.Serve);
+    }
+  });
+
+  it('is not resent by any host', () => {
+    // Guards against a resume that costs one more endpoint.
+    expect(hostAt(2).mayResend(deadly)).toBe(false);
+    expect(hostAt(2).mayResend(identityOf('other'))).toBe(true);
+  });
+});
+
+describe('three more tries', () => {
+  it('are all that the fleet has after the third crash, whoever asks', async () => {
+    // Guards against tries that each host counts by itself, and lost messages.
+    await crash(0, 'i-1');
+    await crash(1, 'i-2');
+    await crash(2, 'i-3');
+    let tries = 0;
+    for (let second = 0; second < 900; second++) {
+      clock.now += 1_000;
+      FakePeers.lost.clear();
+      FakePeers.lost.add(ADDRESSES[second % 4] ?? '');
+      const verdicts = await Promise.all(
+        [0, 1, 2].map(host => verdictAt(host)),
+      );
+      tries += verdicts.filter(
+        verdict => verdict === SuspectVerdict.Try,
+      ).length;
+    }
+    expect(tries).toBe(3);
+  });
+});
+
+describe('a host', () => {
+  it('that starts learns from the others', async () => {
+    // Guards against each restarted host paying endpoints again.
+    await crash(0, 'i-1');
+    await crash(0, 'i-2');
+    const restarted = startHost(ADDRESSES[1] ?? '');
+    await restarted.learn();
+    expect(await verdictAt(1)).toBe(SuspectVerdict.Refuse);
+  });
+
+  it('that missed a message learns with the next one', async () => {
+    FakePeers.lost.add(ADDRESSES[2] ?? '');
+    await crash(0, 'i-1');
+    FakePeers.lost.clear();
+    await crash(1, 'i-2');
+    expect(await verdictAt(2)).toBe(SuspectVerdict.Refuse);
+  });
+
+  it('takes a crash back if its endpoint was at work later', async () => {
+    // Guards against a cut path that passes for crashes.
+    await crash(0, 'i-1');
+    await crash(0, 'i-2');
+    clock.now += 400;
+    hostAt(1).endpointLived('i-2', clock.now);
+    expect(await verdictAt(1)).toBe(SuspectVerdict.Serve);
+    expect(await verdictAt(0)).toBe(SuspectVerdict.Refuse);
+  });
+});
