Put the result of a connect below the two modules that use it

No change of behaviour. gateway-metrics.ts and service-reach-monitor.ts imported each other's types; ConnectResult has a file of its own now. Checked: types, lint.

--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,7 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
+import type {ConnectResult} from './connect-result.js';
 import type {RequestRecord} from './request-record.js';
-import type {ConnectResult} from './service-reach-monitor.js';
 import type {SuspectEvent} from './suspect-event.js';
 import type {TunnelStatus} from './tunnel-protocol.js';
 
--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -6,17 +6,12 @@
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import {ConnectResult} from './connect-result.js';
 import {ConnectObserver} from './connect-observer.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 
-/** Outcome of a connect, as a label of its metric. */
-export enum ConnectResult {
-  Connected = 'connected',
-  Failed = 'failed',
-}
-
 /** Dependencies of `ServiceReachMonitor`. */
 export interface ServiceReachParts {
   readonly directory: EndpointDirectory;
