--- a/packages/gateway/src/suspect-registry.ts
+++ b/packages/gateway/src/suspect-registry.ts
@@ -7,8 +7,8 @@
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {SuspectNews, TryAnswer} from '@wisteriadeal/schema';
-import {createHash} from 'node:crypto';
 
+import {decidingHosts} from './deciding-hosts.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {RequestIdentity} from './request-identity.js';
 import {SuspectEvent} from './suspect-event.js';
@@ -32,7 +32,7 @@
  * milliseconds; two tries of a request are further apart.
  */
 const SAME_TRY_MILLISECONDS = 1_000;
-/** Hosts that are asked in turn to decide on a try. */
+/** Hosts that are asked in turn to decide on a try; a lost one costs its timeout. */
 const MAXIMUM_DECIDERS = 3;
 /** Deciding hosts that learn of each crash; the second one decides if the first is lost. */
 const INFORMED_DECIDERS = 2;
@@ -193,8 +193,8 @@
   }
 
   /**
-   * Asks the host that decides for the fleet: the first one in an order that
-   * depends on the request, so that all hosts ask the same one.
+   * Asks the hosts that decide for the fleet, in their order; this one decides if
+   * it is its turn, or if none answers.
    */
   private async requestTry(request: string): Promise<SuspectDecision> {
     const {peers, ownAddress} = this.parts;
@@ -222,13 +222,10 @@
     return this.decideTry(request);
   }
 
-  /** Addresses of the hosts that decide on a request, in order. */
   private deciders(request: string): readonly string[] {
-    return [this.parts.ownAddress, ...this.parts.otherAddresses()]
-      .map(address => ({address, rank: rankOf(request, address)}))
-      .sort((one, other) => (one.rank < other.rank ? -1 : 1))
-      .slice(0, MAXIMUM_DECIDERS)
-      .map(({address}) => address);
+    const {ownAddress} = this.parts;
+    const addresses = [ownAddress, ...this.parts.otherAddresses()];
+    return decidingHosts(request, addresses, MAXIMUM_DECIDERS);
   }
 
   /** Tells the first hosts that decide on a request and can be reached. */
@@ -333,8 +330,3 @@
     return this.parts.clock.monotonicMilliseconds();
   }
 }
-
-/** Rendezvous hashing (Thaler and Ravishankar, 1998): the lowest rank decides. */
-function rankOf(request: string, address: string): string {
-  return createHash('sha256').update(`${request} ${address}`).digest('hex');
-}
