Let only deciding hosts pass on what they are told of suspects

A host that was told of a suspected request with one more crash told all others in turn, and so did these: one event cost a message from each host to each.

--- a/packages/gateway/src/suspect-registry.ts
+++ b/packages/gateway/src/suspect-registry.ts
@@ -140,7 +140,7 @@
       return;
     }
     this.reportCrash(crash);
-    this.shareNewSuspects();
+    this.shareNewSuspects(() => [this.parts.ownAddress]);
     for (const request of crash.requests) {
       void this.shareWithDeciders(request);
     }
@@ -155,7 +155,7 @@
 
   override receive(news: SuspectNews): SuspectNews {
     this.merge(news);
-    this.shareNewSuspects();
+    this.shareNewSuspects(request => this.informedDeciders(request));
     return this.news();
   }
 
@@ -222,6 +222,10 @@
     return this.decideTry(request);
   }
 
+  private informedDeciders(request: string): readonly string[] {
+    return this.deciders(request).slice(0, INFORMED_DECIDERS);
+  }
+
   private deciders(request: string): readonly string[] {
     const {ownAddress} = this.parts;
     const addresses = [ownAddress, ...this.parts.otherAddresses()];
@@ -242,8 +246,15 @@
     }
   }
 
-  /** Tells all hosts of suspected requests with more crashes than before. */
-  private shareNewSuspects(): void {
+  /**
+   * Tells all hosts of suspected requests with more crashes than before.
+   *
+   * @param announcersOf Addresses of the hosts that tell of a request. If all told
+   *     what they are told, each event would cost a message from each to each.
+   */
+  private shareNewSuspects(
+    announcersOf: (request: string) => readonly string[],
+  ): void {
     const counts = new Map(
       this.suspects.suspectedRequests.map(request => [
         request,
@@ -251,7 +262,9 @@
       ]),
     );
     const isNew = [...counts].some(
-      ([request, count]) => count > (this.announced.get(request) ?? 0),
+      ([request, count]) =>
+        count > (this.announced.get(request) ?? 0) &&
+        announcersOf(request).includes(this.parts.ownAddress),
     );
     this.announced = counts;
     if (isNew) {
--- a/packages/gateway/src/test/suspect-registry_test.ts
+++ b/packages/gateway/src/test/suspect-registry_test.ts
@@ -19,6 +19,7 @@
   /** Addresses that can't be reached. */
   static readonly lost = new Set<string>();
   static readonly hosts = new Map<string, SuspectRegistry>();
+  static messageCount = 0;
 
   override share(address: string, news: SuspectNews): Promise<SuspectNews> {
     return this.call(address, host => host.receive(news));
@@ -44,6 +45,7 @@
     answer: (host: SuspectRegistry) => Answer,
   ): Promise<Answer> {
     const host = FakePeers.hosts.get(address);
+    FakePeers.messageCount++;
     if (host === undefined || FakePeers.lost.has(address)) {
       throw new Error(`${address} does not answer`);
     }
@@ -69,14 +71,17 @@
 
 let clock: SetClock;
 
-function startHost(ownAddress: string): SuspectRegistry {
+function startHost(
+  ownAddress: string,
+  addresses: readonly string[] = ADDRESSES,
+): SuspectRegistry {
   const host = new SuspectRegistry({
     peers: new FakePeers(),
     clock,
     events: EventLog.create(LogLevel.ERROR, {}, () => undefined),
     metrics: new GatewayMetrics(),
     ownAddress,
-    otherAddresses: () => ADDRESSES.filter(address => address !== ownAddress),
+    otherAddresses: () => addresses.filter(address => address !== ownAddress),
   });
   FakePeers.hosts.set(ownAddress, host);
   return host;
@@ -116,7 +121,9 @@
   clock = new SetClock();
   FakePeers.lost.clear();
   FakePeers.hosts.clear();
-  ADDRESSES.forEach(startHost);
+  for (const address of ADDRESSES) {
+    startHost(address);
+  }
 });
 
 describe('a request that crashed two endpoints at different hosts', () => {
@@ -168,6 +175,35 @@
   });
 });
 
+describe('a fleet of many hosts', () => {
+  const many = Array.from({length: 75}, (_, index) => `10.0.1.${index}:7200`);
+
+  it('exchanges few messages for a crash, and tells all hosts of a suspect', async () => {
+    // Guards against messages from each host to each at the moment of a crash.
+    FakePeers.hosts.clear();
+    const hosts = many.map(address => startHost(address, many));
+    const crashUnder = async (host: number, endpoint: string) => {
+      FakePeers.messageCount = 0;
+      hosts[host]?.endpointCrashed({
+        endpoint,
+        at: clock.now,
+        requests: [deadly.digest],
+      });
+      await delivered();
+      await delivered();
+      return FakePeers.messageCount;
+    };
+    expect(await crashUnder(3, 'i-1')).toBeLessThanOrEqual(2);
+    expect(await crashUnder(40, 'i-2')).toBeLessThan(4 * many.length);
+    const verdicts = await Promise.all(
+      hosts.map(host => host.admit(deadly, () => true)),
+    );
+    expect(
+      verdicts.filter(({verdict}) => verdict !== SuspectVerdict.Refuse),
+    ).toEqual([]);
+  });
+});
+
 describe('three more tries', () => {
   it('are all that the fleet has after the third crash, whoever asks', async () => {
     // Guards against tries that each host counts by itself, and lost messages.
