Look up the crashes of a request by its digest

While any crash is remembered, each arriving request was looked up in all of them, and each answered one in all requests of all crashes; up to 1,000 crashes are kept.

CrashSuspects keeps the endpoints of each request besides.

--- a/packages/decisions/src/crash-suspects.ts
+++ b/packages/decisions/src/crash-suspects.ts
@@ -75,6 +75,8 @@
  */
 export class CrashSuspects {
   private readonly crashes = new Map<string, EndpointCrash>();
+  /** Endpoints that crashed under each request. */
+  private readonly endpointsOf = new Map<string, Set<string>>();
   private readonly withdrawn = new Map<string, number>();
   private readonly tries = new Map<string, readonly number[]>();
   private readonly successes = new Map<string, number>();
@@ -88,16 +90,20 @@
 
   /** The requests that run only as tries, and those that are not tried again. */
   get suspectedRequests(): readonly string[] {
-    const all = [...this.crashes.values()].flatMap(({requests}) => requests);
-    return [...new Set(all)].filter(
-      request => this.crashCount(request) >= SUSPECT_CRASHES,
+    return [...this.endpointsOf.keys()].filter(request =>
+      this.isSuspected(request),
     );
   }
 
+  /** Whether a request was present at so many crashes that it runs only as a try. */
+  isSuspected(request: string): boolean {
+    return this.crashCount(request) >= SUSPECT_CRASHES;
+  }
+
   /** Number of requests that were present at a crash and not cleared. */
   get requestCount(): number {
-    const all = [...this.crashes.values()].flatMap(({requests}) => requests);
-    return new Set(all.filter(request => this.crashCount(request) > 0)).size;
+    const all = [...this.endpointsOf.keys()];
+    return all.filter(request => this.crashCount(request) > 0).length;
   }
 
   /** Number of endpoints that crashed while they began to run the request. */
@@ -119,6 +125,10 @@
     const requests = new Set([...(known?.requests ?? []), ...crash.requests]);
     const at = Math.min(known?.at ?? Infinity, crash.at);
     this.crashes.set(endpoint, {endpoint, at, requests: [...requests]});
+    for (const request of crash.requests) {
+      const endpoints = this.endpointsOf.get(request) ?? new Set();
+      this.endpointsOf.set(request, endpoints.add(endpoint));
+    }
     this.dropOldest();
     return requests.size > (known?.requests.length ?? 0);
   }
@@ -132,7 +142,7 @@
     if (livedAt <= (this.crashes.get(endpoint)?.at ?? Infinity)) {
       return false;
     }
-    this.crashes.delete(endpoint);
+    this.dropCrash(endpoint);
     this.withdrawn.set(endpoint, livedAt);
     return true;
   }
@@ -219,7 +229,7 @@
     for (const [endpoint, {at, requests}] of this.crashes) {
       const isOld = requests.every(request => this.lastAt(request) < oldest);
       if (at < oldest && isOld) {
-        this.crashes.delete(endpoint);
+        this.dropCrash(endpoint);
       }
     }
     for (const times of [this.withdrawn, this.successes, this.arrivals]) {
@@ -235,9 +245,9 @@
   /** Times of the crashes since the request's last success, ascending. */
   private crashTimes(request: string): readonly number[] {
     const clearedAt = this.successes.get(request) ?? -Infinity;
-    return [...this.crashes.values()]
-      .filter(({at, requests}) => at > clearedAt && requests.includes(request))
-      .map(({at}) => at)
+    return [...(this.endpointsOf.get(request) ?? [])]
+      .map(endpoint => this.crashes.get(endpoint)?.at ?? -Infinity)
+      .filter(at => at > clearedAt)
       .sort((one, other) => one - other);
   }
 
@@ -251,7 +261,19 @@
   private dropOldest(): void {
     const [oldest] = this.crashes.keys();
     if (this.crashes.size > MAXIMUM_CRASHES && oldest !== undefined) {
-      this.crashes.delete(oldest);
+      this.dropCrash(oldest);
+    }
+  }
+
+  private dropCrash(endpoint: string): void {
+    const requests = this.crashes.get(endpoint)?.requests ?? [];
+    this.crashes.delete(endpoint);
+    for (const request of requests) {
+      const endpoints = this.endpointsOf.get(request);
+      endpoints?.delete(endpoint);
+      if (endpoints?.size === 0) {
+        this.endpointsOf.delete(request);
+      }
     }
   }
 }
--- a/packages/gateway/src/suspect-registry.ts
+++ b/packages/gateway/src/suspect-registry.ts
@@ -117,7 +117,7 @@
       return;
     }
     const {digest} = identity;
-    const wasSuspected = this.suspects.suspectedRequests.includes(digest);
+    const wasSuspected = this.suspects.isSuspected(digest);
     if (!this.suspects.recordSuccess(digest, this.now())) {
       return;
     }
