--- /dev/null
+++ b/packages/gateway/src/test/any-answer-dialect.ts
@@ -0,0 +1,11 @@
+import type {Dialect} from '../dialect.js';
+
+/** Takes each answer for that of the endpoint to the request. */
+export const ANY_ANSWER_DIALECT = {
+  endpointAnswer: () => ({
+    attemptId: undefined,
+    isNotRun: false,
+    closesConnection: false,
+    hasProof: true,
+  }),
+} as unknown as Dialect;
--- a/packages/gateway/src/test/endpoint-exchange_test.ts
+++ b/packages/gateway/src/test/endpoint-exchange_test.ts
@@ -3,18 +3,9 @@
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 
-import type {Dialect} from '../dialect.js';
 import {EndpointConnectionPool} from '../endpoint-connection-pool.js';
 import {EndpointExchange} from '../endpoint-exchange.js';
-
-const dialect = {
-  endpointAnswer: () => ({
-    attemptId: undefined,
-    isNotRun: false,
-    closesConnection: false,
-    hasProof: true,
-  }),
-} as unknown as Dialect;
+import {ANY_ANSWER_DIALECT} from './any-answer-dialect.js';
 
 const connections = new EndpointConnectionPool();
 let server: Server | undefined;
@@ -51,7 +42,7 @@
   await once(listening, 'listening');
   const {port} = listening.address() as AddressInfo;
   const exchange = new EndpointExchange(
-    dialect,
+    ANY_ANSWER_DIALECT,
     connections,
     {
       id: 'i-1',
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -13,7 +13,6 @@
   EndpointConnectionPool,
   type EndpointRequestOptions,
 } from '../endpoint-connection-pool.js';
-import type {Dialect} from '../dialect.js';
 import {KnownEndpoint, type EndpointDirectory} from '../endpoint-directory.js';
 import {EndpointExchange} from '../endpoint-exchange.js';
 import {GatewayMetrics} from '../gateway-metrics.js';
@@ -23,21 +22,13 @@
 import {RelayedConnectionPool} from '../relayed-connection-pool.js';
 import type {ServiceReachMonitor} from '../service-reach-monitor.js';
 import {TunnelServer} from '../tunnel-server.js';
+import {ANY_ANSWER_DIALECT} from './any-answer-dialect.js';
 
 const NO_LOANS: LoanHolder = {
   lend: () => Promise.resolve(0),
   takeOver: () => false,
 };
 
-const dialect = {
-  endpointAnswer: () => ({
-    attemptId: undefined,
-    isNotRun: false,
-    closesConnection: false,
-    hasProof: true,
-  }),
-} as unknown as Dialect;
-
 /** An answer, or the error that ended the exchange. */
 interface Received {
   readonly body: string;
@@ -260,13 +251,18 @@
   async function readAnswer(
     onFirst: () => void = () => undefined,
   ): Promise<Received> {
-    const open = new EndpointExchange(dialect, pool, endpoint.entry, {
-      method: 'GET',
-      target: '/',
-      headers: ['Host', 'models'],
-      body: undefined,
-      attemptId: undefined,
-    });
+    const open = new EndpointExchange(
+      ANY_ANSWER_DIALECT,
+      pool,
+      endpoint.entry,
+      {
+        method: 'GET',
+        target: '/',
+        headers: ['Host', 'models'],
+        body: undefined,
+        attemptId: undefined,
+      },
+    );
     await open.head();
     let body = '';
     await open.read(chunk => {
