Tell events from comments by any field, not by data alone

What callers would see: a whole stream without a length or chunks whose events carry no data line would count as broken. Not seen; found in reading the change. What was meant to be left out are comments, which endpoints send to keep a connection open. Any field makes an event now.

--- a/packages/gateway/src/event-stream-splitter.ts
+++ b/packages/gateway/src/event-stream-splitter.ts
@@ -6,7 +6,8 @@
 }
 
 const LINE_FEED = 0x0a;
-const DATA_LINE = /(?:^|\n)data[:\r\n]/;
+/** A line that is neither empty nor a comment. */
+const FIELD_LINE = /^[^:\r\n]/m;
 const ID_LINE = /(?:^|\n)id: ?([^\r\n]*)/;
 
 /**
@@ -42,9 +43,9 @@
   }
 }
 
-/** Whether an event carries data; comments and bare identifiers don't. */
-export function hasData({bytes}: StreamEvent): boolean {
-  return DATA_LINE.test(bytes.toString('latin1'));
+/** Whether an event has any field; comments that keep a connection open have none. */
+export function hasField({bytes}: StreamEvent): boolean {
+  return FIELD_LINE.test(bytes.toString('latin1'));
 }
 
 /**
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -2,7 +2,7 @@
 import {AnswerFraming, type EndpointExchange} from './endpoint-exchange.js';
 import {
   EventStreamSplitter,
-  hasData,
+  hasField,
   type StreamEvent,
 } from './event-stream-splitter.js';
 import type {RequestRecord} from './request-record.js';
@@ -42,7 +42,7 @@
 class StreamRelay {
   private readonly splitter = new EventStreamSplitter();
   private isOutOfOrder = false;
-  /** Whether an event with data came from this endpoint. */
+  /** Whether an event, and not only comments, came from this endpoint. */
   private hasEvent = false;
 
   constructor(
@@ -95,7 +95,7 @@
 
   private forward(events: readonly StreamEvent[]): Promise<void> | undefined {
     this.monitor.eventReceived();
-    this.hasEvent ||= events.some(hasData);
+    this.hasEvent ||= events.some(hasField);
     for (const {id} of events) {
       this.record.eventDelivered(this.now());
       this.record.lastEventId = id ?? this.record.lastEventId;
