--- a/packages/decisions/src/crash-suspects.ts
+++ b/packages/decisions/src/crash-suspects.ts
@@ -95,7 +95,7 @@
     );
   }
 
-  /** Whether a request was present at so many crashes that it runs only as a try. */
+  /** Whether a request runs only as a try, by the crashes at which it was present. */
   isSuspected(request: string): boolean {
     return this.crashCount(request) >= SUSPECT_CRASHES;
   }
