Log the build of each attempt and what a request takes up

The log could not tell the three hypotheses apart: the line 'request' named neither the build at which an attempt ran, nor whether the request takes up a stream, nor of which attempt. No logic changes.

--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -30,6 +30,11 @@
    * Identifier of the last event that the caller received of an earlier answer.
    */
   readonly lastEventId: string | undefined;
+  /**
+   * The caller's attempt that brought the first event of that answer; undefined
+   * if not stated.
+   */
+  readonly resumedAttemptId: string | undefined;
 }
 
 /** Values that the gateway adds to the headers of a request to an endpoint. */
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -16,6 +16,7 @@
 /** One attempt of a request at an endpoint. */
 export class EndpointAttempt {
   private readonly eventsBefore: number;
+  private readonly build: string;
 
   constructor(
     readonly endpoint: KnownEndpoint,
@@ -27,6 +28,7 @@
     private readonly ageMilliseconds: () => number,
   ) {
     this.eventsBefore = record.eventsDelivered;
+    this.build = endpoint.entry.build;
   }
 
   /**
@@ -58,6 +60,7 @@
     this.record.attempts.push({
       answer,
       endpoint: this.endpoint.entry.id,
+      build: this.build,
       path: this.path.kind,
       connection: this.exchange.connectionOrigin,
       atMilliseconds: Math.round(this.ageMilliseconds()),
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -266,6 +266,7 @@
     this.events.info('endpoint listed', {
       endpoint: entry.id,
       service: entry.service,
+      build: entry.build,
       isLeaving: entry.isLeaving,
       offset,
     });
--- a/packages/gateway/src/endpoint-entry.ts
+++ b/packages/gateway/src/endpoint-entry.ts
@@ -18,4 +18,9 @@
    * stated.
    */
   readonly bornAt: number;
+  /**
+   * Build of its software, which other endpoints of the service may share. It
+   * has no order. Empty if not stated.
+   */
+  readonly build: string;
 }
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -89,6 +89,7 @@
       endpoints: this.directory.all.map(({entry, load, breaker}) => ({
         id: entry.id,
         service: entry.service,
+        build: entry.build,
         leaving: entry.isLeaving,
         load,
         trusted: breaker.isAvailable(now),
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -441,6 +441,8 @@
       request: caller.headers.attemptId,
       path: caller.path,
       isFirst: caller.isFirst,
+      resumes: caller.headers.resumedAttemptId,
+      lastEvent: caller.headers.lastEventId,
       outcome: record.outcome,
       status: record.status,
       tookMilliseconds: Math.round(durationMilliseconds),
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -16,6 +16,8 @@
 /** One attempt of a request at an endpoint, for the request's log line. */
 export interface AttemptRecord {
   readonly endpoint: string;
+  /** Build of the endpoint when the attempt was sent. */
+  readonly build: string;
   readonly path: PathKind;
   readonly connection: ConnectionOrigin;
   readonly atMilliseconds: number;
@@ -34,12 +36,13 @@
 
 /** An attempt as it appears in the request's log line. */
 export function describeAttempt(attempt: AttemptRecord): string {
-  const {endpoint, path, connection, atMilliseconds, result, answer} = attempt;
+  const {endpoint, build, path, connection, atMilliseconds, result, answer} =
+    attempt;
   const body =
     answer === undefined
       ? ''
       : ` (${answer.framing}, ${answer.events} events, ${answer.bodyEnd})`;
-  return `${endpoint} (${path}, ${connection}) at ${atMilliseconds}: ${result}${body}`;
+  return `${endpoint} (${build}, ${path}, ${connection}) at ${atMilliseconds}: ${result}${body}`;
 }
 
 /** The outcome of a request, for its log line, metrics and bill. */
--- a/packages/gateway/src/test/caller-exchange_test.ts
+++ b/packages/gateway/src/test/caller-exchange_test.ts
@@ -14,6 +14,7 @@
   maximumOutputTokens: 0,
   promptParts: [],
   lastEventId: undefined,
+  resumedAttemptId: undefined,
 };
 
 const dialect = {callerHeaders: () => HEADERS} as unknown as Dialect;
--- a/packages/gateway/src/test/crash-detector_test.ts
+++ b/packages/gateway/src/test/crash-detector_test.ts
@@ -27,6 +27,7 @@
     slots: 1,
     isLeaving: false,
     bornAt: 7,
+    build: 'v1',
   });
   crashes = [];
   detector = new CrashDetector({
--- a/packages/gateway/src/test/request-record_test.ts
+++ b/packages/gateway/src/test/request-record_test.ts
@@ -83,6 +83,7 @@
 describe('the description of an attempt', () => {
   const attempt = {
     endpoint: 'i-1',
+    build: 'v1',
     path: PathKind.Direct,
     connection: ConnectionOrigin.New,
     atMilliseconds: 12,
@@ -98,13 +99,13 @@
       events: 0,
     };
     expect(describeAttempt({...attempt, answer})).toBe(
-      'i-1 (direct, new) at 12: complete stream (until-close, 0 events, closed)',
+      'i-1 (v1, direct, new) at 12: complete stream (until-close, 0 events, closed)',
     );
   });
 
   it('leaves out the answer of an attempt whose body was not read', () => {
     expect(describeAttempt({...attempt, result: 'not-sent: refused'})).toBe(
-      'i-1 (direct, new) at 12: not-sent: refused',
+      'i-1 (v1, direct, new) at 12: not-sent: refused',
     );
   });
 });
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -125,6 +125,7 @@
     slots: 1,
     isLeaving: false,
     bornAt: 0,
+    build: 'v1',
   });
 }
 
