Continue a stream within its answer only at the build that began it

Cause: EndpointChooser weighed load and health of all endpoints of the service, for a resume as for a new request; nothing kept what had begun the stream. The first event that is passed on now binds the request to the service and build of the endpoint that sent it, and every choice of an endpoint, failovers of late streams included, leaves others out first. Comments bind nothing, nor do attempts without an event. Where no endpoint of the build is left the answer is cut at once, before a resend is claimed. It works because each attempt of a request goes through that one choice.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -35,6 +35,7 @@
 export * from './weight-budget.js';
 export * from './standing-delay.js';
 export * from './stop-admission.js';
+export * from './stream-origin.js';
 export * from './work.js';
 export * from './endpoint-circuit-breaker.js';
 export * from './answer-estimate.js';
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -114,6 +114,9 @@
       this.record,
       monitor,
       () => this.lifetime.now(),
+      () => {
+        this.context.binding.bind(attempt.origin);
+      },
     );
     if (result === RelayResult.Complete) {
       attempt.answerEnded('complete stream');
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -1,4 +1,7 @@
-import type {EndpointCircuitBreaker} from '@wisteriadeal/decisions';
+import type {
+  EndpointCircuitBreaker,
+  StreamOrigin,
+} from '@wisteriadeal/decisions';
 
 import type {KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
@@ -16,7 +19,8 @@
 /** One attempt of a request at an endpoint. */
 export class EndpointAttempt {
   private readonly eventsBefore: number;
-  private readonly build: string;
+  /** What the endpoint ran, by the list, when the attempt was sent. */
+  readonly origin: StreamOrigin;
 
   constructor(
     readonly endpoint: KnownEndpoint,
@@ -28,7 +32,8 @@
     private readonly ageMilliseconds: () => number,
   ) {
     this.eventsBefore = record.eventsDelivered;
-    this.build = endpoint.entry.build;
+    const {service, build} = endpoint.entry;
+    this.origin = {service, build};
   }
 
   /**
@@ -60,7 +65,7 @@
     this.record.attempts.push({
       answer,
       endpoint: this.endpoint.entry.id,
-      build: this.build,
+      build: this.origin.build,
       path: this.path.kind,
       connection: this.exchange.connectionOrigin,
       atMilliseconds: Math.round(this.ageMilliseconds()),
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -33,17 +33,20 @@
   ) {}
 
   /**
-   * Selects the endpoint for a request; undefined if its service has none.
+   * Selects the endpoint for a request; undefined if its service has none that
+   * may run it.
    *
    * @param avoided Identifiers of endpoints that the request was already sent
    *     to.
    */
   choose(
-    {route, service, caller, isTry}: RequestContext,
+    {route, service, caller, isTry, binding}: RequestContext,
     avoided: ReadonlySet<string>,
   ): ChosenEndpoint | undefined {
     const path = this.paths.pathTo(service.name);
-    const candidates = this.candidates(service.name, path);
+    const candidates = this.candidates(service.name, path).filter(
+      ({endpoint}) => binding.admits(endpoint.entry),
+    );
     const sharedPart =
       route.kind === RouteKind.Streaming && !isTry
         ? (caller.headers.promptParts.at(-2)?.id ?? '')
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -8,6 +8,8 @@
   Stopping = 'stopping',
   HostBehind = 'host-behind',
   NoEndpoint = 'no-endpoint',
+  /** The build that began the stream has no endpoint. */
+  BuildGone = 'build-gone',
   EndpointsRefused = 'endpoints-refused',
   EndpointsUnreachable = 'endpoints-unreachable',
   DeadlinePassed = 'deadline-passed',
--- a/packages/gateway/src/request-context.ts
+++ b/packages/gateway/src/request-context.ts
@@ -8,6 +8,7 @@
   type ServiceDescription,
 } from './configuration.js';
 import type {RequestIdentity} from './request-identity.js';
+import type {StreamBinding} from './stream-binding.js';
 
 /** An admitted request with everything needed to place and run it. */
 export interface RequestContext {
@@ -16,6 +17,7 @@
   readonly identity: RequestIdentity;
   /** Whether the request may be sent to one endpoint only, as it may crash it. */
   readonly isTry: boolean;
+  readonly binding: StreamBinding;
   readonly route: Route;
   readonly service: ServiceDescription;
   readonly organisation: Organisation | undefined;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -40,6 +40,7 @@
 import {ServiceStates} from './service-states.js';
 import type {StartGate} from './start-gate.js';
 import type {StoreHealth} from './store-health.js';
+import {StreamBinding} from './stream-binding.js';
 
 /**
  * The route and the organisation of an admitted request, by the configuration
@@ -287,6 +288,7 @@
       body,
       identity: new RequestIdentity(caller, body),
       isTry: false,
+      binding: new StreamBinding(),
       route,
       service,
       organisation,
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -199,6 +199,9 @@
     const {route} = context;
     const hasClaimed = this.hasClaimedFailover;
     this.hasClaimedFailover = false;
+    if (!this.hasEndpoint) {
+      return this.giveUp(LocalReplyReason.BuildGone);
+    }
     const mayResend =
       !lifetime.isAbandoned &&
       !context.isTry &&
@@ -209,6 +212,15 @@
     return mayResend ? NextStep.Retry : this.giveUp(reason);
   }
 
+  /** Whether a stream that has begun may go on anywhere; resends are limited. */
+  private get hasEndpoint(): boolean {
+    const {chooser, context} = this.parts;
+    return (
+      context.binding.origin === undefined ||
+      chooser.choose(context, this.avoided) !== undefined
+    );
+  }
+
   private claimResend(): boolean {
     const {context, lifetime, hostCount} = this.parts;
     return context.resends.tryTake(hostCount(), lifetime.now());
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -140,7 +140,11 @@
     }
     const chosen = this.chooser.choose(context, retries.avoided);
     if (chosen === undefined) {
-      return retries.giveUp(LocalReplyReason.NoEndpoint);
+      return retries.giveUp(
+        context.binding.origin === undefined
+          ? LocalReplyReason.NoEndpoint
+          : LocalReplyReason.BuildGone,
+      );
     }
     const attempt = this.begin(chosen);
     const {endpoint, path, exchange, monitor} = attempt;
--- /dev/null
+++ b/packages/gateway/src/stream-binding.ts
@@ -0,0 +1,24 @@
+import {isSameOrigin, type StreamOrigin} from '@wisteriadeal/decisions';
+
+/**
+ * Binds a stream to the service and build that sent its first event. Endpoints
+ * don't check what began the stream that they are asked to continue.
+ */
+export class StreamBinding {
+  private bound: StreamOrigin | undefined;
+
+  /** What the stream is bound to; undefined before its first event. */
+  get origin(): StreamOrigin | undefined {
+    return this.bound;
+  }
+
+  /** Records an event that is passed on to the caller; the first one binds. */
+  bind(origin: StreamOrigin): void {
+    this.bound ??= origin;
+  }
+
+  /** Whether an endpoint may begin or continue the stream. */
+  admits(endpoint: StreamOrigin): boolean {
+    return this.bound === undefined || isSameOrigin(this.bound, endpoint);
+  }
+}
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -26,6 +26,9 @@
  * a run that was resumed at another endpoint may start too early or too late,
  * and a stream with a gap or a repeated event is worse for its caller than one
  * that was cut.
+ *
+ * @param onFirstEvent Called before the endpoint's first event is passed on;
+ *     comments are no events.
  */
 export async function relayStream(
   exchange: EndpointExchange,
@@ -33,8 +36,16 @@
   record: RequestRecord,
   monitor: InactivityMonitor,
   now: () => number,
+  onFirstEvent: () => void,
 ): Promise<RelayResult> {
-  const relay = new StreamRelay(exchange, caller, record, monitor, now);
+  const relay = new StreamRelay(
+    exchange,
+    caller,
+    record,
+    monitor,
+    now,
+    onFirstEvent,
+  );
   await exchange.read(chunk => relay.relay(chunk));
   return relay.result;
 }
@@ -51,6 +62,7 @@
     private readonly record: RequestRecord,
     private readonly monitor: InactivityMonitor,
     private readonly now: () => number,
+    private readonly onFirstEvent: () => void,
   ) {}
 
   /**
@@ -95,7 +107,10 @@
 
   private forward(events: readonly StreamEvent[]): Promise<void> | undefined {
     this.monitor.eventReceived();
-    this.hasEvent ||= events.some(hasField);
+    if (!this.hasEvent && events.some(hasField)) {
+      this.hasEvent = true;
+      this.onFirstEvent();
+    }
     for (const {id} of events) {
       this.record.eventDelivered(this.now());
       this.record.lastEventId = id ?? this.record.lastEventId;
