--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -1,10 +1,4 @@
-import {
-  Code,
-  ConnectError,
-  createClient,
-  type Client,
-} from '@connectrpc/connect';
-import {createConnectTransport} from '@connectrpc/connect-node';
+import {Code, ConnectError, type Client} from '@connectrpc/connect';
 import {
   Fate,
   UncongestedLink,
@@ -13,7 +7,8 @@
   type HostLink,
 } from '@wisteriadeal/platform';
 import {GrantLoanService} from '@wisteriadeal/schema';
-import {Agent} from 'node:http';
+
+import {PeerClients} from './peer-clients.js';
 
 /** A request for a loan. */
 export interface LoanRequest {
@@ -107,18 +102,9 @@
   signal: AbortSignal,
 ) => Promise<Answer>;
 
-interface Peer {
-  readonly client: Client<typeof GrantLoanService>;
-  readonly connections: Agent;
-}
-
-/**
- * Client over Connect with HTTP/1.1. With HTTP/2, the library's session raises an
- * uncaught error if the peer sends GOAWAY while the session is being abandoned, which
- * would end the process with all its requests.
- */
+/** Client over Connect. */
 export class ConnectLoanPeers extends LoanPeers {
-  private readonly peers = new Map<string, Peer>();
+  private readonly clients = new PeerClients(GrantLoanService);
 
   /** @param link This host's link; timeouts are longer while it is congested. */
   constructor(private readonly link: HostLink = new UncongestedLink()) {
@@ -152,9 +138,7 @@
   }
 
   override close(): void {
-    for (const [address, peer] of [...this.peers]) {
-      this.closePeer(address, peer);
-    }
+    this.clients.close();
   }
 
   private async call<Answer>(
@@ -199,11 +183,11 @@
     exchange: Exchange<Answer>,
     signal: AbortSignal,
   ): Promise<Answer> {
-    const peer = this.peer(address);
+    const peer = this.clients.at(address);
     try {
       return await exchange(peer.client, signal);
     } catch (error) {
-      this.closePeer(address, peer);
+      this.clients.closeClient(address, peer);
       const reason = String(error);
       throw new StepError(step, address, Fate.Unknown, reason, {cause: error});
     }
@@ -211,33 +195,9 @@
 
   /** Link delay of a call, milliseconds; it applies twice with a new connection. */
   private linkDelay(address: string): number {
-    const kept = this.peers.get(address)?.connections.freeSockets ?? {};
-    const isNew = Object.keys(kept).length === 0;
+    const isNew = this.clients.needsConnection(address);
     return (isNew ? 2 : 1) * this.link.delayMilliseconds;
   }
-
-  private peer(address: string): Peer {
-    let peer = this.peers.get(address);
-    if (peer === undefined) {
-      const connections = new Agent({keepAlive: true, noDelay: true});
-      const transport = createConnectTransport({
-        baseUrl: `http://${address}`,
-        httpVersion: '1.1',
-        nodeOptions: {agent: connections},
-      });
-      peer = {client: createClient(GrantLoanService, transport), connections};
-      this.peers.set(address, peer);
-    }
-    return peer;
-  }
-
-  /** Closes a peer's connections, since one without an answer may stay unresponsive. */
-  private closePeer(address: string, peer: Peer): void {
-    peer.connections.destroy();
-    if (this.peers.get(address) === peer) {
-      this.peers.delete(address);
-    }
-  }
 }
 
 /** Whether a promise resolves or rejects within a time. */
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -27,7 +27,7 @@
 
 /**
  * Server for other hosts, which request loans, hand over their tokens when they stop, open
- * tunnels to endpoints and ask how these ended. It uses HTTP/1.1 for the reason given at `ConnectLoanPeers`.
+ * tunnels to endpoints and ask how these ended. It uses HTTP/1.1 for the reason given at `PeerClients`.
  */
 export class PeerServer {
   private constructor(
