Continue streams that callers take up at the service and build that began them

Cause: a continued run was treated as a new one. Nothing read Resumes, and no host knew what had begun the stream of another attempt, its own included; the service was drawn anew by the weights.

The first event of a stream is recorded under a digest of attempt, target and key, and told to two hosts of an order that depends on the stream and one of the own data centre, while more than one service or build can have begun one. The host that a caller comes to asks them. Without a record the stream goes on only if one service and build alone can have begun it, by what hosts saw of list and routes for as long as a stream may last; a host that has started since takes that from the others. Otherwise, and where no endpoint of the build is left, it is refused as not run before anything is reserved or sent. It works because no path leads from a request with Last-Event-Id to an endpoint but by the record.

Property test over releases, removals, moved routes, kills, cuts and lost stores at five hosts: 500 runs, no stream at another origin.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -80,8 +80,8 @@
   readonly isLinkCongested: () => boolean;
 }
 
-/** Called with an endpoint's incarnation. */
-type IncarnationListener = (incarnation: string) => void;
+/** Called with an endpoint. */
+type EndpointListener = (endpoint: KnownEndpoint) => void;
 
 /** The endpoints on the platform's list. */
 export class EndpointDirectory extends KeyedTopicReader {
@@ -94,7 +94,8 @@
   /** Offset of the latest record of each key. */
   private readonly offsets = new Map<string, number>();
   private readonly readListeners: (() => void)[] = [];
-  private readonly goneListeners: IncarnationListener[] = [];
+  private readonly listedListeners: EndpointListener[] = [];
+  private readonly goneListeners: EndpointListener[] = [];
   private readonly heartbeatListeners: ((
     incarnation: string,
     writtenAfter: number,
@@ -121,8 +122,13 @@
     this.readListeners.push(listener);
   }
 
+  /** Adds a listener that is called for each entry of an endpoint that is read. */
+  onListed(listener: EndpointListener): void {
+    this.listedListeners.push(listener);
+  }
+
   /** Adds a listener for endpoints that are off the list. */
-  onGone(listener: IncarnationListener): void {
+  onGone(listener: EndpointListener): void {
     this.goneListeners.push(listener);
   }
 
@@ -141,6 +147,11 @@
     return [...this.endpoints.values()];
   }
 
+  /** Time since which changes of the list may be missing, milliseconds. */
+  get listAgeMilliseconds(): number {
+    return this.clock.monotonicMilliseconds() - this.currentAsOf;
+  }
+
   /** The endpoint with this identifier. */
   find(id: string): KnownEndpoint | undefined {
     return this.endpoints.get(id);
@@ -192,6 +203,9 @@
       return;
     }
     const endpoint = this.entryListed(entry, offset);
+    for (const listener of this.listedListeners) {
+      listener(endpoint);
+    }
     if (offset > knownOffset) {
       for (const listener of this.heartbeatListeners) {
         listener(endpoint.incarnation, this.currentAsOf);
@@ -276,7 +290,7 @@
   private forget(endpoint: KnownEndpoint): void {
     this.endpoints.delete(endpoint.entry.id);
     for (const listener of this.goneListeners) {
-      listener(endpoint.incarnation);
+      listener(endpoint);
     }
   }
 
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -3,6 +3,7 @@
 import type {ConnectResult} from './connect-result.js';
 import type {RequestRecord} from './request-record.js';
 import type {SuspectEvent} from './suspect-event.js';
+import type {TakeUp} from './stream-origins/take-up.js';
 import type {TunnelStatus} from './tunnel-protocol.js';
 
 /**
@@ -86,6 +87,12 @@
     labelNames: ['event'],
     registers: [this.registry],
   });
+  private readonly streamsTakenUp = new Counter({
+    name: 'wisteriadeal_streams_taken_up_total',
+    help: 'Streams that their callers took up, by result.',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -144,6 +151,11 @@
     this.suspectEvents.inc({event});
   }
 
+  /** Counts a stream that its caller took up. */
+  streamTakenUp(result: TakeUp): void {
+    this.streamsTakenUp.inc({result});
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -10,6 +10,7 @@
 import type {HostRotation} from './host-rotation.js';
 import type {LinkMonitor} from './link-monitor.js';
 import {GatewayStatus} from './status-server.js';
+import type {StreamOriginRegistry} from './stream-origins/index.js';
 import type {SuspectRegistry} from './suspect-registry.js';
 import type {TunnelServer} from './tunnel-server.js';
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
@@ -39,6 +40,7 @@
     private readonly reach: ServiceReachMonitor,
     private readonly tunnels: TunnelServer,
     private readonly suspects: SuspectRegistry,
+    private readonly origins: StreamOriginRegistry,
     private readonly clock: Clock,
   ) {
     super();
@@ -86,6 +88,7 @@
       unreachableServices: [...this.reach.unreachableServices],
       tunnels: this.tunnels.openTunnels,
       crashSuspects: this.suspects.requestCount,
+      streamOrigins: this.origins.streamCount,
       endpoints: this.directory.all.map(({entry, load, breaker}) => ({
         id: entry.id,
         service: entry.service,
@@ -141,6 +144,7 @@
     );
     this.metrics.setState('tunnels', this.tunnels.openTunnels);
     this.metrics.setState('crash_suspects', this.suspects.requestCount);
+    this.metrics.setState('stream_origins', this.origins.streamCount);
     this.metrics.setState('endpoints', this.directory.all.length);
     this.metrics.setState('budget_holders', this.budgets.holderCount);
     this.metrics.setState('resident_bytes', process.memoryUsage.rss());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -38,6 +38,12 @@
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
 import {ConnectSuspectPeers} from './suspect-peers.js';
+import {
+  ConnectStreamOriginPeers,
+  OriginWatch,
+  StreamOriginRegistry,
+  StreamStarts,
+} from './stream-origins/index.js';
 import {SuspectRegistry} from './suspect-registry.js';
 import {TunnelServer} from './tunnel-server.js';
 
@@ -104,6 +110,8 @@
   private readonly tunnels: TunnelServer;
   private readonly crashes: CrashDetector;
   private readonly suspects: SuspectRegistry;
+  private readonly originWatch: OriginWatch;
+  private readonly origins: StreamOriginRegistry;
   private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -141,6 +149,8 @@
       isFull: () => this.link.isFull || !this.rotation.acceptsConnections,
     });
     this.suspects = this.createSuspects();
+    this.originWatch = new OriginWatch(directory, clock);
+    this.origins = this.createOrigins();
     this.crashes = new CrashDetector({
       connections: this.connections,
       clock,
@@ -148,7 +158,7 @@
         this.suspects.endpointCrashed(crash);
       },
     });
-    directory.onGone(incarnation => {
+    directory.onGone(({incarnation}) => {
       this.crashes.endpointGone(incarnation);
     });
     directory.onHeartbeat((incarnation, writtenAfter) => {
@@ -180,6 +190,7 @@
       this.reach,
       this.tunnels,
       this.suspects,
+      this.origins,
       clock,
     );
     this.status = new StatusServer(
@@ -202,6 +213,7 @@
     });
     this.configuration.onChange(configuration => {
       this.gate.requirementMet(StartRequirement.Configuration);
+      this.originWatch.configurationAdopted(configuration);
       this.budgets.configure(configuration);
       this.callers.applyLimits(configuration.limits);
     });
@@ -218,6 +230,7 @@
       {
         loans: this.budgets.lender,
         suspects: this.suspects,
+        origins: this.origins,
         tunnels: this.tunnels,
       },
     );
@@ -270,6 +283,7 @@
     this.tunnels.close();
     this.crashes.close();
     this.suspects.close();
+    this.origins.close();
     await this.peerServer?.close();
     this.paths.close();
     this.connections.destroy();
@@ -404,6 +418,18 @@
     });
   }
 
+  private createOrigins(): StreamOriginRegistry {
+    const {settings, clock, events} = this.parts;
+    return new StreamOriginRegistry({
+      peers: new ConnectStreamOriginPeers(this.link),
+      watch: this.originWatch,
+      clock,
+      events,
+      dataCenter: settings.dataCenter,
+      otherHosts: () => this.peersInRegion(),
+    });
+  }
+
   private peersInRegion(): readonly PeerHost[] {
     const {region} = this.parts.settings;
     return this.budgets.otherHolders.filter(holder => holder.region === region);
@@ -433,6 +459,14 @@
       this.metrics,
       events,
       this.gate,
+      new StreamStarts({
+        registry: this.origins,
+        watch: this.originWatch,
+        directory: this.directory,
+        metrics: this.metrics,
+        clock,
+        events,
+      }),
       () => random.fraction(),
     );
   }
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -8,7 +8,11 @@
   Stopping = 'stopping',
   HostBehind = 'host-behind',
   NoEndpoint = 'no-endpoint',
-  /** The build that began the stream has no endpoint. */
+  /** What began the stream that the caller takes up is not known. */
+  OriginUnknown = 'origin-unknown',
+  /** All endpoints of the build that began the stream were lost, and may be back. */
+  BuildLost = 'build-lost',
+  /** The build that began the stream has no endpoint; the caller may begin anew. */
   BuildGone = 'build-gone',
   EndpointsRefused = 'endpoints-refused',
   EndpointsUnreachable = 'endpoints-unreachable',
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -1,10 +1,15 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
-import {CrashSuspectService, GrantLoanService} from '@wisteriadeal/schema';
+import {
+  CrashSuspectService,
+  GrantLoanService,
+  StreamOriginService,
+} from '@wisteriadeal/schema';
 import {createServer, type Server} from 'node:http';
 import {Socket} from 'node:net';
 
 import {listen, portOf, type ListenAddress} from './listening.js';
 import type {LoanHolder} from './loan-peers.js';
+import type {StreamOriginHolder} from './stream-origins/index.js';
 import type {SuspectHolder} from './suspect-peers.js';
 import {TUNNEL_END_PATH} from './tunnel-protocol.js';
 import type {TunnelServer} from './tunnel-server.js';
@@ -21,6 +26,8 @@
   readonly loans: LoanHolder;
   /** Exchanges knowledge of requests that crash endpoints. */
   readonly suspects?: SuspectHolder;
+  /** Keeps the origins of other hosts' streams. */
+  readonly origins?: StreamOriginHolder;
   /** Relays connections to endpoints; without it, CONNECT requests are closed. */
   readonly tunnels?: TunnelServer;
 }
@@ -39,7 +46,7 @@
   /** @throws The system's error if the address cannot be bound. */
   static async listen(
     at: ListenAddress,
-    {loans, tunnels, suspects}: PeerServices,
+    {loans, tunnels, suspects, origins}: PeerServices,
   ): Promise<PeerServer> {
     const routes = connectNodeAdapter({
       routes: router => {
@@ -58,6 +65,15 @@
             },
           });
         }
+        if (origins !== undefined) {
+          router.service(StreamOriginService, {
+            record: ({records}) => {
+              origins.receive(records);
+              return {};
+            },
+            find: query => origins.answer(query),
+          });
+        }
       },
     });
     const server = createServer((request, response) => {
--- a/packages/gateway/src/request-context.ts
+++ b/packages/gateway/src/request-context.ts
@@ -8,7 +8,7 @@
   type ServiceDescription,
 } from './configuration.js';
 import type {RequestIdentity} from './request-identity.js';
-import type {StreamBinding} from './stream-binding.js';
+import type {StreamBinding} from './stream-origins/index.js';
 
 /** An admitted request with everything needed to place and run it. */
 export interface RequestContext {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -2,6 +2,7 @@
   StopAdmission,
   SuspectVerdict,
   type ResendLimits,
+  type StreamOrigin,
 } from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 import {BillOutcome} from '@wisteriadeal/schema';
@@ -40,7 +41,7 @@
 import {ServiceStates} from './service-states.js';
 import type {StartGate} from './start-gate.js';
 import type {StoreHealth} from './store-health.js';
-import {StreamBinding} from './stream-binding.js';
+import type {StreamStarts} from './stream-origins/index.js';
 
 /**
  * The route and the organisation of an admitted request, by the configuration
@@ -85,6 +86,7 @@
     private readonly metrics: GatewayMetrics,
     private readonly events: EventLog,
     private readonly gate: StartGate,
+    private readonly streams: StreamStarts,
     private readonly randomFraction: () => number,
   ) {
     this.services = new ServiceStates(resendLimits);
@@ -203,11 +205,12 @@
     }
     const body = await caller.readBody(configuration.limits.bodyBytes);
     await caller.waitForCloseDetection();
+    const takenUp = await this.streams.find(caller);
     if (caller.disconnectSignal.aborted) {
       record.outcome = 'caller-left';
       return undefined;
     }
-    // A newer version may have come into force while the body was read.
+    // A newer version may have come into force in the meantime.
     const inForce = this.configuration.current ?? configuration;
     const admitted = admit(caller, inForce);
     if ('status' in admitted) {
@@ -219,7 +222,11 @@
         STOPPING_RETRY_AFTER_MILLISECONDS,
       );
     }
-    const context = this.contextOf(caller, body, inForce, admitted);
+    const origin = this.streams.begin(caller, admitted.route, takenUp);
+    if (origin !== undefined && 'status' in origin) {
+      return origin;
+    }
+    const context = this.contextOf(caller, body, inForce, admitted, origin);
     return context === undefined
       ? notExecutedReply(
           LocalReplyReason.NoEndpoint,
@@ -274,8 +281,9 @@
     body: Buffer | undefined,
     configuration: FleetConfiguration,
     {route, organisation}: Admission,
+    origin: StreamOrigin | undefined,
   ): RequestContext | undefined {
-    const name = pickService(route, this.randomFraction());
+    const name = origin?.service ?? pickService(route, this.randomFraction());
     const service = configuration.services.get(name ?? '');
     if (service === undefined) {
       return undefined;
@@ -283,17 +291,18 @@
     const {resends, firstEventLatency, bufferedAnswerLatency} =
       this.services.stateOf(service.name);
     resends.recordRequest(this.parts.clock.monotonicMilliseconds());
+    const deadlineAt = deadlineOf(caller, route);
     return {
       caller,
       body,
       identity: new RequestIdentity(caller, body),
       isTry: false,
-      binding: new StreamBinding(),
+      binding: this.streams.bindingOf(caller, origin, deadlineAt),
       route,
       service,
       organisation,
       configurationVersion: configuration.version,
-      deadlineAt: deadlineOf(caller, route),
+      deadlineAt,
       resends,
       firstEventLatency,
       bufferedAnswerLatency,
--- /dev/null
+++ b/packages/gateway/src/stream-origins/index.ts
@@ -0,0 +1,6 @@
+export * from './origin-watch.js';
+export * from './stream-binding.js';
+export * from './stream-origin-peers.js';
+export * from './stream-origin-registry.js';
+export * from './stream-starts.js';
+export * from './take-up.js';
--- /dev/null
+++ b/packages/gateway/src/stream-origins/route-history.ts
@@ -0,0 +1,97 @@
+import {
+  findRoute,
+  type FleetConfiguration,
+  type Route,
+} from '../configuration.js';
+
+/** Routes that were in force until a time on the monotonic clock, milliseconds. */
+interface ReplacedRoutes {
+  readonly configuration: FleetConfiguration;
+  readonly until: number;
+}
+
+/** Services that requests may have been sent to. */
+export interface PastServices {
+  readonly services: ReadonlySet<string>;
+  /** Whether these are all. */
+  readonly isComplete: boolean;
+}
+
+/** Maximum number of replaced configurations; a large one takes megabytes. */
+const MAXIMUM_REPLACED = 8;
+
+/** The services to which the routes of past configurations went. */
+export class RouteHistory {
+  private current: FleetConfiguration | undefined;
+  private readonly replaced: ReplacedRoutes[] = [];
+  /** Nothing is known of the routes before this time. */
+  private completeSince = Infinity;
+
+  /**
+   * Records that a configuration is in force.
+   *
+   * @returns Whether some requests go to other services than before.
+   */
+  adopt(configuration: FleetConfiguration, now: number): boolean {
+    const before = this.current;
+    this.current = configuration;
+    if (before === undefined) {
+      this.completeSince = now;
+      return false;
+    }
+    if (haveSameServices(before, configuration)) {
+      return false;
+    }
+    this.replaced.push({configuration: before, until: now});
+    if (this.replaced.length > MAXIMUM_REPLACED) {
+      this.completeSince = this.replaced.shift()?.until ?? now;
+    }
+    return true;
+  }
+
+  /** The services to which requests for a host and path went since a time. */
+  servicesOf(host: string, path: string, since: number): PastServices {
+    const configurations = this.replaced
+      .filter(({until}) => until >= since)
+      .map(({configuration}) => configuration);
+    if (this.current !== undefined) {
+      configurations.push(this.current);
+    }
+    const services = configurations.flatMap(configuration =>
+      servicesOfRoute(findRoute(configuration, host, path)),
+    );
+    return {
+      services: new Set(services),
+      isComplete: this.completeSince <= since,
+    };
+  }
+}
+
+/** The services that a route sends requests to. */
+export function servicesOfRoute(route: Route | undefined): readonly string[] {
+  return (route?.services ?? [])
+    .filter(({weight}) => weight > 0)
+    .map(({service}) => service);
+}
+
+function haveSameServices(
+  one: FleetConfiguration,
+  other: FleetConfiguration,
+): boolean {
+  const targets = targetsOf(one);
+  const others = targetsOf(other);
+  return (
+    targets.size === others.size &&
+    [...targets].every(([route, services]) => others.get(route) === services)
+  );
+}
+
+/** The services of each route, by host and path. */
+function targetsOf({routes}: FleetConfiguration): Map<string, string> {
+  return new Map(
+    routes.map(route => [
+      `${route.host} ${route.pathPrefix}`,
+      servicesOfRoute(route).join(' '),
+    ]),
+  );
+}
--- /dev/null
+++ b/packages/gateway/src/stream-origins/stream-origin-peers.ts
@@ -0,0 +1,84 @@
+import {create, type MessageInitShape} from '@bufbuild/protobuf';
+import type {HostLink} from '@wisteriadeal/platform';
+import {
+  StreamOriginQuerySchema,
+  StreamOriginRecordsSchema,
+  StreamOriginService,
+  type StreamOriginAnswer,
+  type StreamOriginQuery,
+  type StreamOriginRecord,
+} from '@wisteriadeal/schema';
+
+import {PeerCalls} from '../peer-calls.js';
+
+/** Fields of a query for the origin of a stream. */
+export type OriginQuery = MessageInitShape<typeof StreamOriginQuerySchema>;
+
+/** Client for what other hosts know of the origins of streams. */
+export abstract class StreamOriginPeers {
+  /**
+   * Adds records to those of one host.
+   *
+   * @throws StepError if no answer came in time.
+   */
+  abstract record(
+    address: string,
+    records: readonly StreamOriginRecord[],
+  ): Promise<void>;
+
+  /**
+   * Asks one host what it knows of a stream.
+   *
+   * @throws StepError if no answer came in time.
+   */
+  abstract find(
+    address: string,
+    query: OriginQuery,
+  ): Promise<StreamOriginAnswer>;
+
+  /** Closes open connections. */
+  abstract close(): void;
+}
+
+/** What other hosts ask of this one about the origins of streams. */
+export abstract class StreamOriginHolder {
+  /** Adds another host's records. */
+  abstract receive(records: readonly StreamOriginRecord[]): void;
+
+  /** Tells what this host knows of a stream. */
+  abstract answer(query: StreamOriginQuery): StreamOriginAnswer;
+}
+
+/** Client over Connect. */
+export class ConnectStreamOriginPeers extends StreamOriginPeers {
+  private readonly calls: PeerCalls<typeof StreamOriginService>;
+
+  /** @param link This host's link; timeouts are longer while it is congested. */
+  constructor(link: HostLink) {
+    super();
+    this.calls = new PeerCalls(StreamOriginService, link);
+  }
+
+  override async record(
+    address: string,
+    records: readonly StreamOriginRecord[],
+  ): Promise<void> {
+    const message = create(StreamOriginRecordsSchema, {records: [...records]});
+    await this.calls.call('record origins', address, (client, timeoutMs) =>
+      client.record(message, {timeoutMs}),
+    );
+  }
+
+  override find(
+    address: string,
+    query: OriginQuery,
+  ): Promise<StreamOriginAnswer> {
+    return this.calls.call('find origin', address, (client, timeoutMs) =>
+      client.find(query, {timeoutMs}),
+    );
+  }
+
+  override close(): void {
+    this.calls.close();
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -0,0 +1,238 @@
+import {
+  StreamOrigins,
+  type OriginKnowledge,
+  type OriginRecord,
+} from '@wisteriadeal/decisions';
+import type {Clock} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+import type {
+  StreamOriginAnswer,
+  StreamOriginQuery,
+  StreamOriginRecord,
+} from '@wisteriadeal/schema';
+
+import type {PeerHost} from '../relay-directory.js';
+import {
+  decodeAnswer,
+  decodeRecord,
+  encodeAnswer,
+  encodeRecord,
+} from './origin-messages.js';
+import {
+  originRecorders,
+  TOLD_HOSTS,
+  TOLD_LOCAL_HOSTS,
+} from './origin-recorders.js';
+import {OriginSender} from './origin-sender.js';
+import type {OriginWatch, WatchedOrigins} from './origin-watch.js';
+import {
+  StreamOriginHolder,
+  type StreamOriginPeers,
+} from './stream-origin-peers.js';
+
+/** Dependencies of `StreamOriginRegistry`. */
+export interface StreamOriginRegistryParts {
+  readonly peers: StreamOriginPeers;
+  readonly watch: OriginWatch;
+  readonly clock: Clock;
+  readonly events: EventLog;
+  readonly dataCenter: string;
+  /** The other hosts that callers of this one may come to. */
+  otherHosts(): readonly PeerHost[];
+}
+
+/** Hosts that can be reached answer within this time. */
+const BRIEF_MILLISECONDS = 30;
+
+/** A stream, and the request that asks for it. */
+export interface StreamRequest {
+  /** Digest of the stream; empty if the caller doesn't name its first attempt. */
+  readonly stream: string;
+  /** Host name and path of the request. */
+  readonly host: string;
+  readonly path: string;
+}
+
+/**
+ * What this host and, through messages, a few others know of the origins of streams.
+ * While only one service and build can begin a stream, nobody is told.
+ */
+export class StreamOriginRegistry extends StreamOriginHolder {
+  private readonly origins = new StreamOrigins();
+  /** This host's own streams of which it has told nobody, with their service. */
+  private readonly untold = new Map<string, OriginRecord>();
+  private readonly sender: OriginSender;
+
+  constructor(private readonly parts: StreamOriginRegistryParts) {
+    super();
+    this.sender = new OriginSender(parts.peers, parts.events);
+    parts.watch.setDifferListener(service => {
+      this.tellUntold(service);
+    });
+  }
+
+  /** Number of streams whose origin this host keeps. */
+  get streamCount(): number {
+    return this.origins.size;
+  }
+
+  /** Records what began a stream that this host serves. */
+  began(record: OriginRecord, {host, path}: StreamRequest): void {
+    this.origins.record(record, this.now());
+    if (isKnownAlone(this.parts.watch.originsOf(host, path))) {
+      this.keepUntold(record);
+    } else {
+      void this.tell(record);
+    }
+  }
+
+  /** Resolves with what this host and others know of a stream. */
+  async find(request: StreamRequest): Promise<readonly OriginKnowledge[]> {
+    const own = this.knowledge(request);
+    if (own.isRecorded) {
+      return [own];
+    }
+    const {all, local} = this.recorders(request.stream);
+    const addresses = [...new Set([...all, ...local])];
+    return [own, ...(await this.ask(addresses, request, isKnownAlone(own)))];
+  }
+
+  override receive(records: readonly StreamOriginRecord[]): void {
+    const now = this.now();
+    for (const record of records) {
+      this.origins.record(decodeRecord(record, now), now);
+    }
+  }
+
+  override answer({
+    stream,
+    requestHost,
+    requestPath,
+  }: StreamOriginQuery): StreamOriginAnswer {
+    const now = this.now();
+    const record = this.origins.find(stream, now);
+    return encodeAnswer(
+      record && encodeRecord(record, now),
+      this.parts.watch.originsOf(requestHost, requestPath),
+    );
+  }
+
+  /** Closes the connections to other hosts. */
+  close(): void {
+    this.parts.peers.close();
+  }
+
+  private knowledge({stream, host, path}: StreamRequest): OriginKnowledge {
+    const record = this.origins.find(stream, this.now());
+    return {
+      isRecorded: record !== undefined,
+      origin: record?.origin,
+      ...this.parts.watch.originsOf(host, path),
+    };
+  }
+
+  /**
+   * Resolves when a host has a record, or all have answered or can't be reached.
+   *
+   * @param isBrief Whether hosts that answer late are not waited for.
+   */
+  private async ask(
+    addresses: readonly string[],
+    {stream, host, path}: StreamRequest,
+    isBrief: boolean,
+  ): Promise<readonly OriginKnowledge[]> {
+    const query = {stream, requestHost: host, requestPath: path};
+    const answers: OriginKnowledge[] = [];
+    await new Promise<void>(resolve => {
+      const asked = addresses.map(async address => {
+        try {
+          const answer = await this.parts.peers.find(address, query);
+          answers.push(decodeAnswer(answer));
+          if (answer.record !== undefined) {
+            resolve();
+          }
+        } catch (error) {
+          this.parts.events.info('stream origin not answered', {
+            address,
+            reason: String(error),
+          });
+        }
+      });
+      void Promise.all(asked).then(() => {
+        resolve();
+      });
+      if (isBrief) {
+        setTimeout(resolve, BRIEF_MILLISECONDS);
+      }
+    });
+    return [...answers];
+  }
+
+  private keepUntold(record: OriginRecord): void {
+    const now = this.now();
+    this.untold.delete(record.stream);
+    this.untold.set(record.stream, record);
+    for (const [stream, {keptUntil}] of this.untold) {
+      if (keptUntil >= now && this.untold.size <= this.origins.size) {
+        break;
+      }
+      this.untold.delete(stream);
+    }
+  }
+
+  /** Tells of all streams of a service, or of all, that nobody was told of. */
+  private tellUntold(service: string | undefined): void {
+    const now = this.now();
+    for (const [stream, record] of this.untold) {
+      if (service === undefined || record.origin?.service === service) {
+        this.untold.delete(stream);
+        if (record.keptUntil >= now) {
+          void this.tell(record);
+        }
+      }
+    }
+  }
+
+  /** Tells the first hosts of both orders that can be reached. */
+  private async tell(record: OriginRecord): Promise<void> {
+    const {all, local} = this.recorders(record.stream);
+    await Promise.all([
+      this.tellFirst(record, all, TOLD_HOSTS),
+      this.tellFirst(record, local, TOLD_LOCAL_HOSTS),
+    ]);
+  }
+
+  private async tellFirst(
+    record: OriginRecord,
+    addresses: readonly string[],
+    count: number,
+  ): Promise<void> {
+    const message = encodeRecord(record, this.now());
+    const remaining = [...addresses];
+    for (let missing = count; missing > 0 && remaining.length > 0;) {
+      const next = remaining.splice(0, missing);
+      const told = await Promise.all(
+        next.map(address => this.sender.send(address, message)),
+      );
+      missing -= told.filter(isTold => isTold).length;
+    }
+  }
+
+  private recorders(stream: string): ReturnType<typeof originRecorders> {
+    const {dataCenter} = this.parts;
+    return originRecorders(stream, this.parts.otherHosts(), dataCenter);
+  }
+
+  private now(): number {
+    return this.parts.clock.monotonicMilliseconds();
+  }
+}
+
+/** Whether a host's own view shows that only one service and build can begin streams. */
+function isKnownAlone({
+  possible,
+  hasWatched,
+  isCurrent,
+}: WatchedOrigins): boolean {
+  return possible.length === 1 && hasWatched && isCurrent;
+}
--- /dev/null
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -0,0 +1,179 @@
+import {
+  decideOrigin,
+  isSameOrigin,
+  type OriginKnowledge,
+  type StreamOrigin,
+} from '@wisteriadeal/decisions';
+import type {Clock} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {CallerExchange} from '../caller-exchange.js';
+import {RouteKind, type Route} from '../configuration.js';
+import type {EndpointDirectory} from '../endpoint-directory.js';
+import type {GatewayMetrics} from '../gateway-metrics.js';
+import {
+  LocalReplyReason,
+  notExecutedReply,
+  type LocalReply,
+} from '../local-reply.js';
+import {TAKE_UP_MILLISECONDS, type OriginWatch} from './origin-watch.js';
+import {servicesOfRoute} from './route-history.js';
+import {StreamBinding} from './stream-binding.js';
+import {streamDigest} from './stream-identity.js';
+import type {
+  StreamOriginRegistry,
+  StreamRequest,
+} from './stream-origin-registry.js';
+import {TakeUp} from './take-up.js';
+
+/** Dependencies of `StreamStarts`. */
+export interface StreamStartsParts {
+  readonly registry: StreamOriginRegistry;
+  readonly watch: OriginWatch;
+  readonly directory: EndpointDirectory;
+  readonly metrics: GatewayMetrics;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
+/** Retry delay while it is not known what began a stream. */
+const UNKNOWN_RETRY_AFTER_MILLISECONDS = 300;
+/** Lost endpoints start again within seconds. */
+const LOST_RETRY_AFTER_MILLISECONDS = 1_000;
+/** The caller may begin the stream anew at once. */
+const GONE_RETRY_AFTER_MILLISECONDS = 100;
+
+/** Decides where the streams of requests begin or go on. */
+export class StreamStarts {
+  constructor(private readonly parts: StreamStartsParts) {}
+
+  /**
+   * Resolves with what hosts know of the stream that a caller takes up; undefined
+   * if it takes none up.
+   */
+  async find(
+    caller: CallerExchange,
+  ): Promise<readonly OriginKnowledge[] | undefined> {
+    return (caller.headers.lastEventId ?? '') === ''
+      ? undefined
+      : this.parts.registry.find(requestOf(caller));
+  }
+
+  /**
+   * Decides where a request's stream begins or goes on.
+   *
+   * @param knowledge What hosts know of the stream, if the caller takes one up.
+   * @returns What the stream is bound to, if anything, or why it can't go on.
+   */
+  begin(
+    caller: CallerExchange,
+    route: Route,
+    knowledge: readonly OriginKnowledge[] | undefined,
+  ): StreamOrigin | LocalReply | undefined {
+    const mayTakeUp = route.kind === RouteKind.Streaming && route.resumable;
+    if (!mayTakeUp || knowledge === undefined) {
+      return undefined;
+    }
+    const origin = decideOrigin(knowledge);
+    const result = this.takeUp(origin, route);
+    this.parts.metrics.streamTakenUp(result);
+    if (result === TakeUp.Admitted) {
+      return origin;
+    }
+    this.parts.events.info('stream not taken up', {
+      request: caller.headers.attemptId,
+      resumes: caller.headers.resumedAttemptId,
+      result,
+      origin: origin && describe(origin),
+      possible: possibleOf(knowledge).join(', '),
+      answers: knowledge.length,
+    });
+    return refusalOf(result);
+  }
+
+  /**
+   * The binding of a request's stream.
+   *
+   * @param origin What began the stream, if the caller takes one up.
+   * @param deadlineAt When the caller stops waiting, on the monotonic clock in
+   *     milliseconds.
+   */
+  bindingOf(
+    caller: CallerExchange,
+    origin: StreamOrigin | undefined,
+    deadlineAt: number,
+  ): StreamBinding {
+    const {registry, clock} = this.parts;
+    return new StreamBinding(origin, began => {
+      const request = requestOf(caller);
+      if (request.stream === '') {
+        return;
+      }
+      const endsAt = Math.max(deadlineAt, clock.monotonicMilliseconds());
+      const keptUntil = endsAt + TAKE_UP_MILLISECONDS;
+      registry.began(
+        {stream: request.stream, origin: began, keptUntil},
+        request,
+      );
+    });
+  }
+
+  private takeUp(origin: StreamOrigin | undefined, route: Route): TakeUp {
+    if (origin === undefined) {
+      return TakeUp.Unknown;
+    }
+    if (!servicesOfRoute(route).includes(origin.service)) {
+      return TakeUp.Gone;
+    }
+    const {directory, watch} = this.parts;
+    const isServed = directory
+      .openEndpoints(origin.service)
+      .some(({entry}) => isSameOrigin(entry, origin));
+    if (isServed) {
+      return TakeUp.Admitted;
+    }
+    return watch.mayReturn(origin) ? TakeUp.Lost : TakeUp.Gone;
+  }
+}
+
+/** The stream of a request: that which it takes up, or the one that it begins. */
+function requestOf(caller: CallerExchange): StreamRequest {
+  const {attemptId, resumedAttemptId, lastEventId, host} = caller.headers;
+  const isTakenUp = (lastEventId ?? '') !== '';
+  const first = isTakenUp ? resumedAttemptId : attemptId;
+  return {
+    stream: first === undefined ? '' : streamDigest(first, caller),
+    host,
+    path: caller.path,
+  };
+}
+
+function refusalOf(result: TakeUp): LocalReply {
+  switch (result) {
+    case TakeUp.Gone:
+      return notExecutedReply(
+        LocalReplyReason.BuildGone,
+        GONE_RETRY_AFTER_MILLISECONDS,
+      );
+    case TakeUp.Lost:
+      return notExecutedReply(
+        LocalReplyReason.BuildLost,
+        LOST_RETRY_AFTER_MILLISECONDS,
+      );
+    default:
+      return notExecutedReply(
+        LocalReplyReason.OriginUnknown,
+        UNKNOWN_RETRY_AFTER_MILLISECONDS,
+      );
+  }
+}
+
+function possibleOf(knowledge: readonly OriginKnowledge[]): readonly string[] {
+  return [
+    ...new Set(knowledge.flatMap(({possible}) => possible.map(describe))),
+  ];
+}
+
+function describe({service, build}: StreamOrigin): string {
+  return `${service} ${build}`;
+}
--- /dev/null
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -0,0 +1,228 @@
+import {decideOrigin, type StreamOrigin} from '@wisteriadeal/decisions';
+import {EventLog, SystemClock} from '@wisteriadeal/runtime';
+import {
+  LogLevel,
+  type StreamOriginAnswer,
+  type StreamOriginQuery,
+  type StreamOriginRecord,
+} from '@wisteriadeal/schema';
+
+import {
+  RouteKind,
+  type FleetConfiguration,
+  type Route,
+} from '../configuration.js';
+import type {Dialect} from '../dialect.js';
+import {EndpointDirectory} from '../endpoint-directory.js';
+import type {EndpointEntry} from '../endpoint-entry.js';
+import {StoreHealth} from '../store-health.js';
+import {
+  OriginWatch,
+  StreamOriginPeers,
+  StreamOriginRegistry,
+  type OriginQuery,
+} from '../stream-origins/index.js';
+
+/** Longer than a stream may last, so that hosts have watched for long enough. */
+export const WATCH_MILLISECONDS = 60_000;
+const TIMEOUT_MILLISECONDS = 15_000;
+const KEEP_MILLISECONDS = 30_000;
+/** Messages have been delivered by then. */
+const SETTLE_MILLISECONDS = 6;
+const REQUEST = {host: 'shop.example', path: '/stream/'};
+
+/** A clock that a test sets. */
+export class SetClock extends SystemClock {
+  now = 1_000_000;
+
+  override monotonicMilliseconds(): number {
+    return this.now;
+  }
+}
+
+/** Hosts that tell each other of the origins of streams, before a list of endpoints. */
+export class OriginFleet {
+  readonly clock = new SetClock();
+  readonly entries = new Map<string, EndpointEntry>();
+  readonly hosts: OriginHost[] = [];
+  /** Pairs of addresses that can't reach each other. */
+  readonly cuts = new Set<string>();
+  messageCount = 0;
+  services: readonly string[] = ['models'];
+  version = 1;
+  private started = 0;
+
+  constructor(dataCenters: readonly string[]) {
+    dataCenters.forEach((dataCenter, index) => {
+      this.hosts.push(new OriginHost(this, index, dataCenter));
+    });
+  }
+
+  /** Lists another endpoint. */
+  addEndpoint(service: string, build: string): string {
+    const id = `i-${++this.started}`;
+    this.entries.set(id, {
+      id,
+      service,
+      build,
+      address: '10.0.0.1',
+      port: 1,
+      dataCenter: 'a',
+      slots: 8,
+      isLeaving: false,
+      bornAt: this.started,
+    });
+    return id;
+  }
+
+  /** Lets hosts read the list and the configuration. */
+  read(hosts: readonly OriginHost[] = this.hosts): void {
+    for (const host of hosts) {
+      host.read();
+    }
+  }
+
+  /** Replaces a host by one that knows nothing. */
+  restart(index: number): void {
+    const old = this.hostAt(index);
+    old.isLost = true;
+    this.hosts[index] = new OriginHost(this, index, old.dataCenter);
+  }
+
+  hostAt(index: number): OriginHost {
+    const host = this.hosts[index];
+    if (host === undefined) {
+      throw new RangeError(`no host ${index}`);
+    }
+    return host;
+  }
+
+  /** Resolves when messages have been delivered. */
+  async settle(): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, SETTLE_MILLISECONDS));
+  }
+
+  get configuration(): FleetConfiguration {
+    const route = {
+      ...REQUEST,
+      name: 'r',
+      pathPrefix: '/stream/',
+      kind: RouteKind.Streaming,
+      resumable: true,
+      services: this.services.map(service => ({service, weight: 1})),
+      timeoutMilliseconds: TIMEOUT_MILLISECONDS,
+    } as unknown as Route;
+    return {
+      version: this.version,
+      routes: [route],
+    } as unknown as FleetConfiguration;
+  }
+}
+
+/** One host of the fleet. */
+export class OriginHost extends StreamOriginPeers {
+  readonly registry: StreamOriginRegistry;
+  readonly address: string;
+  isLost = false;
+  private readonly directory: EndpointDirectory;
+  private readonly watch: OriginWatch;
+  private offset = 0;
+  private version = 0;
+
+  constructor(
+    private readonly fleet: OriginFleet,
+    index: number,
+    readonly dataCenter: string,
+  ) {
+    super();
+    this.address = `10.0.0.${index}:7200`;
+    const events = EventLog.create(LogLevel.ERROR, {}, () => undefined);
+    const {clock} = fleet;
+    const dialect = {
+      endpointEntry: (id: string) => fleet.entries.get(id),
+    } as unknown as Dialect;
+    this.directory = new EndpointDirectory(
+      dialect,
+      new StoreHealth('endpoints', events, {}),
+      clock,
+      events,
+      {drainMilliseconds: 2_000, isLinkCongested: () => false},
+    );
+    this.watch = new OriginWatch(this.directory, clock);
+    this.registry = new StreamOriginRegistry({
+      peers: this,
+      watch: this.watch,
+      clock,
+      events,
+      dataCenter,
+      otherHosts: () =>
+        fleet.hosts.filter(host => host.address !== this.address),
+    });
+    this.read();
+  }
+
+  /** Reads the list and the configuration. */
+  read(): void {
+    if (this.version !== this.fleet.version) {
+      this.version = this.fleet.version;
+      this.watch.configurationAdopted(this.fleet.configuration);
+    }
+    const value = new Uint8Array();
+    const records = [...this.fleet.entries.keys()].map(key => ({
+      key,
+      value,
+      offset: ++this.offset,
+    }));
+    this.directory.replaced(records);
+    this.directory.caughtUp(this.fleet.clock.now);
+  }
+
+  /** Open endpoints, by this host's list. */
+  endpointsOf(service: string): readonly EndpointEntry[] {
+    return this.directory.openEndpoints(service).map(({entry}) => entry);
+  }
+
+  /** Records the first event of a stream. */
+  began(stream: string, origin: StreamOrigin): void {
+    const keptUntil = this.fleet.clock.now + KEEP_MILLISECONDS;
+    this.registry.began({stream, origin, keptUntil}, {...REQUEST, stream});
+  }
+
+  /** Finds out what began a stream. */
+  async originOf(stream: string): Promise<StreamOrigin | undefined> {
+    return decideOrigin(await this.registry.find({...REQUEST, stream}));
+  }
+
+  override record(
+    address: string,
+    records: readonly StreamOriginRecord[],
+  ): Promise<void> {
+    this.reach(address).registry.receive(records);
+    return Promise.resolve();
+  }
+
+  override find(
+    address: string,
+    query: OriginQuery,
+  ): Promise<StreamOriginAnswer> {
+    const host = this.reach(address);
+    return Promise.resolve(host.registry.answer(query as StreamOriginQuery));
+  }
+
+  override close(): void {
+    // Nothing is open.
+  }
+
+  private reach(address: string): OriginHost {
+    this.fleet.messageCount++;
+    const host = this.fleet.hosts.find(other => other.address === address);
+    const isCut = [
+      `${this.address} ${address}`,
+      `${address} ${this.address}`,
+    ].some(pair => this.fleet.cuts.has(pair));
+    if (host === undefined || this.isLost || isCut) {
+      throw new Error(`${address} does not answer`);
+    }
+    return host;
+  }
+}
