Take as long as a route allows for how long a stream may be taken up

How long a caller comes again follows from the route's time limit, not from a constant of 30 s: a case-review of 5 s is known alone after 15 s now, in place of 35 s.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -297,7 +297,7 @@
       body,
       identity: new RequestIdentity(caller, body),
       isTry: false,
-      binding: this.streams.bindingOf(caller, origin, deadlineAt),
+      binding: this.streams.bindingOf(caller, origin, deadlineAt, route),
       route,
       service,
       organisation,
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -5,12 +5,16 @@
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 
-import {findRoute, type FleetConfiguration} from '../configuration.js';
+import {
+  findRoute,
+  type FleetConfiguration,
+  type Route,
+} from '../configuration.js';
 import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
 import {RouteHistory} from './route-history.js';
 
-/** How long after the end of an attempt its caller may take the stream up. */
-export const TAKE_UP_MILLISECONDS = 30_000;
+/** Shortest time for which callers may take streams up, milliseconds. */
+const MINIMUM_TAKE_UP_MILLISECONDS = 10_000;
 /** Longest age of a list of endpoints that counts as current. */
 const CURRENT_LIST_MILLISECONDS = 2_000;
 /** Lost endpoints are back within this time, if at all. */
@@ -22,6 +26,14 @@
   'possible' | 'hasWatched' | 'isCurrent'
 >;
 
+/**
+ * How long after the end of an attempt its caller may take the stream up,
+ * milliseconds: a caller waits about as long as the route allows.
+ */
+export function takeUpMilliseconds({timeoutMilliseconds}: Route): number {
+  return Math.max(timeoutMilliseconds, MINIMUM_TAKE_UP_MILLISECONDS);
+}
+
 /** Watches which services and builds may have begun streams. */
 export class OriginWatch {
   private readonly builds = new BuildHistory();
@@ -95,7 +107,9 @@
   private longestStream(host: string, path: string): number {
     const route =
       this.configuration && findRoute(this.configuration, host, path);
-    return (route?.timeoutMilliseconds ?? 0) + TAKE_UP_MILLISECONDS;
+    return route === undefined
+      ? MINIMUM_TAKE_UP_MILLISECONDS
+      : route.timeoutMilliseconds + takeUpMilliseconds(route);
   }
 
   private endpointGone({entry, isOpen}: KnownEndpoint): void {
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -16,7 +16,7 @@
   notExecutedReply,
   type LocalReply,
 } from '../local-reply.js';
-import {TAKE_UP_MILLISECONDS, type OriginWatch} from './origin-watch.js';
+import {takeUpMilliseconds, type OriginWatch} from './origin-watch.js';
 import {servicesOfRoute} from './route-history.js';
 import {StreamBinding} from './stream-binding.js';
 import {streamDigest} from './stream-identity.js';
@@ -102,6 +102,7 @@
     caller: CallerExchange,
     origin: StreamOrigin | undefined,
     deadlineAt: number,
+    route: Route,
   ): StreamBinding {
     const {registry, clock} = this.parts;
     return new StreamBinding(origin, began => {
@@ -110,7 +111,7 @@
         return;
       }
       const endsAt = Math.max(deadlineAt, clock.monotonicMilliseconds());
-      const keptUntil = endsAt + TAKE_UP_MILLISECONDS;
+      const keptUntil = endsAt + takeUpMilliseconds(route);
       registry.began(
         {stream: request.stream, origin: began, keptUntil},
         request,
