Use no endpoint whose entry names no build

The users' page says that an entry with a field missing or of another type names no endpoint to use. An entry without a version was used, and all such endpoints would have counted as one build.

--- a/packages/gateway/src/endpoint-entry.ts
+++ b/packages/gateway/src/endpoint-entry.ts
@@ -20,7 +20,7 @@
   readonly bornAt: number;
   /**
    * Build of its software, which other endpoints of the service may share. It
-   * has no order. Empty if not stated.
+   * has no order.
    */
   readonly build: string;
 }
