Know no build of runs at endpoints that may have started again

Cause: a run counted for the build of the entry, however old the entry was. A refused connect or a crash that this host saw puts the endpoint in doubt until an entry of the same start is read that was written later: what it sends in between binds the stream to no known build, and it continues none. If the list names another start with another build, runs sent since the last entry of the old one lose their build as well, and the hosts that were told are told so. An entry with the same start but another build counts as another start. Left: a start that nobody saw, whose streams break before the list tells of it.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -115,7 +115,7 @@
       monitor,
       () => this.lifetime.now(),
       () => {
-        this.context.binding.bind(attempt.origin);
+        this.context.binding.bind(attempt.endpoint, attempt.sentAt);
       },
     );
     if (result === RelayResult.Complete) {
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -1,7 +1,4 @@
-import type {
-  EndpointCircuitBreaker,
-  StreamOrigin,
-} from '@wisteriadeal/decisions';
+import type {EndpointCircuitBreaker} from '@wisteriadeal/decisions';
 
 import type {KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
@@ -19,8 +16,7 @@
 /** One attempt of a request at an endpoint. */
 export class EndpointAttempt {
   private readonly eventsBefore: number;
-  /** What the endpoint ran, by the list, when the attempt was sent. */
-  readonly origin: StreamOrigin;
+  private readonly build: string;
 
   constructor(
     readonly endpoint: KnownEndpoint,
@@ -29,11 +25,11 @@
     readonly monitor: InactivityMonitor,
     readonly identity: RequestIdentity,
     private readonly record: RequestRecord,
+    readonly sentAt: number,
     private readonly ageMilliseconds: () => number,
   ) {
     this.eventsBefore = record.eventsDelivered;
-    const {service, build} = endpoint.entry;
-    this.origin = {service, build};
+    this.build = endpoint.entry.build;
   }
 
   /**
@@ -65,7 +61,7 @@
     this.record.attempts.push({
       answer,
       endpoint: this.endpoint.entry.id,
-      build: this.origin.build,
+      build: this.build,
       path: this.path.kind,
       connection: this.exchange.connectionOrigin,
       atMilliseconds: Math.round(this.ageMilliseconds()),
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -44,8 +44,9 @@
     avoided: ReadonlySet<string>,
   ): ChosenEndpoint | undefined {
     const path = this.paths.pathTo(service.name);
-    const candidates = this.candidates(service.name, path).filter(
-      ({endpoint}) => binding.admits(endpoint.entry),
+    const now = this.clock.monotonicMilliseconds();
+    const candidates = this.candidates(service.name, path, now).filter(
+      ({endpoint}) => binding.admits(endpoint, now),
     );
     const sharedPart =
       route.kind === RouteKind.Streaming && !isTry
@@ -66,8 +67,8 @@
   private candidates(
     service: string,
     path: EndpointPath,
+    now: number,
   ): readonly Candidate[] {
-    const now = this.clock.monotonicMilliseconds();
     const open = this.directory.openEndpoints(service);
     const limit = failedShareLimit(
       open.map(endpoint => path.breakerOf(endpoint).failedShare),
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -1,4 +1,7 @@
-import {EndpointCircuitBreaker} from '@wisteriadeal/decisions';
+import {
+  EndpointCircuitBreaker,
+  type StreamOrigin,
+} from '@wisteriadeal/decisions';
 import type {Clock, KeyedRecord} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
@@ -28,6 +31,13 @@
    */
   confirmedOpenAt = -Infinity;
 
+  /** Whether the list has another start of the endpoint in place of this one. */
+  isReplaced = false;
+  /** The endpoint was at work at this time; monotonic clock, milliseconds. */
+  private aliveAt = -Infinity;
+  /** When it was seen to have ended, after `aliveAt`. */
+  private endedAt: number | undefined;
+
   /** @param onTrip Called when the circuit breaker opens after a success. */
   constructor(
     public entry: EndpointEntry,
@@ -49,6 +59,32 @@
     this.confirmedOpenAt = Math.max(this.confirmedOpenAt, sentAt);
   }
 
+  /** Records that the endpoint was at work at a time. */
+  wasAlive(at: number): void {
+    this.aliveAt = Math.max(this.aliveAt, at);
+    if (this.endedAt !== undefined && this.endedAt < at) {
+      this.endedAt = undefined;
+    }
+  }
+
+  /** Records that the endpoint's process was seen to have ended. */
+  hasEnded(at: number): void {
+    this.endedAt ??= at;
+  }
+
+  /**
+   * What answered at the endpoint's address at a time. Undefined if it may have been
+   * another build: the endpoint had ended, or the list has another start of it,
+   * and nothing shows that it was still this one.
+   */
+  originAt(at: number): StreamOrigin | undefined {
+    const mayBeAnother =
+      at > this.aliveAt &&
+      (this.isReplaced || (this.endedAt !== undefined && this.endedAt <= at));
+    const {service, build} = this.entry;
+    return mayBeAnother ? undefined : {service, build};
+  }
+
   /** Identifies one run of the endpoint; it may start again under its identifier. */
   get incarnation(): string {
     return `${this.entry.id}/${this.entry.bornAt}`;
@@ -182,6 +218,13 @@
     }
   }
 
+  /** Records that an endpoint's process was seen to have ended. */
+  endpointEnded(incarnation: string, at: number): void {
+    this.all
+      .find(endpoint => endpoint.incarnation === incarnation)
+      ?.hasEnded(at);
+  }
+
   override changed(record: KeyedRecord): void {
     const {key, value, offset} = record;
     const knownOffset = this.offsets.get(key) ?? -1;
@@ -207,6 +250,7 @@
       listener(endpoint);
     }
     if (offset > knownOffset) {
+      endpoint.wasAlive(this.currentAsOf);
       for (const listener of this.heartbeatListeners) {
         listener(endpoint.incarnation, this.currentAsOf);
       }
@@ -266,11 +310,12 @@
   private entryListed(entry: EndpointEntry, offset: number): KnownEndpoint {
     this.unlisted.delete(entry.id);
     const known = this.endpoints.get(entry.id);
-    if (known?.entry.bornAt === entry.bornAt) {
+    if (known !== undefined && isSameStart(known.entry, entry)) {
       this.update(known, entry, offset);
       return known;
     }
     if (known !== undefined) {
+      known.isReplaced = true;
       this.forget(known);
     }
     const endpoint = new KnownEndpoint(entry, () => {
@@ -345,3 +390,8 @@
     this.unlisted.clear();
   }
 }
+
+/** Whether two entries of an identifier are of one start of the endpoint. */
+function isSameStart(one: EndpointEntry, other: EndpointEntry): boolean {
+  return one.bornAt === other.bornAt && one.build === other.build;
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -155,6 +155,7 @@
       connections: this.connections,
       clock,
       onCrash: crash => {
+        directory.endpointEnded(crash.endpoint, crash.at);
         this.suspects.endpointCrashed(crash);
       },
     });
@@ -423,6 +424,7 @@
     return new StreamOriginRegistry({
       peers: new ConnectStreamOriginPeers(this.link),
       watch: this.originWatch,
+      directory: this.directory,
       clock,
       events,
       dataCenter: settings.dataCenter,
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -216,7 +216,7 @@
   private get hasEndpoint(): boolean {
     const {chooser, context} = this.parts;
     return (
-      context.binding.origin === undefined ||
+      !context.binding.isBound ||
       chooser.choose(context, this.avoided) !== undefined
     );
   }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -141,9 +141,9 @@
     const chosen = this.chooser.choose(context, retries.avoided);
     if (chosen === undefined) {
       return retries.giveUp(
-        context.binding.origin === undefined
-          ? LocalReplyReason.NoEndpoint
-          : LocalReplyReason.BuildGone,
+        context.binding.isBound
+          ? LocalReplyReason.BuildGone
+          : LocalReplyReason.NoEndpoint,
       );
     }
     const attempt = this.begin(chosen);
@@ -172,6 +172,7 @@
     const {endpoint, path} = chosen;
     const {retries, lifetime, context} = this;
     retries.attemptBegins(endpoint.entry.id, path);
+    const sentAt = lifetime.now();
     const exchange = this.dispatch(chosen);
     const monitor = this.timeouts.startMonitor(
       endpoint,
@@ -187,6 +188,7 @@
       monitor,
       context.identity,
       this.record,
+      sentAt,
       () => lifetime.now() - context.caller.arrivedAt,
     );
   }
--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -27,6 +27,9 @@
   lastDataAt: number;
 }
 
+/** Error code where no process listens at an address. */
+const CONNECTION_REFUSED = 'ECONNREFUSED';
+
 /** Called with the name of a service. */
 type ServiceListener = (service: string) => void;
 
@@ -113,6 +116,9 @@
     reason: string,
   ): void {
     const {service} = endpoint;
+    if (reason.includes(CONNECTION_REFUSED)) {
+      this.parts.directory.find(endpoint.id)?.hasEnded(startedAt);
+    }
     this.parts.metrics.connectEnded(service, ConnectResult.Failed);
     this.reachOf(service).policy.recordConnectFailure(
       this.attempt(endpoint, startedAt),
--- /dev/null
+++ b/packages/gateway/src/stream-origins/recent-runs.ts
@@ -0,0 +1,46 @@
+import type {KnownEndpoint} from '../endpoint-directory.js';
+
+/** A run that began a stream. */
+export interface RecentRun {
+  /** Digest of the stream. */
+  readonly stream: string;
+  /** Monotonic clock, milliseconds. */
+  readonly sentAt: number;
+  readonly keptUntil: number;
+}
+
+/** Maximum number of runs at one endpoint; a lost store renews no entries. */
+const MAXIMUM_RUNS = 1_000;
+
+/** Runs that were sent after the latest entries of their endpoints were written. */
+export class RecentRuns {
+  private readonly runs = new Map<string, RecentRun[]>();
+
+  add({incarnation}: KnownEndpoint, run: RecentRun): void {
+    const runs = this.runs.get(incarnation) ?? [];
+    runs.push(run);
+    if (runs.length > MAXIMUM_RUNS) {
+      runs.shift();
+    }
+    this.runs.set(incarnation, runs);
+  }
+
+  /** Drops the runs that were sent while the endpoint was surely at work. */
+  confirm(incarnation: string, aliveAt: number): void {
+    const left = this.runs
+      .get(incarnation)
+      ?.filter(({sentAt}) => sentAt > aliveAt);
+    if (left === undefined || left.length === 0) {
+      this.runs.delete(incarnation);
+    } else {
+      this.runs.set(incarnation, left);
+    }
+  }
+
+  /** Removes and returns the runs at an endpoint. */
+  take({incarnation}: KnownEndpoint): readonly RecentRun[] {
+    const runs = this.runs.get(incarnation) ?? [];
+    this.runs.delete(incarnation);
+    return runs;
+  }
+}
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -2,6 +2,7 @@
   StreamOrigins,
   type OriginKnowledge,
   type OriginRecord,
+  type StreamOrigin,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
@@ -11,6 +12,7 @@
   StreamOriginRecord,
 } from '@wisteriadeal/schema';
 
+import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
 import type {PeerHost} from '../relay-directory.js';
 import {
   decodeAnswer,
@@ -24,6 +26,8 @@
   TOLD_LOCAL_HOSTS,
 } from './origin-recorders.js';
 import {OriginSender} from './origin-sender.js';
+import {RecentRuns} from './recent-runs.js';
+import type {FirstRun} from './stream-binding.js';
 import type {OriginWatch, WatchedOrigins} from './origin-watch.js';
 import {
   StreamOriginHolder,
@@ -34,6 +38,7 @@
 export interface StreamOriginRegistryParts {
   readonly peers: StreamOriginPeers;
   readonly watch: OriginWatch;
+  readonly directory: EndpointDirectory;
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dataCenter: string;
@@ -61,14 +66,22 @@
   private readonly origins = new StreamOrigins();
   /** This host's own streams of which it has told nobody, with their service. */
   private readonly untold = new Map<string, OriginRecord>();
+  private readonly recentRuns = new RecentRuns();
   private readonly sender: OriginSender;
 
   constructor(private readonly parts: StreamOriginRegistryParts) {
     super();
     this.sender = new OriginSender(parts.peers, parts.events);
-    parts.watch.setDifferListener(service => {
+    const {watch, directory} = parts;
+    watch.setDifferListener(service => {
       this.tellUntold(service);
     });
+    directory.onHeartbeat((incarnation, writtenAfter) => {
+      this.recentRuns.confirm(incarnation, writtenAfter);
+    });
+    directory.onGone(endpoint => {
+      this.endpointGone(endpoint);
+    });
   }
 
   /** Number of streams whose origin this host keeps. */
@@ -76,14 +89,27 @@
     return this.origins.size;
   }
 
-  /** Records what began a stream that this host serves. */
-  began(record: OriginRecord, {host, path}: StreamRequest): void {
-    this.origins.record(record, this.now());
-    if (isKnownAlone(this.parts.watch.originsOf(host, path))) {
-      this.keepUntold(record);
-    } else {
-      void this.tell(record);
-    }
+  /**
+   * Records that a stream of this host has begun.
+   *
+   * @param keptUntil How long its caller may take it up; monotonic clock,
+   *     milliseconds.
+   */
+  began(request: StreamRequest, run: FirstRun, keptUntil: number): void {
+    const {endpoint, sentAt} = run;
+    const {stream} = request;
+    this.recentRuns.add(endpoint, {stream, sentAt, keptUntil});
+    const origin = endpoint.originAt(sentAt);
+    this.record({stream, origin, keptUntil}, request);
+  }
+
+  /** Records that a stream that was taken up goes on at this host. */
+  wentOn(
+    request: StreamRequest,
+    origin: StreamOrigin,
+    keptUntil: number,
+  ): void {
+    this.record({stream: request.stream, origin, keptUntil}, request);
   }
 
   /** Resolves with what this host and others know of a stream. */
@@ -122,6 +148,28 @@
     this.parts.peers.close();
   }
 
+  private record(record: OriginRecord, {host, path}: StreamRequest): void {
+    this.origins.record(record, this.now());
+    const isCalm = isKnownAlone(this.parts.watch.originsOf(host, path));
+    if (isCalm && record.origin !== undefined) {
+      this.keepUntold(record);
+    } else {
+      void this.tell(record);
+    }
+  }
+
+  /** Takes back what was recorded of runs that another build may have served. */
+  private endpointGone(endpoint: KnownEndpoint): void {
+    for (const {stream, sentAt, keptUntil} of this.recentRuns.take(endpoint)) {
+      if (endpoint.originAt(sentAt) === undefined) {
+        const record = {stream, origin: undefined, keptUntil};
+        this.origins.record(record, this.now());
+        this.untold.delete(stream);
+        void this.tell(record);
+      }
+    }
+  }
+
   private knowledge({stream, host, path}: StreamRequest): OriginKnowledge {
     const record = this.origins.find(stream, this.now());
     return {
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -105,17 +105,18 @@
     route: Route,
   ): StreamBinding {
     const {registry, clock} = this.parts;
-    return new StreamBinding(origin, began => {
+    return new StreamBinding(origin, run => {
       const request = requestOf(caller);
       if (request.stream === '') {
         return;
       }
       const endsAt = Math.max(deadlineAt, clock.monotonicMilliseconds());
       const keptUntil = endsAt + takeUpMilliseconds(route);
-      registry.began(
-        {stream: request.stream, origin: began, keptUntil},
-        request,
-      );
+      if (origin === undefined) {
+        registry.began(request, run, keptUntil);
+      } else {
+        registry.wentOn(request, origin, keptUntil);
+      }
     });
   }
 
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -1,4 +1,8 @@
-import {decideOrigin, type StreamOrigin} from '@wisteriadeal/decisions';
+import {
+  decideOrigin,
+  isSameOrigin,
+  type StreamOrigin,
+} from '@wisteriadeal/decisions';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
 import {
   LogLevel,
@@ -152,6 +156,7 @@
     this.registry = new StreamOriginRegistry({
       peers: this,
       watch: this.watch,
+      directory: this.directory,
       clock,
       events,
       dataCenter,
@@ -184,8 +189,15 @@
 
   /** Records the first event of a stream. */
   began(stream: string, origin: StreamOrigin): void {
-    const keptUntil = this.fleet.clock.now + KEEP_MILLISECONDS;
-    this.registry.began({stream, origin, keptUntil}, {...REQUEST, stream});
+    const sentAt = this.fleet.clock.now;
+    const endpoint = this.directory.all.find(({entry}) =>
+      isSameOrigin(entry, origin),
+    );
+    if (endpoint === undefined) {
+      throw new RangeError(`no endpoint of ${origin.build}`);
+    }
+    const keptUntil = sentAt + KEEP_MILLISECONDS;
+    this.registry.began({...REQUEST, stream}, {endpoint, sentAt}, keptUntil);
   }
 
   /** Finds out what began a stream. */
