Go on over other hosts while this one mistakes lost paths for ended endpoints

What callers saw (in a test, on the commit before): a host whose connections to all endpoints were reset cut its resumable streams. Cause: refused connects put each endpoint in doubt, and a bound stream had none left some milliseconds before the host found that its paths were lost.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -115,7 +115,7 @@
       monitor,
       () => this.lifetime.now(),
       () => {
-        this.context.binding.bind(attempt.endpoint, attempt.sentAt);
+        this.context.binding.bind(attempt);
       },
     );
     if (result === RelayResult.Complete) {
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -46,7 +46,7 @@
     const path = this.paths.pathTo(service.name);
     const now = this.clock.monotonicMilliseconds();
     const candidates = this.candidates(service.name, path, now).filter(
-      ({endpoint}) => binding.admits(endpoint, now),
+      ({endpoint}) => binding.admits(endpoint, path, now),
     );
     const sharedPart =
       route.kind === RouteKind.Streaming && !isTry
@@ -64,6 +64,14 @@
       : {endpoint, path: this.paths.pathToEndpoint(path, endpoint)};
   }
 
+  /** Whether any listed endpoint of the service may run the request. */
+  mayChoose({service, binding}: RequestContext): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    return this.directory
+      .openEndpoints(service.name)
+      .some(endpoint => binding.mayAdmit(endpoint, now));
+  }
+
   private candidates(
     service: string,
     path: EndpointPath,
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -74,15 +74,22 @@
 
   /**
    * What answered at the endpoint's address at a time. Undefined if it may have been
-   * another build: the endpoint had ended, or the list has another start of it,
-   * and nothing shows that it was still this one.
+   * another build: this host had seen the endpoint end, and nothing shows that it
+   * was still this one.
    */
   originAt(at: number): StreamOrigin | undefined {
-    const mayBeAnother =
-      at > this.aliveAt &&
-      (this.isReplaced || (this.endedAt !== undefined && this.endedAt <= at));
+    const mayHaveEnded =
+      at > this.aliveAt && this.endedAt !== undefined && this.endedAt <= at;
+    return mayHaveEnded ? undefined : this.listedOriginAt(at);
+  }
+
+  /**
+   * What answered at the endpoint's address at a time, by the list alone. Undefined
+   * if the list has another start of it since.
+   */
+  listedOriginAt(at: number): StreamOrigin | undefined {
     const {service, build} = this.entry;
-    return mayBeAnother ? undefined : {service, build};
+    return this.isReplaced && at > this.aliveAt ? undefined : {service, build};
   }
 
   /** Identifies one run of the endpoint; it may start again under its identifier. */
--- a/packages/gateway/src/endpoint-path.ts
+++ b/packages/gateway/src/endpoint-path.ts
@@ -1,6 +1,7 @@
 import type {
   DataCenterCircuitBreaker,
   EndpointCircuitBreaker,
+  StreamOrigin,
 } from '@wisteriadeal/decisions';
 
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
@@ -28,6 +29,15 @@
 
   /** The endpoint's circuit breaker for requests over this path. */
   abstract breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker;
+
+  /**
+   * What answered over this path at a time on the monotonic clock, milliseconds;
+   * undefined if it is not known.
+   */
+  abstract originOf(
+    endpoint: KnownEndpoint,
+    at: number,
+  ): StreamOrigin | undefined;
 }
 
 /** The path by which this host itself connects to endpoints. */
@@ -37,6 +47,13 @@
   override breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker {
     return endpoint.breaker;
   }
+
+  override originOf(
+    endpoint: KnownEndpoint,
+    at: number,
+  ): StreamOrigin | undefined {
+    return endpoint.originAt(at);
+  }
 }
 
 /** A path through other hosts. */
@@ -46,4 +63,12 @@
   override breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker {
     return endpoint.relayedBreaker;
   }
+
+  /** Connects that this host's own path refuses are no end of an endpoint. */
+  override originOf(
+    endpoint: KnownEndpoint,
+    at: number,
+  ): StreamOrigin | undefined {
+    return endpoint.listedOriginAt(at);
+  }
 }
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -195,11 +195,11 @@
    */
   private retryOrGiveUp(reason: LocalReplyReason, isNotRun: boolean): NextStep {
     this.attemptCount++;
-    const {context, lifetime} = this.parts;
+    const {context, lifetime, chooser} = this.parts;
     const {route} = context;
     const hasClaimed = this.hasClaimedFailover;
     this.hasClaimedFailover = false;
-    if (!this.hasEndpoint) {
+    if (context.binding.isBound && !chooser.mayChoose(context)) {
       return this.giveUp(LocalReplyReason.BuildGone);
     }
     const mayResend =
@@ -212,15 +212,6 @@
     return mayResend ? NextStep.Retry : this.giveUp(reason);
   }
 
-  /** Whether a stream that has begun may go on anywhere; resends are limited. */
-  private get hasEndpoint(): boolean {
-    const {chooser, context} = this.parts;
-    return (
-      !context.binding.isBound ||
-      chooser.choose(context, this.avoided) !== undefined
-    );
-  }
-
   private claimResend(): boolean {
     const {context, lifetime, hostCount} = this.parts;
     return context.resends.tryTake(hostCount(), lifetime.now());
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -54,6 +54,10 @@
 const ROUTE_PRIORITY_LEVELS = 3;
 const LOWEST_PRIORITY = 9;
 
+/** Time in which a host finds out whether it has lost its paths to a service. */
+const PATH_DECISION_MILLISECONDS = 100;
+const PATH_POLL_MILLISECONDS = 10;
+
 /** Sends one request to endpoints until it has a final answer. */
 export class RequestRun {
   private readonly chooser: EndpointChooser;
@@ -131,6 +135,9 @@
 
   private async attempt(): Promise<NextStep> {
     const {context, retries} = this;
+    const chosen =
+      this.chooser.choose(context, retries.avoided) ??
+      (await this.chooseLater());
     if (context.caller.disconnectSignal.aborted) {
       this.record.outcome = 'caller-left';
       return NextStep.Ended;
@@ -138,7 +145,6 @@
     if (!retries.mayAttempt) {
       return retries.giveUp(LocalReplyReason.DeadlinePassed);
     }
-    const chosen = this.chooser.choose(context, retries.avoided);
     if (chosen === undefined) {
       return retries.giveUp(
         context.binding.isBound
@@ -168,6 +174,26 @@
     }
   }
 
+  /**
+   * Selects an endpoint. Where those of a stream's build all refuse connections, this
+   * host has lost its path to them, or they have ended; the next connects tell which.
+   */
+  private async chooseLater(): Promise<ChosenEndpoint | undefined> {
+    const {chooser, context, lifetime, retries} = this;
+    const until = lifetime.now() + PATH_DECISION_MILLISECONDS;
+    let chosen: ChosenEndpoint | undefined;
+    while (
+      chosen === undefined &&
+      !lifetime.isAbandoned &&
+      lifetime.now() < until &&
+      chooser.mayChoose(context)
+    ) {
+      await this.parts.clock.sleep(PATH_POLL_MILLISECONDS, lifetime.waitSignal);
+      chosen = chooser.choose(context, retries.avoided);
+    }
+    return chosen;
+  }
+
   private begin(chosen: ChosenEndpoint): EndpointAttempt {
     const {endpoint, path} = chosen;
     const {retries, lifetime, context} = this;
--- a/packages/gateway/src/stream-origins/recent-runs.ts
+++ b/packages/gateway/src/stream-origins/recent-runs.ts
@@ -1,11 +1,12 @@
 import type {KnownEndpoint} from '../endpoint-directory.js';
+import type {FirstRun} from './stream-binding.js';
 
 /** A run that began a stream. */
 export interface RecentRun {
   /** Digest of the stream. */
   readonly stream: string;
+  readonly run: FirstRun;
   /** Monotonic clock, milliseconds. */
-  readonly sentAt: number;
   readonly keptUntil: number;
 }
 
@@ -16,9 +17,10 @@
 export class RecentRuns {
   private readonly runs = new Map<string, RecentRun[]>();
 
-  add({incarnation}: KnownEndpoint, run: RecentRun): void {
+  add(recent: RecentRun): void {
+    const {incarnation} = recent.run.endpoint;
     const runs = this.runs.get(incarnation) ?? [];
-    runs.push(run);
+    runs.push(recent);
     if (runs.length > MAXIMUM_RUNS) {
       runs.shift();
     }
@@ -29,7 +31,7 @@
   confirm(incarnation: string, aliveAt: number): void {
     const left = this.runs
       .get(incarnation)
-      ?.filter(({sentAt}) => sentAt > aliveAt);
+      ?.filter(({run}) => run.sentAt > aliveAt);
     if (left === undefined || left.length === 0) {
       this.runs.delete(incarnation);
     } else {
--- a/packages/gateway/src/stream-origins/stream-binding.ts
+++ b/packages/gateway/src/stream-origins/stream-binding.ts
@@ -1,10 +1,12 @@
 import {isSameOrigin, type StreamOrigin} from '@wisteriadeal/decisions';
 
 import type {KnownEndpoint} from '../endpoint-directory.js';
+import type {EndpointPath} from '../endpoint-path.js';
 
 /** The run that brought the first event of a stream. */
 export interface FirstRun {
   readonly endpoint: KnownEndpoint;
+  readonly path: EndpointPath;
   /** Monotonic clock, milliseconds. */
   readonly sentAt: number;
 }
@@ -31,20 +33,25 @@
   }
 
   /** Records a run whose first event is passed on to the caller. */
-  bind(endpoint: KnownEndpoint, sentAt: number): void {
+  bind(run: FirstRun): void {
     if (this.firstRun === undefined) {
-      this.firstRun = {endpoint, sentAt};
-      this.onFirstEvent(this.firstRun);
+      this.firstRun = run;
+      this.onFirstEvent(run);
     }
   }
 
-  /** Whether an endpoint may begin or continue the stream now. */
-  admits(endpoint: KnownEndpoint, now: number): boolean {
-    if (!this.isBound) {
-      return true;
-    }
+  /** Whether an endpoint may begin or continue the stream over a path now. */
+  admits(endpoint: KnownEndpoint, path: EndpointPath, now: number): boolean {
+    return !this.isBound || this.fits(path.originOf(endpoint, now));
+  }
+
+  /** Whether an endpoint may continue the stream if this host is mistaken about its end. */
+  mayAdmit(endpoint: KnownEndpoint, now: number): boolean {
+    return !this.isBound || this.fits(endpoint.listedOriginAt(now));
+  }
+
+  private fits(candidate: StreamOrigin | undefined): boolean {
     const {origin} = this;
-    const candidate = endpoint.originAt(now);
     return (
       origin !== undefined &&
       candidate !== undefined &&
@@ -54,7 +61,15 @@
 
   /** Undefined if it is not known; the list may tell of another build later. */
   private get origin(): StreamOrigin | undefined {
-    const {takenUp, firstRun} = this;
-    return takenUp ?? firstRun?.endpoint.originAt(firstRun.sentAt);
+    return this.takenUp ?? (this.firstRun && originOf(this.firstRun));
   }
 }
+
+/** What a run began at, by what is known now; undefined if it is not known. */
+export function originOf({
+  endpoint,
+  path,
+  sentAt,
+}: FirstRun): StreamOrigin | undefined {
+  return path.originOf(endpoint, sentAt);
+}
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -27,7 +27,7 @@
 } from './origin-recorders.js';
 import {OriginSender} from './origin-sender.js';
 import {RecentRuns} from './recent-runs.js';
-import type {FirstRun} from './stream-binding.js';
+import {originOf, type FirstRun} from './stream-binding.js';
 import type {OriginWatch, WatchedOrigins} from './origin-watch.js';
 import {
   StreamOriginHolder,
@@ -96,11 +96,9 @@
    *     milliseconds.
    */
   began(request: StreamRequest, run: FirstRun, keptUntil: number): void {
-    const {endpoint, sentAt} = run;
     const {stream} = request;
-    this.recentRuns.add(endpoint, {stream, sentAt, keptUntil});
-    const origin = endpoint.originAt(sentAt);
-    this.record({stream, origin, keptUntil}, request);
+    this.recentRuns.add({stream, run, keptUntil});
+    this.record({stream, origin: originOf(run), keptUntil}, request);
   }
 
   /** Records that a stream that was taken up goes on at this host. */
@@ -160,8 +158,8 @@
 
   /** Takes back what was recorded of runs that another build may have served. */
   private endpointGone(endpoint: KnownEndpoint): void {
-    for (const {stream, sentAt, keptUntil} of this.recentRuns.take(endpoint)) {
-      if (endpoint.originAt(sentAt) === undefined) {
+    for (const {stream, run, keptUntil} of this.recentRuns.take(endpoint)) {
+      if (originOf(run) === undefined) {
         const record = {stream, origin: undefined, keptUntil};
         this.origins.record(record, this.now());
         this.untold.delete(stream);
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -1,4 +1,5 @@
 import {
+  DataCenterCircuitBreaker,
   decideOrigin,
   isSameOrigin,
   type StreamOrigin,
@@ -17,8 +18,10 @@
   type Route,
 } from '../configuration.js';
 import type {Dialect} from '../dialect.js';
+import {EndpointConnectionPool} from '../endpoint-connection-pool.js';
 import {EndpointDirectory} from '../endpoint-directory.js';
 import type {EndpointEntry} from '../endpoint-entry.js';
+import {DirectPath} from '../endpoint-path.js';
 import {StoreHealth} from '../store-health.js';
 import {
   OriginWatch,
@@ -35,6 +38,11 @@
 const SETTLE_MILLISECONDS = 6;
 const REQUEST = {host: 'shop.example', path: '/stream/'};
 
+const PATH = new DirectPath(
+  new EndpointConnectionPool(),
+  new DataCenterCircuitBreaker('a'),
+);
+
 /** A clock that a test sets. */
 export class SetClock extends SystemClock {
   now = 1_000_000;
@@ -197,7 +205,11 @@
       throw new RangeError(`no endpoint of ${origin.build}`);
     }
     const keptUntil = sentAt + KEEP_MILLISECONDS;
-    this.registry.began({...REQUEST, stream}, {endpoint, sentAt}, keptUntil);
+    this.registry.began(
+      {...REQUEST, stream},
+      {endpoint, path: PATH, sentAt},
+      keptUntil,
+    );
   }
 
   /** Finds out what began a stream. */
