Name the expected build when a tunnel is opened

A relay looks the endpoint up in its own list, which may have another start of it, with another build and at the same address, before the other host's list tells. The request to open a tunnel names the build, and the relay answers 404 where its list has another one, as for an endpoint that is not listed. The new test of tunnels_test.ts fails without the check. Hosts of the release before send no build and are served.

--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -46,6 +46,8 @@
 /** Options of a request to an endpoint. */
 export interface EndpointRequestOptions extends RequestOptions {
   readonly endpointId: string;
+  /** Build that the endpoint is expected to have, as far as that matters. */
+  readonly endpointBuild?: string;
 }
 
 /** Network address of an endpoint. */
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -118,6 +118,7 @@
       path: dispatched.target,
       headers: [...dispatched.headers],
       endpointId: endpoint.id,
+      endpointBuild: endpoint.build,
     };
     this.outgoing = sendRequest(options);
     this.outgoing.once('socket', socket => {
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -13,6 +13,7 @@
 import {NoRelayError, RelayedConnectError} from './relay-errors.js';
 import {wasEndedByEndpoint} from './tunnel-end-query.js';
 import {
+  TUNNEL_BUILD_HEADER,
   TUNNEL_ENDPOINT_HEADER,
   TUNNEL_ID_HEADER,
   TunnelStatus,
@@ -36,6 +37,7 @@
   /** `IP:port`, for the request line. */
   readonly authority: string;
   readonly endpointId: string;
+  readonly endpointBuild: string | undefined;
 }
 
 /** A tunnel as its relay knows it. */
@@ -83,10 +85,11 @@
     options: ClientRequestArgs & Partial<EndpointRequestOptions>,
     callback?: (error: Error | null, stream: Duplex) => void,
   ): undefined {
-    const {host, port, endpointId} = options;
+    const {host, port, endpointId, endpointBuild} = options;
     const target = {
       authority: `${host ?? ''}:${port ?? ''}`,
       endpointId: endpointId ?? '',
+      endpointBuild,
     };
     this.openTunnel(target).then(
       socket => callback?.(null, socket),
@@ -176,7 +179,7 @@
 /** Sends a CONNECT request; resolves with undefined if there is no response in time. */
 function requestTunnel(
   relayAddress: string,
-  {authority, endpointId}: TunnelTarget,
+  {authority, endpointId, endpointBuild}: TunnelTarget,
   tunnelId: string,
   milliseconds: number,
 ): Promise<TunnelResponse | undefined> {
@@ -190,6 +193,9 @@
       path: authority,
       headers: {
         [TUNNEL_ENDPOINT_HEADER]: endpointId,
+        ...(endpointBuild === undefined
+          ? {}
+          : {[TUNNEL_BUILD_HEADER]: encodeURIComponent(endpointBuild)}),
         [TUNNEL_ID_HEADER]: tunnelId,
       },
     });
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -140,6 +140,7 @@
 /** Sends a request through the pool; `onChunk` gets each part of the answer. */
 function exchange(
   onChunk: (destroy: () => void) => void = () => undefined,
+  endpointBuild = 'v1',
 ): Promise<Received> {
   return new Promise(resolve => {
     let body = '';
@@ -148,6 +149,7 @@
       host: endpoint.entry.address,
       port: endpoint.entry.port,
       endpointId: endpoint.entry.id,
+      endpointBuild,
     };
     const outgoing = sendRequest(options, incoming => {
       incoming.on('data', (chunk: Buffer) => {
@@ -178,6 +180,13 @@
     expect(connections).toBe(1);
   });
 
+  it('is refused by a relay that lists the endpoint with another build', async () => {
+    // Guards against streams that another build continues through a host that knows of it.
+    await startRelay();
+    const {error} = await exchange(undefined, 'build 2');
+    expect(error).toBe('RelayedConnectError');
+  });
+
   it('does not make a reset look like the end of an answer', async () => {
     // Guards against half an answer without a length that passes for the whole.
     await startRelay();
--- a/packages/gateway/src/tunnel-protocol.ts
+++ b/packages/gateway/src/tunnel-protocol.ts
@@ -4,6 +4,12 @@
  */
 export const TUNNEL_ENDPOINT_HEADER = 'endpoint-id';
 
+/**
+ * Header of a CONNECT request between hosts with the endpoint's build, URI-encoded. The
+ * relay's list may have another start of the endpoint already.
+ */
+export const TUNNEL_BUILD_HEADER = 'endpoint-build';
+
 /** Header of a CONNECT request between hosts with an identifier for the tunnel. */
 export const TUNNEL_ID_HEADER = 'tunnel-id';
 
@@ -17,7 +23,7 @@
 export enum TunnelStatus {
   /** The connection to the endpoint is open, and bytes are relayed from now on. */
   Open = 200,
-  /** The relay's list has no such endpoint, or has it as leaving. */
+  /** The relay's list has no such endpoint, has it as leaving, or with another build. */
   EndpointUnknown = 404,
   /** The endpoint did not accept a connection from the relay. */
   EndpointUnreachable = 502,
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -8,6 +8,7 @@
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
 import {TunnelEnds} from './tunnel-ends.js';
 import {
+  TUNNEL_BUILD_HEADER,
   TUNNEL_ENDPOINT_HEADER,
   TUNNEL_ID_HEADER,
   TunnelStatus,
@@ -68,7 +69,7 @@
   accept(request: IncomingMessage, socket: Socket): void {
     const id = String(request.headers[TUNNEL_ENDPOINT_HEADER] ?? '');
     const endpoint = this.parts.directory.find(id);
-    if (endpoint?.isOpen !== true) {
+    if (endpoint?.isOpen !== true || !hasNamedBuild(endpoint, request)) {
       this.refuse(socket, TunnelStatus.EndpointUnknown);
     } else if (this.canRelayTo(endpoint)) {
       this.open(
@@ -250,3 +251,12 @@
 function responseHead(status: TunnelStatus): string {
   return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n\r\n`;
 }
+
+/** Whether an endpoint has the build that a CONNECT request names, if it names one. */
+function hasNamedBuild(
+  {entry}: KnownEndpoint,
+  {headers}: IncomingMessage,
+): boolean {
+  const build = headers[TUNNEL_BUILD_HEADER];
+  return build === undefined || build === encodeURIComponent(entry.build);
+}
