--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -255,7 +255,8 @@
   ): Promise<void> {
     const message = encodeRecord(record, this.now());
     const remaining = [...addresses];
-    for (let missing = count; missing > 0 && remaining.length > 0;) {
+    let missing = count;
+    while (missing > 0 && remaining.length > 0) {
       const next = remaining.splice(0, missing);
       const told = await Promise.all(
         next.map(address => this.sender.send(address, message)),
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -107,7 +107,7 @@
     const {registry, clock} = this.parts;
     return new StreamBinding(origin, run => {
       const request = requestOf(caller);
-      if (request.stream === '') {
+      if (!route.resumable || request.stream === '') {
         return;
       }
       const endsAt = Math.max(deadlineAt, clock.monotonicMilliseconds());
