Keep the build of runs when an endpoint starts again with the same one

What callers saw (in a test): after an endpoint had started again under its identifier with the same build, streams that it had begun since its last entry were refused as unknown: 24 of 24. Cause: any other start of an endpoint counted for another build. Found in reading the code against the design. The test failed before; the tests of another build pass as before.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -1,5 +1,6 @@
 import {
   EndpointCircuitBreaker,
+  isSameOrigin,
   type StreamOrigin,
 } from '@wisteriadeal/decisions';
 import type {Clock, KeyedRecord} from '@wisteriadeal/platform';
@@ -31,8 +32,8 @@
    */
   confirmedOpenAt = -Infinity;
 
-  /** Whether the list has another start of the endpoint in place of this one. */
-  isReplaced = false;
+  /** Whether the list has a start of the endpoint with another build in its place. */
+  isReplacedByOther = false;
   /** The endpoint was at work at this time; monotonic clock, milliseconds. */
   private aliveAt = -Infinity;
   /** When it was seen to have ended, after `aliveAt`. */
@@ -85,11 +86,13 @@
 
   /**
    * What answered at the endpoint's address at a time, by the list alone. Undefined
-   * if the list has another start of it since.
+   * if the list has had a start of it with another build since.
    */
   listedOriginAt(at: number): StreamOrigin | undefined {
     const {service, build} = this.entry;
-    return this.isReplaced && at > this.aliveAt ? undefined : {service, build};
+    return this.isReplacedByOther && at > this.aliveAt
+      ? undefined
+      : {service, build};
   }
 
   /** Identifies one run of the endpoint; it may start again under its identifier. */
@@ -322,7 +325,7 @@
       return known;
     }
     if (known !== undefined) {
-      known.isReplaced = true;
+      known.isReplacedByOther = !isSameOrigin(known.entry, entry);
       this.forget(known);
     }
     const endpoint = new KnownEndpoint(entry, () => {
