--- a/packages/decisions/src/stream-origins.ts
+++ b/packages/decisions/src/stream-origins.ts
@@ -15,7 +15,15 @@
 /** Number of oldest records that are examined each time one is added. */
 const EXAMINED_RECORDS = 4;
 
-/** The origins of streams that their callers may take up. */
+/**
+ * The origins of streams that their callers may take up.
+ *
+ * @example
+ * ```ts
+ * origins.record({stream, origin, keptUntil: now + 30_000}, now);
+ * origins.find(stream, now)?.origin;
+ * ```
+ */
 export class StreamOrigins {
   /** In the order in which they were recorded or renewed. */
   private readonly records = new Map<string, OriginRecord>();
--- a/packages/gateway/src/stream-origins/origin-messages.ts
+++ b/packages/gateway/src/stream-origins/origin-messages.ts
@@ -12,6 +12,8 @@
   type StreamOriginRecord,
 } from '@wisteriadeal/schema';
 
+import type {WatchedOrigins} from './origin-watch.js';
+
 /** Encodes a record, with the time that is left in place of its end. */
 export function encodeRecord(
   {stream, origin, keptUntil}: OriginRecord,
@@ -39,11 +41,7 @@
 /** Encodes what this host knows of a stream. */
 export function encodeAnswer(
   record: StreamOriginRecord | undefined,
-  {
-    possible,
-    hasWatched,
-    isCurrent,
-  }: Pick<OriginKnowledge, 'possible' | 'hasWatched' | 'isCurrent'>,
+  {possible, hasWatched, isCurrent}: WatchedOrigins,
 ): StreamOriginAnswer {
   return create(StreamOriginAnswerSchema, {
     possible: possible.map(origin => ({...origin})),
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -24,6 +24,7 @@
   originRecorders,
   TOLD_HOSTS,
   TOLD_LOCAL_HOSTS,
+  type OriginRecorders,
 } from './origin-recorders.js';
 import {OriginSender} from './origin-sender.js';
 import {RecentRuns} from './recent-runs.js';
@@ -64,7 +65,7 @@
  */
 export class StreamOriginRegistry extends StreamOriginHolder {
   private readonly origins = new StreamOrigins();
-  /** This host's own streams of which it has told nobody, with their service. */
+  /** This host's own streams of which it has told nobody, oldest first. */
   private readonly untold = new Map<string, OriginRecord>();
   private readonly recentRuns = new RecentRuns();
   private readonly sender: OriginSender;
@@ -265,7 +266,7 @@
     }
   }
 
-  private recorders(stream: string): ReturnType<typeof originRecorders> {
+  private recorders(stream: string): OriginRecorders {
     const {dataCenter} = this.parts;
     return originRecorders(stream, this.parts.otherHosts(), dataCenter);
   }
