Tell nobody of streams while one build is listed, and keep no ended attempts

A host now tells only while it sees several builds or services; one that has not watched for long asks all others, one of which may have served the stream. Runs keep endpoint, path and time. Hosts are waited for 400 ms: without an answer the stream is refused.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -90,7 +90,7 @@
     attempt: EndpointAttempt,
     head: AnswerHead,
   ): Promise<AnswerResult> {
-    const {exchange, breaker, monitor} = attempt;
+    const {exchange, breaker, monitor, endpoint, path, sentAt} = attempt;
     const {caller} = this.context;
     const refusal = await this.acquireTokens();
     if (refusal !== undefined) {
@@ -115,7 +115,8 @@
       monitor,
       () => this.lifetime.now(),
       () => {
-        this.context.binding.bind(attempt);
+        // Kept for longer than the attempt, whose buffers must not be.
+        this.context.binding.bind({endpoint, path, sentAt});
       },
     );
     if (result === RelayResult.Complete) {
--- a/packages/gateway/src/peer-calls.ts
+++ b/packages/gateway/src/peer-calls.ts
@@ -15,6 +15,7 @@
   constructor(
     service: Service,
     private readonly link: HostLink,
+    private readonly answerTimeoutMilliseconds = ANSWER_TIMEOUT_MILLISECONDS,
   ) {
     this.clients = new PeerClients(service);
   }
@@ -33,7 +34,8 @@
       timeoutMilliseconds: number,
     ) => Promise<Answer>,
   ): Promise<Answer> {
-    const timeout = ANSWER_TIMEOUT_MILLISECONDS + this.link.delayMilliseconds;
+    const timeout =
+      this.answerTimeoutMilliseconds + this.link.delayMilliseconds;
     try {
       const {client} = this.clients.at(address);
       return await exchange(client, Math.ceil(timeout));
--- a/packages/gateway/src/stream-origins/stream-origin-peers.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-peers.ts
@@ -49,6 +49,9 @@
   abstract answer(query: StreamOriginQuery): StreamOriginAnswer;
 }
 
+/** Without an answer a stream is refused, so that a busy host is waited for. */
+const ANSWER_TIMEOUT_MILLISECONDS = 400;
+
 /** Client over Connect. */
 export class ConnectStreamOriginPeers extends StreamOriginPeers {
   private readonly calls: PeerCalls<typeof StreamOriginService>;
@@ -56,7 +59,11 @@
   /** @param link This host's link; timeouts are longer while it is congested. */
   constructor(link: HostLink) {
     super();
-    this.calls = new PeerCalls(StreamOriginService, link);
+    this.calls = new PeerCalls(
+      StreamOriginService,
+      link,
+      ANSWER_TIMEOUT_MILLISECONDS,
+    );
   }
 
   override async record(
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -117,8 +117,10 @@
     if (own.isRecorded) {
       return [own];
     }
-    const {all, local} = this.recorders(request.stream);
-    const addresses = [...new Set([...all, ...local])];
+    // Before a host has watched for long enough, any other may have served the stream.
+    const addresses = own.hasWatched
+      ? this.recorderAddresses(request.stream)
+      : this.parts.otherHosts().map(({address}) => address);
     return [own, ...(await this.ask(addresses, request, isKnownAlone(own)))];
   }
 
@@ -149,8 +151,8 @@
 
   private record(record: OriginRecord, {host, path}: StreamRequest): void {
     this.origins.record(record, this.now());
-    const isCalm = isKnownAlone(this.parts.watch.originsOf(host, path));
-    if (isCalm && record.origin !== undefined) {
+    const {possible} = this.parts.watch.originsOf(host, path);
+    if (possible.length === 1 && record.origin !== undefined) {
       this.keepUntold(record);
     } else {
       void this.tell(record);
@@ -266,6 +268,11 @@
     }
   }
 
+  private recorderAddresses(stream: string): readonly string[] {
+    const {all, local} = this.recorders(stream);
+    return [...new Set([...all, ...local])];
+  }
+
   private recorders(stream: string): OriginRecorders {
     const {dataCenter} = this.parts;
     return originRecorders(stream, this.parts.otherHosts(), dataCenter);
