--- a/packages/gateway/src/request-identity.ts
+++ b/packages/gateway/src/request-identity.ts
@@ -1,6 +1,5 @@
-import {createHash} from 'node:crypto';
-
 import type {CallerExchange} from './caller-exchange.js';
+import {digestOf} from './digest.js';
 
 const DIGEST_BYTES = 12;
 
@@ -24,11 +23,10 @@
 
   private compute(): string {
     const {method, target, headers} = this.caller;
-    const hash = createHash('sha256');
-    for (const part of [method, target, headers.host, headers.key ?? '']) {
-      hash.update(`${part.length}:${part}`);
-    }
-    hash.update(this.body ?? '');
-    return hash.digest().subarray(0, DIGEST_BYTES).toString('hex');
+    return digestOf(
+      [method, target, headers.host, headers.key ?? ''],
+      DIGEST_BYTES,
+      this.body,
+    );
   }
 }
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -38,7 +38,6 @@
 export class OriginWatch {
   private readonly builds = new BuildHistory();
   private readonly routes = new RouteHistory();
-  private configuration: FleetConfiguration | undefined;
   private listedSince = Infinity;
   private onDiffer: (service: string | undefined) => void = () => undefined;
 
@@ -69,7 +68,6 @@
 
   /** Records that a configuration is in force. */
   configurationAdopted(configuration: FleetConfiguration): void {
-    this.configuration = configuration;
     if (this.routes.adopt(configuration, this.now())) {
       this.onDiffer(undefined);
     }
@@ -105,8 +103,8 @@
 
   /** How long ago a stream may have begun that can still be taken up, milliseconds. */
   private longestStream(host: string, path: string): number {
-    const route =
-      this.configuration && findRoute(this.configuration, host, path);
+    const {current} = this.routes;
+    const route = current && findRoute(current, host, path);
     return route === undefined
       ? MINIMUM_TAKE_UP_MILLISECONDS
       : route.timeoutMilliseconds + takeUpMilliseconds(route);
--- a/packages/gateway/src/stream-origins/route-history.ts
+++ b/packages/gateway/src/stream-origins/route-history.ts
@@ -22,19 +22,24 @@
 
 /** The services to which the routes of past configurations went. */
 export class RouteHistory {
-  private current: FleetConfiguration | undefined;
+  private inForce: FleetConfiguration | undefined;
   private readonly replaced: ReplacedRoutes[] = [];
   /** Nothing is known of the routes before this time. */
   private completeSince = Infinity;
 
+  /** The configuration in force; undefined before there is one. */
+  get current(): FleetConfiguration | undefined {
+    return this.inForce;
+  }
+
   /**
    * Records that a configuration is in force.
    *
    * @returns Whether some requests go to other services than before.
    */
   adopt(configuration: FleetConfiguration, now: number): boolean {
-    const before = this.current;
-    this.current = configuration;
+    const before = this.inForce;
+    this.inForce = configuration;
     if (before === undefined) {
       this.completeSince = now;
       return false;
@@ -54,8 +59,8 @@
     const configurations = this.replaced
       .filter(({until}) => until >= since)
       .map(({configuration}) => configuration);
-    if (this.current !== undefined) {
-      configurations.push(this.current);
+    if (this.inForce !== undefined) {
+      configurations.push(this.inForce);
     }
     const services = configurations.flatMap(configuration =>
       servicesOfRoute(findRoute(configuration, host, path)),
--- a/packages/gateway/src/stream-origins/stream-identity.ts
+++ b/packages/gateway/src/stream-origins/stream-identity.ts
@@ -1,6 +1,5 @@
-import {createHash} from 'node:crypto';
-
 import type {CallerExchange} from '../caller-exchange.js';
+import {digestOf} from '../digest.js';
 
 const DIGEST_BYTES = 16;
 
@@ -15,10 +14,8 @@
   firstAttemptId: string,
   {method, target, headers}: CallerExchange,
 ): string {
-  const hash = createHash('sha256');
-  const parts = [firstAttemptId, method, headers.host, target];
-  for (const part of [...parts, headers.key ?? '']) {
-    hash.update(`${part.length}:${part}`);
-  }
-  return hash.digest().subarray(0, DIGEST_BYTES).toString('hex');
+  return digestOf(
+    [firstAttemptId, method, headers.host, target, headers.key ?? ''],
+    DIGEST_BYTES,
+  );
 }
