--- a/packages/gateway/src/configuration-state.ts
+++ b/packages/gateway/src/configuration-state.ts
@@ -71,6 +71,12 @@
       routes: configuration.routes.length,
       organisations: configuration.organisations.length,
     });
+    if (configuration.ignoredFields.length > 0) {
+      this.events.warn('configuration fields ignored', {
+        version: configuration.version,
+        fields: configuration.ignoredFields.join(', '),
+      });
+    }
     for (const listener of this.listeners) {
       listener(configuration);
     }
--- a/packages/gateway/src/configuration.ts
+++ b/packages/gateway/src/configuration.ts
@@ -49,6 +49,24 @@
   readonly isPublic: boolean;
 }
 
+/** Properties of a service's model engines, as the configuration states them. */
+export interface EngineDescription {
+  /** Requests that one engine runs at once; undefined if not stated. */
+  readonly slots: number | undefined;
+  /** Tokens that running requests and cached prompt parts share; undefined if not stated. */
+  readonly memoryTokens: number | undefined;
+  /** Size of a token's key-value cache, bytes; undefined if not stated. */
+  readonly bytesPerToken: number | undefined;
+  /** Capacity of an engine's link, megabits per second; undefined if not stated. */
+  readonly linkMegabitsPerSecond: number | undefined;
+  /** Whether a run can be moved to another engine. */
+  readonly supportsMoves: boolean;
+  /** Whether a run's memory can be copied to another engine while it grows. */
+  readonly supportsBackups: boolean;
+  /** How long an engine keeps a copy of a run that has ended, milliseconds. */
+  readonly handleMilliseconds: number;
+}
+
 /** Properties that all endpoints of a service share. */
 export interface ServiceDescription {
   readonly name: string;
@@ -63,6 +81,8 @@
    * cold endpoints of the service need no limit.
    */
   readonly coldRequestsPerSecond: number;
+  /** Undefined for plain services. */
+  readonly engine: EngineDescription | undefined;
 }
 
 /** Limits on the size of callers' requests and on the time to send them. */
@@ -93,6 +113,8 @@
   readonly limits: CallerLimits;
   readonly organisations: readonly Organisation[];
   readonly organisationOfKey: ReadonlyMap<string, Organisation>;
+  /** Fields whose values are not usable, such as `routes.chat.priority`. */
+  readonly ignoredFields: readonly string[];
 }
 
 /**
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -24,6 +24,11 @@
   readonly promptTokens: number;
   /** Maximum number of tokens to generate. */
   readonly maximumOutputTokens: number;
+  /**
+   * The caller's estimate of the number of tokens to generate, which is often far
+   * off; undefined if not stated.
+   */
+  readonly lengthHint: number | undefined;
   /** Parts in prompt order; the last one is not shared with other requests. */
   readonly promptParts: readonly PromptPart[];
   /**
@@ -50,6 +55,12 @@
    * caller's own.
    */
   readonly lastEventId: string | undefined;
+  /** `IP:port` of the endpoint that has the prompt's shared parts in its cache. */
+  readonly fetchFrom?: string | undefined;
+  /** `IP:port` of the endpoint to which the run's memory is copied as it grows. */
+  readonly backupAt?: string | undefined;
+  /** `IP:port/ID` of a copy of the run's memory, from which the run goes on. */
+  readonly continueFrom?: string | undefined;
 }
 
 /** Values parsed from an endpoint's headers. */
--- a/packages/gateway/src/gateway-limits.ts
+++ b/packages/gateway/src/gateway-limits.ts
@@ -25,6 +25,11 @@
   readonly storeRetentionMilliseconds: number;
   /** Capacity of the host's link, bytes per second; 0 if unknown. */
   readonly linkBytesPerSecond: number;
+  /**
+   * Time after its generation within which an event of a stream has to reach the
+   * caller, milliseconds; 0 if there is no such limit.
+   */
+  readonly streamPassMilliseconds: number;
 }
 
 const DEFAULT_STOP_GRACE_SECONDS = 8;
@@ -82,5 +87,6 @@
       DEFAULT_STORE_RETENTION_SECONDS,
     ),
     linkBytesPerSecond: settings.linkMegabitsPerSecond * MEGABIT_BYTES,
+    streamPassMilliseconds: settings.streamPassMilliseconds,
   };
 }
--- a/packages/gateway/src/test/caller-exchange_test.ts
+++ b/packages/gateway/src/test/caller-exchange_test.ts
@@ -12,6 +12,7 @@
   deadlineMilliseconds: undefined,
   promptTokens: 0,
   maximumOutputTokens: 0,
+  lengthHint: undefined,
   promptParts: [],
   lastEventId: undefined,
   resumedAttemptId: undefined,
--- a/packages/gateway/src/test/gateway-limits_test.ts
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -28,6 +28,7 @@
       evacuationMilliseconds: 4_000.5,
       storeRetentionMilliseconds: 20_500,
       linkBytesPerSecond: 0,
+      streamPassMilliseconds: 0,
     });
   });
 
@@ -46,6 +47,7 @@
       evacuationMilliseconds: 5_000,
       storeRetentionMilliseconds: 20_000,
       linkBytesPerSecond: 0,
+      streamPassMilliseconds: 0,
     });
   });
 });
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -257,6 +257,7 @@
         prepaid,
       })),
       organisationOfKey: new Map(),
+      ignoredFields: [],
     };
   }
 }
