--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -36,6 +36,7 @@
 export * from './weight-budget.js';
 export * from './standing-delay.js';
 export * from './stop-admission.js';
+export * from './stream-batching/index.js';
 export * from './store-reads/read-intervals.js';
 export * from './stream-origin.js';
 export * from './stream-origins.js';
--- /dev/null
+++ b/packages/decisions/src/stream-batching/index.ts
@@ -0,0 +1,1 @@
+export * from './batch-interval.js';
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -13,6 +13,7 @@
 import type {RequestContext} from './request-context.js';
 import type {RequestLifetime} from './request-lifetime.js';
 import type {RequestRecord} from './request-record.js';
+import type {EventBatches} from './stream-batching/index.js';
 import {RelayResult, relayStream} from './stream-relay.js';
 import type {BudgetRefusal} from './token-waiters.js';
 
@@ -38,6 +39,7 @@
     private readonly completion: RequestCompletion,
     private readonly lifetime: RequestLifetime,
     private readonly suspects: SuspectRegistry,
+    private readonly batches: EventBatches,
   ) {}
 
   /** Relays the answer that begins with `head`. */
@@ -124,6 +126,7 @@
           this.suspects.requestAnswered(this.context.identity, this.record);
         },
       },
+      this.batches,
     );
     if (result === RelayResult.Complete) {
       attempt.answerEnded('complete stream');
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -12,6 +12,7 @@
 } from './endpoint-connection-pool.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import {NoRelayError} from './relay-errors.js';
+import type {EventBatches} from './stream-batching/index.js';
 
 /** What is known about a request that got no answer to forward. */
 export enum FailureKind {
@@ -202,10 +203,12 @@
    *
    * @param onChunk Consumes a chunk; reading pauses until the promise that it
    *     may return has resolved.
+   * @param batches Delays reading under load; by default each chunk is read at once.
    * @throws The error that `onChunk` throws.
    */
   async read(
     onChunk: (chunk: Buffer) => Promise<void> | undefined,
+    batches?: EventBatches,
   ): Promise<void> {
     const {incoming} = this;
     if (incoming === undefined || incoming.destroyed) {
@@ -213,7 +216,7 @@
       return;
     }
     const {socket} = incoming;
-    await this.readChunks(incoming, onChunk);
+    await this.readChunks(incoming, onChunk, batches);
     if (
       this.bodyEnd === BodyEnd.ConnectionClosed &&
       !(await this.connections.confirmEnd(socket))
@@ -311,6 +314,7 @@
   private readChunks(
     incoming: IncomingMessage,
     onChunk: (chunk: Buffer) => Promise<void> | undefined,
+    batches: EventBatches | undefined,
   ): Promise<void> {
     return new Promise((resolve, reject) => {
       let consumed: Promise<void> | undefined;
@@ -320,13 +324,23 @@
       };
       incoming.on('error', error => {
         this.failure ??= String(error);
+        const collected: unknown = incoming.read();
+        if (!this.isCancelled && Buffer.isBuffer(collected)) {
+          // A stream that breaks off is not read again, and what it has collected
+          // for its batch would be lost.
+          consumed = onChunk(collected);
+        }
       });
       incoming.once('end', finish);
       incoming.once('close', finish);
       incoming.on('data', (chunk: Buffer) => {
         try {
           consumed = onChunk(chunk);
-          pauseUntil(incoming, consumed);
+          if (consumed === undefined) {
+            batches?.hold(incoming);
+          } else {
+            pauseUntil(incoming, consumed);
+          }
         } catch (error) {
           this.cancel('relaying failed');
           reject(error instanceof Error ? error : new Error(String(error)));
@@ -378,14 +392,9 @@
   }
 }
 
-function pauseUntil(
-  incoming: IncomingMessage,
-  consumed: Promise<void> | undefined,
-): void {
-  if (consumed !== undefined) {
-    incoming.pause();
-    void consumed.then(() => incoming.resume());
-  }
+function pauseUntil(incoming: IncomingMessage, consumed: Promise<void>): void {
+  incoming.pause();
+  void consumed.then(() => incoming.resume());
 }
 
 /** Whether an exchange ended without an answer to forward. */
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -105,6 +105,16 @@
     help: 'Entries of the endpoint list some of whose fields had no valid value.',
     registers: [this.registry],
   });
+  private readonly batchInterval = new Gauge({
+    name: 'wisteriadeal_stream_batch_interval_seconds',
+    help: 'How long events of streams are collected before they are read; 0 if each is read at once.',
+    registers: [this.registry],
+  });
+  private readonly batchReads = new Counter({
+    name: 'wisteriadeal_stream_batches_total',
+    help: 'Reads of the collected events of a stream.',
+    registers: [this.registry],
+  });
   private readonly coldRequests = new Counter({
     name: 'wisteriadeal_cold_endpoint_requests_total',
     help: 'Requests that were sent to endpoints that may have been cold.',
@@ -188,6 +198,16 @@
     this.coldRequests.inc();
   }
 
+  /** Sets for how long events of streams are collected, milliseconds. */
+  batchIntervalChanged(milliseconds: number): void {
+    this.batchInterval.set(milliseconds / 1_000);
+  }
+
+  /** Counts a read of the collected events of a stream. */
+  batchRead(): void {
+    this.batchReads.inc();
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -51,6 +51,7 @@
 import {StartGate} from './start-gate.js';
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
+import {EventBatches} from './stream-batching/index.js';
 import {
   ConnectStreamOriginPeers,
   OriginWatch,
@@ -108,6 +109,7 @@
   private readonly reach: ServiceReachMonitor;
   private readonly rotation: HostRotation;
   private readonly loopSaturation = new LoopSaturation();
+  private readonly batches: EventBatches;
   private readonly gate = new StartGate(Object.values(StartRequirement));
   private readonly paths: ServicePaths;
   private readonly tunnels: TunnelServer;
@@ -123,6 +125,11 @@
     this.connections = new EndpointConnectionPool(this.link);
     log.useLink(this.link);
     this.rotation = this.createRotation();
+    this.batches = new EventBatches(
+      gatewayLimits(settings).streamPassMilliseconds,
+      events,
+      this.metrics,
+    );
     this.health = this.createHealth();
     this.configuration = new ConfigurationState(
       names.configurationKey,
@@ -276,6 +283,7 @@
     this.callers.close();
     this.status.close();
     this.link.close();
+    this.batches.close();
     for (const follower of this.followers) {
       follower.close();
     }
@@ -330,10 +338,13 @@
   }
 
   private observeLoad(): void {
-    this.loopSaturation.observe(this.parts.clock.monotonicMilliseconds(), {
-      idleMilliseconds: performance.nodeTiming.idleTime,
+    const now = this.parts.clock.monotonicMilliseconds();
+    const idleMilliseconds = performance.nodeTiming.idleTime;
+    this.loopSaturation.observe(now, {
+      idleMilliseconds,
       turnMilliseconds: this.callers.loopTurnMilliseconds,
     });
+    this.batches.observe(now, idleMilliseconds);
     this.rotation.observe({
       isLinkOverloaded: this.link.isOverloaded,
       isLoopSaturated: this.loopSaturation.isSaturated,
@@ -516,6 +527,7 @@
         placement: this.createPlacementRules(),
         evacuations: this.evacuations,
         metrics: this.metrics,
+        batches: this.batches,
         hostCount: () => this.budgets.holderCount,
       },
       gatewayLimits(settings).resends,
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -36,6 +36,7 @@
 import type {RequestRecord} from './request-record.js';
 import {NextStep, RequestRetries} from './request-retries.js';
 import type {ServicePaths} from './service-paths.js';
+import type {EventBatches} from './stream-batching/index.js';
 
 /** Dependencies shared by all request runs of a process. */
 export interface RunParts {
@@ -50,6 +51,7 @@
   readonly placement: PlacementRules;
   readonly evacuations: EvacuationState;
   readonly metrics: GatewayMetrics;
+  readonly batches: EventBatches;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
 }
@@ -106,6 +108,7 @@
       completion,
       lifetime,
       parts.suspects,
+      parts.batches,
     );
   }
 
--- /dev/null
+++ b/packages/gateway/src/stream-batching/index.ts
@@ -0,0 +1,1 @@
+export * from './event-batches.js';
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -7,6 +7,7 @@
   type StreamEvent,
 } from './event-stream-splitter.js';
 import type {RequestRecord} from './request-record.js';
+import type {EventBatches} from './stream-batching/index.js';
 
 /** How relaying one endpoint's part of a stream ended. */
 export enum RelayResult {
@@ -41,9 +42,10 @@
   record: RequestRecord,
   now: () => number,
   listener: StreamListener,
+  batches: EventBatches,
 ): Promise<RelayResult> {
   const relay = new StreamRelay(attempt, caller, record, now, listener);
-  await attempt.exchange.read(chunk => relay.relay(chunk));
+  await attempt.exchange.read(chunk => relay.relay(chunk), batches);
   return relay.result;
 }
 
