--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -28,7 +28,7 @@
 export * from './refusal-policy.js';
 export * from './rolling-order-planner.js';
 export * from './rotation-policy.js';
-export * from './rotation/loop-saturation.js';
+export * from './rotation/index.js';
 export * from './shed-slow-endpoints.js';
 export * from './shedding-policy.js';
 export * from './shift-policy.js';
--- a/packages/decisions/src/rotation-policy.ts
+++ b/packages/decisions/src/rotation-policy.ts
@@ -7,6 +7,11 @@
   readonly isOverloaded: boolean;
   /** Connections that callers have opened since the host started. */
   readonly connections: number;
+  /**
+   * How much longer the host may be out of the rotation, in milliseconds. Hosts
+   * that are overloaded at the same time leave in turns. Not limited if omitted.
+   */
+  readonly maximumAbsenceMilliseconds?: number;
 }
 
 /** A host's state in the load balancer's rotation. */
@@ -111,6 +116,12 @@
  * can be missed.
  */
 const ASSUMED_REMOVAL_MILLISECONDS = 3_000;
+/**
+ * Minimum time out of the rotation and in it, in milliseconds. The load balancer
+ * checks once a second and removes a host after two checks; it would not see a
+ * shorter state.
+ */
+const MINIMUM_STATE_MILLISECONDS = REMOVAL_PROBES * 1_000;
 /**
  * Length of the windows in which new connections are counted, in milliseconds.
  */
@@ -185,6 +196,10 @@
   private stateSince = -Infinity;
   /** When the host last started to report that it is not ready. */
   private absentSince = -Infinity;
+  /** When the host last started to report that it is ready. */
+  private presentSince = -Infinity;
+  /** Whether the host must return by the end of the turn in which it left. */
+  private isAbsenceLimited = false;
   private observedAt = -Infinity;
   private notReadyProbes = 0;
   private lastNotReadyAt = -Infinity;
@@ -240,7 +255,11 @@
     this.observedAt = now;
     this.connectionWindows.observe(now, input.connections);
     this.trackRecovery(now, input.isOverloaded);
-    const next = this.nextState(now, input.isOverloaded);
+    const absence = input.maximumAbsenceMilliseconds ?? Infinity;
+    this.isAbsenceLimited &&= absence < Infinity;
+    const next = this.isAbsenceOver(now, absence)
+      ? RotationState.Serving
+      : this.nextState(now, input.isOverloaded, absence);
     if (next !== this.currentState) {
       this.transitionTo(next, now, input);
     }
@@ -254,10 +273,34 @@
     }
   }
 
-  private nextState(now: number, isOverloaded: boolean): RotationState {
+  /** Whether the turn in which the host left is over. */
+  private isAbsenceOver(now: number, absence: number): boolean {
+    return (
+      !this.acceptsConnections &&
+      this.isAbsenceLimited &&
+      absence <= 0 &&
+      now - this.absentSince >= MINIMUM_STATE_MILLISECONDS
+    );
+  }
+
+  /** Whether the load balancer sees the absence, and has seen the presence. */
+  private mayWithdraw(now: number, absence: number): boolean {
+    return (
+      absence >= MINIMUM_STATE_MILLISECONDS &&
+      now - this.presentSince >= MINIMUM_STATE_MILLISECONDS
+    );
+  }
+
+  private nextState(
+    now: number,
+    isOverloaded: boolean,
+    absence: number,
+  ): RotationState {
     switch (this.currentState) {
       case RotationState.Serving:
-        return isOverloaded ? RotationState.Withdrawing : this.currentState;
+        return isOverloaded && this.mayWithdraw(now, absence)
+          ? RotationState.Withdrawing
+          : this.currentState;
       case RotationState.Withdrawing:
         if (!isOverloaded) {
           return RotationState.Returning;
@@ -289,10 +332,13 @@
   private transitionTo(
     next: RotationState,
     now: number,
-    {connections}: RotationInput,
+    {connections, maximumAbsenceMilliseconds}: RotationInput,
   ): void {
+    const wasPresent = this.acceptsConnections;
     if (this.currentState === RotationState.Serving) {
       this.startWithdrawal(now);
+      this.isAbsenceLimited =
+        (maximumAbsenceMilliseconds ?? Infinity) < Infinity;
     } else if (this.currentState === RotationState.Needed) {
       this.neededMilliseconds = Math.min(
         MAXIMUM_NEEDED_MILLISECONDS,
@@ -304,6 +350,9 @@
     this.connectionWindows.restart(now, connections);
     this.currentState = next;
     this.stateSince = now;
+    if (this.acceptsConnections && !wasPresent) {
+      this.presentSince = now;
+    }
   }
 
   /**
@@ -351,7 +400,8 @@
   private hasRecovered(now: number): boolean {
     return (
       this.recoveredSince !== undefined &&
-      now - this.recoveredSince >= this.requiredRecoveryMilliseconds
+      now - this.recoveredSince >= this.requiredRecoveryMilliseconds &&
+      now - this.absentSince >= MINIMUM_STATE_MILLISECONDS
     );
   }
 }
--- /dev/null
+++ b/packages/decisions/src/rotation/index.ts
@@ -0,0 +1,2 @@
+export * from './loop-saturation.js';
+export * from './withdrawal-turns.js';
--- a/packages/decisions/src/test/rotation-replay.ts
+++ b/packages/decisions/src/test/rotation-replay.ts
@@ -21,6 +21,10 @@
  * below half of it.
  */
 const FULL_QUEUE = 20;
+/** Maximum number of waiting requests at a host that refuses what would be late. */
+const MAXIMUM_USEFUL_QUEUE = 50;
+/** Cost of a refusal as a share of the cost of serving a request. */
+const REFUSAL_COST = 0.4;
 /** Event loop turns from the arrival of a request to its answer. */
 const TURNS_PER_REQUEST = 3;
 const GOLDEN_RATIO_FRACTION = 0.618;
@@ -34,6 +38,8 @@
   readonly rate: number;
   /** Whether all callers have the same hash, so that one host receives them. */
   readonly isOneHash: boolean;
+  /** Hash of the first caller; 0 if not given. */
+  readonly firstHash?: number;
 }
 
 /** An organisation's callers, with their idle connections by host. */
@@ -95,8 +101,32 @@
   }
 }
 
+/** Differences between the clocks of hosts, in milliseconds. */
+const MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS = 100;
+
+/** How a replayed host finds out how long it may be out of the rotation. */
+export type ReplayedAllowance = (
+  timeOfDay: number,
+  host: string,
+  hosts: readonly string[],
+) => number;
+
+/** How a data centre differs from the default. */
+export interface ReplayOptions {
+  /** By default a host may always be out of the rotation. */
+  readonly allowance: ReplayedAllowance;
+  /** Whether hosts refuse requests that would be late; else connections are dropped. */
+  readonly isRefusing: boolean;
+}
+
+const DEFAULT_OPTIONS: ReplayOptions = {
+  allowance: () => Infinity,
+  isRefusing: false,
+};
+
 class Host {
   readonly queue: Waiting[] = [];
+  stateChanges = 0;
   connections = 0;
   notReadyProbes = 0;
   private capacityCredit = 0;
@@ -105,12 +135,25 @@
   constructor(
     readonly policy: RotationPolicy,
     private readonly signal: OverloadSignal,
+    private readonly options: ReplayOptions,
+    private readonly maximumAbsence: (now: number) => number,
   ) {}
 
   get isInRotation(): boolean {
     return this.notReadyProbes < REMOVAL_PROBES;
   }
 
+  /** Refuses a request if too many wait. */
+  refuses(): boolean {
+    const {isRefusing} = this.options;
+    const maximum = isRefusing ? MAXIMUM_USEFUL_QUEUE : MAXIMUM_QUEUE;
+    if (this.queue.length < maximum) {
+      return false;
+    }
+    this.capacityCredit -= isRefusing ? REFUSAL_COST : 0;
+    return true;
+  }
+
   /** Removes and returns the requests that the host has served in a step. */
   takeServed(): readonly Waiting[] {
     this.capacityCredit += (CAPACITY * STEP_MILLISECONDS) / 1_000;
@@ -134,7 +177,13 @@
       this.queue.length,
       this.idleMilliseconds,
     );
-    this.policy.observe(now, {isOverloaded, connections: this.connections});
+    const {state} = this.policy;
+    this.policy.observe(now, {
+      isOverloaded,
+      connections: this.connections,
+      maximumAbsenceMilliseconds: this.maximumAbsence(now),
+    });
+    this.stateChanges += this.policy.state === state ? 0 : 1;
   }
 }
 
@@ -158,16 +207,22 @@
   private shares = new Map<string, ServedShare>();
   private now = 0;
   private fraction = 0;
+  private mostAbsent = 0;
 
   constructor(
     hosts: number,
     createPolicy: () => RotationPolicy,
     createSignal: () => OverloadSignal = () => new QueueSignal(),
+    options = DEFAULT_OPTIONS,
   ) {
-    this.hosts = Array.from(
-      {length: hosts},
-      () => new Host(createPolicy(), createSignal()),
-    );
+    const names = Array.from({length: hosts}, (_, index) => `host-${index}`);
+    this.hosts = names.map((name, index) => {
+      const clockDifference =
+        (index % 2) * MAXIMUM_CLOCK_DIFFERENCE_MILLISECONDS;
+      return new Host(createPolicy(), createSignal(), options, now =>
+        options.allowance(now + clockDifference, name, names),
+      );
+    });
   }
 
   /** Adds the callers of an organisation, or changes their rate. */
@@ -177,7 +232,7 @@
       ...organisation,
       idle,
       due: 0,
-      hash: 0,
+      hash: organisation.firstHash ?? 0,
     });
     return this;
   }
@@ -185,6 +240,7 @@
   /** Runs for the given time and resets the counts first. */
   run(seconds: number): this {
     this.shares = new Map();
+    this.mostAbsent = 0;
     const until = this.now + seconds * 1_000;
     while (this.now < until) {
       this.now += STEP_MILLISECONDS;
@@ -208,6 +264,16 @@
     return this.hosts.filter(({policy}) => policy.acceptsConnections).length;
   }
 
+  /** Largest number of hosts that were out of the rotation at once in the last run. */
+  get maximumAbsentHosts(): number {
+    return this.mostAbsent;
+  }
+
+  /** Changes of rotation states by all hosts since the start. */
+  get stateChanges(): number {
+    return this.hosts.reduce((sum, {stateChanges}) => sum + stateChanges, 0);
+  }
+
   get states(): readonly RotationState[] {
     return this.hosts.map(({policy}) => policy.state);
   }
@@ -231,6 +297,8 @@
       }
       host.observe(this.now);
     }
+    const absent = this.hosts.filter(({isInRotation}) => !isInRotation).length;
+    this.mostAbsent = Math.max(this.mostAbsent, absent);
   }
 
   private answer(host: Host, index: number, waiting: Waiting): void {
@@ -258,7 +326,7 @@
   ): void {
     const host =
       this.hosts[connection ?? this.openConnection(callers, isRetry)];
-    if (host === undefined || host.queue.length >= MAXIMUM_QUEUE) {
+    if (host === undefined || host.refuses()) {
       this.retry(callers, isRetry);
       return;
     }
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -112,6 +112,13 @@
     );
   }
 
+  /** Names of the hosts of a data centre, including this one, as of the last read. */
+  hostsIn(dataCenter: string): readonly string[] {
+    return [...this.replica.fold.holders.values()]
+      .filter(holder => holder.dataCenter === dataCenter)
+      .map(({host}) => host);
+  }
+
   /** The service that other holders call. */
   get lender(): LoanHolder {
     return this.grantLender;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -110,6 +110,12 @@
     help: 'Requests that were sent to endpoints that may have been cold.',
     registers: [this.registry],
   });
+  private readonly rotationChanges = new Counter({
+    name: 'wisteriadeal_rotation_changes_total',
+    help: "Changes of the host's rotation state, by the new state.",
+    labelNames: ['to'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -188,6 +194,11 @@
     this.coldRequests.inc();
   }
 
+  /** Counts a change of the rotation state. */
+  rotationChanged(to: string): void {
+    this.rotationChanges.inc({to});
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,7 @@
 import {PeerServer} from './peer-server.js';
 import {ProcessTraffic} from './process-traffic.js';
 import {RequestHandler} from './request-handler.js';
+import {LoopWithdrawal} from './rotation/index.js';
 import {UndeliveredCharge} from './request-record.js';
 import type {PeerHost} from './relay-directory.js';
 import {ServicePaths} from './service-paths.js';
@@ -122,8 +123,8 @@
     this.link = this.createLink();
     this.connections = new EndpointConnectionPool(this.link);
     log.useLink(this.link);
-    this.rotation = this.createRotation();
     this.health = this.createHealth();
+    this.rotation = this.createRotation();
     this.configuration = new ConfigurationState(
       names.configurationKey,
       dialect,
@@ -353,7 +354,7 @@
       events,
     );
     const identity = {
-      host: `${settings.host} ${settings.callerAddress}`,
+      host: hostName(settings),
       peerAddress: settings.peerAddress,
       dataCenter: settings.dataCenter,
       region: settings.region,
@@ -409,10 +410,7 @@
       },
       dataCenter,
       region,
-      cold: new ColdTurns(
-        `${settings.host} ${settings.callerAddress}`,
-        () => this.budgets.holderCount,
-      ),
+      cold: new ColdTurns(hostName(settings), () => this.budgets.holderCount),
       regionOf: other =>
         other === dataCenter ? region : dataCenterRegions[other],
       fraction: () => random.fraction(),
@@ -443,12 +441,22 @@
   }
 
   private createRotation(): HostRotation {
-    const {clock, random, events} = this.parts;
+    const {settings, clock, random, events} = this.parts;
+    const withdrawal = new LoopWithdrawal({
+      host: hostName(settings),
+      listedHosts: () => this.budgets.hostsIn(settings.dataCenter),
+      store: this.health.budgets,
+      clock,
+    });
     return new HostRotation({
       policy: new WithdrawWhileOverloaded(),
       events,
       now: () => clock.monotonicMilliseconds(),
       fraction: () => random.fraction(),
+      loopAllowance: () => withdrawal.allowance(),
+      onChange: state => {
+        this.metrics.rotationChanged(state);
+      },
     });
   }
 
@@ -576,6 +584,11 @@
   }
 }
 
+/** Name of this process on the budget log. */
+function hostName({host, callerAddress}: GatewaySettings): string {
+  return `${host} ${callerAddress}`;
+}
+
 function undeliveredCharge(settings: GatewaySettings): UndeliveredCharge {
   return settings.chargeUndeliveredPrompts
     ? UndeliveredCharge.Prompt
--- a/packages/gateway/src/host-rotation.ts
+++ b/packages/gateway/src/host-rotation.ts
@@ -1,6 +1,8 @@
 import type {RotationPolicy} from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import type {WithdrawalAllowance} from './rotation/index.js';
+
 /** The host's load. */
 export interface HostLoad {
   /** Whether callers send more than the host's link carries. */
@@ -19,6 +21,13 @@
   readonly now: () => number;
   /** Random number from 0 to below 1. */
   readonly fraction: () => number;
+  /**
+   * Limits withdrawals for a saturated event loop. A withdrawal for the link is
+   * not limited. By default neither is.
+   */
+  readonly loopAllowance?: () => WithdrawalAllowance;
+  /** Called with the new state after each change. */
+  readonly onChange?: (state: string) => void;
 }
 
 /**
@@ -34,6 +43,7 @@
  */
 export class HostRotation {
   private wasLoopSaturated = false;
+  private isWaitingForTurn = false;
 
   constructor(private readonly parts: RotationParts) {}
 
@@ -77,16 +87,50 @@
     const {isLinkOverloaded, isLoopSaturated, connections} = load;
     const previousState = policy.state;
     this.wasLoopSaturated = isLoopSaturated;
+    const allowance = this.allowanceFor(load);
     policy.observe(now(), {
       isOverloaded: isLinkOverloaded || isLoopSaturated,
       connections,
+      ...allowance,
     });
+    this.logWaiting(load, allowance);
     if (policy.state !== previousState) {
+      this.parts.onChange?.(policy.state);
       events.info('rotation state changed', {
         from: previousState,
         to: policy.state,
         ...load,
+        ...allowance,
+      });
+    }
+  }
+
+  /** The limit on the absence; undefined if there is none, or no need for one. */
+  private allowanceFor({
+    isLinkOverloaded,
+    isLoopSaturated,
+  }: HostLoad): WithdrawalAllowance | undefined {
+    const isConcerned = isLoopSaturated || !this.acceptsConnections;
+    return isConcerned && !isLinkOverloaded
+      ? this.parts.loopAllowance?.()
+      : undefined;
+  }
+
+  /** Logs once that a saturated host has to wait for its turn. */
+  private logWaiting(
+    {isLoopSaturated, connections}: HostLoad,
+    allowance: WithdrawalAllowance | undefined,
+  ): void {
+    const isWaiting =
+      isLoopSaturated &&
+      this.acceptsConnections &&
+      allowance?.maximumAbsenceMilliseconds === 0;
+    if (isWaiting && !this.isWaitingForTurn) {
+      this.parts.events.info('saturated host stays in rotation', {
+        connections,
+        ...allowance,
       });
     }
+    this.isWaitingForTurn = isWaiting;
   }
 }
--- /dev/null
+++ b/packages/gateway/src/rotation/index.ts
@@ -0,0 +1,1 @@
+export * from './loop-withdrawal.js';
--- a/packages/gateway/src/test/host-rotation_test.ts
+++ b/packages/gateway/src/test/host-rotation_test.ts
@@ -8,6 +8,7 @@
 let now: number;
 let lines: Record<string, unknown>[];
 let rotation: HostRotation;
+let maximumAbsenceMilliseconds: number;
 
 function observe(isOverloaded: boolean): void {
   now += 200;
@@ -21,6 +22,7 @@
 beforeEach(() => {
   now = 0;
   lines = [];
+  maximumAbsenceMilliseconds = Infinity;
   rotation = new HostRotation({
     policy: new WithdrawWhileOverloaded(),
     events: EventLog.create(LogLevel.INFO, {}, line => {
@@ -28,6 +30,12 @@
     }),
     now: () => now,
     fraction: () => 0.5,
+    loopAllowance: () => ({
+      maximumAbsenceMilliseconds,
+      listedHosts: 5,
+      listAgeMilliseconds: 0,
+      isStoreUnavailable: false,
+    }),
   });
 });
 
@@ -78,4 +86,31 @@
       {isLinkOverloaded: false, isLoopSaturated: true},
     ]);
   });
+
+  it('stays while it has no turn, and returns when its turn ends', () => {
+    // Guards against a data centre whose saturated hosts leave together.
+    const saturated = {
+      isLinkOverloaded: false,
+      isLoopSaturated: true,
+      connections: 0,
+    };
+    maximumAbsenceMilliseconds = 0;
+    rotation.observe(saturated);
+    rotation.observe(saturated);
+    expect(rotation.acceptsConnections).toBe(true);
+    expect(lines).toMatchObject([{event: 'saturated host stays in rotation'}]);
+    maximumAbsenceMilliseconds = 4_000;
+    rotation.observe(saturated);
+    expect(rotation.acceptsConnections).toBe(false);
+    maximumAbsenceMilliseconds = 0;
+    now += 2_000;
+    rotation.observe(saturated);
+    expect(rotation.acceptsConnections).toBe(true);
+  });
+
+  it('leaves without a turn for a full link', () => {
+    maximumAbsenceMilliseconds = 0;
+    observe(true);
+    expect(rotation.acceptsConnections).toBe(false);
+  });
 });
