--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -1,4 +1,5 @@
 import type {IncomingMessage, ServerResponse} from 'node:http';
+import {finished} from 'node:stream/promises';
 
 import type {CallerHeaders, Dialect} from './dialect.js';
 import {nextEventLoopTurn} from './event-loop.js';
@@ -204,6 +205,13 @@
     return Buffer.concat(chunks);
   }
 
+  /** Receives the rest of the body and discards it. */
+  async discardBody(): Promise<void> {
+    if (!this.request.complete) {
+      await finished(this.request.resume());
+    }
+  }
+
   /**
    * Closes the connection after this answer, and announces that in its headers.
    */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -225,6 +225,9 @@
   async start(): Promise<void> {
     const {settings, events} = this.parts;
     this.gate.openAfter(START_GATE_TIMEOUT_MILLISECONDS);
+    void this.gate.whenOpen().then(() => {
+      this.logMissingConfiguration();
+    });
     this.link.start();
     await this.callers.listen(listenAddress(settings.callerAddress));
     this.peerServer = await PeerServer.listen(
@@ -330,6 +333,15 @@
     this.parts.events.info('settings reloaded', {host: settings.host});
   }
 
+  private logMissingConfiguration(): void {
+    if (this.configuration.current === undefined) {
+      this.parts.events.warn('no configuration after the start', {
+        waitedMilliseconds: START_GATE_TIMEOUT_MILLISECONDS,
+        isStoreUnavailable: this.health.configuration.isUnavailable,
+      });
+    }
+  }
+
   private observeLoad(): void {
     this.loopSaturation.observe(this.parts.clock.monotonicMilliseconds(), {
       idleMilliseconds: performance.nodeTiming.idleTime,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -29,6 +29,7 @@
   STOPPING_RETRY_AFTER_MILLISECONDS,
   type LocalReply,
 } from './local-reply.js';
+import {refuseWithoutConfiguration} from './no-configuration.js';
 import {RequestBudget} from './request-budget.js';
 import {maximumTokens, type RequestContext} from './request-context.js';
 import {RequestIdentity} from './crashes/index.js';
@@ -191,10 +192,7 @@
     await this.gate.whenOpen();
     const configuration = this.configuration.current;
     if (configuration === undefined) {
-      return notExecutedReply(
-        LocalReplyReason.NoConfiguration,
-        CONFIGURATION_RETRY_AFTER_MILLISECONDS,
-      );
+      return refuseWithoutConfiguration(caller, this.randomFraction());
     }
     if (caller.headerBytes > configuration.limits.headerBytes) {
       caller.disableKeepAlive();
