--- a/packages/decisions/src/test/rotation-replay.ts
+++ b/packages/decisions/src/test/rotation-replay.ts
@@ -87,9 +87,9 @@
     queueLength: number,
     idleMilliseconds: number,
   ): boolean {
-    const turnMilliseconds =
+    const waitMilliseconds =
       (queueLength * 1_000) / CAPACITY / TURNS_PER_REQUEST;
-    this.saturation.observe(now, {idleMilliseconds, turnMilliseconds});
+    this.saturation.observe(now, {idleMilliseconds, waitMilliseconds});
     return this.saturation.isSaturated;
   }
 }
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -87,9 +87,15 @@
     return this.listener.connections.counts;
   }
 
-  /** Duration of the last measured event loop turn, milliseconds. */
-  get loopTurnMilliseconds(): number {
-    return this.loopMonitor.reading.turnMilliseconds;
+  /**
+   * How long work waits in the event loop, milliseconds: the last measured turn, or
+   * what the oldest request has waited to be started, if that is longer.
+   */
+  get loopWaitMilliseconds(): number {
+    return Math.max(
+      this.loopMonitor.reading.turnMilliseconds,
+      this.arrivals.oldestWaitMilliseconds,
+    );
   }
 
   /** @throws The system's error if the address can't be bound. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -345,7 +345,7 @@
   private observeLoad(): void {
     this.loopSaturation.observe(this.parts.clock.monotonicMilliseconds(), {
       idleMilliseconds: performance.nodeTiming.idleTime,
-      turnMilliseconds: this.callers.loopTurnMilliseconds,
+      waitMilliseconds: this.callers.loopWaitMilliseconds,
     });
     this.rotation.observe({
       isLinkOverloaded: this.link.isOverloaded,
