--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -44,6 +44,7 @@
 import {PeerServer} from './peer-server.js';
 import {ProcessTraffic} from './process-traffic.js';
 import {RequestHandler} from './request-handler.js';
+import {LoopWithdrawal} from './rotation/index.js';
 import {UndeliveredCharge} from './request-record.js';
 import type {PeerHost} from './relay-directory.js';
 import {ServicePaths} from './service-paths.js';
@@ -124,13 +125,13 @@
     this.link = this.createLink();
     this.connections = new EndpointConnectionPool(this.link);
     log.useLink(this.link);
-    this.rotation = this.createRotation();
     this.batches = new EventBatches(
       gatewayLimits(settings).streamPassMilliseconds,
       events,
       this.metrics,
     );
     this.health = this.createHealth();
+    this.rotation = this.createRotation();
     this.configuration = new ConfigurationState(
       names.configurationKey,
       dialect,
@@ -231,6 +232,9 @@
   async start(): Promise<void> {
     const {settings, events} = this.parts;
     this.gate.openAfter(START_GATE_TIMEOUT_MILLISECONDS);
+    void this.gate.whenOpen().then(() => {
+      this.logMissingConfiguration();
+    });
     this.link.start();
     await this.callers.listen(listenAddress(settings.callerAddress));
     this.peerServer = await PeerServer.listen(
@@ -337,12 +341,21 @@
     this.parts.events.info('settings reloaded', {host: settings.host});
   }
 
+  private logMissingConfiguration(): void {
+    if (this.configuration.current === undefined) {
+      this.parts.events.warn('no configuration after the start', {
+        waitedMilliseconds: START_GATE_TIMEOUT_MILLISECONDS,
+        isStoreUnavailable: this.health.configuration.isUnavailable,
+      });
+    }
+  }
+
   private observeLoad(): void {
     const now = this.parts.clock.monotonicMilliseconds();
     const idleMilliseconds = performance.nodeTiming.idleTime;
     this.loopSaturation.observe(now, {
       idleMilliseconds,
-      turnMilliseconds: this.callers.loopTurnMilliseconds,
+      waitMilliseconds: this.callers.loopWaitMilliseconds,
     });
     this.batches.observe(now, idleMilliseconds);
     this.rotation.observe({
@@ -364,7 +377,7 @@
       events,
     );
     const identity = {
-      host: `${settings.host} ${settings.callerAddress}`,
+      host: hostName(settings),
       peerAddress: settings.peerAddress,
       dataCenter: settings.dataCenter,
       region: settings.region,
@@ -420,10 +433,7 @@
       },
       dataCenter,
       region,
-      cold: new ColdTurns(
-        `${settings.host} ${settings.callerAddress}`,
-        () => this.budgets.holderCount,
-      ),
+      cold: new ColdTurns(hostName(settings), () => this.budgets.holderCount),
       regionOf: other =>
         other === dataCenter ? region : dataCenterRegions[other],
       fraction: () => random.fraction(),
@@ -454,12 +464,22 @@
   }
 
   private createRotation(): HostRotation {
-    const {clock, random, events} = this.parts;
+    const {settings, clock, random, events} = this.parts;
+    const withdrawal = new LoopWithdrawal({
+      host: hostName(settings),
+      listedHosts: () => this.budgets.hostsIn(settings.dataCenter),
+      store: this.health.budgets,
+      clock,
+    });
     return new HostRotation({
       policy: new WithdrawWhileOverloaded(),
       events,
       now: () => clock.monotonicMilliseconds(),
       fraction: () => random.fraction(),
+      loopAllowance: () => withdrawal.allowance(),
+      onChange: state => {
+        this.metrics.rotationChanged(state);
+      },
     });
   }
 
@@ -588,6 +608,11 @@
   }
 }
 
+/** Name of this process on the budget log. */
+function hostName({host, callerAddress}: GatewaySettings): string {
+  return `${host} ${callerAddress}`;
+}
+
 function undeliveredCharge(settings: GatewaySettings): UndeliveredCharge {
   return settings.chargeUndeliveredPrompts
     ? UndeliveredCharge.Prompt
