--- /dev/null
+++ b/packages/gateway/src/admission/index.ts
@@ -0,0 +1,3 @@
+export * from './admission-record.js';
+export * from './attempt-observation.js';
+export * from './engine-admissions.js';
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -117,6 +117,7 @@
       () => this.lifetime.now(),
       {
         firstEvent: () => {
+          attempt.admission?.began(this.lifetime.now());
           // Kept for longer than the attempt, whose buffers must not be.
           this.context.binding.bind({endpoint, path, sentAt});
         },
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -1,5 +1,6 @@
 import type {EndpointCircuitBreaker} from '@wisteriadeal/decisions';
 
+import type {AttemptObservation} from './admission/index.js';
 import type {KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
@@ -27,6 +28,8 @@
     private readonly record: RequestRecord,
     readonly sentAt: number,
     private readonly ageMilliseconds: () => number,
+    /** Undefined if admission control does not apply to the attempt. */
+    readonly admission: AttemptObservation | undefined,
   ) {
     this.eventsBefore = record.eventsDelivered;
     this.build = endpoint.entry.build;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,3 +1,4 @@
+import type {AdmissionVerdict} from '@wisteriadeal/decisions';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {ConnectResult} from './connect-result.js';
@@ -110,6 +111,12 @@
     help: 'Requests that were sent to endpoints that may have been cold.',
     registers: [this.registry],
   });
+  private readonly admissions = new Counter({
+    name: 'wisteriadeal_engine_admissions_total',
+    help: 'Requests to engines by priority and verdict, and whether they were queued; those that left the queue have the verdict queue.',
+    labelNames: ['verdict', 'priority', 'queued'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -188,6 +195,19 @@
     this.coldRequests.inc();
   }
 
+  /** Counts a request to an engine that was admitted, refused, or left the queue. */
+  admissionDecided(
+    verdict: AdmissionVerdict,
+    priority: number,
+    wasQueued: boolean,
+  ): void {
+    this.admissions.inc({
+      verdict,
+      priority: String(priority),
+      queued: String(wasQueued),
+    });
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -11,6 +11,7 @@
 import type {EventLog, JsonValue, RunningBinary} from '@wisteriadeal/runtime';
 import type {GatewaySettings} from '@wisteriadeal/schema';
 
+import {EngineAdmissions} from './admission/index.js';
 import {BillWriter} from './bill-writer.js';
 import {BudgetHolder} from './budget-holder.js';
 import {BudgetJournal} from './budget-journal.js';
@@ -515,6 +516,12 @@
         suspects: this.suspects,
         placement: this.createPlacementRules(),
         evacuations: this.evacuations,
+        admissions: new EngineAdmissions({
+          clock,
+          metrics: this.metrics,
+          configuration: () => this.configuration.current,
+          fraction: () => random.fraction(),
+        }),
         metrics: this.metrics,
         hostCount: () => this.budgets.holderCount,
       },
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -18,6 +18,8 @@
   BuildLost = 'build-lost',
   /** The build that began the stream has no endpoint; the caller may begin anew. */
   BuildGone = 'build-gone',
+  /** The engines can't begin the request in time. */
+  EnginesSaturated = 'engines-saturated',
   EndpointsRefused = 'endpoints-refused',
   EndpointsUnreachable = 'endpoints-unreachable',
   DeadlinePassed = 'deadline-passed',
--- a/packages/gateway/src/request-completion.ts
+++ b/packages/gateway/src/request-completion.ts
@@ -59,6 +59,11 @@
     }
   }
 
+  /** Ends a request that was not sent to any endpoint. */
+  refuse(reply: LocalReply): void {
+    this.sendLocalReply(reply);
+  }
+
   /**
    * Ends a request that has run but whose answer must not be delivered, because
    * its tokens were refused.
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -92,6 +92,7 @@
   /** Starts refusing, as not run, requests that `stop` does not admit. */
   beginStop(stop: StopAdmission): void {
     this.stop = stop;
+    this.parts.admissions.beginStop();
   }
 
   /** Ends all running requests with what they have so far. */
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -1,3 +1,4 @@
+import type {AdmissionRecord} from './admission/index.js';
 import type {
   AnswerFraming,
   BodyEnd,
@@ -89,6 +90,8 @@
    * milliseconds; undefined if none did.
    */
   answerBeganAt: number | undefined;
+  /** Undefined if admission control does not apply to the request. */
+  admission: AdmissionRecord | undefined;
   /** Undefined before the first choice of an endpoint. */
   placement: PlacementRecord | undefined;
   /** Tokens charged when the request settled. */
--- a/packages/gateway/src/request-report.ts
+++ b/packages/gateway/src/request-report.ts
@@ -1,5 +1,6 @@
 import type {EventFields} from '@wisteriadeal/runtime';
 
+import {describeAdmission} from './admission/index.js';
 import type {CallerExchange} from './caller-exchange.js';
 import {maximumTokens} from './request-context.js';
 import {
@@ -48,6 +49,7 @@
         : headers.promptParts.map(({id}) => id).join(', '),
     suspects: suspicion?.suspects.join(', '),
     crashed: suspicion?.endpoints.join(', '),
+    ...describeAdmission(record.admission),
     ...describePlacement(record.placement),
     attempts: record.attempts.map(describeAttempt).join('; '),
   };
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -5,8 +5,10 @@
 } from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import type {EngineAdmissions} from './admission/index.js';
 import {AnswerRelay} from './answer-relay.js';
 import {AnswerTimeouts} from './answer-timeouts.js';
+import {RouteKind} from './configuration.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
@@ -33,6 +35,7 @@
 import {RequestCompletion} from './request-completion.js';
 import {isRepeatable, type RequestContext} from './request-context.js';
 import {RequestLifetime} from './request-lifetime.js';
+import {requestPriority} from './request-priority.js';
 import type {RequestRecord} from './request-record.js';
 import {NextStep, RequestRetries} from './request-retries.js';
 import type {ServicePaths} from './service-paths.js';
@@ -49,18 +52,12 @@
   readonly events: EventLog;
   readonly placement: PlacementRules;
   readonly evacuations: EvacuationState;
+  readonly admissions: EngineAdmissions;
   readonly metrics: GatewayMetrics;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
 }
 
-/**
- * Priority levels for routes within each priority of an organisation, which
- * takes precedence; endpoints accept ten levels in all.
- */
-const ROUTE_PRIORITY_LEVELS = 3;
-const LOWEST_PRIORITY = 9;
-
 /** Time in which a host finds out whether it has lost its paths to a service. */
 const PATH_DECISION_MILLISECONDS = 100;
 const PATH_POLL_MILLISECONDS = 10;
@@ -72,6 +69,7 @@
   private readonly lifetime: RequestLifetime;
   private readonly retries: RequestRetries;
   private readonly answers: AnswerRelay;
+  private readonly completion: RequestCompletion;
   private current: EndpointExchange | undefined;
 
   constructor(
@@ -86,6 +84,7 @@
     this.lifetime = new RequestLifetime(context, clock);
     const {chooser, lifetime} = this;
     const completion = new RequestCompletion(dialect, context, record);
+    this.completion = completion;
     this.retries = new RequestRetries({
       context,
       record,
@@ -123,6 +122,15 @@
       this.current?.cancel('deadline');
     });
     try {
+      const refusal = await this.parts.admissions.admit(
+        this.context,
+        this.record,
+        this.lifetime.waitSignal,
+      );
+      if (refusal !== undefined) {
+        this.completion.refuse(refusal);
+        return;
+      }
       while ((await this.attempt()) === NextStep.Retry) {
         // Each attempt selects an endpoint from the current state.
       }
@@ -170,6 +178,7 @@
         : retries.afterAnswer(attempt, await this.answers.relay(attempt, head));
     } finally {
       this.parts.crashes.attemptEnded(attempt);
+      attempt.admission?.close();
       stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
@@ -240,6 +249,7 @@
       this.record,
       sentAt,
       () => lifetime.now() - context.caller.arrivedAt,
+      parts.admissions.attemptSent(context, sentAt),
     );
   }
 
@@ -264,7 +274,7 @@
       endpointId: endpoint.entry.id,
       organisation: organisation?.name,
       remainingMilliseconds: Math.max(1, Math.floor(this.lifetime.remaining())),
-      priority: this.priority(),
+      priority: requestPriority(route, organisation),
       lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
     });
     endpoint.load++;
@@ -290,15 +300,21 @@
    * used as a latency sample, as it does not show how fast the endpoint serves.
    */
   private recordAnswer(
-    {endpoint, path, breaker, monitor}: EndpointAttempt,
+    {endpoint, path, breaker, monitor, admission}: EndpointAttempt,
     head: AnswerHead | ExchangeFailure,
   ): void {
     const hasRefused =
       isFailure(head) &&
       (head.kind === FailureKind.NotRun ||
         head.kind === FailureKind.WrongEndpoint);
+    if (isFailure(head) && head.kind === FailureKind.NotRun) {
+      admission?.refused(this.lifetime.now());
+    }
     if (!isFailure(head)) {
       const now = this.lifetime.now();
+      if (this.context.route.kind !== RouteKind.Streaming) {
+        admission?.began(now);
+      }
       const {coldMilliseconds = 0} = head.endpointHeaders;
       endpoint.warmth.stated(coldMilliseconds, now);
       this.record.answerBeganAt = now;
@@ -312,14 +328,6 @@
       path.dataCenters.recordResponse(endpoint.entry.dataCenter);
     }
   }
-
-  private priority(): number {
-    const {organisation, route} = this.context;
-    const routeLevel = Math.min(route.priority, ROUTE_PRIORITY_LEVELS - 1);
-    const level =
-      (organisation?.priority ?? 0) * ROUTE_PRIORITY_LEVELS + routeLevel;
-    return Math.min(LOWEST_PRIORITY, Math.max(0, level));
-  }
 }
 
 function withLength(
