--- a/packages/decisions/src/admission/admitted-share.ts
+++ b/packages/decisions/src/admission/admitted-share.ts
@@ -2,7 +2,7 @@
 
 /** Parts of the objective between which fewer and fewer requests are sent. */
 interface ShareBounds {
-  /** A recent delay of this size is evidence of saturation. */
+  /** A confirmed delay of this size is evidence of saturation. */
   readonly evidence: number;
   /** Everything is sent up to this expected delay. */
   readonly all: number;
@@ -18,7 +18,7 @@
  * A delay that is observed lags behind by itself. When twice what engines bear arrives,
  * the next request waits about twice as long as the one that has just begun.
  */
-const LESS_URGENT: ShareBounds = {evidence: 0.5, all: 0.35, none: 0.65};
+const LESS_URGENT: ShareBounds = {evidence: 0.5, all: 0.35, none: 0.55};
 
 /**
  * Returns the part of the requests of a priority that a host sends, from 0 to 1. It is
@@ -32,7 +32,7 @@
   const {evidence, all, none} = isMostUrgent ? MOST_URGENT : LESS_URGENT;
   const enough = evidence * objectiveMilliseconds;
   const hasEvidence =
-    delay.longestMilliseconds >= enough ||
+    delay.confirmedMilliseconds >= enough ||
     (delay.observations >= MANY_OBSERVATIONS && delay.milliseconds >= enough);
   if (objectiveMilliseconds <= 0 || !hasEvidence) {
     return 1;
--- a/packages/decisions/src/admission/begin-delays.ts
+++ b/packages/decisions/src/admission/begin-delays.ts
@@ -4,8 +4,11 @@
 export interface BeginDelay {
   /** Expected time to the first event of the next request, milliseconds. */
   readonly milliseconds: number;
-  /** Longest time observed recently, milliseconds. */
-  readonly longestMilliseconds: number;
+  /**
+   * A time that two requests took, or one took twice, milliseconds. One request alone
+   * may have met the only busy engine.
+   */
+  readonly confirmedMilliseconds: number;
   readonly observations: number;
   /** Age of the oldest observation, milliseconds. */
   readonly ageMilliseconds: number;
@@ -67,19 +70,21 @@
       ...this.observed.filter(({at}) => now - at <= kept),
       ...overdue,
     ];
-    const limit = Math.max(objectiveMilliseconds, secondLargest(recent));
-    const total = recent.reduce(
-      (sum, {milliseconds}) => sum + Math.min(limit, milliseconds),
+    const sorted = recent
+      .map(({milliseconds}) => milliseconds)
+      .sort((one, other) => other - one);
+    const [longest = 0, second = 0] = sorted;
+    // A single request at an engine that has stopped must not outweigh quick ones.
+    const limit = Math.max(objectiveMilliseconds, second);
+    const total = sorted.reduce(
+      (sum, milliseconds) => sum + Math.min(limit, milliseconds),
       0,
     );
     const requests = recent.reduce((sum, {ahead}) => sum + ahead + 1, 0);
     return {
       milliseconds:
         (total / (requests + IDLE_WEIGHT)) * (this.waiting.size + 1),
-      longestMilliseconds: Math.max(
-        0,
-        ...recent.map(({milliseconds}) => milliseconds),
-      ),
+      confirmedMilliseconds: Math.max(second, longest / 2),
       observations: recent.length,
       ageMilliseconds: now - Math.min(now, ...recent.map(({at}) => at)),
     };
@@ -113,14 +118,3 @@
     return overdue;
   }
 }
-
-/**
- * The second longest observed time, which limits the longest one: a single request at an
- * engine that has stopped must not outweigh quick ones.
- */
-function secondLargest(observations: readonly Observation[]): number {
-  const sorted = observations
-    .map(({milliseconds}) => milliseconds)
-    .sort((one, other) => other - one);
-  return sorted[1] ?? 0;
-}
--- a/packages/decisions/src/admission/send-all.ts
+++ b/packages/decisions/src/admission/send-all.ts
@@ -6,7 +6,8 @@
   type DecidedRequest,
 } from './engine-admission.js';
 
-const SEND: AdmissionDecision = {
+/** The decision of a host that knows nothing. */
+export const SEND_ALL: AdmissionDecision = {
   verdict: AdmissionVerdict.Send,
   retryAfterMilliseconds: 0,
   belief: {
@@ -20,7 +21,7 @@
 /** Baseline: sends everything, in order of arrival. */
 export class SendAll extends EngineAdmission<AdmissionRequest> {
   override offer(): AdmissionDecision {
-    return SEND;
+    return SEND_ALL;
   }
 
   override advance(): readonly DecidedRequest<AdmissionRequest>[] {
--- a/packages/decisions/src/admission/share-admission.ts
+++ b/packages/decisions/src/admission/share-admission.ts
@@ -176,10 +176,16 @@
     return until > now ? until : undefined;
   }
 
-  /** The part of the requests of a priority that is sent. */
+  /**
+   * The part of the requests of a priority that is sent: no more than of any more
+   * urgent ones, unless they are the most urgent ones of their organisations.
+   */
   private shareOf(request: Request, delay: BeginDelay, now: number): number {
     const {priority, objectiveMilliseconds, isMostUrgent} = request;
     let share = admittedShare(delay, objectiveMilliseconds, isMostUrgent);
+    if (isMostUrgent) {
+      return share;
+    }
     for (const [other, state] of this.states) {
       if (other < priority && now - state.decidedAt < DECISION_MILLISECONDS) {
         share = Math.min(share, state.admittedShare);
--- a/packages/decisions/src/test/admission-replay.ts
+++ b/packages/decisions/src/test/admission-replay.ts
@@ -7,7 +7,7 @@
 } from '../admission/index.js';
 import {createFraction} from './placement-replay.js';
 
-/** Six engines have room for 96 requests a second. */
+/** Engines have room for 96 requests a second. */
 const ENGINES = 6;
 const SERVICE_MILLISECONDS = 62.5;
 const STEP_MILLISECONDS = 2.5;
@@ -36,6 +36,8 @@
 export interface AdmissionScenario {
   readonly hosts: number;
   readonly seed: number;
+  /** Engines and requests, in times those of measurement 9. */
+  readonly scale?: number;
   /** Long requests, in times those of measurement 9. */
   readonly burst?: number;
   /** Whether callers that were refused come back once. */
@@ -69,8 +71,8 @@
   freeAt: number;
 }
 
-/** Requests of one kind, or of one organisation, that arrived in the burst. */
-export interface BurstOutcome {
+/** Requests that arrived in the burst. */
+interface BurstOutcome {
   arrived: number;
   inTime: number;
   late: number;
@@ -79,15 +81,21 @@
   held: number;
 }
 
+const NOTHING = {arrived: 0, inTime: 0, late: 0, refused: 0, held: 0};
+
 /**
  * Replays measurement 9: engines that run urgent requests first get more long ones
  * than they can begin in time, from hosts that know only their own requests. A third
  * of the hosts gets several times as many requests as the others.
  */
 export class AdmissionReplay {
-  private readonly outcomes = new Map<string, BurstOutcome>();
+  readonly urgent: BurstOutcome = {...NOTHING};
+  readonly long: BurstOutcome = {...NOTHING};
+  /** Long requests of the first organisation. */
+  readonly heavy: BurstOutcome = {...NOTHING};
   private readonly fraction: () => number;
   private readonly hosts: readonly Host[];
+  private readonly busyHosts: readonly Host[];
   private readonly engines: readonly Engine[];
   private returns: {at: number; request: ReplayedRequest}[] = [];
 
@@ -97,26 +105,14 @@
       admission: scenario.create(this.fraction),
       loads: new Map<Engine, number>(),
     }));
-    this.engines = Array.from({length: ENGINES}, () => ({
+    this.busyHosts = this.hosts.filter((_host, index) => index % 3 === 0);
+    this.engines = Array.from({length: ENGINES * this.scale}, () => ({
       queue: [],
       running: undefined,
       freeAt: 0,
     }));
   }
 
-  get urgent(): BurstOutcome {
-    return this.outcomeOf(`priority ${URGENT.priority}`);
-  }
-
-  get long(): BurstOutcome {
-    return this.outcomeOf(`priority ${LONG.priority}`);
-  }
-
-  /** Long requests of the first organisation. */
-  get heavy(): BurstOutcome {
-    return this.outcomeOf('heavy');
-  }
-
   run(): this {
     for (let now = 0; now < END_MILLISECONDS; now += STEP_MILLISECONDS) {
       this.engines.forEach(engine => {
@@ -138,13 +134,25 @@
     return this;
   }
 
+  private get scale(): number {
+    return this.scenario.scale ?? 1;
+  }
+
   private arrive(kind: typeof URGENT, burst: number, now: number): void {
     const isInBurst =
       now >= BURST_FROM_MILLISECONDS && now < BURST_UNTIL_MILLISECONDS;
     const rate = isInBurst ? kind.burstPerSecond * burst : kind.calmPerSecond;
-    if (this.fraction() >= (rate * STEP_MILLISECONDS) / 1_000) {
-      return;
+    let count = (rate * this.scale * STEP_MILLISECONDS) / 1_000;
+    for (; this.fraction() < count; count--) {
+      this.offer(this.createRequest(kind, isInBurst, now), now);
     }
+  }
+
+  private createRequest(
+    kind: typeof URGENT,
+    isInBurst: boolean,
+    now: number,
+  ): ReplayedRequest {
     const heavyUsage = this.scenario.heavyUsage ?? 1;
     const draw = this.fraction() * (OTHER_ORGANISATIONS + heavyUsage);
     const {priority, objectiveMilliseconds} = kind;
@@ -161,13 +169,12 @@
       isReturning: false,
     };
     this.count(request, 'arrived');
-    this.offer(request, now);
+    return request;
   }
 
   private offer(request: ReplayedRequest, now: number): void {
     const isBusy = this.fraction() < BUSY_SHARE;
-    const index = Math.floor(this.fraction() * this.hosts.length);
-    const host = elementOf(this.hosts, isBusy ? index - (index % 3) : index);
+    const host = this.choose(isBusy ? this.busyHosts : this.hosts);
     const decision = host.admission.offer(request, now);
     if (decision.verdict !== AdmissionVerdict.Queue) {
       this.decided(host, request, decision, now);
@@ -202,11 +209,15 @@
   private chooseEngine({loads}: Host): Engine {
     const loadOf = (engine: Engine) => loads.get(engine) ?? 0;
     const least = Math.min(...this.engines.map(loadOf));
-    const candidates = this.engines.filter(engine => loadOf(engine) === least);
-    return elementOf(
-      candidates,
-      Math.floor(this.fraction() * candidates.length),
-    );
+    return this.choose(this.engines.filter(engine => loadOf(engine) === least));
+  }
+
+  private choose<Element>(elements: readonly Element[]): Element {
+    const element = elements[Math.floor(this.fraction() * elements.length)];
+    if (element === undefined) {
+      throw new RangeError('nothing to choose from');
+    }
+    return element;
   }
 
   private work(engine: Engine, now: number): void {
@@ -235,18 +246,13 @@
 
   private count(request: ReplayedRequest, result: keyof BurstOutcome): void {
     const {priority, organisation, isInBurst} = request;
+    const {urgent, long, heavy} = this;
     if (isInBurst) {
-      this.outcomeOf(`priority ${priority}`)[result]++;
-      this.outcomeOf(priority === LONG.priority ? organisation : '')[result]++;
+      (priority === URGENT.priority ? urgent : long)[result]++;
+      heavy[result] +=
+        priority === LONG.priority && organisation === 'heavy' ? 1 : 0;
     }
   }
-
-  private outcomeOf(name: string): BurstOutcome {
-    const none = {arrived: 0, inTime: 0, late: 0, refused: 0, held: 0};
-    const outcome = this.outcomes.get(name) ?? none;
-    this.outcomes.set(name, outcome);
-    return outcome;
-  }
 }
 
 function leave(engine: Engine, work: Work): void {
@@ -254,14 +260,3 @@
   loads.set(engine, (loads.get(engine) ?? 0) - 1);
   admission.ended(work);
 }
-
-function elementOf<Element>(
-  elements: readonly Element[],
-  index: number,
-): Element {
-  const element = elements[index];
-  if (element === undefined) {
-    throw new RangeError(`no element ${index}`);
-  }
-  return element;
-}
