--- /dev/null
+++ b/packages/decisions/src/overflow/index.ts
@@ -0,0 +1,1 @@
+export * from './caller-overflow.js';
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,4 +1,8 @@
-import {BeginWithinLimit} from '@wisteriadeal/decisions';
+import {
+  BeginWithinLimit,
+  CallerOverflow,
+  ReturningCallers,
+} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -27,6 +31,8 @@
   private readonly report: LoadReport;
   private readonly loopMonitor: EventLoopMonitor;
   private readonly arrivals: ArrivalQueue;
+  private readonly returning = new ReturningCallers();
+
   /** Connections on which no request has been read yet. */
   private readonly socketsWithoutRequest = new WeakSet<Socket>();
 
@@ -39,6 +45,7 @@
     private readonly metrics: GatewayMetrics,
     private readonly clock: Clock,
     private readonly events: EventLog,
+    private readonly overflow: CallerOverflow,
   ) {
     this.report = new LoadReport(events);
     this.loopMonitor = new EventLoopMonitor(
@@ -51,7 +58,7 @@
       },
     );
     this.arrivals = new ArrivalQueue(
-      new BeginWithinLimit(),
+      new BeginWithinLimit(this.overflow),
       this.loopMonitor,
       () => clock.monotonicMilliseconds(),
       {
@@ -198,9 +205,17 @@
       void this.handler.handle(caller, this.report);
       return;
     }
-    const {estimatedArrivalAt} = caller;
+    const {estimatedArrivalAt, headers} = caller;
+    const isReturning = this.returning.isReturning(
+      deadlines.route,
+      headers.deadlineMilliseconds,
+    );
+    this.overflow.recordArrival(
+      isReturning,
+      this.clock.monotonicMilliseconds(),
+    );
     this.arrivals.add(
-      {caller, receivedAt: estimatedArrivalAt, ...deadlines},
+      {caller, receivedAt: estimatedArrivalAt, isReturning, ...deadlines},
       isFirst,
     );
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,5 +1,6 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
 import {
+  CallerOverflow,
   ColdTurns,
   configurationReadWait,
   endpointReadPause,
@@ -190,6 +191,10 @@
       this.metrics,
       clock,
       events,
+      new CallerOverflow(
+        () => parts.random.fraction(),
+        () => this.budgets.holderCount > 1,
+      ),
     );
     this.state = new GatewayState(
       this.configuration,
--- a/packages/gateway/src/stream-batching/event-batches.ts
+++ b/packages/gateway/src/stream-batching/event-batches.ts
@@ -87,8 +87,20 @@
     this.timer = undefined;
     const due = [...this.held];
     this.held.clear();
-    for (const stream of due) {
-      this.read(stream);
+    this.readNext(due.values());
+  }
+
+  /**
+   * Reads one stream per event loop turn. The loop accepts one new connection per turn,
+   * and a turn that reads all streams would make new callers wait.
+   */
+  private readNext(due: IterableIterator<Readable>): void {
+    const next = due.next();
+    if (next.done !== true) {
+      this.read(next.value);
+      setImmediate(() => {
+        this.readNext(due);
+      });
     }
   }
 
