--- a/packages/decisions/src/test/arrival-admission_test.ts
+++ b/packages/decisions/src/test/arrival-admission_test.ts
@@ -149,6 +149,33 @@
   });
 });
 
+describe('a host of 0.12 cores with callers that wait 627 ms', () => {
+  it('refuses in time what it would answer too late', () => {
+    // Guards against callers with an objective of 150 ms that are neither served
+    // nor refused where turns that start all requests take 100 ms.
+    const scale = 8;
+    const costs = Object.fromEntries(
+      Object.entries(SMALL_HOST).map(([step, cost]) => [step, scale * cost]),
+    ) as unknown as StepCosts;
+    const run = (beginsPerTurn: number) =>
+      new LoopReplay(new BeginWithinLimit(), {
+        costs,
+        requestsPerSecond: () => (3 * CAPACITY_PER_SECOND) / scale,
+        patienceMilliseconds: 627 / 3,
+        objectiveMilliseconds: 150,
+        limitMilliseconds: 627,
+        endpointMilliseconds: 60,
+        attempts: 2,
+        newConnectionEvery: 5,
+        backlog: SHORT_BACKLOG,
+        beginsPerTurn,
+      }).run(COUNTED_PERIOD.from, COUNTED_PERIOD.until);
+    const {refusals, maximumRefusalDelayMilliseconds} = run(1);
+    expect(refusals).toBeGreaterThan(5 * run(Infinity).refusals);
+    expect(maximumRefusalDelayMilliseconds).toBeLessThan(627 / 2);
+  });
+});
+
 const arrivals = fc.array(
   fc.record({
     receivedAt: fc.integer({min: 0, max: 1_000}),
--- a/packages/decisions/src/test/loop-replay.ts
+++ b/packages/decisions/src/test/loop-replay.ts
@@ -41,6 +41,8 @@
    * without notifying the caller.
    */
   readonly backlog: number;
+  /** Requests that are started in a turn; all that wait if not given. */
+  readonly beginsPerTurn?: number;
 }
 
 /** Results for callers whose first attempt was in a given period. */
@@ -225,11 +227,9 @@
 
   private decide(): void {
     const {costs, endpointMilliseconds} = this.pattern;
-    const {begun, refused} = this.admission.plan(
-      this.waiting,
-      this.load(),
-      this.now,
-    );
+    const plan = this.admission.plan(this.waiting, this.load(), this.now);
+    const {refused} = plan;
+    const begun = plan.begun.slice(0, this.pattern.beginsPerTurn);
     const done = new Set([...begun, ...refused.map(({request}) => request)]);
     this.waiting = this.waiting.filter(attempt => !done.has(attempt));
     for (const attempt of begun) {
