--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -133,6 +133,11 @@
     labelNames: ['verdict', 'priority', 'queued'],
     registers: [this.registry],
   });
+  private readonly closed = new Counter({
+    name: 'wisteriadeal_caller_connections_closed_total',
+    help: 'Answers that closed their connections while the host was out of rotation.',
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -221,6 +226,11 @@
     this.batchReads.inc();
   }
 
+  /** Counts an answer that closes its connection. */
+  callerClosed(): void {
+    this.closed.inc();
+  }
+
   /** Counts a change of the rotation state. */
   rotationChanged(to: string): void {
     this.rotationChanges.inc({to});
