--- a/packages/decisions/src/test/admission-replay.ts
+++ b/packages/decisions/src/test/admission-replay.ts
@@ -97,7 +97,7 @@
   private readonly hosts: readonly Host[];
   private readonly busyHosts: readonly Host[];
   private readonly engines: readonly Engine[];
-  private returns: {at: number; request: ReplayedRequest}[] = [];
+  private returns: ReplayedRequest[] = [];
 
   constructor(private readonly scenario: AdmissionScenario) {
     this.fraction = createFraction(scenario.seed);
@@ -106,11 +106,14 @@
       loads: new Map<Engine, number>(),
     }));
     this.busyHosts = this.hosts.filter((_host, index) => index % 3 === 0);
-    this.engines = Array.from({length: ENGINES * this.scale}, () => ({
-      queue: [],
-      running: undefined,
-      freeAt: 0,
-    }));
+    this.engines = Array.from(
+      {length: ENGINES * (scenario.scale ?? 1)},
+      () => ({
+        queue: [],
+        running: undefined,
+        freeAt: 0,
+      }),
+    );
   }
 
   run(): this {
@@ -120,9 +123,9 @@
       });
       this.arrive(URGENT, 1, now);
       this.arrive(LONG, this.scenario.burst ?? 1, now);
-      const due = this.returns.filter(({at}) => at <= now);
-      this.returns = this.returns.filter(({at}) => at > now);
-      due.forEach(({request}) => {
+      const due = this.returns.filter(({arrivedAt}) => arrivedAt <= now);
+      this.returns = this.returns.filter(({arrivedAt}) => arrivedAt > now);
+      due.forEach(request => {
         this.offer(request, now);
       });
       for (const host of this.hosts) {
@@ -134,15 +137,12 @@
     return this;
   }
 
-  private get scale(): number {
-    return this.scenario.scale ?? 1;
-  }
-
   private arrive(kind: typeof URGENT, burst: number, now: number): void {
     const isInBurst =
       now >= BURST_FROM_MILLISECONDS && now < BURST_UNTIL_MILLISECONDS;
     const rate = isInBurst ? kind.burstPerSecond * burst : kind.calmPerSecond;
-    let count = (rate * this.scale * STEP_MILLISECONDS) / 1_000;
+    const {scale = 1} = this.scenario;
+    let count = (rate * scale * STEP_MILLISECONDS) / 1_000;
     for (; this.fraction() < count; count--) {
       this.offer(this.createRequest(kind, isInBurst, now), now);
     }
@@ -198,8 +198,7 @@
     } else if (this.scenario.comeBack === true && !isReturning) {
       const at = now + retryAfterMilliseconds;
       const dueAt = at + objectiveMilliseconds;
-      const again = {...request, arrivedAt: at, dueAt, isReturning: true};
-      this.returns.push({at, request: again});
+      this.returns.push({...request, arrivedAt: at, dueAt, isReturning: true});
     } else {
       const isHeld = now - arrivedAt > objectiveMilliseconds / 4;
       this.count(request, isHeld ? 'held' : 'refused');
@@ -246,11 +245,10 @@
 
   private count(request: ReplayedRequest, result: keyof BurstOutcome): void {
     const {priority, organisation, isInBurst} = request;
-    const {urgent, long, heavy} = this;
     if (isInBurst) {
-      (priority === URGENT.priority ? urgent : long)[result]++;
-      heavy[result] +=
-        priority === LONG.priority && organisation === 'heavy' ? 1 : 0;
+      const isLong = priority === LONG.priority;
+      (isLong ? this.long : this.urgent)[result]++;
+      this.heavy[result] += isLong && organisation === 'heavy' ? 1 : 0;
     }
   }
 }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -307,7 +307,9 @@
       isFailure(head) &&
       (head.kind === FailureKind.NotRun ||
         head.kind === FailureKind.WrongEndpoint);
-    if (isFailure(head) && head.kind === FailureKind.NotRun) {
+    // One that leaves refuses whatever its load is.
+    const isLeaving = endpoint.entry.isLeaving;
+    if (isFailure(head) && head.kind === FailureKind.NotRun && !isLeaving) {
       admission?.refused(this.lifetime.now());
     }
     if (!isFailure(head)) {
