--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -94,6 +94,10 @@
   ): Promise<AnswerResult> {
     const {exchange, breaker, monitor, endpoint, path, sentAt} = attempt;
     const {caller} = this.context;
+    if (this.budget.isPromised) {
+      // The wait for tokens is not the engine's.
+      attempt.admission?.began(this.lifetime.now());
+    }
     const refusal = await this.acquireTokens();
     if (refusal !== undefined) {
       exchange.cancel('tokens refused');
--- a/packages/gateway/src/request-budget.ts
+++ b/packages/gateway/src/request-budget.ts
@@ -1,4 +1,4 @@
-import type {Reservation} from '@wisteriadeal/budgets';
+import {ChargePoint, type Reservation} from '@wisteriadeal/budgets';
 
 import type {
   DeliveryLimit,
@@ -16,6 +16,11 @@
     private reservation: Reservation,
   ) {}
 
+  /** Whether the tokens are still to be acquired, which may take time. */
+  get isPromised(): boolean {
+    return this.reservation.chargePoint === ChargePoint.Delivery;
+  }
+
   /**
    * Acquires the reserved tokens; no part of an answer may be delivered before
    * this has succeeded.
