--- /dev/null
+++ b/packages/decisions/src/continuation/index.ts
@@ -0,0 +1,4 @@
+export * from './backup-worth.js';
+export * from './copy-place.js';
+export * from './run-length.js';
+export * from './token-pace.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -53,3 +53,4 @@
 export * from './service-silence.js';
 export * from './crash-suspects.js';
 export * from './cold-endpoints/index.js';
+export * from './continuation/index.js';
