--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -1,5 +1,6 @@
 import {
   failedShareLimit,
+  isSameOrigin,
   placeRequest,
   withoutColdEndpoints,
   type ColdAdmission,
@@ -123,6 +124,44 @@
     return {endpoint, isCold, path: this.paths.pathToEndpoint(path, endpoint)};
   }
 
+  /** Endpoints of the same build at which a copy of a run may be kept. */
+  placesBeside(
+    context: RequestContext,
+    runsAt: KnownEndpoint,
+  ): readonly KnownEndpoint[] {
+    const {service} = context;
+    const path = this.paths.pathTo(service.name);
+    const now = this.clock.monotonicMilliseconds();
+    return this.candidates(service, path, now)
+      .filter(
+        ({endpoint, isAvailable, isCold}) =>
+          isAvailable &&
+          !isCold &&
+          endpoint !== runsAt &&
+          !path.breakerOf(endpoint).isTripped &&
+          isSameOrigin(endpoint.entry, runsAt.entry) &&
+          this.mayContinueAt(context, endpoint, path, now),
+      )
+      .map(({endpoint}) => endpoint);
+  }
+
+  /** The way to an endpoint that has a copy of a run; undefined if it may not go on there. */
+  continueAt(
+    context: RequestContext,
+    endpoint: KnownEndpoint,
+  ): ChosenEndpoint | undefined {
+    const path = this.paths.pathTo(context.service.name);
+    const now = this.clock.monotonicMilliseconds();
+    return this.directory.isOpen(endpoint) &&
+      this.mayContinueAt(context, endpoint, path, now)
+      ? {
+          endpoint,
+          isCold: false,
+          path: this.paths.pathToEndpoint(path, endpoint),
+        }
+      : undefined;
+  }
+
   /** Whether any listed endpoint of the service may run the request. */
   mayChoose(context: RequestContext): boolean {
     const {service, binding} = context;
@@ -149,6 +188,20 @@
       : LocalReplyReason.NoEndpoint;
   }
 
+  private mayContinueAt(
+    context: RequestContext,
+    endpoint: KnownEndpoint,
+    path: EndpointPath,
+    now: number,
+  ): boolean {
+    return (
+      this.mayUsePath(context, path) &&
+      context.binding.admits(endpoint, path, now) &&
+      path.originOf(endpoint, now) !== undefined &&
+      this.mayRunAt(context, endpoint)
+    );
+  }
+
   private mayRunAt(
     {route, organisation}: RequestContext,
     {entry}: KnownEndpoint,
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -91,12 +91,16 @@
 
 const BODILESS_STATUSES: readonly number[] = [204, 304];
 
+/** Codes of errors that only the other side's end of a connection causes. */
+const CLOSED_CODES: ReadonlySet<unknown> = new Set(['ECONNRESET', 'EPIPE']);
+
 /** One request to one endpoint, and its answer. */
 export class EndpointExchange {
   private readonly outgoing: ClientRequest;
   private incoming: IncomingMessage | undefined;
   private failure: string | undefined;
   private isCancelled = false;
+  private wasClosed = false;
   private origin = ConnectionOrigin.None;
   private connectStartedAt: number | undefined;
   private wasDelayedByLink = false;
@@ -144,6 +148,7 @@
     this.outgoing.on('error', error => {
       if (this.failure === undefined) {
         this.failure = error.message;
+        this.wasClosed = isClose(error);
         this.hasNoPath = error instanceof NoRelayError;
         this.recordConnectFailure(this.connectStartedAt);
       }
@@ -209,7 +214,10 @@
   ): Promise<void> {
     const {incoming} = this;
     if (incoming === undefined || incoming.destroyed) {
-      this.failure ??= 'answer cut';
+      if (this.failure === undefined) {
+        this.failure = 'answer cut';
+        this.wasClosed = true;
+      }
       return;
     }
     const {socket} = incoming;
@@ -274,6 +282,14 @@
     return this.isCancelled;
   }
 
+  /**
+   * Whether the answer broke because the other side closed the connection. Neither
+   * silence nor a faulty answer shows that the endpoint no longer works on the request.
+   */
+  get wasClosedByEndpoint(): boolean {
+    return this.wasClosed && !this.isCancelled;
+  }
+
   /** Reason of a failure. */
   get failureReason(): string {
     return this.failure ?? 'answer cut';
@@ -319,7 +335,10 @@
         resolve(consumed);
       };
       incoming.on('error', error => {
-        this.failure ??= String(error);
+        if (this.failure === undefined) {
+          this.failure = String(error);
+          this.wasClosed = isClose(error);
+        }
       });
       incoming.once('end', finish);
       incoming.once('close', finish);
@@ -378,6 +397,10 @@
   }
 }
 
+function isClose(error: Error): boolean {
+  return 'code' in error && CLOSED_CODES.has(error.code);
+}
+
 function pauseUntil(
   incoming: IncomingMessage,
   consumed: Promise<void> | undefined,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {ConnectResult} from './connect-result.js';
+import type {ContinuationEvent} from './continuation/continuation-event.js';
 import type {RequestRecord} from './request-record.js';
 import type {SuspectEvent} from './crashes/index.js';
 import type {EvacuationEvent} from './evacuation/index.js';
@@ -110,6 +111,17 @@
     help: 'Requests that were sent to endpoints that may have been cold.',
     registers: [this.registry],
   });
+  private readonly continuations = new Counter({
+    name: 'wisteriadeal_run_copies_total',
+    help: 'Copies of runs at second endpoints, by what happened to them.',
+    labelNames: ['event'],
+    registers: [this.registry],
+  });
+  private readonly copiedBytes = new Counter({
+    name: 'wisteriadeal_run_copy_bytes_total',
+    help: 'Bytes that copies of runs took, by the tokens of the runs.',
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -188,6 +200,16 @@
     this.coldRequests.inc();
   }
 
+  /** Counts what happened to a copy of a run. */
+  continuationEvent(event: ContinuationEvent): void {
+    this.continuations.inc({event});
+  }
+
+  /** Counts the bytes of a copy of a run that has ended. */
+  runCopied(bytes: number): void {
+    this.copiedBytes.inc(bytes);
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
   CrashDetector,
   SuspectRegistry,
 } from './crashes/index.js';
+import {RunCopies} from './continuation/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {PlacementRules} from './endpoint-chooser.js';
@@ -516,6 +517,7 @@
         placement: this.createPlacementRules(),
         evacuations: this.evacuations,
         metrics: this.metrics,
+        copies: new RunCopies(),
         hostCount: () => this.budgets.holderCount,
       },
       gatewayLimits(settings).resends,
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -1,3 +1,4 @@
+import {ContinuationRecord} from './continuation/continuation-record.js';
 import type {
   AnswerFraming,
   BodyEnd,
@@ -70,6 +71,8 @@
 /** The outcome of a request, for its log line, metrics and bill. */
 export class RequestRecord {
   readonly attempts: AttemptRecord[] = [];
+  /** Copies of the run, and where it went on. */
+  readonly continuation = new ContinuationRecord();
   /** True once a dispatch may have reached an endpoint. */
   mayHaveRun = false;
   /** Number of complete events delivered to the caller. */
@@ -107,6 +110,13 @@
   longestPauseMilliseconds = 0;
   private lastEventAt = 0;
 
+  /** Mean time between two delivered events, milliseconds; undefined before two. */
+  get meanEventMilliseconds(): number | undefined {
+    return this.firstEventAt === undefined || this.eventsDelivered < 2
+      ? undefined
+      : (this.lastEventAt - this.firstEventAt) / (this.eventsDelivered - 1);
+  }
+
   /** Records the delivery of an event. */
   eventDelivered(now: number): void {
     this.eventsDelivered++;
--- a/packages/gateway/src/request-report.ts
+++ b/packages/gateway/src/request-report.ts
@@ -49,6 +49,7 @@
     suspects: suspicion?.suspects.join(', '),
     crashed: suspicion?.endpoints.join(', '),
     ...describePlacement(record.placement),
+    ...record.continuation.describe(),
     attempts: record.attempts.map(describeAttempt).join('; '),
   };
 }
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -1,4 +1,5 @@
 import {AnswerResult} from './answer-relay.js';
+import type {RunContinuation} from './continuation/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {EndpointAttempt} from './endpoint-attempt.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
@@ -32,6 +33,7 @@
   readonly paths: ServicePaths;
   readonly crashes: CrashDetector;
   readonly suspects: SuspectRegistry;
+  readonly continuation: RunContinuation;
   /** Number of hosts that share the resend budget. */
   readonly hostCount: () => number;
 }
@@ -112,10 +114,17 @@
     attempt.ended(`${kind}: ${reason}`);
     if (kind === FailureKind.NotRun) {
       attempt.breaker.requestEnded();
+      if (this.parts.continuation.isContinued) {
+        this.parts.continuation.copyMissing();
+        return this.afterLostRun();
+      }
       return this.retryOrGiveUp(LocalReplyReason.EndpointsRefused, true);
     }
     if (kind === FailureKind.WrongEndpoint) {
       this.parts.directory.remove(attempt.endpoint, reason);
+      if (this.parts.continuation.isContinued) {
+        return this.afterLostRun();
+      }
       return this.retryOrGiveUp(LocalReplyReason.EndpointsRefused, true);
     }
     if (kind === FailureKind.NotSent) {
@@ -166,6 +175,9 @@
       breaker.recordConnectionFailure(now);
       path.dataCenters.recordSilence(dataCenter, id, now);
     }
+    if (this.parts.continuation.isContinued) {
+      return this.afterLostRun();
+    }
     this.unreachableCount++;
     // The host may have lost this path during the attempt, and there is another one.
     const hasOtherPath = path !== paths.pathTo(context.service.name);
@@ -177,7 +189,8 @@
 
   /** Handles a request that reached the endpoint but got no complete answer. */
   private afterBroken(attempt: EndpointAttempt): NextStep {
-    const {context, lifetime, record, crashes, suspects} = this.parts;
+    const {context, lifetime, record, crashes, suspects, continuation} =
+      this.parts;
     const {breaker} = attempt;
     if (lifetime.isAbandoned) {
       breaker.requestEnded();
@@ -186,7 +199,17 @@
     breaker.recordConnectionFailure(lifetime.now());
     record.identity = context.identity.digest;
     crashes.answerBroke(attempt);
-    return isRepeatable(context.route) && suspects.mayResend(context.identity)
+    if (!suspects.mayResend(context.identity)) {
+      return this.giveUp(LocalReplyReason.AnswerLost);
+    }
+    return continuation.afterLoss(attempt, () => this.claimResend())
+      ? NextStep.Retry
+      : this.afterLostRun();
+  }
+
+  /** Begins the request anew, if it may run more than once. */
+  private afterLostRun(): NextStep {
+    return isRepeatable(this.parts.context.route)
       ? this.retryOrGiveUp(LocalReplyReason.AnswerLost, false)
       : this.giveUp(LocalReplyReason.AnswerLost);
   }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -7,6 +7,7 @@
 
 import {AnswerRelay} from './answer-relay.js';
 import {AnswerTimeouts} from './answer-timeouts.js';
+import {RunContinuation, type RunCopies} from './continuation/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
@@ -50,6 +51,7 @@
   readonly placement: PlacementRules;
   readonly evacuations: EvacuationState;
   readonly metrics: GatewayMetrics;
+  readonly copies: RunCopies;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
 }
@@ -72,6 +74,7 @@
   private readonly lifetime: RequestLifetime;
   private readonly retries: RequestRetries;
   private readonly answers: AnswerRelay;
+  private readonly continuation: RunContinuation;
   private current: EndpointExchange | undefined;
 
   constructor(
@@ -86,6 +89,14 @@
     this.lifetime = new RequestLifetime(context, clock);
     const {chooser, lifetime} = this;
     const completion = new RequestCompletion(dialect, context, record);
+    this.continuation = new RunContinuation({
+      ...parts,
+      context,
+      record,
+      chooser,
+      hostCount: () => parts.hostCount(),
+      fraction: () => placement.fraction(),
+    });
     this.retries = new RequestRetries({
       context,
       record,
@@ -96,6 +107,7 @@
       paths,
       crashes: parts.crashes,
       suspects: parts.suspects,
+      continuation: this.continuation,
       hostCount: () => parts.hostCount(),
     });
     this.answers = new AnswerRelay(
@@ -144,6 +156,7 @@
   private async attempt(): Promise<NextStep> {
     const {context, retries} = this;
     const chosen =
+      this.continuation.takeNext() ??
       this.chooser.choose(context, retries.avoided) ??
       (await this.chooseLater());
     this.recordPlacement(chosen);
@@ -170,6 +183,7 @@
         : retries.afterAnswer(attempt, await this.answers.relay(attempt, head));
     } finally {
       this.parts.crashes.attemptEnded(attempt);
+      this.continuation.attemptEnded();
       stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
@@ -255,17 +269,24 @@
       : () => undefined;
   }
 
-  private dispatch({endpoint, path}: ChosenEndpoint): EndpointExchange {
+  private dispatch(chosen: ChosenEndpoint): EndpointExchange {
+    const {endpoint, path} = chosen;
     const {caller, body, organisation, route} = this.context;
     const {dialect} = this.parts;
     const {connections} = path;
     const breaker = path.breakerOf(endpoint);
+    const priority = this.priority();
     const headers = dialect.dispatchHeaders(caller.rawHeaders, {
       endpointId: endpoint.entry.id,
       organisation: organisation?.name,
       remainingMilliseconds: Math.max(1, Math.floor(this.lifetime.remaining())),
-      priority: this.priority(),
+      priority,
       lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
+      ...this.continuation.headersFor(
+        chosen,
+        priority,
+        this.retries.canFailOver(),
+      ),
     });
     endpoint.load++;
     if (breaker.isTripped) {
