--- a/packages/decisions/src/test/run-copies_test.ts
+++ b/packages/decisions/src/test/run-copies_test.ts
@@ -4,6 +4,7 @@
   chooseCopyPlace,
   expectedOutputTokens,
   isWorthBackup,
+  needsMove,
   type BackupRun,
   type CopyCost,
 } from '../continuation/index.js';
@@ -47,6 +48,24 @@
   });
 });
 
+describe('a run at an endpoint that leaves', () => {
+  const run = {...QUESTION, deliveredTokens: 94, remainingMilliseconds: 9_000};
+
+  it('is moved if it is not expected to end in half of the time', () => {
+    // Guards against moves of runs that end in time, and cuts of those that don't.
+    expect(needsMove(run, 2_000)).toBe(false);
+    expect(needsMove({...run, tokenMilliseconds: 6}, 2_000)).toBe(true);
+    expect(needsMove({...run, deliveredTokens: 300}, 2_000)).toBe(true);
+    expect(needsMove({...run, deliveredTokens: 360}, 2_000)).toBe(false);
+  });
+
+  it('stays if its caller waits no longer than that', () => {
+    // Guards against moves of runs that end with their caller's deadline.
+    const slow = {...run, tokenMilliseconds: 60};
+    expect(needsMove({...slow, remainingMilliseconds: 900}, 2_000)).toBe(false);
+  });
+});
+
 /** Tokens of copies at each engine while all hosts place theirs without messages. */
 function placeCopies(hosts: number, engines: number): readonly number[] {
   const fraction = createFraction(hosts);
