--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -2,22 +2,29 @@
   chooseCopyPlace,
   copiedTokens,
   isWorthBackup,
+  needsMove,
   type BackupRun,
+  type RunLength,
 } from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import {RouteKind} from '../configuration.js';
-import type {DispatchHeaders} from '../dialect.js';
+import type {Dialect, DispatchHeaders} from '../dialect.js';
 import type {EndpointAttempt} from '../endpoint-attempt.js';
 import type {ChosenEndpoint, EndpointChooser} from '../endpoint-chooser.js';
 import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
-import type {EndpointEntry} from '../endpoint-entry.js';
+import type {AnswerHead} from '../endpoint-exchange.js';
 import {PathKind} from '../endpoint-path.js';
+import type {SuspectRegistry} from '../crashes/index.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import type {RequestContext} from '../request-context.js';
+import type {RequestLifetime} from '../request-lifetime.js';
 import type {RequestRecord} from '../request-record.js';
 import {ContinuationEvent} from './continuation-event.js';
+import {addressOf} from './copy-address.js';
+import type {EndpointLeavings} from './endpoint-leavings.js';
 import type {RunCopies} from './run-copies.js';
+import {RunMove, type StoppedRun} from './run-move.js';
 
 /** Dependencies of `RunContinuation`. */
 export interface RunContinuationParts {
@@ -26,6 +33,10 @@
   readonly chooser: EndpointChooser;
   readonly directory: EndpointDirectory;
   readonly copies: RunCopies;
+  readonly leavings: EndpointLeavings;
+  readonly suspects: SuspectRegistry;
+  readonly lifetime: RequestLifetime;
+  readonly dialect: Dialect;
   readonly metrics: GatewayMetrics;
   readonly events: EventLog;
   /** Number of hosts that place copies. */
@@ -65,7 +76,9 @@
  */
 export class RunContinuation {
   private backup: Backup | undefined;
-  private next: Continuation | undefined;
+  /** Where the run goes on; a later place only if nothing ran at those before. */
+  private next: Continuation[] = [];
+  private move: RunMove | undefined;
   private current: Continuation | undefined;
   private continuations = 0;
 
@@ -76,13 +89,73 @@
     return this.current !== undefined;
   }
 
+  /** Whether there is a copy from which the run goes on. */
+  get hasNext(): boolean {
+    return this.next.length > 0;
+  }
+
+  /** Whether the endpoint of the current attempt has stopped the run to move it. */
+  get hasStopped(): boolean {
+    return this.move?.hasStopped === true;
+  }
+
   /** Where the run goes on; undefined if the next attempt begins anew. */
   takeNext(): ChosenEndpoint | undefined {
-    this.current = this.next;
-    this.next = undefined;
+    this.current = this.next.shift();
+    if (this.current !== undefined) {
+      const {record, metrics} = this.parts;
+      const {chosen, copy} = this.current;
+      metrics.continuationEvent(ContinuationEvent.Continued);
+      record.continuation.steps.push({
+        endpoint: chosen.endpoint.entry.id,
+        copy,
+        lastEventId: record.lastEventId,
+      });
+    }
     return this.current?.chosen;
   }
 
+  /** Records that an attempt was sent, whose run is moved if its endpoint leaves. */
+  attemptBegan(attempt: EndpointAttempt): void {
+    const {context} = this.parts;
+    const {attemptId} = context.caller.headers;
+    const mayMove =
+      context.service.engine?.supportsMoves === true &&
+      context.route.kind === RouteKind.Streaming &&
+      !context.isTry &&
+      attemptId !== undefined;
+    this.move = mayMove
+      ? new RunMove({
+          ...this.parts,
+          attempt,
+          attemptId,
+          isDue: timeLeft => this.isMoveDue(timeLeft),
+          claimPlace: () => this.claimPlace(attempt),
+        })
+      : undefined;
+  }
+
+  /**
+   * Records the head of an endpoint's answer. One that closes a connection that it kept
+   * before may be leaving.
+   */
+  answerBegan({endpointHeaders}: AnswerHead, endpoint: KnownEndpoint): void {
+    if (endpointHeaders.closesConnection && endpoint.confirmedOpenAt > 0) {
+      this.move?.endpointLeaves();
+    }
+  }
+
+  /** Resolves when it is known whether the run of a broken answer was stopped. */
+  async settled(signal: AbortSignal): Promise<void> {
+    await this.move?.settled(signal);
+  }
+
+  /** Prepares to go on with a run that its endpoint has stopped. */
+  afterStop(): void {
+    const stopped = this.move?.take();
+    this.next = stopped === undefined ? [] : this.placesOf(stopped);
+  }
+
   /**
    * The headers of an attempt that is sent now.
    *
@@ -103,31 +176,29 @@
   }
 
   /**
-   * Prepares to go on after the connection of an attempt broke.
-   *
-   * @param claimResend Takes a resend from the service's budget.
-   * @returns Whether the run goes on.
+   * Prepares to go on after the connection of an attempt broke, if its run has ended
+   * and was copied.
    */
-  afterLoss(attempt: EndpointAttempt, claimResend: () => boolean): boolean {
+  afterLoss(attempt: EndpointAttempt): void {
+    this.next = [];
     const {backup} = this;
     if (backup === undefined) {
-      return false;
+      return;
     }
     const chosen = this.chosenFor(backup);
     const reason = this.reasonAgainst(attempt, chosen);
-    if (chosen === undefined || reason !== undefined || !claimResend()) {
+    if (chosen === undefined || reason !== undefined || !this.claimResend()) {
       this.parts.metrics.continuationEvent(ContinuationEvent.NotContinued);
       this.log('run not continued', attempt, backup, {
         reason: reason ?? 'no resend left',
       });
-      return false;
+      return;
     }
     const {attemptId = ''} = this.parts.context.caller.headers;
     const copy = `${addressOf(backup.endpoint.entry)}/${attemptId}`;
-    this.goOn({chosen, copy});
-    this.parts.metrics.continuationEvent(ContinuationEvent.Continued);
+    this.continuations++;
+    this.next = [{chosen, copy}];
     this.log('run continued', attempt, backup, {copy});
-    return true;
   }
 
   /** Records that the endpoint of the current attempt has no copy of the run. */
@@ -155,25 +226,57 @@
       metrics.runCopied(bytes);
       this.backup = undefined;
     }
+    this.move?.close();
+    this.move = undefined;
     this.current = undefined;
   }
 
-  private goOn(continuation: Continuation): void {
-    this.continuations++;
-    this.next = continuation;
-    const {record} = this.parts;
-    record.continuation.steps.push({
-      endpoint: continuation.chosen.endpoint.entry.id,
-      copy: continuation.copy,
-      lastEventId: record.lastEventId,
-    });
+  private isMoveDue(timeLeftMilliseconds: number): boolean {
+    const {context, record, copies, lifetime} = this.parts;
+    const {tokensPerEvent = 1, name} = context.service;
+    const {meanEventMilliseconds} = record;
+    const tokenMilliseconds =
+      meanEventMilliseconds === undefined
+        ? copies.paceOf(name).tokenMilliseconds
+        : meanEventMilliseconds / tokensPerEvent;
+    const remainingMilliseconds = lifetime.remaining();
+    return needsMove(
+      {...this.runLength, tokenMilliseconds, remainingMilliseconds},
+      timeLeftMilliseconds,
+    );
+  }
+
+  /** Once the run is stopped it must go on, so that the resend is taken before. */
+  private claimPlace({endpoint}: EndpointAttempt): KnownEndpoint | undefined {
+    const {context, suspects} = this.parts;
+    const place = suspects.mayResend(context.identity)
+      ? this.choosePlace(endpoint)
+      : undefined;
+    return place !== undefined && this.claimResend() ? place : undefined;
+  }
+
+  private placesOf({source, handle, destination}: StoppedRun): Continuation[] {
+    const {context, chooser} = this.parts;
+    const copy = `${addressOf(source.entry)}/${handle}`;
+    const places = [
+      destination && chooser.continueAt(context, destination),
+      chooser.continueAt(context, source, true),
+    ];
+    return places
+      .filter(chosen => chosen !== undefined)
+      .map(chosen => ({chosen, copy}));
+  }
+
+  private claimResend(): boolean {
+    const {context, lifetime, hostCount} = this.parts;
+    return context.resends.tryTake(hostCount(), lifetime.now());
   }
 
   private chooseBackup(
     {endpoint, path}: ChosenEndpoint,
     priority: number,
   ): Backup | undefined {
-    const {context, record, chooser, copies, metrics} = this.parts;
+    const {context, record, copies, metrics} = this.parts;
     const {engine, name} = context.service;
     const {headers} = context.caller;
     const mayBeCopied =
@@ -187,9 +290,7 @@
       return undefined;
     }
     const run: BackupRun = {
-      lengthHint: headers.lengthHint,
-      maximumOutputTokens: headers.maximumOutputTokens,
-      deliveredTokens: this.deliveredTokens,
+      ...this.runLength,
       promptTokens: headers.promptTokens,
       priority,
       tokenMilliseconds: copies.paceOf(name).tokenMilliseconds,
@@ -199,37 +300,45 @@
     if (!isWorthBackup(run, {...cost, isRemote: false})) {
       return undefined;
     }
-    const tokens = copiedTokens(run);
-    const place = chooseCopyPlace(
-      {
-        dataCenter,
-        tokens,
-        memoryTokens: engine.memoryTokens,
-        hosts: this.parts.hostCount(),
-        fraction: this.parts.fraction(),
-      },
-      chooser.placesBeside(context, endpoint).map(other => ({
-        endpoint: other,
-        id: other.entry.id,
-        dataCenter: other.entry.dataCenter,
-        slots: other.entry.slots,
-        load: other.load,
-        copiedTokens: copies.tokensAt(other.entry.id),
-      })),
-    );
-    const isRemote = place?.dataCenter !== dataCenter;
+    const place = this.choosePlace(endpoint);
+    const isRemote = place?.entry.dataCenter !== dataCenter;
     if (place === undefined || !isWorthBackup(run, {...cost, isRemote})) {
       return undefined;
     }
     metrics.continuationEvent(ContinuationEvent.CopyAsked);
-    record.continuation.backups.push(place.id);
+    const {id} = place.entry;
+    record.continuation.backups.push(id);
     return {
-      endpoint: place.endpoint,
-      incarnation: place.endpoint.incarnation,
-      release: copies.add(place.id, tokens),
+      endpoint: place,
+      incarnation: place.incarnation,
+      release: copies.add(id, copiedTokens(run)),
     };
   }
 
+  /** Chooses an endpoint for a copy of a run. */
+  private choosePlace(runsAt: KnownEndpoint): KnownEndpoint | undefined {
+    const {context, chooser, copies, hostCount, fraction} = this.parts;
+    const {promptTokens} = context.caller.headers;
+    const place = chooseCopyPlace(
+      {
+        dataCenter: runsAt.entry.dataCenter,
+        tokens: copiedTokens({...this.runLength, promptTokens}),
+        memoryTokens: context.service.engine?.memoryTokens,
+        hosts: hostCount(),
+        fraction: fraction(),
+      },
+      chooser.placesBeside(context, runsAt).map(endpoint => ({
+        endpoint,
+        id: endpoint.entry.id,
+        dataCenter: endpoint.entry.dataCenter,
+        slots: endpoint.entry.slots,
+        load: endpoint.load,
+        copiedTokens: copies.tokensAt(endpoint.entry.id),
+      })),
+    );
+    return place?.endpoint;
+  }
+
   /** The endpoint with the copy, if it is still the start that has it. */
   private chosenFor({
     endpoint,
@@ -255,6 +364,12 @@
     return chosen === undefined ? 'endpoint of the copy not open' : undefined;
   }
 
+  private get runLength(): RunLength {
+    const {lengthHint, maximumOutputTokens} = this.parts.context.caller.headers;
+    const {deliveredTokens} = this;
+    return {lengthHint, maximumOutputTokens, deliveredTokens};
+  }
+
   private get deliveredTokens(): number {
     const {context, record} = this.parts;
     return record.eventsDelivered * (context.service.tokensPerEvent ?? 0);
@@ -279,8 +394,3 @@
     });
   }
 }
-
-/** The address of an endpoint in headers, `IP:port`. */
-function addressOf({address, port}: EndpointEntry): string {
-  return `${address}:${port}`;
-}
--- /dev/null
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -0,0 +1,196 @@
+import {NetworkTimeout} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {Dialect} from '../dialect.js';
+import type {EndpointAttempt} from '../endpoint-attempt.js';
+import type {KnownEndpoint} from '../endpoint-directory.js';
+import {AnswerFraming} from '../endpoint-exchange.js';
+import type {GatewayMetrics} from '../gateway-metrics.js';
+import {ContinuationEvent} from './continuation-event.js';
+import {addressOf} from './copy-address.js';
+import {callEndpoint} from './endpoint-calls.js';
+import type {EndpointLeavings} from './endpoint-leavings.js';
+import {MoveResult} from './move-messages.js';
+
+/** Dependencies of `RunMove`. */
+export interface RunMoveParts {
+  readonly attempt: EndpointAttempt;
+  readonly attemptId: string;
+  readonly dialect: Dialect;
+  readonly leavings: EndpointLeavings;
+  readonly metrics: GatewayMetrics;
+  readonly events: EventLog;
+  /** Whether the run has to be moved from an endpoint that ends in so many milliseconds. */
+  readonly isDue: (timeLeftMilliseconds: number) => boolean;
+  /** Chooses where the run goes, and takes a resend for it; undefined if it can't. */
+  readonly claimPlace: () => KnownEndpoint | undefined;
+}
+
+/** A run that was stopped at its endpoint to go on from its handle. */
+export interface StoppedRun {
+  readonly source: KnownEndpoint;
+  readonly handle: string;
+  /** Endpoint that has the run, too; undefined if only the source has it. */
+  readonly destination: KnownEndpoint | undefined;
+}
+
+/**
+ * Time for the events that a stopped run sent before its end, and for the answer to a
+ * call whose stream has ended; milliseconds.
+ */
+const MAXIMUM_STOP_MILLISECONDS = 400;
+/** Share of the drain time after which runs that are still there are examined again. */
+const SECOND_CHECK_SHARE = 0.5;
+
+/** Moves the run of one attempt to another endpoint if its endpoint leaves. */
+export class RunMove {
+  private readonly stopWatching: () => void;
+  private readonly timeouts: NetworkTimeout[] = [];
+  private readonly abandoned = new AbortController();
+  private call: Promise<void> | undefined;
+  private stopped: StoppedRun | undefined;
+  private isLeaving = false;
+  private hasEnded = false;
+
+  constructor(private readonly parts: RunMoveParts) {
+    const {leavings, attempt} = parts;
+    this.stopWatching = leavings.watch(attempt.endpoint, () => {
+      this.endpointLeaves();
+    });
+  }
+
+  /** Whether the endpoint has confirmed that the run was stopped. */
+  get hasStopped(): boolean {
+    return this.stopped !== undefined;
+  }
+
+  /** Records that the endpoint of the run is about to leave. */
+  endpointLeaves(): void {
+    if (this.isLeaving) {
+      return;
+    }
+    this.isLeaving = true;
+    const {drainMilliseconds} = this.parts.leavings;
+    const untilSecond = SECOND_CHECK_SHARE * drainMilliseconds;
+    this.check(drainMilliseconds);
+    this.startTimeout(untilSecond, () => {
+      this.check(drainMilliseconds - untilSecond);
+    });
+  }
+
+  /**
+   * Resolves when the result of a call is known whose stream has ended.
+   *
+   * @param signal Ends the wait.
+   */
+  async settled(signal: AbortSignal): Promise<void> {
+    if (this.call === undefined || signal.aborted) {
+      return;
+    }
+    const waited = new Promise<void>(resolve => {
+      this.startTimeout(MAXIMUM_STOP_MILLISECONDS, resolve);
+      signal.addEventListener(
+        'abort',
+        () => {
+          resolve();
+        },
+        {once: true},
+      );
+    });
+    await Promise.race([this.call, waited]);
+  }
+
+  /** The stopped run, which then belongs to the caller of this method. */
+  take(): StoppedRun | undefined {
+    const {stopped} = this;
+    this.stopped = undefined;
+    return stopped;
+  }
+
+  /** Ends the watch; frees the memory of a run that is stopped and not taken. */
+  close(): void {
+    this.hasEnded = true;
+    this.stopWatching();
+    for (const timeout of this.timeouts) {
+      timeout.close();
+    }
+    if (this.call !== undefined || this.hasStopped) {
+      void this.free();
+    }
+  }
+
+  private check(timeLeftMilliseconds: number): void {
+    const {attempt, isDue, claimPlace} = this.parts;
+    // The end of a connection would pass for the end of such an answer.
+    const isFramed = attempt.exchange.framing !== AnswerFraming.UntilClose;
+    if (this.call !== undefined || !isFramed || !isDue(timeLeftMilliseconds)) {
+      return;
+    }
+    const place = claimPlace();
+    if (place !== undefined) {
+      this.call = this.move(place).then(() => {
+        this.call = undefined;
+      });
+    }
+  }
+
+  private async move(place: KnownEndpoint): Promise<void> {
+    const {attempt, attemptId, dialect, metrics, events} = this.parts;
+    const {endpoint, path, exchange} = attempt;
+    metrics.continuationEvent(ContinuationEvent.MoveAsked);
+    const to = addressOf(place.entry);
+    const endpointId = endpoint.entry.id;
+    const answer = await callEndpoint(
+      path.connections,
+      endpoint.entry,
+      dialect.moveCall({endpointId, attemptId, to}),
+      this.abandoned.signal,
+    );
+    const move =
+      answer && dialect.moveAnswer(answer.status, new Uint8Array(answer.body));
+    events.info('run move answered', {
+      request: attemptId,
+      endpoint: endpointId,
+      to: place.entry.id,
+      status: answer?.status,
+      result: move?.result ?? 'no answer',
+    });
+    if (move === undefined || move.result === MoveResult.Refused) {
+      metrics.continuationEvent(ContinuationEvent.MoveRefused);
+      return;
+    }
+    this.stopped = {
+      source: endpoint,
+      handle: move.handle,
+      destination: move.result === MoveResult.Moved ? place : undefined,
+    };
+    if (!this.hasEnded) {
+      this.startTimeout(MAXIMUM_STOP_MILLISECONDS, () => {
+        exchange.cancel('run stopped');
+      });
+    }
+  }
+
+  private async free(): Promise<void> {
+    const timeout = new NetworkTimeout(MAXIMUM_STOP_MILLISECONDS, () => {
+      this.abandoned.abort();
+    });
+    await this.call;
+    const stopped = this.take();
+    if (stopped !== undefined) {
+      const {dialect, attempt} = this.parts;
+      const {entry} = stopped.source;
+      await callEndpoint(
+        attempt.path.connections,
+        entry,
+        dialect.freeHandleCall(entry.id, stopped.handle),
+        this.abandoned.signal,
+      );
+    }
+    timeout.close();
+  }
+
+  private startTimeout(milliseconds: number, action: () => void): void {
+    this.timeouts.push(new NetworkTimeout(milliseconds, action));
+  }
+}
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -1,4 +1,9 @@
 import type {FleetConfiguration} from './configuration.js';
+import type {
+  EndpointCall,
+  MoveAnswer,
+  MoveRequest,
+} from './continuation/move-messages.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 
 /**
@@ -113,6 +118,15 @@
   /** Headers of a gateway's own reply that state the delay before a retry. */
   abstract retryHeaders(afterMilliseconds: number): string[];
 
+  /** The call that stops a run and moves it to another endpoint. */
+  abstract moveCall(request: MoveRequest): EndpointCall;
+
+  /** Parses the answer to a call that moves a run. */
+  abstract moveAnswer(status: number, body: Uint8Array): MoveAnswer;
+
+  /** The call that frees the memory of a stopped run at its endpoint. */
+  abstract freeHandleCall(endpointId: string, handle: string): EndpointCall;
+
   /**
    * Parses an entry of the endpoint list; undefined for an entry without a
    * usable endpoint.
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -145,14 +145,20 @@
       .map(({endpoint}) => endpoint);
   }
 
-  /** The way to an endpoint that has a copy of a run; undefined if it may not go on there. */
+  /**
+   * The way to an endpoint that has a copy of a run; undefined if it may not go on
+   * there.
+   *
+   * @param mayLeave Whether the endpoint may be leaving, since it has run it so far.
+   */
   continueAt(
     context: RequestContext,
     endpoint: KnownEndpoint,
+    mayLeave = false,
   ): ChosenEndpoint | undefined {
     const path = this.paths.pathTo(context.service.name);
     const now = this.clock.monotonicMilliseconds();
-    return this.directory.isOpen(endpoint) &&
+    return (mayLeave || this.directory.isOpen(endpoint)) &&
       this.mayContinueAt(context, endpoint, path, now)
       ? {
           endpoint,
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -163,6 +163,7 @@
   private readonly readListeners: (() => void)[] = [];
   private readonly listedListeners: EndpointListener[] = [];
   private readonly goneListeners: EndpointListener[] = [];
+  private readonly leavingListeners: EndpointListener[] = [];
   private readonly heartbeatListeners: ((
     incarnation: string,
     writtenAfter: number,
@@ -195,6 +196,11 @@
     this.listedListeners.push(listener);
   }
 
+  /** Adds a listener for endpoints that are listed as leaving. */
+  onLeaving(listener: EndpointListener): void {
+    this.leavingListeners.push(listener);
+  }
+
   /** Adds a listener for endpoints that are off the list. */
   onGone(listener: EndpointListener): void {
     this.goneListeners.push(listener);
@@ -424,10 +430,14 @@
     entry: EndpointEntry,
     offset: number,
   ): void {
-    if (entry.isLeaving && !known.entry.isLeaving) {
+    const isNewlyLeaving = entry.isLeaving && !known.entry.isLeaving;
+    known.entry = entry;
+    if (isNewlyLeaving) {
       this.events.info('endpoint leaving', {endpoint: entry.id, offset});
+      for (const listener of this.leavingListeners) {
+        listener(known);
+      }
     }
-    known.entry = entry;
   }
 
   private entryRemoved(id: string): void {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,7 +24,7 @@
   CrashDetector,
   SuspectRegistry,
 } from './crashes/index.js';
-import {RunCopies} from './continuation/index.js';
+import {EndpointLeavings, RunCopies} from './continuation/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {PlacementRules} from './endpoint-chooser.js';
@@ -518,6 +518,10 @@
         evacuations: this.evacuations,
         metrics: this.metrics,
         copies: new RunCopies(),
+        leavings: new EndpointLeavings(
+          this.directory,
+          gatewayLimits(settings).endpointDrainMilliseconds,
+        ),
         hostCount: () => this.budgets.holderCount,
       },
       gatewayLimits(settings).resends,
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -6,6 +6,7 @@
  */
 export * from './caller-listener.js';
 export * from './configuration.js';
+export * from './continuation/move-messages.js';
 export * from './dialect.js';
 export * from './endpoint-entry.js';
 export * from './gateway.js';
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -196,19 +196,26 @@
       breaker.requestEnded();
       return this.giveUp(LocalReplyReason.TimedOut);
     }
+    if (continuation.hasStopped && suspects.mayResend(context.identity)) {
+      breaker.requestEnded();
+      continuation.afterStop();
+      return this.afterLostRun();
+    }
     breaker.recordConnectionFailure(lifetime.now());
     record.identity = context.identity.digest;
     crashes.answerBroke(attempt);
     if (!suspects.mayResend(context.identity)) {
       return this.giveUp(LocalReplyReason.AnswerLost);
     }
-    return continuation.afterLoss(attempt, () => this.claimResend())
-      ? NextStep.Retry
-      : this.afterLostRun();
+    continuation.afterLoss(attempt);
+    return this.afterLostRun();
   }
 
-  /** Begins the request anew, if it may run more than once. */
+  /** Goes on from a copy, or begins anew a request that may run more than once. */
   private afterLostRun(): NextStep {
+    if (this.parts.continuation.hasNext) {
+      return NextStep.Retry;
+    }
     return isRepeatable(this.parts.context.route)
       ? this.retryOrGiveUp(LocalReplyReason.AnswerLost, false)
       : this.giveUp(LocalReplyReason.AnswerLost);
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -5,9 +5,13 @@
 } from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
-import {AnswerRelay} from './answer-relay.js';
+import {AnswerRelay, AnswerResult} from './answer-relay.js';
 import {AnswerTimeouts} from './answer-timeouts.js';
-import {RunContinuation, type RunCopies} from './continuation/index.js';
+import {
+  RunContinuation,
+  type EndpointLeavings,
+  type RunCopies,
+} from './continuation/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
@@ -52,6 +56,7 @@
   readonly evacuations: EvacuationState;
   readonly metrics: GatewayMetrics;
   readonly copies: RunCopies;
+  readonly leavings: EndpointLeavings;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
 }
@@ -94,6 +99,7 @@
       context,
       record,
       chooser,
+      lifetime,
       hostCount: () => parts.hostCount(),
       fraction: () => placement.fraction(),
     });
@@ -175,12 +181,19 @@
     const stopWatchingPath = this.watchPath(path, monitor);
     this.current = exchange;
     this.parts.crashes.attemptBegan(attempt);
+    this.continuation.attemptBegan(attempt);
     try {
       const head = await exchange.head();
       this.recordAnswer(attempt, head);
+      const result = isFailure(head)
+        ? AnswerResult.Broken
+        : await this.answers.relay(attempt, head);
+      if (result === AnswerResult.Broken) {
+        await this.continuation.settled(this.lifetime.waitSignal);
+      }
       return isFailure(head)
         ? retries.afterFailure(attempt, head)
-        : retries.afterAnswer(attempt, await this.answers.relay(attempt, head));
+        : retries.afterAnswer(attempt, result);
     } finally {
       this.parts.crashes.attemptEnded(attempt);
       this.continuation.attemptEnded();
@@ -323,6 +336,7 @@
       const {coldMilliseconds = 0} = head.endpointHeaders;
       endpoint.warmth.stated(coldMilliseconds, now);
       this.record.answerBeganAt = now;
+      this.continuation.answerBegan(head, endpoint);
       if (!head.endpointHeaders.closesConnection) {
         endpoint.confirmOpen(now - monitor.elapsedMilliseconds);
       }
