--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -1,57 +1,31 @@
-import {
-  chooseCopyPlace,
-  copiedTokens,
-  isWorthBackup,
-  needsMove,
-  type BackupRun,
-  type RunLength,
-} from '@wisteriadeal/decisions';
+import {needsMove} from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import {RouteKind} from '../configuration.js';
 import type {Dialect, DispatchHeaders} from '../dialect.js';
 import type {EndpointAttempt} from '../endpoint-attempt.js';
-import type {ChosenEndpoint, EndpointChooser} from '../endpoint-chooser.js';
+import type {ChosenEndpoint} from '../endpoint-chooser.js';
 import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
 import type {AnswerHead} from '../endpoint-exchange.js';
 import {PathKind} from '../endpoint-path.js';
-import type {SuspectRegistry} from '../crashes/index.js';
-import type {GatewayMetrics} from '../gateway-metrics.js';
-import type {RequestContext} from '../request-context.js';
 import type {RequestLifetime} from '../request-lifetime.js';
-import type {RequestRecord} from '../request-record.js';
 import {ContinuationEvent} from './continuation-event.js';
 import {addressOf} from './copy-address.js';
+import {
+  CopyPlacement,
+  type Backup,
+  type CopyPlacementParts,
+} from './copy-placement.js';
 import type {EndpointLeavings} from './endpoint-leavings.js';
-import type {RunCopies} from './run-copies.js';
 import {RunMove, type StoppedRun} from './run-move.js';
 
 /** Dependencies of `RunContinuation`. */
-export interface RunContinuationParts {
-  readonly context: RequestContext;
-  readonly record: RequestRecord;
-  readonly chooser: EndpointChooser;
+export interface RunContinuationParts extends CopyPlacementParts {
   readonly directory: EndpointDirectory;
-  readonly copies: RunCopies;
   readonly leavings: EndpointLeavings;
-  readonly suspects: SuspectRegistry;
   readonly lifetime: RequestLifetime;
   readonly dialect: Dialect;
-  readonly metrics: GatewayMetrics;
   readonly events: EventLog;
-  /** Number of hosts that place copies. */
-  readonly hostCount: () => number;
-  /** Random number from 0 to below 1. */
-  readonly fraction: () => number;
-}
-
-/** A copy of the current run at another endpoint. */
-interface Backup {
-  readonly endpoint: KnownEndpoint;
-  /** Identifies the start of the endpoint that has the copy. */
-  readonly incarnation: string;
-  /** Ends the record of the copy's memory. */
-  readonly release: () => void;
 }
 
 /** A run that goes on at an endpoint. */
@@ -82,7 +56,11 @@
   private current: Continuation | undefined;
   private continuations = 0;
 
-  constructor(private readonly parts: RunContinuationParts) {}
+  private readonly placement: CopyPlacement;
+
+  constructor(private readonly parts: RunContinuationParts) {
+    this.placement = new CopyPlacement(parts);
+  }
 
   /** Whether the current attempt goes on with a run from a copy. */
   get isContinued(): boolean {
@@ -168,7 +146,9 @@
     priority: number,
     canResend: boolean,
   ): Pick<DispatchHeaders, 'backupAt' | 'continueFrom'> {
-    this.backup = canResend ? undefined : this.chooseBackup(chosen, priority);
+    this.backup = canResend
+      ? undefined
+      : this.placement.choose(chosen, priority);
     return {
       backupAt: this.backup && addressOf(this.backup.endpoint.entry),
       continueFrom: this.current?.copy,
@@ -220,7 +200,7 @@
     if (this.backup !== undefined) {
       this.backup.release();
       const bytes =
-        (context.caller.headers.promptTokens + this.deliveredTokens) *
+        (context.caller.headers.promptTokens + this.placement.deliveredTokens) *
         (engine?.bytesPerToken ?? 0);
       record.continuation.copiedBytes += bytes;
       metrics.runCopied(bytes);
@@ -241,7 +221,7 @@
         : meanEventMilliseconds / tokensPerEvent;
     const remainingMilliseconds = lifetime.remaining();
     return needsMove(
-      {...this.runLength, tokenMilliseconds, remainingMilliseconds},
+      {...this.placement.runLength, tokenMilliseconds, remainingMilliseconds},
       timeLeftMilliseconds,
     );
   }
@@ -250,7 +230,7 @@
   private claimPlace({endpoint}: EndpointAttempt): KnownEndpoint | undefined {
     const {context, suspects} = this.parts;
     const place = suspects.mayResend(context.identity)
-      ? this.choosePlace(endpoint)
+      ? this.placement.placeBeside(endpoint)
       : undefined;
     return place !== undefined && this.claimResend() ? place : undefined;
   }
@@ -272,73 +252,6 @@
     return context.resends.tryTake(hostCount(), lifetime.now());
   }
 
-  private chooseBackup(
-    {endpoint, path}: ChosenEndpoint,
-    priority: number,
-  ): Backup | undefined {
-    const {context, record, copies, metrics} = this.parts;
-    const {engine, name} = context.service;
-    const {headers} = context.caller;
-    const mayBeCopied =
-      engine?.supportsBackups === true &&
-      engine.bytesPerToken !== undefined &&
-      context.route.kind === RouteKind.Streaming &&
-      !context.isTry &&
-      headers.attemptId !== undefined &&
-      path.kind === PathKind.Direct;
-    if (!mayBeCopied) {
-      return undefined;
-    }
-    const run: BackupRun = {
-      ...this.runLength,
-      promptTokens: headers.promptTokens,
-      priority,
-      tokenMilliseconds: copies.paceOf(name).tokenMilliseconds,
-    };
-    const {dataCenter, slots} = endpoint.entry;
-    const cost = {...engine, bytesPerToken: engine.bytesPerToken, slots};
-    if (!isWorthBackup(run, {...cost, isRemote: false})) {
-      return undefined;
-    }
-    const place = this.choosePlace(endpoint);
-    const isRemote = place?.entry.dataCenter !== dataCenter;
-    if (place === undefined || !isWorthBackup(run, {...cost, isRemote})) {
-      return undefined;
-    }
-    metrics.continuationEvent(ContinuationEvent.CopyAsked);
-    const {id} = place.entry;
-    record.continuation.backups.push(id);
-    return {
-      endpoint: place,
-      incarnation: place.incarnation,
-      release: copies.add(id, copiedTokens(run)),
-    };
-  }
-
-  /** Chooses an endpoint for a copy of a run. */
-  private choosePlace(runsAt: KnownEndpoint): KnownEndpoint | undefined {
-    const {context, chooser, copies, hostCount, fraction} = this.parts;
-    const {promptTokens} = context.caller.headers;
-    const place = chooseCopyPlace(
-      {
-        dataCenter: runsAt.entry.dataCenter,
-        tokens: copiedTokens({...this.runLength, promptTokens}),
-        memoryTokens: context.service.engine?.memoryTokens,
-        hosts: hostCount(),
-        fraction: fraction(),
-      },
-      chooser.placesBeside(context, runsAt).map(endpoint => ({
-        endpoint,
-        id: endpoint.entry.id,
-        dataCenter: endpoint.entry.dataCenter,
-        slots: endpoint.entry.slots,
-        load: endpoint.load,
-        copiedTokens: copies.tokensAt(endpoint.entry.id),
-      })),
-    );
-    return place?.endpoint;
-  }
-
   /** The endpoint with the copy, if it is still the start that has it. */
   private chosenFor({
     endpoint,
@@ -364,17 +277,6 @@
     return chosen === undefined ? 'endpoint of the copy not open' : undefined;
   }
 
-  private get runLength(): RunLength {
-    const {lengthHint, maximumOutputTokens} = this.parts.context.caller.headers;
-    const {deliveredTokens} = this;
-    return {lengthHint, maximumOutputTokens, deliveredTokens};
-  }
-
-  private get deliveredTokens(): number {
-    const {context, record} = this.parts;
-    return record.eventsDelivered * (context.service.tokensPerEvent ?? 0);
-  }
-
   private log(
     event: string,
     {endpoint, exchange}: EndpointAttempt,
