--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -56,3 +56,4 @@
 export * from './crash-suspects.js';
 export * from './cold-endpoints/index.js';
 export * from './admission/index.js';
+export * from './continuation/index.js';
--- /dev/null
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -0,0 +1,298 @@
+import {needsMove} from '@wisteriadeal/decisions';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import {RouteKind} from '../configuration.js';
+import type {Dialect, DispatchHeaders} from '../dialect.js';
+import type {EndpointAttempt} from '../endpoint-attempt.js';
+import type {ChosenEndpoint} from '../endpoint-chooser.js';
+import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
+import type {AnswerHead} from '../endpoint-exchange.js';
+import {PathKind} from '../endpoint-path.js';
+import type {RequestLifetime} from '../request-lifetime.js';
+import {ContinuationEvent} from './continuation-event.js';
+import {addressOf} from './copy-address.js';
+import {
+  CopyPlacement,
+  type Backup,
+  type CopyPlacementParts,
+} from './copy-placement.js';
+import type {EndpointLeavings} from './endpoint-leavings.js';
+import {RunMove, type StoppedRun} from './run-move.js';
+
+/** Dependencies of `RunContinuation`. */
+export interface RunContinuationParts extends CopyPlacementParts {
+  readonly directory: EndpointDirectory;
+  readonly leavings: EndpointLeavings;
+  readonly lifetime: RequestLifetime;
+  readonly dialect: Dialect;
+  readonly events: EventLog;
+}
+
+/** A run that goes on at an endpoint. */
+interface Continuation {
+  readonly chosen: ChosenEndpoint;
+  /** `IP:port/ID` of the copy. */
+  readonly copy: string;
+}
+
+/**
+ * Times that a run goes on at another endpoint. A request whose runs end three
+ * endpoints is more likely to be their cause than to be unlucky.
+ */
+const MAXIMUM_CONTINUATIONS = 2;
+/** Events from which the pace of a run is learned. */
+const MINIMUM_PACE_EVENTS = 4;
+
+/**
+ * Has the run of one request copied to another endpoint while it grows, and goes on
+ * there after its endpoint was lost. It stays the same run: it is reserved, charged and
+ * billed once, also on routes whose requests may be sent to one endpoint only.
+ */
+export class RunContinuation {
+  private backup: Backup | undefined;
+  /** Where the run goes on; a later place only if nothing ran at those before. */
+  private next: Continuation[] = [];
+  private move: RunMove | undefined;
+  private current: Continuation | undefined;
+  private continuations = 0;
+
+  private readonly placement: CopyPlacement;
+
+  constructor(private readonly parts: RunContinuationParts) {
+    this.placement = new CopyPlacement(parts);
+  }
+
+  /** Whether the current attempt goes on with a run from a copy. */
+  get isContinued(): boolean {
+    return this.current !== undefined;
+  }
+
+  /** Whether there is a copy from which the run goes on. */
+  get hasNext(): boolean {
+    return this.next.length > 0;
+  }
+
+  /** Whether the endpoint of the current attempt has stopped the run to move it. */
+  get hasStopped(): boolean {
+    return this.move?.hasStopped === true;
+  }
+
+  /** Where the run goes on; undefined if the next attempt begins anew. */
+  takeNext(): ChosenEndpoint | undefined {
+    this.current = this.next.shift();
+    if (this.current !== undefined) {
+      const {record, metrics} = this.parts;
+      const {chosen, copy} = this.current;
+      metrics.continuationEvent(ContinuationEvent.Continued);
+      record.continuation.steps.push({
+        endpoint: chosen.endpoint.entry.id,
+        copy,
+        lastEventId: record.lastEventId,
+      });
+    }
+    return this.current?.chosen;
+  }
+
+  /** Records that an attempt was sent, whose run is moved if its endpoint leaves. */
+  attemptBegan(attempt: EndpointAttempt): void {
+    const {context} = this.parts;
+    const {attemptId} = context.caller.headers;
+    const mayMove =
+      context.service.engine?.supportsMoves === true &&
+      context.route.kind === RouteKind.Streaming &&
+      !context.isTry &&
+      attemptId !== undefined;
+    this.move = mayMove
+      ? new RunMove({
+          ...this.parts,
+          attempt,
+          attemptId,
+          isDue: timeLeft => this.isMoveDue(timeLeft),
+          claimPlace: () => this.claimPlace(attempt),
+        })
+      : undefined;
+  }
+
+  /**
+   * Records the head of an endpoint's answer. One that closes a connection that it kept
+   * before may be leaving.
+   */
+  answerBegan({endpointHeaders}: AnswerHead, endpoint: KnownEndpoint): void {
+    if (endpointHeaders.closesConnection && endpoint.confirmedOpenAt > 0) {
+      this.move?.endpointLeaves();
+    }
+  }
+
+  /** Resolves when it is known whether the run of a broken answer was stopped. */
+  async settled(signal: AbortSignal): Promise<void> {
+    await this.move?.settled(signal);
+  }
+
+  /** Prepares to go on with a run that its endpoint has stopped. */
+  afterStop(): void {
+    const stopped = this.move?.take();
+    this.next = stopped === undefined ? [] : this.placesOf(stopped);
+  }
+
+  /**
+   * The headers of an attempt that is sent now.
+   *
+   * @param priority Priority of the request, from 0, the most urgent, to 9.
+   * @param canResend Whether it may be sent to another endpoint after this attempt, so
+   *     that it needs no copy.
+   */
+  headersFor(
+    chosen: ChosenEndpoint,
+    priority: number,
+    canResend: boolean,
+  ): Pick<DispatchHeaders, 'backupAt' | 'continueFrom'> {
+    this.backup = canResend
+      ? undefined
+      : this.placement.choose(chosen, priority);
+    return {
+      backupAt: this.backup && addressOf(this.backup.endpoint.entry),
+      continueFrom: this.current?.copy,
+    };
+  }
+
+  /**
+   * Prepares to go on after the connection of an attempt broke, if its run has ended
+   * and was copied.
+   */
+  afterLoss(attempt: EndpointAttempt): void {
+    this.next = [];
+    const {backup} = this;
+    if (backup === undefined) {
+      return;
+    }
+    const chosen = this.chosenFor(backup);
+    const reason = this.reasonAgainst(attempt, chosen);
+    if (chosen === undefined || reason !== undefined || !this.claimResend()) {
+      this.parts.metrics.continuationEvent(ContinuationEvent.NotContinued);
+      this.log('run not continued', attempt, backup, {
+        reason: reason ?? 'no resend left',
+      });
+      return;
+    }
+    const {attemptId = ''} = this.parts.context.caller.headers;
+    const copy = `${addressOf(backup.endpoint.entry)}/${attemptId}`;
+    this.continuations++;
+    this.next = [{chosen, copy}];
+    this.log('run continued', attempt, backup, {copy});
+  }
+
+  /** Records that the endpoint of the current attempt has no copy of the run. */
+  copyMissing(): void {
+    this.parts.metrics.continuationEvent(ContinuationEvent.CopyMissing);
+  }
+
+  /** Records the end of an attempt. */
+  attemptEnded(): void {
+    const {context, record, copies, metrics} = this.parts;
+    const {tokensPerEvent = 1, engine, name} = context.service;
+    const {meanEventMilliseconds} = record;
+    if (
+      meanEventMilliseconds !== undefined &&
+      record.eventsDelivered >= MINIMUM_PACE_EVENTS
+    ) {
+      copies.paceOf(name).observe(meanEventMilliseconds / tokensPerEvent);
+    }
+    if (this.backup !== undefined) {
+      this.backup.release();
+      const bytes =
+        (context.caller.headers.promptTokens + this.placement.deliveredTokens) *
+        (engine?.bytesPerToken ?? 0);
+      record.continuation.copiedBytes += bytes;
+      metrics.runCopied(bytes);
+      this.backup = undefined;
+    }
+    this.move?.close();
+    this.move = undefined;
+    this.current = undefined;
+  }
+
+  private isMoveDue(timeLeftMilliseconds: number): boolean {
+    const {context, record, copies, lifetime} = this.parts;
+    const {tokensPerEvent = 1, name} = context.service;
+    const {meanEventMilliseconds} = record;
+    const tokenMilliseconds =
+      meanEventMilliseconds === undefined
+        ? copies.paceOf(name).tokenMilliseconds
+        : meanEventMilliseconds / tokensPerEvent;
+    const remainingMilliseconds = lifetime.remaining();
+    return needsMove(
+      {...this.placement.runLength, tokenMilliseconds, remainingMilliseconds},
+      timeLeftMilliseconds,
+    );
+  }
+
+  /** Once the run is stopped it must go on, so that the resend is taken before. */
+  private claimPlace({endpoint}: EndpointAttempt): KnownEndpoint | undefined {
+    const {context, suspects} = this.parts;
+    const place = suspects.mayResend(context.identity)
+      ? this.placement.placeBeside(endpoint)
+      : undefined;
+    return place !== undefined && this.claimResend() ? place : undefined;
+  }
+
+  private placesOf({source, handle, destination}: StoppedRun): Continuation[] {
+    const {context, chooser} = this.parts;
+    const copy = `${addressOf(source.entry)}/${handle}`;
+    const places = [
+      destination && chooser.continueAt(context, destination),
+      chooser.continueAt(context, source, true),
+    ];
+    return places
+      .filter(chosen => chosen !== undefined)
+      .map(chosen => ({chosen, copy}));
+  }
+
+  private claimResend(): boolean {
+    const {context, lifetime, hostCount} = this.parts;
+    return context.resends.tryTake(hostCount(), lifetime.now());
+  }
+
+  /** The endpoint with the copy, if it is still the start that has it. */
+  private chosenFor({
+    endpoint,
+    incarnation,
+  }: Backup): ChosenEndpoint | undefined {
+    const {context, chooser, directory} = this.parts;
+    const known = directory.find(endpoint.entry.id);
+    return known?.incarnation === incarnation
+      ? chooser.continueAt(context, known)
+      : undefined;
+  }
+
+  private reasonAgainst(
+    {exchange, path}: EndpointAttempt,
+    chosen: ChosenEndpoint | undefined,
+  ): string | undefined {
+    if (path.kind !== PathKind.Direct || !exchange.wasClosedByEndpoint) {
+      return 'end of the run not proved';
+    }
+    if (this.continuations >= MAXIMUM_CONTINUATIONS) {
+      return 'continued too often';
+    }
+    return chosen === undefined ? 'endpoint of the copy not open' : undefined;
+  }
+
+  private log(
+    event: string,
+    {endpoint, exchange}: EndpointAttempt,
+    {endpoint: place}: Backup,
+    fields: Readonly<Record<string, string>>,
+  ): void {
+    const {context, directory, record, events} = this.parts;
+    events.info(event, {
+      request: context.caller.headers.attemptId,
+      lost: endpoint.entry.id,
+      failure: exchange.failureReason,
+      endpoint: place.entry.id,
+      endpointTrusted: !place.breaker.isTripped,
+      listAgeMilliseconds: Math.round(directory.listAgeMilliseconds),
+      lastEvent: record.lastEventId,
+      ...fields,
+    });
+  }
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -26,6 +26,7 @@
   CrashDetector,
   SuspectRegistry,
 } from './crashes/index.js';
+import {EndpointLeavings, RunCopies} from './continuation/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {PlacementRules} from './endpoint-chooser.js';
@@ -560,6 +561,11 @@
         }),
         metrics: this.metrics,
         batches: this.batches,
+        copies: new RunCopies(),
+        leavings: new EndpointLeavings(
+          this.directory,
+          gatewayLimits(settings).endpointDrainMilliseconds,
+        ),
         hostCount: () => this.budgets.holderCount,
       },
       gatewayLimits(settings).resends,
--- a/packages/gateway/src/request-report.ts
+++ b/packages/gateway/src/request-report.ts
@@ -51,6 +51,7 @@
     crashed: suspicion?.endpoints.join(', '),
     ...describeAdmission(record.admission),
     ...describePlacement(record.placement),
+    ...record.continuation.describe(),
     attempts: record.attempts.map(describeAttempt).join('; '),
   };
 }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -6,9 +6,14 @@
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {EngineAdmissions} from './admission/index.js';
-import {AnswerRelay} from './answer-relay.js';
+import {AnswerRelay, AnswerResult} from './answer-relay.js';
 import {AnswerTimeouts} from './answer-timeouts.js';
 import {RouteKind} from './configuration.js';
+import {
+  RunContinuation,
+  type EndpointLeavings,
+  type RunCopies,
+} from './continuation/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
@@ -56,6 +61,8 @@
   readonly admissions: EngineAdmissions;
   readonly metrics: GatewayMetrics;
   readonly batches: EventBatches;
+  readonly copies: RunCopies;
+  readonly leavings: EndpointLeavings;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
 }
@@ -72,6 +79,7 @@
   private readonly retries: RequestRetries;
   private readonly answers: AnswerRelay;
   private readonly completion: RequestCompletion;
+  private readonly continuation: RunContinuation;
   private current: EndpointExchange | undefined;
 
   constructor(
@@ -87,6 +95,15 @@
     const {chooser, lifetime} = this;
     const completion = new RequestCompletion(dialect, context, record);
     this.completion = completion;
+    this.continuation = new RunContinuation({
+      ...parts,
+      context,
+      record,
+      chooser,
+      lifetime,
+      hostCount: () => parts.hostCount(),
+      fraction: () => placement.fraction(),
+    });
     this.retries = new RequestRetries({
       context,
       record,
@@ -97,6 +114,7 @@
       paths,
       crashes: parts.crashes,
       suspects: parts.suspects,
+      continuation: this.continuation,
       hostCount: () => parts.hostCount(),
     });
     this.answers = new AnswerRelay(
@@ -155,6 +173,7 @@
   private async attempt(): Promise<NextStep> {
     const {context, retries} = this;
     const chosen =
+      this.continuation.takeNext() ??
       this.chooser.choose(context, retries.avoided) ??
       (await this.chooseLater());
     this.recordPlacement(chosen);
@@ -173,15 +192,23 @@
     const stopWatchingPath = this.watchPath(path, monitor);
     this.current = exchange;
     this.parts.crashes.attemptBegan(attempt);
+    this.continuation.attemptBegan(attempt);
     try {
       const head = await exchange.head();
       this.recordAnswer(attempt, head);
+      const result = isFailure(head)
+        ? AnswerResult.Broken
+        : await this.answers.relay(attempt, head);
+      if (result === AnswerResult.Broken) {
+        await this.continuation.settled(this.lifetime.waitSignal);
+      }
       return isFailure(head)
         ? retries.afterFailure(attempt, head)
-        : retries.afterAnswer(attempt, await this.answers.relay(attempt, head));
+        : retries.afterAnswer(attempt, result);
     } finally {
       this.parts.crashes.attemptEnded(attempt);
       attempt.admission?.close();
+      this.continuation.attemptEnded();
       stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
@@ -268,17 +295,24 @@
       : () => undefined;
   }
 
-  private dispatch({endpoint, path}: ChosenEndpoint): EndpointExchange {
+  private dispatch(chosen: ChosenEndpoint): EndpointExchange {
+    const {endpoint, path} = chosen;
     const {caller, body, organisation, route} = this.context;
     const {dialect} = this.parts;
     const {connections} = path;
     const breaker = path.breakerOf(endpoint);
+    const priority = requestPriority(route, organisation);
     const headers = dialect.dispatchHeaders(caller.rawHeaders, {
       endpointId: endpoint.entry.id,
       organisation: organisation?.name,
       remainingMilliseconds: Math.max(1, Math.floor(this.lifetime.remaining())),
-      priority: requestPriority(route, organisation),
+      priority,
       lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
+      ...this.continuation.headersFor(
+        chosen,
+        priority,
+        this.retries.canFailOver(),
+      ),
     });
     endpoint.load++;
     if (breaker.isTripped) {
@@ -323,6 +357,7 @@
       const {coldMilliseconds = 0} = head.endpointHeaders;
       endpoint.warmth.stated(coldMilliseconds, now);
       this.record.answerBeganAt = now;
+      this.continuation.answerBegan(head, endpoint);
       if (!head.endpointHeaders.closesConnection) {
         endpoint.confirmOpen(now - monitor.elapsedMilliseconds);
       }
