--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -45,6 +45,7 @@
 export * from './endpoint-circuit-breaker.js';
 export * from './answer-estimate.js';
 export * from './resend-budget.js';
+export * from './balancing/index.js';
 export * from './placement/part-popularity.js';
 export * from './placement/shared-prompt-placement.js';
 export * from './arrival-admission.js';
--- a/packages/decisions/src/placement/shared-prompt-placement.ts
+++ b/packages/decisions/src/placement/shared-prompt-placement.ts
@@ -1,12 +1,16 @@
 import murmurhash from 'murmurhash';
 
+import {
+  ExpectedCost,
+  goalOf,
+  ServiceSpeed,
+  type CostCandidate,
+  type RequestCost,
+} from '../balancing/index.js';
+
 /** An endpoint that can be chosen. */
-export interface PlacementCandidate {
+export interface PlacementCandidate extends CostCandidate {
   readonly id: string;
-  readonly dataCenter: string;
-  readonly slots: number;
-  /** Number of this host's requests in progress there. */
-  readonly load: number;
   /**
    * False if the endpoint should receive nothing while any other candidate is
    * available.
@@ -30,16 +34,50 @@
   readonly avoided: ReadonlySet<string>;
   /** Random number from 0 to below 1, which chooses among equal endpoints. */
   readonly fraction: number;
+  /** Undefined if nothing is known of the service. */
+  readonly cost?: RequestCost | undefined;
+  /** Undefined where endpoints don't fetch parts from each other. */
+  readonly fetch?: FetchableParts | undefined;
 }
 
-/**
- * An endpoint is skipped if its load exceeds this factor times the mean load,
- * plus an allowance of two requests. When a third of the requests share one
- * scenario's prompt, its home endpoint would otherwise receive all of them, and
- * its streams would slow down while other endpoints are idle.
- */
-const LOAD_BOUND_FACTOR = 1.5;
-const LOAD_ALLOWANCE = 2;
+/** What is known of fetching a request's shared parts from their home. */
+export interface FetchableParts {
+  /** Time for all of them, milliseconds. */
+  readonly milliseconds: number;
+  /** Probability that their home has them in its cache, from 0 to 1. */
+  readonly heldShare: number;
+}
+
+/** Where an endpoint gets the key-value cache of a request's shared parts. */
+export enum PartSource {
+  /** It has no long ones. */
+  None = 'none',
+  /** It is their home. */
+  Home = 'home',
+  /** It fetches them from their home. */
+  Fetched = 'fetched',
+  /** It reads them again. */
+  Read = 'read',
+}
+
+/** The endpoint of a request, and what is expected of it. */
+export interface Placement<Candidate> {
+  readonly candidate: Candidate;
+  /** Where the request's shared parts are read first; undefined if they have no home. */
+  readonly home: Candidate | undefined;
+  readonly source: PartSource;
+  /** Prompt tokens that it has to read, as far as known. */
+  readonly tokens: number;
+  /** Expected time until the answer begins, milliseconds. */
+  readonly beginMilliseconds: number;
+  /** Factor by which it is believed to exceed the times of an idle endpoint. */
+  readonly slowness: number;
+  /**
+   * Time that it needs for all that this host has sent there before, by the turns of
+   * its endpoints, milliseconds.
+   */
+  readonly sentMilliseconds: number;
+}
 
 /**
  * Shared parts of at most this many tokens are not worth a home: an engine reads
@@ -47,26 +85,27 @@
  */
 const MAXIMUM_SPREAD_TOKENS = 256;
 
+/** Round trip to another data centre, milliseconds; the answers show the exact one. */
+const ROUND_TRIP_MILLISECONDS = 3;
+
 /**
- * A plain request is sent to another data centre if the local endpoint's load
- * is higher by this share of its slots. Traffic between data centres is
- * expensive, and the round trip adds about 2 ms to about 40 ms of work.
+ * Bytes between data centres are expensive: a request without a home leaves its own data
+ * centre only to begin earlier by this part of its objective.
  */
-const REMOTE_PENALTY = 0.5;
+const REMOTE_GOAL_PART = 0.25;
 
 /**
  * Chooses the endpoint for a request, or undefined if there are no candidates.
  *
- * Plain requests, and those whose shared parts are short, go to the least loaded
- * endpoint. In a fleet of many hosts each has hardly any request in progress at
- * any endpoint, so that equal endpoints are the rule: a random one of them is
- * chosen, since the first one would be the same at every host. A short part
- * that many requests suddenly share spreads over all endpoints in this way,
+ * Responds to endpoints that are overloaded in turns while others are idle: a request
+ * goes where it costs least by `ExpectedCost`. In a fleet of many hosts each has hardly
+ * any request in progress at any endpoint, so that equal endpoints are the rule: a
+ * random one of them is chosen, since the first one would be the same at every host. A
+ * short part that many requests suddenly share spreads over all endpoints in this way,
  * although no host sees more than a few of these requests.
  *
- * Requests that share a longer prompt part go to the endpoint chosen by rendezvous
- * hashing (Thaler and Ravishankar, 1998), within a bound on its load (Mirrokni,
- * Thorup and Zadimoghaddam, 2018). All hosts agree without exchanging messages,
+ * A longer prompt part has a home, chosen by rendezvous hashing (Thaler and Ravishankar,
+ * 1998), where it needn't be read again. All hosts agree without exchanging messages,
  * and only the prompt parts of an endpoint that leaves are moved. A part that is hot has
  * several homes, of which a random one is chosen; each of them reads the part once.
  */
@@ -74,65 +113,163 @@
   request: PlacementRequest,
   candidates: readonly PlacementCandidate[],
 ): PlacementCandidate | undefined {
+  return choosePlacement(request, candidates)?.candidate;
+}
+
+/** As `placeRequest`, with what is expected of the endpoint. */
+export function choosePlacement<Candidate extends PlacementCandidate>(
+  request: PlacementRequest,
+  candidates: readonly Candidate[],
+): Placement<Candidate> | undefined {
   const usable = preferred(
     preferred(candidates, candidate => !request.avoided.has(candidate.id)),
     candidate => candidate.isAvailable,
   );
-  const {sharedPart, sharedTokens} = request;
-  return sharedPart === undefined || sharedTokens <= MAXIMUM_SPREAD_TOKENS
-    ? leastLoaded(request, usable)
-    : homeOf(sharedPart, request, usable);
+  const {sharedPart, sharedTokens, cost = unknownCost(request)} = request;
+  const home =
+    sharedPart === undefined || sharedTokens <= MAXIMUM_SPREAD_TOKENS
+      ? undefined
+      : homeOf(sharedPart, request, usable);
+  const costs = new ExpectedCost(
+    cost,
+    remoteMilliseconds(cost, home !== undefined),
+    usable,
+  );
+  const parts = new SharedParts(request, home);
+  const costAt = (other: Candidate) =>
+    costs.of(other, cost.ownTokens + parts.costTokens(other)) +
+    parts.fetchMilliseconds(other);
+  const candidate = maximum(
+    rotated(usable, request.fraction),
+    other => -costAt(other),
+  );
+  if (candidate === undefined) {
+    return undefined;
+  }
+  const tokens = cost.ownTokens + parts.expectedTokens(candidate);
+  return {
+    candidate,
+    home,
+    source: parts.sourceAt(candidate),
+    tokens,
+    beginMilliseconds: costs.beginMilliseconds(candidate, tokens),
+    slowness: costs.slowness(candidate),
+    sentMilliseconds: costs.sentMilliseconds(candidate),
+  };
+}
+
+/** What a request's shared parts cost at an endpoint. */
+class SharedParts<Candidate extends PlacementCandidate> {
+  private readonly heldShare: number;
+
+  constructor(
+    private readonly request: PlacementRequest,
+    private readonly home: Candidate | undefined,
+  ) {
+    this.heldShare = request.fetch?.heldShare ?? 1;
+  }
+
+  sourceAt(candidate: Candidate): PartSource {
+    const {home, request} = this;
+    if (home === undefined) {
+      return PartSource.None;
+    }
+    if (candidate === home) {
+      return PartSource.Home;
+    }
+    // Bytes between data centres are expensive, and these are many.
+    return request.fetch !== undefined &&
+      candidate.dataCenter === home.dataCenter
+      ? PartSource.Fetched
+      : PartSource.Read;
+  }
+
+  /** Shared tokens that the endpoint is expected to read. */
+  expectedTokens(candidate: Candidate): number {
+    const {sharedTokens} = this.request;
+    switch (this.sourceAt(candidate)) {
+      case PartSource.None:
+        return 0;
+      case PartSource.Read:
+        return sharedTokens;
+      default:
+        return (1 - this.heldShare) * sharedTokens;
+    }
+  }
+
+  /**
+   * The same as cost. Tokens that are read again delay other hosts' requests as much. If
+   * the home doesn't hold the parts, requests after this one read them, too.
+   */
+  costTokens(candidate: Candidate): number {
+    const tokens = this.expectedTokens(candidate);
+    return this.sourceAt(candidate) === PartSource.Home ? tokens : 2 * tokens;
+  }
+
+  fetchMilliseconds(candidate: Candidate): number {
+    return this.sourceAt(candidate) === PartSource.Fetched
+      ? this.heldShare * (this.request.fetch?.milliseconds ?? 0)
+      : 0;
+  }
+}
+
+/** A request with a home goes there from any data centre. */
+function remoteMilliseconds(cost: RequestCost, hasHome: boolean): number {
+  return (
+    ROUND_TRIP_MILLISECONDS + (hasHome ? 0 : REMOTE_GOAL_PART * goalOf(cost))
+  );
+}
+
+function unknownCost({dataCenter}: PlacementRequest): RequestCost {
+  return {
+    now: 0,
+    speed: new ServiceSpeed(),
+    dataCenter,
+    goalMilliseconds: 0,
+    pauseGoalMilliseconds: 0,
+    ownTokens: 0,
+    hosts: 1,
+  };
 }
 
 /** Returns the candidates that satisfy the condition, or all if none does. */
-function preferred(
-  candidates: readonly PlacementCandidate[],
-  isPreferred: (candidate: PlacementCandidate) => boolean,
-): readonly PlacementCandidate[] {
+function preferred<Candidate>(
+  candidates: readonly Candidate[],
+  isPreferred: (candidate: Candidate) => boolean,
+): readonly Candidate[] {
   const fitting = candidates.filter(isPreferred);
   return fitting.length > 0 ? fitting : candidates;
 }
 
-function homeOf(
+function homeOf<Candidate extends PlacementCandidate>(
   part: string,
   {homes, fraction}: PlacementRequest,
-  candidates: readonly PlacementCandidate[],
-): PlacementCandidate | undefined {
-  const total = candidates.reduce((sum, {load}) => sum + load, 0);
-  const bound =
-    (LOAD_BOUND_FACTOR * total) / candidates.length + LOAD_ALLOWANCE;
-  const withinBound = candidates.filter(({load}) => load <= bound);
-  const weight = ({id}: PlacementCandidate) => murmurhash.v3(`${part} ${id}`);
+  candidates: readonly Candidate[],
+): Candidate | undefined {
+  const weight = ({id}: Candidate) => murmurhash.v3(`${part} ${id}`);
   if (homes <= 1) {
-    return maximum(withinBound, weight);
+    return maximum(candidates, weight);
   }
-  const ranked = withinBound
+  const ranked = candidates
     .map(candidate => ({candidate, weight: weight(candidate)}))
     .sort((one, other) => other.weight - one.weight)
     .slice(0, homes);
   return ranked[Math.floor(fraction * ranked.length)]?.candidate;
 }
 
-function leastLoaded(
-  request: PlacementRequest,
-  candidates: readonly PlacementCandidate[],
-): PlacementCandidate | undefined {
-  const first = Math.floor(request.fraction * candidates.length);
-  const rotated = [...candidates.slice(first), ...candidates.slice(0, first)];
-  return maximum(rotated, candidate => {
-    const isRemote = candidate.dataCenter !== request.dataCenter;
-    return -(
-      candidate.load / candidate.slots +
-      (isRemote ? REMOTE_PENALTY : 0)
-    );
-  });
+function rotated<Candidate>(
+  candidates: readonly Candidate[],
+  fraction: number,
+): readonly Candidate[] {
+  const first = Math.floor(fraction * candidates.length);
+  return [...candidates.slice(first), ...candidates.slice(0, first)];
 }
 
-function maximum(
-  candidates: readonly PlacementCandidate[],
-  value: (candidate: PlacementCandidate) => number,
-): PlacementCandidate | undefined {
-  let best: PlacementCandidate | undefined;
+function maximum<Candidate>(
+  candidates: readonly Candidate[],
+  value: (candidate: Candidate) => number,
+): Candidate | undefined {
+  let best: Candidate | undefined;
   let bestValue = -Infinity;
   for (const candidate of candidates) {
     const candidateValue = value(candidate);
--- a/packages/gateway/src/answer-timeouts.ts
+++ b/packages/gateway/src/answer-timeouts.ts
@@ -5,6 +5,7 @@
 } from '@wisteriadeal/decisions';
 import type {Clock, HostLink} from '@wisteriadeal/platform';
 
+import {ownPromptTokens} from './balancing/index.js';
 import {RouteKind} from './configuration.js';
 import type {KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
@@ -187,7 +188,6 @@
   }
 
   private promptSize(): PromptSize {
-    const {promptParts, promptTokens} = this.context.caller.headers;
-    return {ownTokens: promptParts.at(-1)?.tokens ?? promptTokens};
+    return {ownTokens: ownPromptTokens(this.context.caller.headers)};
   }
 }
--- /dev/null
+++ b/packages/gateway/src/balancing/index.ts
@@ -0,0 +1,3 @@
+export * from './begin-work.js';
+export * from './describe-belief.js';
+export * from './service-speeds.js';
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -1,4 +1,7 @@
-import type {EndpointCircuitBreaker} from '@wisteriadeal/decisions';
+import type {
+  EndpointCircuitBreaker,
+  RequestWork,
+} from '@wisteriadeal/decisions';
 
 import type {KnownEndpoint} from './endpoint-directory.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
@@ -23,6 +26,7 @@
     readonly path: EndpointPath,
     readonly exchange: EndpointExchange,
     readonly monitor: InactivityMonitor,
+    readonly work: RequestWork,
     readonly identity: RequestIdentity,
     private readonly record: RequestRecord,
     readonly sentAt: number,
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -1,15 +1,19 @@
 import {
+  choosePlacement,
   failedShareLimit,
-  placeRequest,
   withoutColdEndpoints,
   type ColdAdmission,
   type PartPopularity,
+  type Placement,
   type PlacementCandidate,
+  type RequestCost,
+  type ServiceSpeed,
   type WarmthOfCandidate,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 
 import {mayRunIn} from './allowed-regions.js';
+import {ownPromptTokens} from './balancing/index.js';
 import {RouteKind, type ServiceDescription} from './configuration.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import {PathKind, type EndpointPath} from './endpoint-path.js';
@@ -22,6 +26,10 @@
   readonly endpoint: KnownEndpoint;
   readonly path: EndpointPath;
   readonly isCold: boolean;
+  /** What was expected of the endpoint. */
+  readonly placement: Placement<PlacementCandidate>;
+  /** Prompt tokens that other requests share. */
+  readonly sharedTokens: number;
 }
 
 /** Endpoints that a request does not go to, for its log line. */
@@ -41,8 +49,12 @@
   readonly cold: ColdAdmission;
   /** This host's recent requests to a service, by shared prompt part. */
   popularityOf(service: string): PartPopularity;
+  /** What this host knows of the speed of a service's endpoints. */
+  speedOf(service: string): ServiceSpeed;
   /** Region of a data centre; undefined if it is not known. */
   regionOf(dataCenter: string): string | undefined;
+  /** Number of hosts that send requests to the same endpoints. */
+  hostCount(): number;
   /** Random number from 0 to below 1. */
   fraction(): number;
 }
@@ -100,11 +112,12 @@
         ? caller.headers.promptParts.slice(0, -1)
         : [];
     const sharedPart = sharedParts.at(-1)?.id;
+    const sharedTokens = sharedParts.reduce((sum, {tokens}) => sum + tokens, 0);
     const popularity = this.rules.popularityOf(service.name);
-    const chosen = placeRequest(
+    const placement = choosePlacement(
       {
         sharedPart,
-        sharedTokens: sharedParts.reduce((sum, {tokens}) => sum + tokens, 0),
+        sharedTokens,
         homes:
           sharedPart === undefined
             ? 1
@@ -112,15 +125,36 @@
         dataCenter: this.rules.dataCenter,
         avoided,
         fraction: this.rules.fraction(),
+        cost: this.costOf(context, now),
       },
       candidates,
     );
-    const found = candidates.find(candidate => candidate === chosen);
-    if (found === undefined) {
+    if (placement === undefined) {
       return undefined;
     }
-    const {endpoint, isCold} = found;
-    return {endpoint, isCold, path: this.paths.pathToEndpoint(path, endpoint)};
+    const {endpoint, isCold} = placement.candidate;
+    return {
+      endpoint,
+      isCold,
+      placement,
+      sharedTokens,
+      path: this.paths.pathToEndpoint(path, endpoint),
+    };
+  }
+
+  private costOf(
+    {route, service, caller}: RequestContext,
+    now: number,
+  ): RequestCost {
+    return {
+      now,
+      speed: this.rules.speedOf(service.name),
+      dataCenter: this.rules.dataCenter,
+      goalMilliseconds: route.goalMilliseconds,
+      pauseGoalMilliseconds: route.pauseGoalMilliseconds,
+      ownTokens: ownPromptTokens(caller.headers),
+      hosts: this.rules.hostCount(),
+    };
   }
 
   /** Whether any listed endpoint of the service may run the request. */
@@ -183,6 +217,7 @@
       dataCenter: endpoint.entry.dataCenter,
       slots: endpoint.entry.slots,
       load: endpoint.load,
+      work: endpoint.work,
       isAvailable:
         path.breakerOf(endpoint).isAvailable(now) &&
         path.dataCenters.isAvailable(endpoint.entry.dataCenter, now) &&
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -1,6 +1,7 @@
 import {
   EndpointCircuitBreaker,
   EndpointWarmth,
+  EndpointWork,
   isSameOrigin,
   type StreamOrigin,
 } from '@wisteriadeal/decisions';
@@ -23,6 +24,8 @@
   readonly relayedBreaker = new EndpointCircuitBreaker();
   /** Number of this host's requests in progress at the endpoint. */
   load = 0;
+  /** The same as work, and what the host believes of the endpoint's speed. */
+  readonly work = new EndpointWork();
   /**
    * Whether the endpoint itself announced that it leaves, before the list did.
    */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -24,6 +24,7 @@
   CrashDetector,
   SuspectRegistry,
 } from './crashes/index.js';
+import {ServiceSpeeds} from './balancing/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {PlacementRules} from './endpoint-chooser.js';
@@ -401,7 +402,10 @@
     const {settings, random} = this.parts;
     const {dataCenter, region, dataCenterRegions} = settings;
     const popularities = new Map<string, PartPopularity>();
+    const speeds = new ServiceSpeeds();
     return {
+      speedOf: service => speeds.of(service),
+      hostCount: () => this.budgets.holderCount,
       popularityOf: service => {
         const popularity = popularities.get(service) ?? new PartPopularity();
         popularities.set(service, popularity);
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -46,6 +46,8 @@
   readonly withheld: number;
   /** Whether the request was sent to one that may have been cold. */
   readonly isCold: boolean;
+  /** What was believed of the chosen endpoint; undefined if none was chosen. */
+  readonly belief: string | undefined;
 }
 
 /** Charge for a request that may have run but had nothing delivered. */
--- a/packages/gateway/src/request-report.ts
+++ b/packages/gateway/src/request-report.ts
@@ -53,7 +53,7 @@
   };
 }
 
-/** The fields on evacuated and cold endpoints, if there were any. */
+/** The fields on the latest choice of an endpoint. */
 function describePlacement(
   placement: PlacementRecord | undefined,
 ): EventFields {
@@ -63,6 +63,7 @@
   const {evacuated, evacuationsAgeMilliseconds, cold, withheld, isCold} =
     placement;
   return {
+    believed: placement.belief,
     ...(evacuated.length === 0
       ? {}
       : {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -7,6 +7,7 @@
 
 import {AnswerRelay} from './answer-relay.js';
 import {AnswerTimeouts} from './answer-timeouts.js';
+import {beginWork, describeBelief} from './balancing/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
@@ -173,6 +174,7 @@
       stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
+      attempt.work.ended(this.lifetime.now());
       endpoint.load--;
       path.dataCenters.requestEnded(endpoint.entry.dataCenter);
       this.current = undefined;
@@ -204,6 +206,7 @@
     this.record.placement = {
       ...this.chooser.withheld,
       isCold: chosen?.isCold === true,
+      belief: chosen && describeBelief(chosen, this.lifetime.now()),
       evacuated: evacuations.dataCenters,
       evacuationsAgeMilliseconds: evacuations.ageMilliseconds,
     };
@@ -224,6 +227,7 @@
       parts.metrics.coldRequestSent();
     }
     const exchange = this.dispatch(chosen);
+    const work = beginWork(chosen, context, parts.placement, sentAt);
     const monitor = this.timeouts.startMonitor(
       endpoint,
       path,
@@ -236,6 +240,7 @@
       path,
       exchange,
       monitor,
+      work,
       context.identity,
       this.record,
       sentAt,
@@ -290,7 +295,7 @@
    * used as a latency sample, as it does not show how fast the endpoint serves.
    */
   private recordAnswer(
-    {endpoint, path, breaker, monitor}: EndpointAttempt,
+    {endpoint, path, breaker, monitor, work}: EndpointAttempt,
     head: AnswerHead | ExchangeFailure,
   ): void {
     const hasRefused =
@@ -302,6 +307,9 @@
       const {coldMilliseconds = 0} = head.endpointHeaders;
       endpoint.warmth.stated(coldMilliseconds, now);
       this.record.answerBeganAt = now;
+      if (head.status < 300) {
+        work.began(now);
+      }
       if (!head.endpointHeaders.closesConnection) {
         endpoint.confirmOpen(now - monitor.elapsedMilliseconds);
       }
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -112,8 +112,10 @@
       this.hasOutlivedCrash = true;
       this.listener.outlivedCrash();
     }
+    const now = this.now();
+    this.attempt.work.eventsReceived(events.length, now);
     for (const {id} of events) {
-      this.record.eventDelivered(this.now());
+      this.record.eventDelivered(now);
       this.record.lastEventId = id ?? this.record.lastEventId;
     }
     return this.caller.write(concatenate(events));
