--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -13,7 +13,7 @@
 import type {Clock} from '@wisteriadeal/platform';
 
 import {mayRunIn} from './allowed-regions.js';
-import {ownPromptTokens} from './balancing/index.js';
+import {fetchableParts, ownPromptTokens} from './balancing/index.js';
 import {RouteKind, type ServiceDescription} from './configuration.js';
 import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
 import {PathKind, type EndpointPath} from './endpoint-path.js';
@@ -27,7 +27,7 @@
   readonly path: EndpointPath;
   readonly isCold: boolean;
   /** What was expected of the endpoint. */
-  readonly placement: Placement<PlacementCandidate>;
+  readonly placement: Placement<Candidate>;
   /** Prompt tokens that other requests share. */
   readonly sharedTokens: number;
 }
@@ -59,7 +59,8 @@
   fraction(): number;
 }
 
-interface Candidate extends PlacementCandidate, WarmthOfCandidate {
+/** An endpoint that a request may go to. */
+export interface Candidate extends PlacementCandidate, WarmthOfCandidate {
   readonly endpoint: KnownEndpoint;
 }
 
@@ -126,6 +127,12 @@
         avoided,
         fraction: this.rules.fraction(),
         cost: this.costOf(context, now),
+        fetch: fetchableParts(
+          service.engine,
+          sharedTokens,
+          this.rules.speedOf(service.name),
+          now,
+        ),
       },
       candidates,
     );
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,3 +1,4 @@
+import type {PartSource} from '@wisteriadeal/decisions';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {ConnectResult} from './connect-result.js';
@@ -110,6 +111,12 @@
     help: 'Requests that were sent to endpoints that may have been cold.',
     registers: [this.registry],
   });
+  private readonly sharedTokens = new Counter({
+    name: 'wisteriadeal_shared_prompt_tokens_total',
+    help: 'Tokens of long shared prompt parts, by where their endpoint gets them: home, fetched, read.',
+    labelNames: ['source'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -188,6 +195,11 @@
     this.coldRequests.inc();
   }
 
+  /** Counts the tokens of the shared parts of a request that was sent. */
+  sharedPartsPlaced(source: PartSource, tokens: number): void {
+    this.sharedTokens.inc({source}, tokens);
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -7,7 +7,7 @@
 
 import {AnswerRelay} from './answer-relay.js';
 import {AnswerTimeouts} from './answer-timeouts.js';
-import {beginWork, describeBelief} from './balancing/index.js';
+import {beginWork, describeBelief, fetchSource} from './balancing/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
@@ -227,6 +227,10 @@
       parts.metrics.coldRequestSent();
     }
     const exchange = this.dispatch(chosen);
+    parts.metrics.sharedPartsPlaced(
+      chosen.placement.source,
+      chosen.sharedTokens,
+    );
     const work = beginWork(chosen, context, parts.placement, sentAt);
     const monitor = this.timeouts.startMonitor(
       endpoint,
@@ -260,7 +264,8 @@
       : () => undefined;
   }
 
-  private dispatch({endpoint, path}: ChosenEndpoint): EndpointExchange {
+  private dispatch(chosen: ChosenEndpoint): EndpointExchange {
+    const {endpoint, path} = chosen;
     const {caller, body, organisation, route} = this.context;
     const {dialect} = this.parts;
     const {connections} = path;
@@ -271,6 +276,7 @@
       remainingMilliseconds: Math.max(1, Math.floor(this.lifetime.remaining())),
       priority: this.priority(),
       lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
+      fetchFrom: fetchSource(chosen),
     });
     endpoint.load++;
     if (breaker.isTripped) {
