--- a/packages/decisions/src/placement/shared-prompt-placement.ts
+++ b/packages/decisions/src/placement/shared-prompt-placement.ts
@@ -63,8 +63,8 @@
 /** The endpoint of a request, and what is expected of it. */
 export interface Placement<Candidate> {
   readonly candidate: Candidate;
-  /** Where the request's shared parts are read first; undefined if they have no home. */
-  readonly home: Candidate | undefined;
+  /** Endpoint that is named as the source of the shared parts. */
+  readonly fetchFrom: Candidate | undefined;
   readonly source: PartSource;
   /** Prompt tokens that it has to read, as far as known. */
   readonly tokens: number;
@@ -107,7 +107,8 @@
  * A longer prompt part has a home, chosen by rendezvous hashing (Thaler and Ravishankar,
  * 1998), where it needn't be read again. All hosts agree without exchanging messages,
  * and only the prompt parts of an endpoint that leaves are moved. A part that is hot has
- * several homes, of which a random one is chosen; each of them reads the part once.
+ * several homes, of which a random one is chosen; each reads the part once, or fetches it
+ * from the first one of its data centre.
  */
 export function placeRequest(
   request: PlacementRequest,
@@ -126,16 +127,16 @@
     candidate => candidate.isAvailable,
   );
   const {sharedPart, sharedTokens, cost = unknownCost(request)} = request;
-  const home =
+  const homes =
     sharedPart === undefined || sharedTokens <= MAXIMUM_SPREAD_TOKENS
-      ? undefined
-      : homeOf(sharedPart, request, usable);
+      ? []
+      : homesOf(sharedPart, request, usable);
   const costs = new ExpectedCost(
     cost,
-    remoteMilliseconds(cost, home !== undefined),
+    remoteMilliseconds(cost, homes.length > 0),
     usable,
   );
-  const parts = new SharedParts(request, home);
+  const parts = new SharedParts(request, homes);
   const costAt = (other: Candidate) =>
     costs.of(other, cost.ownTokens + parts.costTokens(other)) +
     parts.fetchMilliseconds(other);
@@ -149,7 +150,7 @@
   const tokens = cost.ownTokens + parts.expectedTokens(candidate);
   return {
     candidate,
-    home,
+    fetchFrom: parts.fetchFrom(candidate),
     source: parts.sourceAt(candidate),
     tokens,
     beginMilliseconds: costs.beginMilliseconds(candidate, tokens),
@@ -161,27 +162,41 @@
 /** What a request's shared parts cost at an endpoint. */
 class SharedParts<Candidate extends PlacementCandidate> {
   private readonly heldShare: number;
+  /** The home that the request goes to unless another endpoint costs less. */
+  private readonly home: Candidate | undefined;
 
+  /** @param homes The parts' homes, the first of which reads them first. */
   constructor(
     private readonly request: PlacementRequest,
-    private readonly home: Candidate | undefined,
+    private readonly homes: readonly Candidate[],
   ) {
     this.heldShare = request.fetch?.heldShare ?? 1;
+    this.home = homes[Math.floor(request.fraction * homes.length)];
+  }
+
+  /** The first home of the candidate's data centre, if the parts come from there. */
+  fetchFrom(candidate: Candidate): Candidate | undefined {
+    if (this.request.fetch === undefined) {
+      return undefined;
+    }
+    // Bytes between data centres are expensive, and these are many.
+    const source = this.homes.find(
+      ({dataCenter}) => dataCenter === candidate.dataCenter,
+    );
+    return source === candidate ? undefined : source;
   }
 
   sourceAt(candidate: Candidate): PartSource {
-    const {home, request} = this;
+    const {home} = this;
     if (home === undefined) {
       return PartSource.None;
     }
     if (candidate === home) {
       return PartSource.Home;
     }
-    // Bytes between data centres are expensive, and these are many.
-    return request.fetch !== undefined &&
-      candidate.dataCenter === home.dataCenter
-      ? PartSource.Fetched
-      : PartSource.Read;
+    return this.fetchFrom(candidate) === undefined
+      ? PartSource.Read
+      : PartSource.Fetched;
   }
 
   /** Shared tokens that the endpoint is expected to read. */
@@ -241,20 +256,22 @@
   return fitting.length > 0 ? fitting : candidates;
 }
 
-function homeOf<Candidate extends PlacementCandidate>(
+/** The endpoints that have a part's highest weights, in their order. */
+function homesOf<Candidate extends PlacementCandidate>(
   part: string,
-  {homes, fraction}: PlacementRequest,
+  {homes}: PlacementRequest,
   candidates: readonly Candidate[],
-): Candidate | undefined {
+): readonly Candidate[] {
   const weight = ({id}: Candidate) => murmurhash.v3(`${part} ${id}`);
   if (homes <= 1) {
-    return maximum(candidates, weight);
+    const home = maximum(candidates, weight);
+    return home === undefined ? [] : [home];
   }
-  const ranked = candidates
+  return candidates
     .map(candidate => ({candidate, weight: weight(candidate)}))
     .sort((one, other) => other.weight - one.weight)
-    .slice(0, homes);
-  return ranked[Math.floor(fraction * ranked.length)]?.candidate;
+    .slice(0, homes)
+    .map(({candidate}) => candidate);
 }
 
 function rotated<Candidate>(
--- a/packages/decisions/src/test/balancing-replay.ts
+++ b/packages/decisions/src/test/balancing-replay.ts
@@ -2,7 +2,6 @@
   choosePlacement,
   EndpointWork,
   PartPopularity,
-  PartSource,
   placeRequest,
   RequestWork,
   ServiceSpeed,
@@ -271,10 +270,7 @@
   }
   return {
     engine: placement.candidate.engine,
-    fetchFrom:
-      placement.source === PartSource.Fetched
-        ? placement.home?.engine
-        : undefined,
+    fetchFrom: placement.fetchFrom?.engine,
     placement,
   };
 };
--- a/packages/gateway/src/balancing/fetchable-parts.ts
+++ b/packages/gateway/src/balancing/fetchable-parts.ts
@@ -1,8 +1,4 @@
-import {
-  PartSource,
-  type FetchableParts,
-  type ServiceSpeed,
-} from '@wisteriadeal/decisions';
+import type {FetchableParts, ServiceSpeed} from '@wisteriadeal/decisions';
 
 import type {EngineDescription} from '../configuration.js';
 import type {ChosenEndpoint} from '../endpoint-chooser.js';
@@ -35,11 +31,11 @@
 
 /** `IP:port` from which the endpoint fetches shared parts; undefined if it doesn't. */
 export function fetchSource({
-  placement: {source, home},
+  placement: {fetchFrom},
 }: ChosenEndpoint): string | undefined {
-  if (source !== PartSource.Fetched || home === undefined) {
+  if (fetchFrom === undefined) {
     return undefined;
   }
-  const {address, port} = home.endpoint.entry;
+  const {address, port} = fetchFrom.endpoint.entry;
   return `${address}:${port}`;
 }
