--- a/packages/decisions/src/test/balancing_test.ts
+++ b/packages/decisions/src/test/balancing_test.ts
@@ -1,6 +1,11 @@
 import {describe, expect, it} from 'vitest';
 
-import {EndpointWork, RequestWork, ServiceSpeed} from '../index.js';
+import {
+  EndpointWork,
+  placeRequest,
+  RequestWork,
+  ServiceSpeed,
+} from '../index.js';
 import {BalancingReplay, type BalancingScenario} from './balancing-replay.js';
 
 const SUMMARY = {
@@ -139,3 +144,61 @@
     expect(work.slowness(0, 100)).toBeCloseTo(5);
   });
 });
+
+describe('a plain request', () => {
+  it('stays in its data centre unless the endpoint there is loaded', () => {
+    // Guards against callers that wait while the next data centre is idle, and against
+    // bytes between data centres without need.
+    const speed = new ServiceSpeed();
+    const near = {id: 'near', dataCenter: 'a', work: new EndpointWork()};
+    const far = {id: 'far', dataCenter: 'b', work: new EndpointWork()};
+    const size = {
+      dataCenter: 'a',
+      ownTokens: 0,
+      sharedTokens: 0,
+      tokens: 0,
+      isStream: false,
+      sentMilliseconds: 0,
+    };
+    const answerAfter = (milliseconds: number, sentAt: number) => {
+      const request = new RequestWork(near.work, speed, size, sentAt);
+      request.began(sentAt + milliseconds);
+      request.ended(sentAt + milliseconds);
+    };
+    const chosenAt = (now: number) =>
+      placeRequest(
+        {
+          sharedPart: undefined,
+          sharedTokens: 0,
+          homes: 1,
+          dataCenter: 'a',
+          avoided: new Set(),
+          fraction: 0,
+          cost: {
+            now,
+            speed,
+            dataCenter: 'a',
+            goalMilliseconds: 148,
+            pauseGoalMilliseconds: 0,
+            ownTokens: 0,
+            hosts: 65,
+          },
+        },
+        [near, far].map(one => ({
+          ...one,
+          slots: 6,
+          load: 0,
+          isAvailable: true,
+        })),
+      )?.id;
+    [40, 45, 40, 50].forEach((taken, index) => {
+      answerAfter(taken, 100 * index);
+    });
+    expect(chosenAt(500)).toBe('near');
+    [200, 220, 210, 230].forEach((taken, index) => {
+      answerAfter(taken, 500 + 100 * index);
+    });
+    expect(chosenAt(1_100)).toBe('far');
+    expect(chosenAt(90_000)).toBe('near');
+  });
+});
