--- a/packages/decisions/src/stream-batching/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from './batch-interval.js';
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,4 +1,4 @@
-import type {AdmissionVerdict} from '@wisteriadeal/decisions';
+import type {AdmissionVerdict, PartSource} from '@wisteriadeal/decisions';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {ConnectResult} from './connect-result.js';
@@ -107,16 +107,6 @@
     help: 'Entries of the endpoint list some of whose fields had no valid value.',
     registers: [this.registry],
   });
-  private readonly batchInterval = new Gauge({
-    name: 'wisteriadeal_stream_batch_interval_seconds',
-    help: 'How long events of streams are collected before they are read; 0 if each is read at once.',
-    registers: [this.registry],
-  });
-  private readonly batchReads = new Counter({
-    name: 'wisteriadeal_stream_batches_total',
-    help: 'Reads of the collected events of a stream.',
-    registers: [this.registry],
-  });
   private readonly coldRequests = new Counter({
     name: 'wisteriadeal_cold_endpoint_requests_total',
     help: 'Requests that were sent to endpoints that may have been cold.',
@@ -150,6 +140,12 @@
     help: 'Bytes that copies of runs took, by the tokens of the runs.',
     registers: [this.registry],
   });
+  private readonly sharedTokens = new Counter({
+    name: 'wisteriadeal_shared_prompt_tokens_total',
+    help: 'Tokens of long shared prompt parts, by where their endpoint gets them: home, fetched, read.',
+    labelNames: ['source'],
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -228,16 +224,6 @@
     this.coldRequests.inc();
   }
 
-  /** Sets for how long events of streams are collected, milliseconds. */
-  batchIntervalChanged(milliseconds: number): void {
-    this.batchInterval.set(milliseconds / 1_000);
-  }
-
-  /** Counts a read of the collected events of a stream. */
-  batchRead(): void {
-    this.batchReads.inc();
-  }
-
   /** Counts an answer that closes its connection. */
   callerClosed(): void {
     this.closed.inc();
@@ -271,6 +257,11 @@
     this.copiedBytes.inc(bytes);
   }
 
+  /** Counts the tokens of the shared parts of a request that was sent. */
+  sharedPartsPlaced(source: PartSource, tokens: number): void {
+    this.sharedTokens.inc({source}, tokens);
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
   SuspectRegistry,
 } from './crashes/index.js';
 import {EndpointLeavings, RunCopies} from './continuation/index.js';
+import {ServiceSpeeds} from './balancing/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {PlacementRules} from './endpoint-chooser.js';
@@ -55,7 +56,6 @@
 import {StartGate} from './start-gate.js';
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
-import {EventBatches} from './stream-batching/index.js';
 import {
   ConnectStreamOriginPeers,
   OriginWatch,
@@ -113,7 +113,6 @@
   private readonly reach: ServiceReachMonitor;
   private readonly rotation: HostRotation;
   private readonly loopSaturation = new LoopSaturation();
-  private readonly batches: EventBatches;
   private readonly gate = new StartGate(Object.values(StartRequirement));
   private readonly paths: ServicePaths;
   private readonly tunnels: TunnelServer;
@@ -128,11 +127,6 @@
     this.link = this.createLink();
     this.connections = new EndpointConnectionPool(this.link);
     log.useLink(this.link);
-    this.batches = new EventBatches(
-      gatewayLimits(settings).streamPassMilliseconds,
-      events,
-      this.metrics,
-    );
     this.health = this.createHealth();
     this.rotation = this.createRotation();
     this.configuration = new ConfigurationState(
@@ -294,7 +288,6 @@
     this.callers.close();
     this.status.close();
     this.link.close();
-    this.batches.close();
     for (const follower of this.followers) {
       follower.close();
     }
@@ -359,12 +352,10 @@
 
   private observeLoad(): void {
     const now = this.parts.clock.monotonicMilliseconds();
-    const idleMilliseconds = performance.nodeTiming.idleTime;
     this.loopSaturation.observe(now, {
-      idleMilliseconds,
+      idleMilliseconds: performance.nodeTiming.idleTime,
       waitMilliseconds: this.callers.loopWaitMilliseconds,
     });
-    this.batches.observe(now, idleMilliseconds);
     this.rotation.observe({
       isLinkOverloaded: this.link.isOverloaded,
       isLoopSaturated: this.loopSaturation.isSaturated,
@@ -432,7 +423,10 @@
     const {settings, random} = this.parts;
     const {dataCenter, region, dataCenterRegions} = settings;
     const popularities = new Map<string, PartPopularity>();
+    const speeds = new ServiceSpeeds();
     return {
+      speedOf: service => speeds.of(service),
+      hostCount: () => this.budgets.holderCount,
       popularityOf: service => {
         const popularity = popularities.get(service) ?? new PartPopularity();
         popularities.set(service, popularity);
@@ -560,7 +554,6 @@
           fraction: () => random.fraction(),
         }),
         metrics: this.metrics,
-        batches: this.batches,
         copies: new RunCopies(),
         leavings: new EndpointLeavings(
           this.directory,
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -14,6 +14,7 @@
   type EndpointLeavings,
   type RunCopies,
 } from './continuation/index.js';
+import {beginWork, describeBelief, fetchSource} from './balancing/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {Dialect} from './dialect.js';
 import {EndpointAttempt} from './endpoint-attempt.js';
@@ -44,7 +45,6 @@
 import type {RequestRecord} from './request-record.js';
 import {NextStep, RequestRetries} from './request-retries.js';
 import type {ServicePaths} from './service-paths.js';
-import type {EventBatches} from './stream-batching/index.js';
 
 /** Dependencies shared by all request runs of a process. */
 export interface RunParts {
@@ -60,7 +60,6 @@
   readonly evacuations: EvacuationState;
   readonly admissions: EngineAdmissions;
   readonly metrics: GatewayMetrics;
-  readonly batches: EventBatches;
   readonly copies: RunCopies;
   readonly leavings: EndpointLeavings;
   /** Number of hosts that share the resend budget. */
@@ -125,7 +124,6 @@
       completion,
       lifetime,
       parts.suspects,
-      parts.batches,
     );
   }
 
@@ -212,6 +210,7 @@
       stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
+      attempt.work.ended(this.lifetime.now());
       endpoint.load--;
       path.dataCenters.requestEnded(endpoint.entry.dataCenter);
       this.current = undefined;
@@ -243,6 +242,7 @@
     this.record.placement = {
       ...this.chooser.withheld,
       isCold: chosen?.isCold === true,
+      belief: chosen && describeBelief(chosen, this.lifetime.now()),
       evacuated: evacuations.dataCenters,
       evacuationsAgeMilliseconds: evacuations.ageMilliseconds,
     };
@@ -263,6 +263,11 @@
       parts.metrics.coldRequestSent();
     }
     const exchange = this.dispatch(chosen);
+    parts.metrics.sharedPartsPlaced(
+      chosen.placement.source,
+      chosen.sharedTokens,
+    );
+    const work = beginWork(chosen, context, parts.placement, sentAt);
     const monitor = this.timeouts.startMonitor(
       endpoint,
       path,
@@ -275,6 +280,7 @@
       path,
       exchange,
       monitor,
+      work,
       context.identity,
       this.record,
       sentAt,
@@ -313,6 +319,7 @@
         priority,
         this.retries.canFailOver(),
       ),
+      fetchFrom: fetchSource(chosen),
     });
     endpoint.load++;
     if (breaker.isTripped) {
@@ -337,7 +344,7 @@
    * used as a latency sample, as it does not show how fast the endpoint serves.
    */
   private recordAnswer(
-    {endpoint, path, breaker, monitor, admission}: EndpointAttempt,
+    {endpoint, path, breaker, monitor, work, admission}: EndpointAttempt,
     head: AnswerHead | ExchangeFailure,
   ): void {
     const hasRefused =
@@ -358,6 +365,9 @@
       endpoint.warmth.stated(coldMilliseconds, now);
       this.record.answerBeganAt = now;
       this.continuation.answerBegan(head, endpoint);
+      if (head.status < 300) {
+        work.began(now);
+      }
       if (!head.endpointHeaders.closesConnection) {
         endpoint.confirmOpen(now - monitor.elapsedMilliseconds);
       }
--- a/packages/gateway/src/stream-batching/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from './event-batches.js';
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -7,7 +7,6 @@
   type StreamEvent,
 } from './event-stream-splitter.js';
 import type {RequestRecord} from './request-record.js';
-import type {EventBatches} from './stream-batching/index.js';
 
 /** How relaying one endpoint's part of a stream ended. */
 export enum RelayResult {
@@ -42,10 +41,9 @@
   record: RequestRecord,
   now: () => number,
   listener: StreamListener,
-  batches: EventBatches,
 ): Promise<RelayResult> {
   const relay = new StreamRelay(attempt, caller, record, now, listener);
-  await attempt.exchange.read(chunk => relay.relay(chunk), batches);
+  await attempt.exchange.read(chunk => relay.relay(chunk));
   return relay.result;
 }
 
@@ -114,8 +112,10 @@
       this.hasOutlivedCrash = true;
       this.listener.outlivedCrash();
     }
+    const now = this.now();
+    this.attempt.work.eventsReceived(events.length, now);
     for (const {id} of events) {
-      this.record.eventDelivered(this.now());
+      this.record.eventDelivered(now);
       this.record.lastEventId = id ?? this.record.lastEventId;
     }
     return this.caller.write(concatenate(events));
--- a/packages/gateway/src/test/gateway-limits_test.ts
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -28,7 +28,6 @@
       evacuationMilliseconds: 4_000.5,
       storeRetentionMilliseconds: 20_500,
       linkBytesPerSecond: 0,
-      streamPassMilliseconds: 0,
     });
   });
 
@@ -47,7 +46,6 @@
       evacuationMilliseconds: 5_000,
       storeRetentionMilliseconds: 20_000,
       linkBytesPerSecond: 0,
-      streamPassMilliseconds: 0,
     });
   });
 });
