--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -15,6 +15,7 @@
 import {GrantBorrower} from './grant-borrower.js';
 import {GrantLender} from './grant-lender.js';
 import {GrantPlanner} from './grant-planner.js';
+import {NO_LOAN_OBSERVER, type LoanObserver} from './loan-observer.js';
 import type {GrantAmount, LoanHolder, LoanPeers} from './loan-peers.js';
 import {OrganisationBudget} from './organisation-budget.js';
 import type {StoreHealth} from './store-health.js';
@@ -59,6 +60,7 @@
     private readonly events: EventLog,
     sizing: GrantSizing,
     pooledPart: number,
+    observer: LoanObserver = NO_LOAN_OBSERVER,
   ) {
     this.borrower = new GrantBorrower(
       journal,
@@ -67,6 +69,7 @@
       health,
       clock,
       events,
+      observer,
     );
     this.registry = new BudgetRegistry(replica, health, clock);
     this.reservations = new TokenReservations(
@@ -75,6 +78,7 @@
       () => {
         this.wake.abort();
       },
+      observer,
     );
     this.grantLender = new GrantLender(
       this.registry,
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,6 +1,7 @@
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {ConnectResult} from './connect-result.js';
+import type {LoanResult} from './loan-observer.js';
 import type {RequestRecord} from './request-record.js';
 import type {SuspectEvent} from './crashes/index.js';
 import type {EvacuationEvent} from './evacuation/index.js';
@@ -110,6 +111,17 @@
     help: 'Requests that were sent to endpoints that may have been cold.',
     registers: [this.registry],
   });
+  private readonly loanRequests = new Counter({
+    name: 'wisteriadeal_loan_requests_total',
+    help: 'Requests to other hosts for a loan of tokens, by result.',
+    labelNames: ['result'],
+    registers: [this.registry],
+  });
+  private readonly refusalsWithoutLoan = new Counter({
+    name: 'wisteriadeal_refusals_without_loan_total',
+    help: 'Requests refused for budget at once, as other hosts had nothing left to lend.',
+    registers: [this.registry],
+  });
   private readonly states = new Gauge({
     name: 'wisteriadeal_state',
     help: 'State of the process, one sample per name.',
@@ -188,6 +200,16 @@
     this.coldRequests.inc();
   }
 
+  /** Counts a request to another host for a loan. */
+  loanEnded(result: LoanResult): void {
+    this.loanRequests.inc({result});
+  }
+
+  /** Counts a request that was refused without asking for a loan. */
+  refusedWithoutLoan(): void {
+    this.refusalsWithoutLoan.inc();
+  }
+
   /** Sets the gauge of one value of the process's state. */
   setState(name: string, value: number): void {
     this.states.set({name}, value);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -371,6 +371,7 @@
         seconds: settings.budgetReserveSeconds,
       }),
       settings.budgetPooledPart,
+      this.metrics,
     );
   }
 
--- a/packages/gateway/src/grant-borrower.ts
+++ b/packages/gateway/src/grant-borrower.ts
@@ -11,6 +11,7 @@
 import type {BudgetJournal} from './budget-journal.js';
 import type {BudgetReplica} from './budget-replica.js';
 import type {GrantAmount, LoanAnswer, LoanPeers} from './loan-peers.js';
+import {LoanResult, type LoanObserver} from './loan-observer.js';
 import {LoanRound} from './loan-round.js';
 import type {OrganisationBudget} from './organisation-budget.js';
 import type {StoreHealth} from './store-health.js';
@@ -59,6 +60,7 @@
     private readonly health: StoreHealth,
     private readonly clock: Clock,
     private readonly events: EventLog,
+    private readonly observer: LoanObserver,
   ) {}
 
   /**
@@ -308,6 +310,9 @@
         );
         const mayFetch = inHandOnly && !this.expectsGrant(budget);
         round.recordAnswer(lender, request, answer, mayFetch);
+        this.observer.loanEnded(
+          lent > 0 ? LoanResult.Lent : LoanResult.Nothing,
+        );
         budget.credit(lent);
       }
     } catch (error) {
@@ -353,6 +358,7 @@
     loan: string,
     error: unknown,
   ): void {
+    this.observer.loanEnded(LoanResult.Unanswered);
     this.pauseLender(address, loan, error);
     const recovered = this.unansweredLoans.answerLost(loan);
     if (recovered > 0) {
--- a/packages/gateway/src/token-reservations.ts
+++ b/packages/gateway/src/token-reservations.ts
@@ -7,6 +7,7 @@
 
 import type {BudgetRegistry} from './budget-registry.js';
 import type {GrantBorrower} from './grant-borrower.js';
+import type {LoanObserver} from './loan-observer.js';
 import type {
   OrganisationBudget,
   ReserveResult,
@@ -51,6 +52,7 @@
     private readonly registry: BudgetRegistry,
     private readonly borrower: GrantBorrower,
     private readonly wake: () => void,
+    private readonly observer: LoanObserver,
   ) {}
 
   /** Refuses new requests that need tokens, because the grants are being returned. */
@@ -97,6 +99,7 @@
       return {refusal: BudgetRefusal.Exhausted};
     }
     if (this.borrower.isFruitless(budget, bound)) {
+      this.observer.refusedWithoutLoan();
       this.wake();
       return {refusal: BudgetRefusal.StoreUnavailable};
     }
