--- a/packages/budgets/src/grant-sizing.ts
+++ b/packages/budgets/src/grant-sizing.ts
@@ -75,8 +75,8 @@
 const MOVED_SHARE_PART = 0.8;
 /**
  * Part of a budget that remains from which on this part of the even share is held in
- * full, and below which none of it is. Two thirds of a day's outages come before, and all
- * hosts can fail at once after that.
+ * full, and below which none of it is. With the whole of it until the end of a day, the
+ * loss of all hosts late in the day takes 0.111 of the budgets instead of 0.090.
  */
 const FULL_MOVED_REMAINING_PART = 0.65;
 const NO_MOVED_REMAINING_PART = 0.35;
