--- a/packages/decisions/src/overflow/caller-overflow.ts
+++ b/packages/decisions/src/overflow/caller-overflow.ts
@@ -4,7 +4,7 @@
  * Part of the arrivals that may be retries. Beyond it the other hosts refuse as well, and
  * callers would be sent back and forth.
  */
-const MAXIMUM_RETURNING_SHARE = 0.3;
+const MAXIMUM_RETURNING_SHARE = 0.1;
 /** Minimum weight of counted arrivals from which their share tells something. */
 const MINIMUM_ARRIVALS = 4;
 /**
