--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -11,6 +11,11 @@
   EndpointRequestOptions,
 } from './endpoint-connection-pool.js';
 import type {EndpointEntry} from './endpoint-entry.js';
+import {
+  InputBreach,
+  InputWatch,
+  type InputListener,
+} from './input-limits/index.js';
 import {NoRelayError} from './relay-errors.js';
 import type {EventBatches} from './stream-batching/index.js';
 
@@ -95,6 +100,8 @@
 /** One request to one endpoint, and its answer. */
 export class EndpointExchange {
   private readonly outgoing: ClientRequest;
+  private readonly input: InputWatch;
+  private readonly startedAt = performance.now();
   private incoming: IncomingMessage | undefined;
   private failure: string | undefined;
   private isCancelled = false;
@@ -105,11 +112,13 @@
   private abandonWait: () => void = () => undefined;
   private connectTimeout: NetworkTimeout | undefined;
 
+  /** @param onInputEnded Called when a limit of the endpoint's input is exceeded. */
   constructor(
     private readonly dialect: Dialect,
     private readonly connections: EndpointConnectionPool,
     private readonly endpoint: EndpointEntry,
     private readonly dispatched: DispatchedRequest,
+    private readonly onInputEnded: InputListener = () => undefined,
   ) {
     const options: EndpointRequestOptions = {
       agent: connections,
@@ -122,6 +131,9 @@
       endpointBuild: endpoint.build,
     };
     this.outgoing = sendRequest(options);
+    this.input = new InputWatch(this.outgoing, breach => {
+      this.endInput(breach);
+    });
     this.outgoing.once('socket', socket => {
       if (!socket.connecting) {
         this.origin = this.outgoing.reusedSocket
@@ -175,7 +187,7 @@
       return this.failureResult();
     }
     if (endpointHeaders.isNotRun) {
-      incoming.resume();
+      this.input.discard(incoming);
       const kind =
         status === 421 ? FailureKind.WrongEndpoint : FailureKind.NotRun;
       return {kind, reason: `answered ${status} without running it`};
@@ -191,7 +203,7 @@
       bytes += chunk.length;
       chunks.push(chunk);
       if (bytes > MAXIMUM_BUFFERED_BODY_BYTES) {
-        this.cancel('answer too long');
+        this.endInput(InputBreach.BodyBytes);
       }
     });
     return this.isComplete ? Buffer.concat(chunks) : undefined;
@@ -300,6 +312,15 @@
     }
   }
 
+  /** Closes the connection because a limit of the endpoint's input is exceeded. */
+  endInput(breach: InputBreach): void {
+    if (this.failure === undefined && this.incoming?.complete !== true) {
+      this.cancel(`input limit: ${breach}`);
+      const elapsed = performance.now() - this.startedAt;
+      this.onInputEnded(this.endpoint.id, breach, elapsed);
+    }
+  }
+
   private get mayHaveBody(): boolean {
     const status = this.incoming?.statusCode ?? 0;
     return (
@@ -334,6 +355,7 @@
       incoming.once('end', finish);
       incoming.once('close', finish);
       incoming.on('data', (chunk: Buffer) => {
+        this.input.bodyRead(chunk.length);
         try {
           consumed = onChunk(chunk);
           if (consumed === undefined) {
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -5,6 +5,7 @@
 import type {RequestRecord} from './request-record.js';
 import type {SuspectEvent} from './crashes/index.js';
 import type {EvacuationEvent} from './evacuation/index.js';
+import type {InputBreach} from './input-limits/index.js';
 import type {TakeUp} from './stream-origins/take-up.js';
 import type {TunnelStatus} from './tunnel-protocol.js';
 
@@ -133,6 +134,12 @@
     labelNames: ['verdict', 'priority', 'queued'],
     registers: [this.registry],
   });
+  private readonly inputsEnded = new Counter({
+    name: 'wisteriadeal_endpoint_input_limits_total',
+    help: 'Connections to endpoints that were closed because a limit of their input was exceeded, by limit.',
+    labelNames: ['limit'],
+    registers: [this.registry],
+  });
   private readonly closed = new Counter({
     name: 'wisteriadeal_caller_connections_closed_total',
     help: 'Answers that closed their connections while the host was out of rotation.',
@@ -226,6 +233,11 @@
     this.batchReads.inc();
   }
 
+  /** Counts a connection whose endpoint's input exceeded a limit. */
+  inputEnded(limit: InputBreach): void {
+    this.inputsEnded.inc({limit});
+  }
+
   /** Counts an answer that closes its connection. */
   callerClosed(): void {
     this.closed.inc();
--- /dev/null
+++ b/packages/gateway/src/input-limits/index.ts
@@ -0,0 +1,5 @@
+export * from './event-limit.js';
+export * from './framing-limit.js';
+export * from './input-breach.js';
+export * from './input-log.js';
+export * from './input-watch.js';
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -30,6 +30,7 @@
 import {PathKind, type EndpointPath} from './endpoint-path.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
+import {inputLog} from './input-limits/index.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestBudget} from './request-budget.js';
 import {RequestCompletion} from './request-completion.js';
@@ -289,13 +290,19 @@
     breaker.requestSent();
     path.dataCenters.requestSent(endpoint.entry.dataCenter);
     this.record.endpoint = endpoint.entry.id;
-    return new EndpointExchange(dialect, connections, endpoint.entry, {
-      method: caller.method,
-      target: caller.target,
-      headers: withLength(headers, body),
-      body,
-      attemptId: caller.headers.attemptId,
-    });
+    return new EndpointExchange(
+      dialect,
+      connections,
+      endpoint.entry,
+      {
+        method: caller.method,
+        target: caller.target,
+        headers: withLength(headers, body),
+        body,
+        attemptId: caller.headers.attemptId,
+      },
+      inputLog(this.parts.events, this.parts.metrics),
+    );
   }
 
   /**
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -6,6 +6,7 @@
   hasField,
   type StreamEvent,
 } from './event-stream-splitter.js';
+import {EventLimit} from './input-limits/index.js';
 import type {RequestRecord} from './request-record.js';
 import type {EventBatches} from './stream-batching/index.js';
 
@@ -51,6 +52,7 @@
 
 class StreamRelay {
   private readonly splitter = new EventStreamSplitter();
+  private readonly limit = new EventLimit();
   private isOutOfOrder = false;
   /** Whether an event, and not only comments, came from this endpoint. */
   private hasEvent = false;
@@ -78,6 +80,7 @@
       this.isOutOfOrder = true;
       this.attempt.exchange.cancel('event out of order');
     }
+    this.limitEvent(events.length > 0);
     return forwardable.length === 0 ? undefined : this.forward(forwardable);
   }
 
@@ -104,6 +107,14 @@
     );
   }
 
+  private limitEvent(hasEvents: boolean): void {
+    const {length} = this.splitter.incompleteEvent;
+    const breach = this.limit.arrived(length, hasEvents, this.now());
+    if (breach !== undefined) {
+      this.attempt.exchange.endInput(breach);
+    }
+  }
+
   private forward(events: readonly StreamEvent[]): Promise<void> | undefined {
     this.attempt.monitor.eventReceived();
     if (!this.hasEvent && events.some(hasField)) {
@@ -118,7 +129,11 @@
       this.record.eventDelivered(this.now());
       this.record.lastEventId = id ?? this.record.lastEventId;
     }
-    return this.caller.write(concatenate(events));
+    const writable = this.caller.write(concatenate(events));
+    if (writable !== undefined) {
+      this.limit.restartTime();
+    }
+    return writable;
   }
 }
 
