--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -297,6 +297,23 @@
     });
   });
 
+  it('is ended with its tunnel if its endpoint sends 1xx responses without end', async () => {
+    // Guards against a faulty endpoint that takes up its relay as well.
+    const relay = await startRelay();
+    answer = ({socket}) => {
+      const send = () => {
+        while (socket.write('HTTP/1.1 102 Processing\r\n\r\n'.repeat(100)));
+      };
+      socket.on('drain', send);
+      send();
+    };
+    expect(await readAnswer()).toMatchObject({
+      isComplete: false,
+      error: 'input limit: framing-bytes',
+    });
+    await expect.poll(() => relay.tunnels.openTunnels).toBe(0);
+  });
+
   it('is not complete if the relay closed the tunnel', async () => {
     // Guards against a relay that stops in the middle of an answer.
     const relay = await startRelay();
