--- a/packages/operator/src/index.ts
+++ b/packages/operator/src/index.ts
@@ -7,6 +7,7 @@
 export * from './configuration-error.js';
 export * from './configuration-options.js';
 export * from './configuration-problem.js';
+export * from './configuration-review/index.js';
 export * from './confirmed-append.js';
 export * from './credential.js';
 export * from './fold-sources.js';
