--- a/packages/command-line/src/configuration-file.ts
+++ b/packages/command-line/src/configuration-file.ts
@@ -8,6 +8,14 @@
 
 import {CommandError} from './command-error.js';
 
+/** Applies the rules of the fold, as problems of a file. */
+export function configurationProblems(configuration: Configuration) {
+  return validateConfiguration(configuration).map(({path, message}) => ({
+    path,
+    expected: message.replace(/^expected /, ''),
+  }));
+}
+
 /**
  * Reads a configuration file and validates it with the rules of the fold.
  *
@@ -15,12 +23,7 @@
  *     expected.
  */
 export function loadConfiguration(file: string): Configuration {
-  const result = loadSettings(ConfigurationSchema, file, configuration =>
-    validateConfiguration(configuration).map(({path, message}) => ({
-      path,
-      expected: message.replace(/^expected /, ''),
-    })),
-  );
+  const result = loadSettings(ConfigurationSchema, file, configurationProblems);
   if (result.err) {
     throw new CommandError(
       ExitCode.InvalidInput,
--- a/packages/command-line/src/index.ts
+++ b/packages/command-line/src/index.ts
@@ -11,12 +11,14 @@
 import {Publish} from './commands/publish.js';
 import {RequestExplain} from './commands/request-explain.js';
 import {RequestSummary} from './commands/request-summary.js';
+import {Review} from './commands/review.js';
 import {Schema} from './commands/schema.js';
 import {TopUp} from './commands/top-up.js';
 
 /** The command classes by command name; oclif loads this map. */
 export const COMMANDS = {
   check: Check,
+  review: Review,
   publish: Publish,
   'top-up': TopUp,
   'budget:explain': BudgetExplain,
--- a/packages/operator/src/configuration-review/matching-checks.ts
+++ b/packages/operator/src/configuration-review/matching-checks.ts
@@ -1,3 +1,4 @@
+import type {Path} from '../configuration-problem.js';
 import {
   FindingSeverity,
   firstWithKey,
@@ -13,12 +14,12 @@
 
 function routeFinding(
   route: ReviewedRoute,
-  field: string,
+  field: string | Path,
   finding: Pick<ReviewFinding, 'severity' | 'found' | 'expected'>,
 ): ReviewFinding {
   return {
     entry: `route ${route.name}`,
-    path: ['routes', route.position, field],
+    path: ['routes', route.position, ...[field].flat()],
     ...finding,
   };
 }
@@ -78,10 +79,10 @@
   return routes.flatMap(route => {
     const findings: ReviewFinding[] = [];
     const isWeightless = route.services.every(({weight}) => weight <= 0);
-    for (const {service, weight} of route.services) {
+    route.services.forEach(({service, weight}, index) => {
       if (weight <= 0) {
         findings.push(
-          routeFinding(route, 'services', {
+          routeFinding(route, ['services', index, 'weight'], {
             severity: isWeightless || weight < 0 ? ERROR : WARNING,
             found: `weight ${weight} of service ${service}`,
             expected: isWeightless
@@ -92,7 +93,7 @@
       }
       if (!names.has(service)) {
         findings.push(
-          routeFinding(route, 'services', {
+          routeFinding(route, ['services', index, 'service'], {
             severity: ERROR,
             found: `"${service}"`,
             expected:
@@ -100,7 +101,7 @@
           }),
         );
       }
-    }
+    });
     return findings;
   });
 }
--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -49,6 +49,8 @@
   Success = 0,
   /** A failure without a code of its own. */
   Failure = 1,
+  /** A file to review can't be read. */
+  Unreadable = 2,
   /** Another publication was accepted first. */
   Overtaken = 10,
   /** No process and no record contains the requested item. */
--- a/packages/runtime/src/settings-file.ts
+++ b/packages/runtime/src/settings-file.ts
@@ -72,15 +72,53 @@
   return root;
 }
 
+/** A parsed file of JSON with comments. */
+export interface JsonDocument {
+  readonly value: unknown;
+  /**
+   * The line of the value at a path, from 1; for an absent value that of its
+   * parent.
+   */
+  lineAt(path: readonly (string | number)[]): number;
+}
+
+/**
+ * Parses JSON with comments and keeps the lines of its values.
+ *
+ * @param file File name used in the problems.
+ * @example
+ * ```ts
+ * parseJsonDocument('{\n  "a": [1]\n}', 'a.json').unwrap().lineAt(['a', 0]); // 2
+ * ```
+ */
+export function parseJsonDocument(
+  text: string,
+  file: string,
+): Result<JsonDocument, readonly SettingsProblem[]> {
+  const errors: ParseError[] = [];
+  const root = parseTree(text, errors, {allowTrailingComma: true});
+  if (root === undefined || errors.length > 0) {
+    const problems = parseProblems(file, text, errors);
+    return Err(
+      problems.length > 0
+        ? problems
+        : [{file, line: 1, key: '', expected: 'a JSON object'}],
+    );
+  }
+  return Ok({
+    value: getNodeValue(root) as unknown,
+    lineAt: path => lineOf(text, nodeAt(root, path).offset),
+  });
+}
+
 function toProblem(
   file: string,
-  text: string,
-  root: Node,
+  document: JsonDocument,
   mismatch: SchemaMismatch,
 ): SettingsProblem {
   return {
     file,
-    line: lineOf(text, nodeAt(root, mismatch.path).offset),
+    line: document.lineAt(mismatch.path),
     key: mismatch.path.join('.'),
     expected: mismatch.expected,
   };
@@ -106,19 +144,13 @@
   file: string,
   check: MessageCheck<Schema> = () => [],
 ): Result<MessageShape<Schema>, readonly SettingsProblem[]> {
-  const errors: ParseError[] = [];
-  const root = parseTree(text, errors, {allowTrailingComma: true});
-  if (root === undefined || errors.length > 0) {
-    const problems = parseProblems(file, text, errors);
-    return Err(
-      problems.length > 0
-        ? problems
-        : [{file, line: 1, key: '', expected: 'a JSON object'}],
-    );
+  const document = parseJsonDocument(text, file);
+  if (document.err) {
+    return document;
   }
-  const value: unknown = getNodeValue(root);
+  const {value} = document.val;
   const asProblems = (mismatches: readonly SchemaMismatch[]) =>
-    Err(mismatches.map(mismatch => toProblem(file, text, root, mismatch)));
+    Err(mismatches.map(mismatch => toProblem(file, document.val, mismatch)));
   const mismatches = checkAgainstSchema(schema, value);
   if (mismatches.length > 0) {
     return asProblems(mismatches);
