--- a/packages/command-line/src/configuration-review.ts
+++ b/packages/command-line/src/configuration-review.ts
@@ -7,6 +7,7 @@
   configurationDifference,
   FindingSeverity,
   fleetDifference,
+  publicationEffects,
   reviewFleet,
   reviewPublication,
   versionFindings,
@@ -172,7 +173,7 @@
         ? undefined
         : configurationDifference(inForce, parsed.val).map(change => ({
             ...change,
-            effects: [],
+            effects: publicationEffects(change),
           })),
   };
 }
--- a/packages/command-line/src/test/review_test.ts
+++ b/packages/command-line/src/test/review_test.ts
@@ -31,7 +31,7 @@
   version: 4,
   routes: [
     CHAT,
-    {...CHAT, name: 'hidden'},
+    {...CHAT, goal_ms: 600},
     route('port', {host: 'a.example:80'}),
     route('slash', {path_prefix: 'slash/'}),
     route('open', {path_prefix: '/open'}),
@@ -193,6 +193,16 @@
     expect(run.exitCode).toBe(1);
   });
 
+  it('shows no difference between equal files, also with equal names', async () => {
+    // Guards against differences that hide the one that matters.
+    const run = await review(
+      {'new.json': FAULTY, 'old.json': FAULTY},
+      '--in-force',
+      'old.json',
+    );
+    expect(run.output).toContain('(changes nothing)');
+  });
+
   it('reviews a configuration for "publish"', async () => {
     // Guards against services and organisations that serve no request.
     const run = await review(
@@ -215,6 +225,29 @@
     expect(changes?.map(({item}) => item)).toEqual(['organisations school']);
   });
 
+  it('says that a leaving endpoint completes its requests', async () => {
+    // Guards against an endpoint that is believed to cut what it runs.
+    const fleet = new ConfigurationBuilder();
+    const service = fleet.modelService('tutor', {
+      models: [{name: 'tutor-7b', maximumOutputTokens: 64}],
+    });
+    fleet.endpoint('engine', {
+      service,
+      dataCenter: 'kigali-1',
+      address: '10.0.0.7:8000',
+      slots: 8,
+    });
+    let text = '';
+    fleet.print(part => (text += part));
+    const leaving = text.replace('_STATE_ACTIVE', '_STATE_LEAVING');
+    const run = await review(
+      {'new.json': leaving, 'old.json': text},
+      '--in-force',
+      'old.json',
+    );
+    expect(run.output).toContain('Requests in progress complete');
+  });
+
   it('reports an invalid value without showing a credential', async () => {
     // Guards against a secret in plain text that is printed to a terminal.
     const text = publication(64).replace(hashCredential('school'), 'my-secret');
--- a/packages/operator/src/configuration-review/fleet-difference.ts
+++ b/packages/operator/src/configuration-review/fleet-difference.ts
@@ -68,17 +68,29 @@
   hiddenDetails?(before: Item, after: Item): readonly string[];
 }
 
+/** Entries by name; of equal names, each by its order. */
+function byName<Item extends Named>(items: readonly Item[]): Map<string, Item> {
+  const counts = new Map<string, number>();
+  return new Map(
+    items.map(item => {
+      const count = (counts.get(item.name) ?? 0) + 1;
+      counts.set(item.name, count);
+      return [`${count} ${item.name}`, item];
+    }),
+  );
+}
+
 function compareList<Item extends Named>(
   before: readonly Item[],
   after: readonly Item[],
   effects: ListEffects<Item>,
 ): ReviewedChange[] {
-  const previous = new Map(before.map(item => [item.name, item]));
+  const previous = byName(before);
   const changes: ReviewedChange[] = [];
-  for (const item of after) {
+  for (const [key, item] of byName(after)) {
     const entry = `${effects.kind} ${item.name}`;
-    const old = previous.get(item.name);
-    previous.delete(item.name);
+    const old = previous.get(key);
+    previous.delete(key);
     if (old === undefined) {
       changes.push({
         kind: ChangeKind.Added,
--- a/packages/operator/src/configuration-review/publication-review.ts
+++ b/packages/operator/src/configuration-review/publication-review.ts
@@ -5,6 +5,7 @@
   type Service,
 } from '@wisteriadeal/schema';
 
+import type {ConfigurationChange} from '../configuration-difference.js';
 import {FindingSeverity, type ReviewFinding} from './review-finding.js';
 
 const {Error: ERROR, Warning: WARNING} = FindingSeverity;
@@ -154,3 +155,12 @@
     ...limitFindings(configuration),
   ];
 }
+
+/** States what a change of a published configuration does to requests. */
+export function publicationEffects({
+  details,
+}: ConfigurationChange): readonly string[] {
+  return details.some(detail => detail.endsWith('-> "ENDPOINT_STATE_LEAVING"'))
+    ? ['Requests in progress complete; the endpoint gets no new ones.']
+    : [];
+}
--- a/packages/operator/src/configuration-review/review-finding.ts
+++ b/packages/operator/src/configuration-review/review-finding.ts
@@ -20,7 +20,7 @@
   readonly expected: string;
 }
 
-/** Whether entries with equal keys precede each entry; one per entry. */
+/** For each entry, the first earlier one with the same key, or undefined. */
 export function firstWithKey<Entry>(
   entries: readonly Entry[],
   keyOf: (entry: Entry) => string,
