--- a/packages/decisions/src/admission/returning-callers.ts
+++ b/packages/decisions/src/admission/returning-callers.ts
@@ -6,13 +6,6 @@
  * this part of the usual one is not rounding or network delay.
  */
 const RETURNING_SHARE = 0.9;
-/** Stated limits that differ by less are the same, milliseconds. */
-const SAME_LIMIT_MILLISECONDS = 1;
-/**
- * Part of the stated limits that must be the same for any smaller one to show a retry.
- * A retry after some milliseconds can't be told otherwise.
- */
-const SAME_SHARE = 1 / 3;
 
 /**
  * Recognises callers that were refused before by a stated time limit that is clearly
@@ -40,13 +33,9 @@
     if (known.length > MAXIMUM_KEPT) {
       known.shift();
     }
-    const same = sorted.filter(
-      limit => Math.abs(limit - usual) < SAME_LIMIT_MILLISECONDS,
+    return (
+      sorted.length >= MINIMUM_KNOWN &&
+      limitMilliseconds < RETURNING_SHARE * usual
     );
-    const smallestUsual =
-      same.length >= sorted.length * SAME_SHARE
-        ? usual - SAME_LIMIT_MILLISECONDS
-        : RETURNING_SHARE * usual;
-    return sorted.length >= MINIMUM_KNOWN && limitMilliseconds < smallestUsual;
   }
 }
--- a/packages/decisions/src/arrival-admission.ts
+++ b/packages/decisions/src/arrival-admission.ts
@@ -1,5 +1,3 @@
-import type {CallerOverflow} from './overflow/index.js';
-
 /** A request that has been read, before any expensive work is done for it. */
 export interface ArrivedRequest {
   /**
@@ -17,8 +15,6 @@
    * milliseconds.
    */
   readonly limitMilliseconds: number;
-  /** Whether the caller was probably refused before. False if omitted. */
-  readonly isReturning?: boolean;
 }
 
 /** Current load of a host's event loop. */
@@ -115,9 +111,8 @@
  * consists of. A loop that has paused recently is not overloaded and starts
  * everything, so slow endpoints are no reason to refuse.
  *
- * A request that would be late but still useful is started, unless another host
- * may serve it in time (see `CallerOverflow`). When the load is only slightly
- * above the capacity of all hosts, reading and refusing a request and handling the
+ * A request that would be late but still useful is started. When the load is
+ * only slightly above capacity, reading and refusing a request and handling the
  * caller's retry on a new connection cost about half as much as serving it.
  * Each refusal would cause more load, and fewer requests would be served than
  * without refusals.
@@ -127,11 +122,6 @@
   private sampleCount = 0;
   private lastAnswerAt = -Infinity;
 
-  /** @param overflow Sends callers on to other hosts; omitted if there are none. */
-  constructor(private readonly overflow?: CallerOverflow) {
-    super();
-  }
-
   override recordAnswerStart({busyMilliseconds}: LoopLoad, now: number): void {
     const interval = now - this.lastAnswerAt;
     this.lastAnswerAt = now;
@@ -155,16 +145,10 @@
       const requestsAhead = load.unansweredRequests + begun.length;
       const expectedWaitMilliseconds =
         requestsAhead * this.meanAnswerIntervalMilliseconds;
-      const waitMilliseconds =
-        now + expectedWaitMilliseconds - request.receivedAt;
-      const isOverloaded = requestsAhead > 0 && isLoopOverloaded(request, load);
       const isTooLate =
-        waitMilliseconds > maximumUsefulWaitMilliseconds(request);
-      if (isOverloaded && this.sendsOn(request, waitMilliseconds, now)) {
-        const retryAfterMilliseconds =
-          this.overflow?.retryAfterMilliseconds() ?? 0;
-        refused.push({request, retryAfterMilliseconds});
-      } else if (isOverloaded && isTooLate) {
+        now + expectedWaitMilliseconds - request.receivedAt >
+        maximumUsefulWaitMilliseconds(request);
+      if (requestsAhead > 0 && isTooLate && isLoopOverloaded(request, load)) {
         refused.push({
           request,
           retryAfterMilliseconds: Math.max(
@@ -178,15 +162,6 @@
     }
     return {begun, refused};
   }
-
-  private sendsOn(
-    {objectiveMilliseconds, isReturning = false}: ArrivedRequest,
-    waitMilliseconds: number,
-    now: number,
-  ): boolean {
-    const request = {objectiveMilliseconds, isReturning};
-    return this.overflow?.sendsOn(request, waitMilliseconds, now) === true;
-  }
 }
 
 /** Returns the longest useful wait from the first byte, in milliseconds. */
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -22,7 +22,6 @@
 export * from './load-core.js';
 export * from './load-policies.js';
 export * from './order-planner.js';
-export * from './overflow/index.js';
 export * from './placement-policy.js';
 export * from './queue-policy.js';
 export * from './random-placement.js';
--- a/packages/decisions/src/overflow/index.ts
+++ /dev/null
@@ -1,1 +0,0 @@
-export * from './caller-overflow.js';
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -1,8 +1,4 @@
-import {
-  BeginWithinLimit,
-  CallerOverflow,
-  ReturningCallers,
-} from '@wisteriadeal/decisions';
+import {BeginWithinLimit} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {IncomingMessage, ServerResponse} from 'node:http';
@@ -31,7 +27,6 @@
   private readonly report: LoadReport;
   private readonly loopMonitor: EventLoopMonitor;
   private readonly arrivals: ArrivalQueue;
-  private readonly returning = new ReturningCallers();
 
   /** Connections on which no request has been read yet. */
   private readonly socketsWithoutRequest = new WeakSet<Socket>();
@@ -45,7 +40,6 @@
     private readonly metrics: GatewayMetrics,
     private readonly clock: Clock,
     private readonly events: EventLog,
-    private readonly overflow: CallerOverflow,
   ) {
     this.report = new LoadReport(events);
     this.loopMonitor = new EventLoopMonitor(
@@ -58,7 +52,7 @@
       },
     );
     this.arrivals = new ArrivalQueue(
-      new BeginWithinLimit(this.overflow),
+      new BeginWithinLimit(),
       this.loopMonitor,
       () => clock.monotonicMilliseconds(),
       {
@@ -214,17 +208,9 @@
       void this.handler.handle(caller, this.report);
       return;
     }
-    const {estimatedArrivalAt, headers} = caller;
-    const isReturning = this.returning.isReturning(
-      deadlines.route,
-      headers.deadlineMilliseconds,
-    );
-    this.overflow.recordArrival(
-      isReturning,
-      this.clock.monotonicMilliseconds(),
-    );
+    const {estimatedArrivalAt} = caller;
     this.arrivals.add(
-      {caller, receivedAt: estimatedArrivalAt, isReturning, ...deadlines},
+      {caller, receivedAt: estimatedArrivalAt, ...deadlines},
       isFirst,
     );
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,5 @@
 import {DemandSizing} from '@wisteriadeal/budgets';
 import {
-  CallerOverflow,
   ColdTurns,
   configurationReadWait,
   endpointReadPause,
@@ -186,10 +185,6 @@
       this.metrics,
       clock,
       events,
-      new CallerOverflow(
-        () => parts.random.fraction(),
-        () => this.budgets.holderCount > 1,
-      ),
     );
     this.state = new GatewayState(
       this.configuration,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -55,8 +55,6 @@
  * milliseconds.
  */
 export interface AnswerDeadlines {
-  /** Name of the request's route. */
-  readonly route: string;
   /** The answer should have started by then. */
   readonly objectiveMilliseconds: number;
   /** The caller or the route stops waiting for the answer. */
@@ -134,7 +132,6 @@
     return route === undefined
       ? undefined
       : {
-          route: route.name,
           objectiveMilliseconds: route.goalMilliseconds,
           limitMilliseconds: limitOf(caller, route),
         };
