--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -546,7 +546,8 @@
         admissions: new EngineAdmissions({
           clock,
           metrics: this.metrics,
-          configuration: () => this.configuration.current,
+          configuration: () =>
+            settings.engineAdmission ? this.configuration.current : undefined,
           fraction: () => random.fraction(),
         }),
         metrics: this.metrics,
