--- a/packages/decisions/src/rotation/loop-saturation.ts
+++ b/packages/decisions/src/rotation/loop-saturation.ts
@@ -6,18 +6,15 @@
 const SATURATED_IDLE_SHARE = 0.03;
 /** Share of idle time from which a saturated event loop has capacity again. */
 const FREE_IDLE_SHARE = 0.2;
-/** Wait from which the event loop is late, in milliseconds. */
-const LONG_WAIT_MILLISECONDS = 40;
+/** Duration of a turn from which work waits in the event loop, in milliseconds. */
+const LONG_TURN_MILLISECONDS = 40;
 
 /** What is measured of an event loop. */
 export interface LoopSample {
   /** Idle time since the process started, in milliseconds. */
   readonly idleMilliseconds: number;
-  /**
-   * How long work waits, in milliseconds: the last turn without its idle time, or the
-   * wait of the oldest request that was read and not started.
-   */
-  readonly waitMilliseconds: number;
+  /** Duration of the last turn without its idle time, in milliseconds. */
+  readonly turnMilliseconds: number;
 }
 
 interface TimedIdle {
@@ -34,7 +31,7 @@
  * @example
  * ```ts
  * const {idleTime} = performance.nodeTiming;
- * saturation.observe(now, {idleMilliseconds: idleTime, waitMilliseconds});
+ * saturation.observe(now, {idleMilliseconds: idleTime, turnMilliseconds});
  * if (saturation.isSaturated) leaveRotation();
  * ```
  */
@@ -55,7 +52,7 @@
    *
    * @param now Monotonic clock, in milliseconds.
    */
-  observe(now: number, {idleMilliseconds, waitMilliseconds}: LoopSample): void {
+  observe(now: number, {idleMilliseconds, turnMilliseconds}: LoopSample): void {
     this.samples.push({at: now, idleMilliseconds});
     while (now - (this.samples[1]?.at ?? now) >= WINDOW_MILLISECONDS) {
       this.samples.shift();
@@ -71,6 +68,6 @@
       ? FREE_IDLE_SHARE
       : SATURATED_IDLE_SHARE;
     this.wasSaturated =
-      idleShare < maximumShare && waitMilliseconds >= LONG_WAIT_MILLISECONDS;
+      idleShare < maximumShare && turnMilliseconds >= LONG_TURN_MILLISECONDS;
   }
 }
--- a/packages/gateway/src/arrival-queue.ts
+++ b/packages/gateway/src/arrival-queue.ts
@@ -8,13 +8,6 @@
 import type {CallerExchange} from './caller-exchange.js';
 import type {EventLoopMonitor} from './event-loop-monitor.js';
 
-/**
- * Requests that are started in one turn of the event loop. libuv accepts one
- * connection per turn: if all waiting requests were started in one turn, callers on
- * open connections would keep new callers from being accepted.
- */
-const MAXIMUM_BEGINS_PER_TURN = 1;
-
 /** A request that was read and not started yet. */
 export interface QueuedRequest extends ArrivedRequest {
   readonly caller: CallerExchange;
@@ -33,8 +26,7 @@
 /**
  * Holds requests until a connection close queued behind them would have been
  * read, and then starts or refuses them. A caller that has already left costs
- * no more than reading its request. Requests are started in separate turns, so
- * that a saturated loop accepts a connection for each request it starts.
+ * no more than reading its request.
  */
 export class ArrivalQueue {
   private waiting: QueuedRequest[] = [];
@@ -56,12 +48,6 @@
     this.lastTurnWithoutAcceptAt = now();
   }
 
-  /** How long the oldest request in the queue has waited, milliseconds. */
-  get oldestWaitMilliseconds(): number {
-    const [oldest] = this.waiting;
-    return oldest === undefined ? 0 : this.now() - oldest.caller.arrivedAt;
-  }
-
   /** Records that a connection was accepted in this turn. */
   connectionAccepted(): void {
     this.hasAcceptedConnection = true;
@@ -114,13 +100,8 @@
     this.removeDisconnected();
     const ready = this.waiting.filter(({caller}) => caller.canBegin());
     const plan = this.admission.plan(ready, this.load(), this.now());
-    const begun = plan.begun.slice(0, MAXIMUM_BEGINS_PER_TURN);
-    const handled = new Set([
-      ...begun,
-      ...plan.refused.map(({request}) => request),
-    ]);
-    this.waiting = this.waiting.filter(arrival => !handled.has(arrival));
-    for (const arrival of begun) {
+    this.waiting = this.waiting.filter(arrival => !ready.includes(arrival));
+    for (const arrival of plan.begun) {
       this.begin(arrival);
     }
     for (const refused of plan.refused) {
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -88,15 +88,9 @@
     return this.listener.connections.counts;
   }
 
-  /**
-   * How long work waits in the event loop, milliseconds: the last measured turn, or
-   * what the oldest request has waited to be started, if that is longer.
-   */
-  get loopWaitMilliseconds(): number {
-    return Math.max(
-      this.loopMonitor.reading.turnMilliseconds,
-      this.arrivals.oldestWaitMilliseconds,
-    );
+  /** Duration of the last measured event loop turn, milliseconds. */
+  get loopTurnMilliseconds(): number {
+    return this.loopMonitor.reading.turnMilliseconds;
   }
 
   /** @throws The system's error if the address can't be bound. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -349,7 +349,7 @@
     const now = this.parts.clock.monotonicMilliseconds();
     this.loopSaturation.observe(now, {
       idleMilliseconds: performance.nodeTiming.idleTime,
-      waitMilliseconds: this.callers.loopWaitMilliseconds,
+      turnMilliseconds: this.callers.loopTurnMilliseconds,
     });
     this.rotation.observe({
       isLinkOverloaded: this.link.isOverloaded,
--- a/packages/gateway/src/listening.ts
+++ b/packages/gateway/src/listening.ts
@@ -10,8 +10,7 @@
  * Queue length for connections that were not accepted yet. The event loop
  * accepts one per turn: on a small host a longer queue takes more time to read
  * than callers wait, so that only connections whose callers have already left
- * would be read. At 40 ms per turn, 74 of 200 callers got an answer within a second
- * with 16, and 31 to 34 with 32 and 64.
+ * would be read.
  */
 const LISTEN_BACKLOG = 16;
 
