--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -146,9 +146,10 @@
     priority: number,
     canResend: boolean,
   ): Pick<DispatchHeaders, 'backupAt' | 'continueFrom'> {
-    this.backup = canResend
-      ? undefined
-      : this.placement.choose(chosen, priority);
+    this.backup =
+      canResend || !this.parts.copies.isEnabled
+        ? undefined
+        : this.placement.choose(chosen, priority);
     return {
       backupAt: this.backup && addressOf(this.backup.endpoint.entry),
       continueFrom: this.current?.copy,
--- a/packages/gateway/src/continuation/run-copies.ts
+++ b/packages/gateway/src/continuation/run-copies.ts
@@ -2,6 +2,9 @@
 
 /** What a host knows of the copies of its runs. */
 export class RunCopies {
+  /** @param isEnabled Whether runs are copied while they grow. */
+  constructor(readonly isEnabled: boolean) {}
+
   private readonly tokens = new Map<string, number>();
   private readonly paces = new Map<string, TokenPace>();
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -551,7 +551,7 @@
           fraction: () => random.fraction(),
         }),
         metrics: this.metrics,
-        copies: new RunCopies(),
+        copies: new RunCopies(settings.streamCopies),
         leavings: new EndpointLeavings(
           this.directory,
           gatewayLimits(settings).endpointDrainMilliseconds,
