--- a/packages/gateway/src/answer-timeouts.ts
+++ b/packages/gateway/src/answer-timeouts.ts
@@ -7,7 +7,7 @@
 
 import {ownPromptTokens} from './balancing/index.js';
 import {RouteKind} from './configuration.js';
-import type {KnownEndpoint} from './endpoint-directory.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
 import type {RequestContext} from './request-context.js';
--- a/packages/gateway/src/connect-trials.ts
+++ b/packages/gateway/src/connect-trials.ts
@@ -1,6 +1,7 @@
 import {ConnectTrial, ConnectTrialEnd} from './connect-trial.js';
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
-import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
+import type {EndpointDirectory} from './endpoint-directory.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 
 /** Dependencies of `ConnectTrials`. */
--- a/packages/gateway/src/continuation/copy-placement.ts
+++ b/packages/gateway/src/continuation/copy-placement.ts
@@ -9,7 +9,7 @@
 import {RouteKind} from '../configuration.js';
 import type {SuspectRegistry} from '../crashes/index.js';
 import type {ChosenEndpoint, EndpointChooser} from '../endpoint-chooser.js';
-import type {KnownEndpoint} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 import {PathKind} from '../endpoint-path.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import type {RequestContext} from '../request-context.js';
--- a/packages/gateway/src/continuation/endpoint-leavings.ts
+++ b/packages/gateway/src/continuation/endpoint-leavings.ts
@@ -1,4 +1,5 @@
-import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
+import type {EndpointDirectory} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 
 /** Tells the runs at an endpoint that it leaves. */
 export class EndpointLeavings {
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -3,7 +3,7 @@
 
 import type {Dialect} from '../dialect.js';
 import type {EndpointAttempt} from '../endpoint-attempt.js';
-import type {KnownEndpoint} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 import {AnswerFraming} from '../endpoint-exchange.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import {ContinuationEvent} from './continuation-event.js';
--- a/packages/gateway/src/crashes/crash-detector.ts
+++ b/packages/gateway/src/crashes/crash-detector.ts
@@ -4,7 +4,7 @@
 import {ConnectTrial, ConnectTrialEnd} from '../connect-trial.js';
 import type {EndpointAttempt} from '../endpoint-attempt.js';
 import type {EndpointConnectionPool} from '../endpoint-connection-pool.js';
-import type {KnownEndpoint} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 import {PathKind} from '../endpoint-path.js';
 
 /** Dependencies of `CrashDetector`. */
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -4,7 +4,7 @@
 } from '@wisteriadeal/decisions';
 
 import type {AttemptObservation} from './admission/index.js';
-import type {KnownEndpoint} from './endpoint-directory.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 import type {EndpointExchange} from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
--- a/packages/gateway/src/endpoint-path.ts
+++ b/packages/gateway/src/endpoint-path.ts
@@ -5,7 +5,7 @@
 } from '@wisteriadeal/decisions';
 
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
-import type {KnownEndpoint} from './endpoint-directory.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 
 /** How connections get to an endpoint, as it appears in logs. */
 export enum PathKind {
--- /dev/null
+++ b/packages/gateway/src/known-endpoint.ts
@@ -0,0 +1,115 @@
+import {
+  EndpointCircuitBreaker,
+  EndpointWarmth,
+  EndpointWork,
+  type StreamOrigin,
+} from '@wisteriadeal/decisions';
+
+import type {EndpointEntry} from './endpoint-entry.js';
+
+/** An endpoint, and this host's observations of it. */
+export class KnownEndpoint {
+  /** For connections that this host opens itself. */
+  breaker: EndpointCircuitBreaker;
+  /**
+   * For connections through other hosts. What the host sees over a path that
+   * it has lost says nothing of the endpoint.
+   */
+  readonly relayedBreaker = new EndpointCircuitBreaker();
+  /** Number of this host's requests in progress at the endpoint. */
+  load = 0;
+  /** The same as work, and what the host believes of the endpoint's speed. */
+  readonly work = new EndpointWork();
+  /**
+   * Whether the endpoint itself announced that it leaves, before the list did.
+   */
+  hasAnnouncedLeaving = false;
+  /**
+   * When the latest request was sent whose answer kept the connection open, on
+   * the monotonic clock, milliseconds.
+   */
+  confirmedOpenAt = -Infinity;
+
+  /** Whether the list has a start of the endpoint with another build in its place. */
+  isReplacedByOther = false;
+  /** The endpoint was at work at this time; monotonic clock, milliseconds. */
+  private aliveAt = -Infinity;
+  /** When it was seen to have ended, after `aliveAt`. */
+  private endedAt: number | undefined;
+
+  /** Whether it may be cold, after a start that the list may not tell of. */
+  readonly warmth: EndpointWarmth;
+
+  /**
+   * @param onTrip Called when the circuit breaker opens after a success.
+   * @param coldStartMilliseconds Returns how long it is cold after a start.
+   */
+  constructor(
+    public entry: EndpointEntry,
+    private readonly onTrip: () => void = () => undefined,
+    coldStartMilliseconds: () => number = () => 0,
+  ) {
+    this.breaker = new EndpointCircuitBreaker(onTrip);
+    this.warmth = new EndpointWarmth(coldStartMilliseconds);
+  }
+
+  /** Forgets what was observed over this host's own path. */
+  resetBreaker(): void {
+    this.breaker = new EndpointCircuitBreaker(this.onTrip);
+  }
+
+  /**
+   * Records that the answer to a request sent at this time kept the connection
+   * open.
+   */
+  confirmOpen(sentAt: number): void {
+    this.confirmedOpenAt = Math.max(this.confirmedOpenAt, sentAt);
+  }
+
+  /** Records that the endpoint was at work at a time. */
+  wasAlive(at: number): void {
+    this.warmth.lived(at);
+    this.aliveAt = Math.max(this.aliveAt, at);
+    if (this.endedAt !== undefined && this.endedAt < at) {
+      this.endedAt = undefined;
+    }
+  }
+
+  /** Records that the endpoint's process was seen to have ended. */
+  hasEnded(at: number): void {
+    this.warmth.refused(at);
+    this.endedAt ??= at;
+  }
+
+  /**
+   * What answered at the endpoint's address at a time. Undefined if it may have been
+   * another build: this host had seen the endpoint end, and nothing shows that it
+   * was still this one.
+   */
+  originAt(at: number): StreamOrigin | undefined {
+    const mayHaveEnded =
+      at > this.aliveAt && this.endedAt !== undefined && this.endedAt <= at;
+    return mayHaveEnded ? undefined : this.listedOriginAt(at);
+  }
+
+  /**
+   * What answered at the endpoint's address at a time, by the list alone. Undefined
+   * if the list has had a start of it with another build since.
+   */
+  listedOriginAt(at: number): StreamOrigin | undefined {
+    const {service, build} = this.entry;
+    return this.isReplacedByOther && at > this.aliveAt
+      ? undefined
+      : {service, build};
+  }
+
+  /** Identifies one run of the endpoint; it may start again under its identifier. */
+  get incarnation(): string {
+    return `${this.entry.id}/${this.entry.bornAt}`;
+  }
+
+  /** Whether the endpoint itself accepts new requests. */
+  get isOpen(): boolean {
+    return !this.entry.isLeaving && !this.hasAnnouncedLeaving;
+  }
+}
--- a/packages/gateway/src/service-paths.ts
+++ b/packages/gateway/src/service-paths.ts
@@ -8,7 +8,8 @@
 
 import {ConnectTrials} from './connect-trials.js';
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
-import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
+import type {EndpointDirectory} from './endpoint-directory.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 import {DirectPath, RelayedPath, type EndpointPath} from './endpoint-path.js';
 import {RelayDirectory, type PeerHost} from './relay-directory.js';
 import {RelayedConnectionPool} from './relayed-connection-pool.js';
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -10,7 +10,8 @@
   type FleetConfiguration,
   type Route,
 } from '../configuration.js';
-import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
+import type {EndpointDirectory} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 import {RouteHistory} from './route-history.js';
 
 /** Shortest time for which callers may take streams up, milliseconds. */
--- a/packages/gateway/src/stream-origins/recent-runs.ts
+++ b/packages/gateway/src/stream-origins/recent-runs.ts
@@ -1,4 +1,4 @@
-import type {KnownEndpoint} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 import type {FirstRun} from './stream-binding.js';
 
 /** A run that began a stream. */
--- a/packages/gateway/src/stream-origins/stream-binding.ts
+++ b/packages/gateway/src/stream-origins/stream-binding.ts
@@ -1,6 +1,6 @@
 import {isSameOrigin, type StreamOrigin} from '@wisteriadeal/decisions';
 
-import type {KnownEndpoint} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 import type {EndpointPath} from '../endpoint-path.js';
 
 /** The run that brought the first event of a stream. */
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -12,7 +12,8 @@
   StreamOriginRecord,
 } from '@wisteriadeal/schema';
 
-import type {EndpointDirectory, KnownEndpoint} from '../endpoint-directory.js';
+import type {EndpointDirectory} from '../endpoint-directory.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
 import type {PeerHost} from '../relay-directory.js';
 import {
   decodeAnswer,
--- a/packages/gateway/src/test/crash-detector_test.ts
+++ b/packages/gateway/src/test/crash-detector_test.ts
@@ -7,7 +7,7 @@
 import {CrashDetector} from '../crashes/index.js';
 import type {EndpointAttempt} from '../endpoint-attempt.js';
 import {EndpointConnectionPool} from '../endpoint-connection-pool.js';
-import {KnownEndpoint} from '../endpoint-directory.js';
+import {KnownEndpoint} from '../known-endpoint.js';
 import {PathKind} from '../endpoint-path.js';
 
 let server: Server;
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -13,7 +13,8 @@
   EndpointConnectionPool,
   type EndpointRequestOptions,
 } from '../endpoint-connection-pool.js';
-import {KnownEndpoint, type EndpointDirectory} from '../endpoint-directory.js';
+import type {EndpointDirectory} from '../endpoint-directory.js';
+import {KnownEndpoint} from '../known-endpoint.js';
 import {EndpointExchange} from '../endpoint-exchange.js';
 import {GatewayMetrics} from '../gateway-metrics.js';
 import type {LoanHolder} from '../loan-peers.js';
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -3,7 +3,8 @@
 import {connect, type Socket} from 'node:net';
 
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
-import type {EndpointDirectory, KnownEndpoint} from './endpoint-directory.js';
+import type {EndpointDirectory} from './endpoint-directory.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
 import {TunnelEnds} from './tunnel-ends.js';
