Log the limits that endpoints name in their answers

What an endpoint says of itself is decoded once, in platform/, from the head of each answer (also of refusals, moves and what comes over other hosts, but not of 421, which another endpoint gives), and taken up in one place: lines when a limit is named, changed or ended, with the request that brought it, the state dump and a gauge. Values that are none are named and leave what was in force. No decision uses it yet.

--- /dev/null
+++ b/packages/decisions/src/endpoint-statements/index.ts
@@ -0,0 +1,1 @@
+export * from './stated-limit.js';
--- a/packages/gateway/src/continuation/endpoint-calls.ts
+++ b/packages/gateway/src/continuation/endpoint-calls.ts
@@ -11,6 +11,8 @@
 /** An endpoint's answer to a call. */
 export interface CallAnswer {
   readonly status: number;
+  /** Alternating names and values, as received. */
+  readonly rawHeaders: readonly string[];
   readonly body: Buffer;
 }
 
@@ -61,10 +63,9 @@
         resolve(undefined);
       });
       incoming.on('end', () => {
-        const status = incoming.statusCode ?? 0;
-        resolve(
-          incoming.complete ? {status, body: Buffer.concat(chunks)} : undefined,
-        );
+        const {complete, rawHeaders, statusCode: status = 0} = incoming;
+        const body = Buffer.concat(chunks);
+        resolve(complete ? {status, rawHeaders, body} : undefined);
       });
     });
     outgoing.on('error', () => {
--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -108,6 +108,8 @@
           ...this.parts,
           attempt,
           attemptId,
+          statements: this.parts.directory.statements,
+          now: () => this.parts.lifetime.now(),
           isDue: timeLeft => this.isMoveDue(timeLeft),
           claimPlace: () => this.claimPlace(attempt),
         })
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -8,18 +8,22 @@
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import {ContinuationEvent} from './continuation-event.js';
 import {addressOf} from './copy-address.js';
-import {callEndpoint} from './endpoint-calls.js';
+import type {EndpointStatements} from '../endpoint-statements/index.js';
+import {callEndpoint, type CallAnswer} from './endpoint-calls.js';
 import type {EndpointLeavings} from './endpoint-leavings.js';
-import {MoveResult} from './move-messages.js';
+import {MoveResult, type EndpointCall} from './move-messages.js';
 
 /** Dependencies of `RunMove`. */
 export interface RunMoveParts {
   readonly attempt: EndpointAttempt;
   readonly attemptId: string;
   readonly dialect: Dialect;
+  readonly statements: EndpointStatements;
   readonly leavings: EndpointLeavings;
   readonly metrics: GatewayMetrics;
   readonly events: EventLog;
+  /** The monotonic clock, milliseconds. */
+  readonly now: () => number;
   /** Whether the run has to be moved from an endpoint that ends in so many milliseconds. */
   readonly isDue: (timeLeftMilliseconds: number) => boolean;
   /** Chooses where the run goes, and takes a resend for it; undefined if it can't. */
@@ -39,6 +43,8 @@
  * call whose stream has ended; milliseconds.
  */
 const MAXIMUM_STOP_MILLISECONDS = 400;
+/** Another endpoint has the address. */
+const MISDIRECTED_STATUS = 421;
 /** Share of the drain time after which runs that are still there are examined again. */
 const SECOND_CHECK_SHARE = 0.5;
 
@@ -136,15 +142,13 @@
 
   private async move(place: KnownEndpoint): Promise<void> {
     const {attempt, attemptId, dialect, metrics, events} = this.parts;
-    const {endpoint, path, exchange} = attempt;
+    const {endpoint, exchange} = attempt;
     metrics.continuationEvent(ContinuationEvent.MoveAsked);
     const to = addressOf(place.entry);
     const endpointId = endpoint.entry.id;
-    const answer = await callEndpoint(
-      path.connections,
-      endpoint.entry,
+    const answer = await this.callAt(
+      endpoint,
       dialect.moveCall({endpointId, attemptId, to}),
-      this.abandoned.signal,
     );
     const move =
       answer && dialect.moveAnswer(answer.status, new Uint8Array(answer.body));
@@ -178,18 +182,34 @@
     await this.call;
     const stopped = this.take();
     if (stopped !== undefined) {
-      const {dialect, attempt} = this.parts;
-      const {entry} = stopped.source;
-      await callEndpoint(
-        attempt.path.connections,
-        entry,
-        dialect.freeHandleCall(entry.id, stopped.handle),
-        this.abandoned.signal,
-      );
+      const {source, handle} = stopped;
+      const {id} = source.entry;
+      await this.callAt(source, this.parts.dialect.freeHandleCall(id, handle));
     }
     timeout.close();
   }
 
+  /** Calls the endpoint of the run, and takes up what it says of itself. */
+  private async callAt(
+    endpoint: KnownEndpoint,
+    call: EndpointCall,
+  ): Promise<CallAnswer | undefined> {
+    const {attempt, attemptId, dialect, statements, now} = this.parts;
+    const sentAt = now();
+    const answer = await callEndpoint(
+      attempt.path.connections,
+      endpoint.entry,
+      call,
+      this.abandoned.signal,
+    );
+    if (answer !== undefined && answer.status !== MISDIRECTED_STATUS) {
+      const {status, rawHeaders} = answer;
+      const {statement} = dialect.endpointAnswer(status, rawHeaders);
+      statements.answered(endpoint, {statement, sentAt, request: attemptId});
+    }
+    return answer;
+  }
+
   private startTimeout(milliseconds: number, action: () => void): void {
     this.timeouts.push(new NetworkTimeout(milliseconds, action));
   }
--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -5,6 +5,7 @@
   MoveRequest,
 } from './continuation/move-messages.js';
 import type {EndpointEntry} from './endpoint-entry.js';
+import type {EndpointStatement} from './endpoint-statements/index.js';
 
 /**
  * One part of a prompt; requests with the same part share its cached tokens at
@@ -89,6 +90,7 @@
    * stated.
    */
   readonly coldMilliseconds: number | undefined;
+  readonly statement: EndpointStatement;
 }
 
 /**
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -4,6 +4,7 @@
 
 import type {Dialect} from './dialect.js';
 import type {EndpointEntry} from './endpoint-entry.js';
+import {EndpointStatements} from './endpoint-statements/index.js';
 import {KeyedTopicReader} from './keyed-follower.js';
 import {KnownEndpoint} from './known-endpoint.js';
 import type {StoreHealth} from './store-health.js';
@@ -43,6 +44,8 @@
 
 /** The endpoints on the platform's list. */
 export class EndpointDirectory extends KeyedTopicReader {
+  /** What endpoints say of themselves in their answers. */
+  readonly statements: EndpointStatements;
   private readonly endpoints = new Map<string, KnownEndpoint>();
   /**
    * Endpoints removed from the list around a store outage, with the time of
@@ -75,6 +78,7 @@
     private readonly rules: EndpointRules,
   ) {
     super();
+    this.statements = new EndpointStatements(clock, events);
   }
 
   /** Adds a listener that is called each time the complete list was read. */
@@ -289,6 +293,7 @@
         this.events.info('circuit breaker opened', {endpoint: entry.id});
       },
       () => this.rules.coldStartMilliseconds(entry.service),
+      this.statements.conditionsOf(entry),
     );
     this.endpoints.set(entry.id, endpoint);
     this.learnCold(endpoint);
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -73,6 +73,8 @@
 export interface ExchangeFailure {
   readonly kind: FailureKind;
   readonly reason: string;
+  /** Headers of the endpoint's refusal, if there is one. */
+  readonly endpointHeaders?: EndpointAnswerHeaders;
   /** Whether the connect may have been delayed by this host's own link. */
   readonly mayBeLinkDelay?: boolean;
   /** Whether neither this host nor another one reaches the service. */
@@ -192,9 +194,10 @@
     }
     if (endpointHeaders.isNotRun) {
       this.input.discard(incoming);
-      const kind =
-        status === 421 ? FailureKind.WrongEndpoint : FailureKind.NotRun;
-      return {kind, reason: `answered ${status} without running it`};
+      const reason = `answered ${status} without running it`;
+      return status === 421
+        ? {kind: FailureKind.WrongEndpoint, reason}
+        : {kind: FailureKind.NotRun, reason, endpointHeaders};
     }
     return {status, rawHeaders, endpointHeaders};
   }
--- /dev/null
+++ b/packages/gateway/src/endpoint-statements/endpoint-statement.ts
@@ -0,0 +1,19 @@
+/** What an endpoint says of itself in the head of an answer. */
+export interface EndpointStatement {
+  /**
+   * Requests a second that it takes from all hosts together; undefined if it names no
+   * limit.
+   */
+  readonly requestsPerSecond: number | undefined;
+  /** Names of headers whose values are not valid; what was in force before stays. */
+  readonly ignoredHeaders: readonly string[];
+}
+
+/** An answer of an endpoint, as far as its statement depends on it. */
+export interface StatedAnswer {
+  readonly statement: EndpointStatement;
+  /** When the request was sent, on the monotonic clock, milliseconds. */
+  readonly sentAt: number;
+  /** Identifier of the request; undefined if its caller named none. */
+  readonly request: string | undefined;
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -0,0 +1,74 @@
+import {LimitChange} from '@wisteriadeal/decisions';
+import type {Clock} from '@wisteriadeal/platform';
+import type {EventLog} from '@wisteriadeal/runtime';
+
+import type {EndpointEntry} from '../endpoint-entry.js';
+import type {KnownEndpoint} from '../known-endpoint.js';
+import type {StatedAnswer} from './endpoint-statement.js';
+import {StatedConditions} from './stated-conditions.js';
+
+/** Starts of endpoints that are remembered, also while the list does not have them. */
+const MAXIMUM_REMEMBERED_STARTS = 4_096;
+
+/**
+ * Takes up what endpoints say of themselves in their answers. It is kept for each start
+ * of an endpoint, whose entry may leave the list and come back.
+ */
+export class EndpointStatements {
+  private readonly conditions = new Map<string, StatedConditions>();
+
+  constructor(
+    private readonly clock: Clock,
+    private readonly events: EventLog,
+  ) {}
+
+  /** What a start of an endpoint has said. */
+  conditionsOf({id, bornAt, build}: EndpointEntry): StatedConditions {
+    const start = `${id} ${bornAt} ${build}`;
+    const known = this.conditions.get(start) ?? new StatedConditions();
+    this.conditions.delete(start);
+    this.conditions.set(start, known);
+    const [oldest] = this.conditions.keys();
+    if (
+      oldest !== undefined &&
+      this.conditions.size > MAXIMUM_REMEMBERED_STARTS
+    ) {
+      this.conditions.delete(oldest);
+    }
+    return known;
+  }
+
+  /** Takes up an answer, before anything of it is passed on. */
+  answered(endpoint: KnownEndpoint, answer: StatedAnswer): void {
+    const {ignoredHeaders} = answer.statement;
+    if (ignoredHeaders.length > 0) {
+      this.events.warn('endpoint headers ignored', {
+        endpoint: endpoint.entry.id,
+        request: answer.request,
+        headers: ignoredHeaders.join(', '),
+      });
+      return;
+    }
+    this.takeUpLimit(endpoint, answer);
+  }
+
+  private takeUpLimit(
+    {entry, conditions: {limit}}: KnownEndpoint,
+    {statement, sentAt, request}: StatedAnswer,
+  ): void {
+    const now = this.clock.monotonicMilliseconds();
+    const previous = limit.requestsPerSecond;
+    const previousAge = limit.ageMilliseconds(now);
+    const change = limit.answered(statement.requestsPerSecond, sentAt, now);
+    if (change !== LimitChange.None) {
+      this.events.info(`endpoint limit ${change}`, {
+        endpoint: entry.id,
+        request,
+        requestsPerSecond: statement.requestsPerSecond,
+        ...(previous === undefined
+          ? {}
+          : {previous, previousAgeMilliseconds: Math.round(previousAge)}),
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint-statements/index.ts
@@ -0,0 +1,3 @@
+export * from './endpoint-statement.js';
+export * from './endpoint-statements.js';
+export * from './stated-conditions.js';
--- /dev/null
+++ b/packages/gateway/src/endpoint-statements/stated-conditions.ts
@@ -0,0 +1,9 @@
+import {StatedLimit} from '@wisteriadeal/decisions';
+
+/**
+ * What one start of an endpoint has said of itself in its answers, as far as it still
+ * holds.
+ */
+export class StatedConditions {
+  readonly limit = new StatedLimit();
+}
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -93,16 +93,19 @@
       tunnels: this.tunnels.openTunnels,
       crashSuspects: this.suspects.subjectCount,
       streamOrigins: this.origins.streamCount,
-      endpoints: this.directory.all.map(({entry, load, breaker, warmth}) => ({
-        id: entry.id,
-        service: entry.service,
-        build: entry.build,
-        leaving: entry.isLeaving,
-        cold: warmth.isCold(now),
-        load,
-        trusted: breaker.isAvailable(now),
-        failedShare: breaker.failedShare,
-      })),
+      endpoints: this.directory.all.map(
+        ({entry, load, breaker, warmth, conditions}) => ({
+          id: entry.id,
+          service: entry.service,
+          build: entry.build,
+          leaving: entry.isLeaving,
+          cold: warmth.isCold(now),
+          requestsPerSecond: conditions.limit.requestsPerSecond ?? null,
+          load,
+          trusted: breaker.isAvailable(now),
+          failedShare: breaker.failedShare,
+        }),
+      ),
       budgets: Object.fromEntries(
         (configuration?.organisations ?? []).map(({name}) => [
           name,
@@ -159,6 +162,12 @@
       'cold_endpoints',
       this.directory.all.filter(({warmth}) => warmth.isCold(now)).length,
     );
+    this.metrics.setState(
+      'endpoints_limited',
+      this.directory.all.filter(
+        ({conditions}) => conditions.limit.requestsPerSecond !== undefined,
+      ).length,
+    );
     this.metrics.setState('tunnels', this.tunnels.openTunnels);
     this.metrics.setState('crash_suspects', this.suspects.subjectCount);
     this.metrics.setState('stream_origins', this.origins.streamCount);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -9,6 +9,7 @@
 export * from './continuation/move-messages.js';
 export * from './dialect.js';
 export * from './endpoint-entry.js';
+export * from './endpoint-statements/endpoint-statement.js';
 export * from './gateway.js';
 export * from './gateway-names.js';
 export * from './hop-headers.js';
--- a/packages/gateway/src/known-endpoint.ts
+++ b/packages/gateway/src/known-endpoint.ts
@@ -6,6 +6,7 @@
 } from '@wisteriadeal/decisions';
 
 import type {EndpointEntry} from './endpoint-entry.js';
+import {StatedConditions} from './endpoint-statements/stated-conditions.js';
 
 /** An endpoint, and this host's observations of it. */
 export class KnownEndpoint {
@@ -43,11 +44,13 @@
   /**
    * @param onTrip Called when the circuit breaker opens after a success.
    * @param coldStartMilliseconds Returns how long it is cold after a start.
+   * @param conditions What it has said of itself.
    */
   constructor(
     public entry: EndpointEntry,
     private readonly onTrip: () => void = () => undefined,
     coldStartMilliseconds: () => number = () => 0,
+    readonly conditions = new StatedConditions(),
   ) {
     this.breaker = new EndpointCircuitBreaker(onTrip);
     this.warmth = new EndpointWarmth(coldStartMilliseconds);
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -351,9 +351,24 @@
    * used as a latency sample, as it does not show how fast the endpoint serves.
    */
   private recordAnswer(
-    {endpoint, path, breaker, monitor, work, admission}: EndpointAttempt,
+    {
+      endpoint,
+      path,
+      breaker,
+      monitor,
+      work,
+      admission,
+      sentAt,
+    }: EndpointAttempt,
     head: AnswerHead | ExchangeFailure,
   ): void {
+    if (head.endpointHeaders !== undefined) {
+      this.parts.directory.statements.answered(endpoint, {
+        statement: head.endpointHeaders.statement,
+        sentAt,
+        request: this.context.caller.headers.attemptId,
+      });
+    }
     const hasRefused =
       isFailure(head) &&
       (head.kind === FailureKind.NotRun ||
--- a/packages/gateway/src/test/any-answer-dialect.ts
+++ b/packages/gateway/src/test/any-answer-dialect.ts
@@ -7,5 +7,6 @@
     isNotRun: false,
     closesConnection: false,
     hasProof: true,
+    statement: {requestsPerSecond: undefined, ignoredHeaders: []},
   }),
 } as unknown as Dialect;
