Share the limit that an endpoint names among all hosts

What callers saw: endpoints in need that named a limit in their answers got as many requests as before: 14 in 4 s where 11 were allowed (LIMIT).

Cause: what an endpoint says of itself in its answers was no part of what a host knows of it; only the list and the outcome of requests were. Evidence: counts at the limited endpoints don't change when they name the limit, and nothing in the code read it.

Change: hosts take turns. The requests that the endpoint takes are given to the hosts one after the other, by the time of day and a host's rank on the budget log; a turn that is not used in time is lost. At most N x (t + 1 s) + 3 requests reach the endpoint in a time t, whatever hosts have requests, without a message. What finds no endpoint is refused at once, as not run.

Why it works: shares of a limit that each host keeps by itself add up to one request for each host at once; turns don't.

--- a/packages/decisions/src/endpoint-statements/index.ts
+++ b/packages/decisions/src/endpoint-statements/index.ts
@@ -1,1 +1,3 @@
+export * from './limit-admission.js';
+export * from './limit-turns.js';
 export * from './stated-limit.js';
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -116,6 +116,11 @@
     );
   }
 
+  /** Names of all hosts, including this one, as of the last read. */
+  get hosts(): readonly string[] {
+    return [...this.replica.fold.holders.values()].map(({host}) => host);
+  }
+
   /** Names of the hosts of a data centre, including this one, as of the last read. */
   hostsIn(dataCenter: string): readonly string[] {
     return [...this.replica.fold.holders.values()]
--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -243,8 +243,9 @@
     const {context, chooser} = this.parts;
     const copy = `${addressOf(source.entry)}/${handle}`;
     const places = [
-      destination && chooser.continueAt(context, destination),
-      chooser.continueAt(context, source, true),
+      destination &&
+        chooser.continueAt(context, destination, {isStopped: true}),
+      chooser.continueAt(context, source, {isStopped: true, mayLeave: true}),
     ];
     return places
       .filter(chosen => chosen !== undefined)
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -20,6 +20,10 @@
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {KnownEndpoint} from './known-endpoint.js';
 import {PathKind, type EndpointPath} from './endpoint-path.js';
+import type {
+  StatedAdmission,
+  WithholdingReason,
+} from './endpoint-statements/index.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestContext} from './request-context.js';
 import type {ServicePaths} from './service-paths.js';
@@ -51,6 +55,14 @@
   readonly cold: number;
   /** Number of them that were no candidates. */
   readonly withheld: number;
+  /** Those that were no candidates by what they have said of themselves. */
+  readonly stated: readonly StatedWithholding[];
+}
+
+/** An endpoint that gets no request by what it has said of itself. */
+export interface StatedWithholding {
+  readonly endpoint: KnownEndpoint;
+  readonly reason: WithholdingReason;
 }
 
 /** Where hosts and endpoints are, and which of the cold ones this host may use. */
@@ -60,6 +72,8 @@
   readonly region: string;
   /** Admits requests to endpoints that may be cold. */
   readonly cold: ColdAdmission;
+  /** Admits requests by what endpoints have said of themselves. */
+  readonly stated: StatedAdmission;
   /** This host's recent requests to a service, by shared prompt part. */
   popularityOf(service: string): PartPopularity;
   /** What this host knows of the speed of a service's endpoints. */
@@ -81,7 +95,11 @@
  * Selects an endpoint for a request from the state of its service's endpoints.
  */
 export class EndpointChooser {
-  private lastWithheld: WithheldEndpoints = {cold: 0, withheld: 0};
+  private lastWithheld: WithheldEndpoints = {
+    cold: 0,
+    withheld: 0,
+    stated: [],
+  };
 
   constructor(
     private readonly directory: EndpointDirectory,
@@ -109,17 +127,23 @@
     const {route, service, caller, isTry, binding} = context;
     const path = this.paths.pathTo(service.name);
     const now = this.clock.monotonicMilliseconds();
-    const admitted = this.mayUsePath(context, path)
+    const usable = this.mayUsePath(context, path)
       ? this.candidates(service, path, now).filter(
           ({endpoint}) =>
             binding.admits(endpoint, path, now) &&
             this.mayRunAt(context, endpoint),
         )
       : [];
+    const stated = this.statedWithholdings(usable);
+    const admitted = usable.filter(
+      candidate =>
+        !stated.some(({endpoint}) => endpoint === candidate.endpoint),
+    );
     const candidates = withoutColdEndpoints(admitted);
     this.lastWithheld = {
       cold: admitted.filter(({isCold}) => isCold).length,
       withheld: admitted.length - candidates.length,
+      stated,
     };
     const sharedParts =
       route.kind === RouteKind.Streaming && !isTry
@@ -191,6 +215,7 @@
           isAvailable &&
           !isCold &&
           endpoint !== runsAt &&
+          !this.rules.stated.isInNeed(endpoint) &&
           !path.breakerOf(endpoint).isTripped &&
           isSameOrigin(endpoint.entry, runsAt.entry) &&
           this.mayContinueAt(context, endpoint, path, now),
@@ -203,15 +228,18 @@
    * there.
    *
    * @param mayLeave Whether the endpoint may be leaving, since it has run it so far.
+   * @param isStopped Whether the run was stopped to go on elsewhere, so that nothing
+   *     that endpoints have said meanwhile may keep it back.
    */
   continueAt(
     context: RequestContext,
     endpoint: KnownEndpoint,
-    mayLeave = false,
+    {mayLeave = false, isStopped = false} = {},
   ): ChosenEndpoint | undefined {
     const path = this.paths.pathTo(context.service.name);
     const now = this.clock.monotonicMilliseconds();
     return (mayLeave || this.directory.isOpen(endpoint)) &&
+      (isStopped || this.rules.stated.reasonAgainst(endpoint) === undefined) &&
       this.mayContinueAt(context, endpoint, path, now)
       ? {
           endpoint,
@@ -238,6 +266,9 @@
   /** Why no endpoint was chosen for a request. */
   reasonForNone(context: RequestContext): LocalReplyReason {
     const {service, binding} = context;
+    if (this.lastWithheld.stated.length > 0) {
+      return LocalReplyReason.EndpointsInNeed;
+    }
     if (this.lastWithheld.withheld > 0 && this.mayChoose(context)) {
       return LocalReplyReason.EndpointsCold;
     }
@@ -249,6 +280,29 @@
       : LocalReplyReason.NoEndpoint;
   }
 
+  /**
+   * When a caller should come back for which no endpoint was chosen, milliseconds;
+   * undefined if that is not known.
+   */
+  retryAfterMilliseconds(): number | undefined {
+    const {stated} = this.lastWithheld;
+    return stated.length === 0
+      ? undefined
+      : this.rules.stated.retryAfterMilliseconds(
+          stated.map(({endpoint}) => endpoint),
+          this.rules.fraction(),
+        );
+  }
+
+  private statedWithholdings(
+    candidates: readonly Candidate[],
+  ): readonly StatedWithholding[] {
+    return candidates.flatMap(({endpoint}) => {
+      const reason = this.rules.stated.reasonAgainst(endpoint);
+      return reason === undefined ? [] : [{endpoint, reason}];
+    });
+  }
+
   private mayContinueAt(
     context: RequestContext,
     endpoint: KnownEndpoint,
--- /dev/null
+++ b/packages/gateway/src/endpoint-statements/stated-admission.ts
@@ -0,0 +1,93 @@
+import type {
+  HostPlace,
+  LimitAdmission,
+  RequestLimit,
+} from '@wisteriadeal/decisions';
+import type {Clock} from '@wisteriadeal/platform';
+
+import type {KnownEndpoint} from '../known-endpoint.js';
+
+/** Why an endpoint gets no request by what it has said of itself. */
+export enum WithholdingReason {
+  /** It limits the requests of all hosts, and this one has no turn. */
+  Limit = 'limit',
+}
+
+/** Dependencies of `StatedAdmission`. */
+export interface StatedAdmissionParts {
+  readonly limits: LimitAdmission;
+  /** This host among those that send requests to the same endpoints. */
+  readonly place: () => HostPlace;
+  readonly clock: Clock;
+}
+
+/** Retry delays given to callers while all endpoints of a service are limited. */
+const MINIMUM_RETRY_MILLISECONDS = 300;
+const MAXIMUM_RETRY_MILLISECONDS = 2_000;
+
+/**
+ * Decides whether this host may send an endpoint a request, by what the endpoint has
+ * said of itself. Every way to an endpoint asks here.
+ */
+export class StatedAdmission {
+  constructor(private readonly parts: StatedAdmissionParts) {}
+
+  /** Why the endpoint gets no request now; undefined if it may get one. */
+  reasonAgainst(endpoint: KnownEndpoint): WithholdingReason | undefined {
+    const limit = limitOf(endpoint);
+    const {limits, place} = this.parts;
+    return limit === undefined || limits.mayAdmit(limit, place(), this.time())
+      ? undefined
+      : WithholdingReason.Limit;
+  }
+
+  /** Whether the endpoint has said that it is in need, so that it gets no copies. */
+  isInNeed(endpoint: KnownEndpoint): boolean {
+    return limitOf(endpoint) !== undefined;
+  }
+
+  /** Records that a request was sent to the endpoint. */
+  requestSent(endpoint: KnownEndpoint): void {
+    const limit = limitOf(endpoint);
+    if (limit !== undefined) {
+      const {limits, place} = this.parts;
+      limits.admitted(limit, place(), this.time());
+    }
+  }
+
+  /**
+   * When a caller should come back after no endpoint was left, milliseconds: when the
+   * endpoints take the next request of any host, as another host may have that turn.
+   *
+   * @param fraction Random number from 0 to below 1, which spreads the callers.
+   */
+  retryAfterMilliseconds(
+    endpoints: readonly KnownEndpoint[],
+    fraction: number,
+  ): number {
+    const requestsPerSecond = endpoints.reduce(
+      (sum, {conditions}) => sum + (conditions.limit.requestsPerSecond ?? 0),
+      0,
+    );
+    const interval = Math.min(
+      MAXIMUM_RETRY_MILLISECONDS,
+      Math.max(MINIMUM_RETRY_MILLISECONDS, 1_000 / requestsPerSecond),
+    );
+    return interval * (0.5 + fraction);
+  }
+
+  private time() {
+    const {clock} = this.parts;
+    return {
+      monotonic: clock.monotonicMilliseconds(),
+      timeOfDay: clock.wallMilliseconds(),
+    };
+  }
+}
+
+function limitOf({entry, conditions}: KnownEndpoint): RequestLimit | undefined {
+  const {requestsPerSecond} = conditions.limit;
+  return requestsPerSecond === undefined
+    ? undefined
+    : {id: entry.id, requestsPerSecond};
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,8 @@
   ColdTurns,
   configurationReadWait,
   endpointReadPause,
+  hostPlace,
+  LimitTurns,
   LoopSaturation,
   PartPopularity,
   WithdrawWhileOverloaded,
@@ -31,6 +33,7 @@
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {PlacementRules} from './endpoint-chooser.js';
 import {EndpointDirectory} from './endpoint-directory.js';
+import {StatedAdmission} from './endpoint-statements/index.js';
 import {EvacuationState} from './evacuation/index.js';
 import {gatewayLimits} from './gateway-limits.js';
 import {GatewayMetrics} from './gateway-metrics.js';
@@ -416,7 +419,7 @@
   }
 
   private createPlacementRules(): PlacementRules {
-    const {settings, random} = this.parts;
+    const {settings, clock, random} = this.parts;
     const {dataCenter, region, dataCenterRegions} = settings;
     const popularities = new Map<string, PartPopularity>();
     const speeds = new ServiceSpeeds();
@@ -431,6 +434,11 @@
       dataCenter,
       region,
       cold: new ColdTurns(hostName(settings), () => this.budgets.holderCount),
+      stated: new StatedAdmission({
+        limits: new LimitTurns(),
+        place: () => hostPlace(hostName(settings), this.budgets.hosts),
+        clock,
+      }),
       regionOf: other =>
         other === dataCenter ? region : dataCenterRegions[other],
       fraction: () => random.fraction(),
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -12,6 +12,8 @@
   Evacuated = 'evacuated',
   /** All endpoints that are left are cold, and this host has no turn at them. */
   EndpointsCold = 'endpoints-cold',
+  /** All endpoints that are left take no request of this host now, as they say. */
+  EndpointsInNeed = 'endpoints-in-need',
   /** What began the stream that the caller takes up is not known. */
   OriginUnknown = 'origin-unknown',
   /** All endpoints of the build that began the stream were lost, and may be back. */
--- a/packages/gateway/src/request-completion.ts
+++ b/packages/gateway/src/request-completion.ts
@@ -44,8 +44,14 @@
    *
    * @param hasTimedOut Whether the caller's or the route's time limit has
    *     passed.
+   * @param retryAfterMilliseconds When the caller should come back if the request has
+   *     not run.
    */
-  giveUp(reason: LocalReplyReason, hasTimedOut: boolean): void {
+  giveUp(
+    reason: LocalReplyReason,
+    hasTimedOut: boolean,
+    retryAfterMilliseconds = RETRY_AFTER_MILLISECONDS,
+  ): void {
     const {caller} = this.context;
     if (caller.disconnectSignal.aborted) {
       this.record.outcome = 'caller-left';
@@ -55,7 +61,9 @@
     } else if (this.fallback !== undefined) {
       this.forwardAnswer(this.fallback);
     } else {
-      this.sendLocalReply(this.localReply(reason, hasTimedOut));
+      this.sendLocalReply(
+        this.localReply(reason, hasTimedOut, retryAfterMilliseconds),
+      );
     }
   }
 
@@ -79,9 +87,10 @@
   private localReply(
     reason: LocalReplyReason,
     hasTimedOut: boolean,
+    retryAfterMilliseconds: number,
   ): LocalReply {
     if (!this.record.mayHaveRun) {
-      return notExecutedReply(reason, RETRY_AFTER_MILLISECONDS);
+      return notExecutedReply(reason, retryAfterMilliseconds);
     }
     return hasTimedOut
       ? failureReply(504, LocalReplyReason.TimedOut)
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -46,6 +46,8 @@
   readonly cold: number;
   /** Number of cold endpoints that were no candidates. */
   readonly withheld: number;
+  /** Endpoints that were no candidates by what they had said, with the reasons. */
+  readonly inNeed: readonly string[];
   /** Whether the request was sent to one that may have been cold. */
   readonly isCold: boolean;
   /** What was believed of the chosen endpoint; undefined if none was chosen. */
--- a/packages/gateway/src/request-report.ts
+++ b/packages/gateway/src/request-report.ts
@@ -63,10 +63,17 @@
   if (placement === undefined) {
     return {};
   }
-  const {evacuated, evacuationsAgeMilliseconds, cold, withheld, isCold} =
-    placement;
+  const {
+    evacuated,
+    evacuationsAgeMilliseconds,
+    cold,
+    withheld,
+    isCold,
+    inNeed,
+  } = placement;
   return {
     believed: placement.belief,
+    ...(inNeed.length === 0 ? {} : {inNeed: inNeed.join(', ')}),
     ...(evacuated.length === 0
       ? {}
       : {
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -151,10 +151,15 @@
     }
   }
 
-  /** Ends the request with the best answer that there is. */
-  giveUp(reason: LocalReplyReason): NextStep {
+  /**
+   * Ends the request with the best answer that there is.
+   *
+   * @param retryAfterMilliseconds When its caller should come back if it has not run;
+   *     by default soon.
+   */
+  giveUp(reason: LocalReplyReason, retryAfterMilliseconds?: number): NextStep {
     const {completion, lifetime} = this.parts;
-    completion.giveUp(reason, lifetime.hasTimedOut);
+    completion.giveUp(reason, lifetime.hasTimedOut, retryAfterMilliseconds);
     return NextStep.Ended;
   }
 
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -184,7 +184,10 @@
       return retries.giveUp(LocalReplyReason.DeadlinePassed);
     }
     if (chosen === undefined) {
-      return retries.giveUp(this.chooser.reasonForNone(context));
+      return retries.giveUp(
+        this.chooser.reasonForNone(context),
+        this.chooser.retryAfterMilliseconds(),
+      );
     }
     const attempt = this.begin(chosen);
     const {endpoint, path, exchange, monitor} = attempt;
@@ -221,6 +224,7 @@
   /**
    * Selects an endpoint. Where those of a stream's build all refuse connections, this
    * host has lost its path to them, or they have ended; the next connects tell which.
+   * Nothing is awaited of endpoints that take no request now.
    */
   private async chooseLater(): Promise<ChosenEndpoint | undefined> {
     const {chooser, context, lifetime, retries} = this;
@@ -228,6 +232,7 @@
     let chosen: ChosenEndpoint | undefined;
     while (
       chosen === undefined &&
+      chooser.withheld.stated.length === 0 &&
       !lifetime.isAbandoned &&
       lifetime.now() < until &&
       chooser.mayChoose(context)
@@ -240,8 +245,13 @@
 
   private recordPlacement(chosen: ChosenEndpoint | undefined): void {
     const {evacuations} = this.parts;
+    const {cold, withheld, stated} = this.chooser.withheld;
     this.record.placement = {
-      ...this.chooser.withheld,
+      cold,
+      withheld,
+      inNeed: stated.map(
+        ({endpoint, reason}) => `${endpoint.entry.id} (${reason})`,
+      ),
       isCold: chosen?.isCold === true,
       belief: chosen && describeBelief(chosen, this.lifetime.now()),
       evacuated: evacuations.dataCenters,
@@ -257,6 +267,7 @@
     parts.placement
       .popularityOf(context.service.name)
       .record(context.caller.headers.promptParts.at(-2)?.id, sentAt);
+    parts.placement.stated.requestSent(endpoint);
     if (isCold) {
       const {id} = endpoint.entry;
       const requestsPerSecond = context.service.coldRequestsPerSecond;
