Take up the cold time that an endpoint states in a refusal

An endpoint that turned a request away as cold went on getting requests. What callers saw: refusals, and an endpoint that may crash under what it can't bear.

The cold time is part of the statement now and taken up with it for every answer.

--- a/packages/gateway/src/dialect.ts
+++ b/packages/gateway/src/dialect.ts
@@ -85,11 +85,6 @@
    * forwarded as the endpoint's.
    */
   readonly hasProof: boolean;
-  /**
-   * How much longer the endpoint stays cold, milliseconds; undefined if not
-   * stated.
-   */
-  readonly coldMilliseconds: number | undefined;
   readonly statement: EndpointStatement;
 }
 
--- a/packages/gateway/src/endpoint-statements/endpoint-statement.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statement.ts
@@ -5,6 +5,8 @@
    * limit.
    */
   readonly requestsPerSecond: number | undefined;
+  /** How much longer it stays cold, milliseconds; undefined if it does not say. */
+  readonly coldMilliseconds: number | undefined;
   /** Names of headers whose values are not valid; what was in force before stays. */
   readonly ignoredHeaders: readonly string[];
 }
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -40,7 +40,11 @@
 
   /** Takes up an answer, before anything of it is passed on. */
   answered(endpoint: KnownEndpoint, answer: StatedAnswer): void {
-    const {ignoredHeaders} = answer.statement;
+    const {ignoredHeaders, coldMilliseconds = 0} = answer.statement;
+    endpoint.warmth.stated(
+      coldMilliseconds,
+      this.clock.monotonicMilliseconds(),
+    );
     if (ignoredHeaders.length > 0) {
       this.events.warn('endpoint headers ignored', {
         endpoint: endpoint.entry.id,
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -394,8 +394,6 @@
       if (this.context.route.kind !== RouteKind.Streaming) {
         admission?.began(now);
       }
-      const {coldMilliseconds = 0} = head.endpointHeaders;
-      endpoint.warmth.stated(coldMilliseconds, now);
       this.record.answerBeganAt = now;
       this.continuation.answerBegan(head, endpoint);
       if (head.status < 300) {
--- a/packages/gateway/src/test/any-answer-dialect.ts
+++ b/packages/gateway/src/test/any-answer-dialect.ts
@@ -7,6 +7,10 @@
     isNotRun: false,
     closesConnection: false,
     hasProof: true,
-    statement: {requestsPerSecond: undefined, ignoredHeaders: []},
+    statement: {
+      requestsPerSecond: undefined,
+      coldMilliseconds: undefined,
+      ignoredHeaders: [],
+    },
   }),
 } as unknown as Dialect;
