Leave an endpoint's limit to urgent requests first

What callers saw: with the limit of an endpoint shared by turns, each turn went to the request that came first, so that urgent requests were refused as often as others.

--- a/packages/decisions/src/endpoint-statements/limit-admission.ts
+++ b/packages/decisions/src/endpoint-statements/limit-admission.ts
@@ -39,11 +39,16 @@
  * hosts, each of which sees only its own.
  */
 export abstract class LimitAdmission {
-  /** Whether the host may send a request to the endpoint now. */
+  /**
+   * Whether the host may send a request to the endpoint now.
+   *
+   * @param yields Whether more urgent requests go first.
+   */
   abstract mayAdmit(
     limit: RequestLimit,
     place: HostPlace,
     time: HostTime,
+    yields?: boolean,
   ): boolean;
 
   /** Records that a request was sent to the endpoint. */
--- a/packages/decisions/src/endpoint-statements/limit-turns.ts
+++ b/packages/decisions/src/endpoint-statements/limit-turns.ts
@@ -16,6 +16,8 @@
  */
 const TURN_MILLISECONDS = 1_000;
 const TURN_REQUESTS = 2;
+/** Part of a turn that is kept for the most urgent requests. */
+const URGENT_PART = 0.5;
 /** Endpoints that are remembered; those that are gone are never asked for again. */
 const MAXIMUM_REMEMBERED = 1_024;
 
@@ -44,8 +46,11 @@
     limit: RequestLimit,
     place: HostPlace,
     time: HostTime,
+    yields = false,
   ): boolean {
-    return this.oldestTurn(limit, place, time) !== undefined;
+    const turn = this.oldestTurn(limit, place, time);
+    const leastAge = yields ? URGENT_PART * lengthOf(limit) : 0;
+    return turn !== undefined && time.monotonic - turn >= leastAge;
   }
 
   /** A request that is sent without a turn uses up the turns that have begun. */
@@ -77,7 +82,7 @@
     const usedTurn = this.usedTurns.get(limit.id) ?? -Infinity;
     // Two turns are a whole period apart, unless the limit or the hosts have changed.
     const oldestAge = Math.min(
-      TURN_MILLISECONDS + TURN_REQUESTS * interval,
+      lengthOf(limit),
       monotonic - usedTurn - period / 2,
     );
     const latestAge = modulo(timeOfDay - offsetOf(limit, place), period);
@@ -96,6 +101,11 @@
   );
 }
 
+/** How long a turn may be used, milliseconds. */
+function lengthOf(limit: RequestLimit): number {
+  return TURN_MILLISECONDS + TURN_REQUESTS * intervalOf(limit);
+}
+
 /** When a host's turns begin in each period. It has others at other endpoints. */
 function offsetOf(limit: RequestLimit, {rank, hosts}: HostPlace): number {
   return ((rank + murmurhash.v3(limit.id)) % hosts) * intervalOf(limit);
--- a/packages/decisions/src/test/limit-turns_test.ts
+++ b/packages/decisions/src/test/limit-turns_test.ts
@@ -1,6 +1,10 @@
 import {describe, expect, it} from 'vitest';
 
-import {hostPlace, LimitTurns} from '../endpoint-statements/index.js';
+import {
+  hostPlace,
+  LimitTurns,
+  RecentPriorities,
+} from '../endpoint-statements/index.js';
 import {
   LimitBuckets,
   LimitReplay,
@@ -8,6 +12,7 @@
   maximumInSpan,
   WholeLimit,
 } from './limit-replay.js';
+import {createFraction} from './placement-replay.js';
 
 const ENDPOINTS = 4;
 /** Requests a second of all hosts, as in the load of the incident for each host. */
@@ -98,6 +103,44 @@
   });
 });
 
+describe('requests of several priorities', () => {
+  /** Seconds in which urgent and other requests come at random, eight a second. */
+  const SECONDS = 100;
+
+  const servedOf = (hasUrgent: boolean) => {
+    const turns = new LimitTurns();
+    const priorities = new RecentPriorities();
+    const limit = {id: 'engine', requestsPerSecond: 2};
+    const served = {urgent: 0, other: 0};
+    const fraction = createFraction(1);
+    for (let step = 0; step < 8 * SECONDS; step++) {
+      const now = 125 * (step + fraction());
+      const isUrgent = hasUrgent && fraction() < 0.5;
+      const priority = isUrgent ? 0 : 3;
+      priorities.requested(priority, now);
+      const time = {monotonic: now, timeOfDay: now};
+      const place = {rank: 0, hosts: 1};
+      const yields = priorities.hasMoreUrgent(priority, now);
+      if (turns.mayAdmit(limit, place, time, yields)) {
+        turns.admitted(limit, place, time);
+        served[isUrgent ? 'urgent' : 'other']++;
+      }
+    }
+    return served;
+  };
+
+  it('get what a limit leaves by urgency', () => {
+    // Guards against urgent requests that are refused while others are served.
+    const {urgent, other} = servedOf(true);
+    expect(urgent).toBeGreaterThan(0.9 * 2 * SECONDS);
+    expect(other).toBeLessThan(0.1 * 2 * SECONDS);
+  });
+
+  it('get all of it if none is more urgent', () => {
+    expect(servedOf(false).other).toBeGreaterThan(0.9 * 2 * SECONDS);
+  });
+});
+
 describe('hostPlace', () => {
   it('counts each name once, and a host that is not listed', () => {
     // Guards against a host that started again and is listed twice.
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -26,6 +26,7 @@
 } from './endpoint-statements/index.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestContext} from './request-context.js';
+import {requestPriority} from './request-priority.js';
 import type {ServicePaths} from './service-paths.js';
 
 /** The endpoint for a request, and the path over which it is sent. */
@@ -134,7 +135,7 @@
             this.mayRunAt(context, endpoint),
         )
       : [];
-    const stated = this.statedWithholdings(usable);
+    const stated = this.statedWithholdings(context, usable);
     const admitted = usable.filter(
       candidate =>
         !stated.some(({endpoint}) => endpoint === candidate.endpoint),
@@ -295,10 +296,14 @@
   }
 
   private statedWithholdings(
+    {service, route, organisation}: RequestContext,
     candidates: readonly Candidate[],
   ): readonly StatedWithholding[] {
+    const {stated} = this.rules;
+    const priority = requestPriority(route, organisation);
+    const yields = stated.yieldsTo(service.name, priority);
     return candidates.flatMap(({endpoint}) => {
-      const reason = this.rules.stated.reasonAgainst(endpoint);
+      const reason = stated.reasonAgainst(endpoint, yields);
       return reason === undefined ? [] : [{endpoint, reason}];
     });
   }
--- a/packages/gateway/src/endpoint-statements/stated-admission.ts
+++ b/packages/gateway/src/endpoint-statements/stated-admission.ts
@@ -1,7 +1,8 @@
-import type {
-  HostPlace,
-  LimitAdmission,
-  RequestLimit,
+import {
+  RecentPriorities,
+  type HostPlace,
+  type LimitAdmission,
+  type RequestLimit,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 
@@ -30,17 +31,36 @@
  * said of itself. Every way to an endpoint asks here.
  */
 export class StatedAdmission {
+  private readonly priorities = new Map<string, RecentPriorities>();
+
   constructor(private readonly parts: StatedAdmissionParts) {}
 
-  /** Why the endpoint gets no request now; undefined if it may get one. */
-  reasonAgainst(endpoint: KnownEndpoint): WithholdingReason | undefined {
+  /**
+   * Why the endpoint gets no request now; undefined if it may get one.
+   *
+   * @param yields Whether more urgent requests go first.
+   */
+  reasonAgainst(
+    endpoint: KnownEndpoint,
+    yields = false,
+  ): WithholdingReason | undefined {
     const limit = limitOf(endpoint);
     const {limits, place} = this.parts;
-    return limit === undefined || limits.mayAdmit(limit, place(), this.time())
+    return limit === undefined ||
+      limits.mayAdmit(limit, place(), this.time(), yields)
       ? undefined
       : WithholdingReason.Limit;
   }
 
+  /** Whether a request of this priority leaves what there is to more urgent ones. */
+  yieldsTo(service: string, priority: number): boolean {
+    const now = this.parts.clock.monotonicMilliseconds();
+    const priorities = this.priorities.get(service) ?? new RecentPriorities();
+    this.priorities.set(service, priorities);
+    priorities.requested(priority, now);
+    return priorities.hasMoreUrgent(priority, now);
+  }
+
   /** Whether the endpoint has said that it is in need, so that it gets no copies. */
   isInNeed(endpoint: KnownEndpoint): boolean {
     return limitOf(endpoint) !== undefined;
