Log a header with a value that is none once for a start of an endpoint

All answers of an endpoint may have it, and each had a line of its own. The value of one header no longer keeps the others from being taken up.

--- a/packages/gateway/src/endpoint-statements/endpoint-statement.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statement.ts
@@ -5,6 +5,8 @@
    * limit.
    */
   readonly requestsPerSecond: number | undefined;
+  /** Whether an earlier limit stays, since the value in this answer is not valid. */
+  readonly keepsLimit: boolean;
   /** How much longer it stays cold, milliseconds; undefined if it does not say. */
   readonly coldMilliseconds: number | undefined;
   /** Names of headers whose values are not valid; what was in force before stays. */
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -40,20 +40,35 @@
 
   /** Takes up an answer, before anything of it is passed on. */
   answered(endpoint: KnownEndpoint, answer: StatedAnswer): void {
-    const {ignoredHeaders, coldMilliseconds = 0} = answer.statement;
+    this.logIgnored(endpoint, answer);
+    const {coldMilliseconds = 0, keepsLimit} = answer.statement;
     endpoint.warmth.stated(
       coldMilliseconds,
       this.clock.monotonicMilliseconds(),
     );
-    if (ignoredHeaders.length > 0) {
+    if (!keepsLimit) {
+      this.takeUpLimit(endpoint, answer);
+    }
+  }
+
+  /** Logs each header once for a start, as all its answers may have it. */
+  private logIgnored(
+    {entry, conditions: {ignoredHeaders}}: KnownEndpoint,
+    {statement, request}: StatedAnswer,
+  ): void {
+    const added = statement.ignoredHeaders.filter(
+      name => !ignoredHeaders.has(name),
+    );
+    for (const name of added) {
+      ignoredHeaders.add(name);
+    }
+    if (added.length > 0) {
       this.events.warn('endpoint headers ignored', {
-        endpoint: endpoint.entry.id,
-        request: answer.request,
-        headers: ignoredHeaders.join(', '),
+        endpoint: entry.id,
+        request,
+        headers: added.join(', '),
       });
-      return;
     }
-    this.takeUpLimit(endpoint, answer);
   }
 
   private takeUpLimit(
--- a/packages/gateway/src/endpoint-statements/stated-conditions.ts
+++ b/packages/gateway/src/endpoint-statements/stated-conditions.ts
@@ -6,4 +6,6 @@
  */
 export class StatedConditions {
   readonly limit = new StatedLimit();
+  /** Names of headers that had a value which is not valid. */
+  readonly ignoredHeaders = new Set<string>();
 }
--- a/packages/gateway/src/test/any-answer-dialect.ts
+++ b/packages/gateway/src/test/any-answer-dialect.ts
@@ -9,6 +9,7 @@
     hasProof: true,
     statement: {
       requestsPerSecond: undefined,
+      keepsLimit: false,
       coldMilliseconds: undefined,
       ignoredHeaders: [],
     },
