Log that endpoints say in their answers that they leave

It is decoded with the other statements: a line with the request that brought it, the state dump and a gauge. No decision uses it yet.

--- a/packages/gateway/src/endpoint-statements/endpoint-statement.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statement.ts
@@ -9,6 +9,8 @@
   readonly keepsLimit: boolean;
   /** How much longer it stays cold, milliseconds; undefined if it does not say. */
   readonly coldMilliseconds: number | undefined;
+  /** Whether it is about to leave. */
+  readonly isLeaving: boolean;
   /** Names of headers whose values are not valid; what was in force before stays. */
   readonly ignoredHeaders: readonly string[];
 }
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -49,6 +49,7 @@
     if (!keepsLimit) {
       this.takeUpLimit(endpoint, answer);
     }
+    this.takeUpLeaving(endpoint, answer);
   }
 
   /** Logs each header once for a start, as all its answers may have it. */
@@ -71,6 +72,20 @@
     }
   }
 
+  private takeUpLeaving(
+    {entry, conditions}: KnownEndpoint,
+    {statement, request}: StatedAnswer,
+  ): void {
+    if (statement.isLeaving && !conditions.isLeaving) {
+      conditions.isLeaving = true;
+      this.events.info('endpoint says that it leaves', {
+        endpoint: entry.id,
+        request,
+        isListedAsLeaving: entry.isLeaving,
+      });
+    }
+  }
+
   private takeUpLimit(
     {entry, conditions: {limit}}: KnownEndpoint,
     {statement, sentAt, request}: StatedAnswer,
--- a/packages/gateway/src/endpoint-statements/stated-conditions.ts
+++ b/packages/gateway/src/endpoint-statements/stated-conditions.ts
@@ -6,6 +6,11 @@
  */
 export class StatedConditions {
   readonly limit = new StatedLimit();
+  /**
+   * Whether it is about to leave. That holds to its end: the list may still have it as
+   * it was, and answers that it began before come later.
+   */
+  isLeaving = false;
   /** Names of headers that had a value which is not valid. */
   readonly ignoredHeaders = new Set<string>();
 }
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -99,6 +99,7 @@
           service: entry.service,
           build: entry.build,
           leaving: entry.isLeaving,
+          saysItLeaves: conditions.isLeaving,
           cold: warmth.isCold(now),
           requestsPerSecond: conditions.limit.requestsPerSecond ?? null,
           load,
@@ -168,6 +169,12 @@
         ({conditions}) => conditions.limit.requestsPerSecond !== undefined,
       ).length,
     );
+    this.metrics.setState(
+      'endpoints_leaving',
+      this.directory.all.filter(
+        ({entry, conditions}) => entry.isLeaving || conditions.isLeaving,
+      ).length,
+    );
     this.metrics.setState('tunnels', this.tunnels.openTunnels);
     this.metrics.setState('crash_suspects', this.suspects.subjectCount);
     this.metrics.setState('stream_origins', this.origins.streamCount);
--- a/packages/gateway/src/test/any-answer-dialect.ts
+++ b/packages/gateway/src/test/any-answer-dialect.ts
@@ -11,6 +11,7 @@
       requestsPerSecond: undefined,
       keepsLimit: false,
       coldMilliseconds: undefined,
+      isLeaving: false,
       ignoredHeaders: [],
     },
   }),
