Send nothing new to an endpoint whose answers say that it leaves

What callers saw: while the platform's store was away, requests went to an endpoint that had said in its answers that it leaves, for 12 s and more, and some broke off as it stopped (DRAIN).

Cause: a host learned of leaving endpoints from the list only; the header was passed on unread. Change: what an answer says counts like the list, from whichever comes first: for the choice of an endpoint, copies, tunnels of other hosts, moves of runs, and whether a refusal tells of load. It is kept for the start of the endpoint, so that no later entry of that start, and no earlier answer, takes it back; another start begins anew.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -78,7 +78,9 @@
     private readonly rules: EndpointRules,
   ) {
     super();
-    this.statements = new EndpointStatements(clock, events);
+    this.statements = new EndpointStatements(clock, events, endpoint => {
+      this.notifyLeaving(endpoint);
+    });
   }
 
   /** Adds a listener that is called each time the complete list was read. */
@@ -91,7 +93,10 @@
     this.listedListeners.push(listener);
   }
 
-  /** Adds a listener for endpoints that are listed as leaving. */
+  /**
+   * Adds a listener for endpoints that leave, by the list or by one of their answers,
+   * whichever says so first.
+   */
   onLeaving(listener: EndpointListener): void {
     this.leavingListeners.push(listener);
   }
@@ -326,13 +331,20 @@
     entry: EndpointEntry,
     offset: number,
   ): void {
-    const isNewlyLeaving = entry.isLeaving && !known.entry.isLeaving;
+    const isNewlyListed = entry.isLeaving && !known.entry.isLeaving;
+    const wasLeaving = known.isLeaving;
     known.entry = entry;
-    if (isNewlyLeaving) {
+    if (isNewlyListed) {
       this.events.info('endpoint leaving', {endpoint: entry.id, offset});
-      for (const listener of this.leavingListeners) {
-        listener(known);
-      }
+    }
+    if (isNewlyListed && !wasLeaving) {
+      this.notifyLeaving(known);
+    }
+  }
+
+  private notifyLeaving(endpoint: KnownEndpoint): void {
+    for (const listener of this.leavingListeners) {
+      listener(endpoint);
     }
   }
 
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -17,9 +17,11 @@
 export class EndpointStatements {
   private readonly conditions = new Map<string, StatedConditions>();
 
+  /** @param onLeaving Called with an endpoint that was not known to leave before. */
   constructor(
     private readonly clock: Clock,
     private readonly events: EventLog,
+    private readonly onLeaving: (endpoint: KnownEndpoint) => void,
   ) {}
 
   /** What a start of an endpoint has said. */
@@ -73,16 +75,21 @@
   }
 
   private takeUpLeaving(
-    {entry, conditions}: KnownEndpoint,
+    endpoint: KnownEndpoint,
     {statement, request}: StatedAnswer,
   ): void {
-    if (statement.isLeaving && !conditions.isLeaving) {
-      conditions.isLeaving = true;
-      this.events.info('endpoint says that it leaves', {
-        endpoint: entry.id,
-        request,
-        isListedAsLeaving: entry.isLeaving,
-      });
+    const {entry, conditions} = endpoint;
+    if (!statement.isLeaving || conditions.isLeaving) {
+      return;
+    }
+    conditions.isLeaving = true;
+    this.events.info('endpoint says that it leaves', {
+      endpoint: entry.id,
+      request,
+      isListedAsLeaving: entry.isLeaving,
+    });
+    if (!entry.isLeaving) {
+      this.onLeaving(endpoint);
     }
   }
 
--- a/packages/gateway/src/known-endpoint.ts
+++ b/packages/gateway/src/known-endpoint.ts
@@ -21,10 +21,6 @@
   load = 0;
   /** The same as work, and what the host believes of the endpoint's speed. */
   readonly work = new EndpointWork();
-  /**
-   * Whether the endpoint itself announced that it leaves, before the list did.
-   */
-  hasAnnouncedLeaving = false;
   /**
    * When the latest request was sent whose answer kept the connection open, on
    * the monotonic clock, milliseconds.
@@ -111,8 +107,13 @@
     return `${this.entry.id}/${this.entry.bornAt}`;
   }
 
+  /** Whether it is about to leave, by the list or by one of its answers. */
+  get isLeaving(): boolean {
+    return this.entry.isLeaving || this.conditions.isLeaving;
+  }
+
   /** Whether the endpoint itself accepts new requests. */
   get isOpen(): boolean {
-    return !this.entry.isLeaving && !this.hasAnnouncedLeaving;
+    return !this.isLeaving;
   }
 }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -385,7 +385,7 @@
       (head.kind === FailureKind.NotRun ||
         head.kind === FailureKind.WrongEndpoint);
     // One that leaves refuses whatever its load is.
-    const isLeaving = endpoint.entry.isLeaving;
+    const {isLeaving} = endpoint;
     if (isFailure(head) && head.kind === FailureKind.NotRun && !isLeaving) {
       admission?.refused(this.lifetime.now());
     }
