--- a/packages/gateway/src/endpoint-statements/endpoint-statement.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statement.ts
@@ -11,6 +11,8 @@
   readonly coldMilliseconds: number | undefined;
   /** Whether it is about to leave. */
   readonly isLeaving: boolean;
+  /** How long it wants no request of this host, milliseconds; undefined if it does. */
+  readonly restMilliseconds: number | undefined;
   /** Names of headers whose values are not valid; what was in force before stays. */
   readonly ignoredHeaders: readonly string[];
 }
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -52,6 +52,7 @@
       this.takeUpLimit(endpoint, answer);
     }
     this.takeUpLeaving(endpoint, answer);
+    this.takeUpRest(endpoint, answer);
   }
 
   /** Logs each header once for a start, as all its answers may have it. */
@@ -93,6 +94,26 @@
     }
   }
 
+  private takeUpRest(
+    {entry, conditions: {rest}}: KnownEndpoint,
+    {statement, sentAt, request}: StatedAnswer,
+  ): void {
+    const {restMilliseconds} = statement;
+    const now = this.clock.monotonicMilliseconds();
+    if (restMilliseconds === undefined) {
+      rest.answered(sentAt);
+      return;
+    }
+    if (rest.remainingMilliseconds(now) === 0) {
+      this.events.info('endpoint asks for rest', {
+        endpoint: entry.id,
+        request,
+        restMilliseconds,
+      });
+    }
+    rest.asked(restMilliseconds, now);
+  }
+
   private takeUpLimit(
     {entry, conditions: {limit}}: KnownEndpoint,
     {statement, sentAt, request}: StatedAnswer,
--- a/packages/gateway/src/endpoint-statements/stated-conditions.ts
+++ b/packages/gateway/src/endpoint-statements/stated-conditions.ts
@@ -1,4 +1,4 @@
-import {StatedLimit} from '@wisteriadeal/decisions';
+import {StatedLimit, StatedRest} from '@wisteriadeal/decisions';
 
 /**
  * What one start of an endpoint has said of itself in its answers, as far as it still
@@ -11,6 +11,8 @@
    * it was, and answers that it began before come later.
    */
   isLeaving = false;
+  /** The rest that it asked this host for. */
+  readonly rest = new StatedRest();
   /** Names of headers that had a value which is not valid. */
   readonly ignoredHeaders = new Set<string>();
 }
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -100,6 +100,9 @@
           build: entry.build,
           leaving: entry.isLeaving,
           saysItLeaves: conditions.isLeaving,
+          restMilliseconds: Math.round(
+            conditions.rest.remainingMilliseconds(now),
+          ),
           cold: warmth.isCold(now),
           requestsPerSecond: conditions.limit.requestsPerSecond ?? null,
           load,
@@ -175,6 +178,12 @@
         ({entry, conditions}) => entry.isLeaving || conditions.isLeaving,
       ).length,
     );
+    this.metrics.setState(
+      'endpoints_at_rest',
+      this.directory.all.filter(
+        ({conditions}) => conditions.rest.remainingMilliseconds(now) > 0,
+      ).length,
+    );
     this.metrics.setState('tunnels', this.tunnels.openTunnels);
     this.metrics.setState('crash_suspects', this.suspects.subjectCount);
     this.metrics.setState('stream_origins', this.origins.streamCount);
--- a/packages/gateway/src/test/any-answer-dialect.ts
+++ b/packages/gateway/src/test/any-answer-dialect.ts
@@ -12,6 +12,7 @@
       keepsLimit: false,
       coldMilliseconds: undefined,
       isLeaving: false,
+      restMilliseconds: undefined,
       ignoredHeaders: [],
     },
   }),
