Keep the rest that an endpoint asks a host for

What callers saw: requests went on to an endpoint that had turned one away and asked for rest, and were refused there one after the other, as the endpoint that refuses at once looks like the least loaded one; callers whose route allows one endpoint got the 503 (BUDGET).

Cause: Retry-After in an answer of an endpoint was passed on unread; a refusal as not run is no failure, so that nothing else kept the host away. Change: the host sends nothing there until the rest is over, then one request, and more once that was answered (StatedRest, asked by every way to an endpoint). Such a refusal tells nothing of the load of the service. A relay refuses tunnels to an endpoint at rest, and the other host tries another relay. If all endpoints are at rest, requests are refused at once with the time when the first one has room.

Why it works: the rest is one host's own, so no other host matters; a host learns it before it passes the refusal on or sends again.

--- a/packages/gateway/src/endpoint-statements/stated-admission.ts
+++ b/packages/gateway/src/endpoint-statements/stated-admission.ts
@@ -12,6 +12,8 @@
 export enum WithholdingReason {
   /** It limits the requests of all hosts, and this one has no turn. */
   Limit = 'limit',
+  /** It has asked this host for rest. */
+  Rest = 'rest',
 }
 
 /** Dependencies of `StatedAdmission`. */
@@ -22,7 +24,7 @@
   readonly clock: Clock;
 }
 
-/** Retry delays given to callers while all endpoints of a service are limited. */
+/** Retry delays given to callers while no endpoint of a service takes requests. */
 const MINIMUM_RETRY_MILLISECONDS = 300;
 const MAXIMUM_RETRY_MILLISECONDS = 2_000;
 
@@ -44,8 +46,11 @@
     endpoint: KnownEndpoint,
     yields = false,
   ): WithholdingReason | undefined {
+    const {limits, place, clock} = this.parts;
+    if (!endpoint.conditions.rest.mayTake(clock.monotonicMilliseconds())) {
+      return WithholdingReason.Rest;
+    }
     const limit = limitOf(endpoint);
-    const {limits, place} = this.parts;
     return limit === undefined ||
       limits.mayAdmit(limit, place(), this.time(), yields)
       ? undefined
@@ -63,11 +68,15 @@
 
   /** Whether the endpoint has said that it is in need, so that it gets no copies. */
   isInNeed(endpoint: KnownEndpoint): boolean {
-    return limitOf(endpoint) !== undefined;
+    return (
+      limitOf(endpoint) !== undefined ||
+      this.reasonAgainst(endpoint) === WithholdingReason.Rest
+    );
   }
 
   /** Records that a request was sent to the endpoint. */
   requestSent(endpoint: KnownEndpoint): void {
+    endpoint.conditions.rest.requestSent(this.time().monotonic);
     const limit = limitOf(endpoint);
     if (limit !== undefined) {
       const {limits, place} = this.parts;
@@ -77,7 +86,8 @@
 
   /**
    * When a caller should come back after no endpoint was left, milliseconds: when the
-   * endpoints take the next request of any host, as another host may have that turn.
+   * first of them has room. Endpoints with a limit have it as soon as they take the next
+   * request of any host, as another host may have that turn.
    *
    * @param fraction Random number from 0 to below 1, which spreads the callers.
    */
@@ -85,15 +95,26 @@
     endpoints: readonly KnownEndpoint[],
     fraction: number,
   ): number {
-    const requestsPerSecond = endpoints.reduce(
-      (sum, {conditions}) => sum + (conditions.limit.requestsPerSecond ?? 0),
-      0,
-    );
-    const interval = Math.min(
+    const {monotonic} = this.time();
+    const waits: number[] = [];
+    let requestsPerSecond = 0;
+    for (const {conditions} of endpoints) {
+      const rest = conditions.rest.remainingMilliseconds(monotonic);
+      const limit = conditions.limit.requestsPerSecond;
+      if (rest > 0 || limit === undefined) {
+        waits.push(rest);
+      } else {
+        requestsPerSecond += limit;
+      }
+    }
+    const milliseconds = Math.min(
       MAXIMUM_RETRY_MILLISECONDS,
-      Math.max(MINIMUM_RETRY_MILLISECONDS, 1_000 / requestsPerSecond),
+      Math.max(
+        MINIMUM_RETRY_MILLISECONDS,
+        Math.min(1_000 / requestsPerSecond, ...waits),
+      ),
     );
-    return interval * (0.5 + fraction);
+    return milliseconds * (0.5 + fraction);
   }
 
   private time() {
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -158,6 +158,8 @@
         throw new RelayedConnectError(
           `relay ${address} answered ${response.status}`,
         );
+      case TunnelStatus.EndpointAtRest:
+        return undefined;
       default:
         this.relays.recordFailure(relay);
         return undefined;
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -37,6 +37,7 @@
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
 import {inputLog} from './input-limits/index.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestBudget} from './request-budget.js';
 import {RequestCompletion} from './request-completion.js';
@@ -384,9 +385,11 @@
       isFailure(head) &&
       (head.kind === FailureKind.NotRun ||
         head.kind === FailureKind.WrongEndpoint);
-    // One that leaves refuses whatever its load is.
-    const {isLeaving} = endpoint;
-    if (isFailure(head) && head.kind === FailureKind.NotRun && !isLeaving) {
+    if (
+      isFailure(head) &&
+      head.kind === FailureKind.NotRun &&
+      !refusesForItself(endpoint, head)
+    ) {
       admission?.refused(this.lifetime.now());
     }
     if (!isFailure(head)) {
@@ -411,6 +414,20 @@
   }
 }
 
+/**
+ * Whether an endpoint refuses for a reason of its own, which says nothing of the load of
+ * its service.
+ */
+function refusesForItself(
+  endpoint: KnownEndpoint,
+  {endpointHeaders}: ExchangeFailure,
+): boolean {
+  return (
+    endpoint.isLeaving ||
+    endpointHeaders?.statement.restMilliseconds !== undefined
+  );
+}
+
 function withLength(
   headers: readonly string[],
   body: Buffer | undefined,
--- a/packages/gateway/src/tunnel-protocol.ts
+++ b/packages/gateway/src/tunnel-protocol.ts
@@ -25,6 +25,8 @@
   Open = 200,
   /** The relay's list has no such endpoint, has it as leaving, or with another build. */
   EndpointUnknown = 404,
+  /** The endpoint has asked the relay for rest; other relays may reach it. */
+  EndpointAtRest = 429,
   /** The endpoint did not accept a connection from the relay. */
   EndpointUnreachable = 502,
   /** The relay is full or stopping, or does not reach the endpoint's service. */
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -76,6 +76,8 @@
       !hasNamedBuild(endpoint, request)
     ) {
       this.refuse(socket, TunnelStatus.EndpointUnknown);
+    } else if (!endpoint.conditions.rest.mayTake(performance.now())) {
+      this.refuse(socket, TunnelStatus.EndpointAtRest);
     } else if (this.canRelayTo(endpoint)) {
       this.open(
         endpoint,
