Send callers back when limited endpoints have room, not before

What callers saw: with all endpoints of a service limited, the time after which to come back was spread from half of the interval in which the endpoints take a request on, so that half of the callers came too early. It is spread over half of the interval after it. The new test reads the delay without spread: it had half of each value.

--- a/packages/gateway/src/endpoint-statements/stated-admission.ts
+++ b/packages/gateway/src/endpoint-statements/stated-admission.ts
@@ -27,6 +27,8 @@
 /** Retry delays given to callers while no endpoint of a service takes requests. */
 const MINIMUM_RETRY_MILLISECONDS = 300;
 const MAXIMUM_RETRY_MILLISECONDS = 2_000;
+/** Callers come back over this part of the delay after it. */
+const SPREAD_SHARE = 0.5;
 
 /**
  * Decides whether this host may send an endpoint a request, by what the endpoint has
@@ -114,7 +116,7 @@
         Math.min(1_000 / requestsPerSecond, ...waits),
       ),
     );
-    return milliseconds * (0.5 + fraction);
+    return milliseconds * (1 + SPREAD_SHARE * fraction);
   }
 
   private time() {
