--- a/packages/gateway/src/test/stated-admission_test.ts
+++ b/packages/gateway/src/test/stated-admission_test.ts
@@ -2,7 +2,10 @@
 import {FakeClock} from '@wisteriadeal/stand-ins';
 import {beforeEach, describe, expect, it} from 'vitest';
 
-import {StatedAdmission} from '../endpoint-statements/index.js';
+import {
+  StatedAdmission,
+  WithholdingReason,
+} from '../endpoint-statements/index.js';
 import {KnownEndpoint} from '../known-endpoint.js';
 
 const NOW = 0;
@@ -32,7 +35,16 @@
     });
   });
 
-  const retryAfter = () => admission.retryAfterMilliseconds([endpoint], 0);
+  const retryAfter = (fraction = 0) =>
+    admission.retryAfterMilliseconds([endpoint], fraction);
+
+  it('sends callers back when the rest of an endpoint is over, not before', () => {
+    // Guards against callers that come back to a rest that goes on.
+    endpoint.conditions.rest.asked(1_200, NOW);
+    expect(admission.reasonAgainst(endpoint)).toBe(WithholdingReason.Rest);
+    expect(retryAfter()).toBe(1_200);
+    expect(retryAfter(0.5)).toBe(1_500);
+  });
 
   it('sends callers back when an endpoint takes the next request of any host', () => {
     endpoint.conditions.limit.answered(1, NOW, NOW);
@@ -42,4 +54,11 @@
     endpoint.conditions.limit.answered(50, NOW, NOW);
     expect(retryAfter()).toBe(300);
   });
+
+  it('sends callers back soon while the first request after a rest is open', () => {
+    endpoint.conditions.rest.asked(100, NOW - 200);
+    admission.requestSent(endpoint);
+    expect(admission.reasonAgainst(endpoint)).toBe(WithholdingReason.Rest);
+    expect(retryAfter()).toBe(300);
+  });
 });
