Take a request that was not sent for nothing that shows an endpoint's speed

While a host's link is full, a connect that takes too long is not held against its endpoint, as the link may explain it. But the endpoint was believed up to six times slower from then on, so that it got none of the next requests: a sound one was shunned, and one that can't be reached never had the second time-out that opens its circuit breaker.

Cause: the end of each request that had not begun was observed as slowness, also of one that got no connection. Such a request is taken back without an observation.

--- a/packages/decisions/src/balancing/request-work.ts
+++ b/packages/decisions/src/balancing/request-work.ts
@@ -106,6 +106,15 @@
     this.events = 0;
   }
 
+  /**
+   * Records that the request was not sent, as there was no connection. That shows
+   * nothing of how fast the endpoint works.
+   */
+  notSent(): void {
+    this.hasEnded = true;
+    this.endpoint.remove(this);
+  }
+
   /** Records the end of the request, whatever it is. */
   ended(now: number): void {
     if (this.hasEnded) {
--- a/packages/decisions/src/test/balancing_test.ts
+++ b/packages/decisions/src/test/balancing_test.ts
@@ -123,6 +123,30 @@
   });
 });
 
+describe('a request that was not sent', () => {
+  it('says nothing of the speed of its endpoint', () => {
+    // Guards against a sound endpoint that is shunned as slow for a connect time-out.
+    const work = new EndpointWork();
+    const request = new RequestWork(
+      work,
+      new ServiceSpeed(),
+      {
+        dataCenter: 'a',
+        ownTokens: 600,
+        sharedTokens: 0,
+        tokens: 600,
+        isStream: true,
+        sentMilliseconds: 20,
+      },
+      0,
+    );
+    request.notSent();
+    request.ended(400);
+    expect(work.slowness(0, 400)).toBe(1);
+    expect(work.waitingTokens).toBe(0);
+  });
+});
+
 describe('a request that does not begin', () => {
   it('counts against its endpoint before its answer', () => {
     // Guards against an endpoint that hangs and gets more until a first time-out.
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -407,6 +407,9 @@
       }
       monitor.headReceived();
     }
+    if (isFailure(head) && head.kind === FailureKind.NotSent) {
+      work.notSent();
+    }
     if (!isFailure(head) || hasRefused) {
       breaker.recordResponse();
       path.dataCenters.recordResponse(endpoint.entry.dataCenter);
