--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -57,11 +57,11 @@
   /** Number of them that were no candidates. */
   readonly withheld: number;
   /** Those that were no candidates by what they have said of themselves. */
-  readonly stated: readonly StatedWithholding[];
+  readonly inNeed: readonly EndpointInNeed[];
 }
 
 /** An endpoint that gets no request by what it has said of itself. */
-export interface StatedWithholding {
+export interface EndpointInNeed {
   readonly endpoint: KnownEndpoint;
   readonly reason: WithholdingReason;
 }
@@ -99,7 +99,7 @@
   private lastWithheld: WithheldEndpoints = {
     cold: 0,
     withheld: 0,
-    stated: [],
+    inNeed: [],
   };
 
   constructor(
@@ -135,16 +135,16 @@
             this.mayRunAt(context, endpoint),
         )
       : [];
-    const stated = this.statedWithholdings(context, usable);
+    const inNeed = this.endpointsInNeed(context, usable);
     const admitted = usable.filter(
       candidate =>
-        !stated.some(({endpoint}) => endpoint === candidate.endpoint),
+        !inNeed.some(({endpoint}) => endpoint === candidate.endpoint),
     );
     const candidates = withoutColdEndpoints(admitted);
     this.lastWithheld = {
       cold: admitted.filter(({isCold}) => isCold).length,
       withheld: admitted.length - candidates.length,
-      stated,
+      inNeed,
     };
     const sharedParts =
       route.kind === RouteKind.Streaming && !isTry
@@ -267,7 +267,7 @@
   /** Why no endpoint was chosen for a request. */
   reasonForNone(context: RequestContext): LocalReplyReason {
     const {service, binding} = context;
-    if (this.lastWithheld.stated.length > 0) {
+    if (this.lastWithheld.inNeed.length > 0) {
       return LocalReplyReason.EndpointsInNeed;
     }
     if (this.lastWithheld.withheld > 0 && this.mayChoose(context)) {
@@ -286,19 +286,19 @@
    * undefined if that is not known.
    */
   retryAfterMilliseconds(): number | undefined {
-    const {stated} = this.lastWithheld;
-    return stated.length === 0
+    const {inNeed} = this.lastWithheld;
+    return inNeed.length === 0
       ? undefined
       : this.rules.stated.retryAfterMilliseconds(
-          stated.map(({endpoint}) => endpoint),
+          inNeed.map(({endpoint}) => endpoint),
           this.rules.fraction(),
         );
   }
 
-  private statedWithholdings(
+  private endpointsInNeed(
     {service, route, organisation}: RequestContext,
     candidates: readonly Candidate[],
-  ): readonly StatedWithholding[] {
+  ): readonly EndpointInNeed[] {
     const {stated} = this.rules;
     const priority = requestPriority(route, organisation);
     const yields = stated.yieldsTo(service.name, priority);
--- a/packages/gateway/src/endpoint-statements/endpoint-statement.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statement.ts
@@ -11,7 +11,7 @@
   readonly coldMilliseconds: number | undefined;
   /** Whether it is about to leave. */
   readonly isLeaving: boolean;
-  /** How long it wants no request of this host, milliseconds; undefined if it does. */
+  /** Rest that it asks this host for, milliseconds; undefined if it asks for none. */
   readonly restMilliseconds: number | undefined;
   /** Names of headers whose values are not valid; what was in force before stays. */
   readonly ignoredHeaders: readonly string[];
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -233,7 +233,7 @@
     let chosen: ChosenEndpoint | undefined;
     while (
       chosen === undefined &&
-      chooser.withheld.stated.length === 0 &&
+      chooser.withheld.inNeed.length === 0 &&
       !lifetime.isAbandoned &&
       lifetime.now() < until &&
       chooser.mayChoose(context)
@@ -246,11 +246,11 @@
 
   private recordPlacement(chosen: ChosenEndpoint | undefined): void {
     const {evacuations} = this.parts;
-    const {cold, withheld, stated} = this.chooser.withheld;
+    const {cold, withheld, inNeed} = this.chooser.withheld;
     this.record.placement = {
       cold,
       withheld,
-      inNeed: stated.map(
+      inNeed: inNeed.map(
         ({endpoint, reason}) => `${endpoint.entry.id} (${reason})`,
       ),
       isCold: chosen?.isCold === true,
