--- a/packages/decisions/src/test/balancing_test.ts
+++ b/packages/decisions/src/test/balancing_test.ts
@@ -62,6 +62,16 @@
   fetchMillisecondsPerToken: 0.000_26,
 };
 
+/** A stream whose prompt nobody shares. */
+const LONG_STREAM = {
+  dataCenter: 'a',
+  ownTokens: 600,
+  sharedTokens: 0,
+  tokens: 600,
+  isStream: true,
+  sentMilliseconds: 20,
+};
+
 describe('a burst of long prompts to engines of different speed', () => {
   it.each([9, 65, 195])('pauses few streams of %d hosts', hosts => {
     // Guards against slow engines that get as much as fast ones: 4 % of the streams
@@ -102,16 +112,8 @@
     // Guards against an engine that gets nothing for good after one slow answer.
     const work = new EndpointWork();
     const speed = new ServiceSpeed();
-    const size = {
-      dataCenter: 'a',
-      ownTokens: 600,
-      sharedTokens: 0,
-      tokens: 600,
-      isStream: true,
-      sentMilliseconds: 20,
-    };
     const send = (at: number, milliseconds: number, other = work) => {
-      const request = new RequestWork(other, speed, size, at);
+      const request = new RequestWork(other, speed, LONG_STREAM, at);
       request.began(at + milliseconds);
       request.ended(at + milliseconds);
     };
@@ -127,19 +129,7 @@
   it('says nothing of the speed of its endpoint', () => {
     // Guards against a sound endpoint that is shunned as slow for a connect time-out.
     const work = new EndpointWork();
-    const request = new RequestWork(
-      work,
-      new ServiceSpeed(),
-      {
-        dataCenter: 'a',
-        ownTokens: 600,
-        sharedTokens: 0,
-        tokens: 600,
-        isStream: true,
-        sentMilliseconds: 20,
-      },
-      0,
-    );
+    const request = new RequestWork(work, new ServiceSpeed(), LONG_STREAM, 0);
     request.notSent();
     request.ended(400);
     expect(work.slowness(0, 400)).toBe(1);
@@ -152,19 +142,7 @@
     // Guards against an endpoint that hangs and gets more until a first time-out.
     const work = new EndpointWork();
     const speed = new ServiceSpeed();
-    new RequestWork(
-      work,
-      speed,
-      {
-        dataCenter: 'a',
-        ownTokens: 600,
-        sharedTokens: 0,
-        tokens: 600,
-        isStream: true,
-        sentMilliseconds: 20,
-      },
-      0,
-    );
+    new RequestWork(work, speed, LONG_STREAM, 0);
     expect(work.slowness(0, 100)).toBeCloseTo(5);
   });
 });
