--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -282,8 +282,8 @@
   }
 
   /**
-   * When a caller should come back for which no endpoint was chosen, milliseconds;
-   * undefined if that is not known.
+   * Retry delay of a request for which no endpoint was chosen, milliseconds; undefined
+   * if no endpoint has said when it takes requests again.
    */
   retryAfterMilliseconds(): number | undefined {
     const {inNeed} = this.lastWithheld;
--- a/packages/gateway/src/known-endpoint.ts
+++ b/packages/gateway/src/known-endpoint.ts
@@ -19,7 +19,7 @@
   readonly relayedBreaker = new EndpointCircuitBreaker();
   /** Number of this host's requests in progress at the endpoint. */
   load = 0;
-  /** The same as work, and what the host believes of the endpoint's speed. */
+  /** The work of these requests, and what the host believes of the endpoint's speed. */
   readonly work = new EndpointWork();
   /**
    * When the latest request was sent whose answer kept the connection open, on
