Review case 5: relays send requests to servers that asked for rest

While the hosts of one zone are partitioned from all engines, they reach them through the other hosts. An engine that answers such a host 503 with Retry-After wants nothing from the machine for that time; the relay does not learn of it, and requests of the other hosts go on to come from the same machine.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/sh
+cd "$(dirname "$0")" && exec node case.mjs
--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -54,6 +54,11 @@
     );
   }
 
+  /** The address at which a gateway finds the store. */
+  storeAddressOf() {
+    return this.store.address;
+  }
+
   /** Sends SIGKILL to gateways at once; each starts again after a short delay. */
   kill(gateways) {
     for (const gateway of gateways) {
@@ -161,7 +166,7 @@
         drain_ms: 2000,
         config_apply_ms: 2000,
       },
-      platform: {address: this.store.address, keep_s: 300},
+      platform: {address: this.storeAddressOf(index), keep_s: 300},
     });
     return text;
   }
