--- a/review/4/case.mjs
+++ b/review/4/case.mjs
@@ -1,29 +1,30 @@
 import {fileURLToPath} from 'node:url';
 
-import {newAttempt, send} from '../common/caller.mjs';
-import {Engine, HEARTBEAT_MILLISECONDS, STRIDE} from '../common/engine.mjs';
-import {Fleet, STABLE_MILLISECONDS} from '../common/fleet.mjs';
+import {eventsOf, newAttempt, send} from '../common/caller.mjs';
+import {Engine, STRIDE} from '../common/engine.mjs';
+import {Fleet} from '../common/fleet.mjs';
 import {Record} from '../common/record.mjs';
 import {Store} from '../common/store.mjs';
 import {delay} from '../common/timing.mjs';
 
 const KEY = 'key-of-school';
-const GATEWAYS = 3;
+const GATEWAYS = 4;
 const ENGINES = 4;
-const REQUEST_MILLISECONDS = 20;
-const LENGTH_MILLISECONDS = 20_000;
-const DRAIN_MILLISECONDS = 2_000;
-/** Answers of the store are lost: of 0.35 of the writes for 4.5 s. */
-const LOST_SHARE = 0.35;
-const LOST_AT_MILLISECONDS = 2_000;
-const LOST_MILLISECONDS = 4_500;
-/** The server's last check-in of that time is done so much later: 1 to 6 s. */
-const LATE_MILLISECONDS = 5_600;
-/** The server leaves after the store has been stable for 3 s. */
-const LEAVES_AT_MILLISECONDS = 9_550;
-const STAYS_MILLISECONDS = 8_000;
+const EVENTS = 52;
+const EVENT_MILLISECONDS = 56;
+const REQUEST_MILLISECONDS = 16;
+const LENGTH_MILLISECONDS = 24_000;
+/** "Traffic starts 12 s after the machines do." */
+const LEAD_MILLISECONDS = 12_000;
+const KILL_MILLISECONDS = 3_000;
+/** A kill that streams survive, for comparison. */
+const LATER_KILL_MILLISECONDS = 15_000;
+/** The rule: of so many streams that are taken up, half of the share of new ones. */
+const MINIMUM_TAKEN_UP = 12;
+const MINIMUM_SHARE = 0.5;
 
-const hasTrouble = process.env.TROUBLE !== '0';
+/** `TROUBLE=0` kills nothing; `TROUBLE=later` kills the gateway 12 s later. */
+const {TROUBLE} = process.env;
 const record = new Record(
   fileURLToPath(new URL('record.txt', import.meta.url)),
 );
@@ -32,12 +33,8 @@
   keepLogs: process.env.KEEP_LOGS === '1',
 });
 const engines = [];
-/** Which gateway an attempt was sent to. */
-const senders = new Map();
-const arrivals = [];
-const requests = {sent: 0, served: 0};
-let leaving;
-let leftAt = Infinity;
+const streams = [];
+const takeUps = [];
 
 try {
   await run();
@@ -59,109 +56,118 @@
   await store.listen();
   store.put('keyed.op', 'config', configuration());
   for (let count = 0; count < ENGINES; count++) {
-    const engine = new Engine(store, {}, runs);
+    const engine = new Engine(
+      store,
+      {eventMilliseconds: EVENT_MILLISECONDS},
+      runs,
+    );
     engines.push(engine);
     await engine.start();
   }
+  const startedAt = performance.now();
   await fleet.start();
-  await delay(STABLE_MILLISECONDS);
+  await delay(startedAt + LEAD_MILLISECONDS - performance.now());
   record.startTraffic();
-  leaving = engines[0];
-  setTimeout(loseWrites, LOST_AT_MILLISECONDS);
-  setTimeout(leave, LEAVES_AT_MILLISECONDS);
+  setTimeout(
+    () => {
+      if (TROUBLE !== '0') {
+        fleet.kill(fleet.gateways.slice(0, 1));
+      }
+    },
+    TROUBLE === 'later' ? LATER_KILL_MILLISECONDS : KILL_MILLISECONDS,
+  );
   const open = [];
   while (record.now < LENGTH_MILLISECONDS) {
-    open.push(sendOne());
+    open.push(stream());
     await delay(REQUEST_MILLISECONDS);
   }
   await Promise.all(open);
 }
 
-/** The store loses answers; the last check-in of the server is done late. */
-async function loseWrites() {
-  if (!hasTrouble) {
-    return;
+function runs({engine, attempt, headers}) {
+  record.add('runs', {
+    attempt,
+    server: engine.id,
+    version: engine.version,
+    after: headers['last-event-id'],
+  });
+  return false;
+}
+
+/** One stream of a requester, which takes it up once if it breaks off. */
+async function stream() {
+  const first = newAttempt();
+  const gateway = fleet.pick();
+  const result = {first, last: 0, began: false};
+  result.isInTouch = fleet.isInTouch(gateway);
+  streams.push(result);
+  const answer = await sendTo(gateway, first, result);
+  result.last = eventsOf(answer.text).at(-1)?.id ?? 0;
+  result.began = result.last > 0;
+  add(answer, {first, gateway, last: result.last});
+  if (!answer.isComplete && result.began) {
+    await takeUp(result, gateway);
   }
-  record.add('store loses answers');
-  store.lostShare = LOST_SHARE;
-  await delay(LOST_MILLISECONDS - 100);
-  leaving.seq++;
-  const late = {...leaving.entry()};
-  record.add('check-in without an answer', {server: leaving.id, seq: late.seq});
-  setTimeout(() => {
-    store.put('keyed.servers', leaving.id, late);
-    record.add('that check-in is done', {state: late.state, seq: late.seq});
-  }, LATE_MILLISECONDS);
-  await delay(100);
-  store.lostShare = 0;
-  record.add('store is sound again');
 }
 
-/** The server reports that it leaves, checks in as such, and ends later. */
-async function leave() {
-  leaving.state = 'draining';
-  clearInterval(leaving.heartbeat);
-  leaving.register();
-  leftAt = performance.now();
-  record.add('server leaves', {server: leaving.id, seq: leaving.seq});
-  leaving.heartbeat = setInterval(() => {
-    leaving.register();
-    record.add('server checks in', {state: leaving.state, seq: leaving.seq});
-  }, HEARTBEAT_MILLISECONDS);
-  await delay(STAYS_MILLISECONDS);
-  leaving.stop();
-  store.put('keyed.servers', leaving.id, undefined);
-  record.add('server ends');
+async function takeUp(result, before) {
+  const gateway = fleet.pick(before);
+  const isInTouch = fleet.isInTouch(gateway);
+  const {first, last} = result;
+  const answer = await sendTo(gateway, newAttempt(), result);
+  const goesOn = eventsOf(answer.text).at(0)?.id === last + 1;
+  takeUps.push({isInTouch, goesOn});
+  add(answer, {first, gateway, isInTouch, from: last, goesOn});
 }
 
-function runs({engine, attempt}) {
-  const gateway = senders.get(attempt);
-  const at = performance.now();
-  const isInTouch = fleet.isInTouch(gateway, at);
-  if (engine === leaving) {
-    arrivals.push({at, isInTouch});
-    record.add('runs at the server', {
-      attempt,
-      gateway: gateway.index,
-      isInTouch,
-      afterLeaving: Math.round(at - leftAt),
-    });
-  }
-  return false;
+function add({status, isComplete, headers}, {gateway, ...fields}) {
+  record.add('answered', {
+    gateway: gateway.index,
+    status,
+    isComplete,
+    retryAfter: headers['retry-after'],
+    ...fields,
+  });
 }
 
-async function sendOne() {
-  const gateway = fleet.pick();
-  const attempt = newAttempt();
-  senders.set(attempt, gateway);
-  requests.sent++;
-  const answer = await send({
+function sendTo(gateway, attempt, {first, last}) {
+  return send({
     port: gateway.ports[0],
     attempt,
     path: '/review/4',
-    deadline: 3_000,
-    body: JSON.stringify({attempt}),
+    deadline: 8_000,
+    body: JSON.stringify({stream: first}),
     headers: {
       Authorization: `Token ${KEY}`,
       'X-Model': 'm',
-      'X-Token-Count': '600,16',
-      'X-Prompt-Prefix': `5c1e07a${requests.sent % 8}:500,${attempt.slice(-8)}:100`,
+      'X-Token-Count': `600,${EVENTS * STRIDE}`,
+      'X-Prompt-Prefix': `5c1e07a2:500,${first.slice(-8)}:100`,
+      ...(last > 0 ? {'Last-Event-Id': String(last), Resumes: first} : {}),
     },
   });
-  if (answer.status === 200 && answer.isComplete) {
-    requests.served++;
-  }
 }
 
 function judge() {
-  const late = arrivals.filter(
-    ({at, isInTouch}) => isInTouch && at > leftAt + DRAIN_MILLISECONDS,
-  );
-  record.add('result', {...requests, lateAtTheServer: late.length});
-  if (requests.served < requests.sent / 2) {
+  const newStreams = streams.filter(({isInTouch}) => isInTouch);
+  const began = newStreams.filter(stream => stream.began).length;
+  const inTouch = takeUps.filter(({isInTouch}) => isInTouch);
+  const wentOn = inTouch.filter(({goesOn}) => goesOn).length;
+  const shareOfNew = began / newStreams.length;
+  const share = inTouch.length === 0 ? 1 : wentOn / inTouch.length;
+  record.add('result', {
+    newStreams: newStreams.length,
+    began,
+    takenUp: inTouch.length,
+    wentOn,
+    takenUpElsewhere: takeUps.length - inTouch.length,
+  });
+  if (shareOfNew < MINIMUM_SHARE) {
     return 2;
   }
-  return late.length > 0 ? 1 : 0;
+  return inTouch.length >= MINIMUM_TAKEN_UP &&
+    share < MINIMUM_SHARE * shareOfNew
+    ? 1
+    : 0;
 }
 
 function configuration() {
@@ -174,7 +180,7 @@
         path_prefix: '/review/',
         kind: 'streaming',
         timeout_ms: 8_000,
-        goal_ms: 800,
+        goal_ms: 300,
         gap_goal_ms: 300,
         priority: 1,
         service: 'models',
--- a/review/common/fleet.mjs
+++ b/review/common/fleet.mjs
@@ -28,9 +28,20 @@
 export class Fleet {
   gateways = [];
 
-  constructor(store, record, count, {zones = ['a'], keepLogs = false} = {}) {
-    Object.assign(this, {store, record, count, zones, keepLogs});
+  constructor(
+    store,
+    record,
+    count,
+    {zones = ['a'], keepLogs = false, keepSeconds = 300} = {},
+  ) {
+    Object.assign(this, {store, record, count, zones, keepLogs, keepSeconds});
     this.folder = mkdtempSync(join(tmpdir(), 'review-'));
+    process.once('exit', () => {
+      this.endProcesses();
+    });
+    for (const signal of ['SIGINT', 'SIGTERM', 'SIGHUP']) {
+      process.once(signal, () => process.exit(2));
+    }
   }
 
   async start() {
@@ -67,6 +78,15 @@
     }
   }
 
+  /** Takes the power from gateways; they start again after a time. */
+  powerOff(gateways, milliseconds) {
+    for (const gateway of gateways) {
+      this.record.add('power off', {gateway: gateway.index});
+      gateway.restartMilliseconds = milliseconds;
+      gateway.process.kill('SIGKILL');
+    }
+  }
+
   /** Stops a gateway's process for a time, as a machine freezes and wakes. */
   async freeze(gateway, milliseconds) {
     this.record.add('freeze', {gateway: gateway.index});
@@ -100,18 +120,22 @@
   }
 
   async close() {
-    this.isClosing = true;
     clearInterval(this.poll);
-    for (const gateway of this.gateways) {
-      clearTimeout(gateway.restart);
-      gateway.process?.kill('SIGKILL');
-    }
+    this.endProcesses();
     await delay(200);
     if (!this.keepLogs) {
       rmSync(this.folder, {recursive: true, force: true});
     }
   }
 
+  endProcesses() {
+    this.isClosing = true;
+    for (const gateway of this.gateways) {
+      clearTimeout(gateway.restart);
+      gateway.process?.kill('SIGKILL');
+    }
+  }
+
   launch(gateway) {
     const file = join(this.folder, `settings-${gateway.index}.jsonc`);
     writeFileSync(file, this.settingsOf(gateway));
@@ -136,7 +160,7 @@
       if (!this.isClosing) {
         gateway.restart = setTimeout(
           () => this.launch(gateway),
-          RESTART_MILLISECONDS,
+          gateway.restartMilliseconds ?? RESTART_MILLISECONDS,
         );
       }
     });
@@ -166,7 +190,7 @@
         drain_ms: 2000,
         config_apply_ms: 2000,
       },
-      platform: {address: this.storeAddressOf(index), keep_s: 300},
+      platform: {address: this.storeAddressOf(index), keep_s: this.keepSeconds},
     });
     return text;
   }
--- a/review/common/store.mjs
+++ b/review/common/store.mjs
@@ -11,6 +11,10 @@
  */
 export class Store {
   partitions = new Map();
+  /** When the records of each partition were written. */
+  times = new Map();
+  /** Records are dropped after this time; the newest of each key is kept. */
+  keepMilliseconds = Infinity;
   /** Share of the writes whose answers are lost; they are done 1 to 6 s later. */
   lostShare = 0;
 
@@ -39,9 +43,20 @@
     const stored = this.partition(topic, part);
     const offset = stored.length;
     stored.push(...records);
+    const times = this.times.get(stored) ?? [];
+    this.times.set(stored, times);
+    times.push(...records.map(() => performance.now()));
     return {offset, end: stored.length};
   }
 
+  /** Offset of the oldest record that is still there. */
+  firstOffset(stored) {
+    const oldest = performance.now() - this.keepMilliseconds;
+    const times = this.times.get(stored) ?? [];
+    const first = times.findIndex(at => at >= oldest);
+    return first === -1 ? stored.length : first;
+  }
+
   close() {
     this.server.closeAllConnections();
     this.server.close();
@@ -94,6 +109,12 @@
     const maximumBytes = 1_024 * Number(query.get('max_kb') ?? 1_024);
     const until = performance.now() + Number(query.get('wait_ms') ?? 0);
     const stored = this.partition(topic, part);
+    const first = this.firstOffset(stored);
+    if (from < first) {
+      response.writeHead(410, {'Content-Type': 'application/json'});
+      response.end(JSON.stringify({first}));
+      return;
+    }
     while (stored.length <= from && performance.now() < until) {
       await delay(POLL_MILLISECONDS);
     }
@@ -108,6 +129,7 @@
     }
     const head = Buffer.alloc(16);
     head.writeBigUInt64BE(BigInt(stored.length), 0);
+    head.writeBigUInt64BE(BigInt(first), 8);
     response.end(Buffer.concat([head, ...frames]));
   }
 
