Review case 5: a late check-in opens a server again that leaves

The script now spreads its requests over seven servers, and the leaving one exits a little after its drain time: the requests that it gets after the late check-in are lost.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,157 +1,47 @@
-import {createServer} from 'node:http';
 import {fileURLToPath} from 'node:url';
 
 import {newAttempt, send} from '../common/caller.mjs';
-import {HEARTBEAT_MILLISECONDS} from '../common/engine.mjs';
+import {Engine, HEARTBEAT_MILLISECONDS, STRIDE} from '../common/engine.mjs';
 import {Fleet, STABLE_MILLISECONDS} from '../common/fleet.mjs';
-import {HostPaths} from '../common/paths.mjs';
 import {Record} from '../common/record.mjs';
 import {Store} from '../common/store.mjs';
 import {delay} from '../common/timing.mjs';
 
 const KEY = 'key-of-school';
-/** Zone a has the first four gateways, zone b the others. */
-const ZONES = ['a', 'a', 'a', 'a', 'b', 'b'];
-const CUT_ZONE = 'a';
-const ENGINES = 4;
-const SLOTS = 2;
-const WAITING = 1;
-const WORK_MILLISECONDS = 85;
-/** The engine wants nothing from the machine for so long. */
-const RETRY_AFTER_SECONDS = 2;
-const REQUESTS_PER_SECOND = 60;
-const BURST_FACTOR = 1.7;
-const BURSTS_MILLISECONDS = [7_000, 13_000, 19_000];
-const BURST_MILLISECONDS = 3_000;
-const CUT_MILLISECONDS = 3_000;
-const LENGTH_MILLISECONDS = 24_000;
-/** The rule: not more than two requests from half a second after the answer on. */
-const GRACE_MILLISECONDS = 500;
-const MAXIMUM_REQUESTS = 2;
+const GATEWAYS = 3;
+const ENGINES = 7;
+const REQUEST_MILLISECONDS = 12;
+const LENGTH_MILLISECONDS = 20_000;
+const DRAIN_MILLISECONDS = 2_000;
+/** Answers of the store are lost: of 0.35 of the writes for 4.5 s. */
+const LOST_SHARE = 0.35;
+const LOST_AT_MILLISECONDS = 2_000;
+const LOST_MILLISECONDS = 4_500;
+/** The server's last check-in of that time is done so much later: 1 to 6 s. */
+const LATE_MILLISECONDS = 5_700;
+/** The server leaves after the store has been stable for 3 s. */
+const LEAVES_AT_MILLISECONDS = 9_520;
+/** `drain_ms` and a little longer; then it exits. */
+const STAYS_MILLISECONDS = 3_550;
+/** Streams that can't be resumed. */
+const EVENTS = 20;
+const EVENT_MILLISECONDS = 56;
 
 const hasTrouble = process.env.TROUBLE !== '0';
 const record = new Record(
   fileURLToPath(new URL('record.txt', import.meta.url)),
 );
 const store = new Store();
-const paths = new HostPaths(store);
-const fleet = new Fleet(store, record, ZONES.length, {
-  zones: ZONES,
+const fleet = new Fleet(store, record, GATEWAYS, {
   keepLogs: process.env.KEEP_LOGS === '1',
 });
 const engines = [];
 /** Which gateway an attempt was sent to. */
 const senders = new Map();
-const breaches = [];
-const tally = {};
-
-/** A server that turns requests away when it is full, and asks for rest then. */
-class BusyEngine {
-  running = 0;
-  waiting = [];
-  turnedAway = [];
-
-  constructor(index) {
-    this.id = `i-${process.pid.toString(16)}-${index}`;
-    this.born = Date.now();
-    this.seq = 0;
-  }
-
-  async start() {
-    this.server = createServer((request, response) => {
-      this.serve(request, response).catch(() => response.destroy());
-    });
-    this.server.keepAliveTimeout = 15_000;
-    await new Promise(resolve => this.server.listen(0, '127.0.0.1', resolve));
-    this.register();
-    this.heartbeat = setInterval(() => {
-      this.register();
-    }, HEARTBEAT_MILLISECONDS);
-  }
-
-  register() {
-    store.put('keyed.servers', this.id, {
-      service: 'registry',
-      address: `127.0.0.1:${this.server.address().port}`,
-      zone: 'a',
-      version: 'v1',
-      slots: SLOTS,
-      state: 'ready',
-      cold_remaining_ms: 0,
-      seq: ++this.seq,
-      born: this.born,
-    });
-  }
-
-  stop() {
-    clearInterval(this.heartbeat);
-    this.server.closeAllConnections();
-    this.server.close();
-  }
-
-  async serve(request, response) {
-    request.resume();
-    const attempt = request.headers['x-attempt-id'];
-    const machine = paths.machineOf(request.socket);
-    this.arrived(attempt, machine);
-    if (this.running >= SLOTS && this.waiting.length >= WAITING) {
-      this.turnedAway.push({at: performance.now(), machine, requests: 0});
-      record.add('turned away', {attempt, server: this.id, machine});
-      response.writeHead(503, {
-        'X-Attempt-Id': attempt,
-        'X-Not-Executed': '1',
-        'Retry-After': String(RETRY_AFTER_SECONDS),
-      });
-      response.end();
-      return;
-    }
-    await this.run();
-    response.writeHead(200, {
-      'X-Attempt-Id': attempt,
-      'X-Server-Seal': `${this.id}.${attempt}`,
-      'Content-Length': '11',
-    });
-    response.end('{"done":1}\n');
-  }
-
-  /** Counts the request for the machine's answers 503 that still ask for rest. */
-  arrived(attempt, machine) {
-    const now = performance.now();
-    record.add('arrives', {
-      attempt,
-      server: this.id,
-      machine,
-      gateway: senders.get(attempt)?.index,
-    });
-    const asked = this.turnedAway.filter(
-      answer =>
-        answer.machine === machine &&
-        now > answer.at + GRACE_MILLISECONDS &&
-        now < answer.at + 1_000 * RETRY_AFTER_SECONDS,
-    );
-    for (const answer of asked) {
-      answer.requests++;
-      if (answer.requests === MAXIMUM_REQUESTS + 1) {
-        breaches.push(answer);
-        record.add('too many requests', {
-          server: this.id,
-          machine,
-          afterAnswer: Math.round(now - answer.at),
-        });
-      }
-    }
-  }
-
-  async run() {
-    if (this.running >= SLOTS) {
-      await new Promise(resolve => this.waiting.push(resolve));
-    }
-    this.running++;
-    await delay(WORK_MILLISECONDS);
-    this.running--;
-    this.waiting.shift()?.();
-  }
-}
+const arrivals = [];
+const requests = {sent: 0, served: 0, cut: 0};
+let leaving;
+let leftAt = Infinity;
 
 try {
   await run();
@@ -164,88 +54,125 @@
   for (const engine of engines) {
     engine.stop();
   }
-  paths.close();
   store.close();
   record.write();
-  console.log(record.lines.slice(-8).join('\n'));
+  console.log(record.lines.slice(-4).join('\n'));
 }
 
 async function run() {
   await store.listen();
   store.put('keyed.op', 'config', configuration());
-  const addresses = [];
-  for (let count = 0; count < ZONES.length; count++) {
-    addresses.push(await paths.add());
-  }
-  fleet.storeAddressOf = index => addresses[index];
   for (let count = 0; count < ENGINES; count++) {
-    const engine = new BusyEngine(count);
+    const engine = new Engine(
+      store,
+      {eventMilliseconds: EVENT_MILLISECONDS},
+      runs,
+    );
     engines.push(engine);
     await engine.start();
   }
   await fleet.start();
   await delay(STABLE_MILLISECONDS);
   record.startTraffic();
-  setTimeout(cutZone, CUT_MILLISECONDS);
+  leaving = engines[0];
+  setTimeout(loseWrites, LOST_AT_MILLISECONDS);
+  setTimeout(leave, LEAVES_AT_MILLISECONDS);
   const open = [];
   while (record.now < LENGTH_MILLISECONDS) {
     open.push(sendOne());
-    const rate = REQUESTS_PER_SECOND * (isBurst() ? BURST_FACTOR : 1);
-    await delay((1_000 / rate) * (0.5 + Math.random()));
+    await delay(REQUEST_MILLISECONDS);
   }
   await Promise.all(open);
 }
 
-function cutZone() {
+/** The store loses answers; the last check-in of the server is done late. */
+async function loseWrites() {
   if (!hasTrouble) {
     return;
   }
-  ZONES.forEach((zone, index) => {
-    if (zone === CUT_ZONE) {
-      record.add('partitioned from all servers', {gateway: index});
-      paths.cut(index);
-    }
-  });
+  record.add('store loses answers');
+  store.lostShare = LOST_SHARE;
+  await delay(LOST_MILLISECONDS - 100);
+  leaving.seq++;
+  const late = {...leaving.entry()};
+  record.add('check-in without an answer', {server: leaving.id, seq: late.seq});
+  setTimeout(() => {
+    store.put('keyed.servers', leaving.id, late);
+    record.add('that check-in is done', {state: late.state, seq: late.seq});
+  }, LATE_MILLISECONDS);
+  await delay(100);
+  store.lostShare = 0;
+  record.add('store is sound again');
 }
 
-function isBurst() {
-  return BURSTS_MILLISECONDS.some(
-    at => record.now >= at && record.now < at + BURST_MILLISECONDS,
-  );
+/** The server reports that it leaves, checks in as such, and ends later. */
+async function leave() {
+  leaving.state = 'draining';
+  clearInterval(leaving.heartbeat);
+  leaving.register();
+  leftAt = performance.now();
+  record.add('server leaves', {server: leaving.id, seq: leaving.seq});
+  leaving.heartbeat = setInterval(() => {
+    leaving.register();
+    record.add('server checks in', {state: leaving.state, seq: leaving.seq});
+  }, HEARTBEAT_MILLISECONDS);
+  await delay(STAYS_MILLISECONDS);
+  leaving.stop();
+  store.put('keyed.servers', leaving.id, undefined);
+  record.add('server ends');
+}
+
+function runs({engine, attempt}) {
+  const gateway = senders.get(attempt);
+  const at = performance.now();
+  const isInTouch = fleet.isInTouch(gateway, at);
+  if (engine === leaving) {
+    arrivals.push({at, isInTouch});
+    record.add('runs at the server', {
+      attempt,
+      gateway: gateway.index,
+      isInTouch,
+      afterLeaving: Math.round(at - leftAt),
+    });
+  }
+  return false;
 }
 
 async function sendOne() {
   const gateway = fleet.pick();
   const attempt = newAttempt();
   senders.set(attempt, gateway);
-  const {status} = await send({
+  requests.sent++;
+  const answer = await send({
     port: gateway.ports[0],
     attempt,
     path: '/review/5',
-    deadline: 1_500,
-    headers: {Authorization: `Token ${KEY}`},
+    deadline: 3_000,
+    body: JSON.stringify({attempt}),
+    headers: {
+      Authorization: `Token ${KEY}`,
+      'X-Model': 'm',
+      'X-Token-Count': `600,${EVENTS * STRIDE}`,
+      'X-Prompt-Prefix': `${attempt.slice(-8)}:600`,
+    },
   });
-  tally[status] = (tally[status] ?? 0) + 1;
-  record.add('answered', {attempt, gateway: gateway.index, status});
+  if (answer.status === 200 && answer.isComplete) {
+    requests.served++;
+  } else if (answer.status === 200) {
+    requests.cut++;
+    record.add('stream cut', {attempt, gateway: gateway.index});
+  }
 }
 
-/** Only machines that were not cut count; none was restarted or frozen. */
 function judge() {
-  const counted = breaches.filter(
-    ({machine}) => !hasTrouble || ZONES[machine] !== CUT_ZONE,
+  const late = arrivals.filter(
+    ({at, isInTouch}) => isInTouch && at > leftAt + DRAIN_MILLISECONDS,
   );
-  record.add('result', {
-    answers: JSON.stringify(tally),
-    turnedAway: engines.reduce(
-      (sum, {turnedAway}) => sum + turnedAway.length,
-      0,
-    ),
-    breaches: counted.length,
-  });
-  if ((tally[200] ?? 0) === 0) {
+  record.add('result', {...requests, lateAtTheServer: late.length});
+  if (requests.served < requests.sent / 2) {
     return 2;
   }
-  return counted.length > 0 ? 1 : 0;
+  return late.length > 0 ? 1 : 0;
 }
 
 function configuration() {
@@ -256,22 +183,25 @@
         name: 'review',
         host: 'shop.example',
         path_prefix: '/review/',
-        kind: 'unsafe',
-        timeout_ms: 800,
-        goal_ms: 150,
-        priority: 2,
-        service: 'registry',
+        kind: 'streaming',
+        timeout_ms: 8_000,
+        goal_ms: 800,
+        gap_goal_ms: 300,
+        priority: 1,
+        service: 'models',
         max_attempts: 1,
         public: false,
+        resumable: false,
+        sticky: true,
       },
     ],
-    services: [{name: 'registry', max_conns: 110}],
+    services: [{name: 'models', max_conns: 370, engine: {stride: STRIDE}}],
     limits: {
       max_body_bytes: 4_194_304,
       max_header_bytes: 16_384,
       header_timeout_ms: 3_000,
       idle_timeout_ms: 15_000,
     },
-    tenants: [{name: 'school', api_keys: [KEY], prepaid: 1_000_000}],
+    tenants: [{name: 'school', api_keys: [KEY], prepaid: 50_000_000}],
   };
 }
