Log how far a response of the store came, and the size of a version

What callers saw: 404 for routes of a version that was acknowledged seconds before. The lines could not tell a read that was lost for its timeout from two that were slow, or from a connection that was dead: they had neither when a response began nor how much of it had come.

A call that times out now says what did not come, and after how many bytes. Reads of keyed topics that take over 300 ms from their first byte, or are lost after it, have a line; 'configuration in force' has the size. No timeout and no decision changes. The test that makes such an error by hand names the missing part in place of a flag; it asserts the same.

--- a/packages/gateway/src/configuration-state.ts
+++ b/packages/gateway/src/configuration-state.ts
@@ -45,7 +45,7 @@
       });
       return;
     }
-    this.adopt(configuration, record.offset);
+    this.adopt(configuration, record.offset, record.value.length);
   }
 
   override replaced(records: readonly KeyedRecord[]): void {
@@ -58,7 +58,11 @@
     // Nothing to do: a version stays in force until a newer one is read.
   }
 
-  private adopt(configuration: FleetConfiguration, offset: number): void {
+  private adopt(
+    configuration: FleetConfiguration,
+    offset: number,
+    bytes: number,
+  ): void {
     const before = this.inForce;
     if (before !== undefined && configuration.version <= before.version) {
       return;
@@ -68,6 +72,7 @@
       version: configuration.version,
       before: before?.version,
       offset,
+      bytes,
       routes: configuration.routes.length,
       organisations: configuration.organisations.length,
     });
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -4,6 +4,8 @@
   type KeyedRecord,
   type Partition,
   type PartitionedLog,
+  type ReadOptions,
+  type ReadProgress,
 } from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
@@ -34,6 +36,8 @@
   readonly pauseMilliseconds: number;
 }
 
+/** A response that takes longer than this from its first byte on is logged. */
+const SLOW_RESPONSE_MILLISECONDS = 300;
 /** Pause before a failed call is repeated; a call to the store takes 4 ms. */
 const RETRY_INTERVAL_MILLISECONDS = 250;
 
@@ -44,6 +48,9 @@
 export class KeyedTopicFollower {
   private readonly stop = new AbortController();
   private position: number | undefined;
+  /** The response that arrives, and when its first byte did. */
+  private arriving:
+    {readonly since: number; readonly progress: ReadProgress} | undefined;
 
   constructor(
     private readonly log: PartitionedLog,
@@ -57,10 +64,12 @@
   /** Follows the topic until the follower is closed. */
   async run(): Promise<void> {
     while (!this.stop.signal.aborted) {
+      this.arriving = undefined;
       try {
         await this.step();
         this.health.answered(this.clock.monotonicMilliseconds());
       } catch (error) {
+        this.logSlowResponse(false);
         await this.recover(error);
       }
     }
@@ -75,7 +84,8 @@
     const {partition, waitMilliseconds, pauseMilliseconds} = this.options;
     const requestedAt = this.clock.monotonicMilliseconds();
     if (this.position === undefined) {
-      const newest = await this.log.newest(partition);
+      const newest = await this.log.newest(partition, this.readOptions());
+      this.logSlowResponse(true);
       this.position = newest.resumeOffset;
       this.reader.replaced(newest.items);
       this.reader.caughtUp(requestedAt);
@@ -85,7 +95,9 @@
       partition,
       this.position,
       waitMilliseconds,
+      this.readOptions(),
     );
+    this.logSlowResponse(true);
     range.records.forEach((bytes, index) => {
       this.applyRecord(range.offset + index, bytes);
     });
@@ -98,6 +110,34 @@
     await this.clock.sleep(pauseMilliseconds, this.stop.signal);
   }
 
+  private readOptions(): ReadOptions {
+    return {
+      onProgress: progress => {
+        const since =
+          this.arriving?.since ?? this.clock.monotonicMilliseconds();
+        this.arriving = {since, progress};
+      },
+    };
+  }
+
+  /** Logs how much of a response has arrived in which time. */
+  private logSlowResponse(isComplete: boolean): void {
+    if (this.arriving === undefined) {
+      return;
+    }
+    const {since, progress} = this.arriving;
+    const tookMilliseconds = this.clock.monotonicMilliseconds() - since;
+    if (!isComplete || tookMilliseconds > SLOW_RESPONSE_MILLISECONDS) {
+      this.events.info('slow response of the store', {
+        topic: this.options.partition.topic,
+        position: this.position,
+        isComplete,
+        tookMilliseconds: Math.round(tookMilliseconds),
+        ...progress,
+      });
+    }
+  }
+
   private applyRecord(offset: number, bytes: Uint8Array): void {
     const record = this.log.keyedRecord(offset, bytes);
     if (record === undefined) {
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -1,5 +1,10 @@
 import {ChargePoint} from '@wisteriadeal/budgets';
-import {CallTimeoutError, Fate, StepError} from '@wisteriadeal/platform';
+import {
+  CallTimeoutError,
+  Fate,
+  MissingPart,
+  StepError,
+} from '@wisteriadeal/platform';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
@@ -86,7 +91,7 @@
 
 /** The error of a call to the store that timed out. */
 function callTimeout(): StepError {
-  const cause = new CallTimeoutError(false, 1_200);
+  const cause = new CallTimeoutError(MissingPart.Response, 1_200);
   return new StepError('read', 'store', Fate.Unknown, cause.message, {cause});
 }
 
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -1,4 +1,9 @@
-import {Agent, request as sendRequest, type ClientRequest} from 'node:http';
+import {
+  Agent,
+  request as sendRequest,
+  type ClientRequest,
+  type IncomingMessage,
+} from 'node:http';
 import type {Socket} from 'node:net';
 
 import {
@@ -28,24 +33,46 @@
   readonly longPollMilliseconds?: number;
   /** This host's link: its delay extends the timeouts, and measurements are recorded in it. */
   readonly link?: HostLink;
+  /** Called whenever a part of the body arrives. */
+  readonly onProgress?: ((progress: ResponseProgress) => void) | undefined;
 };
 
+/** How much of a response has arrived. */
+export interface ResponseProgress {
+  readonly status: number;
+  readonly receivedBytes: number;
+  /** Size of the body; undefined if the peer did not announce it. */
+  readonly totalBytes: number | undefined;
+  /** The first part of the body. */
+  readonly firstBytes: Buffer;
+}
+
 /**
  * Bound on the link delay that extends timeouts, so that a connection without traffic is
  * detected even while the host's link is full.
  */
 const MAXIMUM_LINK_DELAY_MILLISECONDS = 1_000;
 
+/** What did not come before a call's timeout. */
+export enum MissingPart {
+  Connection = 'connection',
+  Response = 'response',
+  /** The rest of a response whose head has arrived. */
+  Body = 'end of the response',
+}
+
 /** A call exceeded its connect timeout or its total timeout. */
 export class CallTimeoutError extends Error {
   override readonly name: string = 'CallTimeoutError';
 
   constructor(
-    readonly isConnectTimeout: boolean,
+    readonly missing: MissingPart,
     milliseconds: number,
+    receivedBytes = 0,
   ) {
-    const missing = isConnectTimeout ? 'no connection' : 'no complete response';
-    super(`${missing} within ${milliseconds} ms`);
+    const received =
+      missing === MissingPart.Body ? ` after ${receivedBytes} bytes` : '';
+    super(`no ${missing} within ${milliseconds} ms${received}`);
   }
 }
 
@@ -121,6 +148,8 @@
   private readonly link: HostLink;
   private readonly linkDelayMilliseconds: number;
   private readonly totalTimeout: NetworkTimeout;
+  private missing = MissingPart.Response;
+  private receivedBytes = 0;
   private connectTimeout: NetworkTimeout | undefined;
   /**
    * When the wait for the peer's next data began, by `performance.now`; undefined while
@@ -142,11 +171,11 @@
       MAXIMUM_LINK_DELAY_MILLISECONDS,
       link.delayMilliseconds,
     );
-    const total =
+    const limit =
       timeouts.total + longPollMilliseconds + this.linkDelayMilliseconds;
-    this.totalTimeout = new NetworkTimeout(total, () => {
+    this.totalTimeout = new NetworkTimeout(limit, () => {
       this.recordTimeout(longPollMilliseconds);
-      fail(new CallTimeoutError(false, total));
+      fail(new CallTimeoutError(this.missing, limit, this.receivedBytes));
     });
   }
 
@@ -155,7 +184,7 @@
     const limit = this.call.timeouts.connect + this.linkDelayMilliseconds;
     this.connectTimeout = new NetworkTimeout(limit, () => {
       this.recordTimeout(0);
-      this.fail(new CallTimeoutError(true, limit));
+      this.fail(new CallTimeoutError(MissingPart.Connection, limit));
     });
     socket.once('connect', () => {
       this.connectTimeout?.close();
@@ -176,6 +205,12 @@
       this.recordArrival();
     }
     this.waitingSince = undefined;
+    this.missing = MissingPart.Body;
+  }
+
+  /** Records the arrival of a part of the body. */
+  onBody(bytes: number): void {
+    this.receivedBytes += bytes;
   }
 
   /** Cancels the timeouts. */
@@ -217,21 +252,55 @@
     outgoing.on('error', fail);
     outgoing.once('response', incoming => {
       callTimeouts.onResponse();
-      const chunks: Buffer[] = [];
-      incoming.on('data', (chunk: Buffer) => chunks.push(chunk));
+      const body = new ResponseBody(incoming);
+      incoming.on('data', (chunk: Buffer) => {
+        body.add(chunk);
+        callTimeouts.onBody(chunk.length);
+        call.onProgress?.(body.progress);
+      });
       incoming.on('error', fail);
       incoming.once('end', () => {
         callTimeouts.close();
         const {statusCode = 0, headers} = incoming;
-        resolve({status: statusCode, headers, body: Buffer.concat(chunks)});
+        resolve({status: statusCode, headers, body: body.bytes});
       });
     });
   });
 }
 
+/** The body of a response as far as it has arrived. */
+class ResponseBody {
+  private readonly chunks: Buffer[] = [];
+  private byteCount = 0;
+
+  constructor(private readonly response: IncomingMessage) {}
+
+  get bytes(): Buffer {
+    return Buffer.concat(this.chunks);
+  }
+
+  get progress(): ResponseProgress {
+    const {statusCode = 0, headers} = this.response;
+    const announced = headers['content-length'];
+    return {
+      status: statusCode,
+      receivedBytes: this.byteCount,
+      totalBytes: announced === undefined ? undefined : Number(announced),
+      firstBytes: this.chunks[0] ?? Buffer.alloc(0),
+    };
+  }
+
+  add(chunk: Buffer): void {
+    this.chunks.push(chunk);
+    this.byteCount += chunk.length;
+  }
+}
+
 function fateOf(error: unknown): Fate {
   if (error instanceof CallTimeoutError) {
-    return error.isConnectTimeout ? Fate.NotDone : Fate.Unknown;
+    return error.missing === MissingPart.Connection
+      ? Fate.NotDone
+      : Fate.Unknown;
   }
   const isConnectError =
     error instanceof Error && 'code' in error && isConnectErrorCode(error.code);
--- a/packages/platform/src/partitioned-log.ts
+++ b/packages/platform/src/partitioned-log.ts
@@ -17,6 +17,21 @@
   readonly first: number;
 }
 
+/** How much of the response to a read has arrived. */
+export interface ReadProgress {
+  /** Offset of the next append; undefined if the response does not tell yet. */
+  readonly end: number | undefined;
+  readonly receivedBytes: number;
+  /** Size of the whole response; undefined if the store did not announce it. */
+  readonly totalBytes: number | undefined;
+}
+
+/** Options of a read. */
+export interface ReadOptions {
+  /** Called whenever a part of a response that holds records arrives. */
+  readonly onProgress?: (progress: ReadProgress) => void;
+}
+
 /** The newest record of one key. */
 export interface KeyedRecord {
   readonly key: string;
@@ -90,6 +105,7 @@
     partition: Partition,
     from: number,
     waitMilliseconds: number,
+    options?: ReadOptions,
   ): Promise<RecordRange>;
 
   /**
@@ -97,7 +113,10 @@
    *
    * @throws StepError if the store returned no usable response.
    */
-  abstract newest(partition: Partition): Promise<NewestRecords>;
+  abstract newest(
+    partition: Partition,
+    options?: ReadOptions,
+  ): Promise<NewestRecords>;
 
   /**
    * Appends a record to a keyed topic; the value undefined deletes the key.
