Give up a response of the store for silence, not for its size

What callers saw: an acknowledged version came into force never, or seconds late, where callers fill a host's link.

Cause: the total timeout of a call (1.2 s, and 1 s of link delay) held for the whole body, however large and however steadily it arrived; a longer read was thrown away, and the next one took as long. Records are never split, so that smaller pages don't help.

Each further 16 kB restart the timeout: the bound on the whole follows from the size. A silent connection and one that trickles end after one timeout, as before (tests).

--- a/packages/platform/src/test/http-client_test.ts
+++ b/packages/platform/src/test/http-client_test.ts
@@ -1,8 +1,14 @@
-import {createServer, type Server} from 'node:http';
+import {createServer, type Server, type ServerResponse} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 
-import {Fate, UncongestedLink, HttpClient, type HttpCall} from '../index.js';
+import {
+  Fate,
+  UncongestedLink,
+  HttpClient,
+  MissingPart,
+  type HttpCall,
+} from '../index.js';
 
 type Handler = Parameters<typeof createServer>[1];
 
@@ -12,6 +18,8 @@
   path: '/records?from=3',
   timeouts: {connect: 300, total: 300},
 };
+/** Enough bytes to count as progress. */
+const PART_BYTES = 17_000;
 
 /** A link that delays inbound data for longer than any timeout. */
 class CongestedLink extends UncongestedLink {
@@ -143,8 +151,80 @@
     peer.close();
     await closed;
   });
+
+  it('reads a response that takes longer than the timeout but arrives steadily', async () => {
+    // Guards against a large record that is given up and read again for ever.
+    const parts = 12;
+    const {call} = bindCall(
+      await startPeer((_request, response) => {
+        void sendParts(response, parts, PART_BYTES, 100);
+      }),
+    );
+    const progress: number[] = [];
+    const {body} = await call({
+      ...CALL,
+      onProgress: ({receivedBytes}) => progress.push(receivedBytes),
+    });
+    expect(body.length).toBe(parts * PART_BYTES);
+    expect(progress.at(-1)).toBe(parts * PART_BYTES);
+  });
+
+  it.each([
+    {name: 'falls silent', parts: 1, bytes: 10},
+    {name: 'trickles', parts: 100, bytes: 10},
+    {name: 'falls silent after a large part', parts: 1, bytes: PART_BYTES},
+  ])('gives up a response that $name', async ({parts, bytes}) => {
+    // Guards against a call that never ends because some bytes arrive.
+    const {call} = bindCall(
+      await startPeer((_request, response) => {
+        response.setHeader('content-length', '1000000');
+        void sendParts(response, parts, bytes, 100);
+      }),
+    );
+    const startedAt = performance.now();
+    await expect(call(CALL)).rejects.toMatchObject({
+      fate: Fate.Unknown,
+      cause: {missing: MissingPart.Body},
+    });
+    expect(performance.now() - startedAt).toBeLessThan(3 * CALL.timeouts.total);
+  });
+
+  it('ends a call and its connection when it is aborted', async () => {
+    // Guards against responses that fill the link although they are needless.
+    let isClosed = false;
+    const {call} = bindCall(
+      await startPeer(request => {
+        request.socket.on('close', () => {
+          isClosed = true;
+        });
+      }),
+    );
+    const controller = new AbortController();
+    setTimeout(() => {
+      controller.abort();
+    }, 20);
+    await expect(
+      call({...CALL, signal: controller.signal}),
+    ).rejects.toMatchObject({fate: Fate.Unknown});
+    await expect.poll(() => isClosed).toBe(true);
+  });
 });
 
+/** Sends parts of a body with pauses; the response ends if it is not announced as longer. */
+async function sendParts(
+  response: ServerResponse,
+  parts: number,
+  bytes: number,
+  pauseMilliseconds: number,
+): Promise<void> {
+  for (let part = 0; part < parts && !response.destroyed; part++) {
+    response.write(Buffer.alloc(bytes));
+    await new Promise(resolve => setTimeout(resolve, pauseMilliseconds));
+  }
+  if (!response.hasHeader('content-length')) {
+    response.end();
+  }
+}
 function bindCall(peer: HttpClient) {
   return {call: (call: HttpCall) => peer.call(call)};
 }
