Take over a topic's copy from another host while a read of it is slow

What callers saw: a version of a megabyte was in force seconds after it had to be, at hosts with a full link and at hosts that return from a cut and read each version that they missed.

Cause: the store sends one record as a whole, 0.29 kB a route, and has no smaller form of it; each missed version comes, though only the newest counts.

While the store gives no answer it asks every 2 s. Nobody is asked while reads are fast. A copy is taken only if it goes beyond the host's own offset, so that nothing reverts. Parts of 8 kB restart its timeout, as for the store.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -37,6 +37,7 @@
 export * from './standing-delay.js';
 export * from './stop-admission.js';
 export * from './store-reads/read-intervals.js';
+export * from './store-reads/slow-read.js';
 export * from './stream-origin.js';
 export * from './stream-origins.js';
 export * from './origin-knowledge.js';
--- a/packages/gateway/src/combined-topic-reader.ts
+++ b/packages/gateway/src/combined-topic-reader.ts
@@ -20,9 +20,9 @@
     }
   }
 
-  override caughtUp(asOf: number): void {
+  override caughtUp(asOf: number, answeredAt: number): void {
     for (const reader of this.readers) {
-      reader.caughtUp(asOf);
+      reader.caughtUp(asOf, answeredAt);
     }
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -64,6 +64,12 @@
   StreamOriginRegistry,
   StreamStarts,
 } from './stream-origins/index.js';
+import {
+  ConnectTopicCopyPeers,
+  TopicCatchUp,
+  TopicCopies,
+  type TopicCopyPeers,
+} from './topic-copies/index.js';
 import {TunnelServer} from './tunnel-server.js';
 
 /** Dependencies of a gateway. */
@@ -108,7 +114,9 @@
   private readonly handler: RequestHandler;
   private readonly callers: CallerServer;
   private readonly status: StatusServer;
-  private readonly followers: readonly KeyedTopicFollower[];
+  private readonly configurationFollower: KeyedTopicFollower;
+  private readonly endpointFollower: KeyedTopicFollower;
+  private readonly copyPeers: TopicCopyPeers;
   private readonly connections: EndpointConnectionPool;
   private readonly metrics = new GatewayMetrics();
   private readonly link: LinkMonitor;
@@ -212,7 +220,9 @@
       this.metrics,
       events,
     );
-    this.followers = this.createFollowers();
+    this.copyPeers = new ConnectTopicCopyPeers(this.link);
+    this.configurationFollower = this.createConfigurationFollower();
+    this.endpointFollower = this.createEndpointFollower();
     this.link.setSampleListener(() => {
       this.observeLoad();
     });
@@ -242,13 +252,13 @@
         loans: this.budgets.lender,
         suspects: this.suspects,
         origins: this.origins,
+        copies: new TopicCopies([this.configurationFollower]),
         tunnels: this.tunnels,
       },
     );
     void this.suspects.learn();
-    for (const follower of this.followers) {
-      void follower.run();
-    }
+    void this.configurationFollower.run();
+    void this.endpointFollower.run();
     void this.budgets.run();
     void this.bills.run();
     await this.status.listen(
@@ -286,9 +296,9 @@
     this.callers.close();
     this.status.close();
     this.link.close();
-    for (const follower of this.followers) {
-      follower.close();
-    }
+    this.configurationFollower.close();
+    this.endpointFollower.close();
+    this.copyPeers.close();
     this.budgets.abort();
     this.bills.abort();
     this.tunnels.close();
@@ -583,44 +593,54 @@
     );
   }
 
-  private createFollowers(): readonly KeyedTopicFollower[] {
-    const {settings, names, log, clock, events} = this.parts;
+  private createConfigurationFollower(): KeyedTopicFollower {
+    const {settings, names, log, clock, random, events} = this.parts;
     const limits = gatewayLimits(settings);
-    return [
-      new KeyedTopicFollower(
-        log,
-        new CombinedTopicReader([this.configuration, this.evacuations]),
-        {
-          partition: names.configurationPartition,
-          waitMilliseconds: Math.floor(
-            configurationReadWait(
-              Math.min(
-                limits.configurationApplyMilliseconds,
-                limits.evacuationMilliseconds,
-              ),
-            ),
-          ),
-          pauseMilliseconds: 0,
-        },
-        this.health.configuration,
-        clock,
-        events,
-      ),
-      new KeyedTopicFollower(
-        log,
-        this.directory,
-        {
-          partition: names.endpointPartition,
-          waitMilliseconds: 0,
-          pauseMilliseconds: endpointReadPause(
-            limits.endpointDrainMilliseconds,
-          ),
-        },
-        this.health.endpoints,
-        clock,
-        events,
-      ),
-    ];
+    const applyMilliseconds = Math.min(
+      limits.configurationApplyMilliseconds,
+      limits.evacuationMilliseconds,
+    );
+    const partition = names.configurationPartition;
+    return new KeyedTopicFollower(
+      log,
+      new CombinedTopicReader([this.configuration, this.evacuations]),
+      {
+        partition,
+        waitMilliseconds: Math.floor(configurationReadWait(applyMilliseconds)),
+        pauseMilliseconds: 0,
+        catchUp: new TopicCatchUp({
+          topic: partition.topic,
+          applyMilliseconds,
+          dataCenter: settings.dataCenter,
+          peers: this.copyPeers,
+          clock,
+          events,
+          otherHosts: () => this.budgets.otherHolders,
+          fraction: () => random.fraction(),
+        }),
+      },
+      this.health.configuration,
+      clock,
+      events,
+    );
+  }
+
+  private createEndpointFollower(): KeyedTopicFollower {
+    const {settings, names, log, clock, events} = this.parts;
+    return new KeyedTopicFollower(
+      log,
+      this.directory,
+      {
+        partition: names.endpointPartition,
+        waitMilliseconds: 0,
+        pauseMilliseconds: endpointReadPause(
+          gatewayLimits(settings).endpointDrainMilliseconds,
+        ),
+      },
+      this.health.endpoints,
+      clock,
+      events,
+    );
   }
 }
 
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -2,6 +2,7 @@
   RecordsDroppedError,
   type Clock,
   type KeyedRecord,
+  type NewestRecords,
   type Partition,
   type PartitionedLog,
   type ReadOptions,
@@ -10,6 +11,7 @@
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {StoreHealth} from './store-health.js';
+import type {CopiedTopic, TopicCatchUp} from './topic-copies/index.js';
 
 /** Receives the records of a keyed topic. */
 export abstract class KeyedTopicReader {
@@ -22,9 +24,11 @@
   /**
    * Reports that every record written before a time has been delivered.
    *
-   * @param asOf Monotonic time, milliseconds.
+   * @param asOf When the read was requested; monotonic time, milliseconds.
+   * @param answeredAt When the store told the end of the topic. A large response arrives
+   *     seconds later.
    */
-  abstract caughtUp(asOf: number): void;
+  abstract caughtUp(asOf: number, answeredAt: number): void;
 }
 
 /** Options of a `KeyedTopicFollower`. */
@@ -34,6 +38,8 @@
   readonly waitMilliseconds: number;
   /** Pause after reading all records, milliseconds; one call then reads many changes. */
   readonly pauseMilliseconds: number;
+  /** Brings copies of other hosts while a read is slow; without it, none are asked. */
+  readonly catchUp?: TopicCatchUp;
 }
 
 /** A response that takes longer than this from its first byte on is logged. */
@@ -43,14 +49,18 @@
 
 /**
  * Follows the newest value of each key of a topic: it reads the list of all keys, then
- * the changes. If the store has dropped records in between, it reads the list again.
+ * the changes. If the store has dropped records in between, it reads the list again. With
+ * a `TopicCatchUp`, it takes over the copy of another host while a read is slow, and keeps
+ * a copy for other hosts.
  */
-export class KeyedTopicFollower {
+export class KeyedTopicFollower implements CopiedTopic {
   private readonly stop = new AbortController();
   private position: number | undefined;
+  private openRead: AbortController | undefined;
   /** The response that arrives, and when its first byte did. */
   private arriving:
     {readonly since: number; readonly progress: ReadProgress} | undefined;
+  private readonly copy = new Map<string, KeyedRecord>();
 
   constructor(
     private readonly log: PartitionedLog,
@@ -59,18 +69,36 @@
     private readonly health: StoreHealth,
     private readonly clock: Clock,
     private readonly events: EventLog,
-  ) {}
+  ) {
+    options.catchUp?.setCopyListener(copy => {
+      this.takeOver(copy);
+    });
+  }
+
+  get topic(): string {
+    return this.options.partition.topic;
+  }
+
+  newest(): NewestRecords | undefined {
+    return this.position === undefined
+      ? undefined
+      : {items: [...this.copy.values()], resumeOffset: this.position};
+  }
 
   /** Follows the topic until the follower is closed. */
   async run(): Promise<void> {
     while (!this.stop.signal.aborted) {
+      const read = new AbortController();
+      this.openRead = read;
       this.arriving = undefined;
       try {
-        await this.step();
+        await this.step(read.signal);
         this.health.answered(this.clock.monotonicMilliseconds());
       } catch (error) {
         this.logSlowResponse(false);
-        await this.recover(error);
+        if (!read.signal.aborted) {
+          await this.recover(error);
+        }
       }
     }
   }
@@ -78,48 +106,71 @@
   /** Stops after the call in progress. */
   close(): void {
     this.stop.abort();
+    this.options.catchUp?.close();
   }
 
-  private async step(): Promise<void> {
-    const {partition, waitMilliseconds, pauseMilliseconds} = this.options;
+  private async step(signal: AbortSignal): Promise<void> {
     const requestedAt = this.clock.monotonicMilliseconds();
     if (this.position === undefined) {
-      const newest = await this.log.newest(partition, this.readOptions());
+      const newest = await this.log.newest(
+        this.options.partition,
+        this.readOptions(signal, 0),
+      );
       this.logSlowResponse(true);
-      this.position = newest.resumeOffset;
-      this.reader.replaced(newest.items);
-      this.reader.caughtUp(requestedAt);
+      if (!signal.aborted) {
+        this.replaceAll(newest);
+        this.reader.caughtUp(requestedAt, this.answeredAt);
+      }
       return;
     }
-    const range = await this.log.read(
+    await this.readChanges(signal, this.position, requestedAt);
+  }
+
+  private async readChanges(
+    signal: AbortSignal,
+    position: number,
+    requestedAt: number,
+  ): Promise<void> {
+    const {partition, waitMilliseconds, pauseMilliseconds} = this.options;
+    const {offset, records, end} = await this.log.read(
       partition,
-      this.position,
+      position,
       waitMilliseconds,
-      this.readOptions(),
+      this.readOptions(signal, position),
     );
     this.logSlowResponse(true);
-    range.records.forEach((bytes, index) => {
-      this.applyRecord(range.offset + index, bytes);
+    if (signal.aborted) {
+      return;
+    }
+    records.forEach((bytes, index) => {
+      this.applyRecord(offset + index, bytes);
     });
-    this.position = range.offset + range.records.length;
-    if (this.position >= range.end) {
-      this.reader.caughtUp(requestedAt);
-    } else if (range.records.length > 0) {
+    this.moveTo(offset + records.length);
+    if (offset + records.length >= end) {
+      this.reader.caughtUp(requestedAt, this.answeredAt);
+    } else if (records.length > 0) {
       return;
     }
     await this.clock.sleep(pauseMilliseconds, this.stop.signal);
   }
 
-  private readOptions(): ReadOptions {
+  /** @param position Changes from this offset on are read. */
+  private readOptions(signal: AbortSignal, position: number): ReadOptions {
     return {
+      signal,
       onProgress: progress => {
         const since =
           this.arriving?.since ?? this.clock.monotonicMilliseconds();
         this.arriving = {since, progress};
+        this.options.catchUp?.progressed(position, progress);
       },
     };
   }
 
+  private get answeredAt(): number {
+    return this.arriving?.since ?? this.clock.monotonicMilliseconds();
+  }
+
   /** Logs how much of a response has arrived in which time. */
   private logSlowResponse(isComplete: boolean): void {
     if (this.arriving === undefined) {
@@ -129,7 +180,7 @@
     const tookMilliseconds = this.clock.monotonicMilliseconds() - since;
     if (!isComplete || tookMilliseconds > SLOW_RESPONSE_MILLISECONDS) {
       this.events.info('slow response of the store', {
-        topic: this.options.partition.topic,
+        topic: this.topic,
         position: this.position,
         isComplete,
         tookMilliseconds: Math.round(tookMilliseconds),
@@ -138,29 +189,72 @@
     }
   }
 
+  /** Continues from another host's copy, which makes the read in progress needless. */
+  private takeOver(copy: NewestRecords): void {
+    const {position = -1} = this;
+    if (this.stop.signal.aborted || copy.resumeOffset <= position) {
+      return;
+    }
+    this.events.info('topic copy taken over', {
+      topic: this.topic,
+      from: position,
+      to: copy.resumeOffset,
+    });
+    this.replaceAll(copy);
+    this.openRead?.abort();
+  }
+
+  private replaceAll({items, resumeOffset}: NewestRecords): void {
+    this.copy.clear();
+    for (const item of items) {
+      this.keepCopy(item);
+    }
+    this.reader.replaced(items);
+    this.moveTo(resumeOffset);
+  }
+
+  private moveTo(position: number): void {
+    this.position = position;
+    this.options.catchUp?.ended();
+  }
+
+  private keepCopy(record: KeyedRecord): void {
+    if (this.options.catchUp === undefined) {
+      return;
+    }
+    if (record.value === undefined) {
+      this.copy.delete(record.key);
+    } else {
+      // The value is a part of a whole response, which is not to be kept for it.
+      this.copy.set(record.key, {...record, value: Buffer.from(record.value)});
+    }
+  }
+
   private applyRecord(offset: number, bytes: Uint8Array): void {
     const record = this.log.keyedRecord(offset, bytes);
     if (record === undefined) {
       this.events.warn('record ignored', {
-        topic: this.options.partition.topic,
+        topic: this.topic,
         offset,
         reason: 'not a keyed record',
       });
       return;
     }
+    this.keepCopy(record);
     this.reader.changed(record);
   }
 
   private async recover(error: unknown): Promise<void> {
     if (error instanceof RecordsDroppedError) {
       this.events.warn('records dropped', {
-        topic: this.options.partition.topic,
+        topic: this.topic,
         first: error.first,
       });
       this.position = undefined;
       return;
     }
     this.health.failed(this.clock.monotonicMilliseconds(), error);
+    this.options.catchUp?.failed(this.position ?? 0);
     await this.clock.sleep(RETRY_INTERVAL_MILLISECONDS, this.stop.signal);
   }
 }
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -3,6 +3,7 @@
   CrashSuspectService,
   GrantLoanService,
   StreamOriginService,
+  TopicCopyService,
 } from '@wisteriadeal/schema';
 import {createServer, type Server} from 'node:http';
 import {Socket} from 'node:net';
@@ -11,6 +12,7 @@
 import type {LoanHolder} from './loan-peers.js';
 import type {StreamOriginHolder} from './stream-origins/index.js';
 import type {SuspectHolder} from './crashes/index.js';
+import type {TopicCopyHolder} from './topic-copies/index.js';
 import {TUNNEL_END_PATH} from './tunnel-protocol.js';
 import type {TunnelServer} from './tunnel-server.js';
 
@@ -28,6 +30,8 @@
   readonly suspects?: SuspectHolder;
   /** Keeps the origins of other hosts' streams. */
   readonly origins?: StreamOriginHolder;
+  /** Gives copies of the topics that this host follows. */
+  readonly copies?: TopicCopyHolder;
   /** Relays connections to endpoints; without it, CONNECT requests are closed. */
   readonly tunnels?: TunnelServer;
 }
@@ -46,7 +50,7 @@
   /** @throws The system's error if the address cannot be bound. */
   static async listen(
     at: ListenAddress,
-    {loans, tunnels, suspects, origins}: PeerServices,
+    {loans, tunnels, suspects, origins, copies}: PeerServices,
   ): Promise<PeerServer> {
     const routes = connectNodeAdapter({
       routes: router => {
@@ -74,6 +78,15 @@
             find: query => origins.answer(query),
           });
         }
+        if (copies !== undefined) {
+          router.service(TopicCopyService, {
+            async *find({topic, position}) {
+              for await (const bytes of copies.partsOf(topic, position)) {
+                yield {bytes};
+              }
+            },
+          });
+        }
       },
     });
     const server = createServer((request, response) => {
--- /dev/null
+++ b/packages/gateway/src/topic-copies/topic-copy-peers.ts
@@ -0,0 +1,92 @@
+import {
+  Fate,
+  NetworkTimeout,
+  StepError,
+  type HostLink,
+  type NewestRecords,
+} from '@wisteriadeal/platform';
+import {TopicCopyService} from '@wisteriadeal/schema';
+
+import {PeerClients} from '../peer-clients.js';
+import {decodeTopicCopy} from './topic-copy-codec.js';
+
+/** Client for the copies of keyed topics that other hosts have. */
+export abstract class TopicCopyPeers {
+  /**
+   * Asks one host for its copy of a topic.
+   *
+   * @param position The copy has to hold the record at this offset.
+   * @returns Undefined if the host has nothing newer.
+   * @throws StepError if the host falls silent, or the call is aborted.
+   */
+  abstract find(
+    address: string,
+    query: {readonly topic: string; readonly position: number},
+    signal: AbortSignal,
+  ): Promise<NewestRecords | undefined>;
+
+  /** Closes open connections. */
+  abstract close(): void;
+}
+
+/** What other hosts ask of this one about the topics that it follows. */
+export abstract class TopicCopyHolder {
+  /** The parts of a compressed copy; none if it is not newer than the position. */
+  abstract partsOf(topic: string, position: number): AsyncIterable<Uint8Array>;
+}
+
+/** Longest time until the next part of a copy; a host sends it at once. */
+const PART_TIMEOUT_MILLISECONDS = 400;
+
+/** Client over Connect. */
+export class ConnectTopicCopyPeers extends TopicCopyPeers {
+  private readonly clients = new PeerClients(TopicCopyService);
+
+  /** @param link This host's link; timeouts are longer while it is congested. */
+  constructor(private readonly link: HostLink) {
+    super();
+  }
+
+  override async find(
+    address: string,
+    query: {readonly topic: string; readonly position: number},
+    signal: AbortSignal,
+  ): Promise<NewestRecords | undefined> {
+    const peer = this.clients.at(address);
+    const silence = new AbortController();
+    const timeout = new NetworkTimeout(
+      PART_TIMEOUT_MILLISECONDS + this.link.delayMilliseconds,
+      () => {
+        silence.abort();
+      },
+    );
+    try {
+      const parts: Uint8Array[] = [];
+      const answer = peer.client.find(query, {
+        signal: AbortSignal.any([signal, silence.signal]),
+      });
+      for await (const {bytes} of answer) {
+        timeout.refresh();
+        parts.push(bytes);
+      }
+      return parts.length === 0
+        ? undefined
+        : await decodeTopicCopy(Buffer.concat(parts));
+    } catch (error) {
+      this.clients.closeClient(address, peer);
+      throw new StepError(
+        'find topic copy',
+        address,
+        Fate.NotDone,
+        String(error),
+        {cause: error},
+      );
+    } finally {
+      timeout.close();
+    }
+  }
+
+  override close(): void {
+    this.clients.close();
+  }
+}
--- a/packages/platform/src/partitioned-log.ts
+++ b/packages/platform/src/partitioned-log.ts
@@ -28,6 +28,8 @@
 
 /** Options of a read. */
 export interface ReadOptions {
+  /** Aborting it ends the read. */
+  readonly signal?: AbortSignal;
   /** Called whenever a part of a response that holds records arrives. */
   readonly onProgress?: (progress: ReadProgress) => void;
 }
