Deny nothing by a configuration that may have been replaced

What callers saw: 404, final for them, for a route that an acknowledged version has, at hosts that could not read the version.

Cause: a host answered by the configuration that it had, however long the store had not confirmed it, and while it was reading the one after it.

The store tells the end of the topic with the first bytes of a response, so that a host knows at once that there is more. While it knows of records that it has not read, or has had no confirmation for three quarters of the time in which a version has to be in force, 401, 402 and 404 become 503 with Retry-After of 20 to 50 ms, not run, and the connection ends: the next one goes to another host. After half of that time with unread records, and while the store does not fail, the host serves nothing by its configuration and is not ready: the newer one may drop routes and keys. A host that is cut off goes on serving what it can.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -57,4 +57,5 @@
 export * from './cold-endpoints/index.js';
 export * from './endpoint-statements/index.js';
 export * from './admission/index.js';
+export * from './configuration-trust.js';
 export * from './continuation/index.js';
--- a/packages/gateway/src/configuration-state.ts
+++ b/packages/gateway/src/configuration-state.ts
@@ -1,10 +1,28 @@
-import type {KeyedRecord} from '@wisteriadeal/platform';
+import {
+  configurationTrust,
+  ConfigurationTrust,
+  type ConfigurationAge,
+} from '@wisteriadeal/decisions';
+import type {Clock, KeyedRecord} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {FleetConfiguration} from './configuration.js';
 import type {Dialect} from './dialect.js';
 import {KeyedTopicReader} from './keyed-follower.js';
 
+/** Dependencies of `ConfigurationState`. */
+export interface ConfigurationStateParts {
+  /** Record key of the configuration. */
+  readonly key: string;
+  readonly dialect: Dialect;
+  /** Time within which a version has to be in force, milliseconds. */
+  readonly applyMilliseconds: number;
+  /** Whether the store itself fails for the configuration's topic. */
+  readonly isStoreOutage: () => boolean;
+  readonly clock: Clock;
+  readonly events: EventLog;
+}
+
 /**
  * The configuration in force on this host. Versions only increase: an older
  * version that a slow or repeated read returns after a newer one is ignored.
@@ -14,15 +32,38 @@
   private readonly listeners: ((configuration: FleetConfiguration) => void)[] =
     [];
 
-  /** @param key Record key of the configuration. */
-  constructor(
-    private readonly key: string,
-    private readonly dialect: Dialect,
-    private readonly events: EventLog,
-  ) {
+  /** When the host learned of records that it has not read; monotonic clock. */
+  private pendingSince: number | undefined;
+  private confirmedAt = -Infinity;
+  private observedTrust = ConfigurationTrust.Current;
+
+  constructor(private readonly parts: ConfigurationStateParts) {
     super();
   }
 
+  /** How far this host may rely on the configuration in force. */
+  get trust(): ConfigurationTrust {
+    return configurationTrust(this.age, this.parts.applyMilliseconds);
+  }
+
+  /** Logs changes of the trust; to be called several times a second. */
+  observeTrust(): void {
+    const {trust, age} = this;
+    if (this.inForce === undefined || trust === this.observedTrust) {
+      return;
+    }
+    this.parts.events.info('configuration trust changed', {
+      from: this.observedTrust,
+      to: trust,
+      version: this.inForce.version,
+      pendingMilliseconds:
+        age.pendingMilliseconds && Math.round(age.pendingMilliseconds),
+      unconfirmedMilliseconds: Math.round(age.unconfirmedMilliseconds),
+      isStoreOutage: age.isStoreOutage,
+    });
+    this.observedTrust = trust;
+  }
+
   /** The configuration in force; undefined before one was read. */
   get current(): FleetConfiguration | undefined {
     return this.inForce;
@@ -34,12 +75,12 @@
   }
 
   override changed(record: KeyedRecord): void {
-    if (record.key !== this.key || record.value === undefined) {
+    if (record.key !== this.parts.key || record.value === undefined) {
       return;
     }
-    const configuration = this.dialect.configuration(record.value);
+    const configuration = this.parts.dialect.configuration(record.value);
     if (configuration === undefined) {
-      this.events.warn('configuration ignored', {
+      this.parts.events.warn('configuration ignored', {
         offset: record.offset,
         reason: 'not a configuration',
       });
@@ -54,8 +95,29 @@
     }
   }
 
-  override caughtUp(): void {
-    // Nothing to do: a version stays in force until a newer one is read.
+  override caughtUp(_asOf: number, answeredAt: number): void {
+    this.confirmedAt = answeredAt;
+  }
+
+  /** Records whether there are records that this host has not read. */
+  setPending(isPending: boolean): void {
+    this.pendingSince = isPending
+      ? (this.pendingSince ?? this.now())
+      : undefined;
+  }
+
+  private get age(): ConfigurationAge {
+    const now = this.now();
+    return {
+      pendingMilliseconds:
+        this.pendingSince === undefined ? undefined : now - this.pendingSince,
+      unconfirmedMilliseconds: now - this.confirmedAt,
+      isStoreOutage: this.parts.isStoreOutage(),
+    };
+  }
+
+  private now(): number {
+    return this.parts.clock.monotonicMilliseconds();
   }
 
   private adopt(
@@ -68,7 +130,7 @@
       return;
     }
     this.inForce = configuration;
-    this.events.info('configuration in force', {
+    this.parts.events.info('configuration in force', {
       version: configuration.version,
       before: before?.version,
       offset,
@@ -77,7 +139,7 @@
       organisations: configuration.organisations.length,
     });
     if (configuration.ignoredFields.length > 0) {
-      this.events.warn('configuration fields ignored', {
+      this.parts.events.warn('configuration fields ignored', {
         version: configuration.version,
         fields: configuration.ignoredFields.join(', '),
       });
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -1,3 +1,4 @@
+import {ConfigurationTrust} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {JsonValue} from '@wisteriadeal/runtime';
 
@@ -59,6 +60,7 @@
       this.rotation.acceptsConnections &&
       this.budgets.isReady &&
       this.configuration.current !== undefined &&
+      this.configuration.trust !== ConfigurationTrust.Outdated &&
       this.directory.all.length > 0
     );
   }
@@ -75,6 +77,7 @@
       stopping: this.isStopping,
       rotation: this.rotation.state,
       configuration: configuration?.version ?? null,
+      configurationTrust: this.configuration.trust,
       away: {
         budgets: this.health.budgets.isUnavailable,
         endpoints: this.health.endpoints.isUnavailable,
@@ -190,6 +193,10 @@
     this.metrics.setState('endpoints', this.directory.all.length);
     this.metrics.setState('budget_holders', this.budgets.holderCount);
     this.metrics.setState('resident_bytes', process.memoryUsage.rss());
+    this.metrics.setState(
+      'configuration_trusted',
+      this.configuration.trust === ConfigurationTrust.Current ? 1 : 0,
+    );
     const version = this.configuration.current?.version ?? -1;
     this.metrics.setState('configuration_version', version);
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -139,11 +139,14 @@
     log.useLink(this.link);
     this.health = this.createHealth();
     this.rotation = this.createRotation();
-    this.configuration = new ConfigurationState(
-      names.configurationKey,
+    this.configuration = new ConfigurationState({
+      key: names.configurationKey,
       dialect,
+      applyMilliseconds: gatewayLimits(settings).configurationApplyMilliseconds,
+      isStoreOutage: () => this.health.configuration.isOutage,
+      clock,
       events,
-    );
+    });
     this.evacuations = new EvacuationState({
       keyPrefix: names.evacuationKeyPrefix,
       dialect,
@@ -371,6 +374,7 @@
     });
     this.budgets.setLeaving(this.rotation.closesConnections);
     this.paths.observe();
+    this.configuration.observeTrust();
   }
 
   private createBudgets(): BudgetHolder {
@@ -608,6 +612,9 @@
         partition,
         waitMilliseconds: Math.floor(configurationReadWait(applyMilliseconds)),
         pauseMilliseconds: 0,
+        onPending: isPending => {
+          this.configuration.setPending(isPending);
+        },
         catchUp: new TopicCatchUp({
           topic: partition.topic,
           applyMilliseconds,
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -40,6 +40,8 @@
   readonly pauseMilliseconds: number;
   /** Brings copies of other hosts while a read is slow; without it, none are asked. */
   readonly catchUp?: TopicCatchUp;
+  /** Called with whether the topic is known to hold records that were not delivered. */
+  readonly onPending?: (isPending: boolean) => void;
 }
 
 /** A response that takes longer than this from its first byte on is logged. */
@@ -56,6 +58,8 @@
 export class KeyedTopicFollower implements CopiedTopic {
   private readonly stop = new AbortController();
   private position: number | undefined;
+  /** Largest end offset that the store has reported. */
+  private knownEnd = 0;
   private openRead: AbortController | undefined;
   /** The response that arrives, and when its first byte did. */
   private arriving:
@@ -145,7 +149,7 @@
     records.forEach((bytes, index) => {
       this.applyRecord(offset + index, bytes);
     });
-    this.moveTo(offset + records.length);
+    this.moveTo(offset + records.length, end);
     if (offset + records.length >= end) {
       this.reader.caughtUp(requestedAt, this.answeredAt);
     } else if (records.length > 0) {
@@ -162,6 +166,7 @@
         const since =
           this.arriving?.since ?? this.clock.monotonicMilliseconds();
         this.arriving = {since, progress};
+        this.setKnownEnd(progress.end ?? 0);
         this.options.catchUp?.progressed(position, progress);
       },
     };
@@ -210,12 +215,18 @@
       this.keepCopy(item);
     }
     this.reader.replaced(items);
-    this.moveTo(resumeOffset);
+    this.moveTo(resumeOffset, resumeOffset);
   }
 
-  private moveTo(position: number): void {
+  private moveTo(position: number, end: number): void {
     this.position = position;
     this.options.catchUp?.ended();
+    this.setKnownEnd(end);
+  }
+
+  private setKnownEnd(end: number): void {
+    this.knownEnd = Math.max(this.knownEnd, end);
+    this.options.onPending?.((this.position ?? 0) < this.knownEnd);
   }
 
   private keepCopy(record: KeyedRecord): void {
@@ -251,6 +262,7 @@
         first: error.first,
       });
       this.position = undefined;
+      this.setKnownEnd(error.first);
       return;
     }
     this.health.failed(this.clock.monotonicMilliseconds(), error);
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -1,6 +1,8 @@
 /** Reason for a reply that the gateway generates itself. */
 export enum LocalReplyReason {
   NoConfiguration = 'no-configuration',
+  /** A newer configuration may allow what the one in force does not. */
+  ConfigurationOutdated = 'configuration-outdated',
   NoRoute = 'no-route',
   NoKey = 'no-key',
   HeadersTooLarge = 'headers-too-large',
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,4 +1,5 @@
 import {
+  ConfigurationTrust,
   StopAdmission,
   SuspectVerdict,
   type ResendLimits,
@@ -29,7 +30,7 @@
   STOPPING_RETRY_AFTER_MILLISECONDS,
   type LocalReply,
 } from './local-reply.js';
-import {refuseWithoutConfiguration} from './no-configuration.js';
+import {refuseWithoutConfiguration, withoutDenial} from './no-configuration.js';
 import {RequestBudget} from './request-budget.js';
 import {maximumTokens, type RequestContext} from './request-context.js';
 import {RequestIdentity} from './crashes/index.js';
@@ -143,7 +144,7 @@
     try {
       const refusal = await this.serve(caller, record);
       if (refusal !== undefined) {
-        this.refuse(caller, record, refusal);
+        this.refuse(caller, record, this.trustedReply(caller, refusal));
       }
     } catch (error) {
       this.handleError(caller, record, error);
@@ -186,6 +187,13 @@
     load.requestRefused(caller.headers.attemptId);
   }
 
+  /** The reply, unless it denies by a configuration that may have been replaced. */
+  private trustedReply(caller: CallerExchange, reply: LocalReply): LocalReply {
+    return this.configuration.trust === ConfigurationTrust.Current
+      ? reply
+      : withoutDenial(caller, reply, this.randomFraction());
+  }
+
   private async serve(
     caller: CallerExchange,
     record: RequestRecord,
@@ -193,7 +201,18 @@
     await this.gate.whenOpen();
     const configuration = this.configuration.current;
     if (configuration === undefined) {
-      return refuseWithoutConfiguration(caller, this.randomFraction());
+      return refuseWithoutConfiguration(
+        caller,
+        LocalReplyReason.NoConfiguration,
+        this.randomFraction(),
+      );
+    }
+    if (this.configuration.trust === ConfigurationTrust.Outdated) {
+      return refuseWithoutConfiguration(
+        caller,
+        LocalReplyReason.ConfigurationOutdated,
+        this.randomFraction(),
+      );
     }
     if (caller.headerBytes > configuration.limits.headerBytes) {
       caller.disableKeepAlive();
