Take a build for served until its endpoints are off the list

What callers saw: streams that they took up after most hosts were killed ran to their end with events of two builds, nothing in the answer showing it.

Cause: a build counted as possible if one of its entries had been read within the time of the longest stream. An entry that does not change is read once, so that a build whose last endpoints are removed without notice was forgotten at the moment they left; a host that had watched for long then found one build alone for streams whose records had died with other hosts.

The time is taken when an endpoint is dropped as well: when it goes off the list, or another one answers at its address.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -57,6 +57,7 @@
   private readonly readListeners: (() => void)[] = [];
   private readonly listedListeners: EndpointListener[] = [];
   private readonly goneListeners: EndpointListener[] = [];
+  private readonly droppedListeners: EndpointListener[] = [];
   private readonly leavingListeners: EndpointListener[] = [];
   private readonly heartbeatListeners: ((
     incarnation: string,
@@ -106,6 +107,14 @@
     this.goneListeners.push(listener);
   }
 
+  /**
+   * Adds a listener for endpoints that this host knows no more: they are off the list, or
+   * another one answers at their address.
+   */
+  onDropped(listener: EndpointListener): void {
+    this.droppedListeners.push(listener);
+  }
+
   /**
    * Adds a listener for new entries of listed endpoints. It gets a time on the
    * monotonic clock, milliseconds, after which the entry was written.
@@ -178,7 +187,7 @@
   remove(endpoint: KnownEndpoint, reason: string): void {
     const {id} = endpoint.entry;
     if (this.endpoints.get(id) === endpoint) {
-      this.endpoints.delete(id);
+      this.drop(endpoint);
       this.events.info('endpoint removed', {endpoint: id, reason});
     }
   }
@@ -319,8 +328,15 @@
     warmth.stated(entry.coldMilliseconds ?? 0, now);
   }
 
-  private forget(endpoint: KnownEndpoint): void {
+  private drop(endpoint: KnownEndpoint): void {
     this.endpoints.delete(endpoint.entry.id);
+    for (const listener of this.droppedListeners) {
+      listener(endpoint);
+    }
+  }
+
+  private forget(endpoint: KnownEndpoint): void {
+    this.drop(endpoint);
     for (const listener of this.goneListeners) {
       listener(endpoint);
     }
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -54,6 +54,10 @@
         this.onDiffer(entry.service);
       }
     });
+    directory.onDropped(({entry}) => {
+      // An unchanged entry is read once, however long the endpoint serves after it.
+      this.builds.listed(entry, this.now());
+    });
     directory.onGone(endpoint => {
       this.endpointGone(endpoint);
     });
