Ask no host for copies after the follower was closed

A call that fails while a process ends opened a new search, whose timers would have kept it alive until the store answered. Found by reading; nobody has seen it. The new test failed before.

--- a/packages/gateway/src/topic-copies/topic-catch-up.ts
+++ b/packages/gateway/src/topic-copies/topic-catch-up.ts
@@ -54,6 +54,7 @@
  */
 export class TopicCatchUp {
   private open: OpenRead | undefined;
+  private isClosed = false;
   private onCopy: (copy: NewestRecords) => void = () => undefined;
 
   constructor(private readonly parts: TopicCatchUpParts) {}
@@ -75,19 +76,23 @@
 
   /** Records that the changes from a position on were read. */
   ended(): void {
-    this.close();
+    this.open?.end.abort();
+    this.open = undefined;
   }
 
-  /** Asks no more hosts. */
+  /** Asks no more hosts, whatever is recorded from now on. */
   close(): void {
-    this.open?.end.abort();
-    this.open = undefined;
+    this.isClosed = true;
+    this.ended();
   }
 
   private openAt(position: number, isKnownSlow = false): OpenRead {
     if (this.open?.position !== position) {
-      this.close();
+      this.ended();
       this.open = new OpenRead(position, this.now(), isKnownSlow);
+      if (this.isClosed) {
+        this.open.end.abort();
+      }
       void this.help(this.open);
     }
     return this.open;
