Never take over a copy that is older than what was delivered

What callers would have seen: an evacuation or another setting of the operator that reverts for some seconds. A host forgot its position when the store had dropped records, and took the first copy of another host, though that had read less. Found by reading; nobody has seen it. Configurations themselves had a guard of their own by version.

The position is kept; whether all keys have to be read is a flag of its own. The test with an older copy failed before, that with a newer one passed.

--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -57,7 +57,10 @@
  */
 export class KeyedTopicFollower implements CopiedTopic {
   private readonly stop = new AbortController();
-  private position: number | undefined;
+  /** Every change before this offset has been delivered; it never decreases. */
+  private position = 0;
+  /** Whether the list of all keys has to be read, as changes are missing or were dropped. */
+  private needsAllKeys = true;
   /** Largest end offset that the store has reported. */
   private knownEnd = 0;
   private openRead: AbortController | undefined;
@@ -84,7 +87,7 @@
   }
 
   newest(): NewestRecords | undefined {
-    return this.position === undefined
+    return this.needsAllKeys
       ? undefined
       : {items: [...this.copy.values()], resumeOffset: this.position};
   }
@@ -115,10 +118,10 @@
 
   private async step(signal: AbortSignal): Promise<void> {
     const requestedAt = this.clock.monotonicMilliseconds();
-    if (this.position === undefined) {
+    if (this.needsAllKeys) {
       const newest = await this.log.newest(
         this.options.partition,
-        this.readOptions(signal, 0),
+        this.readOptions(signal),
       );
       this.logSlowResponse(true);
       if (!signal.aborted) {
@@ -127,20 +130,19 @@
       }
       return;
     }
-    await this.readChanges(signal, this.position, requestedAt);
+    await this.readChanges(signal, requestedAt);
   }
 
   private async readChanges(
     signal: AbortSignal,
-    position: number,
     requestedAt: number,
   ): Promise<void> {
     const {partition, waitMilliseconds, pauseMilliseconds} = this.options;
     const {offset, records, end} = await this.log.read(
       partition,
-      position,
+      this.position,
       waitMilliseconds,
-      this.readOptions(signal, position),
+      this.readOptions(signal),
     );
     this.logSlowResponse(true);
     if (signal.aborted) {
@@ -158,8 +160,8 @@
     await this.clock.sleep(pauseMilliseconds, this.stop.signal);
   }
 
-  /** @param position Changes from this offset on are read. */
-  private readOptions(signal: AbortSignal, position: number): ReadOptions {
+  private readOptions(signal: AbortSignal): ReadOptions {
+    const {position} = this;
     return {
       signal,
       onProgress: progress => {
@@ -196,7 +198,7 @@
 
   /** Continues from another host's copy, which makes the read in progress needless. */
   private takeOver(copy: NewestRecords): void {
-    const {position = -1} = this;
+    const {position} = this;
     if (this.stop.signal.aborted || copy.resumeOffset <= position) {
       return;
     }
@@ -215,6 +217,7 @@
       this.keepCopy(item);
     }
     this.reader.replaced(items);
+    this.needsAllKeys = false;
     this.moveTo(resumeOffset, resumeOffset);
   }
 
@@ -226,7 +229,9 @@
 
   private setKnownEnd(end: number): void {
     this.knownEnd = Math.max(this.knownEnd, end);
-    this.options.onPending?.((this.position ?? 0) < this.knownEnd);
+    this.options.onPending?.(
+      this.needsAllKeys || this.position < this.knownEnd,
+    );
   }
 
   private keepCopy(record: KeyedRecord): void {
@@ -261,12 +266,12 @@
         topic: this.topic,
         first: error.first,
       });
-      this.position = undefined;
+      this.needsAllKeys = true;
       this.setKnownEnd(error.first);
       return;
     }
     this.health.failed(this.clock.monotonicMilliseconds(), error);
-    this.options.catchUp?.failed(this.position ?? 0);
+    this.options.catchUp?.failed(this.position);
     await this.clock.sleep(RETRY_INTERVAL_MILLISECONDS, this.stop.signal);
   }
 }
--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -1,4 +1,9 @@
-import type {KeyedRecord, Partition, RecordRange} from '@wisteriadeal/platform';
+import type {
+  KeyedRecord,
+  NewestRecords,
+  Partition,
+  RecordRange,
+} from '@wisteriadeal/platform';
 import {EventLog} from '@wisteriadeal/runtime';
 import {LogLevel} from '@wisteriadeal/schema';
 import {FakeClock, MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
@@ -6,6 +11,7 @@
 
 import {KeyedTopicFollower, KeyedTopicReader} from '../keyed-follower.js';
 import {StoreHealth} from '../store-health.js';
+import {TopicCatchUp, TopicCopyPeers} from '../topic-copies/index.js';
 
 const PARTITION = {topic: 'keyed.topic', partition: 0};
 const PAUSE_MILLISECONDS = 350;
@@ -31,14 +37,15 @@
 
 class KeyCollector extends KeyedTopicReader {
   readonly keys: string[] = [];
+  readonly replacedKeys: string[] = [];
   caughtUpAt = -1;
 
   override changed({key}: KeyedRecord): void {
     this.keys.push(key);
   }
 
-  override replaced(): void {
-    // These tests check changes only.
+  override replaced(records: readonly KeyedRecord[]): void {
+    this.replacedKeys.push(...records.map(({key}) => key));
   }
 
   override caughtUp(asOf: number): void {
@@ -46,6 +53,21 @@
   }
 }
 
+/** Another host that gives its copy whatever it is asked for. */
+class CopyingPeer extends TopicCopyPeers {
+  constructor(private readonly copy: NewestRecords) {
+    super();
+  }
+
+  override find(): Promise<NewestRecords> {
+    return Promise.resolve(this.copy);
+  }
+
+  override close(): void {
+    // Nothing is open.
+  }
+}
+
 describe('KeyedTopicFollower', () => {
   let clock: FakeClock;
   let reader: KeyCollector;
@@ -60,8 +82,32 @@
     follower.close();
   });
 
+  function catchUpWith(copy: NewestRecords, events: EventLog): TopicCatchUp {
+    return new TopicCatchUp({
+      topic: PARTITION.topic,
+      applyMilliseconds: 3_000,
+      dataCenter: 'a',
+      peers: new CopyingPeer(copy),
+      clock,
+      events,
+      otherHosts: () => [{address: 'host-2', dataCenter: 'a'}],
+      fraction: () => 0,
+    });
+  }
+
+  /** Advances the clock, and lets calls to the store end. */
+  async function advance(milliseconds: number): Promise<void> {
+    await clock.advance(milliseconds);
+    for (let turn = 0; turn < 20; turn++) {
+      await clock.advance(0);
+    }
+  }
+
   /** Follows a topic that gets twenty records after the list of keys was read. */
-  async function follow(log: MemoryPartitionedLog): Promise<void> {
+  async function follow(
+    log: MemoryPartitionedLog,
+    copy?: NewestRecords,
+  ): Promise<void> {
     const events = EventLog.create(LogLevel.INFO, {}, () => undefined);
     follower = new KeyedTopicFollower(
       log,
@@ -70,6 +116,7 @@
         partition: PARTITION,
         waitMilliseconds: 0,
         pauseMilliseconds: PAUSE_MILLISECONDS,
+        ...(copy === undefined ? {} : {catchUp: catchUpWith(copy, events)}),
       },
       new StoreHealth('topic', events),
       clock,
@@ -85,10 +132,7 @@
   it('reads on without a pause when an answer does not contain all records', async () => {
     // Guards against outdated values when a congested link makes the pages small.
     await follow(new PagedLog(3));
-    await clock.advance(PAUSE_MILLISECONDS);
-    for (let turn = 0; turn < 20; turn++) {
-      await clock.advance(0);
-    }
+    await advance(PAUSE_MILLISECONDS);
     expect(reader.keys).toHaveLength(20);
     expect(reader.caughtUpAt).toBeGreaterThanOrEqual(1);
   });
@@ -102,4 +146,29 @@
     expect(log.reads).toBeLessThanOrEqual(4);
     expect(reader.keys).toEqual([]);
   });
+
+  it.each([
+    {name: 'an older one', resumeOffset: 4, isTaken: false},
+    {name: 'a newer one', resumeOffset: 30, isTaken: true},
+  ])(
+    'takes over the copy of another host after records were dropped: $name',
+    async ({resumeOffset, isTaken}) => {
+      // Guards against a host that goes back to what another one has read.
+      const log = new PagedLog(Infinity);
+      const key = `copy-${resumeOffset}`;
+      const items = [{key, value: Buffer.from('value'), offset: 3}];
+      await follow(log, {resumeOffset, items});
+      await advance(PAUSE_MILLISECONDS);
+      expect(reader.keys).toHaveLength(20);
+      await log.put(PARTITION, 'last', Buffer.from('value'));
+      log.dropBefore(PARTITION, 21);
+      log.newest = () => Promise.reject(new Error('no answer'));
+      await advance(PAUSE_MILLISECONDS);
+      log.faults.isUnavailable = true;
+      for (let second = 0; second < 5; second++) {
+        await advance(1_000);
+      }
+      expect(reader.replacedKeys.includes(key)).toBe(isTaken);
+    },
+  );
 });
