Count how long a configuration is behind from the oldest unread record

What callers would have seen: a host that refuses everything while versions come in quick succession, though the one in force was replaced a moment ago. It counted from the first moment at which it was not done with all records, and over a slow link it is never done.

A call whose signal is aborted before it begins ends at once as well.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -36,6 +36,7 @@
 export * from './weight-budget.js';
 export * from './standing-delay.js';
 export * from './stop-admission.js';
+export * from './store-reads/pending-records.js';
 export * from './store-reads/read-intervals.js';
 export * from './store-reads/slow-read.js';
 export * from './stream-origin.js';
--- a/packages/gateway/src/configuration-state.ts
+++ b/packages/gateway/src/configuration-state.ts
@@ -32,7 +32,6 @@
   private readonly listeners: ((configuration: FleetConfiguration) => void)[] =
     [];
 
-  /** When the host learned of records that it has not read; monotonic clock. */
   private pendingSince: number | undefined;
   private confirmedAt = -Infinity;
   private observedTrust = ConfigurationTrust.Current;
@@ -99,11 +98,13 @@
     this.confirmedAt = answeredAt;
   }
 
-  /** Records whether there are records that this host has not read. */
-  setPending(isPending: boolean): void {
-    this.pendingSince = isPending
-      ? (this.pendingSince ?? this.now())
-      : undefined;
+  /**
+   * Records since when the host has known of records that it has not read.
+   *
+   * @param since Monotonic clock, milliseconds; undefined if it knows of none.
+   */
+  setPendingSince(since: number | undefined): void {
+    this.pendingSince = since;
   }
 
   private get age(): ConfigurationAge {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -612,8 +612,8 @@
         partition,
         waitMilliseconds: Math.floor(configurationReadWait(applyMilliseconds)),
         pauseMilliseconds: 0,
-        onPending: isPending => {
-          this.configuration.setPending(isPending);
+        onPending: since => {
+          this.configuration.setPendingSince(since);
         },
         catchUp: new TopicCatchUp({
           topic: partition.topic,
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -1,3 +1,4 @@
+import {PendingRecords} from '@wisteriadeal/decisions';
 import {
   RecordsDroppedError,
   type Clock,
@@ -40,8 +41,11 @@
   readonly pauseMilliseconds: number;
   /** Brings copies of other hosts while a read is slow; without it, none are asked. */
   readonly catchUp?: TopicCatchUp;
-  /** Called with whether the topic is known to hold records that were not delivered. */
-  readonly onPending?: (isPending: boolean) => void;
+  /**
+   * Called with the time since which records are known that were not delivered, on the
+   * monotonic clock in milliseconds; undefined if there are none.
+   */
+  readonly onPending?: (since: number | undefined) => void;
 }
 
 /** A response that takes longer than this from its first byte on is logged. */
@@ -61,8 +65,7 @@
   private position = 0;
   /** Whether the list of all keys has to be read, as changes are missing or were dropped. */
   private needsAllKeys = true;
-  /** Largest end offset that the store has reported. */
-  private knownEnd = 0;
+  private readonly pending = new PendingRecords();
   private openRead: AbortController | undefined;
   /** The response that arrives, and when its first byte did. */
   private arriving:
@@ -228,10 +231,11 @@
   }
 
   private setKnownEnd(end: number): void {
-    this.knownEnd = Math.max(this.knownEnd, end);
-    this.options.onPending?.(
-      this.needsAllKeys || this.position < this.knownEnd,
-    );
+    if (end > this.position) {
+      this.pending.learned(end, this.clock.monotonicMilliseconds());
+    }
+    this.pending.delivered(this.position);
+    this.options.onPending?.(this.pending.since);
   }
 
   private keepCopy(record: KeyedRecord): void {
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -271,6 +271,9 @@
     };
     const callTimeouts = new CallTimeouts(call, fail);
     call.signal?.addEventListener('abort', abort);
+    if (call.signal?.aborted === true) {
+      abort();
+    }
     outgoing.once('socket', socket => {
       if (socket.connecting) {
         callTimeouts.startConnectTimeout(socket);
--- a/packages/platform/src/test/http-client_test.ts
+++ b/packages/platform/src/test/http-client_test.ts
@@ -199,6 +199,9 @@
         });
       }),
     );
+    await expect(
+      call({...CALL, signal: AbortSignal.abort()}),
+    ).rejects.toMatchObject({fate: Fate.Unknown});
     const controller = new AbortController();
     setTimeout(() => {
       controller.abort();
