--- a/packages/gateway/src/topic-copies/topic-catch-up.ts
+++ b/packages/gateway/src/topic-copies/topic-catch-up.ts
@@ -51,6 +51,13 @@
  * Asks other hosts for their copies of a topic while this host's own read of it is slow.
  * The store sends one record as a whole, for which a full link may take half a minute; a
  * copy of a configuration is 13 times smaller.
+ *
+ * @example
+ * ```ts
+ * catchUp.setCopyListener(copy => takeOver(copy));
+ * catchUp.progressed(7, {end: 9, receivedBytes: 16_384, totalBytes: 580_000});
+ * catchUp.ended();
+ * ```
  */
 export class TopicCatchUp {
   private open: OpenRead | undefined;
--- a/packages/gateway/src/topic-copies/topic-copies.ts
+++ b/packages/gateway/src/topic-copies/topic-copies.ts
@@ -13,7 +13,15 @@
   newest(): NewestRecords | undefined;
 }
 
-/** Gives other hosts copies of the topics that this host follows. */
+/**
+ * Gives other hosts copies of the topics that this host follows.
+ *
+ * @example
+ * ```ts
+ * const copies = new TopicCopies([configurationFollower]);
+ * for await (const bytes of copies.partsOf('keyed.op', 7)) { … }
+ * ```
+ */
 export class TopicCopies extends TopicCopyHolder {
   /** The latest compressed copy; it is compressed once for all hosts that ask. */
   private latest:
--- a/packages/gateway/src/topic-copies/topic-copy-peers.ts
+++ b/packages/gateway/src/topic-copies/topic-copy-peers.ts
@@ -10,18 +10,25 @@
 import {PeerClients} from '../peer-clients.js';
 import {decodeTopicCopy} from './topic-copy-codec.js';
 
+/** A topic, and how far a host has read it. */
+export interface TopicPosition {
+  readonly topic: string;
+  /** Every change before this offset has been read. */
+  readonly position: number;
+}
+
 /** Client for the copies of keyed topics that other hosts have. */
 export abstract class TopicCopyPeers {
   /**
    * Asks one host for its copy of a topic.
    *
-   * @param position The copy has to hold the record at this offset.
+   * @param from How far this host has read the topic.
    * @returns Undefined if the host has nothing newer.
    * @throws StepError if the host falls silent, or the call is aborted.
    */
   abstract find(
     address: string,
-    query: {readonly topic: string; readonly position: number},
+    from: TopicPosition,
     signal: AbortSignal,
   ): Promise<NewestRecords | undefined>;
 
@@ -49,7 +56,7 @@
 
   override async find(
     address: string,
-    query: {readonly topic: string; readonly position: number},
+    from: TopicPosition,
     signal: AbortSignal,
   ): Promise<NewestRecords | undefined> {
     const peer = this.clients.at(address);
@@ -62,9 +69,12 @@
     );
     try {
       const parts: Uint8Array[] = [];
-      const answer = peer.client.find(query, {
-        signal: AbortSignal.any([signal, silence.signal]),
-      });
+      const answer = peer.client.find(
+        {...from},
+        {
+          signal: AbortSignal.any([signal, silence.signal]),
+        },
+      );
       for await (const {bytes} of answer) {
         timeout.refresh();
         parts.push(bytes);
