Leave the answer to an exhausted budget as it is

A configuration may raise a budget, but while the store is away for all hosts no host knows of it. 401 and 404 stay withheld.

--- a/packages/gateway/src/no-configuration.ts
+++ b/packages/gateway/src/no-configuration.ts
@@ -31,11 +31,13 @@
   return leadToOtherHost(caller, reason, fraction);
 }
 
-/** Reasons for which a host denies a request by its configuration. */
+/**
+ * Reasons for which a host denies a request by its configuration. An exhausted budget is
+ * none: while the store is away for all hosts, callers would use up their attempts on it.
+ */
 const DENIALS: ReadonlySet<LocalReplyReason> = new Set([
   LocalReplyReason.NoRoute,
   LocalReplyReason.NoKey,
-  LocalReplyReason.BudgetExhausted,
 ]);
 
 /**
