--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -275,7 +275,6 @@
       return;
     }
     this.health.failed(this.clock.monotonicMilliseconds(), error);
-    this.options.catchUp?.failed(this.position);
     await this.clock.sleep(RETRY_INTERVAL_MILLISECONDS, this.stop.signal);
   }
 }
--- a/packages/gateway/src/topic-copies/topic-catch-up.ts
+++ b/packages/gateway/src/topic-copies/topic-catch-up.ts
@@ -24,20 +24,17 @@
 const ASKED_PAIRS = 3;
 /** Pause before hosts are asked again; by then they may have read the change. */
 const ASK_INTERVAL_MILLISECONDS = 300;
-/** The same while the store gives no answer, so that there may be nothing to read. */
-const OUTAGE_ASK_INTERVAL_MILLISECONDS = 2_000;
 /** Interval in which the speed of a read is judged. */
 const CHECK_INTERVAL_MILLISECONDS = 50;
 
 /** The read of the changes from one position on, over all its attempts. */
 class OpenRead {
   readonly end = new AbortController();
-  /** Undefined as long as the store has not answered. */
+  /** Undefined before the store has answered. */
   progress: ReadProgress | undefined;
 
   /**
-   * @param startedAt When the store first answered or failed; monotonic clock,
-   *     milliseconds.
+   * @param startedAt When the store first answered; monotonic clock, milliseconds.
    * @param isKnownSlow Whether the read before it was slow.
    */
   constructor(
@@ -76,11 +73,6 @@
     this.openAt(position).progress = progress;
   }
 
-  /** Records that a read of the changes from a position on failed. */
-  failed(position: number): void {
-    this.openAt(position);
-  }
-
   /** Records that the changes from a position on were read. */
   ended(): void {
     this.open?.end.abort();
@@ -117,12 +109,7 @@
     }
     while (!end.signal.aborted) {
       await this.askHosts(read);
-      await clock.sleep(
-        read.progress === undefined
-          ? OUTAGE_ASK_INTERVAL_MILLISECONDS
-          : ASK_INTERVAL_MILLISECONDS,
-        end.signal,
-      );
+      await clock.sleep(ASK_INTERVAL_MILLISECONDS, end.signal);
     }
   }
 
