Prove to other hosts which builds may have begun a stream, also soon after a start

Cause: without a record, a stream goes on only where one build alone can have begun it. A host took that for proved only after it had watched the list itself for as long as a stream may last (the route's timeout and 10 s or the timeout again). And nobody is told of streams while there is one build, as far as a host has seen, so that the records die with their host.

Evidence: the line "stream not taken up" says `unknown` with one build in `possible` and answers of all hosts, which leaves out hosts that know of several builds and hosts that don't reach each other.

Ruled out: telling others for as long as few hosts have watched, as it costs three messages a stream for 18 to 30 s after each start of a fleet; `born` of the endpoints, which says nothing of builds that have gone; the store's keep time, as records of the list may be deleted at any time.

Change: a host that starts learns what was listed before, from other hosts and from the log of the list if the store still has its first record. What another host says counts only if it has read the list at least as far as this one had at its start, so that no change between the two is missing; the proof travels through a rolling replacement in this way. Routes likewise, under the same version. Where nothing can be proved, hosts tell each other of their streams. A host that reads the list anew, as the store has dropped changes, no longer counts as having watched before.

--- a/packages/decisions/src/build-history.ts
+++ b/packages/decisions/src/build-history.ts
@@ -3,17 +3,44 @@
 /** A build that was not listed for this time is forgotten, milliseconds. */
 const MEMORY_MILLISECONDS = 600_000;
 
+/** A build that had endpoints. */
+export interface PastBuild {
+  readonly origin: StreamOrigin;
+  /** How long ago it was listed last, milliseconds. */
+  readonly listedMilliseconds: number;
+}
+
+/** The builds that had endpoints until a position of the list. */
+export interface PastBuilds {
+  /** Every change of the list before this offset is included. */
+  readonly position: number;
+  /** For how long no build is missing, milliseconds; infinite if none ever is. */
+  readonly completeMilliseconds: number;
+  readonly builds: readonly PastBuild[];
+}
+
 /**
  * Which builds of each service had endpoints, and when last. Times are of one
  * monotonic clock, milliseconds.
  *
+ * A host reads every change of the list from its start on. What was listed before, it
+ * learns from others that have read the list at least up to there, so that nothing is
+ * missing between what they saw and what it saw itself.
+ *
  * @example
  * ```ts
+ * history.listRead(40, 0);
  * history.listed({service: 'tutors', build: 'v1'}, 0);
+ * history.learn({position: 40, completeMilliseconds: 60_000, builds: []}, 0); // []
+ * history.isCompleteSince(-60_000, 0); // true
  * history.buildsOf('tutors', 0); // ['v1']
  * ```
  */
 export class BuildHistory {
+  /** Every change of the list from this offset on was read by this host. */
+  private readFrom = Infinity;
+  /** No build that was listed since is missing. */
+  private completeSince = Infinity;
   /** When each build was listed last, by service. */
   private readonly listedAt = new Map<string, Map<string, number>>();
   /** When an endpoint of a build was lost without notice, by service. */
@@ -24,14 +51,64 @@
    *
    * @returns Whether its service has had other builds, but not this one.
    */
-  listed({service, build}: StreamOrigin, now: number): boolean {
+  listed({service, build}: StreamOrigin, at: number): boolean {
     const builds = timesOf(this.listedAt, service);
-    const isNew = !builds.has(build);
-    if (isNew) {
-      forgetBefore(builds, now - MEMORY_MILLISECONDS);
+    const before = builds.get(build);
+    if (before === undefined) {
+      forgetBefore(builds, at - MEMORY_MILLISECONDS);
     }
-    builds.set(build, now);
-    return isNew && builds.size > 1;
+    builds.set(build, Math.max(before ?? -Infinity, at));
+    return before === undefined && builds.size > 1;
+  }
+
+  /**
+   * Records that the whole list was read, as of a position. Changes before it may be
+   * unknown.
+   */
+  listRead(position: number, now: number): void {
+    this.readFrom = position;
+    this.completeSince = now;
+  }
+
+  /**
+   * Adds what was listed before this host read the list.
+   *
+   * @returns The services that have had other builds than this host knew; undefined if
+   *     changes may be missing between `past` and what this host read itself.
+   */
+  learn(past: PastBuilds, now: number): readonly string[] | undefined {
+    if (past.position < this.readFrom) {
+      return undefined;
+    }
+    const differing = past.builds
+      .filter(({origin, listedMilliseconds}) =>
+        this.listed(origin, now - listedMilliseconds),
+      )
+      .map(({origin}) => origin.service);
+    this.completeSince = Math.min(
+      this.completeSince,
+      now - past.completeMilliseconds,
+    );
+    return [...new Set(differing)];
+  }
+
+  /** What this host knows, for one that has just started. */
+  past(position: number, now: number): PastBuilds {
+    return {
+      position,
+      completeMilliseconds: now - this.completeSince,
+      builds: [...this.listedAt].flatMap(([service, builds]) =>
+        [...builds].map(([build, at]) => ({
+          origin: {service, build},
+          listedMilliseconds: now - at,
+        })),
+      ),
+    };
+  }
+
+  /** Whether every build is known that was listed at a time or later. */
+  isCompleteSince(since: number, now: number): boolean {
+    return this.completeSince <= since && now - MEMORY_MILLISECONDS <= since;
   }
 
   /** Records that an endpoint was lost that had not announced that it leaves. */
--- a/packages/gateway/src/combined-topic-reader.ts
+++ b/packages/gateway/src/combined-topic-reader.ts
@@ -14,9 +14,9 @@
     }
   }
 
-  override replaced(records: readonly KeyedRecord[]): void {
+  override replaced(records: readonly KeyedRecord[], position: number): void {
     for (const reader of this.readers) {
-      reader.replaced(records);
+      reader.replaced(records, position);
     }
   }
 
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -5,7 +5,7 @@
 import type {Dialect} from './dialect.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import {EndpointStatements} from './endpoint-statements/index.js';
-import {KeyedTopicReader} from './keyed-follower.js';
+import {areFirstRecords, KeyedTopicReader} from './keyed-follower.js';
 import {KnownEndpoint} from './known-endpoint.js';
 import type {StoreHealth} from './store-health.js';
 
@@ -42,6 +42,14 @@
 /** Called with an endpoint. */
 type EndpointListener = (endpoint: KnownEndpoint) => void;
 
+/**
+ * Called when the complete list was read.
+ *
+ * @param position Every change before this offset is included.
+ * @param isWholeHistory Whether the list had no other entries before.
+ */
+type ListReadListener = (position: number, isWholeHistory: boolean) => void;
+
 /** The endpoints on the platform's list. */
 export class EndpointDirectory extends KeyedTopicReader {
   /** What endpoints say of themselves in their answers. */
@@ -54,7 +62,7 @@
   private readonly unlisted = new Map<string, number>();
   /** Offset of the latest record of each key. */
   private readonly offsets = new Map<string, number>();
-  private readonly readListeners: (() => void)[] = [];
+  private readonly readListeners: ListReadListener[] = [];
   private readonly listedListeners: EndpointListener[] = [];
   private readonly goneListeners: EndpointListener[] = [];
   private readonly droppedListeners: EndpointListener[] = [];
@@ -85,7 +93,7 @@
   }
 
   /** Adds a listener that is called each time the complete list was read. */
-  onRead(listener: () => void): void {
+  onRead(listener: ListReadListener): void {
     this.readListeners.push(listener);
   }
 
@@ -239,7 +247,7 @@
     }
   }
 
-  override replaced(records: readonly KeyedRecord[]): void {
+  override replaced(records: readonly KeyedRecord[], position: number): void {
     const listedIds = new Set(records.map(({key}) => key));
     for (const record of records) {
       this.changed(record);
@@ -250,7 +258,7 @@
       }
     }
     for (const listener of this.readListeners) {
-      listener();
+      listener(position, areFirstRecords(records, position));
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -60,9 +60,12 @@
 import {StoreHealth} from './store-health.js';
 import {
   ConnectStreamOriginPeers,
+  FirstConfigurations,
   OriginWatch,
+  PastOriginsSource,
   StreamOriginRegistry,
   StreamStarts,
+  type StreamOriginPeers,
 } from './stream-origins/index.js';
 import {
   ConnectTopicCopyPeers,
@@ -129,7 +132,9 @@
   private readonly crashes: CrashDetector;
   private readonly suspects: SuspectRegistry;
   private readonly originWatch: OriginWatch;
+  private readonly originPeers: StreamOriginPeers;
   private readonly origins: StreamOriginRegistry;
+  private readonly pastOrigins: PastOriginsSource;
   private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -172,7 +177,9 @@
     });
     this.suspects = this.createSuspects();
     this.originWatch = new OriginWatch(directory, clock);
+    this.originPeers = new ConnectStreamOriginPeers(this.link);
     this.origins = this.createOrigins();
+    this.pastOrigins = this.createPastOrigins();
     this.crashes = new CrashDetector({
       connections: this.connections,
       clock,
@@ -307,6 +314,7 @@
     this.tunnels.close();
     this.crashes.close();
     this.suspects.close();
+    this.pastOrigins.close();
     this.origins.close();
     await this.peerServer?.close();
     this.paths.close();
@@ -532,13 +540,30 @@
   private createOrigins(): StreamOriginRegistry {
     const {settings, clock, events} = this.parts;
     return new StreamOriginRegistry({
-      peers: new ConnectStreamOriginPeers(this.link),
+      peers: this.originPeers,
       watch: this.originWatch,
       directory: this.directory,
       clock,
       events,
       dataCenter: settings.dataCenter,
       otherHosts: () => this.peersInRegion(),
+      listPosition: () => this.endpointFollower.deliveredUntil,
+    });
+  }
+
+  private createPastOrigins(): PastOriginsSource {
+    const {names, dialect, log, clock, random, events} = this.parts;
+    return new PastOriginsSource({
+      watch: this.originWatch,
+      directory: this.directory,
+      peers: this.originPeers,
+      log,
+      partition: names.endpointPartition,
+      dialect,
+      clock,
+      events,
+      otherHosts: () => this.peersInRegion(),
+      fraction: () => random.fraction(),
     });
   }
 
@@ -607,7 +632,13 @@
     const partition = names.configurationPartition;
     return new KeyedTopicFollower(
       log,
-      new CombinedTopicReader([this.configuration, this.evacuations]),
+      new CombinedTopicReader([
+        this.configuration,
+        this.evacuations,
+        new FirstConfigurations(() => {
+          this.originWatch.sawAllConfigurations();
+        }),
+      ]),
       {
         partition,
         waitMilliseconds: Math.floor(configurationReadWait(applyMilliseconds)),
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -19,8 +19,12 @@
   /** A key has a new value; the value is undefined if the key was deleted. */
   abstract changed(record: KeyedRecord): void;
 
-  /** Replaces all keys: those not in the list no longer exist. */
-  abstract replaced(records: readonly KeyedRecord[]): void;
+  /**
+   * Replaces all keys: those not in the list no longer exist.
+   *
+   * @param position Every change before this offset is included.
+   */
+  abstract replaced(records: readonly KeyedRecord[], position: number): void;
 
   /**
    * Reports that every record written before a time has been delivered.
@@ -89,6 +93,11 @@
     return this.options.partition.topic;
   }
 
+  /** Every change before this offset has been delivered. */
+  get deliveredUntil(): number {
+    return this.position;
+  }
+
   newest(): NewestRecords | undefined {
     return this.needsAllKeys
       ? undefined
@@ -219,7 +228,7 @@
     for (const item of items) {
       this.keepCopy(item);
     }
-    this.reader.replaced(items);
+    this.reader.replaced(items, resumeOffset);
     this.needsAllKeys = false;
     this.moveTo(resumeOffset, resumeOffset);
   }
@@ -278,3 +287,20 @@
     await this.clock.sleep(RETRY_INTERVAL_MILLISECONDS, this.stop.signal);
   }
 }
+
+/**
+ * Whether the newest records of a topic's keys are all that it has ever had: no key was
+ * written twice or deleted.
+ *
+ * @param position Every change before this offset is included.
+ * @example
+ * ```ts
+ * areFirstRecords([{key: 'config', value, offset: 0}], 1); // true
+ * ```
+ */
+export function areFirstRecords(
+  records: readonly KeyedRecord[],
+  position: number,
+): boolean {
+  return records.filter(({offset}) => offset < position).length === position;
+}
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -76,6 +76,7 @@
               return {};
             },
             find: query => origins.answer(query),
+            past: () => origins.past(),
           });
         }
         if (copies !== undefined) {
--- a/packages/gateway/src/stream-origins/index.ts
+++ b/packages/gateway/src/stream-origins/index.ts
@@ -1,4 +1,6 @@
+export * from './first-configurations.js';
 export * from './origin-watch.js';
+export * from './past-origins-source.js';
 export * from './stream-binding.js';
 export * from './stream-origin-peers.js';
 export * from './stream-origin-registry.js';
--- a/packages/gateway/src/stream-origins/origin-messages.ts
+++ b/packages/gateway/src/stream-origins/origin-messages.ts
@@ -5,14 +5,16 @@
   StreamOrigin,
 } from '@wisteriadeal/decisions';
 import {
+  PastOriginsSchema,
   StreamOriginAnswerSchema,
   StreamOriginRecordSchema,
+  type PastOrigins as PastOriginsMessage,
   type SharedStreamOrigin,
   type StreamOriginAnswer,
   type StreamOriginRecord,
 } from '@wisteriadeal/schema';
 
-import type {WatchedOrigins} from './origin-watch.js';
+import type {PastOrigins, WatchedOrigins} from './origin-watch.js';
 
 /** Encodes a record, with the time that is left in place of its end. */
 export function encodeRecord(
@@ -68,6 +70,42 @@
   };
 }
 
+/** Encodes what this host saw of endpoints and routes. */
+export function encodePast({builds, routes}: PastOrigins): PastOriginsMessage {
+  return create(PastOriginsSchema, {
+    listPosition: builds.position,
+    completeMilliseconds: builds.completeMilliseconds,
+    builds: builds.builds.map(({origin, listedMilliseconds}) => ({
+      origin: {...origin},
+      listedMilliseconds,
+    })),
+    ...(routes === undefined
+      ? {}
+      : {
+          configurationVersion: routes.version,
+          unchangedMilliseconds: routes.unchangedMilliseconds,
+        }),
+  });
+}
+
+/** Decodes what another host saw of endpoints and routes. */
+export function decodePast(message: PastOriginsMessage): PastOrigins {
+  const {configurationVersion: version, unchangedMilliseconds} = message;
+  return {
+    builds: {
+      position: message.listPosition,
+      completeMilliseconds: message.completeMilliseconds,
+      builds: message.builds.flatMap(({origin, listedMilliseconds}) =>
+        origin === undefined
+          ? []
+          : [{origin: decodeOrigin(origin), listedMilliseconds}],
+      ),
+    },
+    routes:
+      version === undefined ? undefined : {version, unchangedMilliseconds},
+  };
+}
+
 function decodeOrigin({service, build}: SharedStreamOrigin): StreamOrigin {
   return {service, build};
 }
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -1,6 +1,7 @@
 import {
   BuildHistory,
   type OriginKnowledge,
+  type PastBuilds,
   type StreamOrigin,
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
@@ -12,7 +13,7 @@
 } from '../configuration.js';
 import type {EndpointDirectory} from '../endpoint-directory.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
-import {RouteHistory} from './route-history.js';
+import {RouteHistory, type PastRoutes} from './route-history.js';
 
 /** Shortest time for which callers may take streams up, milliseconds. */
 const MINIMUM_TAKE_UP_MILLISECONDS = 10_000;
@@ -27,6 +28,13 @@
   'possible' | 'hasWatched' | 'isCurrent'
 >;
 
+/** What a host saw of endpoints and routes, for one that has just started. */
+export interface PastOrigins {
+  readonly builds: PastBuilds;
+  /** Undefined without a configuration. */
+  readonly routes: PastRoutes | undefined;
+}
+
 /**
  * How long after the end of an attempt its caller may take the stream up,
  * milliseconds: a caller waits about as long as the route allows.
@@ -35,19 +43,23 @@
   return Math.max(timeoutMilliseconds, MINIMUM_TAKE_UP_MILLISECONDS);
 }
 
+/** How long ago a stream of a route may have begun that can be taken up, milliseconds. */
+function longestStreamOf(route: Route): number {
+  return route.timeoutMilliseconds + takeUpMilliseconds(route);
+}
+
 /** Watches which services and builds may have begun streams. */
 export class OriginWatch {
   private readonly builds = new BuildHistory();
   private readonly routes = new RouteHistory();
-  private listedSince = Infinity;
   private onDiffer: (service: string | undefined) => void = () => undefined;
 
   constructor(
     private readonly directory: EndpointDirectory,
     private readonly clock: Clock,
   ) {
-    directory.onRead(() => {
-      this.listedSince = Math.min(this.listedSince, this.now());
+    directory.onRead(position => {
+      this.builds.listRead(position, this.now());
     });
     directory.onListed(({entry}) => {
       if (this.builds.listed(entry, this.now())) {
@@ -78,6 +90,63 @@
     }
   }
 
+  /** Records that no configuration has preceded those that this host has seen. */
+  sawAllConfigurations(): void {
+    this.routes.sawAll();
+  }
+
+  /**
+   * Adds what was seen before this host started.
+   *
+   * @returns Whether it was of use: nothing is missing between it and what this host
+   *     saw itself.
+   */
+  learn({builds, routes}: PastOrigins): boolean {
+    const now = this.now();
+    const differing = this.builds.learn(builds, now);
+    if (differing === undefined) {
+      return false;
+    }
+    if (routes !== undefined) {
+      this.routes.learn(routes, now);
+    }
+    for (const service of differing) {
+      this.onDiffer(service);
+    }
+    return true;
+  }
+
+  /**
+   * What this host saw.
+   *
+   * @param position Every change of the list before this offset was read.
+   */
+  past(position: number): PastOrigins {
+    const now = this.now();
+    for (const {entry} of this.directory.all) {
+      // An unchanged entry is read once, however long the endpoint serves after it.
+      this.builds.listed(entry, now);
+    }
+    return {
+      builds: this.builds.past(position, now),
+      routes: this.routes.past(now),
+    };
+  }
+
+  /** Whether this host knows what may have begun any stream that can be taken up now. */
+  get isComplete(): boolean {
+    const {current} = this.routes;
+    if (current === undefined) {
+      return false;
+    }
+    const longest = Math.max(...current.routes.map(longestStreamOf), 0);
+    const now = this.now();
+    return (
+      this.builds.isCompleteSince(now - longest, now) &&
+      this.routes.isCompleteSince(now - longest)
+    );
+  }
+
   /** What may have begun streams that callers of this host and path may take up now. */
   originsOf(host: string, path: string): WatchedOrigins {
     const now = this.now();
@@ -87,7 +156,7 @@
       possible: [...services].flatMap(service =>
         this.buildsOf(service, since).map(build => ({service, build})),
       ),
-      hasWatched: isComplete && this.listedSince <= since,
+      hasWatched: isComplete && this.builds.isCompleteSince(since, now),
       isCurrent:
         this.directory.listAgeMilliseconds <= CURRENT_LIST_MILLISECONDS,
     };
@@ -112,7 +181,7 @@
     const route = current && findRoute(current, host, path);
     return route === undefined
       ? MINIMUM_TAKE_UP_MILLISECONDS
-      : route.timeoutMilliseconds + takeUpMilliseconds(route);
+      : longestStreamOf(route);
   }
 
   private endpointGone({entry, isOpen}: KnownEndpoint): void {
--- a/packages/gateway/src/stream-origins/route-history.ts
+++ b/packages/gateway/src/stream-origins/route-history.ts
@@ -17,6 +17,13 @@
   readonly isComplete: boolean;
 }
 
+/** For how long the routes of a configuration have gone to the same services. */
+export interface PastRoutes {
+  readonly version: number;
+  /** Milliseconds; infinite if there were no others before. */
+  readonly unchangedMilliseconds: number;
+}
+
 /** Maximum number of replaced configurations; a large one takes megabytes. */
 const MAXIMUM_REPLACED = 8;
 
@@ -41,7 +48,7 @@
     const before = this.inForce;
     this.inForce = configuration;
     if (before === undefined) {
-      this.completeSince = now;
+      this.completeSince = Math.min(this.completeSince, now);
       return false;
     }
     if (haveSameServices(before, configuration)) {
@@ -54,6 +61,37 @@
     return true;
   }
 
+  /** Records that no configuration has preceded those that this host has seen. */
+  sawAll(): void {
+    this.completeSince = -Infinity;
+  }
+
+  /** Adds what another host saw, if it has the same configuration in force. */
+  learn({version, unchangedMilliseconds}: PastRoutes, now: number): void {
+    if (version === this.inForce?.version) {
+      this.completeSince = Math.min(
+        this.completeSince,
+        now - unchangedMilliseconds,
+      );
+    }
+  }
+
+  /** What this host knows, for one that has just started. */
+  past(now: number): PastRoutes | undefined {
+    const changedAt = this.replaced.at(-1)?.until ?? -Infinity;
+    return (
+      this.inForce && {
+        version: this.inForce.version,
+        unchangedMilliseconds: now - Math.max(this.completeSince, changedAt),
+      }
+    );
+  }
+
+  /** Whether all routes are known that were in force at a time or later. */
+  isCompleteSince(since: number): boolean {
+    return this.completeSince <= since;
+  }
+
   /** The services to which requests for a host and path went since a time. */
   servicesOf(host: string, path: string, since: number): PastServices {
     const configurations = this.replaced
@@ -67,7 +105,7 @@
     );
     return {
       services: new Set(services),
-      isComplete: this.completeSince <= since,
+      isComplete: this.isCompleteSince(since),
     };
   }
 }
--- a/packages/gateway/src/stream-origins/stream-origin-peers.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-peers.ts
@@ -4,6 +4,7 @@
   StreamOriginQuerySchema,
   StreamOriginRecordsSchema,
   StreamOriginService,
+  type PastOrigins,
   type StreamOriginAnswer,
   type StreamOriginQuery,
   type StreamOriginRecord,
@@ -36,6 +37,13 @@
     query: OriginQuery,
   ): Promise<StreamOriginAnswer>;
 
+  /**
+   * Asks one host what it saw of endpoints and routes.
+   *
+   * @throws StepError if no answer came in time.
+   */
+  abstract past(address: string): Promise<PastOrigins>;
+
   /** Closes open connections. */
   abstract close(): void;
 }
@@ -47,6 +55,9 @@
 
   /** Tells what this host knows of a stream. */
   abstract answer(query: StreamOriginQuery): StreamOriginAnswer;
+
+  /** Tells what this host saw of endpoints and routes. */
+  abstract past(): PastOrigins;
 }
 
 /** Without an answer a stream is refused, so that a busy host is waited for. */
@@ -85,6 +96,12 @@
     );
   }
 
+  override past(address: string): Promise<PastOrigins> {
+    return this.calls.call('past origins', address, (client, timeoutMs) =>
+      client.past({}, {timeoutMs}),
+    );
+  }
+
   override close(): void {
     this.calls.close();
   }
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -7,6 +7,7 @@
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {
+  PastOrigins,
   StreamOriginAnswer,
   StreamOriginQuery,
   StreamOriginRecord,
@@ -19,6 +20,7 @@
   decodeAnswer,
   decodeRecord,
   encodeAnswer,
+  encodePast,
   encodeRecord,
 } from './origin-messages.js';
 import {
@@ -46,6 +48,8 @@
   readonly dataCenter: string;
   /** The other hosts that callers of this one may come to. */
   otherHosts(): readonly PeerHost[];
+  /** Every change of the list of endpoints before this offset was read. */
+  listPosition(): number;
 }
 
 /** Hosts that can be reached answer within this time. */
@@ -62,7 +66,8 @@
 
 /**
  * What this host and, through messages, a few others know of the origins of streams.
- * While only one service and build can begin a stream, nobody is told.
+ * While only one service and build can begin a stream, and this host has watched for long
+ * enough to prove it to others, nobody is told.
  */
 export class StreamOriginRegistry extends StreamOriginHolder {
   private readonly origins = new StreamOrigins();
@@ -145,6 +150,11 @@
     );
   }
 
+  override past(): PastOrigins {
+    const position = this.parts.listPosition();
+    return encodePast(this.parts.watch.past(position));
+  }
+
   /** Closes the connections to other hosts. */
   close(): void {
     this.parts.peers.close();
@@ -152,8 +162,8 @@
 
   private record(record: OriginRecord, {host, path}: StreamRequest): void {
     this.origins.record(record, this.now());
-    const {possible} = this.parts.watch.originsOf(host, path);
-    if (possible.length === 1 && record.origin !== undefined) {
+    const {possible, hasWatched} = this.parts.watch.originsOf(host, path);
+    if (possible.length === 1 && hasWatched && record.origin !== undefined) {
       this.keepUntold(record);
     } else {
       void this.tell(record);
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -4,9 +4,11 @@
   isSameOrigin,
   type StreamOrigin,
 } from '@wisteriadeal/decisions';
+import type {KeyedRecord} from '@wisteriadeal/platform';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
 import {
   LogLevel,
+  type PastOrigins,
   type StreamOriginAnswer,
   type StreamOriginQuery,
   type StreamOriginRecord,
@@ -18,6 +20,7 @@
   type Route,
 } from '../configuration.js';
 import type {Dialect} from '../dialect.js';
+import {decodePast} from '../stream-origins/origin-messages.js';
 import {EndpointConnectionPool} from '../endpoint-connection-pool.js';
 import {EndpointDirectory} from '../endpoint-directory.js';
 import type {EndpointEntry} from '../endpoint-entry.js';
@@ -56,6 +59,9 @@
 export class OriginFleet {
   readonly clock = new SetClock();
   readonly entries = new Map<string, EndpointEntry>();
+  /** The log of the list; a record's place is its offset. */
+  readonly log: KeyedRecord[] = [];
+  private readonly everListed = new Map<string, EndpointEntry>();
   readonly hosts: OriginHost[] = [];
   /** Pairs of addresses that can't reach each other. */
   readonly cuts = new Set<string>();
@@ -73,7 +79,7 @@
   /** Lists another endpoint. */
   addEndpoint(service: string, build: string): string {
     const id = `i-${++this.started}`;
-    this.entries.set(id, {
+    const entry = {
       id,
       service,
       build,
@@ -85,10 +91,37 @@
       bornAt: this.started,
       coldMilliseconds: undefined,
       ignoredFields: [],
-    });
+    };
+    this.entries.set(id, entry);
+    this.everListed.set(id, entry);
+    this.append(id, new Uint8Array());
     return id;
   }
 
+  /** Removes an endpoint from the list. */
+  removeEndpoint(id: string): void {
+    this.entries.delete(id);
+    this.append(id, undefined);
+  }
+
+  /** The entry of an endpoint that is or was listed. */
+  entryOf(id: string): EndpointEntry | undefined {
+    return this.everListed.get(id);
+  }
+
+  /** The newest record of each listed endpoint. */
+  get newestRecords(): readonly KeyedRecord[] {
+    return this.log.filter(
+      ({key, value, offset}) =>
+        value !== undefined &&
+        this.log.findLastIndex(record => record.key === key) === offset,
+    );
+  }
+
+  private append(key: string, value: Uint8Array | undefined): void {
+    this.log.push({key, value, offset: this.log.length});
+  }
+
   /** Lets hosts read the list and the configuration. */
   read(hosts: readonly OriginHost[] = this.hosts): void {
     for (const host of hosts) {
@@ -140,7 +173,7 @@
   isLost = false;
   private readonly directory: EndpointDirectory;
   private readonly watch: OriginWatch;
-  private offset = 0;
+  private position: number | undefined;
   private version = 0;
 
   constructor(
@@ -153,7 +186,7 @@
     const events = EventLog.create(LogLevel.ERROR, {}, () => undefined);
     const {clock} = fleet;
     const dialect = {
-      endpointEntry: (id: string) => fleet.entries.get(id),
+      endpointEntry: (id: string) => fleet.entryOf(id),
     } as unknown as Dialect;
     this.directory = new EndpointDirectory(
       dialect,
@@ -177,24 +210,38 @@
       dataCenter,
       otherHosts: () =>
         fleet.hosts.filter(host => host.address !== this.address),
+      listPosition: () => this.position ?? 0,
     });
     this.read();
   }
 
+  /** Reads the whole list, as after changes that the store has dropped. */
+  readAnew(): void {
+    this.position = undefined;
+    this.read();
+  }
+
+  /** Asks another host what it saw before this one started. */
+  async learnFrom(address: string): Promise<void> {
+    this.watch.learn(decodePast(await this.past(address)));
+  }
+
   /** Reads the list and the configuration. */
   read(): void {
     if (this.version !== this.fleet.version) {
       this.version = this.fleet.version;
       this.watch.configurationAdopted(this.fleet.configuration);
     }
-    const value = new Uint8Array();
-    const records = [...this.fleet.entries.keys()].map(key => ({
-      key,
-      value,
-      offset: ++this.offset,
-    }));
-    this.directory.replaced(records);
-    this.directory.caughtUp(this.fleet.clock.now);
+    const {log, newestRecords, clock} = this.fleet;
+    if (this.position === undefined) {
+      this.directory.replaced(newestRecords, log.length);
+    } else {
+      for (const record of log.slice(this.position)) {
+        this.directory.changed(record);
+      }
+    }
+    this.position = log.length;
+    this.directory.caughtUp(clock.now);
   }
 
   /** Open endpoints, by this host's list. */
@@ -240,6 +287,10 @@
     return Promise.resolve(host.registry.answer(query as StreamOriginQuery));
   }
 
+  override past(address: string): Promise<PastOrigins> {
+    return Promise.resolve(this.reach(address).registry.past());
+  }
+
   override close(): void {
     // Nothing is open.
   }
--- a/packages/gateway/src/test/stream-origins_test.ts
+++ b/packages/gateway/src/test/stream-origins_test.ts
@@ -79,7 +79,7 @@
     // Guards against a stream of a build that has just left the list.
     const id = fleet.addEndpoint('models', 'v2');
     fleet.read();
-    fleet.entries.delete(id);
+    fleet.removeEndpoint(id);
     fleet.read();
     expect(await fleet.hostAt(1).originOf('unheard-of')).toBeUndefined();
     fleet.clock.now += WATCH_MILLISECONDS;
@@ -100,6 +100,55 @@
     expect(await fleet.hostAt(0).originOf('unheard-of')).toBeUndefined();
   });
 
+  it('is told to others by hosts that have just started, while nobody has watched', async () => {
+    // Guards against streams that end with the one host that knows of them.
+    fleet.hosts.forEach((_host, index) => {
+      fleet.restart(index);
+    });
+    fleet.hostAt(0).began('s', V1);
+    await fleet.settle();
+    fleet.restart(0);
+    expect(await fleet.hostAt(3).originOf('s')).toEqual(V1);
+  });
+
+  it('is known without a record after a replacement of all hosts, one after the other', async () => {
+    // Guards against what hosts have watched ending with them.
+    for (let index = 0; index < DATA_CENTERS.length; index++) {
+      fleet.restart(index);
+      const teacher = fleet.hostAt((index + 1) % DATA_CENTERS.length);
+      await fleet.hostAt(index).learnFrom(teacher.address);
+      fleet.clock.now += 1_000;
+      fleet.read();
+    }
+    fleet.hostAt(0).began('s', V1);
+    await fleet.settle();
+    expect(fleet.messageCount).toBe(DATA_CENTERS.length);
+    fleet.restart(0);
+    expect(await fleet.hostAt(3).originOf('s')).toEqual(V1);
+  });
+
+  it('is unknown to a host that learned from one with an older list', async () => {
+    // Guards against builds that came and went between what two hosts read.
+    const id = fleet.addEndpoint('models', 'v2');
+    fleet.removeEndpoint(id);
+    fleet.restart(0);
+    await fleet.hostAt(0).learnFrom(fleet.hostAt(1).address);
+    for (const host of fleet.hosts) {
+      fleet.cuts.add(`${fleet.hostAt(0).address} ${host.address}`);
+    }
+    expect(await fleet.hostAt(0).originOf('unheard-of')).toBeUndefined();
+  });
+
+  it('is unknown to a host that missed changes of the list', async () => {
+    // Guards against builds that came and went in records that the store has dropped.
+    fleet.removeEndpoint(fleet.addEndpoint('models', 'v2'));
+    fleet.hostAt(0).readAnew();
+    for (const host of fleet.hosts) {
+      fleet.cuts.add(`${fleet.hostAt(0).address} ${host.address}`);
+    }
+    expect(await fleet.hostAt(0).originOf('unheard-of')).toBeUndefined();
+  });
+
   it('is unknown to a host with an old list that reaches no other', async () => {
     // Guards against a host that is cut off and does not know of a release.
     for (const host of fleet.hosts) {
@@ -150,6 +199,8 @@
     'release',
     'remove',
     'restart host',
+    'learn',
+    'learn',
     'cut',
     'lose store',
     'heal',
@@ -197,9 +248,12 @@
             const service = number % 3 === 0 ? 'tutors' : 'models';
             fleet.addEndpoint(service, `v${number % 4}`);
           } else if (what === 'remove' && entries.length > 1) {
-            fleet.entries.delete(entries[number % entries.length] ?? '');
+            fleet.removeEndpoint(entries[number % entries.length] ?? '');
           } else if (what === 'restart host') {
             fleet.restart(host);
+          } else if (what === 'learn') {
+            const other = fleet.hostAt(number % fleet.hosts.length);
+            await at.learnFrom(other.address).catch(() => undefined);
           } else if (what === 'cut') {
             const other = fleet.hostAt(number % fleet.hosts.length);
             fleet.cuts.add(`${at.address} ${other.address}`);
