Ignore entries of endpoints that the store writes after later ones

Cause: the store may do a write seconds after it was sent. The place of a record in the log is the order of the writes, not the order in which the endpoint made them, which `born` and `seq` tell. The adapter dropped `seq`, and the directory took each record for the newer state.

Evidence: no request reached the endpoint from 0.15 s after its notice until the late write (12.10 s), 14 or 15 from then until its next check-in, at all three hosts; no host had read the whole list anew.

Change: `EntryOrder` judges each entry by start and number before it is used, also after a removal and in a read of the whole list. A start that has said that it leaves never takes requests again; one that was removed without notice comes back with a higher number only. An older start is used after the newer one has been silent for 10 s, as its clock may have been set back.

Why it works: within one start the numbers rise with each entry, so that what was sent before has a lower one, however late it is done.

--- /dev/null
+++ b/packages/decisions/src/endpoint-entries/index.ts
@@ -0,0 +1,1 @@
+export * from './entry-order.js';
--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -56,6 +56,7 @@
 export * from './service-silence.js';
 export * from './crash-suspects.js';
 export * from './cold-endpoints/index.js';
+export * from './endpoint-entries/index.js';
 export * from './endpoint-statements/index.js';
 export * from './admission/index.js';
 export * from './configuration-trust.js';
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -1,4 +1,4 @@
-import {isSameOrigin} from '@wisteriadeal/decisions';
+import {EntryOrder, EntryVerdict, isSameOrigin} from '@wisteriadeal/decisions';
 import type {Clock, KeyedRecord} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
@@ -18,6 +18,12 @@
 /** Maximum time for a request to reach its endpoint, even over a full link. */
 const MAXIMUM_TRANSIT_MILLISECONDS = 500;
 
+/**
+ * How long the order of a removed endpoint's entries is remembered, milliseconds; the
+ * store does a write within seconds.
+ */
+const REMOVED_ORDER_MILLISECONDS = 60_000;
+
 /** Inputs that determine whether the endpoint list is stale. */
 export interface ListStalenessOptions {
   /**
@@ -62,6 +68,7 @@
   private readonly unlisted = new Map<string, number>();
   /** Offset of the latest record of each key. */
   private readonly offsets = new Map<string, number>();
+  private readonly orders = new Map<string, EntryOrder>();
   private readonly readListeners: ListReadListener[] = [];
   private readonly listedListeners: EndpointListener[] = [];
   private readonly goneListeners: EndpointListener[] = [];
@@ -215,7 +222,7 @@
     }
     this.offsets.set(key, offset);
     if (value === undefined) {
-      this.entryRemoved(key);
+      this.removed(key);
       return;
     }
     const entry = this.dialect.endpointEntry(key, value);
@@ -235,6 +242,9 @@
         fields: entry.ignoredFields.join(', '),
       });
     }
+    if (!this.isCurrent(entry, offset)) {
+      return;
+    }
     const endpoint = this.entryListed(entry, offset);
     for (const listener of this.listedListeners) {
       listener(endpoint);
@@ -254,7 +264,7 @@
     }
     for (const id of this.endpoints.keys()) {
       if (!listedIds.has(id)) {
-        this.entryRemoved(id);
+        this.removed(id);
       }
     }
     for (const listener of this.readListeners) {
@@ -297,6 +307,39 @@
     );
   }
 
+  /**
+   * Whether an entry is the latest that its endpoint wrote. The store may do a write
+   * after later ones of the same endpoint.
+   */
+  private isCurrent(entry: EndpointEntry, offset: number): boolean {
+    const {id: endpoint, sequence, bornAt} = entry;
+    const order = this.orders.get(endpoint) ?? new EntryOrder();
+    this.orders.set(endpoint, order);
+    const reason = order.read(entry, this.clock.monotonicMilliseconds());
+    if (reason === EntryVerdict.Current) {
+      return true;
+    }
+    this.events.warn('late endpoint entry ignored', {
+      endpoint,
+      offset,
+      sequence,
+      bornAt,
+      reason,
+    });
+    return false;
+  }
+
+  private removed(id: string): void {
+    const now = this.clock.monotonicMilliseconds();
+    this.orders.get(id)?.removed(now);
+    for (const [other, {removedSince = Infinity}] of this.orders) {
+      if (now - removedSince > REMOVED_ORDER_MILLISECONDS) {
+        this.orders.delete(other);
+      }
+    }
+    this.entryRemoved(id);
+  }
+
   private entryListed(entry: EndpointEntry, offset: number): KnownEndpoint {
     this.unlisted.delete(entry.id);
     const known = this.endpoints.get(entry.id);
@@ -357,7 +400,9 @@
   ): void {
     const isNewlyListed = entry.isLeaving && !known.entry.isLeaving;
     const wasLeaving = known.isLeaving;
-    known.entry = entry;
+    // A start that has said that it leaves never takes requests again.
+    const hasLeft = known.entry.isLeaving && entry.bornAt > 0;
+    known.entry = hasLeft ? {...entry, isLeaving: true} : entry;
     if (isNewlyListed) {
       this.events.info('endpoint leaving', {endpoint: entry.id, offset});
     }
--- a/packages/gateway/src/endpoint-entry.ts
+++ b/packages/gateway/src/endpoint-entry.ts
@@ -18,6 +18,8 @@
    * stated.
    */
   readonly bornAt: number;
+  /** Rises with each entry of a start; undefined if not stated. */
+  readonly sequence: number | undefined;
   /**
    * Build of its software, which other endpoints of the service may share. It
    * has no order.
--- a/packages/gateway/src/test/crash-detector_test.ts
+++ b/packages/gateway/src/test/crash-detector_test.ts
@@ -27,6 +27,7 @@
     slots: 1,
     isLeaving: false,
     bornAt: 7,
+    sequence: undefined,
     coldMilliseconds: undefined,
     ignoredFields: [],
     build: 'v1',
--- a/packages/gateway/src/test/endpoint-exchange_test.ts
+++ b/packages/gateway/src/test/endpoint-exchange_test.ts
@@ -53,6 +53,7 @@
       slots: 1,
       isLeaving: false,
       bornAt: 0,
+      sequence: undefined,
       coldMilliseconds: undefined,
       ignoredFields: [],
       build: 'v1',
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -89,6 +89,7 @@
       slots: 8,
       isLeaving: false,
       bornAt: this.started,
+      sequence: undefined,
       coldMilliseconds: undefined,
       ignoredFields: [],
     };
--- a/packages/gateway/src/test/stated-admission_test.ts
+++ b/packages/gateway/src/test/stated-admission_test.ts
@@ -24,6 +24,7 @@
       slots: 1,
       isLeaving: false,
       bornAt: 1,
+      sequence: undefined,
       build: 'v1',
       coldMilliseconds: undefined,
       ignoredFields: [],
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -129,6 +129,7 @@
     slots: 1,
     isLeaving: false,
     bornAt: 0,
+    sequence: undefined,
     coldMilliseconds: undefined,
     ignoredFields: [],
     build: 'v1',
