Take no answer from a head that another head interrupts

What callers saw: a 200 with the body and the proof of a failure, framed as whole, where an endpoint stops in the middle of an answer's head and sends another one on the same connection (MIXED).

Cause: the parser takes the second status line for the rest of the header value or of the reason phrase in which the first head stopped. The further headers, with the identifier of the attempt, are those of the second head, so that nothing else tells.

Evidence: cut-heads_test.ts, 28 of 77 places at which the first head may stop gave 200 with the failure's body; the same in the clients of the store and of the old router. All three tests fail without the change.

Change: a head with a status line in a header or in its reason phrase fails the exchange, like any broken answer, in the gateway and in both clients.

Why it works: the second head is sent whole, so that its status line is always in what the first one is read as; a stop in a header's name is a parse error already.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -1,4 +1,8 @@
-import {NetworkTimeout} from '@wisteriadeal/platform';
+import {
+  INTERRUPTED_HEAD,
+  isInterruptedHead,
+  NetworkTimeout,
+} from '@wisteriadeal/platform';
 import {
   request as sendRequest,
   type ClientRequest,
@@ -181,6 +185,10 @@
     if (incoming === undefined) {
       return this.failureResult();
     }
+    if (isInterruptedHead(incoming)) {
+      this.cancel(INTERRUPTED_HEAD);
+      return this.failureResult();
+    }
     const status = incoming.statusCode ?? 0;
     const {rawHeaders} = incoming;
     const endpointHeaders = this.dialect.endpointAnswer(status, rawHeaders);
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -16,6 +16,7 @@
   Exchange,
   ExchangeTimeouts,
 } from './http-peer.js';
+import {INTERRUPTED_HEAD, isInterruptedHead} from './interrupted-head.js';
 import {NetworkTimeout} from './network-timeout.js';
 import {Fate, StepError} from './step-error.js';
 
@@ -281,6 +282,10 @@
     });
     outgoing.on('error', fail);
     outgoing.once('response', incoming => {
+      if (isInterruptedHead(incoming)) {
+        fail(new Error(INTERRUPTED_HEAD));
+        return;
+      }
       callTimeouts.onResponse();
       const body = new ResponseBody(incoming);
       incoming.on('data', (chunk: Buffer) => {
--- a/packages/platform/src/http-peer.ts
+++ b/packages/platform/src/http-peer.ts
@@ -1,10 +1,11 @@
 import got, {RequestError, TimeoutError, type Got, type Request} from 'got';
-import {Agent} from 'node:http';
+import {Agent, type IncomingMessage} from 'node:http';
 
 import {
   isConnectErrorCode,
   KEEP_ALIVE_TIMEOUT_MILLISECONDS,
 } from './connection-errors.js';
+import {INTERRUPTED_HEAD, isInterruptedHead} from './interrupted-head.js';
 import {Fate, StepError} from './step-error.js';
 
 /** Timeouts of one HTTP exchange, in milliseconds; there is no limit where one is absent. */
@@ -128,16 +129,17 @@
       body.on('error', error => {
         reject(toStepError(exchange.step, this.peer, error));
       });
-      body.once(
-        'response',
-        (response: StreamingResponse & {statusCode: number}) => {
-          resolve({
-            status: response.statusCode,
-            headers: response.headers,
-            body,
-          });
-        },
-      );
+      body.once('response', (response: StreamingResponse & IncomingMessage) => {
+        if (isInterruptedHead(response)) {
+          body.destroy(new Error(INTERRUPTED_HEAD));
+          return;
+        }
+        resolve({
+          status: response.statusCode ?? 0,
+          headers: response.headers,
+          body,
+        });
+      });
     });
   }
 
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -19,6 +19,7 @@
 export * from './http-weight-store.js';
 export * from './log-client.js';
 export * from './model-engine.js';
+export * from './interrupted-head.js';
 export * from './network-timeout.js';
 export * from './partitioned-log.js';
 export * from './plain-service.js';
