Doubt the build of an endpoint whose entry names an older start

What callers would see: events of two builds in a stream, where an endpoint starts again under its identifier with another build and a clock that was set back.

Cause: since entries are judged by start and number, such an entry counts as late for up to 10 s, and the endpoint as the start before it.

Change: such an entry is either late, or of a later start: the host takes the endpoint for ended at that time, so that its build is unknown until an entry of the start that it knows is written after it. A late entry costs that doubt for one check-in interval.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -315,10 +315,15 @@
     const {id: endpoint, sequence, bornAt} = entry;
     const order = this.orders.get(endpoint) ?? new EntryOrder();
     this.orders.set(endpoint, order);
-    const reason = order.read(entry, this.clock.monotonicMilliseconds());
+    const now = this.clock.monotonicMilliseconds();
+    const reason = order.read(entry, now);
     if (reason === EntryVerdict.Current) {
       return true;
     }
+    if (reason === EntryVerdict.OlderStart) {
+      // Unless it is late, the endpoint has started again after its clock was set back.
+      this.endpoints.get(endpoint)?.hasEnded(now);
+    }
     this.events.warn('late endpoint entry ignored', {
       endpoint,
       offset,
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -139,7 +139,10 @@
     if (current === undefined) {
       return false;
     }
-    const longest = Math.max(...current.routes.map(longestStreamOf), 0);
+    const longest = current.routes.reduce(
+      (most, route) => Math.max(most, longestStreamOf(route)),
+      0,
+    );
     const now = this.now();
     return (
       this.builds.isCompleteSince(now - longest, now) &&
