--- a/packages/decisions/src/endpoint-entries/index.ts
+++ b/packages/decisions/src/endpoint-entries/index.ts
@@ -1,1 +1,2 @@
 export * from './entry-order.js';
+export * from './entry-orders.js';
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -1,4 +1,4 @@
-import {EntryOrder, EntryVerdict, isSameOrigin} from '@wisteriadeal/decisions';
+import {EntryOrders, EntryVerdict, isSameOrigin} from '@wisteriadeal/decisions';
 import type {Clock, KeyedRecord} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
@@ -18,12 +18,6 @@
 /** Maximum time for a request to reach its endpoint, even over a full link. */
 const MAXIMUM_TRANSIT_MILLISECONDS = 500;
 
-/**
- * How long the order of a removed endpoint's entries is remembered, milliseconds; the
- * store does a write within seconds.
- */
-const REMOVED_ORDER_MILLISECONDS = 60_000;
-
 /** Inputs that determine whether the endpoint list is stale. */
 export interface ListStalenessOptions {
   /**
@@ -68,7 +62,7 @@
   private readonly unlisted = new Map<string, number>();
   /** Offset of the latest record of each key. */
   private readonly offsets = new Map<string, number>();
-  private readonly orders = new Map<string, EntryOrder>();
+  private readonly orders = new EntryOrders();
   private readonly readListeners: ListReadListener[] = [];
   private readonly listedListeners: EndpointListener[] = [];
   private readonly goneListeners: EndpointListener[] = [];
@@ -222,7 +216,7 @@
     }
     this.offsets.set(key, offset);
     if (value === undefined) {
-      this.removed(key);
+      this.entryRemoved(key);
       return;
     }
     const entry = this.dialect.endpointEntry(key, value);
@@ -264,7 +258,7 @@
     }
     for (const id of this.endpoints.keys()) {
       if (!listedIds.has(id)) {
-        this.removed(id);
+        this.entryRemoved(id);
       }
     }
     for (const listener of this.readListeners) {
@@ -313,10 +307,8 @@
    */
   private isCurrent(entry: EndpointEntry, offset: number): boolean {
     const {id: endpoint, sequence, bornAt} = entry;
-    const order = this.orders.get(endpoint) ?? new EntryOrder();
-    this.orders.set(endpoint, order);
     const now = this.clock.monotonicMilliseconds();
-    const reason = order.read(entry, now);
+    const reason = this.orders.read(endpoint, entry, now);
     if (reason === EntryVerdict.Current) {
       return true;
     }
@@ -334,17 +326,6 @@
     return false;
   }
 
-  private removed(id: string): void {
-    const now = this.clock.monotonicMilliseconds();
-    this.orders.get(id)?.removed(now);
-    for (const [other, {removedSince = Infinity}] of this.orders) {
-      if (now - removedSince > REMOVED_ORDER_MILLISECONDS) {
-        this.orders.delete(other);
-      }
-    }
-    this.entryRemoved(id);
-  }
-
   private entryListed(entry: EndpointEntry, offset: number): KnownEndpoint {
     this.unlisted.delete(entry.id);
     const known = this.endpoints.get(entry.id);
@@ -423,11 +404,12 @@
   }
 
   private entryRemoved(id: string): void {
+    const now = this.clock.monotonicMilliseconds();
+    this.orders.removed(id, now);
     const endpoint = this.endpoints.get(id);
     if (endpoint === undefined) {
       return;
     }
-    const now = this.clock.monotonicMilliseconds();
     if (
       this.health.millisecondsSinceOutage(now) < UNLISTED_GRACE_MILLISECONDS
     ) {
