Tell one host of streams while nobody can prove what began them

Cause: after that nothing can be proved for as long as a stream may last, as routes had changed before.

Change: while one build is possible and not proved, one host is told, the same for all streams of a host, so that a message holds several; hosts that can't prove either ask all others, and so find it. One host a second is asked. The log of the list is read only if the routes are known, and up to 1,000 records.

Why it works: a single kill leaves the host that was told. Once a second build is listed, all hosts of the stream's order are told, as before.

The tests of streams after kills pass as before.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -546,6 +546,7 @@
       clock,
       events,
       dataCenter: settings.dataCenter,
+      ownAddress: settings.peerAddress,
       otherHosts: () => this.peersInRegion(),
       listPosition: () => this.endpointFollower.deliveredUntil,
     });
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -135,21 +135,18 @@
 
   /** Whether this host knows what may have begun any stream that can be taken up now. */
   get isComplete(): boolean {
-    const {current} = this.routes;
-    if (current === undefined) {
-      return false;
-    }
-    const longest = current.routes.reduce(
-      (most, route) => Math.max(most, longestStreamOf(route)),
-      0,
-    );
     const now = this.now();
     return (
-      this.builds.isCompleteSince(now - longest, now) &&
-      this.routes.isCompleteSince(now - longest)
+      this.areRoutesComplete &&
+      this.builds.isCompleteSince(now - this.longestOfAll, now)
     );
   }
 
+  /** Whether this host knows the services of all routes for that time. */
+  get areRoutesComplete(): boolean {
+    return this.routes.isCompleteSince(this.now() - this.longestOfAll);
+  }
+
   /** What may have begun streams that callers of this host and path may take up now. */
   originsOf(host: string, path: string): WatchedOrigins {
     const now = this.now();
@@ -178,6 +175,14 @@
     return [...new Set([...this.builds.buildsOf(service, since), ...listed])];
   }
 
+  /** How long ago any stream may have begun that can be taken up, milliseconds. */
+  private get longestOfAll(): number {
+    return (this.routes.current?.routes ?? []).reduce(
+      (most, route) => Math.max(most, longestStreamOf(route)),
+      MINIMUM_TAKE_UP_MILLISECONDS,
+    );
+  }
+
   /** How long ago a stream may have begun that can still be taken up, milliseconds. */
   private longestStream(host: string, path: string): number {
     const {current} = this.routes;
--- a/packages/gateway/src/stream-origins/past-origins-source.ts
+++ b/packages/gateway/src/stream-origins/past-origins-source.ts
@@ -34,10 +34,12 @@
   Host = 'host',
 }
 
-/** Longest log of the list that is read; about 1 MB. */
-const MAXIMUM_LOG_RECORDS = 4_000;
-/** Hosts that are asked at a time. */
-const ASKED_HOSTS = 3;
+/** Longest log of the list that is read; about 300 kB. */
+const MAXIMUM_LOG_RECORDS = 1_000;
+/** Hosts that are asked at first. */
+const FIRST_ASKED_HOSTS = 3;
+/** Hosts that are asked later, once an interval. */
+const ASKED_HOSTS = 1;
 const ASK_INTERVAL_MILLISECONDS = 1_000;
 /** Hosts know each other this long after a start. */
 const FIRST_ASK_MILLISECONDS = 300;
@@ -72,8 +74,10 @@
       this.learnAll(position, [], PastSource.List);
     }
     await clock.sleep(FIRST_ASK_MILLISECONDS, signal);
-    await this.askSomeHosts();
-    if (!watch.isComplete && position <= MAXIMUM_LOG_RECORDS) {
+    await this.askSomeHosts(FIRST_ASKED_HOSTS);
+    // The list alone proves nothing while routes may have gone to other services.
+    const isOfUse = watch.areRoutesComplete && !watch.isComplete;
+    if (isOfUse && position <= MAXIMUM_LOG_RECORDS) {
       await this.readLog(position);
     }
     await this.askUntilComplete();
@@ -133,7 +137,7 @@
     this.report(isUsed, source);
   }
 
-  /** Asks a few hosts at a time until one knows enough, or this host has seen enough. */
+  /** Asks other hosts until one knows enough, or this host has seen enough. */
   private async askUntilComplete(): Promise<void> {
     if (this.isAsking) {
       return;
@@ -143,16 +147,17 @@
     const {signal} = this.stop;
     while (!signal.aborted && !watch.isComplete) {
       await clock.sleep(ASK_INTERVAL_MILLISECONDS, signal);
-      await this.askSomeHosts();
+      await this.askSomeHosts(ASKED_HOSTS);
     }
     this.isAsking = false;
   }
 
-  private async askSomeHosts(): Promise<void> {
+  private async askSomeHosts(count: number): Promise<void> {
     if (this.stop.signal.aborted || this.parts.watch.isComplete) {
       return;
     }
-    await Promise.all(this.someHosts().map(address => this.ask(address)));
+    const addresses = this.someHosts(count);
+    await Promise.all(addresses.map(address => this.ask(address)));
   }
 
   private async ask(address: string): Promise<void> {
@@ -181,12 +186,12 @@
     });
   }
 
-  private someHosts(): readonly string[] {
+  private someHosts(count: number): readonly string[] {
     const {otherHosts, fraction} = this.parts;
     return otherHosts()
       .map(({address}) => ({address, rank: fraction()}))
       .sort((one, other) => one.rank - other.rank)
-      .slice(0, ASKED_HOSTS)
+      .slice(0, count)
       .map(({address}) => address);
   }
 }
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -46,6 +46,8 @@
   readonly clock: Clock;
   readonly events: EventLog;
   readonly dataCenter: string;
+  /** Address of this host for other hosts, `IP:port`. */
+  readonly ownAddress: string;
   /** The other hosts that callers of this one may come to. */
   otherHosts(): readonly PeerHost[];
   /** Every change of the list of endpoints before this offset was read. */
@@ -66,8 +68,8 @@
 
 /**
  * What this host and, through messages, a few others know of the origins of streams.
- * While only one service and build can begin a stream, and this host has watched for long
- * enough to prove it to others, nobody is told.
+ * While only one service and build can begin a stream, nobody is told if this host can
+ * prove it to others, and else one host.
  */
 export class StreamOriginRegistry extends StreamOriginHolder {
   private readonly origins = new StreamOrigins();
@@ -163,10 +165,13 @@
   private record(record: OriginRecord, {host, path}: StreamRequest): void {
     this.origins.record(record, this.now());
     const {possible, hasWatched} = this.parts.watch.originsOf(host, path);
-    if (possible.length === 1 && hasWatched && record.origin !== undefined) {
-      this.keepUntold(record);
-    } else {
+    if (possible.length !== 1 || record.origin === undefined) {
       void this.tell(record);
+      return;
+    }
+    this.keepUntold(record);
+    if (!hasWatched) {
+      void this.tellOne(record);
     }
   }
 
@@ -253,6 +258,15 @@
     }
   }
 
+  /**
+   * Tells one host, the same for all streams, so that one message holds several. Hosts
+   * that have not watched for long enough ask all others.
+   */
+  private async tellOne(record: OriginRecord): Promise<void> {
+    const {all} = this.recorders(this.parts.ownAddress);
+    await this.tellFirst(record, all, 1);
+  }
+
   /** Tells the first hosts of both orders that can be reached. */
   private async tell(record: OriginRecord): Promise<void> {
     const {all, local} = this.recorders(record.stream);
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -209,6 +209,7 @@
       clock,
       events,
       dataCenter,
+      ownAddress: this.address,
       otherHosts: () =>
         fleet.hosts.filter(host => host.address !== this.address),
       listPosition: () => this.position ?? 0,
