Tell the host that took the latest record first

Cause: hosts that have ended are known for a while. A host without proof tried them first, for each stream, before the one that could take its record, and was killed meanwhile.

Evidence: up to 20 lines "stream origins not told" of each host in one second, all refused by hosts that had ended.

Change: the host that took the latest record is told first.

--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -77,6 +77,8 @@
   private readonly untold = new Map<string, OriginRecord>();
   private readonly recentRuns = new RecentRuns();
   private readonly sender: OriginSender;
+  /** The host that took the latest record of those that one host is told. */
+  private toldHost: string | undefined;
 
   constructor(private readonly parts: StreamOriginRegistryParts) {
     super();
@@ -264,7 +266,18 @@
    */
   private async tellOne(record: OriginRecord): Promise<void> {
     const {all} = this.recorders(this.parts.ownAddress);
-    await this.tellFirst(record, all, 1);
+    const message = encodeRecord(record, this.now());
+    // Hosts that have ended are known for a while; each would cost a call or its timeout.
+    const order = all.toSorted(
+      (one, other) =>
+        Number(other === this.toldHost) - Number(one === this.toldHost),
+    );
+    for (const address of order) {
+      if (await this.sender.send(address, message)) {
+        this.toldHost = address;
+        return;
+      }
+    }
   }
 
   /** Tells the first hosts of both orders that can be reached. */
