--- a/packages/decisions/src/build-history.ts
+++ b/packages/decisions/src/build-history.ts
@@ -92,7 +92,7 @@
     return [...new Set(differing)];
   }
 
-  /** What this host knows, for one that has just started. */
+  /** What another host learns that has just started. */
   past(position: number, now: number): PastBuilds {
     return {
       position,
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -133,7 +133,7 @@
     };
   }
 
-  /** Whether this host knows what may have begun any stream that can be taken up now. */
+  /** Whether it is known what may have begun any stream that can be taken up now. */
   get isComplete(): boolean {
     const now = this.now();
     return (
@@ -142,7 +142,7 @@
     );
   }
 
-  /** Whether this host knows the services of all routes for that time. */
+  /** Whether it is known to which services any such stream may have gone. */
   get areRoutesComplete(): boolean {
     return this.routes.isCompleteSince(this.now() - this.longestOfAll);
   }
--- a/packages/gateway/src/stream-origins/past-origins-source.ts
+++ b/packages/gateway/src/stream-origins/past-origins-source.ts
@@ -4,6 +4,7 @@
 
 import type {Dialect} from '../dialect.js';
 import type {EndpointDirectory} from '../endpoint-directory.js';
+import {inRandomOrder} from '../random-order.js';
 import type {PeerHost} from '../relay-directory.js';
 import {decodePast} from './origin-messages.js';
 import type {OriginWatch} from './origin-watch.js';
@@ -86,7 +87,7 @@
   /** Reads the list from its first record on; one that is no longer kept ends it. */
   private async readLog(position: number): Promise<void> {
     const {log, partition, events} = this.parts;
-    const origins = new Map<string, StreamOrigin>();
+    const origins: StreamOrigin[] = [];
     try {
       for (let from = 0; from < position;) {
         const {records} = await log.read(partition, from, 0, {
@@ -95,12 +96,10 @@
         if (records.length === 0) {
           return;
         }
-        for (const origin of this.originsOf(from, records)) {
-          origins.set(`${origin.service} ${origin.build}`, origin);
-        }
+        origins.push(...this.originsOf(from, records));
         from += records.length;
       }
-      this.learnAll(position, [...origins.values()], PastSource.Log);
+      this.learnAll(position, origins, PastSource.Log);
     } catch (error) {
       if (!this.stop.signal.aborted) {
         events.info('log of the list not read', {reason: String(error)});
@@ -137,7 +136,7 @@
     this.report(isUsed, source);
   }
 
-  /** Asks other hosts until one knows enough, or this host has seen enough. */
+  /** Asks a host each interval until this one knows what may have begun any stream. */
   private async askUntilComplete(): Promise<void> {
     if (this.isAsking) {
       return;
@@ -156,8 +155,9 @@
     if (this.stop.signal.aborted || this.parts.watch.isComplete) {
       return;
     }
-    const addresses = this.someHosts(count);
-    await Promise.all(addresses.map(address => this.ask(address)));
+    const {otherHosts, fraction} = this.parts;
+    const hosts = inRandomOrder(otherHosts(), fraction).slice(0, count);
+    await Promise.all(hosts.map(({address}) => this.ask(address)));
   }
 
   private async ask(address: string): Promise<void> {
@@ -185,13 +185,4 @@
       isComplete: watch.isComplete,
     });
   }
-
-  private someHosts(count: number): readonly string[] {
-    const {otherHosts, fraction} = this.parts;
-    return otherHosts()
-      .map(({address}) => ({address, rank: fraction()}))
-      .sort((one, other) => one.rank - other.rank)
-      .slice(0, count)
-      .map(({address}) => address);
-  }
 }
--- a/packages/gateway/src/stream-origins/route-history.ts
+++ b/packages/gateway/src/stream-origins/route-history.ts
@@ -76,7 +76,7 @@
     }
   }
 
-  /** What this host knows, for one that has just started. */
+  /** What another host learns that has just started; undefined before a configuration. */
   past(now: number): PastRoutes | undefined {
     const changedAt = this.replaced.at(-1)?.until ?? -Infinity;
     return (
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -68,8 +68,8 @@
 
 /**
  * What this host and, through messages, a few others know of the origins of streams.
- * While only one service and build can begin a stream, nobody is told if this host can
- * prove it to others, and else one host.
+ * While only one service and build can begin a stream, nobody is told, or one host for as
+ * long as this one has not watched for long enough to prove it.
  */
 export class StreamOriginRegistry extends StreamOriginHolder {
   private readonly origins = new StreamOrigins();
@@ -266,18 +266,11 @@
    */
   private async tellOne(record: OriginRecord): Promise<void> {
     const {all} = this.recorders(this.parts.ownAddress);
-    const message = encodeRecord(record, this.now());
     // Hosts that have ended are known for a while; each would cost a call or its timeout.
-    const order = all.toSorted(
-      (one, other) =>
-        Number(other === this.toldHost) - Number(one === this.toldHost),
-    );
-    for (const address of order) {
-      if (await this.sender.send(address, message)) {
-        this.toldHost = address;
-        return;
-      }
-    }
+    const latest = all.filter(address => address === this.toldHost);
+    const others = all.filter(address => address !== this.toldHost);
+    const [told] = await this.tellFirst(record, [...latest, ...others], 1);
+    this.toldHost = told ?? this.toldHost;
   }
 
   /** Tells the first hosts of both orders that can be reached. */
@@ -289,21 +282,23 @@
     ]);
   }
 
+  /** Resolves with the hosts that have the record, as many as wanted if possible. */
   private async tellFirst(
     record: OriginRecord,
     addresses: readonly string[],
     count: number,
-  ): Promise<void> {
+  ): Promise<readonly string[]> {
     const message = encodeRecord(record, this.now());
     const remaining = [...addresses];
-    let missing = count;
-    while (missing > 0 && remaining.length > 0) {
-      const next = remaining.splice(0, missing);
-      const told = await Promise.all(
+    const told: string[] = [];
+    while (told.length < count && remaining.length > 0) {
+      const next = remaining.splice(0, count - told.length);
+      const sent = await Promise.all(
         next.map(address => this.sender.send(address, message)),
       );
-      missing -= told.filter(isTold => isTold).length;
+      told.push(...next.filter((_address, index) => sent[index]));
     }
+    return told;
   }
 
   private recorderAddresses(stream: string): readonly string[] {
--- a/packages/gateway/src/topic-copies/topic-catch-up.ts
+++ b/packages/gateway/src/topic-copies/topic-catch-up.ts
@@ -2,6 +2,7 @@
 import type {Clock, NewestRecords, ReadProgress} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import {inRandomOrder} from '../random-order.js';
 import type {PeerHost} from '../relay-directory.js';
 import type {TopicCopyPeers} from './topic-copy-peers.js';
 
@@ -146,10 +147,7 @@
 
   private choosePairs(): readonly (readonly PeerHost[])[] {
     const {dataCenter, otherHosts, fraction} = this.parts;
-    const hosts = otherHosts()
-      .map(host => ({host, order: fraction()}))
-      .sort((one, other) => one.order - other.order)
-      .map(({host}) => host);
+    const hosts = inRandomOrder(otherHosts(), fraction);
     const near = hosts.filter(host => host.dataCenter === dataCenter);
     const far = hosts.filter(host => host.dataCenter !== dataCenter);
     const ordered = Array.from({length: ASKED_PAIRS}, () => [
--- a/packages/platform/src/interrupted-head.ts
+++ b/packages/platform/src/interrupted-head.ts
@@ -19,5 +19,8 @@
   statusMessage = '',
   rawHeaders,
 }: Pick<IncomingMessage, 'statusMessage' | 'rawHeaders'>): boolean {
-  return [statusMessage, ...rawHeaders].some(text => STATUS_LINE.test(text));
+  return (
+    STATUS_LINE.test(statusMessage) ||
+    rawHeaders.some(text => STATUS_LINE.test(text))
+  );
 }
