Log what a stream that is taken up goes on by

A host logged only the streams that it refused to take up, so that nothing told by what one that went on was let through: a record, or the list of endpoints alone, and how old that was. Nor did the line of a request tell when an endpoint that may have started again had last been heard from.

Adds the line 'stream taken up' with isRecorded, answers and the list's age, to the refusals as well, and the time since the latest heartbeat to each attempt. No logic changes.

--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -21,6 +21,7 @@
 export class EndpointAttempt {
   private readonly eventsBefore: number;
   private readonly build: string;
+  private readonly heartbeatAgeMilliseconds: number | undefined;
 
   constructor(
     readonly endpoint: KnownEndpoint,
@@ -37,6 +38,8 @@
   ) {
     this.eventsBefore = record.eventsDelivered;
     this.build = endpoint.entry.build;
+    const age = endpoint.heartbeatAge(sentAt);
+    this.heartbeatAgeMilliseconds = age === undefined ? age : Math.round(age);
   }
 
   /**
@@ -71,6 +74,7 @@
       build: this.build,
       path: this.path.kind,
       connection: this.exchange.connectionOrigin,
+      heartbeatAgeMilliseconds: this.heartbeatAgeMilliseconds,
       atMilliseconds: Math.round(this.ageMilliseconds()),
       result,
     });
--- a/packages/gateway/src/known-endpoint.ts
+++ b/packages/gateway/src/known-endpoint.ts
@@ -74,6 +74,14 @@
     }
   }
 
+  /**
+   * Time from the latest moment at which the endpoint was surely at work, milliseconds;
+   * undefined if none is known.
+   */
+  heartbeatAge(now: number): number | undefined {
+    return this.aliveAt === -Infinity ? undefined : now - this.aliveAt;
+  }
+
   /** Records that the endpoint's process was seen to have ended. */
   hasEnded(at: number): void {
     this.warmth.refused(at);
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -22,6 +22,8 @@
   readonly build: string;
   readonly path: PathKind;
   readonly connection: ConnectionOrigin;
+  /** Time from its latest known heartbeat to the dispatch; undefined without one. */
+  readonly heartbeatAgeMilliseconds: number | undefined;
   readonly atMilliseconds: number;
   readonly result: string;
   /** Undefined if no body was read. */
@@ -66,11 +68,13 @@
 export function describeAttempt(attempt: AttemptRecord): string {
   const {endpoint, build, path, connection, atMilliseconds, result, answer} =
     attempt;
+  const age = attempt.heartbeatAgeMilliseconds;
+  const heartbeat = age === undefined ? '' : ` (heard ${age} ms before)`;
   const body =
     answer === undefined
       ? ''
       : ` (${answer.framing}, ${answer.events} events, ${answer.bodyEnd})`;
-  return `${endpoint} (${build}, ${path}, ${connection}) at ${atMilliseconds}: ${result}${body}`;
+  return `${endpoint} (${build}, ${path}, ${connection}) at ${atMilliseconds}${heartbeat}: ${result}${body}`;
 }
 
 /** The outcome of a request, for its log line, metrics and bill. */
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -76,19 +76,20 @@
     }
     const origin = decideOrigin(knowledge);
     const result = this.takeUp(origin, route);
-    this.parts.metrics.streamTakenUp(result);
-    if (result === TakeUp.Admitted) {
-      return origin;
-    }
-    this.parts.events.info('stream not taken up', {
+    const {metrics, directory, events} = this.parts;
+    const isAdmitted = result === TakeUp.Admitted;
+    metrics.streamTakenUp(result);
+    events.info(isAdmitted ? 'stream taken up' : 'stream not taken up', {
       request: caller.headers.attemptId,
       resumes: caller.headers.resumedAttemptId,
       result,
       origin: origin && describe(origin),
+      isRecorded: knowledge.some(({isRecorded}) => isRecorded),
       possible: possibleOf(knowledge).join(', '),
       answers: knowledge.length,
+      listAgeMilliseconds: Math.round(directory.listAgeMilliseconds),
     });
-    return refusalOf(result);
+    return isAdmitted ? origin : refusalOf(result);
   }
 
   /**
