--- a/packages/gateway/src/test/request-record_test.ts
+++ b/packages/gateway/src/test/request-record_test.ts
@@ -86,6 +86,7 @@
     build: 'v1',
     path: PathKind.Direct,
     connection: ConnectionOrigin.New,
+    heartbeatAgeMilliseconds: undefined,
     atMilliseconds: 12,
     result: 'complete stream',
     answer: undefined,
@@ -103,6 +104,13 @@
     );
   });
 
+  it('tells how long before the attempt its endpoint was heard from', () => {
+    // Guards against endpoints that may have started again without a trace in the log.
+    expect(describeAttempt({...attempt, heartbeatAgeMilliseconds: 380})).toBe(
+      'i-1 (v1, direct, new) at 12 (heard 380 ms before): complete stream',
+    );
+  });
+
   it('leaves out the answer of an attempt whose body was not read', () => {
     expect(describeAttempt({...attempt, result: 'not-sent: refused'})).toBe(
       'i-1 (v1, direct, new) at 12: not-sent: refused',
