Take no list that was read before a caller came as proof of what began its stream

What callers saw: during a release one host was out of step, cut off from the store and the other hosts, while endpoints of a new build joined. Streams that had begun at the new build through other hosts were taken up at that host and went on at the old build: text of two builds in one stream, with nothing in the answer to show it (ORDER).

Cause: a host without a record of a stream took its own list of endpoints for proof that one build alone could have begun it, if the list was at most 2 s old; or an older one, if any three hosts had answered. A list says nothing of streams that begin after it was read, a new build may join at any moment of its age, and hosts that are out of step together confirm each other. Class: the time of a message taken for the time of what it tells; not known otherwise taken for known.

Evidence: the two new cases of 'the origin of a stream' (one, and four of five hosts cut off for 0.7 s) fail on: models v1 in place of unknown.

Why it works: without a record, the host reads the list at once, and only a read that began after the caller came counts, by number and not by time, as a coarse clock may not tell them apart. The store's answers are linearizable, so that a build at which the stream can have begun is on that list or in the history. Callers that come within 20 ms share a read; none is made where a record is found at this host or where several builds are known anyway. Where the store gives no answer in 0.4 s, every other host must answer, have no record, and have watched for long enough itself. A record that names a build which the list doesn't have yet waits for the same read, in place of an answer that the build is gone.

The test of a host with an old list that reaches no other now cuts it off from the store too: a host that reads the list when the caller comes has none that is old.

Ruled out: a majority of the hosts that are told of a stream as proof. A host in touch with the store tells those that it reaches, which may be none of them.

--- a/packages/decisions/src/origin-knowledge.ts
+++ b/packages/decisions/src/origin-knowledge.ts
@@ -14,37 +14,54 @@
   readonly isCurrent: boolean;
 }
 
-/**
- * Answers without a record from which on a list that is not current is enough: a
- * host that began a stream at another build would have told some of them.
- */
-const MINIMUM_STALE_ANSWERS = 3;
+/** What a host found out about a stream that its caller takes up. */
+export interface OriginEvidence {
+  /** What this host knows, once the others have answered. */
+  readonly own: OriginKnowledge;
+  /** What the other hosts answered. */
+  readonly answers: readonly OriginKnowledge[];
+  /**
+   * Whether this host's list of endpoints has every change that was written before the
+   * caller came.
+   */
+  readonly isListRead: boolean;
+  /** Whether every other host has answered. */
+  readonly haveAllAnswered: boolean;
+}
 
 /**
  * Finds out what began a stream from what hosts know. Without a record, a stream has
  * a known origin only if one service and build alone can have begun it, and that has
  * been seen and not only not been seen otherwise.
  *
- * @param knowledge That of the host that decides and of all that answered it.
+ * A list of endpoints says nothing of streams that began after it was read, and hosts
+ * that give no answer may have begun some at a build that it doesn't have.
+ *
  * @returns Undefined if the origin can't be known.
  * @example
  * ```ts
- * const origin = decideOrigin([own, ...answers]);
+ * const origin = decideOrigin({own, answers, isListRead: true, haveAllAnswered: false});
  * ```
  */
-export function decideOrigin(
-  knowledge: readonly OriginKnowledge[],
-): StreamOrigin | undefined {
-  const recorded = knowledge.filter(({isRecorded}) => isRecorded);
+export function decideOrigin({
+  own,
+  answers,
+  isListRead,
+  haveAllAnswered,
+}: OriginEvidence): StreamOrigin | undefined {
+  const all = [own, ...answers];
+  const recorded = all.filter(({isRecorded}) => isRecorded);
   if (recorded.length > 0) {
     return onlyOne(recorded.map(({origin}) => origin));
   }
-  const isEnough =
-    knowledge.some(({hasWatched}) => hasWatched) &&
-    (knowledge.some(({hasWatched, isCurrent}) => hasWatched && isCurrent) ||
-      knowledge.length >= MINIMUM_STALE_ANSWERS);
-  return isEnough
-    ? onlyOne(knowledge.flatMap(({possible}) => possible))
+  const isKnownByList =
+    isListRead &&
+    (own.hasWatched ||
+      answers.some(({hasWatched, isCurrent}) => hasWatched && isCurrent));
+  const isKnownByHosts =
+    haveAllAnswered && all.every(({hasWatched}) => hasWatched);
+  return isKnownByList || isKnownByHosts
+    ? onlyOne(all.flatMap(({possible}) => possible))
     : undefined;
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,6 +104,8 @@
  * healthy.
  */
 const START_GATE_TIMEOUT_MILLISECONDS = 400;
+/** A caller that takes a stream up waits at most this long for a read of the list. */
+const LIST_READ_MILLISECONDS = 400;
 
 /** The gateway process of an entry host. */
 export class Gateway implements RunningBinary<GatewaySettings> {
@@ -549,6 +551,10 @@
       ownAddress: settings.peerAddress,
       otherHosts: () => this.peersInRegion(),
       listPosition: () => this.endpointFollower.deliveredUntil,
+      readList: () =>
+        this.endpointFollower.readNow(
+          LIST_READ_MILLISECONDS + this.link.delayMilliseconds,
+        ),
     });
   }
 
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -11,6 +11,7 @@
 } from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import {ReadWaits} from './read-waits.js';
 import type {StoreHealth} from './store-health.js';
 import type {CopiedTopic, TopicCatchUp} from './topic-copies/index.js';
 
@@ -54,6 +55,8 @@
 
 /** A response that takes longer than this from its first byte on is logged. */
 const SLOW_RESPONSE_MILLISECONDS = 300;
+/** Shortest time between two reads; those who wait for one at a time share it. */
+const MINIMUM_INTERVAL_MILLISECONDS = 20;
 /** Pause before a failed call is repeated; a call to the store takes 4 ms. */
 const RETRY_INTERVAL_MILLISECONDS = 250;
 
@@ -70,6 +73,9 @@
   /** Whether the list of all keys has to be read, as changes are missing or were dropped. */
   private needsAllKeys = true;
   private readonly pending = new PendingRecords();
+  private readonly waits = new ReadWaits();
+  /** Ends the pause in progress. */
+  private pause = new AbortController();
   private openRead: AbortController | undefined;
   /** The response that arrives, and when its first byte did. */
   private arriving:
@@ -104,6 +110,18 @@
       : {items: [...this.copy.values()], resumeOffset: this.position};
   }
 
+  /**
+   * Reads the topic without a pause.
+   *
+   * @param maximumMilliseconds How long to wait for the records.
+   * @returns Whether every record was delivered that was written before this call.
+   */
+  readNow(maximumMilliseconds: number): Promise<boolean> {
+    const isRead = this.waits.next(maximumMilliseconds);
+    this.pause.abort();
+    return isRead;
+  }
+
   /** Follows the topic until the follower is closed. */
   async run(): Promise<void> {
     while (!this.stop.signal.aborted) {
@@ -125,11 +143,14 @@
   /** Stops after the call in progress. */
   close(): void {
     this.stop.abort();
+    this.pause.abort();
+    this.waits.close();
     this.options.catchUp?.close();
   }
 
   private async step(signal: AbortSignal): Promise<void> {
     const requestedAt = this.clock.monotonicMilliseconds();
+    const read = this.waits.readBegins();
     if (this.needsAllKeys) {
       const newest = await this.log.newest(
         this.options.partition,
@@ -138,18 +159,19 @@
       this.logSlowResponse(true);
       if (!signal.aborted) {
         this.replaceAll(newest);
-        this.reader.caughtUp(requestedAt, this.answeredAt);
+        this.caughtUp(requestedAt, read);
       }
       return;
     }
-    await this.readChanges(signal, requestedAt);
+    await this.readChanges(signal, requestedAt, read);
   }
 
   private async readChanges(
     signal: AbortSignal,
     requestedAt: number,
+    read: number,
   ): Promise<void> {
-    const {partition, waitMilliseconds, pauseMilliseconds} = this.options;
+    const {partition, waitMilliseconds} = this.options;
     const {offset, records, end} = await this.log.read(
       partition,
       this.position,
@@ -165,11 +187,32 @@
     });
     this.moveTo(offset + records.length, end);
     if (offset + records.length >= end) {
-      this.reader.caughtUp(requestedAt, this.answeredAt);
+      this.caughtUp(requestedAt, read);
     } else if (records.length > 0) {
       return;
     }
-    await this.clock.sleep(pauseMilliseconds, this.stop.signal);
+    await this.pauseAfter(requestedAt);
+  }
+
+  private caughtUp(requestedAt: number, read: number): void {
+    this.reader.caughtUp(requestedAt, this.answeredAt);
+    this.waits.readEnded(read);
+  }
+
+  /** Pauses after a read, or until someone waits for the next one. */
+  private async pauseAfter(requestedAt: number): Promise<void> {
+    this.pause = new AbortController();
+    if (this.waits.isEmpty) {
+      const {pauseMilliseconds} = this.options;
+      await this.clock.sleep(pauseMilliseconds, this.pause.signal);
+    }
+    if (!this.waits.isEmpty && !this.stop.signal.aborted) {
+      const elapsed = this.clock.monotonicMilliseconds() - requestedAt;
+      await this.clock.sleep(
+        MINIMUM_INTERVAL_MILLISECONDS - elapsed,
+        this.stop.signal,
+      );
+    }
   }
 
   private readOptions(signal: AbortSignal): ReadOptions {
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -1,5 +1,7 @@
 import {
+  isSameOrigin,
   StreamOrigins,
+  type OriginEvidence,
   type OriginKnowledge,
   type OriginRecord,
   type StreamOrigin,
@@ -12,6 +14,7 @@
   StreamOriginQuery,
   StreamOriginRecord,
 } from '@wisteriadeal/schema';
+import {setTimeout as delay} from 'node:timers/promises';
 
 import type {EndpointDirectory} from '../endpoint-directory.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
@@ -32,7 +35,7 @@
 import {OriginSender} from './origin-sender.js';
 import {RecentRuns} from './recent-runs.js';
 import {originOf, type FirstRun} from './stream-binding.js';
-import type {OriginWatch, WatchedOrigins} from './origin-watch.js';
+import type {OriginWatch} from './origin-watch.js';
 import {
   StreamOriginHolder,
   type StreamOriginPeers,
@@ -52,6 +55,11 @@
   otherHosts(): readonly PeerHost[];
   /** Every change of the list of endpoints before this offset was read. */
   listPosition(): number;
+  /**
+   * Reads the list of endpoints. Resolves with whether it has every change that was
+   * written before the call.
+   */
+  readList(): Promise<boolean>;
 }
 
 /** Hosts that can be reached answer within this time. */
@@ -122,16 +130,43 @@
   }
 
   /** Resolves with what this host and others know of a stream. */
-  async find(request: StreamRequest): Promise<readonly OriginKnowledge[]> {
-    const own = this.knowledge(request);
-    if (own.isRecorded) {
-      return [own];
+  async find(request: StreamRequest): Promise<OriginEvidence> {
+    const known = this.knowledge(request);
+    if (known.isRecorded) {
+      return evidenceOf(known);
     }
+    const others = this.parts.otherHosts().map(({address}) => address);
     // Before a host has watched for long enough, any other may have served the stream.
-    const addresses = own.hasWatched
+    const asked = known.hasWatched
       ? this.recorderAddresses(request.stream)
-      : this.parts.otherHosts().map(({address}) => address);
-    return [own, ...(await this.ask(addresses, request, isKnownAlone(own)))];
+      : others;
+    const list =
+      known.possible.length === 1
+        ? this.parts.readList()
+        : Promise.resolve(false);
+    const isKnownAlone = known.hasWatched ? list : Promise.resolve(false);
+    const answers = await this.ask(asked, request, isKnownAlone);
+    const recorded = answers.find(({isRecorded}) => isRecorded);
+    if (recorded !== undefined) {
+      if (!isAmong(recorded.origin, known.possible)) {
+        // The list may not name the endpoints of that build yet.
+        await list;
+      }
+      return evidenceOf(this.knowledge(request), answers);
+    }
+    const isListRead = await list;
+    const own = this.knowledge(request);
+    if (isListRead || answers.length < asked.length) {
+      return {own, answers, isListRead, haveAllAnswered: false};
+    }
+    const notAsked = others.filter(address => !asked.includes(address));
+    const more = await this.ask(notAsked, request, Promise.resolve(false));
+    return {
+      own: this.knowledge(request),
+      answers: [...answers, ...more],
+      isListRead,
+      haveAllAnswered: more.length === notAsked.length,
+    };
   }
 
   override receive(records: readonly StreamOriginRecord[]): void {
@@ -201,12 +236,13 @@
   /**
    * Resolves when a host has a record, or all have answered or can't be reached.
    *
-   * @param isBrief Whether hosts that answer late are not waited for.
+   * @param isKnownAlone Resolves with whether this host needs no answer but a record;
+   *     those that answer late are not waited for then.
    */
   private async ask(
     addresses: readonly string[],
     {stream, host, path}: StreamRequest,
-    isBrief: boolean,
+    isKnownAlone: Promise<boolean>,
   ): Promise<readonly OriginKnowledge[]> {
     const query = {stream, requestHost: host, requestPath: path};
     const answers: OriginKnowledge[] = [];
@@ -228,9 +264,13 @@
       void Promise.all(asked).then(() => {
         resolve();
       });
-      if (isBrief) {
-        setTimeout(resolve, BRIEF_MILLISECONDS);
-      }
+      const brief = delay(BRIEF_MILLISECONDS);
+      void isKnownAlone.then(async isAlone => {
+        if (isAlone) {
+          await brief;
+          resolve();
+        }
+      });
     });
     return [...answers];
   }
@@ -316,11 +356,19 @@
   }
 }
 
-/** Whether a host's own view shows that only one service and build can begin streams. */
-function isKnownAlone({
-  possible,
-  hasWatched,
-  isCurrent,
-}: WatchedOrigins): boolean {
-  return possible.length === 1 && hasWatched && isCurrent;
+/** What is known with a record of the stream. */
+function evidenceOf(
+  own: OriginKnowledge,
+  answers: readonly OriginKnowledge[] = [],
+): OriginEvidence {
+  return {own, answers, isListRead: false, haveAllAnswered: false};
+}
+
+function isAmong(
+  origin: StreamOrigin | undefined,
+  possible: readonly StreamOrigin[],
+): boolean {
+  return (
+    origin !== undefined && possible.some(other => isSameOrigin(origin, other))
+  );
 }
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -1,6 +1,7 @@
 import {
   decideOrigin,
   isSameOrigin,
+  type OriginEvidence,
   type OriginKnowledge,
   type StreamOrigin,
 } from '@wisteriadeal/decisions';
@@ -51,9 +52,7 @@
    * Resolves with what hosts know of the stream that a caller takes up; undefined
    * if it takes none up.
    */
-  async find(
-    caller: CallerExchange,
-  ): Promise<readonly OriginKnowledge[] | undefined> {
+  async find(caller: CallerExchange): Promise<OriginEvidence | undefined> {
     return (caller.headers.lastEventId ?? '') === ''
       ? undefined
       : this.parts.registry.find(requestOf(caller));
@@ -62,21 +61,23 @@
   /**
    * Decides where a request's stream begins or goes on.
    *
-   * @param knowledge What hosts know of the stream, if the caller takes one up.
+   * @param evidence What hosts know of the stream, if the caller takes one up.
    * @returns What the stream is bound to, if anything, or why it can't go on.
    */
   begin(
     caller: CallerExchange,
     route: Route,
-    knowledge: readonly OriginKnowledge[] | undefined,
+    evidence: OriginEvidence | undefined,
   ): StreamOrigin | LocalReply | undefined {
     const mayTakeUp = route.kind === RouteKind.Streaming && route.resumable;
-    if (!mayTakeUp || knowledge === undefined) {
+    if (!mayTakeUp || evidence === undefined) {
       return undefined;
     }
-    const origin = decideOrigin(knowledge);
+    const origin = decideOrigin(evidence);
     const result = this.takeUp(origin, route);
     const {metrics, directory, events} = this.parts;
+    const {own, answers, isListRead, haveAllAnswered} = evidence;
+    const knowledge = [own, ...answers];
     const isAdmitted = result === TakeUp.Admitted;
     metrics.streamTakenUp(result);
     events.info(isAdmitted ? 'stream taken up' : 'stream not taken up', {
@@ -86,7 +87,9 @@
       origin: origin && describe(origin),
       isRecorded: knowledge.some(({isRecorded}) => isRecorded),
       possible: possibleOf(knowledge).join(', '),
-      answers: knowledge.length,
+      answers: answers.length,
+      haveAllAnswered,
+      isListRead,
       listAgeMilliseconds: Math.round(directory.listAgeMilliseconds),
     });
     return isAdmitted ? origin : refusalOf(result);
--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -54,6 +54,30 @@
   }
 }
 
+/** Holds the answer of the next read back until it is released. */
+class HeldLog extends MemoryPartitionedLog {
+  release: () => void = () => undefined;
+  private held: Promise<void> | undefined;
+
+  hold(): void {
+    this.held = new Promise(resolve => {
+      this.release = resolve;
+    });
+  }
+
+  override async read(
+    partition: Partition,
+    from: number,
+    waitMilliseconds: number,
+  ): Promise<RecordRange> {
+    const {held} = this;
+    this.held = undefined;
+    const range = await super.read(partition, from, waitMilliseconds);
+    await held;
+    return range;
+  }
+}
+
 class KeyCollector extends KeyedTopicReader {
   readonly keys: string[] = [];
   readonly replacedKeys: string[] = [];
@@ -166,6 +190,42 @@
     expect(reader.keys).toEqual([]);
   });
 
+  it('ends its pause for those who wait for a read, who share one', async () => {
+    // Guards against waits for a pause, and against a call to the store for each of them.
+    const log = new PagedLog(Infinity);
+    await follow(log);
+    log.reads = 0;
+    const waits = [1, 2, 3].map(() => follower.readNow(1_000));
+    await advance(PAUSE_MILLISECONDS / 10);
+    expect(await Promise.all(waits)).toEqual([true, true, true]);
+    expect(reader.keys).toHaveLength(20);
+    expect(log.reads).toBe(1);
+  });
+
+  it('does not take a read that began before for the one that was asked for', async () => {
+    // Guards against answers that tell less than their time of arrival suggests.
+    const log = new HeldLog();
+    await follow(log);
+    log.hold();
+    await advance(PAUSE_MILLISECONDS);
+    await log.put(PARTITION, 'late', Buffer.from('value'));
+    const wait = follower.readNow(1_000);
+    log.release();
+    await advance(PAUSE_MILLISECONDS / 10);
+    expect(await wait).toBe(true);
+    expect(reader.keys).toContain('late');
+  });
+
+  it('tells those who wait for a read that it did not come in time', async () => {
+    // Guards against requests that wait for a store that does not answer.
+    const log = new HeldLog();
+    await follow(log);
+    log.hold();
+    await advance(PAUSE_MILLISECONDS);
+    expect(await follower.readNow(10)).toBe(false);
+    log.release();
+  });
+
   it.each([
     {name: 'an older one', resumeOffset: 4, isTaken: false},
     {name: 'a newer one', resumeOffset: 30, isTaken: true},
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -65,6 +65,8 @@
   readonly hosts: OriginHost[] = [];
   /** Pairs of addresses that can't reach each other. */
   readonly cuts = new Set<string>();
+  /** Addresses of hosts that can't reach the store. */
+  readonly withoutStore = new Set<string>();
   messageCount = 0;
   services: readonly string[] = ['models'];
   version = 1;
@@ -126,10 +128,30 @@
   /** Lets hosts read the list and the configuration. */
   read(hosts: readonly OriginHost[] = this.hosts): void {
     for (const host of hosts) {
-      host.read();
+      if (!this.withoutStore.has(host.address)) {
+        host.read();
+      }
+    }
+  }
+
+  /** Cuts hosts off from the store and from the other hosts, but not from each other. */
+  isolate(...hosts: readonly OriginHost[]): void {
+    for (const host of hosts) {
+      this.withoutStore.add(host.address);
+      for (const other of this.hosts) {
+        if (!hosts.includes(other)) {
+          this.cuts.add(`${host.address} ${other.address}`);
+        }
+      }
     }
   }
 
+  /** Ends all cuts. */
+  heal(): void {
+    this.cuts.clear();
+    this.withoutStore.clear();
+  }
+
   /** Replaces a host by one that knows nothing. */
   restart(index: number): void {
     const old = this.hostAt(index);
@@ -213,6 +235,7 @@
       otherHosts: () =>
         fleet.hosts.filter(host => host.address !== this.address),
       listPosition: () => this.position ?? 0,
+      readList: () => Promise.resolve(this.readList()),
     });
     this.read();
   }
@@ -246,6 +269,15 @@
     this.directory.caughtUp(clock.now);
   }
 
+  /** Reads the list if the store can be reached. */
+  private readList(): boolean {
+    const isReached = !this.fleet.withoutStore.has(this.address);
+    if (isReached) {
+      this.read();
+    }
+    return isReached;
+  }
+
   /** Open endpoints, by this host's list. */
   endpointsOf(service: string): readonly EndpointEntry[] {
     return this.directory.openEndpoints(service).map(({entry}) => entry);
--- a/packages/gateway/src/test/stream-origins_test.ts
+++ b/packages/gateway/src/test/stream-origins_test.ts
@@ -151,13 +151,35 @@
 
   it('is unknown to a host with an old list that reaches no other', async () => {
     // Guards against a host that is cut off and does not know of a release.
-    for (const host of fleet.hosts) {
-      fleet.cuts.add(`${fleet.hostAt(0).address} ${host.address}`);
-    }
+    fleet.isolate(fleet.hostAt(0));
     fleet.clock.now += 3_000;
     expect(await fleet.hostAt(0).originOf('unheard-of')).toBeUndefined();
   });
 
+  it.each([1, 4])(
+    'is unknown to %i of five hosts that are cut off and have a list from before the release',
+    async count => {
+      // Guards against lists that were read before a stream began at a new build.
+      const cutOff = fleet.hosts.slice(0, count);
+      fleet.isolate(...cutOff);
+      fleet.addEndpoint('models', 'v2');
+      fleet.clock.now += 700;
+      fleet.read();
+      fleet.hostAt(4).began('s', V2);
+      await fleet.settle();
+      expect(await fleet.hostAt(0).originOf('s')).toBeUndefined();
+    },
+  );
+
+  it('is known where all other hosts answer while the store is lost', async () => {
+    // Guards against streams that end with a lost store alone.
+    for (const host of fleet.hosts) {
+      fleet.withoutStore.add(host.address);
+    }
+    fleet.clock.now += 10_000;
+    expect(await fleet.hostAt(0).originOf('unheard-of')).toEqual(V1);
+  });
+
   it('is known within a data centre that is cut off', async () => {
     // Guards against origins that only hosts of other data centres keep.
     const cutOff = fleet.hosts.slice(0, 2);
@@ -203,6 +225,7 @@
     'learn',
     'cut',
     'lose store',
+    'isolate',
     'heal',
     'move route',
   ),
@@ -223,7 +246,6 @@
       fc.asyncProperty(fc.array(step, {maxLength: 30}), async steps => {
         startFleet();
         const streams: Begun[] = [];
-        const withoutStore = new Set<number>();
         for (const {what, host, number, milliseconds} of steps) {
           const at = fleet.hostAt(host);
           const entries = [...fleet.entries.keys()];
@@ -258,10 +280,11 @@
             const other = fleet.hostAt(number % fleet.hosts.length);
             fleet.cuts.add(`${at.address} ${other.address}`);
           } else if (what === 'heal') {
-            fleet.cuts.clear();
-            withoutStore.clear();
+            fleet.heal();
           } else if (what === 'lose store') {
-            withoutStore.add(host);
+            fleet.withoutStore.add(at.address);
+          } else if (what === 'isolate') {
+            fleet.isolate(at);
           } else if (what === 'move route') {
             fleet.services = [['models'], ['tutors'], ['models', 'tutors']][
               number % 3
@@ -269,9 +292,7 @@
             fleet.version++;
           }
           fleet.clock.now += milliseconds;
-          fleet.read(
-            fleet.hosts.filter((_host, index) => !withoutStore.has(index)),
-          );
+          fleet.read();
           await fleet.settle();
         }
       }),
