Show streams whose route had moved taken for those of the service before

`find` proves the list of endpoints; `RouteHistory` has no age of the configuration, and `hasWatched` is true however long none was read. And `RouteHistory.adopt` takes the version before for the one that was in force until now, though versions between may be missing: `KeyedTopicFollower.replaceAll`, after records were dropped or a copy of another host was taken over, delivers the newest one only. `BuildHistory.listRead` begins anew in that case.

In the test's fleet, a host that is asked for its list at a take-up read the configuration with it, which the product doesn't; it reads the list alone now, so that the tests can show this. No logic changes.

--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -235,7 +235,7 @@
       otherHosts: () =>
         fleet.hosts.filter(host => host.address !== this.address),
       listPosition: () => this.position ?? 0,
-      readList: () => Promise.resolve(this.readList()),
+      readList: () => Promise.resolve(this.readListNow()),
     });
     this.read();
   }
@@ -257,6 +257,11 @@
       this.version = this.fleet.version;
       this.watch.configurationAdopted(this.fleet.configuration);
     }
+    this.readList();
+  }
+
+  /** Reads the list alone. */
+  readList(): void {
     const {log, newestRecords, clock} = this.fleet;
     if (this.position === undefined) {
       this.directory.replaced(newestRecords, log.length);
@@ -269,11 +274,11 @@
     this.directory.caughtUp(clock.now);
   }
 
-  /** Reads the list if the store can be reached. */
-  private readList(): boolean {
+  /** Reads the list alone if the store can be reached. */
+  private readListNow(): boolean {
     const isReached = !this.fleet.withoutStore.has(this.address);
     if (isReached) {
-      this.read();
+      this.readList();
     }
     return isReached;
   }
--- /dev/null
+++ b/packages/gateway/src/test/route-moves_test.ts
@@ -0,0 +1,68 @@
+import {beforeEach, describe, expect, it} from 'vitest';
+
+import {OriginFleet, WATCH_MILLISECONDS} from './origin-fleet.js';
+
+const TUTORS = {service: 'tutors', build: 'v1'};
+/** Index of the host that does not read a configuration. */
+const OUT_OF_STEP = 2;
+
+let fleet: OriginFleet;
+
+/** Sends the route to another service, and lets hosts read that. */
+function moveRoute(service: string, isReadByAll: boolean): void {
+  fleet.services = [service];
+  fleet.version++;
+  fleet.hosts.forEach((host, index) => {
+    if (isReadByAll || index !== OUT_OF_STEP) {
+      host.read();
+    } else {
+      host.readList();
+    }
+  });
+}
+
+/** Cuts the host that is out of step off from the other hosts. */
+function cutOff(): void {
+  const {address} = fleet.hostAt(OUT_OF_STEP);
+  for (const other of fleet.hosts) {
+    fleet.cuts.add(`${address} ${other.address}`);
+  }
+}
+
+beforeEach(() => {
+  fleet = new OriginFleet(['a', 'a', 'b', 'b', 'c']);
+  fleet.addEndpoint('models', 'v1');
+  fleet.addEndpoint('tutors', 'v1');
+  fleet.read();
+  // The hosts have seen for long that the route goes to one service.
+  fleet.clock.now += WATCH_MILLISECONDS;
+  fleet.read();
+});
+
+describe('the origin of a stream whose route has moved to another service', () => {
+  it('is learned by a host that has not read the configuration', async () => {
+    moveRoute('tutors', false);
+    fleet.hostAt(0).began('s', TUTORS);
+    await fleet.settle();
+    expect(await fleet.hostAt(OUT_OF_STEP).originOf('s')).toEqual(TUTORS);
+  });
+
+  it('is unknown to a host that has not read the configuration and reaches no other', async () => {
+    // Guards against a current list of endpoints taken for a current configuration.
+    moveRoute('tutors', false);
+    cutOff();
+    fleet.hostAt(0).began('s', TUTORS);
+    await fleet.settle();
+    expect(await fleet.hostAt(OUT_OF_STEP).originOf('s')).toBeUndefined();
+  });
+
+  it('is unknown to a host that missed a configuration and reaches no other', async () => {
+    // Guards against services of versions that came and went unread.
+    moveRoute('tutors', false);
+    fleet.hostAt(0).began('s', TUTORS);
+    await fleet.settle();
+    moveRoute('models', true);
+    cutOff();
+    expect(await fleet.hostAt(OUT_OF_STEP).originOf('s')).toBeUndefined();
+  });
+});
