Show resends forgotten at a reload of the settings

What callers would see: nothing; endpoints may get up to twice the extra resends that the operator allows within one window (BUDGET) when all hosts get SIGHUP in it.

Cause: `Gateway.reload` calls `ServiceStates.setResendLimits` for each reload, which replaces the `ResendBudget` and with it the times of past resends, also where the limits are the same. A budget that knows of no resends is taken for one of which none was used.

Not shown on processes. No logic changes.

--- a/packages/gateway/src/test/service-states_test.ts
+++ b/packages/gateway/src/test/service-states_test.ts
@@ -19,4 +19,12 @@
     expect(states.stateOf('models').firstEventLatency).toBe(firstEventLatency);
     expect(states.stateOf('models').resends.tryTake(1, 0)).toBe(false);
   });
+
+  it('counts resends from before a reload of the settings', () => {
+    // Guards against a second budget within the window after each reload.
+    const states = new ServiceStates(LIMITS);
+    expect(states.stateOf('models').resends.tryTake(1, 0)).toBe(true);
+    states.setResendLimits({...LIMITS});
+    expect(states.stateOf('models').resends.tryTake(1, 1)).toBe(false);
+  });
 });
