Show records of streams that are taken back at some hosts only

What callers would see: a stream that began at an endpoint which had started again with another build goes on at the build before (ORDER), though the host that began it knows better by then.

Cause: `StreamOriginRegistry.endpointGone` tells of the correction once, to the hosts of the order that can be reached. A host that has the record and isn't reached then keeps it, and `find` takes a host's own record as the last word, as `ask` takes the first record that arrives. A record tells what was known when it was sent.

No logic changes.

--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -101,6 +101,18 @@
     return id;
   }
 
+  /** Lists another start of an endpoint, with another build. */
+  restartEndpoint(id: string, build: string): void {
+    const before = this.entryOf(id);
+    if (before === undefined) {
+      throw new RangeError(`no endpoint ${id}`);
+    }
+    const entry = {...before, build, bornAt: ++this.started};
+    this.entries.set(id, entry);
+    this.everListed.set(id, entry);
+    this.append(id, new Uint8Array());
+  }
+
   /** Removes an endpoint from the list. */
   removeEndpoint(id: string): void {
     this.entries.delete(id);
