Take no routes that were read before a caller came as proof of what began its stream

What callers would see: a stream that began at the service to which its route has moved goes on at the service before (ORDER), at a host that has not read that configuration and that no host with a record answers.

Cause, the same as of in other data: the services that a route goes to are what else may have begun a stream, and their age was not looked at. A host whose list of endpoints was current took its configuration for current as well.

Why it works: the read that a host without a record asks for covers the configuration. A read that waits for a record is given up for one that answers at once, unless its answer has begun to arrive. The fleet of the unit tests reads both, and can keep a host from one of them.

--- a/packages/decisions/src/origin-knowledge.ts
+++ b/packages/decisions/src/origin-knowledge.ts
@@ -21,10 +21,10 @@
   /** What the other hosts answered. */
   readonly answers: readonly OriginKnowledge[];
   /**
-   * Whether this host's list of endpoints has every change that was written before the
-   * caller came.
+   * Whether this host has read every change of endpoints and routes that was written
+   * before the caller came.
    */
-  readonly isListRead: boolean;
+  readonly isUpToDate: boolean;
   /** Whether every other host has answered. */
   readonly haveAllAnswered: boolean;
 }
@@ -34,19 +34,19 @@
  * a known origin only if one service and build alone can have begun it, and that has
  * been seen and not only not been seen otherwise.
  *
- * A list of endpoints says nothing of streams that began after it was read, and hosts
- * that give no answer may have begun some at a build that it doesn't have.
+ * Endpoints and routes say nothing of streams that began after they were read, and hosts
+ * that give no answer may have begun some at others.
  *
  * @returns Undefined if the origin can't be known.
  * @example
  * ```ts
- * const origin = decideOrigin({own, answers, isListRead: true, haveAllAnswered: false});
+ * const origin = decideOrigin({own, answers, isUpToDate: true, haveAllAnswered: false});
  * ```
  */
 export function decideOrigin({
   own,
   answers,
-  isListRead,
+  isUpToDate,
   haveAllAnswered,
 }: OriginEvidence): StreamOrigin | undefined {
   const all = [own, ...answers];
@@ -54,13 +54,13 @@
   if (recorded.length > 0) {
     return onlyOne(recorded.map(({origin}) => origin));
   }
-  const isKnownByList =
-    isListRead &&
+  const isKnownHere =
+    isUpToDate &&
     (own.hasWatched ||
       answers.some(({hasWatched, isCurrent}) => hasWatched && isCurrent));
   const isKnownByHosts =
     haveAllAnswered && all.every(({hasWatched}) => hasWatched);
-  return isKnownByList || isKnownByHosts
+  return isKnownHere || isKnownByHosts
     ? onlyOne(all.flatMap(({possible}) => possible))
     : undefined;
 }
--- a/packages/decisions/src/test/origin-knowledge_test.ts
+++ b/packages/decisions/src/test/origin-knowledge_test.ts
@@ -25,7 +25,7 @@
     const origin = decideOrigin({
       own: withOldList,
       answers: [withoutList, withoutList, withoutList],
-      isListRead: false,
+      isUpToDate: false,
       haveAllAnswered: true,
     });
     expect(origin).toBeUndefined();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -104,8 +104,8 @@
  * healthy.
  */
 const START_GATE_TIMEOUT_MILLISECONDS = 400;
-/** A caller that takes a stream up waits at most this long for a read of the list. */
-const LIST_READ_MILLISECONDS = 400;
+/** A caller that takes a stream up waits at most this long for what has changed. */
+const CHANGES_READ_MILLISECONDS = 400;
 
 /** The gateway process of an entry host. */
 export class Gateway implements RunningBinary<GatewaySettings> {
@@ -551,13 +551,19 @@
       ownAddress: settings.peerAddress,
       otherHosts: () => this.peersInRegion(),
       listPosition: () => this.endpointFollower.deliveredUntil,
-      readList: () =>
-        this.endpointFollower.readNow(
-          LIST_READ_MILLISECONDS + this.link.delayMilliseconds,
-        ),
+      readChanges: () => this.readChanges(),
     });
   }
 
+  private async readChanges(): Promise<boolean> {
+    const maximum = CHANGES_READ_MILLISECONDS + this.link.delayMilliseconds;
+    const areRead = await Promise.all([
+      this.endpointFollower.readNow(maximum),
+      this.configurationFollower.readNow(maximum),
+    ]);
+    return areRead.every(isRead => isRead);
+  }
+
   private createPastOrigins(): PastOriginsSource {
     const {names, dialect, log, clock, random, events} = this.parts;
     return new PastOriginsSource({
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -76,6 +76,10 @@
   private readonly waits = new ReadWaits();
   /** Ends the pause in progress. */
   private pause = new AbortController();
+  /** When the latest read began; monotonic clock, milliseconds. */
+  private readAt = -Infinity;
+  /** Whether the read in progress waits for a record. */
+  private isLongPoll = false;
   private openRead: AbortController | undefined;
   /** The response that arrives, and when its first byte did. */
   private arriving:
@@ -111,14 +115,17 @@
   }
 
   /**
-   * Reads the topic without a pause.
+   * Reads the topic without a pause, and without waiting for a record.
    *
-   * @param maximumMilliseconds How long to wait for the records.
+   * @param maximumMilliseconds How long to wait for the read.
    * @returns Whether every record was delivered that was written before this call.
    */
   readNow(maximumMilliseconds: number): Promise<boolean> {
     const isRead = this.waits.next(maximumMilliseconds);
     this.pause.abort();
+    if (this.isLongPoll && this.arriving === undefined) {
+      this.openRead?.abort();
+    }
     return isRead;
   }
 
@@ -149,8 +156,14 @@
   }
 
   private async step(signal: AbortSignal): Promise<void> {
+    await this.spaceReads();
+    if (this.stop.signal.aborted) {
+      return;
+    }
     const requestedAt = this.clock.monotonicMilliseconds();
+    this.readAt = requestedAt;
     const read = this.waits.readBegins();
+    this.isLongPoll = false;
     if (this.needsAllKeys) {
       const newest = await this.log.newest(
         this.options.partition,
@@ -171,7 +184,11 @@
     requestedAt: number,
     read: number,
   ): Promise<void> {
-    const {partition, waitMilliseconds} = this.options;
+    const {partition} = this.options;
+    const waitMilliseconds = this.waits.isEmpty
+      ? this.options.waitMilliseconds
+      : 0;
+    this.isLongPoll = waitMilliseconds > 0;
     const {offset, records, end} = await this.log.read(
       partition,
       this.position,
@@ -191,7 +208,7 @@
     } else if (records.length > 0) {
       return;
     }
-    await this.pauseAfter(requestedAt);
+    await this.pauseReads();
   }
 
   private caughtUp(requestedAt: number, read: number): void {
@@ -199,15 +216,19 @@
     this.waits.readEnded(read);
   }
 
-  /** Pauses after a read, or until someone waits for the next one. */
-  private async pauseAfter(requestedAt: number): Promise<void> {
+  /** Pauses until someone waits for the next read. */
+  private async pauseReads(): Promise<void> {
     this.pause = new AbortController();
     if (this.waits.isEmpty) {
       const {pauseMilliseconds} = this.options;
       await this.clock.sleep(pauseMilliseconds, this.pause.signal);
     }
-    if (!this.waits.isEmpty && !this.stop.signal.aborted) {
-      const elapsed = this.clock.monotonicMilliseconds() - requestedAt;
+  }
+
+  /** Lets those who wait for a read at about the same time share it. */
+  private async spaceReads(): Promise<void> {
+    if (!this.waits.isEmpty) {
+      const elapsed = this.clock.monotonicMilliseconds() - this.readAt;
       await this.clock.sleep(
         MINIMUM_INTERVAL_MILLISECONDS - elapsed,
         this.stop.signal,
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -56,10 +56,10 @@
   /** Every change of the list of endpoints before this offset was read. */
   listPosition(): number;
   /**
-   * Reads the list of endpoints. Resolves with whether it has every change that was
+   * Reads endpoints and routes. Resolves with whether every change is known that was
    * written before the call.
    */
-  readList(): Promise<boolean>;
+  readChanges(): Promise<boolean>;
 }
 
 /** Hosts that can be reached answer within this time. */
@@ -140,31 +140,31 @@
     const asked = known.hasWatched
       ? this.recorderAddresses(request.stream)
       : others;
-    const list =
+    const changes =
       known.possible.length === 1
-        ? this.parts.readList()
+        ? this.parts.readChanges()
         : Promise.resolve(false);
-    const isKnownAlone = known.hasWatched ? list : Promise.resolve(false);
+    const isKnownAlone = known.hasWatched ? changes : Promise.resolve(false);
     const answers = await this.ask(asked, request, isKnownAlone);
     const recorded = answers.find(({isRecorded}) => isRecorded);
     if (recorded !== undefined) {
       if (!isAmong(recorded.origin, known.possible)) {
         // The list may not name the endpoints of that build yet.
-        await list;
+        await changes;
       }
       return evidenceOf(this.knowledge(request), answers);
     }
-    const isListRead = await list;
+    const isUpToDate = await changes;
     const own = this.knowledge(request);
-    if (isListRead || answers.length < asked.length) {
-      return {own, answers, isListRead, haveAllAnswered: false};
+    if (isUpToDate || answers.length < asked.length) {
+      return {own, answers, isUpToDate, haveAllAnswered: false};
     }
     const notAsked = others.filter(address => !asked.includes(address));
     const more = await this.ask(notAsked, request, Promise.resolve(false));
     return {
       own: this.knowledge(request),
       answers: [...answers, ...more],
-      isListRead,
+      isUpToDate,
       haveAllAnswered: more.length === notAsked.length,
     };
   }
@@ -361,7 +361,7 @@
   own: OriginKnowledge,
   answers: readonly OriginKnowledge[] = [],
 ): OriginEvidence {
-  return {own, answers, isListRead: false, haveAllAnswered: false};
+  return {own, answers, isUpToDate: false, haveAllAnswered: false};
 }
 
 function isAmong(
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -76,7 +76,7 @@
     const origin = decideOrigin(evidence);
     const result = this.takeUp(origin, route);
     const {metrics, directory, events} = this.parts;
-    const {own, answers, isListRead, haveAllAnswered} = evidence;
+    const {own, answers, isUpToDate, haveAllAnswered} = evidence;
     const knowledge = [own, ...answers];
     const isAdmitted = result === TakeUp.Admitted;
     metrics.streamTakenUp(result);
@@ -89,7 +89,7 @@
       possible: possibleOf(knowledge).join(', '),
       answers: answers.length,
       haveAllAnswered,
-      isListRead,
+      isUpToDate,
       listAgeMilliseconds: Math.round(directory.listAgeMilliseconds),
     });
     return isAdmitted ? origin : refusalOf(result);
--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -78,6 +78,24 @@
   }
 }
 
+/** Answers no read that waits for a record. */
+class SilentLog extends MemoryPartitionedLog {
+  override read(
+    partition: Partition,
+    from: number,
+    waitMilliseconds: number,
+    options?: ReadOptions,
+  ): Promise<RecordRange> {
+    return waitMilliseconds === 0
+      ? super.read(partition, from, 0)
+      : new Promise((_resolve, reject) => {
+          options?.signal?.addEventListener('abort', () => {
+            reject(new Error('given up'));
+          });
+        });
+  }
+}
+
 class KeyCollector extends KeyedTopicReader {
   readonly keys: string[] = [];
   readonly replacedKeys: string[] = [];
@@ -150,6 +168,7 @@
   async function follow(
     log: MemoryPartitionedLog,
     copy?: NewestRecords,
+    waitMilliseconds = 0,
   ): Promise<void> {
     const events = EventLog.create(LogLevel.INFO, {}, () => undefined);
     follower = new KeyedTopicFollower(
@@ -157,7 +176,7 @@
       reader,
       {
         partition: PARTITION,
-        waitMilliseconds: 0,
+        waitMilliseconds,
         pauseMilliseconds: PAUSE_MILLISECONDS,
         ...(copy === undefined ? {} : {catchUp: catchUpWith(copy, events)}),
       },
@@ -216,6 +235,15 @@
     expect(reader.keys).toContain('late');
   });
 
+  it('gives up a read that waits for a record for one that is asked for', async () => {
+    // Guards against a wait for changes that were delivered long ago.
+    await follow(new SilentLog(), undefined, 1_000);
+    const wait = follower.readNow(1_000);
+    await advance(PAUSE_MILLISECONDS / 10);
+    expect(await wait).toBe(true);
+    expect(reader.keys).toHaveLength(20);
+  });
+
   it('tells those who wait for a read that it did not come in time', async () => {
     // Guards against requests that wait for a store that does not answer.
     const log = new HeldLog();
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -67,6 +67,8 @@
   readonly cuts = new Set<string>();
   /** Addresses of hosts that can't reach the store. */
   readonly withoutStore = new Set<string>();
+  /** Addresses of hosts that can read the list, but no configuration. */
+  readonly withoutConfiguration = new Set<string>();
   messageCount = 0;
   services: readonly string[] = ['models'];
   version = 1;
@@ -162,6 +164,7 @@
   heal(): void {
     this.cuts.clear();
     this.withoutStore.clear();
+    this.withoutConfiguration.clear();
   }
 
   /** Replaces a host by one that knows nothing. */
@@ -247,7 +250,7 @@
       otherHosts: () =>
         fleet.hosts.filter(host => host.address !== this.address),
       listPosition: () => this.position ?? 0,
-      readList: () => Promise.resolve(this.readListNow()),
+      readChanges: () => Promise.resolve(this.readChanges()),
     });
     this.read();
   }
@@ -265,15 +268,15 @@
 
   /** Reads the list and the configuration. */
   read(): void {
-    if (this.version !== this.fleet.version) {
+    const mayRead = !this.fleet.withoutConfiguration.has(this.address);
+    if (mayRead && this.version !== this.fleet.version) {
       this.version = this.fleet.version;
       this.watch.configurationAdopted(this.fleet.configuration);
     }
     this.readList();
   }
 
-  /** Reads the list alone. */
-  readList(): void {
+  private readList(): void {
     const {log, newestRecords, clock} = this.fleet;
     if (this.position === undefined) {
       this.directory.replaced(newestRecords, log.length);
@@ -286,13 +289,14 @@
     this.directory.caughtUp(clock.now);
   }
 
-  /** Reads the list alone if the store can be reached. */
-  private readListNow(): boolean {
-    const isReached = !this.fleet.withoutStore.has(this.address);
-    if (isReached) {
-      this.readList();
+  /** Reads what can be read. */
+  private readChanges(): boolean {
+    const {withoutStore, withoutConfiguration} = this.fleet;
+    if (withoutStore.has(this.address)) {
+      return false;
     }
-    return isReached;
+    this.read();
+    return !withoutConfiguration.has(this.address);
   }
 
   /** Open endpoints, by this host's list. */
--- a/packages/gateway/src/test/route-moves_test.ts
+++ b/packages/gateway/src/test/route-moves_test.ts
@@ -8,17 +8,11 @@
 
 let fleet: OriginFleet;
 
-/** Sends the route to another service, and lets hosts read that. */
-function moveRoute(service: string, isReadByAll: boolean): void {
+/** Sends the route to another service, and lets hosts read that as far as they can. */
+function moveRoute(service: string): void {
   fleet.services = [service];
   fleet.version++;
-  fleet.hosts.forEach((host, index) => {
-    if (isReadByAll || index !== OUT_OF_STEP) {
-      host.read();
-    } else {
-      host.readList();
-    }
-  });
+  fleet.read();
 }
 
 /** Cuts the host that is out of step off from the other hosts. */
@@ -37,11 +31,12 @@
   // The hosts have seen for long that the route goes to one service.
   fleet.clock.now += WATCH_MILLISECONDS;
   fleet.read();
+  fleet.withoutConfiguration.add(fleet.hostAt(OUT_OF_STEP).address);
 });
 
 describe('the origin of a stream whose route has moved to another service', () => {
   it('is learned by a host that has not read the configuration', async () => {
-    moveRoute('tutors', false);
+    moveRoute('tutors');
     fleet.hostAt(0).began('s', TUTORS);
     await fleet.settle();
     expect(await fleet.hostAt(OUT_OF_STEP).originOf('s')).toEqual(TUTORS);
@@ -49,7 +44,7 @@
 
   it('is unknown to a host that has not read the configuration and reaches no other', async () => {
     // Guards against a current list of endpoints taken for a current configuration.
-    moveRoute('tutors', false);
+    moveRoute('tutors');
     cutOff();
     fleet.hostAt(0).began('s', TUTORS);
     await fleet.settle();
@@ -58,10 +53,11 @@
 
   it('is unknown to a host that missed a configuration and reaches no other', async () => {
     // Guards against services of versions that came and went unread.
-    moveRoute('tutors', false);
+    moveRoute('tutors');
     fleet.hostAt(0).began('s', TUTORS);
     await fleet.settle();
-    moveRoute('models', true);
+    fleet.withoutConfiguration.clear();
+    moveRoute('models');
     cutOff();
     expect(await fleet.hostAt(OUT_OF_STEP).originOf('s')).toBeUndefined();
   });
