Let no other hosts vouch for a list that can't be read

What callers would see: text of two builds in one stream (ORDER) at hosts that are cut off from the store together, while a host that has started since, and that they don't know of, sends streams to a new build.

Cause: let a stream without a record go on where every other known host had answered. Who is known is as old as the list.

Why it works: without a read from the store there is no proof.

--- a/packages/decisions/src/origin-knowledge.ts
+++ b/packages/decisions/src/origin-knowledge.ts
@@ -25,8 +25,6 @@
    * before the caller came.
    */
   readonly isUpToDate: boolean;
-  /** Whether every other host has answered. */
-  readonly haveAllAnswered: boolean;
 }
 
 /**
@@ -34,33 +32,30 @@
  * a known origin only if one service and build alone can have begun it, and that has
  * been seen and not only not been seen otherwise.
  *
- * Endpoints and routes say nothing of streams that began after they were read, and hosts
- * that give no answer may have begun some at others.
+ * Endpoints and routes say nothing of streams that began after they were read. Neither do
+ * other hosts that can't read them: another one that they don't reach, or don't know of,
+ * may have begun the stream.
  *
  * @returns Undefined if the origin can't be known.
  * @example
  * ```ts
- * const origin = decideOrigin({own, answers, isUpToDate: true, haveAllAnswered: false});
+ * const origin = decideOrigin({own, answers, isUpToDate: true});
  * ```
  */
 export function decideOrigin({
   own,
   answers,
   isUpToDate,
-  haveAllAnswered,
 }: OriginEvidence): StreamOrigin | undefined {
   const all = [own, ...answers];
   const recorded = all.filter(({isRecorded}) => isRecorded);
   if (recorded.length > 0) {
     return onlyOne(recorded.map(({origin}) => origin));
   }
-  const isKnownHere =
-    isUpToDate &&
-    (own.hasWatched ||
-      answers.some(({hasWatched, isCurrent}) => hasWatched && isCurrent));
-  const isKnownByHosts =
-    haveAllAnswered && all.every(({hasWatched}) => hasWatched);
-  return isKnownHere || isKnownByHosts
+  const haveWatched =
+    own.hasWatched ||
+    answers.some(({hasWatched, isCurrent}) => hasWatched && isCurrent);
+  return isUpToDate && haveWatched
     ? onlyOne(all.flatMap(({possible}) => possible))
     : undefined;
 }
--- a/packages/decisions/src/test/origin-knowledge_test.ts
+++ b/packages/decisions/src/test/origin-knowledge_test.ts
@@ -23,10 +23,19 @@
   it('is not confirmed by hosts that have read nothing', () => {
     // Guards against answers of hosts that lost their records counting as proof.
     const origin = decideOrigin({
-      own: withOldList,
+      own: {...withOldList, hasWatched: false},
       answers: [withoutList, withoutList, withoutList],
+      isUpToDate: true,
+    });
+    expect(origin).toBeUndefined();
+  });
+
+  it('is not confirmed by hosts with old lists', () => {
+    // Guards against hosts that are cut off together and confirm each other.
+    const origin = decideOrigin({
+      own: withOldList,
+      answers: [withOldList, withOldList, withOldList],
       isUpToDate: false,
-      haveAllAnswered: true,
     });
     expect(origin).toBeUndefined();
   });
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -155,18 +155,7 @@
       return evidenceOf(this.knowledge(request), answers);
     }
     const isUpToDate = await changes;
-    const own = this.knowledge(request);
-    if (isUpToDate || answers.length < asked.length) {
-      return {own, answers, isUpToDate, haveAllAnswered: false};
-    }
-    const notAsked = others.filter(address => !asked.includes(address));
-    const more = await this.ask(notAsked, request, Promise.resolve(false));
-    return {
-      own: this.knowledge(request),
-      answers: [...answers, ...more],
-      isUpToDate,
-      haveAllAnswered: more.length === notAsked.length,
-    };
+    return {own: this.knowledge(request), answers, isUpToDate};
   }
 
   override receive(records: readonly StreamOriginRecord[]): void {
@@ -201,8 +190,15 @@
 
   private record(record: OriginRecord, {host, path}: StreamRequest): void {
     this.origins.record(record, this.now());
-    const {possible, hasWatched} = this.parts.watch.originsOf(host, path);
-    if (possible.length !== 1 || record.origin === undefined) {
+    const {possible, hasWatched, isCurrent} = this.parts.watch.originsOf(
+      host,
+      path,
+    );
+    if (!isCurrent) {
+      // While the store is lost, records alone can tell what began a stream.
+      this.tellUntold(undefined);
+    }
+    if (!isCurrent || possible.length !== 1 || record.origin === undefined) {
       void this.tell(record);
       return;
     }
@@ -361,7 +357,7 @@
   own: OriginKnowledge,
   answers: readonly OriginKnowledge[] = [],
 ): OriginEvidence {
-  return {own, answers, isUpToDate: false, haveAllAnswered: false};
+  return {own, answers, isUpToDate: false};
 }
 
 function isAmong(
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -76,7 +76,7 @@
     const origin = decideOrigin(evidence);
     const result = this.takeUp(origin, route);
     const {metrics, directory, events} = this.parts;
-    const {own, answers, isUpToDate, haveAllAnswered} = evidence;
+    const {own, answers, isUpToDate} = evidence;
     const knowledge = [own, ...answers];
     const isAdmitted = result === TakeUp.Admitted;
     metrics.streamTakenUp(result);
@@ -88,7 +88,6 @@
       isRecorded: knowledge.some(({isRecorded}) => isRecorded),
       possible: possibleOf(knowledge).join(', '),
       answers: answers.length,
-      haveAllAnswered,
       isUpToDate,
       listAgeMilliseconds: Math.round(directory.listAgeMilliseconds),
     });
--- a/packages/gateway/src/test/stream-origins_test.ts
+++ b/packages/gateway/src/test/stream-origins_test.ts
@@ -171,13 +171,26 @@
     },
   );
 
-  it('is known where all other hosts answer while the store is lost', async () => {
-    // Guards against streams that end with a lost store alone.
+  it('is unknown to hosts that can not read the list, whoever else answers', async () => {
+    // Guards against hosts that have started since, and that they don't know of.
     for (const host of fleet.hosts) {
       fleet.withoutStore.add(host.address);
     }
-    fleet.clock.now += 10_000;
-    expect(await fleet.hostAt(0).originOf('unheard-of')).toEqual(V1);
+    expect(await fleet.hostAt(0).originOf('unheard-of')).toBeUndefined();
+  });
+
+  it('is told while the store is lost, for streams from before as well', async () => {
+    // Guards against streams that end with a lost store and one host.
+    fleet.hostAt(0).began('before', V1);
+    for (const host of fleet.hosts) {
+      fleet.withoutStore.add(host.address);
+    }
+    fleet.clock.now += 3_000;
+    fleet.hostAt(0).began('after', V1);
+    await fleet.settle();
+    fleet.hostAt(0).isLost = true;
+    expect(await fleet.hostAt(3).originOf('before')).toEqual(V1);
+    expect(await fleet.hostAt(3).originOf('after')).toEqual(V1);
   });
 
   it('is known within a data centre that is cut off', async () => {
