Show a host that knows of no other take itself for the only one

What callers would see: a stream of a new build goes on at another one (ORDER), at a host that has lost the store and has not read the budget log, from which hosts know of each other.

Cause: where the list can't be read, asks every other host (`haveAllAnswered`). These are the ones that this host knows (`otherHosts`, of the budget log's fold, in its region). With none, `answers.length < asked.length` is 0 < 0 and `more.length === notAsked.length` is 0 === 0: all have answered. The same holds in part for a log that is out of step, which lacks the hosts that opened since. A host starts serving without the budget log, and can have watched for long or read the list's whole log by then.

No logic changes.

--- a/packages/gateway/src/test/origin-answers_test.ts
+++ b/packages/gateway/src/test/origin-answers_test.ts
@@ -30,4 +30,17 @@
     fleet.restart(0);
     expect(await fleet.hostAt(0).originOf('s')).toBeUndefined();
   });
+
+  it('that has read neither the new list nor of other hosts', async () => {
+    // Guards against a host that takes itself for the only one.
+    const outOfStep = fleet.hostAt(0);
+    outOfStep.knowsOthers = false;
+    fleet.withoutStore.add(outOfStep.address);
+    fleet.addEndpoint('models', 'v2');
+    fleet.hostAt(1).read();
+    fleet.cuts.add(`${fleet.hostAt(1).address} ${outOfStep.address}`);
+    fleet.hostAt(1).began('s', V2);
+    await fleet.settle();
+    expect(await outOfStep.originOf('s')).toBeUndefined();
+  });
 });
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -206,6 +206,8 @@
   readonly registry: StreamOriginRegistry;
   readonly address: string;
   isLost = false;
+  /** Whether it has read of other hosts. */
+  knowsOthers = true;
   private readonly directory: EndpointDirectory;
   private readonly watch: OriginWatch;
   private position: number | undefined;
@@ -245,7 +247,9 @@
       dataCenter,
       ownAddress: this.address,
       otherHosts: () =>
-        fleet.hosts.filter(host => host.address !== this.address),
+        fleet.hosts.filter(
+          host => this.knowsOthers && host.address !== this.address,
+        ),
       listPosition: () => this.position ?? 0,
       readList: () => Promise.resolve(this.readListNow()),
     });
