--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -209,6 +209,8 @@
   readonly registry: StreamOriginRegistry;
   readonly address: string;
   isLost = false;
+  /** Whether it has read of other hosts. */
+  knowsOthers = true;
   private readonly directory: EndpointDirectory;
   private readonly watch: OriginWatch;
   private position: number | undefined;
@@ -248,7 +250,9 @@
       dataCenter,
       ownAddress: this.address,
       otherHosts: () =>
-        fleet.hosts.filter(host => host.address !== this.address),
+        fleet.hosts.filter(
+          host => this.knowsOthers && host.address !== this.address,
+        ),
       listPosition: () => this.position ?? 0,
       readChanges: () => Promise.resolve(this.readChanges()),
     });
