Count resends from before a reload of the settings

What callers would see: nothing; endpoints may get up to twice the extra resends that the operator allows within one window (BUDGET) when all hosts get SIGHUP in it.

Cause: each reload replaced the budget of resends, and with it the times of past ones, also where the limits stayed the same.

The budget keeps its times and takes the new limits.

--- a/packages/decisions/src/resend-budget.ts
+++ b/packages/decisions/src/resend-budget.ts
@@ -24,7 +24,12 @@
   private readonly requestTimes: number[] = [];
   private readonly resendTimes: number[] = [];
 
-  constructor(private readonly limits: ResendLimits) {}
+  constructor(private limits: ResendLimits) {}
+
+  /** Replaces the limits; past requests and resends count on. */
+  setLimits(limits: ResendLimits): void {
+    this.limits = limits;
+  }
 
   /** Records a request of a caller to the service. */
   recordRequest(now: number): void {
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -109,7 +109,7 @@
     await Promise.allSettled(this.running.values());
   }
 
-  /** Replaces the limits on resends and resets the count of past resends. */
+  /** Replaces the limits on resends; past resends count on. */
   setResendLimits(limits: ResendLimits): void {
     this.services.setResendLimits(limits);
   }
--- a/packages/gateway/src/service-states.ts
+++ b/packages/gateway/src/service-states.ts
@@ -33,12 +33,11 @@
     return state;
   }
 
-  /** Replaces the limits on resends and resets the count of past resends. */
+  /** Replaces the limits on resends; past resends count on. */
   setResendLimits(limits: ResendLimits): void {
     this.limits = limits;
-    for (const [service, state] of this.states) {
-      const resends = new ResendBudget(limits);
-      this.states.set(service, {...state, resends});
+    for (const {resends} of this.states.values()) {
+      resends.setLimits(limits);
     }
   }
 }
