Show an origin that a new host takes from one that missed a build

Where it has not watched for long enough itself, the answer of a host that has, with a list of at most 2 s, counts together with its own read of the list. A build that came and went between these two reads is on neither, and the host that began the stream and those that it told have ended.

PastOriginsSource asks the same question and is safe, as it compares offsets: it uses what a host says only if that host has read the list as far as this one had at its start.

--- a/packages/gateway/src/test/stream-origins_test.ts
+++ b/packages/gateway/src/test/stream-origins_test.ts
@@ -171,6 +171,24 @@
     },
   );
 
+  it('is unknown to a host that has just started, from one that missed a build', async () => {
+    // Guards against a build that came and went after the other host's last read.
+    fleet.isolate(fleet.hostAt(1));
+    const id = fleet.addEndpoint('models', 'v2');
+    fleet.read();
+    fleet.hostAt(0).began('s', V2);
+    await fleet.settle();
+    fleet.removeEndpoint(id);
+    fleet.clock.now += 700;
+    fleet.hosts.forEach((_host, index) => {
+      if (index !== 1) {
+        fleet.restart(index);
+      }
+    });
+    fleet.cuts.clear();
+    expect(await fleet.hostAt(0).originOf('s')).toBeUndefined();
+  });
+
   it('is known where all other hosts answer while the store is lost', async () => {
     // Guards against streams that end with a lost store alone.
     for (const host of fleet.hosts) {
