--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -56,10 +56,10 @@
   /** Every change of the list of endpoints before this offset was read. */
   listPosition(): number;
   /**
-   * Reads the list of endpoints. Resolves with whether it has every change that was
+   * Reads endpoints and routes. Resolves with whether every change is known that was
    * written before the call.
    */
-  readList(): Promise<boolean>;
+  readChanges(): Promise<boolean>;
 }
 
 /** Hosts that can be reached answer within this time. */
@@ -140,33 +140,22 @@
     const asked = known.hasWatched
       ? this.recorderAddresses(request.stream)
       : others;
-    const list =
+    const changes =
       known.possible.length === 1
-        ? this.parts.readList()
+        ? this.parts.readChanges()
         : Promise.resolve(false);
-    const isKnownAlone = known.hasWatched ? list : Promise.resolve(false);
+    const isKnownAlone = known.hasWatched ? changes : Promise.resolve(false);
     const answers = await this.ask(asked, request, isKnownAlone);
     const recorded = answers.find(({isRecorded}) => isRecorded);
     if (recorded !== undefined) {
       if (!isAmong(recorded.origin, known.possible)) {
         // The list may not name the endpoints of that build yet.
-        await list;
+        await changes;
       }
       return evidenceOf(this.knowledge(request), answers);
     }
-    const isListRead = await list;
-    const own = this.knowledge(request);
-    if (isListRead || answers.length < asked.length) {
-      return {own, answers, isListRead, haveAllAnswered: false};
-    }
-    const notAsked = others.filter(address => !asked.includes(address));
-    const more = await this.ask(notAsked, request, Promise.resolve(false));
-    return {
-      own: this.knowledge(request),
-      answers: [...answers, ...more],
-      isListRead,
-      haveAllAnswered: more.length === notAsked.length,
-    };
+    const isUpToDate = await changes;
+    return {own: this.knowledge(request), answers, isUpToDate};
   }
 
   override receive(records: readonly StreamOriginRecord[]): void {
@@ -201,8 +190,15 @@
 
   private record(record: OriginRecord, {host, path}: StreamRequest): void {
     this.origins.record(record, this.now());
-    const {possible, hasWatched} = this.parts.watch.originsOf(host, path);
-    if (possible.length !== 1 || record.origin === undefined) {
+    const {possible, hasWatched, isCurrent} = this.parts.watch.originsOf(
+      host,
+      path,
+    );
+    if (!isCurrent) {
+      // While the store is lost, records alone can tell what began a stream.
+      this.tellUntold(undefined);
+    }
+    if (!isCurrent || possible.length !== 1 || record.origin === undefined) {
       void this.tell(record);
       return;
     }
@@ -361,7 +357,7 @@
   own: OriginKnowledge,
   answers: readonly OriginKnowledge[] = [],
 ): OriginEvidence {
-  return {own, answers, isListRead: false, haveAllAnswered: false};
+  return {own, answers, isUpToDate: false};
 }
 
 function isAmong(
