Take no endpoint for listed whose newest record can't be read

What callers saw: requests that are sent to an endpoint that left, if another writer's odd entry stands under its identifier and the host reads the whole list anew, as after records that the store has dropped.

Cause: in a read of the whole list, any record of a key counted as the endpoint's being listed, also one that names none. If the endpoint had left and was removed before that record, the host never learnt of it: the key stays on the list as long as the odd entry does.

Fix: an endpoint whose newest record is no entry, and newer than what the host has read of it, is removed as if it were not on the list; around an outage of the store it is kept for the usual time. Its next entry, about a second later, lists it again. If the host has read all records of the key, what the endpoint said last holds, as before.

Why it works: the list names no endpoint to use there, and a host that starts at that moment doesn't use it either.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -253,6 +253,11 @@
 
   override replaced(records: readonly KeyedRecord[], position: number): void {
     const listedIds = new Set(records.map(({key}) => key));
+    for (const record of records) {
+      if (this.isHiddenBy(record)) {
+        listedIds.delete(record.key);
+      }
+    }
     for (const record of records) {
       this.changed(record);
     }
@@ -301,6 +306,19 @@
     );
   }
 
+  /**
+   * Whether a record of the complete list is no entry, and hides whether its endpoint has
+   * left since the last record of it that was read.
+   */
+  private isHiddenBy({key, value, offset}: KeyedRecord): boolean {
+    return (
+      this.endpoints.has(key) &&
+      offset > (this.offsets.get(key) ?? -1) &&
+      (value === undefined ||
+        this.dialect.endpointEntry(key, value) === undefined)
+    );
+  }
+
   /**
    * Whether an entry is the latest that its endpoint wrote. The store may do a write
    * after later ones of the same endpoint.
