Follow a topic past a record at which its reader fails

What callers would see: a host that follows the list or the configuration no more, because of one record.

Cause: an error that a reader threw at a record counted as a failed read of the store. The host read the same records again every 250 ms, met the same error and never got past it; the topic counted as away meanwhile.

Fix: the error is logged as `record failed` with topic, offset and key, and the host goes on with the next record.

Evidence: keyed-follower_test, "reads on after a record at which the reader fails", failed on and passes now. No entry was found at which a reader does fail: 29 odd entries, 5 odd keys and 2,000 random ones in a property test raise no error in it. This ends the class, not a known case.

--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -313,7 +313,17 @@
       return;
     }
     this.keepCopy(record);
-    this.reader.changed(record);
+    try {
+      this.reader.changed(record);
+    } catch (error) {
+      // A read that failed here would meet the same record again, and never get past it.
+      this.events.error('record failed', {
+        topic: this.topic,
+        offset,
+        key: record.key,
+        reason: String(error),
+      });
+    }
   }
 
   private async recover(error: unknown): Promise<void> {
--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -80,10 +80,15 @@
 
 class KeyCollector extends KeyedTopicReader {
   readonly keys: string[] = [];
+  /** A key whose records it fails at. */
+  failingKey: string | undefined;
   readonly replacedKeys: string[] = [];
   caughtUpAt = -1;
 
   override changed({key}: KeyedRecord): void {
+    if (key === this.failingKey) {
+      throw new Error('failed');
+    }
     this.keys.push(key);
   }
 
@@ -180,6 +185,15 @@
     expect(reader.caughtUpAt).toBeGreaterThanOrEqual(1);
   });
 
+  it('reads on after a record at which the reader fails', async () => {
+    // Guards against one record after which a host follows no changes any more.
+    reader.failingKey = 'key-5';
+    await follow(new PagedLog(3));
+    await advance(PAUSE_MILLISECONDS);
+    expect(reader.keys).toHaveLength(19);
+    expect(reader.caughtUpAt).toBeGreaterThanOrEqual(1);
+  });
+
   it('pauses when all records are read and after an empty answer', async () => {
     // Guards against a host that calls the store without a pause.
     const log = new PagedLog(0);
