Ignore checkpoints whose offset or amounts are none

What callers would see: a host that starts and is never ready.

Cause: a record under the checkpoint's key that decodes, with an offset far beyond the end of the log (1e300, Infinity), was taken for the state of the budgets. The host waited for records that never come.

Fix: a checkpoint whose offset or amounts are not whole numbers that records can hold counts as none, with the line `budget checkpoint ignored`; the log is read from its start or the next checkpoint.

Evidence: budget-replica_test, "reads the log from its start beside a checkpoint at offset": 1e300 and Infinity failed on; these and -1, 0.5 and NaN, which passed before, pass now. An offset within the safe range that is beyond the end is not covered.

--- a/packages/budgets/src/budget-checkpoint.ts
+++ b/packages/budgets/src/budget-checkpoint.ts
@@ -1,4 +1,5 @@
 import {create} from '@bufbuild/protobuf';
+import {isTokenAmount} from '@wisteriadeal/ledger';
 import {
   BudgetCheckpointSchema,
   type BudgetCheckpoint,
@@ -35,6 +36,34 @@
   });
 }
 
+/**
+ * Whether the offset and the amounts of a checkpoint are whole numbers that records can
+ * store. A fold that continues at any other offset never reads the log again.
+ *
+ * @example
+ * ```ts
+ * hasValidFigures(createCheckpoint(new BudgetFold(7))); // true
+ * ```
+ */
+export function hasValidFigures({
+  offset,
+  organisations,
+  holders,
+}: BudgetCheckpoint): boolean {
+  const amounts = [
+    ...organisations.flatMap(({prepaid, closedCharge}) => [
+      prepaid,
+      closedCharge,
+    ]),
+    ...holders.flatMap(({grants}) =>
+      grants.map(({outstanding}) => outstanding),
+    ),
+  ];
+  return (
+    Number.isSafeInteger(offset) && offset >= 0 && amounts.every(isTokenAmount)
+  );
+}
+
 /** Restores a fold that continues at the checkpoint's offset. */
 export function foldFromCheckpoint(checkpoint: BudgetCheckpoint): BudgetFold {
   const fold = new BudgetFold(checkpoint.offset);
--- a/packages/gateway/src/budget-codec.ts
+++ b/packages/gateway/src/budget-codec.ts
@@ -1,4 +1,5 @@
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
+import {hasValidFigures} from '@wisteriadeal/budgets';
 import {
   BudgetCheckpointSchema,
   BudgetRecordSchema,
@@ -43,11 +44,14 @@
   return toBinary(BudgetCheckpointSchema, checkpoint);
 }
 
-/** Decodes a checkpoint; undefined for other bytes. */
+/** Decodes a checkpoint; undefined for other bytes, and for figures that are none. */
 export function decodeCheckpoint(
   bytes: Uint8Array,
 ): BudgetCheckpoint | undefined {
-  return tryDecode(() => fromBinary(BudgetCheckpointSchema, bytes));
+  const checkpoint = tryDecode(() => fromBinary(BudgetCheckpointSchema, bytes));
+  return checkpoint !== undefined && hasValidFigures(checkpoint)
+    ? checkpoint
+    : undefined;
 }
 
 function tryDecode<Message>(decode: () => Message): Message | undefined {
--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -154,6 +154,11 @@
     const bytes = newest.items.find(({key}) => key === CHECKPOINT_KEY)?.value;
     const checkpoint =
       bytes === undefined ? undefined : decodeCheckpoint(bytes);
+    if (bytes !== undefined && checkpoint === undefined) {
+      this.events.warn('budget checkpoint ignored', {
+        reason: 'not a checkpoint',
+      });
+    }
     if (
       checkpoint !== undefined &&
       checkpoint.offset > this.currentFold.nextOffset
--- a/packages/gateway/src/test/budget-replica_test.ts
+++ b/packages/gateway/src/test/budget-replica_test.ts
@@ -4,6 +4,7 @@
   type Partition,
   type RecordRange,
 } from '@wisteriadeal/platform';
+import {BudgetFold, createCheckpoint} from '@wisteriadeal/budgets';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
 import {LogLevel} from '@wisteriadeal/schema';
 import {MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
@@ -11,11 +12,16 @@
 
 import {
   budgetRecord,
+  encodeCheckpoint,
   encodeRecord,
   type BudgetChange,
 } from '../budget-codec.js';
 import {BudgetReplica} from '../budget-replica.js';
-import {BUDGET_PARTITION} from '../budget-topics.js';
+import {
+  BUDGET_PARTITION,
+  CHECKPOINT_KEY,
+  CHECKPOINT_PARTITION,
+} from '../budget-topics.js';
 
 const HOST = 'one';
 const CHECKPOINT_MILLISECONDS = 60_000;
@@ -91,3 +97,26 @@
   ]);
   expect(await replica.catchUp()).toEqual([]);
 });
+
+it.each([1e300, -1, 0.5, Infinity, NaN])(
+  'reads the log from its start beside a checkpoint at offset %d',
+  async offset => {
+    // Guards against a host that waits for records far beyond the end, and is never ready.
+    const log = new MemoryPartitionedLog();
+    await log.append(BUDGET_PARTITION, [
+      encodeRecord(budgetRecord(HOST, 1, OPENED)),
+    ]);
+    const checkpoint = encodeCheckpoint(
+      createCheckpoint(new BudgetFold(offset)),
+    );
+    await log.put(CHECKPOINT_PARTITION, CHECKPOINT_KEY, checkpoint);
+    const events = EventLog.create(LogLevel.INFO, {}, () => undefined);
+    const replica = new BudgetReplica(
+      log,
+      new SystemClock(),
+      CHECKPOINT_MILLISECONDS,
+      events,
+    );
+    expect(await replica.catchUp()).toMatchObject([{kind: 'opening'}]);
+  },
+);
