Read the host list past entries that can't be read

What callers would see: routers and keepers that keep an old list of hosts and endpoints for as long as one odd entry is on it; endpoints that leave are used.

Cause: HttpHostList decoded the list as a whole. One entry with a field that is missing or of another type failed the read, and the keeper logged it at the debug level only.

Fix: entries that can't be read are left out and counted, the others hold. The keeper logs `host list entries ignored` when their number changes.

Evidence: http-adapters_test, "one host list entry that can't be read does not hide the others", failed on and passes now.

--- a/packages/keeper/src/gossip-task.ts
+++ b/packages/keeper/src/gossip-task.ts
@@ -1,4 +1,4 @@
-import type {Clock, HostList} from '@wisteriadeal/platform';
+import type {Clock, HostList, HostListing} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {GossipMessage} from '@wisteriadeal/schema';
 
@@ -24,6 +24,7 @@
 /** Exchanges heartbeats with peers and polls the platform's host list. */
 export class GossipTask {
   private round = 0;
+  private ignoredEntries = 0;
 
   constructor(
     private readonly membership: MembershipTable,
@@ -55,7 +56,9 @@
   async pollHostList(signal: AbortSignal): Promise<void> {
     while (!signal.aborted) {
       try {
-        this.membership.updateListing(await this.hostList.read(signal));
+        const listing = await this.hostList.read(signal);
+        this.logIgnored(listing);
+        this.membership.updateListing(listing);
       } catch (error) {
         this.eventLog.debug('host list unreachable', {reason: String(error)});
       }
@@ -72,6 +75,16 @@
     }
   }
 
+  private logIgnored({ignoredEntries = 0}: HostListing): void {
+    if (ignoredEntries !== this.ignoredEntries) {
+      this.ignoredEntries = ignoredEntries;
+      this.eventLog.warn('host list entries ignored', {
+        entries: ignoredEntries,
+        reason: 'fields are missing or of another type',
+      });
+    }
+  }
+
   /** Sends a heartbeat to all reachable peers at once, for a graceful stop. */
   async announce(): Promise<void> {
     await Promise.all(
--- a/packages/platform/src/host-list.ts
+++ b/packages/platform/src/host-list.ts
@@ -24,6 +24,8 @@
 export interface HostListing {
   readonly hosts: readonly ListedHost[];
   readonly endpoints: readonly ListedEndpoint[];
+  /** Number of entries that can't be read and were left out; 0 if omitted. */
+  readonly ignoredEntries?: number;
 }
 
 /** The platform's list of live and leaving hosts. */
--- a/packages/platform/src/http-host-list.ts
+++ b/packages/platform/src/http-host-list.ts
@@ -47,6 +47,19 @@
   return {endpoint: stringField(fields, 'endpoint'), state: stateOf(fields)};
 }
 
+/** Reads one entry; undefined if it can't be read, so that the others still are. */
+function tryRead<Entry>(
+  value: unknown,
+  read: (value: unknown) => Entry,
+): Entry | undefined {
+  try {
+    return read(value);
+  } catch {
+    // Another system may write entries; those that can't be read are counted.
+    return undefined;
+  }
+}
+
 /** The platform's host list over HTTP. */
 export class HttpHostList extends HostList {
   private readonly peer: HttpPeer;
@@ -78,9 +91,18 @@
     }
     try {
       const fields = parseFields(response.body.toString());
+      const hosts = listField(fields, 'hosts').map(entry =>
+        tryRead(entry, toHost),
+      );
+      const endpoints = listField(fields, 'endpoints').map(entry =>
+        tryRead(entry, toEndpoint),
+      );
       return {
-        hosts: listField(fields, 'hosts').map(toHost),
-        endpoints: listField(fields, 'endpoints').map(toEndpoint),
+        hosts: hosts.filter(host => host !== undefined),
+        endpoints: endpoints.filter(endpoint => endpoint !== undefined),
+        ignoredEntries: [...hosts, ...endpoints].filter(
+          entry => entry === undefined,
+        ).length,
       };
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
--- a/packages/platform/src/test/http-adapters_test.ts
+++ b/packages/platform/src/test/http-adapters_test.ts
@@ -10,6 +10,7 @@
 import {
   Fate,
   FinishReason,
+  HttpHostList,
   HttpLogClient,
   HttpModelEngineFactory,
   HttpPlainServiceFactory,
@@ -238,3 +239,33 @@
   expect(new Set(ports).size).toBe(2);
   await service.close();
 }, 5_000);
+
+test('one host list entry that can’t be read does not hide the others', async () => {
+  // Guards against processes that follow the list no more because of one entry.
+  const host = {
+    host: 'host-1',
+    dataCenter: 'a',
+    state: 'live',
+    keeperAddress: '10.0.0.1:1',
+    routerControlAddress: '10.0.0.1:2',
+    callerAddress: '10.0.0.1:3',
+  };
+  const address = await serve((_request, response) => {
+    response.end(
+      JSON.stringify({
+        hosts: [null, {...host, state: 5}, host, 'host'],
+        endpoints: [{endpoint: 7}, {endpoint: 'engine-1', state: 'live'}],
+      }),
+    );
+  });
+  const list = new HttpHostList({
+    url: `http://${address}`,
+    viewer: 'host-1',
+    timeoutMilliseconds: 500,
+  });
+  const {hosts, endpoints, ignoredEntries} = await list.read();
+  await list.close();
+  expect(hosts).toEqual([host]);
+  expect(endpoints).toEqual([{endpoint: 'engine-1', state: 'live'}]);
+  expect(ignoredEntries).toBe(4);
+});
