Let no number out of range hide an endpoint's later entries

What callers saw: requests at an endpoint that had said that it leaves, and streams that are cut as it exits (DRAIN). An entry of another writer with a number too large stood under its identifier.

Cause: entries are judged by `born` and `seq`, and any safe integer counted. After one entry with `seq` 2^53 - 1 each later one of that start was outdated for good; after one with such a `born` each was of an older start for 10 s.

For numbers in range, EntryOrder lets an entry count that is read 10 s after anything else of its endpoint: a late write comes within about 6 s, so that the higher number before was not its own. A start that has said that it leaves stays so.

--- a/packages/decisions/src/endpoint-entries/entry-order.ts
+++ b/packages/decisions/src/endpoint-entries/entry-order.ts
@@ -20,9 +20,9 @@
 }
 
 /**
- * A start that has written nothing for this time may have been followed by one whose
- * clock is behind, milliseconds. The store does a write at most about 6 s after it was
- * sent.
+ * What is read after an endpoint was silent for this time is not late, milliseconds: a
+ * start whose clock is behind may have followed, or another writer have written the entry
+ * before. The store does a write at most about 6 s after it was sent.
  */
 const SILENT_START_MILLISECONDS = 10_000;
 
@@ -83,6 +83,10 @@
     const {sequence = Infinity} = entry;
     const before = latest.sequence ?? -Infinity;
     const isOutdated = isRemoved ? sequence <= before : sequence < before;
-    return isOutdated ? EntryVerdict.Outdated : EntryVerdict.Current;
+    const changedAt = Math.max(this.readAt, this.removedAt ?? -Infinity);
+    const isSilent = now - changedAt >= SILENT_START_MILLISECONDS;
+    return isOutdated && !isSilent
+      ? EntryVerdict.Outdated
+      : EntryVerdict.Current;
   }
 }
--- a/packages/decisions/src/test/entry-order_test.ts
+++ b/packages/decisions/src/test/entry-order_test.ts
@@ -63,6 +63,32 @@
   });
 });
 
+describe('an entry after one with a number that its endpoint does not reach', () => {
+  it('is current once nothing was written for long', () => {
+    // Guards against an endpoint whose entries are ignored for good, so that it never leaves.
+    read(1, 1_000);
+    const at = LONG_SILENCE_MILLISECONDS;
+    expect(read(1, 14, {at: at - 1})).toBe(EntryVerdict.Outdated);
+    expect(read(1, 15, {at, isLeaving: true})).toBe(EntryVerdict.Current);
+  });
+
+  it('is outdated if its start was removed a short time ago', () => {
+    // Guards against an old entry that a host reads together with the removal.
+    read(1, 14);
+    const at = LONG_SILENCE_MILLISECONDS;
+    order.removed(at);
+    expect(read(1, 10, {at})).toBe(EntryVerdict.Outdated);
+  });
+
+  it('does not open a start that has said that it leaves', () => {
+    read(1, 14, {isLeaving: true});
+    const at = LONG_SILENCE_MILLISECONDS;
+    expect(read(1, 10, {at})).toBe(EntryVerdict.Current);
+    order.removed(at);
+    expect(read(1, 15, {at})).toBe(EntryVerdict.HasLeft);
+  });
+});
+
 describe('an entry that states no start or no number', () => {
   it('is current in the order of the log', () => {
     read(0, 5);
