--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -254,6 +254,18 @@
     log.release();
   });
 
+  it('does not pause when it was closed during a read', async () => {
+    // Guards against a process that is kept up by a pause after its end.
+    const log = new HeldLog();
+    await follow(log);
+    log.hold();
+    await advance(PAUSE_MILLISECONDS);
+    follower.close();
+    log.release();
+    await advance(0);
+    expect(clock.sleeping).toBe(0);
+  });
+
   it.each([
     {name: 'an older one', resumeOffset: 4, isTaken: false},
     {name: 'a newer one', resumeOffset: 30, isTaken: true},
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -104,12 +104,16 @@
   }
 
   /** Lists another start of an endpoint, with another build. */
-  restartEndpoint(id: string, build: string): void {
+  restartEndpoint(
+    id: string,
+    build: string,
+    bornAt: number = ++this.started,
+  ): void {
     const before = this.entryOf(id);
     if (before === undefined) {
       throw new RangeError(`no endpoint ${id}`);
     }
-    const entry = {...before, build, bornAt: ++this.started};
+    const entry = {...before, build, bornAt};
     this.entries.set(id, entry);
     this.everListed.set(id, entry);
     this.append(id, new Uint8Array());
