Do not pause after a follower was closed during a read

What callers would see: a host that stops up to a second later.

Cause: the pause after a read had a signal of its own since, made after the close that should have ended it.

Evidence: keyed-follower_test, 'does not pause when it was closed during a read', failed before, and passes. Those who ask a closed follower for a read are told so at once.

--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -219,7 +219,7 @@
   /** Pauses until someone waits for the next read. */
   private async pauseReads(): Promise<void> {
     this.pause = new AbortController();
-    if (this.waits.isEmpty) {
+    if (this.waits.isEmpty && !this.stop.signal.aborted) {
       const {pauseMilliseconds} = this.options;
       await this.clock.sleep(pauseMilliseconds, this.pause.signal);
     }
--- a/packages/gateway/src/read-waits.ts
+++ b/packages/gateway/src/read-waits.ts
@@ -11,6 +11,7 @@
 export class ReadWaits {
   private readonly waits = new Set<ReadWait>();
   private begun = 0;
+  private isClosed = false;
 
   /** Whether nobody waits. */
   get isEmpty(): boolean {
@@ -23,6 +24,9 @@
    * @param maximumMilliseconds How long to wait for that.
    */
   next(maximumMilliseconds: number): Promise<boolean> {
+    if (this.isClosed) {
+      return Promise.resolve(false);
+    }
     return new Promise(resolve => {
       const timer = setTimeout(() => {
         wait.end(false);
@@ -55,6 +59,7 @@
 
   /** Ends all waits without a read. */
   close(): void {
+    this.isClosed = true;
     for (const wait of this.waits) {
       wait.end(false);
     }
