Read the list for each record of a build that it does not have

What callers would see: a stream of a build that has just joined is refused as of a build that has gone, and begins anew, at hosts that have a record of it and have not read of the build (LOST). Found in review.

Cause: had such a stream wait for a read only where another host had the record and one build was listed; a host with a record of its own, or with two builds on its list, read nothing.

--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -133,7 +133,8 @@
   async find(request: StreamRequest): Promise<OriginEvidence> {
     const known = this.knowledge(request);
     if (known.isRecorded) {
-      return evidenceOf(known);
+      await this.readOrigin(known, known);
+      return evidenceOf(this.knowledge(request));
     }
     const others = this.parts.otherHosts().map(({address}) => address);
     // Before a host has watched for long enough, any other may have served the stream.
@@ -148,16 +149,26 @@
     const answers = await this.ask(asked, request, isKnownAlone);
     const recorded = answers.find(({isRecorded}) => isRecorded);
     if (recorded !== undefined) {
-      if (!isAmong(recorded.origin, known.possible)) {
-        // The list may not name the endpoints of that build yet.
-        await changes;
-      }
+      await this.readOrigin(recorded, known);
       return evidenceOf(this.knowledge(request), answers);
     }
     const isUpToDate = await changes;
     return {own: this.knowledge(request), answers, isUpToDate};
   }
 
+  /** Reads the list if it may not have the endpoints of a recorded origin yet. */
+  private async readOrigin(
+    {origin}: OriginKnowledge,
+    {possible}: OriginKnowledge,
+  ): Promise<void> {
+    const isRead =
+      origin === undefined ||
+      possible.some(other => isSameOrigin(origin, other));
+    if (!isRead) {
+      await this.parts.readChanges();
+    }
+  }
+
   override receive(records: readonly StreamOriginRecord[]): void {
     const now = this.now();
     for (const record of records) {
@@ -359,12 +370,3 @@
 ): OriginEvidence {
   return {own, answers, isUpToDate: false};
 }
-
-function isAmong(
-  origin: StreamOrigin | undefined,
-  possible: readonly StreamOrigin[],
-): boolean {
-  return (
-    origin !== undefined && possible.some(other => isSameOrigin(origin, other))
-  );
-}
