Look for the origin of a stream only on routes that have streams to take up

What callers saw: a request with Last-Event-Id for a route without streams waits 0.4 s while the store gives no answer. Found in review.

Cause: the origin was looked for before the route was known.

A route that becomes one of resumable streams in between refuses the take-up as not known.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -220,7 +220,8 @@
     }
     const body = await caller.readBody(configuration.limits.bodyBytes);
     await caller.waitForCloseDetection();
-    const takenUp = await this.streams.find(caller);
+    const route = findRoute(configuration, caller.headers.host, caller.path);
+    const takenUp = await this.streams.find(caller, route);
     if (caller.disconnectSignal.aborted) {
       record.outcome = 'caller-left';
       return undefined;
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -52,10 +52,13 @@
    * Resolves with what hosts know of the stream that a caller takes up; undefined
    * if it takes none up.
    */
-  async find(caller: CallerExchange): Promise<OriginEvidence | undefined> {
-    return (caller.headers.lastEventId ?? '') === ''
-      ? undefined
-      : this.parts.registry.find(requestOf(caller));
+  async find(
+    caller: CallerExchange,
+    route: Route | undefined,
+  ): Promise<OriginEvidence | undefined> {
+    return isTakenUp(caller, route)
+      ? this.parts.registry.find(requestOf(caller))
+      : undefined;
   }
 
   /**
@@ -69,10 +72,13 @@
     route: Route,
     evidence: OriginEvidence | undefined,
   ): StreamOrigin | LocalReply | undefined {
-    const mayTakeUp = route.kind === RouteKind.Streaming && route.resumable;
-    if (!mayTakeUp || evidence === undefined) {
+    if (!isTakenUp(caller, route)) {
       return undefined;
     }
+    if (evidence === undefined) {
+      // The route has become one of resumable streams since.
+      return refusalOf(TakeUp.Unknown);
+    }
     const origin = decideOrigin(evidence);
     const result = this.takeUp(origin, route);
     const {metrics, directory, events} = this.parts;
@@ -141,6 +147,18 @@
   }
 }
 
+/** Whether a request goes on with a stream of a route. */
+function isTakenUp(
+  {headers}: CallerExchange,
+  route: Route | undefined,
+): boolean {
+  return (
+    (headers.lastEventId ?? '') !== '' &&
+    route?.kind === RouteKind.Streaming &&
+    route.resumable
+  );
+}
+
 /** The stream of a request: that which it takes up, or the one that it begins. */
 function requestOf(caller: CallerExchange): StreamRequest {
   const {attemptId, resumedAttemptId, lastEventId, host} = caller.headers;
