Count the builds of ignored entries among those that may have begun a stream

What callers would see: a stream of two builds (ORDER). An endpoint starts again with another build and its clock set back; hosts that know the start before ignore the entry for 10 s, those that have started since use it, and begin streams there. Found in review.

It only makes hosts refuse more.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -65,6 +65,7 @@
   private readonly orders = new EntryOrders();
   private readonly readListeners: ListReadListener[] = [];
   private readonly listedListeners: EndpointListener[] = [];
+  private readonly ignoredListeners: ((entry: EndpointEntry) => void)[] = [];
   private readonly goneListeners: EndpointListener[] = [];
   private readonly droppedListeners: EndpointListener[] = [];
   private readonly leavingListeners: EndpointListener[] = [];
@@ -103,6 +104,14 @@
     this.listedListeners.push(listener);
   }
 
+  /**
+   * Adds a listener for entries that are ignored, as they don't seem to be the latest of
+   * their endpoints. Hosts that have read fewer entries may use them.
+   */
+  onIgnored(listener: (entry: EndpointEntry) => void): void {
+    this.ignoredListeners.push(listener);
+  }
+
   /**
    * Adds a listener for endpoints that leave, by the list or by one of their answers,
    * whichever says so first.
@@ -341,6 +350,9 @@
       bornAt,
       reason,
     });
+    for (const listener of this.ignoredListeners) {
+      listener(entry);
+    }
     return false;
   }
 
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -12,6 +12,7 @@
   type Route,
 } from '../configuration.js';
 import type {EndpointDirectory} from '../endpoint-directory.js';
+import type {EndpointEntry} from '../endpoint-entry.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
 import {RouteHistory, type PastRoutes} from './route-history.js';
 
@@ -61,11 +62,15 @@
     directory.onRead(position => {
       this.builds.listRead(position, this.now());
     });
-    directory.onListed(({entry}) => {
+    const onEntry = (entry: EndpointEntry) => {
       if (this.builds.listed(entry, this.now())) {
         this.onDiffer(entry.service);
       }
+    };
+    directory.onListed(({entry}) => {
+      onEntry(entry);
     });
+    directory.onIgnored(onEntry);
     directory.onDropped(({entry}) => {
       // An unchanged entry is read once, however long the endpoint serves after it.
       this.builds.listed(entry, this.now());
