--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -38,8 +38,7 @@
   ) {
     this.eventsBefore = record.eventsDelivered;
     this.build = endpoint.entry.build;
-    const age = endpoint.heartbeatAge(sentAt);
-    this.heartbeatAgeMilliseconds = age === undefined ? age : Math.round(age);
+    this.heartbeatAgeMilliseconds = endpoint.heartbeatAge(sentAt);
   }
 
   /**
--- a/packages/gateway/src/read-waits.ts
+++ b/packages/gateway/src/read-waits.ts
@@ -13,7 +13,6 @@
   private begun = 0;
   private isClosed = false;
 
-  /** Whether nobody waits. */
   get isEmpty(): boolean {
     return this.waits.size === 0;
   }
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -69,7 +69,8 @@
   const {endpoint, build, path, connection, atMilliseconds, result, answer} =
     attempt;
   const age = attempt.heartbeatAgeMilliseconds;
-  const heartbeat = age === undefined ? '' : ` (heard ${age} ms before)`;
+  const heartbeat =
+    age === undefined ? '' : ` (heard ${Math.round(age)} ms before)`;
   const body =
     answer === undefined
       ? ''
