Let take-ups wait for two answers of a slow store, and share reads for 50 ms

What callers saw: after a kill, streams of the only build were refused with origin-unknown while the store took 300 ms for an answer: 29 and 32 of 40. With 20 ms between reads, 195 hosts that all get 50 such callers a second would ask for more reads than the store allows; found in review, by arithmetic.

Cause: a read that is in progress has to end first, and both together took longer than the 400 ms that a caller waited.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,7 +105,7 @@
  */
 const START_GATE_TIMEOUT_MILLISECONDS = 400;
 /** A caller that takes a stream up waits at most this long for what has changed. */
-const CHANGES_READ_MILLISECONDS = 400;
+const CHANGES_READ_MILLISECONDS = 800;
 
 /** The gateway process of an entry host. */
 export class Gateway implements RunningBinary<GatewaySettings> {
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -55,8 +55,8 @@
 
 /** A response that takes longer than this from its first byte on is logged. */
 const SLOW_RESPONSE_MILLISECONDS = 300;
-/** Shortest time between two reads; those who wait for one at a time share it. */
-const MINIMUM_INTERVAL_MILLISECONDS = 20;
+/** Shortest time between two reads, which those who ask for one meanwhile share. */
+const MINIMUM_INTERVAL_MILLISECONDS = 50;
 /** Pause before a failed call is repeated; a call to the store takes 4 ms. */
 const RETRY_INTERVAL_MILLISECONDS = 250;
 
