Share reads that callers wait for by the number of hosts

Small fleets wait 20 ms, large ones 50, so that all hosts of 9, 75 and 195 that read all the time stay within 0.6 of what the store allows (read-intervals_test).

--- a/packages/decisions/src/store-reads/read-intervals.ts
+++ b/packages/decisions/src/store-reads/read-intervals.ts
@@ -77,3 +77,31 @@
     ),
   );
 }
+
+/** Shortest time between two reads that callers wait for, in milliseconds. */
+const MINIMUM_SHARED_INTERVAL_MILLISECONDS = 20;
+/** The same in a large fleet, whose hosts share the limit of calls to the store. */
+const MAXIMUM_SHARED_INTERVAL_MILLISECONDS = 50;
+/** Part of that time that each host adds, in milliseconds. */
+const SHARED_INTERVAL_PER_HOST_MILLISECONDS = 1;
+
+/**
+ * Returns the shortest time between two reads of a topic that callers wait for, in
+ * milliseconds; those that come meanwhile share one.
+ *
+ * @param hosts Number of hosts that share the limit of calls to the store.
+ * @example
+ * ```ts
+ * sharedReadInterval(9); // 20
+ * sharedReadInterval(195); // 50
+ * ```
+ */
+export function sharedReadInterval(hosts: number): number {
+  return Math.min(
+    MAXIMUM_SHARED_INTERVAL_MILLISECONDS,
+    Math.max(
+      MINIMUM_SHARED_INTERVAL_MILLISECONDS,
+      hosts * SHARED_INTERVAL_PER_HOST_MILLISECONDS,
+    ),
+  );
+}
--- a/packages/decisions/src/test/read-intervals_test.ts
+++ b/packages/decisions/src/test/read-intervals_test.ts
@@ -4,6 +4,7 @@
   budgetReadInterval,
   configurationReadWait,
   endpointReadPause,
+  sharedReadInterval,
 } from '../store-reads/read-intervals.js';
 
 const CALL_MILLISECONDS = 4;
@@ -72,3 +73,19 @@
     expect(budgetReadInterval(10_000)).toBeLessThanOrEqual(2_000);
   });
 });
+
+describe('reads that callers wait for', () => {
+  it.each([
+    [9, 2_000],
+    [75, 6_000],
+    [195, 16_000],
+  ])(
+    'leave room for others while all of %d hosts ask all the time',
+    (hosts, maximumPerSecond) => {
+      // Guards against take-ups of many streams that use up the calls of the store.
+      const topics = 2;
+      const perSecond = (hosts * topics * 1_000) / sharedReadInterval(hosts);
+      expect(perSecond).toBeLessThan(0.6 * maximumPerSecond);
+    },
+  );
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -3,6 +3,7 @@
   ColdTurns,
   configurationReadWait,
   endpointReadPause,
+  sharedReadInterval,
   hostPlace,
   LimitTurns,
   LoopSaturation,
@@ -555,6 +556,10 @@
     });
   }
 
+  private get sharedReadMilliseconds(): number {
+    return sharedReadInterval(this.budgets.holderCount);
+  }
+
   private async readChanges(): Promise<boolean> {
     const maximum = CHANGES_READ_MILLISECONDS + this.link.delayMilliseconds;
     const areRead = await Promise.all([
@@ -656,6 +661,7 @@
         partition,
         waitMilliseconds: Math.floor(configurationReadWait(applyMilliseconds)),
         pauseMilliseconds: 0,
+        sharedReadMilliseconds: () => this.sharedReadMilliseconds,
         onPending: since => {
           this.configuration.setPendingSince(since);
         },
@@ -687,6 +693,7 @@
         pauseMilliseconds: endpointReadPause(
           gatewayLimits(settings).endpointDrainMilliseconds,
         ),
+        sharedReadMilliseconds: () => this.sharedReadMilliseconds,
       },
       this.health.endpoints,
       clock,
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -44,6 +44,11 @@
   readonly waitMilliseconds: number;
   /** Pause after reading all records, milliseconds; one call then reads many changes. */
   readonly pauseMilliseconds: number;
+  /**
+   * Shortest time between two reads that are asked for, which those who ask meanwhile
+   * share; milliseconds.
+   */
+  readonly sharedReadMilliseconds: () => number;
   /** Brings copies of other hosts while a read is slow; without it, none are asked. */
   readonly catchUp?: TopicCatchUp;
   /**
@@ -55,8 +60,6 @@
 
 /** A response that takes longer than this from its first byte on is logged. */
 const SLOW_RESPONSE_MILLISECONDS = 300;
-/** Shortest time between two reads, which those who ask for one meanwhile share. */
-const MINIMUM_INTERVAL_MILLISECONDS = 50;
 /** Pause before a failed call is repeated; a call to the store takes 4 ms. */
 const RETRY_INTERVAL_MILLISECONDS = 250;
 
@@ -230,7 +233,7 @@
     if (!this.waits.isEmpty) {
       const elapsed = this.clock.monotonicMilliseconds() - this.readAt;
       await this.clock.sleep(
-        MINIMUM_INTERVAL_MILLISECONDS - elapsed,
+        this.options.sharedReadMilliseconds() - elapsed,
         this.stop.signal,
       );
     }
--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -183,6 +183,7 @@
         partition: PARTITION,
         waitMilliseconds,
         pauseMilliseconds: PAUSE_MILLISECONDS,
+        sharedReadMilliseconds: () => 20,
         ...(copy === undefined ? {} : {catchUp: catchUpWith(copy, events)}),
       },
       new StoreHealth('topic', events),
