Hold events until it is known which start of an endpoint sent them

Callers saw streams with events of two builds after an endpoint had started again under its identifier with another one: a host that stood still, or opened its connection before it read the list, went on there.

Cause: the build was that of the host's entry at the time of sending, unless a connection had been refused since. What tells is the process behind the connection: it has been running since the connection was opened, or since an older one was that was still open then. Events of a stream that goes on are held until the list was read after that time (0.5 s later if the endpoint had ended all connections), 1.5 s at most; endpoints with a proven open connection are preferred.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -14,8 +14,13 @@
 import type {RequestLifetime} from './request-lifetime.js';
 import type {RequestRecord} from './request-record.js';
 import {RelayResult, relayStream} from './stream-relay.js';
+import type {FirstRun} from './stream-origins/index.js';
 import type {BudgetRefusal} from './token-waiters.js';
 
+/** Longest time for which events wait for what tells which build sent them. */
+const MAXIMUM_CONFIRMATION_MILLISECONDS = 1_500;
+const CONFIRMATION_POLL_MILLISECONDS = 10;
+
 /** How an endpoint's answer ended for its request. */
 export enum AnswerResult {
   /** The request has ended. */
@@ -40,10 +45,16 @@
     private readonly suspects: SuspectRegistry,
   ) {}
 
-  /** Relays the answer that begins with `head`. */
+  /**
+   * Relays the answer that begins with `head`.
+   *
+   * @param isFromCopy Whether the run goes on from a copy, which an endpoint that has
+   *     started again no longer has.
+   */
   async relay(
     attempt: EndpointAttempt,
     head: AnswerHead,
+    isFromCopy: boolean,
   ): Promise<AnswerResult> {
     this.record.mayHaveRun = true;
     if (head.status < 300 && !head.endpointHeaders.hasProof) {
@@ -54,7 +65,7 @@
     const isStream =
       this.context.route.kind === RouteKind.Streaming && head.status === 200;
     return isStream
-      ? this.relayEventStream(attempt, head)
+      ? this.relayEventStream(attempt, head, isFromCopy)
       : this.relayBufferedAnswer(attempt, head);
   }
 
@@ -91,8 +102,9 @@
   private async relayEventStream(
     attempt: EndpointAttempt,
     head: AnswerHead,
+    isFromCopy: boolean,
   ): Promise<AnswerResult> {
-    const {exchange, breaker, monitor, endpoint, path, sentAt} = attempt;
+    const {exchange, breaker, monitor} = attempt;
     const {caller} = this.context;
     if (this.budget.isPromised) {
       // The wait for tokens is not the engine's.
@@ -120,10 +132,11 @@
       this.record,
       () => this.lifetime.now(),
       {
+        mayPassOn: () => isFromCopy || this.mayPassOn(attempt),
         firstEvent: () => {
           attempt.admission?.began(this.lifetime.now());
           // Kept for longer than the attempt, whose buffers must not be.
-          this.context.binding.bind({endpoint, path, sentAt});
+          this.context.binding.bind(runOf(attempt));
         },
         outlivedCrash: () => {
           this.suspects.requestAnswered(this.context.identity, this.record);
@@ -147,6 +160,31 @@
     return AnswerResult.Broken;
   }
 
+  private mayPassOn(attempt: EndpointAttempt): true | Promise<boolean> {
+    return (
+      this.context.binding.mayPassOn(runOf(attempt)) === true ||
+      this.confirm(attempt)
+    );
+  }
+
+  /** Resolves with whether a run is at the build that began the stream. */
+  private async confirm(attempt: EndpointAttempt): Promise<boolean> {
+    const {context, lifetime} = this;
+    const run = runOf(attempt);
+    const until = lifetime.now() + MAXIMUM_CONFIRMATION_MILLISECONDS;
+    let mayPassOn = context.binding.mayPassOn(run);
+    while (
+      mayPassOn === undefined &&
+      !lifetime.isAbandoned &&
+      !attempt.exchange.wasCancelled &&
+      lifetime.now() < until
+    ) {
+      await lifetime.sleep(CONFIRMATION_POLL_MILLISECONDS);
+      mayPassOn = context.binding.mayPassOn(run);
+    }
+    return mayPassOn === true && !attempt.exchange.wasCancelled;
+  }
+
   /**
    * Acquires the tokens reserved for this request; waits while other holders
    * may still provide them.
@@ -163,6 +201,10 @@
   }
 }
 
+function runOf({endpoint, path, exchange}: EndpointAttempt): FirstRun {
+  return {endpoint, path, openSince: exchange.openSince};
+}
+
 /**
  * Whether a body breaks off. The end of a connection doesn't show that an answer
  * without a length is complete; its content may show that it isn't.
--- a/packages/gateway/src/connect-observer.ts
+++ b/packages/gateway/src/connect-observer.ts
@@ -19,4 +19,7 @@
     startedAt: number,
     reason: string,
   ): void;
+
+  /** Records that an endpoint has ended the last connection to it, without notice. */
+  abstract connectionsLost(endpoint: EndpointEntry): void;
 }
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -140,10 +140,17 @@
       candidate =>
         !inNeed.some(({endpoint}) => endpoint === candidate.endpoint),
     );
-    const candidates = withoutColdEndpoints(admitted);
+    const warm = withoutColdEndpoints(admitted);
+    const candidates = binding.isBound
+      ? heldFirst(
+          warm,
+          ({endpoint}) =>
+            path.isHeld(endpoint) && !avoided.has(endpoint.entry.id),
+        )
+      : warm;
     this.lastWithheld = {
       cold: admitted.filter(({isCold}) => isCold).length,
-      withheld: admitted.length - candidates.length,
+      withheld: admitted.length - warm.length,
       inNeed,
     };
     const sharedParts =
@@ -379,3 +386,12 @@
     };
   }
 }
+
+/** The candidates that are held, if there are any, otherwise all. */
+function heldFirst(
+  candidates: readonly Candidate[],
+  isHeld: (candidate: Candidate) => boolean,
+): readonly Candidate[] {
+  const held = candidates.filter(isHeld);
+  return held.some(({isAvailable}) => isAvailable) ? held : candidates;
+}
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -9,6 +9,7 @@
 
 import type {ConnectObserver} from './connect-observer.js';
 import type {EndpointEntry} from './endpoint-entry.js';
+import {OpenConnections} from './open-connections.js';
 
 /**
  * Maximum idle time of a pooled connection that is used for a request that may
@@ -79,6 +80,11 @@
   readonly confirmEnd: (socket: Socket) => Promise<boolean> = () =>
     Promise.resolve(true);
 
+  /** Connections that were opened to endpoints directly. */
+  readonly open = new OpenConnections(endpoint => {
+    this.observer?.connectionsLost(endpoint);
+  });
+
   private readonly guards = new WeakMap<Socket, IdleGuard>();
   private meanConnectMilliseconds = 0;
   private readonly idleLimits = new WeakMap<Socket, number>();
@@ -133,6 +139,14 @@
     }
   }
 
+  /**
+   * Time since which what answers on a connection has been running, at the latest;
+   * monotonic clock, milliseconds.
+   */
+  openSince(socket: Socket): number {
+    return this.open.since(socket);
+  }
+
   /** Moving average of the time of successful connects, milliseconds. */
   get connectMilliseconds(): number {
     return this.meanConnectMilliseconds;
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -144,6 +144,12 @@
     return this.clock.monotonicMilliseconds() - this.currentAsOf;
   }
 
+  /** Whether the latest call for the list was answered, so that changes are read. */
+  get isReadable(): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    return this.health.unavailableMilliseconds(now) === 0;
+  }
+
   /** The endpoint with this identifier. */
   find(id: string): KnownEndpoint | undefined {
     return this.endpoints.get(id);
@@ -268,6 +274,11 @@
 
   override caughtUp(asOf: number): void {
     this.currentAsOf = asOf;
+    for (const [id, endpoint] of this.endpoints) {
+      if (!this.unlisted.has(id)) {
+        endpoint.wasListed(asOf);
+      }
+    }
   }
 
   /**
@@ -335,7 +346,9 @@
       return known;
     }
     if (known !== undefined) {
-      known.isReplacedByOther = !isSameOrigin(known.entry, entry);
+      const isEqual = isSameOrigin(known.entry, entry);
+      known.isReplacedByOther = !isEqual;
+      known.isReplacedByEqual = isEqual;
       this.forget(known);
     }
     const endpoint = new KnownEndpoint(
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -8,6 +8,7 @@
   type ClientRequest,
   type IncomingMessage,
 } from 'node:http';
+import type {Socket} from 'node:net';
 
 import type {Dialect, EndpointAnswerHeaders} from './dialect.js';
 import type {
@@ -115,6 +116,7 @@
   private isCancelled = false;
   private wasClosed = false;
   private origin = ConnectionOrigin.None;
+  private socket: Socket | undefined;
   private connectStartedAt: number | undefined;
   private wasDelayedByLink = false;
   private hasNoPath = false;
@@ -144,6 +146,7 @@
       this.endInput(breach);
     });
     this.outgoing.once('socket', socket => {
+      this.socket = socket;
       if (!socket.connecting) {
         this.origin = this.outgoing.reusedSocket
           ? ConnectionOrigin.Kept
@@ -159,6 +162,7 @@
       });
       socket.once('connect', () => {
         connections.recordConnect(endpoint, startedAt);
+        connections.open.opened(socket, endpoint);
         this.connectTimeout?.close();
         this.origin = ConnectionOrigin.New;
       });
@@ -179,6 +183,16 @@
     return this.origin;
   }
 
+  /**
+   * Time since which what answers has been running, at the latest; monotonic clock,
+   * milliseconds.
+   */
+  get openSince(): number {
+    return this.socket === undefined
+      ? performance.now()
+      : this.connections.openSince(this.socket);
+  }
+
   /** Resolves with the answer's head, or with the failure. */
   async head(): Promise<AnswerHead | ExchangeFailure> {
     const incoming = await this.firstResponse();
@@ -402,6 +416,16 @@
     }
   }
 
+  /** The end of a connection after a whole answer that announces it is no crash. */
+  private recordAnnouncedEnd({socket}: IncomingMessage): void {
+    const isAnnounced =
+      !this.outgoing.shouldKeepAlive &&
+      this.framing !== AnswerFraming.UntilClose;
+    if (isAnnounced) {
+      this.connections.open.endAnnounced(socket);
+    }
+  }
+
   private firstResponse(): Promise<IncomingMessage | undefined> {
     return new Promise(resolve => {
       this.abandonWait = () => {
@@ -411,6 +435,9 @@
         this.incoming = incoming;
         const keepAlive = String(incoming.headers['keep-alive'] ?? '');
         this.connections.recordKeepAlive(incoming.socket, keepAlive);
+        incoming.once('end', () => {
+          this.recordAnnouncedEnd(incoming);
+        });
         resolve(incoming);
       });
       this.outgoing.once('close', () => {
--- a/packages/gateway/src/endpoint-path.ts
+++ b/packages/gateway/src/endpoint-path.ts
@@ -38,6 +38,12 @@
     endpoint: KnownEndpoint,
     at: number,
   ): StreamOrigin | undefined;
+
+  /** Whether no reading of the list can change what answered over this path at a time. */
+  abstract isConfirmed(endpoint: KnownEndpoint, at: number): boolean;
+
+  /** Whether a connection to an endpoint is open for which it is known what answers. */
+  abstract isHeld(endpoint: KnownEndpoint): boolean;
 }
 
 /** The path by which this host itself connects to endpoints. */
@@ -54,6 +60,15 @@
   ): StreamOrigin | undefined {
     return endpoint.originAt(at);
   }
+
+  override isConfirmed(endpoint: KnownEndpoint, at: number): boolean {
+    return endpoint.isConfirmedAt(at);
+  }
+
+  override isHeld(endpoint: KnownEndpoint): boolean {
+    const since = this.connections.open.heldSince(endpoint.entry);
+    return since !== undefined && endpoint.isConfirmedAt(since);
+  }
 }
 
 /** A path through other hosts. */
@@ -71,4 +86,13 @@
   ): StreamOrigin | undefined {
     return endpoint.listedOriginAt(at);
   }
+
+  /** The relay goes by what it knows of the endpoint. */
+  override isConfirmed(): boolean {
+    return true;
+  }
+
+  override isHeld(): boolean {
+    return true;
+  }
 }
--- a/packages/gateway/src/known-endpoint.ts
+++ b/packages/gateway/src/known-endpoint.ts
@@ -8,6 +8,9 @@
 import type {EndpointEntry} from './endpoint-entry.js';
 import {StatedConditions} from './endpoint-statements/stated-conditions.js';
 
+/** Longest time from the start of an endpoint to its entry, milliseconds. */
+const ENTRY_MILLISECONDS = 500;
+
 /** An endpoint, and this host's observations of it. */
 export class KnownEndpoint {
   /** For connections that this host opens itself. */
@@ -29,10 +32,16 @@
 
   /** Whether the list has a start of the endpoint with another build in its place. */
   isReplacedByOther = false;
+  /** Whether the list has another start of the endpoint with its build in its place. */
+  isReplacedByEqual = false;
+  /** The list named this start of the endpoint at this time; monotonic clock, milliseconds. */
+  private listedAt = -Infinity;
   /** The endpoint was at work at this time; monotonic clock, milliseconds. */
   private aliveAt = -Infinity;
   /** When it was seen to have ended, after `aliveAt`. */
   private endedAt: number | undefined;
+  /** When it had ended all connections that this host had to it, after `aliveAt`. */
+  private lostAt: number | undefined;
 
   /** Whether it may be cold, after a start that the list may not tell of. */
   readonly warmth: EndpointWarmth;
@@ -72,6 +81,9 @@
     if (this.endedAt !== undefined && this.endedAt < at) {
       this.endedAt = undefined;
     }
+    if (this.lostAt !== undefined && this.lostAt < at) {
+      this.lostAt = undefined;
+    }
   }
 
   /**
@@ -82,12 +94,22 @@
     return this.aliveAt === -Infinity ? undefined : now - this.aliveAt;
   }
 
+  /** Records that the list named this start of the endpoint at a time. */
+  wasListed(at: number): void {
+    this.listedAt = Math.max(this.listedAt, at);
+  }
+
   /** Records that the endpoint's process was seen to have ended. */
   hasEnded(at: number): void {
     this.warmth.refused(at);
     this.endedAt ??= at;
   }
 
+  /** Records that the endpoint has ended all connections that this host had to it. */
+  connectionsLost(at: number): void {
+    this.lostAt ??= at;
+  }
+
   /**
    * What answered at the endpoint's address at a time. Undefined if it may have been
    * another build: this host had seen the endpoint end, and nothing shows that it
@@ -96,7 +118,23 @@
   originAt(at: number): StreamOrigin | undefined {
     const mayHaveEnded =
       at > this.aliveAt && this.endedAt !== undefined && this.endedAt <= at;
-    return mayHaveEnded ? undefined : this.listedOriginAt(at);
+    return mayHaveEnded && !this.isReplacedByEqual
+      ? undefined
+      : this.listedOriginAt(at);
+  }
+
+  /**
+   * Whether this start of the endpoint, or one with its build, answered at its address
+   * at a time: it has renewed its entry since, or the list, which was read since, names
+   * no other start. After the loss of all connections, another one may have just begun.
+   */
+  isConfirmedAt(at: number): boolean {
+    const mayHaveStartedAgain = this.lostAt !== undefined && this.lostAt <= at;
+    const entryTime = mayHaveStartedAgain ? ENTRY_MILLISECONDS : 0;
+    return (
+      this.isReplacedByEqual ||
+      at <= Math.max(this.aliveAt, this.listedAt - entryTime)
+    );
   }
 
   /**
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -103,6 +103,10 @@
     return undefined;
   }
 
+  override openSince(socket: Socket): number {
+    return this.tunnels.get(socket)?.openedAt ?? performance.now();
+  }
+
   /** Also closes a tunnel that is too old for further requests. */
   override keepSocketAlive(socket: Socket): boolean {
     const openedAt = this.tunnels.get(socket)?.openedAt ?? -Infinity;
--- a/packages/gateway/src/request-lifetime.ts
+++ b/packages/gateway/src/request-lifetime.ts
@@ -45,6 +45,11 @@
     this.hasPassed = true;
   }
 
+  /** Waits, at most until nothing should be awaited any more. */
+  sleep(milliseconds: number): Promise<void> {
+    return this.clock.sleep(milliseconds, this.waitSignal);
+  }
+
   /** Ends all waits, because the caller has left or the run is cut. */
   abortWaits(): void {
     this.wait.abort();
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -201,7 +201,11 @@
       this.recordAnswer(attempt, head);
       const result = isFailure(head)
         ? AnswerResult.Broken
-        : await this.answers.relay(attempt, head);
+        : await this.answers.relay(
+            attempt,
+            head,
+            this.continuation.isContinued,
+          );
       if (result === AnswerResult.Broken) {
         await this.continuation.settled(this.lifetime.waitSignal);
       }
--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -131,6 +131,10 @@
     }
   }
 
+  override connectionsLost({id}: EndpointEntry): void {
+    this.parts.directory.find(id)?.connectionsLost(this.now());
+  }
+
   private attempt({id}: EndpointEntry, startedAt: number) {
     return {endpoint: id, startedAt, endedAt: this.now()};
   }
--- a/packages/gateway/src/stream-origins/recent-runs.ts
+++ b/packages/gateway/src/stream-origins/recent-runs.ts
@@ -13,7 +13,7 @@
 /** Maximum number of runs at one endpoint; a lost store renews no entries. */
 const MAXIMUM_RUNS = 1_000;
 
-/** Runs that were sent after the latest entries of their endpoints were written. */
+/** Runs whose connections were opened after the latest entries of their endpoints were written. */
 export class RecentRuns {
   private readonly runs = new Map<string, RecentRun[]>();
 
@@ -27,11 +27,11 @@
     this.runs.set(incarnation, runs);
   }
 
-  /** Drops the runs that were sent while the endpoint was surely at work. */
+  /** Drops the runs whose connections were opened while the endpoint was surely at work. */
   confirm(incarnation: string, aliveAt: number): void {
     const left = this.runs
       .get(incarnation)
-      ?.filter(({run}) => run.sentAt > aliveAt);
+      ?.filter(({run}) => run.openSince > aliveAt);
     if (left === undefined || left.length === 0) {
       this.runs.delete(incarnation);
     } else {
--- a/packages/gateway/src/stream-origins/stream-binding.ts
+++ b/packages/gateway/src/stream-origins/stream-binding.ts
@@ -7,8 +7,11 @@
 export interface FirstRun {
   readonly endpoint: KnownEndpoint;
   readonly path: EndpointPath;
-  /** Monotonic clock, milliseconds. */
-  readonly sentAt: number;
+  /**
+   * Time since which what answers has been running, at the latest; monotonic clock,
+   * milliseconds.
+   */
+  readonly openSince: number;
 }
 
 /**
@@ -21,10 +24,12 @@
   /**
    * @param takenUp What began the stream, if the caller takes one up.
    * @param onFirstEvent Called with the first event of this request.
+   * @param isListReadable Whether the list of endpoints will tell of other starts.
    */
   constructor(
     private readonly takenUp: StreamOrigin | undefined,
     private readonly onFirstEvent: (run: FirstRun) => void,
+    private readonly isListReadable: () => boolean = () => true,
   ) {}
 
   /** Whether only endpoints of the build that began the stream may continue it. */
@@ -50,6 +55,27 @@
     return !this.isBound || this.fits(endpoint.listedOriginAt(now));
   }
 
+  /**
+   * Whether the events of a run may be passed on. Undefined if it is not known yet what
+   * runs there, or what began the stream.
+   */
+  mayPassOn(run: FirstRun): boolean | undefined {
+    if (!this.isBound) {
+      return true;
+    }
+    const {origin} = this;
+    const candidate = originOf(run);
+    if (origin === undefined || candidate === undefined) {
+      const unknown = candidate === undefined ? run : this.firstRun;
+      return unknown?.endpoint.isReplacedByOther === true ? false : undefined;
+    }
+    if (!isSameOrigin(origin, candidate)) {
+      return false;
+    }
+    const areConfirmed = isConfirmed(run) && isConfirmed(this.firstRun);
+    return areConfirmed || !this.isListReadable() ? true : undefined;
+  }
+
   private fits(candidate: StreamOrigin | undefined): boolean {
     const {origin} = this;
     return (
@@ -69,7 +95,11 @@
 export function originOf({
   endpoint,
   path,
-  sentAt,
+  openSince,
 }: FirstRun): StreamOrigin | undefined {
-  return path.originOf(endpoint, sentAt);
+  return path.originOf(endpoint, openSince);
+}
+
+function isConfirmed(run: FirstRun | undefined): boolean {
+  return run?.path.isConfirmed(run.endpoint, run.openSince) ?? true;
 }
--- a/packages/gateway/src/stream-origins/stream-starts.ts
+++ b/packages/gateway/src/stream-origins/stream-starts.ts
@@ -18,7 +18,7 @@
 } from '../local-reply.js';
 import {takeUpMilliseconds, type OriginWatch} from './origin-watch.js';
 import {servicesOfRoute} from './route-history.js';
-import {StreamBinding} from './stream-binding.js';
+import {StreamBinding, type FirstRun} from './stream-binding.js';
 import {streamDigest} from './stream-identity.js';
 import type {
   StreamOriginRegistry,
@@ -105,8 +105,8 @@
     deadlineAt: number,
     route: Route,
   ): StreamBinding {
-    const {registry, clock} = this.parts;
-    return new StreamBinding(origin, run => {
+    const {registry, clock, directory} = this.parts;
+    const onFirstEvent = (run: FirstRun) => {
       const request = requestOf(caller);
       if (!route.resumable || request.stream === '') {
         return;
@@ -118,7 +118,8 @@
       } else {
         registry.wentOn(request, origin, keptUntil);
       }
-    });
+    };
+    return new StreamBinding(origin, onFirstEvent, () => directory.isReadable);
   }
 
   private takeUp(origin: StreamOrigin | undefined, route: Route): TakeUp {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -24,6 +24,10 @@
 
 /** What is told of a stream while it is relayed. */
 export interface StreamListener {
+  /**
+   * Whether the endpoint's events may be passed on; a promise while that is not known.
+   */
+  mayPassOn(): true | Promise<boolean>;
   /** Called before the endpoint's first event is passed on; comments are no events. */
   firstEvent(): void;
   /** Called once the stream has gone on for longer than an endpoint that it crashes. */
@@ -51,7 +55,7 @@
 class StreamRelay {
   private readonly splitter = new EventStreamSplitter();
   private readonly limit = new EventLimit();
-  private isOutOfOrder = false;
+  private isCut = false;
   /** Whether an event, and not only comments, came from this endpoint. */
   private hasEvent = false;
   private hasOutlivedCrash = false;
@@ -69,21 +73,27 @@
    *     reads too slowly; undefined otherwise.
    */
   relay(chunk: Buffer): Promise<void> | undefined {
-    if (this.isOutOfOrder) {
+    if (this.isCut) {
       return undefined;
     }
     const events = this.splitter.push(chunk);
     const forwardable = eventsInOrder(events, this.record.lastEventId);
     if (forwardable.length < events.length) {
-      this.isOutOfOrder = true;
-      this.attempt.exchange.cancel('event out of order');
+      this.cut('event out of order');
     }
     this.limitEvent(events.length > 0);
-    return forwardable.length === 0 ? undefined : this.forward(forwardable);
+    if (forwardable.length === 0) {
+      return undefined;
+    }
+    const mayPassOn =
+      this.hasEvent || !forwardable.some(hasField) || this.listener.mayPassOn();
+    return mayPassOn === true
+      ? this.forward(forwardable)
+      : this.forwardIf(mayPassOn, forwardable);
   }
 
   get result(): RelayResult {
-    if (this.isOutOfOrder) {
+    if (this.isCut) {
       return RelayResult.Cut;
     }
     if (this.caller.disconnectSignal.aborted) {
@@ -105,6 +115,22 @@
     );
   }
 
+  private cut(reason: string): void {
+    this.isCut = true;
+    this.attempt.exchange.cancel(reason);
+  }
+
+  private async forwardIf(
+    mayPassOn: Promise<boolean>,
+    events: readonly StreamEvent[],
+  ): Promise<void> {
+    if (await mayPassOn) {
+      await this.forward(events);
+    } else if (!this.caller.disconnectSignal.aborted) {
+      this.cut('endpoint may run another build');
+    }
+  }
+
   private limitEvent(hasEvents: boolean): void {
     const {length} = this.splitter.incompleteEvent;
     const breach = this.limit.arrived(length, hasEvents, this.now());
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -263,7 +263,7 @@
     const keptUntil = sentAt + KEEP_MILLISECONDS;
     this.registry.began(
       {...REQUEST, stream},
-      {endpoint, path: PATH, sentAt},
+      {endpoint, path: PATH, openSince: sentAt},
       keptUntil,
     );
   }
