--- a/packages/decisions/src/origin-knowledge.ts
+++ b/packages/decisions/src/origin-knowledge.ts
@@ -14,37 +14,49 @@
   readonly isCurrent: boolean;
 }
 
-/**
- * Answers without a record from which on a list that is not current is enough: a
- * host that began a stream at another build would have told some of them.
- */
-const MINIMUM_STALE_ANSWERS = 3;
+/** What a host found out about a stream that its caller takes up. */
+export interface OriginEvidence {
+  /** What this host knows, once the others have answered. */
+  readonly own: OriginKnowledge;
+  /** What the other hosts answered. */
+  readonly answers: readonly OriginKnowledge[];
+  /**
+   * Whether this host has read every change of endpoints and routes that was written
+   * before the caller came.
+   */
+  readonly isUpToDate: boolean;
+}
 
 /**
  * Finds out what began a stream from what hosts know. Without a record, a stream has
  * a known origin only if one service and build alone can have begun it, and that has
  * been seen and not only not been seen otherwise.
  *
- * @param knowledge That of the host that decides and of all that answered it.
+ * Endpoints and routes say nothing of streams that began after they were read. Neither do
+ * other hosts that can't read them: another one that they don't reach, or don't know of,
+ * may have begun the stream.
+ *
  * @returns Undefined if the origin can't be known.
  * @example
  * ```ts
- * const origin = decideOrigin([own, ...answers]);
+ * const origin = decideOrigin({own, answers, isUpToDate: true});
  * ```
  */
-export function decideOrigin(
-  knowledge: readonly OriginKnowledge[],
-): StreamOrigin | undefined {
-  const recorded = knowledge.filter(({isRecorded}) => isRecorded);
+export function decideOrigin({
+  own,
+  answers,
+  isUpToDate,
+}: OriginEvidence): StreamOrigin | undefined {
+  const all = [own, ...answers];
+  const recorded = all.filter(({isRecorded}) => isRecorded);
   if (recorded.length > 0) {
     return onlyOne(recorded.map(({origin}) => origin));
   }
-  const isEnough =
-    knowledge.some(({hasWatched}) => hasWatched) &&
-    (knowledge.some(({hasWatched, isCurrent}) => hasWatched && isCurrent) ||
-      knowledge.length >= MINIMUM_STALE_ANSWERS);
-  return isEnough
-    ? onlyOne(knowledge.flatMap(({possible}) => possible))
+  const haveWatched =
+    own.hasWatched ||
+    answers.some(({hasWatched, isCurrent}) => hasWatched && isCurrent);
+  return isUpToDate && haveWatched
+    ? onlyOne(all.flatMap(({possible}) => possible))
     : undefined;
 }
 
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -11,6 +11,7 @@
 } from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import {ReadWaits} from './read-waits.js';
 import type {StoreHealth} from './store-health.js';
 import type {CopiedTopic, TopicCatchUp} from './topic-copies/index.js';
 
@@ -54,6 +55,8 @@
 
 /** A response that takes longer than this from its first byte on is logged. */
 const SLOW_RESPONSE_MILLISECONDS = 300;
+/** Shortest time between two reads; those who wait for one at a time share it. */
+const MINIMUM_INTERVAL_MILLISECONDS = 20;
 /** Pause before a failed call is repeated; a call to the store takes 4 ms. */
 const RETRY_INTERVAL_MILLISECONDS = 250;
 
@@ -70,6 +73,13 @@
   /** Whether the list of all keys has to be read, as changes are missing or were dropped. */
   private needsAllKeys = true;
   private readonly pending = new PendingRecords();
+  private readonly waits = new ReadWaits();
+  /** Ends the pause in progress. */
+  private pause = new AbortController();
+  /** When the latest read began; monotonic clock, milliseconds. */
+  private readAt = -Infinity;
+  /** Whether the read in progress waits for a record. */
+  private isLongPoll = false;
   private openRead: AbortController | undefined;
   /** The response that arrives, and when its first byte did. */
   private arriving:
@@ -104,6 +114,21 @@
       : {items: [...this.copy.values()], resumeOffset: this.position};
   }
 
+  /**
+   * Reads the topic without a pause, and without waiting for a record.
+   *
+   * @param maximumMilliseconds How long to wait for the read.
+   * @returns Whether every record was delivered that was written before this call.
+   */
+  readNow(maximumMilliseconds: number): Promise<boolean> {
+    const isRead = this.waits.next(maximumMilliseconds);
+    this.pause.abort();
+    if (this.isLongPoll && this.arriving === undefined) {
+      this.openRead?.abort();
+    }
+    return isRead;
+  }
+
   /** Follows the topic until the follower is closed. */
   async run(): Promise<void> {
     while (!this.stop.signal.aborted) {
@@ -125,11 +150,20 @@
   /** Stops after the call in progress. */
   close(): void {
     this.stop.abort();
+    this.pause.abort();
+    this.waits.close();
     this.options.catchUp?.close();
   }
 
   private async step(signal: AbortSignal): Promise<void> {
+    await this.spaceReads();
+    if (this.stop.signal.aborted) {
+      return;
+    }
     const requestedAt = this.clock.monotonicMilliseconds();
+    this.readAt = requestedAt;
+    const read = this.waits.readBegins();
+    this.isLongPoll = false;
     if (this.needsAllKeys) {
       const newest = await this.log.newest(
         this.options.partition,
@@ -138,18 +172,23 @@
       this.logSlowResponse(true);
       if (!signal.aborted) {
         this.replaceAll(newest);
-        this.reader.caughtUp(requestedAt, this.answeredAt);
+        this.caughtUp(requestedAt, read);
       }
       return;
     }
-    await this.readChanges(signal, requestedAt);
+    await this.readChanges(signal, requestedAt, read);
   }
 
   private async readChanges(
     signal: AbortSignal,
     requestedAt: number,
+    read: number,
   ): Promise<void> {
-    const {partition, waitMilliseconds, pauseMilliseconds} = this.options;
+    const {partition} = this.options;
+    const waitMilliseconds = this.waits.isEmpty
+      ? this.options.waitMilliseconds
+      : 0;
+    this.isLongPoll = waitMilliseconds > 0;
     const {offset, records, end} = await this.log.read(
       partition,
       this.position,
@@ -165,11 +204,36 @@
     });
     this.moveTo(offset + records.length, end);
     if (offset + records.length >= end) {
-      this.reader.caughtUp(requestedAt, this.answeredAt);
+      this.caughtUp(requestedAt, read);
     } else if (records.length > 0) {
       return;
     }
-    await this.clock.sleep(pauseMilliseconds, this.stop.signal);
+    await this.pauseReads();
+  }
+
+  private caughtUp(requestedAt: number, read: number): void {
+    this.reader.caughtUp(requestedAt, this.answeredAt);
+    this.waits.readEnded(read);
+  }
+
+  /** Pauses until someone waits for the next read. */
+  private async pauseReads(): Promise<void> {
+    this.pause = new AbortController();
+    if (this.waits.isEmpty) {
+      const {pauseMilliseconds} = this.options;
+      await this.clock.sleep(pauseMilliseconds, this.pause.signal);
+    }
+  }
+
+  /** Lets those who wait for a read at about the same time share it. */
+  private async spaceReads(): Promise<void> {
+    if (!this.waits.isEmpty) {
+      const elapsed = this.clock.monotonicMilliseconds() - this.readAt;
+      await this.clock.sleep(
+        MINIMUM_INTERVAL_MILLISECONDS - elapsed,
+        this.stop.signal,
+      );
+    }
   }
 
   private readOptions(signal: AbortSignal): ReadOptions {
@@ -270,7 +334,17 @@
       return;
     }
     this.keepCopy(record);
-    this.reader.changed(record);
+    try {
+      this.reader.changed(record);
+    } catch (error) {
+      // A read that failed here would meet the same record again, and never get past it.
+      this.events.error('record failed', {
+        topic: this.topic,
+        offset,
+        key: record.key,
+        reason: String(error),
+      });
+    }
   }
 
   private async recover(error: unknown): Promise<void> {
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -1,5 +1,7 @@
 import {
+  isSameOrigin,
   StreamOrigins,
+  type OriginEvidence,
   type OriginKnowledge,
   type OriginRecord,
   type StreamOrigin,
@@ -12,6 +14,7 @@
   StreamOriginQuery,
   StreamOriginRecord,
 } from '@wisteriadeal/schema';
+import {setTimeout as delay} from 'node:timers/promises';
 
 import type {EndpointDirectory} from '../endpoint-directory.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
@@ -32,7 +35,7 @@
 import {OriginSender} from './origin-sender.js';
 import {RecentRuns} from './recent-runs.js';
 import {originOf, type FirstRun} from './stream-binding.js';
-import type {OriginWatch, WatchedOrigins} from './origin-watch.js';
+import type {OriginWatch} from './origin-watch.js';
 import {
   StreamOriginHolder,
   type StreamOriginPeers,
@@ -52,6 +55,11 @@
   otherHosts(): readonly PeerHost[];
   /** Every change of the list of endpoints before this offset was read. */
   listPosition(): number;
+  /**
+   * Reads endpoints and routes. Resolves with whether every change is known that was
+   * written before the call.
+   */
+  readChanges(): Promise<boolean>;
 }
 
 /** Hosts that can be reached answer within this time. */
@@ -122,16 +130,32 @@
   }
 
   /** Resolves with what this host and others know of a stream. */
-  async find(request: StreamRequest): Promise<readonly OriginKnowledge[]> {
-    const own = this.knowledge(request);
-    if (own.isRecorded) {
-      return [own];
+  async find(request: StreamRequest): Promise<OriginEvidence> {
+    const known = this.knowledge(request);
+    if (known.isRecorded) {
+      return evidenceOf(known);
     }
+    const others = this.parts.otherHosts().map(({address}) => address);
     // Before a host has watched for long enough, any other may have served the stream.
-    const addresses = own.hasWatched
+    const asked = known.hasWatched
       ? this.recorderAddresses(request.stream)
-      : this.parts.otherHosts().map(({address}) => address);
-    return [own, ...(await this.ask(addresses, request, isKnownAlone(own)))];
+      : others;
+    const changes =
+      known.possible.length === 1
+        ? this.parts.readChanges()
+        : Promise.resolve(false);
+    const isKnownAlone = known.hasWatched ? changes : Promise.resolve(false);
+    const answers = await this.ask(asked, request, isKnownAlone);
+    const recorded = answers.find(({isRecorded}) => isRecorded);
+    if (recorded !== undefined) {
+      if (!isAmong(recorded.origin, known.possible)) {
+        // The list may not name the endpoints of that build yet.
+        await changes;
+      }
+      return evidenceOf(this.knowledge(request), answers);
+    }
+    const isUpToDate = await changes;
+    return {own: this.knowledge(request), answers, isUpToDate};
   }
 
   override receive(records: readonly StreamOriginRecord[]): void {
@@ -166,8 +190,15 @@
 
   private record(record: OriginRecord, {host, path}: StreamRequest): void {
     this.origins.record(record, this.now());
-    const {possible, hasWatched} = this.parts.watch.originsOf(host, path);
-    if (possible.length !== 1 || record.origin === undefined) {
+    const {possible, hasWatched, isCurrent} = this.parts.watch.originsOf(
+      host,
+      path,
+    );
+    if (!isCurrent) {
+      // While the store is lost, records alone can tell what began a stream.
+      this.tellUntold(undefined);
+    }
+    if (!isCurrent || possible.length !== 1 || record.origin === undefined) {
       void this.tell(record);
       return;
     }
@@ -201,12 +232,13 @@
   /**
    * Resolves when a host has a record, or all have answered or can't be reached.
    *
-   * @param isBrief Whether hosts that answer late are not waited for.
+   * @param isKnownAlone Resolves with whether this host needs no answer but a record;
+   *     those that answer late are not waited for then.
    */
   private async ask(
     addresses: readonly string[],
     {stream, host, path}: StreamRequest,
-    isBrief: boolean,
+    isKnownAlone: Promise<boolean>,
   ): Promise<readonly OriginKnowledge[]> {
     const query = {stream, requestHost: host, requestPath: path};
     const answers: OriginKnowledge[] = [];
@@ -228,9 +260,13 @@
       void Promise.all(asked).then(() => {
         resolve();
       });
-      if (isBrief) {
-        setTimeout(resolve, BRIEF_MILLISECONDS);
-      }
+      const brief = delay(BRIEF_MILLISECONDS);
+      void isKnownAlone.then(async isAlone => {
+        if (isAlone) {
+          await brief;
+          resolve();
+        }
+      });
     });
     return [...answers];
   }
@@ -316,11 +352,19 @@
   }
 }
 
-/** Whether a host's own view shows that only one service and build can begin streams. */
-function isKnownAlone({
-  possible,
-  hasWatched,
-  isCurrent,
-}: WatchedOrigins): boolean {
-  return possible.length === 1 && hasWatched && isCurrent;
+/** What is known with a record of the stream. */
+function evidenceOf(
+  own: OriginKnowledge,
+  answers: readonly OriginKnowledge[] = [],
+): OriginEvidence {
+  return {own, answers, isUpToDate: false};
+}
+
+function isAmong(
+  origin: StreamOrigin | undefined,
+  possible: readonly StreamOrigin[],
+): boolean {
+  return (
+    origin !== undefined && possible.some(other => isSameOrigin(origin, other))
+  );
 }
--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -54,12 +54,59 @@
   }
 }
 
+/** Holds the answer of the next read back until it is released. */
+class HeldLog extends MemoryPartitionedLog {
+  release: () => void = () => undefined;
+  private held: Promise<void> | undefined;
+
+  hold(): void {
+    this.held = new Promise(resolve => {
+      this.release = resolve;
+    });
+  }
+
+  override async read(
+    partition: Partition,
+    from: number,
+    waitMilliseconds: number,
+  ): Promise<RecordRange> {
+    const {held} = this;
+    this.held = undefined;
+    const range = await super.read(partition, from, waitMilliseconds);
+    await held;
+    return range;
+  }
+}
+
+/** Answers no read that waits for a record. */
+class SilentLog extends MemoryPartitionedLog {
+  override read(
+    partition: Partition,
+    from: number,
+    waitMilliseconds: number,
+    options?: ReadOptions,
+  ): Promise<RecordRange> {
+    return waitMilliseconds === 0
+      ? super.read(partition, from, 0)
+      : new Promise((_resolve, reject) => {
+          options?.signal?.addEventListener('abort', () => {
+            reject(new Error('given up'));
+          });
+        });
+  }
+}
+
 class KeyCollector extends KeyedTopicReader {
   readonly keys: string[] = [];
+  /** A key whose records it fails at. */
+  failingKey: string | undefined;
   readonly replacedKeys: string[] = [];
   caughtUpAt = -1;
 
   override changed({key}: KeyedRecord): void {
+    if (key === this.failingKey) {
+      throw new Error('failed');
+    }
     this.keys.push(key);
   }
 
@@ -126,6 +173,7 @@
   async function follow(
     log: MemoryPartitionedLog,
     copy?: NewestRecords,
+    waitMilliseconds = 0,
   ): Promise<void> {
     const events = EventLog.create(LogLevel.INFO, {}, () => undefined);
     follower = new KeyedTopicFollower(
@@ -133,7 +181,7 @@
       reader,
       {
         partition: PARTITION,
-        waitMilliseconds: 0,
+        waitMilliseconds,
         pauseMilliseconds: PAUSE_MILLISECONDS,
         ...(copy === undefined ? {} : {catchUp: catchUpWith(copy, events)}),
       },
@@ -156,6 +204,15 @@
     expect(reader.caughtUpAt).toBeGreaterThanOrEqual(1);
   });
 
+  it('reads on after a record at which the reader fails', async () => {
+    // Guards against one record after which a host follows no changes any more.
+    reader.failingKey = 'key-5';
+    await follow(new PagedLog(3));
+    await advance(PAUSE_MILLISECONDS);
+    expect(reader.keys).toHaveLength(19);
+    expect(reader.caughtUpAt).toBeGreaterThanOrEqual(1);
+  });
+
   it('pauses when all records are read and after an empty answer', async () => {
     // Guards against a host that calls the store without a pause.
     const log = new PagedLog(0);
@@ -166,6 +223,51 @@
     expect(reader.keys).toEqual([]);
   });
 
+  it('ends its pause for those who wait for a read, who share one', async () => {
+    // Guards against waits for a pause, and against a call to the store for each of them.
+    const log = new PagedLog(Infinity);
+    await follow(log);
+    log.reads = 0;
+    const waits = [1, 2, 3].map(() => follower.readNow(1_000));
+    await advance(PAUSE_MILLISECONDS / 10);
+    expect(await Promise.all(waits)).toEqual([true, true, true]);
+    expect(reader.keys).toHaveLength(20);
+    expect(log.reads).toBe(1);
+  });
+
+  it('does not take a read that began before for the one that was asked for', async () => {
+    // Guards against answers that tell less than their time of arrival suggests.
+    const log = new HeldLog();
+    await follow(log);
+    log.hold();
+    await advance(PAUSE_MILLISECONDS);
+    await log.put(PARTITION, 'late', Buffer.from('value'));
+    const wait = follower.readNow(1_000);
+    log.release();
+    await advance(PAUSE_MILLISECONDS / 10);
+    expect(await wait).toBe(true);
+    expect(reader.keys).toContain('late');
+  });
+
+  it('gives up a read that waits for a record for one that is asked for', async () => {
+    // Guards against a wait for changes that were delivered long ago.
+    await follow(new SilentLog(), undefined, 1_000);
+    const wait = follower.readNow(1_000);
+    await advance(PAUSE_MILLISECONDS / 10);
+    expect(await wait).toBe(true);
+    expect(reader.keys).toHaveLength(20);
+  });
+
+  it('tells those who wait for a read that it did not come in time', async () => {
+    // Guards against requests that wait for a store that does not answer.
+    const log = new HeldLog();
+    await follow(log);
+    log.hold();
+    await advance(PAUSE_MILLISECONDS);
+    expect(await follower.readNow(10)).toBe(false);
+    log.release();
+  });
+
   it.each([
     {name: 'an older one', resumeOffset: 4, isTaken: false},
     {name: 'a newer one', resumeOffset: 30, isTaken: true},
