Read the list at once while events are held

What callers would see: a pause of up to 0.4 s in a stream that goes on at an endpoint to which its host has no proven connection, as the list is read once in that time.

The read is the one that take-ups wait for, so that requests share it. It costs a call only where events are held.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -43,6 +43,7 @@
     private readonly completion: RequestCompletion,
     private readonly lifetime: RequestLifetime,
     private readonly suspects: SuspectRegistry,
+    private readonly readList: () => Promise<boolean>,
   ) {}
 
   /**
@@ -173,6 +174,9 @@
     const run = runOf(attempt);
     const until = lifetime.now() + MAXIMUM_CONFIRMATION_MILLISECONDS;
     let mayPassOn = context.binding.mayPassOn(run);
+    if (mayPassOn === undefined) {
+      void this.readList();
+    }
     while (
       mayPassOn === undefined &&
       !lifetime.isAbandoned &&
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -105,7 +105,7 @@
  * healthy.
  */
 const START_GATE_TIMEOUT_MILLISECONDS = 400;
-/** A caller that takes a stream up waits at most this long for what has changed. */
+/** Requests wait at most this long for what has changed in the store. */
 const CHANGES_READ_MILLISECONDS = 800;
 
 /** The gateway process of an entry host. */
@@ -560,11 +560,15 @@
     return sharedReadInterval(this.budgets.holderCount);
   }
 
+  private get changesReadLimit(): number {
+    return CHANGES_READ_MILLISECONDS + this.link.delayMilliseconds;
+  }
+
   private async readChanges(): Promise<boolean> {
-    const maximum = CHANGES_READ_MILLISECONDS + this.link.delayMilliseconds;
+    const limit = this.changesReadLimit;
     const areRead = await Promise.all([
-      this.endpointFollower.readNow(maximum),
-      this.configurationFollower.readNow(maximum),
+      this.endpointFollower.readNow(limit),
+      this.configurationFollower.readNow(limit),
     ]);
     return areRead.every(isRead => isRead);
   }
@@ -622,6 +626,7 @@
           gatewayLimits(settings).endpointDrainMilliseconds,
         ),
         hostCount: () => this.budgets.holderCount,
+        readList: () => this.endpointFollower.readNow(this.changesReadLimit),
       },
       gatewayLimits(settings).resends,
       undeliveredCharge(settings),
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -66,6 +66,8 @@
   readonly leavings: EndpointLeavings;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
+  /** Reads the list of endpoints at once. */
+  readList(): Promise<boolean>;
 }
 
 /** Time in which a host finds out whether it has lost its paths to a service. */
@@ -126,6 +128,7 @@
       completion,
       lifetime,
       parts.suspects,
+      () => parts.readList(),
     );
   }
 
