Begin a read in the turn in which the one before ended

Cause, by the code: the test looks at the first read of changes right after its host is ready. The follower awaited the space between reads also where nobody asks for any, so that this read began some turns later.

--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -159,9 +159,11 @@
   }
 
   private async step(signal: AbortSignal): Promise<void> {
-    await this.spaceReads();
-    if (this.stop.signal.aborted) {
-      return;
+    if (!this.waits.isEmpty) {
+      await this.spaceReads();
+      if (this.stop.signal.aborted) {
+        return;
+      }
     }
     const requestedAt = this.clock.monotonicMilliseconds();
     this.readAt = requestedAt;
@@ -230,13 +232,11 @@
 
   /** Lets those who wait for a read at about the same time share it. */
   private async spaceReads(): Promise<void> {
-    if (!this.waits.isEmpty) {
-      const elapsed = this.clock.monotonicMilliseconds() - this.readAt;
-      await this.clock.sleep(
-        this.options.sharedReadMilliseconds() - elapsed,
-        this.stop.signal,
-      );
-    }
+    const elapsed = this.clock.monotonicMilliseconds() - this.readAt;
+    await this.clock.sleep(
+      this.options.sharedReadMilliseconds() - elapsed,
+      this.stop.signal,
+    );
   }
 
   private readOptions(signal: AbortSignal): ReadOptions {
