--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -142,10 +142,11 @@
     );
     const warm = withoutColdEndpoints(admitted);
     const candidates = binding.isBound
-      ? heldFirst(
+      ? provenFirst(
           warm,
           ({endpoint}) =>
-            path.isHeld(endpoint) && !avoided.has(endpoint.entry.id),
+            path.hasProvenConnection(endpoint) &&
+            !avoided.has(endpoint.entry.id),
         )
       : warm;
     this.lastWithheld = {
@@ -387,11 +388,11 @@
   }
 }
 
-/** The candidates that are held, if there are any, otherwise all. */
-function heldFirst(
+/** The candidates with a proven connection, if one of them is available, otherwise all. */
+function provenFirst(
   candidates: readonly Candidate[],
-  isHeld: (candidate: Candidate) => boolean,
+  hasProvenConnection: (candidate: Candidate) => boolean,
 ): readonly Candidate[] {
-  const held = candidates.filter(isHeld);
-  return held.some(({isAvailable}) => isAvailable) ? held : candidates;
+  const proven = candidates.filter(hasProvenConnection);
+  return proven.some(({isAvailable}) => isAvailable) ? proven : candidates;
 }
--- a/packages/gateway/src/endpoint-path.ts
+++ b/packages/gateway/src/endpoint-path.ts
@@ -43,7 +43,7 @@
   abstract isConfirmed(endpoint: KnownEndpoint, at: number): boolean;
 
   /** Whether a connection to an endpoint is open for which it is known what answers. */
-  abstract isHeld(endpoint: KnownEndpoint): boolean;
+  abstract hasProvenConnection(endpoint: KnownEndpoint): boolean;
 }
 
 /** The path by which this host itself connects to endpoints. */
@@ -65,8 +65,8 @@
     return endpoint.isConfirmedAt(at);
   }
 
-  override isHeld(endpoint: KnownEndpoint): boolean {
-    const since = this.connections.open.heldSince(endpoint.entry);
+  override hasProvenConnection(endpoint: KnownEndpoint): boolean {
+    const since = this.connections.open.runningProcessSince(endpoint.entry);
     return since !== undefined && endpoint.isConfirmedAt(since);
   }
 }
@@ -92,7 +92,7 @@
     return true;
   }
 
-  override isHeld(): boolean {
+  override hasProvenConnection(): boolean {
     return true;
   }
 }
--- a/packages/gateway/src/open-connections.ts
+++ b/packages/gateway/src/open-connections.ts
@@ -46,7 +46,7 @@
    * Time since which the process that holds the open connections to an endpoint has been
    * running, at the latest; monotonic clock, milliseconds. Undefined if none is open.
    */
-  heldSince(endpoint: EndpointEntry): number | undefined {
+  runningProcessSince(endpoint: EndpointEntry): number | undefined {
     const open = this.sockets.get(keyOf(endpoint));
     return open && Math.min(...[...open].map(socket => this.since(socket)));
   }
@@ -54,7 +54,7 @@
   private follow(socket: Socket, endpoint: EndpointEntry): void {
     const key = keyOf(endpoint);
     const open = this.sockets.get(key) ?? new Set();
-    const since = this.heldSince(endpoint) ?? performance.now();
+    const since = this.runningProcessSince(endpoint) ?? performance.now();
     this.runningSince.set(socket, since);
     this.sockets.set(key, open.add(socket));
     const closed = (isEndedByEndpoint: boolean) => {
--- a/packages/gateway/src/test/open-connections_test.ts
+++ b/packages/gateway/src/test/open-connections_test.ts
@@ -68,7 +68,7 @@
     accepted[0]?.end();
     await closed(ended);
     expect(lost).toBe(1);
-    expect(open.heldSince(endpoint)).toBe(undefined);
+    expect(open.runningProcessSince(endpoint)).toBe(undefined);
     const reset = await openConnection();
     accepted[1]?.resetAndDestroy();
     await closed(reset);
@@ -81,10 +81,10 @@
     const second = await openConnection();
     accepted[0]?.resetAndDestroy();
     await closed(first);
-    expect(open.heldSince(endpoint)).toBe(open.since(second));
+    expect(open.runningProcessSince(endpoint)).toBe(open.since(second));
     second.destroy();
     await closed(second);
-    expect(open.heldSince(endpoint)).toBe(undefined);
+    expect(open.runningProcessSince(endpoint)).toBe(undefined);
     const announced = await openConnection();
     open.endAnnounced(announced);
     accepted[2]?.end();
