Tell one host of streams while the list is old

Cause, in part: since a host whose list is over 2 s old told three others of each stream.

Why it works: one host is told, the same for all streams, so that one message holds several, as by hosts that have not watched for long enough. A host that can't read the list asks all others, so that it finds the record.

Evidence: the tests of a store that is lost for all, and of hosts that vouch for each other, pass as before.

--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -87,6 +87,8 @@
   private readonly sender: OriginSender;
   /** The host that took the latest record of those that one host is told. */
   private toldHost: string | undefined;
+  /** Whether the list was current when the latest stream was recorded. */
+  private wasListCurrent = true;
 
   constructor(private readonly parts: StreamOriginRegistryParts) {
     super();
@@ -153,7 +155,17 @@
       return evidenceOf(this.knowledge(request), answers);
     }
     const isUpToDate = await changes;
-    return {own: this.knowledge(request), answers, isUpToDate};
+    // Streams that began while the store was lost are told to one host, which may be any.
+    const notAsked =
+      isUpToDate || known.possible.length !== 1
+        ? []
+        : others.filter(address => !asked.includes(address));
+    const more = await this.ask(notAsked, request, Promise.resolve(false));
+    return {
+      own: this.knowledge(request),
+      answers: [...answers, ...more],
+      isUpToDate,
+    };
   }
 
   /** Reads the list if it may not have the endpoints of a recorded origin yet. */
@@ -205,16 +217,19 @@
       host,
       path,
     );
-    if (!isCurrent) {
-      // While the store is lost, records alone can tell what began a stream.
-      this.tellUntold(undefined);
-    }
-    if (!isCurrent || possible.length !== 1 || record.origin === undefined) {
+    if (possible.length !== 1 || record.origin === undefined) {
       void this.tell(record);
       return;
     }
+    // While the store is lost, records alone can tell what began a stream.
+    if (this.wasListCurrent && !isCurrent) {
+      for (const untold of this.untold.values()) {
+        void this.tellOne(untold);
+      }
+    }
+    this.wasListCurrent = isCurrent;
     this.keepUntold(record);
-    if (!hasWatched) {
+    if (!hasWatched || !isCurrent) {
       void this.tellOne(record);
     }
   }
