Give names back that a rename had changed in files of others

What a reader saw: the name of a proven connection in the speed of services (whether a prompt part was held), in a replay of admission and in a test of the keeper (whether a request was held back).

Found when the whole change was read once more.

No behaviour changes; their tests, types, lint and format pass.

--- a/packages/decisions/src/balancing/service-speed.ts
+++ b/packages/decisions/src/balancing/service-speed.ts
@@ -75,8 +75,8 @@
   }
 
   /** Records whether a part was in the cache of its home, by the time of the answer. */
-  partObserved(hasProvenConnection: boolean, now: number): void {
-    this.heldParts.observe(hasProvenConnection ? 1 : 0, 1, now);
+  partObserved(isHeld: boolean, now: number): void {
+    this.heldParts.observe(isHeld ? 1 : 0, 1, now);
   }
 
   /** Records by how much an endpoint exceeded the times without waiting. */
--- a/packages/decisions/src/test/admission-replay.ts
+++ b/packages/decisions/src/test/admission-replay.ts
@@ -200,8 +200,8 @@
       const dueAt = at + objectiveMilliseconds;
       this.returns.push({...request, arrivedAt: at, dueAt, isReturning: true});
     } else {
-      const hasProvenConnection = now - arrivedAt > objectiveMilliseconds / 4;
-      this.count(request, hasProvenConnection ? 'held' : 'refused');
+      const isHeld = now - arrivedAt > objectiveMilliseconds / 4;
+      this.count(request, isHeld ? 'held' : 'refused');
     }
   }
 
--- a/packages/keeper/src/test/abandon-order_test.ts
+++ b/packages/keeper/src/test/abandon-order_test.ts
@@ -31,7 +31,7 @@
 
 interface HeldReservation {
   /** Whether the reservation was made and is held back. */
-  readonly hasProvenConnection: () => boolean;
+  readonly isHeld: () => boolean;
   /** Sends the reservation, and waits for the witness to acknowledge it. */
   readonly release: () => Promise<void>;
   /** Ends the reservation as unconfirmed; it is not sent. */
@@ -77,16 +77,16 @@
   }
   const send = link.send.bind(link);
   const ended = new EventEmitter();
-  let hasProvenConnection = false;
+  let isHeld = false;
   let decide: (isSent: boolean) => void = () => undefined;
   const decision = new Promise<boolean>(resolve => {
     decide = resolve;
   });
   vi.spyOn(link, 'send').mockImplementation(async (change: BookChange) => {
-    if (hasProvenConnection || change.kind.case !== 'reserved') {
+    if (isHeld || change.kind.case !== 'reserved') {
       return send(change);
     }
-    hasProvenConnection = true;
+    isHeld = true;
     const answer = (await decision)
       ? await send(change)
       : Acknowledgement.Unconfirmed;
@@ -99,7 +99,7 @@
     await isEnded;
   };
   return {
-    hasProvenConnection: () => hasProvenConnection,
+    isHeld: () => isHeld,
     release: () => end(true),
     fail: () => end(false),
   };
@@ -183,7 +183,7 @@
     const router = fleet.router(holder);
     const held = holdFirstReservation(holder);
     void router.begin('r1', 100, {beginNumber: 7});
-    await waitUntil(held.hasProvenConnection);
+    await waitUntil(held.isHeld);
     abandon(router, 'r1', {lostBegins: [7]});
     await waitUntilRead(router);
     await held.release();
@@ -202,7 +202,7 @@
     const lostRouter = fleet.router(holder);
     const bound = openSecondGrant(holder);
     void lostRouter.begin('r1', bound, {beginNumber: 1});
-    await waitUntil(held.hasProvenConnection);
+    await waitUntil(held.isHeld);
     lostRouter.kill();
     const {sessions} = holder.parts;
     await waitUntil(() => !sessions.hasSession(lostRouter.incarnation));
@@ -228,7 +228,7 @@
     const router = fleet.router(holder);
     const bound = openSecondGrant(holder);
     void router.begin('r1', bound, {beginNumber: 1});
-    await waitUntil(held.hasProvenConnection);
+    await waitUntil(held.isHeld);
     abandon(router, 'r1', {lostBegins: [1]});
     const answer = await router.begin('r1', bound, {beginNumber: 2});
     expect(answer.verdict).toBe(BeginVerdict.RESERVED);
