Name the requests that a graceful stop cuts, and what they wait for

A request that waits for tokens, for its body or for other hosts looked like one at an endpoint.

Each request that was read is now in one register until nothing more can be sent to its caller, with its stage. The lines of a stop count the stages; at the cut and at the end each open request has a line with its identifier, stage, age, and whether it was sent to an endpoint.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -8,6 +8,7 @@
   type EndpointExchange,
 } from './endpoint-exchange.js';
 import {endsInsideJson, isJsonType} from './json-ending.js';
+import {RequestStage} from './open-requests/index.js';
 import type {RequestBudget} from './request-budget.js';
 import type {RequestCompletion} from './request-completion.js';
 import type {RequestContext} from './request-context.js';
@@ -195,6 +196,7 @@
    */
   private acquireTokens(): Promise<BudgetRefusal | undefined> {
     const {lifetime} = this;
+    this.context.caller.progress.stage = RequestStage.Tokens;
     return this.budget.acquireTokens(
       {
         milliseconds: Math.max(0, lifetime.remaining()),
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -4,6 +4,7 @@
 import type {CallerHeaders, Dialect} from './dialect.js';
 import {nextEventLoopTurn} from './event-loop.js';
 import type {LocalReply} from './local-reply.js';
+import {RequestProgress} from './open-requests/request-progress.js';
 
 /** Two spaces, `HTTP/1.1` and a line end of the request line. */
 const REQUEST_LINE_OVERHEAD_BYTES = 12;
@@ -25,6 +26,8 @@
 
 /** One request of a caller, and the means to answer it. */
 export class CallerExchange {
+  /** How far the request has come. */
+  readonly progress = new RequestProgress();
   private readonly disconnect = new AbortController();
   private parsed: CallerHeaders | undefined;
   private turnsSinceRead = 0;
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -15,15 +15,14 @@
 import type {ListenAddress} from './listening.js';
 import {LoadReport} from './load-report.js';
 import {EventLoopMonitor} from './event-loop-monitor.js';
+import type {OpenRequests} from './open-requests/index.js';
 import type {RequestHandler} from './request-handler.js';
 import type {StartGate} from './start-gate.js';
 
 /** Serves callers' requests and controls their connections. */
 export class CallerServer {
   private isStopping = false;
-  private openCount = 0;
   private acceptedCount = 0;
-  private onIdle: (() => void) | undefined;
   private readonly report: LoadReport;
   private readonly loopMonitor: EventLoopMonitor;
   private readonly arrivals: ArrivalQueue;
@@ -35,6 +34,7 @@
     private readonly listener: CallerListener,
     private readonly dialect: Dialect,
     private readonly handler: RequestHandler,
+    private readonly requests: OpenRequests,
     private readonly gate: StartGate,
     private readonly rotation: HostRotation,
     private readonly metrics: GatewayMetrics,
@@ -75,7 +75,21 @@
 
   /** Number of requests that have not ended. */
   get openRequests(): number {
-    return this.openCount;
+    return this.requests.count;
+  }
+
+  /** Number of open requests at each stage that has any. */
+  get openStages(): string {
+    return this.requests.stages;
+  }
+
+  /**
+   * Logs each open request.
+   *
+   * @param step The step of a graceful stop at which they are open.
+   */
+  logOpenRequests(step: string): void {
+    this.requests.logOpen(step);
   }
 
   /** Number of connections accepted since the start. */
@@ -128,12 +142,8 @@
   }
 
   /** Resolves when no request is open; new requests are still accepted. */
-  async idle(): Promise<void> {
-    if (this.openCount > 0) {
-      await new Promise<void>(resolve => {
-        this.onIdle = resolve;
-      });
-    }
+  idle(): Promise<void> {
+    return this.requests.idle();
   }
 
   /**
@@ -173,10 +183,10 @@
     if (this.isStopping) {
       caller.disableKeepAlive();
     }
-    this.openCount++;
+    this.requests.add(caller);
     caller.setCloseListener(() => {
       this.arrivals.requestEnded(caller);
-      this.requestEnded();
+      this.requests.remove(caller);
     });
     if (this.gate.isOpen) {
       this.enqueue(caller, isFirst);
@@ -213,13 +223,6 @@
     this.metrics.observeUnreadWait(unseenMilliseconds);
     this.report.requestRead(unseenMilliseconds);
     const now = this.clock.monotonicMilliseconds();
-    this.report.logIfDue(now, this.openCount, this.loopMonitor.reading);
-  }
-
-  private requestEnded(): void {
-    this.openCount--;
-    if (this.openCount === 0) {
-      this.onIdle?.();
-    }
+    this.report.logIfDue(now, this.requests.count, this.loopMonitor.reading);
   }
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -46,6 +46,7 @@
 import type {HostTraffic} from './host-traffic.js';
 import {LinkMonitor} from './link-monitor.js';
 import {listenAddress} from './listening.js';
+import {OpenRequests} from './open-requests/index.js';
 import {ConnectLoanPeers} from './loan-peers.js';
 import {LoopLag} from './loop-lag.js';
 import {PeerServer} from './peer-server.js';
@@ -117,6 +118,7 @@
   private readonly directory: EndpointDirectory;
   private readonly budgets: BudgetHolder;
   private readonly bills: BillWriter;
+  private readonly requests: OpenRequests;
   private readonly handler: RequestHandler;
   private readonly callers: CallerServer;
   private readonly status: StatusServer;
@@ -199,11 +201,13 @@
       this.suspects.endpointLived(incarnation, writtenAfter);
     });
     this.bills = new BillWriter(settings.host, log, clock, events);
+    this.requests = new OpenRequests(clock, events);
     this.handler = this.createHandler();
     this.callers = new CallerServer(
       parts.callerListener,
       dialect,
       this.handler,
+      this.requests,
       this.gate,
       this.rotation,
       this.metrics,
--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -91,6 +91,9 @@
     await this.waitUntil(this.endAt, handler.settled());
     await this.waitUntil(this.endAt, bills.close());
     await this.waitUntil(this.endAt, budgets.checkpointEnd());
+    if (callers.openRequests > 0) {
+      callers.logOpenRequests('end');
+    }
     this.logStep('stopped');
     stopEnded.abort();
   }
@@ -114,6 +117,7 @@
   private async cutRequestsAtDeadline(stopEnded: AbortSignal): Promise<void> {
     await this.sleepUntil(this.cutAt, stopEnded);
     if (!stopEnded.aborted) {
+      this.parts.callers.logOpenRequests('cut');
       this.parts.handler.cutRunning();
     }
   }
@@ -143,6 +147,7 @@
     events.info(event, {
       afterMilliseconds: Math.round(this.now() - this.stopRequestedAt),
       requests: callers.openRequests,
+      stages: callers.openStages,
       tunnels: tunnels.openTunnels,
       ...callers.connectionCounts,
     });
--- /dev/null
+++ b/packages/gateway/src/open-requests/index.ts
@@ -0,0 +1,2 @@
+export {OpenRequests} from './open-requests.js';
+export {RequestProgress, RequestStage} from './request-progress.js';
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -31,6 +31,7 @@
   type LocalReply,
 } from './local-reply.js';
 import {refuseWithoutConfiguration, withoutDenial} from './no-configuration.js';
+import {RequestStage} from './open-requests/index.js';
 import {RequestBudget} from './request-budget.js';
 import {maximumTokens, type RequestContext} from './request-context.js';
 import {RequestIdentity} from './crashes/index.js';
@@ -218,9 +219,12 @@
       caller.disableKeepAlive();
       return failureReply(431, LocalReplyReason.HeadersTooLarge);
     }
+    const {progress} = caller;
+    progress.stage = RequestStage.Body;
     const body = await caller.readBody(configuration.limits.bodyBytes);
     await caller.waitForCloseDetection();
     const route = findRoute(configuration, caller.headers.host, caller.path);
+    progress.stage = RequestStage.TakeUp;
     const takenUp = await this.streams.find(caller, route);
     if (caller.disconnectSignal.aborted) {
       record.outcome = 'caller-left';
@@ -256,8 +260,9 @@
     context: RequestContext,
     record: RequestRecord,
   ): Promise<LocalReply | undefined> {
-    const {identity, service} = context;
+    const {caller, identity, service} = context;
     const {suspects, directory} = this.parts;
+    caller.progress.stage = RequestStage.Suspects;
     const decision = await suspects.admit(
       identity,
       () => directory.openEndpoints(service.name).length > 1,
@@ -339,6 +344,7 @@
     // Settings may change while the request runs; it keeps the charge it
     // started with.
     const charge = this.undeliveredCharge;
+    caller.progress.stage = RequestStage.Tokens;
     const reserved = await this.budgets.reservations.reserve(
       organisation?.name ?? '',
       {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -39,6 +39,7 @@
 import {inputLog} from './input-limits/index.js';
 import type {KnownEndpoint} from './known-endpoint.js';
 import {LocalReplyReason} from './local-reply.js';
+import {RequestStage} from './open-requests/index.js';
 import type {RequestBudget} from './request-budget.js';
 import {RequestCompletion} from './request-completion.js';
 import {isRepeatable, type RequestContext} from './request-context.js';
@@ -145,6 +146,7 @@
       this.lifetime.timeOut();
       this.current?.cancel('deadline');
     });
+    caller.progress.stage = RequestStage.Admission;
     try {
       const refusal = await this.parts.admissions.admit(
         this.context,
@@ -175,6 +177,7 @@
 
   private async attempt(): Promise<NextStep> {
     const {context, retries} = this;
+    context.caller.progress.stage = RequestStage.Placement;
     const chosen =
       this.continuation.takeNext() ??
       this.chooser.choose(context, retries.avoided) ??
@@ -272,6 +275,7 @@
     const {retries, lifetime, context, parts} = this;
     retries.attemptBegins(endpoint.entry.id, path);
     const sentAt = lifetime.now();
+    context.caller.progress.attemptBegins();
     parts.placement
       .popularityOf(context.service.name)
       .record(context.caller.headers.promptParts.at(-2)?.id, sentAt);
