End responses of the store that have no end

What callers saw: nothing yet; a store that sends without end takes up the host's memory or its event loop, and with it all requests.

Cause: a response might have 32 MiB, in pieces of any size, and any number of 1xx responses before it. A chunk of one byte is a piece of its own, which takes time and some 100 bytes.

Why it works: 4 MiB for a body (the largest page takes 1.4 MB, a read 256 KiB and one record), 16,384 pieces, 16 1xx responses. The call fails as any lost one, and its connection is closed.

--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -61,7 +61,14 @@
  */
 const PROGRESS_BYTES = 16_384;
 /** Maximum size of a body, which is held in memory; the store's are below 2 MB. */
-const MAXIMUM_BODY_BYTES = 33_554_432;
+const MAXIMUM_BODY_BYTES = 4_194_304;
+/**
+ * Maximum number of pieces in which a body arrives. Each chunk of a chunked body is one,
+ * however small, and takes time and memory of its own.
+ */
+const MAXIMUM_BODY_PIECES = 16_384;
+/** Maximum number of 1xx responses before a response. */
+const MAXIMUM_INFORMATIONAL_RESPONSES = 16;
 
 /** What did not come before a call's timeout. */
 export enum MissingPart {
@@ -281,6 +288,12 @@
       }
     });
     outgoing.on('error', fail);
+    let informationalResponses = 0;
+    outgoing.on('information', () => {
+      if (++informationalResponses > MAXIMUM_INFORMATIONAL_RESPONSES) {
+        fail(new Error('too many 1xx responses'));
+      }
+    });
     outgoing.once('response', incoming => {
       if (isInterruptedHead(incoming)) {
         fail(new Error(INTERRUPTED_HEAD));
@@ -290,8 +303,8 @@
       const body = new ResponseBody(incoming);
       incoming.on('data', (chunk: Buffer) => {
         body.add(chunk);
-        if (body.receivedBytes > MAXIMUM_BODY_BYTES) {
-          fail(new Error(`more than ${MAXIMUM_BODY_BYTES} bytes received`));
+        if (body.isTooLarge) {
+          fail(new Error(`body too large after ${body.receivedBytes} bytes`));
           return;
         }
         callTimeouts.onBody(chunk.length);
@@ -318,6 +331,14 @@
     return this.byteCount;
   }
 
+  /** Whether it has more bytes, or came in more pieces, than a peer's body may. */
+  get isTooLarge(): boolean {
+    return (
+      this.byteCount > MAXIMUM_BODY_BYTES ||
+      this.chunks.length > MAXIMUM_BODY_PIECES
+    );
+  }
+
   get bytes(): Buffer {
     return Buffer.concat(this.chunks);
   }
--- a/packages/platform/src/test/http-client_test.ts
+++ b/packages/platform/src/test/http-client_test.ts
@@ -189,6 +189,47 @@
     expect(performance.now() - startedAt).toBeLessThan(3 * CALL.timeouts.total);
   });
 
+  it.each([
+    {
+      name: 'a body of large pieces',
+      head: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+      piece: `4000\r\n${'x'.repeat(16_384)}\r\n`,
+    },
+    {
+      name: 'a body of tiny pieces',
+      head: 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n',
+      piece: '1\r\nx\r\n'.repeat(1_000),
+    },
+    {
+      name: '1xx responses',
+      head: '',
+      piece: 'HTTP/1.1 102 Processing\r\n\r\n'.repeat(100),
+    },
+  ])('ends a response without end: $name', async ({head, piece}) => {
+    // Guards against a peer that takes up a host's memory, or its event loop.
+    let isClosed = false;
+    const {call} = bindCall(
+      await startPeer(({socket}) => {
+        const send = () => {
+          while (!socket.destroyed && socket.write(piece));
+        };
+        socket.on('drain', send).once('close', () => {
+          isClosed = true;
+        });
+        socket.write(head);
+        send();
+      }),
+    );
+    const before = process.memoryUsage().rss;
+    const startedAt = performance.now();
+    await expect(
+      call({...CALL, timeouts: {connect: 300, total: 10_000}}),
+    ).rejects.toMatchObject({fate: Fate.Unknown});
+    expect(performance.now() - startedAt).toBeLessThan(3_000);
+    expect(process.memoryUsage().rss - before).toBeLessThan(32 * 1_048_576);
+    await expect.poll(() => isClosed).toBe(true);
+  });
+
   it('ends a call and its connection when it is aborted', async () => {
     // Guards against responses that fill the link although they are needless.
     let isClosed = false;
