Limit messages and topic copies of other hosts

What callers saw: nothing yet; a host, or what has its address now, that answers without end takes up the memory of the others.

Cause: the library reads messages of up to 4 GiB. A copy of a topic comes in parts, each of which restarts the timeout, and nothing limited their sum.

Why it works: a message has 4 MiB at most in both directions (20,000 streams that are told at once take under 2 MB), a compressed copy 4 MiB (that of 4,000 routes takes about 0.1 MB), counted with what each part takes in memory. The call fails as an unanswered one.

--- a/packages/gateway/src/peer-clients.ts
+++ b/packages/gateway/src/peer-clients.ts
@@ -3,6 +3,8 @@
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {Agent} from 'node:http';
 
+import {MAXIMUM_PEER_MESSAGE_BYTES} from './peer-messages.js';
+
 /** A client for one host, and its connections. */
 export interface PeerClient<Service extends DescService> {
   readonly client: Client<Service>;
@@ -28,6 +30,7 @@
         baseUrl: `http://${address}`,
         httpVersion: '1.1',
         nodeOptions: {agent: connections},
+        readMaxBytes: MAXIMUM_PEER_MESSAGE_BYTES,
       });
       peer = {client: createClient(this.service, transport), connections};
       this.peers.set(address, peer);
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -10,6 +10,7 @@
 
 import {listen, portOf, type ListenAddress} from './listening.js';
 import type {LoanHolder} from './loan-peers.js';
+import {MAXIMUM_PEER_MESSAGE_BYTES} from './peer-messages.js';
 import type {StreamOriginHolder} from './stream-origins/index.js';
 import type {SuspectHolder} from './crashes/index.js';
 import type {TopicCopyHolder} from './topic-copies/index.js';
@@ -53,6 +54,7 @@
     {loans, tunnels, suspects, origins, copies}: PeerServices,
   ): Promise<PeerServer> {
     const routes = connectNodeAdapter({
+      readMaxBytes: MAXIMUM_PEER_MESSAGE_BYTES,
       routes: router => {
         router.service(GrantLoanService, {
           borrow: request => loans.lend(request),
--- a/packages/gateway/src/topic-copies/topic-copy-peers.ts
+++ b/packages/gateway/src/topic-copies/topic-copy-peers.ts
@@ -44,6 +44,11 @@
 
 /** Longest time until the next part of a copy; a host sends it at once. */
 const PART_TIMEOUT_MILLISECONDS = 400;
+/** Maximum size of a compressed copy, bytes; that of 4,000 routes takes 0.1 MB. */
+const MAXIMUM_COMPRESSED_BYTES = 4_194_304;
+
+/** What a part takes in memory besides its bytes, approximately. */
+const PART_OVERHEAD_BYTES = 200;
 
 /** Client over Connect. */
 export class ConnectTopicCopyPeers extends TopicCopyPeers {
@@ -69,6 +74,7 @@
     );
     try {
       const parts: Uint8Array[] = [];
+      let bytesLeft = MAXIMUM_COMPRESSED_BYTES;
       const answer = peer.client.find(
         {...from},
         {
@@ -77,6 +83,10 @@
       );
       for await (const {bytes} of answer) {
         timeout.refresh();
+        bytesLeft -= bytes.length + PART_OVERHEAD_BYTES;
+        if (bytesLeft < 0) {
+          throw new Error(`more than ${MAXIMUM_COMPRESSED_BYTES} bytes`);
+        }
         parts.push(bytes);
       }
       return parts.length === 0
