Read a kept connection once more before its idle time closes it

What callers saw: a request on a kept connection was reset without an answer, though it had been sent within the idle time.

Cause: an event loop that was blocked runs expired timers before it reads sockets, and Node.js destroys an idle connection in its timer. The caller may send until four fifths of the idle time; what is left, and 1 s that Node.js adds, is all that a process that stands still may take.

Why it works: the connection is closed in the turn after its timer, and only if nothing was read in between. One that stays idle is closed as before, which the test waits for.

--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 
 import {CallerConnections} from './caller-connections.js';
 import {nextEventLoopTurn} from './event-loop.js';
@@ -58,6 +58,9 @@
     // Each request is bounded by its own deadline; a long upload is not an
     // error.
     this.server.requestTimeout = 0;
+    this.server.on('timeout', (socket: Socket) => {
+      closeUnlessRead(socket);
+    });
   }
 
   /** The bound port; 0 before the server listens. */
@@ -125,3 +128,16 @@
     }
   }
 }
+
+/**
+ * Closes a connection whose idle time has ended, unless a request has arrived meanwhile:
+ * an event loop that was blocked runs expired timers before it reads sockets.
+ */
+function closeUnlessRead(socket: Socket): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) {
+      socket.destroy();
+    }
+  });
+}
