Don't give up reads of a store that answers slowly

What callers saw: streams that they took up were refused as of unknown origin while the store was slow (0.3 s for an answer), at hosts that had no record of them.

Cause: a read has to begin after the caller came, so that one in progress is waited for first: two answers. Both had to come within 0.8 s, and the timer did not let sockets be read first. A busy process, with 0.2 s to spare, gave reads up whose answers came.

Why it works: an answer shows that the store is slow and not lost, and starts the 0.8 s anew. A lost store is given up as before.

Left: such a stream waits for the store twice, for its origin (0.6 s at most) and for the endpoint's start (0.3 to 0.65 s), which leaves little of 1.5 s.

--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -120,7 +120,7 @@
   /**
    * Reads the topic without a pause, and without waiting for a record.
    *
-   * @param maximumMilliseconds How long to wait for the read.
+   * @param maximumMilliseconds How long to wait for an answer of the store.
    * @returns Whether every record was delivered that was written before this call.
    */
   readNow(maximumMilliseconds: number): Promise<boolean> {
@@ -211,6 +211,7 @@
     if (offset + records.length >= end) {
       this.caughtUp(requestedAt, read);
     } else if (records.length > 0) {
+      this.waits.answered();
       return;
     }
     await this.pauseReads();
--- a/packages/gateway/src/read-waits.ts
+++ b/packages/gateway/src/read-waits.ts
@@ -1,6 +1,9 @@
+import {NetworkTimeout} from '@wisteriadeal/platform';
+
 /** Someone who waits for a read that begins after this one. */
 interface ReadWait {
   readonly after: number;
+  readonly timeout: NetworkTimeout;
   readonly end: (isRead: boolean) => void;
 }
 
@@ -20,20 +23,21 @@
   /**
    * Resolves with whether a read that begins from now on has ended in time.
    *
-   * @param maximumMilliseconds How long to wait for that.
+   * @param maximumMilliseconds How long to wait for the store's next answer.
    */
   next(maximumMilliseconds: number): Promise<boolean> {
     if (this.isClosed) {
       return Promise.resolve(false);
     }
     return new Promise(resolve => {
-      const timer = setTimeout(() => {
+      const timeout = new NetworkTimeout(maximumMilliseconds, () => {
         wait.end(false);
-      }, maximumMilliseconds);
+      });
       const wait = {
         after: this.begun,
+        timeout,
         end: (isRead: boolean) => {
-          clearTimeout(timer);
+          timeout.close();
           this.waits.delete(wait);
           resolve(isRead);
         },
@@ -54,6 +58,14 @@
         wait.end(true);
       }
     }
+    this.answered();
+  }
+
+  /** Records that the store has answered a read: it is slow, and not lost. */
+  answered(): void {
+    for (const {timeout} of this.waits) {
+      timeout.refresh();
+    }
   }
 
   /** Ends all waits without a read. */
--- a/packages/gateway/src/test/keyed-follower_test.ts
+++ b/packages/gateway/src/test/keyed-follower_test.ts
@@ -269,6 +269,23 @@
     log.release();
   });
 
+  it('does not give up a read of a store that is slow', async () => {
+    // Guards against requests that are refused although the store answers.
+    const log = new HeldLog();
+    await follow(log);
+    log.hold();
+    await advance(PAUSE_MILLISECONDS);
+    const wait = follower.readNow(500);
+    for (let answer = 0; answer < 2; answer++) {
+      await new Promise(resolve => setTimeout(resolve, 300));
+      log.release();
+      log.hold();
+      await advance(PAUSE_MILLISECONDS);
+    }
+    expect(await wait).toBe(true);
+    log.release();
+  });
+
   it('does not pause when it was closed during a read', async () => {
     // Guards against a process that is kept up by a pause after its end.
     const log = new HeldLog();
