--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -4,7 +4,7 @@
   type Server,
   type ServerResponse,
 } from 'node:http';
-import {Server as NetServer} from 'node:net';
+import {Server as NetServer, type Socket} from 'node:net';
 
 import {CallerConnections} from './caller-connections.js';
 import {nextEventLoopTurn} from './event-loop.js';
@@ -30,6 +30,11 @@
  * Maximum size of headers that are parsed; the configuration's limit is lower.
  */
 const MAXIMUM_HEADER_BYTES = 65_536;
+/**
+ * How long a caller may take nothing of its answer, or send nothing of its body. It is
+ * longer than callers wait for an answer.
+ */
+const STALL_MILLISECONDS = 20_000;
 
 /**
  * Listens for callers before the process can serve them, and queues their
@@ -44,12 +49,16 @@
   private readonly waiting: PendingRequest[] = [];
   private requestListener: CallerRequestListener | undefined;
 
-  /** @param now The process's monotonic clock, milliseconds. */
-  constructor(now: () => number) {
+  /**
+   * @param now The process's monotonic clock, milliseconds.
+   * @param stallMilliseconds Time after which a caller that doesn't go on is closed.
+   */
+  constructor(now: () => number, stallMilliseconds = STALL_MILLISECONDS) {
     this.server = createServer(
       {maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true},
       (request, response) => {
         if (this.connections.begin(request, response)) {
+          request.socket.setTimeout(stallMilliseconds);
           this.dispatch({request, response, arrivedAt: now()});
         }
       },
@@ -58,6 +67,9 @@
     // Each request is bounded by its own deadline; a long upload is not an
     // error.
     this.server.requestTimeout = 0;
+    this.server.on('timeout', (socket: Socket) => {
+      this.closeIfStalled(socket);
+    });
   }
 
   /** The bound port; 0 before the server listens. */
@@ -113,6 +125,23 @@
     this.server.closeAllConnections();
   }
 
+  /**
+   * Closes a connection on which nothing has happened for its timeout, unless the caller
+   * waits for an answer. Sockets are read first: an event loop that was blocked runs
+   * expired timers before that, and the next request may have arrived.
+   */
+  private closeIfStalled(socket: Socket): void {
+    const {bytesRead} = socket;
+    setImmediate(() => {
+      if (
+        socket.bytesRead === bytesRead &&
+        !this.connections.isWaitingForAnswer(socket)
+      ) {
+        socket.destroy();
+      }
+    });
+  }
+
   private dispatch(arrived: PendingRequest): void {
     if (this.requestListener === undefined) {
       this.waiting.push(arrived);
