Ask again before each dispatch whether a stop leaves the time for it

What callers saw: a request that waited (for tokens, for the decision on suspects, for a process's first data) when a graceful stop cut what still ran was sent to an endpoint afterwards, and its connection closed at the end without an answer; among them requests that may not be repeated.

Cause: a stop asked once, after the body, whether a request may begin, and acted on that after any wait. What waited was in no list: the cut ended the runs that had their tokens, once; a run that began later was never ended.

Why it works: each request that was read is in one register with its stage, and the stop owns it. Right before each begin at an endpoint (first attempt, repeat, claim of a failover) it is asked whether the request can still end in time, by the rule that held when it came; an answer that has begun goes on. The waits of a request that can't are ended at once: at the begin of the stop, at the end of the notice period, and for all that was not sent at the cut; these get 503 as not run, and never run. What comes after the cut is refused at once. At the end of the grace period requests that were just read get some turns of the event loop for their answers, and fewer turns pass before.

--- a/packages/decisions/src/stop-admission.ts
+++ b/packages/decisions/src/stop-admission.ts
@@ -26,7 +26,7 @@
    *     the monotonic clock.
    */
   constructor(
-    private readonly noticePeriodEndsAt: number,
+    readonly noticePeriodEndsAt: number,
     private readonly abortAt: number,
   ) {}
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -632,6 +632,7 @@
         hostCount: () => this.budgets.holderCount,
         readList: () => this.endpointFollower.readNow(this.changesReadLimit),
       },
+      this.requests,
       gatewayLimits(settings).resends,
       undeliveredCharge(settings),
       this.metrics,
--- a/packages/gateway/src/graceful-stop.ts
+++ b/packages/gateway/src/graceful-stop.ts
@@ -35,6 +35,12 @@
  */
 const END_GRACE_FRACTION = 0.95;
 
+/**
+ * Turns of the event loop in which requests that have just been read are refused, and
+ * answers that have just been received are sent.
+ */
+const ANSWER_TURNS = 20;
+
 /**
  * Shuts a process down gracefully: it serves the callers that connect before
  * the platform has noticed the stop, refuses later ones as not run, finishes
@@ -87,10 +93,9 @@
     this.logStep('grants returned');
     // Returning grants takes seconds during a store outage, and callers still
     // connect meanwhile.
-    await this.waitUntil(this.endAt, callers.drain());
-    await this.waitUntil(this.endAt, handler.settled());
-    await this.waitUntil(this.endAt, bills.close());
-    await this.waitUntil(this.endAt, budgets.checkpointEnd());
+    await this.waitUntil(this.endAt, this.drainCallers());
+    await this.waitUntil(this.endAt, this.writeEnd());
+    await this.answerRemaining();
     if (callers.openRequests > 0) {
       callers.logOpenRequests('end');
     }
@@ -114,11 +119,35 @@
     await tunnels.idle();
   }
 
+  private async drainCallers(): Promise<void> {
+    const {callers, handler} = this.parts;
+    await callers.drain();
+    await handler.settled();
+  }
+
+  private async writeEnd(): Promise<void> {
+    const {bills, budgets} = this.parts;
+    await bills.close();
+    await budgets.checkpointEnd();
+  }
+
+  /** Answers requests that a late event loop has only just read. */
+  private async answerRemaining(): Promise<void> {
+    const {callers} = this.parts;
+    for (
+      let turn = 0;
+      turn < ANSWER_TURNS && callers.openRequests > 0;
+      turn++
+    ) {
+      await nextEventLoopTurn();
+    }
+  }
+
   private async cutRequestsAtDeadline(stopEnded: AbortSignal): Promise<void> {
     await this.sleepUntil(this.cutAt, stopEnded);
     if (!stopEnded.aborted) {
       this.parts.callers.logOpenRequests('cut');
-      this.parts.handler.cutRunning();
+      this.parts.handler.cut();
     }
   }
 
--- a/packages/gateway/src/open-requests/index.ts
+++ b/packages/gateway/src/open-requests/index.ts
@@ -1,2 +1,6 @@
 export {OpenRequests} from './open-requests.js';
-export {RequestProgress, RequestStage} from './request-progress.js';
+export {
+  RequestProgress,
+  RequestStage,
+  RequestWithdrawnError,
+} from './request-progress.js';
--- a/packages/gateway/src/open-requests/open-requests.ts
+++ b/packages/gateway/src/open-requests/open-requests.ts
@@ -1,13 +1,19 @@
+import {StopAdmission} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {CallerExchange} from '../caller-exchange.js';
 import {RequestStage} from './request-progress.js';
 
-/** The requests that were read and have not ended. */
+/**
+ * The requests that were read and have not ended. While the process stops, it decides
+ * which of them may still be sent to endpoints.
+ */
 export class OpenRequests {
   private readonly callers = new Set<CallerExchange>();
   private onIdle: (() => void) | undefined;
+  private stop = new StopAdmission(Infinity, Infinity);
+  private hasCut = false;
 
   constructor(
     private readonly clock: Clock,
@@ -42,6 +48,9 @@
   /** Adds a request that was read. */
   add(caller: CallerExchange): void {
     this.callers.add(caller);
+    if (this.hasCut) {
+      caller.progress.withdraw();
+    }
   }
 
   /** Removes a request to whose caller nothing more can be sent. */
@@ -52,6 +61,40 @@
     }
   }
 
+  /**
+   * Whether a request that is sent to an endpoint now is expected to end before the
+   * graceful stop does. To be asked after each wait: the answer changes with time.
+   */
+  mayBeSent({progress}: CallerExchange): boolean {
+    const now = this.clock.monotonicMilliseconds();
+    const {deadlineAt, typicalMilliseconds} = progress.duration ?? {
+      deadlineAt: now,
+    };
+    const maximumMilliseconds = deadlineAt - now;
+    return (
+      !progress.isWithdrawn &&
+      this.stop.admits(now, {
+        typicalMilliseconds: typicalMilliseconds ?? maximumMilliseconds,
+        maximumMilliseconds,
+      })
+    );
+  }
+
+  /** Withdraws, now and at the end of the notice period, what `stop` does not admit. */
+  beginStop(stop: StopAdmission): void {
+    this.stop = stop;
+    this.withdrawLate();
+    void this.withdrawLateAt(stop.noticePeriodEndsAt);
+  }
+
+  /** Withdraws what was not sent, and what comes from now on. */
+  cut(): void {
+    this.hasCut = true;
+    for (const {progress} of this.callers) {
+      progress.withdraw();
+    }
+  }
+
   /** Resolves when no request is open; new ones may still be added. */
   async idle(): Promise<void> {
     if (this.callers.size > 0) {
@@ -79,6 +122,22 @@
       });
     }
   }
+
+  private async withdrawLateAt(at: number): Promise<void> {
+    const remaining = at - this.clock.monotonicMilliseconds();
+    await this.clock.sleep(Math.max(0, remaining));
+    this.withdrawLate();
+  }
+
+  /** Refuses requests at once whose wait can't end in time. */
+  private withdrawLate(): void {
+    for (const caller of this.callers) {
+      const {duration, wasSent} = caller.progress;
+      if (duration !== undefined && !wasSent && !this.mayBeSent(caller)) {
+        caller.progress.withdraw();
+      }
+    }
+  }
 }
 
 function stageOf({isAnswering, progress}: CallerExchange): RequestStage {
--- a/packages/gateway/src/open-requests/request-progress.ts
+++ b/packages/gateway/src/open-requests/request-progress.ts
@@ -20,18 +20,72 @@
   Answer = 'answer',
 }
 
-/** How far a request has come. */
+/** How long a request may take once it is sent. */
+export interface SentDuration {
+  /** The request is ended by then, on the monotonic clock in milliseconds. */
+  readonly deadlineAt: number;
+  /**
+   * Typical duration of requests of its kind, in milliseconds; undefined if only
+   * the deadline is known.
+   */
+  readonly typicalMilliseconds: number | undefined;
+}
+
+/** Thrown while a request waits that must not be sent to an endpoint any more. */
+export class RequestWithdrawnError extends Error {
+  override readonly name: string = 'RequestWithdrawnError';
+}
+
+/** How far a request has come, and whether it may still be sent. */
 export class RequestProgress {
   private attempts = 0;
+  private hasWithdrawn = false;
+  private interrupt: () => void = () => undefined;
+
+  /** Undefined until the request's route is known. */
+  duration: SentDuration | undefined;
 
   /** What the request is waiting for. */
   stage = RequestStage.Start;
 
+  /** Whether it must not be sent to an endpoint any more. */
+  get isWithdrawn(): boolean {
+    return this.hasWithdrawn;
+  }
+
   /** Whether it was handed to a connection to an endpoint. */
   get wasSent(): boolean {
     return this.attempts > 0;
   }
 
+  /** Keeps the request from being sent from now on, and ends its wait. */
+  withdraw(): void {
+    this.hasWithdrawn = true;
+    this.interrupt();
+  }
+
+  /**
+   * Waits for something that the request needs before it is sent.
+   *
+   * @throws RequestWithdrawnError once the request is withdrawn.
+   * @example
+   * ```ts
+   * const body = await progress.waitFor(RequestStage.Body, caller.readBody(limit));
+   * ```
+   */
+  waitFor<Result>(stage: RequestStage, work: Promise<Result>): Promise<Result> {
+    this.stage = stage;
+    return new Promise((resolve, reject) => {
+      this.interrupt = () => {
+        reject(new RequestWithdrawnError());
+      };
+      if (this.hasWithdrawn) {
+        this.interrupt();
+      }
+      work.then(resolve, reject);
+    });
+  }
+
   /** Records that the request is sent to an endpoint. */
   attemptBegins(): void {
     this.attempts++;
--- a/packages/gateway/src/request-context.ts
+++ b/packages/gateway/src/request-context.ts
@@ -27,6 +27,11 @@
    * milliseconds.
    */
   readonly deadlineAt: number;
+  /**
+   * Whether the request may begin at an endpoint now; false if a graceful stop might
+   * cut it.
+   */
+  readonly mayBegin: () => boolean;
   readonly resends: ResendBudget;
   readonly firstEventLatency: AnswerEstimate;
   readonly bufferedAnswerLatency: AnswerEstimate;
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -1,8 +1,8 @@
 import {
   ConfigurationTrust,
-  StopAdmission,
   SuspectVerdict,
   type ResendLimits,
+  type StopAdmission,
   type StreamOrigin,
 } from '@wisteriadeal/decisions';
 import type {EventLog} from '@wisteriadeal/runtime';
@@ -31,8 +31,13 @@
   type LocalReply,
 } from './local-reply.js';
 import {refuseWithoutConfiguration, withoutDenial} from './no-configuration.js';
-import {RequestStage} from './open-requests/index.js';
+import {
+  RequestStage,
+  RequestWithdrawnError,
+  type OpenRequests,
+} from './open-requests/index.js';
 import {RequestBudget} from './request-budget.js';
+import type {ReserveResult, TokenRequest} from './organisation-budget.js';
 import {maximumTokens, type RequestContext} from './request-context.js';
 import {RequestIdentity} from './crashes/index.js';
 import {RequestRecord, UndeliveredCharge} from './request-record.js';
@@ -66,13 +71,17 @@
 /** Estimated time to the first event of a stream, and per token after it. */
 const TYPICAL_STREAM_START_MILLISECONDS = 1_000;
 const TYPICAL_TOKEN_MILLISECONDS = 12;
+/** The caller's next connection goes to another host. */
+const STOPPING_REPLY = notExecutedReply(
+  LocalReplyReason.Stopping,
+  STOPPING_RETRY_AFTER_MILLISECONDS,
+);
 /** A configuration takes effect within this time. */
 const CONFIGURATION_RETRY_AFTER_MILLISECONDS = 500;
 
 /** Authenticates and routes each request, reserves its tokens and runs it. */
 export class RequestHandler {
   private readonly services: ServiceStates;
-  private stop = new StopAdmission(Infinity, Infinity);
   private readonly running = new Map<RequestRun, Promise<void>>();
 
   constructor(
@@ -81,6 +90,7 @@
     private readonly health: StoreHealth,
     private readonly bills: BillWriter,
     private readonly parts: RunParts,
+    private readonly requests: OpenRequests,
     resendLimits: ResendLimits,
     private undeliveredCharge: UndeliveredCharge,
     private readonly metrics: GatewayMetrics,
@@ -94,12 +104,17 @@
 
   /** Starts refusing, as not run, requests that `stop` does not admit. */
   beginStop(stop: StopAdmission): void {
-    this.stop = stop;
     this.parts.admissions.beginStop();
+    this.requests.beginStop(stop);
   }
 
-  /** Ends all running requests with what they have so far. */
-  cutRunning(): void {
+  /**
+   * Ends all requests: those that were not sent are refused as not run, the others
+   * end with what they have so far.
+   */
+  cut(): void {
+    this.requests.cut();
+    this.gate.openNow();
     for (const run of this.running.keys()) {
       run.cut();
     }
@@ -199,33 +214,43 @@
     caller: CallerExchange,
     record: RequestRecord,
   ): Promise<LocalReply | undefined> {
+    const {progress} = caller;
     await this.gate.whenOpen();
     const configuration = this.configuration.current;
     if (configuration === undefined) {
-      return refuseWithoutConfiguration(
-        caller,
-        LocalReplyReason.NoConfiguration,
-        this.randomFraction(),
+      return progress.waitFor(
+        RequestStage.Body,
+        refuseWithoutConfiguration(
+          caller,
+          LocalReplyReason.NoConfiguration,
+          this.randomFraction(),
+        ),
       );
     }
     if (this.configuration.trust === ConfigurationTrust.Outdated) {
-      return refuseWithoutConfiguration(
-        caller,
-        LocalReplyReason.ConfigurationOutdated,
-        this.randomFraction(),
+      return progress.waitFor(
+        RequestStage.Body,
+        refuseWithoutConfiguration(
+          caller,
+          LocalReplyReason.ConfigurationOutdated,
+          this.randomFraction(),
+        ),
       );
     }
     if (caller.headerBytes > configuration.limits.headerBytes) {
       caller.disableKeepAlive();
       return failureReply(431, LocalReplyReason.HeadersTooLarge);
     }
-    const {progress} = caller;
-    progress.stage = RequestStage.Body;
-    const body = await caller.readBody(configuration.limits.bodyBytes);
+    const body = await progress.waitFor(
+      RequestStage.Body,
+      caller.readBody(configuration.limits.bodyBytes),
+    );
     await caller.waitForCloseDetection();
     const route = findRoute(configuration, caller.headers.host, caller.path);
-    progress.stage = RequestStage.TakeUp;
-    const takenUp = await this.streams.find(caller, route);
+    const takenUp = await progress.waitFor(
+      RequestStage.TakeUp,
+      this.streams.find(caller, route),
+    );
     if (caller.disconnectSignal.aborted) {
       record.outcome = 'caller-left';
       return undefined;
@@ -236,11 +261,12 @@
     if ('status' in admitted) {
       return admitted;
     }
-    if (!this.canEndBeforeStop(caller, admitted.route)) {
-      return notExecutedReply(
-        LocalReplyReason.Stopping,
-        STOPPING_RETRY_AFTER_MILLISECONDS,
-      );
+    progress.duration = {
+      deadlineAt: deadlineOf(caller, admitted.route),
+      typicalMilliseconds: typicalMillisecondsOf(caller, admitted.route),
+    };
+    if (!this.requests.mayBeSent(caller)) {
+      return STOPPING_REPLY;
     }
     const origin = this.streams.begin(caller, admitted.route, takenUp);
     if (origin !== undefined && 'status' in origin) {
@@ -262,10 +288,12 @@
   ): Promise<LocalReply | undefined> {
     const {caller, identity, service} = context;
     const {suspects, directory} = this.parts;
-    caller.progress.stage = RequestStage.Suspects;
-    const decision = await suspects.admit(
-      identity,
-      () => directory.openEndpoints(service.name).length > 1,
+    const decision = await caller.progress.waitFor(
+      RequestStage.Suspects,
+      suspects.admit(
+        identity,
+        () => directory.openEndpoints(service.name).length > 1,
+      ),
     );
     if (decision.verdict === SuspectVerdict.Refuse) {
       record.identity = identity.digest;
@@ -283,24 +311,6 @@
     return refusal;
   }
 
-  /**
-   * Whether a request that starts now is expected to end before the graceful
-   * stop does.
-   */
-  private canEndBeforeStop(caller: CallerExchange, route: Route): boolean {
-    const now = this.parts.clock.monotonicMilliseconds();
-    const maximumMilliseconds = deadlineOf(caller, route) - now;
-    const typicalMilliseconds =
-      route.kind === RouteKind.Streaming
-        ? TYPICAL_STREAM_START_MILLISECONDS +
-          caller.headers.maximumOutputTokens * TYPICAL_TOKEN_MILLISECONDS
-        : maximumMilliseconds;
-    return this.stop.admits(now, {
-      typicalMilliseconds,
-      maximumMilliseconds,
-    });
-  }
-
   private contextOf(
     caller: CallerExchange,
     body: Buffer | undefined,
@@ -328,6 +338,7 @@
       organisation,
       configurationVersion: configuration.version,
       deadlineAt,
+      mayBegin: () => this.requests.mayBeSent(caller),
       resends,
       firstEventLatency,
       bufferedAnswerLatency,
@@ -344,16 +355,12 @@
     // Settings may change while the request runs; it keeps the charge it
     // started with.
     const charge = this.undeliveredCharge;
-    caller.progress.stage = RequestStage.Tokens;
-    const reserved = await this.budgets.reservations.reserve(
-      organisation?.name ?? '',
-      {
-        bound,
-        mayPromise: charge === UndeliveredCharge.Nothing,
-        remainingMilliseconds:
-          context.deadlineAt - this.parts.clock.monotonicMilliseconds(),
-      },
-    );
+    const reserved = await this.reserve(caller, organisation, {
+      bound,
+      mayPromise: charge === UndeliveredCharge.Nothing,
+      remainingMilliseconds:
+        context.deadlineAt - this.parts.clock.monotonicMilliseconds(),
+    });
     if ('refusal' in reserved) {
       this.events.info('request refused for budget', {
         request: caller.headers.attemptId,
@@ -384,6 +391,44 @@
     return undefined;
   }
 
+  /**
+   * Waits for a request's tokens.
+   *
+   * @throws RequestWithdrawnError if the request must not be sent any more; its
+   *     tokens are released.
+   */
+  private async reserve(
+    caller: CallerExchange,
+    organisation: Organisation | undefined,
+    wanted: TokenRequest,
+  ): Promise<ReserveResult> {
+    const {reservations} = this.budgets;
+    const {progress} = caller;
+    const reserving = reservations.reserve(organisation?.name ?? '', wanted);
+    try {
+      return await progress.waitFor(RequestStage.Tokens, reserving);
+    } catch (error) {
+      if (error instanceof RequestWithdrawnError) {
+        void this.release(reserving);
+      }
+      throw error;
+    }
+  }
+
+  /** Releases tokens that come when their request has been withdrawn. */
+  private async release(reserving: Promise<ReserveResult>): Promise<void> {
+    try {
+      const reserved = await reserving;
+      if ('reservation' in reserved) {
+        this.budgets.reservations.settle(reserved.reservation, 0);
+      }
+    } catch (error) {
+      this.events.error('tokens of a withdrawn request not released', {
+        reason: String(error),
+      });
+    }
+  }
+
   private async runAndSettle(
     run: RequestRun,
     context: RequestContext,
@@ -447,6 +492,10 @@
       record.outcome = 'caller-left';
       return;
     }
+    if (error instanceof RequestWithdrawnError) {
+      this.refuse(caller, record, STOPPING_REPLY);
+      return;
+    }
     if (error instanceof BodyTooLargeError) {
       caller.disableKeepAlive();
       this.refuse(
@@ -489,6 +538,17 @@
   return caller.estimatedArrivalAt + limitOf(caller, route);
 }
 
+/** Typical duration of a request, milliseconds; undefined if it is not known. */
+function typicalMillisecondsOf(
+  {headers}: CallerExchange,
+  {kind}: Route,
+): number | undefined {
+  return kind === RouteKind.Streaming
+    ? TYPICAL_STREAM_START_MILLISECONDS +
+        headers.maximumOutputTokens * TYPICAL_TOKEN_MILLISECONDS
+    : undefined;
+}
+
 function limitOf({headers}: CallerExchange, route: Route): number {
   const {timeoutMilliseconds} = route;
   return Math.min(
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -102,6 +102,7 @@
     const other = chooser.choose(context, this.avoided)?.endpoint;
     this.hasClaimedFailover =
       other !== undefined &&
+      (context.caller.isAnswering || context.mayBegin()) &&
       !this.avoided.has(other.entry.id) &&
       suspects.mayResend(context.identity) &&
       this.claimResend();
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -38,7 +38,10 @@
 import type {InactivityMonitor} from './inactivity-monitor.js';
 import {inputLog} from './input-limits/index.js';
 import type {KnownEndpoint} from './known-endpoint.js';
-import {LocalReplyReason} from './local-reply.js';
+import {
+  LocalReplyReason,
+  STOPPING_RETRY_AFTER_MILLISECONDS,
+} from './local-reply.js';
 import {RequestStage} from './open-requests/index.js';
 import type {RequestBudget} from './request-budget.js';
 import {RequestCompletion} from './request-completion.js';
@@ -178,8 +181,9 @@
   private async attempt(): Promise<NextStep> {
     const {context, retries} = this;
     context.caller.progress.stage = RequestStage.Placement;
+    const next = this.continuation.takeNext();
     const chosen =
-      this.continuation.takeNext() ??
+      next ??
       this.chooser.choose(context, retries.avoided) ??
       (await this.chooseLater());
     this.recordPlacement(chosen);
@@ -190,6 +194,14 @@
     if (!retries.mayAttempt) {
       return retries.giveUp(LocalReplyReason.DeadlinePassed);
     }
+    // What an answer has begun with can't begin at another host.
+    const goesOn = next !== undefined || context.caller.isAnswering;
+    if (!goesOn && !context.mayBegin()) {
+      return retries.giveUp(
+        LocalReplyReason.Stopping,
+        STOPPING_RETRY_AFTER_MILLISECONDS,
+      );
+    }
     if (chosen === undefined) {
       return retries.giveUp(
         this.chooser.reasonForNone(context),
--- a/packages/gateway/src/start-gate.ts
+++ b/packages/gateway/src/start-gate.ts
@@ -30,12 +30,17 @@
     this.timer = setTimeout(this.open, milliseconds);
   }
 
+  /** Opens the gate, whatever is missing. */
+  openNow(): void {
+    this.close();
+    this.open();
+  }
+
   /** Records that one of the requirements is met; the last one opens the gate. */
   requirementMet(requirement: string): void {
     this.missing.delete(requirement);
     if (this.missing.size === 0) {
-      this.close();
-      this.open();
+      this.openNow();
     }
   }
 
