Answer requests whose body has not come when a stop cuts

What callers saw: a body that was still coming in at the end of a graceful stop was closed without an answer, mostly with grace periods of a few seconds.

Cause: the wait for the body ended with the body alone; the stop did not know of it, and destroyed the connection.

Evidence: gateway-stop-graces_test.ts sends requests of all kinds to a stopping process until it takes no connection, some with a pause of 700 ms in their body.

Why it works: the wait for the body ends like the others at the cut, with 503 as not run. The connection is kept while the body comes in, and closed in halves when connections drain: destroying it would reset it before the caller has read the answer. What comes of such a body is no next request, so no 408 follows.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -28,6 +28,12 @@
 const REQUEST_TIMEOUT_RESPONSE =
   'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
+/**
+ * How long a draining connection receives the rest of a body whose request was
+ * answered before, milliseconds.
+ */
+const BODY_REST_MILLISECONDS = 500;
+
 /**
  * One caller's connection. Callers do not pipeline: they send no second request
  * before the first is answered.
@@ -38,6 +44,8 @@
   private isDraining = false;
   private hasTimedOut = false;
   private timer: NodeJS.Timeout | undefined;
+  /** Whether the last answer closed before the body of its request was complete. */
+  private isInBody = false;
   /**
    * Bytes read from the socket when the last answer closed; undefined before
    * the first.
@@ -54,7 +62,7 @@
    * @returns False if no answer can be sent on this connection, so that the
    *     request must not be served.
    */
-  add(response: ServerResponse): boolean {
+  add(request: IncomingMessage, response: ServerResponse): boolean {
     const closesBefore = [...this.answers].some(
       ({shouldKeepAlive}) => !shouldKeepAlive,
     );
@@ -62,10 +70,12 @@
       return false;
     }
     clearTimeout(this.timer);
+    this.isInBody = false;
     this.answers.add(response);
     response.once('close', () => {
       this.answers.delete(response);
       this.bytesReadAtLastAnswer = this.socket.bytesRead;
+      this.isInBody = !request.complete;
       this.closeIfIdle();
     });
     return true;
@@ -74,7 +84,11 @@
   /** Whether a request head was read in part but not completely. */
   get hasPartialHead(): boolean {
     const bytesBefore = this.bytesReadAtLastAnswer ?? 0;
-    return this.answers.size === 0 && this.socket.bytesRead > bytesBefore;
+    return (
+      this.answers.size === 0 &&
+      !this.isInBody &&
+      this.socket.bytesRead > bytesBefore
+    );
   }
 
   /**
@@ -102,7 +116,13 @@
     }
     const firstTimeoutAt = this.openedAt + FIRST_REQUEST_TIMEOUT_MILLISECONDS;
     const firstRequestMillisecondsLeft = firstTimeoutAt - performance.now();
-    if (this.hasPartialHead) {
+    if (this.isInBody) {
+      // Destroying it now would reset it before the caller has read the answer.
+      this.socket.end();
+      this.schedule(BODY_REST_MILLISECONDS, () => {
+        this.socket.destroy();
+      });
+    } else if (this.hasPartialHead) {
       this.schedule(HEAD_TIMEOUT_MILLISECONDS, () => {
         this.rejectLateHead();
       });
@@ -159,7 +179,7 @@
    *     not be served.
    */
   begin(request: IncomingMessage, response: ServerResponse): boolean {
-    return this.open.get(request.socket)?.add(response) ?? false;
+    return this.open.get(request.socket)?.add(request, response) ?? false;
   }
 
   /**
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -222,6 +222,16 @@
     this.response.shouldKeepAlive = false;
   }
 
+  /**
+   * Keeps the connection open after an answer that comes before the end of the
+   * request's body. Closing it would reset it before the caller has read the answer.
+   */
+  keepWhileReceiving(): void {
+    if (!this.request.complete) {
+      this.response.shouldKeepAlive = true;
+    }
+  }
+
   /** Sends an answer with a complete body and its length. */
   answer(status: number, headers: readonly string[], body: Buffer): void {
     const framed = [...headers, 'Content-Length', String(body.length)];
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -493,6 +493,7 @@
       return;
     }
     if (error instanceof RequestWithdrawnError) {
+      caller.keepWhileReceiving();
       this.refuse(caller, record, STOPPING_REPLY);
       return;
     }
