Let tunnels get requests for a quarter of a grace period at most

What callers saw: hosts that reach their endpoints through a host that stops got "answer-lost" (502) for requests that had gone through it near its end, with a grace period of 1 s.

Cause: a tunnel is used for up to 2 s after it was opened, and a stopping relay takes no new ones; that was meant to end before the notice period. With a grace period below some 3 s the relay ends first.

Evidence: gateway-stop-relays_test.ts, a host without paths of its own and its relay that stops: 4 answers of 502 with a grace period of 1 s before, none with 2 and 8 s; none now in any of them.

Why it works: a tunnel is used for a quarter of the grace period at most, so that the last request on it comes well before its relay's cut. The settings of one fleet have one grace period. With 8 s and more nothing changes.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -526,6 +526,7 @@
       link: this.link,
       clock,
       dataCenter: settings.dataCenter,
+      stopGraceMilliseconds: gatewayLimits(settings).stopGraceMilliseconds,
       peers: () => this.peersInRegion(),
       fraction: () => random.fraction(),
     });
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -20,11 +20,13 @@
 } from './tunnel-protocol.js';
 
 /**
- * Time after its opening in which a tunnel may get further requests. A stopping relay
- * accepts no new tunnels, so the last request comes this long after its stop began. That
- * is before the end of its deregistration delay, and needs no notice to other hosts.
+ * Longest time after its opening in which a tunnel may get further requests. A stopping
+ * relay accepts no new tunnels, so the last request comes this long after its stop began.
+ * That is before the end of its deregistration delay, and needs no notice to other hosts.
  */
 const TUNNEL_REUSE_MILLISECONDS = 2_000;
+/** Largest part of a relay's grace period in which its tunnels get further requests. */
+const TUNNEL_REUSE_GRACE_FRACTION = 0.25;
 /** Timeout of a relay: its own connect timeout, and a round trip between hosts. */
 const RELAY_TIMEOUT_MILLISECONDS = 150;
 /** Relays tried for one connection; a frozen one costs its timeout. */
@@ -72,13 +74,22 @@
   };
 
   private readonly tunnels = new WeakMap<Duplex, OpenTunnel>();
+  private readonly reuseMilliseconds: number;
 
-  /** @param relays Hosts that may relay to the service. */
+  /**
+   * @param relays Hosts that may relay to the service.
+   * @param stopGraceMilliseconds Time from a relay's stop signal to its end.
+   */
   constructor(
     private readonly relays: RelayDirectory,
     link?: HostLink,
+    stopGraceMilliseconds = Infinity,
   ) {
     super(link);
+    this.reuseMilliseconds = Math.min(
+      TUNNEL_REUSE_MILLISECONDS,
+      stopGraceMilliseconds * TUNNEL_REUSE_GRACE_FRACTION,
+    );
   }
 
   override createConnection(
@@ -111,7 +122,7 @@
   override keepSocketAlive(socket: Socket): boolean {
     const openedAt = this.tunnels.get(socket)?.openedAt ?? -Infinity;
     const age = performance.now() - openedAt;
-    const left = TUNNEL_REUSE_MILLISECONDS - age;
+    const left = this.reuseMilliseconds - age;
     return left > 0 && super.keepSocketAlive(socket, left);
   }
 
--- a/packages/gateway/src/service-paths.ts
+++ b/packages/gateway/src/service-paths.ts
@@ -24,6 +24,8 @@
   readonly link: HostLink;
   readonly clock: Clock;
   readonly dataCenter: string;
+  /** Time from a host's stop signal to its end, the same for all hosts. */
+  readonly stopGraceMilliseconds: number;
   /** Lists the hosts that may relay connections. */
   readonly peers: () => readonly PeerHost[];
   /** Returns random numbers in [0, 1). */
@@ -163,9 +165,13 @@
   private relayedPath(service: string): RelayedPath {
     let path = this.relayed.get(service);
     if (path === undefined) {
-      const {link, dataCenter} = this.parts;
+      const {link, dataCenter, stopGraceMilliseconds} = this.parts;
       path = new RelayedPath(
-        new RelayedConnectionPool(new RelayDirectory(this.parts), link),
+        new RelayedConnectionPool(
+          new RelayDirectory(this.parts),
+          link,
+          stopGraceMilliseconds,
+        ),
         new DataCenterCircuitBreaker(dataCenter),
       );
       this.relayed.set(service, path);
