Refuse what came to a process whose start is abandoned after a stop signal

What callers saw: a process takes connections before it has loaded. If it gets SIGTERM and its start fails or takes over 4 s, it exited and closed the connections of requests that it had read without an answer.

Cause: the end of an abandoned start knew nothing of the listener. The 4 s began when the start began to watch for the signal, not at the signal.

Not seen with a real process.

Why it works: the requests that wait, and those that still come, get 503 with Retry-After before the exit, within a second; the limit counts from the signal.

--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -89,6 +89,27 @@
     }
   }
 
+  /**
+   * Refuses the requests that wait and those that still come, as not run, and stops
+   * accepting connections.
+   *
+   * @param retryAfterSeconds When callers should come back; may have a fraction.
+   * @returns Resolves when all connections are closed.
+   */
+  refuse(retryAfterSeconds: number): Promise<void> {
+    this.serveWith((request, response) => {
+      request.resume();
+      response.shouldKeepAlive = !request.complete;
+      response
+        .writeHead(503, {
+          'Retry-After': String(retryAfterSeconds),
+          'Content-Length': 0,
+        })
+        .end();
+    });
+    return this.drain();
+  }
+
   /**
    * Stops accepting connections, and closes each one as soon as nothing is in
    * progress on it. Connections that came while the process was busy are read
--- a/packages/runtime/src/binary.ts
+++ b/packages/runtime/src/binary.ts
@@ -1,4 +1,5 @@
 import type {DescMessage, MessageShape} from '@bufbuild/protobuf';
+import {setTimeout as delay} from 'node:timers/promises';
 import {parseArgs} from 'node:util';
 
 import {
@@ -39,10 +40,17 @@
    * one if absent.
    */
   readonly stopSignal?: StopSignal;
+  /**
+   * Ends what the process has accepted if its start does not complete in time after a
+   * stop signal, or fails.
+   */
+  readonly abandonStart?: () => Promise<void>;
 }
 
 /** How long a start may continue after a stop signal before it is abandoned. */
 const START_LIMIT_AFTER_STOP_MILLISECONDS = 4_000;
+/** Longest time that `abandonStart` may take. */
+const ABANDON_LIMIT_MILLISECONDS = 1_000;
 
 /** Exit codes; those from 64 on follow sysexits.h. */
 export enum ExitCode {
@@ -83,32 +91,40 @@
  * Shuts a process down gracefully after a stop signal. A signal that arrives during
  * the start takes effect once the start has completed.
  *
+ * @param abandonStart Called if the start does not complete within 4 s after the
+ *     signal; see `BinaryOptions`.
  * @returns The exit code: `Failure` if the start takes longer than 4 s after the
  *     signal, or if closing fails.
  */
 export async function stopOnSignal(
   signal: StopSignal,
   started: Promise<RunningBinary>,
+  abandonStart: () => Promise<void> = () => Promise.resolve(),
 ): Promise<ExitCode> {
   await signal.received;
+  let running: RunningBinary | undefined;
   try {
-    const running = await Promise.race([started, rejectAfterStartLimit()]);
+    running = await Promise.race([
+      started,
+      rejectAfterStartLimit(signal.millisecondsSinceReceived),
+    ]);
     await running.close(signal.millisecondsSinceReceived);
     return ExitCode.Success;
   } catch (error) {
     process.stderr.write(`graceful shutdown failed: ${String(error)}\n`);
+    if (running === undefined) {
+      await Promise.race([abandonStart(), delay(ABANDON_LIMIT_MILLISECONDS)]);
+    }
     return ExitCode.Failure;
   }
 }
 
-function rejectAfterStartLimit(): Promise<never> {
-  return new Promise((_resolve, reject) => {
-    setTimeout(() => {
-      reject(
-        new Error('the start did not complete within 4 s of the stop signal'),
-      );
-    }, START_LIMIT_AFTER_STOP_MILLISECONDS).unref();
-  });
+async function rejectAfterStartLimit(
+  millisecondsSinceStop: number,
+): Promise<never> {
+  const limit = START_LIMIT_AFTER_STOP_MILLISECONDS - millisecondsSinceStop;
+  await delay(Math.max(0, limit), undefined, {ref: false});
+  throw new Error('the start did not complete within 4 s of the stop signal');
 }
 
 /** Passes changed settings to a process that has started. */
@@ -172,7 +188,7 @@
     watch.handleChange();
   });
   const started = start(settings.val);
-  void stopOnSignal(stopSignal, started).then(code => {
+  void stopOnSignal(stopSignal, started, options.abandonStart).then(code => {
     process.exit(code);
   });
   watchSettings(watch, await started);
