--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -526,6 +526,7 @@
       link: this.link,
       clock,
       dataCenter: settings.dataCenter,
+      stopGraceMilliseconds: gatewayLimits(settings).stopGraceMilliseconds,
       peers: () => this.peersInRegion(),
       fraction: () => random.fraction(),
     });
@@ -632,6 +633,7 @@
         hostCount: () => this.budgets.holderCount,
         readList: () => this.endpointFollower.readNow(this.changesReadLimit),
       },
+      this.requests,
       gatewayLimits(settings).resends,
       undeliveredCharge(settings),
       this.metrics,
