Serve pipelined requests one after the other

What callers saw: a caller that sends many requests on one connection without waiting for their answers was served at the cost of all others: they were answered late, or refused as the host was behind.

Cause: each request that was read began at once, 300 of them from one read of the socket, and nothing limited how many a connection may have open; its requests also took that many connections to endpoints.

Why it works: a request is served when those before it on its connection are answered; with 64 waiting, the connection is closed. Nothing changes for callers that wait for their answers. A request behind which others wait keeps the connection open, also in a stop, so that those get their answers.

The tests of the connections' counts call the new form of begin with the same expectations.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -25,15 +25,27 @@
  * How long a draining connection waits for the rest of a partial request head.
  */
 const HEAD_TIMEOUT_MILLISECONDS = 1_000;
+/**
+ * Maximum number of requests that wait on a connection for the answers before theirs.
+ */
+const MAXIMUM_PIPELINED_REQUESTS = 64;
 const REQUEST_TIMEOUT_RESPONSE =
   'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
+/** A request whose turn on its connection has not come. */
+interface PipelinedRequest {
+  readonly response: ServerResponse;
+  readonly serve: () => void;
+}
+
 /**
- * One caller's connection. Callers do not pipeline: they send no second request
- * before the first is answered.
+ * One caller's connection. Callers rarely pipeline: they send no second request
+ * before the first is answered. Its requests are served one after the other, so that
+ * one caller does not take up the event loop.
  */
 class CallerConnection {
   readonly answers = new Set<ServerResponse>();
+  private readonly pipelined: PipelinedRequest[] = [];
   private readonly openedAt = performance.now();
   private isDraining = false;
   private hasTimedOut = false;
@@ -51,15 +63,19 @@
   }
 
   /**
-   * @returns False if no answer can be sent on this connection, so that the
-   *     request must not be served.
+   * Adds a request, and serves it once those before it are answered. It is not served if
+   * no answer can be sent on this connection.
    */
-  add(response: ServerResponse): boolean {
+  add(response: ServerResponse, serve: () => void): void {
     const closesBefore = [...this.answers].some(
       ({shouldKeepAlive}) => !shouldKeepAlive,
     );
     if (this.hasTimedOut || closesBefore) {
-      return false;
+      return;
+    }
+    if (this.pipelined.length >= MAXIMUM_PIPELINED_REQUESTS) {
+      this.socket.destroy();
+      return;
     }
     clearTimeout(this.timer);
     this.answers.add(response);
@@ -67,8 +83,13 @@
       this.answers.delete(response);
       this.bytesReadAtLastAnswer = this.socket.bytesRead;
       this.closeIfIdle();
+      this.serveNext();
     });
-    return true;
+    if (this.answers.size === 1) {
+      serve();
+    } else {
+      this.pipelined.push({response, serve});
+    }
   }
 
   /** Whether a request head was read in part but not completely. */
@@ -105,6 +126,18 @@
     this.closeIfIdle();
   }
 
+  private serveNext(): void {
+    const next = this.pipelined.shift();
+    if (next === undefined || this.socket.destroyed) {
+      return;
+    }
+    next.serve();
+    if (this.pipelined.length > 0) {
+      // A close after this answer would leave the requests behind it without one.
+      next.response.shouldKeepAlive = true;
+    }
+  }
+
   private closeIfIdle(): void {
     if (!this.isDraining || this.answers.size > 0) {
       return;
@@ -163,12 +196,16 @@
   /**
    * Registers a request whose head is complete.
    *
-   * @returns False if the caller was already told that the request came too
-   *     late, or that an earlier answer closes the connection; the request must
-   *     not be served.
+   * @param serve Called when the requests before it on its connection are answered;
+   *     not called if the caller was already told that the request came too late, or
+   *     that an earlier answer closes the connection.
    */
-  begin(request: IncomingMessage, response: ServerResponse): boolean {
-    return this.open.get(request.socket)?.add(response) ?? false;
+  begin(
+    request: IncomingMessage,
+    response: ServerResponse,
+    serve: () => void,
+  ): void {
+    this.open.get(request.socket)?.add(response, serve);
   }
 
   /**
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -57,10 +57,11 @@
     this.server = createServer(
       {maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true},
       (request, response) => {
-        if (this.connections.begin(request, response)) {
+        const arrivedAt = now();
+        this.connections.begin(request, response, () => {
           request.socket.setTimeout(stallMilliseconds);
-          this.dispatch({request, response, arrivedAt: now()});
-        }
+          this.dispatch({request, response, arrivedAt});
+        });
       },
     );
     this.connections = new CallerConnections(this.server);
--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -13,7 +13,7 @@
 let server: Server;
 let connections: CallerConnections;
 let callers: Socket[];
-/** For each request, whether `begin` accepted it. */
+/** For each request, whether it was served at once. */
 let beginResults: boolean[];
 
 beforeEach(async () => {
@@ -22,7 +22,11 @@
   server = createServer();
   connections = new CallerConnections(server);
   server.on('request', (request, response) => {
-    beginResults.push(connections.begin(request, response));
+    let isServed = false;
+    connections.begin(request, response, () => {
+      isServed = true;
+    });
+    beginResults.push(isServed);
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
