--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -25,19 +25,9 @@
  * How long a draining connection waits for the rest of a partial request head.
  */
 const HEAD_TIMEOUT_MILLISECONDS = 1_000;
-/**
- * Maximum number of requests that wait on a connection for the answers before theirs.
- */
-const MAXIMUM_PIPELINED_REQUESTS = 64;
 const REQUEST_TIMEOUT_RESPONSE =
   'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
-/** A request whose turn on its connection has not come. */
-interface PipelinedRequest {
-  readonly response: ServerResponse;
-  readonly serve: () => void;
-}
-
 /**
  * How long a draining connection receives the rest of a body whose request was
  * answered before, milliseconds.
@@ -45,13 +35,11 @@
 const BODY_REST_MILLISECONDS = 500;
 
 /**
- * One caller's connection. Callers rarely pipeline: they send no second request
- * before the first is answered. Its requests are served one after the other, so that
- * one caller does not take up the event loop.
+ * One caller's connection. Callers do not pipeline: they send no second request
+ * before the first is answered.
  */
 class CallerConnection {
   readonly answers = new Set<ServerResponse>();
-  private readonly pipelined: PipelinedRequest[] = [];
   private readonly openedAt = performance.now();
   private isDraining = false;
   private hasTimedOut = false;
@@ -71,23 +59,15 @@
   }
 
   /**
-   * Adds a request, and serves it once those before it are answered. It is not served if
-   * no answer can be sent on this connection.
+   * @returns False if no answer can be sent on this connection, so that the
+   *     request must not be served.
    */
-  add(
-    request: IncomingMessage,
-    response: ServerResponse,
-    serve: () => void,
-  ): void {
+  add(request: IncomingMessage, response: ServerResponse): boolean {
     const closesBefore = [...this.answers].some(
       ({shouldKeepAlive}) => !shouldKeepAlive,
     );
     if (this.hasTimedOut || closesBefore) {
-      return;
-    }
-    if (this.pipelined.length >= MAXIMUM_PIPELINED_REQUESTS) {
-      this.socket.destroy();
-      return;
+      return false;
     }
     clearTimeout(this.timer);
     this.isInBody = false;
@@ -97,13 +77,8 @@
       this.bytesReadAtLastAnswer = this.socket.bytesRead;
       this.isInBody = !request.complete;
       this.closeIfIdle();
-      this.serveNext();
     });
-    if (this.answers.size === 1) {
-      serve();
-    } else {
-      this.pipelined.push({response, serve});
-    }
+    return true;
   }
 
   /** Whether a request head was read in part but not completely. */
@@ -144,18 +119,6 @@
     this.closeIfIdle();
   }
 
-  private serveNext(): void {
-    const next = this.pipelined.shift();
-    if (next === undefined || this.socket.destroyed) {
-      return;
-    }
-    next.serve();
-    if (this.pipelined.length > 0) {
-      // A close after this answer would leave the requests behind it without one.
-      next.response.shouldKeepAlive = true;
-    }
-  }
-
   private closeIfIdle(): void {
     if (!this.isDraining || this.answers.size > 0) {
       return;
@@ -220,16 +183,12 @@
   /**
    * Registers a request whose head is complete.
    *
-   * @param serve Called when the requests before it on its connection are answered;
-   *     not called if the caller was already told that the request came too late, or
-   *     that an earlier answer closes the connection.
+   * @returns False if the caller was already told that the request came too
+   *     late, or that an earlier answer closes the connection; the request must
+   *     not be served.
    */
-  begin(
-    request: IncomingMessage,
-    response: ServerResponse,
-    serve: () => void,
-  ): void {
-    this.open.get(request.socket)?.add(request, response, serve);
+  begin(request: IncomingMessage, response: ServerResponse): boolean {
+    return this.open.get(request.socket)?.add(request, response) ?? false;
   }
 
   /**
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -57,11 +57,10 @@
     this.server = createServer(
       {maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true},
       (request, response) => {
-        const arrivedAt = now();
-        this.connections.begin(request, response, () => {
+        if (this.connections.begin(request, response)) {
           request.socket.setTimeout(stallMilliseconds);
-          this.dispatch({request, response, arrivedAt});
-        });
+          this.dispatch({request, response, arrivedAt: now()});
+        }
       },
     );
     this.connections = new CallerConnections(this.server);
--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -13,7 +13,7 @@
 let server: Server;
 let connections: CallerConnections;
 let callers: Socket[];
-/** For each request, whether it was served at once. */
+/** For each request, whether `begin` accepted it. */
 let beginResults: boolean[];
 
 beforeEach(async () => {
@@ -22,11 +22,7 @@
   server = createServer();
   connections = new CallerConnections(server);
   server.on('request', (request, response) => {
-    let isServed = false;
-    connections.begin(request, response, () => {
-      isServed = true;
-    });
-    beginResults.push(isServed);
+    beginResults.push(connections.begin(request, response));
   });
   server.listen(0, '127.0.0.1');
   await once(server, 'listening');
--- a/packages/gateway/src/test/caller-listener_test.ts
+++ b/packages/gateway/src/test/caller-listener_test.ts
@@ -75,10 +75,6 @@
   return {socket, host};
 }
 
-function pipelined(path: string): string {
-  return `GET ${path} HTTP/1.1\r\nHost: shop.example\r\n\r\n`;
-}
-
 describe('CallerListener', () => {
   it('queues requests that come before the process can serve them', async () => {
     // Guards against resetting callers that connect while the process still
@@ -202,44 +198,4 @@
     expect(received).toBeGreaterThan(path === '/late' ? 0 : LONG_BODY.length);
     socket.destroy();
   });
-
-  it('serves the requests of a connection one after the other', async () => {
-    // Guards against a caller whose pipelined requests take up the event loop.
-    await listener.listen(ANY_PORT);
-    const served: string[] = [];
-    let mostOpen = 0;
-    let open = 0;
-    listener.serveWith((request, response) => {
-      served.push(request.url ?? '');
-      mostOpen = Math.max(mostOpen, ++open);
-      setTimeout(() => {
-        open--;
-        response.end(request.url);
-      }, 5);
-    });
-    const socket = connect(listener.port, '127.0.0.1');
-    const paths = Array.from({length: 20}, (_, index) => `/${index}`);
-    socket.write(paths.map(pipelined).join(''));
-    let received = '';
-    socket.on('data', data => {
-      received += data.toString();
-    });
-    while (!received.endsWith('/19')) {
-      await once(socket, 'data');
-    }
-    socket.destroy();
-    expect(served).toEqual(paths);
-    expect(mostOpen).toBe(1);
-    expect(received.match(/200 OK/g)).toHaveLength(paths.length);
-  });
-
-  it('closes a connection on which too many requests wait', async () => {
-    // Guards against a caller whose unanswered requests take up memory.
-    await listener.listen(ANY_PORT);
-    listener.serveWith(() => undefined);
-    const socket = connect(listener.port, '127.0.0.1');
-    socket.on('error', () => undefined).resume();
-    socket.write(Array.from({length: 100}, () => pipelined('/')).join(''));
-    await once(socket, 'close');
-  });
 });
--- a/packages/gateway/src/test/connection-close_test.ts
+++ b/packages/gateway/src/test/connection-close_test.ts
@@ -13,7 +13,7 @@
  */
 async function serve(milliseconds: number): Promise<void> {
   server = createServer((request, response) => {
-    connections.begin(request, response, () => undefined);
+    connections.begin(request, response);
     setTimeout(() => {
       if (connections.canCloseAfter(request, response)) {
         response.shouldKeepAlive = false;
