Count the bytes from outside that a gateway holds

An operator whose host was ended for its memory could not tell whether endpoints' answers filled it or something else: `resident_bytes` has no parts. An account of the process counts the bodies of answers, events that are not complete, callers' bodies and unread answers; gauges `held_bytes_KIND` and `heldBytes` of the state dump show them.

An add and a set operation a chunk; nothing is decided by it yet.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -96,7 +96,12 @@
       this.completion.refuseForBudget(refusal, this.lifetime.hasTimedOut);
       return AnswerResult.Ended;
     }
-    this.completion.setFallback({head, body, framing: exchange.framing});
+    this.completion.setFallback({
+      head,
+      body,
+      framing: exchange.framing,
+      held: exchange.takeHeld(),
+    });
     return head.status >= 500 ? AnswerResult.Failed : AnswerResult.Answered;
   }
 
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -3,6 +3,7 @@
 
 import type {CallerHeaders, Dialect} from './dialect.js';
 import {nextEventLoopTurn} from './event-loop.js';
+import {HeldKind, InputAccount, type HeldBytes} from './input-memory/index.js';
 import type {LocalReply} from './local-reply.js';
 
 /** Two spaces, `HTTP/1.1` and a line end of the request line. */
@@ -30,6 +31,8 @@
   private turnsSinceRead = 0;
   private onAnswering: () => void = () => undefined;
   private onClosed: () => void = () => undefined;
+  private heldBody: HeldBytes | undefined;
+  private unread: HeldBytes | undefined;
 
   /**
    * @param arrivedAt When the request was read, on this process's monotonic
@@ -39,6 +42,7 @@
    * @param shouldCloseConnection Whether the connection closes after the
    *     answer; called when the answer begins.
    * @param isFirst Whether this is the first request on its connection.
+   * @param account Counts what is held of the request and of its answer.
    */
   constructor(
     private readonly dialect: Dialect,
@@ -48,6 +52,7 @@
     readonly unseenMilliseconds: number,
     private readonly shouldCloseConnection: () => boolean = () => false,
     readonly isFirst = false,
+    private readonly account = new InputAccount(),
   ) {
     response.sendDate = false;
     response.on('error', () => {
@@ -71,6 +76,8 @@
       if (!response.writableFinished) {
         this.disconnect.abort();
       }
+      this.heldBody?.close();
+      this.unread?.close();
       this.onClosed();
     };
     socket.once('end', onEnd);
@@ -194,10 +201,11 @@
       return undefined;
     }
     const chunks: Buffer[] = [];
-    let bytes = 0;
+    const held = this.account.hold(HeldKind.RequestBody, this.source);
+    this.heldBody = held;
     for await (const chunk of this.request as AsyncIterable<Buffer>) {
-      bytes += chunk.length;
-      if (bytes > limitBytes) {
+      held.add(chunk.length);
+      if (held.bytes > limitBytes) {
         throw new BodyTooLargeError();
       }
       chunks.push(chunk);
@@ -224,6 +232,7 @@
     const framed = [...headers, 'Content-Length', String(body.length)];
     this.writeHead(status, framed);
     this.response.end(body);
+    this.countUnread();
   }
 
   /**
@@ -240,6 +249,7 @@
     this.response.shouldKeepAlive = false;
     this.writeHead(status, [...headers]);
     this.response.end(body);
+    this.countUnread();
   }
 
   /** Sends a reply that the gateway generates, without an endpoint's proof. */
@@ -269,8 +279,10 @@
     if (this.response.write(bytes) || this.disconnect.signal.aborted) {
       return undefined;
     }
+    this.countUnread();
     return new Promise<void>(resolve => {
       const done = () => {
+        this.countUnread();
         this.response.off('drain', done);
         this.response.off('close', done);
         resolve();
@@ -285,6 +297,20 @@
     this.response.end();
   }
 
+  /** Counts what the caller has not read yet, beyond what the system holds. */
+  private countUnread(): void {
+    const bytes = this.response.writableLength;
+    if (bytes > 0 || this.unread !== undefined) {
+      this.unread ??= this.account.hold(HeldKind.UnreadAnswer, this.source);
+      this.unread.set(bytes);
+    }
+  }
+
+  private get source(): string {
+    const {key} = this.headers;
+    return `caller ${key ?? this.request.socket.remoteAddress ?? ''}`;
+  }
+
   private writeHead(status: number, headers: string[]): void {
     if (this.shouldCloseConnection()) {
       this.disableKeepAlive();
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -12,6 +12,7 @@
 import type {Dialect} from './dialect.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {HostRotation} from './host-rotation.js';
+import type {InputAccount} from './input-memory/index.js';
 import type {ListenAddress} from './listening.js';
 import {LoadReport} from './load-report.js';
 import {EventLoopMonitor} from './event-loop-monitor.js';
@@ -40,6 +41,7 @@
     private readonly metrics: GatewayMetrics,
     private readonly clock: Clock,
     private readonly events: EventLog,
+    private readonly account: InputAccount,
   ) {
     this.report = new LoadReport(events);
     this.loopMonitor = new EventLoopMonitor(
@@ -169,6 +171,7 @@
         this.drawsClose(caller) &&
         this.listener.connections.canCloseAfter(request, response),
       isFirst,
+      this.account,
     );
     if (this.isStopping) {
       caller.disableKeepAlive();
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -16,6 +16,7 @@
   EndpointRequestOptions,
 } from './endpoint-connection-pool.js';
 import type {EndpointEntry} from './endpoint-entry.js';
+import {HeldKind, InputAccount, type HeldBytes} from './input-memory/index.js';
 import {
   InputBreach,
   InputWatch,
@@ -122,14 +123,19 @@
   private hasNoPath = false;
   private abandonWait: () => void = () => undefined;
   private connectTimeout: NetworkTimeout | undefined;
+  private held: HeldBytes | undefined;
 
-  /** @param onInputEnded Called when a limit of the endpoint's input is exceeded. */
+  /**
+   * @param onInputEnded Called when a limit of the endpoint's input is exceeded.
+   * @param account Counts what is held of the answer.
+   */
   constructor(
     private readonly dialect: Dialect,
     private readonly connections: EndpointConnectionPool,
     private readonly endpoint: EndpointEntry,
     private readonly dispatched: DispatchedRequest,
     private readonly onInputEnded: InputListener = () => undefined,
+    private readonly account = new InputAccount(),
   ) {
     const options: EndpointRequestOptions = {
       agent: connections,
@@ -227,11 +233,11 @@
   /** Reads the complete body of an answer; undefined if it was cut. */
   async readBody(): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
-    let bytes = 0;
+    const held = this.hold(HeldKind.Answer);
     await this.read(chunk => {
-      bytes += chunk.length;
       chunks.push(chunk);
-      if (bytes > MAXIMUM_BUFFERED_BODY_BYTES) {
+      held.add(chunk.length);
+      if (held.bytes > MAXIMUM_BUFFERED_BODY_BYTES) {
         this.endInput(InputBreach.BodyBytes);
       }
     });
@@ -314,6 +320,25 @@
     );
   }
 
+  /** Records how many bytes of an event are held that is not complete. */
+  eventHeld(bytes: number): void {
+    if (bytes > 0 || this.held !== undefined) {
+      (this.held ?? this.hold(HeldKind.Event)).set(bytes);
+    }
+  }
+
+  /** Passes the account of the body on to whoever keeps it, and has to close it. */
+  takeHeld(): HeldBytes | undefined {
+    const {held} = this;
+    this.held = undefined;
+    return held;
+  }
+
+  /** Closes the account of the bytes that are still held. */
+  close(): void {
+    this.held?.close();
+  }
+
   /** Whether this host ended the exchange, and not the endpoint. */
   get wasCancelled(): boolean {
     return this.isCancelled;
@@ -359,6 +384,11 @@
     }
   }
 
+  private hold(kind: HeldKind): HeldBytes {
+    this.held = this.account.hold(kind, `endpoint ${this.endpoint.id}`);
+    return this.held;
+  }
+
   private get mayHaveBody(): boolean {
     const status = this.incoming?.statusCode ?? 0;
     return (
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -10,6 +10,7 @@
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {HostRotation} from './host-rotation.js';
+import type {InputAccount} from './input-memory/index.js';
 import type {LinkMonitor} from './link-monitor.js';
 import {GatewayStatus} from './status-server.js';
 import type {StreamOriginRegistry} from './stream-origins/index.js';
@@ -44,6 +45,7 @@
     private readonly tunnels: TunnelServer,
     private readonly suspects: SuspectRegistry,
     private readonly origins: StreamOriginRegistry,
+    private readonly account: InputAccount,
     private readonly clock: Clock,
   ) {
     super();
@@ -96,6 +98,7 @@
       tunnels: this.tunnels.openTunnels,
       crashSuspects: this.suspects.subjectCount,
       streamOrigins: this.origins.streamCount,
+      heldBytes: this.account.describe(),
       endpoints: this.directory.all.map(
         ({entry, load, breaker, warmth, conditions}) => ({
           id: entry.id,
@@ -192,6 +195,9 @@
     this.metrics.setState('stream_origins', this.origins.streamCount);
     this.metrics.setState('endpoints', this.directory.all.length);
     this.metrics.setState('budget_holders', this.budgets.holderCount);
+    for (const [kind, bytes] of Object.entries(this.account.describe())) {
+      this.metrics.setState(`held_bytes_${kind}`, bytes);
+    }
     this.metrics.setState('resident_bytes', process.memoryUsage.rss());
     this.metrics.setState(
       'configuration_trusted',
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,7 @@
 import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
 import {HostRotation} from './host-rotation.js';
+import {InputAccount} from './input-memory/index.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
 import {GracefulStop} from './graceful-stop.js';
 import type {HostTraffic} from './host-traffic.js';
@@ -138,6 +139,7 @@
   private readonly originPeers: StreamOriginPeers;
   private readonly origins: StreamOriginRegistry;
   private readonly pastOrigins: PastOriginsSource;
+  private readonly account = new InputAccount();
   private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -209,6 +211,7 @@
       this.metrics,
       clock,
       events,
+      this.account,
     );
     this.state = new GatewayState(
       this.configuration,
@@ -225,6 +228,7 @@
       this.tunnels,
       this.suspects,
       this.origins,
+      this.account,
       clock,
     );
     this.status = new StatusServer(
@@ -620,6 +624,7 @@
           fraction: () => random.fraction(),
         }),
         metrics: this.metrics,
+        account: this.account,
         copies: new RunCopies(settings.streamCopies),
         leavings: new EndpointLeavings(
           this.directory,
--- /dev/null
+++ b/packages/gateway/src/input-memory/index.ts
@@ -0,0 +1,3 @@
+export * from './held-bytes.js';
+export * from './held-kind.js';
+export * from './input-account.js';
--- a/packages/gateway/src/request-completion.ts
+++ b/packages/gateway/src/request-completion.ts
@@ -6,6 +6,7 @@
   LocalReplyReason,
   type LocalReply,
 } from './local-reply.js';
+import type {HeldBytes} from './input-memory/index.js';
 import type {RequestContext} from './request-context.js';
 import type {RequestRecord} from './request-record.js';
 import {BudgetRefusal} from './token-waiters.js';
@@ -15,6 +16,8 @@
   readonly head: AnswerHead;
   readonly body: Buffer;
   readonly framing: AnswerFraming;
+  /** Counts the body for as long as it is kept. */
+  readonly held: HeldBytes | undefined;
 }
 
 /** Retry delay given to callers of a service that has no usable endpoint. */
@@ -35,9 +38,15 @@
 
   /** Sets the fallback answer, replacing any earlier one. */
   setFallback(answer: BufferedAnswer): void {
+    this.close();
     this.fallback = answer;
   }
 
+  /** Closes the account of an answer that is kept; called when the request has ended. */
+  close(): void {
+    this.fallback?.held?.close();
+  }
+
   /**
    * Ends the request. A failure that an endpoint answered takes precedence over
    * a local reply.
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -37,6 +37,7 @@
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
 import {inputLog} from './input-limits/index.js';
+import type {InputAccount} from './input-memory/index.js';
 import type {KnownEndpoint} from './known-endpoint.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestBudget} from './request-budget.js';
@@ -64,6 +65,7 @@
   readonly metrics: GatewayMetrics;
   readonly copies: RunCopies;
   readonly leavings: EndpointLeavings;
+  readonly account: InputAccount;
   /** Number of hosts that share the resend budget. */
   hostCount(): number;
   /** Reads the list of endpoints at once. */
@@ -160,6 +162,7 @@
       }
     } finally {
       timeout.close();
+      this.completion.close();
       caller.disconnectSignal.removeEventListener('abort', onDisconnect);
     }
   }
@@ -217,6 +220,7 @@
         : retries.afterAnswer(attempt, result);
     } finally {
       this.parts.crashes.attemptEnded(attempt);
+      exchange.close();
       attempt.admission?.close();
       this.continuation.attemptEnded();
       stopWatchingPath();
@@ -362,6 +366,7 @@
         attemptId: caller.headers.attemptId,
       },
       inputLog(this.parts.events, this.parts.metrics),
+      this.parts.account,
     );
   }
 
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -133,6 +133,7 @@
 
   private limitEvent(hasEvents: boolean): void {
     const {length} = this.splitter.incompleteEvent;
+    this.attempt.exchange.eventHeld(length);
     const breach = this.limit.arrived(length, hasEvents, this.now());
     if (breach !== undefined) {
       this.attempt.exchange.endInput(breach);
