Limit what a gateway holds of all answers together

A faulty endpoint that sent without end on many connections at the same moment filled the memory of its host, which would have ended with the requests of all other callers. Each connection kept to its own limit (8 MiB of a body, 256 KiB of an event); their sum had none.

What is held of answers, incomplete events, callers' bodies and unread answers now has one limit, half of what the machine's memory leaves beside the process's own need (`memoryMegabytes`, from `limits.memory_mb`). Beyond it a pure decision ends exchanges of the source that holds most in total, the largest first, until half of the limit is free: a flood on many connections counts as one source, exchanges of up to 64 KiB are never ended because of others, and whole answers are delivered. The line `memory limit exceeded` tells what was ended. The endpoint rests for a second, its idle connections are closed, and one request shows whether it still floods. The ended requests go on as after any answer that broke off: the request may have run.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -21,6 +21,7 @@
 export * from './load-core-options.js';
 export * from './load-core.js';
 export * from './load-policies.js';
+export * from './memory/index.js';
 export * from './order-planner.js';
 export * from './placement-policy.js';
 export * from './queue-policy.js';
--- /dev/null
+++ b/packages/decisions/src/memory/index.ts
@@ -0,0 +1,3 @@
+export * from './end-largest-source.js';
+export * from './input-capacity.js';
+export * from './memory-policy.js';
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -24,6 +24,11 @@
   override readonly name: string = 'BodyTooLargeError';
 }
 
+/** Thrown when a caller's body is given up because the process has no room for it. */
+export class BodyEndedError extends Error {
+  override readonly name: string = 'BodyEndedError';
+}
+
 /** One request of a caller, and the means to answer it. */
 export class CallerExchange {
   private readonly disconnect = new AbortController();
@@ -191,6 +196,7 @@
    * @returns Undefined if the request has no body according to its framing
    *     headers.
    * @throws BodyTooLargeError if the body is longer than `limitBytes`.
+   * @throws BodyEndedError if the process has no room for it.
    */
   async readBody(limitBytes: number): Promise<Buffer | undefined> {
     const {headers} = this.request;
@@ -201,15 +207,20 @@
       return undefined;
     }
     const chunks: Buffer[] = [];
-    const held = this.account.hold(HeldKind.RequestBody, this.source);
+    let bytes = 0;
+    const held = this.account.hold(HeldKind.RequestBody, this.source, () => {
+      this.request.destroy(new BodyEndedError());
+    });
     this.heldBody = held;
     for await (const chunk of this.request as AsyncIterable<Buffer>) {
-      held.add(chunk.length);
-      if (held.bytes > limitBytes) {
+      bytes += chunk.length;
+      if (bytes > limitBytes) {
         throw new BodyTooLargeError();
       }
       chunks.push(chunk);
+      held.add(chunk.length);
     }
+    held.complete();
     return Buffer.concat(chunks);
   }
 
@@ -301,7 +312,13 @@
   private countUnread(): void {
     const bytes = this.response.writableLength;
     if (bytes > 0 || this.unread !== undefined) {
-      this.unread ??= this.account.hold(HeldKind.UnreadAnswer, this.source);
+      this.unread ??= this.account.hold(
+        HeldKind.UnreadAnswer,
+        this.source,
+        () => {
+          this.destroyConnection();
+        },
+      );
       this.unread.set(bytes);
     }
   }
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -233,11 +233,13 @@
   /** Reads the complete body of an answer; undefined if it was cut. */
   async readBody(): Promise<Buffer | undefined> {
     const chunks: Buffer[] = [];
+    let bytes = 0;
     const held = this.hold(HeldKind.Answer);
     await this.read(chunk => {
+      bytes += chunk.length;
       chunks.push(chunk);
       held.add(chunk.length);
-      if (held.bytes > MAXIMUM_BUFFERED_BODY_BYTES) {
+      if (bytes > MAXIMUM_BUFFERED_BODY_BYTES) {
         this.endInput(InputBreach.BodyBytes);
       }
     });
@@ -330,6 +332,7 @@
   /** Passes the account of the body on to whoever keeps it, and has to close it. */
   takeHeld(): HeldBytes | undefined {
     const {held} = this;
+    held?.complete();
     this.held = undefined;
     return held;
   }
@@ -385,7 +388,9 @@
   }
 
   private hold(kind: HeldKind): HeldBytes {
-    this.held = this.account.hold(kind, `endpoint ${this.endpoint.id}`);
+    this.held = this.account.hold(kind, `endpoint ${this.endpoint.id}`, () => {
+      this.endInput(InputBreach.ProcessBytes);
+    });
     return this.held;
   }
 
--- a/packages/gateway/src/gateway-limits.ts
+++ b/packages/gateway/src/gateway-limits.ts
@@ -1,4 +1,4 @@
-import type {ResendLimits} from '@wisteriadeal/decisions';
+import {inputCapacityBytes, type ResendLimits} from '@wisteriadeal/decisions';
 import type {GatewaySettings} from '@wisteriadeal/schema';
 
 /** Limits that a gateway's settings define. */
@@ -25,6 +25,8 @@
   readonly storeRetentionMilliseconds: number;
   /** Capacity of the host's link, bytes per second; 0 if unknown. */
   readonly linkBytesPerSecond: number;
+  /** Bytes from outside that all requests together may hold. */
+  readonly inputCapacityBytes: number;
 }
 
 const DEFAULT_STOP_GRACE_SECONDS = 8;
@@ -82,5 +84,6 @@
       DEFAULT_STORE_RETENTION_SECONDS,
     ),
     linkBytesPerSecond: settings.linkMegabitsPerSecond * MEGABIT_BYTES,
+    inputCapacityBytes: inputCapacityBytes(settings.memoryMegabytes),
   };
 }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,7 +41,7 @@
 import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
 import {HostRotation} from './host-rotation.js';
-import {InputAccount} from './input-memory/index.js';
+import {InputAccount, memoryLog} from './input-memory/index.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
 import {GracefulStop} from './graceful-stop.js';
 import type {HostTraffic} from './host-traffic.js';
@@ -139,12 +139,16 @@
   private readonly originPeers: StreamOriginPeers;
   private readonly origins: StreamOriginRegistry;
   private readonly pastOrigins: PastOriginsSource;
-  private readonly account = new InputAccount();
+  private readonly account: InputAccount;
   private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
     const {settings, names, dialect, log, clock, events} = parts;
     this.link = this.createLink();
+    this.account = new InputAccount({
+      capacityBytes: gatewayLimits(settings).inputCapacityBytes,
+      onEnded: memoryLog(events),
+    });
     this.connections = new EndpointConnectionPool(this.link);
     log.useLink(this.link);
     this.health = this.createHealth();
--- a/packages/gateway/src/input-limits/input-breach.ts
+++ b/packages/gateway/src/input-limits/input-breach.ts
@@ -16,6 +16,8 @@
   DiscardedBytes = 'discarded-bytes',
   /** The body of an answer that is not read took too long to end. */
   DiscardedTime = 'discarded-time',
+  /** All exchanges of the process together hold too many bytes. */
+  ProcessBytes = 'process-bytes',
 }
 
 /** Codes of the errors of Node.js's HTTP parser when a part of a message is too long. */
--- a/packages/gateway/src/input-memory/held-bytes.ts
+++ b/packages/gateway/src/input-memory/held-bytes.ts
@@ -1,18 +1,31 @@
+import type {MemoryHolder} from '@wisteriadeal/decisions';
+
+import type {HeldKind} from './held-kind.js';
+
 /** The bytes that one exchange holds. */
-export class HeldBytes {
+export class HeldBytes implements MemoryHolder {
   private heldBytes = 0;
   private isClosed = false;
 
-  /** @param onChange Called with each change of the number of bytes. */
+  /**
+   * @param onChange Called with each change of the number of bytes.
+   * @param onEnd Ends the exchange; undefined once that frees nothing.
+   */
   constructor(
+    readonly kind: HeldKind,
     readonly source: string,
-    private readonly onChange: (change: number) => void,
+    private readonly onChange: (held: HeldBytes, change: number) => void,
+    private onEnd: (() => void) | undefined,
   ) {}
 
   get bytes(): number {
     return this.heldBytes;
   }
 
+  get isEndable(): boolean {
+    return this.onEnd !== undefined;
+  }
+
   /** Records that more bytes are held. */
   add(bytes: number): void {
     this.set(this.heldBytes + bytes);
@@ -23,10 +36,21 @@
     const change = bytes - this.heldBytes;
     if (change !== 0 && !this.isClosed) {
       this.heldBytes = bytes;
-      this.onChange(change);
+      this.onChange(this, change);
     }
   }
 
+  /** Records that all bytes have come: they are kept until they are used. */
+  complete(): void {
+    this.onEnd = undefined;
+  }
+
+  /** Ends the exchange to free its bytes. */
+  end(): void {
+    this.onEnd?.();
+    this.close();
+  }
+
   /** Records that no bytes are held any more. */
   close(): void {
     this.set(0);
--- a/packages/gateway/src/request-completion.ts
+++ b/packages/gateway/src/request-completion.ts
@@ -112,8 +112,10 @@
     this.record.outcome = `own: ${reply.reason}`;
   }
 
-  private forwardAnswer({head, body, framing}: BufferedAnswer): void {
+  private forwardAnswer({head, body, framing, held}: BufferedAnswer): void {
     const {caller} = this.context;
+    // The caller's exchange counts what is not sent at once.
+    held?.close();
     const headers = this.dialect.answerHeaders(head.rawHeaders);
     if (framing === AnswerFraming.Length || framing === AnswerFraming.Chunked) {
       caller.answer(head.status, headers, body);
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -11,7 +11,11 @@
 import type {BillWriter} from './bill-writer.js';
 import {budgetAnswer} from './budget-answer.js';
 import type {BudgetHolder} from './budget-holder.js';
-import {BodyTooLargeError, type CallerExchange} from './caller-exchange.js';
+import {
+  BodyEndedError,
+  BodyTooLargeError,
+  type CallerExchange,
+} from './caller-exchange.js';
 import {
   findRoute,
   pickService,
@@ -437,6 +441,11 @@
     record: RequestRecord,
     error: unknown,
   ): void {
+    if (error instanceof BodyEndedError) {
+      caller.destroyConnection();
+      record.outcome = 'cut: memory-full';
+      return;
+    }
     if (caller.disconnectSignal.aborted) {
       record.outcome = 'caller-left';
       return;
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -36,7 +36,7 @@
 import {PathKind, type EndpointPath} from './endpoint-path.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
-import {inputLog} from './input-limits/index.js';
+import {InputBreach, inputLog} from './input-limits/index.js';
 import type {InputAccount} from './input-memory/index.js';
 import type {KnownEndpoint} from './known-endpoint.js';
 import {LocalReplyReason} from './local-reply.js';
@@ -75,6 +75,11 @@
 /** Time in which a host finds out whether it has lost its paths to a service. */
 const PATH_DECISION_MILLISECONDS = 100;
 const PATH_POLL_MILLISECONDS = 10;
+/**
+ * Time for which an endpoint that filled this host's memory gets no requests; after it,
+ * one request shows whether it still does, milliseconds.
+ */
+const REST_AFTER_FLOOD_MILLISECONDS = 1_000;
 
 /** Sends one request to endpoints until it has a final answer. */
 export class RequestRun {
@@ -365,11 +370,23 @@
         body,
         attemptId: caller.headers.attemptId,
       },
-      inputLog(this.parts.events, this.parts.metrics),
+      (id, breach, elapsedMilliseconds) => {
+        const {events, metrics} = this.parts;
+        inputLog(events, metrics)(id, breach, elapsedMilliseconds);
+        if (breach === InputBreach.ProcessBytes) {
+          this.restAfterFlood(chosen);
+        }
+      },
       this.parts.account,
     );
   }
 
+  private restAfterFlood({endpoint, path}: ChosenEndpoint): void {
+    const {rest} = endpoint.conditions;
+    rest.asked(REST_AFTER_FLOOD_MILLISECONDS, this.lifetime.now());
+    path.connections.closeIdle(endpoint.entry);
+  }
+
   /**
    * Records that the endpoint responded. The response time of a refusal is not
    * used as a latency sample, as it does not show how fast the endpoint serves.
--- a/packages/gateway/src/test/gateway-limits_test.ts
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -15,6 +15,7 @@
       configurationApplyMilliseconds: 2_500.5,
       evacuationMilliseconds: 4_000.5,
       storeKeepSeconds: 20.5,
+      memoryMegabytes: 350.5,
     });
     expect(gatewayLimits(settings)).toEqual({
       stopGraceMilliseconds: 7_500,
@@ -28,6 +29,7 @@
       evacuationMilliseconds: 4_000.5,
       storeRetentionMilliseconds: 20_500,
       linkBytesPerSecond: 0,
+      inputCapacityBytes: 111_250_000,
     });
   });
 
@@ -46,6 +48,7 @@
       evacuationMilliseconds: 5_000,
       storeRetentionMilliseconds: 20_000,
       linkBytesPerSecond: 0,
+      inputCapacityBytes: 16_000_000,
     });
   });
 });
