Test callers whose bytes have no room

A body that is still being received is given up, and the connection of a caller that doesn't read its answer is closed, once all exchanges together hold more than the capacity.

--- a/packages/gateway/src/test/caller-exchange_test.ts
+++ b/packages/gateway/src/test/caller-exchange_test.ts
@@ -1,9 +1,11 @@
-import {createServer, request} from 'node:http';
+import {once} from 'node:events';
+import {createServer, request, type ClientRequest} from 'node:http';
 import type {AddressInfo} from 'node:net';
 import {describe, expect, it} from 'vitest';
 
-import {CallerExchange} from '../caller-exchange.js';
+import {BodyEndedError, CallerExchange} from '../caller-exchange.js';
 import type {CallerHeaders, Dialect} from '../dialect.js';
+import {HeldKind, InputAccount} from '../input-memory/index.js';
 
 const HEADERS: CallerHeaders = {
   attemptId: 'a',
@@ -57,3 +59,85 @@
     expect(caller.disconnectSignal.aborted).toBe(true);
   });
 });
+
+describe('CallerExchange without room in memory', () => {
+  const CAPACITY = 1_000_000;
+  const PART = Buffer.alloc(64 * 1_024);
+
+  /** Serves one request, and resolves with what the server has made of it. */
+  async function serveOne<Result>(
+    account: InputAccount,
+    serve: (caller: CallerExchange) => Promise<Result>,
+    send: (outgoing: ClientRequest) => void,
+  ): Promise<Result> {
+    const server = createServer();
+    const served = new Promise<Result>((resolve, reject) => {
+      server.once('request', (incoming, response) => {
+        serve(
+          new CallerExchange(
+            dialect,
+            incoming,
+            response,
+            0,
+            0,
+            () => false,
+            true,
+            account,
+          ),
+        ).then(resolve, reject);
+      });
+    });
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const outgoing = request({host: '127.0.0.1', port, method: 'POST'});
+    outgoing.on('error', () => {
+      // The server destroys the connection.
+    });
+    send(outgoing);
+    try {
+      return await served;
+    } finally {
+      outgoing.destroy();
+      server.close();
+    }
+  }
+
+  it('gives up a body that is still being received', async () => {
+    // Guards against callers whose bodies together fill the memory.
+    const account = new InputAccount({capacityBytes: CAPACITY});
+    const error = await serveOne(
+      account,
+      caller => caller.readBody(Infinity).catch((reason: unknown) => reason),
+      outgoing => {
+        const sendParts = () => {
+          while (!outgoing.destroyed && outgoing.write(PART)) {
+            // The system takes more.
+          }
+        };
+        outgoing.on('drain', sendParts);
+        sendParts();
+      },
+    );
+    expect(error).toBeInstanceOf(BodyEndedError);
+    expect(account.bytesOf(HeldKind.RequestBody)).toBe(0);
+  });
+
+  it('closes the connection of a caller that does not read its answer', async () => {
+    // Guards against callers whose unread answers together fill the memory.
+    const account = new InputAccount({capacityBytes: CAPACITY});
+    await serveOne(
+      account,
+      async caller => {
+        caller.beginStream(200, []);
+        await caller.write(Buffer.alloc(16 * CAPACITY));
+        expect(caller.disconnectSignal.aborted).toBe(true);
+      },
+      outgoing => {
+        outgoing.once('response', incoming => incoming.pause());
+        outgoing.end();
+      },
+    );
+    expect(account.bytesOf(HeldKind.UnreadAnswer)).toBe(0);
+  });
+});
