--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -3,6 +3,7 @@
 
 import type {CallerHeaders, Dialect} from './dialect.js';
 import {nextEventLoopTurn} from './event-loop.js';
+import {HeldKind, InputAccount, type HeldBytes} from './input-memory/index.js';
 import type {LocalReply} from './local-reply.js';
 import {RequestProgress} from './open-requests/request-progress.js';
 
@@ -24,6 +25,11 @@
   override readonly name: string = 'BodyTooLargeError';
 }
 
+/** Thrown when a caller's body is given up because the process has no room for it. */
+export class BodyEndedError extends Error {
+  override readonly name: string = 'BodyEndedError';
+}
+
 /** One request of a caller, and the means to answer it. */
 export class CallerExchange {
   /** How far the request has come. */
@@ -33,6 +39,8 @@
   private turnsSinceRead = 0;
   private onAnswering: () => void = () => undefined;
   private onClosed: () => void = () => undefined;
+  private heldBody: HeldBytes | undefined;
+  private unread: HeldBytes | undefined;
 
   /**
    * @param arrivedAt When the request was read, on this process's monotonic
@@ -42,6 +50,7 @@
    * @param shouldCloseConnection Whether the connection closes after the
    *     answer; called when the answer begins.
    * @param isFirst Whether this is the first request on its connection.
+   * @param account Counts what is held of the request and of its answer.
    */
   constructor(
     private readonly dialect: Dialect,
@@ -51,6 +60,7 @@
     readonly unseenMilliseconds: number,
     private readonly shouldCloseConnection: () => boolean = () => false,
     readonly isFirst = false,
+    private readonly account = new InputAccount(),
   ) {
     response.sendDate = false;
     response.on('error', () => {
@@ -74,6 +84,8 @@
       if (!response.writableFinished) {
         this.disconnect.abort();
       }
+      this.heldBody?.close();
+      this.unread?.close();
       this.onClosed();
     };
     socket.once('end', onEnd);
@@ -187,6 +199,7 @@
    * @returns Undefined if the request has no body according to its framing
    *     headers.
    * @throws BodyTooLargeError if the body is longer than `limitBytes`.
+   * @throws BodyEndedError if the process has no room for it.
    */
   async readBody(limitBytes: number): Promise<Buffer | undefined> {
     const {headers} = this.request;
@@ -198,13 +211,19 @@
     }
     const chunks: Buffer[] = [];
     let bytes = 0;
+    const held = this.account.hold(HeldKind.RequestBody, this.source, () => {
+      this.request.destroy(new BodyEndedError());
+    });
+    this.heldBody = held;
     for await (const chunk of this.request as AsyncIterable<Buffer>) {
       bytes += chunk.length;
       if (bytes > limitBytes) {
         throw new BodyTooLargeError();
       }
       chunks.push(chunk);
+      held.add(chunk.length);
     }
+    held.complete();
     return Buffer.concat(chunks);
   }
 
@@ -237,6 +256,7 @@
     const framed = [...headers, 'Content-Length', String(body.length)];
     this.writeHead(status, framed);
     this.response.end(body);
+    this.countUnread();
   }
 
   /**
@@ -253,6 +273,7 @@
     this.response.shouldKeepAlive = false;
     this.writeHead(status, [...headers]);
     this.response.end(body);
+    this.countUnread();
   }
 
   /** Sends a reply that the gateway generates, without an endpoint's proof. */
@@ -282,8 +303,10 @@
     if (this.response.write(bytes) || this.disconnect.signal.aborted) {
       return undefined;
     }
+    this.countUnread();
     return new Promise<void>(resolve => {
       const done = () => {
+        this.countUnread();
         this.response.off('drain', done);
         this.response.off('close', done);
         resolve();
@@ -298,6 +321,26 @@
     this.response.end();
   }
 
+  /** Counts what the caller has not read yet, beyond what the system holds. */
+  private countUnread(): void {
+    const bytes = this.response.writableLength;
+    if (bytes > 0 || this.unread !== undefined) {
+      this.unread ??= this.account.hold(
+        HeldKind.UnreadAnswer,
+        this.source,
+        () => {
+          this.destroyConnection();
+        },
+      );
+      this.unread.set(bytes);
+    }
+  }
+
+  private get source(): string {
+    const {key} = this.headers;
+    return `caller ${key ?? this.request.socket.remoteAddress ?? ''}`;
+  }
+
   private writeHead(status: number, headers: string[]): void {
     if (this.shouldCloseConnection()) {
       this.disableKeepAlive();
--- a/packages/gateway/src/request-completion.ts
+++ b/packages/gateway/src/request-completion.ts
@@ -6,6 +6,7 @@
   LocalReplyReason,
   type LocalReply,
 } from './local-reply.js';
+import type {HeldBytes} from './input-memory/index.js';
 import type {RequestContext} from './request-context.js';
 import type {RequestRecord} from './request-record.js';
 import {BudgetRefusal} from './token-waiters.js';
@@ -15,6 +16,8 @@
   readonly head: AnswerHead;
   readonly body: Buffer;
   readonly framing: AnswerFraming;
+  /** Counts the body for as long as it is kept. */
+  readonly held: HeldBytes | undefined;
 }
 
 /** Retry delay given to callers of a service that has no usable endpoint. */
@@ -35,9 +38,15 @@
 
   /** Sets the fallback answer, replacing any earlier one. */
   setFallback(answer: BufferedAnswer): void {
+    this.close();
     this.fallback = answer;
   }
 
+  /** Closes the account of an answer that is kept; called when the request has ended. */
+  close(): void {
+    this.fallback?.held?.close();
+  }
+
   /**
    * Ends the request. A failure that an endpoint answered takes precedence over
    * a local reply.
@@ -103,8 +112,10 @@
     this.record.outcome = `own: ${reply.reason}`;
   }
 
-  private forwardAnswer({head, body, framing}: BufferedAnswer): void {
+  private forwardAnswer({head, body, framing, held}: BufferedAnswer): void {
     const {caller} = this.context;
+    // The caller's exchange counts what is not sent at once.
+    held?.close();
     const headers = this.dialect.answerHeaders(head.rawHeaders);
     if (framing === AnswerFraming.Length || framing === AnswerFraming.Chunked) {
       caller.answer(head.status, headers, body);
