Read each byte of a stream once, without a regular expression per event

Callers waited for seconds beside streams that are made of tiny pieces (docs/incidents/requests-ended-without-an-answer.md, hypothesis 3). A part of that is the cost of one event: it was turned into text twice, searched by two regular expressions, and became a buffer of its own; an incomplete event was copied and searched again with each chunk, which is quadratic for an event in chunks of one byte.

The splitter is now a state machine over bytes. Which bytes are an event, its identifier and its fields are unchanged: a test with fast-check compares them with the expressions that were used before, for any bytes in any chunks.

--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -3,7 +3,7 @@
 import {AnswerFraming} from './endpoint-exchange.js';
 import {
   EventStreamSplitter,
-  hasField,
+  joinEvents,
   type StreamEvent,
 } from './event-stream-splitter.js';
 import {EventLimit} from './input-limits/index.js';
@@ -81,12 +81,14 @@
     if (forwardable.length < events.length) {
       this.cut('event out of order');
     }
-    this.limitEvent(events.length > 0);
+    this.limitEvents(events);
     if (forwardable.length === 0) {
       return undefined;
     }
     const mayPassOn =
-      this.hasEvent || !forwardable.some(hasField) || this.listener.mayPassOn();
+      this.hasEvent ||
+      !forwardable.some(({hasField}) => hasField) ||
+      this.listener.mayPassOn();
     return mayPassOn === true
       ? this.forward(forwardable)
       : this.forwardIf(mayPassOn, forwardable);
@@ -110,7 +112,7 @@
     const {isComplete, framing} = this.attempt.exchange;
     return (
       isComplete &&
-      this.splitter.incompleteEvent.length === 0 &&
+      this.splitter.incompleteBytes === 0 &&
       (this.hasEvent || framing !== AnswerFraming.UntilClose)
     );
   }
@@ -131,9 +133,10 @@
     }
   }
 
-  private limitEvent(hasEvents: boolean): void {
-    const {length} = this.splitter.incompleteEvent;
-    const breach = this.limit.arrived(length, hasEvents, this.now());
+  private limitEvents(events: readonly StreamEvent[]): void {
+    const {incompleteBytes} = this.splitter;
+    const hasEvents = events.length > 0;
+    const breach = this.limit.arrived(incompleteBytes, hasEvents, this.now());
     if (breach !== undefined) {
       this.attempt.exchange.endInput(breach);
     }
@@ -141,7 +144,7 @@
 
   private forward(events: readonly StreamEvent[]): Promise<void> | undefined {
     this.attempt.monitor.eventReceived();
-    if (!this.hasEvent && events.some(hasField)) {
+    if (!this.hasEvent && events.some(({hasField}) => hasField)) {
       this.hasEvent = true;
       this.listener.firstEvent();
     }
@@ -155,7 +158,7 @@
       this.record.eventDelivered(now);
       this.record.lastEventId = id ?? this.record.lastEventId;
     }
-    const writable = this.caller.write(concatenate(events));
+    const writable = this.caller.write(joinEvents(events));
     if (writable !== undefined) {
       this.limit.restartTime();
     }
@@ -177,13 +180,6 @@
   return firstOutOfOrder === -1 ? events : events.slice(0, firstOutOfOrder);
 }
 
-function concatenate(events: readonly StreamEvent[]): Buffer {
-  const [first] = events;
-  return events.length === 1 && first !== undefined
-    ? first.bytes
-    : Buffer.concat(events.map(({bytes}) => bytes));
-}
-
 /** Event identifiers are integers that increase by one. */
 function isNextEvent(event: StreamEvent, last: string | undefined): boolean {
   if (event.id === undefined || last === undefined) {
--- a/packages/gateway/src/test/event-stream-splitter_test.ts
+++ b/packages/gateway/src/test/event-stream-splitter_test.ts
@@ -1,7 +1,7 @@
 import fc from 'fast-check';
 import {expect, it} from 'vitest';
 
-import {EventStreamSplitter} from '../event-stream-splitter.js';
+import {EventStreamSplitter, joinEvents} from '../event-stream-splitter.js';
 
 /** Events and comments as endpoints send them, each with the identifier that it has. */
 const part = fc.record({
@@ -55,3 +55,38 @@
     {numRuns: 300, seed: 82},
   );
 });
+
+/** Text of a stream cut into chunks, which may be empty. */
+const anyChunks = fc.array(
+  fc.string({
+    unit: fc.constantFrom('\n', '\n', '\r', ':', 'i', 'd', 'id:', ' ', '1'),
+    maxLength: 12,
+  }),
+  {maxLength: 12},
+);
+
+it('reads any bytes, in any chunks, as the same events with the same fields', () => {
+  // Guards against bytes whose meaning depends on where a chunk ends.
+  fc.assert(
+    fc.property(anyChunks, chunks => {
+      const splitter = new EventStreamSplitter();
+      const pushed = chunks.map(chunk => splitter.push(Buffer.from(chunk)));
+      const events = pushed.flat();
+      const texts = chunks.join('').match(/[^]*?\n\r?\n/g) ?? [];
+      expect(events.map(({bytes}) => bytes.toString())).toEqual([...texts]);
+      expect(pushed.map(each => joinEvents(each).toString()).join('')).toBe(
+        texts.join(''),
+      );
+      expect(events.map(({hasField}) => hasField)).toEqual(
+        texts.map(text => /^[^:\r\n]/m.test(text)),
+      );
+      expect(events.map(({id}) => id)).toEqual(
+        texts.map(text => /(?:^|\n)id: ?([^\r\n]*)/.exec(text)?.[1]),
+      );
+      expect(splitter.incompleteEvent.toString()).toBe(
+        chunks.join('').slice(texts.join('').length),
+      );
+    }),
+    {numRuns: 2_000, seed: 85},
+  );
+});
