Bound what one connection may do in a turn of the event loop

What callers saw: while some 20 streams of one faulty endpoint sent tiny pieces without end, requests to a sound endpoint of another service were answered after seconds, and floods stayed open after their callers had left.

Cause: a socket is read up to 32 times in a turn, 64 KiB at a time, and all of it was processed at once; nothing limited comments, empty lines and events without a number. Closes, deadlines and other requests are noticed between turns only.

What changed:

- A connection is read 8 KiB at a time, and ChunkPacer passes on at most 16 KiB of it in a turn, 1 KiB once all connections of a pool have used 128 KiB; each chunk counts 64 bytes besides its own.
The rest waits, paused, for a later turn, after other sockets have been read.
What a connection that has used nothing sends is always passed on at once, so that events of sound streams aren't late.
- FillerLimit ends a stream at 64 KiB, and 16 bytes for each byte of numbered events, of pieces without a number: comments, empty lines and events without an identifier.
The protocol numbers all events; what has no number can't be put in order, and no caller can go on after it.
A comment every 15 s reaches the limit after hours.
Numbered events have no limit, they are paced.
- What is left of an answer that has been cut is dropped.
- Log line 'endpoint input ended' has 'bytes', the limit filler-bytes is new, and so is wisteriadeal_endpoint_reads_deferred_total: floods are told from a slow host.

--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -3,12 +3,15 @@
   Agent,
   type AgentOptions,
   type ClientRequest,
+  type ClientRequestArgs,
   type RequestOptions,
 } from 'node:http';
-import type {Socket} from 'node:net';
+import {connect, type NetConnectOpts, type Socket} from 'node:net';
+import type {Duplex} from 'node:stream';
 
 import type {ConnectObserver} from './connect-observer.js';
 import type {EndpointEntry} from './endpoint-entry.js';
+import {TurnBudget} from './input-limits/index.js';
 import {OpenConnections} from './open-connections.js';
 
 /**
@@ -44,6 +47,16 @@
 /** Number of recent connects that the moving average reflects. */
 const CONNECT_MEAN_SAMPLES = 16;
 
+/**
+ * Maximum number of bytes that are read at a time. All of them pass through the HTTP
+ * parser in one go, which takes microseconds for each chunk of a body.
+ */
+const READ_BYTES = 8 * 1024;
+/** Bytes of a paused answer after which its connection is not read further. */
+const BUFFERED_BYTES = 4 * 1024;
+/** Shared by all connections, as each read is copied before the next one begins. */
+const READ_BUFFER = Buffer.allocUnsafeSlow(READ_BYTES);
+
 /** Options of a request to an endpoint. */
 export interface EndpointRequestOptions extends RequestOptions {
   readonly endpointId: string;
@@ -80,6 +93,9 @@
   readonly confirmEnd: (socket: Socket) => Promise<boolean> = () =>
     Promise.resolve(true);
 
+  /** Share of the event loop's turns that answers on its connections have. */
+  readonly turns = new TurnBudget();
+
   /** Connections that were opened to endpoints directly. */
   readonly open = new OpenConnections(endpoint => {
     this.observer?.connectionsLost(endpoint);
@@ -205,6 +221,21 @@
     this.link.recordTimeout(milliseconds);
   }
 
+  /** Opens a connection that is read in small parts. */
+  override createConnection(options: ClientRequestArgs): Duplex | undefined {
+    const buffering = {readableHighWaterMark: BUFFERED_BYTES};
+    const socket: Socket = connect({
+      ...(options as NetConnectOpts),
+      ...buffering,
+      onread: {
+        buffer: READ_BUFFER,
+        callback: bytes =>
+          socket.push(Buffer.from(READ_BUFFER.subarray(0, bytes))),
+      },
+    });
+    return socket;
+  }
+
   /** @param maximumIdleMilliseconds Limit besides that of the endpoint. */
   override keepSocketAlive(
     socket: Socket,
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -17,6 +17,7 @@
 } from './endpoint-connection-pool.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import {
+  ChunkPacer,
   InputBreach,
   InputWatch,
   type InputListener,
@@ -101,6 +102,11 @@
  */
 const MAXIMUM_BUFFERED_BODY_BYTES = 8 * 1024 * 1024;
 
+const SILENT_LISTENER: InputListener = {
+  ended: () => undefined,
+  deferred: () => undefined,
+};
+
 const BODILESS_STATUSES: readonly number[] = [204, 304];
 
 /** Codes of errors that only the other side's end of a connection causes. */
@@ -114,6 +120,8 @@
   private incoming: IncomingMessage | undefined;
   private failure: string | undefined;
   private isCancelled = false;
+  /** Whether nobody reads the answer any more. */
+  private isAbandoned = false;
   private wasClosed = false;
   private origin = ConnectionOrigin.None;
   private socket: Socket | undefined;
@@ -123,13 +131,13 @@
   private abandonWait: () => void = () => undefined;
   private connectTimeout: NetworkTimeout | undefined;
 
-  /** @param onInputEnded Called when a limit of the endpoint's input is exceeded. */
+  /** @param listener Told of the endpoint's input. */
   constructor(
     private readonly dialect: Dialect,
     private readonly connections: EndpointConnectionPool,
     private readonly endpoint: EndpointEntry,
     private readonly dispatched: DispatchedRequest,
-    private readonly onInputEnded: InputListener = () => undefined,
+    private readonly listener: InputListener = SILENT_LISTENER,
   ) {
     const options: EndpointRequestOptions = {
       agent: connections,
@@ -337,6 +345,7 @@
    * request.
    */
   cancel(reason: string): void {
+    this.isAbandoned = true;
     if (this.failure === undefined) {
       this.isCancelled = this.incoming?.complete !== true;
       this.recordAbandonedConnect();
@@ -354,8 +363,11 @@
   endInput(breach: InputBreach): void {
     if (this.failure === undefined && this.incoming?.complete !== true) {
       this.cancel(`input limit: ${breach}`);
-      const elapsed = performance.now() - this.startedAt;
-      this.onInputEnded(this.endpoint.id, breach, elapsed);
+      this.listener.ended(this.endpoint.id, {
+        limit: breach,
+        elapsedMilliseconds: performance.now() - this.startedAt,
+        bytes: this.input.arrivedBytes,
+      });
     }
   }
 
@@ -386,16 +398,26 @@
           this.wasClosed = isClose(error);
         }
       });
+      const fail = (error: unknown) => {
+        this.cancel('relaying failed');
+        reject(error instanceof Error ? error : new Error(String(error)));
+      };
+      const pacer = new ChunkPacer(this.connections.turns, {
+        consume: onChunk,
+        isCut: () => this.isAbandoned,
+        deferred: () => {
+          this.listener.deferred();
+        },
+      });
       incoming.once('end', finish);
       incoming.once('close', finish);
       incoming.on('data', (chunk: Buffer) => {
         this.input.bodyRead(chunk.length);
         try {
-          consumed = onChunk(chunk);
+          consumed = pacer.pass(chunk)?.catch(fail);
           pauseUntil(incoming, consumed);
         } catch (error) {
-          this.cancel('relaying failed');
-          reject(error instanceof Error ? error : new Error(String(error)));
+          fail(error);
         }
       });
     });
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -132,6 +132,11 @@
     labelNames: ['limit'],
     registers: [this.registry],
   });
+  private readonly readsDeferred = new Counter({
+    name: 'wisteriadeal_endpoint_reads_deferred_total',
+    help: 'Parts of endpoint answers that were left for a later turn of the event loop.',
+    registers: [this.registry],
+  });
   private readonly closed = new Counter({
     name: 'wisteriadeal_caller_connections_closed_total',
     help: 'Answers that closed their connections while the host was out of rotation.',
@@ -248,6 +253,11 @@
     this.inputsEnded.inc({limit});
   }
 
+  /** Counts a part of an answer that is left for a later turn of the event loop. */
+  readDeferred(): void {
+    this.readsDeferred.inc();
+  }
+
   /** Counts an answer that closes its connection. */
   callerClosed(): void {
     this.closed.inc();
--- a/packages/gateway/src/input-limits/input-breach.ts
+++ b/packages/gateway/src/input-limits/input-breach.ts
@@ -10,6 +10,8 @@
   EventBytes = 'event-bytes',
   /** An event of a stream took too long to arrive. */
   EventTime = 'event-time',
+  /** A stream has too much besides numbered events. */
+  FillerBytes = 'filler-bytes',
   /** A body that is buffered until it is complete is too long. */
   BodyBytes = 'body-bytes',
   /** The body of an answer that is not read is too long. */
--- a/packages/gateway/src/input-limits/input-log.ts
+++ b/packages/gateway/src/input-limits/input-log.ts
@@ -2,16 +2,27 @@
 
 import type {InputBreach} from './input-breach.js';
 
-/** What is told of an exchange that a limit of its input ended. */
-export type InputListener = (
-  endpointId: string,
-  breach: InputBreach,
-  elapsedMilliseconds: number,
-) => void;
+/** An exchange that a limit of its input ended. */
+export interface EndedInput {
+  readonly limit: InputBreach;
+  /** Time since the request was sent. */
+  readonly elapsedMilliseconds: number;
+  /** Bytes that arrived for the request. */
+  readonly bytes: number;
+}
+
+/** What is told of the input of exchanges. */
+export interface InputListener {
+  /** Called when a limit ended an exchange. */
+  ended(endpointId: string, input: EndedInput): void;
+  /** Called when the rest of an input is left for a later turn of the event loop. */
+  deferred(): void;
+}
 
-/** Counts exceeded limits. */
+/** Counts exceeded limits and deferred reads. */
 export interface InputMetrics {
   inputEnded(breach: InputBreach): void;
+  readDeferred(): void;
 }
 
 /** Returns a listener that logs and counts exceeded limits. */
@@ -19,12 +30,18 @@
   events: EventLog,
   metrics: InputMetrics,
 ): InputListener {
-  return (endpoint, limit, elapsedMilliseconds) => {
-    metrics.inputEnded(limit);
-    events.warn('endpoint input ended', {
-      endpoint,
-      limit,
-      elapsedMilliseconds: Math.round(elapsedMilliseconds),
-    });
+  return {
+    ended(endpoint, {limit, elapsedMilliseconds, bytes}) {
+      metrics.inputEnded(limit);
+      events.warn('endpoint input ended', {
+        endpoint,
+        limit,
+        elapsedMilliseconds: Math.round(elapsedMilliseconds),
+        bytes,
+      });
+    },
+    deferred() {
+      metrics.readDeferred();
+    },
   };
 }
--- a/packages/gateway/src/input-limits/input-watch.ts
+++ b/packages/gateway/src/input-limits/input-watch.ts
@@ -22,6 +22,8 @@
   private incoming: IncomingMessage | undefined;
   /** Bytes of the body that were read. */
   private readBytes = 0;
+  /** Counts all bytes that have arrived for the request. */
+  private countBytes = () => 0;
 
   /** @param onBreach Called when a limit is exceeded; has to close the connection. */
   constructor(
@@ -45,6 +47,11 @@
     });
   }
 
+  /** Number of bytes that have arrived for the request. */
+  get arrivedBytes(): number {
+    return this.countBytes();
+  }
+
   /** Records that a part of the body was read. */
   bodyRead(bytes: number): void {
     this.readBytes += bytes;
@@ -72,11 +79,12 @@
 
   private watch(socket: Socket): void {
     const before = socket.bytesRead;
+    this.countBytes = () => socket.bytesRead - before;
     // Runs after the HTTP parser has read the same bytes.
     const onData = () => {
       const breach = this.limit.arrived(
         {
-          total: socket.bytesRead - before,
+          total: this.arrivedBytes,
           body: this.readBytes + (this.incoming?.readableLength ?? 0),
         },
         performance.now(),
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -6,7 +6,7 @@
   joinEvents,
   type StreamEvent,
 } from './event-stream-splitter.js';
-import {EventLimit} from './input-limits/index.js';
+import {EventLimit, FillerLimit} from './input-limits/index.js';
 import type {RequestRecord} from './request-record.js';
 
 /** How relaying one endpoint's part of a stream ended. */
@@ -55,6 +55,7 @@
 class StreamRelay {
   private readonly splitter = new EventStreamSplitter();
   private readonly limit = new EventLimit();
+  private readonly filler = new FillerLimit();
   private isCut = false;
   /** Whether an event, and not only comments, came from this endpoint. */
   private hasEvent = false;
@@ -135,8 +136,9 @@
 
   private limitEvents(events: readonly StreamEvent[]): void {
     const {incompleteBytes} = this.splitter;
-    const hasEvents = events.length > 0;
-    const breach = this.limit.arrived(incompleteBytes, hasEvents, this.now());
+    const breach =
+      this.limit.arrived(incompleteBytes, events.length > 0, this.now()) ??
+      this.filler.arrived(sizesOf(events));
     if (breach !== undefined) {
       this.attempt.exchange.endInput(breach);
     }
@@ -180,6 +182,23 @@
   return firstOutOfOrder === -1 ? events : events.slice(0, firstOutOfOrder);
 }
 
+/** Bytes of events with an identifier and of all others. */
+function sizesOf(events: readonly StreamEvent[]): {
+  readonly fillerBytes: number;
+  readonly numberedBytes: number;
+} {
+  let fillerBytes = 0;
+  let numberedBytes = 0;
+  for (const {id, length} of events) {
+    if (id === undefined) {
+      fillerBytes += length;
+    } else {
+      numberedBytes += length;
+    }
+  }
+  return {fillerBytes, numberedBytes};
+}
+
 /** Event identifiers are integers that increase by one. */
 function isNextEvent(event: StreamEvent, last: string | undefined): boolean {
   if (event.id === undefined || last === undefined) {
--- a/packages/gateway/src/test/input-limits_test.ts
+++ b/packages/gateway/src/test/input-limits_test.ts
@@ -2,6 +2,7 @@
 
 import {
   EventLimit,
+  FillerLimit,
   FramingLimit,
   FRAMING_BYTES,
   InputBreach,
@@ -54,3 +55,34 @@
     );
   });
 });
+
+describe('the limit of what is no event', () => {
+  it('lets a comment pass every 15 s for hours', () => {
+    // Guards against streams that are cut while comments keep their connections open.
+    const limit = new FillerLimit();
+    for (let seconds = 0; seconds < 10 * 3_600; seconds += 15) {
+      expect(limit.arrived({fillerBytes: 14, numberedBytes: 0})).toBe(
+        undefined,
+      );
+    }
+  });
+
+  it('lets numbered events pass without end', () => {
+    // Guards against sound streams that are cut for their length.
+    const limit = new FillerLimit();
+    for (let events = 0; events < 1_000_000; events += 1_000) {
+      expect(limit.arrived({fillerBytes: 100_000, numberedBytes: 8_000})).toBe(
+        undefined,
+      );
+    }
+  });
+
+  it('ends tiny pieces without a number', () => {
+    // Guards against time spent on bytes that are no answer.
+    const limit = new FillerLimit();
+    limit.arrived({fillerBytes: FRAMING_BYTES, numberedBytes: 0});
+    expect(limit.arrived({fillerBytes: 2, numberedBytes: 0})).toBe(
+      InputBreach.FillerBytes,
+    );
+  });
+});
