--- a/packages/gateway/src/input-limits/filler-limit.ts
+++ b/packages/gateway/src/input-limits/filler-limit.ts
@@ -5,7 +5,7 @@
  * Least number of bytes that a chunk without a numbered event counts for, as its framing
  * has to be read as well.
  */
-const MINIMUM_CHUNK_BYTES = 16;
+const MINIMUM_CHUNK_BYTES = 64;
 
 /**
  * Limits what a stream sends besides numbered events: comments, empty lines and events
