--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -36,7 +36,11 @@
 import {PathKind, type EndpointPath} from './endpoint-path.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
-import {InputBreach, inputLog} from './input-limits/index.js';
+import {
+  InputBreach,
+  inputLog,
+  type InputListener,
+} from './input-limits/index.js';
 import type {InputAccount} from './input-memory/index.js';
 import type {KnownEndpoint} from './known-endpoint.js';
 import {
@@ -386,15 +390,24 @@
         body,
         attemptId: caller.headers.attemptId,
       },
-      (id, breach, elapsedMilliseconds) => {
-        const {events, metrics} = this.parts;
-        inputLog(events, metrics)(id, breach, elapsedMilliseconds);
-        if (breach === InputBreach.ProcessBytes) {
+      this.inputListener(chosen),
+      this.parts.account,
+    );
+  }
+
+  private inputListener(chosen: ChosenEndpoint): InputListener {
+    const log = inputLog(this.parts.events, this.parts.metrics);
+    return {
+      ended: (endpointId, input) => {
+        log.ended(endpointId, input);
+        if (input.limit === InputBreach.ProcessBytes) {
           this.restAfterFlood(chosen);
         }
       },
-      this.parts.account,
-    );
+      deferred: () => {
+        log.deferred();
+      },
+    };
   }
 
   private restAfterFlood({endpoint, path}: ChosenEndpoint): void {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -3,10 +3,10 @@
 import {AnswerFraming} from './endpoint-exchange.js';
 import {
   EventStreamSplitter,
-  hasField,
+  joinEvents,
   type StreamEvent,
 } from './event-stream-splitter.js';
-import {EventLimit} from './input-limits/index.js';
+import {EventLimit, FillerLimit} from './input-limits/index.js';
 import type {RequestRecord} from './request-record.js';
 
 /** How relaying one endpoint's part of a stream ended. */
@@ -55,6 +55,7 @@
 class StreamRelay {
   private readonly splitter = new EventStreamSplitter();
   private readonly limit = new EventLimit();
+  private readonly filler = new FillerLimit();
   private isCut = false;
   /** Whether an event, and not only comments, came from this endpoint. */
   private hasEvent = false;
@@ -81,12 +82,14 @@
     if (forwardable.length < events.length) {
       this.cut('event out of order');
     }
-    this.limitEvent(events.length > 0);
+    this.limitEvents(events);
     if (forwardable.length === 0) {
       return undefined;
     }
     const mayPassOn =
-      this.hasEvent || !forwardable.some(hasField) || this.listener.mayPassOn();
+      this.hasEvent ||
+      !forwardable.some(({hasField}) => hasField) ||
+      this.listener.mayPassOn();
     return mayPassOn === true
       ? this.forward(forwardable)
       : this.forwardIf(mayPassOn, forwardable);
@@ -110,7 +113,7 @@
     const {isComplete, framing} = this.attempt.exchange;
     return (
       isComplete &&
-      this.splitter.incompleteEvent.length === 0 &&
+      this.splitter.incompleteBytes === 0 &&
       (this.hasEvent || framing !== AnswerFraming.UntilClose)
     );
   }
@@ -131,10 +134,12 @@
     }
   }
 
-  private limitEvent(hasEvents: boolean): void {
-    const {length} = this.splitter.incompleteEvent;
-    this.attempt.exchange.eventHeld(length);
-    const breach = this.limit.arrived(length, hasEvents, this.now());
+  private limitEvents(events: readonly StreamEvent[]): void {
+    const {incompleteBytes} = this.splitter;
+    this.attempt.exchange.eventHeld(incompleteBytes);
+    const breach =
+      this.limit.arrived(incompleteBytes, events.length > 0, this.now()) ??
+      this.filler.arrived(sizesOf(events));
     if (breach !== undefined) {
       this.attempt.exchange.endInput(breach);
     }
@@ -142,7 +147,7 @@
 
   private forward(events: readonly StreamEvent[]): Promise<void> | undefined {
     this.attempt.monitor.eventReceived();
-    if (!this.hasEvent && events.some(hasField)) {
+    if (!this.hasEvent && events.some(({hasField}) => hasField)) {
       this.hasEvent = true;
       this.listener.firstEvent();
     }
@@ -156,7 +161,7 @@
       this.record.eventDelivered(now);
       this.record.lastEventId = id ?? this.record.lastEventId;
     }
-    const writable = this.caller.write(concatenate(events));
+    const writable = this.caller.write(joinEvents(events));
     if (writable !== undefined) {
       this.limit.restartTime();
     }
@@ -178,11 +183,21 @@
   return firstOutOfOrder === -1 ? events : events.slice(0, firstOutOfOrder);
 }
 
-function concatenate(events: readonly StreamEvent[]): Buffer {
-  const [first] = events;
-  return events.length === 1 && first !== undefined
-    ? first.bytes
-    : Buffer.concat(events.map(({bytes}) => bytes));
+/** Bytes of events with an identifier and of all others. */
+function sizesOf(events: readonly StreamEvent[]): {
+  readonly fillerBytes: number;
+  readonly numberedBytes: number;
+} {
+  let fillerBytes = 0;
+  let numberedBytes = 0;
+  for (const {id, length} of events) {
+    if (id === undefined) {
+      fillerBytes += length;
+    } else {
+      numberedBytes += length;
+    }
+  }
+  return {fillerBytes, numberedBytes};
 }
 
 /** Event identifiers are integers that increase by one. */
