Pass on answers after which an endpoint sends further bytes

What callers saw: 502 in place of a whole answer, also of a request that may run once, if bytes that are no answer followed it.

Cause: the parser's error on these bytes comes in the same read as the end of the answer, and counted as its failure.

Why it works: what comes after the end that a length, a last chunk or the status marks belongs to no request. The connection is closed by the error, as before. The end of an answer without a length still counts only without an error.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -168,7 +168,7 @@
       });
     });
     this.outgoing.on('error', error => {
-      if (this.failure === undefined) {
+      if (this.failure === undefined && !this.hasEnded) {
         this.failure = error.message;
         this.wasClosed = isClose(error);
         this.hasNoPath = error instanceof NoRelayError;
@@ -359,6 +359,14 @@
     }
   }
 
+  /** Whether the whole answer has arrived; what follows it belongs to no request. */
+  private get hasEnded(): boolean {
+    return (
+      this.incoming?.complete === true &&
+      this.framing !== AnswerFraming.UntilClose
+    );
+  }
+
   private get mayHaveBody(): boolean {
     const status = this.incoming?.statusCode ?? 0;
     return (
