--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -38,6 +38,12 @@
   readonly serve: () => void;
 }
 
+/**
+ * How long a draining connection receives the rest of a body whose request was
+ * answered before, milliseconds.
+ */
+const BODY_REST_MILLISECONDS = 500;
+
 /**
  * One caller's connection. Callers rarely pipeline: they send no second request
  * before the first is answered. Its requests are served one after the other, so that
@@ -50,6 +56,8 @@
   private isDraining = false;
   private hasTimedOut = false;
   private timer: NodeJS.Timeout | undefined;
+  /** Whether the last answer closed before the body of its request was complete. */
+  private isInBody = false;
   /**
    * Bytes read from the socket when the last answer closed; undefined before
    * the first.
@@ -66,7 +74,11 @@
    * Adds a request, and serves it once those before it are answered. It is not served if
    * no answer can be sent on this connection.
    */
-  add(response: ServerResponse, serve: () => void): void {
+  add(
+    request: IncomingMessage,
+    response: ServerResponse,
+    serve: () => void,
+  ): void {
     const closesBefore = [...this.answers].some(
       ({shouldKeepAlive}) => !shouldKeepAlive,
     );
@@ -78,10 +90,12 @@
       return;
     }
     clearTimeout(this.timer);
+    this.isInBody = false;
     this.answers.add(response);
     response.once('close', () => {
       this.answers.delete(response);
       this.bytesReadAtLastAnswer = this.socket.bytesRead;
+      this.isInBody = !request.complete;
       this.closeIfIdle();
       this.serveNext();
     });
@@ -95,7 +109,11 @@
   /** Whether a request head was read in part but not completely. */
   get hasPartialHead(): boolean {
     const bytesBefore = this.bytesReadAtLastAnswer ?? 0;
-    return this.answers.size === 0 && this.socket.bytesRead > bytesBefore;
+    return (
+      this.answers.size === 0 &&
+      !this.isInBody &&
+      this.socket.bytesRead > bytesBefore
+    );
   }
 
   /** Whether its caller has sent whole requests, and has read what was sent to it. */
@@ -144,7 +162,13 @@
     }
     const firstTimeoutAt = this.openedAt + FIRST_REQUEST_TIMEOUT_MILLISECONDS;
     const firstRequestMillisecondsLeft = firstTimeoutAt - performance.now();
-    if (this.hasPartialHead) {
+    if (this.isInBody) {
+      // Destroying it now would reset it before the caller has read the answer.
+      this.socket.end();
+      this.schedule(BODY_REST_MILLISECONDS, () => {
+        this.socket.destroy();
+      });
+    } else if (this.hasPartialHead) {
       this.schedule(HEAD_TIMEOUT_MILLISECONDS, () => {
         this.rejectLateHead();
       });
@@ -205,7 +229,7 @@
     response: ServerResponse,
     serve: () => void,
   ): void {
-    this.open.get(request.socket)?.add(response, serve);
+    this.open.get(request.socket)?.add(request, response, serve);
   }
 
   /**
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -4,6 +4,7 @@
 import type {CallerHeaders, Dialect} from './dialect.js';
 import {nextEventLoopTurn} from './event-loop.js';
 import type {LocalReply} from './local-reply.js';
+import {RequestProgress} from './open-requests/request-progress.js';
 
 /** Two spaces, `HTTP/1.1` and a line end of the request line. */
 const REQUEST_LINE_OVERHEAD_BYTES = 12;
@@ -25,6 +26,8 @@
 
 /** One request of a caller, and the means to answer it. */
 export class CallerExchange {
+  /** How far the request has come. */
+  readonly progress = new RequestProgress();
   private readonly disconnect = new AbortController();
   private parsed: CallerHeaders | undefined;
   private turnsSinceRead = 0;
@@ -219,6 +222,16 @@
     this.response.shouldKeepAlive = false;
   }
 
+  /**
+   * Keeps the connection open after an answer that comes before the end of the
+   * request's body. Closing it would reset it before the caller has read the answer.
+   */
+  keepWhileReceiving(): void {
+    if (!this.request.complete) {
+      this.response.shouldKeepAlive = true;
+    }
+  }
+
   /** Sends an answer with a complete body and its length. */
   answer(status: number, headers: readonly string[], body: Buffer): void {
     const framed = [...headers, 'Content-Length', String(body.length)];
