--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,7 @@
 import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
 import {HostRotation} from './host-rotation.js';
+import {InputAccount, memoryLog} from './input-memory/index.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
 import {GracefulStop} from './graceful-stop.js';
 import type {HostTraffic} from './host-traffic.js';
@@ -140,11 +141,16 @@
   private readonly originPeers: StreamOriginPeers;
   private readonly origins: StreamOriginRegistry;
   private readonly pastOrigins: PastOriginsSource;
+  private readonly account: InputAccount;
   private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
     const {settings, names, dialect, log, clock, events} = parts;
     this.link = this.createLink();
+    this.account = new InputAccount({
+      capacityBytes: gatewayLimits(settings).inputCapacityBytes,
+      onEnded: memoryLog(events),
+    });
     this.connections = new EndpointConnectionPool(this.link);
     log.useLink(this.link);
     this.health = this.createHealth();
@@ -213,6 +219,7 @@
       this.metrics,
       clock,
       events,
+      this.account,
     );
     this.state = new GatewayState(
       this.configuration,
@@ -229,6 +236,7 @@
       this.tunnels,
       this.suspects,
       this.origins,
+      this.account,
       clock,
     );
     this.status = new StatusServer(
@@ -625,6 +633,7 @@
           fraction: () => random.fraction(),
         }),
         metrics: this.metrics,
+        account: this.account,
         copies: new RunCopies(settings.streamCopies),
         leavings: new EndpointLeavings(
           this.directory,
