--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -182,7 +182,7 @@
       });
     });
     this.outgoing.on('error', error => {
-      if (this.failure === undefined) {
+      if (this.failure === undefined && !this.hasEnded) {
         this.failure = error.message;
         this.wasClosed = isClose(error);
         this.hasNoPath = error instanceof NoRelayError;
@@ -399,6 +399,14 @@
     }
   }
 
+  /** Whether the whole answer has arrived; what follows it belongs to no request. */
+  private get hasEnded(): boolean {
+    return (
+      this.incoming?.complete === true &&
+      this.framing !== AnswerFraming.UntilClose
+    );
+  }
+
   private hold(kind: HeldKind): HeldBytes {
     this.held = this.account.hold(kind, `endpoint ${this.endpoint.id}`, () => {
       this.endInput(InputBreach.ProcessBytes);
