Count whole bodies until they are sent or dropped

What callers saw: nothing yet; the account of a host's memory was too low. A body that is whole waits for its tokens, or for a relay's word on its end, and could still be chosen to be ended. Ending it does nothing, as the answer is kept, but its bytes were no longer counted, and others were not ended in its place. Cause: the body's account was marked as complete when the answer was taken over, and not when its body had come. Why it works: an account that is complete is passed over by the policy, and closed with the exchange or with the answer that is kept.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -243,6 +243,7 @@
         this.endInput(InputBreach.BodyBytes);
       }
     });
+    held.complete();
     return this.isComplete ? Buffer.concat(chunks) : undefined;
   }
 
--- a/packages/gateway/src/test/endpoint-exchange_test.ts
+++ b/packages/gateway/src/test/endpoint-exchange_test.ts
@@ -5,6 +5,7 @@
 
 import {EndpointConnectionPool} from '../endpoint-connection-pool.js';
 import {EndpointExchange} from '../endpoint-exchange.js';
+import {HeldKind, InputAccount} from '../input-memory/index.js';
 import {ANY_ANSWER_DIALECT} from './any-answer-dialect.js';
 
 const connections = new EndpointConnectionPool();
@@ -35,6 +36,7 @@
 /** Opens an exchange, and waits for the answer's head. */
 async function openExchangeWith(
   answer: RequestListener,
+  account?: InputAccount,
 ): Promise<EndpointExchange> {
   const listening = createServer(answer);
   server = listening;
@@ -65,6 +67,8 @@
       body: undefined,
       attemptId: undefined,
     },
+    undefined,
+    account,
   );
   await exchange.head();
   return exchange;
@@ -86,6 +90,20 @@
     expect(exchange.isComplete).toBe(true);
   });
 
+  it('counts a whole body until its account is closed', async () => {
+    // Guards against memory that floods fill because whole answers are taken for ended.
+    const body = Buffer.alloc(200_000);
+    const account = new InputAccount({capacityBytes: 300_000});
+    const exchange = await openExchangeWith((_request, response) => {
+      response.end(body);
+    }, account);
+    await exchange.readBody();
+    account.hold(HeldKind.UnreadAnswer, 'caller').add(150_000);
+    expect(account.bytesOf(HeldKind.Answer)).toBe(body.length);
+    exchange.close();
+    expect(account.bytesOf(HeldKind.Answer)).toBe(0);
+  });
+
   it('rejects with the error of its consumer and closes the connection', async () => {
     // Guards against one request's error ending the process with all its
     // requests.
