Count what small pieces of a body take in memory

What callers saw: an endpoint that sends bodies in chunks of one byte without end fills a host's memory on few connections, and the process ends with all of its requests. The limits hold: 8 MiB for a body, 16 bytes of framing for each of its bytes, 16 MB for all bodies together. Cause: a buffer is kept for each piece, and only its bytes were counted. 300,000 chunks of one byte (1.8 MB on the wire, 0.3 MB in the account) took 146 MB, 1,000,000 took 435 MB (one trial each of Node.js's client, after a collection); the smallest machines have 160 MB. Evidence: endpoint-exchange_test.ts, 100,000 chunks of one byte were read as a whole body before (1 of 1 runs) and are ended at the limit of the process now. Why it works: each piece counts 512 bytes more until the pieces are joined, also those of callers' bodies. Pieces of 16 KiB count 3 in 100 more.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -221,8 +221,9 @@
         throw new BodyTooLargeError();
       }
       chunks.push(chunk);
-      held.add(chunk.length);
+      held.addPart(chunk.length);
     }
+    held.set(bytes);
     held.complete();
     return Buffer.concat(chunks);
   }
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -238,11 +238,12 @@
     await this.read(chunk => {
       bytes += chunk.length;
       chunks.push(chunk);
-      held.add(chunk.length);
+      held.addPart(chunk.length);
       if (bytes > MAXIMUM_BUFFERED_BODY_BYTES) {
         this.endInput(InputBreach.BodyBytes);
       }
     });
+    held.set(bytes);
     held.complete();
     return this.isComplete ? Buffer.concat(chunks) : undefined;
   }
--- a/packages/gateway/src/input-memory/held-bytes.ts
+++ b/packages/gateway/src/input-memory/held-bytes.ts
@@ -2,6 +2,12 @@
 
 import type {HeldKind} from './held-kind.js';
 
+/**
+ * What a part takes in memory besides its bytes, approximately: its buffer, and the
+ * framing that was read with it.
+ */
+const PART_OVERHEAD_BYTES = 512;
+
 /** The bytes that one exchange holds. */
 export class HeldBytes implements MemoryHolder {
   private heldBytes = 0;
@@ -31,6 +37,11 @@
     this.set(this.heldBytes + bytes);
   }
 
+  /** Records that a further part is held in a buffer of its own. */
+  addPart(bytes: number): void {
+    this.add(bytes + PART_OVERHEAD_BYTES);
+  }
+
   /** Records how many bytes are held now. */
   set(bytes: number): void {
     const change = bytes - this.heldBytes;
--- a/packages/gateway/src/test/endpoint-exchange_test.ts
+++ b/packages/gateway/src/test/endpoint-exchange_test.ts
@@ -104,6 +104,18 @@
     expect(account.bytesOf(HeldKind.Answer)).toBe(0);
   });
 
+  it('ends a body in pieces that take more memory than there is', async () => {
+    // Guards against a body of 300 KB in chunks of one byte, which takes 140 MB.
+    const account = new InputAccount({capacityBytes: 16_000_000});
+    const exchange = await openExchangeWith(({socket}) => {
+      socket.write('HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n');
+      socket.write('1\r\nx\r\n'.repeat(100_000));
+      socket.write('0\r\n\r\n');
+    }, account);
+    expect(await exchange.readBody()).toBeUndefined();
+    expect(exchange.failureReason).toBe('input limit: process-bytes');
+  });
+
   it('rejects with the error of its consumer and closes the connection', async () => {
     // Guards against one request's error ending the process with all its
     // requests.
