Count nothing of answers whose connection has closed

What callers saw: nothing; a host kept some bytes in its account, and the exchange with them, for each answer that was made for a request behind another one on a connection that had closed. Cause: an answer that was queued has no socket, so that its bytes stay in it, and the account that was opened for them after the connection's close was never closed. Why it works: nothing is counted after the close, which closes what was counted before.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -41,6 +41,7 @@
   private onClosed: () => void = () => undefined;
   private heldBody: HeldBytes | undefined;
   private unread: HeldBytes | undefined;
+  private isClosed = false;
 
   /**
    * @param arrivedAt When the request was read, on this process's monotonic
@@ -73,12 +74,11 @@
       // The response only closes some event loop turns after the socket's end.
       this.disconnect.abort();
     };
-    let isOpen = true;
     const onClose = () => {
-      if (!isOpen) {
+      if (this.isClosed) {
         return;
       }
-      isOpen = false;
+      this.isClosed = true;
       socket.off('end', onEnd);
       socket.off('close', onClose);
       if (!response.writableFinished) {
@@ -324,6 +324,9 @@
 
   /** Counts what the caller has not read yet, beyond what the system holds. */
   private countUnread(): void {
+    if (this.isClosed) {
+      return;
+    }
     const bytes = this.response.writableLength;
     if (bytes > 0 || this.unread !== undefined) {
       this.unread ??= this.account.hold(
--- a/packages/gateway/src/test/caller-exchange_test.ts
+++ b/packages/gateway/src/test/caller-exchange_test.ts
@@ -1,6 +1,6 @@
 import {once} from 'node:events';
 import {createServer, request, type ClientRequest} from 'node:http';
-import type {AddressInfo} from 'node:net';
+import {connect, type AddressInfo} from 'node:net';
 import {describe, expect, it} from 'vitest';
 
 import {BodyEndedError, CallerExchange} from '../caller-exchange.js';
@@ -60,6 +60,47 @@
   });
 });
 
+describe('the account of an answer', () => {
+  it('holds nothing once its connection has closed', async () => {
+    // Guards against memory that never counts as free again.
+    const account = new InputAccount();
+    const server = createServer();
+    server.listen(0, '127.0.0.1');
+    await once(server, 'listening');
+    const {port} = server.address() as AddressInfo;
+    const socket = connect(port, '127.0.0.1');
+    const queued = new Promise<CallerExchange>(resolve => {
+      server.on('request', (incoming, response) => {
+        const caller = new CallerExchange(
+          dialect,
+          incoming,
+          response,
+          0,
+          0,
+          () => false,
+          true,
+          account,
+        );
+        if (incoming.url === '/queued') {
+          incoming.socket.once('close', () => {
+            resolve(caller);
+          });
+          socket.destroy();
+        }
+      });
+    });
+    socket.write(
+      ['/', '/queued']
+        .map(path => `GET ${path} HTTP/1.1\r\nHost: shop.example\r\n\r\n`)
+        .join(''),
+    );
+    const caller = await queued;
+    caller.answer(503, [], Buffer.from('not run'));
+    server.close();
+    expect(account.bytesOf(HeldKind.UnreadAnswer)).toBe(0);
+  });
+});
+
 describe('CallerExchange without room in memory', () => {
   const CAPACITY = 1_000_000;
   const PART = Buffer.alloc(64 * 1_024);
