Test (red): complete requests that wait end the answers of sound endpoints

What callers saw: while the bodies of requests in progress (500 of 32 KiB, on a machine of 160 MB) take up what a host may hold, every answer over 64 KiB is ended, with 502 or a closed connection, and its endpoint rests for 1 s. Cause: bodies that are complete, and exchanges up to 64 KiB, can't be ended but count against the capacity, so that ending all others never makes room.

--- a/packages/decisions/src/test/end-largest-source_test.ts
+++ b/packages/decisions/src/test/end-largest-source_test.ts
@@ -105,6 +105,20 @@
     expect(endings).toBeGreaterThan(0);
     expect(peak).toBeLessThanOrEqual(CAPACITY + READ_BYTES);
   });
+
+  it('keeps the answers beside many requests whose bodies are complete', () => {
+    // Guards against sound answers that end because callers' requests wait beside them.
+    const requests = Array.from({length: 500}, (_value, index) => ({
+      source: `caller ${index}`,
+      bytes: 32 * 1_024,
+      isEndable: false,
+    }));
+    const sound = Array.from({length: 4}, () => new Exchange('endpoint sound'));
+    for (const exchange of sound) {
+      exchange.bytes = LONG_ANSWER_BYTES;
+    }
+    expect(policy.holdersToEnd([...requests, ...sound], CAPACITY)).toEqual([]);
+  });
 });
 
 describe('inputCapacityBytes', () => {
