Keep room for answers beside what can't be ended

What callers saw: see the test before: answers over 64 KiB of sound endpoints were ended while complete bodies of other requests took up the capacity. Cause: what can't be ended counted against the capacity in full. Why it works: exchanges that can be ended have what the others leave, and half of the capacity in any case; with nothing else held, the rule is as before. The property on the room that is made asked that all together fit, which what is kept may make impossible; it asks now that what can be ended always fits into its room, also where it accepted any rest before. What all hold together may reach the kept bytes and half of the capacity.

--- a/packages/decisions/src/memory/end-largest-source.ts
+++ b/packages/decisions/src/memory/end-largest-source.ts
@@ -6,14 +6,19 @@
  */
 export const SMALL_HOLDER_BYTES = 64 * 1024;
 /**
- * Part of the capacity to which the largest source is ended. Without room in reserve,
- * each further byte would end one more exchange.
+ * Part of the room to which the largest source is ended. Without room in reserve, each
+ * further byte would end one more exchange.
  */
 const RETAINED_SHARE = 0.5;
+/**
+ * Part of the capacity that is left to exchanges that can be ended, whatever the others
+ * hold: ending them would make no room.
+ */
+const ENDABLE_SHARE = 0.5;
 
 /**
  * Ends exchanges of the source that holds most in total, its largest first, until half
- * of the capacity is free. Responds to an endpoint that sends without end on many
+ * of their room is free. Responds to an endpoint that sends without end on many
  * connections at once: as they count as one source, others lose nothing. A further
  * source follows only if ending the first one was not enough.
  *
@@ -30,15 +35,21 @@
     holders: Iterable<Holder>,
     capacityBytes: number,
   ): readonly Holder[] {
-    const sources = sourcesOf(holders);
-    let total = sources.reduce((sum, {bytes}) => sum + bytes, 0);
+    const all = [...holders];
+    const endable = all.filter(mayBeEnded);
+    const keptBytes = sumOf(all) - sumOf(endable);
+    const room = Math.max(
+      capacityBytes - keptBytes,
+      ENDABLE_SHARE * capacityBytes,
+    );
+    let total = sumOf(endable);
     const ended: Holder[] = [];
-    for (const source of sources) {
-      if (total <= capacityBytes) {
+    for (const source of sourcesOf(endable)) {
+      if (total <= room) {
         break;
       }
-      for (const holder of source.endable()) {
-        if (total <= RETAINED_SHARE * capacityBytes) {
+      for (const holder of source.largestFirst()) {
+        if (total <= RETAINED_SHARE * room) {
           break;
         }
         total -= holder.bytes;
@@ -59,17 +70,23 @@
     this.holders.push(holder);
   }
 
-  /** The holders that may be ended, the largest first. */
-  endable(): readonly Holder[] {
-    return this.holders
-      .filter(({bytes, isEndable}) => isEndable && bytes > SMALL_HOLDER_BYTES)
-      .sort((one, other) => other.bytes - one.bytes);
+  /** Its holders, the largest first. */
+  largestFirst(): readonly Holder[] {
+    return [...this.holders].sort((one, other) => other.bytes - one.bytes);
   }
 }
 
-/** The sources of all bytes, the largest first. */
+function mayBeEnded({bytes, isEndable}: MemoryHolder): boolean {
+  return isEndable && bytes > SMALL_HOLDER_BYTES;
+}
+
+function sumOf(holders: readonly MemoryHolder[]): number {
+  return holders.reduce((sum, {bytes}) => sum + bytes, 0);
+}
+
+/** The sources of these holders, the largest first. */
 function sourcesOf<Holder extends MemoryHolder>(
-  holders: Iterable<Holder>,
+  holders: readonly Holder[],
 ): readonly Source<Holder>[] {
   const sources = new Map<string, Source<Holder>>();
   for (const holder of holders) {
