Bound the wait for reads of a store that answers

What callers saw: nothing yet; a stream that its caller takes up could wait for as long as the store answered reads that didn't bring it up to date (many pages), past its own deadline. Cause: each answer restarted the wait since. Found by the review, by reading.

--- a/packages/gateway/src/read-waits.ts
+++ b/packages/gateway/src/read-waits.ts
@@ -4,6 +4,8 @@
 interface ReadWait {
   readonly after: number;
   readonly timeout: NetworkTimeout;
+  /** Whether an answer of the store has restarted its time. */
+  isExtended: boolean;
   readonly end: (isRead: boolean) => void;
 }
 
@@ -23,7 +25,8 @@
   /**
    * Resolves with whether a read that begins from now on has ended in time.
    *
-   * @param maximumMilliseconds How long to wait for the store's next answer.
+   * @param maximumMilliseconds How long to wait for an answer of the store: for that of
+   *     the read in progress first, and again for that of the next one.
    */
   next(maximumMilliseconds: number): Promise<boolean> {
     if (this.isClosed) {
@@ -33,10 +36,11 @@
       const timeout = new NetworkTimeout(maximumMilliseconds, () => {
         wait.end(false);
       });
-      const wait = {
+      const wait: ReadWait = {
         after: this.begun,
         timeout,
-        end: (isRead: boolean) => {
+        isExtended: false,
+        end: isRead => {
           timeout.close();
           this.waits.delete(wait);
           resolve(isRead);
@@ -63,8 +67,11 @@
 
   /** Records that the store has answered a read: it is slow, and not lost. */
   answered(): void {
-    for (const {timeout} of this.waits) {
-      timeout.refresh();
+    for (const wait of this.waits) {
+      if (!wait.isExtended) {
+        wait.isExtended = true;
+        wait.timeout.refresh();
+      }
     }
   }
 
