Divide only busy turns of the event loop

What callers saw: nothing yet; each turn with an event of a stream scheduled one more turn, which costs processor time on small machines. Found by the review, by reading. Why it works: below 16 KiB there is nothing to divide; the share of a connection is asked for as before. tiny-pieces_test.ts and chunk-pacer_test.ts pass.

--- a/packages/gateway/src/input-limits/turn-budget.ts
+++ b/packages/gateway/src/input-limits/turn-budget.ts
@@ -2,6 +2,8 @@
 export const CONNECTION_TURN_BYTES = 64 * 1024;
 /** Bytes of all connections after which each further one gets the minimum. */
 export const TURN_BYTES = 128 * 1024;
+/** Bytes of all connections that are not divided into turns. */
+export const QUIET_BYTES = 16 * 1024;
 /** Bytes that each connection gets in any turn. */
 export const MINIMUM_TURN_BYTES = 1024;
 /** What a chunk costs besides its bytes, as a number of bytes. */
@@ -49,7 +51,9 @@
   /** Records work of this turn, as a number of bytes. */
   use(bytes: number): void {
     this.usedBytes += bytes;
-    this.scheduleNextTurn();
+    if (this.usedBytes >= QUIET_BYTES) {
+      this.scheduleNextTurn();
+    }
   }
 
   /** Resolves in the next turn. */
