Repeat requests in a stop until it cuts

What callers saw: a request that may run more than once, sent before the signal with a long limit, got 502 as soon as its first attempt broke in a stop, where repeated it. Cause: the question before each dispatch took its whole limit as the time that it needs. Found by the review, by reading. Why it works: what was sent and may be repeated is repeated until the cut, which ends it with an answer; requests that may run once are asked as before. The tests of stops pass.

--- a/packages/gateway/src/open-requests/open-requests.ts
+++ b/packages/gateway/src/open-requests/open-requests.ts
@@ -64,8 +64,11 @@
   /**
    * Whether a request that is sent to an endpoint now is expected to end before the
    * graceful stop does. To be asked after each wait: the answer changes with time.
+   *
+   * @param isRepeatable Whether it may run more than once; if it was sent before, it is
+   *     repeated until the stop cuts what still runs.
    */
-  mayBeSent({progress}: CallerExchange): boolean {
+  mayBeSent({progress}: CallerExchange, isRepeatable = false): boolean {
     const now = this.clock.monotonicMilliseconds();
     const {deadlineAt, typicalMilliseconds} = progress.duration ?? {
       deadlineAt: now,
@@ -73,10 +76,11 @@
     const maximumMilliseconds = deadlineAt - now;
     return (
       !progress.isWithdrawn &&
-      this.stop.admits(now, {
-        typicalMilliseconds: typicalMilliseconds ?? maximumMilliseconds,
-        maximumMilliseconds,
-      })
+      ((isRepeatable && progress.wasSent) ||
+        this.stop.admits(now, {
+          typicalMilliseconds: typicalMilliseconds ?? maximumMilliseconds,
+          maximumMilliseconds,
+        }))
     );
   }
 
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -42,7 +42,11 @@
 } from './open-requests/index.js';
 import {RequestBudget} from './request-budget.js';
 import type {ReserveResult, TokenRequest} from './organisation-budget.js';
-import {maximumTokens, type RequestContext} from './request-context.js';
+import {
+  isRepeatable,
+  maximumTokens,
+  type RequestContext,
+} from './request-context.js';
 import {RequestIdentity} from './crashes/index.js';
 import {RequestRecord, UndeliveredCharge} from './request-record.js';
 import {describeRequest} from './request-report.js';
@@ -342,7 +346,7 @@
       organisation,
       configurationVersion: configuration.version,
       deadlineAt,
-      mayBegin: () => this.requests.mayBeSent(caller),
+      mayBegin: () => this.requests.mayBeSent(caller, isRepeatable(route)),
       resends,
       firstEventLatency,
       bufferedAnswerLatency,
