Count what callers hold by connection

What callers saw: nothing yet; without keys all callers behind one balancer, and with keys all of an organisation, were one source, so that one that doesn't read could make sound ones the largest. Found by the review, by reading. Why it works: a connection is what is ended, and the one that holds most goes first. memory-floods_test.ts and input-account_test.ts pass.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -340,9 +340,10 @@
     }
   }
 
+  /** A connection, as the balancer or an organisation may hide many callers. */
   private get source(): string {
-    const {key} = this.headers;
-    return `caller ${key ?? this.request.socket.remoteAddress ?? ''}`;
+    const {remoteAddress = '', remotePort = 0} = this.request.socket;
+    return `caller ${remoteAddress}:${remotePort}`;
   }
 
   private writeHead(status: number, headers: string[]): void {
--- a/packages/gateway/src/input-memory/memory-log.ts
+++ b/packages/gateway/src/input-memory/memory-log.ts
@@ -7,7 +7,7 @@
 
 /**
  * Returns a listener that logs which exchanges were ended to make room. Callers are not
- * named, as their sources hold keys.
+ * named, as their addresses tell nothing of who they are.
  */
 export function memoryLog(events: EventLog): (ended: EndedHolders) => void {
   return ({source, ...ended}) => {
