Keep a silent stream until another endpoint has taken it

What callers saw: a resumable stream on a kept connection, with part of its answer, was closed without its end though host and endpoint were sound: the endpoint was silent for 1.3 s, and went on. Cause: after a pause the run was cancelled first, and the stream was sent to another endpoint then. If that one refused it or couldn't be reached, the route's attempts were used up and the caller's connection was closed. Why it works: a stream that has begun gets a standby beside the silent run, from the last event delivered, under the same budget, choice, suspects and build. An event of the silent run cancels the standby; a standby that is refused or fails is dropped, the run stays, and its pause timeout starts again. If the run breaks meanwhile, the standby is the next attempt.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -170,7 +170,7 @@
   }
 
   /** Resolves with whether a run is at the build that began the stream. */
-  private async confirm(attempt: EndpointAttempt): Promise<boolean> {
+  async confirm(attempt: EndpointAttempt): Promise<boolean> {
     const {context, lifetime} = this;
     const run = runOf(attempt);
     const until = lifetime.now() + MAXIMUM_CONFIRMATION_MILLISECONDS;
--- a/packages/gateway/src/answer-timeouts.ts
+++ b/packages/gateway/src/answer-timeouts.ts
@@ -65,6 +65,17 @@
  */
 const PAUSE_GOAL_FACTOR = 3;
 
+/** What is told of an exchange that is monitored. */
+export interface SilenceListener {
+  /**
+   * Called on a timeout; returns whether the request goes on, or is about to go on, at
+   * another endpoint.
+   */
+  failOver(): boolean;
+  /** Called when the endpoint has sent a further part of its answer. */
+  wentOn(): void;
+}
+
 /**
  * Sets the inactivity timeouts of a request's attempts from observed latencies,
  * and records how long each answer took to begin.
@@ -95,15 +106,13 @@
    *
    * @param canFailOver Whether the request may fail over to another endpoint
    *     after this one.
-   * @param claimFailover Called on a timeout, before the exchange is cancelled;
-   *     returns whether the request can continue at another endpoint now.
    */
   startMonitor(
     endpoint: KnownEndpoint,
     path: EndpointPath,
     exchange: EndpointExchange,
     canFailOver: boolean,
-    claimFailover: () => boolean,
+    listener: SilenceListener,
   ): InactivityMonitor {
     const suspect = () => {
       if (exchange.isConnectDelayedByLink) {
@@ -115,19 +124,25 @@
       path.dataCenters.recordSilence(dataCenter, id, now);
       this.paths.suspect(service);
     };
-    return new InactivityMonitor(this.limits(canFailOver), this.clock, {
-      onSuspect: suspect,
-      onTimeout: () => {
-        if (claimFailover()) {
-          exchange.cancel('silent');
-        } else {
-          suspect();
-        }
-      },
-      onData: () => {
-        this.paths.dataReceived(path, endpoint.entry.service);
+    const monitor = new InactivityMonitor(
+      this.limits(canFailOver),
+      this.clock,
+      {
+        onSuspect: suspect,
+        onTimeout: () => {
+          if (!listener.failOver()) {
+            suspect();
+          }
+        },
+        onData: () => {
+          this.paths.dataReceived(path, endpoint.entry.service);
+          if (monitor.timeToFirstByte !== undefined) {
+            listener.wentOn();
+          }
+        },
       },
-    });
+    );
+    return monitor;
   }
 
   /**
--- a/packages/gateway/src/inactivity-monitor.ts
+++ b/packages/gateway/src/inactivity-monitor.ts
@@ -35,6 +35,7 @@
   private firstByteMilliseconds: number | undefined;
   /** Restarted by each event. */
   private eventTimeout: NetworkTimeout | undefined;
+  private isClosed = false;
 
   constructor(
     private readonly limits: InactivityLimits,
@@ -93,6 +94,26 @@
     }
   }
 
+  /**
+   * Restarts the timeout that has expired, because no other endpoint has taken the
+   * request; the endpoint is suspected.
+   */
+  restart(): void {
+    if (this.isClosed || !this.limits.canFailOver) {
+      return;
+    }
+    this.handlers.onSuspect();
+    if (this.firstByteMilliseconds !== undefined) {
+      this.eventTimeout = this.startEventTimeout(
+        this.limits.betweenEventsMilliseconds,
+      );
+    } else if (this.limits.failoverMilliseconds !== undefined) {
+      this.startTimeout(this.limits.failoverMilliseconds, () => {
+        this.handlers.onTimeout();
+      });
+    }
+  }
+
   /** Times out now, if the exchange may fail over. */
   expire(): void {
     if (this.limits.canFailOver) {
@@ -100,8 +121,13 @@
     }
   }
 
-  /** Stops all timeouts. */
+  /** Stops all timeouts; none is started any more. */
   close(): void {
+    this.isClosed = true;
+    this.stop();
+  }
+
+  private stop(): void {
     for (const timeout of this.timeouts) {
       timeout.close();
     }
@@ -111,7 +137,7 @@
 
   private stopUntilBody(): void {
     this.firstByteMilliseconds ??= this.elapsedMilliseconds;
-    this.close();
+    this.stop();
   }
 
   private startEventTimeout(milliseconds: number): NetworkTimeout {
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -4,7 +4,13 @@
 import type {EndpointAttempt} from './endpoint-attempt.js';
 import type {EndpointChooser} from './endpoint-chooser.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
-import {FailureKind, type ExchangeFailure} from './endpoint-exchange.js';
+import {
+  ConnectionOrigin,
+  FailureKind,
+  isFailure,
+  type AnswerHead,
+  type ExchangeFailure,
+} from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestCompletion} from './request-completion.js';
@@ -34,6 +40,8 @@
   readonly crashes: CrashDetector;
   readonly suspects: SuspectRegistry;
   readonly continuation: RunContinuation;
+  /** Makes a standby the next attempt; returns whether there is one. */
+  readonly promoteStandby: () => boolean;
   /** Number of hosts that share the resend budget. */
   readonly hostCount: () => number;
 }
@@ -80,15 +88,17 @@
 
   /**
    * Whether the request may fail over to another endpoint after this attempt.
+   *
+   * @param openAttempts Number of attempts that have not ended, this one included.
    */
-  canFailOver(): boolean {
+  canFailOver(openAttempts = 1): boolean {
     const {suspects, context} = this.parts;
     const {route, isTry, identity} = context;
     return (
       isRepeatable(route) &&
       !isTry &&
       suspects.mayResend(identity) &&
-      this.attemptCount + 1 < route.maximumAttempts
+      this.attemptCount + openAttempts < route.maximumAttempts
     );
   }
 
@@ -98,17 +108,75 @@
    * it.
    */
   claimFailover(): boolean {
-    const {chooser, context, suspects} = this.parts;
+    const {chooser, context} = this.parts;
     const other = chooser.choose(context, this.avoided)?.endpoint;
     this.hasClaimedFailover =
       other !== undefined &&
+      this.canFailOver() &&
       (context.caller.isAnswering || context.mayBegin()) &&
       !this.avoided.has(other.entry.id) &&
-      suspects.mayResend(context.identity) &&
-      this.claimResend();
+      (this.hasClaimedFailover || this.claimResend());
     return this.hasClaimedFailover;
   }
 
+  /**
+   * Claims a standby beside a silent attempt. One whose endpoint could not be reached,
+   * or was given up for another, leaves its resend to the next.
+   */
+  claimStandby(): boolean {
+    const hasClaimed = this.mayAttempt && this.claimFailover();
+    this.hasClaimedFailover = false;
+    return hasClaimed;
+  }
+
+  /**
+   * Records that a standby did not take the stream over.
+   *
+   * @returns Whether another one should begin at once.
+   */
+  standbyFailed(
+    attempt: EndpointAttempt,
+    head: AnswerHead | ExchangeFailure,
+  ): boolean {
+    const {breaker} = attempt;
+    if (!isFailure(head)) {
+      this.attemptCount++;
+      attempt.ended(`answered ${head.status}, not taken over`);
+      if (head.status >= 500) {
+        breaker.recordFailedAnswer();
+      } else {
+        breaker.requestEnded();
+      }
+      return false;
+    }
+    attempt.ended(`${head.kind}: ${head.reason}`);
+    switch (head.kind) {
+      case FailureKind.NotRun:
+        breaker.requestEnded();
+        return false;
+      case FailureKind.WrongEndpoint:
+        this.parts.directory.remove(attempt.endpoint, head.reason);
+        return false;
+      case FailureKind.NotSent:
+        this.recordNotSent(attempt, head);
+        this.hasClaimedFailover = head.hasNoPath !== true;
+        return this.hasClaimedFailover;
+      case FailureKind.Unknown:
+        this.attemptCount++;
+        this.recordBroken(attempt);
+        return this.hasClaimedFailover;
+    }
+  }
+
+  /** Records that a standby was cancelled, which its endpoint is not at fault for. */
+  standbyCancelled(attempt: EndpointAttempt, reason: string): void {
+    attempt.ended(`cancelled: ${reason}`);
+    attempt.breaker.requestEnded();
+    if (attempt.exchange.connectionOrigin !== ConnectionOrigin.None) {
+      this.attemptCount++;
+    }
+  }
+
   /** Decides what follows an attempt without an answer to forward. */
   afterFailure(attempt: EndpointAttempt, failure: ExchangeFailure): NextStep {
     const {kind, reason} = failure;
@@ -165,21 +233,18 @@
   }
 
   private afterNotSent(
-    {endpoint, path, breaker}: EndpointAttempt,
-    {mayBeLinkDelay, hasNoPath}: ExchangeFailure,
+    attempt: EndpointAttempt,
+    failure: ExchangeFailure,
   ): NextStep {
     const {context, lifetime, paths} = this.parts;
-    if (hasNoPath === true) {
-      breaker.requestEnded();
-      return this.giveUp(LocalReplyReason.EndpointsUnreachable);
+    const {path} = attempt;
+    this.recordNotSent(attempt, failure);
+    const hasCopy = this.parts.continuation.hasNext;
+    if (!lifetime.isAbandoned && !hasCopy && this.parts.promoteStandby()) {
+      return NextStep.Retry;
     }
-    if (lifetime.isAbandoned || mayBeLinkDelay === true) {
-      breaker.requestEnded();
-    } else {
-      const {dataCenter, id} = endpoint.entry;
-      const now = lifetime.now();
-      breaker.recordConnectionFailure(now);
-      path.dataCenters.recordSilence(dataCenter, id, now);
+    if (failure.hasNoPath === true) {
+      return this.giveUp(LocalReplyReason.EndpointsUnreachable);
     }
     if (this.parts.continuation.isContinued) {
       return this.afterLostRun();
@@ -193,10 +258,31 @@
       : this.giveUp(LocalReplyReason.EndpointsUnreachable);
   }
 
+  private recordNotSent(
+    {endpoint, path, breaker}: EndpointAttempt,
+    {mayBeLinkDelay, hasNoPath}: ExchangeFailure,
+  ): void {
+    const {lifetime} = this.parts;
+    if (hasNoPath === true || lifetime.isAbandoned || mayBeLinkDelay === true) {
+      breaker.requestEnded();
+      return;
+    }
+    const {dataCenter, id} = endpoint.entry;
+    const now = lifetime.now();
+    breaker.recordConnectionFailure(now);
+    path.dataCenters.recordSilence(dataCenter, id, now);
+  }
+
+  private recordBroken(attempt: EndpointAttempt): void {
+    const {context, lifetime, record, crashes} = this.parts;
+    attempt.breaker.recordConnectionFailure(lifetime.now());
+    record.identity = context.identity.digest;
+    crashes.answerBroke(attempt);
+  }
+
   /** Handles a request that reached the endpoint but got no complete answer. */
   private afterBroken(attempt: EndpointAttempt): NextStep {
-    const {context, lifetime, record, crashes, suspects, continuation} =
-      this.parts;
+    const {context, lifetime, suspects, continuation} = this.parts;
     const {breaker} = attempt;
     if (lifetime.isAbandoned) {
       breaker.requestEnded();
@@ -207,9 +293,7 @@
       continuation.afterStop();
       return this.afterLostRun();
     }
-    breaker.recordConnectionFailure(lifetime.now());
-    record.identity = context.identity.digest;
-    crashes.answerBroke(attempt);
+    this.recordBroken(attempt);
     if (!suspects.mayResend(context.identity)) {
       return this.giveUp(LocalReplyReason.AnswerLost);
     }
@@ -235,6 +319,9 @@
     this.attemptCount++;
     const {context, lifetime, chooser} = this.parts;
     const {route} = context;
+    if (!lifetime.isAbandoned && this.parts.promoteStandby()) {
+      return NextStep.Retry;
+    }
     const hasClaimed = this.hasClaimedFailover;
     this.hasClaimedFailover = false;
     if (context.binding.isBound && !chooser.mayChoose(context)) {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -51,6 +51,7 @@
 import type {RequestRecord} from './request-record.js';
 import {NextStep, RequestRetries} from './request-retries.js';
 import type {ServicePaths} from './service-paths.js';
+import {StandbyAttempt, type OpenAttempt} from './standby-attempt.js';
 
 /** Dependencies shared by all request runs of a process. */
 export interface RunParts {
@@ -87,7 +88,8 @@
   private readonly answers: AnswerRelay;
   private readonly completion: RequestCompletion;
   private readonly continuation: RunContinuation;
-  private current: EndpointExchange | undefined;
+  private readonly standby: StandbyAttempt;
+  private current: EndpointAttempt | undefined;
 
   constructor(
     private readonly parts: RunParts,
@@ -122,6 +124,7 @@
       crashes: parts.crashes,
       suspects: parts.suspects,
       continuation: this.continuation,
+      promoteStandby: () => this.standby.promote(),
       hostCount: () => parts.hostCount(),
     });
     this.answers = new AnswerRelay(
@@ -134,20 +137,34 @@
       parts.suspects,
       () => parts.readList(),
     );
+    this.standby = new StandbyAttempt({
+      begin: () => this.beginStandby(),
+      mayTakeOver: () => parts.suspects.mayResend(context.identity),
+      mayPassOn: attempt => this.answers.confirm(attempt),
+      failed: (attempt, head) => {
+        if (isFailure(head)) {
+          this.recordAnswer(attempt, head);
+        }
+        return this.retries.standbyFailed(attempt, head);
+      },
+      cancelled: (attempt, reason) => {
+        this.retries.standbyCancelled(attempt, reason);
+      },
+    });
   }
 
   /** Resolves when the caller has its answer or a local reply, or has left. */
   async run(): Promise<void> {
     const {caller} = this.context;
     const onDisconnect = () => {
-      this.current?.cancel('caller left');
+      this.cancelAttempts('caller left');
       this.lifetime.abortWaits();
     };
     caller.disconnectSignal.addEventListener('abort', onDisconnect);
     const remaining = Math.max(0, this.lifetime.remaining());
     const timeout = new NetworkTimeout(remaining, () => {
       this.lifetime.timeOut();
-      this.current?.cancel('deadline');
+      this.cancelAttempts('deadline');
     });
     caller.progress.stage = RequestStage.Admission;
     try {
@@ -164,6 +181,7 @@
         // Each attempt selects an endpoint from the current state.
       }
     } finally {
+      this.standby.close();
       timeout.close();
       caller.disconnectSignal.removeEventListener('abort', onDisconnect);
     }
@@ -174,12 +192,22 @@
    */
   cut(): void {
     this.lifetime.timeOut();
-    this.current?.cancel('stopping');
+    this.cancelAttempts('stopping');
     this.lifetime.abortWaits();
   }
 
+  private cancelAttempts(reason: string): void {
+    this.current?.exchange.cancel(reason);
+    this.standby.cancel(reason);
+  }
+
   private async attempt(): Promise<NextStep> {
     const {context, retries} = this;
+    const standby = this.standby.take();
+    if (standby !== undefined) {
+      return this.complete(standby);
+    }
+    this.standby.cancel('another attempt begins');
     context.caller.progress.stage = RequestStage.Placement;
     const next = this.continuation.takeNext();
     const chosen =
@@ -208,14 +236,46 @@
         this.chooser.retryAfterMilliseconds(),
       );
     }
-    const attempt = this.begin(chosen);
+    return this.complete(this.open(chosen, false));
+  }
+
+  /** Sends an attempt; its `close` ends what begins here. */
+  private open(chosen: ChosenEndpoint, isStandby: boolean): OpenAttempt {
+    const attempt = this.begin(chosen, isStandby);
     const {endpoint, path, exchange, monitor} = attempt;
     const stopWatchingPath = this.watchPath(path, monitor);
-    this.current = exchange;
     this.parts.crashes.attemptBegan(attempt);
+    const close = () => {
+      this.parts.crashes.attemptEnded(attempt);
+      attempt.admission?.close();
+      stopWatchingPath();
+      monitor.close();
+      this.timeouts.recordFirstByteTime(monitor);
+      attempt.work.ended(this.lifetime.now());
+      endpoint.load--;
+      path.dataCenters.requestEnded(endpoint.entry.dataCenter);
+    };
+    return {attempt, head: exchange.head(), close};
+  }
+
+  private beginStandby(): OpenAttempt | undefined {
+    const {chooser, context, retries} = this;
+    if (!retries.claimStandby()) {
+      return undefined;
+    }
+    const chosen = chooser.choose(context, retries.avoided);
+    return chosen && this.open(chosen, true);
+  }
+
+  /** Follows an attempt to its end. */
+  private async complete(open: OpenAttempt): Promise<NextStep> {
+    const {retries} = this;
+    const {attempt} = open;
+    this.current = attempt;
+    this.record.endpoint = attempt.endpoint.entry.id;
     this.continuation.attemptBegan(attempt);
     try {
-      const head = await exchange.head();
+      const head = await open.head;
       this.recordAnswer(attempt, head);
       const result = isFailure(head)
         ? AnswerResult.Broken
@@ -231,19 +291,28 @@
         ? retries.afterFailure(attempt, head)
         : retries.afterAnswer(attempt, result);
     } finally {
-      this.parts.crashes.attemptEnded(attempt);
-      attempt.admission?.close();
       this.continuation.attemptEnded();
-      stopWatchingPath();
-      monitor.close();
-      this.timeouts.recordFirstByteTime(monitor);
-      attempt.work.ended(this.lifetime.now());
-      endpoint.load--;
-      path.dataCenters.requestEnded(endpoint.entry.dataCenter);
+      open.close();
       this.current = undefined;
     }
   }
 
+  /**
+   * Goes on at another endpoint, because one is silent. A stream that has begun is kept
+   * until the other endpoint has taken it.
+   */
+  private failOver(exchange: EndpointExchange): boolean {
+    const {current, context, retries} = this;
+    if (current?.exchange === exchange && context.caller.isAnswering) {
+      return this.standby.begin(current);
+    }
+    if (!retries.claimFailover()) {
+      return false;
+    }
+    exchange.cancel('silent');
+    return true;
+  }
+
   /**
    * Selects an endpoint. Where those of a stream's build all refuse connections, this
    * host has lost its path to them, or they have ended; the next connects tell which.
@@ -282,7 +351,7 @@
     };
   }
 
-  private begin(chosen: ChosenEndpoint): EndpointAttempt {
+  private begin(chosen: ChosenEndpoint, isStandby: boolean): EndpointAttempt {
     const {endpoint, path, isCold} = chosen;
     const {retries, lifetime, context, parts} = this;
     retries.attemptBegins(endpoint.entry.id, path);
@@ -298,7 +367,7 @@
       parts.placement.cold.admitted({id, requestsPerSecond}, sentAt);
       parts.metrics.coldRequestSent();
     }
-    const exchange = this.dispatch(chosen);
+    const exchange = this.dispatch(chosen, isStandby);
     parts.metrics.sharedPartsPlaced(
       chosen.placement.source,
       chosen.sharedTokens,
@@ -308,8 +377,15 @@
       endpoint,
       path,
       exchange,
-      retries.canFailOver(),
-      () => retries.claimFailover(),
+      retries.canFailOver(isStandby ? 2 : 1),
+      {
+        failOver: () => this.failOver(exchange),
+        wentOn: () => {
+          if (this.current?.exchange === exchange) {
+            this.standby.cancel('the other endpoint goes on');
+          }
+        },
+      },
     );
     return new EndpointAttempt(
       endpoint,
@@ -337,7 +413,10 @@
       : () => undefined;
   }
 
-  private dispatch(chosen: ChosenEndpoint): EndpointExchange {
+  private dispatch(
+    chosen: ChosenEndpoint,
+    isStandby: boolean,
+  ): EndpointExchange {
     const {endpoint, path} = chosen;
     const {caller, body, organisation, route} = this.context;
     const {dialect} = this.parts;
@@ -350,11 +429,14 @@
       remainingMilliseconds: Math.max(1, Math.floor(this.lifetime.remaining())),
       priority,
       lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
-      ...this.continuation.headersFor(
-        chosen,
-        priority,
-        this.retries.canFailOver(),
-      ),
+      // The copies of a request's run are those of its current attempt.
+      ...(isStandby
+        ? {backupAt: undefined, continueFrom: undefined}
+        : this.continuation.headersFor(
+            chosen,
+            priority,
+            this.retries.canFailOver(),
+          )),
       fetchFrom: fetchSource(chosen),
     });
     endpoint.load++;
@@ -365,7 +447,6 @@
     }
     breaker.requestSent();
     path.dataCenters.requestSent(endpoint.entry.dataCenter);
-    this.record.endpoint = endpoint.entry.id;
     return new EndpointExchange(
       dialect,
       connections,
