--- a/packages/gateway/src/standby-attempt.ts
+++ b/packages/gateway/src/standby-attempt.ts
@@ -158,12 +158,13 @@
     {attempt: {exchange}}: OpenAttempt,
     silent: EndpointAttempt,
   ): void {
-    let overlapMilliseconds = 0;
+    let notSentUntil = performance.now();
     const overlap = new NetworkTimeout(OVERLAP_POLL_MILLISECONDS, () => {
-      if (exchange.connectionOrigin !== ConnectionOrigin.None) {
-        overlapMilliseconds += OVERLAP_POLL_MILLISECONDS;
+      const now = performance.now();
+      if (exchange.connectionOrigin === ConnectionOrigin.None) {
+        notSentUntil = now;
       }
-      if (overlapMilliseconds < MAXIMUM_OVERLAP_MILLISECONDS) {
+      if (now - notSentUntil < MAXIMUM_OVERLAP_MILLISECONDS) {
         overlap.refresh();
       } else {
         this.takeOver(silent);
