Revert the time limit of callers that neither read nor send; name sources without a system call

Suspected, not shown: the timer of each request's connection, and the peer's address, which took a system call. What such callers hold is bounded by the sum of all that is held; that they stay as long as they like is open again.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -91,15 +91,6 @@
     );
   }
 
-  /** Whether its caller has sent whole requests, and has read what was sent to it. */
-  get isWaitingForAnswer(): boolean {
-    return (
-      this.answers.size > 0 &&
-      this.socket.writableLength === 0 &&
-      [...this.answers].every(({req}) => req.complete)
-    );
-  }
-
   /**
    * Makes the last answer announce that the connection closes, if its headers
    * were not sent yet.
@@ -207,11 +198,6 @@
     return request.complete && answers?.size === 1 && answers.has(response);
   }
 
-  /** Whether it is the host's turn on a connection: its caller waits for an answer. */
-  isWaitingForAnswer(socket: Socket): boolean {
-    return this.open.get(socket)?.isWaitingForAnswer ?? false;
-  }
-
   /** Current counts. */
   get counts(): ConnectionCounts {
     const connections = [...this.open.values()];
--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -30,6 +30,9 @@
   override readonly name: string = 'BodyEndedError';
 }
 
+/** Number of exchanges that have held bytes; names their sources. */
+let sourceCount = 0;
+
 /** One request of a caller, and the means to answer it. */
 export class CallerExchange {
   /** How far the request has come. */
@@ -39,6 +42,7 @@
   private turnsSinceRead = 0;
   private onAnswering: () => void = () => undefined;
   private onClosed: () => void = () => undefined;
+  private sourceName: string | undefined;
   private heldBody: HeldBytes | undefined;
   private unread: HeldBytes | undefined;
   private isClosed = false;
@@ -340,10 +344,10 @@
     }
   }
 
-  /** A connection, as the balancer or an organisation may hide many callers. */
+  /** One exchange, as the balancer or an organisation may hide many callers. */
   private get source(): string {
-    const {remoteAddress = '', remotePort = 0} = this.request.socket;
-    return `caller ${remoteAddress}:${remotePort}`;
+    this.sourceName ??= `caller ${++sourceCount}`;
+    return this.sourceName;
   }
 
   private writeHead(status: number, headers: string[]): void {
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -30,11 +30,6 @@
  * Maximum size of headers that are parsed; the configuration's limit is lower.
  */
 const MAXIMUM_HEADER_BYTES = 65_536;
-/**
- * How long a caller may take nothing of its answer, or send nothing of its body. It is
- * longer than callers wait for an answer.
- */
-const STALL_MILLISECONDS = 20_000;
 
 /**
  * Listens for callers before the process can serve them, and queues their
@@ -49,16 +44,12 @@
   private readonly waiting: PendingRequest[] = [];
   private requestListener: CallerRequestListener | undefined;
 
-  /**
-   * @param now The process's monotonic clock, milliseconds.
-   * @param stallMilliseconds Time after which a caller that doesn't go on is closed.
-   */
-  constructor(now: () => number, stallMilliseconds = STALL_MILLISECONDS) {
+  /** @param now The process's monotonic clock, milliseconds. */
+  constructor(now: () => number) {
     this.server = createServer(
       {maxHeaderSize: MAXIMUM_HEADER_BYTES, noDelay: true},
       (request, response) => {
         if (this.connections.begin(request, response)) {
-          request.socket.setTimeout(stallMilliseconds);
           this.dispatch({request, response, arrivedAt: now()});
         }
       },
@@ -68,7 +59,7 @@
     // error.
     this.server.requestTimeout = 0;
     this.server.on('timeout', (socket: Socket) => {
-      this.closeIfStalled(socket);
+      closeUnlessRead(socket);
     });
   }
 
@@ -146,23 +137,6 @@
     this.server.closeAllConnections();
   }
 
-  /**
-   * Closes a connection on which nothing has happened for its timeout, unless the caller
-   * waits for an answer. Sockets are read first: an event loop that was blocked runs
-   * expired timers before that, and the next request may have arrived.
-   */
-  private closeIfStalled(socket: Socket): void {
-    const {bytesRead} = socket;
-    setImmediate(() => {
-      if (
-        socket.bytesRead === bytesRead &&
-        !this.connections.isWaitingForAnswer(socket)
-      ) {
-        socket.destroy();
-      }
-    });
-  }
-
   private dispatch(arrived: PendingRequest): void {
     if (this.requestListener === undefined) {
       this.waiting.push(arrived);
@@ -175,3 +149,16 @@
     }
   }
 }
+
+/**
+ * Closes a connection whose idle time has ended, unless a request has arrived meanwhile:
+ * an event loop that was blocked runs expired timers before it reads sockets.
+ */
+function closeUnlessRead(socket: Socket): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) {
+      socket.destroy();
+    }
+  });
+}
