--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -121,7 +121,7 @@
   private incoming: IncomingMessage | undefined;
   private failure: string | undefined;
   private isCancelled = false;
-  /** Whether nobody reads the answer any more. */
+  /** Whether the exchange was cancelled, so that nothing more is passed on. */
   private isAbandoned = false;
   private wasClosed = false;
   private origin = ConnectionOrigin.None;
@@ -339,7 +339,7 @@
     }
   }
 
-  /** Passes the account of the body on to whoever keeps it, and has to close it. */
+  /** Hands the account of the body over; its new owner has to close it. */
   takeHeld(): HeldBytes | undefined {
     const {held} = this;
     held?.complete();
