Build the refusal of a stopping host in one place

Read once more: the handler, the budget's answer and the admission to engines each built the same reply, two of them before this change. It is a constant beside the others now. A comment still spoke of callers' addresses, which no longer name their sources, and an example used a buffer where a number is enough.

--- a/packages/gateway/src/admission/engine-admissions.ts
+++ b/packages/gateway/src/admission/engine-admissions.ts
@@ -13,7 +13,7 @@
 import {
   LocalReplyReason,
   notExecutedReply,
-  STOPPING_RETRY_AFTER_MILLISECONDS,
+  STOPPING_REPLY,
   type LocalReply,
 } from '../local-reply.js';
 import type {RequestContext} from '../request-context.js';
@@ -91,12 +91,7 @@
     };
     this.parts.metrics.admissionDecided(verdict, request.priority, isQueued);
     if (decision === undefined) {
-      return this.isStopping && !leaves.aborted
-        ? notExecutedReply(
-            LocalReplyReason.Stopping,
-            STOPPING_RETRY_AFTER_MILLISECONDS,
-          )
-        : undefined;
+      return this.isStopping && !leaves.aborted ? STOPPING_REPLY : undefined;
     }
     return verdict === AdmissionVerdict.Refuse
       ? notExecutedReply(
--- a/packages/gateway/src/budget-answer.ts
+++ b/packages/gateway/src/budget-answer.ts
@@ -2,7 +2,7 @@
   failureReply,
   notExecutedReply,
   LocalReplyReason,
-  STOPPING_RETRY_AFTER_MILLISECONDS,
+  STOPPING_REPLY,
   type LocalReply,
 } from './local-reply.js';
 import {BudgetRefusal} from './token-waiters.js';
@@ -37,10 +37,7 @@
         BUDGET_RETRY_MILLISECONDS,
       );
     case BudgetRefusal.Stopping:
-      return notExecutedReply(
-        LocalReplyReason.Stopping,
-        STOPPING_RETRY_AFTER_MILLISECONDS,
-      );
+      return STOPPING_REPLY;
     case BudgetRefusal.StoreUnavailable:
       return notExecutedReply(
         LocalReplyReason.BudgetUnavailable,
--- a/packages/gateway/src/input-limits/event-limit.ts
+++ b/packages/gateway/src/input-limits/event-limit.ts
@@ -11,7 +11,7 @@
  * @example
  * ```ts
  * const limit = new EventLimit();
- * limit.arrived(splitter.incompleteEvent.length, hasEvents, now);
+ * limit.arrived(splitter.incompleteBytes, hasEvents, now);
  * ```
  */
 export class EventLimit {
--- a/packages/gateway/src/input-memory/memory-log.ts
+++ b/packages/gateway/src/input-memory/memory-log.ts
@@ -7,7 +7,7 @@
 
 /**
  * Returns a listener that logs which exchanges were ended to make room. Callers are not
- * named, as their addresses tell nothing of who they are.
+ * named: their sources are numbers that mean nothing outside of the process.
  */
 export function memoryLog(events: EventLog): (ended: EndedHolders) => void {
   return ({source, ...ended}) => {
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -64,6 +64,12 @@
   return {status: 503, reason, retryAfterMilliseconds};
 }
 
+/** Refuses a request during a stop; the caller's next connection goes to another host. */
+export const STOPPING_REPLY = notExecutedReply(
+  LocalReplyReason.Stopping,
+  STOPPING_RETRY_AFTER_MILLISECONDS,
+);
+
 /** A final reply that does not state whether the request has run. */
 export function failureReply(
   status: number,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -31,7 +31,7 @@
   failureReply,
   notExecutedReply,
   LocalReplyReason,
-  STOPPING_RETRY_AFTER_MILLISECONDS,
+  STOPPING_REPLY,
   type LocalReply,
 } from './local-reply.js';
 import {refuseWithoutConfiguration, withoutDenial} from './no-configuration.js';
@@ -79,11 +79,6 @@
 /** Estimated time to the first event of a stream, and per token after it. */
 const TYPICAL_STREAM_START_MILLISECONDS = 1_000;
 const TYPICAL_TOKEN_MILLISECONDS = 12;
-/** The caller's next connection goes to another host. */
-const STOPPING_REPLY = notExecutedReply(
-  LocalReplyReason.Stopping,
-  STOPPING_RETRY_AFTER_MILLISECONDS,
-);
 /** A configuration takes effect within this time. */
 const CONFIGURATION_RETRY_AFTER_MILLISECONDS = 500;
 
