Say in logs and metrics that endpoints are brittle, and what they refuse

What callers of a brittle service saw could not be told apart in the logs: nothing read the header, an attempt's line didn't have how many requests the host had at that endpoint, and nothing counted refusals of endpoints. Now: lines 'endpoint brittleness named', 'changed' and 'ended' with the request that brought it; 'in progress' in each attempt of a request's line, whose sum over the hosts shows whether an endpoint was given more than its slots; counter endpoint_refusals_total, gauge endpoints_brittle, refusalsPerSecond in the state dump. What is stated is only recorded; no decision changes. StatedLimit becomes StatedNumber, as a limit and brittleness begin and end in the same way.

--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -22,6 +22,7 @@
   private readonly eventsBefore: number;
   private readonly build: string;
   private readonly heartbeatAgeMilliseconds: number | undefined;
+  private readonly inProgress: number;
 
   constructor(
     readonly endpoint: KnownEndpoint,
@@ -38,6 +39,7 @@
   ) {
     this.eventsBefore = record.eventsDelivered;
     this.build = endpoint.entry.build;
+    this.inProgress = endpoint.load;
     this.heartbeatAgeMilliseconds = endpoint.heartbeatAge(sentAt);
   }
 
@@ -73,6 +75,7 @@
       build: this.build,
       path: this.path.kind,
       connection: this.exchange.connectionOrigin,
+      inProgress: this.inProgress,
       heartbeatAgeMilliseconds: this.heartbeatAgeMilliseconds,
       atMilliseconds: Math.round(this.ageMilliseconds()),
       result,
--- a/packages/gateway/src/endpoint-statements/endpoint-statement.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statement.ts
@@ -7,6 +7,13 @@
   readonly requestsPerSecond: number | undefined;
   /** Whether an earlier limit stays, since the value in this answer is not valid. */
   readonly keepsLimit: boolean;
+  /**
+   * Refusals for want of room in a second that it bears without an end; undefined if it
+   * is not brittle.
+   */
+  readonly refusalsPerSecond: number | undefined;
+  /** Whether it stays as brittle as it was, since the value in this answer is not valid. */
+  readonly keepsBrittleness: boolean;
   /** How much longer it stays cold, milliseconds; undefined if it does not say. */
   readonly coldMilliseconds: number | undefined;
   /** Whether it is about to leave. */
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -1,4 +1,4 @@
-import {LimitChange} from '@wisteriadeal/decisions';
+import {StatementChange, type StatedNumber} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
@@ -10,6 +10,12 @@
 /** Starts of endpoints that are remembered, also while the list does not have them. */
 const MAXIMUM_REMEMBERED_STARTS = 4_096;
 
+/** A number in an answer, under the name that log lines have for it. */
+interface NamedNumber extends Omit<StatedAnswer, 'statement'> {
+  readonly named: Readonly<Record<string, number | undefined>>;
+  readonly value: number | undefined;
+}
+
 /**
  * Takes up what endpoints say of themselves in their answers. It is kept for each start
  * of an endpoint, whose entry may leave the list and come back.
@@ -43,7 +49,11 @@
   /** Takes up an answer, before anything of it is passed on. */
   answered(endpoint: KnownEndpoint, answer: StatedAnswer): void {
     this.logIgnored(endpoint, answer);
-    const {coldMilliseconds = 0, keepsLimit} = answer.statement;
+    const {
+      coldMilliseconds = 0,
+      keepsLimit,
+      keepsBrittleness,
+    } = answer.statement;
     endpoint.warmth.stated(
       coldMilliseconds,
       this.clock.monotonicMilliseconds(),
@@ -51,6 +61,9 @@
     if (!keepsLimit) {
       this.takeUpLimit(endpoint, answer);
     }
+    if (!keepsBrittleness) {
+      this.takeUpBrittleness(endpoint, answer);
+    }
     this.takeUpLeaving(endpoint, answer);
     this.takeUpRest(endpoint, answer);
   }
@@ -115,18 +128,44 @@
   }
 
   private takeUpLimit(
-    {entry, conditions: {limit}}: KnownEndpoint,
-    {statement, sentAt, request}: StatedAnswer,
+    endpoint: KnownEndpoint,
+    {statement: {requestsPerSecond}, ...answer}: StatedAnswer,
+  ): void {
+    const {limit} = endpoint.conditions;
+    this.takeUpNumber(endpoint, limit, 'limit', {
+      ...answer,
+      named: {requestsPerSecond},
+      value: requestsPerSecond,
+    });
+  }
+
+  private takeUpBrittleness(
+    endpoint: KnownEndpoint,
+    {statement: {refusalsPerSecond}, ...answer}: StatedAnswer,
+  ): void {
+    const {brittleness} = endpoint.conditions;
+    this.takeUpNumber(endpoint, brittleness, 'brittleness', {
+      ...answer,
+      named: {refusalsPerSecond},
+      value: refusalsPerSecond,
+    });
+  }
+
+  private takeUpNumber(
+    {entry}: KnownEndpoint,
+    stated: StatedNumber,
+    what: string,
+    {named, value, sentAt, request}: NamedNumber,
   ): void {
     const now = this.clock.monotonicMilliseconds();
-    const previous = limit.requestsPerSecond;
-    const previousAge = limit.ageMilliseconds(now);
-    const change = limit.answered(statement.requestsPerSecond, sentAt, now);
-    if (change !== LimitChange.None) {
-      this.events.info(`endpoint limit ${change}`, {
+    const previous = stated.value;
+    const previousAge = stated.ageMilliseconds(now);
+    const change = stated.answered(value, sentAt, now);
+    if (change !== StatementChange.None) {
+      this.events.info(`endpoint ${what} ${change}`, {
         endpoint: entry.id,
         request,
-        requestsPerSecond: statement.requestsPerSecond,
+        ...named,
         ...(previous === undefined
           ? {}
           : {previous, previousAgeMilliseconds: Math.round(previousAge)}),
--- a/packages/gateway/src/endpoint-statements/stated-admission.ts
+++ b/packages/gateway/src/endpoint-statements/stated-admission.ts
@@ -102,7 +102,7 @@
     let requestsPerSecond = 0;
     for (const {conditions} of endpoints) {
       const rest = conditions.rest.remainingMilliseconds(monotonic);
-      const limit = conditions.limit.requestsPerSecond;
+      const limit = conditions.limit.value;
       if (rest > 0 || limit === undefined) {
         waits.push(rest);
       } else {
@@ -129,7 +129,7 @@
 }
 
 function limitOf({entry, conditions}: KnownEndpoint): RequestLimit | undefined {
-  const {requestsPerSecond} = conditions.limit;
+  const requestsPerSecond = conditions.limit.value;
   return requestsPerSecond === undefined
     ? undefined
     : {id: entry.id, requestsPerSecond};
--- a/packages/gateway/src/endpoint-statements/stated-conditions.ts
+++ b/packages/gateway/src/endpoint-statements/stated-conditions.ts
@@ -1,11 +1,14 @@
-import {StatedLimit, StatedRest} from '@wisteriadeal/decisions';
+import {StatedNumber, StatedRest} from '@wisteriadeal/decisions';
 
 /**
  * What one start of an endpoint has said of itself in its answers, as far as it still
  * holds.
  */
 export class StatedConditions {
-  readonly limit = new StatedLimit();
+  /** Requests a second that it takes from all hosts together. */
+  readonly limit = new StatedNumber();
+  /** Refusals for want of room in a second after which it falls over. */
+  readonly brittleness = new StatedNumber();
   /**
    * Whether it is about to leave. That holds to its end: the list may still have it as
    * it was, and answers that it began before come later.
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -52,6 +52,12 @@
     labelNames: ['framing', 'end'],
     registers: [this.registry],
   });
+  private readonly endpointRefusals = new Counter({
+    name: 'wisteriadeal_endpoint_refusals_total',
+    help: 'Requests that endpoints refused as not run, by service.',
+    labelNames: ['service'],
+    registers: [this.registry],
+  });
   private readonly turns = new Histogram({
     name: 'wisteriadeal_loop_turn_seconds',
     help: 'Busy time of an event loop turn between two polls of the sockets.',
@@ -248,6 +254,11 @@
     this.coldRequests.inc();
   }
 
+  /** Counts a request that an endpoint refused as not run. */
+  endpointRefused(service: string): void {
+    this.endpointRefusals.inc({service});
+  }
+
   /** Counts a connection whose endpoint's input exceeded a limit. */
   inputEnded(limit: InputBreach): void {
     this.inputsEnded.inc({limit});
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -110,7 +110,8 @@
             conditions.rest.remainingMilliseconds(now),
           ),
           cold: warmth.isCold(now),
-          requestsPerSecond: conditions.limit.requestsPerSecond ?? null,
+          requestsPerSecond: conditions.limit.value ?? null,
+          refusalsPerSecond: conditions.brittleness.value ?? null,
           load,
           trusted: breaker.isAvailable(now),
           failedShare: breaker.failedShare,
@@ -175,7 +176,13 @@
     this.metrics.setState(
       'endpoints_limited',
       this.directory.all.filter(
-        ({conditions}) => conditions.limit.requestsPerSecond !== undefined,
+        ({conditions}) => conditions.limit.value !== undefined,
+      ).length,
+    );
+    this.metrics.setState(
+      'endpoints_brittle',
+      this.directory.all.filter(
+        ({conditions}) => conditions.brittleness.value !== undefined,
       ).length,
     );
     this.metrics.setState(
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -22,6 +22,8 @@
   readonly build: string;
   readonly path: PathKind;
   readonly connection: ConnectionOrigin;
+  /** The host's requests in progress at the endpoint when it was sent, itself included. */
+  readonly inProgress: number;
   /** Time from its latest known heartbeat to the dispatch; undefined without one. */
   readonly heartbeatAgeMilliseconds: number | undefined;
   readonly atMilliseconds: number;
@@ -66,8 +68,8 @@
 
 /** An attempt as it appears in the request's log line. */
 export function describeAttempt(attempt: AttemptRecord): string {
-  const {endpoint, build, path, connection, atMilliseconds, result, answer} =
-    attempt;
+  const {endpoint, build, path, connection, result, answer} = attempt;
+  const {inProgress, atMilliseconds} = attempt;
   const age = attempt.heartbeatAgeMilliseconds;
   const heartbeat =
     age === undefined ? '' : ` (heard ${Math.round(age)} ms before)`;
@@ -75,7 +77,7 @@
     answer === undefined
       ? ''
       : ` (${answer.framing}, ${answer.events} events, ${answer.bodyEnd})`;
-  return `${endpoint} (${build}, ${path}, ${connection}) at ${atMilliseconds}${heartbeat}: ${result}${body}`;
+  return `${endpoint} (${build}, ${path}, ${connection}, ${inProgress} in progress) at ${atMilliseconds}${heartbeat}: ${result}${body}`;
 }
 
 /** The outcome of a request, for its log line, metrics and bill. */
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -524,12 +524,11 @@
       isFailure(head) &&
       (head.kind === FailureKind.NotRun ||
         head.kind === FailureKind.WrongEndpoint);
-    if (
-      isFailure(head) &&
-      head.kind === FailureKind.NotRun &&
-      !refusesForItself(endpoint, head)
-    ) {
-      admission?.refused(this.lifetime.now());
+    if (isFailure(head) && head.kind === FailureKind.NotRun) {
+      this.parts.metrics.endpointRefused(this.context.service.name);
+      if (!refusesForItself(endpoint, head)) {
+        admission?.refused(this.lifetime.now());
+      }
     }
     if (!isFailure(head)) {
       const now = this.lifetime.now();
--- a/packages/gateway/src/test/any-answer-dialect.ts
+++ b/packages/gateway/src/test/any-answer-dialect.ts
@@ -10,6 +10,8 @@
     statement: {
       requestsPerSecond: undefined,
       keepsLimit: false,
+      refusalsPerSecond: undefined,
+      keepsBrittleness: false,
       coldMilliseconds: undefined,
       isLeaving: false,
       restMilliseconds: undefined,
--- a/packages/gateway/src/test/request-record_test.ts
+++ b/packages/gateway/src/test/request-record_test.ts
@@ -86,6 +86,7 @@
     build: 'v1',
     path: PathKind.Direct,
     connection: ConnectionOrigin.New,
+    inProgress: 3,
     heartbeatAgeMilliseconds: undefined,
     atMilliseconds: 12,
     result: 'complete stream',
@@ -100,20 +101,20 @@
       events: 0,
     };
     expect(describeAttempt({...attempt, answer})).toBe(
-      'i-1 (v1, direct, new) at 12: complete stream (until-close, 0 events, closed)',
+      'i-1 (v1, direct, new, 3 in progress) at 12: complete stream (until-close, 0 events, closed)',
     );
   });
 
   it('tells how long before the attempt its endpoint was heard from', () => {
     // Guards against endpoints that may have started again without a trace in the log.
     expect(describeAttempt({...attempt, heartbeatAgeMilliseconds: 380})).toBe(
-      'i-1 (v1, direct, new) at 12 (heard 380 ms before): complete stream',
+      'i-1 (v1, direct, new, 3 in progress) at 12 (heard 380 ms before): complete stream',
     );
   });
 
   it('leaves out the answer of an attempt whose body was not read', () => {
     expect(describeAttempt({...attempt, result: 'not-sent: refused'})).toBe(
-      'i-1 (v1, direct, new) at 12: not-sent: refused',
+      'i-1 (v1, direct, new, 3 in progress) at 12: not-sent: refused',
     );
   });
 });
