Divide the places at brittle endpoints among hosts before requests are sent

What callers saw: a third to nine tenths of the requests to a service whose endpoints say that they are brittle (Server-Brittle) were refused or failed, most of them at once, as endpoints fell over one after the other (7 to 18 falls in 9 s, 2 are allowed).

Cause: nothing took the header up, and no host knew how many requests the others had at an endpoint.

Now a request goes to such an endpoint only if it has a place there, and waits at its host otherwise: most urgent first, refused on arrival if it would wait for longer than its objective. Each host owns a part of the places by its rank; hosts hand theirs over to one host, which divides them by need. Services whose endpoints don't say so are not touched.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -58,6 +58,7 @@
 export * from './crash-suspects.js';
 export * from './cold-endpoints/index.js';
 export * from './endpoint-entries/index.js';
+export * from './endpoint-places/index.js';
 export * from './endpoint-statements/index.js';
 export * from './admission/index.js';
 export * from './configuration-trust.js';
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -16,12 +16,25 @@
   readonly value: number | undefined;
 }
 
+/**
+ * Called with an answer of an endpoint.
+ *
+ * @param isBrittle Whether the endpoint is brittle, by this and earlier answers.
+ * @param sentAt When the request was sent, on the monotonic clock, milliseconds.
+ */
+type BrittlenessListener = (
+  endpoint: KnownEndpoint,
+  isBrittle: boolean,
+  sentAt: number,
+) => void;
+
 /**
  * Takes up what endpoints say of themselves in their answers. It is kept for each start
  * of an endpoint, whose entry may leave the list and come back.
  */
 export class EndpointStatements {
   private readonly conditions = new Map<string, StatedConditions>();
+  private readonly brittlenessListeners: BrittlenessListener[] = [];
 
   /** @param onLeaving Called with an endpoint that was not known to leave before. */
   constructor(
@@ -30,6 +43,11 @@
     private readonly onLeaving: (endpoint: KnownEndpoint) => void,
   ) {}
 
+  /** Adds a listener for each answer that tells whether its endpoint is brittle. */
+  onBrittleness(listener: BrittlenessListener): void {
+    this.brittlenessListeners.push(listener);
+  }
+
   /** What a start of an endpoint has said. */
   conditionsOf({id, bornAt, build}: EndpointEntry): StatedConditions {
     const start = `${id} ${bornAt} ${build}`;
@@ -149,6 +167,9 @@
       named: {refusalsPerSecond},
       value: refusalsPerSecond,
     });
+    for (const listener of this.brittlenessListeners) {
+      listener(endpoint, brittleness.value !== undefined, answer.sentAt);
+    }
   }
 
   private takeUpNumber(
--- a/packages/gateway/src/endpoint-statements/stated-admission.ts
+++ b/packages/gateway/src/endpoint-statements/stated-admission.ts
@@ -6,6 +6,7 @@
 } from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 
+import type {EndpointPlaces} from '../endpoint-places/index.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
 
 /** Why an endpoint gets no request by what it has said of itself. */
@@ -14,11 +15,15 @@
   Limit = 'limit',
   /** It has asked this host for rest. */
   Rest = 'rest',
+  /** It must not have to refuse a request, and this host has no place there. */
+  Room = 'room',
 }
 
 /** Dependencies of `StatedAdmission`. */
 export interface StatedAdmissionParts {
   readonly limits: LimitAdmission;
+  /** Places at endpoints that fall over if they have to refuse requests. */
+  readonly places: EndpointPlaces;
   /** This host among those that send requests to the same endpoints. */
   readonly place: () => HostPlace;
   readonly clock: Clock;
@@ -48,10 +53,13 @@
     endpoint: KnownEndpoint,
     yields = false,
   ): WithholdingReason | undefined {
-    const {limits, place, clock} = this.parts;
+    const {limits, places, place, clock} = this.parts;
     if (!endpoint.conditions.rest.mayTake(clock.monotonicMilliseconds())) {
       return WithholdingReason.Rest;
     }
+    if (!places.mayTake(endpoint)) {
+      return WithholdingReason.Room;
+    }
     const limit = limitOf(endpoint);
     return limit === undefined ||
       limits.mayAdmit(limit, place(), this.time(), yields)
@@ -72,12 +80,23 @@
   isInNeed(endpoint: KnownEndpoint): boolean {
     return (
       limitOf(endpoint) !== undefined ||
+      this.parts.places.isGuarded(endpoint.entry.service) ||
       this.reasonAgainst(endpoint) === WithholdingReason.Rest
     );
   }
 
-  /** Records that a request was sent to the endpoint. */
-  requestSent(endpoint: KnownEndpoint): void {
+  /** Places of requests, for those that wait for one. */
+  get places(): EndpointPlaces {
+    return this.parts.places;
+  }
+
+  /**
+   * Records that a request was sent to the endpoint.
+   *
+   * @param tokens Upper bound on the tokens that it can use.
+   */
+  requestSent(endpoint: KnownEndpoint, tokens: number): void {
+    this.parts.places.requestSent(endpoint, tokens);
     endpoint.conditions.rest.requestSent(this.time().monotonic);
     const limit = limitOf(endpoint);
     if (limit !== undefined) {
@@ -100,11 +119,12 @@
     const {monotonic} = this.time();
     const waits: number[] = [];
     let requestsPerSecond = 0;
-    for (const {conditions} of endpoints) {
+    for (const {entry, conditions} of endpoints) {
       const rest = conditions.rest.remainingMilliseconds(monotonic);
       const limit = conditions.limit.value;
       if (rest > 0 || limit === undefined) {
-        waits.push(rest);
+        const {places} = this.parts;
+        waits.push(Math.max(rest, places.expectedMilliseconds(entry.service)));
       } else {
         requestsPerSecond += limit;
       }
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -7,6 +7,7 @@
 import type {ConfigurationState} from './configuration-state.js';
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {EvacuationState} from './evacuation/index.js';
+import type {EndpointPlaces} from './endpoint-places/index.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {HostRotation} from './host-rotation.js';
@@ -46,6 +47,7 @@
     private readonly suspects: SuspectRegistry,
     private readonly origins: StreamOriginRegistry,
     private readonly account: InputAccount,
+    private readonly places: EndpointPlaces,
     private readonly clock: Clock,
   ) {
     super();
@@ -197,6 +199,7 @@
         ({conditions}) => conditions.rest.remainingMilliseconds(now) > 0,
       ).length,
     );
+    this.metrics.setState('waiting_for_places', this.places.waiting);
     this.metrics.setState('tunnels', this.tunnels.openTunnels);
     this.metrics.setState('crash_suspects', this.suspects.subjectCount);
     this.metrics.setState('stream_origins', this.origins.streamCount);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
   endpointReadPause,
   sharedReadInterval,
   hostPlace,
+  type HostPlace,
   LimitTurns,
   LoopSaturation,
   PartPopularity,
@@ -33,6 +34,7 @@
 import type {Dialect} from './dialect.js';
 import {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {PlacementRules} from './endpoint-chooser.js';
+import {ConnectPlacePeers, EndpointPlaces} from './endpoint-places/index.js';
 import {EndpointDirectory} from './endpoint-directory.js';
 import {StatedAdmission} from './endpoint-statements/index.js';
 import {EvacuationState} from './evacuation/index.js';
@@ -142,6 +144,7 @@
   private readonly origins: StreamOriginRegistry;
   private readonly pastOrigins: PastOriginsSource;
   private readonly account: InputAccount;
+  private readonly places: EndpointPlaces;
   private peerServer: PeerServer | undefined;
 
   constructor(private readonly parts: GatewayParts) {
@@ -186,6 +189,10 @@
       metrics,
       isFull: () => this.link.isFull || !this.rotation.acceptsConnections,
     });
+    this.places = this.createPlaces();
+    directory.statements.onBrittleness((endpoint, isBrittle, sentAt) => {
+      this.places.answered(endpoint, isBrittle, sentAt);
+    });
     this.suspects = this.createSuspects();
     this.originWatch = new OriginWatch(directory, clock);
     this.originPeers = new ConnectStreamOriginPeers(this.link);
@@ -237,6 +244,7 @@
       this.suspects,
       this.origins,
       this.account,
+      this.places,
       clock,
     );
     this.status = new StatusServer(
@@ -278,6 +286,7 @@
         suspects: this.suspects,
         origins: this.origins,
         copies: new TopicCopies([this.configurationFollower]),
+        places: this.places,
         tunnels: this.tunnels,
       },
     );
@@ -329,6 +338,7 @@
     this.tunnels.close();
     this.crashes.close();
     this.suspects.close();
+    this.places.close();
     this.pastOrigins.close();
     this.origins.close();
     await this.peerServer?.close();
@@ -473,7 +483,8 @@
       cold: new ColdTurns(hostName(settings), () => this.budgets.holderCount),
       stated: new StatedAdmission({
         limits: new LimitTurns(),
-        place: () => hostPlace(hostName(settings), this.budgets.hosts),
+        places: this.places,
+        place: () => this.place(),
         clock,
       }),
       regionOf: other =>
@@ -482,6 +493,26 @@
     };
   }
 
+  private createPlaces(): EndpointPlaces {
+    const {settings, clock, events} = this.parts;
+    return new EndpointPlaces({
+      host: hostName(settings),
+      peers: new ConnectPlacePeers(this.link),
+      clock,
+      events,
+      endpointsOf: service => this.paths.availableEndpoints(service),
+      memoryTokensOf: service =>
+        this.configuration.current?.services.get(service)?.engine?.memoryTokens,
+      place: () => this.place(),
+      otherHosts: () => this.budgets.otherHolders,
+    });
+  }
+
+  /** This host among those that send requests to the same endpoints. */
+  private place(): HostPlace {
+    return hostPlace(hostName(this.parts.settings), this.budgets.hosts);
+  }
+
   private createHealth(): TopicHealth {
     const {clock, events} = this.parts;
     const now = () => clock.monotonicMilliseconds();
--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -1,6 +1,7 @@
 import {connectNodeAdapter} from '@connectrpc/connect-node';
 import {
   CrashSuspectService,
+  EndpointPlaceService,
   GrantLoanService,
   StreamOriginService,
   TopicCopyService,
@@ -8,6 +9,11 @@
 import {createServer, type Server} from 'node:http';
 import {Socket} from 'node:net';
 
+import {
+  decodeReport,
+  encodeAllotment,
+  type PlaceHolder,
+} from './endpoint-places/index.js';
 import {listen, portOf, type ListenAddress} from './listening.js';
 import type {LoanHolder} from './loan-peers.js';
 import {MAXIMUM_PEER_MESSAGE_BYTES} from './peer-messages.js';
@@ -33,6 +39,8 @@
   readonly origins?: StreamOriginHolder;
   /** Gives copies of the topics that this host follows. */
   readonly copies?: TopicCopyHolder;
+  /** Divides places at endpoints. */
+  readonly places?: PlaceHolder;
   /** Relays connections to endpoints; without it, CONNECT requests are closed. */
   readonly tunnels?: TunnelServer;
 }
@@ -51,7 +59,7 @@
   /** @throws The system's error if the address cannot be bound. */
   static async listen(
     at: ListenAddress,
-    {loans, tunnels, suspects, origins, copies}: PeerServices,
+    {loans, tunnels, suspects, origins, copies, places}: PeerServices,
   ): Promise<PeerServer> {
     const routes = connectNodeAdapter({
       readMaxBytes: MAXIMUM_PEER_MESSAGE_BYTES,
@@ -81,6 +89,16 @@
             past: () => origins.past(),
           });
         }
+        if (places !== undefined) {
+          router.service(EndpointPlaceService, {
+            report: async report =>
+              encodeAllotment(await places.receiveReport(decodeReport(report))),
+            tell: news => {
+              places.receiveNews(news);
+              return {};
+            },
+          });
+        }
         if (copies !== undefined) {
           router.service(TopicCopyService, {
             async *find({topic, position}) {
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -112,6 +112,8 @@
   chargedTokens = 0;
   /** How long an available answer waited for its tokens, milliseconds. */
   tokenWaitMilliseconds = 0;
+  /** How long the request waited for a place at an endpoint, milliseconds. */
+  placeWaitMilliseconds = 0;
 
   /** Whether any part of an endpoint's answer was delivered to the caller. */
   hasDelivered = false;
--- a/packages/gateway/src/request-report.ts
+++ b/packages/gateway/src/request-report.ts
@@ -40,6 +40,7 @@
     events: record.eventsDelivered,
     firstEventMilliseconds: sinceArrival(record.firstEventAt, caller),
     longestPauseMilliseconds: Math.round(record.longestPauseMilliseconds),
+    waitedForPlaceMilliseconds: Math.round(record.placeWaitMilliseconds),
     waitedForTokensMilliseconds: Math.round(record.tokenWaitMilliseconds),
     configuration,
     identity,
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -27,6 +27,7 @@
 import {MAXIMUM_SAFE_IDLE_MILLISECONDS} from './endpoint-connection-pool.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import {
+  ConnectionOrigin,
   EndpointExchange,
   FailureKind,
   isFailure,
@@ -50,8 +51,14 @@
 import {RequestStage} from './open-requests/index.js';
 import type {RequestBudget} from './request-budget.js';
 import {RequestCompletion} from './request-completion.js';
-import {isRepeatable, type RequestContext} from './request-context.js';
+import {
+  isRepeatable,
+  maximumTokens,
+  type RequestContext,
+} from './request-context.js';
 import {RequestLifetime} from './request-lifetime.js';
+import type {EndpointPlaces, HeldPlace} from './endpoint-places/index.js';
+import {WithholdingReason} from './endpoint-statements/index.js';
 import {requestPriority} from './request-priority.js';
 import type {RequestRecord} from './request-record.js';
 import {NextStep, RequestRetries} from './request-retries.js';
@@ -84,6 +91,8 @@
 /** Time in which a host finds out whether it has lost its paths to a service. */
 const PATH_DECISION_MILLISECONDS = 100;
 const PATH_POLL_MILLISECONDS = 10;
+/** A request waits for a place for this part of its time, so that its caller can retry. */
+const MAXIMUM_WAIT_PARTS = 2;
 /**
  * Time for which an endpoint that filled this host's memory gets no requests; after it,
  * one request shows whether it still does, milliseconds.
@@ -226,29 +235,49 @@
       next ??
       this.chooser.choose(context, retries.avoided) ??
       (await this.chooseLater());
+    const place = chosen === undefined ? await this.waitForPlace() : undefined;
+    let opened: OpenAttempt | undefined;
+    try {
+      opened = this.openOrGiveUp(chosen ?? place?.chosen, next !== undefined);
+    } finally {
+      place?.close();
+    }
+    return opened === undefined ? NextStep.Ended : this.complete(opened);
+  }
+
+  /**
+   * Sends an attempt; undefined if the request has ended instead.
+   *
+   * @param isNext Whether its run goes on from what was kept for it.
+   */
+  private openOrGiveUp(
+    chosen: ChosenEndpoint | undefined,
+    isNext: boolean,
+  ): OpenAttempt | undefined {
+    const {context, retries, chooser} = this;
     this.recordPlacement(chosen);
     if (context.caller.disconnectSignal.aborted) {
       this.record.outcome = 'caller-left';
-      return NextStep.Ended;
-    }
-    if (!retries.mayAttempt) {
-      return retries.giveUp(LocalReplyReason.DeadlinePassed);
+      return undefined;
     }
     // What an answer has begun with can't begin at another host.
-    const goesOn = next !== undefined || context.caller.isAnswering;
-    if (!goesOn && !context.mayBegin()) {
-      return retries.giveUp(
+    const goesOn = isNext || context.caller.isAnswering;
+    if (!retries.mayAttempt) {
+      retries.giveUp(LocalReplyReason.DeadlinePassed);
+    } else if (!goesOn && !context.mayBegin()) {
+      retries.giveUp(
         LocalReplyReason.Stopping,
         STOPPING_RETRY_AFTER_MILLISECONDS,
       );
-    }
-    if (chosen === undefined) {
-      return retries.giveUp(
-        this.chooser.reasonForNone(context),
-        this.chooser.retryAfterMilliseconds(),
+    } else if (chosen === undefined) {
+      retries.giveUp(
+        chooser.reasonForNone(context),
+        chooser.retryAfterMilliseconds(),
       );
+    } else {
+      return this.open(chosen, false);
     }
-    return this.complete(this.open(chosen, false));
+    return undefined;
   }
 
   /** Sends an attempt; its `close` ends what begins here. */
@@ -264,8 +293,14 @@
       stopWatchingPath();
       monitor.close();
       this.timeouts.recordFirstByteTime(monitor);
-      attempt.work.ended(this.lifetime.now());
+      const now = this.lifetime.now();
+      attempt.work.ended(now);
       endpoint.load--;
+      const wasSent = exchange.connectionOrigin !== ConnectionOrigin.None;
+      this.places.attemptEnded(endpoint, {
+        milliseconds: wasSent ? now - attempt.sentAt : undefined,
+        mayGoOn: wasSent && exchange.wasCancelled,
+      });
       path.dataCenters.requestEnded(endpoint.entry.dataCenter);
     };
     return {attempt, head: exchange.head(), close};
@@ -348,6 +383,39 @@
     return chosen;
   }
 
+  /**
+   * Waits for a place if endpoints are withheld for want of room. One that began in time
+   * is worth more than one that has waited, so that none waits for longer than its goal.
+   */
+  private async waitForPlace(): Promise<HeldPlace | undefined> {
+    const {chooser, context, lifetime, retries} = this;
+    const {route, service, organisation, caller} = context;
+    const isFull = chooser.withheld.inNeed.some(
+      ({reason}) => reason === WithholdingReason.Room,
+    );
+    if (!isFull || lifetime.isAbandoned) {
+      return undefined;
+    }
+    const begunAt = lifetime.now();
+    const limitMilliseconds = lifetime.remaining() / MAXIMUM_WAIT_PARTS;
+    const hasGoal = route.goalMilliseconds > 0 && !caller.isAnswering;
+    const place = await this.places.waitFor(service.name, {
+      priority: requestPriority(route, organisation),
+      goalMilliseconds: hasGoal
+        ? Math.min(route.goalMilliseconds, limitMilliseconds)
+        : limitMilliseconds,
+      limitMilliseconds,
+      signal: lifetime.waitSignal,
+      choose: () => chooser.choose(context, retries.avoided),
+    });
+    this.record.placeWaitMilliseconds += lifetime.now() - begunAt;
+    return place;
+  }
+
+  private get places(): EndpointPlaces {
+    return this.parts.placement.stated.places;
+  }
+
   private recordPlacement(chosen: ChosenEndpoint | undefined): void {
     const {evacuations} = this.parts;
     const {cold, withheld, inNeed} = this.chooser.withheld;
@@ -373,7 +441,7 @@
     parts.placement
       .popularityOf(context.service.name)
       .record(context.caller.headers.promptParts.at(-2)?.id, sentAt);
-    parts.placement.stated.requestSent(endpoint);
+    parts.placement.stated.requestSent(endpoint, maximumTokens(context.caller));
     if (isCold) {
       const {id} = endpoint.entry;
       const requestsPerSecond = context.service.coldRequestsPerSecond;
@@ -527,6 +595,7 @@
     if (isFailure(head) && head.kind === FailureKind.NotRun) {
       this.parts.metrics.endpointRefused(this.context.service.name);
       if (!refusesForItself(endpoint, head)) {
+        this.places.refused(endpoint);
         admission?.refused(this.lifetime.now());
       }
     }
--- a/packages/gateway/src/service-paths.ts
+++ b/packages/gateway/src/service-paths.ts
@@ -67,6 +67,23 @@
     return this.relayedPath(service);
   }
 
+  /**
+   * The endpoints of a service that requests which begin now are sent to, as far as this
+   * host has seen no failure; all if it has seen one at each.
+   */
+  availableEndpoints(service: string): readonly KnownEndpoint[] {
+    const {directory, clock} = this.parts;
+    const path = this.pathTo(service);
+    const now = clock.monotonicMilliseconds();
+    const open = directory.openEndpoints(service);
+    const available = open.filter(
+      endpoint =>
+        path.breakerOf(endpoint).isAvailable(now) &&
+        path.dataCenters.isAvailable(endpoint.entry.dataCenter, now),
+    );
+    return available.length === 0 ? open : available;
+  }
+
   /**
    * The path to the endpoint that was chosen for a request: a connection that still
    * works is used although no new one can be opened.
--- a/packages/gateway/src/test/stated-admission_test.ts
+++ b/packages/gateway/src/test/stated-admission_test.ts
@@ -7,6 +7,7 @@
   WithholdingReason,
 } from '../endpoint-statements/index.js';
 import {KnownEndpoint} from '../known-endpoint.js';
+import {loneHostPlaces} from './lone-host-places.js';
 
 const NOW = 0;
 
@@ -31,6 +32,7 @@
     });
     admission = new StatedAdmission({
       limits: new LimitTurns(),
+      places: loneHostPlaces(),
       place: () => ({rank: 0, hosts: 1}),
       clock: new FakeClock(),
     });
@@ -58,7 +60,7 @@
 
   it('sends callers back soon while the first request after a rest is open', () => {
     endpoint.conditions.rest.asked(100, NOW - 200);
-    admission.requestSent(endpoint);
+    admission.requestSent(endpoint, 0);
     expect(admission.reasonAgainst(endpoint)).toBe(WithholdingReason.Rest);
     expect(retryAfter()).toBe(300);
   });
--- a/packages/schema/src/index.ts
+++ b/packages/schema/src/index.ts
@@ -7,6 +7,7 @@
 export * from './generated/wisteriadeal/v1/records_pb.js';
 export * from './generated/wisteriadeal/v1/control_pb.js';
 export * from './generated/wisteriadeal/v1/crash_suspects_pb.js';
+export * from './generated/wisteriadeal/v1/endpoint_places_pb.js';
 export * from './generated/wisteriadeal/v1/stream_origins_pb.js';
 export * from './generated/wisteriadeal/v1/topic_copies_pb.js';
 export * from './generated/wisteriadeal/v1/settings_pb.js';
