--- a/packages/gateway/src/endpoint-places/place-times.ts
+++ b/packages/gateway/src/endpoint-places/place-times.ts
@@ -4,7 +4,7 @@
 
 /** Time between two reports of a host that needs nothing, milliseconds. */
 const RENEWAL_MILLISECONDS = 200;
-/** Share of a host's time that it spends on the reports of one other, milliseconds. */
+/** The same for each host, so that one host can take the reports of all. */
 const RENEWAL_MILLISECONDS_PER_HOST = 8;
 /** A host whose needs change reports up to so often between renewals. */
 const REPORTS_PER_RENEWAL = 10;
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -92,7 +92,7 @@
 const PATH_DECISION_MILLISECONDS = 100;
 const PATH_POLL_MILLISECONDS = 10;
 /** A request waits for a place for this part of its time, so that its caller can retry. */
-const MAXIMUM_WAIT_PARTS = 2;
+const MAXIMUM_WAIT_SHARE = 0.5;
 /**
  * Time for which an endpoint that filled this host's memory gets no requests; after it,
  * one request shows whether it still does, milliseconds.
@@ -384,8 +384,8 @@
   }
 
   /**
-   * Waits for a place if endpoints are withheld for want of room. One that began in time
-   * is worth more than one that has waited, so that none waits for longer than its goal.
+   * Waits for a place if endpoints are withheld for want of room. A request that would
+   * have to wait for longer than its goal does not wait, as all behind it would be late.
    */
   private async waitForPlace(): Promise<HeldPlace | undefined> {
     const {chooser, context, lifetime, retries} = this;
@@ -397,7 +397,7 @@
       return undefined;
     }
     const begunAt = lifetime.now();
-    const limitMilliseconds = lifetime.remaining() / MAXIMUM_WAIT_PARTS;
+    const limitMilliseconds = lifetime.remaining() * MAXIMUM_WAIT_SHARE;
     const hasGoal = route.goalMilliseconds > 0 && !caller.isAnswering;
     const place = await this.places.waitFor(service.name, {
       priority: requestPriority(route, organisation),
