Let decidingHosts choose the host that divides places

placeDivider was a second rendezvous hashing beside decidingHosts, which crash suspects and stream origins use already. Which host divides for a service changes; how it is agreed upon doesn't.

--- a/packages/decisions/src/test/demand-division_test.ts
+++ b/packages/decisions/src/test/demand-division_test.ts
@@ -1,7 +1,6 @@
 import {describe, expect, it} from 'vitest';
 
 import {
-  placeDivider,
   DemandDivision,
   HostPlaces,
   LearnedRoom,
@@ -85,13 +84,6 @@
       expect(sum).toBe(48);
     }
   });
-
-  it('are divided by one host that all choose by the same list', () => {
-    expect(placeDivider('chat', ['b', 'a', 'c'])).toBe(
-      placeDivider('chat', ['c', 'b', 'a']),
-    );
-    expect(placeDivider('chat', [])).toBe(undefined);
-  });
 });
 
 describe('DemandDivision', () => {
--- a/packages/gateway/src/deciding-hosts.ts
+++ b/packages/gateway/src/deciding-hosts.ts
@@ -1,12 +1,12 @@
 import {createHash} from 'node:crypto';
 
 /**
- * The hosts that decide on a request for the whole fleet, the first one that can
- * be reached deciding. Hosts that know the same addresses find the same order, and
- * each request has another one (rendezvous hashing; Thaler and Ravishankar, 1998).
+ * The hosts that decide on a subject for the whole fleet, the first one that can
+ * be reached deciding. Hosts that know the same others find the same order, and
+ * each subject has another one (rendezvous hashing; Thaler and Ravishankar, 1998).
  *
- * @param request Digest of the request.
- * @param addresses Addresses of all hosts, in any order.
+ * @param subject Digest of a request, or the name of a service.
+ * @param hosts Addresses or names of all hosts, in any order.
  * @param count Number of hosts wanted.
  * @example
  * ```ts
@@ -14,17 +14,17 @@
  * ```
  */
 export function decidingHosts(
-  request: string,
-  addresses: readonly string[],
+  subject: string,
+  hosts: readonly string[],
   count: number,
 ): readonly string[] {
-  return addresses
-    .map(address => ({address, rank: rankOf(request, address)}))
+  return hosts
+    .map(host => ({host, rank: rankOf(subject, host)}))
     .sort((one, other) => (one.rank < other.rank ? -1 : 1))
     .slice(0, count)
-    .map(({address}) => address);
+    .map(({host}) => host);
 }
 
-function rankOf(request: string, address: string): string {
-  return createHash('sha256').update(`${request} ${address}`).digest('hex');
+function rankOf(subject: string, host: string): string {
+  return createHash('sha256').update(`${subject} ${host}`).digest('hex');
 }
--- a/packages/gateway/src/endpoint-places/endpoint-places.ts
+++ b/packages/gateway/src/endpoint-places/endpoint-places.ts
@@ -1,7 +1,8 @@
-import {placeDivider, type HostPlace} from '@wisteriadeal/decisions';
+import type {HostPlace} from '@wisteriadeal/decisions';
 import type {Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
+import {decidingHosts} from '../deciding-hosts.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
 import {PlaceDivider} from './place-divider.js';
 import type {
@@ -223,7 +224,7 @@
       ({address}) => now >= (this.doubtedUntil.get(address) ?? -Infinity),
     );
     const names = [host, ...others.map(other => other.host)];
-    const chosen = placeDivider(service, names);
+    const [chosen] = decidingHosts(service, names, 1);
     return others.find(other => other.host === chosen) ?? {host, address: ''};
   }
 
--- a/packages/gateway/src/test/deciding-hosts_test.ts
+++ b/packages/gateway/src/test/deciding-hosts_test.ts
@@ -15,4 +15,5 @@
     firsts.add(hosts[0]);
   }
   expect(firsts.size).toBe(ADDRESSES.length);
+  expect(decidingHosts('chat', [], 1)).toEqual([]);
 });
