Ask a path whether an endpoint is available, in one place

availableEndpoints had copied the two conditions of EndpointChooser.candidates; both ask EndpointPath.isAvailable now. waitFor of EndpointPlaces no longer wraps a promise in another, and imports stand in order. Behaviour is as it was.

--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -366,8 +366,7 @@
       load: endpoint.load,
       work: endpoint.work,
       isAvailable:
-        path.breakerOf(endpoint).isAvailable(now) &&
-        path.dataCenters.isAvailable(endpoint.entry.dataCenter, now) &&
+        path.isAvailable(endpoint, now) &&
         path.breakerOf(endpoint).failedShare <= limit,
       ...this.warmthOf(endpoint, service, now),
     }));
--- a/packages/gateway/src/endpoint-path.ts
+++ b/packages/gateway/src/endpoint-path.ts
@@ -30,6 +30,18 @@
   /** The endpoint's circuit breaker for requests over this path. */
   abstract breakerOf(endpoint: KnownEndpoint): EndpointCircuitBreaker;
 
+  /**
+   * Whether requests may be sent to the endpoint, as far as failures over this path tell.
+   *
+   * @param now Monotonic clock, milliseconds.
+   */
+  isAvailable(endpoint: KnownEndpoint, now: number): boolean {
+    return (
+      this.breakerOf(endpoint).isAvailable(now) &&
+      this.dataCenters.isAvailable(endpoint.entry.dataCenter, now)
+    );
+  }
+
   /**
    * What answered over this path at a time on the monotonic clock, milliseconds;
    * undefined if it is not known.
--- a/packages/gateway/src/endpoint-places/endpoint-places.ts
+++ b/packages/gateway/src/endpoint-places/endpoint-places.ts
@@ -101,7 +101,7 @@
   }
 
   /** Waits for a place; undefined if a request would have to wait for too long. */
-  async waitFor(
+  waitFor(
     service: string,
     request: PlaceRequest,
   ): Promise<HeldPlace | undefined> {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -35,6 +35,8 @@
   type ExchangeFailure,
 } from './endpoint-exchange.js';
 import {PathKind, type EndpointPath} from './endpoint-path.js';
+import type {EndpointPlaces, HeldPlace} from './endpoint-places/index.js';
+import {WithholdingReason} from './endpoint-statements/index.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
 import type {InactivityMonitor} from './inactivity-monitor.js';
 import {
@@ -57,8 +59,6 @@
   type RequestContext,
 } from './request-context.js';
 import {RequestLifetime} from './request-lifetime.js';
-import type {EndpointPlaces, HeldPlace} from './endpoint-places/index.js';
-import {WithholdingReason} from './endpoint-statements/index.js';
 import {requestPriority} from './request-priority.js';
 import type {RequestRecord} from './request-record.js';
 import {NextStep, RequestRetries} from './request-retries.js';
--- a/packages/gateway/src/service-paths.ts
+++ b/packages/gateway/src/service-paths.ts
@@ -76,11 +76,7 @@
     const path = this.pathTo(service);
     const now = clock.monotonicMilliseconds();
     const open = directory.openEndpoints(service);
-    const available = open.filter(
-      endpoint =>
-        path.breakerOf(endpoint).isAvailable(now) &&
-        path.dataCenters.isAvailable(endpoint.entry.dataCenter, now),
-    );
+    const available = open.filter(endpoint => path.isAvailable(endpoint, now));
     return available.length === 0 ? open : available;
   }
 
