A silent stream is given up only for events that follow

Callers saw: a stream cut after some of its events although the endpoint that began it was sound and went on a moment later.

Cause: the head of a standby's answer ended the silent run. A head promises events and is none: the standby's endpoint may break, end inside an event or send others than those that follow. The attempts were used up by then, and the caller's connection was closed.

Fix: the beginning of the standby's answer is read and held; the silent run is cancelled once the first event follows, or the stream is complete. Until then its own next event cancels the standby, as before. The limit of 250 ms for two endpoints at work stays, so that a slow standby takes over as before. A standby that breaks counts as a broken attempt of its endpoint. The attempt's line names why it did not take over.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -10,6 +10,7 @@
 } from 'node:http';
 import type {Socket} from 'node:net';
 
+import {AnswerBeginning, type ChunkConsumer} from './answer-beginning.js';
 import type {Dialect, EndpointAnswerHeaders} from './dialect.js';
 import type {
   EndpointConnectionPool,
@@ -132,6 +133,8 @@
   private abandonWait: () => void = () => undefined;
   private connectTimeout: NetworkTimeout | undefined;
   private held: HeldBytes | undefined;
+  private beginning: AnswerBeginning | undefined;
+  private reading: Promise<void> | undefined;
 
   /**
    * @param listener Told of the endpoint's input.
@@ -256,6 +259,27 @@
     return this.isComplete ? Buffer.concat(chunks) : undefined;
   }
 
+  /**
+   * Reads the beginning of an answer, which is held until `read` is called.
+   *
+   * @param isComplete Called with each chunk; whether it ends the beginning.
+   * @returns Resolves when the beginning is complete or as long as it may be, or when
+   *     the answer ends or is cut before.
+   */
+  async readBeginning(isComplete: (chunk: Buffer) => boolean): Promise<void> {
+    const beginning = new AnswerBeginning(isComplete);
+    this.beginning = beginning;
+    const reading = this.readAnswer(chunk => {
+      const consumed = beginning.add(chunk);
+      this.eventHeld(beginning.bytes);
+      return consumed;
+    });
+    this.reading = reading;
+    // `read` rejects with its error.
+    const ended = reading.catch(() => undefined);
+    await Promise.race([beginning.whenComplete, ended]);
+  }
+
   /**
    * Passes on the chunks of an answer as they arrive; resolves when the answer
    * ends or is cut.
@@ -264,25 +288,19 @@
    *     may return has resolved.
    * @throws The error that `onChunk` throws.
    */
-  async read(
-    onChunk: (chunk: Buffer) => Promise<void> | undefined,
-  ): Promise<void> {
-    const {incoming} = this;
-    if (incoming === undefined || incoming.destroyed) {
-      if (this.failure === undefined) {
-        this.failure = 'answer cut';
-        this.wasClosed = true;
-      }
+  async read(onChunk: ChunkConsumer): Promise<void> {
+    const {beginning} = this;
+    if (beginning === undefined) {
+      await this.readAnswer(onChunk);
       return;
     }
-    const {socket} = incoming;
-    await this.readChunks(incoming, onChunk);
-    if (
-      this.bodyEnd === BodyEnd.ConnectionClosed &&
-      !(await this.connections.confirmEnd(socket))
-    ) {
-      this.failure ??= 'end not confirmed by the relay';
+    try {
+      await beginning.passTo(onChunk);
+    } catch (error) {
+      this.cancel('relaying failed');
+      throw error;
     }
+    await this.reading;
   }
 
   /**
@@ -409,6 +427,25 @@
     );
   }
 
+  private async readAnswer(onChunk: ChunkConsumer): Promise<void> {
+    const {incoming} = this;
+    if (incoming === undefined || incoming.destroyed) {
+      if (this.failure === undefined) {
+        this.failure = 'answer cut';
+        this.wasClosed = true;
+      }
+      return;
+    }
+    const {socket} = incoming;
+    await this.readChunks(incoming, onChunk);
+    if (
+      this.bodyEnd === BodyEnd.ConnectionClosed &&
+      !(await this.connections.confirmEnd(socket))
+    ) {
+      this.failure ??= 'end not confirmed by the relay';
+    }
+  }
+
   private hold(kind: HeldKind): HeldBytes {
     this.held = this.account.hold(kind, `endpoint ${this.endpoint.id}`, () => {
       this.endInput(InputBreach.ProcessBytes);
@@ -429,7 +466,7 @@
 
   private readChunks(
     incoming: IncomingMessage,
-    onChunk: (chunk: Buffer) => Promise<void> | undefined,
+    onChunk: ChunkConsumer,
   ): Promise<void> {
     return new Promise((resolve, reject) => {
       let consumed: Promise<void> | undefined;
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -141,9 +141,14 @@
     const {breaker} = attempt;
     if (!isFailure(head)) {
       this.attemptCount++;
-      attempt.ended(`answered ${head.status}, not taken over`);
+      const {failureReason, wasClosedByEndpoint} = attempt.exchange;
+      attempt.ended(
+        `answered ${head.status}, not taken over: ${failureReason}`,
+      );
       if (head.status >= 500) {
         breaker.recordFailedAnswer();
+      } else if (wasClosedByEndpoint) {
+        this.recordBroken(attempt);
       } else {
         breaker.requestEnded();
       }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -64,6 +64,7 @@
 import {NextStep, RequestRetries} from './request-retries.js';
 import type {ServicePaths} from './service-paths.js';
 import {StandbyAttempt, type OpenAttempt} from './standby-attempt.js';
+import {goesOnAfter} from './stream-relay.js';
 
 /** Dependencies shared by all request runs of a process. */
 export interface RunParts {
@@ -161,6 +162,7 @@
       begin: () => this.beginStandby(),
       mayTakeOver: () => parts.suspects.mayResend(context.identity),
       mayPassOn: attempt => this.answers.confirm(attempt),
+      goesOn: ({exchange}) => goesOnAfter(this.lastEventId, exchange),
       failed: (attempt, head) => {
         if (isFailure(head)) {
           this.recordAnswer(attempt, head);
@@ -412,6 +414,11 @@
     return place;
   }
 
+  /** Identifier of the last event that the caller has. */
+  private get lastEventId(): string | undefined {
+    return this.record.lastEventId ?? this.context.caller.headers.lastEventId;
+  }
+
   private get places(): EndpointPlaces {
     return this.parts.placement.stated.places;
   }
@@ -509,7 +516,7 @@
       organisation: organisation?.name,
       remainingMilliseconds: Math.max(1, Math.floor(this.lifetime.remaining())),
       priority,
-      lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
+      lastEventId: this.lastEventId,
       // The copies of a request's run are those of its current attempt.
       ...(isStandby
         ? {backupAt: undefined, continueFrom: undefined}
--- a/packages/gateway/src/standby-attempt.ts
+++ b/packages/gateway/src/standby-attempt.ts
@@ -19,7 +19,8 @@
 
 /**
  * Longest time for which two endpoints may work on one stream, milliseconds. One that
- * has accepted a request and not refused it by then takes the stream over.
+ * has accepted a request, and neither refused nor failed it by then, takes the stream
+ * over.
  */
 const MAXIMUM_OVERLAP_MILLISECONDS = 250;
 const OVERLAP_POLL_MILLISECONDS = 50;
@@ -35,6 +36,8 @@
   mayTakeOver(): boolean;
   /** Resolves with whether the endpoint's events may follow those delivered. */
   mayPassOn(attempt: EndpointAttempt): Promise<boolean>;
+  /** Resolves with whether the endpoint's events follow those delivered. */
+  goesOn(attempt: EndpointAttempt): Promise<boolean>;
   /**
    * Records that a standby didn't take over.
    *
@@ -47,8 +50,8 @@
 
 /**
  * Holds a second attempt of a stream whose endpoint is silent. The silent one is
- * cancelled only once the other endpoint answers with success, or works on the request;
- * until then it may go on, and cancels the standby by that.
+ * cancelled only once the other endpoint's first event follows, or it works on the
+ * request; until then it may go on, and cancels the standby by that.
  *
  * @example
  *   if (!standby.begin(silentAttempt)) {
@@ -122,10 +125,7 @@
   ): Promise<void> {
     const {attempt} = standby;
     const head = await standby.head;
-    const takesOver =
-      this.waiting === standby &&
-      isSuccess(head) &&
-      (await this.parts.mayPassOn(attempt));
+    const takesOver = isSuccess(head) && (await this.goesOn(standby));
     if (this.waiting !== standby) {
       return;
     }
@@ -144,6 +144,18 @@
     }
   }
 
+  private async goesOn(standby: OpenAttempt): Promise<boolean> {
+    const {parts} = this;
+    const {attempt} = standby;
+    // One that was promoted meanwhile is read by the request itself.
+    return (
+      this.waiting === standby &&
+      (await parts.mayPassOn(attempt)) &&
+      this.waiting === standby &&
+      (await parts.goesOn(attempt))
+    );
+  }
+
   private takeOver(silent: EndpointAttempt): void {
     if (this.parts.mayTakeOver()) {
       this.promote();
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -1,6 +1,6 @@
 import type {CallerExchange} from './caller-exchange.js';
 import type {EndpointAttempt} from './endpoint-attempt.js';
-import {AnswerFraming} from './endpoint-exchange.js';
+import {AnswerFraming, type EndpointExchange} from './endpoint-exchange.js';
 import {
   EventStreamSplitter,
   joinEvents,
@@ -52,6 +52,28 @@
   return relay.result;
 }
 
+/**
+ * Resolves with whether an answer goes on with a stream: its first event follows the last
+ * one that was delivered, or it is complete without an event. What was read is held for
+ * `relayStream`.
+ *
+ * @param lastEventId Identifier of the last event that was delivered.
+ */
+export async function goesOnAfter(
+  lastEventId: string | undefined,
+  exchange: EndpointExchange,
+): Promise<boolean> {
+  const splitter = new EventStreamSplitter();
+  let first: StreamEvent | undefined;
+  await exchange.readBeginning(chunk => {
+    first ??= splitter.push(chunk).find(({hasField}) => hasField);
+    return first !== undefined;
+  });
+  return first === undefined
+    ? exchange.isComplete && exchange.framing !== AnswerFraming.UntilClose
+    : isNextEvent(first, lastEventId);
+}
+
 class StreamRelay {
   private readonly splitter = new EventStreamSplitter();
   private readonly limit = new EventLimit();
--- a/packages/gateway/src/test/standby-attempt_test.ts
+++ b/packages/gateway/src/test/standby-attempt_test.ts
@@ -30,6 +30,7 @@
     }),
     mayTakeOver: () => true,
     mayPassOn: () => Promise.resolve(true),
+    goesOn: () => Promise.resolve(true),
     failed: () => false,
     cancelled: () => undefined,
   });
