A request whose endpoint is silent before its answer keeps it until another takes it

Callers saw: 502 in place of the answer of a request that may be repeated, where its endpoint was silent for a moment and the others were full.

Work that goes on was given up for a place that wasn't sure.

Fix: one way for both. A standby is sent beside the silent run, which is cancelled once the standby's answer goes on with what was delivered: for a buffered answer once it has arrived whole, or has been at work for 250 ms. An answer of the silent endpoint cancels the standby, unless it is a failure. A refused standby leaves the next try to another endpoint at once, as long as nothing was delivered. What a standby may have run counts for what callers are told.

--- a/packages/gateway/src/answer-beginning.ts
+++ b/packages/gateway/src/answer-beginning.ts
@@ -41,6 +41,11 @@
     return this.byteCount;
   }
 
+  /** Whether it was passed on, so that nothing is held any more. */
+  get isTaken(): boolean {
+    return this.consumer !== undefined;
+  }
+
   /**
    * Holds a chunk, or passes it on if the beginning was taken.
    *
@@ -71,7 +76,6 @@
       await consumer(chunk);
       chunk = this.chunks.shift();
     }
-    this.byteCount = 0;
     this.consumer = consumer;
     this.taken();
   }
--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -14,7 +14,7 @@
 import type {RequestContext} from './request-context.js';
 import type {RequestLifetime} from './request-lifetime.js';
 import type {RequestRecord} from './request-record.js';
-import {RelayResult, relayStream} from './stream-relay.js';
+import {goesOnAfter, RelayResult, relayStream} from './stream-relay.js';
 import type {FirstRun} from './stream-origins/index.js';
 import type {BudgetRefusal} from './token-waiters.js';
 
@@ -64,13 +64,44 @@
       attempt.ended('success status without endpoint proof');
       return AnswerResult.Broken;
     }
-    const isStream =
-      this.context.route.kind === RouteKind.Streaming && head.status === 200;
-    return isStream
+    return this.isStream(head)
       ? this.relayEventStream(attempt, head, isFromCopy)
       : this.relayBufferedAnswer(attempt, head);
   }
 
+  /** Resolves with whether an answer may be passed on after what was delivered. */
+  async mayPassOn(
+    attempt: EndpointAttempt,
+    head: AnswerHead,
+  ): Promise<boolean> {
+    const isAnswer = this.context.caller.isAnswering
+      ? head.status === 200
+      : head.status < 500;
+    const hasProof = head.status >= 300 || head.endpointHeaders.hasProof;
+    return isAnswer && hasProof && (await this.confirm(attempt));
+  }
+
+  /**
+   * Resolves with whether an answer goes on with what was delivered, as far as it has
+   * arrived. What was read is held until the answer is relayed.
+   */
+  async goesOn(
+    {exchange}: EndpointAttempt,
+    head: AnswerHead,
+  ): Promise<boolean> {
+    if (this.isStream(head)) {
+      const {caller} = this.context;
+      const last = this.record.lastEventId ?? caller.headers.lastEventId;
+      return goesOnAfter(last, exchange);
+    }
+    await exchange.readBeginning(() => false);
+    return !exchange.hasFailed;
+  }
+
+  private isStream({status}: AnswerHead): boolean {
+    return this.context.route.kind === RouteKind.Streaming && status === 200;
+  }
+
   private async relayBufferedAnswer(
     attempt: EndpointAttempt,
     head: AnswerHead,
@@ -139,7 +170,7 @@
       this.record,
       () => this.lifetime.now(),
       {
-        mayPassOn: () => isFromCopy || this.mayPassOn(attempt),
+        mayPassOn: () => isFromCopy || this.mayFollow(attempt),
         firstEvent: () => {
           attempt.admission?.began(this.lifetime.now());
           // Kept for longer than the attempt, whose buffers must not be.
@@ -167,7 +198,7 @@
     return AnswerResult.Broken;
   }
 
-  private mayPassOn(attempt: EndpointAttempt): true | Promise<boolean> {
+  private mayFollow(attempt: EndpointAttempt): true | Promise<boolean> {
     return (
       this.context.binding.mayPassOn(runOf(attempt)) === true ||
       this.confirm(attempt)
@@ -175,7 +206,7 @@
   }
 
   /** Resolves with whether a run is at the build that began the stream. */
-  async confirm(attempt: EndpointAttempt): Promise<boolean> {
+  private async confirm(attempt: EndpointAttempt): Promise<boolean> {
     const {context, lifetime} = this;
     const run = runOf(attempt);
     const until = lifetime.now() + MAXIMUM_CONFIRMATION_MILLISECONDS;
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -271,7 +271,9 @@
     this.beginning = beginning;
     const reading = this.readAnswer(chunk => {
       const consumed = beginning.add(chunk);
-      this.eventHeld(beginning.bytes);
+      if (!beginning.isTaken) {
+        this.eventHeld(beginning.bytes);
+      }
       return consumed;
     });
     this.reading = reading;
@@ -383,6 +385,11 @@
     return this.wasClosed && !this.isCancelled;
   }
 
+  /** Whether the exchange has failed, or was cancelled. */
+  get hasFailed(): boolean {
+    return this.failure !== undefined;
+  }
+
   /** Reason of a failure. */
   get failureReason(): string {
     return this.failure ?? 'answer cut';
@@ -447,6 +454,7 @@
   }
 
   private hold(kind: HeldKind): HeldBytes {
+    this.held?.close();
     this.held = this.account.hold(kind, `endpoint ${this.endpoint.id}`, () => {
       this.endInput(InputBreach.ProcessBytes);
     });
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -107,7 +107,7 @@
    * without another endpoint, cancelling an answer that is only late would cut
    * it.
    */
-  claimFailover(): boolean {
+  private claimFailover(): boolean {
     const {chooser, context} = this.parts;
     const other = chooser.choose(context, this.avoided)?.endpoint;
     this.hasClaimedFailover =
@@ -130,7 +130,7 @@
   }
 
   /**
-   * Records that a standby did not take the stream over.
+   * Records that a standby did not take the request over.
    *
    * @returns Whether another one should begin at once.
    */
@@ -139,8 +139,10 @@
     head: AnswerHead | ExchangeFailure,
   ): boolean {
     const {breaker} = attempt;
+    const {context, record} = this.parts;
     if (!isFailure(head)) {
       this.attemptCount++;
+      record.mayHaveRun = true;
       const {failureReason, wasClosedByEndpoint} = attempt.exchange;
       attempt.ended(
         `answered ${head.status}, not taken over: ${failureReason}`,
@@ -158,7 +160,11 @@
     switch (head.kind) {
       case FailureKind.NotRun:
         breaker.requestEnded();
-        return false;
+        if (context.caller.isAnswering) {
+          return false;
+        }
+        this.attemptCount++;
+        return true;
       case FailureKind.WrongEndpoint:
         this.parts.directory.remove(attempt.endpoint, head.reason);
         return false;
@@ -168,6 +174,7 @@
         return this.hasClaimedFailover;
       case FailureKind.Unknown:
         this.attemptCount++;
+        record.mayHaveRun = true;
         this.recordBroken(attempt);
         return this.hasClaimedFailover;
     }
@@ -179,6 +186,7 @@
     attempt.breaker.requestEnded();
     if (attempt.exchange.connectionOrigin !== ConnectionOrigin.None) {
       this.attemptCount++;
+      this.parts.record.mayHaveRun = true;
     }
   }
 
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -64,7 +64,6 @@
 import {NextStep, RequestRetries} from './request-retries.js';
 import type {ServicePaths} from './service-paths.js';
 import {StandbyAttempt, type OpenAttempt} from './standby-attempt.js';
-import {goesOnAfter} from './stream-relay.js';
 
 /** Dependencies shared by all request runs of a process. */
 export interface RunParts {
@@ -161,8 +160,8 @@
     this.standby = new StandbyAttempt({
       begin: () => this.beginStandby(),
       mayTakeOver: () => parts.suspects.mayResend(context.identity),
-      mayPassOn: attempt => this.answers.confirm(attempt),
-      goesOn: ({exchange}) => goesOnAfter(this.lastEventId, exchange),
+      mayPassOn: (attempt, head) => this.answers.mayPassOn(attempt, head),
+      goesOn: (attempt, head) => this.answers.goesOn(attempt, head),
       failed: (attempt, head) => {
         if (isFailure(head)) {
           this.recordAnswer(attempt, head);
@@ -327,6 +326,9 @@
     try {
       const head = await open.head;
       this.recordAnswer(attempt, head);
+      if (!isFailure(head) && head.status < 500) {
+        this.standby.cancel('the other endpoint answers');
+      }
       const result = isFailure(head)
         ? AnswerResult.Broken
         : await this.answers.relay(
@@ -348,19 +350,12 @@
   }
 
   /**
-   * Goes on at another endpoint, because one is silent. A stream that has begun is kept
-   * until the other endpoint has taken it.
+   * Sends the request to another endpoint, because one is silent, which keeps it until
+   * the other one has taken it.
    */
   private failOver(exchange: EndpointExchange): boolean {
-    const {current, context, retries} = this;
-    if (current?.exchange === exchange && context.caller.isAnswering) {
-      return this.standby.begin(current);
-    }
-    if (!retries.claimFailover()) {
-      return false;
-    }
-    exchange.cancel('silent');
-    return true;
+    const {current} = this;
+    return current?.exchange === exchange && this.standby.begin(current);
   }
 
   /**
@@ -414,11 +409,6 @@
     return place;
   }
 
-  /** Identifier of the last event that the caller has. */
-  private get lastEventId(): string | undefined {
-    return this.record.lastEventId ?? this.context.caller.headers.lastEventId;
-  }
-
   private get places(): EndpointPlaces {
     return this.parts.placement.stated.places;
   }
@@ -516,7 +506,7 @@
       organisation: organisation?.name,
       remainingMilliseconds: Math.max(1, Math.floor(this.lifetime.remaining())),
       priority,
-      lastEventId: this.lastEventId,
+      lastEventId: this.record.lastEventId ?? caller.headers.lastEventId,
       // The copies of a request's run are those of its current attempt.
       ...(isStandby
         ? {backupAt: undefined, continueFrom: undefined}
--- a/packages/gateway/src/standby-attempt.ts
+++ b/packages/gateway/src/standby-attempt.ts
@@ -18,9 +18,8 @@
 }
 
 /**
- * Longest time for which two endpoints may work on one stream, milliseconds. One that
- * has accepted a request, and neither refused nor failed it by then, takes the stream
- * over.
+ * Longest time for which two endpoints may work on one request, milliseconds. One that
+ * has accepted it, and neither refused nor failed it by then, takes it over.
  */
 const MAXIMUM_OVERLAP_MILLISECONDS = 250;
 const OVERLAP_POLL_MILLISECONDS = 50;
@@ -28,16 +27,16 @@
 /** What a standby needs of its request. */
 export interface StandbyParts {
   /**
-   * Sends the request to another endpoint, to go on after the last delivered event;
+   * Sends the request to another endpoint, to go on after what was delivered;
    * undefined if it may not.
    */
   begin(): OpenAttempt | undefined;
   /** Whether the request may still go on at another endpoint. */
   mayTakeOver(): boolean;
-  /** Resolves with whether the endpoint's events may follow those delivered. */
-  mayPassOn(attempt: EndpointAttempt): Promise<boolean>;
-  /** Resolves with whether the endpoint's events follow those delivered. */
-  goesOn(attempt: EndpointAttempt): Promise<boolean>;
+  /** Resolves with whether the answer may be passed on after what was delivered. */
+  mayPassOn(attempt: EndpointAttempt, head: AnswerHead): Promise<boolean>;
+  /** Resolves with whether the answer goes on with what was delivered. */
+  goesOn(attempt: EndpointAttempt, head: AnswerHead): Promise<boolean>;
   /**
    * Records that a standby didn't take over.
    *
@@ -49,9 +48,9 @@
 }
 
 /**
- * Holds a second attempt of a stream whose endpoint is silent. The silent one is
- * cancelled only once the other endpoint's first event follows, or it works on the
- * request; until then it may go on, and cancels the standby by that.
+ * Holds a second attempt of a request whose endpoint is silent. The silent one is
+ * cancelled only once the other endpoint's answer goes on with what was delivered, or it
+ * works on the request; until then it may go on, and cancels the standby by that.
  *
  * @example
  *   if (!standby.begin(silentAttempt)) {
@@ -125,7 +124,7 @@
   ): Promise<void> {
     const {attempt} = standby;
     const head = await standby.head;
-    const takesOver = isSuccess(head) && (await this.goesOn(standby));
+    const takesOver = !isFailure(head) && (await this.goesOn(standby, head));
     if (this.waiting !== standby) {
       return;
     }
@@ -144,15 +143,18 @@
     }
   }
 
-  private async goesOn(standby: OpenAttempt): Promise<boolean> {
+  private async goesOn(
+    standby: OpenAttempt,
+    head: AnswerHead,
+  ): Promise<boolean> {
     const {parts} = this;
     const {attempt} = standby;
     // One that was promoted meanwhile is read by the request itself.
     return (
       this.waiting === standby &&
-      (await parts.mayPassOn(attempt)) &&
+      (await parts.mayPassOn(attempt, head)) &&
       this.waiting === standby &&
-      (await parts.goesOn(attempt))
+      (await parts.goesOn(attempt, head))
     );
   }
 
@@ -191,9 +193,3 @@
     this.waiting = undefined;
   }
 }
-
-function isSuccess(head: AnswerHead | ExchangeFailure): boolean {
-  return (
-    !isFailure(head) && head.status === 200 && head.endpointHeaders.hasProof
-  );
-}
