A request returns to the endpoint that was silent if the one that took it over fails

Callers saw: a stream cut although the endpoint that began it was sound.

Cause: a standby that has a request for 250 ms takes it over without an event, as two endpoints may not work on one stream for longer. If it failed later, the route's attempts were used up.

Fix: such a request may return once to the endpoint that was silent. It runs at no more endpoints than its route allows, and takes a resend of the fleet's budget as any other.

--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -2,7 +2,7 @@
 import type {RunContinuation} from './continuation/index.js';
 import type {CrashDetector, SuspectRegistry} from './crashes/index.js';
 import type {EndpointAttempt} from './endpoint-attempt.js';
-import type {EndpointChooser} from './endpoint-chooser.js';
+import type {ChosenEndpoint, EndpointChooser} from './endpoint-chooser.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import {
   ConnectionOrigin,
@@ -12,6 +12,7 @@
   type ExchangeFailure,
 } from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
+import type {KnownEndpoint} from './known-endpoint.js';
 import {LocalReplyReason} from './local-reply.js';
 import type {RequestCompletion} from './request-completion.js';
 import {isRepeatable, type RequestContext} from './request-context.js';
@@ -65,6 +66,9 @@
   private unreachableCount = 0;
   private hasClaimedFailover = false;
   private path: EndpointPath | undefined;
+  /** An endpoint that was silent when another one took the request over. */
+  private silent: KnownEndpoint | undefined;
+  private returnsTo: ChosenEndpoint | undefined;
 
   constructor(private readonly parts: RequestRetriesParts) {}
 
@@ -86,6 +90,15 @@
     this.avoided.add(endpointId);
   }
 
+  /**
+   * The endpoint that the next attempt returns to; undefined if it goes to another one.
+   */
+  takeReturn(): ChosenEndpoint | undefined {
+    const {returnsTo} = this;
+    this.returnsTo = undefined;
+    return returnsTo;
+  }
+
   /**
    * Whether the request may fail over to another endpoint after this attempt.
    *
@@ -180,6 +193,11 @@
     }
   }
 
+  /** Records that a standby took the request over from a silent endpoint. */
+  standbyTookOver({endpoint}: EndpointAttempt): void {
+    this.silent = endpoint;
+  }
+
   /** Records that a standby was cancelled, which its endpoint is not at fault for. */
   standbyCancelled(attempt: EndpointAttempt, reason: string): void {
     attempt.ended(`cancelled: ${reason}`);
@@ -340,14 +358,33 @@
     if (context.binding.isBound && !chooser.mayChoose(context)) {
       return this.giveUp(LocalReplyReason.BuildGone);
     }
+    const returnsTo =
+      this.attemptCount < route.maximumAttempts
+        ? undefined
+        : this.returnToSilent();
     const mayResend =
       !lifetime.isAbandoned &&
       !context.isTry &&
-      this.attemptCount < route.maximumAttempts &&
+      (this.attemptCount < route.maximumAttempts || returnsTo !== undefined) &&
       lifetime.remaining() > MINIMUM_ATTEMPT_MILLISECONDS &&
       (isNotRun || isRepeatable(route)) &&
       (hasClaimed || this.claimResend());
-    return mayResend ? NextStep.Retry : this.giveUp(reason);
+    if (!mayResend) {
+      return this.giveUp(reason);
+    }
+    this.returnsTo = returnsTo;
+    return NextStep.Retry;
+  }
+
+  /**
+   * The endpoint that was silent, if the request may return to it, which adds no endpoint
+   * to those that it runs at; at most once for each time that one was silent.
+   */
+  private returnToSilent(): ChosenEndpoint | undefined {
+    const {chooser, context} = this.parts;
+    const {silent} = this;
+    this.silent = undefined;
+    return silent && chooser.continueAt(context, silent);
   }
 
   private claimResend(): boolean {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -168,6 +168,9 @@
         }
         return this.retries.standbyFailed(attempt, head);
       },
+      tookOver: silent => {
+        this.retries.standbyTookOver(silent);
+      },
       cancelled: (attempt, reason) => {
         this.retries.standbyCancelled(attempt, reason);
       },
@@ -234,6 +237,7 @@
     const next = this.continuation.takeNext();
     const chosen =
       next ??
+      retries.takeReturn() ??
       this.chooser.choose(context, retries.avoided) ??
       (await this.chooseLater());
     const place = chosen === undefined ? await this.waitForPlace() : undefined;
--- a/packages/gateway/src/standby-attempt.ts
+++ b/packages/gateway/src/standby-attempt.ts
@@ -43,6 +43,8 @@
    * @returns Whether another one should begin at once.
    */
   failed(attempt: EndpointAttempt, head: AnswerHead | ExchangeFailure): boolean;
+  /** Records that a standby took the request over from a silent attempt. */
+  tookOver(silent: EndpointAttempt): void;
   /** Records that a standby was cancelled. */
   cancelled(attempt: EndpointAttempt, reason: string): void;
 }
@@ -161,6 +163,7 @@
   private takeOver(silent: EndpointAttempt): void {
     if (this.parts.mayTakeOver()) {
       this.promote();
+      this.parts.tookOver(silent);
       silent.exchange.cancel('silent');
     } else {
       this.cancel('may not be sent again');
--- a/packages/gateway/src/test/standby-attempt_test.ts
+++ b/packages/gateway/src/test/standby-attempt_test.ts
@@ -32,6 +32,7 @@
     mayPassOn: () => Promise.resolve(true),
     goesOn: () => Promise.resolve(true),
     failed: () => false,
+    tookOver: () => undefined,
     cancelled: () => undefined,
   });
   const startedAt = performance.now();
