Only events of a silent endpoint keep a stream from its standby

Callers saw: a stream without an event until its deadline, where its endpoint was silent, then sent a head and nothing more.

Cause: the head cancelled the standby, whose attempt was used up by that. It is the same promise that must not end a silent run.

Fix: a head ends the standby of a request that gets a buffered answer, and no other.

Evidence: silent-streams_test.ts, 'that answers late, after its own head': [] in place of four events without the change, complete with it; 15 of 15 of the file pass.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -98,6 +98,11 @@
     return !exchange.hasFailed;
   }
 
+  /** Whether an answer is sent as a whole, and is no failure of its endpoint. */
+  isBufferedAnswer(head: AnswerHead): boolean {
+    return head.status < 500 && !this.isStream(head);
+  }
+
   private isStream({status}: AnswerHead): boolean {
     return this.context.route.kind === RouteKind.Streaming && status === 200;
   }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -330,7 +330,7 @@
     try {
       const head = await open.head;
       this.recordAnswer(attempt, head);
-      if (!isFailure(head) && head.status < 500) {
+      if (!isFailure(head) && this.answers.isBufferedAnswer(head)) {
         this.standby.cancel('the other endpoint answers');
       }
       const result = isFailure(head)
