Refusals don't use up the attempts of a stream that its caller has in part

Cause: the standby that took a stream over for the time it had it, and then refused it, used up the second of two attempts, although nothing had run there.

Fix: up to three refusals of a stream that its caller has in part don't count while an endpoint is left that has not been tried; each takes a resend of the fleet's budget, as before.

--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -58,12 +58,19 @@
  */
 const MINIMUM_ATTEMPT_MILLISECONDS = 20;
 
+/**
+ * Refusals of a stream that its caller has in part which don't use up its attempts, as
+ * nothing has run.
+ */
+const MAXIMUM_UNCOUNTED_REFUSALS = 3;
+
 /** Decides what follows each attempt of one request. */
 export class RequestRetries {
   /** Identifiers of the endpoints that the request was sent to. */
   readonly avoided = new Set<string>();
   private attemptCount = 0;
   private unreachableCount = 0;
+  private uncountedRefusals = 0;
   private hasClaimedFailover = false;
   private path: EndpointPath | undefined;
   /** An endpoint that was silent when another one took the request over. */
@@ -121,13 +128,11 @@
    * it.
    */
   private claimFailover(): boolean {
-    const {chooser, context} = this.parts;
-    const other = chooser.choose(context, this.avoided)?.endpoint;
+    const {context} = this.parts;
     this.hasClaimedFailover =
-      other !== undefined &&
+      this.hasUntriedEndpoint() &&
       this.canFailOver() &&
       (context.caller.isAnswering || context.mayBegin()) &&
-      !this.avoided.has(other.entry.id) &&
       (this.hasClaimedFailover || this.claimResend());
     return this.hasClaimedFailover;
   }
@@ -347,7 +352,7 @@
    * remaining time allow it.
    */
   private retryOrGiveUp(reason: LocalReplyReason, isNotRun: boolean): NextStep {
-    this.attemptCount++;
+    this.countAttempt(isNotRun);
     const {context, lifetime, chooser} = this.parts;
     const {route} = context;
     if (!lifetime.isAbandoned && this.parts.promoteStandby()) {
@@ -376,6 +381,26 @@
     return NextStep.Retry;
   }
 
+  private hasUntriedEndpoint(): boolean {
+    const {chooser, context} = this.parts;
+    const chosen = chooser.choose(context, this.avoided);
+    return chosen !== undefined && !this.avoided.has(chosen.endpoint.entry.id);
+  }
+
+  private countAttempt(isNotRun: boolean): void {
+    const {context} = this.parts;
+    if (
+      isNotRun &&
+      context.caller.isAnswering &&
+      this.uncountedRefusals < MAXIMUM_UNCOUNTED_REFUSALS &&
+      this.hasUntriedEndpoint()
+    ) {
+      this.uncountedRefusals++;
+    } else {
+      this.attemptCount++;
+    }
+  }
+
   /**
    * The endpoint that was silent, if the request may return to it, which adds no endpoint
    * to those that it runs at; at most once for each time that one was silent.
