A relay without ports or descriptors of its own is not an endpoint's end

What callers saw: a host that had lost its paths to a service refused requests, or ended streams, as "endpoints-unreachable" although other hosts reached the endpoints: the relay that it asked had no port, descriptor or memory for one more connection.

Cause: a relay took every failed connect for the endpoint's. It answered 502 (EndpointUnreachable), so the asking host gave the endpoint up, counted one of its three tries and held it against the endpoint's circuit breaker; the relay's own view of the service's reach learned of it as well.

Evidence: in a host process whose connects to endpoints fail with EADDRNOTAVAIL, as in the system's own path, the asking host logs `not-sent: relay ... answered 502` beside other relays that are sound.

Why it works: errors that only a lack of the relay's own resources causes are answered 503 (Unavailable), which the protocol has for a full relay; the asking host tries the next one and holds nothing against the endpoint. Nothing was sent, so nothing may have run.

--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -6,7 +6,11 @@
   type RequestListener,
   type Server,
 } from 'node:http';
-import {createServer as createTcpServer, type AddressInfo} from 'node:net';
+import {
+  createServer as createTcpServer,
+  Socket,
+  type AddressInfo,
+} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {
@@ -30,6 +34,11 @@
   takeOver: () => false,
 };
 
+type Connect = (
+  this: Socket,
+  ...parameters: Parameters<Socket['connect']>
+) => Socket;
+
 /** An answer, or the error that ended the exchange. */
 interface Received {
   readonly body: string;
@@ -44,7 +53,7 @@
   readonly endpoints = new Map<string, KnownEndpoint>();
   readonly evacuated = new Set<string>();
   readonly tunnels: TunnelServer;
-  private readonly connections = new EndpointConnectionPool();
+  readonly connections = new EndpointConnectionPool();
   private server: PeerServer | undefined;
 
   constructor() {
@@ -111,6 +120,7 @@
 
 afterEach(async () => {
   vi.useRealTimers();
+  vi.restoreAllMocks();
   pool.destroy();
   for (const relay of relays) {
     await relay.close();
@@ -136,6 +146,20 @@
   });
 }
 
+/** Lets the first connect to a port fail without having left the host. */
+function failFirstConnect(port: number, code: string): void {
+  const connect = Reflect.get(Socket.prototype, 'connect') as Connect;
+  let hasFailed = false;
+  const connectOrFail: Connect = function (...parameters) {
+    if (hasFailed || !JSON.stringify(parameters).includes(`"port":${port}`)) {
+      return connect.apply(this, parameters);
+    }
+    hasFailed = true;
+    return this.destroy(Object.assign(new Error(`connect ${code}`), {code}));
+  };
+  vi.spyOn(Socket.prototype, 'connect').mockImplementation(connectOrFail);
+}
+
 async function startRelay(): Promise<RelayHost> {
   const relay = new RelayHost();
   relay.endpoints.set('i-1', endpoint);
@@ -403,6 +427,20 @@
     expect(await exchange()).toMatchObject({body: 'done'});
   });
 
+  it.each(['EADDRNOTAVAIL', 'EMFILE', 'ENFILE', 'ENOBUFS', 'ENOMEM'])(
+    'tries another one if the first can open no connection itself: %s',
+    async code => {
+      // Guards against a relay's own shortage that is taken for an endpoint's end.
+      const relay = await startRelay();
+      await startRelay();
+      const recordFailure = vi.spyOn(relay.connections, 'recordConnectFailure');
+      failFirstConnect(endpoint.entry.port, code);
+      expect(await exchange()).toMatchObject({body: 'done', isComplete: true});
+      expect(recordFailure).not.toHaveBeenCalled();
+      await expect.poll(() => relay.tunnels.openTunnels).toBe(0);
+    },
+  );
+
   it('prefers relays that have not failed to reach an endpoint', async () => {
     // Guards against tries that are used up at one relay that is cut off as well.
     const cut = await startRelay();
--- a/packages/gateway/src/tunnel-protocol.ts
+++ b/packages/gateway/src/tunnel-protocol.ts
@@ -29,6 +29,9 @@
   EndpointAtRest = 429,
   /** The endpoint did not accept a connection from the relay. */
   EndpointUnreachable = 502,
-  /** The relay is full or stopping, or does not reach the endpoint's service. */
+  /**
+   * The relay is full or stopping, lacks what a connection takes, or does not reach the
+   * endpoint's service.
+   */
   Unavailable = 503,
 }
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -6,6 +6,7 @@
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {KnownEndpoint} from './known-endpoint.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import {isHostShortage} from './host-shortage.js';
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
 import {TunnelEnds} from './tunnel-ends.js';
 import {
@@ -177,7 +178,7 @@
     this.connectTimeout = new NetworkTimeout(
       connections.connectTimeoutMilliseconds,
       () => {
-        this.connectFailed('connect timeout');
+        this.endpointFailed('connect timeout');
       },
     );
     this.outbound.once('connect', () => {
@@ -187,8 +188,10 @@
       if (this.isOpen) {
         // A reset must not look like the end of an answer without a length.
         inbound.resetAndDestroy();
+      } else if (isHostShortage(error)) {
+        this.refuse(TunnelStatus.Unavailable);
       } else {
-        this.connectFailed(error.message);
+        this.endpointFailed(error.message);
       }
     });
     this.outbound.once('close', () => {
@@ -233,14 +236,20 @@
     this.inbound.pipe(this.outbound);
   }
 
-  private connectFailed(reason: string): void {
+  private endpointFailed(reason: string): void {
     if (this.isOpen || this.inbound.destroyed) {
       return;
     }
     const {connections, endpoint, startedAt} = this;
     connections.recordConnectFailure(endpoint.entry, startedAt, reason);
-    this.onAnswered(TunnelStatus.EndpointUnreachable);
-    endWith(this.inbound, TunnelStatus.EndpointUnreachable);
+    this.refuse(TunnelStatus.EndpointUnreachable);
+  }
+
+  private refuse(status: TunnelStatus): void {
+    if (!this.inbound.destroyed) {
+      this.onAnswered(status);
+      endWith(this.inbound, status);
+    }
     this.outbound.destroy();
   }
 }
