One malformed request at the status address doesn't end the process

What callers saw: all requests that a host had accepted ended without an answer at the same moment, and its connections were closed, with no signal and no shortage.

Cause: an uncaught exception. The library behind the status address (metrics and state dump) parses the target of each request in a later turn of the event loop, outside of the handler's try block, and throws ERR_INVALID_URL for a target such as `http://[::1`; an uncaught exception ends the process.

Why it works: only the two paths that exist get to the library; all other targets are answered 404 before it.

--- a/packages/gateway/src/status-server.ts
+++ b/packages/gateway/src/status-server.ts
@@ -24,6 +24,9 @@
   abstract refreshGauges(): void;
 }
 
+const METRICS_PATH = '/metrics';
+const STATE_PATH = '/state';
+
 /**
  * Serves readiness on one address, and metrics and the state dump on another.
  * The library for the latter is loaded on the first request there: loading it
@@ -95,6 +98,13 @@
     request: IncomingMessage,
     response: ServerResponse,
   ): Promise<void> {
+    const path = request.url?.split('?', 1)[0];
+    if (path !== METRICS_PATH && path !== STATE_PATH) {
+      // The library throws at a target that is not a valid URL, in a later turn.
+      response.statusCode = 404;
+      response.end();
+      return;
+    }
     try {
       this.routes ??= this.loadRoutes();
       (await this.routes)(request, response);
@@ -111,12 +121,12 @@
   private async loadRoutes(): Promise<RequestListener> {
     const {default: restify} = await import('restify');
     const routes = restify.createServer({name: 'wisteriadeal'});
-    routes.get('/metrics', async (_request, response) => {
+    routes.get(METRICS_PATH, async (_request, response) => {
       this.status.refreshGauges();
       const {type, body} = await this.metrics.text();
       response.sendRaw(200, body, {'Content-Type': type});
     });
-    routes.get('/state', (_request, response, next) => {
+    routes.get(STATE_PATH, (_request, response, next) => {
       response.send(200, this.status.dump());
       next();
     });
--- a/packages/gateway/src/test/status-server_test.ts
+++ b/packages/gateway/src/test/status-server_test.ts
@@ -1,5 +1,7 @@
 import {EventLog} from '@wisteriadeal/runtime';
 import {LogLevel} from '@wisteriadeal/schema';
+import {once} from 'node:events';
+import {request, type IncomingMessage} from 'node:http';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {GatewayMetrics} from '../gateway-metrics.js';
@@ -71,6 +73,16 @@
     expect(status.probeAnswers).toEqual([true, false]);
   });
 
+  it('answers a request target that is not a valid URL', async () => {
+    // Guards against one malformed request that ends the process with all others.
+    const port = server.statusPort;
+    for (const path of ['http://[::1', '/state?%', '/%', '*']) {
+      const outgoing = request({host: '127.0.0.1', port, path}).end();
+      const [answer] = (await once(outgoing, 'response')) as [IncomingMessage];
+      expect(answer.resume().statusCode).toBe(path === '/state?%' ? 200 : 404);
+    }
+  });
+
   it('serves metrics and the state dump', async () => {
     const url = `http://127.0.0.1:${server.statusPort}`;
     const dump = await fetch(`${url}/state`);
