Compare the first event of a run with the event after which its caller takes it up

Callers that took a stream up after its second event got events 1 and 2 again, or event 4 without event 3, if the endpoint did not keep to Last-Event-Id.

Cause: events were compared with the last one that this answer had delivered, which is none before the first. The identifier that the caller named counted for the endpoint only.

A stream that is taken up now begins with the caller's event as its last one, so that the first event follows it or the run is cut, and another endpoint is tried as after any break. An identifier that is no number is passed on as before, as nothing can be counted from it.

--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -275,6 +275,9 @@
     if (origin !== undefined && 'status' in origin) {
       return origin;
     }
+    if (origin !== undefined) {
+      record.lastEventId = eventNumberOf(caller.headers.lastEventId);
+    }
     const context = this.contextOf(caller, body, inForce, admitted, origin);
     return context === undefined
       ? notExecutedReply(
@@ -589,3 +592,8 @@
   }
   return record.eventsDelivered > 0 ? BillOutcome.CUT : BillOutcome.UNANSWERED;
 }
+
+/** An event's identifier if events can be counted from it. */
+function eventNumberOf(eventId: string | undefined): string | undefined {
+  return eventId !== undefined && /^\d+$/.test(eventId) ? eventId : undefined;
+}
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -89,7 +89,10 @@
   mayHaveRun = false;
   /** Number of complete events delivered to the caller. */
   eventsDelivered = 0;
-  /** Identifier of the last event delivered. */
+  /**
+   * Identifier of the last event that the caller has of its stream, from this answer or
+   * from the one that it takes up; undefined if none had one.
+   */
   lastEventId: string | undefined;
   outcome = 'open';
   status = 0;
