Don't begin a stream again after an event without a number

Callers got an event twice where the connection to an endpoint broke after an event without a number: the next run began after the last numbered one, or anew.

Cause: the last identifier alone was taken for how far the stream had come. After an event without one it doesn't tell.

Evidence: resumed-runs_test.ts, 'data: token-1' was delivered twice as one complete answer.

The record of a request knows whether its last event had an identifier. Without one there is no other attempt, no standby and no move, and the stream is cut; its caller takes it up by what it has. Comments are no events; a numbered event after it makes the stream one that may go on again.

--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -232,10 +232,9 @@
 
   /** Once the run is stopped it must go on, so that the resend is taken before. */
   private claimPlace({endpoint}: EndpointAttempt): KnownEndpoint | undefined {
-    const {context, suspects} = this.parts;
-    const place = suspects.mayResend(context.identity)
-      ? this.placement.placeBeside(endpoint)
-      : undefined;
+    const {context, suspects, record} = this.parts;
+    const mayGoOn = record.canGoOn && suspects.mayResend(context.identity);
+    const place = mayGoOn ? this.placement.placeBeside(endpoint) : undefined;
     return place !== undefined && this.claimResend() ? place : undefined;
   }
 
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -6,6 +6,7 @@
   ConnectionOrigin,
 } from './endpoint-exchange.js';
 import type {PathKind} from './endpoint-path.js';
+import type {StreamEvent} from './event-stream-splitter.js';
 
 /** How the body of an endpoint's answer came to its end. */
 export interface AnswerRecord {
@@ -80,6 +81,9 @@
   return `${endpoint} (${build}, ${path}, ${connection}, ${inProgress} in progress) at ${atMilliseconds}${heartbeat}: ${result}${body}`;
 }
 
+/** What is recorded of an event of a stream. */
+export type DeliveredEvent = Pick<StreamEvent, 'id' | 'hasField'>;
+
 /** The outcome of a request, for its log line, metrics and bill. */
 export class RequestRecord {
   readonly attempts: AttemptRecord[] = [];
@@ -94,6 +98,11 @@
    * from the one that it takes up; undefined if none had one.
    */
   lastEventId: string | undefined;
+  /**
+   * Whether another run can go on after the last event that was delivered: it had an
+   * identifier. Comments are no events.
+   */
+  canGoOn = true;
   outcome = 'open';
   status = 0;
   endpoint = '';
@@ -137,7 +146,11 @@
   }
 
   /** Records the delivery of an event. */
-  eventDelivered(now: number): void {
+  eventDelivered({id, hasField}: DeliveredEvent, now: number): void {
+    if (hasField) {
+      this.lastEventId = id ?? this.lastEventId;
+      this.canGoOn = id !== undefined;
+    }
     this.eventsDelivered++;
     this.hasDelivered = true;
     if (this.firstEventAt === undefined) {
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -77,6 +77,12 @@
     );
   }
 
+  /** Whether another attempt may follow what this one has done and delivered. */
+  get mayGoOn(): boolean {
+    const {suspects, context, record} = this.parts;
+    return record.canGoOn && suspects.mayResend(context.identity);
+  }
+
   /** Records where an attempt is made. Each path has tries of its own. */
   attemptBegins(endpointId: string, path: EndpointPath): void {
     if (path !== this.path) {
@@ -92,12 +98,11 @@
    * @param openAttempts Number of attempts that have not ended, this one included.
    */
   canFailOver(openAttempts = 1): boolean {
-    const {suspects, context} = this.parts;
-    const {route, isTry, identity} = context;
+    const {route, isTry} = this.parts.context;
     return (
       isRepeatable(route) &&
       !isTry &&
-      suspects.mayResend(identity) &&
+      this.mayGoOn &&
       this.attemptCount + openAttempts < route.maximumAttempts
     );
   }
@@ -295,19 +300,19 @@
 
   /** Handles a request that reached the endpoint but got no complete answer. */
   private afterBroken(attempt: EndpointAttempt): NextStep {
-    const {context, lifetime, suspects, continuation} = this.parts;
+    const {lifetime, continuation} = this.parts;
     const {breaker} = attempt;
     if (lifetime.isAbandoned) {
       breaker.requestEnded();
       return this.giveUp(LocalReplyReason.TimedOut);
     }
-    if (continuation.hasStopped && suspects.mayResend(context.identity)) {
+    if (continuation.hasStopped && this.mayGoOn) {
       breaker.requestEnded();
       continuation.afterStop();
       return this.afterLostRun();
     }
     this.recordBroken(attempt);
-    if (!suspects.mayResend(context.identity)) {
+    if (!this.mayGoOn) {
       return this.giveUp(LocalReplyReason.AnswerLost);
     }
     continuation.afterLoss(attempt);
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -159,7 +159,7 @@
     );
     this.standby = new StandbyAttempt({
       begin: () => this.beginStandby(),
-      mayTakeOver: () => parts.suspects.mayResend(context.identity),
+      mayTakeOver: () => this.retries.mayGoOn,
       mayPassOn: (attempt, head) => this.answers.mayPassOn(attempt, head),
       goesOn: (attempt, head) => this.answers.goesOn(attempt, head),
       failed: (attempt, head) => {
--- a/packages/gateway/src/stream-relay.ts
+++ b/packages/gateway/src/stream-relay.ts
@@ -179,9 +179,8 @@
     }
     const now = this.now();
     this.attempt.work.eventsReceived(events.length, now);
-    for (const {id} of events) {
-      this.record.eventDelivered(now);
-      this.record.lastEventId = id ?? this.record.lastEventId;
+    for (const event of events) {
+      this.record.eventDelivered(event, now);
     }
     const writable = this.caller.write(joinEvents(events));
     if (writable !== undefined) {
