Tell a host's own failed connects from an endpoint's

Callers saw 502 for requests that no endpoint got, and nothing but the system's message in `attempts` told why; how many connections a host held was not known at all.

A connect that this host could not begin is named by what it lacked (no-descriptor, no-port, no-memory, no-route): in the attempt of the request's line, as the result of wisteriadeal_endpoint_connects_total, and as a line "connect failed on this host", at most one a second for each shortage, with the number of failures since and what the host holds. The same numbers are in the state dump and as gauges connections_...

No decision changes.

--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -5,6 +5,8 @@
 export interface ConnectionCounts {
   /** Connections that are open. */
   readonly connections: number;
+  /** Of those, the connections on which nothing is in progress. */
+  readonly idle: number;
   /** Of those, the connections on which part of a request head was read. */
   readonly partialRequests: number;
   /** Requests whose answer has not ended. */
@@ -81,6 +83,11 @@
     return true;
   }
 
+  /** Whether no request or answer is in progress on the connection. */
+  get isIdle(): boolean {
+    return this.answers.size === 0 && !this.isInBody && !this.hasPartialHead;
+  }
+
   /** Whether a request head was read in part but not completely. */
   get hasPartialHead(): boolean {
     const bytesBefore = this.bytesReadAtLastAnswer ?? 0;
@@ -207,6 +214,7 @@
     ).length;
     return {
       connections: connections.length,
+      idle: connections.filter(({isIdle}) => isIdle).length,
       partialRequests: connections.filter(({hasPartialHead}) => hasPartialHead)
         .length,
       runningRequests: answers.length - unsentAnswers,
--- a/packages/gateway/src/connect-observer.ts
+++ b/packages/gateway/src/connect-observer.ts
@@ -1,3 +1,5 @@
+import type {HostShortage} from '@wisteriadeal/platform';
+
 import type {EndpointEntry} from './endpoint-entry.js';
 
 /** Observes this host's connects to endpoints. */
@@ -20,6 +22,13 @@
     reason: string,
   ): void;
 
+  /** Records a connect that failed because this host itself lacks something. */
+  abstract connectFailedHere(
+    endpoint: EndpointEntry,
+    shortage: HostShortage,
+    reason: string,
+  ): void;
+
   /** Records that an endpoint has ended the last connection to it, without notice. */
   abstract connectionsLost(endpoint: EndpointEntry): void;
 }
--- a/packages/gateway/src/endpoint-attempt.ts
+++ b/packages/gateway/src/endpoint-attempt.ts
@@ -75,6 +75,7 @@
       build: this.build,
       path: this.path.kind,
       connection: this.exchange.connectionOrigin,
+      shortage: this.exchange.shortage,
       inProgress: this.inProgress,
       heartbeatAgeMilliseconds: this.heartbeatAgeMilliseconds,
       atMilliseconds: Math.round(this.ageMilliseconds()),
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -1,4 +1,8 @@
-import {UncongestedLink, type HostLink} from '@wisteriadeal/platform';
+import {
+  UncongestedLink,
+  type HostLink,
+  type HostShortage,
+} from '@wisteriadeal/platform';
 import {
   Agent,
   type AgentOptions,
@@ -70,6 +74,12 @@
   readonly port: number;
 }
 
+/** Numbers of a pool's connections. */
+export interface PoolCounts {
+  readonly used: number;
+  readonly kept: number;
+}
+
 /**
  * Listeners and timer that close an idle connection; removed when it is reused.
  */
@@ -202,6 +212,20 @@
     }
   }
 
+  /** Records a connect that failed because this host itself lacks something. */
+  recordShortage(
+    endpoint: EndpointEntry,
+    shortage: HostShortage,
+    reason: string,
+  ): void {
+    this.observer?.connectFailedHere(endpoint, shortage, reason);
+  }
+
+  /** Numbers of connections that requests use, and that are kept for further ones. */
+  get counts(): PoolCounts {
+    return {used: sizeOf(this.sockets), kept: sizeOf(this.freeSockets)};
+  }
+
   /** Current connect timeout, milliseconds. */
   get connectTimeoutMilliseconds(): number {
     return Math.min(
@@ -276,6 +300,13 @@
   }
 }
 
+function sizeOf(sockets: NodeJS.ReadOnlyDict<readonly unknown[]>): number {
+  return Object.values(sockets).reduce(
+    (sum, some) => sum + (some?.length ?? 0),
+    0,
+  );
+}
+
 /**
  * Calls the base class, which takes the endpoint's `Keep-Alive` header into
  * account. Its result is missing from the published types.
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -1,7 +1,9 @@
 import {
+  hostShortageOf,
   INTERRUPTED_HEAD,
   isInterruptedHead,
   NetworkTimeout,
+  type HostShortage,
 } from '@wisteriadeal/platform';
 import {
   request as sendRequest,
@@ -87,6 +89,8 @@
   readonly mayBeLinkDelay?: boolean;
   /** Whether neither this host nor another one reaches the service. */
   readonly hasNoPath?: boolean;
+  /** What this host itself lacked for the connection. */
+  readonly shortage?: HostShortage | undefined;
 }
 
 /** A request as it is sent to an endpoint. */
@@ -130,6 +134,7 @@
   private connectStartedAt: number | undefined;
   private wasDelayedByLink = false;
   private hasNoPath = false;
+  private lacked: HostShortage | undefined;
   private abandonWait: () => void = () => undefined;
   private connectTimeout: NetworkTimeout | undefined;
   private held: HeldBytes | undefined;
@@ -189,6 +194,7 @@
         this.failure = error.message;
         this.wasClosed = isClose(error);
         this.hasNoPath = error instanceof NoRelayError;
+        this.recordShortage(error);
         this.recordConnectFailure(this.connectStartedAt);
       }
     });
@@ -372,6 +378,11 @@
     this.held?.close();
   }
 
+  /** What this host itself lacked for the connection; undefined if nothing. */
+  get shortage(): HostShortage | undefined {
+    return this.lacked;
+  }
+
   /** Whether this host ended the exchange, and not the endpoint. */
   get wasCancelled(): boolean {
     return this.isCancelled;
@@ -520,6 +531,14 @@
     }
   }
 
+  private recordShortage(error: Error): void {
+    const {connections, endpoint} = this;
+    this.lacked = hostShortageOf(error);
+    if (this.lacked !== undefined) {
+      connections.recordShortage(endpoint, this.lacked, error.message);
+    }
+  }
+
   private recordAbandonedConnect(): void {
     if (this.connectStartedAt !== undefined && !this.isConnected) {
       const waited = performance.now() - this.connectStartedAt;
@@ -565,6 +584,7 @@
       reason: this.failureReason,
       mayBeLinkDelay: this.wasDelayedByLink,
       hasNoPath: this.hasNoPath,
+      shortage: this.lacked,
     };
   }
 }
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -1,4 +1,5 @@
 import type {AdmissionVerdict, PartSource} from '@wisteriadeal/decisions';
+import type {HostShortage} from '@wisteriadeal/platform';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
 import type {ConnectResult} from './connect-result.js';
@@ -220,7 +221,7 @@
   }
 
   /** Counts a connect to an endpoint. */
-  connectEnded(service: string, result: ConnectResult): void {
+  connectEnded(service: string, result: ConnectResult | HostShortage): void {
     this.connects.inc({service, result});
   }
 
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -10,6 +10,7 @@
 import type {EndpointPlaces} from './endpoint-places/index.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {HostConnections} from './host-connections.js';
 import type {HostRotation} from './host-rotation.js';
 import type {InputAccount} from './input-memory/index.js';
 import type {LinkMonitor} from './link-monitor.js';
@@ -48,6 +49,7 @@
     private readonly origins: StreamOriginRegistry,
     private readonly account: InputAccount,
     private readonly places: EndpointPlaces,
+    private readonly hostConnections: HostConnections,
     private readonly clock: Clock,
   ) {
     super();
@@ -101,6 +103,7 @@
       crashSuspects: this.suspects.subjectCount,
       streamOrigins: this.origins.streamCount,
       heldBytes: this.account.describe(),
+      connections: this.hostConnections.known,
       endpoints: this.directory.all.map(
         ({entry, load, breaker, warmth, conditions}) => ({
           id: entry.id,
@@ -200,6 +203,9 @@
       ).length,
     );
     this.metrics.setState('waiting_for_places', this.places.waiting);
+    for (const [kind, count] of Object.entries(this.hostConnections.known)) {
+      this.metrics.setState(`connections_${kind}`, count);
+    }
     this.metrics.setState('tunnels', this.tunnels.openTunnels);
     this.metrics.setState('crash_suspects', this.suspects.subjectCount);
     this.metrics.setState('stream_origins', this.origins.streamCount);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -42,6 +42,7 @@
 import {GatewayMetrics} from './gateway-metrics.js';
 import {GatewayState, type TopicHealth} from './gateway-state.js';
 import type {GatewayNames} from './gateway-names.js';
+import {HostConnections} from './host-connections.js';
 import {HostRotation} from './host-rotation.js';
 import {InputAccount, memoryLog} from './input-memory/index.js';
 import {KeyedTopicFollower} from './keyed-follower.js';
@@ -60,6 +61,7 @@
 import type {PeerHost} from './relay-directory.js';
 import {ServicePaths} from './service-paths.js';
 import {ServiceReachMonitor} from './service-reach-monitor.js';
+import {ShortageLog} from './shortage-log.js';
 import {StartGate} from './start-gate.js';
 import {StatusServer} from './status-server.js';
 import {StoreHealth} from './store-health.js';
@@ -124,6 +126,7 @@
   private readonly requests: OpenRequests;
   private readonly handler: RequestHandler;
   private readonly callers: CallerServer;
+  private readonly hostConnections: HostConnections;
   private readonly status: StatusServer;
   private readonly configurationFollower: KeyedTopicFollower;
   private readonly endpointFollower: KeyedTopicFollower;
@@ -178,7 +181,17 @@
       this.directory.becameCold(dataCenter);
     });
     const {directory, metrics} = this;
-    this.reach = new ServiceReachMonitor({directory, metrics, clock, events});
+    this.reach = new ServiceReachMonitor({
+      directory,
+      metrics,
+      clock,
+      events,
+      shortages: new ShortageLog({
+        clock,
+        events,
+        describeHost: () => this.hostConnections.describe(),
+      }),
+    });
     this.connections.setConnectObserver(this.reach);
     this.budgets = this.createBudgets();
     this.paths = this.createPaths();
@@ -228,6 +241,11 @@
       events,
       this.account,
     );
+    this.hostConnections = new HostConnections({
+      callers: this.callers,
+      connections: this.connections,
+      tunnels: this.tunnels,
+    });
     this.state = new GatewayState(
       this.configuration,
       this.evacuations,
@@ -245,6 +263,7 @@
       this.origins,
       this.account,
       this.places,
+      this.hostConnections,
       clock,
     );
     this.status = new StatusServer(
--- /dev/null
+++ b/packages/gateway/src/host-connections.ts
@@ -0,0 +1,45 @@
+import {
+  descriptorLimit,
+  openDescriptors,
+  type EventFields,
+} from '@wisteriadeal/runtime';
+
+import type {CallerServer} from './caller-server.js';
+import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
+import type {TunnelServer} from './tunnel-server.js';
+
+/** What holds connections of a host. */
+export interface HostConnectionParts {
+  readonly callers: CallerServer;
+  readonly connections: EndpointConnectionPool;
+  readonly tunnels: TunnelServer;
+}
+
+/** Counts the connections and the file descriptors that this host holds. */
+export class HostConnections {
+  private readonly limit = descriptorLimit();
+
+  constructor(private readonly parts: HostConnectionParts) {}
+
+  /** Numbers by kind, without those that the system does not tell. */
+  get known(): Readonly<Record<string, number>> {
+    const {callers, connections, tunnels} = this.parts;
+    const {connectionCounts} = callers;
+    const {used, kept} = connections.counts;
+    const open = openDescriptors();
+    return {
+      callers: connectionCounts.connections,
+      callersIdle: connectionCounts.idle,
+      endpoints: used + kept,
+      endpointsIdle: kept,
+      tunnels: tunnels.openTunnels,
+      ...(open === undefined ? {} : {openDescriptors: open}),
+      ...(this.limit === undefined ? {} : {descriptorLimit: this.limit}),
+    };
+  }
+
+  /** The same numbers as fields of a log line. */
+  describe(): EventFields {
+    return this.known;
+  }
+}
--- a/packages/gateway/src/request-record.ts
+++ b/packages/gateway/src/request-record.ts
@@ -1,3 +1,5 @@
+import type {HostShortage} from '@wisteriadeal/platform';
+
 import type {AdmissionRecord} from './admission/index.js';
 import {ContinuationRecord} from './continuation/continuation-record.js';
 import type {
@@ -22,6 +24,8 @@
   readonly build: string;
   readonly path: PathKind;
   readonly connection: ConnectionOrigin;
+  /** What this host itself lacked for its connection. */
+  readonly shortage?: HostShortage | undefined;
   /** The host's requests in progress at the endpoint when it was sent, itself included. */
   readonly inProgress: number;
   /** Time from its latest known heartbeat to the dispatch; undefined without one. */
@@ -69,6 +73,8 @@
 /** An attempt as it appears in the request's log line. */
 export function describeAttempt(attempt: AttemptRecord): string {
   const {endpoint, build, path, connection, result, answer} = attempt;
+  const shortage =
+    attempt.shortage === undefined ? '' : `, ${attempt.shortage}`;
   const {inProgress, atMilliseconds} = attempt;
   const age = attempt.heartbeatAgeMilliseconds;
   const heartbeat =
@@ -77,7 +83,7 @@
     answer === undefined
       ? ''
       : ` (${answer.framing}, ${answer.events} events, ${answer.bodyEnd})`;
-  return `${endpoint} (${build}, ${path}, ${connection}, ${inProgress} in progress) at ${atMilliseconds}${heartbeat}: ${result}${body}`;
+  return `${endpoint} (${build}, ${path}, ${connection}${shortage}, ${inProgress} in progress) at ${atMilliseconds}${heartbeat}: ${result}${body}`;
 }
 
 /** The outcome of a request, for its log line, metrics and bill. */
--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -3,7 +3,7 @@
   ReachState,
   type ReachPolicy,
 } from '@wisteriadeal/decisions';
-import type {Clock} from '@wisteriadeal/platform';
+import type {Clock, HostShortage} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import {ConnectResult} from './connect-result.js';
@@ -11,6 +11,7 @@
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
+import type {ShortageLog} from './shortage-log.js';
 
 /** Dependencies of `ServiceReachMonitor`. */
 export interface ServiceReachParts {
@@ -18,6 +19,7 @@
   readonly metrics: GatewayMetrics;
   readonly clock: Clock;
   readonly events: EventLog;
+  readonly shortages: ShortageLog;
 }
 
 /** What is known of this host's paths to one service. */
@@ -131,6 +133,15 @@
     }
   }
 
+  override connectFailedHere(
+    {service, id}: EndpointEntry,
+    shortage: HostShortage,
+    reason: string,
+  ): void {
+    this.parts.metrics.connectEnded(service, shortage);
+    this.parts.shortages.record(shortage, {service, endpoint: id, reason});
+  }
+
   override connectionsLost({id}: EndpointEntry): void {
     this.parts.directory.find(id)?.connectionsLost(this.now());
   }
--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -86,6 +86,7 @@
     await until(() => counts().unsentAnswers === 0);
     expect(counts()).toEqual({
       connections: 2,
+      idle: 2,
       partialRequests: 0,
       runningRequests: 0,
       unsentAnswers: 0,
--- a/packages/platform/src/index.ts
+++ b/packages/platform/src/index.ts
@@ -8,6 +8,7 @@
   type ServerSentEvent,
 } from './event-stream-reader.js';
 export * from './host-link.js';
+export * from './host-shortage.js';
 export * from './host-list.js';
 export * from './http-client.js';
 export * from './http-endpoint-options.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -5,6 +5,7 @@
 export * from './binary.js';
 export * from './control-server.js';
 export * from './unhandled-errors.js';
+export * from './descriptors.js';
 export * from './event-log.js';
 export * from './inspection.js';
 export * from './line-rate-limiter.js';
