A request whose connection could not be opened has not run

What callers saw: 502 (answer-lost) within milliseconds for requests of which nothing was ever sent, so that none that may run once could be sent again; and the endpoints' breakers and crash suspicion learned of it.

Cause: a connect that the system refuses at once (no descriptor, no local port, no memory, no route) leaves a socket that is not connecting, which the exchange took for one that is connected. Its request had the result "unknown", though no byte of it had left the host.

Why it works: a request may have run only once its connection has been established; a new connection that isn't, by then, has carried nothing, whatever the error. Such a request is tried again, first at endpoints to which a connection is kept, and refused as not run (503, to come back in 0.1 s over a new connection, which leads to another host) once three attempts could not begin. The endpoint is not at fault: breakers, reach, data centres and crash suspects learn nothing of what the host lacks, except that reach learns of a missing route, as another host may have one. A relay that can't open a connection for want of its own answers 503, so that another relay is asked, and the relay is not blamed by a host that can't connect to it.

--- a/packages/gateway/src/connect-observer.ts
+++ b/packages/gateway/src/connect-observer.ts
@@ -2,6 +2,15 @@
 
 import type {EndpointEntry} from './endpoint-entry.js';
 
+/** A connect that failed. */
+export interface ConnectFailure {
+  /** Monotonic clock, milliseconds. */
+  readonly startedAt: number;
+  readonly reason: string;
+  /** What this host itself lacked; undefined if the failure isn't its own. */
+  readonly shortage: HostShortage | undefined;
+}
+
 /** Observes this host's connects to endpoints. */
 export abstract class ConnectObserver {
   /**
@@ -12,21 +21,12 @@
   abstract connected(endpoint: EndpointEntry, startedAt: number): void;
 
   /**
-   * Records that an endpoint refused a connect or did not accept it in time.
-   *
-   * @param startedAt Monotonic clock, milliseconds.
+   * Records that an endpoint refused a connect or did not accept it in time, or that this
+   * host could not begin it.
    */
   abstract connectFailed(
     endpoint: EndpointEntry,
-    startedAt: number,
-    reason: string,
-  ): void;
-
-  /** Records a connect that failed because this host itself lacks something. */
-  abstract connectFailedHere(
-    endpoint: EndpointEntry,
-    shortage: HostShortage,
-    reason: string,
+    failure: ConnectFailure,
   ): void;
 
   /** Records that an endpoint has ended the last connection to it, without notice. */
--- a/packages/gateway/src/connect-trial.ts
+++ b/packages/gateway/src/connect-trial.ts
@@ -1,4 +1,8 @@
-import {NetworkTimeout} from '@wisteriadeal/platform';
+import {
+  hostShortageOf,
+  NetworkTimeout,
+  type HostShortage,
+} from '@wisteriadeal/platform';
 import {connect} from 'node:net';
 
 import type {EndpointAddress} from './endpoint-connection-pool.js';
@@ -8,7 +12,7 @@
   Accepted = 'accepted',
   /** Nothing listens at the address. */
   Refused = 'refused',
-  /** No answer came in time, or the trial was closed. */
+  /** No answer came in time, this host could not begin it, or it was closed. */
   Unknown = 'unknown',
 }
 
@@ -19,6 +23,8 @@
   readonly startedAt: number;
   /** Reason of a failure; empty if the connect was accepted. */
   readonly reason: string;
+  /** What this host itself lacked; undefined if the failure isn't its own. */
+  readonly shortage: HostShortage | undefined;
 }
 
 /**
@@ -53,6 +59,7 @@
       this.end(
         isRefused ? ConnectTrialEnd.Refused : ConnectTrialEnd.Unknown,
         error.message,
+        hostShortageOf(error),
       );
     });
     this.socket.once('close', () => {
@@ -65,8 +72,12 @@
     this.end(ConnectTrialEnd.Unknown, 'closed');
   }
 
-  private end(end: ConnectTrialEnd, reason = ''): void {
-    this.resolve({end, startedAt: this.startedAt, reason});
+  private end(
+    end: ConnectTrialEnd,
+    reason = '',
+    shortage?: HostShortage,
+  ): void {
+    this.resolve({end, startedAt: this.startedAt, reason, shortage});
     this.socket.destroy();
   }
 }
--- a/packages/gateway/src/connect-trials.ts
+++ b/packages/gateway/src/connect-trials.ts
@@ -76,14 +76,14 @@
       connections.connectTimeoutMilliseconds,
     );
     this.running.add(trial);
-    const {end, startedAt, reason} = await trial.result;
+    const result = await trial.result;
     if (!this.running.delete(trial)) {
       return;
     }
-    if (end === ConnectTrialEnd.Accepted) {
-      connections.recordConnect(endpoint, startedAt);
+    if (result.end === ConnectTrialEnd.Accepted) {
+      connections.recordConnect(endpoint, result.startedAt);
     } else {
-      connections.recordConnectFailure(endpoint, startedAt, reason);
+      connections.recordConnectFailure(endpoint, result);
     }
   }
 }
--- a/packages/gateway/src/endpoint-chooser.ts
+++ b/packages/gateway/src/endpoint-chooser.ts
@@ -141,14 +141,24 @@
         !inNeed.some(({endpoint}) => endpoint === candidate.endpoint),
     );
     const warm = withoutColdEndpoints(admitted);
-    const candidates = binding.isBound
-      ? provenFirst(
+    const mayBePreferred = ({endpoint}: Candidate) =>
+      !avoided.has(endpoint.entry.id);
+    const proven = binding.isBound
+      ? preferred(
           warm,
-          ({endpoint}) =>
-            path.hasProvenConnection(endpoint) &&
-            !avoided.has(endpoint.entry.id),
+          candidate =>
+            path.hasProvenConnection(candidate.endpoint) &&
+            mayBePreferred(candidate),
         )
       : warm;
+    const candidates = path.connections.lacksConnections
+      ? preferred(
+          proven,
+          candidate =>
+            path.connections.hasIdle(candidate.endpoint.entry) &&
+            mayBePreferred(candidate),
+        )
+      : proven;
     this.lastWithheld = {
       cold: admitted.filter(({isCold}) => isCold).length,
       withheld: admitted.length - warm.length,
@@ -387,11 +397,11 @@
   }
 }
 
-/** The candidates with a proven connection, if one of them is available, otherwise all. */
-function provenFirst(
+/** The candidates that are preferred, if one of them is available, otherwise all. */
+function preferred(
   candidates: readonly Candidate[],
-  hasProvenConnection: (candidate: Candidate) => boolean,
+  isPreferred: (candidate: Candidate) => boolean,
 ): readonly Candidate[] {
-  const proven = candidates.filter(hasProvenConnection);
-  return proven.some(({isAvailable}) => isAvailable) ? proven : candidates;
+  const some = candidates.filter(isPreferred);
+  return some.some(({isAvailable}) => isAvailable) ? some : candidates;
 }
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -1,8 +1,4 @@
-import {
-  UncongestedLink,
-  type HostLink,
-  type HostShortage,
-} from '@wisteriadeal/platform';
+import {UncongestedLink, type HostLink} from '@wisteriadeal/platform';
 import {
   Agent,
   type AgentOptions,
@@ -13,7 +9,7 @@
 import {connect, type NetConnectOpts, type Socket} from 'node:net';
 import type {Duplex} from 'node:stream';
 
-import type {ConnectObserver} from './connect-observer.js';
+import type {ConnectFailure, ConnectObserver} from './connect-observer.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import {TurnBudget} from './input-limits/index.js';
 import {OpenConnections} from './open-connections.js';
@@ -48,6 +44,8 @@
  * request's remaining time is shorter than the value sent with it.
  */
 const MAXIMUM_CONNECT_TIMEOUT_MILLISECONDS = 400;
+/** Time after a connect that this host could not begin in which it prefers kept ones. */
+const SHORTAGE_MILLISECONDS = 100;
 /** Number of recent connects that the moving average reflects. */
 const CONNECT_MEAN_SAMPLES = 16;
 
@@ -115,6 +113,7 @@
   private meanConnectMilliseconds = 0;
   private readonly idleLimits = new WeakMap<Socket, number>();
   private observer: ConnectObserver | undefined;
+  private shortUntil = -Infinity;
 
   /** @param link This host's link; connects take longer while it is full. */
   constructor(
@@ -198,27 +197,24 @@
   }
 
   /**
-   * Records that an endpoint refused a connect or did not accept it in time.
-   *
-   * @param startedAt Monotonic clock, milliseconds.
+   * Records that an endpoint refused a connect or did not accept it in time, or that this
+   * host could not begin it.
    */
-  recordConnectFailure(
-    endpoint: EndpointEntry,
-    startedAt: number,
-    reason: string,
-  ): void {
-    if (!this.isLinkLate) {
-      this.observer?.connectFailed(endpoint, startedAt, reason);
+  recordConnectFailure(endpoint: EndpointEntry, failure: ConnectFailure): void {
+    if (failure.shortage !== undefined) {
+      this.shortUntil = performance.now() + SHORTAGE_MILLISECONDS;
+    }
+    if (!this.isLinkLate || failure.shortage !== undefined) {
+      this.observer?.connectFailed(endpoint, failure);
     }
   }
 
-  /** Records a connect that failed because this host itself lacks something. */
-  recordShortage(
-    endpoint: EndpointEntry,
-    shortage: HostShortage,
-    reason: string,
-  ): void {
-    this.observer?.connectFailedHere(endpoint, shortage, reason);
+  /**
+   * Whether this host could not begin a connect a moment ago, for want of a resource of its
+   * own, so that requests better use the connections that it has.
+   */
+  get lacksConnections(): boolean {
+    return performance.now() < this.shortUntil;
   }
 
   /** Numbers of connections that requests use, and that are kept for further ones. */
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -169,13 +169,18 @@
     });
     this.outgoing.once('socket', socket => {
       this.socket = socket;
+      const startedAt = performance.now();
       if (!socket.connecting) {
-        this.origin = this.outgoing.reusedSocket
-          ? ConnectionOrigin.Kept
-          : ConnectionOrigin.New;
+        if (this.outgoing.reusedSocket) {
+          this.origin = ConnectionOrigin.Kept;
+        } else if (socket.destroyed) {
+          // The system refused the connect at once; its error follows.
+          this.connectStartedAt = startedAt;
+        } else {
+          this.origin = ConnectionOrigin.New;
+        }
         return;
       }
-      const startedAt = performance.now();
       this.connectStartedAt = startedAt;
       const limit = connections.connectTimeoutMilliseconds;
       this.connectTimeout = new NetworkTimeout(limit, () => {
@@ -194,8 +199,10 @@
         this.failure = error.message;
         this.wasClosed = isClose(error);
         this.hasNoPath = error instanceof NoRelayError;
-        this.recordShortage(error);
-        this.recordConnectFailure(this.connectStartedAt);
+        this.lacked = this.isConnected ? undefined : hostShortageOf(error);
+        this.recordConnectFailure(
+          this.connectStartedAt ?? (this.lacked && performance.now()),
+        );
       }
     });
     this.outgoing.end(dispatched.body);
@@ -526,16 +533,11 @@
 
   private recordConnectFailure(startedAt: number | undefined): void {
     if (startedAt !== undefined && !this.isConnected) {
-      const {connections, endpoint, failureReason} = this;
-      connections.recordConnectFailure(endpoint, startedAt, failureReason);
-    }
-  }
-
-  private recordShortage(error: Error): void {
-    const {connections, endpoint} = this;
-    this.lacked = hostShortageOf(error);
-    if (this.lacked !== undefined) {
-      connections.recordShortage(endpoint, this.lacked, error.message);
+      this.connections.recordConnectFailure(this.endpoint, {
+        startedAt,
+        reason: this.failureReason,
+        shortage: this.lacked,
+      });
     }
   }
 
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -26,6 +26,8 @@
   EnginesSaturated = 'engines-saturated',
   EndpointsRefused = 'endpoints-refused',
   EndpointsUnreachable = 'endpoints-unreachable',
+  /** This host lacks what it takes to open a connection. */
+  HostShort = 'host-short-of-connections',
   DeadlinePassed = 'deadline-passed',
   BudgetExhausted = 'budget-exhausted',
   BudgetUnavailable = 'budget-unavailable',
@@ -36,10 +38,10 @@
 }
 
 /**
- * Retry delay given by a stopping host: the caller's next connection goes to
+ * Retry delay given by a host that closes the connection: the caller's next one goes to
  * another host.
  */
-export const STOPPING_RETRY_AFTER_MILLISECONDS = 100;
+export const OTHER_HOST_RETRY_AFTER_MILLISECONDS = 100;
 
 /** A reply that the gateway generates itself. */
 export interface LocalReply {
@@ -67,7 +69,7 @@
 /** Refuses a request during a stop; the caller's next connection goes to another host. */
 export const STOPPING_REPLY = notExecutedReply(
   LocalReplyReason.Stopping,
-  STOPPING_RETRY_AFTER_MILLISECONDS,
+  OTHER_HOST_RETRY_AFTER_MILLISECONDS,
 );
 
 /** A final reply that does not state whether the request has run. */
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -1,4 +1,10 @@
-import {NetworkTimeout, type HostLink} from '@wisteriadeal/platform';
+import {
+  HostShortage,
+  HostShortageError,
+  hostShortageOf,
+  NetworkTimeout,
+  type HostLink,
+} from '@wisteriadeal/platform';
 import {randomUUID} from 'node:crypto';
 import {request, type ClientRequest, type ClientRequestArgs} from 'node:http';
 import {Socket} from 'node:net';
@@ -129,6 +135,7 @@
   /**
    * @throws NoRelayError if no host relays to the service.
    * @throws RelayedConnectError if the endpoint does not accept the connection.
+   * @throws HostShortageError if this host could not begin a connect to a relay.
    */
   private async openTunnel(target: TunnelTarget): Promise<Socket> {
     const tried = new Set<Relay>();
@@ -193,7 +200,11 @@
   }
 }
 
-/** Sends a CONNECT request; resolves with undefined if there is no response in time. */
+/**
+ * Sends a CONNECT request; resolves with undefined if there is no response in time.
+ *
+ * @throws HostShortageError if this host could not begin the connect.
+ */
 function requestTunnel(
   relayAddress: string,
   {authority, endpointId, endpointBuild}: TunnelTarget,
@@ -201,7 +212,7 @@
   milliseconds: number,
 ): Promise<TunnelResponse | undefined> {
   const {address, port} = listenAddress(relayAddress);
-  return new Promise(resolve => {
+  return new Promise((resolve, reject) => {
     const outgoing: ClientRequest = request({
       agent: false,
       host: address,
@@ -227,8 +238,12 @@
           : undefined,
       );
     });
-    outgoing.on('error', () => {
+    outgoing.on('error', error => {
       // 'close' follows.
+      const shortage = hostShortageOf(error);
+      if (shortage !== undefined && shortage !== HostShortage.Route) {
+        reject(new HostShortageError(shortage, error.message));
+      }
     });
     outgoing.once('close', () => {
       timeout.close();
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -12,7 +12,10 @@
   type ExchangeFailure,
 } from './endpoint-exchange.js';
 import type {EndpointPath} from './endpoint-path.js';
-import {LocalReplyReason} from './local-reply.js';
+import {
+  LocalReplyReason,
+  OTHER_HOST_RETRY_AFTER_MILLISECONDS,
+} from './local-reply.js';
 import type {RequestCompletion} from './request-completion.js';
 import {isRepeatable, type RequestContext} from './request-context.js';
 import type {RequestLifetime} from './request-lifetime.js';
@@ -171,7 +174,7 @@
       case FailureKind.NotSent:
         this.recordNotSent(attempt, head);
         this.hasClaimedFailover = head.hasNoPath !== true;
-        return this.hasClaimedFailover;
+        return this.hasClaimedFailover && head.shortage === undefined;
       case FailureKind.Unknown:
         this.attemptCount++;
         record.mayHaveRun = true;
@@ -266,17 +269,34 @@
     // The host may have lost this path during the attempt, and there is another one.
     const hasOtherPath = path !== paths.pathTo(context.service.name);
     const maximum = (hasOtherPath ? 2 : 1) * MAXIMUM_UNREACHABLE_ENDPOINTS;
-    return this.unreachableCount < maximum && !lifetime.isAbandoned
-      ? NextStep.Retry
-      : this.giveUp(LocalReplyReason.EndpointsUnreachable);
+    if (this.unreachableCount < maximum && !lifetime.isAbandoned) {
+      return NextStep.Retry;
+    }
+    return failure.shortage === undefined
+      ? this.giveUp(LocalReplyReason.EndpointsUnreachable)
+      : this.leadToOtherHost();
+  }
+
+  /** Ends the request, and its connection, as this host lacks what other hosts have. */
+  private leadToOtherHost(): NextStep {
+    const {caller} = this.parts.context;
+    if (!caller.isAnswering) {
+      caller.disableKeepAlive();
+    }
+    return this.giveUp(
+      LocalReplyReason.HostShort,
+      OTHER_HOST_RETRY_AFTER_MILLISECONDS,
+    );
   }
 
   private recordNotSent(
     {endpoint, path, breaker}: EndpointAttempt,
-    {mayBeLinkDelay, hasNoPath}: ExchangeFailure,
+    {mayBeLinkDelay, hasNoPath, shortage}: ExchangeFailure,
   ): void {
     const {lifetime} = this.parts;
-    if (hasNoPath === true || lifetime.isAbandoned || mayBeLinkDelay === true) {
+    const isOwnFailure =
+      hasNoPath === true || mayBeLinkDelay === true || shortage !== undefined;
+    if (isOwnFailure || lifetime.isAbandoned) {
       breaker.requestEnded();
       return;
     }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -48,7 +48,7 @@
 import type {KnownEndpoint} from './known-endpoint.js';
 import {
   LocalReplyReason,
-  STOPPING_RETRY_AFTER_MILLISECONDS,
+  OTHER_HOST_RETRY_AFTER_MILLISECONDS,
 } from './local-reply.js';
 import {RequestStage} from './open-requests/index.js';
 import type {RequestBudget} from './request-budget.js';
@@ -268,7 +268,7 @@
     } else if (!goesOn && !context.mayBegin()) {
       retries.giveUp(
         LocalReplyReason.Stopping,
-        STOPPING_RETRY_AFTER_MILLISECONDS,
+        OTHER_HOST_RETRY_AFTER_MILLISECONDS,
       );
     } else if (chosen === undefined) {
       retries.giveUp(
--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -3,11 +3,11 @@
   ReachState,
   type ReachPolicy,
 } from '@wisteriadeal/decisions';
-import type {Clock, HostShortage} from '@wisteriadeal/platform';
+import {HostShortage, type Clock} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import {ConnectResult} from './connect-result.js';
-import {ConnectObserver} from './connect-observer.js';
+import {ConnectObserver, type ConnectFailure} from './connect-observer.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
@@ -115,14 +115,19 @@
 
   override connectFailed(
     endpoint: EndpointEntry,
-    startedAt: number,
-    reason: string,
+    {startedAt, reason, shortage}: ConnectFailure,
   ): void {
-    const {service} = endpoint;
+    const {service, id} = endpoint;
+    this.parts.metrics.connectEnded(service, shortage ?? ConnectResult.Failed);
+    if (shortage !== undefined) {
+      this.parts.shortages.record(shortage, {service, endpoint: id, reason});
+    }
+    if (shortage !== undefined && shortage !== HostShortage.Route) {
+      return;
+    }
     if (reason.includes(CONNECTION_REFUSED)) {
       this.parts.directory.find(endpoint.id)?.hasEnded(startedAt);
     }
-    this.parts.metrics.connectEnded(service, ConnectResult.Failed);
     this.reachOf(service).policy.recordConnectFailure(
       this.attempt(endpoint, startedAt),
       this.endpointCount(service),
@@ -133,15 +138,6 @@
     }
   }
 
-  override connectFailedHere(
-    {service, id}: EndpointEntry,
-    shortage: HostShortage,
-    reason: string,
-  ): void {
-    this.parts.metrics.connectEnded(service, shortage);
-    this.parts.shortages.record(shortage, {service, endpoint: id, reason});
-  }
-
   override connectionsLost({id}: EndpointEntry): void {
     this.parts.directory.find(id)?.connectionsLost(this.now());
   }
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -1,4 +1,8 @@
-import {NetworkTimeout} from '@wisteriadeal/platform';
+import {
+  hostShortageOf,
+  NetworkTimeout,
+  type HostShortage,
+} from '@wisteriadeal/platform';
 import {STATUS_CODES, type IncomingMessage} from 'node:http';
 import {connect, type Socket} from 'node:net';
 
@@ -188,7 +192,7 @@
         // A reset must not look like the end of an answer without a length.
         inbound.resetAndDestroy();
       } else {
-        this.connectFailed(error.message);
+        this.connectFailed(error.message, hostShortageOf(error));
       }
     });
     this.outbound.once('close', () => {
@@ -233,14 +237,19 @@
     this.inbound.pipe(this.outbound);
   }
 
-  private connectFailed(reason: string): void {
+  private connectFailed(reason: string, shortage?: HostShortage): void {
     if (this.isOpen || this.inbound.destroyed) {
       return;
     }
     const {connections, endpoint, startedAt} = this;
-    connections.recordConnectFailure(endpoint.entry, startedAt, reason);
-    this.onAnswered(TunnelStatus.EndpointUnreachable);
-    endWith(this.inbound, TunnelStatus.EndpointUnreachable);
+    const failure = {startedAt, reason, shortage};
+    connections.recordConnectFailure(endpoint.entry, failure);
+    const status =
+      shortage === undefined
+        ? TunnelStatus.EndpointUnreachable
+        : TunnelStatus.Unavailable;
+    this.onAnswered(status);
+    endWith(this.inbound, status);
     this.outbound.destroy();
   }
 }
