A call to the store or another host that was never sent is not done

Callers could see 502 or refusals for budget beside a host's want of descriptors: its calls to the store and to other hosts met EMFILE too.

Cause: whether a call had been sent was decided by a list of error codes, which lacks EMFILE, ENFILE, ENOBUFS, ENETDOWN and others. A call that was never sent had the fate Unknown, and an EMFILE began an outage of the store.

Why it works: nothing can have been sent before a connection is established, whatever the error. Calls to other hosts have the fate NotDone if this host could not begin the connect. What a host itself lacks begins no outage of the store; the line "store unavailable" names it as shortage.

--- a/packages/gateway/src/loan-peers.ts
+++ b/packages/gateway/src/loan-peers.ts
@@ -1,6 +1,5 @@
 import {Code, ConnectError, type Client} from '@connectrpc/connect';
 import {
-  Fate,
   UncongestedLink,
   NetworkTimeout,
   StepError,
@@ -8,7 +7,7 @@
 } from '@wisteriadeal/platform';
 import {GrantLoanService} from '@wisteriadeal/schema';
 
-import {PeerClients} from './peer-clients.js';
+import {fateOfCall, PeerClients} from './peer-clients.js';
 
 /** A request for a loan. */
 export interface LoanRequest {
@@ -202,7 +201,9 @@
     } catch (error) {
       this.clients.closeClient(address, peer);
       const reason = String(error);
-      throw new StepError(step, address, Fate.Unknown, reason, {cause: error});
+      throw new StepError(step, address, fateOfCall(error), reason, {
+        cause: error,
+      });
     }
   }
 
--- a/packages/gateway/src/peer-calls.ts
+++ b/packages/gateway/src/peer-calls.ts
@@ -1,8 +1,8 @@
 import type {DescService} from '@bufbuild/protobuf';
 import type {Client} from '@connectrpc/connect';
-import {Fate, StepError, type HostLink} from '@wisteriadeal/platform';
+import {StepError, type HostLink} from '@wisteriadeal/platform';
 
-import {PeerClients} from './peer-clients.js';
+import {fateOfCall, PeerClients} from './peer-clients.js';
 
 /** A host in another data centre answers in about 10 ms; a frozen one never does. */
 const ANSWER_TIMEOUT_MILLISECONDS = 150;
@@ -41,7 +41,9 @@
       return await exchange(client, Math.ceil(timeout));
     } catch (error) {
       const reason = String(error);
-      throw new StepError(step, address, Fate.Unknown, reason, {cause: error});
+      throw new StepError(step, address, fateOfCall(error), reason, {
+        cause: error,
+      });
     }
   }
 
--- a/packages/gateway/src/peer-clients.ts
+++ b/packages/gateway/src/peer-clients.ts
@@ -1,10 +1,19 @@
 import type {DescService} from '@bufbuild/protobuf';
-import {createClient, type Client} from '@connectrpc/connect';
+import {ConnectError, createClient, type Client} from '@connectrpc/connect';
+import {Fate, hostShortageOf} from '@wisteriadeal/platform';
 import {createConnectTransport} from '@connectrpc/connect-node';
 import {Agent} from 'node:http';
 
 import {MAXIMUM_PEER_MESSAGE_BYTES} from './peer-messages.js';
 
+/** Whether a failed call may have taken effect; not if this host could not begin its connect. */
+export function fateOfCall(error: unknown): Fate {
+  return error instanceof ConnectError &&
+    hostShortageOf(error.cause) !== undefined
+    ? Fate.NotDone
+    : Fate.Unknown;
+}
+
 /** A client for one host, and its connections. */
 export interface PeerClient<Service extends DescService> {
   readonly client: Client<Service>;
--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -1,4 +1,8 @@
-import {isCallTimeout, type HostLink} from '@wisteriadeal/platform';
+import {
+  hostShortageOf,
+  isCallTimeout,
+  type HostLink,
+} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {LoopLag} from './loop-lag.js';
@@ -62,7 +66,7 @@
 
   /**
    * True while the store itself fails. Calls that time out while this host's link is
-   * congested do not start an outage. Otherwise endpoints that left during that time
+   * congested, or whose connects this host could not begin, do not start an outage. Otherwise endpoints that left during that time
    * would be kept although they are no longer listed, and would get requests.
    */
   get isOutage(): boolean {
@@ -160,7 +164,9 @@
     this.calledAt = undefined;
     const isLinkDelay =
       isCallTimeout(error) && this.delays.link?.isCongested === true;
-    this.hasOutage ||= !isLinkDelay;
+    const shortage =
+      error instanceof Error ? hostShortageOf(error.cause) : undefined;
+    this.hasOutage ||= !isLinkDelay && shortage === undefined;
     if (this.failingSince === undefined) {
       this.failingSince = now;
       this.failures = 1;
@@ -169,6 +175,7 @@
         topic: this.topic,
         reason: String(error),
         isLinkDelay,
+        shortage,
       });
       return;
     }
@@ -181,6 +188,7 @@
         failures: this.failures,
         reason: String(error),
         isLinkDelay,
+        shortage,
       });
     }
   }
--- a/packages/platform/src/connection-errors.ts
+++ b/packages/platform/src/connection-errors.ts
@@ -1,10 +1,4 @@
-/** Error codes of a failed connect: no byte of the request was sent. */
-const CONNECT_ERROR_CODES: ReadonlySet<string> = new Set([
-  'ECONNREFUSED',
-  'EHOSTUNREACH',
-  'ENETUNREACH',
-  'EADDRNOTAVAIL',
-]);
+import type {ClientRequest} from 'node:http';
 
 /**
  * Idle connections are closed after this time. Servers commonly close them after
@@ -14,7 +8,20 @@
  */
 export const KEEP_ALIVE_TIMEOUT_MILLISECONDS = 4_000;
 
-/** Whether an error code means that no connection was established. */
-export function isConnectErrorCode(code: unknown): boolean {
-  return typeof code === 'string' && CONNECT_ERROR_CODES.has(code);
+/**
+ * Calls the listener when a request has an established connection. Before that nothing of
+ * it can have been sent. A connect that the system refuses at once leaves a socket that
+ * is neither connecting nor connected.
+ */
+export function onConnected(
+  request: ClientRequest,
+  listener: () => void,
+): void {
+  request.once('socket', socket => {
+    if (socket.connecting) {
+      socket.once('connect', listener);
+    } else if (request.reusedSocket || !socket.destroyed) {
+      listener();
+    }
+  });
 }
--- a/packages/platform/src/http-client.ts
+++ b/packages/platform/src/http-client.ts
@@ -7,8 +7,8 @@
 import type {Socket} from 'node:net';
 
 import {
-  isConnectErrorCode,
   KEEP_ALIVE_TIMEOUT_MILLISECONDS,
+  onConnected,
 } from './connection-errors.js';
 import {UncongestedLink, type HostLink} from './host-link.js';
 import type {
@@ -138,13 +138,17 @@
       path,
       headers: {...headers},
     });
+    let fate = Fate.NotDone;
+    onConnected(outgoing, () => {
+      fate = Fate.Unknown;
+    });
     const response = readResponse(outgoing, call);
     outgoing.end(body);
     try {
       return await response;
     } catch (error) {
       const reason = error instanceof Error ? error.message : String(error);
-      throw new StepError(call.step, this.peer, fateOf(error), reason, {
+      throw new StepError(call.step, this.peer, fate, reason, {
         cause: error,
       });
     }
@@ -359,14 +363,3 @@
     this.byteCount += chunk.length;
   }
 }
-
-function fateOf(error: unknown): Fate {
-  if (error instanceof CallTimeoutError) {
-    return error.missing === MissingPart.Connection
-      ? Fate.NotDone
-      : Fate.Unknown;
-  }
-  const isConnectError =
-    error instanceof Error && 'code' in error && isConnectErrorCode(error.code);
-  return isConnectError ? Fate.NotDone : Fate.Unknown;
-}
--- a/packages/platform/src/http-peer.ts
+++ b/packages/platform/src/http-peer.ts
@@ -1,10 +1,7 @@
-import got, {RequestError, TimeoutError, type Got, type Request} from 'got';
+import got, {RequestError, type Got, type Request} from 'got';
 import {Agent, type IncomingMessage} from 'node:http';
 
-import {
-  isConnectErrorCode,
-  KEEP_ALIVE_TIMEOUT_MILLISECONDS,
-} from './connection-errors.js';
+import {KEEP_ALIVE_TIMEOUT_MILLISECONDS} from './connection-errors.js';
 import {INTERRUPTED_HEAD, isInterruptedHead} from './interrupted-head.js';
 import {Fate, StepError} from './step-error.js';
 
@@ -47,11 +44,11 @@
   readonly body: Buffer;
 }
 
+/** Nothing was sent if there is a time of the request, and none of its connect. */
 function fateOf(error: unknown): Fate {
-  if (error instanceof TimeoutError && error.event === 'connect') {
-    return Fate.NotDone;
-  }
-  return error instanceof RequestError && isConnectErrorCode(error.code)
+  return error instanceof RequestError &&
+    error.timings !== undefined &&
+    error.timings.connect === undefined
     ? Fate.NotDone
     : Fate.Unknown;
 }
