--- a/packages/gateway/src/store-health.ts
+++ b/packages/gateway/src/store-health.ts
@@ -1,4 +1,9 @@
-import {isCallTimeout, type HostLink} from '@wisteriadeal/platform';
+import {
+  HostShortage,
+  hostShortageOf,
+  isCallTimeout,
+  type HostLink,
+} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 
 import type {LoopLag} from './loop-lag.js';
@@ -61,8 +66,9 @@
   }
 
   /**
-   * True while the store itself fails. Calls that time out while this host's link is
-   * congested do not start an outage. Otherwise endpoints that left during that time
+   * True while the store itself fails, or no route leads there. Calls that time out while
+   * this host's link is congested, or whose connects this host could not begin for want of
+   * a resource, do not start an outage. Otherwise endpoints that left during that time
    * would be kept although they are no longer listed, and would get requests.
    */
   get isOutage(): boolean {
@@ -160,7 +166,11 @@
     this.calledAt = undefined;
     const isLinkDelay =
       isCallTimeout(error) && this.delays.link?.isCongested === true;
-    this.hasOutage ||= !isLinkDelay;
+    const shortage =
+      error instanceof Error ? hostShortageOf(error.cause) : undefined;
+    const isOwnFailure =
+      shortage !== undefined && shortage !== HostShortage.Route;
+    this.hasOutage ||= !isLinkDelay && !isOwnFailure;
     if (this.failingSince === undefined) {
       this.failingSince = now;
       this.failures = 1;
@@ -169,6 +179,7 @@
         topic: this.topic,
         reason: String(error),
         isLinkDelay,
+        shortage,
       });
       return;
     }
@@ -181,6 +192,7 @@
         failures: this.failures,
         reason: String(error),
         isLinkDelay,
+        shortage,
       });
     }
   }
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -155,7 +155,12 @@
       return connect.apply(this, parameters);
     }
     hasFailed = true;
-    return this.destroy(Object.assign(new Error(`connect ${code}`), {code}));
+    return this.destroy(
+      Object.assign(new Error(`connect ${code}`), {
+        code,
+        syscall: 'connect',
+      }),
+    );
   };
   vi.spyOn(Socket.prototype, 'connect').mockImplementation(connectOrFail);
 }
@@ -436,7 +441,10 @@
       const recordFailure = vi.spyOn(relay.connections, 'recordConnectFailure');
       failFirstConnect(endpoint.entry.port, code);
       expect(await exchange()).toMatchObject({body: 'done', isComplete: true});
-      expect(recordFailure).not.toHaveBeenCalled();
+      const shortages = recordFailure.mock.calls.map(
+        ([, failure]) => failure.shortage,
+      );
+      expect(shortages).toEqual([expect.any(String)]);
       await expect.poll(() => relay.tunnels.openTunnels).toBe(0);
     },
   );
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -1,4 +1,8 @@
-import {NetworkTimeout} from '@wisteriadeal/platform';
+import {
+  hostShortageOf,
+  NetworkTimeout,
+  type HostShortage,
+} from '@wisteriadeal/platform';
 import {STATUS_CODES, type IncomingMessage} from 'node:http';
 import {connect, type Socket} from 'node:net';
 
@@ -6,7 +10,6 @@
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {KnownEndpoint} from './known-endpoint.js';
 import type {GatewayMetrics} from './gateway-metrics.js';
-import {isHostShortage} from './host-shortage.js';
 import type {ServiceReachMonitor} from './service-reach-monitor.js';
 import {TunnelEnds} from './tunnel-ends.js';
 import {
@@ -178,7 +181,7 @@
     this.connectTimeout = new NetworkTimeout(
       connections.connectTimeoutMilliseconds,
       () => {
-        this.endpointFailed('connect timeout');
+        this.connectFailed('connect timeout');
       },
     );
     this.outbound.once('connect', () => {
@@ -188,10 +191,8 @@
       if (this.isOpen) {
         // A reset must not look like the end of an answer without a length.
         inbound.resetAndDestroy();
-      } else if (isHostShortage(error)) {
-        this.refuse(TunnelStatus.Unavailable);
       } else {
-        this.endpointFailed(error.message);
+        this.connectFailed(error.message, hostShortageOf(error));
       }
     });
     this.outbound.once('close', () => {
@@ -236,20 +237,19 @@
     this.inbound.pipe(this.outbound);
   }
 
-  private endpointFailed(reason: string): void {
+  private connectFailed(reason: string, shortage?: HostShortage): void {
     if (this.isOpen || this.inbound.destroyed) {
       return;
     }
     const {connections, endpoint, startedAt} = this;
-    connections.recordConnectFailure(endpoint.entry, startedAt, reason);
-    this.refuse(TunnelStatus.EndpointUnreachable);
-  }
-
-  private refuse(status: TunnelStatus): void {
-    if (!this.inbound.destroyed) {
-      this.onAnswered(status);
-      endWith(this.inbound, status);
-    }
+    const failure = {startedAt, reason, shortage};
+    connections.recordConnectFailure(endpoint.entry, failure);
+    const status =
+      shortage === undefined
+        ? TunnelStatus.EndpointUnreachable
+        : TunnelStatus.Unavailable;
+    this.onAnswered(status);
+    endWith(this.inbound, status);
     this.outbound.destroy();
   }
 }
