One malformed call at a host's peer address doesn't end the process

Cause: an uncaught exception. The library that serves calls of other hosts throws in the request event, outside of any promise, if it can't convert the head: HTTP/1.0 without `Host`, or a `Host` that makes no URL, at the path of one of its calls.

Why it works: what the library throws for one request is answered 400 with its reason, and nothing else of the host depends on it.

Both forms in the test failed before.

--- a/packages/gateway/src/peer-server.ts
+++ b/packages/gateway/src/peer-server.ts
@@ -6,7 +6,13 @@
   StreamOriginService,
   TopicCopyService,
 } from '@wisteriadeal/schema';
-import {createServer, type Server} from 'node:http';
+import {
+  createServer,
+  type IncomingMessage,
+  type RequestListener,
+  type Server,
+  type ServerResponse,
+} from 'node:http';
 import {Socket} from 'node:net';
 
 import {
@@ -118,7 +124,7 @@
           tunnels?.wasEndedByEndpoint(id) === true ? 204 : 404;
         response.end();
       } else {
-        routes(request, response);
+        answerOrRefuse(routes, request, response);
       }
     });
     server.on('connect', (request, socket) => {
@@ -144,3 +150,17 @@
     await closed;
   }
 }
+
+/** Answers 400 with the reason to a request that the library can't convert. */
+function answerOrRefuse(
+  routes: RequestListener,
+  request: IncomingMessage,
+  response: ServerResponse,
+): void {
+  try {
+    routes(request, response);
+  } catch (error) {
+    response.statusCode = 400;
+    response.end(String(error));
+  }
+}
--- a/packages/gateway/src/test/peer-calls_test.ts
+++ b/packages/gateway/src/test/peer-calls_test.ts
@@ -1,6 +1,7 @@
 import {StepError, UncongestedLink} from '@wisteriadeal/platform';
+import {GrantLoanService} from '@wisteriadeal/schema';
 import {once} from 'node:events';
-import {createServer, type AddressInfo, type Server} from 'node:net';
+import {connect, createServer, type AddressInfo, type Server} from 'node:net';
 import {afterEach, describe, expect, it} from 'vitest';
 
 import type {LoanHolder} from '../loan-peers.js';
@@ -102,3 +103,24 @@
     await peerServer.close();
   });
 });
+
+describe('a server for other hosts', () => {
+  it.each(['HTTP/1.0', 'HTTP/1.1\r\nHost: ['])(
+    'answers a call without a valid host: %j',
+    async rest => {
+      // Guards against one malformed request that ends the process with all others.
+      const peerServer = await PeerServer.listen(
+        {address: '127.0.0.1', port: 0},
+        {loans: {} as LoanHolder},
+      );
+      const [host, port] = peerServer.address.split(':');
+      const socket = connect({host, port: Number(port)});
+      const path = `/${GrantLoanService.typeName}/Borrow`;
+      socket.write(`POST ${path} ${rest}\r\n\r\n`);
+      const [answer] = (await once(socket, 'data')) as [Buffer];
+      expect(answer.toString()).toMatch(/^HTTP\/1.1 400 /);
+      socket.destroy();
+      await peerServer.close();
+    },
+  );
+});
