A body that a host has no room for is refused as not run

What callers saw: connections closed without an answer while they sent long bodies, though nothing of their requests was passed on. A closed connection promises nothing, so nobody may send such a request again if it may run once.

Cause: what a host holds from outside has a limit; over it, bodies that are still being received are given up. That destroyed the request, and its connection with it.

Evidence: a host process with 16 MB of room, 64 callers with bodies of 1 MB over 1.2 s: `memory limit exceeded`, then `cut: memory-full` in the lines of the requests.

Why it works: the parts that are held are dropped at once, as before; the caller gets 503 with a time to come back, and the rest of its body is read and dropped, at most up to the limit for bodies, so that its connection can be used again. The request has not begun.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -205,27 +205,41 @@
    * @throws BodyTooLargeError if the body is longer than `limitBytes`.
    * @throws BodyEndedError if the process has no room for it.
    */
-  async readBody(limitBytes: number): Promise<Buffer | undefined> {
+  readBody(limitBytes: number): Promise<Buffer | undefined> {
     const {headers} = this.request;
     if (
       headers['content-length'] === undefined &&
       headers['transfer-encoding'] === undefined
     ) {
-      return undefined;
+      return Promise.resolve(undefined);
     }
-    const chunks: Buffer[] = [];
-    let bytes = 0;
-    const held = this.account.hold(HeldKind.RequestBody, this.source, () => {
-      this.request.destroy(new BodyEndedError());
+    return new Promise((resolve, reject) => {
+      const chunks: Buffer[] = [];
+      const held = this.account.hold(HeldKind.RequestBody, this.source, () => {
+        chunks.length = 0;
+        reject(new BodyEndedError());
+      });
+      this.heldBody = held;
+      this.receiveBody(chunks, held, limitBytes).then(resolve, reject);
     });
-    this.heldBody = held;
+  }
+
+  /** Receives the body to its end, and discards what comes once it was given up. */
+  private async receiveBody(
+    chunks: Buffer[],
+    held: HeldBytes,
+    limitBytes: number,
+  ): Promise<Buffer> {
+    let bytes = 0;
     for await (const chunk of this.request as AsyncIterable<Buffer>) {
       bytes += chunk.length;
       if (bytes > limitBytes) {
         throw new BodyTooLargeError();
       }
-      chunks.push(chunk);
-      held.addPart(chunk.length);
+      if (!held.isClosed) {
+        chunks.push(chunk);
+        held.addPart(chunk.length);
+      }
     }
     held.set(bytes);
     held.complete();
--- a/packages/gateway/src/input-memory/held-bytes.ts
+++ b/packages/gateway/src/input-memory/held-bytes.ts
@@ -11,7 +11,7 @@
 /** The bytes that one exchange holds. */
 export class HeldBytes implements MemoryHolder {
   private heldBytes = 0;
-  private isClosed = false;
+  private hasClosed = false;
 
   /**
    * @param onChange Called with each change of the number of bytes.
@@ -28,6 +28,11 @@
     return this.heldBytes;
   }
 
+  /** Whether no bytes are held any more. */
+  get isClosed(): boolean {
+    return this.hasClosed;
+  }
+
   get isEndable(): boolean {
     return this.onEnd !== undefined;
   }
@@ -45,7 +50,7 @@
   /** Records how many bytes are held now. */
   set(bytes: number): void {
     const change = bytes - this.heldBytes;
-    if (change !== 0 && !this.isClosed) {
+    if (change !== 0 && !this.hasClosed) {
       this.heldBytes = bytes;
       this.onChange(this, change);
     }
@@ -65,6 +70,6 @@
   /** Records that no bytes are held any more. */
   close(): void {
     this.set(0);
-    this.isClosed = true;
+    this.hasClosed = true;
   }
 }
--- a/packages/gateway/src/local-reply.ts
+++ b/packages/gateway/src/local-reply.ts
@@ -7,6 +7,8 @@
   NoKey = 'no-key',
   HeadersTooLarge = 'headers-too-large',
   BodyTooLarge = 'body-too-large',
+  /** The process had no room for the rest of the request's body. */
+  MemoryFull = 'memory-full',
   Stopping = 'stopping',
   HostBehind = 'host-behind',
   NoEndpoint = 'no-endpoint',
@@ -70,6 +72,15 @@
   STOPPING_RETRY_AFTER_MILLISECONDS,
 );
 
+/** Time in which others' bodies have left the memory. */
+const MEMORY_RETRY_AFTER_MILLISECONDS = 500;
+
+/** Refuses a request whose body there was no room for. */
+export const MEMORY_FULL_REPLY = notExecutedReply(
+  LocalReplyReason.MemoryFull,
+  MEMORY_RETRY_AFTER_MILLISECONDS,
+);
+
 /** A final reply that does not state whether the request has run. */
 export function failureReply(
   status: number,
--- a/packages/gateway/src/request-handler.ts
+++ b/packages/gateway/src/request-handler.ts
@@ -31,6 +31,7 @@
   failureReply,
   notExecutedReply,
   LocalReplyReason,
+  MEMORY_FULL_REPLY,
   STOPPING_REPLY,
   type LocalReply,
 } from './local-reply.js';
@@ -491,11 +492,6 @@
     record: RequestRecord,
     error: unknown,
   ): void {
-    if (error instanceof BodyEndedError) {
-      caller.destroyConnection();
-      record.outcome = 'cut: memory-full';
-      return;
-    }
     if (caller.disconnectSignal.aborted) {
       record.outcome = 'caller-left';
       return;
@@ -505,6 +501,11 @@
       this.refuse(caller, record, STOPPING_REPLY);
       return;
     }
+    if (error instanceof BodyEndedError) {
+      caller.keepWhileReceiving();
+      this.refuse(caller, record, MEMORY_FULL_REPLY);
+      return;
+    }
     if (error instanceof BodyTooLargeError) {
       caller.disableKeepAlive();
       this.refuse(
