Tell any host that lives of a stream, also where most known ones have ended

Callers of a host that was killed soon after a start of the whole fleet were refused at the others (503, origin unknown), all of them if the host had told nobody of its streams.

Cause: a host without proof tells one other host, and tried the first five of its order one after the other. Hosts that have ended are known for a while; where five of these came first, it told nobody, ever, and fewer of them cost a call each before the first record was kept.

Evidence: ended-recorders_test.ts, a fleet of twelve that has just started, of which the first hosts of the order have ended: with 5, 6 and 9 of them the streams of a killed host were of unknown origin at all others.

All other hosts are tried if need be, twice as many in each round, and the one that took the latest record first, as before. The order is only made when that one is not reached.

--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -16,6 +16,7 @@
 } from '@wisteriadeal/schema';
 import {setTimeout as delay} from 'node:timers/promises';
 
+import {decidingHosts} from '../deciding-hosts.js';
 import type {EndpointDirectory} from '../endpoint-directory.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
 import type {PeerHost} from '../relay-directory.js';
@@ -327,12 +328,36 @@
    * that have not watched for long enough ask all others.
    */
   private async tellOne(record: OriginRecord): Promise<void> {
-    const {all} = this.recorders(this.parts.ownAddress);
-    // Hosts that have ended are known for a while; each would cost a call or its timeout.
-    const latest = all.filter(address => address === this.toldHost);
-    const others = all.filter(address => address !== this.toldHost);
-    const [told] = await this.tellFirst(record, [...latest, ...others], 1);
-    this.toldHost = told ?? this.toldHost;
+    const others = this.parts.otherHosts().map(({address}) => address);
+    const {toldHost} = this;
+    const hasTold =
+      toldHost !== undefined &&
+      others.includes(toldHost) &&
+      (await this.tellFirst(record, [toldHost], 1)).length > 0;
+    if (!hasTold) {
+      const untried = others.filter(address => address !== toldHost);
+      const all = decidingHosts(this.parts.ownAddress, untried, untried.length);
+      this.toldHost = await this.tellAny(record, all);
+    }
+  }
+
+  /**
+   * Resolves with a host that has the record. Hosts that have ended are known for a
+   * while, and may be most of all, so that each round tries twice as many.
+   */
+  private async tellAny(
+    record: OriginRecord,
+    addresses: readonly string[],
+  ): Promise<string | undefined> {
+    let first: string | undefined;
+    let from = 0;
+    for (let count = 1; first === undefined && from < addresses.length;) {
+      const next = addresses.slice(from, from + count);
+      [first] = await this.tellFirst(record, next, count);
+      from += count;
+      count *= 2;
+    }
+    return first;
   }
 
   /** Tells the first hosts of both orders that can be reached. */
