Idle callers leave the descriptors that requests need

What callers saw: while others opened connections and sent nothing, a host with few descriptors could open none to endpoints, the store and other hosts, and the system closed callers' new connections unread.

Cause: the number of callers' connections had no limit but the process's descriptors, and idle ones were kept for their whole idle time.

Why it works: callers have room for what is left after a reserve (an eighth, 40 to 1,024), tunnels, kept connections to endpoints and one for each open request; at least a quarter, so that no host refuses everybody. Beyond that the connections that have been idle for longest are closed, when one comes and when a request begins: 0.5 s without a first request, 2 s after an answer. One with a request in progress, with bytes received, or just accepted is never closed for it. If none is idle for long, a new one is closed unread, which leads its caller to another host. Tunnels for other hosts get a quarter of the descriptors.

Where the system doesn't tell a limit, there is none.

--- a/packages/decisions/src/index.ts
+++ b/packages/decisions/src/index.ts
@@ -5,6 +5,7 @@
  */
 export * from './admission-policy.js';
 export * from './affinity-placement.js';
+export * from './caller-room.js';
 export * from './data-center-circuit-breaker.js';
 export * from './deadline-refusal.js';
 export * from './decision.js';
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,6 +1,14 @@
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
+/** What happened to a connection for which a host has no room, as a metric's label. */
+export enum RoomMeasure {
+  /** An idle connection was closed for a new one. */
+  Closed = 'closed',
+  /** A new connection was closed, as none was idle for long. */
+  Refused = 'refused',
+}
+
 /** Counts of callers' connections and of the requests and answers on them. */
 export interface ConnectionCounts {
   /** Connections that are open. */
@@ -27,6 +35,8 @@
  * How long a draining connection waits for the rest of a partial request head.
  */
 const HEAD_TIMEOUT_MILLISECONDS = 1_000;
+/** Time without a request before a connection that had one is closed to make room. */
+const MINIMUM_IDLE_MILLISECONDS = 2_000;
 const REQUEST_TIMEOUT_RESPONSE =
   'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
@@ -43,6 +53,7 @@
 class CallerConnection {
   readonly answers = new Set<ServerResponse>();
   private readonly openedAt = performance.now();
+  private lastAnswerAt: number | undefined;
   private isDraining = false;
   private hasTimedOut = false;
   private timer: NodeJS.Timeout | undefined;
@@ -77,6 +88,7 @@
     response.once('close', () => {
       this.answers.delete(response);
       this.bytesReadAtLastAnswer = this.socket.bytesRead;
+      this.lastAnswerAt = performance.now();
       this.isInBody = !request.complete;
       this.closeIfIdle();
     });
@@ -88,6 +100,21 @@
     return this.answers.size === 0 && !this.isInBody && !this.hasPartialHead;
   }
 
+  /**
+   * From when on the connection may be closed to make room, as its caller is not about to
+   * send a request; monotonic clock, milliseconds.
+   */
+  get closableFrom(): number {
+    return this.lastAnswerAt === undefined
+      ? this.openedAt + FIRST_REQUEST_TIMEOUT_MILLISECONDS
+      : this.lastAnswerAt + MINIMUM_IDLE_MILLISECONDS;
+  }
+
+  /** Closes the connection, unless something has been received on it meanwhile. */
+  closeUnlessRead(onRead: () => void): void {
+    closeUnlessRead(this.socket, onRead);
+  }
+
   /** Whether a request head was read in part but not completely. */
   get hasPartialHead(): boolean {
     const bytesBefore = this.bytesReadAtLastAnswer ?? 0;
@@ -167,14 +194,21 @@
  */
 export class CallerConnections {
   private readonly open = new Map<Socket, CallerConnection>();
+  /** Idle connections that are about to be closed. */
+  private readonly leaving = new Set<CallerConnection>();
+  private room: () => number = () => Infinity;
+  private onNoRoom: (measure: RoomMeasure) => void = () => undefined;
   private onAllClosed: (() => void) | undefined;
 
   constructor(server: Server) {
     server.on('connection', socket => {
-      this.open.set(socket, new CallerConnection(socket));
+      const connection = new CallerConnection(socket);
+      this.open.set(socket, connection);
       socket.once('close', () => {
+        this.leaving.delete(connection);
         this.remove(socket);
       });
+      this.makeRoomFor(socket);
     });
   }
 
@@ -186,7 +220,9 @@
    *     not be served.
    */
   begin(request: IncomingMessage, response: ServerResponse): boolean {
-    return this.open.get(request.socket)?.add(request, response) ?? false;
+    const isOpen = this.open.get(request.socket)?.add(request, response);
+    this.closeIdleBeyondRoom();
+    return isOpen ?? false;
   }
 
   /**
@@ -205,6 +241,18 @@
     return request.complete && answers?.size === 1 && answers.has(response);
   }
 
+  /**
+   * Limits the number of connections. Beyond it, those that have been idle for longest are
+   * closed; if none has been for long, a new one is. Any other goes on.
+   *
+   * @param room The limit at the moment.
+   * @param onNoRoom Called whenever a connection is closed for want of room.
+   */
+  limitTo(room: () => number, onNoRoom: (measure: RoomMeasure) => void): void {
+    this.room = room;
+    this.onNoRoom = onNoRoom;
+  }
+
   /** Current counts. */
   get counts(): ConnectionCounts {
     const connections = [...this.open.values()];
@@ -246,6 +294,43 @@
     }
   }
 
+  private get isBeyondRoom(): boolean {
+    return this.open.size - this.leaving.size > this.room();
+  }
+
+  private makeRoomFor(added: Socket): void {
+    this.closeIdleBeyondRoom();
+    if (this.isBeyondRoom) {
+      added.destroy();
+      this.onNoRoom(RoomMeasure.Refused);
+    }
+  }
+
+  private closeIdleBeyondRoom(): void {
+    while (this.isBeyondRoom) {
+      const idle = this.longestIdle();
+      if (idle === undefined) {
+        return;
+      }
+      this.leaving.add(idle);
+      idle.closeUnlessRead(() => this.leaving.delete(idle));
+      this.onNoRoom(RoomMeasure.Closed);
+    }
+  }
+
+  private longestIdle(): CallerConnection | undefined {
+    let from = performance.now();
+    let longest: CallerConnection | undefined;
+    for (const connection of this.open.values()) {
+      const {closableFrom, isIdle} = connection;
+      if (closableFrom <= from && isIdle && !this.leaving.has(connection)) {
+        longest = connection;
+        from = closableFrom;
+      }
+    }
+    return longest;
+  }
+
   private remove(socket: Socket): void {
     this.open.delete(socket);
     if (this.open.size === 0) {
@@ -253,3 +338,23 @@
     }
   }
 }
+
+/**
+ * Closes a connection whose idle time has ended, unless a request has arrived meanwhile:
+ * an event loop that was blocked runs expired timers before it reads sockets.
+ *
+ * @param onRead Called if a request has arrived.
+ */
+export function closeUnlessRead(
+  socket: Socket,
+  onRead: () => void = () => undefined,
+): void {
+  const {bytesRead} = socket;
+  setImmediate(() => {
+    if (socket.bytesRead === bytesRead) {
+      socket.destroy();
+    } else {
+      onRead();
+    }
+  });
+}
--- a/packages/gateway/src/caller-listener.ts
+++ b/packages/gateway/src/caller-listener.ts
@@ -6,7 +6,7 @@
 } from 'node:http';
 import {Server as NetServer, type Socket} from 'node:net';
 
-import {CallerConnections} from './caller-connections.js';
+import {CallerConnections, closeUnlessRead} from './caller-connections.js';
 import {nextEventLoopTurn} from './event-loop.js';
 import {listen, portOf, type ListenAddress} from './listening.js';
 
@@ -149,16 +149,3 @@
     }
   }
 }
-
-/**
- * Closes a connection whose idle time has ended, unless a request has arrived meanwhile:
- * an event loop that was blocked runs expired timers before it reads sockets.
- */
-function closeUnlessRead(socket: Socket): void {
-  const {bytesRead} = socket;
-  setImmediate(() => {
-    if (socket.bytesRead === bytesRead) {
-      socket.destroy();
-    }
-  });
-}
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -113,6 +113,9 @@
   async listen(address: ListenAddress): Promise<void> {
     await this.listener.listen(address);
     this.listener.server.on('connection', socket => {
+      if (socket.destroyed) {
+        return;
+      }
       this.socketsWithoutRequest.add(socket);
       this.acceptedCount++;
       this.loopMonitor.connectionAccepted();
@@ -131,6 +134,13 @@
     return this.listener.port;
   }
 
+  /** Limits the number of callers' connections by what `room` returns. */
+  limitConnections(room: () => number): void {
+    this.listener.connections.limitTo(room, measure => {
+      this.metrics.callerWithoutRoom(measure);
+    });
+  }
+
   /** Applies the limits of a configuration, also to open connections. */
   applyLimits(limits: CallerLimits): void {
     this.listener.server.headersTimeout = limits.headerMilliseconds;
--- a/packages/gateway/src/gateway-metrics.ts
+++ b/packages/gateway/src/gateway-metrics.ts
@@ -2,6 +2,7 @@
 import type {HostShortage} from '@wisteriadeal/platform';
 import {Counter, Gauge, Histogram, Registry} from 'prom-client';
 
+import type {RoomMeasure} from './caller-connections.js';
 import type {ConnectResult} from './connect-result.js';
 import type {ContinuationEvent} from './continuation/continuation-event.js';
 import type {LoanResult} from './loan-observer.js';
@@ -76,6 +77,12 @@
     help: 'Connections of callers that were accepted.',
     registers: [this.registry],
   });
+  private readonly withoutRoom = new Counter({
+    name: 'wisteriadeal_callers_without_room_total',
+    help: 'Connections of callers that were closed for want of descriptors, by whether an idle one was closed for a new one or the new one refused.',
+    labelNames: ['measure'],
+    registers: [this.registry],
+  });
   private readonly leftUnserved = new Counter({
     name: 'wisteriadeal_callers_left_unserved_total',
     help: 'Callers that disconnected before their request was sent to an endpoint.',
@@ -215,6 +222,11 @@
     this.accepted.inc();
   }
 
+  /** Counts a caller's connection that was closed for want of descriptors. */
+  callerWithoutRoom(measure: RoomMeasure): void {
+    this.withoutRoom.inc({measure});
+  }
+
   /** Counts a caller that left before its request was served. */
   callerLeftUnserved(): void {
     this.leftUnserved.inc();
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -200,7 +200,10 @@
       reach: this.reach,
       connections: this.connections,
       metrics,
-      isFull: () => this.link.isFull || !this.rotation.acceptsConnections,
+      isFull: () =>
+        this.link.isFull ||
+        !this.rotation.acceptsConnections ||
+        !this.hostConnections.hasTunnelRoom,
     });
     this.places = this.createPlaces();
     directory.statements.onBrittleness((endpoint, isBrittle, sentAt) => {
@@ -246,6 +249,7 @@
       connections: this.connections,
       tunnels: this.tunnels,
     });
+    this.callers.limitConnections(() => this.hostConnections.callerRoom);
     this.state = new GatewayState(
       this.configuration,
       this.evacuations,
--- a/packages/gateway/src/host-connections.ts
+++ b/packages/gateway/src/host-connections.ts
@@ -1,3 +1,4 @@
+import {callerRoom, tunnelRoom} from '@wisteriadeal/decisions';
 import {
   descriptorLimit,
   openDescriptors,
@@ -33,11 +34,30 @@
       endpoints: used + kept,
       endpointsIdle: kept,
       tunnels: tunnels.openTunnels,
+      ...(this.limit === undefined ? {} : {callerRoom: this.callerRoom}),
       ...(open === undefined ? {} : {openDescriptors: open}),
       ...(this.limit === undefined ? {} : {descriptorLimit: this.limit}),
     };
   }
 
+  /** Number of callers' connections that leave room for what the host needs itself. */
+  get callerRoom(): number {
+    const {callers, connections, tunnels} = this.parts;
+    const {used, kept} = connections.counts;
+    return callerRoom({
+      limit: this.limit,
+      used,
+      kept,
+      requests: callers.openRequests,
+      tunnels: tunnels.openTunnels,
+    });
+  }
+
+  /** Whether there is room for another tunnel. */
+  get hasTunnelRoom(): boolean {
+    return this.parts.tunnels.openTunnels < tunnelRoom(this.limit);
+  }
+
   /** The same numbers as fields of a log line. */
   describe(): EventFields {
     return this.known;
--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -3,13 +3,15 @@
 import {connect, type AddressInfo, type Socket} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
-import {CallerConnections} from '../caller-connections.js';
+import {CallerConnections, RoomMeasure} from '../caller-connections.js';
 
 /**
  * More bytes than the operating system buffers for a caller that does not read.
  */
 const LONG_ANSWER = Buffer.alloc(16_000_000, 'a');
 
+const REQUEST = 'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n';
+
 let server: Server;
 let connections: CallerConnections;
 let callers: Socket[];
@@ -134,3 +136,73 @@
     await Promise.all([once(caller, 'close'), connections.drain()]);
   });
 });
+
+describe('CallerConnections without room', () => {
+  const measures: RoomMeasure[] = [];
+
+  beforeEach(() => {
+    vi.useFakeTimers({toFake: ['performance']});
+    measures.length = 0;
+    connections.limitTo(
+      () => 2,
+      measure => measures.push(measure),
+    );
+  });
+
+  afterEach(() => {
+    vi.useRealTimers();
+  });
+
+  const countIs = (count: number) =>
+    until(() => connections.counts.connections === count);
+
+  it('refuses a new one while callers may be about to send requests', async () => {
+    const [one, other] = [await callerSends(''), await callerSends('')];
+    await countIs(2);
+    const refused = await callerSends('');
+    await once(refused, 'close');
+    expect([one, other].map(({destroyed}) => destroyed)).toEqual([
+      false,
+      false,
+    ]);
+    expect(measures).toEqual([RoomMeasure.Refused]);
+  });
+
+  it('closes the one that has been idle for longest for a new one', async () => {
+    // Guards against refusing callers for others who send nothing.
+    const busy = await callerSends(REQUEST);
+    await nextResponse();
+    const idle = await callerSends('');
+    await countIs(2);
+    vi.advanceTimersByTime(600);
+    const added = await callerSends('');
+    await once(idle, 'close');
+    expect([busy, added].map(({destroyed}) => destroyed)).toEqual([
+      false,
+      false,
+    ]);
+    expect(measures).toEqual([RoomMeasure.Closed]);
+  });
+
+  it('keeps one that was in use until it has been idle for longer', async () => {
+    const used = await callerSends(REQUEST);
+    (await nextResponse()).end();
+    await once(used, 'data');
+    await callerSends('');
+    await countIs(2);
+    vi.advanceTimersByTime(600);
+    await callerSends('');
+    await until(() => measures.length === 1);
+    await countIs(2);
+    expect(used.destroyed).toBe(false);
+    vi.advanceTimersByTime(1_500);
+    connections.limitTo(
+      () => 1,
+      measure => measures.push(measure),
+    );
+    const [last] = callers.slice(-1);
+    last?.write(REQUEST);
+    await once(used, 'close');
+    expect(last?.destroyed).toBe(false);
+  });
+});
