A stream goes on at a third endpoint if the second one refuses late

What callers saw: a resumable stream was cut in the middle of its answer, at a host that was about to stop, while four endpoints of its service had room.

Cause: an endpoint that is silent in a stream gets a standby. If the standby has neither answered nor refused for 250 ms, it takes the stream over, and the silent run is cancelled. If it refuses after that, the refusal counted as one of the route's attempts, though nothing had run, so that with two attempts none was left.

Why it works: a refusal is no run, and an answer that has begun can't begin at another host. So it doesn't count as an attempt, as it doesn't while the silent run goes on. Each further try is an endpoint that the request was not sent to, and takes from the fleet's budget of resends; requests that have no answer yet are refused as before.

--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -108,13 +108,11 @@
    * it.
    */
   private claimFailover(): boolean {
-    const {chooser, context} = this.parts;
-    const other = chooser.choose(context, this.avoided)?.endpoint;
+    const {context} = this.parts;
     this.hasClaimedFailover =
-      other !== undefined &&
       this.canFailOver() &&
       (context.caller.isAnswering || context.mayBegin()) &&
-      !this.avoided.has(other.entry.id) &&
+      this.hasOtherEndpoint() &&
       (this.hasClaimedFailover || this.claimResend());
     return this.hasClaimedFailover;
   }
@@ -329,9 +327,13 @@
    * remaining time allow it.
    */
   private retryOrGiveUp(reason: LocalReplyReason, isNotRun: boolean): NextStep {
-    this.attemptCount++;
     const {context, lifetime, chooser} = this.parts;
-    const {route} = context;
+    const {route, caller} = context;
+    // What an answer has begun with can't begin at another host, and a refusal is no run.
+    const goesOnElsewhere = isNotRun && caller.isAnswering;
+    if (!goesOnElsewhere) {
+      this.attemptCount++;
+    }
     if (!lifetime.isAbandoned && this.parts.promoteStandby()) {
       return NextStep.Retry;
     }
@@ -346,10 +348,18 @@
       this.attemptCount < route.maximumAttempts &&
       lifetime.remaining() > MINIMUM_ATTEMPT_MILLISECONDS &&
       (isNotRun || isRepeatable(route)) &&
+      (!goesOnElsewhere || this.hasOtherEndpoint()) &&
       (hasClaimed || this.claimResend());
     return mayResend ? NextStep.Retry : this.giveUp(reason);
   }
 
+  /** Whether the request may go to an endpoint that it was not sent to. */
+  private hasOtherEndpoint(): boolean {
+    const {chooser, context} = this.parts;
+    const other = chooser.choose(context, this.avoided)?.endpoint;
+    return other !== undefined && !this.avoided.has(other.entry.id);
+  }
+
   private claimResend(): boolean {
     const {context, lifetime, hostCount} = this.parts;
     return context.resends.tryTake(hostCount(), lifetime.now());
