Tests of relays and hosts that can't open connections

A relay without descriptors is not taken for an endpoint that is not reached, and a host without them doesn't take its relays for unresponsive.

--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -6,7 +6,11 @@
   type RequestListener,
   type Server,
 } from 'node:http';
-import {createServer as createTcpServer, type AddressInfo} from 'node:net';
+import {
+  createServer as createTcpServer,
+  Socket,
+  type AddressInfo,
+} from 'node:net';
 import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import {
@@ -449,3 +453,49 @@
     await relay.tunnels.idle();
   });
 });
+
+describe('a host without descriptors', () => {
+  const connect = Reflect.get(Socket.prototype, 'connect') as (
+    this: Socket,
+    ...parameters: readonly unknown[]
+  ) => Socket;
+
+  afterEach(() => {
+    vi.restoreAllMocks();
+  });
+
+  /** Makes connects to a port fail at once, as often as `count` says. */
+  function refuseConnects(port: number, count: number): void {
+    let left = count;
+    vi.spyOn(Socket.prototype, 'connect').mockImplementation(function (
+      this: Socket,
+      ...parameters: readonly unknown[]
+    ) {
+      if (
+        !JSON.stringify(parameters).includes(`"port":${port},`) ||
+        left === 0
+      ) {
+        return connect.call(this, ...parameters);
+      }
+      left--;
+      const fields = {code: 'EMFILE', syscall: 'connect'};
+      const error = Object.assign(new Error('connect EMFILE'), fields);
+      process.nextTick(() => this.destroy(error));
+      return this;
+    });
+  }
+
+  it('that relays is not taken for an endpoint that is not reached', async () => {
+    await startRelay();
+    await startRelay();
+    refuseConnects(endpoint.entry.port, 1);
+    expect(await exchange()).toMatchObject({body: 'done', isComplete: true});
+  });
+
+  it('does not take its relays for unresponsive', async () => {
+    const {address} = await startRelay();
+    refuseConnects(Number(address.split(':')[1]), 1);
+    expect((await exchange()).error).toBe('HostShortageError');
+    expect(await exchange()).toMatchObject({body: 'done', isComplete: true});
+  });
+});
