Hosts tell another one of their streams while configurations can't be read

Callers of a host that was killed while the store gave the list of endpoints but no configuration were refused at the others (503, origin unknown): no host can prove then which services the routes have gone to, and nobody had a record.

Cause: records were only sent while the list was old. Both are needed to go on without one.

Evidence: origin-reads_test.ts, 'known after a kill while hosts are withoutConfiguration': undefined in place of the origin, in each of 2 runs here.

Hosts count the knowledge as current only while configurations are read too; until then they tell one other host of new streams, and of those from before when it begins.

--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -596,6 +596,7 @@
       ownAddress: settings.peerAddress,
       otherHosts: () => this.peersInRegion(),
       listPosition: () => this.endpointFollower.deliveredUntil,
+      isConfigurationReadable: () => !this.health.configuration.isUnavailable,
       readChanges: () => this.readChanges(),
     });
   }
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -56,6 +56,8 @@
   otherHosts(): readonly PeerHost[];
   /** Every change of the list of endpoints before this offset was read. */
   listPosition(): number;
+  /** Whether configurations are read, without which routes may have changed. */
+  isConfigurationReadable(): boolean;
   /**
    * Reads endpoints and routes. Resolves with whether every change is known that was
    * written before the call.
@@ -88,8 +90,8 @@
   private readonly sender: OriginSender;
   /** The host that took the latest record of those that one host is told. */
   private toldHost: string | undefined;
-  /** Whether the list was current when the latest stream was recorded. */
-  private wasListCurrent = true;
+  /** Whether the list and the routes were current when the latest stream was recorded. */
+  private wasCurrent = true;
 
   constructor(private readonly parts: StreamOriginRegistryParts) {
     super();
@@ -214,21 +216,24 @@
 
   private record(record: OriginRecord, {host, path}: StreamRequest): void {
     this.origins.record(record, this.now());
-    const {possible, hasWatched, isCurrent} = this.parts.watch.originsOf(
-      host,
-      path,
-    );
+    const {watch} = this.parts;
+    const {
+      possible,
+      hasWatched,
+      isCurrent: isListCurrent,
+    } = watch.originsOf(host, path);
+    const isCurrent = isListCurrent && this.parts.isConfigurationReadable();
     if (possible.length !== 1 || record.origin === undefined) {
       void this.tell(record);
       return;
     }
     // While the store is lost, records alone can tell what began a stream.
-    if (this.wasListCurrent && !isCurrent) {
+    if (this.wasCurrent && !isCurrent) {
       for (const untold of this.untold.values()) {
         void this.tellOne(untold);
       }
     }
-    this.wasListCurrent = isCurrent;
+    this.wasCurrent = isCurrent;
     this.keepUntold(record);
     if (!hasWatched || !isCurrent) {
       void this.tellOne(record);
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -258,6 +258,8 @@
           host => this.knowsOthers && host.address !== this.address,
         ),
       listPosition: () => this.position ?? 0,
+      isConfigurationReadable: () =>
+        !fleet.withoutConfiguration.has(this.address),
       readChanges: () => Promise.resolve(this.readChanges()),
     });
     this.read();
