A host without ports asks others for their connections

Cause: of what a host lacks only a missing route counted for its reach. A port that is used up is lacking for connections from this host to one address; another host has its own.

Evidence: shortages-and-reach_test.ts; the case of a port failed before.

--- a/packages/gateway/src/service-reach-monitor.ts
+++ b/packages/gateway/src/service-reach-monitor.ts
@@ -32,6 +32,12 @@
 /** Error code where no process listens at an address. */
 const CONNECTION_REFUSED = 'ECONNREFUSED';
 
+/** What another host may have, so that it can open the connection. */
+const LACKED_HERE_ALONE: readonly HostShortage[] = [
+  HostShortage.Port,
+  HostShortage.Route,
+];
+
 /** Called with the name of a service. */
 type ServiceListener = (service: string) => void;
 
@@ -122,7 +128,7 @@
     if (shortage !== undefined) {
       this.parts.shortages.record(shortage, {service, endpoint: id, reason});
     }
-    if (shortage !== undefined && shortage !== HostShortage.Route) {
+    if (shortage !== undefined && !LACKED_HERE_ALONE.includes(shortage)) {
       return;
     }
     if (reason.includes(CONNECTION_REFUSED)) {
