A body that goes on after its refusal ends its connection at the limit

Found by reading: a chunked body that was refused for want of memory and then passes the limit for bodies left its connection open with the rest unread, so that a next request on it would wait. Not shown by a run; answered-callers_test.ts and caller-exchange_test.ts pass.

--- a/packages/gateway/src/caller-exchange.ts
+++ b/packages/gateway/src/caller-exchange.ts
@@ -234,6 +234,10 @@
     for await (const chunk of this.request as AsyncIterable<Buffer>) {
       bytes += chunk.length;
       if (bytes > limitBytes) {
+        if (held.isClosed) {
+          // Its request was answered; the rest must not be read as another one.
+          this.request.socket.destroy();
+        }
         throw new BodyTooLargeError();
       }
       if (!held.isClosed) {
