A standby is not given up for less than an answer either

- The head of the silent endpoint's buffered answer, or one event of its stream, cancelled the standby and used up its attempt.
If that endpoint then broke, the caller got 502, or a cut stream.
The request may return to the endpoint that was given up, whichever it was.
It fails over at once now.
- A refusal could take over after the silent endpoint's stream had begun, and can't be sent then: the caller got a head, no event and a cut.
What an answer may follow is asked when it takes over.

Beside these: a return that can't connect ends the request within its attempts, a return that was overtaken by a copy is forgotten, and only numbers that can be counted are compared.

--- a/packages/gateway/src/answer-relay.ts
+++ b/packages/gateway/src/answer-relay.ts
@@ -74,11 +74,15 @@
     attempt: EndpointAttempt,
     head: AnswerHead,
   ): Promise<boolean> {
+    return this.mayFollow(head) && (await this.confirm(attempt));
+  }
+
+  /** Whether an answer of this status may follow what was delivered. */
+  mayFollow({status, endpointHeaders}: AnswerHead): boolean {
     const isAnswer = this.context.caller.isAnswering
-      ? head.status === 200
-      : head.status < 500;
-    const hasProof = head.status >= 300 || head.endpointHeaders.hasProof;
-    return isAnswer && hasProof && (await this.confirm(attempt));
+      ? status === 200
+      : status < 500;
+    return isAnswer && (status >= 300 || endpointHeaders.hasProof);
   }
 
   /**
@@ -90,12 +94,11 @@
     head: AnswerHead,
   ): Promise<boolean> {
     if (this.isStream(head)) {
-      const {caller} = this.context;
-      const last = this.record.lastEventId ?? caller.headers.lastEventId;
-      return goesOnAfter(last, exchange);
+      return goesOnAfter(this.record.lastEventId, exchange);
     }
     await exchange.readBeginning(() => false);
-    return !exchange.hasFailed;
+    // The silent endpoint may have begun a stream meanwhile.
+    return !exchange.hasFailed && this.mayFollow(head);
   }
 
   /** Whether an answer is sent as a whole, and is no failure of its endpoint. */
@@ -175,7 +178,7 @@
       this.record,
       () => this.lifetime.now(),
       {
-        mayPassOn: () => isFromCopy || this.mayFollow(attempt),
+        mayPassOn: () => isFromCopy || this.mayPassOnRun(attempt),
         firstEvent: () => {
           attempt.admission?.began(this.lifetime.now());
           // Kept for longer than the attempt, whose buffers must not be.
@@ -203,7 +206,7 @@
     return AnswerResult.Broken;
   }
 
-  private mayFollow(attempt: EndpointAttempt): true | Promise<boolean> {
+  private mayPassOnRun(attempt: EndpointAttempt): true | Promise<boolean> {
     return (
       this.context.binding.mayPassOn(runOf(attempt)) === true ||
       this.confirm(attempt)
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -76,8 +76,8 @@
   private uncountedRefusals = 0;
   private hasClaimedFailover = false;
   private path: EndpointPath | undefined;
-  /** An endpoint that was silent when another one took the request over. */
-  private silent: KnownEndpoint | undefined;
+  /** The endpoint whose run was last given up for that of another one. */
+  private givenUp: KnownEndpoint | undefined;
   private returnsTo: ChosenEndpoint | undefined;
 
   constructor(private readonly parts: RequestRetriesParts) {}
@@ -208,7 +208,7 @@
 
   /** Records that a standby took the request over from a silent endpoint. */
   standbyTookOver({endpoint}: EndpointAttempt): void {
-    this.silent = endpoint;
+    this.givenUp = endpoint;
   }
 
   /** Records that a standby was cancelled, which its endpoint is not at fault for. */
@@ -217,6 +217,7 @@
     attempt.breaker.requestEnded();
     if (attempt.exchange.connectionOrigin !== ConnectionOrigin.None) {
       this.attemptCount++;
+      this.givenUp = attempt.endpoint;
       this.parts.record.mayHaveRun = true;
     }
   }
@@ -297,7 +298,11 @@
     // The host may have lost this path during the attempt, and there is another one.
     const hasOtherPath = path !== paths.pathTo(context.service.name);
     const maximum = (hasOtherPath ? 2 : 1) * MAXIMUM_UNREACHABLE_ENDPOINTS;
-    if (this.unreachableCount < maximum && !lifetime.isAbandoned) {
+    const mayRetry =
+      this.unreachableCount < maximum &&
+      this.attemptCount < context.route.maximumAttempts &&
+      !lifetime.isAbandoned;
+    if (mayRetry) {
       return NextStep.Retry;
     }
     return failure.shortage === undefined
@@ -391,7 +396,7 @@
     const returnsTo =
       this.attemptCount < route.maximumAttempts
         ? undefined
-        : this.returnToSilent();
+        : this.returnToGivenUp();
     const mayResend =
       !lifetime.isAbandoned &&
       !context.isTry &&
@@ -427,14 +432,14 @@
   }
 
   /**
-   * The endpoint that was silent, if the request may return to it, which adds no endpoint
-   * to those that it runs at; at most once for each time that one was silent.
+   * The endpoint whose run was given up, if the request may return to it, which adds no
+   * endpoint to those that it runs at; at most once for each that is given up.
    */
-  private returnToSilent(): ChosenEndpoint | undefined {
+  private returnToGivenUp(): ChosenEndpoint | undefined {
     const {chooser, context} = this.parts;
-    const {silent} = this;
-    this.silent = undefined;
-    return silent && chooser.continueAt(context, silent);
+    const {givenUp} = this;
+    this.givenUp = undefined;
+    return givenUp && chooser.continueAt(context, givenUp);
   }
 
   private claimResend(): boolean {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -110,6 +110,8 @@
   private readonly continuation: RunContinuation;
   private readonly standby: StandbyAttempt;
   private current: EndpointAttempt | undefined;
+  /** A standby that has been silent for longer than an attempt may be. */
+  private missedFailover: EndpointExchange | undefined;
 
   constructor(
     private readonly parts: RunParts,
@@ -159,7 +161,9 @@
     );
     this.standby = new StandbyAttempt({
       begin: () => this.beginStandby(),
-      mayTakeOver: () => this.retries.mayGoOn,
+      mayTakeOver: head =>
+        this.retries.mayGoOn &&
+        (head === undefined || this.answers.mayFollow(head)),
       mayPassOn: (attempt, head) => this.answers.mayPassOn(attempt, head),
       goesOn: (attempt, head) => this.answers.goesOn(attempt, head),
       failed: (attempt, head) => {
@@ -234,10 +238,11 @@
     }
     this.standby.cancel('another attempt begins');
     context.caller.progress.stage = RequestStage.Placement;
+    const returned = retries.takeReturn();
     const next = this.continuation.takeNext();
     const chosen =
       next ??
-      retries.takeReturn() ??
+      returned ??
       this.chooser.choose(context, retries.avoided) ??
       (await this.chooseLater());
     const place = chosen === undefined ? await this.waitForPlace() : undefined;
@@ -327,6 +332,9 @@
     this.current = attempt;
     this.record.endpoint = attempt.endpoint.entry.id;
     this.continuation.attemptBegan(attempt);
+    if (this.missedFailover === attempt.exchange) {
+      attempt.monitor.expire();
+    }
     try {
       const head = await open.head;
       this.recordAnswer(attempt, head);
@@ -359,7 +367,11 @@
    */
   private failOver(exchange: EndpointExchange): boolean {
     const {current} = this;
-    return current?.exchange === exchange && this.standby.begin(current);
+    if (current?.exchange !== exchange) {
+      this.missedFailover = exchange;
+      return false;
+    }
+    return this.standby.begin(current);
   }
 
   /**
@@ -463,7 +475,7 @@
       {
         failOver: () => this.failOver(exchange),
         wentOn: () => {
-          if (this.current?.exchange === exchange) {
+          if (this.current?.exchange === exchange && !exchange.hasFailed) {
             this.standby.cancel('the other endpoint goes on');
           }
         },
--- a/packages/gateway/src/standby-attempt.ts
+++ b/packages/gateway/src/standby-attempt.ts
@@ -31,8 +31,12 @@
    * undefined if it may not.
    */
   begin(): OpenAttempt | undefined;
-  /** Whether the request may still go on at another endpoint. */
-  mayTakeOver(): boolean;
+  /**
+   * Whether the request may still go on at the other endpoint.
+   *
+   * @param head The head of its answer, if it has come.
+   */
+  mayTakeOver(head: AnswerHead | undefined): boolean;
   /** Resolves with whether the answer may be passed on after what was delivered. */
   mayPassOn(attempt: EndpointAttempt, head: AnswerHead): Promise<boolean>;
   /** Resolves with whether the answer goes on with what was delivered. */
@@ -62,6 +66,7 @@
 export class StandbyAttempt {
   private waiting: OpenAttempt | undefined;
   private promoted: OpenAttempt | undefined;
+  private head: AnswerHead | undefined;
   private overlap: NetworkTimeout | undefined;
 
   constructor(private readonly parts: StandbyParts) {}
@@ -126,6 +131,9 @@
   ): Promise<void> {
     const {attempt} = standby;
     const head = await standby.head;
+    if (this.waiting === standby && !isFailure(head)) {
+      this.head = head;
+    }
     const takesOver = !isFailure(head) && (await this.goesOn(standby, head));
     if (this.waiting !== standby) {
       return;
@@ -161,7 +169,7 @@
   }
 
   private takeOver(silent: EndpointAttempt): void {
-    if (this.parts.mayTakeOver()) {
+    if (this.parts.mayTakeOver(this.head)) {
       this.promote();
       this.parts.tookOver(silent);
       silent.exchange.cancel('silent');
@@ -194,5 +202,6 @@
     this.overlap?.close();
     this.overlap = undefined;
     this.waiting = undefined;
+    this.head = undefined;
   }
 }
