--- a/packages/gateway/src/budget-journal.ts
+++ b/packages/gateway/src/budget-journal.ts
@@ -1,3 +1,4 @@
+import type {FoldOutcome} from '@wisteriadeal/budgets';
 import {Fate, StepError, type PartitionedLog} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {BudgetRecord} from '@wisteriadeal/schema';
@@ -49,16 +50,9 @@
     return this.replica.fold.isOpen(this.currentIncarnation);
   }
 
-  /**
-   * Whether the fold ignores this process's records: it has closed this process, or its
-   * opening is among records that the store dropped.
-   */
+  /** Whether the fold has closed this process, so that it ignores its records. */
   get isFenced(): boolean {
-    const isOpening = this.pending.some(({change}) => change.case === 'opened');
-    return (
-      this.replica.fold.closedIncarnations.has(this.currentIncarnation) ||
-      (!this.isOpen && !isOpening)
-    );
+    return this.replica.fold.closedIncarnations.has(this.currentIncarnation);
   }
 
   /** Whether records are waiting to be written. */
@@ -108,30 +102,24 @@
   }
 
   /**
-   * Writes the pending records and reads new ones. The replica returns their outcomes.
+   * Writes the pending records and reads new ones.
    *
+   * @returns Outcomes that concern this process: its opening, verdicts on its grant
+   *     requests and loans to it.
    * @throws StepError if the store gave no usable answer.
    */
-  async exchange(): Promise<void> {
-    this.announceCheckpoint();
+  async exchange(): Promise<readonly FoldOutcome[]> {
     const batch = [...this.pending];
     const offset =
       batch.length === 0 ? undefined : await this.appendBatch(batch);
-    if (offset !== undefined && offset === this.replica.fold.nextOffset) {
-      this.replica.applyOwn(batch);
-    } else {
-      await this.replica.catchUp();
-    }
+    const outcomes =
+      offset !== undefined && offset === this.replica.fold.nextOffset
+        ? this.replica.applyOwn(batch)
+        : await this.replica.catchUp();
     this.removeFolded();
-  }
-
-  /** Adds an announcement to other records; it is not worth an append of its own. */
-  private announceCheckpoint(): void {
-    const value =
-      this.pending.length === 0 ? undefined : this.replica.takeAnnouncement();
-    if (value !== undefined) {
-      this.add({case: 'checkpointWritten', value});
-    }
+    return outcomes.filter(
+      ({incarnation}) => incarnation === this.currentIncarnation,
+    );
   }
 
   private addOpening(): void {
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -33,8 +33,6 @@
 /** How long a request waits for tokens. */
 export interface WaitLimit {
   readonly milliseconds: number;
-  /** How long it waits if its tokens are granted by then and wait for a checkpoint. */
-  readonly longestMilliseconds?: number;
   /** Ends the wait early, when the caller has disconnected. */
   readonly signal?: AbortSignal;
   /** Returns the reason for the refusal when the wait ends without tokens. */
@@ -63,8 +61,6 @@
   isRefillRequested = false;
   /** Limits how often refills are requested from the log. */
   readonly refillBackoff = new RefillBackoff();
-  /** Whether granted tokens may be used only once a checkpoint contains the grant. */
-  isAwaitingCheckpoint = false;
   isBorrowing = false;
   /** What other holders could still lend. */
   readonly lenderKnowledge = new LenderKnowledge();
@@ -239,15 +235,7 @@
       const stopWaiting = () => {
         this.waiters.remove(waiter, limit.refusal());
       };
-      const longest = limit.longestMilliseconds ?? limit.milliseconds;
-      let timeout = new NetworkTimeout(limit.milliseconds, () => {
-        if (this.isAwaitingCheckpoint && longest > limit.milliseconds) {
-          const left = longest - limit.milliseconds;
-          timeout = new NetworkTimeout(left, stopWaiting);
-        } else {
-          stopWaiting();
-        }
-      });
+      const timeout = new NetworkTimeout(limit.milliseconds, stopWaiting);
       limit.signal?.addEventListener('abort', stopWaiting);
       const waiter: TokenWaiter = {
         ...waiting,
--- a/packages/gateway/src/test/budget-replica_test.ts
+++ b/packages/gateway/src/test/budget-replica_test.ts
@@ -90,14 +90,12 @@
     events,
   );
   await expect(replica.catchUp()).rejects.toThrow(StepError);
-  await replica.catchUp();
-  expect(await replica.takeOutcomes(HOST)).toMatchObject([
+  expect(await replica.catchUp()).toMatchObject([
     {kind: 'opening'},
     {kind: 'grant', granted: 10},
     {kind: 'grant', granted: 10},
   ]);
-  await replica.catchUp();
-  expect(await replica.takeOutcomes(HOST)).toEqual([]);
+  expect(await replica.catchUp()).toEqual([]);
 });
 
 it.each([1e300, -1, 0.5, Infinity, NaN])(
@@ -119,7 +117,6 @@
       CHECKPOINT_MILLISECONDS,
       events,
     );
-    await replica.catchUp();
-    expect(await replica.takeOutcomes(HOST)).toMatchObject([{kind: 'opening'}]);
+    expect(await replica.catchUp()).toMatchObject([{kind: 'opening'}]);
   },
 );
