A stopped run goes on when its host has its paths again

Cause: an endpoint that leaves stops a run, and holds it under a handle for a time that the configuration states. The host tried the run's new place and the one that holds it once each. Where the host had just lost its paths, the first failure without a path ended the request as unreachable.

Change: places of a held run are chosen when they are tried, not when the run is stopped. Endpoints that could not be reached are tried again every 200 ms for as long as the run is held. A run that nothing holds any more, of a request that may run once, ends; it never begins anew.

--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -36,11 +36,20 @@
   readonly copy: string;
 }
 
+/** A stopped run for as long as its endpoints hold it. */
+interface HeldRun {
+  readonly run: StoppedRun;
+  /** Monotonic time, milliseconds. */
+  readonly until: number;
+}
+
 /**
  * Times that a run goes on at another endpoint. A request whose runs end three
  * endpoints is more likely to be their cause than to be unlucky.
  */
 const MAXIMUM_CONTINUATIONS = 2;
+/** Time between two tries to reach an endpoint that holds a stopped run. */
+const HELD_RUN_RETRY_MILLISECONDS = 200;
 /** Events from which the pace of a run is learned. */
 const MINIMUM_PACE_EVENTS = 4;
 
@@ -53,6 +62,10 @@
   private backup: Backup | undefined;
   /** Where the run goes on; a later place only if nothing ran at those before. */
   private next: Continuation[] = [];
+  /** A stopped run whose endpoints are asked next. */
+  private held: HeldRun | undefined;
+  /** A stopped run whose endpoints are asked, or were. */
+  private tried: HeldRun | undefined;
   private move: RunMove | undefined;
   private current: Continuation | undefined;
   private continuations = 0;
@@ -70,7 +83,7 @@
 
   /** Whether there is a copy from which the run goes on. */
   get hasNext(): boolean {
-    return this.next.length > 0;
+    return this.next.length > 0 || this.held !== undefined;
   }
 
   /** Whether the endpoint of the current attempt has stopped the run to move it. */
@@ -78,8 +91,13 @@
     return this.move?.hasStopped === true;
   }
 
-  /** Where the run goes on; undefined if the next attempt begins anew. */
-  takeNext(): ChosenEndpoint | undefined {
+  /** Resolves with where the run goes on; undefined if nothing that has it is reached. */
+  async takeNext(): Promise<ChosenEndpoint | undefined> {
+    if (this.next.length === 0 && this.held !== undefined) {
+      this.next = await this.reach(this.held);
+      this.tried = this.held;
+      this.held = undefined;
+    }
     this.current = this.next.shift();
     if (this.current !== undefined) {
       const {record, metrics} = this.parts;
@@ -133,8 +151,18 @@
 
   /** Prepares to go on with a run that its endpoint has stopped. */
   afterStop(): void {
-    const stopped = this.move?.take();
-    this.next = stopped === undefined ? [] : this.placesOf(stopped);
+    const run = this.move?.take();
+    const {context, lifetime} = this.parts;
+    const {handleMilliseconds = 0} = context.service.engine ?? {};
+    this.next = [];
+    this.held = run && {run, until: lifetime.now() + handleMilliseconds};
+  }
+
+  /** Prepares to try again where a stopped run is held that could not be reached. */
+  afterNotSent(): void {
+    if (this.next.length === 0) {
+      this.held = this.tried;
+    }
   }
 
   /**
@@ -165,6 +193,7 @@
    */
   afterLoss(attempt: EndpointAttempt): void {
     this.next = [];
+    this.tried = undefined;
     const {backup} = this;
     if (backup === undefined) {
       return;
@@ -238,6 +267,24 @@
     return place !== undefined && this.claimResend() ? place : undefined;
   }
 
+  /**
+   * Resolves with the endpoints that hold a run as soon as this host has a path to them;
+   * with none when they no longer hold it.
+   */
+  private async reach(held: HeldRun): Promise<Continuation[]> {
+    const {lifetime} = this.parts;
+    let places = held === this.tried ? [] : this.placesOf(held.run);
+    while (
+      places.length === 0 &&
+      lifetime.now() < held.until &&
+      !lifetime.isAbandoned
+    ) {
+      await lifetime.sleep(HELD_RUN_RETRY_MILLISECONDS);
+      places = this.placesOf(held.run);
+    }
+    return places;
+  }
+
   private placesOf({source, handle, destination}: StoppedRun): Continuation[] {
     const {context, chooser} = this.parts;
     const copy = `${addressOf(source.entry)}/${handle}`;
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -288,12 +288,13 @@
     if (!lifetime.isAbandoned && !hasCopy && this.parts.promoteStandby()) {
       return NextStep.Retry;
     }
-    if (failure.hasNoPath === true) {
-      return this.giveUp(LocalReplyReason.EndpointsUnreachable);
-    }
     if (this.parts.continuation.isContinued) {
+      this.parts.continuation.afterNotSent();
       return this.afterLostRun();
     }
+    if (failure.hasNoPath === true) {
+      return this.giveUp(LocalReplyReason.EndpointsUnreachable);
+    }
     this.unreachableCount++;
     // The host may have lost this path during the attempt, and there is another one.
     const hasOtherPath = path !== paths.pathTo(context.service.name);
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -239,7 +239,16 @@
     this.standby.cancel('another attempt begins');
     context.caller.progress.stage = RequestStage.Placement;
     const returned = retries.takeReturn();
-    const next = this.continuation.takeNext();
+    const isContinued = this.continuation.hasNext;
+    const next = await this.continuation.takeNext();
+    const hasLostRun = isContinued && next === undefined;
+    if (
+      hasLostRun &&
+      !isRepeatable(context.route) &&
+      !context.caller.disconnectSignal.aborted
+    ) {
+      return retries.giveUp(LocalReplyReason.AnswerLost);
+    }
     const chosen =
       next ??
       returned ??
