Hosts that do not know the fleet take no extra resends

While the budget log can't be read or written, hosts that have just started each took the extra resends of the whole fleet: four hosts sent 160 requests to a second endpoint where 90 were allowed, and endpoints that turned requests away got twice the load.

A host that had not read the list of hosts counted as the only one. Now a host that is not on the list yet takes only the part that follows from its own requests, which is within the limit whatever the number of hosts. A host is on the list once it has read its own opening, and so all openings before it.

--- a/packages/decisions/src/resend-budget.ts
+++ b/packages/decisions/src/resend-budget.ts
@@ -40,14 +40,16 @@
   /**
    * Takes one resend from the budget.
    *
-   * @param hosts Number of hosts that share the limit.
+   * @param hosts Number of hosts that share the limit; undefined if it is not known.
+   *     The host then takes no part of the extra resends.
    * @returns False if the budget is exhausted.
    */
-  tryTake(hosts: number, now: number): boolean {
+  tryTake(hosts: number | undefined, now: number): boolean {
     this.dropExpired(now);
     const {resendsPerRequest: ratio, extraResends: extra} = this.limits;
-    const allowed =
-      ratio * this.requestTimes.length + Math.floor(extra / Math.max(1, hosts));
+    const extraShare =
+      hosts === undefined ? 0 : Math.floor(extra / Math.max(1, hosts));
+    const allowed = ratio * this.requestTimes.length + extraShare;
     if (this.resendTimes.length + 1 > USED_SHARE * allowed) {
       return false;
     }
--- a/packages/decisions/src/test/resend-budget_test.ts
+++ b/packages/decisions/src/test/resend-budget_test.ts
@@ -9,13 +9,19 @@
 };
 
 /** Number of resends granted if every request asks for one. */
-function grantedResends(hosts: number, requestsEach: number): number {
+function grantedResends(
+  hosts: number,
+  requestsEach: number,
+  isCountKnown = true,
+): number {
   let total = 0;
   for (let host = 0; host < hosts; host++) {
     const budget = new ResendBudget(LIMITS);
     for (let request = 0; request < requestsEach; request++) {
       budget.recordRequest(request);
-      total += budget.tryTake(hosts, request) ? 1 : 0;
+      total += budget.tryTake(isCountKnown ? hosts : undefined, request)
+        ? 1
+        : 0;
     }
   }
   return total;
@@ -36,6 +42,18 @@
     expect(grantedResends(hosts, requestsEach)).toBeLessThanOrEqual(bound);
   });
 
+  it.each([
+    [4, 40],
+    [75, 10],
+  ])('keeps %i hosts that do not know of each other within it', (...size) => {
+    // Guards against hosts that each take what all of them may.
+    const granted = grantedResends(...size, false);
+    const [hosts, requestsEach] = size;
+    const bound = LIMITS.resendsPerRequest * hosts * requestsEach;
+    expect(granted).toBeGreaterThan(0);
+    expect(granted).toBeLessThanOrEqual(bound);
+  });
+
   it('ignores resends older than the window', () => {
     const budget = new ResendBudget({
       ...LIMITS,
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -108,6 +108,11 @@
     return Math.max(1, this.replica.fold.holders.size);
   }
 
+  /** The same, for limits that all hosts share; undefined until this one is listed. */
+  get listedHolderCount(): number | undefined {
+    return this.hasOpened ? this.holderCount : undefined;
+  }
+
   /** The other processes that share the budgets, as of the last read. */
   get otherHolders(): readonly FoldedHolder[] {
     const {incarnation} = this.journal;
--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -27,6 +27,8 @@
   readonly lifetime: RequestLifetime;
   readonly dialect: Dialect;
   readonly events: EventLog;
+  /** Takes a resend from the budget; returns whether there was one. */
+  readonly claimResend: () => boolean;
 }
 
 /** A run that goes on at an endpoint. */
@@ -171,7 +173,11 @@
     }
     const chosen = this.chosenFor(backup);
     const reason = this.reasonAgainst(attempt, chosen);
-    if (chosen === undefined || reason !== undefined || !this.claimResend()) {
+    if (
+      chosen === undefined ||
+      reason !== undefined ||
+      !this.parts.claimResend()
+    ) {
       this.parts.metrics.continuationEvent(ContinuationEvent.NotContinued);
       this.log('run not continued', attempt, backup, {
         reason: reason ?? 'no resend left',
@@ -235,7 +241,7 @@
     const {context, suspects, record} = this.parts;
     const mayGoOn = record.canGoOn && suspects.mayResend(context.identity);
     const place = mayGoOn ? this.placement.placeBeside(endpoint) : undefined;
-    return place !== undefined && this.claimResend() ? place : undefined;
+    return place !== undefined && this.parts.claimResend() ? place : undefined;
   }
 
   private placesOf({source, handle, destination}: StoppedRun): Continuation[] {
@@ -251,11 +257,6 @@
       .map(chosen => ({chosen, copy}));
   }
 
-  private claimResend(): boolean {
-    const {context, lifetime, hostCount} = this.parts;
-    return context.resends.tryTake(hostCount(), lifetime.now());
-  }
-
   /** The endpoint with the copy, if it is still the start that has it. */
   private chosenFor({
     endpoint,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -694,7 +694,7 @@
           this.directory,
           gatewayLimits(settings).endpointDrainMilliseconds,
         ),
-        hostCount: () => this.budgets.holderCount,
+        resendHosts: () => this.budgets.listedHolderCount,
         readList: () => this.endpointFollower.readNow(this.changesReadLimit),
       },
       this.requests,
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -46,8 +46,8 @@
   readonly continuation: RunContinuation;
   /** Makes a standby the next attempt; returns whether there is one. */
   readonly promoteStandby: () => boolean;
-  /** Number of hosts that share the resend budget. */
-  readonly hostCount: () => number;
+  /** Takes a resend from the budget; returns whether there was one. */
+  readonly claimResend: () => boolean;
 }
 
 /**
@@ -141,7 +141,7 @@
       this.hasUntriedEndpoint() &&
       this.canFailOver() &&
       (context.caller.isAnswering || context.mayBegin()) &&
-      (this.hasClaimedFailover || this.claimResend());
+      (this.hasClaimedFailover || this.parts.claimResend());
     return this.hasClaimedFailover;
   }
 
@@ -403,7 +403,7 @@
       (this.attemptCount < route.maximumAttempts || returnsTo !== undefined) &&
       lifetime.remaining() > MINIMUM_ATTEMPT_MILLISECONDS &&
       (isNotRun || isRepeatable(route)) &&
-      (hasClaimed || this.claimResend());
+      (hasClaimed || this.parts.claimResend());
     if (!mayResend) {
       return this.giveUp(reason);
     }
@@ -441,9 +441,4 @@
     this.givenUp = undefined;
     return givenUp && chooser.continueAt(context, givenUp);
   }
-
-  private claimResend(): boolean {
-    const {context, lifetime, hostCount} = this.parts;
-    return context.resends.tryTake(hostCount(), lifetime.now());
-  }
 }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -82,8 +82,8 @@
   readonly copies: RunCopies;
   readonly leavings: EndpointLeavings;
   readonly account: InputAccount;
-  /** Number of hosts that share the resend budget. */
-  hostCount(): number;
+  /** Number of hosts that share the resend budget; undefined if it is not known. */
+  resendHosts(): number | undefined;
   /** Reads the list of endpoints at once. */
   readList(): Promise<boolean>;
 }
@@ -124,6 +124,8 @@
     this.timeouts = new AnswerTimeouts(context, paths, clock, link);
     this.lifetime = new RequestLifetime(context, clock);
     const {chooser, lifetime} = this;
+    const claimResend = () =>
+      context.resends.tryTake(parts.resendHosts(), lifetime.now());
     const completion = new RequestCompletion(dialect, context, record);
     this.completion = completion;
     this.continuation = new RunContinuation({
@@ -132,7 +134,8 @@
       record,
       chooser,
       lifetime,
-      hostCount: () => parts.hostCount(),
+      claimResend,
+      hostCount: () => placement.hostCount(),
       fraction: () => placement.fraction(),
     });
     this.retries = new RequestRetries({
@@ -147,7 +150,7 @@
       suspects: parts.suspects,
       continuation: this.continuation,
       promoteStandby: () => this.standby.promote(),
-      hostCount: () => parts.hostCount(),
+      claimResend,
     });
     this.answers = new AnswerRelay(
       dialect,
