Each holder of a stream's origin checks what it rests on

Callers saw streams of two builds: a stream that had begun at an endpoint which had started again with another build, before the list said so, went on at the build before at a host that the correction did not reach; and at the serving host itself, if the endpoint was off the list before its next start was listed.

Cause: a record told to others named a service and build alone. What it rested on, the start of the endpoint that the list named when the connection was opened, stayed with the serving host, which forgot it once the endpoint left the list. Every other holder depended on a message that may not arrive.

A record now names the start of the endpoint and the age of the connection, until the endpoint has renewed its entry. `EndpointStarts` judges that by the list, in the same way at each holder: a renewed entry confirms the record, a next start with another build takes it back, also after the endpoint was removed. Hosts of an earlier release ignore the new field, and are still told of corrections.

The test of a removed endpoint had its run at another endpoint of the build, which stayed listed, so that its expectation could not be met by a right answer.

--- a/packages/decisions/src/endpoint-entries/index.ts
+++ b/packages/decisions/src/endpoint-entries/index.ts
@@ -1,2 +1,3 @@
 export * from './entry-order.js';
 export * from './entry-orders.js';
+export * from './endpoint-starts.js';
--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -42,6 +42,16 @@
 /** Called with an endpoint. */
 type EndpointListener = (endpoint: KnownEndpoint) => void;
 
+/**
+ * Called with an endpoint that has renewed its entry.
+ *
+ * @param writtenAfter Monotonic clock, milliseconds.
+ */
+type HeartbeatListener = (
+  endpoint: KnownEndpoint,
+  writtenAfter: number,
+) => void;
+
 /**
  * Called when the complete list was read.
  *
@@ -69,10 +79,7 @@
   private readonly goneListeners: EndpointListener[] = [];
   private readonly droppedListeners: EndpointListener[] = [];
   private readonly leavingListeners: EndpointListener[] = [];
-  private readonly heartbeatListeners: ((
-    incarnation: string,
-    writtenAfter: number,
-  ) => void)[] = [];
+  private readonly heartbeatListeners: HeartbeatListener[] = [];
   /**
    * The list includes every change written before this time; monotonic clock,
    * milliseconds.
@@ -133,13 +140,8 @@
     this.droppedListeners.push(listener);
   }
 
-  /**
-   * Adds a listener for new entries of listed endpoints. It gets a time on the
-   * monotonic clock, milliseconds, after which the entry was written.
-   */
-  onHeartbeat(
-    listener: (incarnation: string, writtenAfter: number) => void,
-  ): void {
+  /** Adds a listener for new entries of listed endpoints. */
+  onHeartbeat(listener: HeartbeatListener): void {
     this.heartbeatListeners.push(listener);
   }
 
@@ -261,7 +263,7 @@
     if (offset > knownOffset) {
       endpoint.wasAlive(this.currentAsOf);
       for (const listener of this.heartbeatListeners) {
-        listener(endpoint.incarnation, this.currentAsOf);
+        listener(endpoint, this.currentAsOf);
       }
     }
   }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -225,7 +225,7 @@
     directory.onGone(({incarnation}) => {
       this.crashes.endpointGone(incarnation);
     });
-    directory.onHeartbeat((incarnation, writtenAfter) => {
+    directory.onHeartbeat(({incarnation}, writtenAfter) => {
       this.crashes.endpointLived(incarnation, writtenAfter);
       this.suspects.endpointLived(incarnation, writtenAfter);
     });
--- a/packages/gateway/src/stream-origins/origin-messages.ts
+++ b/packages/gateway/src/stream-origins/origin-messages.ts
@@ -15,16 +15,31 @@
 } from '@wisteriadeal/schema';
 
 import type {PastOrigins, WatchedOrigins} from './origin-watch.js';
+import type {UnconfirmedRun} from './unconfirmed-runs.js';
 
-/** Encodes a record, with the time that is left in place of its end. */
+/**
+ * Encodes a record, with the time that is left in place of its end.
+ *
+ * @param run The run that began the stream, while it is not confirmed.
+ */
 export function encodeRecord(
   {stream, origin, keptUntil}: OriginRecord,
   now: number,
+  run?: UnconfirmedRun,
 ): StreamOriginRecord {
   return create(StreamOriginRecordSchema, {
     stream,
     keepMilliseconds: keptUntil - now,
     ...(origin === undefined ? {} : {origin: {...origin}}),
+    ...(run === undefined
+      ? {}
+      : {
+          run: {
+            endpoint: run.start.id,
+            bornAt: run.start.bornAt,
+            openMilliseconds: now - run.openSince,
+          },
+        }),
   });
 }
 
@@ -40,6 +55,29 @@
   };
 }
 
+/**
+ * Decodes the run of another host's record; undefined if it needs no confirmation. It
+ * counts as later by the time that the message took.
+ */
+export function decodeRun(
+  {stream, origin, keepMilliseconds, run}: StreamOriginRecord,
+  now: number,
+): UnconfirmedRun | undefined {
+  return run === undefined || origin === undefined
+    ? undefined
+    : {
+        stream,
+        start: {
+          ...decodeOrigin(origin),
+          id: run.endpoint,
+          bornAt: run.bornAt,
+        },
+        openSince: now - run.openMilliseconds,
+        keptUntil: now + keepMilliseconds,
+        run: undefined,
+      };
+}
+
 /** Encodes what this host knows of a stream. */
 export function encodeAnswer(
   record: StreamOriginRecord | undefined,
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -1,5 +1,6 @@
 import {
   isSameOrigin,
+  StartVerdict,
   StreamOrigins,
   type OriginEvidence,
   type OriginKnowledge,
@@ -18,11 +19,11 @@
 
 import {decidingHosts} from '../deciding-hosts.js';
 import type {EndpointDirectory} from '../endpoint-directory.js';
-import type {KnownEndpoint} from '../known-endpoint.js';
 import type {PeerHost} from '../relay-directory.js';
 import {
   decodeAnswer,
   decodeRecord,
+  decodeRun,
   encodeAnswer,
   encodePast,
   encodeRecord,
@@ -34,13 +35,13 @@
   type OriginRecorders,
 } from './origin-recorders.js';
 import {OriginSender} from './origin-sender.js';
-import {RecentRuns} from './recent-runs.js';
 import {originOf, type FirstRun} from './stream-binding.js';
 import type {OriginWatch} from './origin-watch.js';
 import {
   StreamOriginHolder,
   type StreamOriginPeers,
 } from './stream-origin-peers.js';
+import {UnconfirmedRuns, type UnconfirmedRun} from './unconfirmed-runs.js';
 
 /** Dependencies of `StreamOriginRegistry`. */
 export interface StreamOriginRegistryParts {
@@ -86,7 +87,7 @@
   private readonly origins = new StreamOrigins();
   /** This host's own streams of which it has told nobody, oldest first. */
   private readonly untold = new Map<string, OriginRecord>();
-  private readonly recentRuns = new RecentRuns();
+  private readonly unconfirmed: UnconfirmedRuns;
   private readonly sender: OriginSender;
   /** The host that took the latest record of those that one host is told. */
   private toldHost: string | undefined;
@@ -100,11 +101,8 @@
     watch.setDifferListener(service => {
       this.tellUntold(service);
     });
-    directory.onHeartbeat((incarnation, writtenAfter) => {
-      this.recentRuns.confirm(incarnation, writtenAfter);
-    });
-    directory.onGone(endpoint => {
-      this.endpointGone(endpoint);
+    this.unconfirmed = new UnconfirmedRuns(directory, run => {
+      this.takeBack(run);
     });
   }
 
@@ -121,8 +119,16 @@
    */
   began(request: StreamRequest, run: FirstRun, keptUntil: number): void {
     const {stream} = request;
-    this.recentRuns.add({stream, run, keptUntil});
-    this.record({stream, origin: originOf(run), keptUntil}, request);
+    const {endpoint, openSince} = run;
+    const start = endpoint.entry;
+    const origin = this.judged(originOf(run), {
+      stream,
+      start,
+      openSince,
+      keptUntil,
+      run,
+    });
+    this.record({stream, origin, keptUntil}, request);
   }
 
   /** Records that a stream that was taken up goes on at this host. */
@@ -138,8 +144,7 @@
   async find(request: StreamRequest): Promise<OriginEvidence> {
     const known = this.knowledge(request);
     if (known.isRecorded) {
-      await this.readOrigin(known, known);
-      return evidenceOf(this.knowledge(request));
+      return this.checkRecord(request, known, known, []);
     }
     const others = this.parts.otherHosts().map(({address}) => address);
     // Before a host has watched for long enough, any other may have served the stream.
@@ -154,8 +159,7 @@
     const answers = await this.ask(asked, request, isKnownAlone);
     const recorded = answers.find(({isRecorded}) => isRecorded);
     if (recorded !== undefined) {
-      await this.readOrigin(recorded, known);
-      return evidenceOf(this.knowledge(request), answers);
+      return this.checkRecord(request, recorded, known, answers);
     }
     const isUpToDate = await changes;
     // Streams that began while the store was lost are told to one host, which may be any.
@@ -171,26 +175,58 @@
     };
   }
 
-  /** Reads the list if it may not have the endpoints of a recorded origin yet. */
-  private async readOrigin(
+  /**
+   * Checks a recorded origin. The list is read if it may not have its endpoints yet, or
+   * may tell of another start of the endpoint that began the stream. Other hosts that
+   * have read it are asked if this one can't.
+   */
+  private async checkRecord(
+    request: StreamRequest,
     {origin}: OriginKnowledge,
     {possible}: OriginKnowledge,
-  ): Promise<void> {
-    const isRead =
+    answers: readonly OriginKnowledge[],
+  ): Promise<OriginEvidence> {
+    const {stream} = request;
+    const isListed =
       origin === undefined ||
       possible.some(other => isSameOrigin(origin, other));
-    if (!isRead) {
-      await this.parts.readChanges();
-    }
+    const isOpen = () => this.unconfirmed.find(stream) !== undefined;
+    const {directory} = this.parts;
+    const isReadNeeded = !isListed || (isOpen() && directory.isReadable);
+    const isRead = isReadNeeded && (await this.parts.readChanges());
+    const more =
+      isRead || !isOpen()
+        ? []
+        : await this.ask(
+            this.recorderAddresses(stream),
+            request,
+            Promise.resolve(true),
+            ({record}) => record !== undefined && record.origin === undefined,
+          );
+    return evidenceOf(this.knowledge(request), [...answers, ...more]);
   }
 
   override receive(records: readonly StreamOriginRecord[]): void {
     const now = this.now();
-    for (const record of records) {
-      this.origins.record(decodeRecord(record, now), now);
+    for (const message of records) {
+      const record = decodeRecord(message, now);
+      const origin = this.judged(record.origin, decodeRun(message, now));
+      this.origins.record({...record, origin}, now);
     }
   }
 
+  /** What a stream began at, by the list as it was read last. */
+  private judged(
+    origin: StreamOrigin | undefined,
+    run: UnconfirmedRun | undefined,
+  ): StreamOrigin | undefined {
+    const isRefuted =
+      origin !== undefined &&
+      run !== undefined &&
+      this.unconfirmed.add(run, this.now()) === StartVerdict.Refuted;
+    return isRefuted ? undefined : origin;
+  }
+
   override answer({
     stream,
     requestHost,
@@ -199,7 +235,7 @@
     const now = this.now();
     const record = this.origins.find(stream, now);
     return encodeAnswer(
-      record && encodeRecord(record, now),
+      record && encodeRecord(record, now, this.unconfirmed.find(stream)),
       this.parts.watch.originsOf(requestHost, requestPath),
     );
   }
@@ -240,15 +276,14 @@
     }
   }
 
-  /** Takes back what was recorded of runs that another build may have served. */
-  private endpointGone(endpoint: KnownEndpoint): void {
-    for (const {stream, run, keptUntil} of this.recentRuns.take(endpoint)) {
-      if (originOf(run) === undefined) {
-        const record = {stream, origin: undefined, keptUntil};
-        this.origins.record(record, this.now());
-        this.untold.delete(stream);
-        void this.tell(record);
-      }
+  /** Takes back what was recorded of a run that another build may have served. */
+  private takeBack({stream, keptUntil, run}: UnconfirmedRun): void {
+    const record = {stream, origin: undefined, keptUntil};
+    this.origins.record(record, this.now());
+    this.untold.delete(stream);
+    // Hosts that can't read the list, and those of an earlier release, are told.
+    if (run !== undefined) {
+      void this.tell(record);
     }
   }
 
@@ -266,11 +301,14 @@
    *
    * @param isKnownAlone Resolves with whether this host needs no answer but a record;
    *     those that answer late are not waited for then.
+   * @param isEnough Whether no other answer is waited for.
    */
   private async ask(
     addresses: readonly string[],
     {stream, host, path}: StreamRequest,
     isKnownAlone: Promise<boolean>,
+    isEnough: (answer: StreamOriginAnswer) => boolean = ({record}) =>
+      record !== undefined,
   ): Promise<readonly OriginKnowledge[]> {
     const query = {stream, requestHost: host, requestPath: path};
     const answers: OriginKnowledge[] = [];
@@ -279,7 +317,10 @@
         try {
           const answer = await this.parts.peers.find(address, query);
           answers.push(decodeAnswer(answer));
-          if (answer.record !== undefined) {
+          if (answer.record?.run !== undefined) {
+            this.receive([answer.record]);
+          }
+          if (isEnough(answer)) {
             resolve();
           }
         } catch (error) {
@@ -380,7 +421,8 @@
     addresses: readonly string[],
     count: number,
   ): Promise<readonly string[]> {
-    const message = encodeRecord(record, this.now());
+    const run = this.unconfirmed.find(record.stream);
+    const message = encodeRecord(record, this.now(), run);
     const remaining = [...addresses];
     const told: string[] = [];
     while (told.length < count && remaining.length > 0) {
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -314,11 +314,15 @@
     return this.directory.openEndpoints(service).map(({entry}) => entry);
   }
 
-  /** Records the first event of a stream. */
-  began(stream: string, origin: StreamOrigin): void {
+  /**
+   * Records the first event of a stream.
+   *
+   * @param id Endpoint that sent it; the first one of the origin if not given.
+   */
+  began(stream: string, origin: StreamOrigin, id?: string): void {
     const sentAt = this.fleet.clock.now;
-    const endpoint = this.directory.all.find(({entry}) =>
-      isSameOrigin(entry, origin),
+    const endpoint = this.directory.all.find(
+      ({entry}) => isSameOrigin(entry, origin) && (id ?? entry.id) === entry.id,
     );
     if (endpoint === undefined) {
       throw new RangeError(`no endpoint of ${origin.build}`);
--- a/packages/gateway/src/test/origin-reads_test.ts
+++ b/packages/gateway/src/test/origin-reads_test.ts
@@ -81,7 +81,7 @@
   fleet.read();
   fleet.clock.now += 100;
   // The endpoint has another build by now, which can't be listed yet.
-  fleet.hostAt(0).began('s', V1);
+  fleet.hostAt(0).began('s', V1, id);
   fleet.removeEndpoint(id);
   fleet.read();
   fleet.restartEndpoint(id, 'v2');
