What a host watched counts only where nothing is missing after it

Callers saw streams of two builds: a host that had just started took the word of one that had watched for long, though a build, or a service that a route went to, had come and gone between what that one had read and what it read itself.

Cause: answers about a stream told that the host had watched and that its list was at most 2 s old, but not how far it had read. What is told of the past to a host that starts has its offset and version, and is dropped where these leave a gap.

Answers name both now, and are judged by the same rule. Answers of hosts of an earlier release prove nothing; a host learns from these by their past, as before.

--- a/packages/decisions/src/build-history.ts
+++ b/packages/decisions/src/build-history.ts
@@ -77,7 +77,7 @@
    *     changes may be missing between `past` and what this host read itself.
    */
   learn(past: PastBuilds, now: number): readonly string[] | undefined {
-    if (past.position < this.readFrom) {
+    if (!this.isContinuedFrom(past.position)) {
       return undefined;
     }
     const differing = past.builds
@@ -92,6 +92,11 @@
     return [...new Set(differing)];
   }
 
+  /** Whether no change is missing between the list before a position and this history. */
+  isContinuedFrom(position: number): boolean {
+    return position >= this.readFrom;
+  }
+
   /** What another host learns that has just started. */
   past(position: number, now: number): PastBuilds {
     return {
--- a/packages/decisions/src/origin-knowledge.ts
+++ b/packages/decisions/src/origin-knowledge.ts
@@ -8,7 +8,10 @@
   readonly origin: StreamOrigin | undefined;
   /** Everything that may have begun the stream, as far as the host saw. */
   readonly possible: readonly StreamOrigin[];
-  /** Whether the host has seen endpoints and routes for as long as a stream may last. */
+  /**
+   * Whether the host has seen endpoints and routes for as long as a stream may last, and
+   * the one that decides has seen what came after.
+   */
   readonly hasWatched: boolean;
   /** Whether the host's list of endpoints is current. */
   readonly isCurrent: boolean;
--- a/packages/gateway/src/stream-origins/origin-messages.ts
+++ b/packages/gateway/src/stream-origins/origin-messages.ts
@@ -78,15 +78,26 @@
       };
 }
 
+/** How far a host has read. */
+export interface ReadPositions {
+  /** Every change of the list of endpoints before this offset was read. */
+  readonly listPosition: number;
+  /** The configuration in force; undefined without one. */
+  readonly configurationVersion: number | undefined;
+}
+
 /** Encodes what this host knows of a stream. */
 export function encodeAnswer(
   record: StreamOriginRecord | undefined,
   {possible, hasWatched, isCurrent}: WatchedOrigins,
+  {listPosition, configurationVersion}: ReadPositions,
 ): StreamOriginAnswer {
   return create(StreamOriginAnswerSchema, {
     possible: possible.map(origin => ({...origin})),
     hasWatched,
     isCurrent,
+    listPosition,
+    ...(configurationVersion === undefined ? {} : {configurationVersion}),
     ...(record === undefined ? {} : {record}),
   });
 }
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -121,6 +121,25 @@
     return true;
   }
 
+  /**
+   * Whether what another host has watched and what this one has leave no gap, so that
+   * together they have watched for as long as that one.
+   *
+   * @param position Every change of the list before this offset was read there.
+   * @param version The configuration in force there.
+   */
+  isContinuedFrom(position: number, version: number): boolean {
+    return (
+      this.builds.isContinuedFrom(position) &&
+      this.configurationVersion === version
+    );
+  }
+
+  /** The configuration in force; undefined without one. */
+  get configurationVersion(): number | undefined {
+    return this.routes.current?.version;
+  }
+
   /**
    * What this host saw.
    *
--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -234,9 +234,14 @@
   }: StreamOriginQuery): StreamOriginAnswer {
     const now = this.now();
     const record = this.origins.find(stream, now);
+    const {watch} = this.parts;
     return encodeAnswer(
       record && encodeRecord(record, now, this.unconfirmed.find(stream)),
-      this.parts.watch.originsOf(requestHost, requestPath),
+      watch.originsOf(requestHost, requestPath),
+      {
+        listPosition: this.parts.listPosition(),
+        configurationVersion: watch.configurationVersion,
+      },
     );
   }
 
@@ -316,7 +321,7 @@
       const asked = addresses.map(async address => {
         try {
           const answer = await this.parts.peers.find(address, query);
-          answers.push(decodeAnswer(answer));
+          answers.push(this.answered(answer));
           if (answer.record?.run !== undefined) {
             this.receive([answer.record]);
           }
@@ -344,6 +349,17 @@
     return [...answers];
   }
 
+  /** What another host watched is of use if nothing is missing after it. */
+  private answered(answer: StreamOriginAnswer): OriginKnowledge {
+    const {listPosition = -1, configurationVersion = -1} = answer;
+    const isContinued = this.parts.watch.isContinuedFrom(
+      listPosition,
+      configurationVersion,
+    );
+    const knowledge = decodeAnswer(answer);
+    return {...knowledge, hasWatched: knowledge.hasWatched && isContinued};
+  }
+
   private keepUntold(record: OriginRecord): void {
     const now = this.now();
     this.untold.delete(record.stream);
--- a/packages/gateway/src/test/origin-answers_test.ts
+++ b/packages/gateway/src/test/origin-answers_test.ts
@@ -31,6 +31,26 @@
     expect(await fleet.hostAt(0).originOf('s')).toBeUndefined();
   });
 
+  it('that has just started and asks one with an older configuration', async () => {
+    // Guards against services of versions that came and went between what two hosts read.
+    fleet.addEndpoint('tutors', 'v2');
+    const serving = fleet.hostAt(2);
+    for (const {address} of fleet.hosts) {
+      fleet.cuts.add(`${serving.address} ${address}`);
+    }
+    fleet.withoutConfiguration.add(fleet.hostAt(1).address);
+    fleet.services = ['tutors'];
+    fleet.version++;
+    serving.read();
+    serving.began('s', {service: 'tutors', build: 'v2'});
+    await fleet.settle();
+    fleet.services = ['models'];
+    fleet.version++;
+    fleet.read();
+    fleet.restart(0);
+    expect(await fleet.hostAt(0).originOf('s')).toBeUndefined();
+  });
+
   it('that has read neither the new list nor of other hosts', async () => {
     // Guards against a host that takes itself for the only one.
     const outOfStep = fleet.hostAt(0);
