Configurations that a host may have missed don't count as never in force

Callers saw streams of two services: a route had moved to another service and back while a host read neither configuration change. That host took the copy of another one over, or the store had dropped the records, and it went on with a stream without a record at the service that it knew, as if the other one had never been in force.

Cause: the newest value of a key alone was read, and `RouteHistory` took the versions that it was given for all there were. Numbers of versions have gaps anyway; offsets tell.

`ConfigurationSequence` notices whether records are missing between what was read and the list of newest values. If so, the host no longer counts as having watched the routes, and asks others at once for how long they have not moved under the version that both have; that is what a host does that has just started. A history of more than eight moves no longer hides that something is missing.

The hosts of these tests report a skipped version as the follower does.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -5,7 +5,7 @@
 import type {Dialect} from './dialect.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import {EndpointStatements} from './endpoint-statements/index.js';
-import {areFirstRecords, KeyedTopicReader} from './keyed-follower.js';
+import {areAllRecords, KeyedTopicReader} from './keyed-follower.js';
 import {KnownEndpoint} from './known-endpoint.js';
 import type {StoreHealth} from './store-health.js';
 
@@ -280,7 +280,7 @@
       }
     }
     for (const listener of this.readListeners) {
-      listener(position, areFirstRecords(records, position));
+      listener(position, areAllRecords(records, 0, position));
     }
   }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -67,7 +67,7 @@
 import {StoreHealth} from './store-health.js';
 import {
   ConnectStreamOriginPeers,
-  FirstConfigurations,
+  ConfigurationSequence,
   OriginWatch,
   PastOriginsSource,
   StreamOriginRegistry,
@@ -728,8 +728,15 @@
       new CombinedTopicReader([
         this.configuration,
         this.evacuations,
-        new FirstConfigurations(() => {
-          this.originWatch.sawAllConfigurations();
+        new ConfigurationSequence({
+          onWhole: () => {
+            this.originWatch.sawAllConfigurations();
+          },
+          onMissed: (from, to) => {
+            events.info('configurations may be missing', {from, to});
+            this.originWatch.missedConfigurations();
+            void this.pastOrigins.learnMissed();
+          },
         }),
       ]),
       {
--- a/packages/gateway/src/keyed-follower.ts
+++ b/packages/gateway/src/keyed-follower.ts
@@ -367,18 +367,24 @@
 }
 
 /**
- * Whether the newest records of a topic's keys are all that it has ever had: no key was
- * written twice or deleted.
+ * Whether the newest records of a topic's keys are all that it has had since an offset: no
+ * key was written twice or deleted.
  *
+ * @param from The first offset that counts.
  * @param position Every change before this offset is included.
  * @example
  * ```ts
- * areFirstRecords([{key: 'config', value, offset: 0}], 1); // true
+ * areAllRecords([{key: 'config', value, offset: 4}], 4, 5); // true
+ * areAllRecords([{key: 'config', value, offset: 4}], 3, 5); // false
  * ```
  */
-export function areFirstRecords(
+export function areAllRecords(
   records: readonly KeyedRecord[],
+  from: number,
   position: number,
 ): boolean {
-  return records.filter(({offset}) => offset < position).length === position;
+  const included = records.filter(
+    ({offset}) => offset >= from && offset < position,
+  );
+  return included.length === position - from;
 }
--- a/packages/gateway/src/stream-origins/index.ts
+++ b/packages/gateway/src/stream-origins/index.ts
@@ -1,4 +1,4 @@
-export * from './first-configurations.js';
+export * from './configuration-sequence.js';
 export * from './origin-watch.js';
 export * from './past-origins-source.js';
 export * from './stream-binding.js';
--- a/packages/gateway/src/stream-origins/origin-watch.ts
+++ b/packages/gateway/src/stream-origins/origin-watch.ts
@@ -100,6 +100,11 @@
     this.routes.sawAll();
   }
 
+  /** Records that configurations may have come and gone that this host has not seen. */
+  missedConfigurations(): void {
+    this.routes.missed(this.now());
+  }
+
   /**
    * Adds what was seen before this host started.
    *
--- a/packages/gateway/src/stream-origins/past-origins-source.ts
+++ b/packages/gateway/src/stream-origins/past-origins-source.ts
@@ -60,6 +60,12 @@
     });
   }
 
+  /** Asks other hosts what this one has missed. */
+  async learnMissed(): Promise<void> {
+    await this.askSomeHosts(FIRST_ASKED_HOSTS);
+    await this.askUntilComplete();
+  }
+
   /** Asks no more hosts. */
   close(): void {
     this.stop.abort();
--- a/packages/gateway/src/stream-origins/route-history.ts
+++ b/packages/gateway/src/stream-origins/route-history.ts
@@ -56,7 +56,8 @@
     }
     this.replaced.push({configuration: before, until: now});
     if (this.replaced.length > MAXIMUM_REPLACED) {
-      this.completeSince = this.replaced.shift()?.until ?? now;
+      const {until} = this.replaced.shift() ?? {until: now};
+      this.completeSince = Math.max(this.completeSince, until);
     }
     return true;
   }
@@ -66,6 +67,11 @@
     this.completeSince = -Infinity;
   }
 
+  /** Records that configurations may have come and gone that this host has not seen. */
+  missed(now: number): void {
+    this.completeSince = now;
+  }
+
   /** Adds what another host saw, if it has the same configuration in force. */
   learn({version, unchangedMilliseconds}: PastRoutes, now: number): void {
     if (version === this.inForce?.version) {
--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -280,8 +280,13 @@
   read(): void {
     const mayRead = !this.fleet.withoutConfiguration.has(this.address);
     if (mayRead && this.version !== this.fleet.version) {
+      const areMissed =
+        this.version > 0 && this.fleet.version > this.version + 1;
       this.version = this.fleet.version;
       this.watch.configurationAdopted(this.fleet.configuration);
+      if (areMissed) {
+        this.watch.missedConfigurations();
+      }
     }
     this.readList();
   }
--- a/packages/gateway/src/test/route-moves_test.ts
+++ b/packages/gateway/src/test/route-moves_test.ts
@@ -2,6 +2,7 @@
 
 import {OriginFleet, WATCH_MILLISECONDS} from './origin-fleet.js';
 
+const MODELS = {service: 'models', build: 'v1'};
 const TUTORS = {service: 'tutors', build: 'v1'};
 /** Index of the host that does not read a configuration. */
 const OUT_OF_STEP = 2;
@@ -61,4 +62,16 @@
     cutOff();
     expect(await fleet.hostAt(OUT_OF_STEP).originOf('s')).toBeUndefined();
   });
+
+  it('is known without a record at a host that missed one and learned that no route had moved', async () => {
+    // Guards against streams that are refused wherever the copy of another host is taken over.
+    moveRoute('models');
+    fleet.withoutConfiguration.clear();
+    moveRoute('models');
+    const outOfStep = fleet.hostAt(OUT_OF_STEP);
+    expect(await outOfStep.originOf('before')).toEqual(MODELS);
+    await outOfStep.learnFrom(fleet.hostAt(0).address);
+    cutOff();
+    expect(await outOfStep.originOf('after')).toEqual(MODELS);
+  });
 });
