--- a/packages/gateway/src/test/origin-fleet.ts
+++ b/packages/gateway/src/test/origin-fleet.ts
@@ -280,8 +280,13 @@
   read(): void {
     const mayRead = !this.fleet.withoutConfiguration.has(this.address);
     if (mayRead && this.version !== this.fleet.version) {
+      const areMissed =
+        this.version > 0 && this.fleet.version > this.version + 1;
       this.version = this.fleet.version;
       this.watch.configurationAdopted(this.fleet.configuration);
+      if (areMissed) {
+        this.watch.missedConfigurations();
+      }
     }
     this.readList();
   }
@@ -314,11 +319,15 @@
     return this.directory.openEndpoints(service).map(({entry}) => entry);
   }
 
-  /** Records the first event of a stream. */
-  began(stream: string, origin: StreamOrigin): void {
+  /**
+   * Records the first event of a stream.
+   *
+   * @param id Endpoint that sent it; the first one of the origin if not given.
+   */
+  began(stream: string, origin: StreamOrigin, id?: string): void {
     const sentAt = this.fleet.clock.now;
-    const endpoint = this.directory.all.find(({entry}) =>
-      isSameOrigin(entry, origin),
+    const endpoint = this.directory.all.find(
+      ({entry}) => isSameOrigin(entry, origin) && (id ?? entry.id) === entry.id,
     );
     if (endpoint === undefined) {
       throw new RangeError(`no endpoint of ${origin.build}`);
