An endpoint gets its usual part again a second after a rest

Cause: a refusal that came later than a first event usually does counted as a slow answer when its request ended, and so did the first answer after the rest, which may wait for a connection. Either is one observation of few, and falls to the mean in 20 s, in which the host hardly chooses the endpoint and so learns nothing new.

Works as neither a refusal nor the first answer after a rest says how fast an endpoint is, and what was seen before the rest is forgotten when it is asked for.

--- a/packages/decisions/src/balancing/endpoint-work.ts
+++ b/packages/decisions/src/balancing/endpoint-work.ts
@@ -31,10 +31,7 @@
    * The host's own requests go in turns where this is equal.
    */
   sentMilliseconds: number | undefined;
-  private readonly logSlowness = new DecayedMean(
-    SPEED_MEMORY_MILLISECONDS,
-    MAXIMUM_WEIGHT,
-  );
+  private logSlowness = newMean();
   private readonly waiting = new Set<RequestWork>();
   private latestSource = SpeedSource.None;
 
@@ -61,6 +58,12 @@
     this.latestSource = source;
   }
 
+  /** Forgets what was observed of the endpoint's speed. */
+  forgetSpeed(): void {
+    this.logSlowness = newMean();
+    this.latestSource = SpeedSource.None;
+  }
+
   /** Adds a request that was sent. */
   add(work: RequestWork): void {
     this.waiting.add(work);
@@ -89,3 +92,7 @@
     return oldest === undefined ? value : Math.max(value, oldest.delay(now));
   }
 }
+
+function newMean(): DecayedMean {
+  return new DecayedMean(SPEED_MEMORY_MILLISECONDS, MAXIMUM_WEIGHT);
+}
--- a/packages/decisions/src/balancing/request-work.ts
+++ b/packages/decisions/src/balancing/request-work.ts
@@ -19,6 +19,11 @@
   /** Expected number of tokens to read. */
   readonly tokens: number;
   readonly isStream: boolean;
+  /**
+   * Whether it is the first one after a rest of its endpoint. It may have to wait for a
+   * connection, so that its answer shows nothing of how fast the endpoint works.
+   */
+  readonly isTrial?: boolean;
   /** Time that the endpoint needs with it for all that the host sent there, milliseconds. */
   readonly sentMilliseconds: number;
 }
@@ -107,10 +112,10 @@
   }
 
   /**
-   * Records that the request was not sent, as there was no connection. That shows
-   * nothing of how fast the endpoint works.
+   * Records that the endpoint does not run the request: there was no connection, or it
+   * refused. That shows nothing of how fast it works.
    */
-  notSent(): void {
+  notRun(): void {
     this.hasEnded = true;
     this.endpoint.remove(this);
   }
@@ -158,6 +163,9 @@
     source: SpeedSource,
     now: number,
   ): void {
+    if (this.size.isTrial === true) {
+      return;
+    }
     const logSlowness = Math.max(
       -MAXIMUM_LOG_SLOWNESS,
       Math.min(MAXIMUM_LOG_SLOWNESS, Math.log(factor)),
--- a/packages/decisions/src/endpoint-statements/stated-rest.ts
+++ b/packages/decisions/src/endpoint-statements/stated-rest.ts
@@ -21,6 +21,11 @@
   private needsProbe = false;
   private probeSentAt = -Infinity;
 
+  /** Whether the next request, or one in progress, is the first one after a rest. */
+  get isOnTrial(): boolean {
+    return this.needsProbe;
+  }
+
   /** Time until the endpoint takes requests again; 0 if it does. */
   remainingMilliseconds(now: number): number {
     return Math.max(0, this.until - now);
--- a/packages/decisions/src/test/balancing_test.ts
+++ b/packages/decisions/src/test/balancing_test.ts
@@ -125,12 +125,12 @@
   });
 });
 
-describe('a request that was not sent', () => {
+describe('a request that was not run', () => {
   it('says nothing of the speed of its endpoint', () => {
-    // Guards against a sound endpoint that is shunned as slow for a connect time-out.
+    // Guards against a sound endpoint that is shunned as slow for a connect time-out or a late refusal.
     const work = new EndpointWork();
     const request = new RequestWork(work, new ServiceSpeed(), LONG_STREAM, 0);
-    request.notSent();
+    request.notRun();
     request.ended(400);
     expect(work.slowness(0, 400)).toBe(1);
     expect(work.waitingTokens).toBe(0);
--- a/packages/decisions/src/test/stated-rest_test.ts
+++ b/packages/decisions/src/test/stated-rest_test.ts
@@ -1,6 +1,7 @@
 import {describe, expect, it} from 'vitest';
 
 import {StatedRest} from '../endpoint-statements/index.js';
+import {RestReplay, type RestScenario} from './rest-replay.js';
 
 const REST = 3_000;
 
@@ -52,3 +53,26 @@
     expect(rest.remainingMilliseconds(0)).toBe(600_000);
   });
 });
+
+describe.each([3, 12])('before %i hosts', hosts => {
+  const MINIMUM_SHARE = 0.7;
+  const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+  /** Least share of the first endpoint in four seconds that begin a second late. */
+  const leastShare = (
+    from: number,
+    scenario: Pick<RestScenario, 'refusesUntil'>,
+  ) =>
+    Math.min(
+      ...SEEDS.map(seed =>
+        new RestReplay({hosts, seed, ...scenario})
+          .run(from + 5_000)
+          .shareOfFirst(from + 1_000, from + 5_000),
+      ),
+    );
+
+  it('an endpoint gets its usual part again a second after its rest', () => {
+    // Guards against an endpoint that is shunned for the time of one answer or refusal.
+    const share = leastShare(4_500, {refusesUntil: 2_500});
+    expect(share).toBeGreaterThan(MINIMUM_SHARE);
+  });
+});
--- a/packages/gateway/src/balancing/begin-work.ts
+++ b/packages/gateway/src/balancing/begin-work.ts
@@ -30,6 +30,7 @@
     sharedTokens,
     tokens,
     isStream: route.kind === RouteKind.Streaming,
+    isTrial: endpoint.conditions.rest.isOnTrial,
     sentMilliseconds:
       sentMilliseconds + turn * slowness * speed.beginMilliseconds(tokens),
   };
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -126,10 +126,11 @@
   }
 
   private takeUpRest(
-    {entry, conditions: {rest}}: KnownEndpoint,
+    endpoint: KnownEndpoint,
     {statement, sentAt, request}: StatedAnswer,
   ): void {
     const {restMilliseconds} = statement;
+    const {rest} = endpoint.conditions;
     const now = this.clock.monotonicMilliseconds();
     if (restMilliseconds === undefined) {
       rest.answered(sentAt);
@@ -137,12 +138,12 @@
     }
     if (rest.remainingMilliseconds(now) === 0) {
       this.events.info('endpoint asks for rest', {
-        endpoint: entry.id,
+        endpoint: endpoint.entry.id,
         request,
         restMilliseconds,
       });
     }
-    rest.asked(restMilliseconds, now);
+    endpoint.askedForRest(restMilliseconds, now);
   }
 
   private takeUpLimit(
--- a/packages/gateway/src/known-endpoint.ts
+++ b/packages/gateway/src/known-endpoint.ts
@@ -66,6 +66,12 @@
     this.breaker = new EndpointCircuitBreaker(this.onTrip);
   }
 
+  /** Records that it asks for rest. What was seen of its speed does not outlast that. */
+  askedForRest(milliseconds: number, now: number): void {
+    this.conditions.rest.asked(milliseconds, now);
+    this.work.forgetSpeed();
+  }
+
   /**
    * Records that the answer to a request sent at this time kept the connection
    * open.
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -573,8 +573,7 @@
   }
 
   private restAfterFlood({endpoint, path}: ChosenEndpoint): void {
-    const {rest} = endpoint.conditions;
-    rest.asked(REST_AFTER_FLOOD_MILLISECONDS, this.lifetime.now());
+    endpoint.askedForRest(REST_AFTER_FLOOD_MILLISECONDS, this.lifetime.now());
     path.connections.closeIdle(endpoint.entry);
   }
 
@@ -627,8 +626,8 @@
       }
       monitor.headReceived();
     }
-    if (isFailure(head) && head.kind === FailureKind.NotSent) {
-      work.notSent();
+    if (hasRefused || (isFailure(head) && head.kind === FailureKind.NotSent)) {
+      work.notRun();
     }
     if (!isFailure(head) || hasRefused) {
       breaker.recordResponse();
--- a/packages/gateway/src/test/stated-admission_test.ts
+++ b/packages/gateway/src/test/stated-admission_test.ts
@@ -1,4 +1,4 @@
-import {LimitTurns} from '@wisteriadeal/decisions';
+import {LimitTurns, SpeedSource} from '@wisteriadeal/decisions';
 import {FakeClock} from '@wisteriadeal/stand-ins';
 import {beforeEach, describe, expect, it} from 'vitest';
 
@@ -49,6 +49,14 @@
     expect(retryAfter(0.5)).toBe(1_500);
   });
 
+  it('forgets how slow an endpoint was that asks for rest', () => {
+    // Guards against an endpoint that stays shunned for what it has recovered from.
+    endpoint.work.observe(1, 1, SpeedSource.FirstEvent, NOW);
+    expect(endpoint.work.slowness(0, NOW)).toBeGreaterThan(1);
+    endpoint.askedForRest(1_200, NOW);
+    expect(endpoint.work.slowness(0, NOW)).toBe(1);
+  });
+
   it('sends callers back when an endpoint takes the next request of any host', () => {
     endpoint.conditions.limit.answered(1, NOW, NOW);
     expect(retryAfter()).toBe(1_000);
