Hosts send to endpoints that they haven't sent to before

Cause: the turns of a host compare what it has sent to each endpoint with the mean. An endpoint without any counted as the mean at all times, and one of the others is always below the mean.

Works as an endpoint begins at the mean of that moment, and falls below it while others get requests: each host comes to it within one round of its endpoints, at its usual rate.

--- a/packages/decisions/src/balancing/endpoint-work.ts
+++ b/packages/decisions/src/balancing/endpoint-work.ts
@@ -28,7 +28,8 @@
   runningStreams = 0;
   /**
    * Time that the endpoint needs for all that this host has sent there, milliseconds.
-   * The host's own requests go in turns where this is equal.
+   * The host's own requests go in turns where this is equal. Undefined before the
+   * endpoint could first have got a request.
    */
   sentMilliseconds: number | undefined;
   private logSlowness = newMean();
--- a/packages/decisions/src/balancing/expected-cost.ts
+++ b/packages/decisions/src/balancing/expected-cost.ts
@@ -65,6 +65,7 @@
     this.otherStreams =
       ((request.hosts - 1) * streams) / Math.max(1, candidates.length);
     this.computeMeans(candidates);
+    this.startTurns(candidates);
   }
 
   /**
@@ -130,6 +131,18 @@
     }
   }
 
+  /**
+   * An endpoint that is new to this host takes part in its turns from now on. If it kept
+   * to the mean, one of the others would always be below it.
+   */
+  private startTurns(candidates: readonly CostCandidate[]): void {
+    for (const {dataCenter, work} of candidates) {
+      if (work !== undefined) {
+        work.sentMilliseconds ??= this.meanSent.get(dataCenter) ?? 0;
+      }
+    }
+  }
+
   /** The time until the answer begins at an endpoint of usual speed. */
   private waitMilliseconds(
     {work, load, slots}: CostCandidate,
--- a/packages/decisions/src/test/rest-replay.ts
+++ b/packages/decisions/src/test/rest-replay.ts
@@ -31,7 +31,9 @@
   readonly hosts: number;
   readonly seed: number;
   /** Until then the first endpoint refuses requests and asks for rest, milliseconds. */
-  readonly refusesUntil: number;
+  readonly refusesUntil?: number;
+  /** When the first endpoint joins, milliseconds; at the begin by default. */
+  readonly joinsAt?: number;
 }
 
 /** An endpoint as a host sees it. */
@@ -113,7 +115,7 @@
 
   private send(host: RestingHost): void {
     const {now} = this;
-    const {refusesUntil} = this.scenario;
+    const {refusesUntil = 0, joinsAt = 0} = this.scenario;
     const placement = choosePlacement(
       {
         sharedPart: undefined,
@@ -124,7 +126,9 @@
         fraction: this.fraction(),
         cost: {...COST, now, speed: host.speed, hosts: this.hosts.length},
       },
-      host.endpoints.filter(({rest}) => rest.mayTake(now)),
+      host.endpoints.filter(
+        ({index, rest}) => rest.mayTake(now) && (index > 0 || now >= joinsAt),
+      ),
     );
     if (placement === undefined) {
       throw new Error('no endpoint was chosen');
--- a/packages/decisions/src/test/stated-rest_test.ts
+++ b/packages/decisions/src/test/stated-rest_test.ts
@@ -54,14 +54,11 @@
   });
 });
 
-describe.each([3, 12])('before %i hosts', hosts => {
+describe.each([3, 12, 40])('before %i hosts', hosts => {
   const MINIMUM_SHARE = 0.7;
   const SEEDS = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
   /** Least share of the first endpoint in four seconds that begin a second late. */
-  const leastShare = (
-    from: number,
-    scenario: Pick<RestScenario, 'refusesUntil'>,
-  ) =>
+  const leastShare = (from: number, scenario: Partial<RestScenario>) =>
     Math.min(
       ...SEEDS.map(seed =>
         new RestReplay({hosts, seed, ...scenario})
@@ -75,4 +72,10 @@
     const share = leastShare(4_500, {refusesUntil: 2_500});
     expect(share).toBeGreaterThan(MINIMUM_SHARE);
   });
+
+  it('an endpoint that joins gets its part after a second', () => {
+    // Guards against hosts that go on with the endpoints that they know.
+    const share = leastShare(5_000, {joinsAt: 5_000});
+    expect(share).toBeGreaterThan(MINIMUM_SHARE);
+  });
 });
