Close unused connections of callers, oldest first, before any other

Cause: all closed ones were new, none was kept. 30 connects at once overflow the queue of the system, so some come back a second later, into a room full of unused connections. These were closed for a new one only after 500 ms, but at 200 new ones a second the room holds them for 200 to 260 ms, so that most new ones were refused.

Now the oldest connection without a request is closed for a new one once it is 100 ms old. One that had a request is closed only between requests, after 2 s without one, if no unused one can be closed and unused ones hold less than a quarter of the room. The candidates are kept in order, so that no walk over all connections is needed, and the room is computed only beyond its minimum, once for each accept or request.

--- a/packages/decisions/src/caller-room.ts
+++ b/packages/decisions/src/caller-room.ts
@@ -8,6 +8,12 @@
 /** Part of all descriptors that tunnels for other hosts may take. */
 const TUNNEL_PART = 1 / 4;
 const DESCRIPTORS_OF_A_TUNNEL = 2;
+/** Callers that send a request as they connect have sent it by then. */
+const MINIMUM_UNUSED_MILLISECONDS = 100;
+/** Time without a request before a connection that had one is closed to make room. */
+const MINIMUM_IDLE_MILLISECONDS = 2_000;
+/** Part of the room that connections without a request may take from those that had one. */
+const UNUSED_PART = 1 / 4;
 
 /** What a host has open beside its callers' connections. */
 export interface HeldDescriptors {
@@ -43,17 +49,75 @@
   if (limit === undefined) {
     return Infinity;
   }
-  const reserve = Math.min(
-    MAXIMUM_RESERVE,
-    Math.max(MINIMUM_RESERVE, Math.floor(limit * RESERVED_PART)),
-  );
-  const shared = Math.max(0, limit - reserve);
   const left =
-    shared -
+    sharedDescriptors(limit) -
     kept -
     Math.max(used, requests) -
     DESCRIPTORS_OF_A_TUNNEL * tunnels;
-  return Math.max(1, left, Math.floor(shared * MINIMUM_CALLER_PART));
+  return Math.max(left, minimumCallerRoom(limit));
+}
+
+/** Number of callers' connections for which a host has room whatever else is open. */
+export function minimumCallerRoom(limit: number | undefined): number {
+  return limit === undefined
+    ? Infinity
+    : Math.max(1, Math.floor(sharedDescriptors(limit) * MINIMUM_CALLER_PART));
+}
+
+function sharedDescriptors(limit: number): number {
+  const reserve = Math.min(
+    MAXIMUM_RESERVE,
+    Math.max(MINIMUM_RESERVE, Math.floor(limit * RESERVED_PART)),
+  );
+  return Math.max(0, limit - reserve);
+}
+
+/** Callers' connections on which nothing is in progress, without a new one. */
+export interface IdleConnections {
+  /** Number of those on which no request has come. */
+  readonly unused: number;
+  /** Age of the oldest of these, in milliseconds; undefined if there is none. */
+  readonly unusedMilliseconds: number | undefined;
+  /**
+   * Longest time since the last answer on one that had a request, in milliseconds;
+   * undefined if there is none.
+   */
+  readonly idleMilliseconds: number | undefined;
+}
+
+/** What is closed to make room for a connection. */
+export enum RoomChoice {
+  /** The oldest connection on which no request has come. */
+  OldestUnused = 'oldest unused',
+  /** The connection that had a request and has been idle for longest. */
+  LongestIdle = 'longest idle',
+  /** No open connection; a new one has to be refused. */
+  None = 'none',
+}
+
+/**
+ * Chooses the connection that is closed where there is no room for one more. This applies
+ * when callers open connections and send nothing, faster than these time out: unused
+ * connections displace each other, oldest first, so that a caller that sends its request
+ * as it connects is served, and callers with kept connections are not concerned.
+ *
+ * @param room What `callerRoom` returns.
+ */
+export function chooseToClose(
+  {unused, unusedMilliseconds = 0, idleMilliseconds = 0}: IdleConnections,
+  room: number,
+): RoomChoice {
+  if (unusedMilliseconds >= MINIMUM_UNUSED_MILLISECONDS) {
+    return RoomChoice.OldestUnused;
+  }
+  return isLongIdle(idleMilliseconds) && unused < room * UNUSED_PART
+    ? RoomChoice.LongestIdle
+    : RoomChoice.None;
+}
+
+/** Whether a connection that had a request may be closed to make room. */
+export function isLongIdle(idleMilliseconds: number): boolean {
+  return idleMilliseconds >= MINIMUM_IDLE_MILLISECONDS;
 }
 
 /** Number of tunnels for which a host has room, by its limit on descriptors. */
--- a/packages/decisions/src/test/caller-room_test.ts
+++ b/packages/decisions/src/test/caller-room_test.ts
@@ -1,7 +1,13 @@
 import {fc, test} from '@fast-check/vitest';
 import {expect, it} from 'vitest';
 
-import {callerRoom, tunnelRoom} from '../caller-room.js';
+import {
+  callerRoom,
+  chooseToClose,
+  minimumCallerRoom,
+  RoomChoice,
+  tunnelRoom,
+} from '../caller-room.js';
 
 const count = fc.integer({min: 0, max: 5_000});
 const limit = fc.integer({min: 64, max: 100_000});
@@ -15,6 +21,7 @@
     const isLeast = room <= Math.max(1, held.limit / 4);
     expect(room).toBeGreaterThan(0);
     expect(isLeast || all <= held.limit - 40).toBe(true);
+    expect(room).toBeGreaterThanOrEqual(minimumCallerRoom(held.limit));
   },
 );
 
@@ -37,3 +44,62 @@
   }
   expect(2 * tunnelRoom(limit)).toBeLessThanOrEqual(40);
 });
+
+const ROOM = 70;
+
+/**
+ * Replays callers that send a request 5 ms after they have connected, between others that
+ * send nothing, beside callers with kept connections; numbers are connections.
+ */
+function replayUnused(unusedPerSecond: number, kept: number) {
+  const unused: {readonly at: number; readonly sendsAt: number}[] = [];
+  const counts = {served: 0, closedUnread: 0, refused: 0, keptClosed: 0};
+  const everyMilliseconds = 1_000 / unusedPerSecond;
+  for (let index = 0; index < 3 * unusedPerSecond; index++) {
+    const now = index * everyMilliseconds;
+    const isCaller = index % 10 === 0;
+    const sending = unused.findIndex(({sendsAt}) => sendsAt <= now);
+    if (sending >= 0) {
+      counts.served++;
+      unused.splice(sending, 1);
+    }
+    if (unused.length + kept - counts.keptClosed >= ROOM) {
+      const choice = chooseToClose(
+        {
+          unused: unused.length,
+          unusedMilliseconds: now - (unused[0]?.at ?? now),
+          idleMilliseconds: now,
+        },
+        ROOM,
+      );
+      if (choice === RoomChoice.None) {
+        counts.refused += Number(isCaller);
+        continue;
+      }
+      if (choice === RoomChoice.LongestIdle) {
+        counts.keptClosed++;
+      } else if ((unused.shift()?.sendsAt ?? Infinity) < Infinity) {
+        counts.closedUnread++;
+      }
+    }
+    unused.push({at: now, sendsAt: isCaller ? now + 5 : Infinity});
+  }
+  return counts;
+}
+
+it('serves callers that send as they connect, between others that send nothing', () => {
+  // Replays unused connections that come faster than one of them has been idle for long.
+  const none = {closedUnread: 0, refused: 0, keptClosed: 0};
+  expect(replayUnused(200, 30)).toMatchObject({...none, served: 60});
+});
+
+it('closes no kept connection for more unused ones than a part of the room', () => {
+  const {keptClosed} = replayUnused(2_000, 50);
+  expect(keptClosed).toBe(0);
+  expect(
+    chooseToClose(
+      {unused: 0, unusedMilliseconds: undefined, idleMilliseconds: 2_000},
+      2,
+    ),
+  ).toBe(RoomChoice.LongestIdle);
+});
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,3 +1,4 @@
+import {chooseToClose, isLongIdle, RoomChoice} from '@wisteriadeal/decisions';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -9,6 +10,14 @@
   Refused = 'refused',
 }
 
+/** Number of connections for which a host has room. */
+export interface ConnectionRoom {
+  /** Number at any time. */
+  readonly minimum: number;
+  /** Number at the moment. */
+  readonly current: () => number;
+}
+
 /** Counts of callers' connections and of the requests and answers on them. */
 export interface ConnectionCounts {
   /** Connections that are open. */
@@ -35,8 +44,6 @@
  * How long a draining connection waits for the rest of a partial request head.
  */
 const HEAD_TIMEOUT_MILLISECONDS = 1_000;
-/** Time without a request before a connection that had one is closed to make room. */
-const MINIMUM_IDLE_MILLISECONDS = 2_000;
 const REQUEST_TIMEOUT_RESPONSE =
   'HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n';
 
@@ -52,8 +59,9 @@
  */
 class CallerConnection {
   readonly answers = new Set<ServerResponse>();
-  private readonly openedAt = performance.now();
-  private lastAnswerAt: number | undefined;
+  /** When it was accepted, or its last answer ended; monotonic clock, milliseconds. */
+  private lastUsedAt = performance.now();
+  private readonly openedAt = this.lastUsedAt;
   private isDraining = false;
   private hasTimedOut = false;
   private timer: NodeJS.Timeout | undefined;
@@ -65,7 +73,11 @@
    */
   private bytesReadAtLastAnswer: number | undefined;
 
-  constructor(readonly socket: Socket) {
+  /** @param onIdle Called when the last answer has ended and nothing is in progress. */
+  constructor(
+    readonly socket: Socket,
+    private readonly onIdle: (connection: CallerConnection) => void,
+  ) {
     socket.once('close', () => {
       clearTimeout(this.timer);
     });
@@ -88,9 +100,12 @@
     response.once('close', () => {
       this.answers.delete(response);
       this.bytesReadAtLastAnswer = this.socket.bytesRead;
-      this.lastAnswerAt = performance.now();
+      this.lastUsedAt = performance.now();
       this.isInBody = !request.complete;
       this.closeIfIdle();
+      if (this.isIdle && !this.socket.destroyed) {
+        this.onIdle(this);
+      }
     });
     return true;
   }
@@ -100,14 +115,9 @@
     return this.answers.size === 0 && !this.isInBody && !this.hasPartialHead;
   }
 
-  /**
-   * From when on the connection may be closed to make room, as its caller is not about to
-   * send a request; monotonic clock, milliseconds.
-   */
-  get closableFrom(): number {
-    return this.lastAnswerAt === undefined
-      ? this.openedAt + FIRST_REQUEST_TIMEOUT_MILLISECONDS
-      : this.lastAnswerAt + MINIMUM_IDLE_MILLISECONDS;
+  /** Time since it was accepted or its last answer ended, milliseconds. */
+  get idleMilliseconds(): number {
+    return performance.now() - this.lastUsedAt;
   }
 
   /** Closes the connection, unless something has been received on it meanwhile. */
@@ -194,21 +204,32 @@
  */
 export class CallerConnections {
   private readonly open = new Map<Socket, CallerConnection>();
-  /** Idle connections that are about to be closed. */
+  /** Connections on which nothing has been read, oldest first. */
+  private readonly unused = new Set<CallerConnection>();
+  /** Idle connections that had a request, the one idle for longest first. */
+  private readonly idle = new Set<CallerConnection>();
+  /** Connections that are about to be closed for want of room. */
   private readonly leaving = new Set<CallerConnection>();
-  private room: () => number = () => Infinity;
+  private room: ConnectionRoom = {minimum: Infinity, current: () => Infinity};
   private onNoRoom: (measure: RoomMeasure) => void = () => undefined;
   private onAllClosed: (() => void) | undefined;
 
   constructor(server: Server) {
     server.on('connection', socket => {
-      const connection = new CallerConnection(socket);
+      const connection = new CallerConnection(socket, idle => {
+        this.idle.add(idle);
+      });
       this.open.set(socket, connection);
       socket.once('close', () => {
-        this.leaving.delete(connection);
-        this.remove(socket);
+        this.remove(connection);
       });
-      this.makeRoomFor(socket);
+      if (this.closeBeyondRoom()) {
+        this.unused.add(connection);
+      } else {
+        this.leaving.add(connection);
+        socket.destroy();
+        this.onNoRoom(RoomMeasure.Refused);
+      }
     });
   }
 
@@ -220,9 +241,15 @@
    *     not be served.
    */
   begin(request: IncomingMessage, response: ServerResponse): boolean {
-    const isOpen = this.open.get(request.socket)?.add(request, response);
-    this.closeIdleBeyondRoom();
-    return isOpen ?? false;
+    const connection = this.open.get(request.socket);
+    if (connection === undefined) {
+      return false;
+    }
+    this.unused.delete(connection);
+    this.idle.delete(connection);
+    const isOpen = connection.add(request, response);
+    this.closeBeyondRoom();
+    return isOpen;
   }
 
   /**
@@ -242,13 +269,15 @@
   }
 
   /**
-   * Limits the number of connections. Beyond it, those that have been idle for longest are
-   * closed; if none has been for long, a new one is. Any other goes on.
+   * Limits the number of connections. Beyond it, idle ones are closed as `chooseToClose`
+   * says; if it chooses none, a new one is. Any other goes on.
    *
-   * @param room The limit at the moment.
    * @param onNoRoom Called whenever a connection is closed for want of room.
    */
-  limitTo(room: () => number, onNoRoom: (measure: RoomMeasure) => void): void {
+  limitTo(
+    room: ConnectionRoom,
+    onNoRoom: (measure: RoomMeasure) => void,
+  ): void {
     this.room = room;
     this.onNoRoom = onNoRoom;
   }
@@ -294,51 +323,84 @@
     }
   }
 
-  private get isBeyondRoom(): boolean {
-    return this.open.size - this.leaving.size > this.room();
-  }
-
-  private makeRoomFor(added: Socket): void {
-    this.closeIdleBeyondRoom();
-    if (this.isBeyondRoom) {
-      added.destroy();
-      this.onNoRoom(RoomMeasure.Refused);
+  /** Number of connections that can't be closed to make room. */
+  get inUse(): number {
+    let longIdle = 0;
+    for (const {idleMilliseconds} of this.idle) {
+      if (!isLongIdle(idleMilliseconds)) {
+        break;
+      }
+      longIdle++;
     }
+    return this.open.size - this.leaving.size - this.unused.size - longIdle;
   }
 
-  private closeIdleBeyondRoom(): void {
-    while (this.isBeyondRoom) {
-      const idle = this.longestIdle();
-      if (idle === undefined) {
-        return;
+  /** @returns Whether there is room for all connections that stay. */
+  private closeBeyondRoom(): boolean {
+    let count = this.open.size - this.leaving.size;
+    if (count <= this.room.minimum) {
+      return true;
+    }
+    const room = this.room.current();
+    for (; count > room; count--) {
+      const connection = this.connectionToClose(room);
+      if (connection === undefined) {
+        return false;
       }
-      this.leaving.add(idle);
-      idle.closeUnlessRead(() => this.leaving.delete(idle));
+      this.unused.delete(connection);
+      this.idle.delete(connection);
+      this.leaving.add(connection);
+      connection.closeUnlessRead(() => this.leaving.delete(connection));
       this.onNoRoom(RoomMeasure.Closed);
     }
+    return true;
   }
 
-  private longestIdle(): CallerConnection | undefined {
-    let from = performance.now();
-    let longest: CallerConnection | undefined;
-    for (const connection of this.open.values()) {
-      const {closableFrom, isIdle} = connection;
-      if (closableFrom <= from && isIdle && !this.leaving.has(connection)) {
-        longest = connection;
-        from = closableFrom;
-      }
+  private connectionToClose(room: number): CallerConnection | undefined {
+    const unused = firstUnread(this.unused);
+    const idle = firstUnread(this.idle);
+    const choice = chooseToClose(
+      {
+        unused: this.unused.size,
+        unusedMilliseconds: unused?.idleMilliseconds,
+        idleMilliseconds: idle?.idleMilliseconds,
+      },
+      room,
+    );
+    switch (choice) {
+      case RoomChoice.OldestUnused:
+        return unused;
+      case RoomChoice.LongestIdle:
+        return idle;
+      case RoomChoice.None:
+        return undefined;
     }
-    return longest;
   }
 
-  private remove(socket: Socket): void {
-    this.open.delete(socket);
+  private remove(connection: CallerConnection): void {
+    this.unused.delete(connection);
+    this.idle.delete(connection);
+    this.leaving.delete(connection);
+    this.open.delete(connection.socket);
     if (this.open.size === 0) {
       this.onAllClosed?.();
     }
   }
 }
 
+/** The first one on which no part of a request was read; removes those before it. */
+function firstUnread(
+  connections: Set<CallerConnection>,
+): CallerConnection | undefined {
+  for (const connection of connections) {
+    if (connection.isIdle) {
+      return connection;
+    }
+    connections.delete(connection);
+  }
+  return undefined;
+}
+
 /**
  * Closes a connection whose idle time has ended, unless a request has arrived meanwhile:
  * an event loop that was blocked runs expired timers before it reads sockets.
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -5,7 +5,7 @@
 import type {Socket} from 'node:net';
 
 import {ArrivalQueue} from './arrival-queue.js';
-import type {ConnectionCounts} from './caller-connections.js';
+import type {ConnectionCounts, ConnectionRoom} from './caller-connections.js';
 import type {CallerListener} from './caller-listener.js';
 import {CallerExchange} from './caller-exchange.js';
 import type {CallerLimits} from './configuration.js';
@@ -134,8 +134,8 @@
     return this.listener.port;
   }
 
-  /** Limits the number of callers' connections by what `room` returns. */
-  limitConnections(room: () => number): void {
+  /** Limits the number of callers' connections. */
+  limitConnections(room: ConnectionRoom): void {
     this.listener.connections.limitTo(room, measure => {
       this.metrics.callerWithoutRoom(measure);
     });
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -249,7 +249,10 @@
       connections: this.connections,
       tunnels: this.tunnels,
     });
-    this.callers.limitConnections(() => this.hostConnections.callerRoom);
+    this.callers.limitConnections({
+      minimum: this.hostConnections.minimumCallerRoom,
+      current: () => this.hostConnections.callerRoom,
+    });
     this.state = new GatewayState(
       this.configuration,
       this.evacuations,
--- a/packages/gateway/src/host-connections.ts
+++ b/packages/gateway/src/host-connections.ts
@@ -1,4 +1,8 @@
-import {callerRoom, tunnelRoom} from '@wisteriadeal/decisions';
+import {
+  callerRoom,
+  minimumCallerRoom,
+  tunnelRoom,
+} from '@wisteriadeal/decisions';
 import {
   descriptorLimit,
   openDescriptors,
@@ -53,6 +57,11 @@
     });
   }
 
+  /** The smallest that `callerRoom` can be. */
+  get minimumCallerRoom(): number {
+    return minimumCallerRoom(this.limit);
+  }
+
   /** Whether there is room for another tunnel. */
   get hasTunnelRoom(): boolean {
     return this.parts.tunnels.openTunnels < tunnelRoom(this.limit);
--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -139,14 +139,16 @@
 
 describe('CallerConnections without room', () => {
   const measures: RoomMeasure[] = [];
+  const limitTo = (room: number) => {
+    connections.limitTo({minimum: 1, current: () => room}, measure =>
+      measures.push(measure),
+    );
+  };
 
   beforeEach(() => {
     vi.useFakeTimers({toFake: ['performance']});
     measures.length = 0;
-    connections.limitTo(
-      () => 2,
-      measure => measures.push(measure),
-    );
+    limitTo(2);
   });
 
   afterEach(() => {
@@ -184,6 +186,25 @@
     expect(measures).toEqual([RoomMeasure.Closed]);
   });
 
+  it('closes the oldest one without a request before those that had one', async () => {
+    // Guards against refusing callers while unused connections come faster than they age.
+    const used = await callerSends(REQUEST);
+    (await nextResponse()).end();
+    await once(used, 'data');
+    const unused = await callerSends('');
+    await countIs(2);
+    vi.advanceTimersByTime(150);
+    const added = await callerSends(REQUEST);
+    await Promise.all([once(unused, 'close'), nextResponse()]);
+    vi.advanceTimersByTime(2_000);
+    expect(connections.inUse).toBe(1);
+    expect([used, added].map(({destroyed}) => destroyed)).toEqual([
+      false,
+      false,
+    ]);
+    expect(measures).toEqual([RoomMeasure.Closed]);
+  });
+
   it('keeps one that was in use until it has been idle for longer', async () => {
     const used = await callerSends(REQUEST);
     (await nextResponse()).end();
@@ -196,10 +217,7 @@
     await countIs(2);
     expect(used.destroyed).toBe(false);
     vi.advanceTimersByTime(1_500);
-    connections.limitTo(
-      () => 1,
-      measure => measures.push(measure),
-    );
+    limitTo(1);
     const [last] = callers.slice(-1);
     last?.write(REQUEST);
     await once(used, 'close');
