--- a/packages/budgets/src/budget-checkpoint.ts
+++ b/packages/budgets/src/budget-checkpoint.ts
@@ -10,10 +10,23 @@
 /**
  * Captures the fold's complete state, for readers that start after the platform has
  * dropped the earlier records.
+ *
+ * @param generation Number of times that the fold has continued after dropped records,
+ *     plus 1; 0 if holders use grants that no checkpoint contains, without a limit.
+ * @param limits Limits of uncovered grants, in tokens by organisation.
  */
-export function createCheckpoint(fold: BudgetFold): BudgetCheckpoint {
+export function createCheckpoint(
+  fold: BudgetFold,
+  generation = 0,
+  limits: ReadonlyMap<string, number> = new Map(),
+): BudgetCheckpoint {
   return create(BudgetCheckpointSchema, {
     offset: fold.nextOffset,
+    generation,
+    limits: [...limits].map(([organisation, tokens]) => ({
+      organisation,
+      tokens,
+    })),
     organisations: [...fold.organisations].map(([organisation, budget]) => ({
       organisation,
       prepaid: budget.prepaid,
@@ -47,14 +60,18 @@
  */
 export function hasValidFigures({
   offset,
+  generation,
   organisations,
   holders,
+  limits,
 }: BudgetCheckpoint): boolean {
   const amounts = [
+    generation,
     ...organisations.flatMap(({prepaid, closedCharge}) => [
       prepaid,
       closedCharge,
     ]),
+    ...limits.map(({tokens}) => tokens),
     ...holders.flatMap(({grants}) =>
       grants.map(({outstanding}) => outstanding),
     ),
--- a/packages/budgets/src/budget-fold.ts
+++ b/packages/budgets/src/budget-fold.ts
@@ -172,6 +172,11 @@
     holder.grants.set(organisation, grant);
   }
 
+  /** Charges tokens that ended processes may have spent. */
+  charge(organisation: string, tokens: number): void {
+    this.organisation(organisation).closedCharge += tokens;
+  }
+
   /** Adds a process that may hold grants. */
   addHolder(holder: FoldedHolder): void {
     this.holders.set(holder.incarnation, holder);
--- a/packages/budgets/src/index.ts
+++ b/packages/budgets/src/index.ts
@@ -5,6 +5,7 @@
 export * from './budget-fold.js';
 export * from './budget-checkpoint.js';
 export * from './budget-view.js';
+export * from './dropped-records.js';
 export * from './fleet-usage.js';
 export * from './grant-account.js';
 export * from './grant-sizing.js';
@@ -15,3 +16,4 @@
 export * from './refill-backoff.js';
 export * from './reservation.js';
 export * from './unanswered-loans.js';
+export * from './uncovered-grants.js';
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -269,6 +269,7 @@
   }
 
   private setPrepaid(name: string, prepaid: number, version: number): void {
+    this.replica.setPrepaid(name, prepaid);
     const budget = this.registry.get(name);
     if (budget === undefined) {
       this.registry.add(
@@ -313,14 +314,15 @@
     try {
       this.planGrants();
       this.health.called(this.clock.monotonicMilliseconds());
-      const outcomes = await this.journal.exchange();
+      await this.journal.exchange();
       this.health.answered(this.clock.monotonicMilliseconds());
+      const outcomes = await this.takeOutcomes();
       outcomes.forEach(outcome => {
         this.applyOutcome(outcome);
       });
       this.recordOpening();
       this.endLostRequests();
-      await this.replica.checkpointIfDue(this.journal.incarnation);
+      this.replica.checkpointIfDue(this.journal.incarnation);
     } catch (error) {
       this.health.failed(this.clock.monotonicMilliseconds(), error);
       return RETRY_INTERVAL_MILLISECONDS;
@@ -337,6 +339,20 @@
       : budgetReadInterval(this.holderCount);
   }
 
+  /** Takes the outcomes of an exchange; grants may wait for a checkpoint. */
+  private async takeOutcomes(): Promise<readonly FoldOutcome[]> {
+    const {incarnation} = this.journal;
+    const covered = this.replica
+      .organisationsToCover(incarnation)
+      .map(organisation => this.registry.get(organisation));
+    setAwaitingCheckpoint(covered, true);
+    try {
+      return await this.replica.takeOutcomes(incarnation);
+    } finally {
+      setAwaitingCheckpoint(covered, false);
+    }
+  }
+
   private recordOpening(): void {
     if (this.hasOpened || !this.journal.isOpen) {
       return;
@@ -424,3 +440,14 @@
     }
   }
 }
+
+function setAwaitingCheckpoint(
+  budgets: readonly (OrganisationBudget | undefined)[],
+  isAwaiting: boolean,
+): void {
+  for (const budget of budgets) {
+    if (budget !== undefined) {
+      budget.isAwaitingCheckpoint = isAwaiting;
+    }
+  }
+}
--- a/packages/gateway/src/budget-journal.ts
+++ b/packages/gateway/src/budget-journal.ts
@@ -1,4 +1,3 @@
-import type {FoldOutcome} from '@wisteriadeal/budgets';
 import {Fate, StepError, type PartitionedLog} from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
 import type {BudgetRecord} from '@wisteriadeal/schema';
@@ -50,9 +49,16 @@
     return this.replica.fold.isOpen(this.currentIncarnation);
   }
 
-  /** Whether the fold has closed this process, so that it ignores its records. */
+  /**
+   * Whether the fold ignores this process's records: it has closed this process, or its
+   * opening is among records that the store dropped.
+   */
   get isFenced(): boolean {
-    return this.replica.fold.closedIncarnations.has(this.currentIncarnation);
+    const isOpening = this.pending.some(({change}) => change.case === 'opened');
+    return (
+      this.replica.fold.closedIncarnations.has(this.currentIncarnation) ||
+      (!this.isOpen && !isOpening)
+    );
   }
 
   /** Whether records are waiting to be written. */
@@ -102,24 +108,30 @@
   }
 
   /**
-   * Writes the pending records and reads new ones.
+   * Writes the pending records and reads new ones. The replica returns their outcomes.
    *
-   * @returns Outcomes that concern this process: its opening, verdicts on its grant
-   *     requests and loans to it.
    * @throws StepError if the store gave no usable answer.
    */
-  async exchange(): Promise<readonly FoldOutcome[]> {
+  async exchange(): Promise<void> {
+    this.announceCheckpoint();
     const batch = [...this.pending];
     const offset =
       batch.length === 0 ? undefined : await this.appendBatch(batch);
-    const outcomes =
-      offset !== undefined && offset === this.replica.fold.nextOffset
-        ? this.replica.applyOwn(batch)
-        : await this.replica.catchUp();
+    if (offset !== undefined && offset === this.replica.fold.nextOffset) {
+      this.replica.applyOwn(batch);
+    } else {
+      await this.replica.catchUp();
+    }
     this.removeFolded();
-    return outcomes.filter(
-      ({incarnation}) => incarnation === this.currentIncarnation,
-    );
+  }
+
+  /** Adds an announcement to other records; it is not worth an append of its own. */
+  private announceCheckpoint(): void {
+    const value =
+      this.pending.length === 0 ? undefined : this.replica.takeAnnouncement();
+    if (value !== undefined) {
+      this.add({case: 'checkpointWritten', value});
+    }
   }
 
   private addOpening(): void {
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -33,6 +33,8 @@
 /** How long a request waits for tokens. */
 export interface WaitLimit {
   readonly milliseconds: number;
+  /** How long it waits if its tokens are granted by then and wait for a checkpoint. */
+  readonly longestMilliseconds?: number;
   /** Ends the wait early, when the caller has disconnected. */
   readonly signal?: AbortSignal;
   /** Returns the reason for the refusal when the wait ends without tokens. */
@@ -61,6 +63,8 @@
   isRefillRequested = false;
   /** Limits how often refills are requested from the log. */
   readonly refillBackoff = new RefillBackoff();
+  /** Whether granted tokens may be used only once a checkpoint contains the grant. */
+  isAwaitingCheckpoint = false;
   isBorrowing = false;
   /** What other holders could still lend. */
   readonly lenderKnowledge = new LenderKnowledge();
@@ -235,7 +239,15 @@
       const stopWaiting = () => {
         this.waiters.remove(waiter, limit.refusal());
       };
-      const timeout = new NetworkTimeout(limit.milliseconds, stopWaiting);
+      const longest = limit.longestMilliseconds ?? limit.milliseconds;
+      let timeout = new NetworkTimeout(limit.milliseconds, () => {
+        if (this.isAwaitingCheckpoint && longest > limit.milliseconds) {
+          const left = longest - limit.milliseconds;
+          timeout = new NetworkTimeout(left, stopWaiting);
+        } else {
+          stopWaiting();
+        }
+      });
       limit.signal?.addEventListener('abort', stopWaiting);
       const waiter: TokenWaiter = {
         ...waiting,
--- a/packages/gateway/src/test/budget-holder_test.ts
+++ b/packages/gateway/src/test/budget-holder_test.ts
@@ -478,16 +478,23 @@
     await fleet.start('three');
     const foreign = Array.from({length: 1_000}, () => Uint8Array.of(0xff));
     await fleet.log.append(BUDGET_PARTITION, foreign);
-    await waitUntil(() =>
-      fleet.events.some(({event}) => event === 'budget checkpoint written'),
-    );
+    // The first grants have checkpoints of their own.
+    const written = () =>
+      fleet.events.filter(
+        ({event, offset}) =>
+          event === 'budget checkpoint written' &&
+          Number(offset) >= foreign.length,
+      );
+    await waitUntil(() => written().length > 0);
     await fleet.start('four');
-    const events = fleet.events.map(({event}) => event);
-    const written = events.filter(
-      event => event === 'budget checkpoint written',
+    expect(written()).toHaveLength(1);
+    const read = fleet.events.filter(
+      ({event}) => event === 'budget checkpoint read',
     );
-    expect(written).toHaveLength(1);
-    expect(events).toContain('budget checkpoint read');
+    expect(read.at(-1)).toMatchObject({
+      host: 'four',
+      offset: written()[0]?.offset,
+    });
   });
 
   it.each([0, 10])(
--- a/packages/gateway/src/test/budget-replica_test.ts
+++ b/packages/gateway/src/test/budget-replica_test.ts
@@ -90,12 +90,14 @@
     events,
   );
   await expect(replica.catchUp()).rejects.toThrow(StepError);
-  expect(await replica.catchUp()).toMatchObject([
+  await replica.catchUp();
+  expect(await replica.takeOutcomes(HOST)).toMatchObject([
     {kind: 'opening'},
     {kind: 'grant', granted: 10},
     {kind: 'grant', granted: 10},
   ]);
-  expect(await replica.catchUp()).toEqual([]);
+  await replica.catchUp();
+  expect(await replica.takeOutcomes(HOST)).toEqual([]);
 });
 
 it.each([1e300, -1, 0.5, Infinity, NaN])(
@@ -117,6 +119,7 @@
       CHECKPOINT_MILLISECONDS,
       events,
     );
-    expect(await replica.catchUp()).toMatchObject([{kind: 'opening'}]);
+    await replica.catchUp();
+    expect(await replica.takeOutcomes(HOST)).toMatchObject([{kind: 'opening'}]);
   },
 );
--- a/packages/gateway/src/test/dropped-log_test.ts
+++ b/packages/gateway/src/test/dropped-log_test.ts
@@ -1,8 +1,13 @@
 import {afterEach, beforeEach, expect, it, vi} from 'vitest';
 
-import {BUDGET_PARTITION} from '../budget-topics.js';
+import type {BudgetHolder} from '../budget-holder.js';
+import {BUDGET_PARTITION, CHECKPOINT_PARTITION} from '../budget-topics.js';
 import {HolderFleet, SCHOOL} from './holder-fleet.js';
 
+const PREPAID_TOKENS = 100_000;
+const REQUEST_TOKENS = 4_000;
+/** Time after which holders have read each other's records. */
+const SETTLING_MILLISECONDS = 3_000;
 const OPENING_MILLISECONDS = 62_000;
 const SUCCESSOR_LIMIT_MILLISECONDS = 120_000;
 
@@ -10,7 +15,7 @@
 
 beforeEach(() => {
   vi.useFakeTimers();
-  fleet = new HolderFleet(100_000);
+  fleet = new HolderFleet(PREPAID_TOKENS);
 });
 
 afterEach(() => {
@@ -31,17 +36,76 @@
   return result;
 }
 
+/** Drops all records of the budgets that are in the log. */
+async function dropRecords(): Promise<void> {
+  const page = await resultAfter(10, fleet.log.read(BUDGET_PARTITION, 0, 0));
+  fleet.log.dropBefore(BUDGET_PARTITION, page?.end ?? 0);
+}
+
+/** Serves requests one after the other until one is refused; returns the tokens spent. */
+async function spendAll(holder: BudgetHolder | undefined): Promise<number> {
+  for (let spent = 0; ; spent += REQUEST_TOKENS) {
+    const reserving = holder?.reservations.reserve(SCHOOL, {
+      bound: REQUEST_TOKENS,
+      mayPromise: false,
+    });
+    const result = await resultAfter(
+      SETTLING_MILLISECONDS,
+      Promise.resolve(reserving),
+    );
+    if (result === undefined || 'refusal' in result) {
+      return spent;
+    }
+    holder?.reservations.settle(result.reservation, REQUEST_TOKENS);
+  }
+}
+
 it('opens after all hosts were dead for longer than the log keeps records', async () => {
   // Guards against a fleet that never becomes ready again after a power failure.
   const first = await resultAfter(OPENING_MILLISECONDS, fleet.start('one'));
   void first?.reservations.reserve(SCHOOL, {bound: 20_000, mayPromise: false});
   await vi.advanceTimersByTimeAsync(2_000);
   fleet.kill('one');
-  const page = await resultAfter(10, fleet.log.read(BUDGET_PARTITION, 0, 0));
-  fleet.log.dropBefore(BUDGET_PARTITION, page?.end ?? 0);
+  await dropRecords();
   const successor = await resultAfter(
     SUCCESSOR_LIMIT_MILLISECONDS,
     fleet.start('one'),
   );
   expect(successor?.isReady).toBe(true);
 });
+
+it('spends no more than the budget where only some hosts read the dropped records', async () => {
+  // Guards against tokens spent twice: by a host that has folded the records, and by one
+  // that starts after the store dropped them.
+  const one = await resultAfter(OPENING_MILLISECONDS, fleet.start('one'));
+  const two = await resultAfter(SETTLING_MILLISECONDS, fleet.start('two'));
+  fleet.log.faults.unavailableTopics.add(CHECKPOINT_PARTITION.topic);
+  const before = (await spendAll(one)) + (await spendAll(two));
+  await dropRecords();
+  fleet.log.faults.unavailableTopics.clear();
+  const three = await resultAfter(SETTLING_MILLISECONDS, fleet.start('three'));
+  const afterwards = [three, one, two, three];
+  let spent = before;
+  for (const holder of afterwards) {
+    spent += await spendAll(holder);
+  }
+  expect(before).toBeGreaterThan(0);
+  expect(spent).toBeGreaterThan(before);
+  expect(spent).toBeLessThanOrEqual(PREPAID_TOKENS);
+});
+
+it('serves from the rest of the budget after the records were dropped', async () => {
+  // Guards against a budget that counts as used up after a power failure.
+  const first = await resultAfter(OPENING_MILLISECONDS, fleet.start('one'));
+  void first?.reservations.reserve(SCHOOL, {bound: 20_000, mayPromise: false});
+  await vi.advanceTimersByTimeAsync(2_000);
+  fleet.kill('one');
+  await dropRecords();
+  const successor = await resultAfter(
+    SETTLING_MILLISECONDS,
+    fleet.start('one'),
+  );
+  const spent = await spendAll(successor);
+  expect(spent).toBeGreaterThan(PREPAID_TOKENS / 4);
+  expect(spent).toBeLessThanOrEqual(PREPAID_TOKENS - 20_000);
+});
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -137,8 +137,13 @@
     return this.callLog(() => this.log.newest(partition));
   }
 
-  override put(partition: Partition, key: string, value?: Uint8Array) {
-    return this.callLog(() => this.log.put(partition, key, value));
+  override put(
+    partition: Partition,
+    key: string,
+    value?: Uint8Array,
+    expectedEnd?: number,
+  ) {
+    return this.callLog(() => this.log.put(partition, key, value, expectedEnd));
   }
 
   override keyedRecord(offset: number, record: Uint8Array) {
--- a/packages/platform/src/partitioned-log.ts
+++ b/packages/platform/src/partitioned-log.ts
@@ -65,6 +65,15 @@
   }
 }
 
+/** A conditional record was not appended: the partition has another end. */
+export class PartitionEndError extends Error {
+  override readonly name: string = 'PartitionEndError';
+
+  constructor(readonly partition: Partition) {
+    super(`${partition.topic}: records were appended meanwhile`);
+  }
+}
+
 /**
  * A log with partitioned topics, shared by all hosts. Offsets number the records of a
  * partition without gaps; they are the only order on which all hosts agree.
@@ -123,13 +132,17 @@
   /**
    * Appends a record to a keyed topic; the value undefined deletes the key.
    *
+   * @param expectedEnd Offset at which the record is appended, or not at all; by default
+   *     the record is appended at any offset.
    * @returns Offset of the record.
+   * @throws PartitionEndError if the partition does not end at `expectedEnd`.
    * @throws StepError whose fate says whether the record may be in the log.
    */
   abstract put(
     partition: Partition,
     key: string,
     value: Uint8Array | undefined,
+    expectedEnd?: number,
   ): Promise<number>;
 
   /** Decodes a record of a keyed topic; undefined if the bytes are not a keyed record. */
--- a/packages/stand-ins/src/testing/memory-partitioned-log.ts
+++ b/packages/stand-ins/src/testing/memory-partitioned-log.ts
@@ -1,5 +1,6 @@
 import {
   Fate,
+  PartitionEndError,
   PartitionedLog,
   RecordsDroppedError,
   StepError,
@@ -50,20 +51,25 @@
   private delayed: {
     readonly partition: Partition;
     readonly records: readonly Uint8Array[];
+    readonly expectedEnd: number | undefined;
   }[] = [];
 
   override append(
     partition: Partition,
     records: readonly Uint8Array[],
+    expectedEnd?: number,
   ): Promise<number> {
     return this.answer('append', partition, () => {
       if (this.faults.appendsToDelay > 0) {
         this.faults.appendsToDelay--;
-        this.delayed.push({partition, records});
+        this.delayed.push({partition, records, expectedEnd});
         throw failure('append', partition, Fate.Unknown);
       }
       const stored = this.stored(partition);
       const offset = stored.first + stored.records.length;
+      if (expectedEnd !== undefined && expectedEnd !== offset) {
+        throw new PartitionEndError(partition);
+      }
       stored.records.push(...records.map(record => Uint8Array.from(record)));
       if (this.faults.answersToLose > 0) {
         this.faults.answersToLose--;
@@ -116,15 +122,12 @@
     partition: Partition,
     key: string,
     value: Uint8Array | undefined,
+    expectedEnd?: number,
   ): Promise<number> {
     const name = Buffer.from(key);
-    return this.append(partition, [
-      Buffer.concat([
-        Buffer.from([name.length]),
-        name,
-        value ?? Buffer.alloc(0),
-      ]),
-    ]);
+    const length = Buffer.from([name.length]);
+    const record = Buffer.concat([length, name, value ?? Buffer.alloc(0)]);
+    return this.append(partition, [record], expectedEnd);
   }
 
   override keyedRecord(
@@ -148,10 +151,13 @@
     // Nothing is open.
   }
 
-  /** Executes the delayed appends. */
+  /** Executes the delayed appends whose conditions still hold. */
   async runDelayedAppends(): Promise<void> {
-    for (const {partition, records} of this.delayed.splice(0)) {
-      await this.append(partition, records);
+    for (const {partition, records, expectedEnd} of this.delayed.splice(0)) {
+      const {first, records: stored} = this.stored(partition);
+      if (expectedEnd === undefined || expectedEnd === first + stored.length) {
+        await this.append(partition, records);
+      }
     }
   }
 
