Limit what is allocated before a gap, not the grants since a checkpoint

Cause: all grants since the newest checkpoint counted against its limit, also of tokens that were returned and granted again, and the limit was near zero at the end of a budget. Each host beyond it wrote the whole state of the fold, and read it again if another one was first.

Now a ceiling in the store bounds what may be allocated: granted and not returned, or charged. A grant is used if the allocated tokens after its record, or a later one, are within it. All that was ever used is part of what was allocated at the last such record, so that a gap charges enough. Returns make room, and a tenth of the budget is the least room, so that the end of a budget needs no writes. Ceilings are small records of their own, raised ahead by the holder whose grant used half of the room, by others in turn if it does not. After a gap all holders are closed: otherwise a return would make room for those that folded the dropped records and for the others.

budget-replica_test stores ceilings before it reads the log, as a replica of its own uses no grant without one.

--- a/packages/budgets/src/budget-checkpoint.ts
+++ b/packages/budgets/src/budget-checkpoint.ts
@@ -3,30 +3,29 @@
 import {
   BudgetCheckpointSchema,
   type BudgetCheckpoint,
+  type GrantCeilings,
 } from '@wisteriadeal/schema';
 
 import {BudgetFold, type FoldedHolder} from './budget-fold.js';
+import type {TokenLimits} from './grant-ceilings.js';
 
 /**
  * Captures the fold's complete state, for readers that start after the platform has
  * dropped the earlier records.
  *
  * @param generation Number of times that the fold has continued after dropped records,
- *     plus 1; 0 if holders use grants that no checkpoint contains, without a limit.
- * @param limits Limits of uncovered grants, in tokens by organisation.
+ *     plus 1; 0 if holders use grants without a ceiling.
+ * @param ceilings Ceilings of allocated tokens, by organisation.
  */
 export function createCheckpoint(
   fold: BudgetFold,
   generation = 0,
-  limits: ReadonlyMap<string, number> = new Map(),
+  ceilings: TokenLimits = new Map(),
 ): BudgetCheckpoint {
   return create(BudgetCheckpointSchema, {
     offset: fold.nextOffset,
     generation,
-    limits: [...limits].map(([organisation, tokens]) => ({
-      organisation,
-      tokens,
-    })),
+    ceilings: toGrantCeilings(ceilings),
     organisations: [...fold.organisations].map(([organisation, budget]) => ({
       organisation,
       prepaid: budget.prepaid,
@@ -49,6 +48,16 @@
   });
 }
 
+/** Lists ceilings for a message. */
+export function toGrantCeilings(
+  ceilings: TokenLimits,
+): {readonly organisation: string; readonly tokens: number}[] {
+  return [...ceilings].map(([organisation, tokens]) => ({
+    organisation,
+    tokens,
+  }));
+}
+
 /**
  * Whether the offset and the amounts of a checkpoint are whole numbers that records can
  * store. A fold that continues at any other offset never reads the log again.
@@ -58,26 +67,33 @@
  * hasValidFigures(createCheckpoint(new BudgetFold(7))); // true
  * ```
  */
-export function hasValidFigures({
-  offset,
-  generation,
-  organisations,
-  holders,
-  limits,
-}: BudgetCheckpoint): boolean {
+export function hasValidFigures(checkpoint: BudgetCheckpoint): boolean {
+  const {offset, organisations, holders} = checkpoint;
   const amounts = [
-    generation,
     ...organisations.flatMap(({prepaid, closedCharge}) => [
       prepaid,
       closedCharge,
     ]),
-    ...limits.map(({tokens}) => tokens),
     ...holders.flatMap(({grants}) =>
       grants.map(({outstanding}) => outstanding),
     ),
   ];
   return (
-    Number.isSafeInteger(offset) && offset >= 0 && amounts.every(isTokenAmount)
+    Number.isSafeInteger(offset) &&
+    offset >= 0 &&
+    amounts.every(isTokenAmount) &&
+    hasValidCeilings(checkpoint)
+  );
+}
+
+/** Whether a generation and ceilings are whole numbers that records can store. */
+export function hasValidCeilings({
+  generation,
+  ceilings,
+}: Pick<GrantCeilings, 'generation' | 'ceilings'>): boolean {
+  return (
+    isTokenAmount(generation) &&
+    ceilings.every(({tokens}) => isTokenAmount(tokens))
   );
 }
 
--- a/packages/budgets/src/budget-fold.ts
+++ b/packages/budgets/src/budget-fold.ts
@@ -177,6 +177,13 @@
     this.organisation(organisation).closedCharge += tokens;
   }
 
+  /** Closes all holders: what they had been granted and not returned counts as spent. */
+  closeHolders(): void {
+    for (const holder of [...this.holders.values()]) {
+      this.closeHolder(holder);
+    }
+  }
+
   /** Adds a process that may hold grants. */
   addHolder(holder: FoldedHolder): void {
     this.holders.set(holder.incarnation, holder);
--- a/packages/budgets/src/dropped-records.ts
+++ b/packages/budgets/src/dropped-records.ts
@@ -1,15 +1,19 @@
 import {createCheckpoint, foldFromCheckpoint} from './budget-checkpoint.js';
 import type {BudgetFold} from './budget-fold.js';
-import type {TokenLimits} from './uncovered-grants.js';
+import {allocatedTokens, type TokenLimits} from './grant-ceilings.js';
 
 /**
  * Continues a fold after records that the store has dropped. What holders may have used
- * of the grants in these records counts as spent: each organisation's limit of uncovered
- * grants, or all unallocated tokens if there was no limit.
+ * of the grants in these records counts as spent: all tokens below each organisation's
+ * ceiling, or all tokens if there was none.
+ *
+ * All holders are closed. Processes that have folded the dropped records may still run,
+ * and give tokens back that their grants in these records allocated. Such a return must
+ * not make room twice, for holders that have folded these records and for the others.
  *
  * @param fold The state before the dropped records. It does not change.
- * @param limits Limits of the newest checkpoint; undefined if its writer did not limit
- *     the use of grants.
+ * @param ceilings The newest ceilings; undefined if the checkpoint's writer used grants
+ *     without a ceiling.
  * @param nextOffset Offset at which the fold continues.
  * @example
  * ```ts
@@ -18,23 +22,24 @@
  */
 export function foldAfterDrop(
   fold: BudgetFold,
-  limits: TokenLimits | undefined,
+  ceilings: TokenLimits | undefined,
   nextOffset: number,
 ): BudgetFold {
   const resumed = foldFromCheckpoint(createCheckpoint(fold));
   resumed.nextOffset = nextOffset;
-  const charges = limits ?? unallocatedTokens(fold);
-  for (const [organisation, tokens] of charges) {
-    resumed.charge(organisation, tokens);
+  resumed.closeHolders();
+  for (const [organisation, tokens] of ceilings ?? budgetsOf(fold)) {
+    const uncharged = tokens - allocatedTokens(resumed, organisation);
+    resumed.charge(organisation, Math.max(0, uncharged));
   }
   return resumed;
 }
 
-function unallocatedTokens(fold: BudgetFold): TokenLimits {
+function budgetsOf({organisations}: BudgetFold): TokenLimits {
   return new Map(
-    [...fold.organisations.keys()].map(organisation => [
+    [...organisations].map(([organisation, {prepaid}]) => [
       organisation,
-      Math.max(0, fold.view(organisation)?.unallocated ?? 0),
+      prepaid,
     ]),
   );
 }
--- a/packages/gateway/src/budget-codec.ts
+++ b/packages/gateway/src/budget-codec.ts
@@ -1,10 +1,12 @@
 import {create, fromBinary, toBinary} from '@bufbuild/protobuf';
-import {hasValidFigures} from '@wisteriadeal/budgets';
+import {hasValidCeilings, hasValidFigures} from '@wisteriadeal/budgets';
 import {
   BudgetCheckpointSchema,
   BudgetRecordSchema,
+  GrantCeilingsSchema,
   type BudgetCheckpoint,
   type BudgetRecord,
+  type GrantCeilings,
 } from '@wisteriadeal/schema';
 
 import {FastMessageDecoder} from './fast-message-decoder.js';
@@ -54,6 +56,17 @@
     : undefined;
 }
 
+/** Encodes ceilings that are no part of a checkpoint. */
+export function encodeCeilings(ceilings: GrantCeilings): Uint8Array {
+  return toBinary(GrantCeilingsSchema, ceilings);
+}
+
+/** Decodes ceilings; undefined for other bytes, and for figures that are none. */
+export function decodeCeilings(bytes: Uint8Array): GrantCeilings | undefined {
+  const stored = tryDecode(() => fromBinary(GrantCeilingsSchema, bytes));
+  return stored !== undefined && hasValidCeilings(stored) ? stored : undefined;
+}
+
 function tryDecode<Message>(decode: () => Message): Message | undefined {
   try {
     return decode();
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -247,6 +247,7 @@
       !this.health.isUnavailable &&
       !this.journal.isFenced &&
       (this.journal.hasPending ||
+        this.hasWithheldGrants ||
         this.registry.all.some(({account}) => account.available > 0))
     );
   }
@@ -316,13 +317,12 @@
       this.health.called(this.clock.monotonicMilliseconds());
       await this.journal.exchange();
       this.health.answered(this.clock.monotonicMilliseconds());
-      const outcomes = await this.takeOutcomes();
-      outcomes.forEach(outcome => {
-        this.applyOutcome(outcome);
-      });
+      this.applyOutcomes();
       this.recordOpening();
       this.endLostRequests();
-      this.replica.checkpointIfDue(this.journal.incarnation);
+      this.replica.writeIfDue(this.journal.incarnation, () => {
+        this.applyOutcomes();
+      });
     } catch (error) {
       this.health.failed(this.clock.monotonicMilliseconds(), error);
       return RETRY_INTERVAL_MILLISECONDS;
@@ -334,25 +334,33 @@
     ) {
       return PENDING_RECORDS_INTERVAL_MILLISECONDS;
     }
-    return this.hasWaitingRequests()
+    return this.hasWaitingRequests() || this.hasWithheldGrants
       ? WAITING_REQUESTS_INTERVAL_MILLISECONDS
       : budgetReadInterval(this.holderCount);
   }
 
-  /** Takes the outcomes of an exchange; grants may wait for a checkpoint. */
-  private async takeOutcomes(): Promise<readonly FoldOutcome[]> {
+  /** Applies the outcomes of an exchange; grants may wait for a higher ceiling. */
+  private applyOutcomes(): void {
     const {incarnation} = this.journal;
-    const covered = this.replica
-      .organisationsToCover(incarnation)
-      .map(organisation => this.registry.get(organisation));
-    setAwaitingCheckpoint(covered, true);
-    try {
-      return await this.replica.takeOutcomes(incarnation);
-    } finally {
-      setAwaitingCheckpoint(covered, false);
+    this.replica.takeOutcomes(incarnation).forEach(outcome => {
+      this.applyOutcome(outcome);
+    });
+    const withheld = this.replica.withheldOrganisations(incarnation);
+    for (const budget of this.registry.all) {
+      const isWithheld = withheld.includes(budget.name);
+      if (isWithheld && !budget.isGrantWithheld) {
+        this.events.info('grant beyond its ceiling', {
+          organisation: budget.name,
+        });
+      }
+      budget.isGrantWithheld = isWithheld;
     }
   }
 
+  private get hasWithheldGrants(): boolean {
+    return this.registry.all.some(({isGrantWithheld}) => isGrantWithheld);
+  }
+
   private recordOpening(): void {
     if (this.hasOpened || !this.journal.isOpen) {
       return;
@@ -374,7 +382,7 @@
       return;
     }
     for (const budget of this.registry.all) {
-      budget.isRequesting = false;
+      budget.isRequesting = budget.isGrantWithheld;
     }
   }
 
@@ -440,14 +448,3 @@
     }
   }
 }
-
-function setAwaitingCheckpoint(
-  budgets: readonly (OrganisationBudget | undefined)[],
-  isAwaiting: boolean,
-): void {
-  for (const budget of budgets) {
-    if (budget !== undefined) {
-      budget.isAwaitingCheckpoint = isAwaiting;
-    }
-  }
-}
--- a/packages/gateway/src/budget-journal.ts
+++ b/packages/gateway/src/budget-journal.ts
@@ -125,10 +125,8 @@
     this.removeFolded();
   }
 
-  /** Adds an announcement to other records; it is not worth an append of its own. */
   private announceCheckpoint(): void {
-    const value =
-      this.pending.length === 0 ? undefined : this.replica.takeAnnouncement();
+    const value = this.isOpen ? this.replica.takeAnnouncement() : undefined;
     if (value !== undefined) {
       this.add({case: 'checkpointWritten', value});
     }
--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -3,7 +3,8 @@
   BudgetFold,
   foldAfterDrop,
   foldFromCheckpoint,
-  UncoveredGrants,
+  GrantCeilings,
+  toGrantCeilings,
   type FoldOutcome,
 } from '@wisteriadeal/budgets';
 import {
@@ -22,13 +23,14 @@
 
 import {decodeRecord} from './budget-codec.js';
 import {BUDGET_PARTITION, CHECKPOINT_PARTITION} from './budget-topics.js';
-import {CheckpointChain, toLimits} from './checkpoint-chain.js';
+import {CeilingSchedule} from './ceiling-schedule.js';
+import {CheckpointChain, toTokenLimits} from './checkpoint-chain.js';
 import {CheckpointSchedule} from './checkpoint-schedule.js';
 
-/** Maximum number of attempts to write a checkpoint while other holders write theirs. */
+/** Maximum number of attempts to write while other holders write. */
 const MAXIMUM_WRITE_ATTEMPTS = 5;
-/** Pause after a failure before a due checkpoint is written again. */
-const RETRY_MILLISECONDS = 1_000;
+/** Pause after a failure before due checkpoints and ceilings are written again. */
+const RETRY_MILLISECONDS = 200;
 /** Maximum number of checkpoints that a stopping process writes. */
 const MAXIMUM_END_CHECKPOINTS = 3;
 /** Generation of the first checkpoint. */
@@ -37,9 +39,8 @@
 /**
  * This process's copy of the fold, which it updates from the log.
  *
- * A grant is used only if a checkpoint in the store contains it, or if all grants after
- * the newest checkpoint are within the limit that it states. If the store drops records
- * that no checkpoint contains, the process that meets the gap charges that limit, and
+ * A grant is used only within the ceilings in the store. If the store drops records that
+ * no checkpoint contains, the process that meets the gap charges the ceilings, and
  * continues the fold with a checkpoint of the next generation. Processes that have folded
  * the dropped records take it over.
  */
@@ -49,21 +50,23 @@
   /** Generation of the checkpoint from which the fold continues. */
   private generation = 0;
   private readonly chain: CheckpointChain;
-  private readonly uncovered = new UncoveredGrants();
+  private readonly ceilings = new GrantCeilings();
   private readonly schedule: CheckpointSchedule;
-  private isNearLimit = false;
-  /** Whether the first grant of an organisation would have to wait for a checkpoint. */
-  private lacksLimits = false;
+  private readonly ceilingSchedule = new CeilingSchedule();
+  /** Organisations whose next grants may have to wait for a higher ceiling. */
+  private readonly nearCeilings = new Set<string>();
   /** Budgets of this process's configuration, in tokens by organisation. */
   private readonly prepaid = new Map<string, number>();
-  /** The checkpoint work beside the exchanges. */
+  /** The writes beside the exchanges. */
   private background: Promise<void> | undefined;
-  /** Monotonic time before which failed checkpoint work is not repeated, milliseconds. */
+  /** Monotonic time before which failed writes are not repeated, milliseconds. */
   private retryAt = -Infinity;
-  /** A checkpoint of this process that no record announces yet. */
+  /** Whether no record announces the last write of this process yet. */
   private hasUnannounced = false;
   /** Outcomes of folded records that `takeOutcomes` has not returned yet. */
   private unreportedOutcomes: FoldOutcome[] = [];
+  /** Grants among them that may be used although more was allocated afterwards. */
+  private readonly usableGrants = new Set<FoldOutcome>();
 
   /**
    * @param checkpointMilliseconds Time within which a checkpoint contains a record. It is
@@ -114,80 +117,65 @@
   /** Sets an organisation's budget in this process's configuration, in tokens. */
   setPrepaid(organisation: string, prepaid: number): void {
     this.prepaid.set(organisation, prepaid);
-    this.lacksLimits ||= !this.chain.limits.has(organisation);
+    this.noteIfNear(organisation, undefined);
   }
 
-  /** Organisations whose grants `takeOutcomes` returns only after a checkpoint. */
-  organisationsToCover(incarnation: string): readonly string[] {
-    return this.grantedOrganisations(incarnation).filter(
-      organisation => !this.uncovered.mayUse(organisation),
-    );
+  /** Organisations whose grants `takeOutcomes` returns only below a higher ceiling. */
+  withheldOrganisations(incarnation: string): readonly string[] {
+    return this.unreportedOutcomes
+      .filter(outcome => outcome.incarnation === incarnation)
+      .filter(outcome => !this.mayReport(outcome))
+      .flatMap(outcome =>
+        outcome.kind === 'grant' ? [outcome.organisation] : [],
+      );
   }
 
   /**
-   * Returns the outcomes of the records that were read since the last call. If they grant
-   * more than may be used after the newest checkpoint, it writes a checkpoint first.
+   * Returns the outcomes of the records that were read since the last call, but grants
+   * beyond a ceiling: a later call returns these.
    *
    * @param incarnation The process whose outcomes are returned.
-   * @returns Outcomes in log order. If the call fails, the next one returns them.
-   * @throws StepError if the store gave no usable answer.
+   * @returns Outcomes in log order.
    * @example
    * ```ts
    * await replica.catchUp();
-   * const outcomes = await replica.takeOutcomes(incarnation);
+   * const outcomes = replica.takeOutcomes(incarnation);
    * ```
    */
-  async takeOutcomes(incarnation: string): Promise<readonly FoldOutcome[]> {
-    if (this.organisationsToCover(incarnation).length > 0) {
-      await this.background;
-      if (!this.isLoaded) {
-        await this.loadNewest();
-      }
-      await this.cover(
-        () => this.organisationsToCover(incarnation).length === 0,
-      );
-      if (!this.isLoaded) {
-        await this.loadNewest();
-      }
-      if (this.organisationsToCover(incarnation).length > 0) {
-        throw checkpointError('another one is newer');
-      }
-    }
-    this.isNearLimit ||= this.grantedOrganisations(incarnation).some(
-      organisation => this.uncovered.isNearLimit(organisation),
-    );
-    const outcomes = this.unreportedOutcomes.filter(
+  takeOutcomes(incarnation: string): readonly FoldOutcome[] {
+    const own = this.unreportedOutcomes.filter(
       outcome => outcome.incarnation === incarnation,
     );
-    this.unreportedOutcomes = [];
+    const outcomes = own.filter(outcome => this.mayReport(outcome));
+    this.unreportedOutcomes = own.filter(outcome => !this.mayReport(outcome));
+    this.usableGrants.clear();
     return outcomes;
   }
 
-  /** Returns the record that announces a checkpoint of this process, once. */
+  /** Returns the record that announces the last write of this process, once. */
   takeAnnouncement(): CheckpointWritten | undefined {
     if (!this.hasUnannounced) {
       return undefined;
     }
     this.hasUnannounced = false;
-    const {position, limits} = this.chain;
     return create(CheckpointWrittenSchema, {
-      ...position,
-      limits: [...limits].map(([organisation, tokens]) => ({
-        organisation,
-        tokens,
-      })),
+      ...this.chain.position,
+      generation: this.currentGeneration,
+      ceilings: toGrantCeilings(this.chain.ceilings),
     });
   }
 
   /**
-   * Starts to write a checkpoint if records are too old without one, if it is this
-   * holder's turn, or if grants may soon have to wait for it. Exchanges go on meanwhile.
+   * Starts to write a checkpoint or higher ceilings if they are due. Exchanges go on
+   * meanwhile.
+   *
+   * @param onWritten Called after a write that grants of this process waited for.
    */
-  checkpointIfDue(incarnation: string): void {
+  writeIfDue(incarnation: string, onWritten: () => void): void {
     if (this.clock.monotonicMilliseconds() < this.retryAt) {
       return;
     }
-    this.background ??= this.writeDueCheckpoint(incarnation)
+    this.background ??= this.writeDue(incarnation, onWritten)
       .catch((error: unknown) => {
         this.retryAt = this.clock.monotonicMilliseconds() + RETRY_MILLISECONDS;
         this.events.warn('budget checkpoint not written', {
@@ -199,26 +187,34 @@
       });
   }
 
-  private async writeDueCheckpoint(incarnation: string): Promise<void> {
+  private async writeDue(
+    incarnation: string,
+    onWritten: () => void,
+  ): Promise<void> {
+    const now = this.clock.monotonicMilliseconds();
     const {nextOffset, holders} = this.currentFold;
+    const isWaiting = this.withheldOrganisations(incarnation).length > 0;
+    const state = {now, holders, incarnation, isWaiting};
+    if (this.ceilingSchedule.isDue(state)) {
+      await this.raiseCeilings(this.ceilingSchedule.isFirst(state));
+      if (isWaiting) {
+        onWritten();
+      }
+    }
     const due = this.schedule.due({
-      now: this.clock.monotonicMilliseconds(),
+      now,
       nextOffset,
       checkpointOffset: this.chain.position.offset,
       holders,
       incarnation,
     });
-    if (due.oldOffset !== undefined || this.lacksLimits) {
+    if (due.oldOffset !== undefined) {
       // Another holder may have written a checkpoint that no record announces yet.
       await this.refresh();
     }
-    const isWanted = due.isTurn || this.isNearLimit || this.lacksLimits;
-    const offset = isWanted ? nextOffset : due.oldOffset;
-    this.isNearLimit = false;
+    const offset = due.isTurn ? nextOffset : due.oldOffset;
     if (offset !== undefined) {
-      await this.cover(
-        () => this.chain.position.offset >= offset && !this.lacksLimits,
-      );
+      await this.writeCheckpoint(() => this.chain.position.offset >= offset);
     }
   }
 
@@ -235,44 +231,67 @@
         return;
       }
       await this.background;
-      await this.cover(() => this.chain.position.offset >= nextOffset);
+      await this.writeCheckpoint(
+        () => this.chain.position.offset >= nextOffset,
+      );
       await this.catchUp();
     }
   }
 
-  /** Writes a checkpoint unless others write a sufficient one. */
-  private async cover(isSufficient: () => boolean): Promise<void> {
+  /** @param isFirst Whether other holders write only if this one does not. */
+  private async raiseCeilings(isFirst: boolean): Promise<void> {
+    if (!isFirst) {
+      await this.refresh();
+    }
+    await this.write(
+      () => !this.ceilingSchedule.isPending,
+      () =>
+        this.chain.writeCeilings(this.currentGeneration, this.raisedCeilings()),
+    );
+  }
+
+  /** Writes a checkpoint unless another holder writes a sufficient one. */
+  private writeCheckpoint(isSufficient: () => boolean): Promise<void> {
+    return this.write(
+      () =>
+        isSufficient() ||
+        this.chain.position.offset > this.currentFold.nextOffset,
+      () =>
+        this.chain.write(
+          this.currentFold,
+          this.currentGeneration,
+          this.raisedCeilings(),
+        ),
+    );
+  }
+
+  private async write(
+    isSufficient: () => boolean,
+    write: () => Promise<boolean>,
+  ): Promise<void> {
     for (let attempt = 0; attempt < MAXIMUM_WRITE_ATTEMPTS; attempt++) {
-      if (!this.isLoaded || isSufficient() || (await this.writeCheckpoint())) {
+      if (!this.isLoaded || isSufficient()) {
+        return;
+      }
+      if (await write()) {
+        this.hasUnannounced = true;
+        this.applyNewest();
         return;
       }
       await this.refresh();
     }
-    throw checkpointError('other holders write checkpoints');
+    const {topic} = CHECKPOINT_PARTITION;
+    const reason = 'other holders write';
+    throw new StepError('write checkpoint', topic, Fate.NotDone, reason);
   }
 
-  /** Returns whether it has written one, or the newest one is ahead of this fold. */
-  private async writeCheckpoint(): Promise<boolean> {
-    this.applyNewest();
-    if (
-      !this.isLoaded ||
-      this.chain.position.offset > this.currentFold.nextOffset
-    ) {
-      return true;
-    }
-    const generation = Math.max(FIRST_GENERATION, this.generation);
-    const {currentFold} = this;
-    const isWritten = await this.chain.write(
-      currentFold,
-      generation,
-      this.uncovered.nextLimits(currentFold, this.prepaid),
-    );
-    if (isWritten) {
-      this.generation = Math.max(this.generation, generation);
-      this.hasUnannounced = true;
-      this.applyChain();
-    }
-    return isWritten;
+  private raisedCeilings() {
+    return this.ceilings.raised(this.currentFold, this.prepaid);
+  }
+
+  /** Generation of what this process writes. */
+  private get currentGeneration(): number {
+    return Math.max(FIRST_GENERATION, this.generation);
   }
 
   /** Continues from the newest checkpoint if it is ahead or of a later generation. */
@@ -292,7 +311,7 @@
 
   /** Reads which checkpoint is the newest one; `catchUp` loads a later generation. */
   private async refresh(): Promise<void> {
-    await this.chain.read();
+    await this.chain.refresh();
     this.applyNewest();
   }
 
@@ -303,26 +322,46 @@
       return;
     }
     this.generation = Math.max(this.generation, generation);
-    this.applyChain();
+    this.applyCeilings();
   }
 
   private isLater(generation: number): boolean {
-    return generation > Math.max(FIRST_GENERATION, this.generation);
+    return generation > this.currentGeneration;
   }
 
-  private applyChain(): void {
-    const {position, limits} = this.chain;
-    this.uncovered.cover(position.offset, limits);
-    this.lacksLimits = [...this.prepaid.keys()].some(name => !limits.has(name));
+  private applyCeilings(): void {
+    this.ceilings.replace(this.chain.ceilings);
+    for (const organisation of this.nearCeilings) {
+      if (!this.isNear(organisation)) {
+        this.nearCeilings.delete(organisation);
+      }
+    }
+    const now = this.clock.monotonicMilliseconds();
+    this.ceilingSchedule.raised(this.nearCeilings.size === 0, now);
+  }
+
+  private noteIfNear(
+    organisation: string,
+    incarnation: string | undefined,
+  ): void {
+    if (this.isNear(organisation)) {
+      this.nearCeilings.add(organisation);
+      const now = this.clock.monotonicMilliseconds();
+      this.ceilingSchedule.cameNear(incarnation, now);
+    }
+  }
+
+  private isNear(organisation: string): boolean {
+    const prepaid = this.prepaid.get(organisation) ?? 0;
+    return this.ceilings.isNear(this.currentFold, organisation, prepaid);
   }
 
   /**
    * Continues from another state. Grants of the state before are not reported any more:
-   * they may be beyond the limit that was charged for them.
+   * they may be beyond the ceilings that were charged for them.
    */
   private replaceFold(fold: BudgetFold): void {
     this.currentFold = fold;
-    this.uncovered.clear();
     this.unreportedOutcomes = this.unreportedOutcomes.filter(
       ({kind}) => kind !== 'grant',
     );
@@ -368,7 +407,7 @@
   private async skipDropped({first}: RecordsDroppedError): Promise<void> {
     const {end} = await this.log.read(BUDGET_PARTITION, first, 0);
     this.applyNewest();
-    const {position, limits} = this.chain;
+    const {position, ceilings} = this.chain;
     if (position.offset > this.currentFold.nextOffset) {
       this.isLoaded = false;
     }
@@ -378,15 +417,12 @@
     const isUnlimited = position.generation === 0 && position.offset > 0;
     const resumed = foldAfterDrop(
       this.currentFold,
-      isUnlimited ? undefined : limits,
+      isUnlimited ? undefined : ceilings,
       end,
     );
     const generation = Math.max(FIRST_GENERATION, position.generation) + 1;
-    const resumedLimits = new UncoveredGrants().nextLimits(
-      resumed,
-      this.prepaid,
-    );
-    if (!(await this.chain.write(resumed, generation, resumedLimits))) {
+    const resumedCeilings = this.ceilings.raised(resumed, this.prepaid);
+    if (!(await this.chain.write(resumed, generation, resumedCeilings))) {
       this.isLoaded = false;
       return;
     }
@@ -398,7 +434,7 @@
     });
     this.generation = generation;
     this.replaceFold(resumed);
-    this.applyChain();
+    this.applyCeilings();
   }
 
   private applyAll(records: readonly (BudgetRecord | undefined)[]): void {
@@ -415,36 +451,38 @@
       }
       this.unreportedOutcomes.push(outcome);
       if (outcome.kind === 'grant' && outcome.granted > 0) {
-        this.uncovered.add(outcome, offset);
+        const {organisation, incarnation} = outcome;
+        if (this.ceilings.mayUse(this.currentFold, organisation)) {
+          this.usableGrants.add(outcome);
+        }
+        this.noteIfNear(organisation, incarnation);
       }
     }
   }
 
-  private grantedOrganisations(incarnation: string): readonly string[] {
-    return this.unreportedOutcomes.flatMap(outcome =>
-      outcome.kind === 'grant' &&
-      outcome.granted > 0 &&
-      outcome.incarnation === incarnation
-        ? [outcome.organisation]
-        : [],
+  private mayReport(outcome: FoldOutcome): boolean {
+    return (
+      outcome.kind !== 'grant' ||
+      outcome.granted === 0 ||
+      this.usableGrants.has(outcome) ||
+      this.ceilings.mayUse(this.currentFold, outcome.organisation)
     );
   }
 
   private applyAnnouncement(written: CheckpointWritten): void {
-    const {offset, end, generation, limits} = written;
+    const {offset, end, generation, ceilings} = written;
     if (this.isLater(generation)) {
       // The next read starts from the checkpoint.
       this.isLoaded = false;
       return;
     }
-    if (generation === Math.max(FIRST_GENERATION, this.generation)) {
-      this.chain.announced({offset, end, generation}, toLimits(limits));
-      this.applyChain();
+    if (
+      generation === this.currentGeneration &&
+      end > this.chain.position.end
+    ) {
+      const position = {offset, end, generation};
+      this.chain.announced(position, toTokenLimits(ceilings));
+      this.applyCeilings();
     }
   }
 }
-
-function checkpointError(reason: string): StepError {
-  const {topic} = CHECKPOINT_PARTITION;
-  return new StepError('write checkpoint', topic, Fate.NotDone, reason);
-}
--- a/packages/gateway/src/budget-topics.ts
+++ b/packages/gateway/src/budget-topics.ts
@@ -15,6 +15,9 @@
 /** Key of the newest checkpoint in `CHECKPOINT_PARTITION`. */
 export const CHECKPOINT_KEY = 'budgets-0';
 
+/** Key of the newest ceilings in `CHECKPOINT_PARTITION` that are no part of a checkpoint. */
+export const CEILINGS_KEY = 'ceilings-0';
+
 /** Bills of requests that were sent to an endpoint, for people to read. */
 export const BILL_PARTITION: Partition = {
   topic: 'wisteriadeal-bills',
--- a/packages/gateway/src/checkpoint-schedule.ts
+++ b/packages/gateway/src/checkpoint-schedule.ts
@@ -14,6 +14,8 @@
  * the first one's checkpoint then.
  */
 const SPREAD_PART = 0.5;
+/** Maximum time after a start between two holders in turn. */
+const START_SPACING_MILLISECONDS = 50;
 
 /** What a process knows of the log and its checkpoints. */
 export interface CheckpointState {
@@ -43,13 +45,11 @@
   private contentEnd = 0;
   /** The records before `offset` need a checkpoint at `at`. */
   private deadline: {readonly offset: number; readonly at: number} | undefined;
-  private delayMilliseconds: number;
+  private isStarting = true;
   private turn = 0;
 
   /** @param maximumMilliseconds Time within which a checkpoint contains a record. */
-  constructor(private readonly maximumMilliseconds: number) {
-    this.delayMilliseconds = Math.min(START_MILLISECONDS, maximumMilliseconds);
-  }
+  constructor(private readonly maximumMilliseconds: number) {}
 
   /** Notes a record at this offset that a checkpoint must contain. */
   recordFolded(offset: number): void {
@@ -65,7 +65,8 @@
    * ```
    */
   due(state: CheckpointState): CheckpointDue {
-    return {oldOffset: this.oldOffset(state), isTurn: this.isTurn(state)};
+    const isTurn = this.isTurn(state);
+    return {oldOffset: this.oldOffset(state), isTurn};
   }
 
   private oldOffset({
@@ -84,27 +85,46 @@
     if (this.deadline === undefined) {
       if (checkpointOffset < this.contentEnd) {
         const rank = Math.max(0, [...holders.keys()].indexOf(incarnation));
-        const part = rank / Math.max(1, holders.size);
-        const delay = this.delayMilliseconds * (1 + SPREAD_PART * part);
-        this.deadline = {offset: nextOffset, at: now + delay};
-        this.delayMilliseconds = this.maximumMilliseconds;
+        const at = now + this.delayMilliseconds(rank, holders.size);
+        this.deadline = {offset: nextOffset, at};
+        this.isStarting = false;
       }
       return undefined;
     }
     return now >= this.deadline.at ? this.deadline.offset : undefined;
   }
 
+  private delayMilliseconds(rank: number, holders: number): number {
+    const maximum = this.maximumMilliseconds;
+    const spread = (SPREAD_PART * maximum * rank) / Math.max(1, holders);
+    return this.isStarting
+      ? Math.min(START_MILLISECONDS, maximum) +
+          Math.min(START_SPACING_MILLISECONDS * rank, spread)
+      : maximum + spread;
+  }
+
   /**
    * Holders take turns by offset; the turn of a holder that has failed is skipped.
    *
    * @returns Whether a new turn has begun that belongs to this incarnation.
    */
-  private isTurn({nextOffset, holders, incarnation}: CheckpointState): boolean {
+  private isTurn({
+    now,
+    nextOffset,
+    holders,
+    incarnation,
+  }: CheckpointState): boolean {
     const turn = Math.floor(nextOffset / CHECKPOINT_RECORDS);
     if (turn === this.turn) {
       return false;
     }
     this.turn = turn;
-    return [...holders.keys()][turn % holders.size] === incarnation;
+    const isOwn = [...holders.keys()][turn % holders.size] === incarnation;
+    if (!isOwn && this.deadline !== undefined) {
+      // The holder whose turn it is writes a checkpoint now.
+      const at = Math.max(this.deadline.at, now + START_MILLISECONDS);
+      this.deadline = {...this.deadline, at};
+    }
+    return isOwn;
   }
 }
--- a/packages/gateway/src/organisation-budget.ts
+++ b/packages/gateway/src/organisation-budget.ts
@@ -33,7 +33,7 @@
 /** How long a request waits for tokens. */
 export interface WaitLimit {
   readonly milliseconds: number;
-  /** How long it waits if its tokens are granted by then and wait for a checkpoint. */
+  /** How long it waits if its tokens are granted by then, beyond a ceiling. */
   readonly longestMilliseconds?: number;
   /** Ends the wait early, when the caller has disconnected. */
   readonly signal?: AbortSignal;
@@ -63,8 +63,8 @@
   isRefillRequested = false;
   /** Limits how often refills are requested from the log. */
   readonly refillBackoff = new RefillBackoff();
-  /** Whether granted tokens may be used only once a checkpoint contains the grant. */
-  isAwaitingCheckpoint = false;
+  /** Whether tokens are granted that may be used only below a higher ceiling. */
+  isGrantWithheld = false;
   isBorrowing = false;
   /** What other holders could still lend. */
   readonly lenderKnowledge = new LenderKnowledge();
@@ -241,7 +241,7 @@
       };
       const longest = limit.longestMilliseconds ?? limit.milliseconds;
       let timeout = new NetworkTimeout(limit.milliseconds, () => {
-        if (this.isAwaitingCheckpoint && longest > limit.milliseconds) {
+        if (this.isGrantWithheld && longest > limit.milliseconds) {
           const left = longest - limit.milliseconds;
           timeout = new NetworkTimeout(left, stopWaiting);
         } else {
--- a/packages/gateway/src/test/budget-replica_test.ts
+++ b/packages/gateway/src/test/budget-replica_test.ts
@@ -1,3 +1,4 @@
+import {create} from '@bufbuild/protobuf';
 import {
   Fate,
   StepError,
@@ -6,12 +7,13 @@
 } from '@wisteriadeal/platform';
 import {BudgetFold, createCheckpoint} from '@wisteriadeal/budgets';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
-import {LogLevel} from '@wisteriadeal/schema';
+import {GrantCeilingsSchema, LogLevel} from '@wisteriadeal/schema';
 import {MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
 import {expect, it} from 'vitest';
 
 import {
   budgetRecord,
+  encodeCeilings,
   encodeCheckpoint,
   encodeRecord,
   type BudgetChange,
@@ -19,6 +21,7 @@
 import {BudgetReplica} from '../budget-replica.js';
 import {
   BUDGET_PARTITION,
+  CEILINGS_KEY,
   CHECKPOINT_KEY,
   CHECKPOINT_PARTITION,
 } from '../budget-topics.js';
@@ -76,6 +79,11 @@
   // Guards against a verdict lost with a failed read: the host never requested the
   // organisation's tokens again, and its grant was lost.
   const log = new PagedLog(3);
+  const ceilings = create(GrantCeilingsSchema, {
+    generation: 1,
+    ceilings: [{organisation: 'school', tokens: 20}],
+  });
+  await log.put(CHECKPOINT_PARTITION, CEILINGS_KEY, encodeCeilings(ceilings));
   await log.append(BUDGET_PARTITION, [
     encodeRecord(budgetRecord(HOST, 1, OPENED)),
     encodeRecord(budgetRecord(HOST, 2, REQUESTED)),
@@ -91,13 +99,13 @@
   );
   await expect(replica.catchUp()).rejects.toThrow(StepError);
   await replica.catchUp();
-  expect(await replica.takeOutcomes(HOST)).toMatchObject([
+  expect(replica.takeOutcomes(HOST)).toMatchObject([
     {kind: 'opening'},
     {kind: 'grant', granted: 10},
     {kind: 'grant', granted: 10},
   ]);
   await replica.catchUp();
-  expect(await replica.takeOutcomes(HOST)).toEqual([]);
+  expect(replica.takeOutcomes(HOST)).toEqual([]);
 });
 
 it.each([1e300, -1, 0.5, Infinity, NaN])(
@@ -120,6 +128,6 @@
       events,
     );
     await replica.catchUp();
-    expect(await replica.takeOutcomes(HOST)).toMatchObject([{kind: 'opening'}]);
+    expect(replica.takeOutcomes(HOST)).toMatchObject([{kind: 'opening'}]);
   },
 );
--- a/packages/gateway/src/token-reservations.ts
+++ b/packages/gateway/src/token-reservations.ts
@@ -22,8 +22,11 @@
 const GRANT_WAIT_MILLISECONDS = 400;
 /** Maximum wait for a grant, which leaves the caller time to try another host. */
 const MAXIMUM_GRANT_WAIT_MILLISECONDS = 1_500;
-/** How much longer a request waits whose tokens are granted and wait for a checkpoint. */
-const CHECKPOINT_WAIT_MILLISECONDS = 1_100;
+/**
+ * How much longer a request waits whose tokens are granted beyond a ceiling, without the
+ * delay of the call that raises it.
+ */
+const CEILING_WAIT_MILLISECONDS = 1_100;
 /** A grant takes the exchange with the store in progress and one that requests it. */
 const EXCHANGES_PER_GRANT = 2;
 /** How long a lender waits for the store; its borrower waits 120 ms for the lender. */
@@ -110,7 +113,9 @@
     const result = budget.reserveWhenAvailable(bound, {
       milliseconds,
       longestMilliseconds: Math.min(
-        milliseconds + CHECKPOINT_WAIT_MILLISECONDS,
+        milliseconds +
+          CEILING_WAIT_MILLISECONDS +
+          this.registry.health.linkDelayMilliseconds,
         remainingMilliseconds / 2,
       ),
       refusal: () => this.registry.timeoutRefusal(budget, bound),
