--- a/packages/gateway/src/test/dropped-log-faults_test.ts
+++ b/packages/gateway/src/test/dropped-log-faults_test.ts
@@ -11,7 +11,7 @@
 const SETTLING_MILLISECONDS = 6_000;
 /** Seeds, as `FROM-TO`. */
 const [FIRST_SEED = 1, LAST_SEED = FIRST_SEED] = (
-  process.env['DROP_SEEDS'] ?? '1-4'
+  process.env.DROP_SEEDS ?? '1-4'
 )
   .split('-')
   .map(Number);
@@ -39,16 +39,22 @@
           this.fleet.kill(host);
         }
       },
-      () => toggle(this.fleet.isolatedHosts, host),
-      () => toggle(faults.unavailableTopics, CHECKPOINT_PARTITION.topic),
+      () => {
+        toggle(this.fleet.isolatedHosts, host);
+      },
+      () => {
+        toggle(faults.unavailableTopics, CHECKPOINT_PARTITION.topic);
+      },
       () => (faults.answersToLose += 1),
       () => (faults.appendsToDelay += 1),
       () => this.fleet.log.runDelayedAppends(),
       () => this.drop(),
-      () => this.fleet.changeBudget(PREPAID_TOKENS),
+      () => {
+        this.fleet.changeBudget(PREPAID_TOKENS);
+      },
     ];
     if (this.below(4) === 0) {
-      void faulty[this.below(faulty.length)]?.();
+      faulty[this.below(faulty.length)]?.();
     }
     for (const name of HOSTS) {
       this.start(name);
