Wait for live holders before dropped records are charged

Callers would have seen: the store forgets its history while hosts live, and a host that starts charges the ceilings and closes all holders, so that a quarter of the rest of each budget and all held tokens are lost, though every live holder has folded the records.

A holder sees in each read which records the store still keeps. If these begin after its newest checkpoint, it writes one at once, the others 50 ms apart; a process that meets a gap waits 1.5 s for it, in which every holder reads the log.

--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -33,6 +33,11 @@
 const RETRY_MILLISECONDS = 200;
 /** Maximum number of checkpoints that a stopping process writes. */
 const MAXIMUM_END_CHECKPOINTS = 3;
+/**
+ * Time after dropped records were met within which holders that have folded them write a
+ * checkpoint. They learn of it when they read the log, at least once a second.
+ */
+const GAP_MILLISECONDS = 1_500;
 /** Generation of the first checkpoint. */
 const FIRST_GENERATION = 1;
 
@@ -61,6 +66,10 @@
   private background: Promise<void> | undefined;
   /** Monotonic time before which failed writes are not repeated, milliseconds. */
   private retryAt = -Infinity;
+  /** Monotonic time at which dropped records were met, milliseconds. */
+  private gapSince: number | undefined;
+  /** Oldest offset of the log that the store keeps, as of the last read. */
+  private firstOffset = 0;
   /** Whether no record announces the last write of this process yet. */
   private hasUnannounced = false;
   /** Outcomes of folded records that `takeOutcomes` has not returned yet. */
@@ -92,7 +101,7 @@
    *
    * @throws StepError if the store gave no usable answer.
    * @throws RecordsDroppedError if the store dropped records, and its newest checkpoint
-   *     cannot be read.
+   *     cannot be read, or a holder that has folded them may still write one.
    */
   async catchUp(): Promise<void> {
     if (!this.isLoaded) {
@@ -107,6 +116,7 @@
       await this.loadNewest();
       await this.readPastDropped();
     }
+    this.gapSince = undefined;
   }
 
   /** Applies this process's own records, which the log has placed at the next offsets. */
@@ -204,6 +214,7 @@
     const due = this.schedule.due({
       now,
       nextOffset,
+      firstOffset: this.firstOffset,
       checkpointOffset: this.chain.position.offset,
       holders,
       incarnation,
@@ -375,6 +386,7 @@
         this.currentFold.nextOffset,
         0,
       );
+      this.firstOffset = range.first;
       this.applyAll(range.records.map(decodeRecord));
       if (!this.isLoaded) {
         await this.loadNewest();
@@ -396,6 +408,11 @@
       if (!(error instanceof RecordsDroppedError) || this.chain.hasUnreadable) {
         throw error;
       }
+      const now = this.clock.monotonicMilliseconds();
+      this.gapSince ??= now;
+      if (now < this.gapSince + GAP_MILLISECONDS) {
+        throw error;
+      }
       await this.skipDropped(error);
       if (!this.isLoaded) {
         await this.loadNewest();
--- a/packages/gateway/src/checkpoint-schedule.ts
+++ b/packages/gateway/src/checkpoint-schedule.ts
@@ -14,7 +14,7 @@
  * the first one's checkpoint then.
  */
 const SPREAD_PART = 0.5;
-/** Maximum time after a start between two holders in turn. */
+/** Maximum time between two holders in turn after a start or after dropped records. */
 const START_SPACING_MILLISECONDS = 50;
 
 /** What a process knows of the log and its checkpoints. */
@@ -23,6 +23,8 @@
   readonly now: number;
   /** The next offset that this process folds. */
   readonly nextOffset: number;
+  /** Oldest offset that the store keeps. */
+  readonly firstOffset: number;
   /** Offset of the newest known checkpoint. */
   readonly checkpointOffset: number;
   /** All holders by incarnation, in the order of the fold. */
@@ -69,13 +71,18 @@
     return {oldOffset: this.oldOffset(state), isTurn};
   }
 
-  private oldOffset({
-    now,
-    nextOffset,
-    checkpointOffset,
-    holders,
-    incarnation,
-  }: CheckpointState): number | undefined {
+  private oldOffset(state: CheckpointState): number | undefined {
+    const {now, nextOffset, checkpointOffset, holders, incarnation} = state;
+    const rank = Math.max(0, [...holders.keys()].indexOf(incarnation));
+    if (state.firstOffset > checkpointOffset) {
+      const delay = Math.min(
+        START_MILLISECONDS,
+        START_SPACING_MILLISECONDS * rank,
+      );
+      if (this.deadline === undefined || this.deadline.at > now + delay) {
+        this.deadline = {offset: nextOffset, at: now + delay};
+      }
+    }
     if (
       this.deadline !== undefined &&
       checkpointOffset >= this.deadline.offset
@@ -84,7 +91,6 @@
     }
     if (this.deadline === undefined) {
       if (checkpointOffset < this.contentEnd) {
-        const rank = Math.max(0, [...holders.keys()].indexOf(incarnation));
         const at = now + this.delayMilliseconds(rank, holders.size);
         this.deadline = {offset: nextOffset, at};
         this.isStarting = false;
--- a/packages/gateway/src/test/dropped-log_test.ts
+++ b/packages/gateway/src/test/dropped-log_test.ts
@@ -42,22 +42,30 @@
   fleet.log.dropBefore(BUDGET_PARTITION, page?.end ?? 0);
 }
 
+/** Serves a request; returns whether it was not refused. */
+async function spendOnce(holder: BudgetHolder | undefined): Promise<boolean> {
+  const reserving = holder?.reservations.reserve(SCHOOL, {
+    bound: REQUEST_TOKENS,
+    mayPromise: false,
+  });
+  const result = await resultAfter(
+    SETTLING_MILLISECONDS,
+    Promise.resolve(reserving),
+  );
+  if (result === undefined || 'refusal' in result) {
+    return false;
+  }
+  holder?.reservations.settle(result.reservation, REQUEST_TOKENS);
+  return true;
+}
+
 /** Serves requests one after the other until one is refused; returns the tokens spent. */
 async function spendAll(holder: BudgetHolder | undefined): Promise<number> {
-  for (let spent = 0; ; spent += REQUEST_TOKENS) {
-    const reserving = holder?.reservations.reserve(SCHOOL, {
-      bound: REQUEST_TOKENS,
-      mayPromise: false,
-    });
-    const result = await resultAfter(
-      SETTLING_MILLISECONDS,
-      Promise.resolve(reserving),
-    );
-    if (result === undefined || 'refusal' in result) {
-      return spent;
-    }
-    holder?.reservations.settle(result.reservation, REQUEST_TOKENS);
+  let spent = 0;
+  while (await spendOnce(holder)) {
+    spent += REQUEST_TOKENS;
   }
+  return spent;
 }
 
 it('opens after all hosts were dead for longer than the log keeps records', async () => {
@@ -74,6 +82,19 @@
   expect(successor?.isReady).toBe(true);
 });
 
+it('opens beside a host that has read the dropped records without any loss', async () => {
+  // Guards against holders that are closed, and tokens that are charged, because the store
+  // forgot its history since the newest checkpoint.
+  const one = await resultAfter(OPENING_MILLISECONDS, fleet.start('one'));
+  await spendOnce(one);
+  await dropRecords();
+  const two = await resultAfter(SETTLING_MILLISECONDS, fleet.start('two'));
+  expect(two?.isReady).toBe(true);
+  const events = fleet.events.map(({event}) => event);
+  expect(events).not.toContain('budget holder fenced');
+  expect(events).not.toContain('budget records dropped');
+});
+
 it('spends no more than the budget where only some hosts read the dropped records', async () => {
   // Guards against tokens spent twice: by a host that has folded the records, and by one
   // that starts after the store dropped them.
