--- a/packages/budgets/src/budget-checkpoint.ts
+++ b/packages/budgets/src/budget-checkpoint.ts
@@ -3,17 +3,29 @@
 import {
   BudgetCheckpointSchema,
   type BudgetCheckpoint,
+  type GrantCeilings,
 } from '@wisteriadeal/schema';
 
 import {BudgetFold, type FoldedHolder} from './budget-fold.js';
+import type {TokenLimits} from './grant-ceilings.js';
 
 /**
  * Captures the fold's complete state, for readers that start after the platform has
  * dropped the earlier records.
+ *
+ * @param generation Number of times that the fold has continued after dropped records,
+ *     plus 1; 0 if holders use grants without a ceiling.
+ * @param ceilings Ceilings of allocated tokens, by organisation.
  */
-export function createCheckpoint(fold: BudgetFold): BudgetCheckpoint {
+export function createCheckpoint(
+  fold: BudgetFold,
+  generation = 0,
+  ceilings: TokenLimits = new Map(),
+): BudgetCheckpoint {
   return create(BudgetCheckpointSchema, {
     offset: fold.nextOffset,
+    generation,
+    ceilings: toGrantCeilings(ceilings),
     organisations: [...fold.organisations].map(([organisation, budget]) => ({
       organisation,
       prepaid: budget.prepaid,
@@ -36,6 +48,16 @@
   });
 }
 
+/** Lists ceilings for a message. */
+export function toGrantCeilings(
+  ceilings: TokenLimits,
+): {readonly organisation: string; readonly tokens: number}[] {
+  return [...ceilings].map(([organisation, tokens]) => ({
+    organisation,
+    tokens,
+  }));
+}
+
 /**
  * Whether the offset and the amounts of a checkpoint are whole numbers that records can
  * store. A fold that continues at any other offset never reads the log again.
@@ -45,11 +67,8 @@
  * hasValidFigures(createCheckpoint(new BudgetFold(7))); // true
  * ```
  */
-export function hasValidFigures({
-  offset,
-  organisations,
-  holders,
-}: BudgetCheckpoint): boolean {
+export function hasValidFigures(checkpoint: BudgetCheckpoint): boolean {
+  const {offset, organisations, holders} = checkpoint;
   const amounts = [
     ...organisations.flatMap(({prepaid, closedCharge}) => [
       prepaid,
@@ -60,7 +79,21 @@
     ),
   ];
   return (
-    Number.isSafeInteger(offset) && offset >= 0 && amounts.every(isTokenAmount)
+    Number.isSafeInteger(offset) &&
+    offset >= 0 &&
+    amounts.every(isTokenAmount) &&
+    hasValidCeilings(checkpoint)
+  );
+}
+
+/** Whether a generation and ceilings are whole numbers that records can store. */
+export function hasValidCeilings({
+  generation,
+  ceilings,
+}: Pick<GrantCeilings, 'generation' | 'ceilings'>): boolean {
+  return (
+    isTokenAmount(generation) &&
+    ceilings.every(({tokens}) => isTokenAmount(tokens))
   );
 }
 
--- a/packages/budgets/src/budget-fold.ts
+++ b/packages/budgets/src/budget-fold.ts
@@ -172,6 +172,18 @@
     holder.grants.set(organisation, grant);
   }
 
+  /** Charges tokens that ended processes may have spent. */
+  charge(organisation: string, tokens: number): void {
+    this.organisation(organisation).closedCharge += tokens;
+  }
+
+  /** Closes all holders: what they had been granted and not returned counts as spent. */
+  closeHolders(): void {
+    for (const holder of [...this.holders.values()]) {
+      this.closeHolder(holder);
+    }
+  }
+
   /** Adds a process that may hold grants. */
   addHolder(holder: FoldedHolder): void {
     this.holders.set(holder.incarnation, holder);
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -252,6 +252,7 @@
       !this.health.isUnavailable &&
       !this.journal.isFenced &&
       (this.journal.hasPending ||
+        this.hasWithheldGrants ||
         this.registry.all.some(({account}) => account.available > 0))
     );
   }
@@ -274,6 +275,7 @@
   }
 
   private setPrepaid(name: string, prepaid: number, version: number): void {
+    this.replica.setPrepaid(name, prepaid);
     const budget = this.registry.get(name);
     if (budget === undefined) {
       this.registry.add(
@@ -318,14 +320,14 @@
     try {
       this.planGrants();
       this.health.called(this.clock.monotonicMilliseconds());
-      const outcomes = await this.journal.exchange();
+      await this.journal.exchange();
       this.health.answered(this.clock.monotonicMilliseconds());
-      outcomes.forEach(outcome => {
-        this.applyOutcome(outcome);
-      });
+      this.applyOutcomes();
       this.recordOpening();
       this.endLostRequests();
-      await this.replica.checkpointIfDue(this.journal.incarnation);
+      this.replica.writeIfDue(this.journal.incarnation, () => {
+        this.applyOutcomes();
+      });
     } catch (error) {
       this.health.failed(this.clock.monotonicMilliseconds(), error);
       return RETRY_INTERVAL_MILLISECONDS;
@@ -337,11 +339,33 @@
     ) {
       return PENDING_RECORDS_INTERVAL_MILLISECONDS;
     }
-    return this.hasWaitingRequests()
+    return this.hasWaitingRequests() || this.hasWithheldGrants
       ? WAITING_REQUESTS_INTERVAL_MILLISECONDS
       : budgetReadInterval(this.holderCount);
   }
 
+  /** Applies the outcomes of an exchange; grants may wait for a higher ceiling. */
+  private applyOutcomes(): void {
+    const {incarnation} = this.journal;
+    this.replica.takeOutcomes(incarnation).forEach(outcome => {
+      this.applyOutcome(outcome);
+    });
+    const withheld = this.replica.withheldOrganisations(incarnation);
+    for (const budget of this.registry.all) {
+      const isWithheld = withheld.includes(budget.name);
+      if (isWithheld && !budget.isGrantWithheld) {
+        this.events.info('grant beyond its ceiling', {
+          organisation: budget.name,
+        });
+      }
+      budget.isGrantWithheld = isWithheld;
+    }
+  }
+
+  private get hasWithheldGrants(): boolean {
+    return this.registry.all.some(({isGrantWithheld}) => isGrantWithheld);
+  }
+
   private recordOpening(): void {
     if (this.hasOpened || !this.journal.isOpen) {
       return;
@@ -363,7 +387,7 @@
       return;
     }
     for (const budget of this.registry.all) {
-      budget.isRequesting = false;
+      budget.isRequesting = budget.isGrantWithheld;
     }
   }
 
