Write keys to the store on the condition that nothing was written since

A host that writes what it has worked out from a keyed topic could overwrite what another host wrote meanwhile.

Not used by callers yet.

--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -3,6 +3,7 @@
   Fate,
   PartitionedLog,
   StepError,
+  type KeyedValue,
   type Partition,
 } from '@wisteriadeal/platform';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
@@ -141,6 +142,14 @@
     return this.callLog(() => this.log.put(partition, key, value));
   }
 
+  override putAllAt(
+    partition: Partition,
+    entries: readonly KeyedValue[],
+    end: number,
+  ) {
+    return this.callLog(() => this.log.putAllAt(partition, entries, end));
+  }
+
   override keyedRecord(offset: number, record: Uint8Array) {
     return this.log.keyedRecord(offset, record);
   }
--- a/packages/platform/src/partitioned-log.ts
+++ b/packages/platform/src/partitioned-log.ts
@@ -34,11 +34,15 @@
   readonly onProgress?: (progress: ReadProgress) => void;
 }
 
-/** The newest record of one key. */
-export interface KeyedRecord {
+/** A key of a keyed topic and its value. */
+export interface KeyedValue {
   readonly key: string;
-  /** Undefined if the key was deleted. */
+  /** Undefined if the key was deleted, or is to be. */
   readonly value: Uint8Array | undefined;
+}
+
+/** The newest record of one key. */
+export interface KeyedRecord extends KeyedValue {
   readonly offset: number;
 }
 
@@ -132,6 +136,20 @@
     value: Uint8Array | undefined,
   ): Promise<number>;
 
+  /**
+   * Appends either all records or none to a keyed topic, if its partition still ends
+   * where the caller has read to.
+   *
+   * @param end Offset of the next append, as the caller knows it.
+   * @returns False if there are records that the caller has not read.
+   * @throws StepError whose fate says whether the records may be in the log.
+   */
+  abstract putAllAt(
+    partition: Partition,
+    entries: readonly KeyedValue[],
+    end: number,
+  ): Promise<boolean>;
+
   /** Decodes a record of a keyed topic; undefined if the bytes are not a keyed record. */
   abstract keyedRecord(
     offset: number,
--- a/packages/stand-ins/src/testing/memory-partitioned-log.ts
+++ b/packages/stand-ins/src/testing/memory-partitioned-log.ts
@@ -4,6 +4,7 @@
   RecordsDroppedError,
   StepError,
   type KeyedRecord,
+  type KeyedValue,
   type NewestRecords,
   type Partition,
   type RecordRange,
@@ -56,21 +57,9 @@
     partition: Partition,
     records: readonly Uint8Array[],
   ): Promise<number> {
-    return this.answer('append', partition, () => {
-      if (this.faults.appendsToDelay > 0) {
-        this.faults.appendsToDelay--;
-        this.delayed.push({partition, records});
-        throw failure('append', partition, Fate.Unknown);
-      }
-      const stored = this.stored(partition);
-      const offset = stored.first + stored.records.length;
-      stored.records.push(...records.map(record => Uint8Array.from(record)));
-      if (this.faults.answersToLose > 0) {
-        this.faults.answersToLose--;
-        throw failure('append', partition, Fate.Unknown);
-      }
-      return offset;
-    });
+    return this.answer('append', partition, () =>
+      this.appendNow(partition, records),
+    );
   }
 
   override read(
@@ -117,14 +106,35 @@
     key: string,
     value: Uint8Array | undefined,
   ): Promise<number> {
-    const name = Buffer.from(key);
-    return this.append(partition, [
-      Buffer.concat([
-        Buffer.from([name.length]),
-        name,
-        value ?? Buffer.alloc(0),
-      ]),
-    ]);
+    return this.append(partition, [encodeKeyed({key, value})]);
+  }
+
+  override async putAllAt(
+    partition: Partition,
+    entries: readonly KeyedValue[],
+    end: number,
+  ): Promise<boolean> {
+    const records = entries.map(encodeKeyed);
+    return (await this.appendAt(partition, records, end)) !== undefined;
+  }
+
+  /** Appends if the partition ends at an offset; undefined if it does not. */
+  appendAt(
+    partition: Partition,
+    records: readonly Uint8Array[],
+    end: number,
+  ): Promise<number | undefined> {
+    return this.answer('append', partition, () =>
+      this.endOf(partition) === end
+        ? this.appendNow(partition, records)
+        : undefined,
+    );
+  }
+
+  /** Offset of the next append. */
+  endOf(partition: Partition): number {
+    const {first, records} = this.stored(partition);
+    return first + records.length;
   }
 
   override keyedRecord(
@@ -162,6 +172,26 @@
     stored.first = offset;
   }
 
+  private appendNow(
+    partition: Partition,
+    records: readonly Uint8Array[],
+  ): number {
+    if (this.faults.appendsToDelay > 0) {
+      this.faults.appendsToDelay--;
+      this.delayed.push({partition, records});
+      throw failure('append', partition, Fate.Unknown);
+    }
+    const offset = this.endOf(partition);
+    this.stored(partition).records.push(
+      ...records.map(record => Uint8Array.from(record)),
+    );
+    if (this.faults.answersToLose > 0) {
+      this.faults.answersToLose--;
+      throw failure('append', partition, Fate.Unknown);
+    }
+    return offset;
+  }
+
   private stored({topic, partition}: Partition): StoredPartition {
     const key = `${topic} ${partition}`;
     let stored = this.partitions.get(key);
@@ -202,6 +232,15 @@
   }
 }
 
+function encodeKeyed({key, value}: KeyedValue): Uint8Array {
+  const name = Buffer.from(key);
+  return Buffer.concat([
+    Buffer.from([name.length]),
+    name,
+    value ?? Buffer.alloc(0),
+  ]);
+}
+
 function failure(step: string, partition: Partition, fate: Fate): StepError {
   return new StepError(step, partition.topic, fate, 'injected fault');
 }
