Crashes and tries of suspected requests outlast all hosts

What was known of crashes lived in the memory of the hosts only. Now crashes and tries of suspected subjects (two crashes and more) stand in a keyed topic of the store, under a digest of the subject. The host that saw a crash writes the subject if it is still suspected 0.3 s later, at most every 2 s; each host reads all entries at its start, before it serves, and before it tries a suspected request. The try is written before the request is sent, on the condition that nobody has written since, so that hosts that reach the store but not each other have the tries of one fleet. A cleared subject is deleted; entries expire after 10 min. While the store is away or takes over 0.4 s, hosts decide as before. Requests that are not suspected cost no call and no wait.

--- a/packages/decisions/src/crash-suspects.ts
+++ b/packages/decisions/src/crash-suspects.ts
@@ -304,6 +304,20 @@
     );
   }
 
+  /**
+   * The crashes of which a subject is a prime suspect, without their other subjects, and
+   * what happened to the prime suspects.
+   */
+  conclusionsOn(subject: string): SuspectKnowledge {
+    const crashes = this.crashesOf(subject)
+      .map(crash => ({...crash, subjects: this.primeSuspects(crash)}))
+      .filter(({subjects}) => subjects.includes(subject));
+    return this.withEvents(
+      crashes,
+      crashes.flatMap(({subjects}) => subjects),
+    );
+  }
+
   /**
    * What another host does not know of the crashes that it told of, and of those at
    * which their uncleared subjects were present; everything, if it told of none.
--- a/packages/gateway/src/crashes/suspect-registry.ts
+++ b/packages/gateway/src/crashes/suspect-registry.ts
@@ -13,13 +13,17 @@
 import {decidingHosts} from '../deciding-hosts.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
 import type {RequestIdentity} from './request-identity.js';
+import type {SuspectArchive} from './suspect-archive.js';
 import {SuspectEvent} from './suspect-event.js';
 import {decodeNews, encodeNews} from './suspect-news.js';
 import {SuspectHolder, type SuspectPeers} from './suspect-peers.js';
+import {SuspectRecorder} from './suspect-recorder.js';
 
 /** Dependencies of `SuspectRegistry`. */
 export interface SuspectRegistryParts {
   readonly peers: SuspectPeers;
+  /** Outlasts the processes of all hosts. */
+  readonly archive: SuspectArchive;
   readonly clock: Clock;
   readonly events: EventLog;
   readonly metrics: GatewayMetrics;
@@ -53,6 +57,7 @@
 const LAST_ENDPOINT_WAIT_MILLISECONDS = 2_000;
 const LEARN_ATTEMPTS = 10;
 const LEARN_INTERVAL_MILLISECONDS = 300;
+const RECALL_INTERVAL_MILLISECONDS = 1_000;
 
 const NO_KNOWLEDGE: SuspectKnowledge = {crashes: [], tries: [], successes: []};
 
@@ -62,6 +67,7 @@
  */
 export class SuspectRegistry extends SuspectHolder {
   private readonly suspects = new CrashSuspects();
+  private readonly recorder: SuspectRecorder;
   /** Suspected subjects that all hosts were told of. */
   private announced: ReadonlySet<string> = new Set();
   /** Subjects that all hosts are told of next. */
@@ -71,6 +77,14 @@
 
   constructor(private readonly parts: SuspectRegistryParts) {
     super();
+    const {archive, clock, events} = parts;
+    this.recorder = new SuspectRecorder({
+      archive,
+      suspects: this.suspects,
+      sameTryMilliseconds: SAME_TRY_MILLISECONDS,
+      clock,
+      events,
+    });
   }
 
   /** Number of requests and shared parts that were present at a crash and not cleared. */
@@ -92,6 +106,19 @@
     }
   }
 
+  /**
+   * Reads what the store has, in case that no host knows it any more. Resolves after the
+   * first attempt; others follow until the store answers.
+   */
+  async recall(): Promise<void> {
+    if ((await this.recorder.read()) === undefined) {
+      void this.recallLater();
+      return;
+    }
+    // Other hosts read it as well.
+    this.announced = new Set(this.suspects.suspectedSubjects);
+  }
+
   /**
    * Decides whether a request that arrives may be sent to endpoints.
    *
@@ -140,6 +167,7 @@
     this.report(SuspectEvent.Cleared, {subjects: cleared.join(', ')});
     if (cleared.some(subject => suspected.includes(subject))) {
       this.shareWithAll(cleared);
+      this.recorder.saveCleared(cleared);
     } else {
       this.shareWithDeciders(cleared);
     }
@@ -157,6 +185,7 @@
     }
     this.reportCrash(crash);
     this.shareNewSuspects(() => [this.parts.ownAddress]);
+    this.recorder.saveSuspected(crash.subjects);
     this.shareWithDeciders(
       crash.subjects.filter(subject => this.suspects.crashCount(subject) > 0),
     );
@@ -190,6 +219,7 @@
   close(): void {
     this.isClosed = true;
     clearTimeout(this.sharing);
+    this.recorder.close();
     this.parts.peers.close();
   }
 
@@ -202,7 +232,7 @@
       return decision;
     }
     return hasOtherEndpoint()
-      ? this.requestTry(subjects, decision)
+      ? this.requestStoredTry(subjects)
       : {
           ...decision,
           verdict: SuspectVerdict.Refuse,
@@ -210,6 +240,33 @@
         };
   }
 
+  private async recallLater(): Promise<void> {
+    await this.parts.clock.sleep(RECALL_INTERVAL_MILLISECONDS);
+    if (!this.isClosed) {
+      await this.recall();
+    }
+  }
+
+  /**
+   * Asks for a try by what the store has, and writes it there before the request is
+   * sent: hosts that don't reach each other may both permit one.
+   */
+  private async requestStoredTry(
+    subjects: readonly string[],
+  ): Promise<SuspectDecision> {
+    const stored = await this.recorder.readInTime();
+    const decision = this.suspects.decide(subjects, this.now());
+    if (decision.verdict !== SuspectVerdict.Try) {
+      return decision;
+    }
+    const permission = await this.requestTry(subjects, decision);
+    if (permission.verdict !== SuspectVerdict.Try || stored === undefined) {
+      return permission;
+    }
+    const isClaimed = await this.recorder.claimTry(decision.suspects, stored);
+    return isClaimed ? permission : this.suspects.decide(subjects, this.now());
+  }
+
   /**
    * Asks the hosts that decide for the fleet, in their order; this one decides if
    * it is its turn, or if none answers.
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {
   ConnectSuspectPeers,
   CrashDetector,
+  SuspectArchive,
   SuspectRegistry,
 } from './crashes/index.js';
 import {EndpointLeavings, RunCopies} from './continuation/index.js';
@@ -103,6 +104,7 @@
 enum StartRequirement {
   Configuration = 'configuration',
   Endpoints = 'endpoints',
+  Suspects = 'suspects',
 }
 
 /**
@@ -314,6 +316,9 @@
       },
     );
     void this.suspects.learn();
+    void this.suspects.recall().then(() => {
+      this.gate.requirementMet(StartRequirement.Suspects);
+    });
     void this.configurationFollower.run();
     void this.endpointFollower.run();
     void this.budgets.run();
@@ -595,9 +600,10 @@
   }
 
   private createSuspects(): SuspectRegistry {
-    const {settings, clock, events} = this.parts;
+    const {settings, log, clock, events} = this.parts;
     return new SuspectRegistry({
       peers: new ConnectSuspectPeers(this.link),
+      archive: new SuspectArchive(log, clock, events),
       clock,
       events,
       metrics: this.metrics,
--- a/packages/gateway/src/test/suspect-registry_test.ts
+++ b/packages/gateway/src/test/suspect-registry_test.ts
@@ -1,5 +1,10 @@
 import {create} from '@bufbuild/protobuf';
 import {partSubject, SuspectVerdict} from '@wisteriadeal/decisions';
+import type {
+  KeyedValue,
+  NewestRecords,
+  Partition,
+} from '@wisteriadeal/platform';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
 import {
   LogLevel,
@@ -7,11 +12,14 @@
   type SuspectNews,
   type TryAnswer,
 } from '@wisteriadeal/schema';
+import {MemoryPartitionedLog} from '@wisteriadeal/stand-ins';
 import {beforeEach, describe, expect, it} from 'vitest';
 
 import {GatewayMetrics} from '../gateway-metrics.js';
 import {
   type RequestIdentity,
+  SUSPECT_PARTITION,
+  SuspectArchive,
   SuspectPeers,
   SuspectRegistry,
 } from '../crashes/index.js';
@@ -62,6 +70,29 @@
   override monotonicMilliseconds(): number {
     return this.now;
   }
+
+  override wallMilliseconds(): number {
+    return this.now;
+  }
+}
+
+/** Counts calls to the store. */
+class CountingLog extends MemoryPartitionedLog {
+  callCount = 0;
+
+  override newest(partition: Partition): Promise<NewestRecords> {
+    this.callCount++;
+    return super.newest(partition);
+  }
+
+  override putAllAt(
+    partition: Partition,
+    entries: readonly KeyedValue[],
+    end: number,
+  ): Promise<boolean> {
+    this.callCount++;
+    return super.putAllAt(partition, entries, end);
+  }
 }
 
 const ADDRESSES = ['10.0.0.1:7200', '10.0.0.2:7200', '10.0.0.3:7200'];
@@ -76,15 +107,18 @@
 const deadly = identityOf('deadly');
 
 let clock: SetClock;
+let store: CountingLog;
 
 function startHost(
   ownAddress: string,
   addresses: readonly string[] = ADDRESSES,
 ): SuspectRegistry {
+  const events = EventLog.create(LogLevel.ERROR, {}, () => undefined);
   const host = new SuspectRegistry({
     peers: new FakePeers(),
+    archive: new SuspectArchive(store, clock, events),
     clock,
-    events: EventLog.create(LogLevel.ERROR, {}, () => undefined),
+    events,
     metrics: new GatewayMetrics(),
     ownAddress,
     otherAddresses: () => addresses.filter(address => address !== ownAddress),
@@ -125,6 +159,7 @@
 
 beforeEach(() => {
   clock = new SetClock();
+  store = new CountingLog();
   FakePeers.lost.clear();
   FakePeers.hosts.clear();
   for (const address of ADDRESSES) {
@@ -385,6 +420,104 @@
   });
 });
 
+describe('the store', () => {
+  /** Longer than hosts wait before they write a suspect. */
+  async function saved(): Promise<void> {
+    await new Promise(resolve => setTimeout(resolve, 500));
+  }
+
+  async function crashTimes(count: number): Promise<void> {
+    for (let number = 0; number < count; number++) {
+      await crash(number % ADDRESSES.length, `i-${number}`);
+    }
+    await saved();
+  }
+
+  /** Resolves once the store has entries of so many subjects. */
+  async function hasEntries(count: number): Promise<void> {
+    const countEntries = async () =>
+      (await store.newest(SUSPECT_PARTITION)).items.length;
+    await expect.poll(countEntries, {timeout: 5_000}).toBe(count);
+  }
+
+  async function loseAllHosts(): Promise<void> {
+    const restarted = ADDRESSES.map(address => startHost(address));
+    await Promise.all(restarted.map(host => host.recall()));
+  }
+
+  /** Lets all hosts ask each second; counts the tries that were permitted. */
+  async function countTries(seconds: number): Promise<number> {
+    let tries = 0;
+    for (let second = 0; second < seconds; second++) {
+      clock.now += 1_000;
+      const verdicts = await Promise.all(
+        ADDRESSES.map((_address, host) => verdictAt(host)),
+      );
+      tries += verdicts.filter(
+        verdict => verdict === SuspectVerdict.Try,
+      ).length;
+    }
+    return tries;
+  }
+
+  it('keeps crashes and tries while all hosts are lost', async () => {
+    // Guards against tries that begin anew with the processes.
+    await crashTimes(3);
+    let tries = 0;
+    for (let losses = 0; losses < 8; losses++) {
+      await loseAllHosts();
+      tries += await countTries(60);
+    }
+    expect(tries).toBe(3);
+  });
+
+  it('lets hosts that reach no other try no more than one fleet', async () => {
+    // Guards against tries on each side of a partition.
+    await crashTimes(3);
+    for (const address of ADDRESSES) {
+      FakePeers.lost.add(address);
+    }
+    expect(await countTries(500)).toBe(3);
+  });
+
+  it('does not suspect what was cleared', async () => {
+    // Guards against refusals of sound requests after each start.
+    await crashTimes(2);
+    await hasEntries(1);
+    hostAt(1).requestAnswered(deadly, {status: 200, answerBeganAt: clock.now});
+    await hasEntries(0);
+    await loseAllHosts();
+    expect(await verdictAt(0)).toBe(SuspectVerdict.Serve);
+  });
+
+  it('may be away', async () => {
+    // Guards against refusals for as long as the store is away.
+    store.faults.isUnavailable = true;
+    await crashTimes(2);
+    clock.now += 2_001;
+    expect(await verdictAt(0)).toBe(SuspectVerdict.Try);
+  });
+
+  it('is written once it is back', async () => {
+    store.faults.isUnavailable = true;
+    await crashTimes(2);
+    store.faults.isUnavailable = false;
+    await hasEntries(1);
+    await loseAllHosts();
+    expect(await verdictAt(0)).toBe(SuspectVerdict.Refuse);
+  });
+
+  it('is not asked about requests that are not suspected', async () => {
+    // Guards against a call to the store for each request, or each end of an endpoint.
+    await crash(0, 'i-1');
+    await saved();
+    await Promise.all([0, 1, 2].map(host => verdictAt(host)));
+    hostAt(0).requestAnswered(deadly, {status: 200, answerBeganAt: clock.now});
+    await saved();
+    expect(store.callCount).toBe(0);
+  });
+});
+
 describe('a host', () => {
   it('that starts learns from the others', async () => {
     // Guards against each restarted host paying endpoints again.
--- a/packages/platform/src/clock.ts
+++ b/packages/platform/src/clock.ts
@@ -6,7 +6,10 @@
   /** Milliseconds of this process's monotonic clock, from an arbitrary origin. */
   abstract monotonicMilliseconds(): number;
 
-  /** Milliseconds since 1970; only for logs and for display. */
+  /**
+   * Milliseconds since 1970; only for logs, for display, and for the age of what outlasts
+   * the process.
+   */
   abstract wallMilliseconds(): number;
 
   /**
