Use no stored suspect that is not one

Bytes of another writer in the topic of suspects could decode to times that are no numbers, with which no pause ends. An entry counts only under its subject's key, with finite times and an age within its retention; others are ignored and deleted with the next write.

Not seen in a deployment.

--- a/packages/gateway/src/crashes/suspect-archive.ts
+++ b/packages/gateway/src/crashes/suspect-archive.ts
@@ -8,7 +8,7 @@
   PartitionedLog,
 } from '@wisteriadeal/platform';
 import type {EventLog} from '@wisteriadeal/runtime';
-import {StoredSuspectSchema} from '@wisteriadeal/schema';
+import {StoredSuspectSchema, type SuspectNews} from '@wisteriadeal/schema';
 
 import {digestOf} from '../digest.js';
 import {decodeNews, encodeNews} from './suspect-news.js';
@@ -79,7 +79,7 @@
     const entries: KeyedValue[] = [
       ...expiredKeys.map(key => ({key, value: undefined})),
       ...[...changes].map(([subject, known]) => ({
-        key: digestOf([subject], KEY_DIGEST_BYTES),
+        key: keyOf(subject),
         value: known && this.encode(subject, known),
       })),
     ];
@@ -111,12 +111,25 @@
       // The writer's clock may be ahead of this one.
       const age = Math.max(0, this.clock.wallMilliseconds() - writtenAt);
       const writtenHereAt = this.clock.monotonicMilliseconds() - age;
-      return known === undefined || age > RETENTION_MILLISECONDS
-        ? undefined
-        : {subject, known: decodeNews(known, writtenHereAt)};
+      return key === keyOf(subject) &&
+        known !== undefined &&
+        hasValidAges(known) &&
+        age <= RETENTION_MILLISECONDS
+        ? {subject, known: decodeNews(known, writtenHereAt)}
+        : undefined;
     } catch (error) {
       this.events.warn('stored suspect ignored', {key, reason: String(error)});
       return undefined;
     }
   }
 }
+
+function keyOf(subject: string): string {
+  return digestOf([subject], KEY_DIGEST_BYTES);
+}
+
+function hasValidAges({crashes, tries, successes}: SuspectNews): boolean {
+  return [...crashes, ...tries, ...successes].every(({millisecondsAgo}) =>
+    Number.isFinite(millisecondsAgo),
+  );
+}
