--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -108,8 +108,8 @@
 }
 
 /**
- * Requests wait at most this long after the start for configuration and
- * endpoints, which take a few calls to the store of 4 ms each when it is
+ * Requests wait at most this long after the start for configuration, endpoints
+ * and suspects, which take a few calls to the store of 4 ms each when it is
  * healthy.
  */
 const START_GATE_TIMEOUT_MILLISECONDS = 400;
