--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -27,6 +27,7 @@
 import {
   ConnectSuspectPeers,
   CrashDetector,
+  SuspectArchive,
   SuspectRegistry,
 } from './crashes/index.js';
 import {EndpointLeavings, RunCopies} from './continuation/index.js';
@@ -103,11 +104,12 @@
 enum StartRequirement {
   Configuration = 'configuration',
   Endpoints = 'endpoints',
+  Suspects = 'suspects',
 }
 
 /**
- * Requests wait at most this long after the start for configuration and
- * endpoints, which take a few calls to the store of 4 ms each when it is
+ * Requests wait at most this long after the start for configuration, endpoints
+ * and suspects, which take a few calls to the store of 4 ms each when it is
  * healthy.
  */
 const START_GATE_TIMEOUT_MILLISECONDS = 400;
@@ -317,6 +319,9 @@
       },
     );
     void this.suspects.learn();
+    void this.suspects.recall().then(() => {
+      this.gate.requirementMet(StartRequirement.Suspects);
+    });
     void this.configurationFollower.run();
     void this.endpointFollower.run();
     void this.budgets.run();
@@ -598,9 +603,10 @@
   }
 
   private createSuspects(): SuspectRegistry {
-    const {settings, clock, events} = this.parts;
+    const {settings, log, clock, events} = this.parts;
     return new SuspectRegistry({
       peers: new ConnectSuspectPeers(this.link),
+      archive: new SuspectArchive(log, clock, events),
       clock,
       events,
       metrics: this.metrics,
--- a/packages/gateway/src/test/holder-fleet.ts
+++ b/packages/gateway/src/test/holder-fleet.ts
@@ -3,6 +3,7 @@
   Fate,
   PartitionedLog,
   StepError,
+  type KeyedValue,
   type Partition,
 } from '@wisteriadeal/platform';
 import {EventLog, SystemClock} from '@wisteriadeal/runtime';
@@ -137,13 +138,12 @@
     return this.callLog(() => this.log.newest(partition));
   }
 
-  override put(
+  override putAll(
     partition: Partition,
-    key: string,
-    value?: Uint8Array,
+    entries: readonly KeyedValue[],
     expectedEnd?: number,
   ) {
-    return this.callLog(() => this.log.put(partition, key, value, expectedEnd));
+    return this.callLog(() => this.log.putAll(partition, entries, expectedEnd));
   }
 
   override keyedRecord(offset: number, record: Uint8Array) {
--- a/packages/platform/src/partitioned-log.ts
+++ b/packages/platform/src/partitioned-log.ts
@@ -34,11 +34,15 @@
   readonly onProgress?: (progress: ReadProgress) => void;
 }
 
-/** The newest record of one key. */
-export interface KeyedRecord {
+/** A key of a keyed topic and its value. */
+export interface KeyedValue {
   readonly key: string;
-  /** Undefined if the key was deleted. */
+  /** Undefined if the key was deleted, or is to be. */
   readonly value: Uint8Array | undefined;
+}
+
+/** The newest record of one key. */
+export interface KeyedRecord extends KeyedValue {
   readonly offset: number;
 }
 
@@ -138,11 +142,27 @@
    * @throws PartitionEndError if the partition does not end at `expectedEnd`.
    * @throws StepError whose fate says whether the record may be in the log.
    */
-  abstract put(
+  put(
     partition: Partition,
     key: string,
     value: Uint8Array | undefined,
     expectedEnd?: number,
+  ): Promise<number> {
+    return this.putAll(partition, [{key, value}], expectedEnd);
+  }
+
+  /**
+   * Appends either all records or none to a keyed topic.
+   *
+   * @param expectedEnd As for `put`.
+   * @returns Offset of the first record.
+   * @throws PartitionEndError if the partition does not end at `expectedEnd`.
+   * @throws StepError whose fate says whether the records may be in the log.
+   */
+  abstract putAll(
+    partition: Partition,
+    entries: readonly KeyedValue[],
+    expectedEnd?: number,
   ): Promise<number>;
 
   /** Decodes a record of a keyed topic; undefined if the bytes are not a keyed record. */
--- a/packages/stand-ins/src/testing/memory-partitioned-log.ts
+++ b/packages/stand-ins/src/testing/memory-partitioned-log.ts
@@ -5,6 +5,7 @@
   RecordsDroppedError,
   StepError,
   type KeyedRecord,
+  type KeyedValue,
   type NewestRecords,
   type Partition,
   type RecordRange,
@@ -118,16 +119,12 @@
     });
   }
 
-  override put(
+  override putAll(
     partition: Partition,
-    key: string,
-    value: Uint8Array | undefined,
+    entries: readonly KeyedValue[],
     expectedEnd?: number,
   ): Promise<number> {
-    const name = Buffer.from(key);
-    const length = Buffer.from([name.length]);
-    const record = Buffer.concat([length, name, value ?? Buffer.alloc(0)]);
-    return this.append(partition, [record], expectedEnd);
+    return this.append(partition, entries.map(encodeKeyed), expectedEnd);
   }
 
   override keyedRecord(
@@ -208,6 +205,15 @@
   }
 }
 
+function encodeKeyed({key, value}: KeyedValue): Uint8Array {
+  const name = Buffer.from(key);
+  return Buffer.concat([
+    Buffer.from([name.length]),
+    name,
+    value ?? Buffer.alloc(0),
+  ]);
+}
+
 function failure(step: string, partition: Partition, fate: Fate): StepError {
   return new StepError(step, partition.topic, fate, 'injected fault');
 }
