Say not ready while connections in use take a host's room

What callers saw: a host whose descriptors were taken by connections in use stayed in the load balancer's rotation and closed new connections unread, while other hosts had room.

Cause: readiness did not depend on the room for callers' connections. A host now says that it is not ready from the time connections in use take 7/8 of its room until they have taken less than 3/4 for 2 s, so that the balancer, which checks once a second, sees both changes. Open connections stay as they are. If all hosts of a data centre lack room, the balancer uses all of them, as before.

--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -104,6 +104,11 @@
     return this.listener.connections.counts;
   }
 
+  /** Number of callers' connections that can't be closed to make room for others. */
+  get connectionsInUse(): number {
+    return this.listener.connections.inUse;
+  }
+
   /** Duration of the last measured event loop turn, milliseconds. */
   get loopTurnMilliseconds(): number {
     return this.loopMonitor.reading.turnMilliseconds;
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -64,6 +64,7 @@
     return (
       !this.isStopping &&
       this.rotation.acceptsConnections &&
+      !this.hostConnections.isRoomTaken &&
       this.budgets.isReady &&
       this.configuration.current !== undefined &&
       this.configuration.trust !== ConfigurationTrust.Outdated &&
@@ -104,6 +105,7 @@
       streamOrigins: this.origins.streamCount,
       heldBytes: this.account.describe(),
       connections: this.hostConnections.known,
+      roomTaken: this.hostConnections.isRoomTaken,
       endpoints: this.directory.all.map(
         ({entry, load, breaker, warmth, conditions}) => ({
           id: entry.id,
@@ -162,6 +164,10 @@
       'in_rotation',
       this.rotation.acceptsConnections ? 1 : 0,
     );
+    this.metrics.setState(
+      'room_taken',
+      this.hostConnections.isRoomTaken ? 1 : 0,
+    );
     this.metrics.setState(
       'loop_saturated',
       this.rotation.isLoopSaturated ? 1 : 0,
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -248,6 +248,7 @@
       callers: this.callers,
       connections: this.connections,
       tunnels: this.tunnels,
+      events,
     });
     this.callers.limitConnections({
       minimum: this.hostConnections.minimumCallerRoom,
@@ -426,6 +427,7 @@
       idleMilliseconds: performance.nodeTiming.idleTime,
       turnMilliseconds: this.callers.loopTurnMilliseconds,
     });
+    this.hostConnections.observe(now);
     this.rotation.observe({
       isLinkOverloaded: this.link.isOverloaded,
       isLoopSaturated: this.loopSaturation.isSaturated,
--- a/packages/gateway/src/host-connections.ts
+++ b/packages/gateway/src/host-connections.ts
@@ -1,12 +1,14 @@
 import {
   callerRoom,
   minimumCallerRoom,
+  RoomUse,
   tunnelRoom,
 } from '@wisteriadeal/decisions';
 import {
   descriptorLimit,
   openDescriptors,
   type EventFields,
+  type EventLog,
 } from '@wisteriadeal/runtime';
 
 import type {CallerServer} from './caller-server.js';
@@ -18,11 +20,13 @@
   readonly callers: CallerServer;
   readonly connections: EndpointConnectionPool;
   readonly tunnels: TunnelServer;
+  readonly events: EventLog;
 }
 
 /** Counts the connections and the file descriptors that this host holds. */
 export class HostConnections {
   private readonly limit = descriptorLimit();
+  private readonly roomUse = new RoomUse();
 
   constructor(private readonly parts: HostConnectionParts) {}
 
@@ -62,6 +66,32 @@
     return minimumCallerRoom(this.limit);
   }
 
+  /** Whether callers' connections in use leave too little room for new ones. */
+  get isRoomTaken(): boolean {
+    return this.roomUse.isTaken;
+  }
+
+  /**
+   * Updates `isRoomTaken`. Must be called several times a second.
+   *
+   * @param now Monotonic clock, milliseconds.
+   */
+  observe(now: number): void {
+    const wasTaken = this.isRoomTaken;
+    const sample = {
+      inUse: this.parts.callers.connectionsInUse,
+      room: this.callerRoom,
+    };
+    this.roomUse.observe(now, sample);
+    if (this.isRoomTaken !== wasTaken) {
+      this.parts.events.info('room for callers changed', {
+        isTaken: this.isRoomTaken,
+        ...sample,
+        ...this.known,
+      });
+    }
+  }
+
   /** Whether there is room for another tunnel. */
   get hasTunnelRoom(): boolean {
     return this.parts.tunnels.openTunnels < tunnelRoom(this.limit);
