--- a/packages/gateway/src/test/random-faults_test.ts
+++ b/packages/gateway/src/test/random-faults_test.ts
@@ -1,9 +1,9 @@
 import {Fate, StepError} from '@wisteriadeal/platform';
-import {afterEach, beforeEach, expect, it, vi} from 'vitest';
+import {afterEach, beforeEach, describe, expect, it, vi} from 'vitest';
 
 import type {BudgetHolder} from '../budget-holder.js';
 import {budgetRecord, encodeRecord} from '../budget-codec.js';
-import {BUDGET_PARTITION} from '../budget-topics.js';
+import {BUDGET_PARTITION, CHECKPOINT_PARTITION} from '../budget-topics.js';
 import {HolderFleet, SCHOOL} from './holder-fleet.js';
 
 const PREPAID_TOKENS = 200_000;
@@ -11,6 +11,8 @@
 const STEPS = 120;
 const MAXIMUM_STEP_MILLISECONDS = 400;
 const MAXIMUM_REQUEST_TOKENS = 6_000;
+/** Part of the steps in which records are dropped, or calls about checkpoints fail. */
+const DROP_PART = 0.15;
 const SEEDS = Array.from({length: 25}, (_, seed) => seed + 1);
 
 /** Numbers from 0 up to 1 that a seed determines. */
@@ -30,8 +32,13 @@
   readonly holders = new Map<string, BudgetHolder>();
   spent = 0;
   private late = 0;
+  private droppedEnd = 0;
 
-  constructor(private readonly random: () => number) {}
+  /** @param dropsRecords Whether the store drops records at any time. */
+  constructor(
+    private readonly random: () => number,
+    private readonly dropsRecords: boolean,
+  ) {}
 
   /** Starts a process on a host, which may be ready only after its faults have ended. */
   start(host: string): void {
@@ -41,6 +48,9 @@
   }
 
   async step(): Promise<void> {
+    if (this.dropsRecords && this.random() < DROP_PART) {
+      await this.disturbLog();
+    }
     const host = this.pick(HOSTS);
     const holder = this.holders.get(host);
     const action = this.random();
@@ -71,6 +81,7 @@
   heal(): void {
     this.fleet.isolatedHosts.clear();
     this.fleet.log.faults.isUnavailable = false;
+    this.fleet.log.faults.unavailableTopics.clear();
     this.fleet.faults.losesAnswers = false;
   }
 
@@ -90,10 +101,28 @@
   }
 
   private toggleIsolation(host: string): void {
-    const {isolatedHosts} = this.fleet;
-    if (!isolatedHosts.delete(host)) {
-      isolatedHosts.add(host);
+    toggle(this.fleet.isolatedHosts, host);
+  }
+
+  private async disturbLog(): Promise<void> {
+    const {log} = this.fleet;
+    const action = this.random();
+    if (action < 0.4) {
+      const end = this.droppedEnd + Math.floor(this.random() * 20);
+      const reading = log.read(BUDGET_PARTITION, this.droppedEnd, 0);
+      const dropping = reading.then(page => {
+        this.droppedEnd = Math.min(end, page.end);
+        log.dropBefore(BUDGET_PARTITION, this.droppedEnd);
+      });
+      dropping.catch(() => undefined);
+    } else if (action < 0.6) {
+      toggle(log.faults.unavailableTopics, CHECKPOINT_PARTITION.topic);
+    } else if (action < 0.8) {
+      log.faults.appendsToDelay = 1;
+    } else {
+      log.runDelayedAppends().catch(() => undefined);
     }
+    await vi.advanceTimersByTimeAsync(1);
   }
 
   private loseAppend(): void {
@@ -139,6 +168,12 @@
   }
 }
 
+function toggle(names: Set<string>, name: string): void {
+  if (!names.delete(name)) {
+    names.add(name);
+  }
+}
+
 beforeEach(() => {
   vi.useFakeTimers();
 });
@@ -148,35 +183,40 @@
   vi.restoreAllMocks();
 });
 
-it.each(SEEDS)(
-  'spends within the budget and serves again after random faults (seed %i)',
-  async seed => {
-    // Guards against spending beyond the budget, and against a host that stays without
-    // tokens after cuts, restarts, lost answers and late records.
-    const day = new RandomDay(seededRandom(seed));
-    HOSTS.forEach(host => {
-      day.start(host);
-    });
-    await vi.advanceTimersByTimeAsync(2_000);
-    for (let step = 0; step < STEPS; step++) {
-      await day.step();
-      expect(day.spent).toBeLessThanOrEqual(PREPAID_TOKENS);
-    }
-    day.heal();
-    await vi.advanceTimersByTimeAsync(10_000);
-    expect([...day.holders.keys()].sort()).toEqual([...HOSTS].sort());
-    for (const holder of day.holders.values()) {
-      // A refusal may be due to tokens that another holder is returning.
-      while ((await spendOne(day, holder)) || (await spendOne(day, holder))) {
+describe.each([
+  ['random faults', false],
+  ['random faults and dropped records', true],
+])('after %s', (_name, dropsRecords) => {
+  it.each(SEEDS)(
+    'spends within the budget and serves again (seed %i)',
+    async seed => {
+      // Guards against spending beyond the budget, and against a host that stays without
+      // tokens after cuts, restarts, lost answers, late records and dropped ones.
+      const day = new RandomDay(seededRandom(seed), dropsRecords);
+      HOSTS.forEach(host => {
+        day.start(host);
+      });
+      await vi.advanceTimersByTimeAsync(2_000);
+      for (let step = 0; step < STEPS; step++) {
+        await day.step();
         expect(day.spent).toBeLessThanOrEqual(PREPAID_TOKENS);
       }
-      expect(holder.describe(SCHOOL)?.unallocated).toBeLessThan(
-        MAXIMUM_REQUEST_TOKENS,
-      );
-    }
-    day.fleet.close();
-  },
-);
+      day.heal();
+      await vi.advanceTimersByTimeAsync(10_000);
+      expect([...day.holders.keys()].sort()).toEqual([...HOSTS].sort());
+      for (const holder of day.holders.values()) {
+        // A refusal may be due to tokens that another holder is returning.
+        while ((await spendOne(day, holder)) || (await spendOne(day, holder))) {
+          expect(day.spent).toBeLessThanOrEqual(PREPAID_TOKENS);
+        }
+        expect(holder.describe(SCHOOL)?.unallocated).toBeLessThan(
+          MAXIMUM_REQUEST_TOKENS,
+        );
+      }
+      day.fleet.close();
+    },
+  );
+});
 
 /** Runs one request that uses its bound; returns whether it was accepted. */
 async function spendOne(
