--- a/packages/decisions/src/caller-room.ts
+++ b/packages/decisions/src/caller-room.ts
@@ -110,16 +110,12 @@
   if (unusedMilliseconds >= MINIMUM_UNUSED_MILLISECONDS) {
     return RoomChoice.OldestUnused;
   }
-  return isLongIdle(idleMilliseconds) && unused < room * UNUSED_PART
+  return idleMilliseconds >= MINIMUM_IDLE_MILLISECONDS &&
+    unused < room * UNUSED_PART
     ? RoomChoice.LongestIdle
     : RoomChoice.None;
 }
 
-/** Whether a connection that had a request may be closed to make room. */
-export function isLongIdle(idleMilliseconds: number): boolean {
-  return idleMilliseconds >= MINIMUM_IDLE_MILLISECONDS;
-}
-
 /** Number of tunnels for which a host has room, by its limit on descriptors. */
 export function tunnelRoom(limit: number | undefined): number {
   return limit === undefined
--- a/packages/decisions/src/rotation/room-use.ts
+++ b/packages/decisions/src/rotation/room-use.ts
@@ -10,7 +10,7 @@
 
 /** Callers' connections of a host. */
 export interface RoomSample {
-  /** Connections that can't be closed to make room for others. */
+  /** Connections on which something is in progress. */
   readonly inUse: number;
   /** Number of connections for which the host has room; may be infinite. */
   readonly room: number;
--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -35,9 +35,10 @@
 const MAXIMUM_END_CHECKPOINTS = 3;
 /**
  * Time after dropped records were met within which holders that have folded them write a
- * checkpoint. They learn of it when they read the log, at least once a second.
+ * checkpoint. Up to 140 hosts read the log every 0.7 s, and write at the exchange after
+ * the one that tells them; each of three calls to a slow store takes a quarter of a second.
  */
-const GAP_MILLISECONDS = 1_500;
+const GAP_MILLISECONDS = 3_000;
 /** Generation of the first checkpoint. */
 const FIRST_GENERATION = 1;
 
@@ -111,6 +112,8 @@
       await this.readToEnd();
     } catch (error) {
       if (!(error instanceof RecordsDroppedError)) {
+        // Other holders may not reach the store either.
+        this.gapSince = undefined;
         throw error;
       }
       await this.loadNewest();
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -1,4 +1,4 @@
-import {chooseToClose, isLongIdle, RoomChoice} from '@wisteriadeal/decisions';
+import {chooseToClose, RoomChoice} from '@wisteriadeal/decisions';
 import type {IncomingMessage, Server, ServerResponse} from 'node:http';
 import type {Socket} from 'node:net';
 
@@ -323,16 +323,10 @@
     }
   }
 
-  /** Number of connections that can't be closed to make room. */
+  /** Number of connections on which something is in progress. */
   get inUse(): number {
-    let longIdle = 0;
-    for (const {idleMilliseconds} of this.idle) {
-      if (!isLongIdle(idleMilliseconds)) {
-        break;
-      }
-      longIdle++;
-    }
-    return this.open.size - this.leaving.size - this.unused.size - longIdle;
+    const {open, leaving, unused, idle} = this;
+    return open.size - leaving.size - unused.size - idle.size;
   }
 
   /** @returns Whether there is room for all connections that stay. */
--- a/packages/gateway/src/caller-server.ts
+++ b/packages/gateway/src/caller-server.ts
@@ -104,7 +104,7 @@
     return this.listener.connections.counts;
   }
 
-  /** Number of callers' connections that can't be closed to make room for others. */
+  /** Number of callers' connections on which something is in progress. */
   get connectionsInUse(): number {
     return this.listener.connections.inUse;
   }
--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -68,6 +68,8 @@
   private held: HeldRun | undefined;
   /** A stopped run whose endpoints are asked, or were. */
   private tried: HeldRun | undefined;
+  /** Endpoints that answered that they have no copy of the run. */
+  private readonly withoutCopy = new Set<KnownEndpoint>();
   private move: RunMove | undefined;
   private current: Continuation | undefined;
   private continuations = 0;
@@ -157,6 +159,7 @@
     const {context, lifetime} = this.parts;
     const {handleMilliseconds = 0} = context.service.engine ?? {};
     this.next = [];
+    this.withoutCopy.clear();
     this.held = run && {run, until: lifetime.now() + handleMilliseconds};
   }
 
@@ -222,6 +225,9 @@
 
   /** Records that the endpoint of the current attempt has no copy of the run. */
   copyMissing(): void {
+    if (this.current !== undefined) {
+      this.withoutCopy.add(this.current.chosen.endpoint);
+    }
     this.parts.metrics.continuationEvent(ContinuationEvent.CopyMissing);
   }
 
@@ -301,6 +307,7 @@
     ];
     return places
       .filter(chosen => chosen !== undefined)
+      .filter(({endpoint}) => !this.withoutCopy.has(endpoint))
       .map(chosen => ({chosen, copy}));
   }
 
--- a/packages/gateway/src/crashes/suspect-recorder.ts
+++ b/packages/gateway/src/crashes/suspect-recorder.ts
@@ -23,6 +23,8 @@
 const STORE_WAIT_MILLISECONDS = 400;
 /** Writes that are based on what is no longer the newest are repeated so often. */
 const WRITE_ATTEMPTS = 3;
+/** Subjects that wait for the store while it is away; the latest ones are kept. */
+const MAXIMUM_UNSAVED = 1_000;
 
 /** Keeps what this host knows of suspected subjects and what the store has in step. */
 export class SuspectRecorder {
@@ -98,6 +100,12 @@
     for (const subject of subjects) {
       this.unsaved.add(subject);
     }
+    for (const oldest of this.unsaved) {
+      if (this.unsaved.size <= MAXIMUM_UNSAVED) {
+        break;
+      }
+      this.unsaved.delete(oldest);
+    }
     const now = this.parts.clock.monotonicMilliseconds();
     const milliseconds = Math.max(
       SAVE_DELAY_MILLISECONDS,
--- a/packages/gateway/src/crashes/suspect-registry.ts
+++ b/packages/gateway/src/crashes/suspect-registry.ts
@@ -195,6 +195,13 @@
   endpointLived(endpoint: string, at: number): void {
     if (this.suspects.withdrawCrash(endpoint, at)) {
       this.report(SuspectEvent.Withdrawn, {endpoint});
+      // Hosts that start would suspect what the store still has.
+      const cleared = [...this.announced].filter(
+        subject => !this.suspects.isSuspected(subject),
+      );
+      if (cleared.length > 0) {
+        this.recorder.saveCleared(cleared);
+      }
     }
   }
 
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -237,6 +237,7 @@
     if (kind === FailureKind.WrongEndpoint) {
       this.parts.directory.remove(attempt.endpoint, reason);
       if (this.parts.continuation.isContinued) {
+        this.parts.continuation.copyMissing();
         return this.afterLostRun();
       }
       return this.retryOrGiveUp(LocalReplyReason.EndpointsRefused, true);
@@ -369,7 +370,7 @@
   }
 
   /** Goes on from a copy, or begins anew a request that may run more than once. */
-  private afterLostRun(): NextStep {
+  afterLostRun(): NextStep {
     if (this.parts.continuation.hasNext) {
       return NextStep.Retry;
     }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -244,13 +244,12 @@
     const returned = retries.takeReturn();
     const isContinued = this.continuation.hasNext;
     const next = await this.continuation.takeNext();
-    const hasLostRun = isContinued && next === undefined;
     if (
-      hasLostRun &&
-      !isRepeatable(context.route) &&
+      isContinued &&
+      next === undefined &&
       !context.caller.disconnectSignal.aborted
     ) {
-      return retries.giveUp(LocalReplyReason.AnswerLost);
+      return retries.afterLostRun();
     }
     const chosen =
       next ??
