Unconfirmed origins are asked for once, and waited for only without a list

While the store was lost for all hosts, streams that were taken up had their first event later than before: a record that came from another host was asked for a second time, at up to seven hosts, as no list could confirm it.

The first calls ask the same hosts already. If the list can't tell, their other answers are waited for, for 30 ms at most; if it can, the first record is enough, as the list is read before it is used.

--- a/packages/gateway/src/stream-origins/stream-origin-registry.ts
+++ b/packages/gateway/src/stream-origins/stream-origin-registry.ts
@@ -194,14 +194,15 @@
     const {directory} = this.parts;
     const isReadNeeded = !isListed || (isOpen() && directory.isReadable);
     const isRead = isReadNeeded && (await this.parts.readChanges());
+    const isAsked = answers.length > 0 && !directory.isReadable;
     const more =
-      isRead || !isOpen()
+      isRead || isAsked || !isOpen()
         ? []
         : await this.ask(
             this.recorderAddresses(stream),
             request,
             Promise.resolve(true),
-            ({record}) => record !== undefined && record.origin === undefined,
+            false,
           );
     return evidenceOf(this.knowledge(request), [...answers, ...more]);
   }
@@ -306,27 +307,30 @@
    *
    * @param isKnownAlone Resolves with whether this host needs no answer but a record;
    *     those that answer late are not waited for then.
-   * @param isEnough Whether no other answer is waited for.
+   * @param isOpenEnough Whether a record that is not confirmed is enough. If the list
+   *     can't tell, another host may have taken it back.
    */
   private async ask(
     addresses: readonly string[],
     {stream, host, path}: StreamRequest,
     isKnownAlone: Promise<boolean>,
-    isEnough: (answer: StreamOriginAnswer) => boolean = ({record}) =>
-      record !== undefined,
+    isOpenEnough = this.parts.directory.isReadable,
   ): Promise<readonly OriginKnowledge[]> {
     const query = {stream, requestHost: host, requestPath: path};
     const answers: OriginKnowledge[] = [];
+    const brief = delay(BRIEF_MILLISECONDS);
     await new Promise<void>(resolve => {
       const asked = addresses.map(async address => {
         try {
           const answer = await this.parts.peers.find(address, query);
           answers.push(this.answered(answer));
-          if (answer.record?.run !== undefined) {
-            this.receive([answer.record]);
+          const {record} = answer;
+          if (record?.run !== undefined) {
+            this.receive([record]);
           }
-          if (isEnough(answer)) {
-            resolve();
+          if (record !== undefined) {
+            const isEnough = record.run === undefined || isOpenEnough;
+            void (isEnough ? Promise.resolve() : brief).then(resolve);
           }
         } catch (error) {
           this.parts.events.info('stream origin not answered', {
@@ -338,7 +342,6 @@
       void Promise.all(asked).then(() => {
         resolve();
       });
-      const brief = delay(BRIEF_MILLISECONDS);
       void isKnownAlone.then(async isAlone => {
         if (isAlone) {
           await brief;
