A start may have said that it leaves before the list named it

Callers' requests reached an endpoint that had told the host that it leaves: it had started again under its identifier while the store was away, said so, and was listed later. What it had said was kept for the start before it, and forgotten with that one.

The start that the list names next is taken for leaving if the answer may have been its own: the list has not named the start before since the request was sent, by the rule that holds for what a stream began at, and the new one was not born after the answer came. As that may be wrong, and a sound endpoint would get nothing until its next start, it ends once a renewed entry has it as ready 10 s later, unless it has said so itself since.

--- a/packages/gateway/src/endpoint-directory.ts
+++ b/packages/gateway/src/endpoint-directory.ts
@@ -262,6 +262,9 @@
     }
     if (offset > knownOffset) {
       endpoint.wasAlive(this.currentAsOf);
+      if (!entry.isLeaving) {
+        this.statements.listedAsReady(endpoint);
+      }
       for (const listener of this.heartbeatListeners) {
         listener(endpoint, this.currentAsOf);
       }
@@ -373,6 +376,10 @@
       this.learnCold(known);
       return known;
     }
+    const conditions =
+      known === undefined
+        ? this.statements.conditionsOf(entry)
+        : this.statements.conditionsAfter(known, entry);
     if (known !== undefined) {
       const isEqual = isSameOrigin(known.entry, entry);
       known.isReplacedByOther = !isEqual;
@@ -385,7 +392,7 @@
         this.events.info('circuit breaker opened', {endpoint: entry.id});
       },
       () => this.rules.coldStartMilliseconds(entry.service),
-      this.statements.conditionsOf(entry),
+      conditions,
     );
     this.endpoints.set(entry.id, endpoint);
     this.learnCold(endpoint);
--- a/packages/gateway/src/endpoint-statements/endpoint-statements.ts
+++ b/packages/gateway/src/endpoint-statements/endpoint-statements.ts
@@ -9,6 +9,10 @@
 
 /** Starts of endpoints that are remembered, also while the list does not have them. */
 const MAXIMUM_REMEMBERED_STARTS = 4_096;
+/** Clocks of endpoints may be ahead of this host's by so much. */
+const CLOCK_DIFFERENCE_MILLISECONDS = 500;
+/** Endpoints that leave are listed as leaving, or have gone, within this time. */
+const LEAVING_MILLISECONDS = 10_000;
 
 /** A number in an answer, under the name that log lines have for it. */
 interface NamedNumber extends Omit<StatedAnswer, 'statement'> {
@@ -64,6 +68,45 @@
     return known;
   }
 
+  /**
+   * What a start has said that the list names in place of another one. Answers that came
+   * before the list named it may have been its own.
+   */
+  conditionsAfter(
+    before: KnownEndpoint,
+    entry: EndpointEntry,
+  ): StatedConditions {
+    const conditions = this.conditionsOf(entry);
+    const answer = before.conditions.leavingAnswer;
+    if (
+      answer !== undefined &&
+      !before.isConfirmedAt(answer.sentAt) &&
+      entry.bornAt <= answer.timeOfDay + CLOCK_DIFFERENCE_MILLISECONDS
+    ) {
+      conditions.isLeaving = true;
+      conditions.assumedLeavingAt = this.clock.monotonicMilliseconds();
+      this.events.info('endpoint taken for leaving', {
+        endpoint: entry.id,
+        reason: 'it may have said so before it was listed',
+      });
+    }
+    return conditions;
+  }
+
+  /** Takes up that the list has an endpoint as ready, by a renewed entry. */
+  listedAsReady({entry, conditions}: KnownEndpoint): void {
+    const {assumedLeavingAt = Infinity} = conditions;
+    const assumedMilliseconds =
+      this.clock.monotonicMilliseconds() - assumedLeavingAt;
+    if (assumedMilliseconds > LEAVING_MILLISECONDS) {
+      conditions.isLeaving = false;
+      conditions.assumedLeavingAt = undefined;
+      this.events.info('endpoint no longer taken for leaving', {
+        endpoint: entry.id,
+      });
+    }
+  }
+
   /** Takes up an answer, before anything of it is passed on. */
   answered(endpoint: KnownEndpoint, answer: StatedAnswer): void {
     this.logIgnored(endpoint, answer);
@@ -108,10 +151,18 @@
 
   private takeUpLeaving(
     endpoint: KnownEndpoint,
-    {statement, request}: StatedAnswer,
+    {statement, sentAt, request}: StatedAnswer,
   ): void {
     const {entry, conditions} = endpoint;
-    if (!statement.isLeaving || conditions.isLeaving) {
+    if (!statement.isLeaving) {
+      return;
+    }
+    conditions.leavingAnswer = {
+      sentAt,
+      timeOfDay: this.clock.wallMilliseconds(),
+    };
+    conditions.assumedLeavingAt = undefined;
+    if (conditions.isLeaving) {
       return;
     }
     conditions.isLeaving = true;
