Hold bodies in tiny chunks without a buffer for each chunk

What callers saw: a host with 160 MB could run out of memory while an endpoint sent bodies in chunks of one byte on 64 connections.

Cause: each chunk has a buffer of some hundred bytes. A paused answer was read up to 4 KiB ahead, so some 4,000 chunks, and a read of 8 KiB more, 1,365 chunks, which are parsed at once; none of this is counted. What is counted was kept as one buffer for each chunk.

A paused answer is read 512 bytes ahead now. While many connections use up a turn of the event loop, each is read 1 KiB at a time, which is what it may pass on in that turn. Small chunks of a body are copied together; they count as before, so that the flood ends as early.

--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -11,7 +11,7 @@
 
 import type {ConnectFailure, ConnectObserver} from './connect-observer.js';
 import type {EndpointEntry} from './endpoint-entry.js';
-import {TurnBudget} from './input-limits/index.js';
+import {MINIMUM_TURN_BYTES, TurnBudget} from './input-limits/index.js';
 import {OpenConnections} from './open-connections.js';
 
 /**
@@ -54,10 +54,12 @@
  * parser in one go, which takes microseconds for each chunk of a body.
  */
 const READ_BYTES = 8 * 1024;
-/** Bytes of a paused answer after which its connection is not read further. */
-const BUFFERED_BYTES = 4 * 1024;
+/** Bytes of a paused answer after which its connection is not read further; each chunk has a buffer. */
+const BUFFERED_BYTES = 512;
 /** Shared by all connections, as each read is copied before the next one begins. */
 const READ_BUFFER = Buffer.allocUnsafeSlow(READ_BYTES);
+/** For connections that get the minimum of a turn. */
+const SMALL_READ_BUFFER = READ_BUFFER.subarray(0, MINIMUM_TURN_BYTES);
 
 /** Options of a request to an endpoint. */
 export interface EndpointRequestOptions extends RequestOptions {
@@ -248,7 +250,10 @@
       ...(options as NetConnectOpts),
       ...buffering,
       onread: {
-        buffer: READ_BUFFER,
+        buffer: () =>
+          this.turns.connectionBytes < READ_BYTES
+            ? SMALL_READ_BUFFER
+            : READ_BUFFER,
         callback: bytes =>
           socket.push(Buffer.from(READ_BUFFER.subarray(0, bytes))),
       },
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -13,6 +13,7 @@
 import type {Socket} from 'node:net';
 
 import {AnswerBeginning, type ChunkConsumer} from './answer-beginning.js';
+import {BodyParts} from './body-parts.js';
 import type {Dialect, EndpointAnswerHeaders} from './dialect.js';
 import type {
   EndpointConnectionPool,
@@ -256,12 +257,12 @@
 
   /** Reads the complete body of an answer; undefined if it was cut. */
   async readBody(): Promise<Buffer | undefined> {
-    const chunks: Buffer[] = [];
+    const parts = new BodyParts();
     let bytes = 0;
     const held = this.hold(HeldKind.Answer);
     await this.read(chunk => {
       bytes += chunk.length;
-      chunks.push(chunk);
+      parts.add(chunk);
       held.addPart(chunk.length);
       if (bytes > MAXIMUM_BUFFERED_BODY_BYTES) {
         this.endInput(InputBreach.BodyBytes);
@@ -269,7 +270,7 @@
     });
     held.set(bytes);
     held.complete();
-    return this.isComplete ? Buffer.concat(chunks) : undefined;
+    return this.isComplete ? parts.join() : undefined;
   }
 
   /**
