Refuse no caller while descriptors are free

Cause: the limit kept a fifth of the descriptors, kept connections to endpoints and one more for each request in progress free. A new connection was refused though nothing was short: 93 callers' connections, 55 of them between two requests, beside 52 unused ones to endpoints (1,016 refusals in 28 s, one host).

Change: where no unused connection of a caller can be closed, a part of the reserve is used, then kept connections to endpoints are closed, the one idle for longest first; a caller's kept connection is closed only after that, and new ones are refused last.

--- a/packages/decisions/src/caller-room.ts
+++ b/packages/decisions/src/caller-room.ts
@@ -3,6 +3,8 @@
 /** Smallest reserve: the store, other hosts, the log, settings and what listens. */
 const MINIMUM_RESERVE = 40;
 const MAXIMUM_RESERVE = 1_024;
+/** Part of the reserve that callers don't get either before new ones are refused. */
+const LAST_RESERVE_PART = 2 / 5;
 /** Part of the other descriptors that callers have, whatever else is open. */
 const MINIMUM_CALLER_PART = 1 / 4;
 /** Part of all descriptors that tunnels for other hosts may take. */
@@ -57,6 +59,31 @@
   return Math.max(left, minimumCallerRoom(limit));
 }
 
+/**
+ * Number of callers' connections up to which a host accepts new ones where none can be
+ * closed. It takes a part of the reserve, and counts on no connection for requests that
+ * have none yet: a request that gets none is refused as not run, while a connection that is
+ * closed unread loses one without an answer.
+ */
+export function maximumCallerRoom({
+  limit,
+  used,
+  kept,
+  tunnels,
+}: Omit<HeldDescriptors, 'requests'>): number {
+  if (limit === undefined) {
+    return Infinity;
+  }
+  const reserve = limit - sharedDescriptors(limit);
+  const left =
+    limit -
+    Math.ceil(reserve * LAST_RESERVE_PART) -
+    kept -
+    used -
+    DESCRIPTORS_OF_A_TUNNEL * tunnels;
+  return Math.max(left, minimumCallerRoom(limit));
+}
+
 /** Number of callers' connections for which a host has room whatever else is open. */
 export function minimumCallerRoom(limit: number | undefined): number {
   return limit === undefined
--- a/packages/decisions/src/test/caller-room_test.ts
+++ b/packages/decisions/src/test/caller-room_test.ts
@@ -4,6 +4,7 @@
 import {
   callerRoom,
   chooseToClose,
+  maximumCallerRoom,
   minimumCallerRoom,
   RoomChoice,
   tunnelRoom,
@@ -25,6 +26,14 @@
   },
 );
 
+it('accepts new callers beside ones that pause between their requests', () => {
+  // Guards against new connections closed unread while 30 descriptors are free.
+  const held = {limit: 200, used: 36, kept: 32, requests: 38, tunnels: 0};
+  expect(callerRoom(held)).toBeLessThan(93);
+  expect(maximumCallerRoom(held)).toBeGreaterThan(93);
+  expect(maximumCallerRoom(held) + 36 + 32).toBeLessThanOrEqual(200 - 16);
+});
+
 it('is not limited where the system sets no limit', () => {
   const held = {limit: undefined, used: 9, kept: 9, requests: 9, tunnels: 9};
   expect(callerRoom(held)).toBe(Infinity);
--- a/packages/gateway/src/caller-connections.ts
+++ b/packages/gateway/src/caller-connections.ts
@@ -16,6 +16,12 @@
   readonly minimum: number;
   /** Number at the moment. */
   readonly current: () => number;
+  /**
+   * Makes room for more, as nothing else can be closed.
+   *
+   * @returns For how many.
+   */
+  readonly increase: (count: number) => number;
 }
 
 /** Counts of callers' connections and of the requests and answers on them. */
@@ -210,7 +216,11 @@
   private readonly idle = new Set<CallerConnection>();
   /** Connections that are about to be closed for want of room. */
   private readonly leaving = new Set<CallerConnection>();
-  private room: ConnectionRoom = {minimum: Infinity, current: () => Infinity};
+  private room: ConnectionRoom = {
+    minimum: Infinity,
+    current: () => Infinity,
+    increase: () => 0,
+  };
   private onNoRoom: (measure: RoomMeasure) => void = () => undefined;
   private onAllClosed: (() => void) | undefined;
 
@@ -338,6 +348,12 @@
     const room = this.room.current();
     for (; count > room; count--) {
       const connection = this.connectionToClose(room);
+      if (
+        (connection === undefined || this.idle.has(connection)) &&
+        count <= room + this.room.increase(count - room)
+      ) {
+        return true;
+      }
       if (connection === undefined) {
         return false;
       }
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -147,6 +147,26 @@
     }
   }
 
+  /**
+   * Closes the connections to any endpoint that have been idle for longest.
+   *
+   * @param count Number of connections to close.
+   * @returns Number of connections that were closed.
+   */
+  closeLongestIdle(count: number): number {
+    const idleSince = (socket: Socket) =>
+      this.guards.get(socket)?.idleSince ?? -Infinity;
+    const closed = Object.values(this.freeSockets)
+      .flatMap(sockets => sockets ?? [])
+      .filter(socket => !socket.destroyed)
+      .sort((one, other) => idleSince(one) - idleSince(other))
+      .slice(0, count);
+    for (const socket of closed) {
+      socket.destroy();
+    }
+    return closed.length;
+  }
+
   /** Whether a connection to an endpoint is idle, so that a request can use it. */
   hasIdle({address, port}: EndpointAddress): boolean {
     const idle = this.freeSockets[this.getName({host: address, port})] ?? [];
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -255,6 +255,7 @@
     this.callers.limitConnections({
       minimum: this.hostConnections.minimumCallerRoom,
       current: () => this.hostConnections.callerRoom,
+      increase: count => this.hostConnections.increaseCallerRoom(count),
     });
     this.state = new GatewayState(
       this.configuration,
--- a/packages/gateway/src/host-connections.ts
+++ b/packages/gateway/src/host-connections.ts
@@ -1,5 +1,6 @@
 import {
   callerRoom,
+  maximumCallerRoom,
   minimumCallerRoom,
   RoomUse,
   tunnelRoom,
@@ -50,8 +51,13 @@
 
   /** Number of callers' connections that leave room for what the host needs itself. */
   get callerRoom(): number {
+    return this.callerRoomBeside(this.parts.connections.counts.kept);
+  }
+
+  /** @param kept Number of connections to endpoints that stay although they are idle. */
+  private callerRoomBeside(kept: number): number {
     const {callers, connections, tunnels} = this.parts;
-    const {used, kept} = connections.counts;
+    const {used} = connections.counts;
     return callerRoom({
       limit: this.limit,
       used,
@@ -61,6 +67,23 @@
     });
   }
 
+  /**
+   * Makes room for callers' connections beyond `callerRoom`: of the reserve, then of kept
+   * connections to endpoints.
+   *
+   * @returns For how many.
+   */
+  increaseCallerRoom(count: number): number {
+    const {connections, tunnels} = this.parts;
+    const maximum = maximumCallerRoom({
+      limit: this.limit,
+      ...connections.counts,
+      tunnels: tunnels.openTunnels,
+    });
+    const spare = Math.max(0, maximum - this.callerRoom);
+    return spare + connections.closeLongestIdle(Math.max(0, count - spare));
+  }
+
   /** The smallest that `callerRoom` can be. */
   get minimumCallerRoom(): number {
     return minimumCallerRoom(this.limit);
@@ -80,7 +103,7 @@
     const wasTaken = this.isRoomTaken;
     const sample = {
       inUse: this.parts.callers.connectionsInUse,
-      room: this.callerRoom,
+      room: this.callerRoomBeside(0),
     };
     this.roomUse.observe(now, sample);
     if (this.isRoomTaken !== wasTaken) {
--- a/packages/gateway/src/test/caller-connections_test.ts
+++ b/packages/gateway/src/test/caller-connections_test.ts
@@ -139,9 +139,10 @@
 
 describe('CallerConnections without room', () => {
   const measures: RoomMeasure[] = [];
-  const limitTo = (room: number) => {
-    connections.limitTo({minimum: 1, current: () => room}, measure =>
-      measures.push(measure),
+  const limitTo = (room: number, spare = 0) => {
+    connections.limitTo(
+      {minimum: 1, current: () => room, increase: () => spare},
+      measure => measures.push(measure),
     );
   };
 
@@ -170,6 +171,17 @@
     expect(measures).toEqual([RoomMeasure.Refused]);
   });
 
+  it('takes room from kept connections to endpoints before it refuses one', async () => {
+    // Guards against callers who are refused beside connections that nothing uses.
+    limitTo(2, 1);
+    await callerSends('');
+    await callerSends('');
+    await countIs(2);
+    await callerSends(REQUEST);
+    await nextResponse();
+    expect(measures).toEqual([]);
+  });
+
   it('closes the one that has been idle for longest for a new one', async () => {
     // Guards against refusing callers for others who send nothing.
     const busy = await callerSends(REQUEST);
