--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -36,9 +36,9 @@
 /**
  * Time after dropped records were met within which holders that have folded them write a
  * checkpoint. Up to 140 hosts read the log every 0.7 s, and write at the exchange after
- * the one that tells them; each of three calls to a slow store takes a quarter of a second.
+ * the one that tells them; where the store is slow, that may be too late.
  */
-const GAP_MILLISECONDS = 3_000;
+const GAP_MILLISECONDS = 1_500;
 /** Generation of the first checkpoint. */
 const FIRST_GENERATION = 1;
 
