A process is ready once its first ceilings are in the store

A process that has opened is ready once each budget has a ceiling, or a second later, so that a part of the store that is away does not keep it from serving. Where other hosts run, the ceilings are there when it opens.

--- a/packages/budgets/src/grant-ceilings.ts
+++ b/packages/budgets/src/grant-ceilings.ts
@@ -47,6 +47,11 @@
     this.ceilings = ceilings;
   }
 
+  /** Whether an organisation has a ceiling, so that grants of it may be used. */
+  has(organisation: string): boolean {
+    return this.ceiling(organisation) > 0;
+  }
+
   /** Whether the organisation's grants up to the fold's last record may be used. */
   mayUse(fold: BudgetFold, organisation: string): boolean {
     return allocatedTokens(fold, organisation) <= this.ceiling(organisation);
--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -23,6 +23,8 @@
 
 /** Interval between exchanges while records are waiting to be written. */
 const PENDING_RECORDS_INTERVAL_MILLISECONDS = 5;
+/** Time for which a process that has opened waits for the first ceilings. */
+const MAXIMUM_CEILING_WAIT_MILLISECONDS = 1_000;
 /** Interval between exchanges while requests wait for tokens of other holders. */
 const WAITING_REQUESTS_INTERVAL_MILLISECONDS = 25;
 /** Interval between exchanges while the store fails. */
@@ -50,6 +52,8 @@
   private running: Promise<void> = Promise.resolve();
   private isClosing = false;
   private hasOpened = false;
+  private openedAt: number | undefined;
+  private mayUseGrants = false;
 
   constructor(
     private readonly journal: BudgetJournal,
@@ -98,9 +102,20 @@
     );
   }
 
-  /** True once the fold has opened this process, so that it may hold grants. */
+  /**
+   * True once the fold has opened this process, so that it may hold grants, and the first
+   * ceilings are in the store, so that it may use them; the latter is awaited for a time.
+   */
   get isReady(): boolean {
-    return this.hasOpened;
+    if (!this.hasOpened || this.mayUseGrants) {
+      return this.hasOpened;
+    }
+    const now = this.clock.monotonicMilliseconds();
+    this.openedAt ??= now;
+    this.mayUseGrants =
+      this.replica.hasCeilings ||
+      now >= this.openedAt + MAXIMUM_CEILING_WAIT_MILLISECONDS;
+    return this.mayUseGrants;
   }
 
   /** Number of processes that share the budgets, including this one. */
--- a/packages/gateway/src/budget-replica.ts
+++ b/packages/gateway/src/budget-replica.ts
@@ -133,6 +133,14 @@
     this.noteIfNear(organisation, undefined);
   }
 
+  /** Whether all budgets of the configuration, if there is one, have a ceiling. */
+  get hasCeilings(): boolean {
+    const budgets = [...this.prepaid].filter(([, prepaid]) => prepaid > 0);
+    return (
+      budgets.length > 0 && budgets.every(([name]) => this.ceilings.has(name))
+    );
+  }
+
   /** Organisations whose grants `takeOutcomes` returns only below a higher ceiling. */
   withheldOrganisations(incarnation: string): readonly string[] {
     return this.unreportedOutcomes
