--- a/packages/gateway/src/budget-holder.ts
+++ b/packages/gateway/src/budget-holder.ts
@@ -53,7 +53,7 @@
   private isClosing = false;
   private hasOpened = false;
   private openedAt: number | undefined;
-  private mayUseGrants = false;
+  private hasCeilings = false;
 
   constructor(
     private readonly journal: BudgetJournal,
@@ -102,20 +102,24 @@
     );
   }
 
+  /** True once the fold has opened this process, so that it may hold grants. */
+  get isReady(): boolean {
+    return this.hasOpened;
+  }
+
   /**
-   * True once the fold has opened this process, so that it may hold grants, and the first
-   * ceilings are in the store, so that it may use them; the latter is awaited for a time.
+   * Whether the first ceilings are in the store, so that grants may be used. True as well
+   * if a process that has opened has waited long enough for them.
    */
-  get isReady(): boolean {
-    if (!this.hasOpened || this.mayUseGrants) {
-      return this.hasOpened;
+  get mayUseGrants(): boolean {
+    if (this.hasOpened && !this.hasCeilings) {
+      const now = this.clock.monotonicMilliseconds();
+      this.openedAt ??= now;
+      this.hasCeilings =
+        this.replica.hasCeilings ||
+        now >= this.openedAt + MAXIMUM_CEILING_WAIT_MILLISECONDS;
     }
-    const now = this.clock.monotonicMilliseconds();
-    this.openedAt ??= now;
-    this.mayUseGrants =
-      this.replica.hasCeilings ||
-      now >= this.openedAt + MAXIMUM_CEILING_WAIT_MILLISECONDS;
-    return this.mayUseGrants;
+    return this.hasCeilings;
   }
 
   /** Number of processes that share the budgets, including this one. */
--- a/packages/gateway/src/gateway-state.ts
+++ b/packages/gateway/src/gateway-state.ts
@@ -66,6 +66,7 @@
       this.rotation.acceptsConnections &&
       !this.hostConnections.isRoomTaken &&
       this.budgets.isReady &&
+      this.budgets.mayUseGrants &&
       this.configuration.current !== undefined &&
       this.configuration.trust !== ConfigurationTrust.Outdated &&
       this.directory.all.length > 0
