One computation of the room for callers' connections

Change: `roomBeside` serves both rooms and `reserveOf` all of them; `known` is the one way to the counts; `loseOnlyHost` is shared by the two tests, whose assertions stay.

--- a/packages/decisions/src/caller-room.ts
+++ b/packages/decisions/src/caller-room.ts
@@ -41,22 +41,9 @@
  * callerRoom({limit: 1_024, used: 30, kept: 60, requests: 40, tunnels: 0}); // 796
  * ```
  */
-export function callerRoom({
-  limit,
-  used,
-  kept,
-  requests,
-  tunnels,
-}: HeldDescriptors): number {
-  if (limit === undefined) {
-    return Infinity;
-  }
-  const left =
-    sharedDescriptors(limit) -
-    kept -
-    Math.max(used, requests) -
-    DESCRIPTORS_OF_A_TUNNEL * tunnels;
-  return Math.max(left, minimumCallerRoom(limit));
+export function callerRoom({requests, ...held}: HeldDescriptors): number {
+  const used = Math.max(held.used, requests);
+  return roomBeside({...held, used}, 1);
 }
 
 /**
@@ -65,19 +52,23 @@
  * have none yet: a request that gets none is refused as not run, while a connection that is
  * closed unread loses one without an answer.
  */
-export function maximumCallerRoom({
-  limit,
-  used,
-  kept,
-  tunnels,
-}: Omit<HeldDescriptors, 'requests'>): number {
+export function maximumCallerRoom(
+  held: Omit<HeldDescriptors, 'requests'>,
+): number {
+  return roomBeside(held, LAST_RESERVE_PART);
+}
+
+/** @param reservePart Part of the reserve that callers don't get. */
+function roomBeside(
+  {limit, used, kept, tunnels}: Omit<HeldDescriptors, 'requests'>,
+  reservePart: number,
+): number {
   if (limit === undefined) {
     return Infinity;
   }
-  const reserve = limit - sharedDescriptors(limit);
   const left =
     limit -
-    Math.ceil(reserve * LAST_RESERVE_PART) -
+    Math.ceil(reserveOf(limit) * reservePart) -
     kept -
     used -
     DESCRIPTORS_OF_A_TUNNEL * tunnels;
@@ -86,17 +77,19 @@
 
 /** Number of callers' connections for which a host has room whatever else is open. */
 export function minimumCallerRoom(limit: number | undefined): number {
-  return limit === undefined
-    ? Infinity
-    : Math.max(1, Math.floor(sharedDescriptors(limit) * MINIMUM_CALLER_PART));
+  if (limit === undefined) {
+    return Infinity;
+  }
+  const shared = limit - reserveOf(limit);
+  return Math.max(1, Math.floor(shared * MINIMUM_CALLER_PART));
 }
 
-function sharedDescriptors(limit: number): number {
-  const reserve = Math.min(
+function reserveOf(limit: number): number {
+  return Math.min(
+    limit,
     MAXIMUM_RESERVE,
     Math.max(MINIMUM_RESERVE, Math.floor(limit * RESERVED_PART)),
   );
-  return Math.max(0, limit - reserve);
 }
 
 /** Callers' connections on which nothing is in progress, without a new one. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -191,7 +191,7 @@
       shortages: new ShortageLog({
         clock,
         events,
-        describeHost: () => this.hostConnections.describe(),
+        describeHost: () => this.hostConnections.known,
       }),
     });
     this.connections.setConnectObserver(this.reach);
--- a/packages/gateway/src/host-connections.ts
+++ b/packages/gateway/src/host-connections.ts
@@ -8,7 +8,6 @@
 import {
   descriptorLimit,
   openDescriptors,
-  type EventFields,
   type EventLog,
 } from '@wisteriadeal/runtime';
 
@@ -119,9 +118,4 @@
   get hasTunnelRoom(): boolean {
     return this.parts.tunnels.openTunnels < tunnelRoom(this.limit);
   }
-
-  /** The same numbers as fields of a log line. */
-  describe(): EventFields {
-    return this.known;
-  }
 }
--- a/packages/gateway/src/test/dropped-log_test.ts
+++ b/packages/gateway/src/test/dropped-log_test.ts
@@ -68,13 +68,18 @@
   return spent;
 }
 
-it('opens after all hosts were dead for longer than the log keeps records', async () => {
-  // Guards against a fleet that never becomes ready again after a power failure.
+/** Kills the only host, which has reserved tokens, and drops the records of its grants. */
+async function loseOnlyHost(): Promise<void> {
   const first = await resultAfter(OPENING_MILLISECONDS, fleet.start('one'));
   void first?.reservations.reserve(SCHOOL, {bound: 20_000, mayPromise: false});
   await vi.advanceTimersByTimeAsync(2_000);
   fleet.kill('one');
   await dropRecords();
+}
+
+it('opens after all hosts were dead for longer than the log keeps records', async () => {
+  // Guards against a fleet that never becomes ready again after a power failure.
+  await loseOnlyHost();
   const successor = await resultAfter(
     SUCCESSOR_LIMIT_MILLISECONDS,
     fleet.start('one'),
@@ -117,11 +122,7 @@
 
 it('serves from the rest of the budget after the records were dropped', async () => {
   // Guards against a budget that counts as used up after a power failure.
-  const first = await resultAfter(OPENING_MILLISECONDS, fleet.start('one'));
-  void first?.reservations.reserve(SCHOOL, {bound: 20_000, mayPromise: false});
-  await vi.advanceTimersByTimeAsync(2_000);
-  fleet.kill('one');
-  await dropRecords();
+  await loseOnlyHost();
   const successor = await resultAfter(
     SETTLING_MILLISECONDS,
     fleet.start('one'),
