Log the handle, the start and the connection of each move

Three hypotheses (a late answer to another move, a handle that outlives its endpoint's start, state mixed within the host) look the same in the logs, as 'run move answered' has neither the handle nor how the call got its connection nor which start of the endpoint made it. The line has all three now, and how long the call took; 'continued' of the request's line already has the handle that was used.

--- a/packages/gateway/src/continuation/endpoint-calls.ts
+++ b/packages/gateway/src/continuation/endpoint-calls.ts
@@ -5,6 +5,7 @@
   EndpointRequestOptions,
 } from '../endpoint-connection-pool.js';
 import type {EndpointEntry} from '../endpoint-entry.js';
+import {ConnectionOrigin} from '../endpoint-exchange.js';
 import {addressOf} from './copy-address.js';
 import type {EndpointCall} from './move-messages.js';
 
@@ -14,6 +15,8 @@
   /** Alternating names and values, as received. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
+  /** How the call got its connection. */
+  readonly connection: ConnectionOrigin;
 }
 
 /** Answers to calls are short; a longer one is a fault. */
@@ -65,7 +68,10 @@
       incoming.on('end', () => {
         const {complete, rawHeaders, statusCode: status = 0} = incoming;
         const body = Buffer.concat(chunks);
-        resolve(complete ? {status, rawHeaders, body} : undefined);
+        const connection = outgoing.reusedSocket
+          ? ConnectionOrigin.Kept
+          : ConnectionOrigin.New;
+        resolve(complete ? {status, rawHeaders, body, connection} : undefined);
       });
     });
     outgoing.on('error', () => {
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -141,11 +141,12 @@
   }
 
   private async move(place: KnownEndpoint): Promise<void> {
-    const {attempt, attemptId, dialect, metrics, events} = this.parts;
+    const {attempt, attemptId, dialect, metrics, events, now} = this.parts;
     const {endpoint, exchange} = attempt;
     metrics.continuationEvent(ContinuationEvent.MoveAsked);
     const to = addressOf(place.entry);
     const endpointId = endpoint.entry.id;
+    const sentAt = now();
     const answer = await this.callAt(
       endpoint,
       dialect.moveCall({endpointId, attemptId, to}),
@@ -158,6 +159,10 @@
       to: place.entry.id,
       status: answer?.status,
       result: move?.result ?? 'no answer',
+      handle: move?.handle,
+      start: endpoint.incarnation,
+      connection: answer?.connection,
+      elapsedMilliseconds: Math.round(now() - sentAt),
     });
     if (move === undefined || move.result === MoveResult.Refused) {
       metrics.continuationEvent(ContinuationEvent.MoveRefused);
