Send calls to endpoints over connections of their own

In tests also: the 404 or 503 of a move as the answer to somebody's request, and streams that were stopped to be moved and then cut.

Cause: calls that move runs shared kept connections with each other and with requests. An endpoint that stutters repeats an answer late, when the next request arrives on the connection. Answers to requests name theirs; answers to calls name none, so that only the order on the connection told whose they were. The class: identity by position on a shared connection.

Evidence: the two lines of 'moves no other run than its own' before, with the line added for it: attempt-0 over a new connection, handle-attempt-0 after 6 ms; attempt-1 over a kept one, handle-attempt-0 after 2 ms, and continued from it.

Why it works: a connection that no other request has used or will use carries one answer that counts, the first. Nothing that comes later, or came before, can be taken for another's. It holds for direct and relayed paths, as both get their connections from the pool.

--- a/packages/gateway/src/continuation/endpoint-calls.ts
+++ b/packages/gateway/src/continuation/endpoint-calls.ts
@@ -1,11 +1,5 @@
-import {request as sendRequest} from 'node:http';
-
-import type {
-  EndpointConnectionPool,
-  EndpointRequestOptions,
-} from '../endpoint-connection-pool.js';
+import type {EndpointConnectionPool} from '../endpoint-connection-pool.js';
 import type {EndpointEntry} from '../endpoint-entry.js';
-import {ConnectionOrigin} from '../endpoint-exchange.js';
 import {addressOf} from './copy-address.js';
 import type {EndpointCall} from './move-messages.js';
 
@@ -15,15 +9,13 @@
   /** Alternating names and values, as received. */
   readonly rawHeaders: readonly string[];
   readonly body: Buffer;
-  /** How the call got its connection. */
-  readonly connection: ConnectionOrigin;
 }
 
 /** Answers to calls are short; a longer one is a fault. */
 const MAXIMUM_ANSWER_BYTES = 16_384;
 
 /**
- * Sends a call to an endpoint itself.
+ * Sends a call to an endpoint itself. Its answer names no call, so the connection is not shared.
  *
  * @param signal Ends the call.
  * @returns The answer; undefined if there is no complete one.
@@ -35,8 +27,7 @@
   signal: AbortSignal,
 ): Promise<CallAnswer | undefined> {
   return new Promise(resolve => {
-    const options: EndpointRequestOptions = {
-      agent: connections,
+    const outgoing = connections.requestUnshared({
       host: endpoint.address,
       port: endpoint.port,
       method,
@@ -51,8 +42,8 @@
       endpointId: endpoint.id,
       endpointBuild: endpoint.build,
       signal,
-    };
-    const outgoing = sendRequest(options, incoming => {
+    });
+    outgoing.on('response', incoming => {
       const chunks: Buffer[] = [];
       let bytes = 0;
       incoming.on('data', (chunk: Buffer) => {
@@ -68,10 +59,7 @@
       incoming.on('end', () => {
         const {complete, rawHeaders, statusCode: status = 0} = incoming;
         const body = Buffer.concat(chunks);
-        const connection = outgoing.reusedSocket
-          ? ConnectionOrigin.Kept
-          : ConnectionOrigin.New;
-        resolve(complete ? {status, rawHeaders, body, connection} : undefined);
+        resolve(complete ? {status, rawHeaders, body} : undefined);
       });
     });
     outgoing.on('error', () => {
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -161,7 +161,6 @@
       result: move?.result ?? 'no answer',
       handle: move?.handle,
       start: endpoint.incarnation,
-      connection: answer?.connection,
       elapsedMilliseconds: Math.round(now() - sentAt),
     });
     if (move === undefined || move.result === MoveResult.Refused) {
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -1,6 +1,7 @@
 import {UncongestedLink, type HostLink} from '@wisteriadeal/platform';
 import {
   Agent,
+  request as sendRequest,
   type AgentOptions,
   type ClientRequest,
   type ClientRequestArgs,
@@ -68,6 +69,12 @@
   readonly endpointBuild?: string;
 }
 
+/** What the pool adds to the options of a request that shares no connection. */
+interface UnsharedOptions {
+  /** Differs from that of all other requests. */
+  readonly unsharedNumber?: number;
+}
+
 /** Network address of an endpoint. */
 export interface EndpointAddress {
   readonly address: string;
@@ -116,6 +123,7 @@
   private readonly idleLimits = new WeakMap<Socket, number>();
   private observer: ConnectObserver | undefined;
   private shortUntil = -Infinity;
+  private nextUnsharedNumber = 0;
 
   /** @param link This host's link; connects take longer while it is full. */
   constructor(
@@ -125,6 +133,37 @@
     super({keepAlive: true, scheduling: 'lifo', noDelay: true, ...options});
   }
 
+  /**
+   * Sends a request over a connection that no other request has used or will use. An
+   * endpoint may repeat an answer late, and where an answer doesn't name its request only the
+   * connection tells whose it is.
+   *
+   * @example
+   * const outgoing = connections.requestUnshared({
+   *   host: endpoint.address,
+   *   port: endpoint.port,
+   *   path: '/',
+   *   endpointId: endpoint.id,
+   * });
+   */
+  requestUnshared(options: EndpointRequestOptions): ClientRequest {
+    const unshared: EndpointRequestOptions & UnsharedOptions = {
+      ...options,
+      agent: this,
+      unsharedNumber: this.nextUnsharedNumber++,
+    };
+    const outgoing = sendRequest(unshared);
+    outgoing.shouldKeepAlive = false;
+    return outgoing;
+  }
+
+  /** Connections with different names are not shared. */
+  override getName(options?: ClientRequestArgs & UnsharedOptions): string {
+    const name = super.getName(options);
+    const number = options?.unsharedNumber;
+    return number === undefined ? name : `${name}:${number}`;
+  }
+
   /**
    * Closes idle connections to an endpoint that may be unreachable, so that the
    * next request opens a new one. If that connect fails, nothing was sent and
