Resend to an endpoint that has answered over a connection of its own

What callers saw: 503, the promise that a request has not run, while it runs ('refuses no later attempt of its request': the endpoint ran attempt-0, its caller got 503). The endpoint refuses a request, repeats the refusal late, and gets the same request again over the same connection.

Cause: the identifier of the attempt tells answers to different requests apart, but a resend has the identifier of the send before it, so that the position on the connection is all that tells the two answers apart: the class of the calls to endpoints, elsewhere.

Why it works: where an endpoint has refused the request, or answered that it failed, the next send to it gets a connection of its own. Other answers don't leave a connection on which the same request could follow: a broken one is closed. Resends to an endpoint that has answered are rare (it is the last choice), so that few connections are added.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -101,6 +101,11 @@
   readonly headers: readonly string[];
   readonly body: Buffer | undefined;
   readonly attemptId: string | undefined;
+  /**
+   * Whether the endpoint has answered the same attempt before, so that the identifier doesn't
+   * tell a repeated answer from the one to this request.
+   */
+  readonly wasAnswered?: boolean;
 }
 
 /**
@@ -164,7 +169,10 @@
       endpointId: endpoint.id,
       endpointBuild: endpoint.build,
     };
-    this.outgoing = sendRequest(options);
+    this.outgoing =
+      dispatched.wasAnswered === true
+        ? connections.requestUnshared(options)
+        : sendRequest(options);
     this.input = new InputWatch(this.outgoing, breach => {
       this.endInput(breach);
     });
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -110,6 +110,8 @@
   private readonly continuation: RunContinuation;
   private readonly standby: StandbyAttempt;
   private current: EndpointAttempt | undefined;
+  /** Identifiers of endpoints that have refused the request, or answered that they failed. */
+  private readonly failedAt = new Set<string>();
   /** A standby that has been silent for longer than an attempt may be. */
   private missedFailover: EndpointExchange | undefined;
 
@@ -562,6 +564,7 @@
         headers: withLength(headers, body),
         body,
         attemptId: caller.headers.attemptId,
+        wasAnswered: this.failedAt.has(endpoint.entry.id),
       },
       this.inputListener(chosen),
       this.parts.account,
@@ -615,6 +618,9 @@
       isFailure(head) &&
       (head.kind === FailureKind.NotRun ||
         head.kind === FailureKind.WrongEndpoint);
+    if (hasRefused || (!isFailure(head) && head.status >= 500)) {
+      this.failedAt.add(endpoint.entry.id);
+    }
     if (isFailure(head) && head.kind === FailureKind.NotRun) {
       this.parts.metrics.endpointRefused(this.context.service.name);
       if (!refusesForItself(endpoint, head)) {
