Use no connection again whose answer named no request

What callers saw: an unsafe request runs twice at an endpoint and its caller gets 503, 'not run' (ran: attempt-1, attempt-1); with 421 in place of 503, once, and 503.

Cause: a refusal may lack the identifier of the attempt, as on the users' page of messages (421 of another endpoint, 503 of a full one). It was taken on its position alone, its connection was kept, and a repetition of it was the answer to the next request there.

Why it works: on a kept connection all answers before named their requests, so that a repetition names one too, and is known for what it is. A connection whose answer named none ends with it.

Two tests of repeated-answers_test.ts failed before, all 7 pass now; 675 tests of the gateway package and of the gateway's whole hosts pass.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -253,6 +253,10 @@
       this.cancel('answer to another request');
       return this.failureResult();
     }
+    if (endpointHeaders.attemptId === undefined) {
+      // The next request could not tell a repetition of it from its own answer.
+      this.outgoing.shouldKeepAlive = false;
+    }
     if (endpointHeaders.isNotRun) {
       this.input.discard(incoming);
       const reason = `answered ${status} without running it`;
