Ask no other start of an endpoint for a run that was stopped

Cause: a stopped run was asked for, and freed, at the address and under the handle that it had, whichever start of the endpoint answers there. An endpoint that starts again under its identifier counts anew, so that the name of a handle may come back for another request's run.

Why it works: a start that the list has replaced holds nothing, and is neither asked nor told to free the handle. If that leaves nobody, the answer ends at once, and not after the time for which stopped runs are held (handle_s). As far as the list tells: a start without an entry yet is not seen.

'is not asked of another start of its engine' failed before (the next start was asked, and answered), passes now, and leaves KNOWN-RED; 30 tests of moves, copies and repeated answers pass. The condition on freeing has no test of its own.

--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -289,7 +289,8 @@
     while (
       places.length === 0 &&
       lifetime.now() < held.until &&
-      !lifetime.isAbandoned
+      !lifetime.isAbandoned &&
+      this.holdersOf(held.run).length > 0
     ) {
       await lifetime.sleep(HELD_RUN_RETRY_MILLISECONDS);
       places = this.placesOf(held.run);
@@ -297,20 +298,33 @@
     return places;
   }
 
-  private placesOf({source, handle, destination}: StoppedRun): Continuation[] {
+  private placesOf(run: StoppedRun): Continuation[] {
     const {context, chooser} = this.parts;
+    const {source, handle} = run;
     const copy = `${addressOf(source.entry)}/${handle}`;
-    const places = [
-      destination &&
-        chooser.continueAt(context, destination, {isStopped: true}),
-      chooser.continueAt(context, source, {isStopped: true, mayLeave: true}),
-    ];
-    return places
+    return this.holdersOf(run)
+      .map(endpoint =>
+        chooser.continueAt(context, endpoint, {
+          isStopped: true,
+          mayLeave: endpoint === source,
+        }),
+      )
       .filter(chosen => chosen !== undefined)
-      .filter(({endpoint}) => !this.withoutCopy.has(endpoint))
       .map(chosen => ({chosen, copy}));
   }
 
+  /**
+   * Endpoints that may hold a stopped run, in the order in which they are asked. Another start
+   * of an endpoint doesn't hold it, and may know another run by its handle.
+   */
+  private holdersOf({source, destination}: StoppedRun): KnownEndpoint[] {
+    return [destination, source]
+      .filter(endpoint => endpoint !== undefined)
+      .filter(
+        endpoint => !endpoint.isReplaced && !this.withoutCopy.has(endpoint),
+      );
+  }
+
   /** The endpoint with the copy, if it is still the start that has it. */
   private chosenFor({
     endpoint,
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -185,7 +185,7 @@
     });
     await this.call;
     const stopped = this.take();
-    if (stopped !== undefined) {
+    if (stopped !== undefined && !stopped.source.isReplaced) {
       const {source, handle} = stopped;
       const {id} = source.entry;
       await this.callAt(source, this.parts.dialect.freeHandleCall(id, handle));
--- a/packages/gateway/src/known-endpoint.ts
+++ b/packages/gateway/src/known-endpoint.ts
@@ -159,6 +159,11 @@
     return `${this.entry.id}/${this.entry.bornAt}`;
   }
 
+  /** Whether the list has another start of the endpoint, which knows nothing of this one. */
+  get isReplaced(): boolean {
+    return this.isReplacedByOther || this.isReplacedByEqual;
+  }
+
   /** Whether it is about to leave, by the list or by one of its answers. */
   get isLeaving(): boolean {
     return this.entry.isLeaving || this.conditions.isLeaving;
