Call an endpoint through another host where this one can open no connections

Cause: calls used the path of the run, which stays the direct one while its connection lives. On a kept connection, where there was one, still carried them; calls over connections of their own need a new one. Relays refused tunnels to endpoints that leave, as these get no requests.

Why it works: calls go over the path that new connections to the service take now. A tunnel for a call says so to its relay, which opens it to a leaving endpoint: the call gives it no request, it takes one away. A relay of an earlier release refuses it, as before.

--- a/packages/gateway/src/continuation/endpoint-calls.ts
+++ b/packages/gateway/src/continuation/endpoint-calls.ts
@@ -41,6 +41,7 @@
       ],
       endpointId: endpoint.id,
       endpointBuild: endpoint.build,
+      isCall: true,
       signal,
     });
     outgoing.on('response', incoming => {
--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -10,6 +10,7 @@
 import type {AnswerHead} from '../endpoint-exchange.js';
 import {PathKind} from '../endpoint-path.js';
 import type {RequestLifetime} from '../request-lifetime.js';
+import type {ServicePaths} from '../service-paths.js';
 import {ContinuationEvent} from './continuation-event.js';
 import {addressOf} from './copy-address.js';
 import {
@@ -24,6 +25,7 @@
 export interface RunContinuationParts extends CopyPlacementParts {
   readonly directory: EndpointDirectory;
   readonly leavings: EndpointLeavings;
+  readonly paths: ServicePaths;
   readonly lifetime: RequestLifetime;
   readonly dialect: Dialect;
   readonly events: EventLog;
@@ -132,6 +134,8 @@
           attemptId,
           statements: this.parts.directory.statements,
           now: () => this.parts.lifetime.now(),
+          connections: () =>
+            this.parts.paths.pathTo(context.service.name).connections,
           isDue: timeLeft => this.isMoveDue(timeLeft),
           claimPlace: () => this.claimPlace(attempt),
         })
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -3,6 +3,7 @@
 
 import type {Dialect} from '../dialect.js';
 import type {EndpointAttempt} from '../endpoint-attempt.js';
+import type {EndpointConnectionPool} from '../endpoint-connection-pool.js';
 import type {KnownEndpoint} from '../known-endpoint.js';
 import {AnswerFraming} from '../endpoint-exchange.js';
 import type {GatewayMetrics} from '../gateway-metrics.js';
@@ -24,6 +25,8 @@
   readonly events: EventLog;
   /** The monotonic clock, milliseconds. */
   readonly now: () => number;
+  /** Where new connections to the service's endpoints are opened now. */
+  readonly connections: () => EndpointConnectionPool;
   /** Whether the run has to be moved from an endpoint that ends in so many milliseconds. */
   readonly isDue: (timeLeftMilliseconds: number) => boolean;
   /** Chooses where the run goes, and takes a resend for it; undefined if it can't. */
@@ -198,10 +201,10 @@
     endpoint: KnownEndpoint,
     call: EndpointCall,
   ): Promise<CallAnswer | undefined> {
-    const {attempt, attemptId, dialect, statements, now} = this.parts;
+    const {connections, attemptId, dialect, statements, now} = this.parts;
     const sentAt = now();
     const answer = await callEndpoint(
-      attempt.path.connections,
+      connections(),
       endpoint.entry,
       call,
       this.abandoned.signal,
--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -67,6 +67,8 @@
   readonly endpointId: string;
   /** Build that the endpoint is expected to have, as far as that matters. */
   readonly endpointBuild?: string;
+  /** Whether it is a call to the endpoint itself, which may be leaving. */
+  readonly isCall?: boolean;
 }
 
 /** What the pool adds to the options of a request that shares no connection. */
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -20,6 +20,7 @@
 import {wasEndedByEndpoint} from './tunnel-end-query.js';
 import {
   TUNNEL_BUILD_HEADER,
+  TUNNEL_CALL_HEADER,
   TUNNEL_ENDPOINT_HEADER,
   TUNNEL_ID_HEADER,
   TunnelStatus,
@@ -46,6 +47,7 @@
   readonly authority: string;
   readonly endpointId: string;
   readonly endpointBuild: string | undefined;
+  readonly isCall: boolean;
 }
 
 /** A tunnel as its relay knows it. */
@@ -102,11 +104,12 @@
     options: ClientRequestArgs & Partial<EndpointRequestOptions>,
     callback?: (error: Error | null, stream: Duplex) => void,
   ): undefined {
-    const {host, port, endpointId, endpointBuild} = options;
+    const {host, port, endpointId, endpointBuild, isCall = false} = options;
     const target = {
       authority: `${host ?? ''}:${port ?? ''}`,
       endpointId: endpointId ?? '',
       endpointBuild,
+      isCall,
     };
     this.openTunnel(target).then(
       socket => callback?.(null, socket),
@@ -207,7 +210,7 @@
  */
 function requestTunnel(
   relayAddress: string,
-  {authority, endpointId, endpointBuild}: TunnelTarget,
+  {authority, endpointId, endpointBuild, isCall}: TunnelTarget,
   tunnelId: string,
   milliseconds: number,
 ): Promise<TunnelResponse | undefined> {
@@ -224,6 +227,7 @@
         ...(endpointBuild === undefined
           ? {}
           : {[TUNNEL_BUILD_HEADER]: encodeURIComponent(endpointBuild)}),
+        ...(isCall ? {[TUNNEL_CALL_HEADER]: '1'} : {}),
         [TUNNEL_ID_HEADER]: tunnelId,
       },
     });
--- a/packages/gateway/src/tunnel-protocol.ts
+++ b/packages/gateway/src/tunnel-protocol.ts
@@ -10,6 +10,12 @@
  */
 export const TUNNEL_BUILD_HEADER = 'endpoint-build';
 
+/**
+ * Header of a CONNECT request between hosts for a call to the endpoint itself, which may
+ * be leaving: a call gives it no request.
+ */
+export const TUNNEL_CALL_HEADER = 'endpoint-call';
+
 /** Header of a CONNECT request between hosts with an identifier for the tunnel. */
 export const TUNNEL_ID_HEADER = 'tunnel-id';
 
@@ -23,7 +29,10 @@
 export enum TunnelStatus {
   /** The connection to the endpoint is open, and bytes are relayed from now on. */
   Open = 200,
-  /** The relay's list has no such endpoint, has it as leaving, or with another build. */
+  /**
+   * The relay's list has no such endpoint, has it as leaving and this is no call, or has it
+   * with another build.
+   */
   EndpointUnknown = 404,
   /** The endpoint has asked the relay for rest; other relays may reach it. */
   EndpointAtRest = 429,
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -14,6 +14,7 @@
 import {TunnelEnds} from './tunnel-ends.js';
 import {
   TUNNEL_BUILD_HEADER,
+  TUNNEL_CALL_HEADER,
   TUNNEL_ENDPOINT_HEADER,
   TUNNEL_ID_HEADER,
   TunnelStatus,
@@ -76,7 +77,7 @@
     const endpoint = this.parts.directory.find(id);
     if (
       endpoint === undefined ||
-      !this.parts.directory.isOpen(endpoint) ||
+      !(isCall(request) || this.parts.directory.isOpen(endpoint)) ||
       !hasNamedBuild(endpoint, request)
     ) {
       this.refuse(socket, TunnelStatus.EndpointUnknown);
@@ -268,6 +269,11 @@
   return `HTTP/1.1 ${status} ${STATUS_CODES[status] ?? ''}\r\n\r\n`;
 }
 
+/** Whether a tunnel is for a call to the endpoint itself. */
+function isCall({headers}: IncomingMessage): boolean {
+  return headers[TUNNEL_CALL_HEADER] !== undefined;
+}
+
 /** Whether an endpoint has the build that a CONNECT request names, if it names one. */
 function hasNamedBuild(
   {entry}: KnownEndpoint,
