Say in a request's log line that its run was to be moved

A stream that was cut after its host had stopped its run looked like one that its endpoint broke off: the line 'request' said nothing of the move, and 'run move answered' came later, or never. The field 'moves' names both endpoints and the answer, or that there was none yet.

--- a/packages/gateway/src/continuation/continuation-record.ts
+++ b/packages/gateway/src/continuation/continuation-record.ts
@@ -9,6 +9,14 @@
   readonly lastEventId: string | undefined;
 }
 
+/** A call that stops a run to move it. */
+export interface MoveStep {
+  readonly from: string;
+  readonly to: string;
+  /** What the endpoint answered; undefined as long as it has not. */
+  result: string | undefined;
+}
+
 /** Copies of a request's run and where it went on, for its log line. */
 export class ContinuationRecord {
   /** Endpoints to which the run was copied, oldest first. */
@@ -16,16 +24,24 @@
   /** Bytes copied by the tokens that the run had at its end, an estimate. */
   copiedBytes = 0;
   readonly steps: ContinuationStep[] = [];
+  readonly moves: MoveStep[] = [];
 
-  /** The fields of the request's log line; none if it had no copy. */
+  /** The fields of the request's log line; none if its run was never copied or moved. */
   describe(): EventFields {
-    if (this.backups.length === 0 && this.steps.length === 0) {
+    const {backups, steps, moves} = this;
+    if (backups.length + steps.length + moves.length === 0) {
       return {};
     }
     return {
-      backups: this.backups.join(', '),
+      backups: backups.join(', '),
       copiedBytes: Math.round(this.copiedBytes),
-      continued: this.steps
+      moves: moves
+        .map(
+          ({from, to, result}) =>
+            `${from} to ${to}: ${result ?? 'not answered'}`,
+        )
+        .join('; '),
+      continued: steps
         .map(
           ({endpoint, copy, lastEventId}) =>
             `${endpoint} from ${copy} after ${lastEventId ?? 'no event'}`,
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -11,6 +11,7 @@
 import {addressOf} from './copy-address.js';
 import type {EndpointStatements} from '../endpoint-statements/index.js';
 import {callEndpoint, type CallAnswer} from './endpoint-calls.js';
+import type {ContinuationRecord, MoveStep} from './continuation-record.js';
 import type {EndpointLeavings} from './endpoint-leavings.js';
 import {MoveResult, type EndpointCall} from './move-messages.js';
 
@@ -23,6 +24,7 @@
   readonly leavings: EndpointLeavings;
   readonly metrics: GatewayMetrics;
   readonly events: EventLog;
+  readonly record: {readonly continuation: ContinuationRecord};
   /** The monotonic clock, milliseconds. */
   readonly now: () => number;
   /** Where new connections to the service's endpoints are opened now. */
@@ -144,11 +146,18 @@
   }
 
   private async move(place: KnownEndpoint): Promise<void> {
-    const {attempt, attemptId, dialect, metrics, events, now} = this.parts;
+    const {attempt, attemptId, dialect, metrics, events, record, now} =
+      this.parts;
     const {endpoint, exchange} = attempt;
     metrics.continuationEvent(ContinuationEvent.MoveAsked);
     const to = addressOf(place.entry);
     const endpointId = endpoint.entry.id;
+    const step: MoveStep = {
+      from: endpointId,
+      to: place.entry.id,
+      result: undefined,
+    };
+    record.continuation.moves.push(step);
     const sentAt = now();
     const answer = await this.callAt(
       endpoint,
@@ -156,12 +165,13 @@
     );
     const move =
       answer && dialect.moveAnswer(answer.status, new Uint8Array(answer.body));
+    step.result = move?.result ?? 'no answer';
     events.info('run move answered', {
       request: attemptId,
       endpoint: endpointId,
       to: place.entry.id,
       status: answer?.status,
-      result: move?.result ?? 'no answer',
+      result: step.result,
       handle: move?.handle,
       start: endpoint.incarnation,
       elapsedMilliseconds: Math.round(now() - sentAt),
