Wait for the answer to a move for as long as its request may last

A stream that may not be resumed ended without its last events while its endpoint held its run: the host had stopped the run itself, to move it. The stream of a run ends when the call to move it arrives; the call is answered once the copy is complete, behind the other copies on the same links. A host waited 400 ms for the answer, then took the run for broken off, ended the caller's stream and freed the handle that came later. Many long runs that leave a crowded endpoint at once are ended like this.

A run without another way to go on, no copy and no resend, is waited for as long as its request lasts; one with another way as before. The endpoint is not taken for silent meanwhile, which opened its breaker.

--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -19,7 +19,11 @@
   type CopyPlacementParts,
 } from './copy-placement.js';
 import type {EndpointLeavings} from './endpoint-leavings.js';
-import {RunMove, type StoppedRun} from './run-move.js';
+import {
+  MAXIMUM_STOP_MILLISECONDS,
+  RunMove,
+  type StoppedRun,
+} from './run-move.js';
 
 /** Dependencies of `RunContinuation`. */
 export interface RunContinuationParts extends CopyPlacementParts {
@@ -152,9 +156,22 @@
     }
   }
 
-  /** Resolves when it is known whether the run of a broken answer was stopped. */
-  async settled(signal: AbortSignal): Promise<void> {
-    await this.move?.settled(signal);
+  /**
+   * Resolves when it is known whether the run of a broken answer was stopped. An endpoint
+   * answers a move once the copy is complete, which takes as long as the copies before it.
+   *
+   * @param canResend Whether the request may be sent to another endpoint without it.
+   */
+  async settled(canResend: boolean): Promise<void> {
+    const {lifetime} = this.parts;
+    const hasOtherWay = canResend || this.backup !== undefined;
+    await this.move?.settled(
+      Math.min(
+        hasOtherWay ? MAXIMUM_STOP_MILLISECONDS : Infinity,
+        Math.max(0, lifetime.remaining()),
+      ),
+      lifetime.waitSignal,
+    );
   }
 
   /** Prepares to go on with a run that its endpoint has stopped. */
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -45,9 +45,9 @@
 
 /**
  * Time for the events that a stopped run sent before its end, and for the answer to a
- * call whose stream has ended; milliseconds.
+ * call whose run can do without it; milliseconds.
  */
-const MAXIMUM_STOP_MILLISECONDS = 400;
+export const MAXIMUM_STOP_MILLISECONDS = 400;
 /** Another endpoint has the address. */
 const MISDIRECTED_STATUS = 421;
 /** Share of the drain time after which runs that are still there are examined again. */
@@ -92,14 +92,15 @@
   /**
    * Resolves when the result of a call is known whose stream has ended.
    *
+   * @param limitMilliseconds Longest wait.
    * @param signal Ends the wait.
    */
-  async settled(signal: AbortSignal): Promise<void> {
+  async settled(limitMilliseconds: number, signal: AbortSignal): Promise<void> {
     if (this.call === undefined || signal.aborted) {
       return;
     }
     const waited = new Promise<void>(resolve => {
-      this.startTimeout(MAXIMUM_STOP_MILLISECONDS, resolve);
+      this.startTimeout(limitMilliseconds, resolve);
       signal.addEventListener(
         'abort',
         () => {
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -362,7 +362,9 @@
             this.continuation.isContinued,
           );
       if (result === AnswerResult.Broken) {
-        await this.continuation.settled(this.lifetime.waitSignal);
+        // An endpoint that has stopped the run is not silent.
+        attempt.monitor.close();
+        await this.continuation.settled(retries.canFailOver());
       }
       return isFailure(head)
         ? retries.afterFailure(attempt, head)
