Room for callers' connections by the limit that the settings state

A host took its process's limit on files for the one on its connections. The platform reserves 200 of the descriptors that it allows a machine for files, which is all that the limit of the process says; sockets share the others (max_fds in the settings file). So a host closed callers from some 80 connections on.

Evidence: 'room for callers changed' with inUse 78, room 82, descriptorLimit 200 and openDescriptors 9 on a machine with 4,100. The new setting descriptorLimit takes max_fds; without it the process's own limit counts as before.

--- a/packages/gateway/src/gateway-limits.ts
+++ b/packages/gateway/src/gateway-limits.ts
@@ -27,6 +27,8 @@
   readonly linkBytesPerSecond: number;
   /** Bytes from outside that all requests together may hold. */
   readonly inputCapacityBytes: number;
+  /** Connections that the machine allows the process; undefined if unknown. */
+  readonly connectionLimit: number | undefined;
 }
 
 const DEFAULT_STOP_GRACE_SECONDS = 8;
@@ -36,6 +38,8 @@
 const DEFAULT_RETRY_WINDOW_SECONDS = 10;
 const DEFAULT_STORE_RETENTION_SECONDS = 20;
 const MEGABIT_BYTES = 125_000;
+/** Descriptors of a machine's limit that connections don't get. */
+const FILE_DESCRIPTORS = 200;
 
 /**
  * Converts a setting to milliseconds; proto3 reads a missing number as 0, which
@@ -85,5 +89,14 @@
     ),
     linkBytesPerSecond: settings.linkMegabitsPerSecond * MEGABIT_BYTES,
     inputCapacityBytes: inputCapacityBytes(settings.memoryMegabytes),
+    connectionLimit: connectionLimitOf(settings),
   };
 }
+
+function connectionLimitOf({
+  descriptorLimit,
+}: GatewaySettings): number | undefined {
+  return descriptorLimit === 0
+    ? undefined
+    : Math.max(1, Math.floor(descriptorLimit) - FILE_DESCRIPTORS);
+}
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -251,6 +251,7 @@
       connections: this.connections,
       tunnels: this.tunnels,
       events,
+      connectionLimit: gatewayLimits(settings).connectionLimit,
     });
     this.callers.limitConnections({
       minimum: this.hostConnections.minimumCallerRoom,
--- a/packages/gateway/src/host-connections.ts
+++ b/packages/gateway/src/host-connections.ts
@@ -17,18 +17,28 @@
 
 /** What holds connections of a host. */
 export interface HostConnectionParts {
-  readonly callers: CallerServer;
+  readonly callers: Pick<
+    CallerServer,
+    'openRequests' | 'connectionsInUse' | 'connectionCounts'
+  >;
   readonly connections: EndpointConnectionPool;
-  readonly tunnels: TunnelServer;
+  readonly tunnels: Pick<TunnelServer, 'openTunnels'>;
   readonly events: EventLog;
+  /**
+   * Connections that the machine allows the process; undefined if only the process's
+   * limit on descriptors bounds them.
+   */
+  readonly connectionLimit: number | undefined;
 }
 
 /** Counts the connections and the file descriptors that this host holds. */
 export class HostConnections {
-  private readonly limit = descriptorLimit();
+  private readonly limit: number | undefined;
   private readonly roomUse = new RoomUse();
 
-  constructor(private readonly parts: HostConnectionParts) {}
+  constructor(private readonly parts: HostConnectionParts) {
+    this.limit = parts.connectionLimit ?? descriptorLimit();
+  }
 
   /** Numbers by kind, without those that the system does not tell. */
   get known(): Readonly<Record<string, number>> {
@@ -44,7 +54,7 @@
       tunnels: tunnels.openTunnels,
       ...(this.limit === undefined ? {} : {callerRoom: this.callerRoom}),
       ...(open === undefined ? {} : {openDescriptors: open}),
-      ...(this.limit === undefined ? {} : {descriptorLimit: this.limit}),
+      ...(this.limit === undefined ? {} : {connectionLimit: this.limit}),
     };
   }
 
--- a/packages/gateway/src/test/gateway-limits_test.ts
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -16,6 +16,7 @@
       evacuationMilliseconds: 4_000.5,
       storeKeepSeconds: 20.5,
       memoryMegabytes: 350.5,
+      descriptorLimit: 4_100.5,
     });
     expect(gatewayLimits(settings)).toEqual({
       stopGraceMilliseconds: 7_500,
@@ -30,6 +31,7 @@
       storeRetentionMilliseconds: 20_500,
       linkBytesPerSecond: 0,
       inputCapacityBytes: 111_250_000,
+      connectionLimit: 3_900,
     });
   });
 
@@ -49,6 +51,7 @@
       storeRetentionMilliseconds: 20_000,
       linkBytesPerSecond: 0,
       inputCapacityBytes: 16_000_000,
+      connectionLimit: undefined,
     });
   });
 });
