Give up the wait for a moved run only for a resend that there is

Streams that may be resumed were cut like those that may not while their endpoint held their run: after 400 ms without an answer to the move the host took the run for broken off and asked for a resend, of which the fleet had none left.

After 400 ms the resend is taken; without one the wait goes on.

--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -160,18 +160,19 @@
    * Resolves when it is known whether the run of a broken answer was stopped. An endpoint
    * answers a move once the copy is complete, which takes as long as the copies before it.
    *
-   * @param canResend Whether the request may be sent to another endpoint without it.
+   * @param claimFailover Takes a resend for another attempt; returns whether there may be
+   *     one. It is called if the answer takes long and there is no copy.
    */
-  async settled(canResend: boolean): Promise<void> {
-    const {lifetime} = this.parts;
-    const hasOtherWay = canResend || this.backup !== undefined;
-    await this.move?.settled(
-      Math.min(
-        hasOtherWay ? MAXIMUM_STOP_MILLISECONDS : Infinity,
-        Math.max(0, lifetime.remaining()),
-      ),
-      lifetime.waitSignal,
-    );
+  async settled(claimFailover: () => boolean): Promise<void> {
+    const {move, backup} = this;
+    const {waitSignal} = this.parts.lifetime;
+    await move?.settled(MAXIMUM_STOP_MILLISECONDS, waitSignal);
+    const hasOtherWay =
+      move?.isAsked !== true || backup !== undefined || claimFailover();
+    if (!hasOtherWay) {
+      const remaining = Math.max(0, this.parts.lifetime.remaining());
+      await move.settled(remaining, waitSignal);
+    }
   }
 
   /** Prepares to go on with a run that its endpoint has stopped. */
--- a/packages/gateway/src/continuation/run-move.ts
+++ b/packages/gateway/src/continuation/run-move.ts
@@ -75,6 +75,11 @@
     return this.stopped !== undefined;
   }
 
+  /** Whether the endpoint was asked to stop the run, and has not answered. */
+  get isAsked(): boolean {
+    return this.call !== undefined;
+  }
+
   /** Records that the endpoint of the run is about to leave. */
   endpointLeaves(): void {
     if (this.isLeaving) {
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -135,7 +135,7 @@
    * without another endpoint, cancelling an answer that is only late would cut
    * it.
    */
-  private claimFailover(): boolean {
+  claimFailover(): boolean {
     const {context} = this.parts;
     this.hasClaimedFailover =
       this.hasUntriedEndpoint() &&
