Tell a reset from the end of an answer without a length

A caller got a part of an answer as a complete one: an endpoint answered a long request at once with a 200 without a length, sent a part of its body and reset the connection. An answer without a length ends with its connection, and only the error shows a reset. Where the reset arrives together with the last bytes, libuv reports an end in place of the error that is pending: after a partial read with a hang-up it calls back with EOF at once. A host whose event loop is a little late meets this each time, and so did a host that relays for others.

A write of no bytes fails on a connection that was reset, and sends nothing on one that was ended. An end without a length counts once that write, and all that was written before, has succeeded; so a request that is still being sent is no longer complete when its endpoint closes the connection.

--- a/packages/gateway/src/endpoint-connection-pool.ts
+++ b/packages/gateway/src/endpoint-connection-pool.ts
@@ -11,6 +11,7 @@
 import type {Duplex} from 'node:stream';
 
 import type {ConnectFailure, ConnectObserver} from './connect-observer.js';
+import {endsInOrder} from './connection-end.js';
 import type {EndpointEntry} from './endpoint-entry.js';
 import {MINIMUM_TURN_BYTES, TurnBudget} from './input-limits/index.js';
 import {OpenConnections} from './open-connections.js';
@@ -109,8 +110,11 @@
    * Whether the end of a connection is that of the endpoint's connection, so
    * that it may mark the end of an answer without a length.
    */
-  readonly confirmEnd: (socket: Socket) => Promise<boolean> = () =>
-    Promise.resolve(true);
+  readonly confirmEnd: (socket: Socket) => Promise<boolean> = socket =>
+    this.ends.get(socket) ?? Promise.resolve(false);
+
+  /** Whether its connections lead to endpoints without another host between. */
+  readonly isDirect: boolean = true;
 
   /** Share of the event loop's turns that answers on its connections have. */
   readonly turns = new TurnBudget();
@@ -120,6 +124,8 @@
     this.observer?.connectionsLost(endpoint);
   });
 
+  /** Whether each connection is ended in order by its endpoint. */
+  private readonly ends = new WeakMap<Socket, Promise<boolean>>();
   private readonly guards = new WeakMap<Socket, IdleGuard>();
   private meanConnectMilliseconds = 0;
   private readonly idleLimits = new WeakMap<Socket, number>();
@@ -319,6 +325,7 @@
           socket.push(Buffer.from(READ_BUFFER.subarray(0, bytes))),
       },
     });
+    this.ends.set(socket, endsInOrder(socket));
     return socket;
   }
 
--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -480,7 +480,8 @@
       this.bodyEnd === BodyEnd.ConnectionClosed &&
       !(await this.connections.confirmEnd(socket))
     ) {
-      this.failure ??= 'end not confirmed by the relay';
+      this.failure ??= 'connection not ended in order';
+      this.wasClosed = this.connections.isDirect;
     }
   }
 
--- a/packages/gateway/src/relayed-connection-pool.ts
+++ b/packages/gateway/src/relayed-connection-pool.ts
@@ -69,6 +69,8 @@
  * lost its own paths to them.
  */
 export class RelayedConnectionPool extends EndpointConnectionPool {
+  override readonly isDirect = false;
+
   /** Asks the relay, whose own end closes its tunnels as well. */
   override readonly confirmEnd = (socket: Socket): Promise<boolean> => {
     const tunnel = this.tunnels.get(socket);
--- a/packages/gateway/src/test/tunnels_test.ts
+++ b/packages/gateway/src/test/tunnels_test.ts
@@ -372,6 +372,16 @@
     expect(await readAnswer()).toMatchObject({body: '', isComplete: true});
   });
 
+  it('is not complete if its endpoint resets the connection with its last bytes', async () => {
+    // Guards against a relay that takes a reset for the end of an answer.
+    await startRelay();
+    answer = ({socket}) => {
+      socket.write('HTTP/1.1 200 OK\r\n\r\nhalf');
+      socket.resetAndDestroy();
+    };
+    expect(await readAnswer()).toMatchObject({isComplete: false});
+  });
+
   it('is complete if its endpoint resets the connection after the end', async () => {
     // Guards against whole answers that a late reset takes along.
     await startRelay();
--- a/packages/gateway/src/tunnel-server.ts
+++ b/packages/gateway/src/tunnel-server.ts
@@ -6,6 +6,7 @@
 import {STATUS_CODES, type IncomingMessage} from 'node:http';
 import {connect, type Socket} from 'node:net';
 
+import {endsInOrder} from './connection-end.js';
 import type {EndpointConnectionPool} from './endpoint-connection-pool.js';
 import type {EndpointDirectory} from './endpoint-directory.js';
 import type {KnownEndpoint} from './known-endpoint.js';
@@ -140,9 +141,11 @@
     });
     this.tunnels.add(tunnel);
     let isEndKept = false;
-    tunnel.onEndedByEndpoint(() => {
-      isEndKept = true;
-      this.ends.record(id);
+    void tunnel.whenEnded.then(isInOrder => {
+      if (isInOrder) {
+        isEndKept = true;
+        this.ends.record(id);
+      }
     });
     tunnel.onClosed(() => {
       if (isEndKept) {
@@ -165,6 +168,8 @@
 
 /** One relayed connection. */
 class Tunnel {
+  /** Resolves with whether the endpoint ended its connection in order. */
+  readonly whenEnded: Promise<boolean>;
   private readonly outbound: Socket;
   private readonly startedAt = performance.now();
   private readonly connectTimeout: NetworkTimeout;
@@ -179,6 +184,7 @@
   ) {
     const {address, port} = endpoint.entry;
     this.outbound = connect({host: address, port, noDelay: true});
+    this.whenEnded = endsInOrder(this.outbound);
     this.connectTimeout = new NetworkTimeout(
       connections.connectTimeoutMilliseconds,
       () => {
@@ -214,11 +220,6 @@
     }
   }
 
-  /** Sets the listener for an end of the endpoint's connection without an error. */
-  onEndedByEndpoint(listener: () => void): void {
-    this.outbound.once('end', listener);
-  }
-
   /** Sets the listener for the end of the tunnel. */
   onClosed(listener: () => void): void {
     this.inbound.once('close', listener);
