Take no answer whose status is none

An endpoint in trouble answered with the status 000. Its caller got 500 'internal-error' though another endpoint could have answered: HTTP parsers accept any three digits, and sending the status on threw a RangeError. 101, and 600 to 999, were passed on as answers. Evidence: 19 of the 21 tests of odd-statuses_test.ts failed before: 500, 101, 600 and 999 in place of 502 or of the answer of another endpoint.

An answer with a status that isn't 200 to 599 counts as broken: its request may have run, and is repeated elsewhere where its route allows it.

--- a/packages/gateway/src/endpoint-exchange.ts
+++ b/packages/gateway/src/endpoint-exchange.ts
@@ -120,6 +120,9 @@
 };
 
 const BODILESS_STATUSES: readonly number[] = [204, 304];
+/** Statuses of final answers (RFC 9110, section 15). */
+const MINIMUM_FINAL_STATUS = 200;
+const MAXIMUM_FINAL_STATUS = 599;
 
 /** Codes of errors that only the other side's end of a connection causes. */
 const CLOSED_CODES: ReadonlySet<unknown> = new Set(['ECONNRESET', 'EPIPE']);
@@ -244,6 +247,10 @@
     }
     const status = incoming.statusCode ?? 0;
     const {rawHeaders} = incoming;
+    if (!isFinalStatus(status)) {
+      this.cancel(`status ${status} is no answer`);
+      return this.failureResult();
+    }
     const endpointHeaders = this.dialect.endpointAnswer(status, rawHeaders);
     const {attemptId} = this.dispatched;
     if (
@@ -605,6 +612,11 @@
   }
 }
 
+/** Whether a status ends a request; HTTP parsers accept any three digits. */
+function isFinalStatus(status: number): boolean {
+  return status >= MINIMUM_FINAL_STATUS && status <= MAXIMUM_FINAL_STATUS;
+}
+
 function pauseUntil(
   incoming: IncomingMessage,
   consumed: Promise<void> | undefined,
