Give up a silent run for one that only waits only if there is a way back

A stream that may be resumed was cut though both endpoints were sound: its endpoint was silent for a second, another one accepted the request, which took it over after 250 ms, waited there for its turn and was refused, or its endpoint failed. The run that had been silent was cancelled by then, and the return to it needs a resend, of which the fleet had none left: a crowded endpoint that falls silent takes one for each of its streams.

The resend for the return is taken before the silent run is given up for an endpoint that has not begun to answer, and given back when an answer begins. Without it the stream stays where it is.

--- a/packages/decisions/src/resend-budget.ts
+++ b/packages/decisions/src/resend-budget.ts
@@ -57,6 +57,11 @@
     return true;
   }
 
+  /** Gives back a resend that was taken and not used. */
+  giveBack(): void {
+    this.resendTimes.pop();
+  }
+
   private dropExpired(now: number): void {
     const oldest = now - this.limits.windowMilliseconds;
     dropBefore(this.requestTimes, oldest);
--- a/packages/decisions/src/test/resend-budget_test.ts
+++ b/packages/decisions/src/test/resend-budget_test.ts
@@ -54,6 +54,15 @@
     expect(granted).toBeLessThanOrEqual(bound);
   });
 
+  it('grants a resend again that was given back', () => {
+    const limits = {...LIMITS, resendsPerRequest: 0, extraResends: 2};
+    const budget = new ResendBudget(limits);
+    expect(budget.tryTake(1, 0)).toBe(true);
+    budget.giveBack();
+    expect(budget.tryTake(1, 1)).toBe(true);
+    expect(budget.tryTake(1, 2)).toBe(false);
+  });
+
   it('ignores resends older than the window', () => {
     const budget = new ResendBudget({
       ...LIMITS,
--- a/packages/gateway/src/request-retries.ts
+++ b/packages/gateway/src/request-retries.ts
@@ -48,6 +48,8 @@
   readonly promoteStandby: () => boolean;
   /** Takes a resend from the budget; returns whether there was one. */
   readonly claimResend: () => boolean;
+  /** Gives back a resend that was not used. */
+  readonly returnResend: () => void;
 }
 
 /**
@@ -75,6 +77,7 @@
   private unreachableCount = 0;
   private uncountedRefusals = 0;
   private hasClaimedFailover = false;
+  private hasClaimedReturn = false;
   private path: EndpointPath | undefined;
   /** The endpoint whose run was last given up for that of another one. */
   private givenUp: KnownEndpoint | undefined;
@@ -155,6 +158,23 @@
     return hasClaimed;
   }
 
+  /**
+   * Claims a resend for the way back to a silent endpoint, before it is given up for one
+   * that has not begun to answer.
+   */
+  claimReturn(): boolean {
+    this.hasClaimedReturn ||= this.parts.claimResend();
+    return this.hasClaimedReturn;
+  }
+
+  /** Records that an endpoint has begun to answer, so that no way back is needed. */
+  answerBegan(): void {
+    if (this.hasClaimedReturn) {
+      this.hasClaimedReturn = false;
+      this.parts.returnResend();
+    }
+  }
+
   /**
    * Records that a standby did not take the request over.
    *
@@ -390,8 +410,9 @@
     if (!lifetime.isAbandoned && this.parts.promoteStandby()) {
       return NextStep.Retry;
     }
-    const hasClaimed = this.hasClaimedFailover;
+    const hasClaimed = this.hasClaimedFailover || this.hasClaimedReturn;
     this.hasClaimedFailover = false;
+    this.hasClaimedReturn = false;
     if (context.binding.isBound && !chooser.mayChoose(context)) {
       return this.giveUp(LocalReplyReason.BuildGone);
     }
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -153,6 +153,9 @@
       continuation: this.continuation,
       promoteStandby: () => this.standby.promote(),
       claimResend,
+      returnResend: () => {
+        context.resends.giveBack();
+      },
     });
     this.answers = new AnswerRelay(
       dialect,
@@ -168,7 +171,9 @@
       begin: () => this.beginStandby(),
       mayTakeOver: head =>
         this.retries.mayGoOn &&
-        (head === undefined || this.answers.mayFollow(head)),
+        (head === undefined
+          ? this.retries.claimReturn()
+          : this.answers.mayFollow(head)),
       mayPassOn: (attempt, head) => this.answers.mayPassOn(attempt, head),
       goesOn: (attempt, head) => this.answers.goesOn(attempt, head),
       failed: (attempt, head) => {
@@ -631,6 +636,7 @@
       }
     }
     if (!isFailure(head)) {
+      this.retries.answerBegan();
       const now = this.lifetime.now();
       if (this.context.route.kind !== RouteKind.Streaming) {
         admission?.began(now);
--- a/packages/gateway/src/standby-attempt.ts
+++ b/packages/gateway/src/standby-attempt.ts
@@ -19,7 +19,8 @@
 
 /**
  * Longest time for which two endpoints may work on one request, milliseconds. One that
- * has accepted it, and neither refused nor failed it by then, takes it over.
+ * has accepted it, and neither refused nor failed it by then, takes it over, if the request
+ * may return.
  */
 const MAXIMUM_OVERLAP_MILLISECONDS = 250;
 const OVERLAP_POLL_MILLISECONDS = 50;
@@ -34,7 +35,8 @@
   /**
    * Whether the request may still go on at the other endpoint.
    *
-   * @param head The head of its answer, if it has come.
+   * @param head The head of its answer; undefined if it has not come, so that the request
+   *     may have to return.
    */
   mayTakeOver(head: AnswerHead | undefined): boolean;
   /** Resolves with whether the answer may be passed on after what was delivered. */
