Wait for a moved run whose copy elsewhere can't be used

With copies of runs (streamCopies) a run that was to be moved was taken for broken off after 400 ms where a copy had been asked for, also if the endpoint of that copy is gone or the end of the run is not proved, so that nothing goes on from it.

--- a/packages/gateway/src/continuation/run-continuation.ts
+++ b/packages/gateway/src/continuation/run-continuation.ts
@@ -161,17 +161,22 @@
    * answers a move once the copy is complete, which takes as long as the copies before it.
    *
    * @param claimFailover Takes a resend for another attempt; returns whether there may be
-   *     one. It is called if the answer takes long and there is no copy.
+   *     one. It is called if the answer takes long and the run has no copy elsewhere.
    */
-  async settled(claimFailover: () => boolean): Promise<void> {
-    const {move, backup} = this;
-    const {waitSignal} = this.parts.lifetime;
-    await move?.settled(MAXIMUM_STOP_MILLISECONDS, waitSignal);
-    const hasOtherWay =
-      move?.isAsked !== true || backup !== undefined || claimFailover();
-    if (!hasOtherWay) {
-      const remaining = Math.max(0, this.parts.lifetime.remaining());
-      await move.settled(remaining, waitSignal);
+  async settled(
+    attempt: EndpointAttempt,
+    claimFailover: () => boolean,
+  ): Promise<void> {
+    const {move} = this;
+    const {lifetime} = this.parts;
+    await move?.settled(MAXIMUM_STOP_MILLISECONDS, lifetime.waitSignal);
+    if (
+      move?.isAsked === true &&
+      !this.hasUsableBackup(attempt) &&
+      !claimFailover()
+    ) {
+      const remaining = Math.max(0, lifetime.remaining());
+      await move.settled(remaining, lifetime.waitSignal);
     }
   }
 
@@ -359,6 +364,14 @@
       : undefined;
   }
 
+  private hasUsableBackup(attempt: EndpointAttempt): boolean {
+    const {backup} = this;
+    return (
+      backup !== undefined &&
+      this.reasonAgainst(attempt, this.chosenFor(backup)) === undefined
+    );
+  }
+
   private reasonAgainst(
     {exchange, path}: EndpointAttempt,
     chosen: ChosenEndpoint | undefined,
--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -369,7 +369,7 @@
       if (result === AnswerResult.Broken) {
         // An endpoint that has stopped the run is not silent.
         attempt.monitor.close();
-        await this.continuation.settled(() => retries.claimFailover());
+        await this.continuation.settled(attempt, () => retries.claimFailover());
       }
       return isFailure(head)
         ? retries.afterFailure(attempt, head)
