Say in the platform's template how many descriptors are for files

The number of descriptors that the platform keeps for files stood in the gateway, as a constant; it is the platform's. It is a setting now (fileDescriptors), which the template of the deployment gives. Figures are unchanged: 3,900 of 4,100 for connections.

--- a/packages/gateway/src/gateway-limits.ts
+++ b/packages/gateway/src/gateway-limits.ts
@@ -38,8 +38,6 @@
 const DEFAULT_RETRY_WINDOW_SECONDS = 10;
 const DEFAULT_STORE_RETENTION_SECONDS = 20;
 const MEGABIT_BYTES = 125_000;
-/** Descriptors of a machine's limit that connections don't get. */
-const FILE_DESCRIPTORS = 200;
 
 /**
  * Converts a setting to milliseconds; proto3 reads a missing number as 0, which
@@ -95,8 +93,9 @@
 
 function connectionLimitOf({
   descriptorLimit,
+  fileDescriptors,
 }: GatewaySettings): number | undefined {
   return descriptorLimit === 0
     ? undefined
-    : Math.max(1, Math.floor(descriptorLimit) - FILE_DESCRIPTORS);
+    : Math.max(1, Math.floor(descriptorLimit - fileDescriptors));
 }
--- a/packages/gateway/src/test/gateway-limits_test.ts
+++ b/packages/gateway/src/test/gateway-limits_test.ts
@@ -17,6 +17,7 @@
       storeKeepSeconds: 20.5,
       memoryMegabytes: 350.5,
       descriptorLimit: 4_100.5,
+      fileDescriptors: 200,
     });
     expect(gatewayLimits(settings)).toEqual({
       stopGraceMilliseconds: 7_500,
