Give up a silent run only for one that may continue its stream

Trace: an endpoint leaves the list as the stream begins, so that the list never confirms which build began it; it is silent for 1.5 s; another endpoint accepts the request, and takes it over after 250 ms, before its answer begins; its whole answer then waits 1.5 s for the confirmation and is cut ('endpoint may run another build'); the first endpoint has ended by then, as its run was cancelled.

A run that brought the first event and is not confirmed is not given up for an endpoint that has not begun to answer: no other run may go on with its stream. The test 'stays at the endpoint that is silent if it was removed from the list as the stream began' failed before (2 of 4 events). What may be passed on is decided as before.

--- a/packages/gateway/src/request-run.ts
+++ b/packages/gateway/src/request-run.ts
@@ -172,7 +172,7 @@
       mayTakeOver: head =>
         this.retries.mayGoOn &&
         (head === undefined
-          ? this.retries.claimReturn()
+          ? context.binding.mayContinue && this.retries.claimReturn()
           : this.answers.mayFollow(head)),
       mayPassOn: (attempt, head) => this.answers.mayPassOn(attempt, head),
       goesOn: (attempt, head) => this.answers.goesOn(attempt, head),
--- a/packages/gateway/src/stream-origins/stream-binding.ts
+++ b/packages/gateway/src/stream-origins/stream-binding.ts
@@ -55,6 +55,17 @@
     return !this.isBound || this.fits(endpoint.listedOriginAt(now));
   }
 
+  /**
+   * Whether another run may go on with the stream, as far as the run tells that brought its
+   * first event. One that left the list as it began is never confirmed.
+   */
+  get mayContinue(): boolean {
+    return (
+      !this.isBound ||
+      (this.origin !== undefined && this.isSettled(this.firstRun))
+    );
+  }
+
   /**
    * Whether the events of a run may be passed on. Undefined if it is not known yet what
    * runs there, or what began the stream.
@@ -72,8 +83,14 @@
     if (!isSameOrigin(origin, candidate)) {
       return false;
     }
-    const areConfirmed = isConfirmed(run) && isConfirmed(this.firstRun);
-    return areConfirmed || !this.isListReadable() ? true : undefined;
+    return this.isSettled(run) && this.isSettled(this.firstRun)
+      ? true
+      : undefined;
+  }
+
+  /** Whether the list can tell no more of what ran there. */
+  private isSettled(run: FirstRun | undefined): boolean {
+    return isConfirmed(run) || !this.isListReadable();
   }
 
   private fits(candidate: StreamOrigin | undefined): boolean {
