Review case 8: streams of two software versions are joined in a store outage

ORDER: an engine that starts again with another version while the store is down keeps its old entry. When it crashes, gateways go on with the streams that it began at engines of the old version, in the same answer.

--- a/review/common-2/engine.mjs
+++ b/review/common-2/engine.mjs
@@ -45,6 +45,24 @@
     });
   }
 
+  /** Ends without notice: all channels break, and new ones are refused. */
+  crash() {
+    this.close();
+  }
+
+  /** Starts again under its identifier and at its address, with other software. */
+  async startAgain(version) {
+    this.place = {...this.place, version};
+    this.born = Date.now();
+    this.sequence = 0;
+    const port = Number(this.address.split(':')[1]);
+    await new Promise(resolve =>
+      this.server.listen(port, '127.0.0.1', resolve),
+    );
+    this.beat();
+    this.timer = setInterval(() => this.beat(), HEARTBEAT_MILLISECONDS);
+  }
+
   close() {
     clearInterval(this.timer);
     this.server.closeAllConnections();
@@ -86,7 +104,7 @@
 /** Answers with the events after the one that the request names, in equal intervals. */
 export function streamEvents(
   {request, response, head, received},
-  {count, milliseconds},
+  {count, milliseconds, text = received.engine},
 ) {
   const last = Number(request.headers['last-event-id'] ?? 0);
   received.from = last + 1;
@@ -100,7 +118,7 @@
       return;
     }
     id++;
-    response.write(`id: ${id}\ndata: ${received.engine} ${id}\n\n`);
+    response.write(`id: ${id}\ndata: ${text} ${id}\n\n`);
   }, milliseconds);
   response.once('close', () => {
     clearInterval(timer);
--- a/review/common-2/store.mjs
+++ b/review/common-2/store.mjs
@@ -68,6 +68,8 @@
 /** A stand-in of the platform's store: a log that keeps its records for `keepSeconds`. */
 export class Store {
   topics = new Map();
+  /** Whether the store is down: calls get 503, and nobody can write. */
+  isDown = false;
 
   constructor(keepSeconds) {
     this.keepMilliseconds = 1_000 * keepSeconds;
@@ -89,11 +91,14 @@
 
   /** Writes a key as the operator or an engine does; undefined drops it. */
   put(topic, key, value) {
+    if (this.isDown) {
+      return;
+    }
     const bytes =
       value === undefined
         ? Buffer.alloc(0)
         : Buffer.from(JSON.stringify(value));
-    return this.partition(topic, 0).append([encodeKeyed(key, bytes)]);
+    this.partition(topic, 0).append([encodeKeyed(key, bytes)]);
   }
 
   partition(topic, part) {
@@ -117,6 +122,10 @@
     const topic = query.get('topic') ?? '';
     const part = Number(query.get('part') ?? 0);
     await delay(ANSWER_MILLISECONDS);
+    if (this.isDown) {
+      sendJson(response, 503, {});
+      return;
+    }
     switch (url.pathname) {
       case '/-/log-append':
         this.append(topic, part, query, Buffer.concat(chunks), response);
